--- /dev/null
+++ b/cmd/ridgeswitch-lab/main.go
@@ -0,0 +1,43 @@
+// Command ridgeswitch-lab is the means of proof of ridgeswitch: stand-ins for
+// its counterparts, benches, and whole fleets on one machine.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// commands builds the subcommands, a function each. A new subcommand is one
+// more line here and one more file.
+var commands = []func() *cli.Command{
+	replicaCommand,
+	storeCommand,
+	webServiceCommand,
+	platformCommand,
+	benchCommand,
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newApplication().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "ridgeswitch-lab:", err)
+		os.Exit(1)
+	}
+}
+
+func newApplication() *cli.Command {
+	application := &cli.Command{
+		Name:  "ridgeswitch-lab",
+		Usage: "stand-ins, benches and fleets that try ridgeswitch out",
+	}
+	for _, build := range commands {
+		application.Commands = append(application.Commands, build())
+	}
+	return application
+}
--- /dev/null
+++ b/cmd/ridgeswitch/main.go
@@ -0,0 +1,44 @@
+// Command ridgeswitch is the one binary of a deployment: the node itself and the
+// operators' verbs.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/operatorcli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cli.Command{
+		Name:     "ridgeswitch",
+		Usage:    "one front for language-model replicas",
+		Commands: append([]*cli.Command{nodeCommand(), initCommand()}, operatorcli.Commands()...),
+		// Exit codes are chosen in exitCode alone.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	err := root.Run(ctx, os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "ridgeswitch:", err)
+	stop()
+	os.Exit(exitCode(err))
+}
+
+// exitCode takes the code that an error carries, or 1.
+func exitCode(err error) int {
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	return 1
+}
--- /dev/null
+++ b/cmd/ridgeswitch/node.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/logring"
+	"github.com/ridgeswitch/ridgeswitch/internal/node"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
+)
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "node",
+		Usage:  "run a node until SIGTERM",
+		Flags:  static.Flags(),
+		Action: runNode,
+	}
+}
+
+func initCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "init",
+		Usage: "mark an empty data folder as that of a founding member",
+		Description: "Run it once on each node with a disk when a deployment is first set up. " +
+			"Do not run it on a machine that replaces another, or after a disk was lost: " +
+			"a node with an uninitialised folder copies the state from the others and does not vote.",
+		Flags:  static.Flags(),
+		Action: runInit,
+	}
+}
+
+// checkedSettings reads the settings and returns all their faults at once.
+func checkedSettings(command *cli.Command) (*static.Settings, error) {
+	settings, err := static.FromCommand(command)
+	if err != nil {
+		return nil, err
+	}
+	if faults := settings.Check(); len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	return settings, nil
+}
+
+func runInit(_ context.Context, command *cli.Command) error {
+	settings, err := checkedSettings(command)
+	if err != nil {
+		return err
+	}
+	return node.Initialise(settings)
+}
+
+func runNode(ctx context.Context, command *cli.Command) error {
+	settings, err := checkedSettings(command)
+	if err != nil {
+		return err
+	}
+	level, err := logrus.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	ring := logring.New(settings.LogRing, os.Stderr)
+	defer dumpOnPanic(ring)
+	logger := ring.Logger(level)
+	logring.UseForFramework(logger)
+	defer dumpOnSignal(ring)()
+	running, err := node.New(settings, logger.WithField("node", settings.Node))
+	if err != nil {
+		return err
+	}
+	return running.Run(ctx)
+}
+
+// dumpOnPanic writes the log ring out before a panic ends the process.
+func dumpOnPanic(ring *logring.Ring) {
+	if cause := recover(); cause != nil {
+		_ = ring.Dump()
+		panic(cause)
+	}
+}
+
+// dumpOnSignal writes the log ring out on every SIGUSR1 and returns the function
+// that ends this.
+func dumpOnSignal(ring *logring.Ring) func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	go func() {
+		for range signals {
+			_ = ring.Dump()
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+	}
+}
--- /dev/null
+++ b/internal/control/config.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// Times of the control machine. They are chosen so that an order is
+// acknowledged well within two seconds while nodes come and go.
+const (
+	// DefaultTickEvery is how often a driver calls Tick.
+	DefaultTickEvery = 20 * time.Millisecond
+	// DefaultHeartbeatEvery is how often owners and members are heard from.
+	DefaultHeartbeatEvery = 100 * time.Millisecond
+	// DefaultElectionTimeout is how long a silent owner keeps its place.
+	DefaultElectionTimeout = 900 * time.Millisecond
+	// DefaultLeaseDuration is how long an owner may command replicas after a
+	// quorum has last confirmed it.
+	DefaultLeaseDuration = 3 * time.Second
+	// DefaultLeaseMargin covers clocks that run at slightly different rates.
+	DefaultLeaseMargin = 300 * time.Millisecond
+	// DefaultFenceAfter is how long a node serves without its monitors.
+	DefaultFenceAfter = time.Second
+	// DefaultFenceMargin is added before others count on the fence.
+	DefaultFenceMargin = 200 * time.Millisecond
+	// DefaultAcknowledgeTimeout is how long the owner waits for every serving
+	// node to confirm a revision before it answers that the order is pending.
+	DefaultAcknowledgeTimeout = 4 * time.Second
+	// DefaultOrderTimeout is how long a node looks for an owner that takes an
+	// order.
+	DefaultOrderTimeout = 8 * time.Second
+	// DefaultRetryEvery is how long a node waits for the answer to a message
+	// before it asks the next group member.
+	DefaultRetryEvery = 300 * time.Millisecond
+	// DefaultConfirmEvery is how often confirmations are repeated, in case one
+	// was lost.
+	DefaultConfirmEvery = 250 * time.Millisecond
+	// DefaultDigestEvery is how often relay nodes compare revisions.
+	DefaultDigestEvery = 200 * time.Millisecond
+)
+
+const (
+	// ConfigurationShard is the shard that holds the configuration.
+	ConfigurationShard uint32 = 0
+	// DefaultServiceShards is the number of shards that services hash to.
+	DefaultServiceShards uint32 = 4
+	// serviceGroupSize is the number of nodes that hold one service shard.
+	serviceGroupSize = 3
+	// relayFanOut bounds the children of a node in the relay tree.
+	relayFanOut = 4
+	// monitorCount is the number of monitors that a node chooses.
+	monitorCount = 3
+	// maxLogEntries is how many applied entries a shard keeps for stragglers.
+	maxLogEntries = 1024
+)
+
+// Times groups the durations of a control machine, so that tests and
+// simulations may shorten them.
+type Times struct {
+	HeartbeatEvery     time.Duration
+	ElectionTimeout    time.Duration
+	LeaseDuration      time.Duration
+	LeaseMargin        time.Duration
+	FenceAfter         time.Duration
+	FenceMargin        time.Duration
+	AcknowledgeTimeout time.Duration
+	OrderTimeout       time.Duration
+	RetryEvery         time.Duration
+	ConfirmEvery       time.Duration
+	DigestEvery        time.Duration
+}
+
+// DefaultTimes returns the times that nodes run with.
+func DefaultTimes() Times {
+	return Times{
+		HeartbeatEvery:     DefaultHeartbeatEvery,
+		ElectionTimeout:    DefaultElectionTimeout,
+		LeaseDuration:      DefaultLeaseDuration,
+		LeaseMargin:        DefaultLeaseMargin,
+		FenceAfter:         DefaultFenceAfter,
+		FenceMargin:        DefaultFenceMargin,
+		AcknowledgeTimeout: DefaultAcknowledgeTimeout,
+		OrderTimeout:       DefaultOrderTimeout,
+		RetryEvery:         DefaultRetryEvery,
+		ConfirmEvery:       DefaultConfirmEvery,
+		DigestEvery:        DefaultDigestEvery,
+	}
+}
+
+// Config is what a control machine knows when it starts.
+type Config struct {
+	Self member.Info
+	// Seeds are internal addresses of up to three other nodes.
+	Seeds []string
+	// Group holds the IDs of all nodes with disks, in the agreed order.
+	Group []member.ID
+	// ServiceShards is the number of shards that services hash to.
+	ServiceShards uint32
+	// Learner is set on a node whose disk has never been initialised: it
+	// follows the shards and must not vote.
+	Learner bool
+	Times   Times
+}
--- /dev/null
+++ b/internal/control/driver.go
@@ -0,0 +1,325 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+// inputBacklog bounds the inputs that wait for the control goroutine.
+const inputBacklog = 4096
+
+// ErrNotServing is returned for traffic while the node may be cut off, or has
+// not learnt yet what is in force.
+var ErrNotServing = errors.New("the node is not serving: it may be cut off or has not learnt the current configuration; use another node")
+
+// ErrStopped is returned for an order that reaches a node that stops.
+var ErrStopped = errors.New("the node is stopping; send the identical order to another node")
+
+// Sender carries a frame to the internal address of another node.
+type Sender interface {
+	Send(address string, frame []byte)
+}
+
+// Storage makes what a shard has to keep durable.
+type Storage interface {
+	Save(ready replication.Ready) error
+	Checkpoint(hard replication.HardState, snapshot *replication.Snapshot, entries []replication.Entry) error
+}
+
+// Commander orders a replica to load weights.
+type Commander interface {
+	Command(command Command)
+}
+
+// DriverOptions are the surroundings of a control machine in a daemon.
+type DriverOptions struct {
+	Clock     func() time.Duration
+	Sender    Sender
+	Storage   map[uint32]Storage
+	Commander Commander
+	Log       *logrus.Entry
+}
+
+// Driver runs a Machine: one goroutine owns it, feeds it inputs and carries out
+// its outputs. Traffic reads the newest view without waiting for it.
+type Driver struct {
+	machine *Machine
+	options DriverOptions
+	inputs  chan func(now time.Duration) Output
+	saves   map[uint32]chan Save
+	done    chan struct{}
+
+	view       atomic.Pointer[routing.View]
+	serveUntil atomic.Int64
+	watched    atomic.Pointer[[]string]
+	lastRun    atomic.Int64
+
+	// waiting belongs to the control goroutine.
+	waiting    map[uint64]chan Reply
+	nextTicket uint64
+}
+
+// NewDriver returns a driver that is not running yet.
+func NewDriver(machine *Machine, options DriverOptions) *Driver {
+	driver := &Driver{
+		machine: machine,
+		options: options,
+		inputs:  make(chan func(time.Duration) Output, inputBacklog),
+		saves:   map[uint32]chan Save{},
+		done:    make(chan struct{}),
+		waiting: map[uint64]chan Reply{},
+	}
+	for id := range options.Storage {
+		driver.saves[id] = make(chan Save, 1)
+	}
+	return driver
+}
+
+// Serve runs the machine until the context ends.
+func (d *Driver) Serve(ctx context.Context) error {
+	defer close(d.done)
+	for id, queue := range d.saves {
+		go d.saveLoop(ctx, id, queue)
+	}
+	ticker := time.NewTicker(DefaultTickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			d.perform(d.machine.Tick(d.options.Clock()))
+		case input := <-d.inputs:
+			d.perform(input(d.options.Clock()))
+		}
+	}
+}
+
+// perform carries out an output. What traffic may see changes first, so that
+// nothing is confirmed to others before it is in force here.
+func (d *Driver) perform(output Output) {
+	if output.View != nil {
+		d.view.Store(output.View)
+	}
+	d.serveUntil.Store(int64(d.machine.ServeUntil()))
+	d.lastRun.Store(int64(d.machine.Now()))
+	watched := d.machine.WatchedReplicas()
+	d.watched.Store(&watched)
+	for _, save := range output.Saves {
+		d.saves[save.Shard] <- save
+	}
+	for _, send := range output.Sends {
+		if send.Address != "" {
+			d.options.Sender.Send(send.Address, wire.Encode(send.Envelope))
+		}
+	}
+	for _, reply := range output.Replies {
+		d.deliver(reply)
+	}
+	for _, command := range output.Commands {
+		d.options.Commander.Command(command)
+	}
+}
+
+// saveLoop writes what one shard has to keep. A shard whose disk fails stops
+// there: it sends nothing that depends on the write, so that its group goes on
+// without it.
+func (d *Driver) saveLoop(ctx context.Context, id uint32, queue <-chan Save) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case save := <-queue:
+			if !d.saveUntilDurable(ctx, save) {
+				return
+			}
+			d.post(func(now time.Duration) Output { return d.machine.Saved(now, id) })
+		}
+	}
+}
+
+// saveUntilDurable repeats a failed write, as a full disk may get room again.
+func (d *Driver) saveUntilDurable(ctx context.Context, save Save) bool {
+	for {
+		err := d.write(save)
+		if err == nil {
+			return true
+		}
+		d.options.Log.WithError(err).WithField("shard", save.Shard).Error("cannot write control state; free space in the data folder or replace the disk")
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(saveRetryEvery):
+		}
+	}
+}
+
+func (d *Driver) write(save Save) error {
+	storage := d.options.Storage[save.Shard]
+	if save.Checkpoint == nil {
+		return storage.Save(save.Ready)
+	}
+	return storage.Checkpoint(save.Checkpoint.HardState, save.Checkpoint.Snapshot, save.Checkpoint.Entries)
+}
+
+// saveRetryEvery is the pause before a failed write is tried again.
+const saveRetryEvery = time.Second
+
+// post hands an input to the control goroutine and drops it once the driver has
+// stopped.
+func (d *Driver) post(input func(now time.Duration) Output) {
+	select {
+	case d.inputs <- input:
+	case <-d.done:
+	}
+}
+
+// ReceiveFrame takes a frame of another node.
+func (d *Driver) ReceiveFrame(frame []byte) {
+	envelope, err := wire.Decode(frame)
+	if err != nil {
+		d.options.Log.WithError(err).Warn("dropped a frame that is not of this protocol")
+		return
+	}
+	d.post(func(now time.Duration) Output { return d.machine.Receive(now, envelope) })
+}
+
+// SetPlatformList takes the platform's newest list.
+func (d *Driver) SetPlatformList(services []ListedService) {
+	d.post(func(now time.Duration) Output { return d.machine.SetPlatformList(now, services) })
+}
+
+// SetReplicaReport takes what a replica said of itself.
+func (d *Driver) SetReplicaReport(report ReplicaReport) {
+	d.post(func(now time.Duration) Output { return d.machine.SetReplicaReport(now, report) })
+}
+
+// WatchedReplicas lists the replicas whose reports the machine needs.
+func (d *Driver) WatchedReplicas() []string {
+	watched := d.watched.Load()
+	if watched == nil {
+		return nil
+	}
+	return *watched
+}
+
+// Leave announces that the node stops and hands over what it owns.
+func (d *Driver) Leave() {
+	d.ask(func(now time.Duration) Output { return d.machine.Leave(now) })
+}
+
+// ask runs an input and waits until its output is carried out.
+func (d *Driver) ask(input func(now time.Duration) Output) {
+	finished := make(chan struct{})
+	d.post(func(now time.Duration) Output {
+		defer close(finished)
+		return input(now)
+	})
+	select {
+	case <-finished:
+	case <-d.done:
+	}
+}
+
+// Submit gives an order to the machine and waits for its answer.
+func (d *Driver) Submit(ctx context.Context, order *controlpb.Order) (*controlpb.Answer, error) {
+	answers := make(chan Reply, 1)
+	d.post(func(now time.Duration) Output {
+		d.nextTicket++
+		d.waiting[d.nextTicket] = answers
+		return d.machine.Submit(now, d.nextTicket, order)
+	})
+	select {
+	case reply := <-answers:
+		return reply.Answer, reply.Err
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "the order was not answered in time; send the identical order again")
+	case <-d.done:
+		return nil, ErrStopped
+	}
+}
+
+// deliver hands a reply to whoever waits for it.
+func (d *Driver) deliver(reply Reply) {
+	answers, found := d.waiting[reply.Ticket]
+	if !found {
+		return
+	}
+	delete(d.waiting, reply.Ticket)
+	answers <- reply
+}
+
+// Configuration returns the configuration in force on this node.
+func (d *Driver) Configuration() *ridgeswitchv1.Configuration {
+	view := d.view.Load()
+	if view == nil {
+		return &ridgeswitchv1.Configuration{}
+	}
+	return view.Configuration
+}
+
+// Weights describes the roll-out of a pool, or returns nil when there is no such
+// pool.
+func (d *Driver) Weights(pool string) (*ridgeswitchv1.WeightsStatus, error) {
+	var status *ridgeswitchv1.WeightsStatus
+	d.ask(func(time.Duration) Output {
+		status = d.machine.Weights(pool)
+		return Output{}
+	})
+	if status == nil {
+		return nil, &UnknownPoolError{Pool: pool}
+	}
+	return status, nil
+}
+
+// UnknownPoolError tells that no pool has the given name.
+type UnknownPoolError struct {
+	Pool string
+}
+
+func (e *UnknownPoolError) Error() string {
+	return "no pool is named " + e.Pool + "; list the pools with `ridgeswitch get`"
+}
+
+// Status describes this node's view of the deployment.
+func (d *Driver) Status() *ridgeswitchv1.NodeStatus {
+	status := &ridgeswitchv1.NodeStatus{}
+	d.ask(func(time.Duration) Output {
+		status = d.machine.Status()
+		return Output{}
+	})
+	return status
+}
+
+// View returns the newest view, or nil before the first one.
+func (d *Driver) View() *routing.View { return d.view.Load() }
+
+// Live returns an error when the control goroutine has not run for long.
+func (d *Driver) Live() error {
+	if idle := d.options.Clock() - time.Duration(d.lastRun.Load()); idle > stalledAfter {
+		return errors.Errorf("control has not run for %s; restart the node", idle)
+	}
+	return nil
+}
+
+// stalledAfter is how long the control goroutine may be busy before the node
+// counts as stuck.
+const stalledAfter = 5 * time.Second
+
+// Serving returns nil while the node may admit traffic.
+func (d *Driver) Serving() error {
+	if d.view.Load() == nil || d.options.Clock() >= time.Duration(d.serveUntil.Load()) {
+		return ErrNotServing
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/orders.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// pendingOrder is an order that this node took from an operator and that the
+// owner of the configuration has not answered yet.
+type pendingOrder struct {
+	ticket   uint64
+	request  uint64
+	payload  []byte
+	target   member.ID
+	nextAsk  time.Duration
+	deadline time.Duration
+}
+
+// waitingOrder is an accepted order at the owner, whose answer waits until
+// every serving node has confirmed its revision.
+type waitingOrder struct {
+	from     member.ID
+	request  uint64
+	answer   *controlpb.Answer
+	deadline time.Duration
+}
+
+// orderBook holds both sides of the orders in progress at a node.
+type orderBook struct {
+	pending []*pendingOrder
+	waiting []waitingOrder
+}
+
+func newOrderBook() orderBook { return orderBook{} }
+
+// submitOrder takes an operator's order and asks the owner.
+func (m *Machine) submitOrder(ticket uint64, order *controlpb.Order) {
+	command := &controlpb.Command{Command: &controlpb.Command_Order{Order: order}}
+	payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(command)
+	if err != nil {
+		m.output.Replies = append(m.output.Replies, Reply{Ticket: ticket, Err: err})
+		return
+	}
+	pending := &pendingOrder{
+		ticket:   ticket,
+		request:  m.nextRequest(),
+		payload:  payload,
+		deadline: m.now + m.config.Times.OrderTimeout,
+	}
+	m.orders.pending = append(m.orders.pending, pending)
+	m.askOwner(pending, m.ownerGuess(ConfigurationShard))
+}
+
+// askOwner sends a pending order to a node that may own the configuration.
+func (m *Machine) askOwner(pending *pendingOrder, target member.ID) {
+	pending.target = target
+	pending.nextAsk = m.now + m.config.Times.RetryEvery
+	if target == "" {
+		return
+	}
+	m.sendControl(target, protocol.Message{
+		Type:    protocol.MessageOrder,
+		Shard:   ConfigurationShard,
+		Request: pending.request,
+		Payload: pending.payload,
+	})
+}
+
+// tickOrders asks again for orders without an answer, and gives up on those
+// whose time is over. The outcome of those is unknown, so that they are
+// answered as pending.
+func (m *Machine) tickOrders() {
+	for _, pending := range slices.Clone(m.orders.pending) {
+		switch {
+		case m.now >= pending.deadline:
+			m.answerOrder(pending, &controlpb.Answer{})
+		case m.now >= pending.nextAsk:
+			m.askOwner(pending, m.nextOwnerGuess(ConfigurationShard, pending.target))
+		}
+	}
+	m.answerWaiting()
+}
+
+// answerOrder answers the operator and ends the pending order.
+func (m *Machine) answerOrder(pending *pendingOrder, answer *controlpb.Answer) {
+	m.output.Replies = append(m.output.Replies, Reply{Ticket: pending.ticket, Answer: answer})
+	m.orders.pending = slices.DeleteFunc(m.orders.pending, func(other *pendingOrder) bool {
+		return other == pending
+	})
+}
+
+// receiveOrder takes an order that a node forwarded to the supposed owner.
+func (m *Machine) receiveOrder(from member.ID, message protocol.Message) {
+	hosted := m.shards[message.Shard]
+	if hosted == nil || !hosted.owned() {
+		m.refuseOrder(from, message)
+		return
+	}
+	if m.orderInProgress(hosted, from, message.Request) {
+		return
+	}
+	m.propose(hosted, message.Payload, proposal{from: from, request: message.Request, message: message})
+}
+
+// orderInProgress tells whether the same question of the same node is already
+// being worked on, so that a repeated message does not fill the log.
+func (m *Machine) orderInProgress(hosted *shard, from member.ID, request uint64) bool {
+	for _, open := range hosted.proposals {
+		if open.from == from && open.request == request {
+			return true
+		}
+	}
+	return slices.ContainsFunc(m.orders.waiting, func(waiting waitingOrder) bool {
+		return waiting.from == from && waiting.request == request
+	})
+}
+
+// refuseOrder tells a node that this one does not own the shard.
+func (m *Machine) refuseOrder(from member.ID, message protocol.Message) {
+	m.sendControl(from, protocol.Message{
+		Type:    protocol.MessageOrderReply,
+		Shard:   message.Shard,
+		Request: message.Request,
+		Owner:   m.knownOwner(message.Shard),
+	})
+}
+
+// orderApplied answers a refused order at once and lets an accepted one wait
+// for its confirmation.
+func (m *Machine) orderApplied(open proposal, answer *controlpb.Answer) {
+	waiting := waitingOrder{
+		from:     open.from,
+		request:  open.request,
+		answer:   answer,
+		deadline: m.now + m.config.Times.AcknowledgeTimeout,
+	}
+	if answer.GetProblem() != nil {
+		m.replyToOrder(waiting, false)
+		return
+	}
+	m.orders.waiting = append(m.orders.waiting, waiting)
+}
+
+// answerWaiting answers accepted orders that are confirmed everywhere, and as
+// pending those that were not confirmed in time.
+func (m *Machine) answerWaiting() {
+	hosted := m.shards[ConfigurationShard]
+	var still []waitingOrder
+	for _, waiting := range m.orders.waiting {
+		switch {
+		case hosted.owned() && m.confirmedEverywhere(hosted, waiting.answer.GetRevision()):
+			m.replyToOrder(waiting, true)
+		case m.now >= waiting.deadline:
+			m.replyToOrder(waiting, false)
+		default:
+			still = append(still, waiting)
+		}
+	}
+	m.orders.waiting = still
+}
+
+// replyToOrder sends the answer to the node that took the order.
+func (m *Machine) replyToOrder(waiting waitingOrder, confirmed bool) {
+	answer := proto.Clone(waiting.answer).(*controlpb.Answer)
+	answer.Confirmed = confirmed
+	payload, err := proto.Marshal(answer)
+	if err != nil {
+		return
+	}
+	m.sendControl(waiting.from, protocol.Message{
+		Type:     protocol.MessageOrderReply,
+		Shard:    ConfigurationShard,
+		Request:  waiting.request,
+		Accepted: true,
+		Payload:  payload,
+	})
+}
+
+// receiveOrderReply handles the owner's answer, or a hint who owns the shard.
+func (m *Machine) receiveOrderReply(from member.ID, message protocol.Message) {
+	position := slices.IndexFunc(m.orders.pending, func(pending *pendingOrder) bool {
+		return pending.request == message.Request
+	})
+	if position < 0 {
+		return
+	}
+	pending := m.orders.pending[position]
+	if !message.Accepted {
+		m.learnOwner(message.Shard, from, message.Owner)
+		if message.Owner != "" && message.Owner != pending.target {
+			m.askOwner(pending, message.Owner)
+		}
+		return
+	}
+	answer := &controlpb.Answer{}
+	if err := proto.Unmarshal(message.Payload, answer); err != nil {
+		return
+	}
+	m.lastOwners[message.Shard] = from
+	m.answerOrder(pending, answer)
+}
--- /dev/null
+++ b/internal/control/proposals.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// timeStamp is elapsed time on a clock that counts suspended time.
+type timeStamp = time.Duration
+
+// proposal is a command of this node, as owner, that waits to be applied.
+type proposal struct {
+	epoch   uint64
+	from    member.ID
+	request uint64
+	message protocol.Message
+}
+
+// propose appends a command to a shard that this node owns.
+func (m *Machine) propose(hosted *shard, payload []byte, open proposal) {
+	index, err := hosted.group.Propose(m.now, payload)
+	if err != nil {
+		return
+	}
+	open.epoch = hosted.group.Status().Epoch
+	hosted.proposals[index] = open
+	m.pump(hosted)
+}
+
+// proposeCommand encodes and appends a command that nobody waits for.
+func (m *Machine) proposeCommand(hosted *shard, command *controlpb.Command) {
+	payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(command)
+	if err != nil {
+		hosted.badEntries++
+		return
+	}
+	if _, err := hosted.group.Propose(m.now, payload); err != nil {
+		// Ownership was lost; the next owner decides anew.
+		return
+	}
+	m.pump(hosted)
+}
+
+// afterApply answers whoever waits for the command at an index. An entry of
+// another epoch means that the proposal was lost to a later owner; its sender
+// asks again.
+func (m *Machine) afterApply(hosted *shard, index uint64, command *controlpb.Command, answer *controlpb.Answer) {
+	if registered := command.GetRegisterNode(); registered != nil {
+		m.confirmed.forgetOlder(hosted.id, member.ID(registered.GetNode()), member.Incarnation(registered.GetIncarnation()))
+	}
+	open, found := hosted.proposals[index]
+	if !found {
+		return
+	}
+	delete(hosted.proposals, index)
+	if hosted.group.Status().Epoch != open.epoch {
+		return
+	}
+	switch {
+	case command.GetOrder() != nil:
+		m.orderApplied(open, answer)
+	case command.GetRegisterNode() != nil:
+		m.registrationApplied(hosted, open)
+	}
+}
+
+// receiveControl handles a control message of a node, or of this node itself.
+func (m *Machine) receiveControl(from member.ID, message protocol.Message) {
+	switch message.Type {
+	case protocol.MessageOrder:
+		m.receiveOrder(from, message)
+	case protocol.MessageOrderReply:
+		m.receiveOrderReply(from, message)
+	case protocol.MessageRegister:
+		m.receiveRegister(from, message)
+	case protocol.MessageRegisterReply:
+		m.receiveRegisterReply(from, message)
+	case protocol.MessageConfirm:
+		m.confirmed.record(from, message)
+	}
+}
+
+// nextRequest numbers this node's questions.
+func (m *Machine) nextRequest() uint64 {
+	m.nextTry++
+	return m.nextTry
+}
+
+// knownOwner returns the owner of a shard as far as this node knows.
+func (m *Machine) knownOwner(shardID uint32) member.ID {
+	if hosted := m.shards[shardID]; hosted != nil {
+		return hosted.group.Status().Owner
+	}
+	return m.lastOwners[shardID]
+}
+
+// learnOwner keeps a hint. A node that refuses is not the owner itself.
+func (m *Machine) learnOwner(shardID uint32, refusedBy, owner member.ID) {
+	switch {
+	case owner != "":
+		m.lastOwners[shardID] = owner
+	case m.lastOwners[shardID] == refusedBy:
+		delete(m.lastOwners, shardID)
+	}
+}
+
+// ownerGuess returns the node that most likely owns a shard: the known owner if
+// it is alive, else the first live member in the agreed order.
+func (m *Machine) ownerGuess(shardID uint32) member.ID {
+	if owner := m.knownOwner(shardID); owner != "" && m.reachable(owner) {
+		return owner
+	}
+	return m.firstLive(shardID)
+}
+
+// firstLive returns the first live member of a shard's group.
+func (m *Machine) firstLive(shardID uint32) member.ID {
+	for _, id := range GroupOfShard(shardID, m.config.Group) {
+		if m.reachable(id) {
+			return id
+		}
+	}
+	return ""
+}
+
+// nextOwnerGuess returns the live group member after one that did not answer.
+func (m *Machine) nextOwnerGuess(shardID uint32, tried member.ID) member.ID {
+	group := GroupOfShard(shardID, m.config.Group)
+	start := 0
+	for position, id := range group {
+		if id == tried {
+			start = position + 1
+		}
+	}
+	for offset := range group {
+		id := group[(start+offset)%len(group)]
+		if m.reachable(id) {
+			return id
+		}
+	}
+	return ""
+}
+
+// reachable tells whether a node is this one or is alive in the table.
+func (m *Machine) reachable(id member.ID) bool {
+	return id == m.config.Self.ID || m.members.Alive(id)
+}
--- /dev/null
+++ b/internal/control/protocol/message.go
@@ -0,0 +1,56 @@
+// Package protocol holds the messages that nodes send each other for control:
+// forwarded orders, registration, and confirmation of revisions.
+package protocol
+
+import "github.com/ridgeswitch/ridgeswitch/pkg/member"
+
+// MessageType tells what a Message asks or answers.
+type MessageType uint8
+
+// The messages between the control machines of two nodes.
+const (
+	// MessageOrder forwards an operator's order to the owner of a shard.
+	MessageOrder MessageType = iota + 1
+	// MessageOrderReply answers a forwarded order.
+	MessageOrderReply
+	// MessageRegister asks the owner of the configuration shard to count the
+	// sender among the nodes that an acknowledgement waits for.
+	MessageRegister
+	// MessageRegisterReply tells the revision that the sender must hold
+	// before it may serve.
+	MessageRegisterReply
+	// MessageConfirm tells which revisions the sender serves and which it has
+	// no older request left under.
+	MessageConfirm
+)
+
+// ShardRevision is the newest revision of one shard that a node serves.
+type ShardRevision struct {
+	Shard    uint32
+	Revision uint64
+	// Drained is the newest revision for which the node has no request left
+	// on any replica that the revision keeps requests from.
+	Drained uint64
+}
+
+// Message is what control machines send each other. Fields that a type does
+// not use are zero.
+type Message struct {
+	Type  MessageType
+	Shard uint32
+	// Request numbers a question of the sender; replies echo it.
+	Request     uint64
+	Incarnation member.Incarnation
+	// Payload is an encoded controlpb.Command or controlpb.Answer.
+	Payload   []byte
+	Revision  uint64
+	Owner     member.ID
+	Accepted  bool
+	Revisions []ShardRevision
+}
+
+// Outbound is a message and the member it is for.
+type Outbound struct {
+	To      member.ID
+	Message Message
+}
--- /dev/null
+++ b/internal/control/registration.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// registration is where this node stands with one shard. A node serves under a
+// shard only after the shard's owner has committed that acknowledgements wait
+// for it, and after it holds at least the revision that was in force then.
+type registration struct {
+	accepted    bool
+	incarnation member.Incarnation
+	required    uint64
+	target      member.ID
+	request     uint64
+	nextAsk     time.Duration
+}
+
+// registrar keeps this node's registrations.
+type registrar struct {
+	shards map[uint32]*registration
+}
+
+func newRegistrar(shardIDs []uint32) registrar {
+	registrar := registrar{shards: map[uint32]*registration{}}
+	for _, id := range shardIDs {
+		registrar.shards[id] = &registration{}
+	}
+	return registrar
+}
+
+// tickRegistration asks the owners to count this node, as long as its present
+// life is not registered. A fenced node does not ask: it takes a new life
+// first, since others may have counted on the end of the old one.
+func (m *Machine) tickRegistration() {
+	if m.members.Fenced(m.now) {
+		return
+	}
+	incarnation := m.selfIncarnation()
+	for _, id := range m.shardIDs {
+		current := m.registry.shards[id]
+		if current.accepted && current.incarnation == incarnation {
+			continue
+		}
+		if m.now < current.nextAsk {
+			continue
+		}
+		m.askRegistration(id, current, incarnation)
+	}
+}
+
+func (m *Machine) askRegistration(shardID uint32, current *registration, incarnation member.Incarnation) {
+	current.accepted = false
+	current.nextAsk = m.now + m.config.Times.RetryEvery
+	if current.target == "" {
+		current.target = m.ownerGuess(shardID)
+	} else {
+		current.target = m.nextOwnerGuess(shardID, current.target)
+	}
+	if current.target == "" {
+		return
+	}
+	m.sendRegister(shardID, current, incarnation)
+}
+
+func (m *Machine) sendRegister(shardID uint32, current *registration, incarnation member.Incarnation) {
+	current.request = m.nextRequest()
+	m.sendControl(current.target, protocol.Message{
+		Type:        protocol.MessageRegister,
+		Shard:       shardID,
+		Request:     current.request,
+		Incarnation: incarnation,
+	})
+}
+
+// receiveRegister commits a node's registration if this node owns the shard.
+func (m *Machine) receiveRegister(from member.ID, message protocol.Message) {
+	hosted := m.shards[message.Shard]
+	if hosted == nil || !hosted.owned() {
+		m.sendControl(from, protocol.Message{
+			Type:    protocol.MessageRegisterReply,
+			Shard:   message.Shard,
+			Request: message.Request,
+			Owner:   m.knownOwner(message.Shard),
+		})
+		return
+	}
+	command := &controlpb.Command{Command: &controlpb.Command_RegisterNode{RegisterNode: &controlpb.RegisterNode{
+		Node:        string(from),
+		Incarnation: uint64(message.Incarnation),
+	}}}
+	payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(command)
+	if err != nil {
+		hosted.badEntries++
+		return
+	}
+	m.propose(hosted, payload, proposal{from: from, request: message.Request, message: message})
+}
+
+// registrationApplied tells the node the revision that it must hold.
+func (m *Machine) registrationApplied(hosted *shard, open proposal) {
+	m.sendControl(open.from, protocol.Message{
+		Type:        protocol.MessageRegisterReply,
+		Shard:       hosted.id,
+		Request:     open.request,
+		Incarnation: open.message.Incarnation,
+		Accepted:    true,
+		Revision:    hosted.state.Revision(),
+	})
+}
+
+// receiveRegisterReply notes an accepted registration of the present life, or
+// asks the owner that the reply names.
+func (m *Machine) receiveRegisterReply(from member.ID, message protocol.Message) {
+	current := m.registry.shards[message.Shard]
+	if current == nil || current.request != message.Request {
+		return
+	}
+	if !message.Accepted {
+		m.learnOwner(message.Shard, from, message.Owner)
+		if message.Owner != "" && message.Owner != current.target {
+			current.target = message.Owner
+			m.sendRegister(message.Shard, current, m.selfIncarnation())
+		}
+		return
+	}
+	if message.Incarnation != m.selfIncarnation() {
+		return
+	}
+	current.accepted = true
+	current.incarnation = message.Incarnation
+	current.required = message.Revision
+	current.target = ""
+	m.lastOwners[message.Shard] = from
+	m.backends.dirty = true
+}
+
+// registered tells whether this node may serve under a shard.
+func (m *Machine) registered(shardID uint32) bool {
+	current := m.registry.shards[shardID]
+	if current == nil || !current.accepted {
+		return false
+	}
+	if current.incarnation != m.selfIncarnation() {
+		return false
+	}
+	return m.held.revisions[shardID] >= current.required
+}
+
+// selfIncarnation is the present life of this node.
+func (m *Machine) selfIncarnation() member.Incarnation {
+	incarnation, _ := m.members.Incarnation(m.config.Self.ID)
+	return incarnation
+}
--- /dev/null
+++ b/internal/control/serviceshard.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+// serviceShard is the replicated state of the services that hash to one shard:
+// the phase and weight version of each replica, and the nodes that serve under
+// it.
+type serviceShard struct {
+	state *controlpb.ServiceState
+}
+
+func newServiceShard(state *controlpb.ServiceState) *serviceShard {
+	return &serviceShard{state: state}
+}
+
+// Apply carries out a committed command. A command of another kind of shard
+// changes nothing.
+func (s *serviceShard) Apply(command *controlpb.Command) *controlpb.Answer {
+	switch change := command.GetCommand().(type) {
+	case *controlpb.Command_RegisterNode:
+		s.register(change.RegisterNode)
+	case *controlpb.Command_ForgetNode:
+		s.forget(change.ForgetNode)
+	case *controlpb.Command_SetReplicas:
+		s.setReplicas(change.SetReplicas)
+	}
+	return &controlpb.Answer{Revision: s.state.GetRevision()}
+}
+
+// register counts a node; a newer life of the node replaces an older one.
+func (s *serviceShard) register(node *controlpb.RegisterNode) {
+	for position, known := range s.state.Nodes {
+		if known.GetNode() != node.GetNode() {
+			continue
+		}
+		if node.GetIncarnation() >= known.GetIncarnation() {
+			s.state.Nodes[position] = proto.Clone(node).(*controlpb.RegisterNode)
+		}
+		return
+	}
+	s.state.Nodes = append(s.state.Nodes, proto.Clone(node).(*controlpb.RegisterNode))
+}
+
+func (s *serviceShard) forget(node *controlpb.ForgetNode) {
+	s.state.Nodes = slices.DeleteFunc(s.state.Nodes, func(known *controlpb.RegisterNode) bool {
+		return known.GetNode() == node.GetNode() && known.GetIncarnation() <= node.GetIncarnation()
+	})
+}
+
+// setReplicas replaces the rows of some replicas under a new revision.
+func (s *serviceShard) setReplicas(change *controlpb.SetReplicas) {
+	s.state.Revision++
+	for _, address := range change.GetRemoved() {
+		s.removeReplica(address)
+	}
+	for _, replica := range change.GetReplicas() {
+		row := proto.Clone(replica).(*controlpb.ReplicaState)
+		row.PhaseRevision = s.state.Revision
+		s.removeReplica(row.GetAddress())
+		s.state.Replicas = append(s.state.Replicas, row)
+	}
+	slices.SortFunc(s.state.Replicas, func(a, b *controlpb.ReplicaState) int {
+		return cmp.Compare(a.GetAddress(), b.GetAddress())
+	})
+}
+
+func (s *serviceShard) removeReplica(address string) {
+	s.state.Replicas = slices.DeleteFunc(s.state.Replicas, func(row *controlpb.ReplicaState) bool {
+		return row.GetAddress() == address
+	})
+}
+
+// Revision grows with every change of a replica's row.
+func (s *serviceShard) Revision() uint64 { return s.state.GetRevision() }
+
+// Nodes are the nodes that serve under this shard.
+func (s *serviceShard) Nodes() []*controlpb.RegisterNode { return s.state.GetNodes() }
+
+// Snapshot encodes the whole state.
+func (s *serviceShard) Snapshot() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(s.state)
+}
+
+// Payload encodes what all nodes need: the replicas and not the registry.
+func (s *serviceShard) Payload() ([]byte, error) {
+	relayed := &controlpb.ServiceState{Revision: s.state.GetRevision(), Replicas: s.state.GetReplicas()}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(relayed)
+}
+
+// replicas returns the rows, sorted by address; read only.
+func (s *serviceShard) replicas() []*controlpb.ReplicaState { return s.state.GetReplicas() }
--- /dev/null
+++ b/internal/control/shard.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+// shardState is the replicated state machine of a shard.
+type shardState interface {
+	// Apply carries out a committed command; every copy gives the same answer.
+	Apply(command *controlpb.Command) *controlpb.Answer
+	// Revision numbers the states that are relayed to all nodes.
+	Revision() uint64
+	// Nodes are the nodes that serve under this shard's state.
+	Nodes() []*controlpb.RegisterNode
+	// Snapshot encodes the whole state.
+	Snapshot() ([]byte, error)
+	// Payload encodes what is relayed to all nodes.
+	Payload() ([]byte, error)
+}
+
+// shard is this node's copy of one shard.
+type shard struct {
+	id        uint32
+	group     *replication.Group
+	state     shardState
+	learner   bool
+	applied   uint64
+	compacted uint64
+	// saving tells that a write is outstanding: a checkpoint if checkpointing,
+	// else what outstanding holds.
+	saving        bool
+	checkpointing bool
+	checkpointDue bool
+	outstanding   replication.Ready
+	// badEntries counts entries that could not be decoded or encoded.
+	badEntries uint64
+	// proposals are this node's commands that wait to be applied.
+	proposals map[uint64]proposal
+	rollout   rolloutState
+}
+
+// newShard starts a copy from what the disk kept.
+func newShard(id uint32, group []member.ID, config Config, restored replication.Restored, now timeStamp) (*shard, error) {
+	core, err := replication.New(replication.Config{
+		Self:            config.Self.ID,
+		Group:           group,
+		HeartbeatEvery:  config.Times.HeartbeatEvery,
+		ElectionTimeout: config.Times.ElectionTimeout,
+		LeaseDuration:   config.Times.LeaseDuration,
+		LeaseMargin:     config.Times.LeaseMargin,
+		MaxLogEntries:   maxLogEntries,
+		Learner:         config.Learner,
+	}, restored, now)
+	if err != nil {
+		return nil, err
+	}
+	hosted := &shard{
+		id:        id,
+		group:     core,
+		state:     emptyState(id),
+		learner:   config.Learner,
+		proposals: map[uint64]proposal{},
+		rollout:   newRolloutState(0),
+	}
+	if restored.Snapshot != nil {
+		if err := hosted.restore(restored.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	return hosted, nil
+}
+
+// emptyState returns the state of a shard before its first command.
+func emptyState(id uint32) shardState {
+	if id == ConfigurationShard {
+		return &configurationShard{Machine: dynamic.NewMachine(&controlpb.ConfigurationState{})}
+	}
+	return newServiceShard(&controlpb.ServiceState{})
+}
+
+// restore replaces the state by a snapshot.
+func (s *shard) restore(snapshot *replication.Snapshot) error {
+	state, err := restoreState(s.id, snapshot.Data)
+	if err != nil {
+		return errors.Wrapf(err, "restore shard %d from its snapshot at %d", s.id, snapshot.Index)
+	}
+	s.state = state
+	s.applied = snapshot.Index
+	s.compacted = snapshot.Index
+	return nil
+}
+
+func restoreState(id uint32, data []byte) (shardState, error) {
+	if len(data) == 0 {
+		return emptyState(id), nil
+	}
+	if id == ConfigurationShard {
+		machine, err := dynamic.RestoreMachine(data)
+		if err != nil {
+			return nil, err
+		}
+		return &configurationShard{Machine: machine}, nil
+	}
+	state := &controlpb.ServiceState{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		return nil, errors.Wrap(err, "decode the state of a service shard")
+	}
+	return newServiceShard(state), nil
+}
+
+// owned tells whether this node owns the shard.
+func (s *shard) owned() bool {
+	return s.group.Status().Role == replication.RoleOwner
+}
+
+// settled tells whether everything in the log has been applied. For an owner
+// that includes the barrier of its own epoch, and so all that earlier owners
+// committed.
+func (s *shard) settled() bool {
+	status := s.group.Status()
+	return status.Applied == status.LastIndex
+}
+
+// compactWhenLong replaces the applied log by a snapshot once it is long.
+func (s *shard) compactWhenLong() {
+	if s.applied-s.compacted < maxLogEntries {
+		return
+	}
+	data, err := s.state.Snapshot()
+	if err != nil {
+		s.badEntries++
+		return
+	}
+	if err := s.group.Compact(s.applied, data); err != nil {
+		s.badEntries++
+		return
+	}
+	s.compacted = s.applied
+	s.checkpointDue = true
+}
+
+// configurationShard adapts the configuration's state machine.
+type configurationShard struct {
+	*dynamic.Machine
+}
+
+// Revision is the revision of the configuration.
+func (c *configurationShard) Revision() uint64 {
+	return c.Configuration().GetRevision()
+}
+
+// Payload encodes the configuration.
+func (c *configurationShard) Payload() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(c.Configuration())
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+)
+
+// forgetAfter is how long the table of members keeps a row that is fenced or
+// left.
+const forgetAfter = 10 * time.Minute
+
+// ServeUntil is the instant until which this node may admit traffic if nothing
+// else is heard; zero while it may not admit any.
+func (m *Machine) ServeUntil() time.Duration {
+	if !m.registered(ConfigurationShard) || m.members.Fenced(m.now) {
+		return 0
+	}
+	return m.members.FenceDeadline()
+}
+
+// Configuration returns the newest configuration that reached this node; read
+// only.
+func (m *Machine) Configuration() *ridgeswitchv1.Configuration { return m.held.configuration }
+
+// Status describes this node's view of the deployment.
+func (m *Machine) Status() *ridgeswitchv1.NodeStatus {
+	status := &ridgeswitchv1.NodeStatus{
+		Node:           string(m.config.Self.ID),
+		Zone:           m.config.Self.Zone,
+		HoldsState:     m.config.Self.HoldsState,
+		Fenced:         m.ServeUntil() <= m.now,
+		ServedRevision: m.confirmed.published[ConfigurationShard],
+	}
+	for _, record := range m.members.Members() {
+		status.Members = append(status.Members, &ridgeswitchv1.MemberStatus{
+			Node:        string(record.Info.ID),
+			Address:     record.Info.Address,
+			Zone:        record.Info.Zone,
+			HoldsState:  record.Info.HoldsState,
+			State:       stateName(record.State),
+			Incarnation: uint64(record.Info.Incarnation),
+		})
+	}
+	for _, id := range m.shardIDs {
+		status.Shards = append(status.Shards, m.shardStatus(id))
+	}
+	return status
+}
+
+func (m *Machine) shardStatus(id uint32) *ridgeswitchv1.ShardStatus {
+	status := &ridgeswitchv1.ShardStatus{
+		Shard:    id,
+		Owner:    string(m.knownOwner(id)),
+		Revision: m.held.revisions[id],
+		Group: lo.Map(GroupOfShard(id, m.config.Group), func(id member.ID, _ int) string {
+			return string(id)
+		}),
+	}
+	if hosted := m.shards[id]; hosted != nil {
+		status.Epoch = hosted.group.Status().Epoch
+	}
+	return status
+}
+
+// Weights describes how far the roll-out of a pool has come, or returns nil when
+// there is no such pool.
+func (m *Machine) Weights(poolName string) *ridgeswitchv1.WeightsStatus {
+	for _, pool := range m.held.configuration.GetPools() {
+		if pool.GetName() == poolName {
+			return m.poolWeights(pool)
+		}
+	}
+	return nil
+}
+
+func (m *Machine) poolWeights(pool *ridgeswitchv1.Pool) *ridgeswitchv1.WeightsStatus {
+	status := &ridgeswitchv1.WeightsStatus{Pool: pool.GetName(), WeightVersion: pool.GetWeightVersion()}
+	rows := m.held.services[ShardOfService(pool.GetService(), m.config.ServiceShards)].GetReplicas()
+	for _, listed := range m.backends.services[pool.GetService()] {
+		row := findReplica(rows, listed.Address)
+		status.Replicas = append(status.Replicas, &ridgeswitchv1.ReplicaStatus{
+			Address:          listed.Address,
+			Zone:             listed.Zone,
+			Phase:            phaseName(row.GetPhase()),
+			WeightVersion:    row.GetWeightVersion(),
+			PlatformDraining: listed.Draining,
+		})
+	}
+	return status
+}
+
+func phaseName(phase controlpb.ReplicaPhase) string {
+	switch phase {
+	case controlpb.ReplicaPhase_SERVING:
+		return "serving"
+	case controlpb.ReplicaPhase_DRAINING:
+		return "draining"
+	case controlpb.ReplicaPhase_LOADING:
+		return "loading"
+	default:
+		return "unknown"
+	}
+}
+
+func stateName(state membership.State) string {
+	switch state {
+	case membership.StateAlive:
+		return "alive"
+	case membership.StateSuspect:
+		return "suspect"
+	case membership.StateFenced:
+		return "fenced"
+	case membership.StateLeft:
+		return "left"
+	default:
+		return "unknown"
+	}
+}
+
+// liveMembers are the members that the relay tree is built from.
+func liveMembers(records []membership.Record) []relaytree.Member {
+	live := lo.Filter(records, func(record membership.Record, _ int) bool { return isLive(record) })
+	return lo.Map(live, func(record membership.Record, _ int) relaytree.Member {
+		return relaytree.Member{ID: record.Info.ID, Zone: record.Info.Zone}
+	})
+}
+
+func isLive(record membership.Record) bool {
+	return record.State == membership.StateAlive || record.State == membership.StateSuspect
+}
+
+// digestOfMembers summarises who is where and alive, to notice changes.
+func digestOfMembers(records []membership.Record) uint64 {
+	digest := xxhash.New()
+	for _, record := range records {
+		live := "down"
+		if isLive(record) {
+			live = "live"
+		}
+		for _, text := range []string{string(record.Info.ID), record.Info.Address, live} {
+			_, _ = digest.WriteString(text)
+			_, _ = digest.WriteString("\n")
+		}
+	}
+	return digest.Sum64()
+}
+
+func contains(ids []member.ID, id member.ID) bool { return slices.Contains(ids, id) }
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+)
+
+// hold keeps newer states of shards that the relay tree brought.
+func (m *Machine) hold(updates []relaytree.Update) {
+	for _, update := range updates {
+		m.holdOne(uint32(update.Topic), update.Revision, update.Payload)
+	}
+}
+
+// holdOne keeps one state. A node never goes back to an older revision.
+func (m *Machine) holdOne(shardID uint32, revision uint64, payload []byte) {
+	if revision <= m.held.revisions[shardID] {
+		return
+	}
+	if !m.decodeHeld(shardID, payload) {
+		m.incomplete = true
+		return
+	}
+	m.held.revisions[shardID] = revision
+	m.backends.dirty = true
+}
+
+// decodeHeld decodes a relayed state and tells whether it was sound.
+func (m *Machine) decodeHeld(shardID uint32, payload []byte) bool {
+	if shardID == ConfigurationShard {
+		configuration := &ridgeswitchv1.Configuration{}
+		if proto.Unmarshal(payload, configuration) != nil {
+			return false
+		}
+		m.held.configuration = configuration
+		return true
+	}
+	state := &controlpb.ServiceState{}
+	if proto.Unmarshal(payload, state) != nil {
+		return false
+	}
+	m.held.services[shardID] = state
+	return true
+}
+
+// publishView puts a new view into the output if anything in it has changed.
+func (m *Machine) publishView() {
+	if !m.backends.dirty {
+		return
+	}
+	m.backends.dirty = false
+	m.output.View = m.buildView()
+	for id, revision := range m.held.revisions {
+		m.confirmed.published[id] = revision
+	}
+	if m.updateOwnConfirmation() {
+		m.sendConfirmation()
+	}
+}
+
+// buildView joins configuration, service shards and the platform's list.
+func (m *Machine) buildView() *routing.View {
+	configuration := m.held.configuration
+	view := &routing.View{
+		Revision:      configuration.GetRevision(),
+		Configuration: configuration,
+		Tenants:       map[routing.KeyDigest]*routing.Tenant{},
+		Destinations:  map[string]routing.Destination{},
+		Pools:         map[string]*routing.Pool{},
+		WebServices:   map[string]*routing.WebService{},
+	}
+	evacuated := evacuatedZones(configuration)
+	addTenants(view, configuration)
+	for _, pool := range configuration.GetPools() {
+		view.Pools[pool.GetName()] = m.viewPool(pool, evacuated)
+	}
+	for _, service := range configuration.GetWebServices() {
+		view.WebServices[service.GetName()] = m.viewWebService(service, evacuated)
+	}
+	addDestinations(view, configuration)
+	return view
+}
+
+// zoneSet is a set of zone names.
+type zoneSet map[string]struct{}
+
+func (z zoneSet) has(zone string) bool {
+	_, found := z[zone]
+	return found
+}
+
+func evacuatedZones(configuration *ridgeswitchv1.Configuration) zoneSet {
+	zones := zoneSet{}
+	for _, evacuation := range configuration.GetEvacuations() {
+		zones[evacuation.GetZone()] = struct{}{}
+	}
+	return zones
+}
+
+func addTenants(view *routing.View, configuration *ridgeswitchv1.Configuration) {
+	for _, tenant := range configuration.GetTenants() {
+		entry := &routing.Tenant{
+			Name:          tenant.GetName(),
+			Walled:        tenant.GetWalled(),
+			SharingDomain: dynamic.SharingDomain(configuration, tenant.GetName()),
+			Limits:        tenant.GetLimits(),
+		}
+		for _, key := range tenant.GetKeys() {
+			view.Tenants[routing.KeyDigest(key.GetSha256())] = entry
+		}
+	}
+}
+
+func addDestinations(view *routing.View, configuration *ridgeswitchv1.Configuration) {
+	for _, route := range configuration.GetRoutes() {
+		view.Destinations[route.GetHost()] = routing.Destination{
+			Pool:       view.Pools[route.GetPool()],
+			WebService: view.WebServices[route.GetWebService()],
+			Public:     route.GetPublic(),
+		}
+	}
+}
+
+// viewPool lists a pool's replicas. Without a registration with the shard that
+// holds them, this node would not be waited for when one is drained, so that it
+// admits nothing to them.
+func (m *Machine) viewPool(pool *ridgeswitchv1.Pool, evacuated zoneSet) *routing.Pool {
+	shardID := ShardOfService(pool.GetService(), m.config.ServiceShards)
+	registered := m.registered(shardID)
+	rows := m.held.services[shardID].GetReplicas()
+	entry := &routing.Pool{Config: pool, Store: findStore(m.held.configuration, pool.GetStore())}
+	for _, listed := range m.backends.services[pool.GetService()] {
+		row := findReplica(rows, listed.Address)
+		serving := row.GetPhase() == controlpb.ReplicaPhase_SERVING
+		entry.Replicas = append(entry.Replicas, routing.Replica{
+			Address:       listed.Address,
+			Zone:          listed.Zone,
+			WeightVersion: row.GetWeightVersion(),
+			Admitting:     registered && serving && !listed.Draining && !evacuated.has(listed.Zone),
+		})
+	}
+	return entry
+}
+
+func (m *Machine) viewWebService(service *ridgeswitchv1.WebService, evacuated zoneSet) *routing.WebService {
+	entry := &routing.WebService{Config: service}
+	for _, listed := range m.backends.services[service.GetService()] {
+		entry.Replicas = append(entry.Replicas, routing.Replica{
+			Address:   listed.Address,
+			Zone:      listed.Zone,
+			Admitting: !listed.Draining && !evacuated.has(listed.Zone),
+		})
+	}
+	return entry
+}
+
+func findStore(configuration *ridgeswitchv1.Configuration, name string) *ridgeswitchv1.Store {
+	for _, store := range configuration.GetStores() {
+		if store.GetName() == name {
+			return store
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dataplane/body.go
@@ -0,0 +1,56 @@
+package dataplane
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+)
+
+// bodyReader reads the caller's body whole, so that every attempt sends the
+// same bytes and a caller that sends slowly never holds a back end.
+type bodyReader struct {
+	maxBytes int64
+}
+
+// handle implements handler.
+func (r *bodyReader) handle(e *exchange, next func()) {
+	if e.request.Body == nil || e.request.Body == http.NoBody {
+		next()
+		return
+	}
+	body, err := r.read(e)
+	if err != nil {
+		e.refuse(bodyProblem(e, err))
+		return
+	}
+	e.body = body
+	next()
+}
+
+// read reads the body within the request's deadline. The read deadline is
+// taken back, because the server watches the connection for the caller's leave
+// from then on.
+func (r *bodyReader) read(e *exchange) ([]byte, error) {
+	controller := http.NewResponseController(e.writer)
+	if deadline, bounded := e.ctx.Deadline(); bounded {
+		_ = controller.SetReadDeadline(deadline)
+		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	}
+	return io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, r.maxBytes))
+}
+
+// bodyProblem is the refusal of a request whose body cannot be read.
+func bodyProblem(e *exchange, err error) *caller.Problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return caller.NewProblem(caller.KindBodyTooLarge, "the body is larger than %d bytes: send less", tooLarge.Limit)
+	}
+	if deadlinePassed(e.ctx) {
+		return deadlineProblem()
+	}
+	return caller.NewProblem(caller.KindBadRequest, "the body cannot be read (%v): send the request again", err)
+}
--- /dev/null
+++ b/internal/dataplane/chain.go
@@ -0,0 +1,49 @@
+package dataplane
+
+import (
+	"net/http"
+)
+
+// handler is one step of the chain. It refuses the exchange or calls next.
+type handler interface {
+	handle(e *exchange, next func())
+}
+
+// chain runs an exchange through its handlers in order.
+type chain []handler
+
+// run starts the chain for an exchange.
+func (c chain) run(e *exchange) {
+	if len(c) == 0 {
+		return
+	}
+	c[0].handle(e, func() { c[1:].run(e) })
+}
+
+// newChain returns the handlers in their order. The check that the node may
+// serve comes first of all, so that a node which was frozen refuses before it
+// does anything by state that may be out of date.
+func (s *Server) newChain() chain {
+	return chain{
+		&servingCheck{source: s.options.Source},
+		&requestNamer{identities: s.identities},
+		&tenantIdentifier{},
+		&hostRouter{destinations: s.destinations},
+		&headerReader{},
+		&deadlineSetter{fallback: s.options.RequestTimeout},
+		&tenantLimiter{limiter: s.limiter},
+		&bodyReader{maxBytes: s.options.MaxBodyBytes},
+		&duplicateCheck{register: s.duplicates, clock: s.options.Clock},
+		s.newDispatcher(),
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	s.chain.run(&exchange{
+		writer:  writer,
+		request: request,
+		ctx:     request.Context(),
+		arrived: s.options.Clock(),
+	})
+}
--- /dev/null
+++ b/internal/dataplane/deadline.go
@@ -0,0 +1,78 @@
+package dataplane
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+)
+
+// errDeadline is the cause of a context that ends with the request's deadline.
+var errDeadline = errors.New("the request's deadline has passed")
+
+// writeGrace is how much longer than the deadline the last bytes of an answer
+// may take to be written.
+const writeGrace = time.Second
+
+// deadlineSetter bounds everything that follows by the shorter of the caller's
+// deadline and the destination's timeout.
+type deadlineSetter struct {
+	fallback time.Duration
+}
+
+// handle implements handler.
+func (s *deadlineSetter) handle(e *exchange, next func()) {
+	limit := destinationTimeout(e.destination, s.fallback)
+	if e.described.Deadline > 0 {
+		limit = min(limit, e.described.Deadline)
+	}
+	ctx, cancel := context.WithTimeoutCause(e.ctx, limit, errDeadline)
+	defer cancel()
+	e.ctx = ctx
+	controller := http.NewResponseController(e.writer)
+	// A writer that has no deadlines, as in tests, is bounded by the context
+	// alone.
+	_ = controller.SetWriteDeadline(time.Now().Add(limit + writeGrace))
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	next()
+}
+
+// destinationTimeout returns the longest time for a request of a destination.
+func destinationTimeout(destination routing.Destination, fallback time.Duration) time.Duration {
+	var milliseconds uint32
+	if destination.Pool != nil {
+		milliseconds = destination.Pool.Config.GetRequestTimeoutMs()
+	} else if destination.WebService != nil {
+		milliseconds = destination.WebService.Config.GetRequestTimeoutMs()
+	}
+	if milliseconds == 0 {
+		return fallback
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// deadlinePassed tells whether a context has ended by the request's deadline.
+// Any other end means that the caller has left.
+func deadlinePassed(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errDeadline)
+}
+
+// deadlineProblem is the refusal of a request that ran out of time before any
+// attempt.
+func deadlineProblem() *caller.Problem {
+	return caller.NewProblem(caller.KindDeadlineExceeded,
+		"the request's time is up: send a larger %s or fewer requests at a time", caller.HeaderDeadline).After(time.Second)
+}
+
+// asProblem returns the problem that an error is, or an internal one.
+func asProblem(err error) *caller.Problem {
+	var problem *caller.Problem
+	if errors.As(err, &problem) {
+		return problem
+	}
+	return caller.NewProblem(caller.KindInternal, "the node failed: %v", err)
+}
--- /dev/null
+++ b/internal/dataplane/destinations.go
@@ -0,0 +1,166 @@
+package dataplane
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
+)
+
+// RefusalCount counts the refusals of one kind.
+type RefusalCount struct {
+	Kind  caller.Kind
+	Count uint64
+}
+
+// DestinationStats counts what became of the requests of a pool or a web
+// service on this node.
+type DestinationStats struct {
+	Name string
+	// WebService tells a web service from a pool.
+	WebService bool
+	// FirstAttempts counts requests that were sent to a back end.
+	FirstAttempts uint64
+	// Retries counts further attempts of those.
+	Retries uint64
+	// RetriesDenied counts retries that the budget did not permit.
+	RetriesDenied uint64
+	// Answered counts complete answers of back ends.
+	Answered uint64
+	// Cut counts answers that were cut after a part had been handed on.
+	Cut uint64
+	// Abandoned counts requests whose caller left.
+	Abandoned uint64
+	// Refusals are sorted by kind.
+	Refusals []RefusalCount
+}
+
+// destinationName tells pools from web services of the same name.
+type destinationName struct {
+	name       string
+	webService bool
+}
+
+// destinationState is what a node remembers of a destination: its counters and
+// its retry budget.
+type destinationState struct {
+	budget   *retrybudget.Budget
+	mutex    sync.Mutex
+	stats    DestinationStats
+	refusals map[caller.Kind]uint64
+}
+
+// destinations holds the state of every destination that was ever routed to.
+// Its size is bounded by the names that the configuration has had.
+type destinations struct {
+	mutex  sync.Mutex
+	states map[destinationName]*destinationState
+}
+
+// newDestinations returns an empty set.
+func newDestinations() *destinations {
+	return &destinations{states: make(map[destinationName]*destinationState)}
+}
+
+// of returns the state of a destination.
+func (d *destinations) of(destination routing.Destination) *destinationState {
+	name := nameOf(destination)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	state, known := d.states[name]
+	if !known {
+		state = &destinationState{
+			budget:   retrybudget.New(retrybudget.Options{}),
+			stats:    DestinationStats{Name: name.name, WebService: name.webService},
+			refusals: make(map[caller.Kind]uint64),
+		}
+		d.states[name] = state
+	}
+	return state
+}
+
+// nameOf returns the name of a destination.
+func nameOf(destination routing.Destination) destinationName {
+	if destination.WebService != nil {
+		return destinationName{name: destination.WebService.Config.GetName(), webService: true}
+	}
+	return destinationName{name: destination.Pool.Config.GetName()}
+}
+
+// snapshot returns the counters of all destinations, sorted by name.
+func (d *destinations) snapshot() []DestinationStats {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	all := make([]DestinationStats, 0, len(d.states))
+	for _, state := range d.states {
+		all = append(all, state.snapshot())
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].Name != all[j].Name {
+			return all[i].Name < all[j].Name
+		}
+		return !all[i].WebService
+	})
+	return all
+}
+
+// permitAttempt counts an attempt, or returns false if the retry budget does
+// not permit it. First attempts are always permitted.
+func (s *destinationState) permitAttempt(now time.Duration, attempt int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if attempt == 1 {
+		s.budget.First(now)
+		s.stats.FirstAttempts++
+		return true
+	}
+	if !s.budget.TryRetry(now) {
+		s.stats.RetriesDenied++
+		return false
+	}
+	s.stats.Retries++
+	return true
+}
+
+// countRefusal counts a refusal.
+func (s *destinationState) countRefusal(kind caller.Kind) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.refusals[kind]++
+}
+
+// countAnswered counts a complete answer.
+func (s *destinationState) countAnswered() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stats.Answered++
+}
+
+// countCut counts an answer that was cut.
+func (s *destinationState) countCut() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stats.Cut++
+}
+
+// countAbandoned counts a request whose caller left.
+func (s *destinationState) countAbandoned() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stats.Abandoned++
+}
+
+// snapshot returns a copy of the counters.
+func (s *destinationState) snapshot() DestinationStats {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	copied := s.stats
+	for kind, count := range s.refusals {
+		copied.Refusals = append(copied.Refusals, RefusalCount{Kind: kind, Count: count})
+	}
+	sort.Slice(copied.Refusals, func(i, j int) bool { return copied.Refusals[i].Kind < copied.Refusals[j].Kind })
+	return copied
+}
--- /dev/null
+++ b/internal/dataplane/dispatch.go
@@ -0,0 +1,209 @@
+package dataplane
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
+)
+
+// maxSelections bounds how often one attempt selects anew because the view has
+// changed under it.
+const maxSelections = 8
+
+// backend runs attempts of one kind of destination.
+type backend interface {
+	// choose selects a back end for an attempt of the work, or says why there
+	// is none.
+	choose(w *work) (target, *caller.Problem)
+}
+
+// target is a back end chosen for one attempt.
+type target interface {
+	// address returns where the attempt goes.
+	address() string
+	// current tells whether the newest view still lets the request go there.
+	current(w *work) bool
+	// send runs the attempt up to the header of its answer.
+	send(ctx context.Context, w *work, attempt int) (answer, error)
+	// firstOutput says that the answer has begun.
+	firstOutput()
+	// finish ends the attempt. It must be called once for every target.
+	finish(completed bool)
+}
+
+// work is a request in the hands of the dispatcher.
+type work struct {
+	*exchange
+	ledger *attempts.Ledger
+	// tried holds the back ends of earlier attempts.
+	tried map[string]bool
+	// problem is why the last attempt, or the last selection, failed.
+	problem *caller.Problem
+	// ready is the answer that the ledger's Relay move hands on.
+	ready *readyAnswer
+}
+
+// dispatcher is the last handler of the chain: it runs attempts as the ledger
+// asks for them, and answers.
+type dispatcher struct {
+	server *Server
+	pools  backend
+	webs   backend
+}
+
+// newDispatcher returns the last handler of the chain.
+func (s *Server) newDispatcher() *dispatcher {
+	return &dispatcher{server: s, pools: newPoolBackend(s), webs: newWebBackend(s)}
+}
+
+// handle implements handler.
+func (d *dispatcher) handle(e *exchange, _ func()) {
+	w := &work{exchange: e, tried: make(map[string]bool)}
+	w.ledger = attempts.New(attempts.Options{
+		Repeatable:  e.described.Repeatable,
+		MaxAttempts: d.server.options.MaxAttempts,
+	})
+	for {
+		w.noticeEnd()
+		move := w.ledger.Next()
+		if move.Kind != attempts.Dispatch {
+			d.answer(w, move)
+			return
+		}
+		d.dispatch(w, move.Attempt)
+	}
+}
+
+// backend returns what runs the work's attempts.
+func (d *dispatcher) backend(w *work) backend {
+	if w.destination.WebService != nil {
+		return d.webs
+	}
+	return d.pools
+}
+
+// dispatch runs one attempt, or enters why there can be none.
+func (d *dispatcher) dispatch(w *work, attempt int) {
+	chosen, problem := d.choose(w)
+	if problem == nil && !w.counters.permitAttempt(d.server.options.Clock(), attempt) {
+		d.release(chosen, false)
+		problem = budgetProblem(w.problem)
+	}
+	if problem != nil {
+		w.problem = problem
+		w.apply(attempts.Event{Kind: attempts.AttemptsExhausted})
+		return
+	}
+	w.tried[chosen.address()] = true
+	completed := false
+	defer func() { d.release(chosen, completed) }()
+	completed = d.run(w, chosen, attempt)
+}
+
+// choose selects a back end, counts the attempt in, and only then looks at the
+// newest view again.
+func (d *dispatcher) choose(w *work) (target, *caller.Problem) {
+	for range maxSelections {
+		if problem := w.recheck(d.server); problem != nil {
+			return nil, problem
+		}
+		chosen, problem := d.backend(w).choose(w)
+		if problem != nil {
+			return nil, problem
+		}
+		d.server.inFlight.begin(chosen.address())
+		if chosen.current(w) {
+			return chosen, nil
+		}
+		d.release(chosen, false)
+	}
+	return nil, caller.NewProblem(caller.KindNoBackend,
+		"the back ends are changing: send the request again").After(backendRetry)
+}
+
+// release ends an attempt that choose has counted in.
+func (d *dispatcher) release(chosen target, completed bool) {
+	chosen.finish(completed)
+	d.server.inFlight.end(chosen.address())
+}
+
+// run sends an attempt, enters how it ends, and returns whether its answer is
+// complete. A streamed answer is handed on here.
+func (d *dispatcher) run(w *work, chosen target, attempt int) bool {
+	w.apply(attempts.Event{Kind: attempts.AttemptPlanned, Attempt: attempt, Address: chosen.address()})
+	w.apply(attempts.Event{Kind: attempts.ConnectStarted, Attempt: attempt})
+	received, err := chosen.send(w.ctx, w, attempt)
+	if err != nil {
+		d.enterFailure(w, chosen, attempt, err)
+		return false
+	}
+	defer received.Close()
+	w.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
+	if err := d.receive(w, chosen, attempt, received); err != nil {
+		d.enterLoss(w, chosen, attempt, err)
+		return false
+	}
+	d.server.suspects.succeeded(chosen.address())
+	w.apply(attempts.Event{Kind: attempts.AnswerCompleted, Attempt: attempt})
+	return true
+}
+
+// receive reads an answer to its end. What need not be held back is handed on
+// at once.
+func (d *dispatcher) receive(w *work, chosen target, attempt int, received answer) error {
+	if received.Streamed() {
+		chunk, err := received.Next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		chosen.firstOutput()
+		return d.relay(w, attempt, received, chunk, err)
+	}
+	body, whole, err := received.ReadWhole()
+	if err != nil {
+		return err
+	}
+	chosen.firstOutput()
+	if !whole {
+		return d.relay(w, attempt, received, body, nil)
+	}
+	w.ready = &readyAnswer{status: received.Status(), header: received.Header(), body: body}
+	return nil
+}
+
+// recheck looks at the newest view: a key may have been revoked, or the node
+// may have been cut off, while the request waited.
+func (w *work) recheck(server *Server) *caller.Problem {
+	view, problem := servingView(server.options.Source)
+	if problem != nil {
+		return problem
+	}
+	if !w.keyStillAdmits(view) {
+		return unauthorized()
+	}
+	return nil
+}
+
+// noticeEnd enters the end of the request's context.
+func (w *work) noticeEnd() {
+	if w.ctx.Err() == nil {
+		return
+	}
+	if deadlinePassed(w.ctx) {
+		w.apply(attempts.Event{Kind: attempts.DeadlinePassed})
+		return
+	}
+	w.apply(attempts.Event{Kind: attempts.CallerLeft})
+}
+
+// apply enters an event. One that does not fit is a fault of this package, and
+// going on could run a request twice.
+func (w *work) apply(event attempts.Event) {
+	if err := w.ledger.Apply(event); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/dataplane/exchange.go
@@ -0,0 +1,56 @@
+package dataplane
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+)
+
+// exchange is one request on its way through the chain, with what the handlers
+// have learnt of it. It belongs to one goroutine.
+type exchange struct {
+	writer  http.ResponseWriter
+	request *http.Request
+	// ctx ends when the caller leaves or the deadline passes.
+	ctx     context.Context
+	arrived time.Duration
+	// view is the view under which the request was admitted.
+	view *routing.View
+	// keyDigest is empty if the caller gave no key.
+	keyDigest   routing.KeyDigest
+	tenant      *routing.Tenant
+	host        string
+	destination routing.Destination
+	described   caller.Request
+	requestID   string
+	body        []byte
+	// counters count the outcomes of the destination; nil before routing.
+	counters *destinationState
+	// certainlyNotRun tells, after the answer, that the request has not run
+	// and will not run.
+	certainlyNotRun bool
+	// failed tells that the caller has got no complete answer of a back end.
+	failed bool
+}
+
+// refuse answers with a problem at once.
+func (e *exchange) refuse(problem *caller.Problem) {
+	problem.RequestID = e.requestID
+	e.failed = true
+	e.certainlyNotRun = !problem.MayHaveRun
+	if e.counters != nil {
+		e.counters.countRefusal(problem.Kind)
+	}
+	caller.WriteProblem(e.writer, problem)
+}
+
+// tenantName returns the tenant's name, or "" for a request without one.
+func (e *exchange) tenantName() string {
+	if e.tenant == nil {
+		return ""
+	}
+	return e.tenant.Name
+}
--- /dev/null
+++ b/internal/dataplane/feed.go
@@ -0,0 +1,231 @@
+package dataplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+const (
+	// firstReconnect is the wait before a broken stream is opened again.
+	firstReconnect = 100 * time.Millisecond
+	// longestReconnect bounds the wait after further failures.
+	longestReconnect = 2 * time.Second
+)
+
+// errResync ends a stream that is to be opened again from a reset on.
+var errResync = errors.New("the events are to be read again from a reset on")
+
+// eventSource follows the event stream of a back end.
+type eventSource interface {
+	Follow(ctx context.Context, address string, after uint64, handle func(replica.Event) error) error
+}
+
+// feed brings one back end's events and load reports to the router. It runs
+// under the supervisor for as long as the back end is listed.
+type feed struct {
+	address    string
+	source     eventSource
+	router     *kvrouter.Router
+	quarantine *quarantine
+	suspects   *suspects
+	clock      func() time.Duration
+
+	mutex sync.Mutex
+	// expected is the weight version that control state has; empty for stores.
+	expected string
+	// cancelStream ends the stream that is open.
+	cancelStream context.CancelFunc
+	// resynced tells that the open stream needs no reset, or has had it.
+	resynced bool
+
+	// The fields below belong to the goroutine that runs Serve.
+
+	// after is the newest sequence number taken in, or 0 to start from a reset.
+	after uint64
+	// heard tells that the stream has carried an event.
+	heard bool
+	// held tells that the back end was in quarantine at its last report.
+	held bool
+}
+
+// Serve implements suture.Service: it follows the stream until ctx ends.
+func (f *feed) Serve(ctx context.Context) error {
+	wait := firstReconnect
+	for ctx.Err() == nil {
+		f.follow(ctx)
+		if f.heard {
+			wait = firstReconnect
+		}
+		if !pause(ctx, wait) {
+			break
+		}
+		wait = min(2*wait, longestReconnect)
+	}
+	return ctx.Err()
+}
+
+// String implements fmt.Stringer for the supervisor's messages.
+func (f *feed) String() string {
+	return "feed of " + f.address
+}
+
+// follow reads one stream to its end.
+func (f *feed) follow(ctx context.Context) {
+	stream, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mutex.Lock()
+	f.cancelStream = cancel
+	f.resynced = f.after > 0
+	f.mutex.Unlock()
+	f.heard = false
+	err := f.source.Follow(stream, f.address, f.after, f.take)
+	if errors.Is(err, errResync) || !f.wasResynced() {
+		f.after = 0
+	}
+}
+
+// expect sets the weight version that control state has.
+func (f *feed) expect(weightVersion string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.expected = weightVersion
+}
+
+// expectedVersion returns the weight version that control state has.
+func (f *feed) expectedVersion() string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.expected
+}
+
+// resync ends the open stream so that it is opened again from a reset on. A
+// stream that was opened so and still waits for its reset is left alone.
+func (f *feed) resync() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.resynced && f.cancelStream != nil {
+		f.resynced = false
+		f.cancelStream()
+	}
+}
+
+// take takes one event in.
+func (f *feed) take(event replica.Event) error {
+	f.heard = true
+	f.suspects.succeeded(f.address)
+	if event.Kind == replica.EventReport {
+		return f.takeReport(event)
+	}
+	if f.held {
+		// What a replica in quarantine keeps is not to be known.
+		return nil
+	}
+	status, err := f.takeParts(event)
+	if err != nil {
+		return err
+	}
+	f.after = max(f.after, event.Sequence)
+	if event.Kind == replica.EventReset {
+		f.after = event.Sequence
+		f.markResynced()
+		return nil
+	}
+	if status == kvrouter.Gap && f.wasResynced() {
+		return errResync
+	}
+	return nil
+}
+
+// markResynced enters that a reset has come.
+func (f *feed) markResynced() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.resynced = true
+}
+
+// wasResynced tells whether the stream has had its reset or needs none.
+func (f *feed) wasResynced() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.resynced
+}
+
+// takeParts hands an event about kept parts to the router.
+func (f *feed) takeParts(event replica.Event) (kvrouter.FeedStatus, error) {
+	now := f.clock()
+	switch event.Kind {
+	case replica.EventStored, replica.EventReset:
+		links, err := event.Links()
+		if err != nil {
+			return 0, err
+		}
+		if event.Kind == replica.EventReset {
+			return f.router.Reset(now, f.address, event.Incarnation, event.Sequence, links), nil
+		}
+		return f.router.Stored(now, f.address, event.Incarnation, event.Sequence, links), nil
+	case replica.EventRemoved:
+		hashes, err := event.Hashes()
+		if err != nil {
+			return 0, err
+		}
+		return f.router.Removed(now, f.address, event.Incarnation, event.Sequence, hashes), nil
+	default:
+		return 0, errors.Errorf("an event has the unknown kind %q", event.Kind)
+	}
+}
+
+// takeReport takes a load report in, and enters or leaves quarantine by it.
+func (f *feed) takeReport(event replica.Event) error {
+	report := event.Report
+	if report == nil {
+		return errors.New("a report event carries no report")
+	}
+	if f.expectedVersion() != "" {
+		f.quarantine.report(f.address, report.WeightVersion)
+	}
+	wasHeld := f.held
+	f.held = f.expectedVersion() != "" && f.quarantine.holds(f.address, f.expectedVersion())
+	if f.held {
+		if !wasHeld {
+			f.router.Forget(f.address)
+		}
+		return nil
+	}
+	f.router.Report(f.clock(), f.address, routerReport(report))
+	if wasHeld {
+		return errResync
+	}
+	return nil
+}
+
+// routerReport translates a report.
+func routerReport(report *replica.Report) kvrouter.Report {
+	return kvrouter.Report{
+		ActivePrefillTokens: report.ActivePrefillTokens,
+		ActiveDecodeTokens:  report.ActiveDecodeTokens,
+		ActiveRequests:      report.ActiveRequests,
+		WeightVersion:       report.WeightVersion,
+		Incarnation:         report.Incarnation,
+		Age:                 report.Age(),
+		LastSequence:        report.LastSequence,
+		Warming:             report.Warming,
+	}
+}
+
+// pause waits, and returns false if ctx ends first.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/dataplane/limiter.go
@@ -0,0 +1,153 @@
+package dataplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
+)
+
+// limiter drives the admission controller for many goroutines.
+type limiter struct {
+	clock      func() time.Duration
+	mutex      sync.Mutex
+	controller *admission.Controller
+	// waiting holds a channel for each queued request, closed when granted.
+	waiting map[admission.Ticket]chan struct{}
+}
+
+// newLimiter returns a limiter that has seen no request.
+func newLimiter(clock func() time.Duration) *limiter {
+	return &limiter{
+		clock:      clock,
+		controller: admission.New(),
+		waiting:    make(map[admission.Ticket]chan struct{}),
+	}
+}
+
+// acquire admits a request, waiting in the tenant's queue if need be, or says
+// why not. An admitted request is to be released.
+func (l *limiter) acquire(ctx context.Context, tenant *routing.Tenant) *caller.Problem {
+	decision, granted := l.arrive(tenant)
+	switch decision.Outcome {
+	case admission.Admitted:
+		return nil
+	case admission.Queued:
+		return l.wait(ctx, tenant.Name, decision, granted)
+	case admission.RefusedRate:
+		return caller.NewProblem(caller.KindRateLimited,
+			"tenant %q sends more requests a second than it may: slow down", tenant.Name).After(decision.RetryAfter)
+	default:
+		return caller.NewProblem(caller.KindQueueFull,
+			"tenant %q has as many requests running and waiting as it may: wait for some to finish", tenant.Name).After(decision.RetryAfter)
+	}
+}
+
+// arrive enters a request. The channel is nil unless the request waits.
+func (l *limiter) arrive(tenant *routing.Tenant) (admission.Decision, chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	decision := l.controller.Arrive(l.clock(), tenant.Name, admissionLimits(tenant))
+	if decision.Outcome != admission.Queued {
+		return decision, nil
+	}
+	granted := make(chan struct{})
+	l.waiting[decision.Ticket] = granted
+	return decision, granted
+}
+
+// wait blocks until a queued request is granted or has waited long enough.
+func (l *limiter) wait(ctx context.Context, tenant string, decision admission.Decision, granted chan struct{}) *caller.Problem {
+	timer := time.NewTimer(max(decision.Until-l.clock(), 0))
+	defer timer.Stop()
+	select {
+	case <-granted:
+		return nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if l.abandon(tenant, decision.Ticket) {
+		return queueProblem(ctx, tenant)
+	}
+	// The grant came at the same moment and counts.
+	return nil
+}
+
+// abandon gives a wait up. It returns false if the request was granted.
+func (l *limiter) abandon(tenant string, ticket admission.Ticket) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, waits := l.waiting[ticket]; !waits {
+		return false
+	}
+	delete(l.waiting, ticket)
+	l.controller.Abandon(tenant, ticket)
+	return true
+}
+
+// release gives back the place of an admitted request.
+func (l *limiter) release(tenant string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, ticket := range l.controller.Release(l.clock(), tenant) {
+		granted, waits := l.waiting[ticket]
+		if waits {
+			delete(l.waiting, ticket)
+			close(granted)
+		}
+	}
+}
+
+// retain forgets idle tenants that a view does not have.
+func (l *limiter) retain(view *routing.View) {
+	names := make(map[string]bool, len(view.Tenants))
+	for _, tenant := range view.Tenants {
+		names[tenant.Name] = true
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.controller.Retain(func(tenant string) bool { return names[tenant] })
+}
+
+// queueProblem is the refusal of a request that has waited in vain.
+func queueProblem(ctx context.Context, tenant string) *caller.Problem {
+	if deadlinePassed(ctx) {
+		return deadlineProblem()
+	}
+	return caller.NewProblem(caller.KindQueueTimeout,
+		"no place became free for tenant %q in time: send fewer requests at a time", tenant).After(time.Second)
+}
+
+// admissionLimits returns a tenant's limits as admission reads them.
+func admissionLimits(tenant *routing.Tenant) admission.Limits {
+	limits := tenant.Limits
+	return admission.Limits{
+		RequestsPerSecond: limits.GetRequestsPerSecond(),
+		Burst:             limits.GetBurst(),
+		Concurrent:        limits.GetConcurrentRequests(),
+		Queued:            limits.GetQueuedRequests(),
+		QueueTimeout:      time.Duration(limits.GetQueueTimeoutMs()) * time.Millisecond,
+	}
+}
+
+// tenantLimiter holds each tenant to its limits.
+type tenantLimiter struct {
+	limiter *limiter
+}
+
+// handle implements handler.
+func (t *tenantLimiter) handle(e *exchange, next func()) {
+	if e.tenant == nil {
+		next()
+		return
+	}
+	if problem := t.limiter.acquire(e.ctx, e.tenant); problem != nil {
+		e.refuse(problem)
+		return
+	}
+	defer t.limiter.release(e.tenant.Name)
+	next()
+}
--- /dev/null
+++ b/internal/dataplane/options.go
@@ -0,0 +1,109 @@
+package dataplane
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+// Defaults of Options.
+const (
+	// DefaultMaxBodyBytes bounds a caller's body.
+	DefaultMaxBodyBytes = 16 << 20
+	// DefaultMaxAnswerBytes bounds an answer that is read whole.
+	DefaultMaxAnswerBytes = 16 << 20
+	// DefaultRequestTimeout bounds a request whose destination sets no bound.
+	DefaultRequestTimeout = 60 * time.Second
+	// DefaultMaxAttempts bounds the attempts of one request.
+	DefaultMaxAttempts = 4
+	// DefaultDrainTimeout bounds the time in which a stopping node finishes.
+	DefaultDrainTimeout = 20 * time.Second
+	// DefaultEventSilence is the longest time without an event of a back end.
+	DefaultEventSilence = 15 * time.Second
+	// DefaultViewInterval is the time between two looks at the newest view by
+	// the feeds.
+	DefaultViewInterval = 200 * time.Millisecond
+	// DefaultRememberedRequests bounds the finished requests whose identity
+	// is remembered.
+	DefaultRememberedRequests = 1 << 16
+	// DefaultRememberFor is how long their identity is remembered.
+	DefaultRememberFor = 10 * time.Minute
+)
+
+// Options set up a Server. Zero values mean the defaults, where there are any.
+type Options struct {
+	// Node is the node's name.
+	Node string
+	// Zone is the zone that the node stands in.
+	Zone string
+	// Address is the host and port to listen on.
+	Address string
+	// Source is where control state comes from.
+	Source routing.Source
+	// Clock returns the time elapsed on a clock that counts suspended time.
+	Clock func() time.Duration
+	// Log takes what is worth telling; never a line for each request.
+	Log *logrus.Entry
+	// Router configures the choice of replicas.
+	Router kvrouter.Options
+	// MaxBodyBytes bounds a caller's body.
+	MaxBodyBytes int64
+	// MaxAnswerBytes bounds an answer that is read whole before any of it is
+	// handed on, and one event of a streamed answer.
+	MaxAnswerBytes int64
+	// RequestTimeout bounds a request whose destination sets no bound.
+	RequestTimeout time.Duration
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+	// DrainTimeout bounds the time in which a stopping node finishes.
+	DrainTimeout time.Duration
+	// EventSilence is the longest time without an event of a back end.
+	EventSilence time.Duration
+	// ViewInterval is the time between two looks at the newest view by the
+	// feeds.
+	ViewInterval time.Duration
+	// RememberedRequests bounds the finished requests whose identity is
+	// remembered.
+	RememberedRequests int
+	// RememberFor is how long their identity is remembered.
+	RememberFor time.Duration
+}
+
+// withDefaults returns the options with zero values replaced, or says which
+// required one is missing.
+func (o Options) withDefaults() (Options, error) {
+	if o.Source == nil {
+		return o, errors.New("dataplane: Options.Source is missing: give the control state to serve by")
+	}
+	if o.Clock == nil {
+		return o, errors.New("dataplane: Options.Clock is missing: give a clock that counts suspended time")
+	}
+	if o.Address == "" {
+		return o, errors.New("dataplane: Options.Address is missing: give the host and port to listen on")
+	}
+	if o.Log == nil {
+		o.Log = logrus.NewEntry(logrus.StandardLogger())
+	}
+	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
+	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
+	setDefault(&o.EventSilence, DefaultEventSilence)
+	setDefault(&o.ViewInterval, DefaultViewInterval)
+	setDefault(&o.RememberedRequests, DefaultRememberedRequests)
+	setDefault(&o.RememberFor, DefaultRememberFor)
+	return o, nil
+}
+
+// setDefault replaces a zero value.
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/internal/dataplane/outbound/client.go
@@ -0,0 +1,176 @@
+package outbound
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+// Defaults of Options.
+const (
+	// DefaultDialTimeout bounds the time to connect.
+	DefaultDialTimeout = time.Second
+	// DefaultIdleTimeout closes connections that have carried nothing lately.
+	DefaultIdleTimeout = 2 * time.Second
+	// DefaultIdlePerAddress bounds the idle connections to one back end.
+	DefaultIdlePerAddress = 64
+	// keepAlivePeriod is the period of TCP keep-alive probes.
+	keepAlivePeriod = 5 * time.Second
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 256 << 10
+)
+
+// Options set up a Client. Zero values mean the defaults.
+type Options struct {
+	// Name names the client in go-zero's registers.
+	Name string
+	// DialTimeout bounds the time to connect.
+	DialTimeout time.Duration
+	// IdleTimeout closes connections that have carried nothing lately.
+	IdleTimeout time.Duration
+	// IdlePerAddress bounds the idle connections to one back end.
+	IdlePerAddress int
+}
+
+// Client sends requests. It may be used by many goroutines.
+type Client struct {
+	service   httpc.Service
+	transport *http.Transport
+}
+
+// Error says that a request got no answer.
+type Error struct {
+	// MayHaveLeft tells whether any byte of the request may have left. If it
+	// is false none has left, and none will.
+	MayHaveLeft bool
+	cause       error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.MayHaveLeft {
+		return fmt.Sprintf("no answer after the request was sent: %v", e.cause)
+	}
+	return fmt.Sprintf("the request was not sent: %v", e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
+
+// NotSent wraps the reason for which a request was not even tried.
+func NotSent(cause error) *Error {
+	return &Error{cause: errors.WithStack(cause)}
+}
+
+// New returns a client.
+func New(options Options) *Client {
+	if options.DialTimeout <= 0 {
+		options.DialTimeout = DefaultDialTimeout
+	}
+	if options.IdleTimeout <= 0 {
+		options.IdleTimeout = DefaultIdleTimeout
+	}
+	if options.IdlePerAddress <= 0 {
+		options.IdlePerAddress = DefaultIdlePerAddress
+	}
+	// httpc registers a breaker and writes a log line for every request.
+	breaker.NoBreakerFor(options.Name)
+	logx.SetLevel(logx.SevereLevel)
+	transport := newTransport(options)
+	client := &http.Client{Transport: transport, CheckRedirect: keepRedirect}
+	return &Client{service: httpc.NewServiceWithClient(options.Name, client), transport: transport}
+}
+
+// newTransport returns a transport that changes nothing in what passes.
+func newTransport(options Options) *http.Transport {
+	return &http.Transport{
+		DialContext:            dialer(options.DialTimeout),
+		DisableCompression:     true,
+		IdleConnTimeout:        options.IdleTimeout,
+		MaxIdleConnsPerHost:    options.IdlePerAddress,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// keepRedirect hands a redirect on as the answer that it is: following it
+// would send the request a second time.
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// Send sends a request with a body once. A returned error is an *Error. The
+// caller closes the answer's body; unless it was read to its end the
+// connection is closed with it.
+func (c *Client) Send(request *http.Request, body []byte) (*http.Response, error) {
+	watch := &connectionWatch{}
+	trace := &httptrace.ClientTrace{GotConn: watch.got}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	makeUnrepeatable(request, body)
+	response, err := c.service.DoRequest(request)
+	if err != nil {
+		return nil, &Error{MayHaveLeft: watch.seal(), cause: errors.WithStack(err)}
+	}
+	return response, nil
+}
+
+// Get fetches a URL that changes nothing at the other end.
+func (c *Client) Get(ctx context.Context, url string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, NotSent(err)
+	}
+	return c.Send(request, nil)
+}
+
+// CloseIdle closes the connections that carry no request.
+func (c *Client) CloseIdle() {
+	c.transport.CloseIdleConnections()
+}
+
+// connectionWatch remembers the connections that a request was given.
+type connectionWatch struct {
+	mutex   sync.Mutex
+	held    []heldConnection
+	foreign bool
+}
+
+// heldConnection is a connection and its count of writes when it was given.
+type heldConnection struct {
+	connection *countedConn
+	before     uint64
+}
+
+// got is called before the request is written to the connection.
+func (w *connectionWatch) got(info httptrace.GotConnInfo) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	counted, known := info.Conn.(*countedConn)
+	if !known {
+		w.foreign = true
+		return
+	}
+	w.held = append(w.held, heldConnection{connection: counted, before: counted.writeCount()})
+}
+
+// seal ends the connections, and returns whether any byte may have left.
+func (w *connectionWatch) seal() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	left := w.foreign
+	for _, held := range w.held {
+		if held.connection.seal() != held.before {
+			left = true
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/internal/dataplane/outbound/connection.go
@@ -0,0 +1,71 @@
+package outbound
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errSealed is returned by writes to a connection that has been given up.
+var errSealed = errors.New("the connection has been sealed after a failed request")
+
+// countedConn is a connection that counts what it is asked to write and that
+// can be sealed against further writes.
+type countedConn struct {
+	net.Conn
+	mutex  sync.Mutex
+	writes uint64
+	sealed bool
+}
+
+// Write counts the call before any byte can leave.
+func (c *countedConn) Write(data []byte) (int, error) {
+	if !c.beginWrite() {
+		return 0, errSealed
+	}
+	return c.Conn.Write(data)
+}
+
+// beginWrite enters a write, unless the connection is sealed.
+func (c *countedConn) beginWrite() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.sealed {
+		return false
+	}
+	c.writes++
+	return true
+}
+
+// writeCount returns how many writes have begun.
+func (c *countedConn) writeCount() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.writes
+}
+
+// seal forbids further writes, closes the connection, and returns how many
+// writes have ever begun. After it returns that number is final.
+func (c *countedConn) seal() uint64 {
+	c.mutex.Lock()
+	c.sealed = true
+	writes := c.writes
+	c.mutex.Unlock()
+	_ = c.Close()
+	return writes
+}
+
+// dialer returns the transport's dial function.
+func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	plain := &net.Dialer{Timeout: timeout, KeepAlive: keepAlivePeriod}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := plain.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: connection}, nil
+	}
+}
--- /dev/null
+++ b/internal/dataplane/outbound/doc.go
@@ -0,0 +1,13 @@
+// Package outbound sends one request to one back end, once.
+//
+// Go's HTTP transport sends a request again by itself when a kept-alive
+// connection dies. That is made impossible here: every request carries a body
+// that cannot be rewound, also when it is empty, and never a header that the
+// transport reads as permission. When a request fails, the package tells
+// whether any of its bytes may have left, which it learns from the connection
+// itself: a connection counts the bytes that it is asked to write, and after a
+// failure it is sealed, so that nothing can leave later.
+//
+// Requests go through go-zero's httpc, whose adaptive breaker is switched off:
+// limits and retries are decided elsewhere.
+package outbound
--- /dev/null
+++ b/internal/dataplane/outcome.go
@@ -0,0 +1,141 @@
+package dataplane
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
+)
+
+// backendRetry is when a caller may come back after a failure of a back end.
+const backendRetry = time.Second
+
+// failedAnswerError says that a back end answered with a failure that does not
+// tell whether the request has run.
+type failedAnswerError struct {
+	status int
+}
+
+// Error implements error.
+func (e *failedAnswerError) Error() string {
+	return fmt.Sprintf("the back end failed with status %d", e.status)
+}
+
+// versionError says that an answer was made under other weights than the cache
+// salt of its request names.
+type versionError struct {
+	expected, answered string
+}
+
+// Error implements error.
+func (e *versionError) Error() string {
+	return fmt.Sprintf("the answer was made by weight version %q instead of %q", e.answered, e.expected)
+}
+
+// enterFailure enters the end of an attempt that got no answer.
+func (d *dispatcher) enterFailure(w *work, chosen target, attempt int, err error) {
+	var unsent *outbound.Error
+	if errors.As(err, &unsent) && !unsent.MayHaveLeft {
+		d.suspectUnlessEnded(w, chosen)
+		w.problem = caller.NewProblem(caller.KindNoBackend,
+			"the back end could not be reached: send the request again").After(backendRetry)
+		w.apply(attempts.Event{Kind: attempts.NotSent, Attempt: attempt})
+		return
+	}
+	w.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
+	var refused *replica.RefusedError
+	if errors.As(err, &refused) {
+		w.problem = refusedProblem(refused)
+		w.apply(attempts.Event{Kind: attempts.Refused, Attempt: attempt})
+		return
+	}
+	d.enterLoss(w, chosen, attempt, err)
+}
+
+// enterLoss enters that an attempt which was sent has no certain end.
+func (d *dispatcher) enterLoss(w *work, chosen target, attempt int, err error) {
+	var failed *failedAnswerError
+	var gone *callerGoneError
+	switch {
+	case errors.As(err, &gone):
+		w.apply(attempts.Event{Kind: attempts.CallerLeft})
+	case errors.As(err, &failed):
+		// A back end that answers is not suspected of being dead.
+	default:
+		d.suspectUnlessEnded(w, chosen)
+	}
+	w.problem = caller.NewProblem(caller.KindOutcomeUnknown,
+		"the back end's answer was lost (%v): find out whether the request has run before you send it again", err)
+	w.apply(attempts.Event{Kind: attempts.EndLost, Attempt: attempt})
+}
+
+// suspectUnlessEnded suspects the back end of a failed attempt, unless the
+// attempt was ended from this side.
+func (d *dispatcher) suspectUnlessEnded(w *work, chosen target) {
+	if w.ctx.Err() == nil {
+		d.server.suspects.failed(d.server.options.Clock(), chosen.address())
+	}
+}
+
+// refusedProblem tells of a back end that promised not to run the request.
+func refusedProblem(refused *replica.RefusedError) *caller.Problem {
+	wait := max(refused.RetryAfter, backendRetry)
+	return caller.NewProblem(caller.KindBackendRefused,
+		"the back end did not take the request (%v): send it again later", refused).After(wait)
+}
+
+// budgetProblem tells of a retry that the budget does not permit. It keeps
+// what the last attempt's problem said.
+func budgetProblem(last *caller.Problem) *caller.Problem {
+	reason := "an earlier attempt failed"
+	if last != nil {
+		reason = last.Message
+	}
+	return caller.NewProblem(caller.KindRetryBudgetSpent,
+		"the destination's share of retries is used up after this failure: %s", reason).After(backendRetry)
+}
+
+// answer does what the ledger asks for at the end.
+func (d *dispatcher) answer(w *work, move attempts.Move) {
+	switch move.Kind {
+	case attempts.Relay:
+		w.counters.countAnswered()
+		w.writeReady()
+	case attempts.AbortRelay:
+		d.abortRelay(w)
+	case attempts.AnswerNotRun:
+		w.refuse(w.finalProblem())
+	case attempts.AnswerUnknown:
+		problem := w.finalProblem()
+		problem.Kind = caller.KindOutcomeUnknown
+		w.refuse(problem)
+	case attempts.AnswerDeadline:
+		problem := deadlineProblem()
+		problem.MayHaveRun = w.ledger.MayHaveRun()
+		w.refuse(problem)
+	case attempts.Abandon:
+		w.counters.countAbandoned()
+		w.failed = true
+		w.certainlyNotRun = !w.ledger.MayHaveRun()
+		panic(http.ErrAbortHandler)
+	default:
+		panic(fmt.Sprintf("the ledger asks for %s although no attempt is running", move.Kind))
+	}
+}
+
+// finalProblem returns the last problem with the ledger's word on whether the
+// request may have run.
+func (w *work) finalProblem() *caller.Problem {
+	problem := w.problem
+	if problem == nil {
+		problem = caller.NewProblem(caller.KindNoBackend, "no attempt was possible: send the request again").After(backendRetry)
+	}
+	problem.MayHaveRun = w.ledger.MayHaveRun()
+	return problem
+}
--- /dev/null
+++ b/internal/dataplane/pool.go
@@ -0,0 +1,224 @@
+package dataplane
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+// poolBackend runs attempts on the replicas of pools.
+type poolBackend struct {
+	server *Server
+	client *replica.Client
+}
+
+// newPoolBackend returns the backend of all pools.
+func newPoolBackend(server *Server) *poolBackend {
+	return &poolBackend{server: server, client: replica.NewClient(server.sender, server.options.MaxAnswerBytes)}
+}
+
+// replicaTarget is a replica chosen for one attempt.
+type replicaTarget struct {
+	backend  *poolBackend
+	decision kvrouter.Decision
+}
+
+// choose implements backend. Replicas that failed lately are avoided as long
+// as there are others.
+func (b *poolBackend) choose(w *work) (target, *caller.Problem) {
+	pool := b.newestPool(w)
+	if pool == nil || pool.Config.GetModel() != w.destination.Pool.Config.GetModel() {
+		return nil, noReplicaProblem(&kvrouter.NoReplicaError{Reason: kvrouter.NoneListed, RetryAfter: backendRetry})
+	}
+	now := b.server.options.Clock()
+	avoidSuspects := func(address string) bool {
+		return w.tried[address] || b.server.suspects.avoided(now, address)
+	}
+	decision, err := b.server.router.Select(b.selection(w, pool, now, avoidSuspects), b.candidates(pool))
+	var none *kvrouter.NoReplicaError
+	if errors.As(err, &none) && none.Reason == kvrouter.AllExcluded {
+		avoidTried := func(address string) bool { return w.tried[address] }
+		decision, err = b.server.router.Select(b.selection(w, pool, now, avoidTried), b.candidates(pool))
+	}
+	if err != nil {
+		return nil, noReplicaProblem(err)
+	}
+	return &replicaTarget{backend: b, decision: decision}, nil
+}
+
+// newestPool returns the work's pool in the newest view, or nil if it is gone.
+func (b *poolBackend) newestPool(w *work) *routing.Pool {
+	view := b.server.options.Source.View()
+	if view == nil {
+		return nil
+	}
+	return view.Pools[w.destination.Pool.Config.GetName()]
+}
+
+// selection is what the router needs to know of the work.
+func (b *poolBackend) selection(w *work, pool *routing.Pool, now time.Duration, exclude func(string) bool) kvrouter.Request {
+	model := pool.Config.GetModel()
+	return kvrouter.Request{
+		Now:          now,
+		Model:        model,
+		Parts:        w.described.Parts,
+		OutputTokens: w.described.OutputTokens,
+		SaltFor: func(weightVersion string) string {
+			return replica.CacheSalt(model, weightVersion, w.sharingDomain(b.server.options.Source.View()))
+		},
+		Settings:  kvrouter.SettingsFrom(pool.Config.GetRouting()),
+		Store:     pool.Store.GetAddress(),
+		StoreZone: pool.Store.GetZone(),
+		Exclude:   exclude,
+		Random:    b.server.random(pool.Config.GetRouting().GetTemperature()),
+	}
+}
+
+// candidates returns the replicas of a pool that requests may go to.
+func (b *poolBackend) candidates(pool *routing.Pool) []kvrouter.Candidate {
+	candidates := make([]kvrouter.Candidate, 0, len(pool.Replicas))
+	for _, listed := range pool.Replicas {
+		if listed.Admitting && !b.server.quarantine.holds(listed.Address, listed.WeightVersion) {
+			candidates = append(candidates, kvrouter.Candidate{
+				Address:       listed.Address,
+				Zone:          listed.Zone,
+				WeightVersion: listed.WeightVersion,
+			})
+		}
+	}
+	return candidates
+}
+
+// sharingDomain returns the tenant's domain in the newest view, because a wall
+// may have gone up while the request waited.
+func (w *work) sharingDomain(view *routing.View) string {
+	if view != nil {
+		if tenant := view.Tenants[w.keyDigest]; tenant != nil {
+			return tenant.SharingDomain
+		}
+	}
+	return w.tenant.SharingDomain
+}
+
+// noReplicaProblem tells why no replica was chosen.
+func noReplicaProblem(err error) *caller.Problem {
+	kind := caller.KindNoBackend
+	wait := backendRetry
+	var none *kvrouter.NoReplicaError
+	if errors.As(err, &none) {
+		wait = max(none.RetryAfter, wait)
+		if none.Reason == kvrouter.AllBusy {
+			kind = caller.KindBackendsBusy
+		}
+	}
+	return caller.NewProblem(kind, "%v", err).After(wait)
+}
+
+// address implements target.
+func (t *replicaTarget) address() string {
+	return t.decision.Address
+}
+
+// current implements target.
+func (t *replicaTarget) current(w *work) bool {
+	pool := t.backend.newestPool(w)
+	if pool == nil || !t.backend.mayServeParts(pool, t.decision.Address, t.decision.WeightVersion) {
+		return false
+	}
+	salt := replica.CacheSalt(pool.Config.GetModel(), t.decision.WeightVersion, w.sharingDomain(t.backend.server.options.Source.View()))
+	return salt == t.decision.CacheSalt
+}
+
+// admits tells whether a pool has an admitting replica of a version.
+func admits(pool *routing.Pool, address, weightVersion string) bool {
+	for _, listed := range pool.Replicas {
+		if listed.Address == address {
+			return listed.Admitting && listed.WeightVersion == weightVersion
+		}
+	}
+	return false
+}
+
+// send implements target.
+func (t *replicaTarget) send(ctx context.Context, w *work, attempt int) (answer, error) {
+	received, err := t.backend.client.Generate(ctx, t.call(w, attempt))
+	if err != nil {
+		return nil, err
+	}
+	if err := t.check(received); err != nil {
+		received.Close()
+		return nil, err
+	}
+	return received, nil
+}
+
+// call describes the attempt to the replica.
+func (t *replicaTarget) call(w *work, attempt int) replica.Call {
+	extra := make(http.Header)
+	caller.CopyPassThrough(extra, w.request.Header)
+	return replica.Call{
+		Address:      t.decision.Address,
+		Model:        w.destination.Pool.Config.GetModel(),
+		CacheSalt:    t.decision.CacheSalt,
+		Prefix:       caller.FormatPrefix(w.described.Parts),
+		RequestID:    w.requestID,
+		AttemptID:    t.backend.server.identities.next(),
+		Attempt:      attempt,
+		OutputTokens: w.described.OutputTokens,
+		Streamed:     w.described.Streamed,
+		Pull:         t.pull(w),
+		Extra:        extra,
+		ContentType:  w.request.Header.Get("Content-Type"),
+		Body:         w.body,
+	}
+}
+
+// pull returns the planned fetch if its source may still be used: the pool's
+// store, or an admitting replica of the same version.
+func (t *replicaTarget) pull(w *work) *replica.Pull {
+	planned := t.decision.Pull
+	pool := t.backend.newestPool(w)
+	if planned == nil || pool == nil {
+		return nil
+	}
+	if planned.Source != pool.Store.GetAddress() && !t.backend.mayServeParts(pool, planned.Source, t.decision.WeightVersion) {
+		return nil
+	}
+	return &replica.Pull{Source: planned.Source, FirstPart: planned.FirstPart, LastPart: planned.LastPart}
+}
+
+// mayServeParts tells whether a replica may be pulled from under a version.
+func (b *poolBackend) mayServeParts(pool *routing.Pool, address, weightVersion string) bool {
+	return admits(pool, address, weightVersion) && !b.server.quarantine.holds(address, weightVersion)
+}
+
+// check refuses answers that leave open whether the request has run, and those
+// made under other weights.
+func (t *replicaTarget) check(received *replica.Answer) error {
+	if received.Status() >= http.StatusInternalServerError {
+		return &failedAnswerError{status: received.Status()}
+	}
+	answered := received.WeightVersion()
+	if answered != "" && answered != t.decision.WeightVersion {
+		t.backend.server.quarantine.report(t.decision.Address, answered)
+		return &versionError{expected: t.decision.WeightVersion, answered: answered}
+	}
+	return nil
+}
+
+// firstOutput implements target.
+func (t *replicaTarget) firstOutput() {
+	t.decision.Reservation.FirstToken(t.backend.server.options.Clock())
+}
+
+// finish implements target.
+func (t *replicaTarget) finish(completed bool) {
+	t.decision.Reservation.Finish(t.backend.server.options.Clock(), completed)
+}
--- /dev/null
+++ b/internal/dataplane/relay.go
@@ -0,0 +1,130 @@
+package dataplane
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
+)
+
+// answer is a back end's answer whose header has arrived.
+type answer interface {
+	// Status returns the HTTP status.
+	Status() int
+	// Header returns the headers that are handed on.
+	Header() http.Header
+	// Streamed tells whether the answer is to be handed on as it comes.
+	Streamed() bool
+	// ReadWhole reads the answer, or returns false with its beginning if it
+	// is too long to be held back.
+	ReadWhole() ([]byte, bool, error)
+	// Next returns the next bytes to hand on, and io.EOF after the proper end.
+	Next() ([]byte, error)
+	// Close ends the answer.
+	Close()
+}
+
+// readyAnswer is a whole answer that is known to be complete.
+type readyAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// callerGoneError says that bytes could not be written to the caller.
+type callerGoneError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *callerGoneError) Error() string {
+	return "the caller takes no more of the answer: " + e.cause.Error()
+}
+
+// relay hands an answer on as it comes, beginning with what has been read. The
+// status line goes out only here, after a first part has come.
+func (d *dispatcher) relay(w *work, attempt int, received answer, chunk []byte, err error) error {
+	w.apply(attempts.Event{Kind: attempts.AnswerBegan, Attempt: attempt})
+	w.writeHeader(received.Status(), received.Header())
+	controller := http.NewResponseController(w.writer)
+	for err == nil {
+		if _, writeError := w.writer.Write(chunk); writeError != nil {
+			return &callerGoneError{cause: writeError}
+		}
+		if flushError := controller.Flush(); flushError != nil {
+			return &callerGoneError{cause: flushError}
+		}
+		chunk, err = received.Next()
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// abortRelay ends a cut answer so that nobody takes it for a complete one: an
+// error event where the answer is a stream of events, and then an abnormal end
+// of the connection.
+func (d *dispatcher) abortRelay(w *work) {
+	w.failed = true
+	w.countAbort()
+	if w.writer.Header().Get("Content-Type") == caller.StreamType {
+		_, _ = w.writer.Write(caller.StreamProblem(w.cutProblem()))
+		_ = http.NewResponseController(w.writer).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// countAbort counts a cut answer, or one that nobody waits for any more.
+func (w *work) countAbort() {
+	if w.ledger.CallerLeft() {
+		w.counters.countAbandoned()
+		return
+	}
+	w.counters.countCut()
+}
+
+// cutProblem tells of an answer that was cut.
+func (w *work) cutProblem() *caller.Problem {
+	problem := w.finalProblem()
+	problem.Kind = caller.KindAnswerCut
+	if deadlinePassed(w.ctx) {
+		problem = deadlineProblem()
+	}
+	problem.MayHaveRun = true
+	problem.RequestID = w.requestID
+	return problem
+}
+
+// writeReady hands a whole answer on. The header was written before if the
+// answer was handed on as it came.
+func (w *work) writeReady() {
+	if w.ready == nil {
+		return
+	}
+	header := w.ready.header
+	if w.request.Method != http.MethodHead && permitsBody(w.ready.status) {
+		header.Set("Content-Length", strconv.Itoa(len(w.ready.body)))
+	}
+	w.writeHeader(w.ready.status, header)
+	_, _ = w.writer.Write(w.ready.body)
+}
+
+// permitsBody tells whether an answer of a status may have a body.
+func permitsBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// writeHeader writes the status line and header of an answer.
+func (w *work) writeHeader(status int, header http.Header) {
+	target := w.writer.Header()
+	for name, values := range header {
+		target[name] = values
+	}
+	target.Set(caller.HeaderRequestID, w.requestID)
+	w.writer.WriteHeader(status)
+}
--- /dev/null
+++ b/internal/dataplane/server.go
@@ -0,0 +1,144 @@
+package dataplane
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+// clientName names the client of back ends in go-zero's registers.
+const clientName = "backends"
+
+// Server serves callers on one address.
+type Server struct {
+	options      Options
+	sender       *outbound.Client
+	router       *kvrouter.Router
+	identities   *identities
+	destinations *destinations
+	limiter      *limiter
+	duplicates   *duplicateRegister
+	inFlight     *inFlight
+	suspects     *suspects
+	quarantine   *quarantine
+	feeds        *feeds
+	chain        chain
+	listener     *listener
+	// draws counts the random sources handed out, so that each has its own
+	// seed.
+	draws atomic.Uint64
+	seed  uint64
+
+	stopFeeds context.CancelFunc
+	feedsCtx  context.Context
+	stopOnce  sync.Once
+}
+
+var _ routing.LoadReader = (*Server)(nil)
+
+// New returns a server that does nothing before Start.
+func New(options Options) (*Server, error) {
+	options, err := options.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	named, err := newIdentities(options.Node)
+	if err != nil {
+		return nil, err
+	}
+	server := &Server{
+		options:      options,
+		sender:       outbound.New(outbound.Options{Name: clientName}),
+		router:       kvrouter.New(options.Router),
+		identities:   named,
+		destinations: newDestinations(),
+		limiter:      newLimiter(options.Clock),
+		duplicates:   newDuplicateRegister(options.RememberedRequests, options.RememberFor),
+		inFlight:     newInFlight(),
+		suspects:     newSuspects(),
+		quarantine:   newQuarantine(),
+		seed:         rand.Uint64(),
+	}
+	server.feedsCtx, server.stopFeeds = context.WithCancel(context.Background())
+	server.feeds = newFeeds(server)
+	server.chain = server.newChain()
+	if server.listener, err = newListener(options, server); err != nil {
+		return nil, err
+	}
+	return server, nil
+}
+
+// Start binds the address and serves until Drain or Stop. It returns nil after
+// these, and otherwise why it could not serve.
+func (s *Server) Start() error {
+	supervisor := newSupervisor("traffic", s.options.Log)
+	supervisor.Add(s.feeds.supervisor)
+	supervisor.Add(s.feeds)
+	ended := supervisor.ServeBackground(s.feedsCtx)
+	err := s.listener.serve()
+	s.stopFeeds()
+	<-ended
+	return err
+}
+
+// Listening is closed when the address is bound.
+func (s *Server) Listening() <-chan struct{} {
+	return s.listener.listening
+}
+
+// Address returns the address that is listened on, or "" before it is bound.
+func (s *Server) Address() string {
+	return s.listener.boundAddress()
+}
+
+// Drain takes no new connection, and returns when the running requests have
+// ended, or with an error when ctx ends first. Readiness is to be off before.
+func (s *Server) Drain(ctx context.Context) error {
+	err := s.listener.shutdown(ctx)
+	if err == nil {
+		s.release()
+	}
+	return err
+}
+
+// Stop ends everything at once. Running requests are cut.
+func (s *Server) Stop() {
+	s.listener.close()
+	s.release()
+}
+
+// release gives back what a stopped server holds.
+func (s *Server) release() {
+	s.stopOnce.Do(func() {
+		s.stopFeeds()
+		s.sender.CloseIdle()
+	})
+}
+
+// InFlight returns how many attempts run on a back end through this node.
+func (s *Server) InFlight(address string) int {
+	return s.inFlight.of(address)
+}
+
+// Stats returns the counters of every destination that was routed to.
+func (s *Server) Stats() []DestinationStats {
+	return s.destinations.snapshot()
+}
+
+// random returns a source of random numbers for one selection, or nil where
+// the temperature makes it unnecessary.
+func (s *Server) random(temperature float64) *rand.Rand {
+	if temperature <= 0 {
+		return nil
+	}
+	return rand.New(rand.NewPCG(s.seed, s.draws.Add(1)))
+}
+
+var _ suture.Service = (*feed)(nil)
--- /dev/null
+++ b/internal/dataplane/serving.go
@@ -0,0 +1,41 @@
+package dataplane
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+)
+
+// notServingRetry is when a caller of a node that may not serve may come back.
+const notServingRetry = time.Second
+
+// servingCheck refuses every request while the node may not serve.
+type servingCheck struct {
+	source routing.Source
+}
+
+// handle implements handler.
+func (c *servingCheck) handle(e *exchange, next func()) {
+	view, problem := servingView(c.source)
+	if problem != nil {
+		e.refuse(problem)
+		return
+	}
+	e.view = view
+	next()
+}
+
+// servingView returns the newest view, or why the node may not serve by it.
+func servingView(source routing.Source) (*routing.View, *caller.Problem) {
+	if err := source.Serving(); err != nil {
+		return nil, caller.NewProblem(caller.KindNotServing,
+			"this node serves no traffic now (%v): send the request to another node or try again", err).After(notServingRetry)
+	}
+	view := source.View()
+	if view == nil {
+		return nil, caller.NewProblem(caller.KindNotServing,
+			"this node has no configuration yet: send the request to another node or try again").After(notServingRetry)
+	}
+	return view, nil
+}
--- /dev/null
+++ b/internal/disk/disk.go
@@ -0,0 +1,142 @@
+// Package disk is the twoslot.Disk on a data folder of the machine.
+package disk
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
+)
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+	lockName   = "lock"
+	// temporarySuffix marks files that are written and not yet renamed. Names
+	// that end in it are refused.
+	temporarySuffix = ".tmp"
+)
+
+var _ twoslot.Disk = (*Disk)(nil)
+
+// Disk keeps files in one folder, which it locks against other processes.
+type Disk struct {
+	folder string
+	// directory is the open folder, to sync what changes in it.
+	directory *os.File
+	lock      *os.File
+}
+
+// Open locks a data folder, which it creates if there is none, and removes
+// what a crash left half written. It returns *LockedError if another process
+// holds the folder.
+func Open(folder string) (*Disk, error) {
+	if err := createFolder(folder); err != nil {
+		return nil, err
+	}
+	lock, err := lockFolder(folder)
+	if err != nil {
+		return nil, err
+	}
+	directory, err := os.Open(folder)
+	if err != nil {
+		_ = lock.Close()
+		return nil, errors.Wrapf(err, "disk: cannot open data folder %s", folder)
+	}
+	opened := &Disk{folder: folder, directory: directory, lock: lock}
+	if err := opened.removeTemporary(); err != nil {
+		_ = opened.Close()
+		return nil, err
+	}
+	return opened, nil
+}
+
+// Close releases the folder.
+func (d *Disk) Close() error {
+	directoryErr := d.directory.Close()
+	if err := d.lock.Close(); err != nil {
+		return err
+	}
+	return directoryErr
+}
+
+// ReadFile returns the content of a file, or an error that matches
+// fs.ErrNotExist.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	path, err := d.path(name)
+	if err != nil {
+		return nil, err
+	}
+	return os.ReadFile(path)
+}
+
+// createFolder makes the folder and what is missing above it durable.
+func createFolder(folder string) error {
+	if _, err := os.Stat(folder); err == nil {
+		return nil
+	} else if !errors.Is(err, fs.ErrNotExist) {
+		return errors.Wrapf(err, "disk: cannot use data folder %s", folder)
+	}
+	parent := filepath.Dir(filepath.Clean(folder))
+	if err := createFolder(parent); err != nil {
+		return err
+	}
+	if err := os.Mkdir(folder, folderMode); err != nil && !errors.Is(err, fs.ErrExist) {
+		return errors.Wrapf(err, "disk: cannot create data folder %s", folder)
+	}
+	return errors.Wrapf(syncFolder(parent), "disk: cannot sync folder %s", parent)
+}
+
+func syncFolder(folder string) error {
+	directory, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	syncErr := directory.Sync()
+	if err := directory.Close(); err != nil {
+		return err
+	}
+	return syncErr
+}
+
+// lockFolder takes a lock that ends with the process.
+func lockFolder(folder string) (*os.File, error) {
+	lock, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, errors.Wrapf(err, "disk: cannot write to data folder %s; check its rights", folder)
+	}
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = lock.Close()
+		if errors.Is(err, unix.EWOULDBLOCK) {
+			return nil, &LockedError{Folder: folder}
+		}
+		return nil, errors.Wrapf(err, "disk: cannot lock data folder %s", folder)
+	}
+	return lock, nil
+}
+
+func (d *Disk) removeTemporary() error {
+	left, err := filepath.Glob(filepath.Join(d.folder, "*"+temporarySuffix))
+	if err != nil {
+		return errors.Wrap(err, "disk: cannot list data folder")
+	}
+	for _, path := range left {
+		if err := os.Remove(path); err != nil {
+			return errors.Wrap(err, "disk: cannot remove a half written file")
+		}
+	}
+	return nil
+}
+
+// path refuses names that leave the folder or clash with its own files.
+func (d *Disk) path(name string) (string, error) {
+	if name == "" || name != filepath.Base(name) || name == "." || name == ".." ||
+		name == lockName || filepath.Ext(name) == temporarySuffix {
+		return "", &NameError{Name: name}
+	}
+	return filepath.Join(d.folder, name), nil
+}
--- /dev/null
+++ b/internal/disk/write.go
@@ -0,0 +1,122 @@
+package disk
+
+import (
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
+)
+
+// file is what writing needs of an open file.
+type file interface {
+	io.Writer
+	Sync() error
+	Truncate(size int64) error
+	Close() error
+}
+
+// WriteFile replaces a file: after a crash it holds either the former content
+// or data, whole. Both are on the disk until the former is let go.
+func (d *Disk) WriteFile(name string, data []byte) error {
+	path, err := d.path(name)
+	if err != nil {
+		return err
+	}
+	temporary := path + temporarySuffix
+	if err := writeTemporary(temporary, data); err != nil {
+		_ = os.Remove(temporary)
+		return typed(name, err)
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		_ = os.Remove(temporary)
+		return typed(name, err)
+	}
+	// The rename may be done and not durable: nobody knows, so even a full
+	// disk is not reported as one that left the file unchanged.
+	return errors.Wrapf(d.directory.Sync(), "disk: cannot sync the data folder after writing %s", name)
+}
+
+func writeTemporary(path string, data []byte) error {
+	opened, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	return writeAndClose(opened, data)
+}
+
+func writeAndClose(opened file, data []byte) error {
+	if err := writeAndSync(opened, data); err != nil {
+		_ = opened.Close()
+		return err
+	}
+	return opened.Close()
+}
+
+// Append adds to the end of a file, which it creates if there is none. After
+// a crash the file may end in a part of data.
+func (d *Disk) Append(name string, data []byte) error {
+	path, err := d.path(name)
+	if err != nil {
+		return err
+	}
+	opened, created, err := openAppend(path)
+	if err != nil {
+		return typed(name, err)
+	}
+	info, err := opened.Stat()
+	if err != nil {
+		_ = opened.Close()
+		return errors.Wrapf(err, "disk: cannot append to %s", name)
+	}
+	if err := appendAndClose(name, opened, info.Size(), data); err != nil {
+		return err
+	}
+	if !created {
+		return nil
+	}
+	return errors.Wrapf(d.directory.Sync(), "disk: cannot sync the data folder after creating %s", name)
+}
+
+func openAppend(path string) (opened *os.File, created bool, err error) {
+	opened, err = os.OpenFile(path, os.O_APPEND|os.O_WRONLY, fileMode)
+	if !errors.Is(err, os.ErrNotExist) {
+		return opened, false, err
+	}
+	opened, err = os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, fileMode)
+	return opened, true, err
+}
+
+// appendAndClose takes a failed write back. Only if that is durable too may a
+// full disk be reported as one that left the file unchanged.
+func appendAndClose(name string, opened file, size int64, data []byte) error {
+	err := writeAndSync(opened, data)
+	if err == nil {
+		return errors.Wrapf(opened.Close(), "disk: cannot close %s", name)
+	}
+	defer func() { _ = opened.Close() }()
+	if truncateErr := opened.Truncate(size); truncateErr != nil {
+		return errors.Wrapf(truncateErr, "disk: cannot take back a failed write to %s (%v)", name, err)
+	}
+	if syncErr := opened.Sync(); syncErr != nil {
+		return errors.Wrapf(syncErr, "disk: cannot take back a failed write to %s (%v)", name, err)
+	}
+	return typed(name, err)
+}
+
+func writeAndSync(opened file, data []byte) error {
+	if _, err := opened.Write(data); err != nil {
+		return err
+	}
+	return opened.Sync()
+}
+
+// typed makes the errors of a full disk or quota match twoslot.ErrDiskFull.
+func typed(name string, err error) error {
+	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+		return &twoslot.Error{Kind: twoslot.KindDiskFull, Name: name, Cause: err}
+	}
+	return errors.Wrapf(err, "disk: cannot write %s", name)
+}
--- /dev/null
+++ b/internal/edge/caller/doc.go
@@ -0,0 +1,50 @@
+// Package caller speaks the protocol between callers and a node: HTTP/1.1 with
+// JSON errors. All header names and JSON shapes of that counterpart live here
+// and only here. docs/CALLERS.md describes them to callers.
+package caller
+
+// Headers of a caller's request and of its answer.
+const (
+	// HeaderAuthorization carries "Bearer KEY".
+	HeaderAuthorization = "Authorization"
+	// HeaderModel names the model; the pool's model when it is missing.
+	HeaderModel = "Model"
+	// HeaderPrefix lists the prompt's parts in order: `id;tokens=N, id;tokens=N`.
+	HeaderPrefix = "Prefix"
+	// HeaderRequestID identifies the request; the node makes one when it is
+	// missing. The answer echoes it.
+	HeaderRequestID = "Request-Id"
+	// HeaderRepeatable is "true" if the request may run more than once.
+	HeaderRepeatable = "Repeatable"
+	// HeaderDeadline is the longest time that the caller waits, in
+	// milliseconds.
+	HeaderDeadline = "Deadline-Ms"
+	// HeaderOutputTokens bounds the generated tokens.
+	HeaderOutputTokens = "Output-Tokens"
+	// HeaderAccept asks for a streamed answer with "text/event-stream".
+	HeaderAccept = "Accept"
+	// HeaderRetryAfter, in a refusal, tells when to come back, in seconds.
+	HeaderRetryAfter = "Retry-After"
+	// PassThroughPrefix begins the headers that pass untouched both ways.
+	PassThroughPrefix = "Lab-"
+	// StreamType is the media type of a streamed answer.
+	StreamType = "text/event-stream"
+)
+
+// Bounds of what a caller may send.
+const (
+	// MaxRequestIDBytes bounds Request-Id.
+	MaxRequestIDBytes = 256
+	// MaxParts bounds the parts of one prompt.
+	MaxParts = 4096
+	// MaxPartIDBytes bounds the name of one part.
+	MaxPartIDBytes = 256
+	// MaxPartTokens bounds the length of one part.
+	MaxPartTokens = 1 << 24
+	// MaxPromptTokens bounds the length of a prompt.
+	MaxPromptTokens = 1 << 27
+	// MaxOutputTokens bounds what a caller may ask for.
+	MaxOutputTokens = 1 << 24
+	// MaxDeadlineMilliseconds bounds the deadline that a caller may ask for.
+	MaxDeadlineMilliseconds = 24 * 60 * 60 * 1000
+)
--- /dev/null
+++ b/internal/edge/caller/problem.go
@@ -0,0 +1,133 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind is the stable name of an error.
+type Kind string
+
+// The kinds of errors that callers meet.
+const (
+	KindBadRequest       Kind = "bad_request"
+	KindBodyTooLarge     Kind = "body_too_large"
+	KindNotServing       Kind = "not_serving"
+	KindUnauthorized     Kind = "unauthorized"
+	KindUnknownHost      Kind = "unknown_host"
+	KindModelMismatch    Kind = "model_mismatch"
+	KindDuplicateRequest Kind = "duplicate_request"
+	KindRateLimited      Kind = "rate_limited"
+	KindQueueFull        Kind = "queue_full"
+	KindQueueTimeout     Kind = "queue_timeout"
+	KindNoBackend        Kind = "no_backend"
+	KindBackendsBusy     Kind = "backends_busy"
+	KindBackendRefused   Kind = "backend_refused"
+	KindRetryBudgetSpent Kind = "retry_budget_spent"
+	KindDeadlineExceeded Kind = "deadline_exceeded"
+	KindOutcomeUnknown   Kind = "outcome_unknown"
+	KindAnswerCut        Kind = "answer_cut"
+	KindInternal         Kind = "internal"
+)
+
+// statusByKind maps each kind to its HTTP status.
+var statusByKind = map[Kind]int{
+	KindBadRequest:       http.StatusBadRequest,
+	KindBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	KindNotServing:       http.StatusServiceUnavailable,
+	KindUnauthorized:     http.StatusUnauthorized,
+	KindUnknownHost:      http.StatusNotFound,
+	KindModelMismatch:    http.StatusBadRequest,
+	KindDuplicateRequest: http.StatusConflict,
+	KindRateLimited:      http.StatusTooManyRequests,
+	KindQueueFull:        http.StatusTooManyRequests,
+	KindQueueTimeout:     http.StatusServiceUnavailable,
+	KindNoBackend:        http.StatusServiceUnavailable,
+	KindBackendsBusy:     http.StatusServiceUnavailable,
+	KindBackendRefused:   http.StatusServiceUnavailable,
+	KindRetryBudgetSpent: http.StatusServiceUnavailable,
+	KindDeadlineExceeded: http.StatusGatewayTimeout,
+	KindOutcomeUnknown:   http.StatusBadGateway,
+	KindAnswerCut:        http.StatusBadGateway,
+	KindInternal:         http.StatusInternalServerError,
+}
+
+// Problem is an error that a caller is told of.
+type Problem struct {
+	Kind Kind `json:"kind"`
+	// Message says what is wrong and what to do about it.
+	Message string `json:"message"`
+	// MayHaveRun is false only if the request certainly has not run and will
+	// not run.
+	MayHaveRun bool `json:"may_have_run"`
+	// RequestID echoes the request's identity.
+	RequestID string `json:"request_id"`
+	// RetryAfter is when to come back; zero if coming back does not help.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s: %s", p.Kind, p.Message)
+}
+
+// NewProblem returns a problem of a request that has not run.
+func NewProblem(kind Kind, format string, arguments ...any) *Problem {
+	return &Problem{Kind: kind, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// After sets the time to come back, and returns the problem.
+func (p *Problem) After(wait time.Duration) *Problem {
+	p.RetryAfter = wait
+	return p
+}
+
+// Status returns the HTTP status of the problem.
+func (p *Problem) Status() int {
+	if status, known := statusByKind[p.Kind]; known {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// retryAfterSeconds rounds a wait up to whole seconds, which is all that the
+// header can say.
+func retryAfterSeconds(wait time.Duration) string {
+	seconds := int64((wait + time.Second - 1) / time.Second)
+	return strconv.FormatInt(max(seconds, 1), 10)
+}
+
+// WriteProblem answers a request with a problem.
+func WriteProblem(writer http.ResponseWriter, problem *Problem) {
+	body, err := json.Marshal(problem)
+	if err != nil {
+		http.Error(writer, problem.Error(), problem.Status())
+		return
+	}
+	header := writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if problem.RequestID != "" {
+		header.Set(HeaderRequestID, problem.RequestID)
+	}
+	if problem.RetryAfter > 0 {
+		header.Set(HeaderRetryAfter, retryAfterSeconds(problem.RetryAfter))
+	}
+	if problem.Kind == KindUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	writer.WriteHeader(problem.Status())
+	_, _ = writer.Write(body)
+}
+
+// StreamProblem returns the event by which a cut stream tells of its problem.
+func StreamProblem(problem *Problem) []byte {
+	body, err := json.Marshal(problem)
+	if err != nil {
+		body = []byte("{}")
+	}
+	return []byte("event: error\ndata: " + string(body) + "\n\n")
+}
--- /dev/null
+++ b/internal/edge/caller/request.go
@@ -0,0 +1,145 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// bearerScheme begins the value of HeaderAuthorization.
+const bearerScheme = "bearer "
+
+// Request is a caller's request as its headers describe it.
+type Request struct {
+	// ID is empty if the caller gave none.
+	ID string
+	// Model is empty if the caller gave none.
+	Model string
+	Parts []prefixindex.Part
+	// Repeatable permits the request to run more than once.
+	Repeatable bool
+	// Deadline is the longest time that the caller waits; zero if not given.
+	Deadline time.Duration
+	// OutputTokens is zero if not given.
+	OutputTokens uint32
+	// Streamed asks for a streamed answer.
+	Streamed bool
+}
+
+// Parse reads the headers of a request. A returned error is a *Problem.
+func Parse(request *http.Request) (Request, error) {
+	header := request.Header
+	parsed := Request{Model: header.Get(HeaderModel), Streamed: acceptsStream(header)}
+	var err error
+	if parsed.ID, err = parseRequestID(header.Get(HeaderRequestID)); err != nil {
+		return Request{}, err
+	}
+	if parsed.Parts, err = ParsePrefix(strings.Join(header.Values(HeaderPrefix), ",")); err != nil {
+		return Request{}, err
+	}
+	if parsed.Repeatable, err = parseRepeatable(request); err != nil {
+		return Request{}, err
+	}
+	deadline, err := parseNumber(header, HeaderDeadline, MaxDeadlineMilliseconds)
+	if err != nil {
+		return Request{}, err
+	}
+	parsed.Deadline = time.Duration(deadline) * time.Millisecond
+	tokens, err := parseNumber(header, HeaderOutputTokens, MaxOutputTokens)
+	if err != nil {
+		return Request{}, err
+	}
+	parsed.OutputTokens = uint32(tokens)
+	return parsed, nil
+}
+
+// KeyDigest returns the lower-case hexadecimal SHA-256 digest of the request's
+// key, or false if the request carries none.
+func KeyDigest(header http.Header) (string, bool) {
+	value := header.Get(HeaderAuthorization)
+	if len(value) <= len(bearerScheme) || !strings.EqualFold(value[:len(bearerScheme)], bearerScheme) {
+		return "", false
+	}
+	digest := sha256.Sum256([]byte(strings.TrimSpace(value[len(bearerScheme):])))
+	return hex.EncodeToString(digest[:]), true
+}
+
+// HostName returns the host of a request in lower case and without its port.
+func HostName(request *http.Request) string {
+	host := request.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// CopyPassThrough copies the headers that pass untouched.
+func CopyPassThrough(to, from http.Header) {
+	for name, values := range from {
+		if strings.HasPrefix(name, PassThroughPrefix) {
+			to[name] = append([]string(nil), values...)
+		}
+	}
+}
+
+// acceptsStream tells whether the caller asks for a streamed answer.
+func acceptsStream(header http.Header) bool {
+	for _, value := range header.Values(HeaderAccept) {
+		for _, choice := range strings.Split(value, ",") {
+			mediaType, _, _ := strings.Cut(choice, ";")
+			if strings.EqualFold(strings.TrimSpace(mediaType), StreamType) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// parseRequestID checks an identity given by the caller. Only printable
+// characters pass, since the identity is echoed in headers.
+func parseRequestID(id string) (string, error) {
+	if len(id) > MaxRequestIDBytes {
+		return "", NewProblem(KindBadRequest, "%s is longer than %d bytes: shorten it", HeaderRequestID, MaxRequestIDBytes)
+	}
+	for _, character := range []byte(id) {
+		if character < 0x21 || character > 0x7e {
+			return "", NewProblem(KindBadRequest, "%s holds a character that is not printable ASCII: remove it", HeaderRequestID)
+		}
+	}
+	return id, nil
+}
+
+// parseRepeatable reads whether the request may run more than once. Without
+// the header, only methods that are safe by definition may.
+func parseRepeatable(request *http.Request) (bool, error) {
+	value := request.Header.Get(HeaderRepeatable)
+	switch strings.ToLower(strings.TrimSpace(value)) {
+	case "":
+		return request.Method == http.MethodGet || request.Method == http.MethodHead, nil
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	default:
+		return false, NewProblem(KindBadRequest, "%s is %q: send true or false", HeaderRepeatable, value)
+	}
+}
+
+// parseNumber reads an optional positive number of at most limit.
+func parseNumber(header http.Header, name string, limit uint64) (uint64, error) {
+	value := header.Get(name)
+	if value == "" {
+		return 0, nil
+	}
+	number, err := strconv.ParseUint(value, 10, 64)
+	if err != nil || number == 0 || number > limit {
+		return 0, NewProblem(KindBadRequest, "%s is %q: send a whole number from 1 to %d", name, value, limit)
+	}
+	return number, nil
+}
--- /dev/null
+++ b/internal/edge/operator/codec.go
@@ -0,0 +1,63 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+const (
+	contentTypeHeader = "Content-Type"
+	contentTypeJSON   = "application/json"
+	retryAfterHeader  = "Retry-After"
+)
+
+// encode writes a message as JSON with the schema's field names, including
+// fields that are zero, in a stable layout.
+func encode(message proto.Message) ([]byte, error) {
+	options := protojson.MarshalOptions{UseProtoNames: true, EmitDefaultValues: true}
+	data, err := options.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, data); err != nil {
+		return nil, err
+	}
+	compact.WriteByte('\n')
+	return compact.Bytes(), nil
+}
+
+// writeMessage answers with a message. The status line is gone when writing the
+// body fails, so the error of a broken connection has no further use.
+func writeMessage(w http.ResponseWriter, status int, message proto.Message) {
+	data, err := encode(message)
+	if err != nil {
+		status = http.StatusInternalServerError
+		data = []byte(`{"kind":"internal","message":"the answer can't be encoded; report this fault"}` + "\n")
+	}
+	w.Header().Set(contentTypeHeader, contentTypeJSON)
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// writeRefusal answers with a problem and, where it helps, when to come back.
+func writeRefusal(w http.ResponseWriter, refused refusal) {
+	if refused.retryAfter > 0 {
+		seconds := int(math.Ceil(refused.retryAfter.Seconds()))
+		w.Header().Set(retryAfterHeader, strconv.Itoa(seconds))
+	}
+	writeMessage(w, refused.status, refused.problem)
+}
+
+// writeProblem answers with a problem that the control interface itself found.
+func writeProblem(w http.ResponseWriter, problem *ridgeswitchv1.Problem) {
+	writeRefusal(w, refusalFor(problem))
+}
--- /dev/null
+++ b/internal/edge/operator/health.go
@@ -0,0 +1,53 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+// The paths of the health checks.
+const (
+	// PathReady answers 200 while the node is ready for traffic.
+	PathReady = "/healthz/ready"
+	// PathLive answers 200 while the process works.
+	PathLive = "/healthz/live"
+)
+
+// healthyBody is the answer of a check that passes.
+const healthyBody = `{"status":"ok"}` + "\n"
+
+func healthRoutes(health Health) []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: PathReady, Handler: healthCheck(KindNotReady, health.Ready)},
+		{Method: http.MethodGet, Path: PathLive, Handler: healthCheck(KindNotLive, health.Live)},
+	}
+}
+
+func healthCheck(kind dynamic.Kind, check func() error) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if err := check(); err != nil {
+			writeProblem(w, &ridgeswitchv1.Problem{Kind: string(kind), Message: err.Error()})
+			return
+		}
+		w.Header().Set(contentTypeHeader, contentTypeJSON)
+		_, _ = w.Write([]byte(healthyBody))
+	}
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeProblem(w, &ridgeswitchv1.Problem{
+		Kind:    string(KindNoSuchCall),
+		Message: "there is no call " + r.URL.Path + "; see the schema for the paths",
+	})
+}
+
+func notAllowed(w http.ResponseWriter, r *http.Request) {
+	writeProblem(w, &ridgeswitchv1.Problem{
+		Kind:    string(KindMethodNotAllowed),
+		Message: r.URL.Path + " has no method " + r.Method + "; see the schema for the methods",
+	})
+}
--- /dev/null
+++ b/internal/edge/operator/problem.go
@@ -0,0 +1,125 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+// The kinds of problems that the control interface adds to those of package
+// dynamic.
+const (
+	// KindUnavailable marks a call that the node can't serve now.
+	KindUnavailable dynamic.Kind = "unavailable"
+	// KindNoOwner marks a call for a shard that has no owner now.
+	KindNoOwner dynamic.Kind = "no_owner"
+	// KindNoSuchCall marks a path that the control interface does not have.
+	KindNoSuchCall dynamic.Kind = "no_such_call"
+	// KindMethodNotAllowed marks a path with a method that it does not have.
+	KindMethodNotAllowed dynamic.Kind = "method_not_allowed"
+	// KindNotReady and KindNotLive are the answers of health checks.
+	KindNotReady dynamic.Kind = "not_ready"
+	KindNotLive  dynamic.Kind = "not_live"
+	// KindInternal marks a fault of the node itself.
+	KindInternal dynamic.Kind = "internal"
+)
+
+// DefaultRetryAfter is when to come back after a 503 that names no other time.
+const DefaultRetryAfter = time.Second
+
+// UnavailableError tells that a call was not taken and when to come back.
+type UnavailableError struct {
+	Kind       dynamic.Kind
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error is the message, which names the remedy.
+func (e *UnavailableError) Error() string {
+	return e.Message
+}
+
+// Problem is the error as operators get it.
+func (e *UnavailableError) Problem() *ridgeswitchv1.Problem {
+	return &ridgeswitchv1.Problem{Kind: string(e.Kind), Message: e.Message}
+}
+
+// problemCarrier is an error that knows how operators get it.
+type problemCarrier interface {
+	error
+	Problem() *ridgeswitchv1.Problem
+}
+
+// statusByKind holds the HTTP status of each kind of problem.
+var statusByKind = map[dynamic.Kind]int{
+	dynamic.KindMalformed:         http.StatusBadRequest,
+	dynamic.KindUnknownField:      http.StatusBadRequest,
+	dynamic.KindMissing:           http.StatusBadRequest,
+	dynamic.KindInvalid:           http.StatusBadRequest,
+	dynamic.KindOutOfRange:        http.StatusBadRequest,
+	dynamic.KindDuplicate:         http.StatusBadRequest,
+	dynamic.KindDanglingReference: http.StatusBadRequest,
+	dynamic.KindOrderIDMissing:    http.StatusBadRequest,
+	dynamic.KindOversize:          http.StatusRequestEntityTooLarge,
+	dynamic.KindNotFound:          http.StatusNotFound,
+	dynamic.KindOrderIDConflict:   http.StatusConflict,
+	dynamic.KindBaseRevisionStale: http.StatusConflict,
+	KindNoSuchCall:                http.StatusNotFound,
+	KindMethodNotAllowed:          http.StatusMethodNotAllowed,
+	KindUnavailable:               http.StatusServiceUnavailable,
+	KindNoOwner:                   http.StatusServiceUnavailable,
+	KindNotReady:                  http.StatusServiceUnavailable,
+	KindNotLive:                   http.StatusServiceUnavailable,
+	KindInternal:                  http.StatusInternalServerError,
+}
+
+// refusal is a problem with what HTTP adds to it.
+type refusal struct {
+	status     int
+	retryAfter time.Duration
+	problem    *ridgeswitchv1.Problem
+}
+
+// refusalOf turns an error into an answer. An error without a Problem leaves
+// open whether the call took effect, so the remedy is the identical call.
+func refusalOf(err error) refusal {
+	var carrier problemCarrier
+	if !errors.As(err, &carrier) {
+		carrier = &UnavailableError{Kind: KindUnavailable, Message: outcomeUnknown(err)}
+	}
+	refused := refusalFor(carrier.Problem())
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) && unavailable.RetryAfter > 0 {
+		refused.retryAfter = unavailable.RetryAfter
+	}
+	return refused
+}
+
+func outcomeUnknown(err error) string {
+	return fmt.Sprintf("%v; the call may have taken effect: resend it unchanged, to any node", err)
+}
+
+// refusalFor finds the status of a problem. A kind that is not known here comes
+// from a newer part of the node; it is not the caller's fault.
+func refusalFor(problem *ridgeswitchv1.Problem) refusal {
+	status, known := statusByKind[dynamic.Kind(problem.GetKind())]
+	if !known {
+		status = http.StatusInternalServerError
+	}
+	refused := refusal{status: status, problem: problem}
+	if status == http.StatusServiceUnavailable {
+		refused.retryAfter = DefaultRetryAfter
+	}
+	return refused
+}
+
+// ranOutOfTime tells whether a call ended because its time was up.
+func ranOutOfTime(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/internal/edge/operator/resources.go
@@ -0,0 +1,137 @@
+package operator
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+// resources holds one handler object for each service of the schema.
+func resources(control Control) []resource {
+	return []resource{
+		&configurations{control: control},
+		&tenants{control: control},
+		&zones{control: control},
+		&weights{control: control},
+		&nodes{control: control},
+	}
+}
+
+// order is the common way of all calls whose request is an order by itself.
+func order[Request proto.Message](control Control) func(context.Context, Request) (*ridgeswitchv1.OrderResult, error) {
+	return func(ctx context.Context, request Request) (*ridgeswitchv1.OrderResult, error) {
+		order, err := dynamic.OrderFromRequest(request)
+		if err != nil {
+			return nil, err
+		}
+		return submit(ctx, control, order)
+	}
+}
+
+// configurations serves the whole configuration.
+type configurations struct {
+	control Control
+}
+
+func (c *configurations) service() protoreflect.Name { return "Configurations" }
+
+func (c *configurations) calls() []call {
+	return []call{
+		newCall("ApplyConfiguration", order[*ridgeswitchv1.ApplyConfigurationRequest](c.control)),
+		newCall("GetConfiguration", c.get),
+	}
+}
+
+func (c *configurations) get(context.Context, *ridgeswitchv1.GetConfigurationRequest) (*ridgeswitchv1.Configuration, error) {
+	configuration := c.control.Configuration()
+	if configuration == nil {
+		return nil, &UnavailableError{
+			Kind:    KindUnavailable,
+			Message: "the node has not learnt the configuration yet; try again or ask another node",
+		}
+	}
+	return configuration, nil
+}
+
+// tenants serves the keys and walls of tenants.
+type tenants struct {
+	control Control
+}
+
+func (t *tenants) service() protoreflect.Name { return "Tenants" }
+
+func (t *tenants) calls() []call {
+	return []call{
+		newCall("AddKey", order[*ridgeswitchv1.AddKeyRequest](t.control)),
+		newCall("RevokeKey", order[*ridgeswitchv1.RevokeKeyRequest](t.control)),
+		newCall("WallTenant", t.wall),
+		newCall("UnwallTenant", t.unwall),
+	}
+}
+
+func (t *tenants) wall(ctx context.Context, request *ridgeswitchv1.SetTenantWallRequest) (*ridgeswitchv1.OrderResult, error) {
+	return t.setWall(ctx, request, true)
+}
+
+func (t *tenants) unwall(ctx context.Context, request *ridgeswitchv1.SetTenantWallRequest) (*ridgeswitchv1.OrderResult, error) {
+	return t.setWall(ctx, request, false)
+}
+
+func (t *tenants) setWall(ctx context.Context, request *ridgeswitchv1.SetTenantWallRequest, walled bool) (*ridgeswitchv1.OrderResult, error) {
+	order, err := dynamic.WallOrder(request, walled)
+	if err != nil {
+		return nil, err
+	}
+	return submit(ctx, t.control, order)
+}
+
+// zones serves the evacuations of zones.
+type zones struct {
+	control Control
+}
+
+func (z *zones) service() protoreflect.Name { return "Zones" }
+
+func (z *zones) calls() []call {
+	return []call{
+		newCall("EvacuateZone", order[*ridgeswitchv1.EvacuateZoneRequest](z.control)),
+		newCall("RestoreZone", order[*ridgeswitchv1.RestoreZoneRequest](z.control)),
+	}
+}
+
+// weights serves the weight versions of pools.
+type weights struct {
+	control Control
+}
+
+func (w *weights) service() protoreflect.Name { return "Weights" }
+
+func (w *weights) calls() []call {
+	return []call{
+		newCall("NameWeights", order[*ridgeswitchv1.NameWeightsRequest](w.control)),
+		newCall("GetWeights", w.get),
+	}
+}
+
+func (w *weights) get(_ context.Context, request *ridgeswitchv1.GetWeightsRequest) (*ridgeswitchv1.WeightsStatus, error) {
+	return w.control.Weights(request.GetPool())
+}
+
+// nodes serves the node's view of the deployment.
+type nodes struct {
+	control Control
+}
+
+func (n *nodes) service() protoreflect.Name { return "Nodes" }
+
+func (n *nodes) calls() []call {
+	return []call{newCall("GetStatus", n.get)}
+}
+
+func (n *nodes) get(context.Context, *ridgeswitchv1.GetStatusRequest) (*ridgeswitchv1.NodeStatus, error) {
+	return n.control.Status(), nil
+}
--- /dev/null
+++ b/internal/edge/operator/routes.go
@@ -0,0 +1,79 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator/schema"
+)
+
+// routes builds the routes of all calls of the schema. A call that no resource
+// serves, or one that the schema does not have, is an error.
+func routes(handlers []resource) ([]rest.Route, error) {
+	described, err := schema.Calls()
+	if err != nil {
+		return nil, err
+	}
+	served := servedCalls(handlers)
+	if len(described) != len(served) {
+		return nil, errors.Errorf("%d calls are served and the schema has %d; serve each once", len(served), len(described))
+	}
+	built := make([]rest.Route, 0, len(described))
+	for _, description := range described {
+		target, found := served[description.Method.FullName()]
+		if !found {
+			return nil, errors.Errorf("call %s is not served; add it to its resource", description.Method.FullName())
+		}
+		built = append(built, rest.Route{
+			Method:  description.Binding.GetMethod(),
+			Path:    description.RoutePattern(),
+			Handler: target.handle,
+		})
+	}
+	return built, nil
+}
+
+// servedCalls holds the calls of all resources under their full names.
+func servedCalls(handlers []resource) map[protoreflect.FullName]call {
+	schemaPackage := ridgeswitchv1.File_api_ridgeswitch_v1_ridgeswitch_proto.Package()
+	served := make(map[protoreflect.FullName]call)
+	for _, handler := range handlers {
+		service := schemaPackage.Append(handler.service())
+		for _, target := range handler.calls() {
+			served[service.Append(target.name)] = target
+		}
+	}
+	return served
+}
+
+// handle serves one HTTP request of a call.
+func (c call) handle(w http.ResponseWriter, r *http.Request) {
+	request := c.newRequest()
+	if err := readRequest(w, r, pathvar.Vars(r), request); err != nil {
+		writeRefusal(w, refusalOf(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	response, err := c.serve(ctx, request)
+	if err != nil {
+		writeRefusal(w, refusalOf(err))
+		return
+	}
+	writeMessage(w, statusOf(response), response)
+}
+
+// statusOf tells a pending order from everything else.
+func statusOf(response proto.Message) int {
+	result, isOrder := response.(*ridgeswitchv1.OrderResult)
+	pending := isOrder && result.GetOutcome() == ridgeswitchv1.OrderResult_PENDING
+	return lo.Ternary(pending, http.StatusAccepted, http.StatusOK)
+}
--- /dev/null
+++ b/internal/edge/operator/server.go
@@ -0,0 +1,154 @@
+package operator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/core/trace"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+const (
+	// maxBodyBytes bounds the body of a call: the largest configuration and
+	// room for the order header.
+	maxBodyBytes = dynamic.MaxDocumentBytes + 64<<10
+	// maxConcurrentCalls bounds the calls that run at once; a call beyond it is
+	// refused with 503.
+	maxConcurrentCalls = 1024
+	// callTimeout bounds the wait for an answer of control. An order that has
+	// none by then is pending.
+	callTimeout = 10 * time.Second
+	// headerTimeout bounds the wait for the head of a request.
+	headerTimeout = 5 * time.Second
+	// readTimeout bounds the wait for a whole request.
+	readTimeout = 30 * time.Second
+	// writeTimeout bounds a whole call, answer included.
+	writeTimeout = readTimeout + callTimeout + 5*time.Second
+	// idleTimeout closes connections that no call comes on.
+	idleTimeout = 2 * time.Minute
+	// stopTimeout bounds the wait for running calls when the server stops.
+	stopTimeout = 5 * time.Second
+)
+
+// Server serves the control interface of one node.
+type Server struct {
+	address string
+	http    *http.Server
+}
+
+// NewServer builds the server of an address, such as "127.1.1.1:7300". It does
+// not listen before Start.
+func NewServer(address string, control Control, health Health) (*Server, error) {
+	handler, err := newHandler(control, health)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Addr:              address,
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	return &Server{address: address, http: server}, nil
+}
+
+// Handler serves the control interface without a listener.
+func (s *Server) Handler() http.Handler {
+	return s.http.Handler
+}
+
+// Start listens and serves until Stop. It returns nil after Stop.
+func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for operators; free %s or change control in the settings", s.address)
+	}
+	return s.Serve(listener)
+}
+
+// Serve serves on a listener until Stop. It returns nil after Stop.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve operators")
+}
+
+// Stop refuses new calls and waits a short time for those that run.
+func (s *Server) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+	}
+}
+
+// newHandler lets go-zero route the calls. Its server would listen by itself
+// and stop only with the whole process, so only its routing and its chain of
+// middlewares are taken.
+func newHandler(control Control, health Health) (http.Handler, error) {
+	calls, err := routes(resources(control))
+	if err != nil {
+		return nil, err
+	}
+	server, err := rest.NewServer(restConfiguration(),
+		rest.WithNotFoundHandler(http.HandlerFunc(notFound)),
+		rest.WithNotAllowedHandler(http.HandlerFunc(notAllowed)))
+	if err != nil {
+		return nil, errors.Wrap(err, "build the control server")
+	}
+	server.AddRoutes(calls)
+	server.AddRoutes(healthRoutes(health))
+	serverless, err := rest.NewServerless(server)
+	if err != nil {
+		return nil, errors.Wrap(err, "bind the routes of the control server")
+	}
+	return http.HandlerFunc(serverless.Serve), nil
+}
+
+// restConfiguration sets each of go-zero's middlewares on purpose.
+func restConfiguration() rest.RestConf {
+	return rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:      "ridgeswitch-control",
+			Mode:      service.ProMode,
+			Log:       logx.LogConf{Level: "error", Stat: false},
+			Telemetry: trace.Config{Disabled: true},
+		},
+		MaxConns: maxConcurrentCalls,
+		Middlewares: rest.MiddlewaresConf{
+			// A panic in one call must not end the node.
+			Recover: true,
+			// A storm of calls must not take up the node's memory.
+			MaxConns: true,
+			// Breaker and Shedding refuse calls by guesses; an operator's call
+			// has priority, above all when the node is busy or failing.
+			Breaker:  false,
+			Shedding: false,
+			// Timeout buffers answers and says that a call failed which may
+			// have taken effect. Calls end by callTimeout instead.
+			Timeout: false,
+			// MaxBytes sees declared lengths alone and answers without a
+			// problem. Bodies are bounded where they are read.
+			MaxBytes: false,
+			// Gunzip would let a small body grow beyond its bound.
+			Gunzip: false,
+			// Log, Metrics, Prometheus and Trace write for every call; the
+			// node keeps a log ring instead.
+			Log:        false,
+			Metrics:    false,
+			Prometheus: false,
+			Trace:      false,
+		},
+	}
+}
--- /dev/null
+++ b/internal/edge/platform/list.go
@@ -0,0 +1,125 @@
+// Package platform speaks the protocol between a node and the platform that
+// starts, lists and stops back ends. The list may lag behind the truth.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+)
+
+const (
+	// PathServices is where the platform lists back ends.
+	PathServices = "/v1/services"
+	// maxListBytes bounds the list.
+	maxListBytes = 16 << 20
+)
+
+// State is what the platform says of a back end.
+type State string
+
+// The states of a listed back end.
+const (
+	// StateRunning back ends may get new requests.
+	StateRunning State = "running"
+	// StateDraining back ends are about to be stopped.
+	StateDraining State = "draining"
+)
+
+// Replica is one listed back end.
+type Replica struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	State   State  `json:"state"`
+}
+
+// Service is a service with its back ends.
+type Service struct {
+	Name     string    `json:"name"`
+	Replicas []Replica `json:"replicas"`
+}
+
+// List is the platform's whole list.
+type List struct {
+	Services []Service `json:"services"`
+}
+
+// ListError says that a list cannot be used. The last good one stays in force.
+type ListError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *ListError) Error() string {
+	return "the platform's list cannot be used: " + e.Reason
+}
+
+// Client fetches the list.
+type Client struct {
+	sender  *outbound.Client
+	address string
+}
+
+// NewClient returns a client of the platform at an address.
+func NewClient(sender *outbound.Client, address string) *Client {
+	return &Client{sender: sender, address: address}
+}
+
+// Fetch returns the present list.
+func (c *Client) Fetch(ctx context.Context) (*List, error) {
+	response, err := c.sender.Get(ctx, "http://"+c.address+PathServices)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, &ListError{Reason: fmt.Sprintf("the platform answered with status %d", response.StatusCode)}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if len(body) > maxListBytes {
+		return nil, &ListError{Reason: fmt.Sprintf("it is larger than %d bytes", maxListBytes)}
+	}
+	return parseList(body)
+}
+
+// parseList reads and checks a list.
+func parseList(body []byte) (*List, error) {
+	list := &List{}
+	if err := json.Unmarshal(body, list); err != nil {
+		return nil, &ListError{Reason: err.Error()}
+	}
+	if list.Services == nil {
+		return nil, &ListError{Reason: "it has no services field"}
+	}
+	for _, service := range list.Services {
+		if err := service.check(); err != nil {
+			return nil, err
+		}
+	}
+	return list, nil
+}
+
+// check returns the first fault of a listed service.
+func (s Service) check() error {
+	if s.Name == "" {
+		return &ListError{Reason: "a service has no name"}
+	}
+	for _, replica := range s.Replicas {
+		if replica.Address == "" {
+			return &ListError{Reason: "a replica of " + s.Name + " has no address"}
+		}
+		if replica.State != StateRunning && replica.State != StateDraining {
+			return &ListError{Reason: fmt.Sprintf("replica %s has the unknown state %q", replica.Address, replica.State)}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/edge/replica/answer.go
@@ -0,0 +1,155 @@
+package replica
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"mime"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// streamBufferBytes is the size of the buffer that a stream is read through.
+const streamBufferBytes = 16 << 10
+
+// passThroughPrefix begins the headers that pass untouched.
+const passThroughPrefix = "Lab-"
+
+// relayedHeaders are the headers of an answer that callers may see.
+var relayedHeaders = map[string]bool{
+	"Content-Type":      true,
+	"Retry-After":       true,
+	HeaderWeightVersion: true,
+	HeaderReusedTokens:  true,
+}
+
+// Answer is the answer of an attempt whose header has arrived. Close it.
+type Answer struct {
+	response *http.Response
+	maxBytes int64
+	stream   *bufio.Reader
+	ended    bool
+}
+
+// Status returns the HTTP status.
+func (a *Answer) Status() int {
+	return a.response.StatusCode
+}
+
+// Header returns the headers that are handed on to the caller.
+func (a *Answer) Header() http.Header {
+	relayed := make(http.Header)
+	for name, values := range a.response.Header {
+		if relayedHeaders[name] || strings.HasPrefix(name, passThroughPrefix) {
+			relayed[name] = append([]string(nil), values...)
+		}
+	}
+	return relayed
+}
+
+// WeightVersion returns the version that produced the answer, or "".
+func (a *Answer) WeightVersion() string {
+	return a.response.Header.Get(HeaderWeightVersion)
+}
+
+// Streamed tells whether the answer is a stream of events.
+func (a *Answer) Streamed() bool {
+	mediaType, _, err := mime.ParseMediaType(a.response.Header.Get("Content-Type"))
+	return err == nil && mediaType == contentTypeStream
+}
+
+// Close ends the answer. Unless it was read to its end, the connection is
+// closed and with it, as far as the replica listens, the attempt.
+func (a *Answer) Close() {
+	_ = a.response.Body.Close()
+}
+
+// ReadWhole reads the whole answer; the second result is always true without
+// an error. An answer that is cut, whose end cannot be told from a cut, or that
+// is too large, is a *FaultError.
+func (a *Answer) ReadWhole() ([]byte, bool, error) {
+	if !a.delimited() {
+		return nil, false, &FaultError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
+	}
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, a.maxBytes+1))
+	if err != nil {
+		return nil, false, &FaultError{Reason: "the answer was cut", cause: errors.WithStack(err)}
+	}
+	if int64(len(body)) > a.maxBytes {
+		return nil, false, &FaultError{Reason: "the answer is larger than this node takes"}
+	}
+	return body, true, nil
+}
+
+// delimited tells whether the end of the answer is marked.
+func (a *Answer) delimited() bool {
+	return a.response.ContentLength >= 0 || isChunked(a.response.TransferEncoding)
+}
+
+// isChunked tells whether a message comes in chunks.
+func isChunked(encodings []string) bool {
+	return len(encodings) > 0 && strings.EqualFold(encodings[len(encodings)-1], "chunked")
+}
+
+// Next returns the next whole event of a stream, with the blank line that
+// ends it. After the event that ends the stream it returns io.EOF; a stream
+// that ends in any other way is a *FaultError. A part of an event is never
+// returned.
+func (a *Answer) Next() ([]byte, error) {
+	if a.stream == nil {
+		a.stream = bufio.NewReaderSize(a.response.Body, streamBufferBytes)
+	}
+	if a.ended {
+		return nil, a.checkNothingFollows()
+	}
+	event, err := a.readEvent()
+	if err != nil {
+		return nil, err
+	}
+	a.ended = isStreamEnd(event)
+	return event, nil
+}
+
+// readEvent reads up to and with the next blank line.
+func (a *Answer) readEvent() ([]byte, error) {
+	var event []byte
+	for {
+		line, err := a.stream.ReadSlice('\n')
+		event = append(event, line...)
+		if int64(len(event)) > a.maxBytes {
+			return nil, &FaultError{Reason: "an event of the answer is larger than this node takes"}
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return nil, &FaultError{Reason: "the streamed answer was cut", cause: errors.WithStack(err)}
+		}
+		if bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\n\r\n")) {
+			return event, nil
+		}
+	}
+}
+
+// checkNothingFollows returns io.EOF unless the replica sent more after the
+// end. How the connection ended does not matter any more, as the answer's own
+// terminator has been seen.
+func (a *Answer) checkNothingFollows() error {
+	if _, err := a.stream.ReadByte(); err == nil {
+		return &FaultError{Reason: "the streamed answer goes on after its end"}
+	}
+	return io.EOF
+}
+
+// isStreamEnd tells whether an event is the one that ends a stream.
+func isStreamEnd(event []byte) bool {
+	for _, line := range bytes.Split(event, []byte("\n")) {
+		data, found := bytes.CutPrefix(bytes.TrimRight(line, "\r"), []byte("data:"))
+		if found && string(bytes.TrimSpace(data)) == StreamEnd {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/edge/replica/command.go
@@ -0,0 +1,96 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+)
+
+// maxControlAnswerBytes bounds a replica's answer to a control call.
+const maxControlAnswerBytes = 1 << 20
+
+// CommandClient asks replicas for reports and orders them to load weights.
+type CommandClient struct {
+	sender *outbound.Client
+}
+
+// NewCommandClient returns a client.
+func NewCommandClient(sender *outbound.Client) *CommandClient {
+	return &CommandClient{sender: sender}
+}
+
+// StatusError says that a replica answered a control call with an unexpected
+// status.
+type StatusError struct {
+	Path   string
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the replica answered %s with status %d; check that it speaks this protocol", e.Path, e.Status)
+}
+
+// StaleEpochError says that the replica knows a later holder of the right to
+// command it.
+type StaleEpochError struct {
+	Epoch uint64
+}
+
+// Error implements error.
+func (e *StaleEpochError) Error() string {
+	return fmt.Sprintf("the replica refuses epoch %d since it has seen a later one; leave it to the later owner", e.Epoch)
+}
+
+// Report asks a replica for its state.
+func (c *CommandClient) Report(ctx context.Context, address string) (Report, error) {
+	response, err := c.sender.Get(ctx, "http://"+address+PathReport)
+	if err != nil {
+		return Report{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Report{}, &StatusError{Path: PathReport, Status: response.StatusCode}
+	}
+	report := Report{}
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxControlAnswerBytes))
+	return report, errors.Wrap(decoder.Decode(&report), "decode a replica's report")
+}
+
+// LoadWeights orders a replica to load weights. The order has arrived when nil
+// is returned; Report tells when it is done.
+func (c *CommandClient) LoadWeights(ctx context.Context, address string, command WeightsCommand) error {
+	body, err := json.Marshal(command)
+	if err != nil {
+		return errors.Wrap(err, "encode a weights command")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathWeights, bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.sender.Send(request, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return commandOutcome(response, command)
+}
+
+func commandOutcome(response *http.Response, command WeightsCommand) error {
+	switch {
+	case response.StatusCode == http.StatusConflict:
+		return &StaleEpochError{Epoch: command.Epoch}
+	case response.StatusCode >= http.StatusMultipleChoices:
+		return &StatusError{Path: PathWeights, Status: response.StatusCode}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/edge/replica/events.go
@@ -0,0 +1,124 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+const (
+	// maxEventBytes bounds one line of the event stream.
+	maxEventBytes = 64 << 20
+	// eventBufferBytes is the first size of the buffer for a line.
+	eventBufferBytes = 64 << 10
+	// hexBase is the base in which hashes are written.
+	hexBase = 16
+	// hashBits is the size of a hash.
+	hashBits = 64
+)
+
+// EventClient follows the event streams of replicas.
+type EventClient struct {
+	sender *outbound.Client
+	// silence is the longest time without an event.
+	silence time.Duration
+}
+
+// NewEventClient returns a client that gives a stream up after a silence.
+func NewEventClient(sender *outbound.Client, silence time.Duration) *EventClient {
+	return &EventClient{sender: sender, silence: silence}
+}
+
+// Follow reads the events after a sequence number, or from a reset on if after
+// is 0, and hands each to handle. It returns, always with an error, when the
+// stream ends, falls silent, cannot be read, or when handle returns an error,
+// which it hands back.
+func (c *EventClient) Follow(ctx context.Context, address string, after uint64, handle func(Event) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(c.silence, cancel)
+	defer watchdog.Stop()
+	response, err := c.sender.Get(ctx, eventsURL(address, after))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("%s of %s answered with status %d", PathEvents, address, response.StatusCode)
+	}
+	return readEvents(response.Body, func(event Event) error {
+		watchdog.Reset(c.silence)
+		return handle(event)
+	})
+}
+
+// eventsURL returns the URL of the events after a sequence number.
+func eventsURL(address string, after uint64) string {
+	if after == 0 {
+		return "http://" + address + PathEvents
+	}
+	return fmt.Sprintf("http://%s%s?after=%d", address, PathEvents, after)
+}
+
+// readEvents reads JSON lines until they end.
+func readEvents(stream io.Reader, handle func(Event) error) error {
+	lines := bufio.NewScanner(stream)
+	lines.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		var event Event
+		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
+			return errors.Wrap(err, "an event cannot be read")
+		}
+		if err := handle(event); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(io.ErrUnexpectedEOF)
+}
+
+// Links returns the parts of an event as the index names them.
+func (e Event) Links() ([]prefixindex.Link, error) {
+	links := make([]prefixindex.Link, len(e.Parts))
+	for position, part := range e.Parts {
+		hash, err := strconv.ParseUint(part.Hash, hexBase, hashBits)
+		if err != nil {
+			return nil, errors.Wrapf(err, "the hash of part %d of an event cannot be read", position)
+		}
+		links[position] = prefixindex.Link{Hash: prefixindex.ChainHash(hash), Tokens: part.Tokens}
+	}
+	return links, nil
+}
+
+// Hashes returns the names of the parts of an event.
+func (e Event) Hashes() ([]prefixindex.ChainHash, error) {
+	links, err := e.Links()
+	if err != nil {
+		return nil, err
+	}
+	hashes := make([]prefixindex.ChainHash, len(links))
+	for position, link := range links {
+		hashes[position] = link.Hash
+	}
+	return hashes, nil
+}
+
+// Age returns how old the report was when it was sent.
+func (r Report) Age() time.Duration {
+	return time.Duration(r.AgeMS) * time.Millisecond
+}
--- /dev/null
+++ b/internal/edge/replica/generate.go
@@ -0,0 +1,175 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+)
+
+// contentTypeStream is the media type of a streamed answer.
+const contentTypeStream = "text/event-stream"
+
+// maxRefusalBytes bounds what is read of a refusal's body.
+const maxRefusalBytes = 64 << 10
+
+// Pull asks a replica to fetch parts instead of computing them.
+type Pull struct {
+	// Source is the address to fetch from.
+	Source string
+	// FirstPart and LastPart are positions in the prefix, from 0.
+	FirstPart, LastPart int
+}
+
+// Call is one attempt to run a request on a replica.
+type Call struct {
+	Address   string
+	Model     string
+	CacheSalt string
+	// Prefix is the prompt's parts as HeaderPrefix writes them.
+	Prefix    string
+	RequestID string
+	// AttemptID is unique among all attempts of all nodes.
+	AttemptID string
+	// Attempt is the number of the attempt, from 1.
+	Attempt      int
+	OutputTokens uint32
+	Streamed     bool
+	// Pull is nil if nothing is to be fetched.
+	Pull *Pull
+	// Extra headers pass untouched.
+	Extra       http.Header
+	ContentType string
+	Body        []byte
+}
+
+// RefusedError says that the replica promised not to run the request.
+type RefusedError struct {
+	Status int
+	// RetryAfter is zero if the replica named no time.
+	RetryAfter time.Duration
+	Message    string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the replica refused the request with status %d: %s", e.Status, e.Message)
+}
+
+// FaultError says that an answer cannot be taken for that of the attempt, or
+// that it was cut. The request may have run.
+type FaultError struct {
+	Reason string
+	cause  error
+}
+
+// Error implements error.
+func (e *FaultError) Error() string {
+	if e.cause == nil {
+		return e.Reason
+	}
+	return e.Reason + ": " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *FaultError) Unwrap() error {
+	return e.cause
+}
+
+// Client runs requests on replicas. It may be used by many goroutines.
+type Client struct {
+	sender *outbound.Client
+	// maxAnswerBytes bounds an answer that is read whole, and one event of a
+	// streamed answer.
+	maxAnswerBytes int64
+}
+
+// NewClient returns a client that takes answers of at most maxAnswerBytes.
+func NewClient(sender *outbound.Client, maxAnswerBytes int64) *Client {
+	return &Client{sender: sender, maxAnswerBytes: maxAnswerBytes}
+}
+
+// Generate runs one attempt up to the header of its answer. The errors are
+// *outbound.Error, *RefusedError and *FaultError.
+func (c *Client) Generate(ctx context.Context, call Call) (*Answer, error) {
+	request, err := c.request(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.sender.Send(request, call.Body)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkEcho(response, call); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	if response.Header.Get(HeaderNotRun) == "true" && response.StatusCode >= http.StatusBadRequest {
+		return nil, refusal(response)
+	}
+	return &Answer{response: response, maxBytes: c.maxAnswerBytes}, nil
+}
+
+// request builds the HTTP request of an attempt.
+func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Address+PathGenerate, nil)
+	if err != nil {
+		return nil, outbound.NotSent(err)
+	}
+	header := request.Header
+	for name, values := range call.Extra {
+		header[name] = append([]string(nil), values...)
+	}
+	setNonEmpty(header, HeaderModel, call.Model)
+	setNonEmpty(header, HeaderCacheSalt, call.CacheSalt)
+	setNonEmpty(header, HeaderPrefix, call.Prefix)
+	setNonEmpty(header, HeaderRequestID, call.RequestID)
+	setNonEmpty(header, "Content-Type", call.ContentType)
+	header.Set(HeaderAttemptID, call.AttemptID)
+	header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
+	if call.OutputTokens > 0 {
+		header.Set(HeaderOutputTokens, strconv.FormatUint(uint64(call.OutputTokens), 10))
+	}
+	if call.Streamed {
+		header.Set("Accept", contentTypeStream)
+	}
+	if call.Pull != nil {
+		header.Set(HeaderPullSource, call.Pull.Source)
+		header.Set(HeaderPullParts, fmt.Sprintf("%d-%d", call.Pull.FirstPart, call.Pull.LastPart))
+	}
+	return request, nil
+}
+
+// setNonEmpty sets a header unless its value is empty.
+func setNonEmpty(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+// checkEcho binds an answer to its attempt.
+func checkEcho(response *http.Response, call Call) error {
+	echoed := response.Header.Get(HeaderAttemptID)
+	if echoed == call.AttemptID {
+		return nil
+	}
+	return &FaultError{Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
+}
+
+// refusal reads a refusal and closes it.
+func refusal(response *http.Response) *RefusedError {
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+	refused := &RefusedError{Status: response.StatusCode, Message: string(bytes.TrimSpace(body))}
+	seconds, err := strconv.ParseUint(strings.TrimSpace(response.Header.Get("Retry-After")), 10, 32)
+	if err == nil {
+		refused.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return refused
+}
--- /dev/null
+++ b/internal/edge/replica/protocol.go
@@ -0,0 +1,120 @@
+// Package replica speaks the protocol between a node and a model replica:
+// HTTP/1.1 with JSON. All header names and JSON shapes of that counterpart live
+// here and only here.
+package replica
+
+// Paths of a replica's HTTP interface.
+const (
+	// PathGenerate runs one request.
+	PathGenerate = "/v1/generate"
+	// PathEvents streams cache events and reports as JSON lines. The query
+	// parameter "after" names the last sequence number seen; without it, or when the
+	// replica no longer has what follows, the stream starts with a reset that
+	// lists everything kept.
+	PathEvents = "/v1/events"
+	// PathReport returns the current Report.
+	PathReport = "/v1/report"
+	// PathWeights takes a WeightsCommand.
+	PathWeights = "/v1/weights"
+	// PathParts serves a kept part to a peer: "/v1/parts/<chain hash in hex>".
+	PathParts = "/v1/parts/"
+)
+
+// Headers of a generate request and its answer.
+const (
+	// HeaderModel names the model.
+	HeaderModel = "Model"
+	// HeaderCacheSalt separates kept parts by weight version and by tenants
+	// that share.
+	HeaderCacheSalt = "Cache-Salt"
+	// HeaderPrefix lists the prompt's parts in order: `id;tokens=N, id;tokens=N`.
+	HeaderPrefix = "Prefix"
+	// HeaderRequestID is the caller's identity of the request.
+	HeaderRequestID = "Request-Id"
+	// HeaderAttemptID is the node's identity of one attempt. The answer echoes
+	// it.
+	HeaderAttemptID = "Attempt-Id"
+	// HeaderAttempt is the number of the attempt, from 1.
+	HeaderAttempt = "Attempt"
+	// HeaderOutputTokens bounds the generated tokens.
+	HeaderOutputTokens = "Output-Tokens"
+	// HeaderPullSource is the address that the replica is to pull parts from.
+	HeaderPullSource = "Pull-Source"
+	// HeaderPullParts is the range "first-last" of positions in Prefix to pull.
+	HeaderPullParts = "Pull-Parts"
+	// HeaderWeightVersion, in an answer, is the version that produced it.
+	HeaderWeightVersion = "Weight-Version"
+	// HeaderReusedTokens, in an answer, counts the tokens that were not
+	// computed again.
+	HeaderReusedTokens = "Reused-Tokens"
+	// HeaderNotRun, with the value "true" in a refusal, promises that the
+	// request has not run and will not run.
+	HeaderNotRun = "Not-Run"
+)
+
+// EventKind tells what an Event reports.
+type EventKind string
+
+// The kinds of events.
+const (
+	// EventStored reports parts that the replica now keeps.
+	EventStored EventKind = "stored"
+	// EventRemoved reports parts that the replica dropped.
+	EventRemoved EventKind = "removed"
+	// EventReset says that Parts is all that is kept; it ends doubt after
+	// lost events and follows a restart.
+	EventReset EventKind = "reset"
+	// EventReport carries a load report and has no sequence number.
+	EventReport EventKind = "report"
+)
+
+// Event is one line of the event stream.
+type Event struct {
+	Kind EventKind `json:"kind"`
+	// Incarnation changes when the replica restarts with an empty memory.
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence numbers stored, removed and reset events of an incarnation
+	// from 1. A gap means that events were lost.
+	Sequence uint64  `json:"sequence,omitempty"`
+	Parts    []Part  `json:"parts,omitempty"`
+	Report   *Report `json:"report,omitempty"`
+}
+
+// Part is one kept part in an event.
+type Part struct {
+	// Hash is the chain hash in hexadecimal.
+	Hash string `json:"hash"`
+	// Parent is the chain hash of the part before it.
+	Parent string `json:"parent,omitempty"`
+	Tokens uint32 `json:"tokens,omitempty"`
+}
+
+// Report is a replica's own account of its state. It may be late.
+type Report struct {
+	Incarnation         uint64 `json:"incarnation"`
+	WeightVersion       string `json:"weight_version"`
+	ActiveRequests      uint32 `json:"active_requests"`
+	ActivePrefillTokens uint64 `json:"active_prefill_tokens"`
+	ActiveDecodeTokens  uint64 `json:"active_decode_tokens"`
+	KeptTokens          uint64 `json:"kept_tokens"`
+	CapacityTokens      uint64 `json:"capacity_tokens"`
+	// LastSequence is the newest event sequence number at the time.
+	LastSequence uint64 `json:"last_sequence"`
+	// AgeMS is how old the report is when sent, in milliseconds.
+	AgeMS uint64 `json:"age_ms"`
+	// Warming tells that the replica has started lately and is fragile.
+	Warming bool `json:"warming,omitempty"`
+}
+
+// WeightsCommand orders a replica to load weights.
+type WeightsCommand struct {
+	WeightVersion string `json:"weight_version"`
+	// Epoch fences the commanding node: a replica refuses an epoch below the
+	// highest it has seen.
+	Epoch uint64 `json:"epoch"`
+	// Holder names the commanding node.
+	Holder string `json:"holder"`
+}
+
+// StreamEnd is the data of the last event of a complete streamed answer.
+const StreamEnd = "[DONE]"
--- /dev/null
+++ b/internal/edge/store/events.go
@@ -0,0 +1,28 @@
+// Package store speaks the protocol between a node and a KV cache store. The
+// store reports what it keeps by the same events as a replica does.
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+)
+
+// EventClient follows the event streams of stores.
+type EventClient struct {
+	events *replica.EventClient
+}
+
+// NewEventClient returns a client that gives a stream up after a silence.
+func NewEventClient(sender *outbound.Client, silence time.Duration) *EventClient {
+	return &EventClient{events: replica.NewEventClient(sender, silence)}
+}
+
+// Follow reads the events after a sequence number, or from a reset on if after
+// is 0. It returns, always with an error, when the stream ends or when handle
+// returns an error.
+func (c *EventClient) Follow(ctx context.Context, address string, after uint64, handle func(replica.Event) error) error {
+	return c.events.Follow(ctx, address, after, handle)
+}
--- /dev/null
+++ b/internal/edge/webservice/answer.go
@@ -0,0 +1,101 @@
+package webservice
+
+import (
+	"io"
+	"mime"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// copyBufferBytes is how much of an answer is handed on at a time.
+	copyBufferBytes = 32 << 10
+	// streamType is the media type of answers that are handed on as they come.
+	streamType = "text/event-stream"
+)
+
+// Answer is the answer of an attempt whose header has arrived. Close it.
+type Answer struct {
+	response *http.Response
+	header   http.Header
+	maxBytes int64
+	buffer   []byte
+}
+
+// newAnswer wraps a response.
+func newAnswer(response *http.Response, maxBytes int64) *Answer {
+	header := response.Header.Clone()
+	removeHopHeaders(header)
+	return &Answer{response: response, header: header, maxBytes: maxBytes}
+}
+
+// Status returns the HTTP status.
+func (a *Answer) Status() int {
+	return a.response.StatusCode
+}
+
+// Header returns the headers that are handed on.
+func (a *Answer) Header() http.Header {
+	return a.header
+}
+
+// Streamed tells whether the answer is to be handed on as it comes.
+func (a *Answer) Streamed() bool {
+	mediaType, _, err := mime.ParseMediaType(a.header.Get("Content-Type"))
+	return err == nil && mediaType == streamType
+}
+
+// Close ends the answer.
+func (a *Answer) Close() {
+	_ = a.response.Body.Close()
+}
+
+// ReadWhole reads the answer up to the bound. It returns false if there is
+// more, which Next returns. A cut answer, or one whose end cannot be told from
+// a cut, is a *FaultError.
+func (a *Answer) ReadWhole() ([]byte, bool, error) {
+	if err := a.checkDelimited(); err != nil {
+		return nil, false, err
+	}
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, a.maxBytes+1))
+	if err != nil {
+		return nil, false, &FaultError{Reason: "the answer was cut", cause: errors.WithStack(err)}
+	}
+	return body, int64(len(body)) <= a.maxBytes, nil
+}
+
+// Next returns the next bytes of the answer, and io.EOF after its proper end.
+// The bytes are valid until the next call.
+func (a *Answer) Next() ([]byte, error) {
+	if err := a.checkDelimited(); err != nil {
+		return nil, err
+	}
+	if a.buffer == nil {
+		a.buffer = make([]byte, copyBufferBytes)
+	}
+	for {
+		count, err := a.response.Body.Read(a.buffer)
+		if count > 0 {
+			return a.buffer[:count], nil
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, io.EOF
+		}
+		if err != nil {
+			return nil, &FaultError{Reason: "the answer was cut", cause: errors.WithStack(err)}
+		}
+	}
+}
+
+// checkDelimited returns a *FaultError unless the end of the answer is marked.
+func (a *Answer) checkDelimited() error {
+	response := a.response
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+		return nil
+	}
+	if response.Request != nil && response.Request.Method == http.MethodHead {
+		return nil
+	}
+	return &FaultError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
+}
--- /dev/null
+++ b/internal/lab/bench/baselines.go
@@ -0,0 +1,103 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/workload"
+)
+
+// replicaLoad is what least-loaded knows of a replica: the tokens of prompts
+// that have no first token yet, and all tokens that its attempts hold.
+type replicaLoad struct {
+	waiting  uint64
+	held     uint64
+	requests int
+}
+
+// less compares loads by what a new request waits for: prefill first, then the
+// size of the batch.
+func (l replicaLoad) less(other replicaLoad) bool {
+	if l.waiting+l.held != other.waiting+other.held {
+		return l.waiting+l.held < other.waiting+other.held
+	}
+	return l.requests < other.requests
+}
+
+// leastLoaded sends each attempt to the replica with the least load, which it
+// knows exactly since all attempts pass through it. The load is the one of the
+// prefix-aware cost without any credit for overlap.
+type leastLoaded struct {
+	salts salts
+	loads []replicaLoad
+	// start rotates, so that ties do not all go to the first replica.
+	start int
+}
+
+func (p *leastLoaded) place(_ time.Duration, request *workload.Request) (placement, time.Duration) {
+	best := p.start
+	for step := range p.loads {
+		candidate := (p.start + step) % len(p.loads)
+		if p.loads[candidate].less(p.loads[best]) {
+			best = candidate
+		}
+	}
+	p.start = (p.start + 1) % len(p.loads)
+	placed := placement{
+		replica: best,
+		salt:    p.salts.of(request.Tenant, weightVersion),
+		prompt:  request.PromptTokens(),
+		output:  uint64(request.OutputTokens),
+	}
+	load := &p.loads[best]
+	load.waiting += placed.prompt
+	load.held += placed.prompt + placed.output
+	load.requests++
+	return placed, 0
+}
+
+func (p *leastLoaded) firstToken(_ time.Duration, placed *placement) {
+	p.loads[placed.replica].waiting -= placed.prompt
+}
+
+func (p *leastLoaded) finished(now time.Duration, placed *placement, completed bool) {
+	if !completed {
+		p.firstToken(now, placed)
+	}
+	load := &p.loads[placed.replica]
+	load.held -= placed.prompt + placed.output
+	load.requests--
+}
+
+// roundRobin sends attempts to all replicas in turn.
+type roundRobin struct {
+	salts    salts
+	replicas int
+	next     int
+}
+
+func (p *roundRobin) place(_ time.Duration, request *workload.Request) (placement, time.Duration) {
+	chosen := p.next
+	p.next = (p.next + 1) % p.replicas
+	return placement{replica: chosen, salt: p.salts.of(request.Tenant, weightVersion)}, 0
+}
+
+func (p *roundRobin) firstToken(time.Duration, *placement) {}
+
+func (p *roundRobin) finished(time.Duration, *placement, bool) {}
+
+// uniform sends each attempt to a replica drawn at random.
+type uniform struct {
+	salts    salts
+	replicas int
+	random   *rand.Rand
+}
+
+func (p *uniform) place(_ time.Duration, request *workload.Request) (placement, time.Duration) {
+	chosen := p.random.IntN(p.replicas)
+	return placement{replica: chosen, salt: p.salts.of(request.Tenant, weightVersion)}, 0
+}
+
+func (p *uniform) firstToken(time.Duration, *placement) {}
+
+func (p *uniform) finished(time.Duration, *placement, bool) {}
--- /dev/null
+++ b/internal/lab/bench/policy.go
@@ -0,0 +1,96 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/workload"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+// PolicyName names a policy.
+type PolicyName string
+
+// The policies.
+const (
+	PolicyKV          PolicyName = "kv"
+	PolicyLeastLoaded PolicyName = "least-loaded"
+	PolicyRoundRobin  PolicyName = "round-robin"
+	PolicyRandom      PolicyName = "random"
+)
+
+// Policies returns all policies in the order of their results.
+func Policies() []PolicyName {
+	return []PolicyName{PolicyKV, PolicyLeastLoaded, PolicyRoundRobin, PolicyRandom}
+}
+
+// placement is where a policy sends an attempt.
+type placement struct {
+	replica int
+	salt    string
+	// pull is what the replica fetches first, or nil; source is the peer's
+	// number.
+	pull   *kvrouter.Pull
+	source int
+
+	// reservation is the router's; tokens is what least-loaded counts.
+	reservation *kvrouter.Reservation
+	prompt      uint64
+	output      uint64
+}
+
+// policy places attempts, and hears what becomes of them.
+type policy interface {
+	// place returns where to send an attempt, or after what time to ask again.
+	place(now time.Duration, request *workload.Request) (placed placement, retryAfter time.Duration)
+	firstToken(now time.Duration, placed *placement)
+	finished(now time.Duration, placed *placement, completed bool)
+}
+
+// feedReader is a policy that reads what replicas say of themselves.
+type feedReader interface {
+	// event returns true when the events of a replica were lost and a reset is
+	// wanted.
+	event(now time.Duration, replicaNumber int, event replica.Event) bool
+	report(now time.Duration, replicaNumber int, report replica.Report)
+	// resyncWanted returns the replicas that a reset is wanted of.
+	resyncWanted(now time.Duration) []int
+}
+
+func newPolicy(name PolicyName, settings Settings) policy {
+	salts := newSalts(settings.Mix)
+	switch name {
+	case PolicyKV:
+		return newPrefixAware(settings, salts)
+	case PolicyLeastLoaded:
+		return &leastLoaded{salts: salts, loads: make([]replicaLoad, settings.Replicas)}
+	case PolicyRoundRobin:
+		return &roundRobin{salts: salts, replicas: settings.Replicas}
+	default:
+		random := rand.New(rand.NewPCG(settings.Seed, 0x9a2d))
+		return &uniform{salts: salts, replicas: settings.Replicas, random: random}
+	}
+}
+
+// salts gives the cache salt of each tenant's requests, as the nodes do: walled
+// tenants each have their own.
+type salts struct {
+	walled map[string]bool
+}
+
+func newSalts(mix workload.Mix) salts {
+	walled := map[string]bool{}
+	for _, tenant := range mix.Tenants {
+		walled[tenant.Name] = tenant.Walled
+	}
+	return salts{walled: walled}
+}
+
+func (s salts) of(tenant, version string) string {
+	domain := "shared"
+	if s.walled[tenant] {
+		domain = "walled/" + tenant
+	}
+	return replica.CacheSalt(model, version, domain)
+}
