--- /dev/null
+++ b/internal/lab/bench/prefixaware.go
@@ -0,0 +1,132 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/emulator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/workload"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// placeAgainAfter is when to ask again if the router does not say.
+const placeAgainAfter = time.Second
+
+// prefixAware is the router of the nodes.
+type prefixAware struct {
+	router     *kvrouter.Router
+	salts      salts
+	candidates []kvrouter.Candidate
+	numbers    map[string]int
+	scale float64
+}
+
+func newPrefixAware(settings Settings, salts salts) *prefixAware {
+	p := &prefixAware{
+		router:  kvrouter.New(kvrouter.Options{BytesPerToken: emulator.BytesPerToken}),
+		salts:   salts,
+		numbers: map[string]int{},
+	}
+	for number := range settings.Replicas {
+		address := settings.address(number)
+		p.numbers[address] = number
+		p.candidates = append(p.candidates, kvrouter.Candidate{
+			Address:       address,
+			Zone:          settings.zone(number),
+			WeightVersion: weightVersion,
+		})
+	}
+	return p
+}
+
+func (p *prefixAware) place(now time.Duration, request *workload.Request) (placement, time.Duration) {
+	decision, err := p.router.Select(kvrouter.Request{
+		Now:          now,
+		Model:        model,
+		Parts:        request.Parts,
+		OutputTokens: request.OutputTokens,
+		SaltFor:      func(version string) string { return p.salts.of(request.Tenant, version) },
+		Settings:     func() kvrouter.Settings { x := kvrouter.DefaultSettings(); if p.scale > 0 { x.PrefillLoadScale = p.scale }; return x }(),
+	}, p.candidates)
+	if err != nil {
+		return placement{}, retryAfter(err)
+	}
+	placed := placement{
+		replica:     p.numbers[decision.Address],
+		salt:        decision.CacheSalt,
+		reservation: decision.Reservation,
+		pull:        decision.Pull,
+	}
+	if decision.Pull != nil {
+		placed.source = p.numbers[decision.Pull.Source]
+	}
+	return placed, 0
+}
+
+func retryAfter(err error) time.Duration {
+	var none *kvrouter.NoReplicaError
+	if errors.As(err, &none) && none.RetryAfter > 0 {
+		return none.RetryAfter
+	}
+	return placeAgainAfter
+}
+
+func (p *prefixAware) firstToken(now time.Duration, placed *placement) {
+	placed.reservation.FirstToken(now)
+}
+
+func (p *prefixAware) finished(now time.Duration, placed *placement, completed bool) {
+	placed.reservation.Finish(now, completed)
+}
+
+func (p *prefixAware) event(now time.Duration, number int, event replica.Event) bool {
+	address := p.candidates[number].Address
+	switch event.Kind {
+	case replica.EventStored:
+		return p.router.Stored(now, address, event.Incarnation, event.Sequence, links(event.Parts)) == kvrouter.Gap
+	case replica.EventRemoved:
+		return p.router.Removed(now, address, event.Incarnation, event.Sequence, hashes(event.Parts)) == kvrouter.Gap
+	default:
+		return p.router.Reset(now, address, event.Incarnation, event.Sequence, links(event.Parts)) == kvrouter.Gap
+	}
+}
+
+func (p *prefixAware) report(now time.Duration, number int, report replica.Report) {
+	p.router.Report(now, p.candidates[number].Address, kvrouter.Report{
+		ActivePrefillTokens: report.ActivePrefillTokens,
+		ActiveDecodeTokens:  report.ActiveDecodeTokens,
+		ActiveRequests:      report.ActiveRequests,
+		WeightVersion:       report.WeightVersion,
+		Incarnation:         report.Incarnation,
+		Age:                 time.Duration(report.AgeMS) * time.Millisecond,
+		LastSequence:        report.LastSequence,
+		Warming:             report.Warming,
+	})
+}
+
+func (p *prefixAware) resyncWanted(now time.Duration) []int {
+	return lo.Map(p.router.ResyncWanted(now), func(address string, _ int) int { return p.numbers[address] })
+}
+
+func links(parts []replica.Part) []prefixindex.Link {
+	return lo.Map(parts, func(part replica.Part, _ int) prefixindex.Link {
+		return prefixindex.Link{Hash: mustHash(part.Hash), Tokens: part.Tokens}
+	})
+}
+
+func hashes(parts []replica.Part) []prefixindex.ChainHash {
+	return lo.Map(parts, func(part replica.Part, _ int) prefixindex.ChainHash { return mustHash(part.Hash) })
+}
+
+// mustHash reads a name that the emulator has written.
+func mustHash(text string) prefixindex.ChainHash {
+	hash, err := emulator.ParseHash(text)
+	if err != nil {
+		panic(err)
+	}
+	return hash
+}
--- /dev/null
+++ b/internal/lab/bench/result.go
@@ -0,0 +1,114 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// tailQuantile is the share of requests that are at least as fast as the tail
+// figure.
+const tailQuantile = 0.95
+
+// Result is what a policy made of the trace. TTFT is the time from a request's
+// arrival to its first token.
+type Result struct {
+	Policy   PolicyName `json:"policy"`
+	Mix      string     `json:"mix"`
+	Seed     uint64     `json:"seed"`
+	Requests int        `json:"requests"`
+
+	TTFTMeanMS float64 `json:"ttft_ms_mean"`
+	TTFTP95MS  float64 `json:"ttft_ms_p95"`
+	// PrefillTokens counts the prompt tokens that replicas computed.
+	PrefillTokens uint64 `json:"prefill_tokens"`
+	// ReusedTokenRatio is the share of prompt tokens that they did not compute.
+	ReusedTokenRatio float64 `json:"reused_token_ratio"`
+	// PulledTokens counts the tokens that were moved between replicas.
+	PulledTokens uint64 `json:"pulled_tokens"`
+	// PrefillUtilization is the share of the replicas' time spent in prefill.
+	PrefillUtilization float64 `json:"prefill_utilization"`
+	// Refused counts attempts that a replica refused, and Deferred those that the
+	// policy put off; both were placed again.
+	Refused  int `json:"refused"`
+	Deferred int `json:"deferred"`
+	// Resyncs counts the resets asked for after lost events.
+	Resyncs int `json:"resyncs"`
+}
+
+// tallies are counted while a trace is replayed.
+type tallies struct {
+	firstTokens  []time.Duration
+	pulledTokens uint64
+	refused      int
+	deferred     int
+	resyncs      int
+	end          time.Duration
+}
+
+// Compare replays the trace under every policy.
+func Compare(settings Settings) ([]Result, error) {
+	if err := settings.check(); err != nil {
+		return nil, err
+	}
+	trace, err := settings.trace()
+	if err != nil {
+		return nil, err
+	}
+	var results []Result
+	for _, name := range Policies() {
+		simulation, err := newSimulation(name, settings)
+		if err != nil {
+			return nil, err
+		}
+		simulation.run(trace)
+		results = append(results, simulation.result(name))
+	}
+	return results, nil
+}
+
+func (s *simulation) result(name PolicyName) Result {
+	result := Result{
+		Policy:       name,
+		Mix:          string(s.settings.Mix.Name),
+		Seed:         s.settings.Seed,
+		Requests:     len(s.tallies.firstTokens),
+		PulledTokens: s.tallies.pulledTokens,
+		Refused:      s.tallies.refused,
+		Deferred:     s.tallies.deferred,
+		Resyncs:      s.tallies.resyncs,
+	}
+	var reused uint64
+	var busy time.Duration
+	for _, machine := range s.machines {
+		for _, execution := range machine.model.Executions() {
+			result.PrefillTokens += execution.PrefilledTokens
+			reused += execution.ReusedTokens
+			busy += execution.FirstTokenAt - execution.StartedAt
+		}
+	}
+	if prompts := reused + result.PrefillTokens; prompts > 0 {
+		result.ReusedTokenRatio = float64(reused) / float64(prompts)
+	}
+	if s.tallies.end > 0 {
+		result.PrefillUtilization = float64(busy) / (float64(s.tallies.end) * float64(len(s.machines)))
+	}
+	result.TTFTMeanMS = milliseconds(lo.Mean(s.tallies.firstTokens))
+	result.TTFTP95MS = milliseconds(quantile(s.tallies.firstTokens, tailQuantile))
+	return result
+}
+
+// quantile returns the smallest value that at least a share of the values do not
+// exceed.
+func quantile(values []time.Duration, share float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(share*float64(len(sorted)-1))]
+}
+
+func milliseconds(span time.Duration) float64 {
+	return float64(span) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/internal/lab/bench/settings.go
@@ -0,0 +1,103 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/emulator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/workload"
+)
+
+// Settings describe one comparison.
+type Settings struct {
+	Seed uint64
+	Mix  workload.Mix
+	// Rate is the model requests per second; 0 means the mix's own.
+	Rate float64
+	// Duration is how long requests arrive.
+	Duration time.Duration
+	// Replicas and Zones are the size of the fleet.
+	Replicas int
+	Zones    int
+	Machine  emulator.Config
+	Links    emulator.LinkModel
+	// Feed says how events go wrong on their way to the router.
+	Feed emulator.FeedPlan
+	// ReportEvery is the time between reports.
+	ReportEvery time.Duration
+	// ResyncDelay is the time from the wish for a reset until it is sent.
+	ResyncDelay time.Duration
+}
+
+const (
+	model         = "model"
+	weightVersion = "v1"
+	fleetSize     = 18
+)
+
+// DefaultSettings returns the comparison on a deployment's fleet, mix and links.
+func DefaultSettings(mix workload.Mix, seed uint64) Settings {
+	settings := Settings{
+		Seed:     seed,
+		Mix:      mix,
+		Duration: 20 * time.Minute,
+		Replicas: fleetSize,
+		Zones:    4,
+		Machine:  emulator.LargeMemory(),
+		Links:    emulator.DefaultLinks(2 * time.Millisecond),
+		Feed: emulator.FeedPlan{
+			Delay:          100 * time.Millisecond,
+			Jitter:         100 * time.Millisecond,
+			LossRatio:      0.01,
+			DuplicateRatio: 0.01,
+			ReorderRatio:   0.02,
+			ReorderBy:      200 * time.Millisecond,
+		},
+		ReportEvery: 500 * time.Millisecond,
+		ResyncDelay: 300 * time.Millisecond,
+	}
+	if mix.Name == workload.Lakeshore {
+		settings.Zones = 3
+		settings.Machine = emulator.SmallerMemory()
+		settings.Links = emulator.DefaultLinks(500 * time.Microsecond)
+	}
+	settings.Machine.WeightVersion = weightVersion
+	return settings
+}
+
+func (s Settings) check() error {
+	if s.Replicas <= 0 || s.Zones <= 0 || s.Duration <= 0 || s.ReportEvery <= 0 {
+		return errors.New("bench: Replicas, Zones, Duration and ReportEvery must be positive")
+	}
+	if err := s.Feed.Check(); err != nil {
+		return err
+	}
+	return s.Machine.Check()
+}
+
+func (s Settings) address(replica int) string { return fmt.Sprintf("replica-%d", replica+1) }
+
+func (s Settings) zone(replica int) string { return fmt.Sprintf("zone-%d", replica%s.Zones+1) }
+
+// trace returns the model requests of the comparison.
+func (s Settings) trace() ([]workload.Request, error) {
+	generator, err := workload.New(s.Mix, workload.Options{
+		Seed:      s.Seed,
+		Duration:  s.Duration,
+		ModelRate: s.Rate,
+		WebRate:   -1,
+	})
+	if err != nil {
+		return nil, err
+	}
+	var requests []workload.Request
+	for {
+		request, more := generator.Next()
+		if !more {
+			return requests, nil
+		}
+		requests = append(requests, request)
+	}
+}
--- /dev/null
+++ b/internal/lab/bench/timers.go
@@ -0,0 +1,61 @@
+package bench
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer is something to do at a time of the simulation.
+type timer struct {
+	at     time.Duration
+	order  uint64
+	action func(now time.Duration)
+}
+
+// timers are ordered by time, and by their making when times are equal.
+type timers struct {
+	heap  timerHeap
+	order uint64
+}
+
+func (t *timers) add(at time.Duration, action func(now time.Duration)) {
+	t.order++
+	heap.Push(&t.heap, timer{at: at, order: t.order, action: action})
+}
+
+func (t *timers) next() (time.Duration, bool) {
+	if len(t.heap) == 0 {
+		return 0, false
+	}
+	return t.heap[0].at, true
+}
+
+// runDue runs everything that is due.
+func (t *timers) runDue(now time.Duration) {
+	for len(t.heap) > 0 && t.heap[0].at <= now {
+		due := heap.Pop(&t.heap).(timer)
+		due.action(now)
+	}
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *timerHeap) Push(value any) { *h = append(*h, value.(timer)) }
+
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	value := (*h)[last]
+	*h = (*h)[:last]
+	return value
+}
--- /dev/null
+++ b/internal/lab/caller/doc.go
@@ -0,0 +1,7 @@
+// Package caller plays the callers of a deployment: it sends a bounded open
+// loop of requests to front nodes that are ready, reads every answer to the
+// byte, and records what a caller learnt of each request.
+//
+// It uses net/http directly and a connection of its own for each request, so
+// that nothing between it and the node sends a request a second time.
+package caller
--- /dev/null
+++ b/internal/lab/caller/exchange.go
@@ -0,0 +1,144 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	edge "github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin"
+)
+
+// requestBody is what a POST carries besides its headers; nodes pass it on.
+const requestBody = `{"input":"lab"}`
+
+// maxAnswerBytes bounds what a caller reads of one answer.
+const maxAnswerBytes = 64 << 20
+
+// Elapsed returns the time since the run began.
+type Elapsed func() time.Duration
+
+// exchange is one request to one node.
+type exchange struct {
+	client *http.Client
+	now    Elapsed
+	job    Job
+	record *checker.Request
+}
+
+// newClient returns a client that opens a connection for each request.
+func newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+}
+
+// do sends the request and fills in the record. It tells whether any
+// connection was made: without one nothing was sent, and another node may be
+// asked.
+func (call *exchange) do(ctx context.Context, target Target) bool {
+	call.record.Node = target.Node
+	request, err := call.request(ctx, target)
+	if err != nil {
+		call.fail(ctx, err)
+		return true
+	}
+	response, err := call.client.Do(request)
+	if err != nil {
+		call.fail(ctx, err)
+		return !isDialError(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	call.record.FirstByte = call.now()
+	call.record.Status = response.StatusCode
+	call.read(ctx, response)
+	return true
+}
+
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func (call *exchange) request(ctx context.Context, target Target) (*http.Request, error) {
+	var body io.Reader
+	if call.job.Method == http.MethodPost {
+		body = strings.NewReader(requestBody)
+	}
+	url := "http://" + target.TrafficAddress + call.job.Path
+	request, err := http.NewRequestWithContext(ctx, call.job.Method, url, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "build the request")
+	}
+	request.Host = call.job.Host
+	call.setHeaders(request.Header)
+	return request, nil
+}
+
+func (call *exchange) setHeaders(header http.Header) {
+	job := call.job
+	header.Set(edge.HeaderRequestID, call.record.ID)
+	header.Set(edge.HeaderRepeatable, strconv.FormatBool(job.Repeatable))
+	header.Set(standin.HeaderTenant, job.Tenant)
+	if job.Secret != "" {
+		header.Set(edge.HeaderAuthorization, "Bearer "+job.Secret)
+	}
+	if job.Model != "" {
+		header.Set(edge.HeaderModel, job.Model)
+	}
+	if len(job.Parts) > 0 {
+		header.Set(edge.HeaderPrefix, edge.FormatPrefix(job.Parts))
+	}
+	if job.OutputTokens > 0 {
+		header.Set(edge.HeaderOutputTokens, strconv.FormatUint(uint64(job.OutputTokens), 10))
+	}
+	if job.Deadline > 0 {
+		header.Set(edge.HeaderDeadline, strconv.FormatInt(job.Deadline.Milliseconds(), 10))
+	}
+	if job.Streamed {
+		header.Set(edge.HeaderAccept, edge.StreamType)
+	}
+}
+
+func (call *exchange) read(ctx context.Context, response *http.Response) {
+	body := io.LimitReader(response.Body, maxAnswerBytes)
+	var err error
+	switch {
+	case response.StatusCode >= http.StatusBadRequest:
+		err = readRefusal(call.record, response.Header, body)
+	case strings.HasPrefix(response.Header.Get("Content-Type"), edge.StreamType):
+		err = readStream(call.record, body)
+	case call.job.WebService:
+		err = readPage(call.record, response.Header, body)
+	default:
+		err = readWhole(call.record, body)
+	}
+	call.record.Ended = call.now()
+	if err != nil {
+		call.record.Result = checker.ResultCut
+		call.noteLeaving(ctx)
+	}
+}
+
+func (call *exchange) fail(ctx context.Context, err error) {
+	call.record.Ended = call.now()
+	call.record.Result = checker.ResultLost
+	call.record.ErrorKind = "connection"
+	if isDialError(err) {
+		call.record.ErrorKind = "dial"
+	}
+	call.noteLeaving(ctx)
+}
+
+// noteLeaving marks an unfinished exchange that the caller itself gave up.
+func (call *exchange) noteLeaving(ctx context.Context) {
+	if ctx.Err() != nil {
+		call.record.Result = checker.ResultLeft
+	}
+}
--- /dev/null
+++ b/internal/lab/checker/bounds.go
@@ -0,0 +1,42 @@
+package checker
+
+import (
+	"math"
+	"time"
+)
+
+// Bounds of the rules.
+const (
+	// RevocationBound is how long after the acknowledgement a revoked key may
+	// still start a request.
+	RevocationBound = 2 * time.Second
+	// ServedBound is how long after the acknowledgement a node may still
+	// serve an older configuration.
+	ServedBound = 2 * time.Second
+	// DrainingBound is how long a replica may get requests after the
+	// platform's list shows it draining.
+	DrainingBound = 3 * time.Second
+	// EvacuationBound is how long a zone may get requests after the
+	// acknowledgement of its evacuation.
+	EvacuationBound = 5 * time.Second
+	// WeightsBound is the calm time within which named weights reach every
+	// replica.
+	WeightsBound = 15 * time.Second
+	// MaxRetryRatio bounds the retries to a pool as a share of its first
+	// attempts.
+	MaxRetryRatio = 0.2
+	// RetryWindow is the length of the windows in which retries are counted.
+	RetryWindow = 10 * time.Second
+	// MinWindowAttempts is the number of first attempts below which a window
+	// is too small to judge: one retry more or less, which a node decided just
+	// outside the window, would move its ratio by more than a tenth of the
+	// bound. The whole run is judged at any size.
+	MinWindowAttempts = 50
+)
+
+const forever = time.Duration(math.MaxInt64)
+
+// contains tells whether a moment lies in the span; To is outside.
+func (span Span) contains(at time.Duration) bool {
+	return at >= span.From && at < span.To
+}
--- /dev/null
+++ b/internal/lab/checker/commands.go
@@ -0,0 +1,43 @@
+package checker
+
+import "slices"
+
+// CommandHolder holds that one node at a time commands a replica: once a
+// replica has received a command of one epoch, no command of an older epoch
+// and none of another holder in the same epoch reaches it. A command that the
+// replica refused breaks the rule as well, since its sender believed to hold
+// the right to command.
+type CommandHolder struct{}
+
+// Name returns the stable name.
+func (CommandHolder) Name() Name { return "command_holder" }
+
+// Check follows the epochs that each replica received.
+func (rule CommandHolder) Check(records *Records) []Violation {
+	newest := make(map[string]Command)
+	var violations []Violation
+	for _, command := range commandsByTime(records) {
+		last, known := newest[command.Replica]
+		switch {
+		case known && command.Epoch < last.Epoch:
+			violations = append(violations, violation(rule.Name(), command.At,
+				"%s commanded %s in epoch %d after %s had in epoch %d",
+				command.Holder, command.Replica, command.Epoch, last.Holder, last.Epoch))
+		case known && command.Epoch == last.Epoch && command.Holder != last.Holder:
+			violations = append(violations, violation(rule.Name(), command.At,
+				"%s and %s both commanded %s in epoch %d",
+				last.Holder, command.Holder, command.Replica, command.Epoch))
+		default:
+			newest[command.Replica] = command
+		}
+	}
+	return violations
+}
+
+func commandsByTime(records *Records) []Command {
+	sorted := slices.Clone(records.Commands)
+	slices.SortStableFunc(sorted, func(left, right Command) int {
+		return compareTimes(left.At, right.At)
+	})
+	return sorted
+}
--- /dev/null
+++ b/internal/lab/checker/evacuation.go
@@ -0,0 +1,50 @@
+package checker
+
+import "time"
+
+// EvacuatedZone holds that the back ends of an evacuated zone get no request
+// once EvacuationBound has passed since the acknowledgement, until the zone is
+// restored.
+type EvacuatedZone struct{}
+
+// Name returns the stable name.
+func (EvacuatedZone) Name() Name { return "evacuated_zone" }
+
+// Check looks for requests that arrived in an evacuated zone.
+func (rule EvacuatedZone) Check(records *Records) []Violation {
+	spans := evacuatedSpans(records)
+	var violations []Violation
+	for _, execution := range records.Executions {
+		for _, span := range spans[execution.Zone] {
+			if !span.contains(execution.Arrived) {
+				continue
+			}
+			violations = append(violations, violation(rule.Name(), execution.Arrived,
+				"request %s arrived at %s in zone %s, which is evacuated and closed since %v",
+				execution.RequestID, execution.Replica, execution.Zone, span.From))
+		}
+	}
+	return violations
+}
+
+// evacuatedSpans returns when each zone must get nothing. A restoration counts
+// from its sending, since it may take effect from then on.
+func evacuatedSpans(records *Records) map[string][]Span {
+	spans := make(map[string][]Span)
+	for _, order := range ordersBySending(records) {
+		zone := order.Change.Zone
+		switch {
+		case order.Change.Kind == ChangeRestore:
+			closeSpans(spans[zone], order.Sent)
+		case order.Change.Kind == ChangeEvacuate && order.Outcome == OutcomeAcknowledged:
+			spans[zone] = append(spans[zone], Span{From: order.Answered + EvacuationBound, To: forever})
+		}
+	}
+	return spans
+}
+
+func closeSpans(spans []Span, at time.Duration) {
+	for position := range spans {
+		spans[position].To = min(spans[position].To, at)
+	}
+}
--- /dev/null
+++ b/internal/lab/checker/records.go
@@ -0,0 +1,231 @@
+package checker
+
+import "time"
+
+// Records are everything that was seen of one run.
+type Records struct {
+	// Tenants as they were before the first order.
+	Tenants    []Tenant
+	Requests   []Request
+	Executions []Execution
+	Commands   []Command
+	Orders     []Order
+	Nodes      []NodeLife
+	Served     []ServedSample
+	Listings   []Listing
+	Versions   []VersionSample
+	// Calm are the spans without a fault and without a change by an operator.
+	Calm []Span
+	// End is when recording stopped.
+	End time.Duration
+}
+
+// Tenant is a tenant before the first order.
+type Tenant struct {
+	Name   string
+	Walled bool
+}
+
+// Span is the time from From up to To.
+type Span struct {
+	From time.Duration
+	To   time.Duration
+}
+
+// Result tells how a request ended for its caller.
+type Result string
+
+// The ways a request ends.
+const (
+	// ResultComplete is an answer that looks whole to the caller.
+	ResultComplete Result = "complete"
+	// ResultCut is an answer that the caller saw break off.
+	ResultCut Result = "cut"
+	// ResultRefused is a typed error in place of an answer.
+	ResultRefused Result = "refused"
+	// ResultLost is a connection that failed before any answer.
+	ResultLost Result = "lost"
+	// ResultLeft is a caller that went away on purpose.
+	ResultLeft Result = "left"
+)
+
+// RunClaim is what a refusal told the caller about the request's execution.
+type RunClaim string
+
+// The claims of a refusal.
+const (
+	// ClaimNone is no claim at all.
+	ClaimNone RunClaim = ""
+	// ClaimNotRun says that the request has not run and will not run.
+	ClaimNotRun RunClaim = "not_run"
+	// ClaimMayHaveRun says that the outcome is unknown.
+	ClaimMayHaveRun RunClaim = "may_have_run"
+)
+
+// Request is one request as its caller saw it.
+type Request struct {
+	ID string
+	// Node that the request was sent to.
+	Node   string
+	Tenant string
+	// Key is the name of the tenant's key.
+	Key        string
+	Service    string
+	Repeatable bool
+	Streamed   bool
+	Sent       time.Duration
+	FirstByte  time.Duration
+	Ended      time.Duration
+	// Status is the HTTP status, 0 without an answer.
+	Status    int
+	Result    Result
+	ErrorKind string
+	Claim     RunClaim
+	// RetryAfter is the wait that the refusal asked for.
+	RetryAfter time.Duration
+	// EchoID is the request identity inside the answer.
+	EchoID string
+	// DigestMatches tells whether the received bytes have the digest that the
+	// answer names.
+	DigestMatches bool
+	// Follows is the refused request that this one repeats under a new
+	// identity; empty for the first.
+	Follows string
+}
+
+// Execution is one attempt as a back end recorded it.
+type Execution struct {
+	RequestID string
+	AttemptID string
+	// Attempt counts from 1.
+	Attempt int
+	Service string
+	Replica string
+	Zone    string
+	// Arrived is when the attempt reached the back end, past all admission.
+	Arrived time.Duration
+	// Refused tells that the back end did not and will not run the attempt.
+	Refused bool
+	Ended   time.Duration
+	Tenant  string
+	// WeightVersion is the version at the start, FinalVersion at the end.
+	WeightVersion string
+	FinalVersion  string
+	PromptTokens  uint64
+	ReusedTokens  uint64
+	Reused        []Reuse
+}
+
+// Reuse is a kept part that an execution took over, with the truth about who
+// made it.
+type Reuse struct {
+	Part          string
+	Tenant        string
+	WeightVersion string
+}
+
+// Command is an order to a replica as the replica received it.
+type Command struct {
+	Replica       string
+	Holder        string
+	Epoch         uint64
+	WeightVersion string
+	At            time.Duration
+	Accepted      bool
+}
+
+// ChangeKind tells what an order changes.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	ChangeApply    ChangeKind = "apply"
+	ChangeAddKey   ChangeKind = "add_key"
+	ChangeRevoke   ChangeKind = "revoke_key"
+	ChangeWall     ChangeKind = "wall"
+	ChangeUnwall   ChangeKind = "unwall"
+	ChangeEvacuate ChangeKind = "evacuate"
+	ChangeRestore  ChangeKind = "restore"
+	ChangeWeights  ChangeKind = "weights"
+)
+
+// Change is what an order asks for. Fields that a kind does not use are empty.
+type Change struct {
+	Kind          ChangeKind
+	Tenant        string
+	Key           string
+	Zone          string
+	Pool          string
+	WeightVersion string
+}
+
+// Outcome is how one submission of an order ended.
+type Outcome string
+
+// The outcomes of a submission.
+const (
+	// OutcomeAcknowledged says that the change is in force everywhere.
+	OutcomeAcknowledged Outcome = "acknowledged"
+	// OutcomePending says that the change may take effect.
+	OutcomePending Outcome = "pending"
+	// OutcomeRefused is a verdict: the change was not taken.
+	OutcomeRefused Outcome = "refused"
+	// OutcomeUnavailable is no verdict: nobody could decide just then.
+	OutcomeUnavailable Outcome = "unavailable"
+	// OutcomeLost is a submission without an answer.
+	OutcomeLost Outcome = "lost"
+)
+
+// Order is one submission of an operator's order. A resend is a further Order
+// with the same OrderID.
+type Order struct {
+	OrderID      string
+	Node         string
+	BaseRevision uint64
+	Change       Change
+	// Invalid tells that the content breaks a rule of the configuration.
+	Invalid  bool
+	Sent     time.Duration
+	Answered time.Duration
+	Outcome  Outcome
+	Revision uint64
+	// ProblemKind is the typed kind of a refusal.
+	ProblemKind string
+}
+
+// NodeLife is one run of a node's process.
+type NodeLife struct {
+	Node string
+	Span
+	// Ended tells that the process ended at Span.To; else it outlived the
+	// records.
+	Ended bool
+}
+
+// ServedSample is what a node said of itself at one moment.
+type ServedSample struct {
+	Node     string
+	At       time.Duration
+	Revision uint64
+	Fenced   bool
+}
+
+// Listing is one entry of the platform's list from At on, as the list showed
+// it.
+type Listing struct {
+	Service  string
+	Replica  string
+	Zone     string
+	Draining bool
+	// Removed tells that the list no longer shows the replica.
+	Removed bool
+	At      time.Duration
+}
+
+// VersionSample is the weight version that a replica ran at one moment.
+type VersionSample struct {
+	Pool          string
+	Replica       string
+	At            time.Duration
+	WeightVersion string
+}
--- /dev/null
+++ b/internal/lab/checker/violation.go
@@ -0,0 +1,67 @@
+package checker
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Name is the stable name of an invariant.
+type Name string
+
+// Violation is one place where the records break an invariant.
+type Violation struct {
+	Invariant Name   `json:"invariant"`
+	Detail    string `json:"detail"`
+	// At is when it happened, since the run began.
+	At time.Duration `json:"at_ns"`
+}
+
+// Invariant is one rule over the records of a run.
+type Invariant interface {
+	// Name returns the stable name.
+	Name() Name
+	// Check returns every violation found; none when the rule holds.
+	Check(records *Records) []Violation
+}
+
+// Invariants returns every rule, in the order of the documentation.
+func Invariants() []Invariant {
+	return []Invariant{
+		AtMostOnce{},
+		NotRunIsFinal{},
+		AnswerIntegrity{},
+		WeightIsolation{},
+		TenantIsolation{},
+		Revocation{},
+		ServedInTime{},
+		ServedNeverBack{},
+		NodesRecover{},
+		OneOrderPerBase{},
+		ResentOrder{},
+		InvalidRefused{},
+		DrainingReplica{},
+		EvacuatedZone{},
+		WeightsSettle{},
+		CommandHolder{},
+		RetryRatio{},
+		RecordsComplete{},
+	}
+}
+
+// Check applies every invariant and returns the violations by time.
+func Check(records *Records) []Violation {
+	var violations []Violation
+	for _, invariant := range Invariants() {
+		violations = append(violations, invariant.Check(records)...)
+	}
+	sort.SliceStable(violations, func(i, j int) bool {
+		return violations[i].At < violations[j].At
+	})
+	return violations
+}
+
+// violation builds a Violation with a formatted detail.
+func violation(name Name, at time.Duration, format string, arguments ...any) Violation {
+	return Violation{Invariant: name, At: at, Detail: fmt.Sprintf(format, arguments...)}
+}
--- /dev/null
+++ b/internal/lab/checker/weights.go
@@ -0,0 +1,129 @@
+package checker
+
+import (
+	"slices"
+	"time"
+)
+
+// WeightsSettle holds that a named weight version runs on every listed replica
+// of its pool within WeightsBound of calm time. A replica that the platform
+// lists as draining, or not at all, is on its way out and is not counted.
+type WeightsSettle struct{}
+
+// Name returns the stable name.
+func (WeightsSettle) Name() Name { return "weights_settle" }
+
+// Check judges every naming that was followed by enough calm time.
+func (rule WeightsSettle) Check(records *Records) []Violation {
+	var violations []Violation
+	namings := namings(records)
+	for position, naming := range namings {
+		deadline, calm := settleDeadline(records, naming, replacedAt(namings, position))
+		if !calm {
+			continue
+		}
+		violations = append(violations, rule.checkNaming(records, naming, deadline)...)
+	}
+	return violations
+}
+
+func (rule WeightsSettle) checkNaming(records *Records, naming Order, deadline time.Duration) []Violation {
+	var violations []Violation
+	for _, replica := range poolReplicas(records, naming.Change.Pool) {
+		if !listedAt(records, replica, deadline) {
+			continue
+		}
+		version, seen := versionAfter(records, replica, deadline)
+		if seen && version == naming.Change.WeightVersion {
+			continue
+		}
+		violations = append(violations, violation(rule.Name(), deadline,
+			"replica %s of pool %s runs weights %q instead of %q after %v of calm",
+			replica, naming.Change.Pool, version, naming.Change.WeightVersion, WeightsBound))
+	}
+	return violations
+}
+
+// namings returns the first acknowledgement of each order that names weights.
+func namings(records *Records) []Order {
+	seen := make(map[string]bool)
+	var found []Order
+	for _, order := range ordersBySending(records) {
+		taken := order.Outcome == OutcomeAcknowledged && order.Change.Kind == ChangeWeights
+		if taken && !seen[order.OrderID] {
+			seen[order.OrderID] = true
+			found = append(found, order)
+		}
+	}
+	return found
+}
+
+// replacedAt returns when a later naming for the same pool was sent.
+func replacedAt(namings []Order, position int) time.Duration {
+	pool := namings[position].Change.Pool
+	for _, later := range namings[position+1:] {
+		if later.Change.Pool == pool {
+			return later.Sent
+		}
+	}
+	return forever
+}
+
+// settleDeadline returns the first moment at which a naming has had
+// WeightsBound of calm time without being replaced.
+func settleDeadline(records *Records, naming Order, replaced time.Duration) (time.Duration, bool) {
+	for _, calm := range records.Calm {
+		deadline := max(calm.From, naming.Answered) + WeightsBound
+		if deadline <= calm.To && deadline < replaced {
+			return deadline, true
+		}
+	}
+	return 0, false
+}
+
+func poolReplicas(records *Records, pool string) []string {
+	var replicas []string
+	for _, sample := range records.Versions {
+		if sample.Pool == pool && !slices.Contains(replicas, sample.Replica) {
+			replicas = append(replicas, sample.Replica)
+		}
+	}
+	return replicas
+}
+
+// versionAfter returns the version that the first sample at or after a moment
+// shows.
+func versionAfter(records *Records, replica string, at time.Duration) (string, bool) {
+	found := false
+	var first VersionSample
+	for _, sample := range records.Versions {
+		if sample.Replica != replica || sample.At < at {
+			continue
+		}
+		if !found || sample.At < first.At {
+			first = sample
+			found = true
+		}
+	}
+	return first.WeightVersion, found
+}
+
+// listedAt tells whether the platform listed a replica as running.
+func listedAt(records *Records, replica string, at time.Duration) bool {
+	listed := false
+	for _, listing := range listingsByTime(records) {
+		if listing.Replica == replica && listing.At <= at {
+			listed = !listing.Draining && !listing.Removed
+		}
+	}
+	return listed
+}
+
+// listingsByTime returns a sorted copy of the platform's history.
+func listingsByTime(records *Records) []Listing {
+	sorted := slices.Clone(records.Listings)
+	slices.SortStableFunc(sorted, func(left, right Listing) int {
+		return compareTimes(left.At, right.At)
+	})
+	return sorted
+}
--- /dev/null
+++ b/internal/lab/emulator/journal.go
@@ -0,0 +1,111 @@
+package emulator
+
+import (
+	"strconv"
+
+	protocol "github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// Journal numbers the cache events of one holder of parts and keeps the last of
+// them for readers that come back.
+type Journal struct {
+	incarnation uint64
+	sequence    uint64
+	limit       int
+	events      []protocol.Event
+}
+
+// NewJournal starts a life with a reset that lists nothing.
+func NewJournal(incarnation uint64, limit int) *Journal {
+	journal := &Journal{incarnation: incarnation, limit: limit}
+	journal.add(protocol.EventReset, nil)
+	return journal
+}
+
+// Incarnation returns the number of this life.
+func (j *Journal) Incarnation() uint64 { return j.incarnation }
+
+// LastSequence returns the number of the newest event.
+func (j *Journal) LastSequence() uint64 { return j.sequence }
+
+// Stored adds an event about parts that are now kept.
+func (j *Journal) Stored(parts []KeptPart) {
+	if len(parts) > 0 {
+		j.add(protocol.EventStored, EventParts(parts))
+	}
+}
+
+// Removed adds an event about parts that were dropped.
+func (j *Journal) Removed(parts []KeptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	gone := make([]protocol.Part, len(parts))
+	for position, part := range parts {
+		gone[position] = protocol.Part{Hash: FormatHash(part.Hash)}
+	}
+	j.add(protocol.EventRemoved, gone)
+}
+
+// After returns the events that follow a sequence number, or false when some of
+// them are no longer kept or the number is of another life.
+func (j *Journal) After(sequence uint64) ([]protocol.Event, bool) {
+	if sequence > j.sequence {
+		return nil, false
+	}
+	missing := j.sequence - sequence
+	if missing > uint64(len(j.events)) {
+		return nil, false
+	}
+	return j.events[uint64(len(j.events))-missing:], true
+}
+
+// Snapshot returns a reset that stands for everything up to the newest event.
+// It bears that event's number, so that the next event follows it without a gap.
+func (j *Journal) Snapshot(kept []KeptPart) protocol.Event {
+	return protocol.Event{
+		Kind:        protocol.EventReset,
+		Incarnation: j.incarnation,
+		Sequence:    j.sequence,
+		Parts:       EventParts(kept),
+	}
+}
+
+func (j *Journal) add(kind protocol.EventKind, parts []protocol.Part) {
+	j.sequence++
+	j.events = append(j.events, protocol.Event{
+		Kind:        kind,
+		Incarnation: j.incarnation,
+		Sequence:    j.sequence,
+		Parts:       parts,
+	})
+	if len(j.events) > 2*j.limit {
+		j.events = append([]protocol.Event(nil), j.events[len(j.events)-j.limit:]...)
+	}
+}
+
+// EventParts turns kept parts into the protocol's form, which tells neither
+// tenant nor version.
+func EventParts(parts []KeptPart) []protocol.Part {
+	shown := make([]protocol.Part, len(parts))
+	for position, part := range parts {
+		shown[position] = protocol.Part{
+			Hash:   FormatHash(part.Hash),
+			Parent: FormatHash(part.Parent),
+			Tokens: part.Tokens,
+		}
+	}
+	return shown
+}
+
+// FormatHash writes a chain hash as replicas name it.
+func FormatHash(hash prefixindex.ChainHash) string {
+	return strconv.FormatUint(uint64(hash), 16)
+}
+
+// ParseHash reads what FormatHash wrote.
+func ParseHash(text string) (prefixindex.ChainHash, error) {
+	value, err := strconv.ParseUint(text, 16, 64)
+	return prefixindex.ChainHash(value), err
+}
--- /dev/null
+++ b/internal/lab/emulator/report.go
@@ -0,0 +1,100 @@
+package emulator
+
+import (
+	"time"
+
+	protocol "github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+)
+
+// reportHistory keeps past states for as long as a reader may see them.
+type reportHistory struct {
+	states []reportState
+}
+
+type reportState struct {
+	at     time.Duration
+	report protocol.Report
+}
+
+// remember notes the present state for later readers. The report's age begins
+// here.
+func (r *Replica) remember() {
+	state := reportState{at: r.now, report: r.currentReport()}
+	states := r.reports.states
+	if last := len(states) - 1; last >= 0 && states[last].at == r.now {
+		states[last] = state
+		return
+	}
+	// The newest state that is old enough stays: it is what a reader sees now.
+	visible := 0
+	for visible+1 < len(states) && states[visible+1].at <= r.now-r.config.ReportDelay {
+		visible++
+	}
+	r.reports.states = append(states[visible:], state)
+}
+
+// Report returns the account of the state as it was the report delay ago. A
+// replica that started since then shows its first state.
+func (r *Replica) Report(now time.Duration) protocol.Report {
+	r.Advance(now)
+	states := r.reports.states
+	shown := states[0]
+	for _, state := range states {
+		if state.at <= now-r.config.ReportDelay {
+			shown = state
+		}
+	}
+	report := shown.report
+	age := min(r.config.ReportDelay, now-shown.at)
+	report.AgeMS = uint64(age.Milliseconds())
+	report.Warming = shown.at < r.warmAt && now-age < r.warmAt
+	return report
+}
+
+func (r *Replica) currentReport() protocol.Report {
+	return protocol.Report{
+		Incarnation:         r.journal.Incarnation(),
+		WeightVersion:       r.WeightVersion(),
+		ActiveRequests:      uint32(len(r.active)),
+		ActivePrefillTokens: r.prefillTokens(),
+		ActiveDecodeTokens:  r.heldTokens(),
+		KeptTokens:          r.cache.KeptTokens(),
+		CapacityTokens:      r.config.CapacityTokens,
+		LastSequence:        r.journal.LastSequence(),
+	}
+}
+
+// prefillTokens counts the prompt tokens that accepted attempts still have to
+// compute.
+func (r *Replica) prefillTokens() uint64 {
+	var tokens uint64
+	for _, attempt := range r.active {
+		switch {
+		case attempt == r.prefilling:
+			tokens += attempt.uncomputed()
+		case !attempt.execution.Started:
+			tokens += attempt.prompt - r.leadingTokens(attempt)
+		}
+	}
+	return tokens
+}
+
+func (r *Replica) leadingTokens(attempt *sequence) uint64 {
+	var tokens uint64
+	for _, link := range attempt.links {
+		if _, kept := r.cache.Get(link.Hash); !kept {
+			break
+		}
+		tokens += uint64(link.Tokens)
+	}
+	return tokens
+}
+
+// heldTokens counts the tokens, prompt and generated, of all accepted attempts.
+func (r *Replica) heldTokens() uint64 {
+	var tokens uint64
+	for _, attempt := range r.active {
+		tokens += attempt.prompt + uint64(attempt.produced)
+	}
+	return tokens
+}
--- /dev/null
+++ b/internal/lab/fleet/fleet.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+)
+
+// Bounds of a fleet's start and end.
+const (
+	// startTimeout bounds the wait for one process to answer.
+	startTimeout = 20 * time.Second
+	// pollEvery is how often a starting process is asked.
+	pollEvery = 50 * time.Millisecond
+	// stopTimeout is how long processes may take to finish by themselves.
+	stopTimeout = 5 * time.Second
+)
+
+// Paths of a node's health checks.
+const (
+	livePath  = "/healthz/live"
+	readyPath = "/healthz/ready"
+)
+
+// Options say how to run a fleet.
+type Options struct {
+	Topology *Topology
+	// NodeBinary runs nodes, LabBinary the stand-ins.
+	NodeBinary string
+	LabBinary  string
+	// Folder takes settings, data and logs.
+	Folder string
+	// TimeScale is how many times faster than a real machine replicas compute.
+	TimeScale float64
+	Seed      uint64
+	Clock     *Clock
+	Log       *logrus.Entry
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	options Options
+	probe   *http.Client
+
+	lock      sync.Mutex
+	processes []*Process
+	stopped   bool
+}
+
+// New returns a fleet of which nothing runs yet.
+func New(options Options) *Fleet {
+	return &Fleet{options: options, probe: &http.Client{Timeout: time.Second}}
+}
+
+// Start starts every process and returns when all of them answer. Nodes are
+// alive then, but serve nothing before they have a configuration. The caller
+// stops the fleet whether or not Start succeeds.
+func (fleet *Fleet) Start(ctx context.Context) error {
+	if err := writeServices(fleet.options.Topology, fleet.options.Folder); err != nil {
+		return err
+	}
+	for _, standIn := range standIns(fleet.options) {
+		if _, err := fleet.launch(KindStandIn, standIn.name, fleet.options.LabBinary, standIn.arguments...); err != nil {
+			return err
+		}
+	}
+	for _, standIn := range standIns(fleet.options) {
+		if err := fleet.await(ctx, standIn.name, standIn.probe); err != nil {
+			return err
+		}
+	}
+	for _, node := range fleet.options.Topology.Nodes {
+		if err := fleet.StartNode(node); err != nil {
+			return err
+		}
+	}
+	return fleet.awaitNodes(ctx, livePath)
+}
+
+// StartNode starts a node, or starts it again on the data that it left.
+func (fleet *Fleet) StartNode(node Node) error {
+	path, err := writeSettings(fleet.options.Topology, node, fleet.options.Folder)
+	if err != nil {
+		return err
+	}
+	_, err = fleet.launch(KindNode, node.Name, fleet.options.NodeBinary, "node", "--settings", path)
+	return err
+}
+
+// AwaitReady returns when every node that runs is ready.
+func (fleet *Fleet) AwaitReady(ctx context.Context) error {
+	return fleet.awaitNodes(ctx, readyPath)
+}
+
+func (fleet *Fleet) awaitNodes(ctx context.Context, path string) error {
+	for _, node := range fleet.options.Topology.Nodes {
+		if fleet.running(node.Name) == nil {
+			continue
+		}
+		if err := fleet.await(ctx, node.Name, "http://"+node.ControlAddress()+path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// KillNode ends a node at once, as a power loss would.
+func (fleet *Fleet) KillNode(name string) error {
+	process := fleet.running(name)
+	if process == nil {
+		return errors.Errorf("node %s does not run", name)
+	}
+	process.Kill()
+	return nil
+}
+
+// running returns the process of a name that has not ended, or nil.
+func (fleet *Fleet) running(name string) *Process {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	for _, process := range fleet.processes {
+		if _, ended := process.Ended(); process.Name == name && !ended {
+			return process
+		}
+	}
+	return nil
+}
+
+func (fleet *Fleet) launch(kind ProcessKind, name, binary string, arguments ...string) (*Process, error) {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	if fleet.stopped {
+		return nil, errors.New("the fleet has been stopped")
+	}
+	process, err := startProcess(kind, name, fleet.options.Folder, binary, arguments...)
+	if err != nil {
+		return nil, err
+	}
+	fleet.processes = append(fleet.processes, process)
+	return process, nil
+}
+
+// await polls an address until it answers with success.
+func (fleet *Fleet) await(ctx context.Context, name, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for !fleet.answers(ctx, url) {
+		process := fleet.running(name)
+		if process == nil {
+			return errors.Errorf("%s ended while it started; see %s.log in %s", name, name, fleet.options.Folder)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("%s did not answer %s in time; see %s.log in %s", name, url, name, fleet.options.Folder)
+		case <-process.Done():
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (fleet *Fleet) answers(ctx context.Context, url string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := fleet.probe.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Lives returns every life of every node's process.
+func (fleet *Fleet) Lives() []checker.NodeLife {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	var lives []checker.NodeLife
+	for _, process := range fleet.processes {
+		if process.Kind != KindNode {
+			continue
+		}
+		life := checker.NodeLife{Node: process.Name}
+		life.From = fleet.options.Clock.At(process.Started)
+		if ended, done := process.Ended(); done {
+			life.To = fleet.options.Clock.At(ended)
+			life.Ended = true
+		}
+		lives = append(lives, life)
+	}
+	return lives
+}
+
+// Stop ends every process: nodes first, so that they find their counterparts
+// to the end. It returns the names of nodes that had to be killed.
+func (fleet *Fleet) Stop() []string {
+	fleet.lock.Lock()
+	fleet.stopped = true
+	processes := append([]*Process(nil), fleet.processes...)
+	fleet.lock.Unlock()
+	late := terminate(processes, KindNode)
+	terminate(processes, KindStandIn)
+	fleet.probe.CloseIdleConnections()
+	return late
+}
+
+// terminate ends all processes of a kind at the same time and returns the names
+// of those that did not end by themselves.
+func terminate(processes []*Process, kind ProcessKind) []string {
+	var lock sync.Mutex
+	var late []string
+	var ending sync.WaitGroup
+	for _, process := range processes {
+		if process.Kind != kind {
+			continue
+		}
+		ending.Go(func() {
+			if process.Terminate(stopTimeout) {
+				return
+			}
+			lock.Lock()
+			defer lock.Unlock()
+			late = append(late, process.Name)
+		})
+	}
+	ending.Wait()
+	return late
+}
--- /dev/null
+++ b/internal/lab/fleet/groundtruth.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/emulator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin/webservice"
+)
+
+// Paths at which stand-ins tell what they recorded, as JSON lines.
+const (
+	executionsPath = "/lab/executions"
+	commandsPath   = "/lab/commands"
+)
+
+// Bounds of the collection.
+const (
+	// collectTimeout bounds the whole collection.
+	collectTimeout  = 5 * time.Second
+	maxCollectBytes = 256 << 20
+)
+
+// Collect reads from every stand-in what it recorded.
+func (fleet *Fleet) Collect(ctx context.Context, records *checker.Records) error {
+	client := &http.Client{Timeout: collectTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, member := range fleet.options.Topology.Replicas.Members {
+		if err := fleet.collectReplica(ctx, client, member, records); err != nil {
+			return err
+		}
+	}
+	for _, group := range fleet.options.Topology.WebServices {
+		for _, member := range group.Members {
+			if err := fleet.collectPages(ctx, client, group, member, records); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (fleet *Fleet) collectReplica(ctx context.Context, client *http.Client, member Backend, records *checker.Records) error {
+	executions, err := lines[replica.ExecutionRecord](ctx, client, member.Address, executionsPath)
+	if err != nil {
+		return err
+	}
+	commands, err := lines[replica.CommandRecord](ctx, client, member.Address, commandsPath)
+	if err != nil {
+		return err
+	}
+	for _, record := range executions {
+		execution := fleet.execution(record)
+		execution.Service = fleet.options.Topology.Replicas.Service
+		execution.Zone = member.Zone
+		records.Executions = append(records.Executions, execution)
+	}
+	for _, record := range commands {
+		records.Commands = append(records.Commands, checker.Command{Replica: member.Address,
+			Holder: record.Holder, Epoch: record.Epoch, WeightVersion: record.WeightVersion,
+			At: fleet.at(record.UnixNano), Accepted: record.Accepted})
+	}
+	return nil
+}
+
+// execution turns a stand-in's record into the checker's. What has not started
+// when the run is over cannot start any more, since its callers are gone.
+func (fleet *Fleet) execution(record replica.ExecutionRecord) checker.Execution {
+	return checker.Execution{
+		RequestID:     record.RequestID,
+		AttemptID:     record.AttemptID,
+		Attempt:       record.Attempt,
+		Replica:       record.Replica,
+		Arrived:       fleet.at(record.ArrivedUnixNano),
+		Refused:       !record.Started,
+		Ended:         fleet.at(record.FinishedUnixNano),
+		Tenant:        record.Tenant,
+		WeightVersion: record.WeightVersion,
+		FinalVersion:  record.FinalWeightVersion,
+		PromptTokens:  record.PrefilledTokens + record.ReusedTokens,
+		ReusedTokens:  record.ReusedTokens,
+		Reused: lo.Map(record.ReusedParts, func(part emulator.ReusedPart, _ int) checker.Reuse {
+			return checker.Reuse{Part: part.Hash, Tenant: part.Tenant, WeightVersion: part.WeightVersion}
+		}),
+	}
+}
+
+// collectPages reads the requests to one back end of a web service. Pages are
+// kept from nobody, so that only the attempts matter.
+func (fleet *Fleet) collectPages(ctx context.Context, client *http.Client, group WebGroup, member Backend, records *checker.Records) error {
+	visits, err := lines[webservice.VisitRecord](ctx, client, member.Address, executionsPath)
+	if err != nil {
+		return err
+	}
+	for _, visit := range visits {
+		records.Executions = append(records.Executions, checker.Execution{
+			RequestID: visit.RequestID,
+			AttemptID: visit.AttemptID,
+			Attempt:   visit.Attempt,
+			Service:   group.Service,
+			Replica:   member.Address,
+			Zone:      member.Zone,
+			Arrived:   fleet.at(visit.StartedUnixNano),
+			Refused:   visit.Refused,
+			Ended:     fleet.at(visit.FinishedUnixNano),
+		})
+	}
+	return nil
+}
+
+func (fleet *Fleet) at(unixNano int64) time.Duration {
+	return fleet.options.Clock.At(time.Unix(0, unixNano))
+}
+
+// lines reads JSON values, a line each.
+func lines[T any](ctx context.Context, client *http.Client, address, path string) ([]T, error) {
+	body, err := get(ctx, client, address, path, maxCollectBytes)
+	if err != nil {
+		return nil, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	var values []T
+	for decoder.More() {
+		var value T
+		if err := decoder.Decode(&value); err != nil {
+			return nil, errors.Wrapf(err, "read %s%s", address, path)
+		}
+		values = append(values, value)
+	}
+	return values, nil
+}
--- /dev/null
+++ b/internal/lab/fleet/load.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/operator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/workload"
+)
+
+// Names of the keys that every tenant of a deployment begins with.
+const (
+	mainKey  = "main"
+	spareKey = "spare"
+	// addedKey is the name of the key that the scenario adds.
+	addedKey = "added"
+)
+
+// Shares of the callers, from 0 to 1.
+const (
+	// spareShare use the tenant's spare key, also after it was revoked.
+	spareShare = 0.4
+	// addedShare use the added key.
+	addedShare = 0.2
+	// leavingShare go away before their answer is complete.
+	leavingShare = 0.03
+	// returningShare come back after a refusal.
+	returningShare = 0.5
+)
+
+// longestStay is the longest time after which a caller goes away.
+const longestStay = 400 * time.Millisecond
+
+// addedKeyUse is the share of the load's duration after which callers know the
+// added key. The order that adds it was acknowledged by then.
+const addedKeyUse = 0.3
+
+// Secret returns the secret of a key of the demonstration. Anybody can derive
+// it; real keys are random.
+func Secret(deployment, tenant, key string) string {
+	return fmt.Sprintf("demo-%s-%s-%s", deployment, tenant, key)
+}
+
+// LoadOptions choose a load.
+type LoadOptions struct {
+	Seed     uint64
+	Duration time.Duration
+	// ModelRate is in requests per second.
+	ModelRate float64
+}
+
+// load turns a stream of the deployment's mix into jobs of callers.
+type load struct {
+	deployment *Deployment
+	plan       operator.Plan
+	options    LoadOptions
+	stream     *workload.Generator
+	random     *rand.Rand
+}
+
+// NewLoad returns the load of a deployment. The plan says which keys change
+// while it runs.
+func NewLoad(deployment *Deployment, plan operator.Plan, options LoadOptions) (caller.Load, error) {
+	if len(deployment.Configuration.GetPools()) != 1 || len(deployment.Configuration.GetRoutes()) != 2 {
+		return nil, errors.New("a deployment needs one pool, and a route each to the pool and to the web service")
+	}
+	mix, err := workload.ByName(deployment.Topology.Name)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := workload.New(mix, workload.Options{Seed: options.Seed, Duration: options.Duration,
+		ModelRate: options.ModelRate, WebRate: deployment.Topology.WebServices[0].FetchesPerSecond})
+	if err != nil {
+		return nil, err
+	}
+	return &load{deployment: deployment, plan: plan, options: options, stream: stream,
+		random: rand.New(rand.NewPCG(options.Seed, 0xca11))}, nil
+}
+
+// Next implements caller.Load.
+func (load *load) Next() (caller.Job, bool) {
+	request, more := load.stream.Next()
+	if !more {
+		return caller.Job{}, false
+	}
+	job := caller.Job{
+		At:           request.At,
+		Parts:        request.Parts,
+		OutputTokens: request.OutputTokens,
+		Repeatable:   request.Repeatable,
+		Streamed:     request.Streamed,
+		Deadline:     request.Deadline,
+		ComesBack:    load.random.Float64() < returningShare,
+	}
+	if load.random.Float64() < leavingShare {
+		job.LeaveAfter = time.Duration(load.random.Int64N(int64(longestStay))) + time.Millisecond
+	}
+	if request.Web {
+		load.directToWeb(&job, request)
+	} else {
+		load.directToModel(&job, request)
+	}
+	return job, true
+}
+
+func (load *load) directToWeb(job *caller.Job, request workload.Request) {
+	job.Service = load.deployment.Topology.WebServices[0].Service
+	job.WebService = true
+	job.Method = http.MethodGet
+	job.Path = request.Path
+	job.Host = load.host(func(pool string) bool { return pool == "" })
+}
+
+func (load *load) directToModel(job *caller.Job, request workload.Request) {
+	pool := load.deployment.Configuration.GetPools()[0]
+	job.Service = pool.GetService()
+	job.Method = http.MethodPost
+	job.Path = replica.PathGenerate
+	job.Model = pool.GetModel()
+	job.Host = load.host(func(routed string) bool { return routed == pool.GetName() })
+	job.Tenant = request.Tenant
+	job.Key = load.key(request)
+	job.Secret = Secret(load.deployment.Topology.Name, job.Tenant, job.Key)
+}
+
+// key chooses the key of a request.
+func (load *load) key(request workload.Request) string {
+	chance := load.random.Float64()
+	addedKnown := request.At > time.Duration(addedKeyUse*float64(load.options.Duration))
+	switch {
+	case request.Tenant == load.plan.RevokedTenant && chance < spareShare:
+		return load.plan.RevokedKey
+	case request.Tenant == load.plan.KeyTenant && addedKnown && chance < addedShare:
+		return load.plan.AddedKey
+	default:
+		return mainKey
+	}
+}
+
+// host returns the host of the first route whose pool is wanted.
+func (load *load) host(wanted func(pool string) bool) string {
+	for _, route := range load.deployment.Configuration.GetRoutes() {
+		if wanted(route.GetPool()) {
+			return route.GetHost()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/fleet/machines.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/operator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin/platform"
+)
+
+// changesPath is where the platform's stand-in takes changes of its list.
+const changesPath = "/lab/services"
+
+// RestartNode starts a node again on the data that it left.
+func (fleet *Fleet) RestartNode(name string) error {
+	node, known := fleet.options.Topology.Node(name)
+	if !known {
+		return errors.Errorf("the topology has no node %s", name)
+	}
+	if fleet.running(name) != nil {
+		return errors.Errorf("node %s runs already", name)
+	}
+	return fleet.StartNode(node)
+}
+
+// DrainReplica lets the platform list a model replica as draining.
+func (fleet *Fleet) DrainReplica(ctx context.Context, address string) error {
+	changes := platform.Changes{Changes: []platform.Change{{
+		Service: fleet.options.Topology.Replicas.Service,
+		Address: address,
+		State:   platform.StateDraining,
+	}}}
+	body, err := json.Marshal(changes)
+	if err != nil {
+		return errors.Wrap(err, "encode the change")
+	}
+	url := "http://" + fleet.options.Topology.Platform.Address + changesPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build the change")
+	}
+	response, err := fleet.probe.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "send the change to the platform")
+	}
+	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return errors.Errorf("the platform refused the change with status %d", response.StatusCode)
+	}
+	return nil
+}
+
+// LiveTargets returns the nodes that run, as operators reach them.
+func (fleet *Fleet) LiveTargets() []operator.Target {
+	return lo.FilterMap(fleet.options.Topology.Nodes, func(node Node, _ int) (operator.Target, bool) {
+		target := operator.Target{Node: node.Name, ControlAddress: node.ControlAddress()}
+		return target, fleet.running(node.Name) != nil
+	})
+}
+
+// trafficTargets returns the front nodes, as callers reach them.
+func trafficTargets(topology *Topology) []caller.Target {
+	return lo.Map(topology.Front(), func(node Node, _ int) caller.Target {
+		return caller.Target{Node: node.Name, TrafficAddress: node.TrafficAddress(), ControlAddress: node.ControlAddress()}
+	})
+}
--- /dev/null
+++ b/internal/lab/fleet/process.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ProcessKind tells what a process stands for.
+type ProcessKind string
+
+// The kinds of processes.
+const (
+	KindNode    ProcessKind = "node"
+	KindStandIn ProcessKind = "stand-in"
+)
+
+// Process is one process of the fleet.
+type Process struct {
+	Name    string
+	Kind    ProcessKind
+	Started time.Time
+
+	command *exec.Cmd
+	log     *os.File
+	done    chan struct{}
+
+	lock  sync.Mutex
+	ended time.Time
+	err   error
+}
+
+// startProcess starts a program whose output goes to a file of the folder. A
+// further life of the same name appends to the same file.
+func startProcess(kind ProcessKind, name, folder, binary string, arguments ...string) (*Process, error) {
+	path := filepath.Join(folder, name+".log")
+	log, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the log of a process")
+	}
+	command := exec.Command(binary, arguments...)
+	command.Stdout = log
+	command.Stderr = log
+	// A group of its own keeps the terminal's interrupt from reaching it before
+	// the fleet has recorded how the run ended.
+	// Should the lab itself be killed, the system ends what it started.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	process := &Process{Name: name, Kind: kind, Started: time.Now(), command: command, log: log,
+		done: make(chan struct{})}
+	if err := command.Start(); err != nil {
+		_ = log.Close()
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	go process.wait()
+	return process, nil
+}
+
+func (process *Process) wait() {
+	err := process.command.Wait()
+	process.lock.Lock()
+	process.ended = time.Now()
+	process.err = err
+	process.lock.Unlock()
+	_ = process.log.Close()
+	close(process.done)
+}
+
+// Done is closed when the process has ended.
+func (process *Process) Done() <-chan struct{} { return process.done }
+
+// Ended returns when the process ended, or false while it runs.
+func (process *Process) Ended() (time.Time, bool) {
+	process.lock.Lock()
+	defer process.lock.Unlock()
+	return process.ended, !process.ended.IsZero()
+}
+
+// signal sends a signal unless the process has been waited for, so that it can
+// never reach a stranger that got the same number.
+func (process *Process) signal(signal os.Signal) {
+	if _, ended := process.Ended(); !ended {
+		_ = process.command.Process.Signal(signal)
+	}
+}
+
+// Kill ends the process at once and returns when it is gone.
+func (process *Process) Kill() {
+	process.signal(syscall.SIGKILL)
+	<-process.done
+}
+
+// Terminate asks the process to finish, and kills it when it has not done so
+// in time. It tells whether the process ended by itself.
+func (process *Process) Terminate(timeout time.Duration) bool {
+	process.signal(syscall.SIGTERM)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-process.done:
+		return true
+	case <-timer.C:
+		process.Kill()
+		return false
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/sampler.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+)
+
+// Intervals of the samples.
+const (
+	statusEvery  = 50 * time.Millisecond
+	listingEvery = 100 * time.Millisecond
+	versionEvery = 250 * time.Millisecond
+	// sampleTimeout bounds one sample.
+	sampleTimeout = time.Second
+)
+
+// maxSampleBytes bounds what is read for one sample.
+const maxSampleBytes = 4 << 20
+
+// Paths that are sampled.
+const (
+	statusPath   = "/v1/status"
+	servicesPath = "/v1/services"
+)
+
+// Sampler watches a fleet from outside.
+type Sampler struct {
+	topology *Topology
+	clock    *Clock
+	client   *http.Client
+
+	lock     sync.Mutex
+	served   []checker.ServedSample
+	versions []checker.VersionSample
+	listings []checker.Listing
+	listed   map[string]checker.Listing
+}
+
+// NewSampler returns a sampler for a fleet.
+func NewSampler(topology *Topology, clock *Clock) *Sampler {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	return &Sampler{topology: topology, clock: clock, listed: make(map[string]checker.Listing),
+		client: &http.Client{Timeout: sampleTimeout, Transport: transport}}
+}
+
+// Run samples until the context ends.
+func (sampler *Sampler) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, node := range sampler.topology.Nodes {
+		running.Go(func() { repeat(ctx, statusEvery, func() { sampler.sampleStatus(ctx, node) }) })
+	}
+	for _, member := range sampler.topology.Replicas.Members {
+		running.Go(func() { repeat(ctx, versionEvery, func() { sampler.sampleVersion(ctx, member) }) })
+	}
+	running.Go(func() { repeat(ctx, listingEvery, func() { sampler.sampleListing(ctx) }) })
+	running.Wait()
+	sampler.client.CloseIdleConnections()
+}
+
+func repeat(ctx context.Context, every time.Duration, sample func()) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		sample()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// sampleStatus asks a node what it serves. The sample bears the time before
+// the question: what a node serves at the answer it may have learnt since.
+func (sampler *Sampler) sampleStatus(ctx context.Context, node Node) {
+	at := sampler.clock.Now()
+	body, err := sampler.get(ctx, node.ControlAddress(), statusPath)
+	if err != nil {
+		return
+	}
+	status := &ridgeswitchv1.NodeStatus{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(body, status); err != nil {
+		return
+	}
+	sampler.lock.Lock()
+	defer sampler.lock.Unlock()
+	sampler.served = append(sampler.served, checker.ServedSample{Node: node.Name, At: at,
+		Revision: status.GetServedRevision(), Fenced: status.GetFenced()})
+}
+
+func (sampler *Sampler) sampleVersion(ctx context.Context, member Backend) {
+	at := sampler.clock.Now()
+	body, err := sampler.get(ctx, member.Address, replica.PathReport)
+	if err != nil {
+		return
+	}
+	var report replica.Report
+	if err := json.Unmarshal(body, &report); err != nil {
+		return
+	}
+	sampler.lock.Lock()
+	defer sampler.lock.Unlock()
+	sampler.versions = append(sampler.versions, checker.VersionSample{Pool: sampler.topology.Replicas.Pool,
+		Replica: member.Address, At: at, WeightVersion: report.WeightVersion})
+}
+
+// serviceList is the platform's list.
+type serviceList struct {
+	Services []struct {
+		Name     string `json:"name"`
+		Replicas []struct {
+			Address string `json:"address"`
+			Zone    string `json:"zone"`
+			State   string `json:"state"`
+		} `json:"replicas"`
+	} `json:"services"`
+}
+
+// stateDraining is how the list marks a replica that is to go.
+const stateDraining = "draining"
+
+// sampleListing reads the list and keeps what changed. An entry bears the time
+// after the answer, by which the list certainly showed it.
+func (sampler *Sampler) sampleListing(ctx context.Context) {
+	body, err := sampler.get(ctx, sampler.topology.Platform.Address, servicesPath)
+	if err != nil {
+		return
+	}
+	var list serviceList
+	if err := json.Unmarshal(body, &list); err != nil {
+		return
+	}
+	at := sampler.clock.Now()
+	sampler.lock.Lock()
+	defer sampler.lock.Unlock()
+	shown := make(map[string]bool)
+	for _, service := range list.Services {
+		for _, entry := range service.Replicas {
+			shown[entry.Address] = true
+			sampler.note(checker.Listing{Service: service.Name, Replica: entry.Address, Zone: entry.Zone,
+				Draining: entry.State == stateDraining}, at)
+		}
+	}
+	for address, listing := range sampler.listed {
+		if !shown[address] {
+			listing.Removed = true
+			sampler.note(listing, at)
+		}
+	}
+}
+
+// note keeps an entry if it differs from the last one of its replica.
+func (sampler *Sampler) note(listing checker.Listing, at time.Duration) {
+	listing.At = 0
+	if last, known := sampler.listed[listing.Replica]; known && last == listing {
+		return
+	}
+	sampler.listed[listing.Replica] = listing
+	listing.At = at
+	sampler.listings = append(sampler.listings, listing)
+}
+
+func (sampler *Sampler) get(ctx context.Context, address, path string) ([]byte, error) {
+	return get(ctx, sampler.client, address, path, maxSampleBytes)
+}
+
+func get(ctx context.Context, client *http.Client, address, path string, maxBytes int64) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build the question")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("%s%s answered with status %d", address, path, response.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
+	return body, errors.Wrap(err, "read the answer")
+}
+
+// ReplicasRunning tells whether the newest sample of every listed replica that
+// is not draining shows a weight version.
+func (sampler *Sampler) ReplicasRunning(version string) bool {
+	sampler.lock.Lock()
+	defer sampler.lock.Unlock()
+	newest := make(map[string]string)
+	for _, sample := range sampler.versions {
+		newest[sample.Replica] = sample.WeightVersion
+	}
+	for address, running := range newest {
+		listing, known := sampler.listed[address]
+		counts := known && !listing.Draining && !listing.Removed
+		if counts && running != version {
+			return false
+		}
+	}
+	return len(newest) > 0
+}
+
+// Fill puts the samples into the records of a run.
+func (sampler *Sampler) Fill(records *checker.Records) {
+	sampler.lock.Lock()
+	defer sampler.lock.Unlock()
+	records.Served = append(records.Served, sampler.served...)
+	records.Versions = append(records.Versions, sampler.versions...)
+	records.Listings = append(records.Listings, sampler.listings...)
+}
--- /dev/null
+++ b/internal/lab/fleet/settings.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
+)
+
+// drainTimeoutMS keeps a fleet that is asked to stop from lingering.
+const drainTimeoutMS = 3000
+
+// settingsOf returns the settings of a node. The data folder of a node with a
+// disk lies in the fleet's folder.
+func settingsOf(topology *Topology, node Node, folder string) *static.Settings {
+	settings := &static.Settings{
+		Node:            node.Name,
+		Zone:            node.Zone,
+		Internal:        node.InternalAddress(),
+		Traffic:         node.TrafficAddress(),
+		Control:         node.ControlAddress(),
+		Seeds:           seedsOf(topology, node),
+		Group:           topology.Group,
+		GroupZones:      groupZones(topology),
+		PlatformAddress: topology.Platform.Address,
+		DrainTimeoutMS:  drainTimeoutMS,
+	}
+	if node.Disk {
+		settings.DataFolder = filepath.Join(folder, node.Name+"-data")
+	}
+	return settings
+}
+
+// seedsOf returns the internal addresses of the seeds other than the node.
+func seedsOf(topology *Topology, node Node) []string {
+	return lo.FilterMap(topology.Seeds, func(name string, _ int) (string, bool) {
+		seed, known := topology.Node(name)
+		return seed.InternalAddress(), known && name != node.Name
+	})
+}
+
+func groupZones(topology *Topology) []string {
+	return lo.Map(topology.Group, func(name string, _ int) string {
+		node, _ := topology.Node(name)
+		return node.Zone
+	})
+}
+
+// writeSettings writes a node's settings file and makes its data folder.
+func writeSettings(topology *Topology, node Node, folder string) (string, error) {
+	settings := settingsOf(topology, node, folder)
+	data, err := yaml.Marshal(settings)
+	if err != nil {
+		return "", errors.Wrap(err, "encode the settings of a node")
+	}
+	if settings.DataFolder != "" {
+		if err := os.MkdirAll(settings.DataFolder, 0o755); err != nil {
+			return "", errors.Wrap(err, "make the data folder of a node")
+		}
+	}
+	path := filepath.Join(folder, node.Name+".yaml")
+	return path, errors.Wrap(os.WriteFile(path, data, 0o644), "write the settings of a node")
+}
--- /dev/null
+++ b/internal/lab/fleet/standins.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin/platform"
+)
+
+// platformLag is how long the platform's list lags behind the truth.
+const platformLag = time.Second
+
+// servicesFile holds the platform's initial list.
+const servicesFile = "services.json"
+
+// standIn is a process that stands for a counterpart of the nodes.
+type standIn struct {
+	name      string
+	arguments []string
+	// probe is an address that answers once the process serves.
+	probe string
+}
+
+// standIns returns every stand-in of a deployment.
+func standIns(options Options) []standIn {
+	all := []standIn{platformStandIn(options), storeStandIn(options)}
+	for number, member := range options.Topology.Replicas.Members {
+		all = append(all, replicaStandIn(options, number, member))
+	}
+	for _, group := range options.Topology.WebServices {
+		for number, member := range group.Members {
+			all = append(all, webStandIn(options, group, number, member))
+		}
+	}
+	return all
+}
+
+func platformStandIn(options Options) standIn {
+	address := options.Topology.Platform.Address
+	return standIn{
+		name: "platform",
+		arguments: []string{"platform", "--address", address,
+			"--services", filepath.Join(options.Folder, servicesFile), "--lag", platformLag.String()},
+		probe: "http://" + address + servicesPath,
+	}
+}
+
+func storeStandIn(options Options) standIn {
+	store := options.Topology.Store
+	arguments := []string{"store", "--address", store.Address, "--zone", store.Zone}
+	return standIn{
+		name:      "store",
+		arguments: append(arguments, modelFlags(options, 0)...),
+		probe:     "http://" + store.Address + replica.PathReport,
+	}
+}
+
+func replicaStandIn(options Options, number int, member Backend) standIn {
+	group := options.Topology.Replicas
+	arguments := []string{"replica", "--address", member.Address, "--zone", member.Zone,
+		"--class", group.MachineClass, "--weight-version", group.WeightVersion,
+		"--store", options.Topology.Store.Address}
+	return standIn{
+		name:      fmt.Sprintf("replica-%d", number+1),
+		arguments: append(arguments, modelFlags(options, number+1)...),
+		probe:     "http://" + member.Address + replica.PathReport,
+	}
+}
+
+// modelFlags are the flags of everything that keeps parts.
+func modelFlags(options Options, number int) []string {
+	links := options.Topology.Links
+	latency := time.Duration(links.CrossZoneLatencyMicroseconds) * time.Microsecond
+	return []string{
+		"--time-scale", strconv.FormatFloat(options.TimeScale, 'g', -1, 64),
+		"--seed", strconv.FormatUint(options.Seed+uint64(number), 10),
+		"--cross-zone-latency", latency.String(),
+		"--cross-zone-bandwidth", strconv.FormatFloat(links.CrossZoneBytesPerSecond, 'g', -1, 64),
+		"--event-loss", "0.01", "--event-duplicates", "0.01", "--event-reorder", "0.01",
+	}
+}
+
+func webStandIn(options Options, group WebGroup, number int, member Backend) standIn {
+	return standIn{
+		name: fmt.Sprintf("%s-%d", group.Service, number+1),
+		arguments: []string{"webservice", "--address", member.Address,
+			"--seed", strconv.FormatUint(options.Seed+uint64(number), 10)},
+		probe: "http://" + member.Address + executionsPath,
+	}
+}
+
+// writeServices writes the platform's initial list.
+func writeServices(topology *Topology, folder string) error {
+	list := platform.List{Services: []platform.Service{
+		listed(topology.Replicas.Service, topology.Replicas.Members),
+	}}
+	for _, group := range topology.WebServices {
+		list.Services = append(list.Services, listed(group.Service, group.Members))
+	}
+	data, err := json.Marshal(list)
+	if err != nil {
+		return errors.Wrap(err, "encode the platform's list")
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(folder, servicesFile), data, 0o644), "write the platform's list")
+}
+
+func listed(service string, members []Backend) platform.Service {
+	return platform.Service{Name: service, Replicas: lo.Map(members, func(member Backend, _ int) platform.Replica {
+		return platform.Replica{Address: member.Address, Zone: member.Zone, State: platform.StateRunning}
+	})}
+}
--- /dev/null
+++ b/internal/lab/operator/applications.go
@@ -0,0 +1,156 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+)
+
+// raceOperators is how many operators change the configuration on one base.
+const raceOperators = 2
+
+// resends is to how many nodes a taken order is sent again.
+const resends = 3
+
+// ApplyOrder is the order to apply a whole configuration.
+func ApplyOrder(orderID string, base uint64, configuration *ridgeswitchv1.Configuration) Order {
+	return Order{
+		Call: "ApplyConfiguration",
+		Request: &ridgeswitchv1.ApplyConfigurationRequest{
+			Order:         &ridgeswitchv1.OrderHeader{OrderId: orderID, BaseRevision: base},
+			Configuration: configuration,
+		},
+		Change: checker.Change{Kind: checker.ChangeApply},
+	}
+}
+
+// edited returns an order to apply the present configuration with an edit.
+func (scenario *Scenario) edited(ctx context.Context, name string, edit func(*ridgeswitchv1.Configuration)) (Order, error) {
+	present, err := scenario.present(ctx)
+	if err != nil {
+		return Order{}, err
+	}
+	changed := proto.CloneOf(present)
+	edit(changed)
+	return ApplyOrder(scenario.orderID(name), present.GetRevision(), changed), nil
+}
+
+// present reads the configuration in force from the first node that shows it.
+func (scenario *Scenario) present(ctx context.Context) (*ridgeswitchv1.Configuration, error) {
+	err := errors.New("no node is left to show the configuration")
+	for _, target := range scenario.targets() {
+		var configuration *ridgeswitchv1.Configuration
+		configuration, err = scenario.Recorder.Configuration(ctx, target)
+		if err == nil {
+			return configuration, nil
+		}
+	}
+	return nil, err
+}
+
+// changeLimits applies a configuration in which every tenant has another burst.
+func (scenario *Scenario) changeLimits(ctx context.Context) error {
+	order, err := scenario.edited(ctx, "limits", func(configuration *ridgeswitchv1.Configuration) {
+		for _, tenant := range configuration.GetTenants() {
+			tenant.Limits.Burst++
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return scenario.take(ctx, order)
+}
+
+// race lets operators change the configuration on the same base through
+// different nodes at the same time. One must win; its order is then sent again
+// to other nodes, as if the answer had been lost.
+func (scenario *Scenario) race(ctx context.Context) error {
+	orders, err := scenario.rivals(ctx)
+	if err != nil {
+		return err
+	}
+	results := make([]checker.Order, len(orders))
+	var racing sync.WaitGroup
+	for number, order := range orders {
+		targets := scenario.targets()
+		racing.Go(func() { results[number], _ = scenario.Recorder.Insist(ctx, targets, order) })
+	}
+	racing.Wait()
+	winner := slices.IndexFunc(results, func(result checker.Order) bool {
+		return result.Outcome == checker.OutcomeAcknowledged
+	})
+	if winner < 0 {
+		return errors.Errorf("no operator won the race: %s and %s", results[0].Outcome, results[1].Outcome)
+	}
+	return scenario.resend(ctx, orders[winner])
+}
+
+// rivals returns orders on one base that differ in content.
+func (scenario *Scenario) rivals(ctx context.Context) ([]Order, error) {
+	present, err := scenario.present(ctx)
+	if err != nil {
+		return nil, err
+	}
+	orders := make([]Order, raceOperators)
+	for number := range orders {
+		changed := proto.CloneOf(present)
+		changed.Tenants[0].Limits.QueuedRequests += uint32(number + 1)
+		orders[number] = ApplyOrder(scenario.orderID(fmt.Sprintf("race-%d", number)), present.GetRevision(), changed)
+	}
+	return orders, nil
+}
+
+// resend sends an identical order to several nodes.
+func (scenario *Scenario) resend(ctx context.Context, order Order) error {
+	targets := scenario.targets()
+	for _, target := range targets[:min(resends, len(targets))] {
+		if _, err := scenario.Recorder.Insist(ctx, []Target{target}, order); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendInvalid sends configurations that break a rule each. All must be refused.
+func (scenario *Scenario) sendInvalid(ctx context.Context) error {
+	for _, fault := range invalidEdits {
+		order, err := scenario.edited(ctx, "invalid-"+fault.name, fault.edit)
+		if err != nil {
+			return err
+		}
+		order.Invalid = true
+		record, err := scenario.Recorder.Insist(ctx, scenario.targets(), order)
+		if err != nil {
+			return err
+		}
+		if record.Outcome != checker.OutcomeRefused {
+			return errors.Errorf("invalid configuration %s was %s", fault.name, record.Outcome)
+		}
+	}
+	return nil
+}
+
+// invalidEdit breaks one rule of a configuration.
+type invalidEdit struct {
+	name string
+	edit func(*ridgeswitchv1.Configuration)
+}
+
+var invalidEdits = []invalidEdit{
+	{"dangling-route", func(configuration *ridgeswitchv1.Configuration) {
+		configuration.Routes[0].Destination = &ridgeswitchv1.Route_Pool{Pool: "missing"}
+	}},
+	{"zero-limit", func(configuration *ridgeswitchv1.Configuration) {
+		configuration.Tenants[0].Limits.ConcurrentRequests = 0
+	}},
+	{"duplicate-tenant", func(configuration *ridgeswitchv1.Configuration) {
+		configuration.Tenants[1].Name = configuration.Tenants[0].GetName()
+	}},
+}
--- /dev/null
+++ b/internal/lab/operator/changes.go
@@ -0,0 +1,81 @@
+package operator
+
+import (
+	"context"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+)
+
+// Single changes. They name no base revision, so that they race with nothing.
+
+func (scenario *Scenario) header(name string) *ridgeswitchv1.OrderHeader {
+	return &ridgeswitchv1.OrderHeader{OrderId: scenario.orderID(name)}
+}
+
+func (scenario *Scenario) addKey(ctx context.Context) error {
+	plan := scenario.Plan
+	return scenario.take(ctx, Order{
+		Call: "AddKey",
+		Request: &ridgeswitchv1.AddKeyRequest{Order: scenario.header("add-key"), Tenant: plan.KeyTenant,
+			Key: &ridgeswitchv1.Key{Name: plan.AddedKey, Sha256: plan.AddedDigest}},
+		Change: checker.Change{Kind: checker.ChangeAddKey, Tenant: plan.KeyTenant, Key: plan.AddedKey},
+	})
+}
+
+func (scenario *Scenario) revokeKey(ctx context.Context) error {
+	plan := scenario.Plan
+	return scenario.take(ctx, Order{
+		Call: "RevokeKey",
+		Request: &ridgeswitchv1.RevokeKeyRequest{Order: scenario.header("revoke-key"),
+			Tenant: plan.RevokedTenant, Key: plan.RevokedKey},
+		Change: checker.Change{Kind: checker.ChangeRevoke, Tenant: plan.RevokedTenant, Key: plan.RevokedKey},
+	})
+}
+
+func (scenario *Scenario) nameWeights(ctx context.Context, version string) error {
+	pool := scenario.Plan.Pool
+	return scenario.take(ctx, Order{
+		Call: "NameWeights",
+		Request: &ridgeswitchv1.NameWeightsRequest{Order: scenario.header("weights-" + version),
+			Pool: pool, WeightVersion: version},
+		Change: checker.Change{Kind: checker.ChangeWeights, Pool: pool, WeightVersion: version},
+	})
+}
+
+func (scenario *Scenario) evacuate(ctx context.Context) error {
+	zone := scenario.Plan.EvacuatedZone
+	return scenario.take(ctx, Order{
+		Call: "EvacuateZone",
+		Request: &ridgeswitchv1.EvacuateZoneRequest{Order: scenario.header("evacuate"), Zone: zone,
+			Reason: "works on the power supply"},
+		Change: checker.Change{Kind: checker.ChangeEvacuate, Zone: zone},
+	})
+}
+
+func (scenario *Scenario) restore(ctx context.Context) error {
+	zone := scenario.Plan.EvacuatedZone
+	return scenario.take(ctx, Order{
+		Call:    "RestoreZone",
+		Request: &ridgeswitchv1.RestoreZoneRequest{Order: scenario.header("restore"), Zone: zone},
+		Change:  checker.Change{Kind: checker.ChangeRestore, Zone: zone},
+	})
+}
+
+func (scenario *Scenario) wall(ctx context.Context) error {
+	tenant := scenario.Plan.WalledTenant
+	return scenario.take(ctx, Order{
+		Call:    "WallTenant",
+		Request: &ridgeswitchv1.SetTenantWallRequest{Order: scenario.header("wall"), Tenant: tenant},
+		Change:  checker.Change{Kind: checker.ChangeWall, Tenant: tenant},
+	})
+}
+
+func (scenario *Scenario) unwall(ctx context.Context) error {
+	tenant := scenario.Plan.WalledTenant
+	return scenario.take(ctx, Order{
+		Call:    "UnwallTenant",
+		Request: &ridgeswitchv1.SetTenantWallRequest{Order: scenario.header("unwall"), Tenant: tenant},
+		Change:  checker.Change{Kind: checker.ChangeUnwall, Tenant: tenant},
+	})
+}
--- /dev/null
+++ b/internal/lab/operator/scenario.go
@@ -0,0 +1,158 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+)
+
+// orderTimeout bounds how long an operator insists on one order.
+const orderTimeout = 20 * time.Second
+
+// Machines are what a scenario does to machines rather than by orders.
+type Machines interface {
+	KillNode(name string) error
+	RestartNode(name string) error
+	DrainReplica(ctx context.Context, address string) error
+	// LiveTargets returns the nodes that run, in a fixed order.
+	LiveTargets() []Target
+}
+
+// Plan names what a scenario acts on.
+type Plan struct {
+	// Run names the run in the identities of its orders.
+	Run string
+	// Duration is the length of the load; every step has its share of it.
+	Duration time.Duration
+	Pool     string
+	// FirstWeights is named first, and LastWeights before it has rolled out.
+	FirstWeights   string
+	LastWeights    string
+	EvacuatedZone  string
+	DrainedReplica string
+	KilledFront    string
+	KilledCore     string
+	// KeyTenant gets a further key with AddedDigest, RevokedKey is taken from
+	// RevokedTenant, and WalledTenant is walled and unwalled.
+	KeyTenant     string
+	AddedKey      string
+	AddedDigest   string
+	RevokedTenant string
+	RevokedKey    string
+	WalledTenant  string
+}
+
+// Scenario drives a plan.
+type Scenario struct {
+	Plan     Plan
+	Recorder *Recorder
+	Machines Machines
+	Log      *logrus.Entry
+
+	failures []error
+	next     int
+	// disturbed is when the last fault or change ended.
+	disturbed time.Duration
+}
+
+// step is one happening, at a share of the plan's duration.
+type step struct {
+	at   float64
+	name string
+	do   func(context.Context) error
+}
+
+func (scenario *Scenario) steps() []step {
+	plan := scenario.Plan
+	return []step{
+		{0.05, "add a key", scenario.addKey},
+		{0.08, "change limits", scenario.changeLimits},
+		{0.12, "race on one base", scenario.race},
+		{0.18, "send invalid configurations", scenario.sendInvalid},
+		{0.20, "revoke a key", scenario.revokeKey},
+		{0.25, "name weights", func(ctx context.Context) error { return scenario.nameWeights(ctx, plan.FirstWeights) }},
+		{0.28, "drain a replica", scenario.drainReplica},
+		{0.32, "evacuate a zone", scenario.evacuate},
+		{0.40, "kill a front node", func(context.Context) error { return scenario.Machines.KillNode(plan.KilledFront) }},
+		{0.45, "wall a tenant", scenario.wall},
+		{0.55, "kill a core node", func(context.Context) error { return scenario.Machines.KillNode(plan.KilledCore) }},
+		{0.58, "name newer weights", func(ctx context.Context) error { return scenario.nameWeights(ctx, plan.LastWeights) }},
+		{0.80, "restart the front node", func(context.Context) error { return scenario.Machines.RestartNode(plan.KilledFront) }},
+		{0.85, "restart the core node", func(context.Context) error { return scenario.Machines.RestartNode(plan.KilledCore) }},
+		{0.90, "restore the zone", scenario.restore},
+		{0.95, "unwall the tenant", scenario.unwall},
+	}
+}
+
+// Run does every step at its time, or as soon after it as the steps before it
+// have ended. A step that fails is noted and the others go on.
+func (scenario *Scenario) Run(ctx context.Context) {
+	started := scenario.Recorder.now()
+	for _, step := range scenario.steps() {
+		due := started + time.Duration(step.at*float64(scenario.Plan.Duration))
+		pause(ctx, due-scenario.Recorder.now())
+		if ctx.Err() != nil {
+			scenario.fail(step.name, ctx.Err())
+			return
+		}
+		scenario.Log.WithField("at", scenario.Recorder.now()).Info(step.name)
+		if err := scenario.runStep(ctx, step); err != nil {
+			scenario.fail(step.name, err)
+		}
+		scenario.disturbed = scenario.Recorder.now()
+	}
+}
+
+func (scenario *Scenario) runStep(ctx context.Context, step step) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return step.do(ctx)
+}
+
+func (scenario *Scenario) fail(name string, err error) {
+	scenario.Log.WithError(err).Warn(name + " failed")
+	scenario.failures = append(scenario.failures, errors.Wrap(err, name))
+}
+
+// Failures returns the steps that could not be done.
+func (scenario *Scenario) Failures() []error { return scenario.failures }
+
+// Disturbed returns when the last step ended.
+func (scenario *Scenario) Disturbed() time.Duration { return scenario.disturbed }
+
+// targets returns the live nodes, beginning with another one each time.
+func (scenario *Scenario) targets() []Target {
+	live := scenario.Machines.LiveTargets()
+	if len(live) == 0 {
+		return nil
+	}
+	scenario.next++
+	first := scenario.next % len(live)
+	return append(append([]Target(nil), live[first:]...), live[:first]...)
+}
+
+// orderID returns the identity of an order of this run.
+func (scenario *Scenario) orderID(name string) string {
+	return fmt.Sprintf("%s-%s", scenario.Plan.Run, name)
+}
+
+// take insists on an order and wants it to be acknowledged.
+func (scenario *Scenario) take(ctx context.Context, order Order) error {
+	record, err := scenario.Recorder.Insist(ctx, scenario.targets(), order)
+	if err != nil {
+		return err
+	}
+	if record.Outcome != checker.OutcomeAcknowledged {
+		return errors.Errorf("order %s was refused: %s", record.OrderID, record.ProblemKind)
+	}
+	return nil
+}
+
+func (scenario *Scenario) drainReplica(ctx context.Context) error {
+	return scenario.Machines.DrainReplica(ctx, scenario.Plan.DrainedReplica)
+}
--- /dev/null
+++ b/internal/lab/standin/faults.go
@@ -0,0 +1,131 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Faults are what a stand-in does wrong on purpose. Ratios are shares of the
+// requests, from 0 to 1.
+type Faults struct {
+	// RefuseRatio refuses requests with a promise that they did not run.
+	RefuseRatio float64 `json:"refuse_ratio"`
+	// CutRatio cuts answers after CutAtByte bytes of the body. A negative
+	// CutAtByte closes the connection with no answer at all, after the request
+	// has run.
+	CutRatio  float64 `json:"cut_ratio"`
+	CutAtByte int     `json:"cut_at_byte"`
+	// HangRatio runs requests and never answers them.
+	HangRatio float64 `json:"hang_ratio"`
+	// SlowLink divides the bandwidth of transfers; 0 means 1.
+	SlowLink float64 `json:"slow_link"`
+	// DropEventRatio loses cache events beside what the feed plan loses.
+	DropEventRatio float64 `json:"drop_event_ratio"`
+	// Draining refuses all new requests.
+	Draining bool `json:"draining"`
+	// Crash loses everything in memory once, when the faults are set.
+	Crash bool `json:"crash"`
+}
+
+// Check returns an error that names a setting out of its range.
+func (f Faults) Check() error {
+	for _, ratio := range []float64{f.RefuseRatio, f.CutRatio, f.HangRatio, f.DropEventRatio} {
+		if ratio < 0 || ratio > 1 {
+			return errors.Errorf("fault ratio %v must be from 0 to 1", ratio)
+		}
+	}
+	if f.SlowLink < 0 {
+		return errors.New("slow_link must not be negative")
+	}
+	return nil
+}
+
+// FaultPlan draws from the present faults. It is safe for concurrent use.
+type FaultPlan struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	faults Faults
+}
+
+// NewFaultPlan returns a plan without faults.
+func NewFaultPlan(seed uint64) *FaultPlan {
+	return &FaultPlan{random: rand.New(rand.NewPCG(seed, 0xfa01))}
+}
+
+// Set replaces the faults.
+func (p *FaultPlan) Set(faults Faults) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.faults = faults
+}
+
+// Current returns the present faults.
+func (p *FaultPlan) Current() Faults {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.faults
+}
+
+// Fate is what the faults do to one request.
+type Fate struct {
+	Refuse bool
+	Hang   bool
+	Cut    bool
+	// CutAtByte counts bytes of the body.
+	CutAtByte int
+}
+
+// Draw returns the fate of the next request.
+func (p *FaultPlan) Draw() Fate {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return Fate{
+		Refuse:    p.random.Float64() < p.faults.RefuseRatio,
+		Hang:      p.random.Float64() < p.faults.HangRatio,
+		Cut:       p.random.Float64() < p.faults.CutRatio,
+		CutAtByte: p.faults.CutAtByte,
+	}
+}
+
+// DropEvent tells whether the next event is to be lost.
+func (p *FaultPlan) DropEvent() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.random.Float64() < p.faults.DropEventRatio
+}
+
+// CutWriter passes an answer on up to a number of bytes of its body, and then
+// ends the connection so that the client sees a broken answer.
+type CutWriter struct {
+	http.ResponseWriter
+	left int
+}
+
+// NewCutWriter returns the writer that a fate calls for.
+func NewCutWriter(w http.ResponseWriter, fate Fate) http.ResponseWriter {
+	if !fate.Cut {
+		return w
+	}
+	if fate.CutAtByte < 0 {
+		panic(http.ErrAbortHandler)
+	}
+	return &CutWriter{ResponseWriter: w, left: fate.CutAtByte}
+}
+
+// Write sends what fits before the cut and panics with http.ErrAbortHandler when
+// it is reached.
+func (w *CutWriter) Write(data []byte) (int, error) {
+	if len(data) < w.left {
+		w.left -= len(data)
+		return w.ResponseWriter.Write(data)
+	}
+	_, _ = w.ResponseWriter.Write(data[:w.left])
+	w.Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// Flush sends what has been written.
+func (w *CutWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() }
--- /dev/null
+++ b/internal/lab/standin/platform/services.go
@@ -0,0 +1,114 @@
+package platform
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// ReplicaState is what the platform says of a back end.
+type ReplicaState string
+
+// The states of back ends. A removed one leaves the list.
+const (
+	StateRunning  ReplicaState = "running"
+	StateDraining ReplicaState = "draining"
+	StateRemoved  ReplicaState = "removed"
+)
+
+// Replica is a back end as listed.
+type Replica struct {
+	Address string       `json:"address"`
+	Zone    string       `json:"zone"`
+	State   ReplicaState `json:"state"`
+}
+
+// Service is a service as listed.
+type Service struct {
+	Name     string    `json:"name"`
+	Replicas []Replica `json:"replicas"`
+}
+
+// List is the answer to GET /v1/services, and the form of the initial file.
+type List struct {
+	Services []Service `json:"services"`
+}
+
+// Change sets the state of one back end, and adds it when it is new.
+type Change struct {
+	Service string       `json:"service"`
+	Address string       `json:"address"`
+	Zone    string       `json:"zone,omitempty"`
+	State   ReplicaState `json:"state"`
+}
+
+// Changes is the body of POST /lab/services.
+type Changes struct {
+	Changes []Change `json:"changes"`
+}
+
+// ParseList reads and checks an initial list.
+func ParseList(data []byte) (List, error) {
+	var list List
+	if err := json.Unmarshal(data, &list); err != nil {
+		return list, errors.Wrap(err, "platform: read services")
+	}
+	for _, service := range list.Services {
+		for _, replica := range service.Replicas {
+			change := Change{Service: service.Name, Address: replica.Address, Zone: replica.Zone, State: replica.State}
+			if err := change.check(); err != nil {
+				return list, err
+			}
+		}
+	}
+	return list, nil
+}
+
+func (c Change) check() error {
+	if c.Service == "" || c.Address == "" {
+		return errors.New("platform: a change must name a service and an address")
+	}
+	switch c.State {
+	case StateRunning, StateDraining, StateRemoved:
+		return nil
+	}
+	return errors.Errorf("platform: state %q is unknown; use %s, %s or %s", c.State, StateRunning, StateDraining, StateRemoved)
+}
+
+// with returns the list after a change; the old list stays as it was.
+func (l List) with(change Change) List {
+	next := List{}
+	found := false
+	for _, service := range l.Services {
+		if service.Name == change.Service {
+			service = service.with(change)
+			found = true
+		}
+		next.Services = append(next.Services, service)
+	}
+	if !found {
+		next.Services = append(next.Services, Service{Name: change.Service}.with(change))
+	}
+	return next
+}
+
+func (s Service) with(change Change) Service {
+	next := Service{Name: s.Name, Replicas: []Replica{}}
+	found := false
+	for _, replica := range s.Replicas {
+		if replica.Address == change.Address {
+			found = true
+			replica.State = change.State
+			if change.Zone != "" {
+				replica.Zone = change.Zone
+			}
+		}
+		if replica.State != StateRemoved {
+			next.Replicas = append(next.Replicas, replica)
+		}
+	}
+	if !found && change.State != StateRemoved {
+		next.Replicas = append(next.Replicas, Replica{Address: change.Address, Zone: change.Zone, State: change.State})
+	}
+	return next
+}
--- /dev/null
+++ b/internal/lab/standin/replica/generate.go
@@ -0,0 +1,196 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	protocol "github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/emulator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin"
+)
+
+// refusedByFault marks refusals that were asked for as a fault.
+const refusedByFault emulator.RefusalReason = "fault"
+
+// retryAfterSeconds is what a busy replica tells its callers.
+const retryAfterSeconds = 1
+
+// generate runs one attempt.
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	read, err := readCall(r.Header)
+	if err == nil {
+		err = standin.DrainBody(r)
+	}
+	if err != nil {
+		w.Header().Set(protocol.HeaderNotRun, "true")
+		standin.WriteJSON(w, http.StatusBadRequest, standin.Problem{Kind: "bad_request", Message: err.Error()})
+		return
+	}
+	echo(w, read.request)
+	fate := s.faults.Draw()
+	handle, notices, err := s.submit(read.request, fate)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	defer s.abandon(handle)
+	if read.pull != nil {
+		go s.pull(r.Context(), handle, *read.pull)
+	}
+	answer := &answer{server: s, call: read, handle: handle, notices: notices, fate: fate}
+	answer.write(w, r)
+}
+
+// submit offers an attempt to the model.
+func (s *Server) submit(request emulator.Request, fate standin.Fate) (emulator.Handle, <-chan emulator.Notice, error) {
+	var handle emulator.Handle
+	var notices chan emulator.Notice
+	var err error
+	s.act(func(now time.Duration) {
+		if fate.Refuse {
+			s.model.RecordRefusal(now, request, refusedByFault)
+			err = &emulator.Refusal{Reason: refusedByFault}
+			return
+		}
+		if handle, err = s.model.Submit(now, request); err == nil {
+			notices = make(chan emulator.Notice, 4+request.OutputTokens/chunkTokens)
+			s.waiting[handle] = notices
+		}
+	})
+	return handle, notices, err
+}
+
+// abandon stops an attempt whose answer has ended, if it still runs.
+func (s *Server) abandon(handle emulator.Handle) {
+	s.act(func(now time.Duration) {
+		delete(s.waiting, handle)
+		s.model.Cancel(now, handle)
+	})
+}
+
+// refuse answers that an attempt has not run and will not run.
+func refuse(w http.ResponseWriter, err error) {
+	kind := "refused"
+	var refusal *emulator.Refusal
+	if errors.As(err, &refusal) {
+		kind = string(refusal.Reason)
+	}
+	w.Header().Set(protocol.HeaderNotRun, "true")
+	w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	standin.WriteJSON(w, http.StatusServiceUnavailable, standin.Problem{Kind: kind, Message: err.Error()})
+}
+
+func echo(w http.ResponseWriter, request emulator.Request) {
+	w.Header().Set(protocol.HeaderRequestID, request.RequestID)
+	w.Header().Set(protocol.HeaderAttemptID, request.AttemptID)
+}
+
+// answer writes what comes of one attempt.
+type answer struct {
+	server  *Server
+	call    call
+	handle  emulator.Handle
+	notices <-chan emulator.Notice
+	fate    standin.Fate
+	sent    uint32
+	output  strings.Builder
+}
+
+// write follows the attempt to its end, or to the end of the connection.
+func (a *answer) write(w http.ResponseWriter, r *http.Request) {
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case notice := <-a.notices:
+			switch {
+			case notice.Kind == emulator.NoticeCrashed:
+				panic(http.ErrAbortHandler)
+			case a.call.stream:
+				w = a.stream(w, r, notice)
+			case notice.Kind == emulator.NoticeFinished:
+				a.whole(w, r, notice)
+			}
+			if notice.Kind == emulator.NoticeFinished {
+				return
+			}
+		}
+	}
+}
+
+// whole writes the answer in one piece.
+func (a *answer) whole(w http.ResponseWriter, r *http.Request, notice emulator.Notice) {
+	a.hang(r)
+	a.describe(w, notice)
+	body, err := json.Marshal(standin.NewWholeAnswer(a.call.request.RequestID, notice.Tokens))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	cut := standin.NewCutWriter(w, a.fate)
+	if _, err := cut.Write(body); err == nil {
+		a.server.markDelivered(a.handle)
+	}
+}
+
+// stream writes one further piece of a streamed answer.
+func (a *answer) stream(w http.ResponseWriter, r *http.Request, notice emulator.Notice) http.ResponseWriter {
+	if notice.Kind == emulator.NoticeFirstToken {
+		a.hang(r)
+		a.describe(w, notice)
+		w.Header().Set("Content-Type", eventStream)
+		w.WriteHeader(http.StatusOK)
+		w = standin.NewCutWriter(w, a.fate)
+	}
+	id := a.call.request.RequestID
+	if notice.Tokens > a.sent {
+		output := standin.Output(id, a.sent, notice.Tokens)
+		a.output.WriteString(output)
+		a.sent = notice.Tokens
+		a.event(w, "", standin.ChunkAnswer{RequestID: id, Output: output})
+	}
+	if notice.Kind == emulator.NoticeFinished {
+		digest := standin.Digest(id, a.output.String())
+		a.event(w, standin.EventDigest, standin.DigestAnswer{RequestID: id, Digest: digest})
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", protocol.StreamEnd); err == nil {
+			a.server.markDelivered(a.handle)
+		}
+	}
+	_ = http.NewResponseController(w).Flush()
+	return w
+}
+
+// event writes one server-sent event. A write that fails shows as the end of
+// the request's context.
+func (a *answer) event(w http.ResponseWriter, name string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if name != "" {
+		_, _ = fmt.Fprintf(w, "event: %s\n", name)
+	}
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+}
+
+// describe sets the headers that are known from the first token on.
+func (a *answer) describe(w http.ResponseWriter, notice emulator.Notice) {
+	w.Header().Set(protocol.HeaderWeightVersion, notice.WeightVersion)
+	w.Header().Set(protocol.HeaderReusedTokens, strconv.FormatUint(notice.ReusedTokens, 10))
+}
+
+// hang keeps the answer back for good when the faults say so.
+func (a *answer) hang(r *http.Request) {
+	if !a.fate.Hang {
+		return
+	}
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/lab/standin/replica/parts.go
@@ -0,0 +1,135 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	protocol "github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/emulator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// minPushTokens is the length from which a part is worth keeping in the store.
+const minPushTokens = 256
+
+// part serves a kept part to a peer, in the time that its transfer takes.
+func (s *Server) part(w http.ResponseWriter, r *http.Request) {
+	hash, err := emulator.ParseHash(r.PathValue("hash"))
+	if err != nil {
+		standin.WriteJSON(w, http.StatusBadRequest, standin.Problem{Kind: "bad_hash", Message: "the part's name must be a hexadecimal chain hash"})
+		return
+	}
+	var kept []emulator.KeptPart
+	s.do(func(now time.Duration) { kept = s.model.Export(now, []prefixindex.ChainHash{hash}) })
+	if len(kept) == 0 {
+		standin.WriteJSON(w, http.StatusNotFound, standin.Problem{Kind: "not_kept", Message: "the part is not kept here; compute it"})
+		return
+	}
+	links := s.settings.Links
+	links.Slowdown = s.faults.Current().SlowLink
+	transfer := links.TransferTime(s.settings.Model.Zone, r.Header.Get(standin.HeaderZone), uint64(kept[0].Tokens))
+	if standin.Wait(r.Context(), s.clock.Real(transfer)) != nil {
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, kept[0])
+}
+
+// pull fetches what an attempt lacks, up to the first part that cannot be had,
+// and lets the attempt go on.
+func (s *Server) pull(ctx context.Context, handle emulator.Handle, wanted pullRange) {
+	var missing []prefixindex.ChainHash
+	s.do(func(time.Duration) { missing = s.model.Missing(handle, wanted.first, wanted.last) })
+	var parts []emulator.KeptPart
+	for _, hash := range missing {
+		part, err := s.fetch(ctx, wanted.source, hash)
+		if err != nil {
+			break
+		}
+		parts = append(parts, part)
+	}
+	s.act(func(now time.Duration) { s.model.PullDone(now, handle, parts) })
+}
+
+func (s *Server) fetch(ctx context.Context, source string, hash prefixindex.ChainHash) (emulator.KeptPart, error) {
+	var part emulator.KeptPart
+	url := "http://" + source + protocol.PathParts + emulator.FormatHash(hash)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return part, errors.Wrap(err, "replica: fetch part")
+	}
+	request.Header.Set(standin.HeaderZone, s.settings.Model.Zone)
+	response, err := s.client.Do(request)
+	if err != nil {
+		return part, errors.Wrap(err, "replica: fetch part")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return part, errors.Errorf("replica: %s does not keep part %s", source, emulator.FormatHash(hash))
+	}
+	if err := json.NewDecoder(response.Body).Decode(&part); err != nil {
+		return part, errors.Wrap(err, "replica: read part")
+	}
+	if part.Hash != hash {
+		return part, errors.Errorf("replica: %s answered with another part", source)
+	}
+	return part, nil
+}
+
+// pushMadeParts sends each long part that is newly kept to the store.
+func (s *Server) pushMadeParts(ctx context.Context) {
+	var position standin.Position
+	for {
+		events, more := s.EventsAfter(position)
+		for _, event := range events {
+			position = standin.Position{Known: true, Incarnation: event.Incarnation, Sequence: event.Sequence}
+			if event.Kind == protocol.EventStored {
+				s.pushParts(ctx, event.Parts)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-more:
+		}
+	}
+}
+
+func (s *Server) pushParts(ctx context.Context, parts []protocol.Part) {
+	for _, shown := range parts {
+		hash, err := emulator.ParseHash(shown.Hash)
+		if err != nil || shown.Tokens < minPushTokens {
+			continue
+		}
+		var part emulator.KeptPart
+		var kept bool
+		s.do(func(time.Duration) { part, kept = s.model.Part(hash) })
+		// A store that is down misses the part; it is a cache.
+		if kept && s.push(ctx, part) != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) push(ctx context.Context, part emulator.KeptPart) error {
+	body, err := json.Marshal(part)
+	if err != nil {
+		return errors.Wrap(err, "replica: push part")
+	}
+	url := "http://" + s.settings.Store + protocol.PathParts + emulator.FormatHash(part.Hash)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "replica: push part")
+	}
+	request.Header.Set(standin.HeaderZone, s.settings.Model.Zone)
+	response, err := s.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "replica: push part")
+	}
+	return errors.Wrap(response.Body.Close(), "replica: push part")
+}
--- /dev/null
+++ b/internal/lab/standin/replica/server.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	protocol "github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/emulator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin"
+)
+
+// Server is one stand-in replica.
+type Server struct {
+	settings Settings
+	clock    standin.Clock
+	faults   *standin.FaultPlan
+	client   *http.Client
+	wake     chan struct{}
+
+	// mutex guards everything below.
+	mutex     sync.Mutex
+	model     *emulator.Replica
+	waiting   map[emulator.Handle]chan emulator.Notice
+	delivered map[emulator.Handle]bool
+	commands  []CommandRecord
+	// changed is closed and replaced when the journal grows.
+	changed     chan struct{}
+	incarnation uint64
+	sequence    uint64
+	// life ends when the replica crashes, and every open answer with it.
+	life    context.Context
+	endLife context.CancelFunc
+}
+
+// New returns a stand-in whose machine has been up for long enough to be warm
+// when cold is false.
+func New(settings Settings, cold bool) (*Server, error) {
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
+	model := settings.scaledModel()
+	start := time.Duration(0)
+	if !cold {
+		start = -model.Warming
+	}
+	emulated, err := emulator.New(model, start)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		settings:  settings,
+		clock:     standin.NewClock(settings.TimeScale),
+		faults:    standin.NewFaultPlan(settings.Seed),
+		client:    &http.Client{},
+		wake:      make(chan struct{}, 1),
+		model:     emulated,
+		waiting:   map[emulator.Handle]chan emulator.Notice{},
+		delivered: map[emulator.Handle]bool{},
+		changed:   make(chan struct{}),
+	}
+	s.life, s.endLife = newLife()
+	return s, nil
+}
+
+// Run serves on the model's address until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	return s.run(ctx, func(handler http.Handler) error {
+		return standin.Serve(ctx, s.settings.Model.Address, handler)
+	})
+}
+
+// RunListener serves on a listener until the context ends.
+func (s *Server) RunListener(ctx context.Context, listener net.Listener) error {
+	return s.run(ctx, func(handler http.Handler) error {
+		return standin.ServeListener(ctx, listener, handler)
+	})
+}
+
+func (s *Server) run(ctx context.Context, serve func(http.Handler) error) error {
+	var background sync.WaitGroup
+	background.Go(func() { s.drive(ctx) })
+	if s.settings.Store != "" {
+		background.Go(func() { s.pushMadeParts(ctx) })
+	}
+	err := serve(s.Handler())
+	background.Wait()
+	return err
+}
+
+// Handler returns the replica's HTTP interface. The model moves only while Run
+// or RunListener runs.
+func (s *Server) Handler() http.Handler {
+	events := &standin.EventStream{
+		Source:      s,
+		Clock:       s.clock,
+		Plan:        s.settings.scaledFeed(),
+		Seed:        s.settings.Seed,
+		Drop:        s.faults.DropEvent,
+		ReportEvery: s.settings.ReportEvery,
+	}
+	served := http.NewServeMux()
+	served.HandleFunc(protocol.PathGenerate, s.generate)
+	served.Handle(protocol.PathEvents, events)
+	served.HandleFunc("GET "+protocol.PathReport, s.report)
+	served.HandleFunc("POST "+protocol.PathWeights, s.loadWeights)
+	served.HandleFunc("GET "+protocol.PathParts+"{hash}", s.part)
+	all := http.NewServeMux()
+	all.Handle("/v1/", s.whileUp(served))
+	all.HandleFunc("GET /lab/executions", s.showExecutions)
+	all.HandleFunc("GET /lab/commands", s.showCommands)
+	all.HandleFunc("GET /lab/faults", s.showFaults)
+	all.HandleFunc("POST /lab/faults", s.setFaults)
+	return all
+}
+
+// whileUp closes connections without an answer while the replica is down, and
+// cuts answers short when it crashes.
+func (s *Server) whileUp(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		up := s.model.Up(s.clock.Now())
+		life := s.life
+		s.mutex.Unlock()
+		if !up {
+			panic(http.ErrAbortHandler)
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		stop := context.AfterFunc(life, cancel)
+		defer stop()
+		next.ServeHTTP(w, r.WithContext(ctx))
+		if life.Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+// drive runs the model in real time.
+func (s *Server) drive(ctx context.Context) {
+	for {
+		wait := time.Hour
+		s.do(func(now time.Duration) {
+			if next, ok := s.model.NextChange(); ok {
+				wait = s.clock.Real(next - now)
+			}
+		})
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-s.wake:
+			timer.Stop()
+		}
+	}
+}
+
+// act does something to the model and lets the driver look at it again.
+func (s *Server) act(action func(now time.Duration)) {
+	s.do(action)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// do brings the model up to now, does something to it, and tells those who wait.
+func (s *Server) do(action func(now time.Duration)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.Now()
+	s.model.Advance(now)
+	action(now)
+	for _, notice := range s.model.Notices() {
+		s.deliver(notice)
+	}
+	s.announce()
+}
+
+// deliver hands a notice to the attempt's handler. The channel has room for
+// every notice that an attempt can get.
+func (s *Server) deliver(notice emulator.Notice) {
+	waiting, ok := s.waiting[notice.Handle]
+	if !ok {
+		return
+	}
+	waiting <- notice
+	if notice.Kind == emulator.NoticeFinished || notice.Kind == emulator.NoticeCrashed {
+		delete(s.waiting, notice.Handle)
+	}
+}
+
+// announce wakes the readers of events when the journal has grown.
+func (s *Server) announce() {
+	journal := s.model.Journal()
+	if journal.Incarnation() == s.incarnation && journal.LastSequence() == s.sequence {
+		return
+	}
+	s.incarnation = journal.Incarnation()
+	s.sequence = journal.LastSequence()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// EventsAfter implements standin.EventSource.
+func (s *Server) EventsAfter(position standin.Position) ([]protocol.Event, <-chan struct{}) {
+	var events []protocol.Event
+	var changed <-chan struct{}
+	s.do(func(time.Duration) {
+		events = standin.JournalAfter(s.model.Journal(), position, s.model.Snapshot)
+		changed = s.changed
+	})
+	return events, changed
+}
+
+// Report implements standin.EventSource. The age is in real time.
+func (s *Server) Report() protocol.Report {
+	var report protocol.Report
+	s.do(func(now time.Duration) { report = s.model.Report(now) })
+	age := time.Duration(report.AgeMS) * time.Millisecond
+	report.AgeMS = uint64(s.clock.Real(age).Milliseconds())
+	return report
+}
--- /dev/null
+++ b/internal/lab/standin/server.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxBodyBytes bounds what a stand-in reads of one request.
+const maxBodyBytes = 16 << 20
+
+// shutdownTime is how long a stand-in lets running answers finish.
+const shutdownTime = time.Second
+
+// Problem is the body of a refused call.
+type Problem struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+}
+
+// Serve answers on an address until the context ends.
+func Serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "standin: listen on %s", address)
+	}
+	return ServeListener(ctx, listener, handler)
+}
+
+// ServeListener answers on a listener until the context ends.
+func ServeListener(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{
+		Handler:     handler,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		grace, cancel := context.WithTimeout(context.Background(), shutdownTime)
+		defer cancel()
+		if err := server.Shutdown(grace); err != nil {
+			_ = server.Close()
+		}
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "standin: serve")
+	}
+	<-stopped
+	return nil
+}
+
+// WriteJSON answers with one JSON value.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// WriteLines answers with JSON values, a line each.
+func WriteLines[T any](w http.ResponseWriter, values []T) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	encoder := json.NewEncoder(w)
+	for _, value := range values {
+		if encoder.Encode(value) != nil {
+			return
+		}
+	}
+}
+
+// ReadJSON reads a request's body strictly. When it cannot, it answers with a
+// Problem and returns false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		WriteJSON(w, http.StatusBadRequest, Problem{Kind: "bad_body", Message: err.Error() + "; send one JSON object of the documented shape"})
+		return false
+	}
+	return true
+}
+
+// DrainBody reads a request's body to its end, after which the server notices
+// when the caller goes away.
+func DrainBody(r *http.Request) error {
+	read, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBodyBytes+1))
+	if err != nil {
+		return errors.Wrap(err, "standin: read body")
+	}
+	if read > maxBodyBytes {
+		return errors.Errorf("standin: body is longer than %d bytes; send less", maxBodyBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/standin/webservice/server.go
@@ -0,0 +1,187 @@
+// Package webservice is the HTTP stand-in for a plain web service, such as a
+// calendar or a portal: small pages and files whose content follows from their
+// path, with a digest.
+package webservice
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	protocol "github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/standin"
+)
+
+// Sizes of the content, which the path decides.
+const (
+	smallestPageBytes = 1 << 10
+	largestPageBytes  = 16 << 10
+	smallestFileBytes = 32 << 10
+	largestFileBytes  = 512 << 10
+	filesPath         = "/files/"
+)
+
+// VisitRecord is the truth about one request, as /lab/executions tells it.
+type VisitRecord struct {
+	Server           string `json:"server"`
+	RequestID        string `json:"request_id"`
+	Attempt          int    `json:"attempt"`
+	AttemptID        string `json:"attempt_id"`
+	Method           string `json:"method"`
+	Path             string `json:"path"`
+	StartedUnixNano  int64  `json:"started_unix_nano"`
+	FinishedUnixNano int64  `json:"finished_unix_nano"`
+	// Refused tells that the request has not run.
+	Refused bool `json:"refused"`
+	// Delivered tells whether the whole answer was written to the connection.
+	Delivered bool `json:"delivered"`
+}
+
+// Server is one stand-in back end of a web service.
+type Server struct {
+	address string
+	clock   standin.Clock
+	faults  *standin.FaultPlan
+
+	// mutex guards visits.
+	mutex  sync.Mutex
+	visits []*VisitRecord
+}
+
+// New returns a back end for an address.
+func New(address string, seed uint64) *Server {
+	return &Server{
+		address: address,
+		clock:   standin.NewClock(1),
+		faults:  standin.NewFaultPlan(seed),
+	}
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	return standin.Serve(ctx, s.address, s.Handler())
+}
+
+// RunListener serves on a listener until the context ends.
+func (s *Server) RunListener(ctx context.Context, listener net.Listener) error {
+	return standin.ServeListener(ctx, listener, s.Handler())
+}
+
+// Handler returns the back end's HTTP interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", s.serve)
+	mux.HandleFunc("GET /lab/executions", s.showVisits)
+	mux.HandleFunc("POST /lab/faults", s.setFaults)
+	return mux
+}
+
+// Content returns what a path names.
+func Content(path string) []byte {
+	smallest, largest := smallestPageBytes, largestPageBytes
+	if strings.HasPrefix(path, filesPath) {
+		smallest, largest = smallestFileBytes, largestFileBytes
+	}
+	seed := xxhash.Sum64String(path)
+	size := smallest + int(seed%uint64(largest-smallest))
+	line := strconv.FormatUint(seed, 16) + " " + path + "\n"
+	return []byte(strings.Repeat(line, size/len(line)+1)[:size])
+}
+
+// Digest returns what HeaderDigest says of a body.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if err := standin.DrainBody(r); err != nil {
+		standin.WriteJSON(w, http.StatusRequestEntityTooLarge, standin.Problem{Kind: "bad_body", Message: err.Error()})
+		return
+	}
+	visit := s.begin(r)
+	fate := s.faults.Draw()
+	w.Header().Set(protocol.HeaderRequestID, visit.RequestID)
+	w.Header().Set(protocol.HeaderAttemptID, visit.AttemptID)
+	if fate.Refuse || s.faults.Current().Draining {
+		s.end(visit, func() { visit.Refused = true })
+		w.Header().Set(protocol.HeaderNotRun, "true")
+		w.Header().Set("Retry-After", "1")
+		standin.WriteJSON(w, http.StatusServiceUnavailable, standin.Problem{Kind: "busy", Message: "the back end is busy; send the request to another one"})
+		return
+	}
+	defer s.end(visit, func() {})
+	if fate.Hang {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	body := Content(r.URL.Path)
+	w.Header().Set(standin.HeaderDigest, Digest(body))
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if r.Method == http.MethodHead {
+		return
+	}
+	if _, err := standin.NewCutWriter(w, fate).Write(body); err == nil {
+		s.end(visit, func() { visit.Delivered = true })
+	}
+}
+
+func (s *Server) begin(r *http.Request) *VisitRecord {
+	attempt, err := strconv.Atoi(r.Header.Get(protocol.HeaderAttempt))
+	if err != nil {
+		attempt = 1
+	}
+	visit := &VisitRecord{
+		Server:          s.address,
+		RequestID:       r.Header.Get(protocol.HeaderRequestID),
+		Attempt:         attempt,
+		AttemptID:       r.Header.Get(protocol.HeaderAttemptID),
+		Method:          r.Method,
+		Path:            r.URL.Path,
+		StartedUnixNano: s.now(),
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.visits = append(s.visits, visit)
+	return visit
+}
+
+func (s *Server) end(visit *VisitRecord, note func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	note()
+	visit.FinishedUnixNano = s.now()
+}
+
+func (s *Server) now() int64 { return s.clock.UnixNano(s.clock.Now()) }
+
+func (s *Server) showVisits(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	visits := make([]VisitRecord, len(s.visits))
+	for position, visit := range s.visits {
+		visits[position] = *visit
+	}
+	s.mutex.Unlock()
+	standin.WriteLines(w, visits)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults standin.Faults
+	if !standin.ReadJSON(w, r, &faults) {
+		return
+	}
+	if err := faults.Check(); err != nil {
+		standin.WriteJSON(w, http.StatusBadRequest, standin.Problem{Kind: "bad_faults", Message: err.Error()})
+		return
+	}
+	s.faults.Set(faults)
+	standin.WriteJSON(w, http.StatusOK, faults)
+}
--- /dev/null
+++ b/internal/lab/workload/generator.go
@@ -0,0 +1,159 @@
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// Options choose a stream of a mix.
+type Options struct {
+	Seed uint64
+	// Duration bounds the stream; 0 means that it does not end.
+	Duration time.Duration
+	// ModelRate and WebRate are requests per second. 0 means the mix's own, and a
+	// negative rate means none.
+	ModelRate float64
+	WebRate   float64
+}
+
+// Generator makes a stream of requests.
+type Generator struct {
+	mix     Mix
+	options Options
+	random  *rand.Rand
+
+	dossiers []*dossiers
+	nextID   int
+	// nextModel and nextWeb are the times of the next requests.
+	nextModel time.Duration
+	nextWeb   time.Duration
+}
+
+// New returns a stream that begins with its first arrival.
+func New(mix Mix, options Options) (*Generator, error) {
+	if options.ModelRate == 0 {
+		options.ModelRate = mix.ModelRate
+	}
+	if options.WebRate == 0 {
+		options.WebRate = mix.WebRate
+	}
+	if options.ModelRate < 0 && options.WebRate < 0 {
+		return nil, errors.New("workload: one of ModelRate and WebRate must be positive")
+	}
+	g := &Generator{mix: mix, options: options, random: rand.New(rand.NewPCG(options.Seed, 0x10ad))}
+	for _, activity := range mix.activities {
+		g.dossiers = append(g.dossiers, newDossiers(activity.dossiers, activity.kind, g.random, g.pickTenant))
+	}
+	g.nextModel = g.after(0, options.ModelRate)
+	g.nextWeb = g.after(0, options.WebRate)
+	return g, nil
+}
+
+// never is later than any arrival.
+const never = time.Duration(1<<63 - 1)
+
+// after draws the time of the next arrival of a Poisson stream.
+func (g *Generator) after(at time.Duration, rate float64) time.Duration {
+	if rate < 0 {
+		return never
+	}
+	return at + time.Duration(g.random.ExpFloat64()/rate*float64(time.Second))
+}
+
+// Next returns the next request, or false at the end of the stream.
+func (g *Generator) Next() (Request, bool) {
+	at := min(g.nextModel, g.nextWeb)
+	if g.options.Duration > 0 && at >= g.options.Duration {
+		return Request{}, false
+	}
+	var request Request
+	if g.nextModel <= g.nextWeb {
+		request = g.modelRequest()
+		g.nextModel = g.after(at, g.options.ModelRate)
+	} else {
+		request = g.webRequest()
+		g.nextWeb = g.after(at, g.options.WebRate)
+	}
+	g.nextID++
+	request.ID = fmt.Sprintf("%s-%d-%d", g.mix.Name, g.options.Seed, g.nextID)
+	request.At = at
+	return request, true
+}
+
+func (g *Generator) modelRequest() Request {
+	position := g.pickActivity()
+	activity := g.mix.activities[position]
+	tenant, documents := g.pickDossier(position)
+	streamed := g.random.Float64() < activity.streamed
+	unrepeatable := g.random.Float64() < activity.unrepeatable
+	return Request{
+		Kind:         activity.kind,
+		Tenant:       tenant,
+		Parts:        g.prompt(activity, tenant, documents),
+		OutputTokens: activity.output.draw(g.random),
+		Streamed:     streamed,
+		Repeatable:   !(streamed && unrepeatable),
+		Deadline:     activity.deadline,
+	}
+}
+
+func (g *Generator) prompt(activity activity, tenant string, documents []prefixindex.Part) []prefixindex.Part {
+	parts := []prefixindex.Part{
+		{ID: fmt.Sprintf("%s/system", g.mix.Name), Tokens: g.mix.systemTokens},
+		{ID: fmt.Sprintf("%s/%s/instructions", tenant, activity.kind), Tokens: activity.instructions},
+	}
+	parts = append(parts, documents...)
+	return append(parts, prefixindex.Part{
+		ID:     fmt.Sprintf("%s/text-%d-%d", tenant, g.options.Seed, g.nextID+1),
+		Tokens: activity.text.draw(g.random),
+	})
+}
+
+func (g *Generator) pickDossier(position int) (tenant string, documents []prefixindex.Part) {
+	if g.mix.activities[position].dossiers.active == 0 {
+		return g.pickTenant(), nil
+	}
+	return g.dossiers[position].use()
+}
+
+func (g *Generator) pickActivity() int {
+	at := g.random.Float64()
+	for position, activity := range g.mix.activities {
+		if at < activity.share {
+			return position
+		}
+		at -= activity.share
+	}
+	return len(g.mix.activities) - 1
+}
+
+func (g *Generator) pickTenant() string {
+	at := g.random.Float64()
+	for _, tenant := range g.mix.Tenants {
+		if at < tenant.Share {
+			return tenant.Name
+		}
+		at -= tenant.Share
+	}
+	return g.mix.Tenants[len(g.mix.Tenants)-1].Name
+}
+
+func (g *Generator) webRequest() Request {
+	web := g.mix.web
+	path := fmt.Sprintf("%s%d", web.prefix, g.random.IntN(web.pages))
+	if g.random.Float64() < web.fileRate {
+		path = fmt.Sprintf("/files%s%d", web.prefix, g.random.IntN(web.pages))
+	}
+	return Request{
+		Kind:       web.kind,
+		Web:        true,
+		Path:       path,
+		Repeatable: true,
+		Deadline:   web.deadline,
+	}
+}
--- /dev/null
+++ b/internal/lab/workload/request.go
@@ -0,0 +1,64 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// Kind names what a request is for.
+type Kind string
+
+// The kinds of requests.
+const (
+	KindCaseSummary   Kind = "case_summary"
+	KindTagging       Kind = "tagging"
+	KindHearingNotice Kind = "hearing_notice"
+	KindCalendarFetch Kind = "calendar_fetch"
+
+	KindTermGrid     Kind = "term_grid"
+	KindTeacherAudit Kind = "teacher_audit"
+	KindRoomClash    Kind = "room_clash"
+	KindBatchDraft   Kind = "batch_draft"
+	KindPortalExport Kind = "portal_export"
+)
+
+// Request is one request of a stream.
+type Request struct {
+	// At is when it is sent, since the start of the stream.
+	At time.Duration
+	// ID is unique in the stream.
+	ID   string
+	Kind Kind
+	// Tenant is empty for the public.
+	Tenant string
+	// Web tells that the request is a fetch of Path from the web service, and has
+	// no prompt.
+	Web  bool
+	Path string
+
+	Parts        []prefixindex.Part
+	OutputTokens uint32
+	Streamed     bool
+	// Repeatable tells that the request may run twice.
+	Repeatable bool
+	// Deadline is the longest time that the caller waits.
+	Deadline time.Duration
+}
+
+// PromptTokens returns the length of the prompt.
+func (r Request) PromptTokens() uint64 {
+	var tokens uint64
+	for _, part := range r.Parts {
+		tokens += uint64(part.Tokens)
+	}
+	return tokens
+}
+
+// Tenant is a tenant of a mix.
+type Tenant struct {
+	Name string
+	// Share is the tenant's share of the model requests; all shares make 1.
+	Share  float64
+	Walled bool
+}
--- /dev/null
+++ b/internal/logring/logring.go
@@ -0,0 +1,111 @@
+// Package logring keeps the newest log entries in memory and writes them out
+// when something goes wrong: on an entry of level Error or above, on request,
+// and when the process ends in a panic. In quiet times a node writes next to
+// nothing.
+package logring
+
+import (
+	"io"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// Ring is a logrus hook that keeps formatted entries.
+type Ring struct {
+	mutex     sync.Mutex
+	formatter logrus.Formatter
+	entries   [][]byte
+	next      int
+	full      bool
+	output    io.Writer
+}
+
+// New returns a ring of size entries that is written out to output.
+func New(size int, output io.Writer) *Ring {
+	return &Ring{
+		formatter: &logrus.JSONFormatter{},
+		entries:   make([][]byte, max(1, size)),
+		output:    output,
+	}
+}
+
+// Logger returns a logger whose entries go to the ring and nowhere else.
+func (r *Ring) Logger(level logrus.Level) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.SetLevel(level)
+	logger.AddHook(r)
+	return logger
+}
+
+// Levels implements logrus.Hook.
+func (r *Ring) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (r *Ring) Fire(entry *logrus.Entry) error {
+	line, err := r.formatter.Format(entry)
+	if err != nil {
+		return err
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.add(line)
+	if entry.Level <= logrus.ErrorLevel {
+		return r.writeOut()
+	}
+	return nil
+}
+
+// Dump writes the kept entries out, oldest first, and empties the ring, so that
+// no entry is written twice.
+func (r *Ring) Dump() error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.writeOut()
+}
+
+func (r *Ring) add(line []byte) {
+	r.entries[r.next] = line
+	r.next = (r.next + 1) % len(r.entries)
+	r.full = r.full || r.next == 0
+}
+
+func (r *Ring) writeOut() error {
+	ordered := r.entries[:r.next]
+	if r.full {
+		ordered = append(append([][]byte{}, r.entries[r.next:]...), r.entries[:r.next]...)
+	}
+	for _, line := range ordered {
+		if _, err := r.output.Write(line); err != nil {
+			return err
+		}
+	}
+	clear(r.entries)
+	r.next = 0
+	r.full = false
+	return nil
+}
+
+// UseForFramework sends the log of the HTTP framework into a logger. Its access
+// and statistics lines are turned off.
+func UseForFramework(logger *logrus.Logger) {
+	logx.DisableStat()
+	logx.SetWriter(frameworkWriter{entry: logger.WithField("component", "http")})
+}
+
+// frameworkWriter implements logx.Writer over logrus.
+type frameworkWriter struct {
+	entry *logrus.Entry
+}
+
+func (w frameworkWriter) Alert(v any)                     { w.entry.Error(v) }
+func (w frameworkWriter) Close() error                    { return nil }
+func (w frameworkWriter) Debug(v any, _ ...logx.LogField) { w.entry.Debug(v) }
+func (w frameworkWriter) Error(v any, _ ...logx.LogField) { w.entry.Warn(v) }
+func (w frameworkWriter) Info(v any, _ ...logx.LogField)  { w.entry.Debug(v) }
+func (w frameworkWriter) Severe(v any)                    { w.entry.Error(v) }
+func (w frameworkWriter) Slow(v any, _ ...logx.LogField)  { w.entry.Debug(v) }
+func (w frameworkWriter) Stack(v any)                     { w.entry.Error(v) }
+func (w frameworkWriter) Stat(v any, _ ...logx.LogField)  { w.entry.Trace(v) }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,205 @@
+// Package node wires the parts of a ridgeswitch node into one supervised tree:
+// control state, the traffic between nodes, the front for callers and the one
+// for operators.
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/clock"
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/transport"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// leaveGrace is how long a stopping node goes on sending after it has handed its
+// shards over, so that the messages leave.
+const leaveGrace = 200 * time.Millisecond
+
+// Node is one running node.
+type Node struct {
+	settings  *static.Settings
+	log       *logrus.Entry
+	storage   *storage
+	transport *transport.Transport
+	driver    *control.Driver
+	dataplane *dataplane.Server
+	operator  *operator.Server
+	health    *health
+	platform  *platform.Client
+	commander *commander
+}
+
+// New builds a node from checked settings. It listens for other nodes at once
+// and for callers and operators when Run is called.
+func New(settings *static.Settings, log *logrus.Entry) (*Node, error) {
+	node := &Node{settings: settings, log: log, health: &health{}}
+	if err := node.build(); err != nil {
+		node.close()
+		return nil, err
+	}
+	return node, nil
+}
+
+// build makes the parts in the order in which they need each other.
+func (n *Node) build() error {
+	var err error
+	n.storage, err = openStorage(n.settings)
+	if err != nil {
+		return err
+	}
+	source := &lateSource{}
+	n.dataplane, err = dataplane.New(dataplane.Options{
+		Node:         n.settings.Node,
+		Zone:         n.settings.Zone,
+		Address:      n.settings.Traffic,
+		Source:       source,
+		Clock:        clock.SinceBoot,
+		Log:          n.log.WithField("component", "dataplane"),
+		DrainTimeout: n.settings.DrainTimeout(),
+	})
+	if err != nil {
+		return err
+	}
+	machine, err := control.New(controlConfig(n.settings, n.storage), n.storage.restored, n.dataplane, clock.SinceBoot())
+	if err != nil {
+		return err
+	}
+	if err := n.buildDriver(machine); err != nil {
+		return err
+	}
+	source.driver = n.driver
+	n.health.driver = n.driver
+	n.operator, err = operator.NewServer(n.settings.Control, n.driver, n.health)
+	return err
+}
+
+// buildDriver connects the control machine to the network, the disk and the
+// replicas.
+func (n *Node) buildDriver(machine *control.Machine) error {
+	sender := outbound.New(outbound.Options{Name: "control"})
+	n.platform = platform.NewClient(sender, n.settings.PlatformAddress)
+	n.commander = newCommander(n.settings.Node, replica.NewCommandClient(sender), n.log.WithField("component", "commander"))
+	frames := &lateFrames{}
+	listening, err := transport.Listen(n.settings.Internal, frames.receive, transport.Options{})
+	if err != nil {
+		return err
+	}
+	n.transport = listening
+	n.driver = control.NewDriver(machine, control.DriverOptions{
+		Clock:     clock.SinceBoot,
+		Sender:    listening,
+		Storage:   n.storage.shards(),
+		Commander: n.commander,
+		Log:       n.log.WithField("component", "control"),
+	})
+	n.commander.driver = n.driver
+	frames.driver.Store(n.driver)
+	return nil
+}
+
+// Run serves until the context ends; then it drains and leaves. It returns nil
+// after an orderly stop.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.close()
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, serverCount)
+	finished := n.supervise(background)
+	go func() { failed <- errors.Wrap(n.operator.Start(), "operators' listener") }()
+	go func() { failed <- errors.Wrap(n.dataplane.Start(), "callers' listener") }()
+	select {
+	case err := <-failed:
+		stop()
+		<-finished
+		return err
+	case <-ctx.Done():
+	}
+	n.drain()
+	stop()
+	<-finished
+	return nil
+}
+
+// serverCount is the number of HTTP servers of a node.
+const serverCount = 2
+
+// supervise starts the supervised loops and returns a channel that closes when
+// they have ended.
+func (n *Node) supervise(ctx context.Context) <-chan struct{} {
+	supervisor := suture.New("node "+n.settings.Node, suture.Spec{EventHook: n.logEvent})
+	supervisor.Add(&controlService{driver: n.driver})
+	supervisor.Add(&platformService{node: n})
+	supervisor.Add(&reportService{commander: n.commander})
+	finished := make(chan struct{})
+	ended := supervisor.ServeBackground(ctx)
+	go func() {
+		<-ended
+		close(finished)
+	}()
+	return finished
+}
+
+func (n *Node) logEvent(event suture.Event) {
+	n.log.WithField("event", event.Map()).Error(event.String())
+}
+
+// drain turns readiness off, hands control over, lets running requests finish
+// and ends within the drain time.
+func (n *Node) drain() {
+	n.health.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout())
+	defer cancel()
+	if err := n.dataplane.Drain(ctx); err != nil {
+		n.log.WithError(err).Warn("requests were still running when the drain time ended")
+	}
+	n.driver.Leave()
+	time.Sleep(leaveGrace)
+	n.dataplane.Stop()
+	n.operator.Stop()
+}
+
+// close releases what New took.
+func (n *Node) close() {
+	if n.transport != nil {
+		n.transport.Close()
+	}
+	if n.storage != nil {
+		n.storage.close()
+	}
+}
+
+// controlConfig turns settings into what the control machine needs.
+func controlConfig(settings *static.Settings, disk *storage) control.Config {
+	config := control.Config{
+		Self: member.Info{
+			ID:             member.ID(settings.Node),
+			Address:        settings.Internal,
+			TrafficAddress: settings.Traffic,
+			ControlAddress: settings.Control,
+			Zone:           settings.Zone,
+			HoldsState:     settings.HoldsState(),
+			Incarnation:    member.Incarnation(time.Now().UnixMilli()),
+		},
+		Seeds:         settings.Seeds,
+		ServiceShards: uint32(settings.ServiceShards),
+		Learner:       disk.learner,
+		Times:         control.DefaultTimes(),
+	}
+	config.Times.HeartbeatEvery = settings.HeartbeatEvery()
+	for _, name := range settings.Group {
+		config.Group = append(config.Group, member.ID(name))
+	}
+	return config
+}
--- /dev/null
+++ b/internal/node/services.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+)
+
+// errDraining is the reason why a stopping node is not ready.
+var errDraining = errors.New("the node is draining; use another one")
+
+// lateSource hands control state to the front for callers, which is built first.
+type lateSource struct {
+	driver *control.Driver
+}
+
+// View implements routing.Source.
+func (s *lateSource) View() *routing.View { return s.driver.View() }
+
+// Serving implements routing.Source.
+func (s *lateSource) Serving() error { return s.driver.Serving() }
+
+// lateFrames drops frames that arrive before the driver is there; the senders
+// repeat what matters.
+type lateFrames struct {
+	driver atomic.Pointer[control.Driver]
+}
+
+func (f *lateFrames) receive(frame []byte) {
+	if driver := f.driver.Load(); driver != nil {
+		driver.ReceiveFrame(frame)
+	}
+}
+
+// health answers the platform's probes.
+type health struct {
+	driver   *control.Driver
+	draining atomic.Bool
+}
+
+// Ready implements operator.Health.
+func (h *health) Ready() error {
+	if h.draining.Load() {
+		return errDraining
+	}
+	return h.driver.Serving()
+}
+
+// Live implements operator.Health.
+func (h *health) Live() error { return h.driver.Live() }
+
+// controlService runs the control driver. The driver keeps its state in memory
+// and on disk in step, so that it is not restarted within the process: when it
+// fails the node ends and comes back from its disk.
+type controlService struct {
+	driver *control.Driver
+}
+
+// Serve implements suture.Service.
+func (s *controlService) Serve(ctx context.Context) error {
+	err := s.driver.Serve(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Wrap(suture.ErrTerminateSupervisorTree, err.Error())
+}
+
+// platformService keeps the platform's list fresh.
+type platformService struct {
+	node *Node
+}
+
+// Serve implements suture.Service.
+func (s *platformService) Serve(ctx context.Context) error {
+	s.node.platform.Poll(ctx, s.node.settings.PlatformPollEvery(), s.deliver)
+	return ctx.Err()
+}
+
+func (s *platformService) deliver(list *platform.List, err error) {
+	if err != nil {
+		s.node.log.WithError(err).Warn("cannot read the platform's list; the last one stays in force")
+		return
+	}
+	s.node.driver.SetPlatformList(lo.Map(list.Services, listedService))
+}
+
+func listedService(service platform.Service, _ int) control.ListedService {
+	return control.ListedService{
+		Name: service.Name,
+		Replicas: lo.Map(service.Replicas, func(replica platform.Replica, _ int) control.ListedReplica {
+			return control.ListedReplica{
+				Address:  replica.Address,
+				Zone:     replica.Zone,
+				Draining: replica.State != platform.StateRunning,
+			}
+		}),
+	}
+}
+
+// reportService asks the replicas that this node commands for their reports.
+type reportService struct {
+	commander *commander
+}
+
+// reportEvery is the time between two reports of one replica.
+const reportEvery = 250 * time.Millisecond
+
+// Serve implements suture.Service.
+func (s *reportService) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.commander.askReports(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operatorcli/client.go
@@ -0,0 +1,190 @@
+package operatorcli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest/httpc"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator/schema"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+const (
+	// serviceName names the nodes to go-zero.
+	serviceName = "ridgeswitch-control"
+	// dialTimeout bounds the wait for a connection, so that a machine that is
+	// gone is passed over soon.
+	dialTimeout = 2 * time.Second
+	// maxAnswerBytes bounds what is read of an answer: a configuration of the
+	// largest size, with the fields that the system adds.
+	maxAnswerBytes = 2 * dynamic.MaxDocumentBytes
+)
+
+// client sends calls to the first node that answers.
+type client struct {
+	nodes   []string
+	service httpc.Service
+}
+
+// answer is what a node answered.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// pending tells whether an order waits for its confirmation.
+func (a answer) pending() bool {
+	return a.status == http.StatusAccepted
+}
+
+// final tells whether asking another node can't give a better answer.
+func (a answer) final() bool {
+	return !a.pending() && a.status < http.StatusInternalServerError
+}
+
+// newClient builds a client without the breaker and the per-request log of
+// go-zero: both would speak up for a node that is down, which is no news here.
+func newClient(nodes []string, timeout time.Duration) *client {
+	logx.Disable()
+	breaker.NoBreakerFor(serviceName)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return &client{
+		nodes:   nodes,
+		service: httpc.NewServiceWithClient(serviceName, &http.Client{Timeout: timeout, Transport: transport}),
+	}
+}
+
+// send gives the identical call to one node after the other until one has a
+// final answer. A refusal, and the lack of any answer, are *ExitError.
+func (c *client) send(ctx context.Context, call schema.Call, request protoreflect.Message) (answer, error) {
+	var failures []string
+	var pending *answer
+	for _, node := range c.nodes {
+		got, err := c.sendTo(ctx, node, call, request)
+		switch {
+		case err != nil:
+			failures = append(failures, fmt.Sprintf("%s: %v", node, err))
+		case got.pending():
+			pending = &got
+		case got.final():
+			return accept(node, got)
+		default:
+			failures = append(failures, fmt.Sprintf("%s: %s", node, describe(got)))
+		}
+	}
+	if pending != nil {
+		return *pending, nil
+	}
+	return answer{}, unanswered(call, failures)
+}
+
+// unanswered tells what is known when no node had an answer.
+func unanswered(call schema.Call, failures []string) error {
+	message := "no node answered: " + strings.Join(failures, "; ")
+	if isOrder(call.Method.Input()) {
+		message += "; the order may take effect: resend it with the same --order-id"
+	}
+	return &ExitError{Code: ExitUnanswered, Message: message}
+}
+
+// accept turns a final answer that is no success into a refusal.
+func accept(node string, got answer) (answer, error) {
+	if got.status == http.StatusOK {
+		return got, nil
+	}
+	return answer{}, &ExitError{Code: ExitRefused, Message: fmt.Sprintf("%s: %s", node, describe(got))}
+}
+
+// describe spells out the problem that an answer carries.
+func describe(got answer) string {
+	problem := &ridgeswitchv1.Problem{}
+	if err := protojson.Unmarshal(got.body, problem); err != nil || problem.GetKind() == "" {
+		return fmt.Sprintf("HTTP status %d", got.status)
+	}
+	text := problem.GetKind() + ": "
+	if problem.GetField() != "" {
+		text += problem.GetField() + ": "
+	}
+	text += problem.GetMessage()
+	if problem.GetRevision() != 0 {
+		text += fmt.Sprintf(" (revision in force: %d)", problem.GetRevision())
+	}
+	return text
+}
+
+func (c *client) sendTo(ctx context.Context, node string, call schema.Call, request protoreflect.Message) (answer, error) {
+	outgoing, err := newHTTPRequest(ctx, node, call, request)
+	if err != nil {
+		return answer{}, err
+	}
+	response, err := c.service.DoRequest(outgoing)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return answer{}, errors.Wrap(err, "answer cut short")
+	}
+	if len(body) > maxAnswerBytes {
+		return answer{}, errors.Errorf("answer above %d bytes", maxAnswerBytes)
+	}
+	return answer{status: response.StatusCode, body: body}, nil
+}
+
+// newHTTPRequest puts the request into the body, or into the query where the
+// method has no body by custom.
+func newHTTPRequest(ctx context.Context, node string, call schema.Call, request protoreflect.Message) (*http.Request, error) {
+	method := call.Binding.GetMethod()
+	target := "http://" + node + call.URLPath(request)
+	if method == http.MethodGet || method == http.MethodDelete {
+		if query := queryOf(call, request); query != "" {
+			target += "?" + query
+		}
+		return http.NewRequestWithContext(ctx, method, target, nil)
+	}
+	body, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(request.Interface())
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the request")
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	outgoing.Header.Set("Content-Type", "application/json")
+	return outgoing, nil
+}
+
+// queryOf gives the plain fields that are not in the path, and those of the
+// order header, as query parameters.
+func queryOf(call schema.Call, request protoreflect.Message) string {
+	query := url.Values{}
+	for _, field := range flagFields(call.Method.Input()) {
+		if isSegment(call, field) {
+			continue
+		}
+		holder := request
+		for _, parent := range field.path[:len(field.path)-1] {
+			holder = holder.Get(parent).Message()
+		}
+		if holder.Has(field.last()) {
+			query.Set(string(field.last().Name()), holder.Get(field.last()).String())
+		}
+	}
+	return query.Encode()
+}
--- /dev/null
+++ b/internal/operatorcli/commands.go
@@ -0,0 +1,88 @@
+package operatorcli
+
+import (
+	"context"
+	"strings"
+
+	"github.com/samber/lo"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator/schema"
+)
+
+// Commands are the operator verbs: one for each call of the schema, and "config
+// check". It panics when the compiled schema is incomplete.
+func Commands() []*cli.Command {
+	commands := []*cli.Command{configCommand()}
+	for _, call := range lo.Must(schema.Calls()) {
+		words := strings.Fields(call.Binding.GetVerb())
+		commands = addVerb(commands, words, call)
+	}
+	return commands
+}
+
+// addVerb adds a call under its words; calls whose verbs begin with the same
+// word share a command.
+func addVerb(commands []*cli.Command, words []string, call schema.Call) []*cli.Command {
+	if len(words) == 1 {
+		return append(commands, verbCommand(words[0], call))
+	}
+	parent, found := lo.Find(commands, func(command *cli.Command) bool {
+		return command.Name == words[0]
+	})
+	if !found {
+		parent = &cli.Command{Name: words[0], Usage: "calls of " + string(call.Method.Parent().Name())}
+		commands = append(commands, parent)
+	}
+	parent.Commands = addVerb(parent.Commands, words[1:], call)
+	return commands
+}
+
+func verbCommand(name string, call schema.Call) *cli.Command {
+	binding := call.Binding
+	return &cli.Command{
+		Name:  name,
+		Usage: string(call.Method.Name()) + ": " + binding.GetMethod() + " " + binding.GetPath(),
+		Flags: append(clientFlags(call.Method.Output()), requestFlags(call.Method.Input())...),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return runVerb(ctx, command, call)
+		},
+	}
+}
+
+// runVerb builds the request of a call, sends it and prints the answer.
+func runVerb(ctx context.Context, command *cli.Command, call schema.Call) error {
+	if command.Args().Present() {
+		return usageError("unexpected argument " + command.Args().First() + "; give flags alone")
+	}
+	printer, err := newPrinter(command, call.Method.Output())
+	if err != nil {
+		return err
+	}
+	orderID := orderIDOf(command, call.Method.Input())
+	request, err := buildRequest(command, call, orderID)
+	if err != nil {
+		return err
+	}
+	if orderID != "" {
+		printer.note("order-id: " + orderID)
+	}
+	client := newClient(command.StringSlice(flagNode), command.Duration(flagTimeout))
+	answer, err := client.send(ctx, call, request)
+	if err != nil {
+		return err
+	}
+	if err := printer.print(answer.body); err != nil {
+		return err
+	}
+	if answer.pending() {
+		return &ExitError{Code: ExitPending, Message: "pending: the order may take effect; resend it with --order-id " + orderID}
+	}
+	return nil
+}
+
+// isOrder tells whether a request changes the configuration.
+func isOrder(request protoreflect.MessageDescriptor) bool {
+	return request.Fields().ByName(schema.OrderField) != nil
+}
--- /dev/null
+++ b/internal/operatorcli/flags.go
@@ -0,0 +1,164 @@
+package operatorcli
+
+import (
+	"crypto/rand"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator/schema"
+)
+
+// The flags that do not come from the fields of a request.
+const (
+	flagNode    = "node"
+	flagTimeout = "timeout"
+	flagOutput  = "output"
+	flagOrderID = "order-id"
+	flagFile    = "file"
+	flagSecret  = "secret"
+)
+
+const (
+	// defaultNode is where a node on this machine listens in the examples.
+	defaultNode = "127.0.0.1:7300"
+	// defaultTimeout bounds the wait for one node's answer.
+	defaultTimeout = 15 * time.Second
+	// digestField is the name of fields that hold the digest of a secret.
+	digestField protoreflect.Name = "sha256"
+	// nameField is the name of fields that name the message they stand in.
+	nameField protoreflect.Name = "name"
+)
+
+// clientFlags are the flags of every verb.
+func clientFlags(response protoreflect.MessageDescriptor) []cli.Flag {
+	flags := []cli.Flag{
+		&cli.StringSliceFlag{
+			Name:    flagNode,
+			Usage:   "control `ADDRESS` of a node; repeat it to name the nodes to try next",
+			Value:   []string{defaultNode},
+			Sources: cli.EnvVars("RIDGESWITCH_NODE"),
+		},
+		&cli.DurationFlag{Name: flagTimeout, Usage: "longest wait for one node's answer", Value: defaultTimeout},
+	}
+	if isTabular(response) {
+		flags = append(flags, &cli.StringFlag{Name: flagOutput, Usage: "json or table", Value: outputJSON})
+	}
+	return flags
+}
+
+// requestFlags are the flags of the fields of a request.
+func requestFlags(request protoreflect.MessageDescriptor) []cli.Flag {
+	var flags []cli.Flag
+	for _, field := range flagFields(request) {
+		flags = append(flags, &cli.StringFlag{Name: field.flag, Usage: field.usage()})
+		if field.isDigest() {
+			flags = append(flags, &cli.StringFlag{
+				Name:  flagSecret,
+				Usage: "the secret itself, or - to read it from standard input; only its SHA-256 is sent",
+			})
+		}
+	}
+	return flags
+}
+
+// flagField is a field of a request that a flag gives.
+type flagField struct {
+	flag string
+	// path leads from the request to the field.
+	path []protoreflect.FieldDescriptor
+}
+
+// last is the field itself.
+func (f flagField) last() protoreflect.FieldDescriptor {
+	return f.path[len(f.path)-1]
+}
+
+// isFile tells whether the flag names a file with the JSON of the field.
+func (f flagField) isFile() bool {
+	return f.last().Message() != nil
+}
+
+func (f flagField) isDigest() bool {
+	return f.last().Name() == digestField
+}
+
+func (f flagField) usage() string {
+	switch {
+	case f.isFile():
+		return "`FILE` with the " + string(f.last().Message().Name()) + " as JSON; - reads standard input"
+	case f.flag == flagOrderID:
+		return "identity of the order; made up when it is not given"
+	default:
+		names := make([]string, 0, len(f.path))
+		for _, field := range f.path {
+			names = append(names, string(field.Name()))
+		}
+		return "field " + strings.Join(names, ".") + " of the request"
+	}
+}
+
+// flagFields lists the fields of a request that flags give. The fields of a
+// nested message are given one by one, those of a configuration by a file.
+func flagFields(request protoreflect.MessageDescriptor) []flagField {
+	var fields []flagField
+	for i := range request.Fields().Len() {
+		field := request.Fields().Get(i)
+		switch {
+		case field.Message() == nil:
+			fields = append(fields, flagField{flag: dashed(field.Name()), path: []protoreflect.FieldDescriptor{field}})
+		case field.Message().FullName() == configurationName():
+			fields = append(fields, flagField{flag: flagFile, path: []protoreflect.FieldDescriptor{field}})
+		default:
+			fields = append(fields, nestedFields(field)...)
+		}
+	}
+	return fields
+}
+
+func nestedFields(parent protoreflect.FieldDescriptor) []flagField {
+	var fields []flagField
+	nested := parent.Message().Fields()
+	for i := range nested.Len() {
+		field := nested.Get(i)
+		name := field.Name()
+		if name == nameField {
+			name = parent.Name()
+		}
+		fields = append(fields, flagField{flag: dashed(name), path: []protoreflect.FieldDescriptor{parent, field}})
+	}
+	return fields
+}
+
+func configurationName() protoreflect.FullName {
+	return (&ridgeswitchv1.Configuration{}).ProtoReflect().Descriptor().FullName()
+}
+
+func dashed(name protoreflect.Name) string {
+	return strings.ReplaceAll(string(name), "_", "-")
+}
+
+// orderIDOf is the identity of an order: the one given, or a new one that no
+// other order has. It is empty for a call that is no order.
+func orderIDOf(command *cli.Command, request protoreflect.MessageDescriptor) string {
+	if !isOrder(request) {
+		return ""
+	}
+	if given := command.String(flagOrderID); given != "" {
+		return given
+	}
+	return rand.Text()
+}
+
+// isSegment tells whether a field stands in the path of a call.
+func isSegment(call schema.Call, field flagField) bool {
+	for _, name := range call.Segments() {
+		if len(field.path) == 1 && string(field.last().Name()) == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/operatorcli/request.go
@@ -0,0 +1,137 @@
+package operatorcli
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/dynamicpb"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator/schema"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+// standardInput is the file name that stands for standard input.
+const standardInput = "-"
+
+// document is a JSON object that is being put together.
+type document map[string]any
+
+// buildRequest fills the request of a call from the flags, with the same strict
+// reading as on a node.
+func buildRequest(command *cli.Command, call schema.Call, orderID string) (protoreflect.Message, error) {
+	content := document{}
+	for _, field := range flagFields(call.Method.Input()) {
+		value, err := fieldValue(command, call, field, orderID)
+		if err != nil {
+			return nil, err
+		}
+		if value != nil {
+			content.set(field.path, value)
+		}
+	}
+	data, err := json.Marshal(content)
+	if err != nil {
+		return nil, usageError("the request can't be encoded: " + err.Error())
+	}
+	request := dynamicpb.NewMessage(call.Method.Input())
+	if err := dynamic.ParseMessage(data, request); err != nil {
+		return nil, usageError(err.Error())
+	}
+	return request, nil
+}
+
+// fieldValue is the JSON value of one field, or nil when it is not given.
+func fieldValue(command *cli.Command, call schema.Call, field flagField, orderID string) (any, error) {
+	text := command.String(field.flag)
+	switch {
+	case field.flag == flagOrderID:
+		return orderID, nil
+	case field.isFile():
+		return fileValue(command, text)
+	case field.isDigest():
+		return digestValue(command, text)
+	case text == "" && isSegment(call, field):
+		return nil, usageError("--" + field.flag + " is missing; give it")
+	case text == "":
+		return nil, nil
+	default:
+		return text, nil
+	}
+}
+
+// fileValue is the JSON that a file holds.
+func fileValue(command *cli.Command, path string) (any, error) {
+	if path == "" {
+		return nil, usageError("--" + flagFile + " is missing; name the file to read")
+	}
+	data, err := readInput(command, path)
+	if err != nil {
+		return nil, err
+	}
+	if !json.Valid(data) {
+		return nil, usageError(path + " holds no JSON; correct the file")
+	}
+	return json.RawMessage(data), nil
+}
+
+// digestValue is a digest that is given, or that of a secret that is given.
+func digestValue(command *cli.Command, digest string) (any, error) {
+	secret := command.String(flagSecret)
+	if (digest == "") == (secret == "") {
+		return nil, usageError("give either --" + flagSecret + " or --" + string(digestField))
+	}
+	if digest != "" {
+		return digest, nil
+	}
+	if secret == standardInput {
+		data, err := readInput(command, secret)
+		if err != nil {
+			return nil, err
+		}
+		secret = strings.TrimRight(string(data), "\r\n")
+	}
+	if secret == "" {
+		return nil, usageError("the secret is empty; give one")
+	}
+	return dynamic.KeyDigest(secret), nil
+}
+
+// readInput reads a file or standard input, up to the bound of a configuration.
+func readInput(command *cli.Command, path string) ([]byte, error) {
+	source := command.Root().Reader
+	if path != standardInput {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, usageError(err.Error() + "; name a readable file")
+		}
+		defer func() { _ = file.Close() }()
+		source = file
+	}
+	data, err := io.ReadAll(io.LimitReader(source, dynamic.MaxDocumentBytes+1))
+	if err != nil {
+		return nil, usageError(err.Error() + "; name a readable file")
+	}
+	if len(data) > dynamic.MaxDocumentBytes {
+		return nil, usageError(path + " is larger than any configuration may be; reduce it")
+	}
+	return data, nil
+}
+
+// set puts a value under a path of fields.
+func (d document) set(path []protoreflect.FieldDescriptor, value any) {
+	name := string(path[0].Name())
+	if len(path) == 1 {
+		d[name] = value
+		return
+	}
+	nested, found := d[name].(document)
+	if !found {
+		nested = document{}
+		d[name] = nested
+	}
+	nested.set(path[1:], value)
+}
--- /dev/null
+++ b/internal/routing/view.go
@@ -0,0 +1,85 @@
+// Package routing holds the immutable view of control state that traffic reads.
+// The control machine builds a new View for every change and publishes it
+// through an atomic pointer; nothing in a published View is ever written again.
+package routing
+
+import (
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+// KeyDigest is the lower-case hexadecimal SHA-256 digest of a tenant's key.
+type KeyDigest string
+
+// Tenant is a tenant as admission reads it.
+type Tenant struct {
+	Name   string
+	Walled bool
+	// SharingDomain separates kept parts: equal domains may share them. It
+	// changes with every epoch of a wall.
+	SharingDomain string
+	Limits        *ridgeswitchv1.Limits
+}
+
+// Replica is a back end of a pool or of a web service, as the platform's list
+// and the service's shard describe it together.
+type Replica struct {
+	Address string
+	Zone    string
+	// WeightVersion is the version that the replica confirmed. Empty for the
+	// back ends of a web service.
+	WeightVersion string
+	// Admitting tells whether new requests may go to it: it is listed, not
+	// draining for the platform or for a roll-out, and its zone is not
+	// evacuated.
+	Admitting bool
+}
+
+// Pool is a pool with its present replicas, admitting or not.
+type Pool struct {
+	Config   *ridgeswitchv1.Pool
+	Replicas []Replica
+	// Store is the pool's store, or nil.
+	Store *ridgeswitchv1.Store
+}
+
+// WebService is a plain HTTP service with its present back ends.
+type WebService struct {
+	Config   *ridgeswitchv1.WebService
+	Replicas []Replica
+}
+
+// Destination is where a host's requests go: exactly one field is set.
+type Destination struct {
+	Pool       *Pool
+	WebService *WebService
+	// Public destinations need no tenant key.
+	Public bool
+}
+
+// View is everything that traffic needs to know of control state.
+type View struct {
+	// Revision is the configuration's revision.
+	Revision uint64
+	// Configuration is the source of the maps below; read only.
+	Configuration *ridgeswitchv1.Configuration
+	Tenants       map[KeyDigest]*Tenant
+	Destinations  map[string]Destination
+	Pools         map[string]*Pool
+	WebServices   map[string]*WebService
+}
+
+// Source is how traffic reaches control state.
+type Source interface {
+	// View returns the newest view, or nil before the first one.
+	View() *View
+	// Serving returns nil while the node may admit traffic. It reads a clock
+	// that counts suspended time, so that a node that was frozen refuses
+	// before it serves anything out of date.
+	Serving() error
+}
+
+// LoadReader tells control how many requests run on a back end through this
+// node.
+type LoadReader interface {
+	InFlight(address string) int
+}
--- /dev/null
+++ b/internal/transport/options.go
@@ -0,0 +1,96 @@
+package transport
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// MaxFrameBytes is the size above which a frame is neither sent nor accepted.
+const MaxFrameBytes = 16 << 20
+
+// The values of Options that are not set.
+const (
+	DefaultMaxQueuedFrames = 4096
+	DefaultMaxQueuedBytes  = 32 << 20
+	DefaultMaxConnections  = 4096
+	DefaultDialTimeout     = time.Second
+	DefaultWriteTimeout    = 2 * time.Second
+	DefaultFrameTimeout    = 5 * time.Second
+	DefaultKeepAlive       = 2 * time.Second
+	DefaultMinBackoff      = 20 * time.Millisecond
+	DefaultMaxBackoff      = 500 * time.Millisecond
+)
+
+const keepAliveProbes = 3
+
+// Options bounds what a Transport uses. Zero values mean the defaults.
+type Options struct {
+	// MaxQueuedFrames and MaxQueuedBytes bound what waits for one peer.
+	MaxQueuedFrames int
+	MaxQueuedBytes  int
+	// MaxConnections bounds the connections that others opened to this node.
+	MaxConnections int
+	DialTimeout    time.Duration
+	// WriteTimeout is how long one write, of a few small frames or one large
+	// one, may take before the connection is closed, and how long bytes may
+	// stay without the peer's acknowledgement.
+	WriteTimeout time.Duration
+	// FrameTimeout is how long a sender may take over the rest of a frame
+	// that it has begun.
+	FrameTimeout time.Duration
+	// KeepAlive is the interval of the probes on silent connections.
+	KeepAlive time.Duration
+	// MinBackoff doubles with each failure to connect up to MaxBackoff.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxQueuedFrames, DefaultMaxQueuedFrames)
+	setDefault(&o.MaxQueuedBytes, DefaultMaxQueuedBytes)
+	setDefault(&o.MaxConnections, DefaultMaxConnections)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.FrameTimeout, DefaultFrameTimeout)
+	setDefault(&o.KeepAlive, DefaultKeepAlive)
+	setDefault(&o.MinBackoff, DefaultMinBackoff)
+	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	return o
+}
+
+func setDefault[T int | time.Duration](value *T, otherwise T) {
+	if *value <= 0 {
+		*value = otherwise
+	}
+}
+
+func (o Options) keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: keepAliveProbes}
+}
+
+// newDialer returns a dialer whose connections come from the IP that the node
+// listens on, so that receivers and faults between machines can tell nodes
+// apart by source address.
+func newDialer(listening net.Addr, options Options) *net.Dialer {
+	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAliveConfig: options.keepAlive()}
+	if local, ok := listening.(*net.TCPAddr); ok && !local.IP.IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: local.IP, Zone: local.Zone}
+	}
+	// Without this, bytes sent to a machine that vanished count as written
+	// until the kernel gives up after many minutes.
+	dialer.Control = func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(descriptor uintptr) {
+			milliseconds := int(options.WriteTimeout / time.Millisecond)
+			optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
+		})
+		if err != nil {
+			return err
+		}
+		return optionErr
+	}
+	return dialer
+}
--- /dev/null
+++ b/internal/transport/peer.go
@@ -0,0 +1,170 @@
+package transport
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"time"
+)
+
+const (
+	lengthBytes = 4
+	// batchBytes is about how much one write takes from the queue.
+	batchBytes = 256 << 10
+)
+
+// peer sends the frames for one address. One goroutine runs it.
+type peer struct {
+	transport *Transport
+	address   string
+	queue     *queue
+	context   context.Context
+	cancel    context.CancelFunc
+}
+
+func newPeer(transport *Transport, address string) *peer {
+	own, cancel := context.WithCancel(transport.context)
+	options := transport.options
+	return &peer{
+		transport: transport,
+		address:   address,
+		queue:     newQueue(options.MaxQueuedFrames, options.MaxQueuedBytes),
+		context:   own,
+		cancel:    cancel,
+	}
+}
+
+func (p *peer) enqueue(frame []byte) {
+	dropped := p.queue.push(frame)
+	p.transport.counters.droppedFull.Add(uint64(dropped))
+}
+
+func (p *peer) stop() {
+	p.cancel()
+}
+
+// run connects when there is something to send, and again after each loss.
+func (p *peer) run() {
+	defer p.dropQueued()
+	backoff := p.transport.options.MinBackoff
+	for {
+		if !p.waitForFrames() {
+			return
+		}
+		connection, err := p.transport.dialer.DialContext(p.context, "tcp", p.address)
+		if err != nil {
+			p.transport.counters.connectFailures.Add(1)
+			if !p.pause(backoff) {
+				return
+			}
+			backoff = min(2*backoff, p.transport.options.MaxBackoff)
+			continue
+		}
+		p.transport.counters.connectionsOpened.Add(1)
+		if p.serve(connection) {
+			backoff = p.transport.options.MinBackoff
+			continue
+		}
+		// A peer that accepts and takes nothing must not be dialled in a loop.
+		if !p.pause(backoff) {
+			return
+		}
+		backoff = min(2*backoff, p.transport.options.MaxBackoff)
+	}
+}
+
+// waitForFrames tells false when the peer was stopped. It leaves the token in
+// place, for serve to find.
+func (p *peer) waitForFrames() bool {
+	for {
+		if frames, _ := p.queue.size(); frames > 0 {
+			return p.context.Err() == nil
+		}
+		select {
+		case <-p.queue.ready:
+		case <-p.context.Done():
+			return false
+		}
+	}
+}
+
+// serve sends frames until the connection is lost or the peer stopped. It
+// tells whether any frame was sent.
+func (p *peer) serve(connection net.Conn) (sentAny bool) {
+	lost := make(chan struct{})
+	p.transport.running.Go(func() { watch(connection, lost) })
+	defer func() { _ = connection.Close() }()
+	for {
+		batch := p.queue.pop(batchBytes)
+		if len(batch) > 0 {
+			if !p.write(connection, batch) {
+				return sentAny
+			}
+			sentAny = true
+			continue
+		}
+		select {
+		case <-p.queue.ready:
+		case <-lost:
+			return sentAny
+		case <-p.context.Done():
+			return sentAny
+		}
+	}
+}
+
+// watch notices that the other side closed the connection, on which it never
+// sends anything, before a frame is lost on it.
+func watch(connection net.Conn, lost chan<- struct{}) {
+	var unexpected [1]byte
+	_, _ = connection.Read(unexpected[:])
+	_ = connection.Close()
+	close(lost)
+}
+
+// write sends a batch, and counts the frames that it could not.
+func (p *peer) write(connection net.Conn, batch [][]byte) bool {
+	stop := context.AfterFunc(p.context, func() { _ = connection.Close() })
+	defer stop()
+	buffers := make(net.Buffers, 0, 2*len(batch))
+	total := 0
+	for _, frame := range batch {
+		length := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes), uint32(len(frame)))
+		buffers = append(buffers, length, frame)
+		total += lengthBytes + len(frame)
+	}
+	if err := connection.SetWriteDeadline(time.Now().Add(p.transport.options.WriteTimeout)); err != nil {
+		p.transport.counters.droppedUnsent.Add(uint64(len(batch)))
+		return false
+	}
+	if _, err := buffers.WriteTo(connection); err != nil {
+		p.transport.counters.droppedUnsent.Add(uint64(len(batch)))
+		return false
+	}
+	p.transport.counters.framesSent.Add(uint64(len(batch)))
+	p.transport.counters.bytesSent.Add(uint64(total))
+	return true
+}
+
+// pause waits before the next attempt to connect; it tells false when the peer
+// was stopped.
+func (p *peer) pause(backoff time.Duration) bool {
+	timer := time.NewTimer(backoff)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-p.context.Done():
+		return false
+	}
+}
+
+func (p *peer) dropQueued() {
+	for {
+		batch := p.queue.pop(p.transport.options.MaxQueuedBytes)
+		if len(batch) == 0 {
+			return
+		}
+		p.transport.counters.droppedClosed.Add(uint64(len(batch)))
+	}
+}
--- /dev/null
+++ b/internal/transport/queue.go
@@ -0,0 +1,71 @@
+package transport
+
+import "sync"
+
+// queue holds the frames that wait for one peer. It drops the oldest when a
+// new one would exceed its bounds.
+type queue struct {
+	maxFrames int
+	maxBytes  int
+	// ready has a token when the queue may hold frames.
+	ready chan struct{}
+
+	mutex  sync.Mutex
+	frames [][]byte
+	bytes  int
+}
+
+func newQueue(maxFrames, maxBytes int) *queue {
+	return &queue{maxFrames: maxFrames, maxBytes: maxBytes, ready: make(chan struct{}, 1)}
+}
+
+// push adds a frame and returns how many older ones it dropped. A frame larger
+// than the byte bound is kept alone: it is no larger than MaxFrameBytes.
+func (q *queue) push(frame []byte) (dropped int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for len(q.frames) > 0 && (len(q.frames) >= q.maxFrames || q.bytes+len(frame) > q.maxBytes) {
+		q.removeOldest()
+		dropped++
+	}
+	q.frames = append(q.frames, frame)
+	q.bytes += len(frame)
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+	return dropped
+}
+
+// pop takes the oldest frames up to about maxBytes together, at least one if
+// there is any.
+func (q *queue) pop(maxBytes int) [][]byte {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	var batch [][]byte
+	taken := 0
+	for len(q.frames) > 0 && (len(batch) == 0 || taken+len(q.frames[0]) <= maxBytes) {
+		oldest := q.removeOldest()
+		taken += len(oldest)
+		batch = append(batch, oldest)
+	}
+	if len(q.frames) == 0 {
+		q.frames = nil
+	}
+	return batch
+}
+
+// size returns the frames and bytes that wait.
+func (q *queue) size() (frames, bytes int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return len(q.frames), q.bytes
+}
+
+func (q *queue) removeOldest() []byte {
+	oldest := q.frames[0]
+	q.frames[0] = nil
+	q.frames = q.frames[1:]
+	q.bytes -= len(oldest)
+	return oldest
+}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,130 @@
+// Package transport carries frames between nodes over TCP.
+//
+// A connection carries frames in one direction, each behind its length. A
+// sender keeps a bounded queue for each peer and drops the oldest frames when
+// it is full: the protocols above repeat what matters, and old frames matter
+// least. No peer, slow, frozen or hostile, can make a node hold more memory
+// than the bounds in Options.
+package transport
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Handler takes a frame that arrived. It owns the frame. It is called from one
+// goroutine for each connection, so from several at once, and no further frame
+// of that connection is read until it returns. It must not call Close.
+type Handler func(frame []byte)
+
+// Transport sends frames to peers and hands frames that arrive to its handler.
+type Transport struct {
+	options  Options
+	listener net.Listener
+	handler  Handler
+	dialer   *net.Dialer
+	counters counters
+	context  context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+
+	mutex   sync.Mutex
+	closed  bool
+	peers   map[string]*peer
+	inbound map[net.Conn]struct{}
+}
+
+// Listen starts to accept frames on address, a host and port, and to send from
+// the host of address. The handler gets each frame that arrives.
+func Listen(address string, handler func(frame []byte), options Options) (*Transport, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "transport: cannot listen on %s; check that the address is this machine's and free", address)
+	}
+	options = options.withDefaults()
+	background, cancel := context.WithCancel(context.Background())
+	transport := &Transport{
+		options:  options,
+		listener: listener,
+		handler:  handler,
+		dialer:   newDialer(listener.Addr(), options),
+		context:  background,
+		cancel:   cancel,
+		peers:    map[string]*peer{},
+		inbound:  map[net.Conn]struct{}{},
+	}
+	transport.running.Go(transport.accept)
+	return transport, nil
+}
+
+// Address returns the host and port that the transport listens on.
+func (t *Transport) Address() string {
+	return t.listener.Addr().String()
+}
+
+// Send queues a frame for the peer that listens on address, a host and port.
+// It never blocks. A frame that cannot be queued or sent is dropped and
+// counted. The transport owns the frame from here on.
+func (t *Transport) Send(address string, frame []byte) {
+	if len(frame) > MaxFrameBytes || len(frame) == 0 {
+		t.counters.droppedSize.Add(1)
+		return
+	}
+	receiver := t.peer(address)
+	if receiver == nil {
+		t.counters.droppedClosed.Add(1)
+		return
+	}
+	receiver.enqueue(frame)
+}
+
+// Forget closes the connection to a peer and drops what is queued for it. A
+// later Send starts afresh.
+func (t *Transport) Forget(address string) {
+	t.mutex.Lock()
+	forgotten := t.peers[address]
+	delete(t.peers, address)
+	t.mutex.Unlock()
+	if forgotten != nil {
+		forgotten.stop()
+	}
+}
+
+// Close stops listening, closes all connections, drops what is queued, and
+// returns when no handler runs any more.
+func (t *Transport) Close() {
+	t.mutex.Lock()
+	t.closed = true
+	peers := t.peers
+	t.peers = map[string]*peer{}
+	for connection := range t.inbound {
+		_ = connection.Close()
+	}
+	t.mutex.Unlock()
+	t.cancel()
+	_ = t.listener.Close()
+	for _, stopped := range peers {
+		stopped.stop()
+	}
+	t.running.Wait()
+}
+
+// peer returns the peer at address and starts it if it is new. It returns nil
+// once the transport is closed.
+func (t *Transport) peer(address string) *peer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.closed {
+		return nil
+	}
+	known := t.peers[address]
+	if known == nil {
+		known = newPeer(t, address)
+		t.peers[address] = known
+		t.running.Go(known.run)
+	}
+	return known
+}
--- /dev/null
+++ b/internal/wire/control.go
@@ -0,0 +1,66 @@
+package wire
+
+import (
+	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+func packControl(message *protocol.Message) *fb.ControlT {
+	if message == nil {
+		return nil
+	}
+	packed := &fb.ControlT{
+		Type:        byte(message.Type),
+		Shard:       message.Shard,
+		Request:     message.Request,
+		Incarnation: uint64(message.Incarnation),
+		Payload:     message.Payload,
+		Revision:    message.Revision,
+		Owner:       string(message.Owner),
+		Accepted:    message.Accepted,
+	}
+	for _, revision := range message.Revisions {
+		packed.Revisions = append(packed.Revisions, &fb.ShardRevisionT{
+			Shard:    revision.Shard,
+			Revision: revision.Revision,
+			Drained:  revision.Drained,
+		})
+	}
+	return packed
+}
+
+func (r *reader) control(table *fb.Control) *protocol.Message {
+	if table == nil {
+		return nil
+	}
+	return &protocol.Message{
+		Type:        protocol.MessageType(table.Type()),
+		Shard:       table.Shard(),
+		Request:     table.Request(),
+		Incarnation: member.Incarnation(table.Incarnation()),
+		Payload:     r.bytes(table.PayloadBytes()),
+		Revision:    table.Revision(),
+		Owner:       member.ID(r.text(table.Owner())),
+		Accepted:    table.Accepted(),
+		Revisions:   r.shardRevisions(table),
+	}
+}
+
+func (r *reader) shardRevisions(table *fb.Control) []protocol.ShardRevision {
+	length := r.elements(table.RevisionsLength(), leastTableBytes)
+	if length == 0 {
+		return nil
+	}
+	revisions := make([]protocol.ShardRevision, length)
+	var stored fb.ShardRevision
+	for i := range revisions {
+		table.Revisions(&stored, i)
+		revisions[i] = protocol.ShardRevision{
+			Shard:    stored.Shard(),
+			Revision: stored.Revision(),
+			Drained:  stored.Drained(),
+		}
+	}
+	return revisions
+}
--- /dev/null
+++ b/internal/wire/reader.go
@@ -0,0 +1,88 @@
+package wire
+
+import (
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// The least bytes that an element of a vector takes in an honest frame: its
+// offset in the vector, and what the builder always stores for it.
+const (
+	offsetBytes       = flatbuffers.SizeUOffsetT
+	leastStringBytes  = offsetBytes + flatbuffers.SizeUOffsetT // length
+	leastTableBytes   = offsetBytes + flatbuffers.SizeSOffsetT // vtable
+	leastSilenceBytes = leastTableBytes + leastStringBytes     // monitor
+	infoStrings       = 5
+	leastRecordBytes  = 2*leastTableBytes + infoStrings*leastStringBytes // info
+)
+
+// reader copies values out of a frame. Builders store each value once, so the
+// values of an honest frame together are no larger than the frame. A hostile
+// one can point many times at the same bytes; the budget ends that.
+type reader struct {
+	// budget is how many bytes of values may still be read.
+	budget    int
+	exhausted bool
+}
+
+// take accounts for n bytes and tells whether they may be read.
+func (r *reader) take(n int) bool {
+	if n > r.budget {
+		r.exhausted = true
+		r.budget = 0
+		return false
+	}
+	r.budget -= n
+	return true
+}
+
+// elements returns the length of a vector of tables or strings that take at
+// least leastBytes each, or 0 if the frame cannot hold that many.
+func (r *reader) elements(length, leastBytes int) int {
+	if r.exhausted || !r.take(length*leastBytes) {
+		return 0
+	}
+	return length
+}
+
+// text copies a string.
+func (r *reader) text(stored []byte) string {
+	if !r.take(len(stored)) {
+		return ""
+	}
+	return string(stored)
+}
+
+// bytes copies a byte vector, and keeps nil apart from empty.
+func (r *reader) bytes(stored []byte) []byte {
+	if stored == nil || !r.take(len(stored)) {
+		return nil
+	}
+	return append(make([]byte, 0, len(stored)), stored...)
+}
+
+// memberIDs copies a vector of strings.
+func (r *reader) memberIDs(length int, at func(int) []byte) []member.ID {
+	length = r.elements(length, leastStringBytes)
+	if length == 0 {
+		return nil
+	}
+	ids := make([]member.ID, length)
+	for i := range ids {
+		ids[i] = member.ID(r.text(at(i)))
+	}
+	return ids
+}
+
+// packMemberIDs is the other direction of memberIDs.
+func packMemberIDs(ids []member.ID) []string {
+	if len(ids) == 0 {
+		return nil
+	}
+	packed := make([]string, len(ids))
+	for i, id := range ids {
+		packed[i] = string(id)
+	}
+	return packed
+}
--- /dev/null
+++ b/internal/wire/replication.go
@@ -0,0 +1,109 @@
+package wire
+
+import (
+	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+func packReplication(message *replication.Message) *fb.ReplicationT {
+	if message == nil {
+		return nil
+	}
+	return &fb.ReplicationT{
+		Type:       byte(message.Type),
+		Epoch:      message.Epoch,
+		Index:      message.Index,
+		IndexEpoch: message.IndexEpoch,
+		Commit:     message.Commit,
+		Round:      message.Round,
+		Trial:      message.Trial,
+		Handover:   message.Handover,
+		Learner:    message.Learner,
+		Reject:     message.Reject,
+		RejectHint: message.RejectHint,
+		Entries:    packEntries(message.Entries),
+		Snapshot:   packSnapshot(message.Snapshot),
+	}
+}
+
+func packEntries(entries []replication.Entry) []*fb.EntryT {
+	if len(entries) == 0 {
+		return nil
+	}
+	packed := make([]*fb.EntryT, len(entries))
+	for i, entry := range entries {
+		packed[i] = &fb.EntryT{
+			Index:   entry.Index,
+			Epoch:   entry.Epoch,
+			Kind:    byte(entry.Kind),
+			Command: entry.Command,
+		}
+	}
+	return packed
+}
+
+func packSnapshot(snapshot *replication.Snapshot) *fb.SnapshotT {
+	if snapshot == nil {
+		return nil
+	}
+	return &fb.SnapshotT{
+		Index:    snapshot.Index,
+		Epoch:    snapshot.Epoch,
+		Group:    packMemberIDs(snapshot.Group),
+		Learners: packMemberIDs(snapshot.Learners),
+		Data:     snapshot.Data,
+	}
+}
+
+func (r *reader) replication(table *fb.Replication) *replication.Message {
+	if table == nil {
+		return nil
+	}
+	return &replication.Message{
+		Type:       replication.MessageType(table.Type()),
+		Epoch:      table.Epoch(),
+		Index:      table.Index(),
+		IndexEpoch: table.IndexEpoch(),
+		Commit:     table.Commit(),
+		Round:      table.Round(),
+		Trial:      table.Trial(),
+		Handover:   table.Handover(),
+		Learner:    table.Learner(),
+		Reject:     table.Reject(),
+		RejectHint: table.RejectHint(),
+		Entries:    r.entries(table),
+		Snapshot:   r.snapshot(table.Snapshot(nil)),
+	}
+}
+
+func (r *reader) entries(table *fb.Replication) []replication.Entry {
+	length := r.elements(table.EntriesLength(), leastTableBytes)
+	if length == 0 {
+		return nil
+	}
+	entries := make([]replication.Entry, length)
+	var stored fb.Entry
+	for i := range entries {
+		table.Entries(&stored, i)
+		entries[i] = replication.Entry{
+			Index:   stored.Index(),
+			Epoch:   stored.Epoch(),
+			Kind:    replication.EntryKind(stored.Kind()),
+			Command: r.bytes(stored.CommandBytes()),
+		}
+	}
+	return entries
+}
+
+func (r *reader) snapshot(table *fb.Snapshot) *replication.Snapshot {
+	if table == nil {
+		return nil
+	}
+	return &replication.Snapshot{
+		Index:    table.Index(),
+		Epoch:    table.Epoch(),
+		Group:    r.memberIDs(table.GroupLength(), table.Group),
+		Learners: r.memberIDs(table.LearnersLength(), table.Learners),
+		Data:     r.bytes(table.DataBytes()),
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,111 @@
+// Package wire turns the messages between nodes into frames and back. A frame
+// is one FlatBuffers Envelope with exactly one message in it.
+//
+// Frames come from the network, so Decode takes any bytes: it answers bytes
+// that are no frame with an *Error and never uses more memory than a small
+// multiple of the frame.
+package wire
+
+import (
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+//go:generate flatc --go --gen-object-api -o . wire.fbs
+//go:generate gofmt -w fb
+
+// MaxFrameBytes is the size above which Decode refuses a frame.
+const MaxFrameBytes = 16 << 20
+
+// identifier marks the frames of this schema; it stands behind the root offset.
+const identifier = "RSW1"
+
+const (
+	initialBuilderBytes = 512
+	smallestFrameBytes  = flatbuffers.SizeUOffsetT + len(identifier)
+)
+
+// Envelope is what one frame carries: the sender and exactly one message.
+type Envelope struct {
+	From        member.ID
+	Incarnation member.Incarnation
+	// Shard is the replica group that a Replication message belongs to.
+	Shard       uint32
+	Replication *replication.Message
+	Membership  *membership.Message
+	Relay       *relaytree.Message
+	Control     *protocol.Message
+}
+
+// Encode returns the frame of an envelope. The result shares no memory with
+// the envelope.
+func Encode(envelope Envelope) []byte {
+	table := &fb.EnvelopeT{
+		From:        string(envelope.From),
+		Incarnation: uint64(envelope.Incarnation),
+		Shard:       envelope.Shard,
+		Replication: packReplication(envelope.Replication),
+		Membership:  packMembership(envelope.Membership),
+		Relay:       packRelay(envelope.Relay),
+		Control:     packControl(envelope.Control),
+	}
+	builder := flatbuffers.NewBuilder(initialBuilderBytes)
+	builder.FinishWithFileIdentifier(table.Pack(builder), []byte(identifier))
+	return builder.FinishedBytes()
+}
+
+// Decode returns the envelope in a frame, or an *Error. The envelope shares no
+// memory with the frame.
+func Decode(frame []byte) (envelope Envelope, err error) {
+	if len(frame) > MaxFrameBytes {
+		return Envelope{}, &Error{Kind: KindTooLarge, FrameBytes: len(frame)}
+	}
+	if len(frame) < smallestFrameBytes || !flatbuffers.BufferHasIdentifier(frame, identifier) {
+		return Envelope{}, &Error{Kind: KindForeign, FrameBytes: len(frame)}
+	}
+	// The accessors index the frame by the offsets in it and have no verifier:
+	// a wrong offset shows as a panic of the bounds check.
+	defer func() {
+		if recover() != nil {
+			envelope, err = Envelope{}, &Error{Kind: KindMalformed, FrameBytes: len(frame)}
+		}
+	}()
+	reader := &reader{budget: len(frame)}
+	envelope = reader.envelope(fb.GetRootAsEnvelope(frame, 0))
+	if reader.exhausted {
+		return Envelope{}, &Error{Kind: KindMalformed, FrameBytes: len(frame)}
+	}
+	if envelope.messages() != 1 {
+		return Envelope{}, &Error{Kind: KindMessageCount, FrameBytes: len(frame)}
+	}
+	return envelope, nil
+}
+
+// messages counts the messages that are set.
+func (e Envelope) messages() int {
+	count := 0
+	for _, set := range []bool{e.Replication != nil, e.Membership != nil, e.Relay != nil, e.Control != nil} {
+		if set {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *reader) envelope(table *fb.Envelope) Envelope {
+	return Envelope{
+		From:        member.ID(r.text(table.From())),
+		Incarnation: member.Incarnation(table.Incarnation()),
+		Shard:       table.Shard(),
+		Replication: r.replication(table.Replication(nil)),
+		Membership:  r.membership(table.Membership(nil)),
+		Relay:       r.relay(table.Relay(nil)),
+		Control:     r.control(table.Control(nil)),
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,172 @@
+package wire
+
+import (
+	"fmt"
+	"reflect"
+	"runtime"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+const filledElements = 2
+
+// filler sets every field that it reaches to a value of its own, so that a
+// field which the wire drops or mixes up shows.
+type filler struct{ next uint64 }
+
+func (f *filler) fill(value reflect.Value, path string) {
+	f.next++
+	switch value.Kind() {
+	case reflect.Bool:
+		value.SetBool(true)
+	case reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		value.SetUint(f.next%255 + 1)
+	case reflect.String:
+		value.SetString(fmt.Sprintf("%s-%d", path, f.next))
+	case reflect.Pointer:
+		value.Set(reflect.New(value.Type().Elem()))
+		f.fill(value.Elem(), path)
+	case reflect.Slice:
+		value.Set(reflect.MakeSlice(value.Type(), filledElements, filledElements))
+		for i := range value.Len() {
+			f.fill(value.Index(i), path)
+		}
+	case reflect.Struct:
+		for i := range value.NumField() {
+			f.fill(value.Field(i), path+"."+value.Type().Field(i).Name)
+		}
+	default:
+		Fail("the filler does not know the kind of " + path)
+	}
+}
+
+// filledEnvelopes returns one envelope for each message, with every field set.
+func filledEnvelopes() []Envelope {
+	envelopeType := reflect.TypeFor[Envelope]()
+	var envelopes []Envelope
+	for i := range envelopeType.NumField() {
+		if envelopeType.Field(i).Type.Kind() != reflect.Pointer {
+			continue
+		}
+		var envelope Envelope
+		fields := &filler{}
+		value := reflect.ValueOf(&envelope).Elem()
+		for j := range envelopeType.NumField() {
+			if j == i || envelopeType.Field(j).Type.Kind() != reflect.Pointer {
+				fields.fill(value.Field(j), envelopeType.Field(j).Name)
+			}
+		}
+		envelopes = append(envelopes, envelope)
+	}
+	return envelopes
+}
+
+func kindOf(err error) Kind {
+	var refused *Error
+	ExpectWithOffset(1, err).To(BeAssignableToTypeOf(refused))
+	return err.(*Error).Kind
+}
+
+var _ = Describe("Frames", func() {
+	It("carry every field of every message", func() {
+		envelopes := filledEnvelopes()
+		Expect(envelopes).To(HaveLen(4))
+		for _, envelope := range envelopes {
+			Expect(Decode(Encode(envelope))).To(Equal(envelope))
+		}
+	})
+
+	It("carry messages of which no field is set", func() {
+		for _, envelope := range []Envelope{
+			{Replication: &replication.Message{}},
+			{Membership: &membership.Message{}},
+			{Relay: &relaytree.Message{}},
+			{Control: &protocol.Message{}},
+		} {
+			Expect(Decode(Encode(envelope))).To(Equal(envelope))
+		}
+	})
+
+	It("keep an empty command apart from none", func() {
+		entries := []replication.Entry{{Index: 1, Command: []byte{}}, {Index: 2}}
+		envelope := Envelope{Replication: &replication.Message{Entries: entries}}
+		Expect(Decode(Encode(envelope))).To(Equal(envelope))
+	})
+
+	It("carry many records", func() {
+		message := &membership.Message{Records: make([]membership.Record, 2000)}
+		Expect(Decode(Encode(Envelope{Membership: message}))).To(Equal(Envelope{Membership: message}))
+	})
+
+	It("share no memory with what they are decoded to", func() {
+		envelope := Envelope{Relay: &relaytree.Message{Payload: []byte("state")}}
+		frame := Encode(envelope)
+		decoded, err := Decode(frame)
+		Expect(err).NotTo(HaveOccurred())
+		clear(frame)
+		Expect(decoded).To(Equal(envelope))
+	})
+
+	It("are refused without exactly one message", func() {
+		_, err := Decode(Encode(Envelope{From: "a"}))
+		Expect(kindOf(err)).To(Equal(KindMessageCount))
+		_, err = Decode(Encode(Envelope{Relay: &relaytree.Message{}, Control: &protocol.Message{}}))
+		Expect(kindOf(err)).To(Equal(KindMessageCount))
+	})
+
+	It("are refused when foreign or too large", func() {
+		_, err := Decode([]byte("GET / HTTP/1.1\r\n"))
+		Expect(kindOf(err)).To(Equal(KindForeign))
+		_, err = Decode(nil)
+		Expect(kindOf(err)).To(Equal(KindForeign))
+		_, err = Decode(make([]byte, MaxFrameBytes+1))
+		Expect(kindOf(err)).To(Equal(KindTooLarge))
+	})
+
+	It("never panic when cut or damaged at any byte", func() {
+		for _, envelope := range filledEnvelopes() {
+			frame := Encode(envelope)
+			for position := range frame {
+				_, _ = Decode(frame[:position])
+				for bit := range 8 {
+					damaged := append([]byte(nil), frame...)
+					damaged[position] ^= 1 << bit
+					_, _ = Decode(damaged)
+				}
+			}
+		}
+	})
+
+	It("use bounded memory when many offsets share one large value", func() {
+		const members, memberBytes = 10_000, 1 << 20
+		builder := flatbuffers.NewBuilder(0)
+		large := builder.CreateByteString(make([]byte, memberBytes))
+		fb.MembershipStartMonitorsVector(builder, members)
+		for range members {
+			builder.PrependUOffsetT(large)
+		}
+		monitors := builder.EndVector(members)
+		fb.MembershipStart(builder)
+		fb.MembershipAddMonitors(builder, monitors)
+		message := fb.MembershipEnd(builder)
+		fb.EnvelopeStart(builder)
+		fb.EnvelopeAddMembership(builder, message)
+		builder.FinishWithFileIdentifier(fb.EnvelopeEnd(builder), []byte(identifier))
+		frame := builder.FinishedBytes()
+
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := Decode(frame)
+		runtime.ReadMemStats(&after)
+		Expect(kindOf(err)).To(Equal(KindMalformed))
+		Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 4*len(frame)))
+	})
+})
