--- /dev/null
+++ b/pkg/attempts/ledger.go
@@ -0,0 +1,165 @@
+package attempts
+
+import "fmt"
+
+// Options are the rules that a request brings with it.
+type Options struct {
+	// Repeatable permits a further attempt after one that may have run.
+	Repeatable bool
+	// MaxAttempts bounds the attempts; at least 1.
+	MaxAttempts int
+}
+
+// Record is one attempt in the ledger.
+type Record struct {
+	Address string
+	State   State
+	// Relayed tells that a part of this attempt's answer went to the caller.
+	Relayed bool
+	// Complete tells that the whole answer has been received.
+	Complete bool
+}
+
+// mayHaveRun tells whether the back end may have run the request. Connecting
+// counts, because bytes may leave at any moment of it.
+func (r Record) mayHaveRun() bool {
+	return r.State != Planned && r.State != RefusedNotRun
+}
+
+// running tells whether the attempt has not ended.
+func (r Record) running() bool {
+	switch r.State {
+	case Planned, Connecting, Sent:
+		return true
+	case Answered:
+		return !r.Complete
+	default:
+		return false
+	}
+}
+
+// Ledger is the record of one request's attempts.
+type Ledger struct {
+	options        Options
+	records        []Record
+	deadlinePassed bool
+	callerLeft     bool
+	exhausted      bool
+}
+
+// TransitionError says that an event does not fit the ledger.
+type TransitionError struct {
+	Event Event
+	// State is the state of the attempt that the event names, if there is one.
+	State State
+	// Reason says why the event does not fit.
+	Reason string
+}
+
+// Error implements error.
+func (e *TransitionError) Error() string {
+	return fmt.Sprintf("attempt %d: event %s does not fit (%s): apply events in the order in which they happen",
+		e.Event.Attempt, e.Event.Kind, e.Reason)
+}
+
+// New returns an empty ledger.
+func New(options Options) *Ledger {
+	if options.MaxAttempts < 1 {
+		options.MaxAttempts = 1
+	}
+	return &Ledger{options: options}
+}
+
+// Records returns a copy of the attempts in the order of their numbers.
+func (l *Ledger) Records() []Record {
+	return append([]Record(nil), l.records...)
+}
+
+// MayHaveRun tells whether any attempt may have run the request.
+func (l *Ledger) MayHaveRun() bool {
+	for _, record := range l.records {
+		if record.mayHaveRun() {
+			return true
+		}
+	}
+	return false
+}
+
+// CallerLeft tells whether nobody waits for the answer any more.
+func (l *Ledger) CallerLeft() bool {
+	return l.callerLeft
+}
+
+// Apply enters an event. A *TransitionError leaves the ledger as it was.
+func (l *Ledger) Apply(event Event) error {
+	switch event.Kind {
+	case DeadlinePassed:
+		l.deadlinePassed = true
+	case CallerLeft:
+		l.callerLeft = true
+	case AttemptsExhausted:
+		l.exhausted = true
+	case AttemptPlanned:
+		return l.plan(event)
+	default:
+		return l.advance(event)
+	}
+	return nil
+}
+
+// plan opens an attempt, which only the ledger's own move permits.
+func (l *Ledger) plan(event Event) error {
+	move := l.Next()
+	if move.Kind != Dispatch || move.Attempt != event.Attempt {
+		return &TransitionError{Event: event, Reason: "the next move is " + move.Kind.String()}
+	}
+	l.records = append(l.records, Record{Address: event.Address, State: Planned})
+	return nil
+}
+
+// advance moves one attempt on.
+func (l *Ledger) advance(event Event) error {
+	if event.Attempt < 1 || event.Attempt > len(l.records) {
+		return &TransitionError{Event: event, Reason: "there is no such attempt"}
+	}
+	record := &l.records[event.Attempt-1]
+	next, permitted := transition(*record, event.Kind)
+	if !permitted {
+		return &TransitionError{Event: event, State: record.State, Reason: "the attempt is " + record.State.String()}
+	}
+	*record = next
+	return nil
+}
+
+// transition returns what an event makes of an attempt, and whether the event
+// is permitted. An attempt that was sent never becomes one that was not.
+func transition(record Record, kind EventKind) (Record, bool) {
+	from := record.State
+	switch kind {
+	case ConnectStarted:
+		record.State = Connecting
+		return record, from == Planned
+	case BytesMayHaveLeft:
+		record.State = Sent
+		return record, from == Connecting
+	case NotSent:
+		record.State = RefusedNotRun
+		return record, from == Planned || from == Connecting
+	case Refused:
+		record.State = RefusedNotRun
+		return record, from == Sent
+	case AnswerBegan:
+		record.State = Answered
+		record.Relayed = true
+		return record, from == Sent
+	case AnswerCompleted:
+		record.State = Answered
+		record.Complete = true
+		return record, from == Sent || from == Answered && !record.Complete
+	case EndLost:
+		record.State = Unknown
+		return record, from == Sent || from == Answered && !record.Complete
+	default:
+		return record, false
+	}
+}
--- /dev/null
+++ b/pkg/attempts/ledger_test.go
@@ -0,0 +1,188 @@
+package attempts_test
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
+)
+
+// sequenceLength bounds the input sequences that are explored exhaustively.
+const sequenceLength = 7
+
+// inputs returns every event that could come next, fitting or not.
+func inputs(planned int) []attempts.Event {
+	events := []attempts.Event{
+		{Kind: attempts.DeadlinePassed}, {Kind: attempts.CallerLeft}, {Kind: attempts.AttemptsExhausted},
+		{Kind: attempts.AttemptPlanned, Attempt: planned + 1},
+	}
+	for attempt := 1; attempt <= planned; attempt++ {
+		for kind := attempts.ConnectStarted; kind <= attempts.EndLost; kind++ {
+			events = append(events, attempts.Event{Kind: kind, Attempt: attempt})
+		}
+	}
+	return events
+}
+
+// truth is what may have happened at the back ends, kept apart from the ledger
+// and by rules of its own: a request may run from the first byte on, unless the
+// back end promised that it will not.
+type truth struct {
+	mayRun   []bool
+	finished []bool
+}
+
+// after returns the truth after an event that the ledger took.
+func (t truth) after(event attempts.Event) truth {
+	next := truth{mayRun: append([]bool(nil), t.mayRun...), finished: append([]bool(nil), t.finished...)}
+	position := event.Attempt - 1
+	switch event.Kind {
+	case attempts.AttemptPlanned:
+		next.mayRun = append(next.mayRun, false)
+		next.finished = append(next.finished, false)
+	case attempts.BytesMayHaveLeft:
+		next.mayRun[position] = true
+	case attempts.Refused:
+		next.mayRun[position] = false
+		next.finished[position] = true
+	case attempts.NotSent, attempts.AnswerCompleted, attempts.EndLost:
+		next.finished[position] = true
+	}
+	return next
+}
+
+// possibleRuns counts the attempts that may have run the request.
+func (t truth) possibleRuns() int {
+	runs := 0
+	for _, ran := range t.mayRun {
+		if ran {
+			runs++
+		}
+	}
+	return runs
+}
+
+// running counts the attempts that have not ended.
+func (t truth) running() int {
+	count := 0
+	for _, finished := range t.finished {
+		if !finished {
+			count++
+		}
+	}
+	return count
+}
+
+// replay builds a ledger from events that it is known to take.
+func replay(options attempts.Options, events []attempts.Event) *attempts.Ledger {
+	ledger := attempts.New(options)
+	for _, event := range events {
+		Expect(ledger.Apply(event)).To(Succeed())
+	}
+	return ledger
+}
+
+// explore visits every sequence that the ledger takes.
+func explore(options attempts.Options, events []attempts.Event, known truth, visit func([]attempts.Event, *attempts.Ledger, truth)) int {
+	ledger := replay(options, events)
+	visit(events, ledger, known)
+	visited := 1
+	if len(events) == sequenceLength {
+		return visited
+	}
+	for _, event := range inputs(len(known.mayRun)) {
+		if replay(options, events).Apply(event) != nil {
+			continue
+		}
+		longer := append(append([]attempts.Event(nil), events...), event)
+		visited += explore(options, longer, known.after(event), visit)
+	}
+	return visited
+}
+
+// describe draws a sequence for a failure message.
+func describe(events []attempts.Event) string {
+	names := make([]string, len(events))
+	for position, event := range events {
+		names[position] = event.Kind.String()
+	}
+	return strings.Join(names, " -> ")
+}
+
+var _ = Describe("Ledger", func() {
+	DescribeTable("over every short input sequence", func(repeatable bool) {
+		options := attempts.Options{Repeatable: repeatable, MaxAttempts: 3}
+		visited := explore(options, nil, truth{}, func(events []attempts.Event, ledger *attempts.Ledger, known truth) {
+			move := ledger.Next()
+			if ledger.MayHaveRun() != (known.possibleRuns() > 0) {
+				// The ledger may only be the more careful of the two, while
+				// a connection is being obtained.
+				Expect(ledger.MayHaveRun()).To(BeTrue(), describe(events))
+				Expect(known.running()).To(BeNumerically(">", 0), describe(events))
+			}
+			if !repeatable && known.possibleRuns() > 1 {
+				Fail("a second run was possible: " + describe(events))
+			}
+			switch move.Kind {
+			case attempts.Dispatch:
+				Expect(known.running()).To(BeZero(), describe(events))
+				if !repeatable {
+					Expect(known.possibleRuns()).To(BeZero(), describe(events))
+				}
+			case attempts.AnswerNotRun:
+				Expect(known.running()).To(BeZero(), describe(events))
+				Expect(known.possibleRuns()).To(BeZero(), describe(events))
+			case attempts.AnswerUnknown:
+				Expect(known.running()).To(BeZero(), describe(events))
+				Expect(known.possibleRuns()).To(BeNumerically(">", 0), describe(events))
+			case attempts.AnswerDeadline, attempts.Abandon:
+				Expect(known.running()).To(BeZero(), describe(events))
+			case attempts.Wait, attempts.Cancel:
+				Expect(known.running()).To(BeNumerically(">", 0), describe(events))
+			}
+		})
+		Expect(visited).To(BeNumerically(">", 1000))
+	},
+		Entry("of a request that may not be repeated", false),
+		Entry("of a repeatable request", true),
+	)
+
+	It("never dispatches again once a part of an answer was handed on", func() {
+		ledger := replay(attempts.Options{Repeatable: true, MaxAttempts: 3}, []attempts.Event{
+			{Kind: attempts.AttemptPlanned, Attempt: 1}, {Kind: attempts.ConnectStarted, Attempt: 1},
+			{Kind: attempts.BytesMayHaveLeft, Attempt: 1}, {Kind: attempts.AnswerBegan, Attempt: 1},
+			{Kind: attempts.EndLost, Attempt: 1},
+		})
+		Expect(ledger.Next()).To(Equal(attempts.Move{Kind: attempts.AbortRelay, Attempt: 1}))
+	})
+
+	DescribeTable("the next move", func(repeatable bool, last attempts.EventKind, expected attempts.MoveKind) {
+		ledger := replay(attempts.Options{Repeatable: repeatable, MaxAttempts: 3}, []attempts.Event{
+			{Kind: attempts.AttemptPlanned, Attempt: 1}, {Kind: attempts.ConnectStarted, Attempt: 1},
+		})
+		if last != attempts.NotSent {
+			Expect(ledger.Apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: 1})).To(Succeed())
+		}
+		Expect(ledger.Apply(attempts.Event{Kind: last, Attempt: 1})).To(Succeed())
+		Expect(ledger.Next().Kind).To(Equal(expected))
+	},
+		Entry("after an unsent attempt", false, attempts.NotSent, attempts.Dispatch),
+		Entry("after a refusal", false, attempts.Refused, attempts.Dispatch),
+		Entry("after a lost end", false, attempts.EndLost, attempts.AnswerUnknown),
+		Entry("after a lost end, repeatable", true, attempts.EndLost, attempts.Dispatch),
+		Entry("after an answer", false, attempts.AnswerCompleted, attempts.Relay),
+	)
+
+	It("names the state in which an event does not fit", func() {
+		ledger := replay(attempts.Options{}, []attempts.Event{
+			{Kind: attempts.AttemptPlanned, Attempt: 1}, {Kind: attempts.ConnectStarted, Attempt: 1},
+			{Kind: attempts.BytesMayHaveLeft, Attempt: 1},
+		})
+		err := ledger.Apply(attempts.Event{Kind: attempts.NotSent, Attempt: 1})
+		Expect(err).To(BeAssignableToTypeOf(&attempts.TransitionError{}))
+		Expect(err).To(MatchError(ContainSubstring("the attempt is sent")))
+		Expect(ledger.MayHaveRun()).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/pkg/config/dynamic/change.go
@@ -0,0 +1,136 @@
+package dynamic
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+// changed is a changed and validated copy of a configuration. The revision and
+// the epochs are left to the caller.
+func changed(current *ridgeswitchv1.Configuration, order *controlpb.Order) (*ridgeswitchv1.Configuration, error) {
+	if err := checkChange(order); err != nil {
+		return nil, err
+	}
+	next, err := applyChange(current, order)
+	if err != nil {
+		return nil, err
+	}
+	if err := Validate(next); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func applyChange(current *ridgeswitchv1.Configuration, order *controlpb.Order) (*ridgeswitchv1.Configuration, error) {
+	if apply, whole := order.GetChange().(*controlpb.Order_Apply); whole {
+		return withoutAssignedFields(apply.Apply), nil
+	}
+	next := proto.Clone(current).(*ridgeswitchv1.Configuration)
+	switch change := order.GetChange().(type) {
+	case *controlpb.Order_AddKey:
+		return next, addKey(next, change.AddKey)
+	case *controlpb.Order_RevokeKey:
+		return next, revokeKey(next, change.RevokeKey)
+	case *controlpb.Order_SetWall:
+		return next, setWall(next, change.SetWall)
+	case *controlpb.Order_SetEvacuation:
+		setEvacuation(next, change.SetEvacuation)
+		return next, nil
+	case *controlpb.Order_NameWeights:
+		return next, nameWeights(next, change.NameWeights)
+	default:
+		return nil, &Error{Kind: KindMissing, Field: "change", Message: "the order names no change; give one"}
+	}
+}
+
+func addKey(next *ridgeswitchv1.Configuration, change *controlpb.AddKey) error {
+	tenant, err := tenantNamed(next, change.GetTenant())
+	if err != nil {
+		return err
+	}
+	existing, found := lo.Find(tenant.GetKeys(), func(key *ridgeswitchv1.Key) bool {
+		return key.GetName() == change.GetKey().GetName()
+	})
+	if !found {
+		tenant.Keys = append(tenant.Keys, proto.Clone(change.GetKey()).(*ridgeswitchv1.Key))
+		return nil
+	}
+	if existing.GetSha256() == change.GetKey().GetSha256() {
+		return nil
+	}
+	return &Error{
+		Kind:    KindDuplicate,
+		Field:   "key.name",
+		Message: fmt.Sprintf("tenant %q has another key %q; revoke it first or choose another name", change.GetTenant(), existing.GetName()),
+	}
+}
+
+func revokeKey(next *ridgeswitchv1.Configuration, change *controlpb.RevokeKey) error {
+	tenant, err := tenantNamed(next, change.GetTenant())
+	if err != nil {
+		return err
+	}
+	kept := slices.DeleteFunc(tenant.GetKeys(), func(key *ridgeswitchv1.Key) bool {
+		return key.GetName() == change.GetKey()
+	})
+	if len(kept) == len(tenant.GetKeys()) {
+		return notFound("key", fmt.Sprintf("key %q of tenant %q", change.GetKey(), change.GetTenant()))
+	}
+	tenant.Keys = kept
+	return nil
+}
+
+func setWall(next *ridgeswitchv1.Configuration, change *controlpb.SetWall) error {
+	tenant, err := tenantNamed(next, change.GetTenant())
+	if err != nil {
+		return err
+	}
+	tenant.Walled = change.GetWalled()
+	return nil
+}
+
+func setEvacuation(next *ridgeswitchv1.Configuration, change *controlpb.SetEvacuation) {
+	position := slices.IndexFunc(next.GetEvacuations(), func(evacuation *ridgeswitchv1.ZoneEvacuation) bool {
+		return evacuation.GetZone() == change.GetZone()
+	})
+	switch {
+	case change.GetEvacuated() && position >= 0:
+		next.Evacuations[position].Reason = change.GetReason()
+	case change.GetEvacuated():
+		evacuation := &ridgeswitchv1.ZoneEvacuation{Zone: change.GetZone(), Reason: change.GetReason()}
+		next.Evacuations = append(next.Evacuations, evacuation)
+	case position >= 0:
+		next.Evacuations = slices.Delete(next.Evacuations, position, position+1)
+	}
+}
+
+func nameWeights(next *ridgeswitchv1.Configuration, change *controlpb.NameWeights) error {
+	pool, found := lo.Find(next.GetPools(), func(pool *ridgeswitchv1.Pool) bool {
+		return pool.GetName() == change.GetPool()
+	})
+	if !found {
+		return notFound("pool", fmt.Sprintf("pool %q", change.GetPool()))
+	}
+	pool.WeightVersion = change.GetWeightVersion()
+	return nil
+}
+
+func tenantNamed(configuration *ridgeswitchv1.Configuration, name string) (*ridgeswitchv1.Tenant, error) {
+	tenant, found := lo.Find(configuration.GetTenants(), func(tenant *ridgeswitchv1.Tenant) bool {
+		return tenant.GetName() == name
+	})
+	if !found {
+		return nil, notFound("tenant", fmt.Sprintf("tenant %q", name))
+	}
+	return tenant, nil
+}
+
+func notFound(field, what string) error {
+	return &Error{Kind: KindNotFound, Field: field, Message: "there is no " + what + "; read the configuration and correct the name"}
+}
--- /dev/null
+++ b/pkg/config/dynamic/checks.go
@@ -0,0 +1,168 @@
+package dynamic
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?(\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// checker collects faults while it walks over a configuration.
+type checker struct {
+	faults Errors
+}
+
+func (c *checker) add(kind Kind, path, format string, arguments ...any) {
+	c.faults = append(c.faults, &Error{Kind: kind, Field: path, Message: fmt.Sprintf(format, arguments...)})
+}
+
+// name checks an identifier that may stand in a path of the control interface.
+func (c *checker) name(path, value string) {
+	switch {
+	case value == "":
+		c.add(KindMissing, path, "is empty; give a name")
+	case len(value) > MaxNameBytes:
+		c.add(KindOversize, path, "has %d bytes; use at most %d", len(value), MaxNameBytes)
+	case !namePattern.MatchString(value):
+		c.add(KindInvalid, path, "%q: begin with a letter or digit and use only letters, digits, '.', '_' and '-'", value)
+	}
+}
+
+// label checks an opaque text that nodes hand on, such as a model.
+func (c *checker) label(path, value string) {
+	switch {
+	case value == "":
+		c.add(KindMissing, path, "is empty; give a value")
+	case len(value) > MaxNameBytes:
+		c.add(KindOversize, path, "has %d bytes; use at most %d", len(value), MaxNameBytes)
+	case !isVisibleASCII(value):
+		c.add(KindInvalid, path, "%q: use visible ASCII characters without spaces", value)
+	}
+}
+
+func (c *checker) host(path, value string) {
+	switch {
+	case value == "":
+		c.add(KindMissing, path, "is empty; give the host name that callers use")
+	case len(value) > MaxHostBytes:
+		c.add(KindOversize, path, "has %d bytes; use at most %d", len(value), MaxHostBytes)
+	case !hostPattern.MatchString(value):
+		c.add(KindInvalid, path, "%q: write a lower-case host name without scheme, port or path", value)
+	}
+}
+
+func (c *checker) digest(path, value string) {
+	switch {
+	case value == "":
+		c.add(KindMissing, path, "is empty; give the SHA-256 digest of the secret")
+	case !digestPattern.MatchString(value):
+		c.add(KindInvalid, path, "must be 64 lower-case hexadecimal digits; give the SHA-256 digest, not the secret")
+	}
+}
+
+func (c *checker) address(path, value string) {
+	if value == "" {
+		c.add(KindMissing, path, "is empty; give IP and port, such as 127.3.0.1:7400")
+		return
+	}
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		c.add(KindInvalid, path, "%q: write a reachable IP and port, such as 127.3.0.1:7400", value)
+	}
+}
+
+func (c *checker) reason(path, value string) {
+	switch {
+	case len(value) > MaxReasonBytes:
+		c.add(KindOversize, path, "has %d bytes; use at most %d", len(value), MaxReasonBytes)
+	case !utf8.ValidString(value) || strings.ContainsFunc(value, unicode.IsControl):
+		c.add(KindInvalid, path, "use printable text on one line")
+	}
+}
+
+// count checks the length of a list.
+func (c *checker) count(path string, length, bound int) {
+	if length > bound {
+		c.add(KindOversize, path, "has %d entries; use at most %d", length, bound)
+	}
+}
+
+// positive checks a whole number that must lie in 1..bound.
+func (c *checker) positive(path string, value uint32, bound uint64) {
+	if value == 0 || uint64(value) > bound {
+		c.add(KindOutOfRange, path, "is %d; use a number from 1 to %d", value, bound)
+	}
+}
+
+// timeout checks a positive time in milliseconds.
+func (c *checker) timeout(path string, milliseconds uint32, bound time.Duration) {
+	c.positive(path, milliseconds, uint64(bound.Milliseconds()))
+}
+
+// rate checks a number that must lie above 0 and up to bound.
+func (c *checker) rate(path string, value, bound float64) {
+	if math.IsNaN(value) || value <= 0 || value > bound {
+		c.add(KindOutOfRange, path, "is %v; use a number above 0 and up to %v", value, bound)
+	}
+}
+
+// knob checks a number for which 0 means the default.
+func (c *checker) knob(path string, value, bound float64) {
+	if math.IsNaN(value) || value < 0 || value > bound {
+		c.add(KindOutOfRange, path, "is %v; use a number from 0 to %v", value, bound)
+	}
+}
+
+// uniqueSet remembers where each value of a kind was first given.
+type uniqueSet struct {
+	what  string
+	first map[string]string
+}
+
+func newUniqueSet(what string) *uniqueSet {
+	return &uniqueSet{what: what, first: make(map[string]string)}
+}
+
+// unique adds a fault when the value was given before. Empty values are left to
+// the checks of form.
+func (c *checker) unique(set *uniqueSet, path, value string) {
+	if value == "" {
+		return
+	}
+	if first, taken := set.first[value]; taken {
+		c.add(KindDuplicate, path, "%s is already given at %s; make it unique", set.what, first)
+		return
+	}
+	set.first[value] = path
+}
+
+// reference checks that a name is among those of a set.
+func (c *checker) reference(set *uniqueSet, path, value string) {
+	if _, found := set.first[value]; !found {
+		c.add(KindDanglingReference, path, "there is no %s %q; add it or correct the name", set.what, value)
+	}
+}
+
+func isVisibleASCII(value string) bool {
+	for _, character := range value {
+		if character <= ' ' || character > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// itemPath is the path of one element of a list.
+func itemPath(list string, index int) string {
+	return fmt.Sprintf("%s[%d]", list, index)
+}
--- /dev/null
+++ b/pkg/config/dynamic/errors.go
@@ -0,0 +1,147 @@
+package dynamic
+
+import (
+	"fmt"
+	"strings"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+// Kind is the stable name of what is wrong with an order or a configuration.
+type Kind string
+
+// The kinds of errors. Each message names the remedy.
+const (
+	// KindMalformed marks input that is not JSON, or a value of the wrong type.
+	KindMalformed Kind = "malformed"
+	// KindUnknownField marks a field that the schema does not have.
+	KindUnknownField Kind = "unknown_field"
+	// KindMissing marks a required field that is absent or empty.
+	KindMissing Kind = "missing"
+	// KindInvalid marks a value of the wrong form.
+	KindInvalid Kind = "invalid"
+	// KindOutOfRange marks a number outside its bounds.
+	KindOutOfRange Kind = "out_of_range"
+	// KindDuplicate marks a name, host or key that must be unique and is not.
+	KindDuplicate Kind = "duplicate"
+	// KindDanglingReference marks a reference to something that is not there.
+	KindDanglingReference Kind = "dangling_reference"
+	// KindOversize marks a document, a list or a text above its bound.
+	KindOversize Kind = "oversize"
+	// KindNotFound marks an order for a tenant, key or pool that is not there.
+	KindNotFound Kind = "not_found"
+	// KindOrderIDMissing marks an order without an identity.
+	KindOrderIDMissing Kind = "order_id_missing"
+	// KindOrderIDConflict marks an order whose identity belongs to an accepted
+	// order of other content.
+	KindOrderIDConflict Kind = "order_id_conflict"
+	// KindBaseRevisionStale marks an order that is based on another revision
+	// than the one in force.
+	KindBaseRevisionStale Kind = "base_revision_stale"
+)
+
+// maxReportedFaults bounds the faults that one Problem spells out.
+const maxReportedFaults = 20
+
+// Error is one fault. Its message names the remedy.
+type Error struct {
+	Kind Kind
+	// Field is the path of the offending field, such as
+	// "tenants[2].limits.burst"; empty when the whole input is meant.
+	Field   string
+	Message string
+	// Revision is the revision in force, where it matters.
+	Revision uint64
+}
+
+// Error describes the fault with the path of its field.
+func (e *Error) Error() string {
+	if e.Field == "" {
+		return e.Message
+	}
+	return e.Field + ": " + e.Message
+}
+
+// Problem is the fault as operators get it.
+func (e *Error) Problem() *ridgeswitchv1.Problem {
+	return &ridgeswitchv1.Problem{
+		Kind:     string(e.Kind),
+		Message:  e.Message,
+		Field:    e.Field,
+		Revision: e.Revision,
+	}
+}
+
+// Errors are all faults of one input, in the order of its fields.
+type Errors []*Error
+
+// Error lists the faults, one a line.
+func (list Errors) Error() string {
+	lines := make([]string, 0, len(list))
+	for _, fault := range list {
+		lines = append(lines, fault.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap gives errors.As and errors.Is access to the single faults.
+func (list Errors) Unwrap() []error {
+	faults := make([]error, 0, len(list))
+	for _, fault := range list {
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
+// Problem carries the kind and field of the first fault and a message that
+// lists all of them.
+func (list Errors) Problem() *ridgeswitchv1.Problem {
+	if len(list) == 0 {
+		return nil
+	}
+	problem := list[0].Problem()
+	if len(list) == 1 {
+		return problem
+	}
+	problem.Message = list.summary()
+	return problem
+}
+
+// summary lists up to maxReportedFaults faults on one line.
+func (list Errors) summary() string {
+	shown := list
+	if len(shown) > maxReportedFaults {
+		shown = shown[:maxReportedFaults]
+	}
+	parts := make([]string, 0, len(shown)+1)
+	for _, fault := range shown {
+		parts = append(parts, fault.Error())
+	}
+	if hidden := len(list) - len(shown); hidden > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", hidden))
+	}
+	return fmt.Sprintf("%d faults: %s", len(list), strings.Join(parts, "; "))
+}
+
+// orNil returns the list as an error, or nil when it is empty.
+func (list Errors) orNil() error {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
+// problemOf turns an error of this package into the body that operators get.
+func problemOf(err error, revision uint64) *ridgeswitchv1.Problem {
+	var problem *ridgeswitchv1.Problem
+	switch fault := err.(type) {
+	case *Error:
+		problem = fault.Problem()
+	case Errors:
+		problem = fault.Problem()
+	default:
+		problem = &ridgeswitchv1.Problem{Kind: string(KindInvalid), Message: err.Error()}
+	}
+	problem.Revision = revision
+	return problem
+}
--- /dev/null
+++ b/pkg/config/dynamic/machine.go
@@ -0,0 +1,176 @@
+package dynamic
+
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+// Machine is the replicated state machine of the configuration. It is not safe
+// for concurrent use, except that a published Configuration is never written
+// again.
+type Machine struct {
+	configuration *ridgeswitchv1.Configuration
+	answers       *answerLog
+	nodes         *registry
+}
+
+// NewMachine begins with a copy of a state. A nil state, like an empty one, is
+// the empty configuration at revision 0.
+func NewMachine(state *controlpb.ConfigurationState) *Machine {
+	configuration := &ridgeswitchv1.Configuration{}
+	if state.GetConfiguration() != nil {
+		configuration = proto.Clone(state.GetConfiguration()).(*ridgeswitchv1.Configuration)
+	}
+	return &Machine{
+		configuration: configuration,
+		answers:       newAnswerLog(state.GetAnswers()),
+		nodes:         newRegistry(state.GetNodes()),
+	}
+}
+
+// RestoreMachine begins with the state of a snapshot.
+func RestoreMachine(snapshot []byte) (*Machine, error) {
+	state := &controlpb.ConfigurationState{}
+	if err := proto.Unmarshal(snapshot, state); err != nil {
+		return nil, errors.Wrap(err, "decode the configuration snapshot; fetch it anew from another member of the group")
+	}
+	return NewMachine(state), nil
+}
+
+// Snapshot encodes the state. Equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.State())
+	return data, errors.Wrap(err, "encode the configuration snapshot")
+}
+
+// State is a deep copy of the whole state.
+func (m *Machine) State() *controlpb.ConfigurationState {
+	return &controlpb.ConfigurationState{
+		Configuration: proto.Clone(m.configuration).(*ridgeswitchv1.Configuration),
+		Answers:       m.answers.list(),
+		Nodes:         m.nodes.list(),
+	}
+}
+
+// Configuration is the configuration in force. It is shared: no one may write
+// to it, and the machine replaces it instead of changing it.
+func (m *Machine) Configuration() *ridgeswitchv1.Configuration {
+	return m.configuration
+}
+
+// Revision is the revision in force; 0 is the empty configuration.
+func (m *Machine) Revision() uint64 {
+	return m.configuration.GetRevision()
+}
+
+// Nodes are the registered nodes, sorted by name.
+func (m *Machine) Nodes() []*controlpb.RegisterNode {
+	return m.nodes.list()
+}
+
+// Answer is the answer that an accepted order got, or nil. Its confirmed field
+// is as it was when the order was applied: false.
+func (m *Machine) Answer(orderID string) *controlpb.Answer {
+	return m.answers.find(orderID)
+}
+
+// Apply applies one command of the log and returns its answer. The answer is
+// the caller's own. A refused command changes nothing.
+func (m *Machine) Apply(command *controlpb.Command) *controlpb.Answer {
+	switch command := command.GetCommand().(type) {
+	case *controlpb.Command_Order:
+		return m.applyOrder(command.Order)
+	case *controlpb.Command_RegisterNode:
+		m.nodes.register(command.RegisterNode)
+		return &controlpb.Answer{Revision: m.Revision()}
+	case *controlpb.Command_ForgetNode:
+		m.nodes.forget(command.ForgetNode)
+		return &controlpb.Answer{Revision: m.Revision()}
+	default:
+		return m.refuse(&controlpb.Order{}, &Error{
+			Kind:    KindInvalid,
+			Message: "no command of the configuration shard; send it to the shard that it is for",
+		})
+	}
+}
+
+func (m *Machine) applyOrder(order *controlpb.Order) *controlpb.Answer {
+	if err := checkOrderID(order.GetOrderId()); err != nil {
+		return m.refuse(order, err)
+	}
+	if first := m.answers.find(order.GetOrderId()); first != nil {
+		return m.repeat(order, first)
+	}
+	if err := m.checkBase(order); err != nil {
+		return m.refuse(order, err)
+	}
+	next, err := changed(m.configuration, order)
+	if err != nil {
+		return m.refuse(order, err)
+	}
+	m.adopt(next)
+	answer := &controlpb.Answer{
+		OrderId:  order.GetOrderId(),
+		Digest:   bytes.Clone(order.GetDigest()),
+		Revision: m.Revision(),
+	}
+	m.answers.add(answer)
+	return proto.Clone(answer).(*controlpb.Answer)
+}
+
+// repeat answers an order whose identity was accepted before.
+func (m *Machine) repeat(order *controlpb.Order, first *controlpb.Answer) *controlpb.Answer {
+	if bytes.Equal(order.GetDigest(), first.GetDigest()) {
+		return first
+	}
+	return m.refuse(order, &Error{
+		Kind:    KindOrderIDConflict,
+		Field:   "order.order_id",
+		Message: conflictMessage(order.GetOrderId()),
+	})
+}
+
+// checkBase compares the revision that an order is based on with the one in
+// force. Only a single change may leave it open.
+func (m *Machine) checkBase(order *controlpb.Order) error {
+	base := order.GetBaseRevision()
+	if base == m.Revision() {
+		return nil
+	}
+	if base == 0 && order.GetApply() == nil {
+		return nil
+	}
+	message := "is not the revision in force; read the configuration, merge your change and order anew with its revision"
+	if base == 0 {
+		message = "is missing; name the revision that the whole configuration is based on"
+	}
+	return &Error{Kind: KindBaseRevisionStale, Field: "order.base_revision", Message: message}
+}
+
+// adopt puts a configuration in force under the next revision, unless it is the
+// one in force already.
+func (m *Machine) adopt(next *ridgeswitchv1.Configuration) {
+	next.Revision = m.configuration.GetRevision()
+	assignEpochs(m.configuration, next)
+	if proto.Equal(m.configuration, next) {
+		return
+	}
+	next.Revision++
+	assignEpochs(m.configuration, next)
+	m.configuration = next
+}
+
+// refuse answers an order that changes nothing because of a fault.
+func (m *Machine) refuse(order *controlpb.Order, fault error) *controlpb.Answer {
+	return &controlpb.Answer{
+		OrderId:  order.GetOrderId(),
+		Digest:   bytes.Clone(order.GetDigest()),
+		Revision: m.Revision(),
+		Problem:  problemOf(fault, m.Revision()),
+	}
+}
--- /dev/null
+++ b/pkg/config/dynamic/order.go
@@ -0,0 +1,144 @@
+package dynamic
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+// KeyDigest is the digest under which a key's secret is configured.
+func KeyDigest(secret string) string {
+	digest := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(digest[:])
+}
+
+// OrderFromRequest turns a request of the control interface into an order with
+// its digest. What can be refused without knowing the present configuration is
+// refused here with an *Error or Errors. A request to set a tenant's wall does
+// not tell the direction by itself: see WallOrder.
+func OrderFromRequest(request proto.Message) (*controlpb.Order, error) {
+	switch request := request.(type) {
+	case *ridgeswitchv1.ApplyConfigurationRequest:
+		return applyOrder(request)
+	case *ridgeswitchv1.AddKeyRequest:
+		change := &controlpb.AddKey{Tenant: request.GetTenant(), Key: request.GetKey()}
+		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_AddKey{AddKey: change}})
+	case *ridgeswitchv1.RevokeKeyRequest:
+		change := &controlpb.RevokeKey{Tenant: request.GetTenant(), Key: request.GetKey()}
+		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_RevokeKey{RevokeKey: change}})
+	case *ridgeswitchv1.EvacuateZoneRequest:
+		change := &controlpb.SetEvacuation{Zone: request.GetZone(), Evacuated: true, Reason: request.GetReason()}
+		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_SetEvacuation{SetEvacuation: change}})
+	case *ridgeswitchv1.RestoreZoneRequest:
+		change := &controlpb.SetEvacuation{Zone: request.GetZone()}
+		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_SetEvacuation{SetEvacuation: change}})
+	case *ridgeswitchv1.NameWeightsRequest:
+		change := &controlpb.NameWeights{Pool: request.GetPool(), WeightVersion: request.GetWeightVersion()}
+		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_NameWeights{NameWeights: change}})
+	default:
+		return nil, errors.Errorf("%T is no order; build one with the function that fits the request", request)
+	}
+}
+
+// WallOrder turns a request to wall or unwall a tenant into an order.
+func WallOrder(request *ridgeswitchv1.SetTenantWallRequest, walled bool) (*controlpb.Order, error) {
+	change := &controlpb.SetWall{Tenant: request.GetTenant(), Walled: walled}
+	return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_SetWall{SetWall: change}})
+}
+
+func applyOrder(request *ridgeswitchv1.ApplyConfigurationRequest) (*controlpb.Order, error) {
+	if err := Validate(request.GetConfiguration()); err != nil {
+		return nil, err
+	}
+	change := withoutAssignedFields(request.GetConfiguration())
+	return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_Apply{Apply: change}})
+}
+
+// newOrder completes an order with its identity and digest.
+func newOrder(header *ridgeswitchv1.OrderHeader, order *controlpb.Order) (*controlpb.Order, error) {
+	if err := checkOrderID(header.GetOrderId()); err != nil {
+		return nil, err
+	}
+	order.BaseRevision = header.GetBaseRevision()
+	if err := checkChange(order); err != nil {
+		return nil, err
+	}
+	digest, err := orderDigest(order)
+	if err != nil {
+		return nil, err
+	}
+	order.OrderId = header.GetOrderId()
+	order.Digest = digest
+	return order, nil
+}
+
+// checkOrderID checks the identity that an operator chose for an order.
+func checkOrderID(id string) error {
+	if id == "" {
+		return &Error{
+			Kind:    KindOrderIDMissing,
+			Field:   "order.order_id",
+			Message: "is empty; choose an identity for the order and keep it when you resend",
+		}
+	}
+	check := &checker{}
+	check.label("order.order_id", id)
+	return check.faults.orNil()
+}
+
+// checkChange checks the form of a single change. A whole configuration is left
+// to Validate.
+func checkChange(order *controlpb.Order) error {
+	check := &checker{}
+	switch change := order.GetChange().(type) {
+	case *controlpb.Order_AddKey:
+		check.name("tenant", change.AddKey.GetTenant())
+		check.key("key", change.AddKey.GetKey())
+	case *controlpb.Order_RevokeKey:
+		check.name("tenant", change.RevokeKey.GetTenant())
+		check.name("key", change.RevokeKey.GetKey())
+	case *controlpb.Order_SetWall:
+		check.name("tenant", change.SetWall.GetTenant())
+	case *controlpb.Order_SetEvacuation:
+		check.name("zone", change.SetEvacuation.GetZone())
+		check.reason("reason", change.SetEvacuation.GetReason())
+	case *controlpb.Order_NameWeights:
+		check.name("pool", change.NameWeights.GetPool())
+		check.label("weight_version", change.NameWeights.GetWeightVersion())
+	}
+	return check.faults.orNil()
+}
+
+// orderDigest covers the kind, the base revision and the content of an order,
+// and not its identity.
+func orderDigest(order *controlpb.Order) ([]byte, error) {
+	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(order)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the order for its digest")
+	}
+	digest := sha256.Sum256(content)
+	return digest[:], nil
+}
+
+// withoutAssignedFields is a copy of a configuration without the fields that
+// the system assigns.
+func withoutAssignedFields(configuration *ridgeswitchv1.Configuration) *ridgeswitchv1.Configuration {
+	copied := proto.Clone(configuration).(*ridgeswitchv1.Configuration)
+	copied.Revision = 0
+	copied.SharedEpoch = 0
+	for _, tenant := range copied.GetTenants() {
+		tenant.WallEpoch = 0
+	}
+	return copied
+}
+
+// conflictMessage tells what to do when an identity was used before.
+func conflictMessage(id string) string {
+	return fmt.Sprintf("order %q was accepted with other content; choose a new identity for a new order", id)
+}
--- /dev/null
+++ b/pkg/config/dynamic/parse.go
@@ -0,0 +1,191 @@
+package dynamic
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/dynamicpb"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+// Parse reads a configuration from JSON. It returns an *Error when the text is
+// too large or is no JSON, and Errors with every unknown field, repeated field
+// and value of the wrong type otherwise. The result is not validated.
+func Parse(data []byte) (*ridgeswitchv1.Configuration, error) {
+	configuration := &ridgeswitchv1.Configuration{}
+	if err := ParseMessage(data, configuration); err != nil {
+		return nil, err
+	}
+	return configuration, nil
+}
+
+// ParseMessage reads any message of the schema from JSON as strictly as Parse
+// reads a configuration.
+func ParseMessage(data []byte, message proto.Message) error {
+	if len(data) > MaxDocumentBytes {
+		return &Error{
+			Kind:    KindOversize,
+			Message: fmt.Sprintf("document of %d bytes; reduce it to at most %d", len(data), MaxDocumentBytes),
+		}
+	}
+	if err := checkSyntax(data); err != nil {
+		return err
+	}
+	walker := &walker{}
+	walker.message("", data, message.ProtoReflect().Descriptor())
+	if len(walker.faults) > 0 {
+		return walker.faults
+	}
+	if err := protojson.Unmarshal(data, message); err != nil {
+		return &Error{Kind: KindMalformed, Message: err.Error() + "; correct the document"}
+	}
+	return nil
+}
+
+// checkSyntax tells where a document stops being JSON.
+func checkSyntax(data []byte) error {
+	var document json.RawMessage
+	err := json.Unmarshal(data, &document)
+	if err == nil {
+		return nil
+	}
+	message := err.Error()
+	if syntax, ok := err.(*json.SyntaxError); ok {
+		message = fmt.Sprintf("%s at byte %d", message, syntax.Offset)
+	}
+	return &Error{Kind: KindMalformed, Message: message + "; write the document as JSON"}
+}
+
+// walker compares a JSON document with a message descriptor and collects every
+// fault with the path of its field, which protojson alone does not tell.
+type walker struct {
+	faults Errors
+}
+
+func (w *walker) add(kind Kind, path, format string, arguments ...any) {
+	w.faults = append(w.faults, &Error{Kind: kind, Field: path, Message: fmt.Sprintf(format, arguments...)})
+}
+
+// message checks one JSON object against the fields of a message.
+func (w *walker) message(path string, data []byte, descriptor protoreflect.MessageDescriptor) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	token, err := decoder.Token()
+	if err != nil || token != json.Delim('{') {
+		w.add(KindMalformed, path, "must be a JSON object with fields of %s", descriptor.Name())
+		return
+	}
+	seen := make(map[protoreflect.FullName]bool)
+	for decoder.More() {
+		name, value, err := nextMember(decoder)
+		if err != nil {
+			w.add(KindMalformed, path, "%v; correct the document", err)
+			return
+		}
+		w.member(path, name, value, descriptor, seen)
+	}
+}
+
+// nextMember reads one name and its value from an object.
+func nextMember(decoder *json.Decoder) (string, json.RawMessage, error) {
+	token, err := decoder.Token()
+	if err != nil {
+		return "", nil, err
+	}
+	var value json.RawMessage
+	if err := decoder.Decode(&value); err != nil {
+		return "", nil, err
+	}
+	name, _ := token.(string)
+	return name, value, nil
+}
+
+// member checks one name and value of an object.
+func (w *walker) member(path, name string, value json.RawMessage,
+	descriptor protoreflect.MessageDescriptor, seen map[protoreflect.FullName]bool) {
+	field := fieldNamed(descriptor, name)
+	if field == nil {
+		w.add(KindUnknownField, joinPath(path, name), "%s has no such field; remove it or correct its name", descriptor.Name())
+		return
+	}
+	fieldPath := joinPath(path, string(field.Name()))
+	if seen[field.FullName()] {
+		w.add(KindDuplicate, fieldPath, "given more than once; keep one")
+		return
+	}
+	seen[field.FullName()] = true
+	if string(value) == "null" {
+		return
+	}
+	w.alternative(fieldPath, field, seen)
+	if field.IsList() {
+		w.list(fieldPath, value, field)
+		return
+	}
+	w.value(fieldPath, value, field)
+}
+
+// alternative checks that a field of a oneof is the only one given.
+func (w *walker) alternative(path string, field protoreflect.FieldDescriptor, seen map[protoreflect.FullName]bool) {
+	oneof := field.ContainingOneof()
+	if oneof == nil {
+		return
+	}
+	if seen[oneof.FullName()] {
+		w.add(KindInvalid, path, "another %s is given too; keep one", oneof.Name())
+	}
+	seen[oneof.FullName()] = true
+}
+
+// list checks every element of a repeated field.
+func (w *walker) list(path string, data []byte, field protoreflect.FieldDescriptor) {
+	var elements []json.RawMessage
+	if err := json.Unmarshal(data, &elements); err != nil {
+		w.add(KindMalformed, path, "must be a JSON array")
+		return
+	}
+	for i, element := range elements {
+		w.value(path+"["+strconv.Itoa(i)+"]", element, field)
+	}
+}
+
+// value checks one value that is no list.
+func (w *walker) value(path string, data []byte, field protoreflect.FieldDescriptor) {
+	if field.Message() != nil {
+		w.message(path, data, field.Message())
+		return
+	}
+	if err := checkScalar(data, field); err != nil {
+		w.add(KindMalformed, path, "must be a JSON value of type %s", field.Kind())
+	}
+}
+
+// checkScalar has protojson read the value alone, so that exactly what it
+// accepts in the whole document is accepted here.
+func checkScalar(data []byte, field protoreflect.FieldDescriptor) error {
+	if field.IsList() {
+		data = []byte("[" + string(data) + "]")
+	}
+	document := fmt.Appendf(nil, "{%q:%s}", field.Name(), data)
+	return protojson.Unmarshal(document, dynamicpb.NewMessage(field.ContainingMessage()))
+}
+
+// fieldNamed finds a field by its proto name or its JSON name.
+func fieldNamed(descriptor protoreflect.MessageDescriptor, name string) protoreflect.FieldDescriptor {
+	if field := descriptor.Fields().ByJSONName(name); field != nil {
+		return field
+	}
+	return descriptor.Fields().ByTextName(name)
+}
+
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/pkg/config/dynamic/registry.go
@@ -0,0 +1,48 @@
+package dynamic
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+// registry holds the nodes that an acknowledgement waits for, each with the
+// newest incarnation that registered.
+type registry struct {
+	incarnations map[string]uint64
+}
+
+func newRegistry(nodes []*controlpb.RegisterNode) *registry {
+	r := &registry{incarnations: make(map[string]uint64, len(nodes))}
+	for _, node := range nodes {
+		r.register(node)
+	}
+	return r
+}
+
+// register counts a node. A command of an older incarnation changes nothing.
+func (r *registry) register(node *controlpb.RegisterNode) {
+	r.incarnations[node.GetNode()] = max(r.incarnations[node.GetNode()], node.GetIncarnation())
+}
+
+// forget ends the registration of an incarnation and of those before it. A
+// newer incarnation that has registered meanwhile stays.
+func (r *registry) forget(node *controlpb.ForgetNode) {
+	if r.incarnations[node.GetNode()] <= node.GetIncarnation() {
+		delete(r.incarnations, node.GetNode())
+	}
+}
+
+// list returns the registered nodes, sorted by name.
+func (r *registry) list() []*controlpb.RegisterNode {
+	nodes := lo.MapToSlice(r.incarnations, func(name string, incarnation uint64) *controlpb.RegisterNode {
+		return &controlpb.RegisterNode{Node: name, Incarnation: incarnation}
+	})
+	slices.SortFunc(nodes, func(a, b *controlpb.RegisterNode) int {
+		return cmp.Compare(a.GetNode(), b.GetNode())
+	})
+	return nodes
+}
--- /dev/null
+++ b/pkg/config/dynamic/suite_test.go
@@ -0,0 +1,56 @@
+package dynamic_test
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gcustom"
+	"github.com/onsi/gomega/types"
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+func TestDynamic(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Dynamic configuration")
+}
+
+// validDocument is a configuration that uses every part of the schema.
+func validDocument() []byte {
+	data, err := os.ReadFile("testdata/valid.json")
+	Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+func validConfiguration() *ridgeswitchv1.Configuration {
+	configuration, err := dynamic.Parse(validDocument())
+	Expect(err).NotTo(HaveOccurred())
+	Expect(dynamic.Validate(configuration)).To(Succeed())
+	return configuration
+}
+
+// faultsOf lists an error's faults as "kind field".
+func faultsOf(err error) []string {
+	var found []string
+	switch err := err.(type) {
+	case *dynamic.Error:
+		found = append(found, string(err.Kind)+" "+err.Field)
+	case dynamic.Errors:
+		for _, fault := range err {
+			Expect(fault.Message).NotTo(BeEmpty())
+			found = append(found, string(fault.Kind)+" "+fault.Field)
+		}
+	}
+	return found
+}
+
+// equalMessage matches a message of equal content.
+func equalMessage(expected proto.Message) types.GomegaMatcher {
+	return gcustom.MakeMatcher(func(actual proto.Message) (bool, error) {
+		return proto.Equal(expected, actual), nil
+	}).WithTemplate("Expected\n{{.FormattedActual}}\nto equal\n{{format .Data 1}}", expected)
+}
--- /dev/null
+++ b/pkg/config/dynamic/validate.go
@@ -0,0 +1,187 @@
+package dynamic
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+// Validate checks every rule of a configuration and returns all faults at once
+// as Errors, or nil.
+func Validate(configuration *ridgeswitchv1.Configuration) error {
+	if configuration == nil {
+		return &Error{Kind: KindMissing, Field: "configuration", Message: "is missing; give the whole configuration"}
+	}
+	validation := &validation{
+		names: nameSets{
+			tenants:     newUniqueSet("tenant"),
+			digests:     newUniqueSet("key digest"),
+			pools:       newUniqueSet("pool"),
+			webServices: newUniqueSet("web service"),
+			services:    newUniqueSet("platform service"),
+			stores:      newUniqueSet("store"),
+			hosts:       newUniqueSet("host"),
+			zones:       newUniqueSet("evacuated zone"),
+		},
+	}
+	validation.run(configuration)
+	return validation.faults.orNil()
+}
+
+// nameSets hold what must be unique across a configuration.
+type nameSets struct {
+	tenants, digests, pools, webServices, services, stores, hosts, zones *uniqueSet
+}
+
+// validation is one run over a configuration.
+type validation struct {
+	checker
+	names nameSets
+}
+
+// run checks the lists in an order in which each reference comes after what it
+// refers to.
+func (v *validation) run(configuration *ridgeswitchv1.Configuration) {
+	v.size(configuration)
+	v.tenants(configuration.GetTenants())
+	v.stores(configuration.GetStores())
+	v.pools(configuration.GetPools())
+	v.webServices(configuration.GetWebServices())
+	v.routes(configuration.GetRoutes())
+	v.evacuations(configuration.GetEvacuations())
+}
+
+func (v *validation) size(configuration *ridgeswitchv1.Configuration) {
+	size := proto.Size(configuration)
+	if size > MaxConfigurationBytes {
+		v.add(KindOversize, "", "configuration takes %d bytes; reduce it to at most %d", size, MaxConfigurationBytes)
+	}
+}
+
+func (v *validation) tenants(tenants []*ridgeswitchv1.Tenant) {
+	v.count("tenants", len(tenants), MaxTenants)
+	for i, tenant := range tenants {
+		path := itemPath("tenants", i)
+		v.name(path+".name", tenant.GetName())
+		v.unique(v.names.tenants, path+".name", tenant.GetName())
+		v.keys(path+".keys", tenant.GetKeys())
+		v.limits(path+".limits", tenant.GetLimits())
+	}
+}
+
+func (v *validation) keys(list string, keys []*ridgeswitchv1.Key) {
+	v.count(list, len(keys), MaxKeysPerTenant)
+	names := newUniqueSet("key name")
+	for i, key := range keys {
+		path := itemPath(list, i)
+		v.key(path, key)
+		v.unique(names, path+".name", key.GetName())
+		v.unique(v.names.digests, path+".sha256", key.GetSha256())
+	}
+}
+
+// key checks the form of one key.
+func (c *checker) key(path string, key *ridgeswitchv1.Key) {
+	c.name(path+".name", key.GetName())
+	c.digest(path+".sha256", key.GetSha256())
+}
+
+func (v *validation) limits(path string, limits *ridgeswitchv1.Limits) {
+	if limits == nil {
+		v.add(KindMissing, path, "is missing; give every limit of the tenant")
+		return
+	}
+	v.rate(path+".requests_per_second", limits.GetRequestsPerSecond(), MaxRequestsPerSecond)
+	v.positive(path+".burst", limits.GetBurst(), MaxBurst)
+	v.positive(path+".concurrent_requests", limits.GetConcurrentRequests(), MaxConcurrentRequests)
+	v.positive(path+".queued_requests", limits.GetQueuedRequests(), MaxQueuedRequests)
+	v.timeout(path+".queue_timeout_ms", limits.GetQueueTimeoutMs(), MaxQueueTimeout)
+}
+
+func (v *validation) stores(stores []*ridgeswitchv1.Store) {
+	v.count("stores", len(stores), MaxStores)
+	for i, store := range stores {
+		path := itemPath("stores", i)
+		v.name(path+".name", store.GetName())
+		v.unique(v.names.stores, path+".name", store.GetName())
+		v.address(path+".address", store.GetAddress())
+		v.name(path+".zone", store.GetZone())
+	}
+}
+
+func (v *validation) pools(pools []*ridgeswitchv1.Pool) {
+	v.count("pools", len(pools), MaxPools)
+	for i, pool := range pools {
+		path := itemPath("pools", i)
+		v.name(path+".name", pool.GetName())
+		v.unique(v.names.pools, path+".name", pool.GetName())
+		v.label(path+".model", pool.GetModel())
+		v.service(path+".service", pool.GetService())
+		if pool.GetStore() != "" {
+			v.reference(v.names.stores, path+".store", pool.GetStore())
+		}
+		v.label(path+".weight_version", pool.GetWeightVersion())
+		v.timeout(path+".request_timeout_ms", pool.GetRequestTimeoutMs(), MaxRequestTimeout)
+		v.routing(path+".routing", pool.GetRouting())
+	}
+}
+
+// service checks the platform's name of a set of back ends. Two destinations on
+// one set would order two weight versions from the same replicas.
+func (v *validation) service(path, service string) {
+	v.name(path, service)
+	v.unique(v.names.services, path, service)
+}
+
+func (v *validation) routing(path string, routing *ridgeswitchv1.Routing) {
+	v.knob(path+".prefill_load_scale", routing.GetPrefillLoadScale(), MaxRoutingKnob)
+	v.knob(path+".request_weight", routing.GetRequestWeight(), MaxRoutingKnob)
+	v.knob(path+".peer_credit", routing.GetPeerCredit(), 1)
+	v.knob(path+".store_credit", routing.GetStoreCredit(), 1)
+	v.knob(path+".temperature", routing.GetTemperature(), MaxRoutingKnob)
+}
+
+func (v *validation) webServices(services []*ridgeswitchv1.WebService) {
+	v.count("web_services", len(services), MaxWebServices)
+	for i, service := range services {
+		path := itemPath("web_services", i)
+		v.name(path+".name", service.GetName())
+		v.unique(v.names.webServices, path+".name", service.GetName())
+		v.service(path+".service", service.GetService())
+		v.timeout(path+".request_timeout_ms", service.GetRequestTimeoutMs(), MaxRequestTimeout)
+	}
+}
+
+func (v *validation) routes(routes []*ridgeswitchv1.Route) {
+	v.count("routes", len(routes), MaxRoutes)
+	for i, route := range routes {
+		path := itemPath("routes", i)
+		v.host(path+".host", route.GetHost())
+		v.unique(v.names.hosts, path+".host", route.GetHost())
+		v.destination(path, route)
+	}
+}
+
+func (v *validation) destination(path string, route *ridgeswitchv1.Route) {
+	switch destination := route.GetDestination().(type) {
+	case *ridgeswitchv1.Route_Pool:
+		v.reference(v.names.pools, path+".pool", destination.Pool)
+		if route.GetPublic() {
+			v.add(KindInvalid, path+".public", "a pool always needs a tenant's key; remove public or route to a web service")
+		}
+	case *ridgeswitchv1.Route_WebService:
+		v.reference(v.names.webServices, path+".web_service", destination.WebService)
+	default:
+		v.add(KindMissing, path, "has no destination; give pool or web_service")
+	}
+}
+
+func (v *validation) evacuations(evacuations []*ridgeswitchv1.ZoneEvacuation) {
+	v.count("evacuations", len(evacuations), MaxEvacuations)
+	for i, evacuation := range evacuations {
+		path := itemPath("evacuations", i)
+		v.name(path+".zone", evacuation.GetZone())
+		v.unique(v.names.zones, path+".zone", evacuation.GetZone())
+		v.reason(path+".reason", evacuation.GetReason())
+	}
+}
--- /dev/null
+++ b/pkg/config/static/check.go
@@ -0,0 +1,162 @@
+package static
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// Check returns every fault of the settings at once, each an *Error; none when
+// they are sound. It touches neither disk nor network.
+func (s *Settings) Check() []error {
+	check := &checker{}
+	check.name("node", s.Node)
+	check.name("zone", s.Zone)
+	check.listeners(s)
+	check.seeds(s)
+	check.group(s)
+	check.disk(s)
+	check.address("platform_address", s.PlatformAddress)
+	check.numbers(s)
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		check.add(KindInvalid, "log_level", "%q; use debug, info, warning or error", s.LogLevel)
+	}
+	return check.faults
+}
+
+// checker collects faults.
+type checker struct {
+	faults []error
+}
+
+func (c *checker) add(kind Kind, field, format string, arguments ...any) {
+	c.faults = append(c.faults, &Error{Kind: kind, Field: field, Message: fmt.Sprintf(format, arguments...)})
+}
+
+func (c *checker) name(field, value string) {
+	switch {
+	case value == "":
+		c.add(KindMissing, field, "is empty; give a name")
+	case len(value) > maxNameBytes || !namePattern.MatchString(value):
+		c.add(KindInvalid, field, "%q: begin with a letter or digit and use only letters, digits, '.', '_' and '-', at most %d", value, maxNameBytes)
+	}
+}
+
+// address checks an address that others must be able to reach as it is
+// written, since nodes tell it each other.
+func (c *checker) address(field, value string) {
+	if value == "" {
+		c.add(KindMissing, field, "is empty; give IP and port, such as 127.1.1.1:7100")
+		return
+	}
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		c.add(KindInvalid, field, "%q; give an IP that others reach and a port, such as 127.1.1.1:7100", value)
+	}
+}
+
+func (c *checker) listeners(s *Settings) {
+	c.address("internal", s.Internal)
+	c.address("traffic", s.Traffic)
+	c.address("control", s.Control)
+	c.distinct([]namedValue{{"internal", s.Internal}, {"traffic", s.Traffic}, {"control", s.Control}})
+}
+
+// namedValue is a value and the field that it stands in.
+type namedValue struct {
+	field, value string
+}
+
+// distinct adds a fault for each value that an earlier field has too.
+func (c *checker) distinct(values []namedValue) {
+	first := make(map[string]string, len(values))
+	for _, named := range values {
+		if named.value == "" {
+			continue
+		}
+		if earlier, taken := first[named.value]; taken {
+			c.add(KindDuplicate, named.field, "%q is already given as %s; use another", named.value, earlier)
+			continue
+		}
+		first[named.value] = named.field
+	}
+}
+
+func (c *checker) seeds(s *Settings) {
+	if len(s.Seeds) > MaxSeeds {
+		c.add(KindOutOfRange, "seeds", "has %d addresses; give at most %d", len(s.Seeds), MaxSeeds)
+	}
+	for i, seed := range s.Seeds {
+		c.address(itemField("seeds", i), seed)
+	}
+	c.distinct(items("seeds", s.Seeds))
+}
+
+func (c *checker) group(s *Settings) {
+	if len(s.Group) == 0 {
+		c.add(KindMissing, "group", "is empty; name the nodes with disks in the order agreed for the deployment")
+	}
+	if len(s.Group) > MaxGroup {
+		c.add(KindOutOfRange, "group", "has %d nodes; give at most %d", len(s.Group), MaxGroup)
+	}
+	for i, node := range s.Group {
+		c.name(itemField("group", i), node)
+	}
+	c.distinct(items("group", s.Group))
+	if len(s.GroupZones) != 0 && len(s.GroupZones) != len(s.Group) {
+		c.add(KindInconsistent, "group_zones", "has %d zones for %d nodes of group; give one a node or none", len(s.GroupZones), len(s.Group))
+	}
+	for i, zone := range s.GroupZones {
+		c.name(itemField("group_zones", i), zone)
+	}
+}
+
+// disk checks that exactly the nodes of the group have a data folder.
+func (c *checker) disk(s *Settings) {
+	position := slices.Index(s.Group, s.Node)
+	if position >= 0 && !s.HoldsState() {
+		c.add(KindMissing, "data_folder", "is empty on a node of group; give its folder or take the node off group")
+	}
+	if position < 0 && s.HoldsState() {
+		c.add(KindInconsistent, "data_folder", "is set on a node that is not in group; add the node to group on every node or remove the folder")
+	}
+	if position >= 0 && position < len(s.GroupZones) && s.GroupZones[position] != s.Zone {
+		c.add(KindInconsistent, itemField("group_zones", position), "is %q, but zone is %q; correct one", s.GroupZones[position], s.Zone)
+	}
+}
+
+func (c *checker) numbers(s *Settings) {
+	c.between("service_shards", s.ServiceShards, 1, MaxServiceShards)
+	c.between("log_ring", s.LogRing, 1, MaxLogRing)
+	c.duration("drain_timeout_ms", s.DrainTimeoutMS, time.Millisecond, MaxDrainTimeout)
+	c.duration("heartbeat_every_ms", s.HeartbeatEveryMS, MinHeartbeatEvery, MaxHeartbeatEvery)
+	c.duration("platform_poll_every_ms", s.PlatformPollEveryMS, MinPlatformPollEvery, MaxPlatformPollEvery)
+}
+
+func (c *checker) between(field string, value, low, high int) {
+	if value < low || value > high {
+		c.add(KindOutOfRange, field, "is %d; use a number from %d to %d", value, low, high)
+	}
+}
+
+func (c *checker) duration(field string, milliseconds int, low, high time.Duration) {
+	c.between(field, milliseconds, int(low.Milliseconds()), int(high.Milliseconds()))
+}
+
+func itemField(list string, index int) string {
+	return fmt.Sprintf("%s[%d]", list, index)
+}
+
+func items(list string, values []string) []namedValue {
+	named := make([]namedValue, 0, len(values))
+	for i, value := range values {
+		named = append(named, namedValue{itemField(list, i), value})
+	}
+	return named
+}
--- /dev/null
+++ b/pkg/config/static/settings.go
@@ -0,0 +1,130 @@
+package static
+
+import "time"
+
+// Defaults of the settings that a file may leave out.
+const (
+	// DefaultServiceShards is the number of shards of service state. It must be
+	// the same on every node of a deployment.
+	DefaultServiceShards = 16
+	// DefaultDrainTimeout bounds the time to finish requests after SIGTERM.
+	DefaultDrainTimeout = 20 * time.Second
+	// DefaultHeartbeatEvery is the interval of heartbeats between nodes.
+	DefaultHeartbeatEvery = 100 * time.Millisecond
+	// DefaultPlatformPollEvery is the interval at which the platform's list of
+	// replicas is read.
+	DefaultPlatformPollEvery = 500 * time.Millisecond
+	// DefaultLogRing is the number of log entries kept in memory.
+	DefaultLogRing = 4096
+	// DefaultLogLevel is the lowest level that enters the log ring.
+	DefaultLogLevel = "info"
+)
+
+// Bounds of the settings.
+const (
+	// MaxSeeds bounds the addresses of other nodes in the settings.
+	MaxSeeds = 3
+	// MaxGroup bounds the nodes that may hold control state.
+	MaxGroup = 15
+	// MaxServiceShards bounds the shards of service state.
+	MaxServiceShards = 1024
+	// MaxDrainTimeout bounds the time to finish requests.
+	MaxDrainTimeout = time.Hour
+	// MinHeartbeatEvery keeps heartbeats from taking up the network.
+	MinHeartbeatEvery = 10 * time.Millisecond
+	// MaxHeartbeatEvery leaves several heartbeats in the second after which a
+	// silent node stops serving.
+	MaxHeartbeatEvery = 250 * time.Millisecond
+	// MinPlatformPollEvery keeps the platform from being flooded.
+	MinPlatformPollEvery = 50 * time.Millisecond
+	// MaxPlatformPollEvery keeps draining replicas from being used for long.
+	MaxPlatformPollEvery = time.Second
+	// MaxLogRing bounds the log entries kept in memory.
+	MaxLogRing = 1 << 20
+	// maxNameBytes bounds node and zone names.
+	maxNameBytes = 128
+	// maxFileBytes bounds the settings file.
+	maxFileBytes = 1 << 20
+)
+
+// Settings are one node's settings. A zero number means its default.
+type Settings struct {
+	// Node is the node's name, unique in the deployment and kept for life.
+	Node string `yaml:"node" usage:"unique name of the node"`
+	// Zone is the failure domain that the node stands in.
+	Zone string `yaml:"zone" usage:"failure domain of the node"`
+	// Internal is the IP and port for other nodes.
+	Internal string `yaml:"internal" usage:"IP and port for other nodes"`
+	// Traffic is the IP and port for callers.
+	Traffic string `yaml:"traffic" usage:"IP and port for callers"`
+	// Control is the IP and port for operators and health checks.
+	Control string `yaml:"control" usage:"IP and port for operators and health checks"`
+	// Seeds are internal addresses of other nodes, at most MaxSeeds; empty on
+	// the first node of a deployment.
+	Seeds []string `yaml:"seeds" usage:"internal address of another node; at most three"`
+	// Group names the nodes with disks in the order agreed for the whole
+	// deployment; it must be the same on every node.
+	Group []string `yaml:"group" usage:"names of the nodes with disks, in the agreed order"`
+	// GroupZones holds the zones of the nodes in Group, in the same order. It
+	// may be empty; then replica groups are not spread over zones.
+	GroupZones []string `yaml:"group_zones" usage:"zones of the nodes in group, in the same order"`
+	// DataFolder holds all files of the node. It is set on the nodes of Group
+	// alone; the others route and relay.
+	DataFolder string `yaml:"data_folder" usage:"folder of all files; on nodes of group alone"`
+	// PlatformAddress is the IP and port of the platform's list of replicas.
+	PlatformAddress string `yaml:"platform_address" usage:"IP and port of the platform's list of replicas"`
+	// PlatformPollEveryMS is the interval between reads of that list, in
+	// milliseconds.
+	PlatformPollEveryMS int `yaml:"platform_poll_every_ms" usage:"interval between reads of that list"`
+	// ServiceShards is the number of shards of service state, the same on every
+	// node.
+	ServiceShards int `yaml:"service_shards" usage:"shards of service state, the same on every node"`
+	// HeartbeatEveryMS is the interval of heartbeats, in milliseconds.
+	HeartbeatEveryMS int `yaml:"heartbeat_every_ms" usage:"interval of heartbeats between nodes"`
+	// DrainTimeoutMS bounds the time to finish requests after SIGTERM, in
+	// milliseconds.
+	DrainTimeoutMS int `yaml:"drain_timeout_ms" usage:"time to finish requests after SIGTERM"`
+	// LogLevel is the lowest level that enters the log ring: "debug", "info",
+	// "warning" or "error".
+	LogLevel string `yaml:"log_level" usage:"debug, info, warning or error"`
+	// LogRing is the number of log entries kept in memory.
+	LogRing int `yaml:"log_ring" usage:"log entries kept in memory"`
+}
+
+// HoldsState tells whether the node has a disk and may hold control state.
+func (s *Settings) HoldsState() bool {
+	return s.DataFolder != ""
+}
+
+// DrainTimeout bounds the time to finish requests after SIGTERM.
+func (s *Settings) DrainTimeout() time.Duration {
+	return time.Duration(s.DrainTimeoutMS) * time.Millisecond
+}
+
+// HeartbeatEvery is the interval of heartbeats between nodes.
+func (s *Settings) HeartbeatEvery() time.Duration {
+	return time.Duration(s.HeartbeatEveryMS) * time.Millisecond
+}
+
+// PlatformPollEvery is the interval between reads of the platform's list.
+func (s *Settings) PlatformPollEvery() time.Duration {
+	return time.Duration(s.PlatformPollEveryMS) * time.Millisecond
+}
+
+// fillDefaults replaces zero numbers and an empty log level.
+func (s *Settings) fillDefaults() {
+	setDefault(&s.PlatformPollEveryMS, int(DefaultPlatformPollEvery.Milliseconds()))
+	setDefault(&s.ServiceShards, DefaultServiceShards)
+	setDefault(&s.HeartbeatEveryMS, int(DefaultHeartbeatEvery.Milliseconds()))
+	setDefault(&s.DrainTimeoutMS, int(DefaultDrainTimeout.Milliseconds()))
+	setDefault(&s.LogRing, DefaultLogRing)
+	setDefault(&s.LogLevel, DefaultLogLevel)
+}
+
+// setDefault replaces a zero value.
+func setDefault[T comparable](value *T, defaultValue T) {
+	var zero T
+	if *value == zero {
+		*value = defaultValue
+	}
+}
--- /dev/null
+++ b/pkg/kvrouter/errors.go
@@ -0,0 +1,38 @@
+package kvrouter
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason tells why no replica was chosen.
+type Reason string
+
+// The reasons of a NoReplicaError.
+const (
+	// NoneListed means that there were no candidates at all.
+	NoneListed Reason = "none_listed"
+	// AllExcluded means that the request must not go to any candidate.
+	AllExcluded Reason = "all_excluded"
+	// AllBusy means that the allowed candidates are over the busy threshold or
+	// at the limit of their slow start.
+	AllBusy Reason = "all_busy"
+)
+
+// NoReplicaError says that no replica can take a request.
+type NoReplicaError struct {
+	Reason Reason
+	// RetryAfter is when a new attempt may succeed.
+	RetryAfter time.Duration
+}
+
+// Error returns what is wrong and what to do about it.
+func (e *NoReplicaError) Error() string {
+	switch e.Reason {
+	case AllExcluded:
+		return fmt.Sprintf("the request failed on every admitting replica of the pool; send it again after %v", e.RetryAfter)
+	case AllBusy:
+		return fmt.Sprintf("every admitting replica of the pool is busy; send the request again after %v, or add replicas", e.RetryAfter)
+	}
+	return fmt.Sprintf("no replica of the pool admits requests; send the request again after %v, or check the platform's list and the evacuated zones", e.RetryAfter)
+}
--- /dev/null
+++ b/pkg/kvrouter/options.go
@@ -0,0 +1,102 @@
+package kvrouter
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// Defaults of Options.
+const (
+	DefaultBlockTokens            = 16
+	DefaultGuessCredit            = 0.75
+	DefaultReportLag              = 5 * time.Second
+	DefaultBytesPerToken          = 128 << 10
+	DefaultLinkBytesPerSecond     = 1 << 30
+	DefaultLinkLatency            = 2 * time.Millisecond
+	DefaultCrossZoneFactor        = 2.0
+	DefaultPullAdvantage          = 1.25
+	DefaultMaxPullsPerSource      = 4
+	DefaultPrefillTokensPerSecond = 8000.0
+	DefaultReorderWindow          = 64
+	DefaultReorderWait            = 500 * time.Millisecond
+	DefaultRampDuration           = 10 * time.Second
+	DefaultRampStart              = 4
+	DefaultRampPerSecond          = 4.0
+	DefaultReportFresh            = 2 * time.Second
+	DefaultReportUseless          = 10 * time.Second
+)
+
+// Options configure a Router. Zero values mean the defaults.
+type Options struct {
+	// Index configures the prefix index.
+	Index prefixindex.Options
+	// BlockTokens is the size of a block, the unit of load and cost.
+	BlockTokens uint32
+	// GuessCredit multiplies the credit of parts that are predicted, or that a
+	// replica reported before some of its reports were lost.
+	GuessCredit float64
+	// ReportLag is how long a part counts as predicted on a replica that does
+	// report, from the first token until its report should have come.
+	ReportLag time.Duration
+	// BytesPerToken is the size of the kept state of one token.
+	BytesPerToken float64
+	// LinkBytesPerSecond is assumed of links that were not measured yet.
+	LinkBytesPerSecond float64
+	// LinkLatency is added to the time of each pull.
+	LinkLatency time.Duration
+	// CrossZoneFactor multiplies the time of pulls between zones, so that
+	// they are planned only where they save much. At least 1.
+	CrossZoneFactor float64
+	// PullAdvantage is how many times faster than prefill a pull must be.
+	PullAdvantage float64
+	// MaxPullsPerSource bounds the pulls under way from one source that this
+	// router planned.
+	MaxPullsPerSource int
+	// PrefillTokensPerSecond is assumed of replicas until their speed is
+	// learnt.
+	PrefillTokensPerSecond float64
+	// ReorderWindow is how many events of a replica wait for a missing one.
+	ReorderWindow int
+	// ReorderWait is how long they wait.
+	ReorderWait time.Duration
+	// RampDuration is how long slow start lasts.
+	RampDuration time.Duration
+	// RampStart is how many reservations a replica takes at the start of it.
+	RampStart int
+	// RampPerSecond is how many more it takes with each second.
+	RampPerSecond float64
+	// ReportFresh is the age up to which a load report counts in full.
+	ReportFresh time.Duration
+	// ReportUseless is the age from which on it does not count.
+	ReportUseless time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.BlockTokens, DefaultBlockTokens)
+	setDefault(&o.GuessCredit, DefaultGuessCredit)
+	setDefault(&o.ReportLag, DefaultReportLag)
+	setDefault(&o.BytesPerToken, DefaultBytesPerToken)
+	setDefault(&o.LinkBytesPerSecond, DefaultLinkBytesPerSecond)
+	setDefault(&o.LinkLatency, DefaultLinkLatency)
+	setDefault(&o.CrossZoneFactor, DefaultCrossZoneFactor)
+	setDefault(&o.PullAdvantage, DefaultPullAdvantage)
+	setDefault(&o.MaxPullsPerSource, DefaultMaxPullsPerSource)
+	setDefault(&o.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
+	setDefault(&o.ReorderWindow, DefaultReorderWindow)
+	setDefault(&o.ReorderWait, DefaultReorderWait)
+	setDefault(&o.RampDuration, DefaultRampDuration)
+	setDefault(&o.RampStart, DefaultRampStart)
+	setDefault(&o.RampPerSecond, DefaultRampPerSecond)
+	setDefault(&o.ReportFresh, DefaultReportFresh)
+	setDefault(&o.ReportUseless, DefaultReportUseless)
+	return o
+}
+
+// setDefault replaces the zero value of an option.
+func setDefault[T comparable](option *T, value T) {
+	var zero T
+	if *option == zero {
+		*option = value
+	}
+}
--- /dev/null
+++ b/pkg/kvrouter/prompt.go
@@ -0,0 +1,87 @@
+package kvrouter
+
+import (
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// prompt is a request's chain under one weight version, with what the holders
+// keep of it. Each weight version has a chain of its own, because the cache
+// salt contains the version; so nothing kept under one version is ever found
+// for a replica on another.
+type prompt struct {
+	version  string
+	salt     string
+	links    []prefixindex.Link
+	overlaps prefixindex.Overlaps
+	sources  []pullSource
+}
+
+// scratch is the memory of one selection, reused by later ones.
+type scratch struct {
+	prompts []prompt
+	used    int
+	scored  []scoredCandidate
+}
+
+func (s *scratch) reset() {
+	s.used = 0
+	clear(s.scored)
+	s.scored = s.scored[:0]
+}
+
+// prompt returns the prompt under a weight version, if it was looked up.
+func (s *scratch) prompt(version string) *prompt {
+	for at := range s.used {
+		if s.prompts[at].version == version {
+			return &s.prompts[at]
+		}
+	}
+	return nil
+}
+
+// lookUp chains the request's parts under each weight version of the
+// candidates, and looks up who keeps them.
+func (r *Router) lookUp(s *scratch, req *Request, candidates []Candidate) {
+	for at := range candidates {
+		version := candidates[at].WeightVersion
+		if s.prompt(version) != nil {
+			continue
+		}
+		if s.used == len(s.prompts) {
+			s.prompts = append(s.prompts, prompt{})
+		}
+		added := &s.prompts[s.used]
+		s.used++
+		added.version = version
+		added.salt = req.salt(version)
+		added.links = prefixindex.Chain(req.Model, added.salt, req.Parts)
+		added.sources = added.sources[:0]
+		r.index.Overlaps(req.Now, added.links, &added.overlaps)
+	}
+}
+
+// salt returns the cache salt under a weight version. Without SaltFor the
+// version itself is the salt, so that versions are kept apart in any case.
+func (req *Request) salt(version string) string {
+	if req.SaltFor == nil {
+		return version
+	}
+	return req.SaltFor(version)
+}
+
+// promptTokens counts the tokens of all parts.
+func (req *Request) promptTokens() uint32 {
+	tokens := uint32(0)
+	for _, part := range req.Parts {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// identity names the prompt, to spread ties.
+func (p *prompt) identity() prefixindex.ChainHash {
+	if len(p.links) == 0 {
+		return 0
+	}
+	return p.links[len(p.links)-1].Hash
+}
--- /dev/null
+++ b/pkg/kvrouter/pull.go
@@ -0,0 +1,128 @@
+package kvrouter
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// pullSource is a holder that a replica may pull parts of the prompt from.
+type pullSource struct {
+	state   *replicaState
+	zone    string
+	reach   prefixindex.Extent
+	isStore bool
+}
+
+// plannedPull is a pull with what its planning was based on.
+type plannedPull struct {
+	source    pullSource
+	link      linkKey
+	firstPart int
+	tokens    uint32
+	// sharedWith counts the pulls that were under way from the source.
+	sharedWith int
+	transfer   time.Duration
+	// saved is how much sooner the parts are there than by prefill.
+	saved time.Duration
+}
+
+// gatherSources finds the holders that others may pull each prompt from. The
+// router's lock is held.
+func (r *Router) gatherSources(s *scratch, req *Request, candidates []Candidate) {
+	for at := range candidates {
+		candidate := &candidates[at]
+		if req.excludes(candidate.Address) {
+			continue
+		}
+		r.addSource(req, s.prompt(candidate.WeightVersion), candidate.Address, candidate.Zone, false)
+	}
+	if req.Store == "" {
+		return
+	}
+	for at := range s.used {
+		r.addSource(req, &s.prompts[at], req.Store, req.StoreZone, true)
+	}
+}
+
+// addSource adds a holder that certainly keeps the beginning of the prompt and
+// has the strength left to serve it. Only parts that it reported count: a guess
+// would send the replica for nothing.
+func (r *Router) addSource(req *Request, p *prompt, address, zone string, isStore bool) {
+	state := r.state(req.Now, address)
+	reach := p.overlaps.Of(state.holder).Reported
+	if reach.Parts == 0 || state.pullsServed >= r.options.MaxPullsPerSource {
+		return
+	}
+	if !isStore && r.busy(req, state) {
+		return
+	}
+	if state.feed.view(req.Now).doubtful {
+		return
+	}
+	p.sources = append(p.sources, pullSource{state: state, zone: zone, reach: reach, isStore: isStore})
+}
+
+// planPull finds the pull that saves a replica the most time, or nil when
+// prefill is about as fast. The pull begins where the replica's own overlap
+// ends. The router's lock is held.
+func (r *Router) planPull(req *Request, p *prompt, state *replicaState, zone string, own prefixindex.Extent) *plannedPull {
+	var best plannedPull
+	for at := range p.sources {
+		source := &p.sources[at]
+		if source.state == state || source.reach.Parts <= own.Parts || source.reach.Tokens <= own.Tokens {
+			continue
+		}
+		planned := r.estimatePull(req, source, state, zone, own)
+		if planned.saved > best.saved {
+			best = planned
+		}
+	}
+	if best.saved <= 0 {
+		return nil
+	}
+	return &best
+}
+
+// estimatePull compares a pull with prefill. Its saved time is 0 or less when
+// the pull is not clearly faster.
+func (r *Router) estimatePull(req *Request, source *pullSource, state *replicaState, zone string, own prefixindex.Extent) plannedPull {
+	planned := plannedPull{
+		source:     *source,
+		link:       linkKey{from: source.zone, to: zone},
+		firstPart:  own.Parts,
+		tokens:     source.reach.Tokens - own.Tokens,
+		sharedWith: source.state.pullsServed,
+	}
+	tokens := float64(planned.tokens)
+	planned.transfer = r.links.transferTime(req.Now, planned.link, tokens, planned.sharedWith, &r.options)
+	weighted := float64(planned.transfer) * r.options.PullAdvantage
+	if source.zone != zone {
+		weighted *= r.options.CrossZoneFactor
+	}
+	planned.saved = state.speed.timeFor(tokens, &r.options) - time.Duration(weighted)
+	return planned
+}
+
+// credit returns the credit per block of a pull.
+func (p *plannedPull) credit(settings Settings) float64 {
+	if p.source.isStore {
+		return settings.StoreCredit
+	}
+	return settings.PeerCredit
+}
+
+// pull returns the instruction for the replica.
+func (p *plannedPull) pull() *Pull {
+	return &Pull{
+		Source:        p.source.state.address,
+		FirstPart:     p.firstPart,
+		LastPart:      p.source.reach.Parts - 1,
+		Tokens:        p.tokens,
+		EstimatedTime: p.transfer,
+	}
+}
+
+func (req *Request) excludes(address string) bool {
+	return req.Exclude != nil && req.Exclude(address)
+}
--- /dev/null
+++ b/pkg/kvrouter/request.go
@@ -0,0 +1,119 @@
+package kvrouter
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// Candidate is a replica that a request may go to.
+type Candidate struct {
+	Address       string
+	Zone          string
+	WeightVersion string
+}
+
+// Request is what selection needs to know of a request.
+type Request struct {
+	Now   time.Duration
+	Model string
+	// Parts is the prompt.
+	Parts []prefixindex.Part
+	// OutputTokens bounds the tokens that will be generated.
+	OutputTokens uint32
+	// SaltFor returns the cache salt of the request under a weight version.
+	SaltFor  func(weightVersion string) string
+	Settings Settings
+	// Store is the address of the pool's store, or "".
+	Store string
+	// StoreZone is the zone of the store.
+	StoreZone string
+	// Exclude tells which candidates the request must not go to, such as those
+	// that it failed on. May be nil.
+	Exclude func(address string) bool
+	// Random draws when the temperature is above 0; nil selects the lowest
+	// cost at any temperature.
+	Random *rand.Rand
+}
+
+// Decision is the outcome of a selection.
+type Decision struct {
+	Address       string
+	WeightVersion string
+	CacheSalt     string
+	// OverlapTokens counts the tokens that the replica probably keeps.
+	OverlapTokens uint32
+	// PromptTokens counts all tokens of the prompt.
+	PromptTokens uint32
+	// Cost is the cost of the replica, in blocks.
+	Cost float64
+	// Pull is what the replica is to pull, or nil.
+	Pull *Pull
+	// Reservation accounts for the load; Finish must be called on it.
+	Reservation *Reservation
+}
+
+// Pull tells a replica to fetch parts instead of computing them.
+type Pull struct {
+	// Source is the address of a peer or of the store.
+	Source string
+	// FirstPart and LastPart are positions in the prompt, from 0, inclusive.
+	FirstPart int
+	LastPart  int
+	// Tokens counts the tokens of the parts.
+	Tokens        uint32
+	EstimatedTime time.Duration
+}
+
+// Report is a replica's own account of its state.
+type Report struct {
+	// ActivePrefillTokens counts prompt tokens of accepted requests that are
+	// still to be computed.
+	ActivePrefillTokens uint64
+	// ActiveDecodeTokens counts the tokens, prompt and generated, that the
+	// accepted requests hold in memory.
+	ActiveDecodeTokens uint64
+	ActiveRequests     uint32
+	WeightVersion      string
+	Incarnation        uint64
+	// Age is how long ago the report described the replica.
+	Age time.Duration
+	// LastSequence is the newest event sequence number at that time; 0 when
+	// it is not known.
+	LastSequence uint64
+	// Warming tells that the replica started lately and is fragile.
+	Warming bool
+}
+
+// FeedStatus tells what became of an event.
+type FeedStatus int
+
+// The outcomes of an event.
+const (
+	// Accepted events are in the index, or wait shortly for an earlier one.
+	Accepted FeedStatus = iota
+	// Duplicate events were seen before.
+	Duplicate
+	// Stale events are of an earlier life of the replica, or older than the
+	// state that the index already has.
+	Stale
+	// Gap means that events were lost: ask the replica for a reset. What the
+	// event says is taken in all the same.
+	Gap
+)
+
+// String returns the name of the status.
+func (s FeedStatus) String() string {
+	switch s {
+	case Accepted:
+		return "accepted"
+	case Duplicate:
+		return "duplicate"
+	case Stale:
+		return "stale"
+	case Gap:
+		return "gap"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/pkg/kvrouter/reservation.go
@@ -0,0 +1,147 @@
+package kvrouter
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// Reservation accounts for the load of one attempt on a replica: its prefill
+// until the first token, and its memory until the end. It is safe for
+// concurrent use, and Finish must be called once the attempt has ended.
+type Reservation struct {
+	router *Router
+	state  *replicaState
+	links  []prefixindex.Link
+	pull   *plannedPull
+	// life is the life of the replica's feed that the attempt belongs to.
+	life uint64
+	// startedAt, computeTokens and backlogTokens tell how long the first token
+	// should take.
+	startedAt     time.Duration
+	computeTokens float64
+	backlogTokens float64
+
+	// The router's lock guards what follows; nothing of it changes once the
+	// attempt is finished.
+	held       load
+	firstToken bool
+	finished   bool
+	generated  uint32
+}
+
+// reserve adds the load of a request to the chosen replica. The router's lock
+// is held.
+func (r *Router) reserve(req *Request, chosen *scoredCandidate) *Reservation {
+	promptTokens := float64(req.promptTokens())
+	compute := promptTokens - float64(chosen.overlap.Likely.Tokens)
+	if chosen.pull != nil {
+		compute -= float64(chosen.pull.tokens)
+		chosen.pull.source.state.pullsServed++
+	}
+	reservation := &Reservation{
+		router:        r,
+		state:         chosen.state,
+		links:         chosen.prompt.links,
+		pull:          chosen.pull,
+		life:          chosen.view.life,
+		startedAt:     req.Now,
+		computeTokens: max(0, compute),
+		backlogTokens: chosen.backlogTokens,
+	}
+	reservation.hold(req.Now, load{prefillTokens: reservation.computeTokens, decodeTokens: promptTokens, requests: 1})
+	return reservation
+}
+
+// hold changes what the reservation adds to the replica's load.
+func (r *Reservation) hold(now time.Duration, wanted load) {
+	change := wanted.plus(r.held.times(-1))
+	r.held = wanted
+	r.state.load.own.add(now, r.router.options.ReportUseless, change)
+}
+
+// FirstToken says that the replica has sent the first token, so that the prompt
+// has been computed. Only the first call counts.
+func (r *Reservation) FirstToken(now time.Duration) {
+	if r.endPrefill(now) {
+		r.state.feed.predict(now, r.life, r.links)
+	}
+}
+
+// endPrefill releases the prefill load, and learns from the time it took.
+func (r *Reservation) endPrefill(now time.Duration) bool {
+	r.router.mutex.Lock()
+	defer r.router.mutex.Unlock()
+	r.router.advance(now)
+	if r.finished || r.firstToken {
+		return false
+	}
+	r.firstToken = true
+	r.learn(now - r.startedAt)
+	r.endPull()
+	r.hold(now, load{decodeTokens: r.held.decodeTokens, requests: r.held.requests})
+	return true
+}
+
+// learn updates the replica's prefill speed, or the speed of the link when the
+// time was spent on a pull as well.
+func (r *Reservation) learn(took time.Duration) {
+	computed := r.backlogTokens + r.computeTokens
+	if r.pull == nil {
+		r.state.speed.learn(computed, took)
+		return
+	}
+	options := &r.router.options
+	pulling := took - r.state.speed.timeFor(computed, options)
+	r.router.links.pulled(r.startedAt+took, r.pull.link, float64(r.pull.tokens), r.pull.sharedWith, pulling, options)
+}
+
+func (r *Reservation) endPull() {
+	if r.pull != nil {
+		r.pull.source.state.pullsServed--
+	}
+}
+
+// Progress says how many tokens have been generated so far. Smaller numbers
+// than before are ignored.
+func (r *Reservation) Progress(now time.Duration, generated uint32) {
+	r.router.mutex.Lock()
+	defer r.router.mutex.Unlock()
+	r.router.advance(now)
+	if r.finished || generated <= r.generated {
+		return
+	}
+	wanted := r.held
+	wanted.decodeTokens += float64(generated - r.generated)
+	r.generated = generated
+	r.hold(now, wanted)
+}
+
+// Finish says that the attempt has ended, completed or not, and releases its
+// load. Only the first call counts. A completed attempt renews the prediction
+// of what the replica keeps, unless the replica reports that itself.
+func (r *Reservation) Finish(now time.Duration, completed bool) {
+	if !r.release(now) || !completed {
+		return
+	}
+	if r.firstToken && r.state.feed.view(now).reports {
+		return
+	}
+	r.state.feed.predict(now, r.life, r.links)
+}
+
+// release ends the load, and tells whether it had not ended before.
+func (r *Reservation) release(now time.Duration) bool {
+	r.router.mutex.Lock()
+	defer r.router.mutex.Unlock()
+	r.router.advance(now)
+	if r.finished {
+		return false
+	}
+	r.finished = true
+	if !r.firstToken {
+		r.endPull()
+	}
+	r.hold(now, load{})
+	return true
+}
--- /dev/null
+++ b/pkg/kvrouter/router.go
@@ -0,0 +1,104 @@
+package kvrouter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// Router selects replicas. It is safe for concurrent use.
+type Router struct {
+	options   Options
+	index     *prefixindex.Index
+	scratches sync.Pool
+
+	mutex       sync.Mutex
+	replicas    map[string]*replicaState
+	nextHolder  prefixindex.Holder
+	freeHolders []prefixindex.Holder
+	links       links
+	// latest is the newest time that the router was told.
+	latest time.Duration
+}
+
+// Load is the load that the router assumes of a replica, in blocks.
+type Load struct {
+	PrefillBlocks  float64
+	DecodeBlocks   float64
+	ActiveRequests float64
+}
+
+// New returns a Router that knows of no replica.
+func New(options Options) *Router {
+	options = options.withDefaults()
+	return &Router{
+		options:   options,
+		index:     prefixindex.New(options.Index),
+		scratches: sync.Pool{New: func() any { return &scratch{} }},
+		replicas:  make(map[string]*replicaState),
+		links:     newLinks(),
+	}
+}
+
+// Load returns the load that the router assumes of a replica.
+func (r *Router) Load(now time.Duration, address string) Load {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, present := r.replicas[address]
+	if !present {
+		return Load{}
+	}
+	return r.blocks(known.load.total(now, &r.options))
+}
+
+// IndexStats returns the size of the prefix index.
+func (r *Router) IndexStats() prefixindex.Stats { return r.index.Stats() }
+
+// LinkMeasured takes in the bandwidth of pulls from one zone to another.
+func (r *Router) LinkMeasured(fromZone, toZone string, bytesPerSecond float64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.links.measured(r.latest, linkKey{from: fromZone, to: toZone}, bytesPerSecond)
+}
+
+// Forget drops all that is known of an address that the platform no longer
+// lists. Reservations on it may still be finished.
+func (r *Router) Forget(address string) {
+	r.mutex.Lock()
+	known, present := r.replicas[address]
+	delete(r.replicas, address)
+	r.mutex.Unlock()
+	if !present {
+		return
+	}
+	known.feed.forget()
+	// Only now can no event of the old address reach the handle any more.
+	r.mutex.Lock()
+	r.freeHolders = append(r.freeHolders, known.holder)
+	r.mutex.Unlock()
+}
+
+// Addresses returns, in no order, the addresses that the router knows.
+func (r *Router) Addresses() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return lo.Keys(r.replicas)
+}
+
+// blocks turns a load in tokens into blocks.
+func (r *Router) blocks(tokens load) Load {
+	blockTokens := float64(r.options.BlockTokens)
+	return Load{
+		PrefillBlocks:  tokens.prefillTokens / blockTokens,
+		DecodeBlocks:   tokens.decodeTokens / blockTokens,
+		ActiveRequests: tokens.requests,
+	}
+}
+
+// advance remembers the newest time. The router's lock is held.
+func (r *Router) advance(now time.Duration) {
+	r.latest = max(r.latest, now)
+}
--- /dev/null
+++ b/pkg/kvrouter/select.go
@@ -0,0 +1,164 @@
+package kvrouter
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+const (
+	// defaultRetryAfter is when to come back if nothing tells better.
+	defaultRetryAfter = time.Second
+	// leastRetryAfter and mostRetryAfter bound the advice to callers.
+	leastRetryAfter = 200 * time.Millisecond
+	mostRetryAfter  = 5 * time.Second
+)
+
+// scoredCandidate is a candidate that may take the request, with its cost.
+type scoredCandidate struct {
+	candidate      *Candidate
+	state          *replicaState
+	prompt         *prompt
+	view           feedView
+	overlap        prefixindex.Overlap
+	pull           *plannedPull
+	backlogTokens  float64
+	activeRequests float64
+	cost           float64
+}
+
+// Select chooses the replica for a request and reserves its load. It returns a
+// *NoReplicaError when no candidate can take the request. The caller must end
+// the reservation of the decision with Finish.
+func (r *Router) Select(req Request, candidates []Candidate) (Decision, error) {
+	if len(candidates) == 0 {
+		return Decision{}, &NoReplicaError{Reason: NoneListed, RetryAfter: defaultRetryAfter}
+	}
+	s := r.scratches.Get().(*scratch)
+	defer r.scratches.Put(s)
+	s.reset()
+	r.lookUp(s, &req, candidates)
+
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.advance(req.Now)
+	r.gatherSources(s, &req, candidates)
+	allowed := r.score(s, &req, candidates)
+	if allowed == 0 {
+		return Decision{}, &NoReplicaError{Reason: AllExcluded, RetryAfter: defaultRetryAfter}
+	}
+	if len(s.scored) == 0 {
+		return Decision{}, &NoReplicaError{Reason: AllBusy, RetryAfter: r.retryAfter(&req, candidates)}
+	}
+	at := choose(req.Settings, s.scored, s.scored[0].prompt.identity(), req.Random)
+	return r.decide(&req, &s.scored[at]), nil
+}
+
+// score fills in the candidates that may take the request, and returns how
+// many it is not kept from.
+func (r *Router) score(s *scratch, req *Request, candidates []Candidate) (allowed int) {
+	for at := range candidates {
+		candidate := &candidates[at]
+		if req.excludes(candidate.Address) {
+			continue
+		}
+		allowed++
+		state := r.state(req.Now, candidate.Address)
+		if r.busy(req, state) || r.ramping(req, state) {
+			continue
+		}
+		s.scored = append(s.scored, r.scoreOne(req, candidate, state, s.prompt(candidate.WeightVersion)))
+	}
+	return allowed
+}
+
+// busy tells whether a replica has reached the busy threshold.
+func (r *Router) busy(req *Request, state *replicaState) bool {
+	if req.Settings.BusyThresholdBlocks <= 0 {
+		return false
+	}
+	active := r.blocks(state.load.total(req.Now, &r.options))
+	return active.PrefillBlocks+active.DecodeBlocks >= req.Settings.BusyThresholdBlocks
+}
+
+// ramping tells whether a replica has as many reservations as its slow start
+// allows.
+func (r *Router) ramping(req *Request, state *replicaState) bool {
+	return state.load.own.present.requests >= float64(state.ramp.limit(req.Now, &r.options))
+}
+
+func (r *Router) scoreOne(req *Request, candidate *Candidate, state *replicaState, p *prompt) scoredCandidate {
+	scored := scoredCandidate{
+		candidate: candidate,
+		state:     state,
+		prompt:    p,
+		view:      state.feed.view(req.Now),
+		overlap:   p.overlaps.Of(state.holder),
+	}
+	scored.pull = r.planPull(req, p, state, candidate.Zone, scored.overlap.Likely)
+	total := state.load.total(req.Now, &r.options)
+	active := r.blocks(total)
+	scored.backlogTokens = total.prefillTokens
+	scored.activeRequests = active.ActiveRequests
+	scored.cost = cost(req.Settings, costInputs{
+		activePrefill:  active.PrefillBlocks,
+		incomingPrompt: r.tokensToBlocks(req.promptTokens()),
+		overlapCredit:  r.credit(req.Settings, &scored),
+		activeDecode:   active.DecodeBlocks,
+		incomingDecode: r.tokensToBlocks(req.promptTokens()) + r.tokensToBlocks(req.OutputTokens),
+		activeRequests: active.ActiveRequests,
+	})
+	return scored
+}
+
+// credit returns the blocks that the replica need not compute, each weighted by
+// how sure and how near it is.
+func (r *Router) credit(settings Settings, scored *scoredCandidate) float64 {
+	certain := r.tokensToBlocks(scored.overlap.Reported.Tokens)
+	guessed := r.tokensToBlocks(scored.overlap.Likely.Tokens) - certain
+	if scored.view.doubtful {
+		guessed += certain
+		certain = 0
+	}
+	credit := settings.OwnCredit * (certain + r.options.GuessCredit*guessed)
+	if scored.pull != nil {
+		credit += scored.pull.credit(settings) * r.tokensToBlocks(scored.pull.tokens)
+	}
+	return credit
+}
+
+func (r *Router) tokensToBlocks(tokens uint32) float64 {
+	return float64(tokens) / float64(r.options.BlockTokens)
+}
+
+// decide turns the chosen candidate into a decision, and reserves its load.
+func (r *Router) decide(req *Request, chosen *scoredCandidate) Decision {
+	decision := Decision{
+		Address:       chosen.candidate.Address,
+		WeightVersion: chosen.candidate.WeightVersion,
+		CacheSalt:     chosen.prompt.salt,
+		OverlapTokens: chosen.overlap.Likely.Tokens,
+		PromptTokens:  req.promptTokens(),
+		Cost:          chosen.cost,
+	}
+	if chosen.pull != nil {
+		decision.Pull = chosen.pull.pull()
+	}
+	decision.Reservation = r.reserve(req, chosen)
+	return decision
+}
+
+// retryAfter estimates when the first of the candidates has worked off its
+// prefill.
+func (r *Router) retryAfter(req *Request, candidates []Candidate) time.Duration {
+	shortest := mostRetryAfter
+	for at := range candidates {
+		if req.excludes(candidates[at].Address) {
+			continue
+		}
+		state := r.state(req.Now, candidates[at].Address)
+		backlog := state.load.total(req.Now, &r.options).prefillTokens
+		shortest = min(shortest, state.speed.timeFor(backlog, &r.options))
+	}
+	return max(shortest, leastRetryAfter)
+}
--- /dev/null
+++ b/pkg/kvrouter/settings.go
@@ -0,0 +1,64 @@
+package kvrouter
+
+import (
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+// Defaults of Settings.
+const (
+	DefaultPrefillLoadScale    = 1.0
+	DefaultOwnCredit           = 1.0
+	DefaultPeerCredit          = 0.75
+	DefaultStoreCredit         = 0.5
+	DefaultBusyThresholdBlocks = 16384
+)
+
+// Settings are the knobs of selection for one pool.
+type Settings struct {
+	// PrefillLoadScale is the weight of the prefill term in the cost.
+	PrefillLoadScale float64
+	// RequestWeight is a flat cost, in blocks, per active request.
+	RequestWeight float64
+	// OwnCredit is the credit per block that the replica keeps itself.
+	OwnCredit float64
+	// PeerCredit is the credit per block that it would pull from a peer.
+	PeerCredit float64
+	// StoreCredit is the credit per block that it would pull from the store.
+	StoreCredit float64
+	// BusyThresholdBlocks is the number of active blocks, prefill and decode
+	// together, from which on a replica takes no further request. 0 means that
+	// none is ever busy.
+	BusyThresholdBlocks float64
+	// Temperature of the softmax over the costs; 0 selects the lowest cost.
+	Temperature float64
+}
+
+// DefaultSettings returns the settings of a pool that configures none.
+func DefaultSettings() Settings {
+	return Settings{
+		PrefillLoadScale:    DefaultPrefillLoadScale,
+		OwnCredit:           DefaultOwnCredit,
+		PeerCredit:          DefaultPeerCredit,
+		StoreCredit:         DefaultStoreCredit,
+		BusyThresholdBlocks: DefaultBusyThresholdBlocks,
+	}
+}
+
+// SettingsFrom reads a pool's configuration, which may be nil. Zero values
+// mean the defaults.
+func SettingsFrom(routing *ridgeswitchv1.Routing) Settings {
+	settings := DefaultSettings()
+	replaceIfSet(&settings.PrefillLoadScale, routing.GetPrefillLoadScale())
+	replaceIfSet(&settings.PeerCredit, routing.GetPeerCredit())
+	replaceIfSet(&settings.StoreCredit, routing.GetStoreCredit())
+	replaceIfSet(&settings.BusyThresholdBlocks, float64(routing.GetBusyThresholdBlocks()))
+	settings.RequestWeight = routing.GetRequestWeight()
+	settings.Temperature = routing.GetTemperature()
+	return settings
+}
+
+func replaceIfSet(setting *float64, configured float64) {
+	if configured > 0 {
+		*setting = configured
+	}
+}
--- /dev/null
+++ b/pkg/kvrouter/speed.go
@@ -0,0 +1,43 @@
+package kvrouter
+
+import "time"
+
+const (
+	// speedWeight is the weight of a new observation in the moving average.
+	speedWeight = 0.2
+	// leastTokensToLearn is the shortest prefill that tells the speed rather
+	// than the fixed cost of a request.
+	leastTokensToLearn = 256
+)
+
+// prefillSpeed is the moving average of a replica's prefill speed.
+type prefillSpeed struct {
+	tokensPerSecond float64
+}
+
+// learn takes in that the replica computed tokens, queue included, in a time.
+func (s *prefillSpeed) learn(tokens float64, took time.Duration) {
+	if tokens < leastTokensToLearn || took <= 0 {
+		return
+	}
+	observed := tokens / took.Seconds()
+	if s.tokensPerSecond == 0 {
+		s.tokensPerSecond = observed
+		return
+	}
+	s.tokensPerSecond += speedWeight * (observed - s.tokensPerSecond)
+}
+
+// timeFor estimates how long tokens take to compute.
+func (s *prefillSpeed) timeFor(tokens float64, options *Options) time.Duration {
+	speed := s.tokensPerSecond
+	if speed == 0 {
+		speed = options.PrefillTokensPerSecond
+	}
+	return seconds(tokens / speed)
+}
+
+// seconds turns a number of seconds into a duration.
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
+}
--- /dev/null
+++ b/pkg/membership/config.go
@@ -0,0 +1,81 @@
+package membership
+
+import (
+	"math"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// Defaults of Config.
+const (
+	DefaultMonitorCount   = 3
+	DefaultHeartbeatEvery = 200 * time.Millisecond
+	DefaultFenceAfter     = time.Second
+	DefaultFenceMargin    = 200 * time.Millisecond
+	DefaultForgetAfter    = time.Hour
+)
+
+// Never is the fence deadline of a member that nothing can fence.
+const Never = time.Duration(math.MaxInt64)
+
+const (
+	// gossipFanOut is how many members each holder of news passes it to.
+	gossipFanOut = 4
+	// probeRounds is how many heartbeat rounds lie between two digests sent to
+	// a member beyond the monitors, which heals splits.
+	probeRounds = 5
+	// joinPatienceFences is for how many FenceAfter periods a starting node
+	// waits for some seed before it takes itself to be alone.
+	joinPatienceFences = 3
+)
+
+// Config sets up a Machine. Zero values take the defaults.
+type Config struct {
+	// Self describes this node. Self.Incarnation must differ from that of every
+	// earlier process under the same ID, and should be greater.
+	Self member.Info
+	// Seeds are internal addresses of nodes to join through.
+	Seeds []string
+	// MonitorCount is how many monitors a member chooses, when there are
+	// enough members.
+	MonitorCount   int
+	HeartbeatEvery time.Duration
+	// FenceAfter is how long a member may serve after it sent the newest
+	// heartbeat that enough monitors acknowledged.
+	FenceAfter time.Duration
+	// FenceMargin is how much longer a monitor waits before it reports a
+	// silence. Clocks may differ in rate by FenceMargin/FenceAfter.
+	FenceMargin time.Duration
+	// ForgetAfter is how long the table keeps members that left or are fenced.
+	ForgetAfter time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.MonitorCount <= 0 {
+		c.MonitorCount = DefaultMonitorCount
+	}
+	c.HeartbeatEvery = defaultDuration(c.HeartbeatEvery, DefaultHeartbeatEvery)
+	c.FenceAfter = defaultDuration(c.FenceAfter, DefaultFenceAfter)
+	c.FenceMargin = defaultDuration(c.FenceMargin, DefaultFenceMargin)
+	c.ForgetAfter = defaultDuration(c.ForgetAfter, DefaultForgetAfter)
+	return c
+}
+
+func defaultDuration(value, fallback time.Duration) time.Duration {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
+
+// unresponsiveAfter is how long a node may leave heartbeats unanswered before
+// others are preferred as monitors. It leaves half of FenceAfter to change.
+func (c Config) unresponsiveAfter() time.Duration {
+	return c.FenceAfter / 2
+}
+
+// silenceAfter is how long a monitor hears nothing before it reports.
+func (c Config) silenceAfter() time.Duration {
+	return c.FenceAfter + c.FenceMargin
+}
--- /dev/null
+++ b/pkg/membership/gossip.go
@@ -0,0 +1,246 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// exchangesPerHeartbeat bounds how often a node starts a whole exchange.
+const exchangesPerHeartbeat = 4
+
+// mergeAll takes in the records of a message.
+func (m *Machine) mergeAll(msg Message) {
+	for _, record := range msg.Records {
+		m.merge(record)
+	}
+	if msg.Type == MessageJoinReply {
+		// The seed's neighbours know the table already; only this node is new.
+		clear(m.news)
+		m.news[m.config.Self.ID] = true
+	}
+}
+
+// merge joins one record into the table and notes what is news.
+func (m *Machine) merge(record Record) {
+	id := record.Info.ID
+	if id == m.config.Self.ID && m.outlivedBy(record) {
+		if !m.life.left {
+			m.nextLife(record.Info.Incarnation + 1)
+		}
+		return
+	}
+	if over, forgotten := m.ended[id]; forgotten && record.Info.Incarnation <= over {
+		return
+	}
+	e, known := m.table[id]
+	if !known {
+		delete(m.ended, id)
+		m.insert(mergeRecords(record, record))
+		return
+	}
+	merged := mergeRecords(e.record, record)
+	if equalRecords(merged, e.record) {
+		return
+	}
+	m.updateWatch(e, merged)
+	m.digest += recordDigest(merged) - recordDigest(e.record)
+	e.record = merged
+	e.over = e.over && merged.certainlyFenced()
+	m.news[id] = true
+}
+
+func (m *Machine) insert(record Record) {
+	id := record.Info.ID
+	m.table[id] = &entry{record: record, watch: watch{heard: m.now}}
+	at, _ := slices.BinarySearch(m.order, id)
+	m.order = slices.Insert(m.order, at, id)
+	m.digest += recordDigest(record)
+	m.news[id] = true
+}
+
+func (m *Machine) remove(id member.ID) {
+	m.digest -= recordDigest(m.table[id].record)
+	delete(m.table, id)
+	at, _ := slices.BinarySearch(m.order, id)
+	m.order = slices.Delete(m.order, at, at+1)
+}
+
+// outlivedBy tells whether the table speaks of a life of this node that this
+// process does not know of, such as one that an earlier process began.
+func (m *Machine) outlivedBy(record Record) bool {
+	if record.Info.Incarnation != m.life.incarnation {
+		return record.Info.Incarnation > m.life.incarnation
+	}
+	return record.Version > m.life.version
+}
+
+// updateWatch starts the timer anew for each new life and each new set, since
+// this node learnt of it only now.
+func (m *Machine) updateWatch(e *entry, merged Record) {
+	if merged.Info.Incarnation != e.record.Info.Incarnation {
+		e.watch = watch{heard: m.now}
+		return
+	}
+	if merged.MonitorSetVersion != e.record.MonitorSetVersion {
+		e.watch.heard = m.now
+	}
+}
+
+// onGossip answers a probe or a whole exchange.
+func (m *Machine) onGossip(msg Message) {
+	switch {
+	case msg.Full:
+		missing := m.newerThan(msg.Records)
+		if len(missing) > 0 {
+			m.reply(msg, Message{Type: MessageGossip, Records: missing})
+		}
+	case len(msg.Records) == 0:
+		m.exchangeIfDifferent(msg)
+	}
+}
+
+// exchangeIfDifferent sends the whole table and asks for what the sender of
+// msg knows beyond it.
+func (m *Machine) exchangeIfDifferent(msg Message) {
+	if msg.Digest == m.digest || m.now < m.nextExchange {
+		return
+	}
+	m.nextExchange = m.now + m.config.HeartbeatEvery/exchangesPerHeartbeat
+	m.reply(msg, Message{Type: MessageGossip, Full: true, Records: m.Members()})
+}
+
+// newerThan returns the records that would change the given table.
+func (m *Machine) newerThan(theirs []Record) []Record {
+	held := map[member.ID]Record{}
+	for _, record := range theirs {
+		held[record.Info.ID] = record
+	}
+	var newer []Record
+	for _, id := range m.order {
+		mine := m.table[id].record
+		their, known := held[id]
+		if !known || !equalRecords(mergeRecords(their, mine), their) {
+			newer = append(newer, mine.clone())
+		}
+	}
+	return newer
+}
+
+// probe sends a digest to a member in turn, whatever its state, and asks a
+// seed that the table doesn't hold: so that two halves of a split find each
+// other again.
+func (m *Machine) probe() {
+	ids := slices.DeleteFunc(slices.Clone(m.order), func(id member.ID) bool {
+		return id == m.config.Self.ID || m.table[id].record.State == StateLeft
+	})
+	if len(ids) > 0 {
+		m.send(ids[m.random.IntN(len(ids))], Message{Type: MessageGossip})
+	}
+	seeds := m.unknownSeeds()
+	if len(seeds) > 0 {
+		m.askSeed(seeds[m.random.IntN(len(seeds))])
+	}
+}
+
+// flush sends the news to some members, and returns all that is to be sent.
+func (m *Machine) flush() []Outbound {
+	if len(m.news) > 0 {
+		m.spreadNews()
+	}
+	outbox := m.outbox
+	m.outbox = nil
+	return outbox
+}
+
+func (m *Machine) spreadNews() {
+	var records []Record
+	for _, id := range m.order {
+		if m.news[id] {
+			records = append(records, m.table[id].record.clone())
+		}
+	}
+	clear(m.news)
+	receivers := m.liveOthers()
+	m.random.Shuffle(len(receivers), func(i, j int) {
+		receivers[i], receivers[j] = receivers[j], receivers[i]
+	})
+	for _, id := range receivers[:min(gossipFanOut, len(receivers))] {
+		m.send(id, Message{Type: MessageGossip, Records: records})
+	}
+}
+
+func (m *Machine) liveOthers() []member.ID {
+	return slices.DeleteFunc(slices.Clone(m.order), func(id member.ID) bool {
+		return id == m.config.Self.ID || m.table[id].record.certainlyFenced()
+	})
+}
+
+// send addresses msg to a member of the table.
+func (m *Machine) send(id member.ID, msg Message) {
+	e, known := m.table[id]
+	if !known {
+		return
+	}
+	m.outbox = append(m.outbox, Outbound{To: id, Address: e.record.Info.Address, Message: m.signed(msg)})
+}
+
+// reply addresses msg to the sender of received, which may be a stranger.
+func (m *Machine) reply(received Message, msg Message) {
+	m.outbox = append(m.outbox, Outbound{
+		To:      received.From.ID,
+		Address: received.From.Address,
+		Message: m.signed(msg),
+	})
+}
+
+func (m *Machine) signed(msg Message) Message {
+	msg.From = m.selfRecord().Info
+	if msg.Type != MessageHeartbeatReply {
+		msg.Incarnation = m.life.incarnation
+	}
+	msg.Boot = m.boot
+	msg.Digest = m.digest
+	return msg
+}
+
+// equalRecords compares what the digest covers, plus addresses.
+func equalRecords(a, b Record) bool {
+	return a.Info == b.Info &&
+		a.Version == b.Version &&
+		leftRank(a) == leftRank(b) &&
+		slices.Equal(a.Silences, b.Silences)
+}
+
+// recordDigest is one record's part of the digest, which is their sum and so
+// doesn't depend on order.
+func recordDigest(r Record) uint64 {
+	hash := xxhash.New()
+	writeString(hash, string(r.Info.ID))
+	writeNumber(hash, uint64(r.Info.Incarnation))
+	writeNumber(hash, r.Version)
+	writeNumber(hash, uint64(leftRank(r)))
+	silences := slices.SortedFunc(slices.Values(r.Silences), compareSilences)
+	for _, silence := range silences {
+		writeString(hash, string(silence.Monitor))
+		writeNumber(hash, uint64(silence.MonitorBoot))
+		writeNumber(hash, uint64(silence.Incarnation))
+		writeNumber(hash, silence.MonitorSetVersion)
+	}
+	return hash.Sum64()
+}
+
+func writeString(hash *xxhash.Digest, text string) {
+	writeNumber(hash, uint64(len(text)))
+	// xxhash never returns an error.
+	_, _ = hash.WriteString(text)
+}
+
+func writeNumber(hash *xxhash.Digest, number uint64) {
+	var bytes [8]byte
+	for i := range bytes {
+		bytes[i] = byte(number >> (8 * i))
+	}
+	_, _ = hash.Write(bytes[:])
+}
--- /dev/null
+++ b/pkg/membership/heartbeat.go
@@ -0,0 +1,156 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// sentRound remembers when a round of heartbeats was sent.
+type sentRound struct {
+	sequence uint64
+	at       time.Duration
+}
+
+// watch is what a node remembers of a member as one of its monitors, for the
+// member's newest incarnation.
+type watch struct {
+	// heard is when the member last was heard, or its set was learnt.
+	heard time.Duration
+	// silencedVersion is the newest set version reported silent. The node
+	// never acknowledges that version again.
+	silencedVersion uint64
+}
+
+// heartbeat sends one round to all targets, and now and then a digest to
+// another member.
+func (m *Machine) heartbeat() {
+	m.nextHeartbeat = m.now + m.config.HeartbeatEvery
+	m.sequence++
+	m.rounds++
+	m.sent = append(m.sent, sentRound{sequence: m.sequence, at: m.now})
+	m.pruneSent()
+	for _, id := range m.targets() {
+		m.send(id, m.heartbeatMessage())
+	}
+	if m.rounds%probeRounds == 0 {
+		m.probe()
+	}
+}
+
+func (m *Machine) heartbeatMessage() Message {
+	record := m.selfRecord().clone()
+	return Message{
+		Type:              MessageHeartbeat,
+		Sequence:          m.sequence,
+		MonitorSetVersion: record.MonitorSetVersion,
+		Monitors:          record.Monitors,
+		Records:           []Record{record},
+	}
+}
+
+// pruneSent drops the rounds whose acknowledgement would come too late.
+func (m *Machine) pruneSent() {
+	m.sent = slices.DeleteFunc(m.sent, func(round sentRound) bool {
+		return m.now-round.at >= m.config.FenceAfter
+	})
+}
+
+func (m *Machine) targets() []member.ID {
+	var ids []member.ID
+	for id, p := range m.peers {
+		if p.targeted {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// onHeartbeat acknowledges a heartbeat of the sender's newest life, and tells
+// the sender of a later life of its own, if there is one.
+func (m *Machine) onHeartbeat(msg Message) {
+	if m.life.left {
+		m.reply(msg, Message{Type: MessageGossip, Records: []Record{m.selfRecord().clone()}})
+		return
+	}
+	e, known := m.table[msg.From.ID]
+	if !known {
+		return
+	}
+	if e.record.Info.Incarnation != msg.Incarnation || e.record.State == StateLeft {
+		m.reply(msg, Message{Type: MessageGossip, Records: []Record{e.record.clone()}})
+		return
+	}
+	e.watch.heard = m.now
+	m.reply(msg, Message{
+		Type:              MessageHeartbeatReply,
+		Sequence:          msg.Sequence,
+		Incarnation:       msg.Incarnation,
+		MonitorSetVersion: e.record.MonitorSetVersion,
+		SilencedVersion:   e.watch.silencedVersion,
+	})
+	m.exchangeIfDifferent(msg)
+}
+
+// onHeartbeatReply counts the acknowledgement by the time at which the
+// heartbeat was sent.
+func (m *Machine) onHeartbeatReply(msg Message) {
+	sentAt, found := m.sentAt(msg.Sequence)
+	p, known := m.peers[msg.From.ID]
+	if !found || !known || msg.Incarnation != m.life.incarnation {
+		return
+	}
+	p.boot = msg.Boot
+	p.silencedVersion = max(p.silencedVersion, msg.SilencedVersion)
+	if p.targeted {
+		p.contact = max(p.contact, sentAt)
+		p.answered = true
+	}
+	for i := range m.life.sets {
+		m.life.sets[i].acknowledge(msg, sentAt)
+	}
+	m.retireSets()
+	m.noteServing()
+}
+
+func (m *Machine) sentAt(sequence uint64) (time.Duration, bool) {
+	for _, round := range m.sent {
+		if round.sequence == sequence && sequence >= m.life.firstSequence {
+			return round.at, true
+		}
+	}
+	return 0, false
+}
+
+// reportSilences reports each member that counts on this process as a monitor
+// and has been silent for long enough. The report is a promise: this process
+// never again acknowledges that incarnation under that set version.
+func (m *Machine) reportSilences() {
+	for _, id := range m.order {
+		e := m.table[id]
+		if id == m.config.Self.ID || !m.mustReport(e) {
+			continue
+		}
+		e.watch.silencedVersion = e.record.MonitorSetVersion
+		reported := e.record.clone()
+		reported.addSilence(Silence{
+			Monitor:           m.config.Self.ID,
+			MonitorBoot:       m.boot,
+			Incarnation:       reported.Info.Incarnation,
+			MonitorSetVersion: reported.MonitorSetVersion,
+		})
+		m.merge(reported)
+	}
+}
+
+func (m *Machine) mustReport(e *entry) bool {
+	if e.record.State == StateLeft || !e.record.bindsMonitor(m.config.Self.ID, m.boot) {
+		return false
+	}
+	if e.watch.silencedVersion >= e.record.MonitorSetVersion {
+		return false
+	}
+	return m.now-e.watch.heard >= m.config.silenceAfter()
+}
--- /dev/null
+++ b/pkg/membership/join.go
@@ -0,0 +1,79 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// foreignSeeds are the seeds that aren't this node's own address.
+func (m *Machine) foreignSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(m.config.Seeds), func(seed string) bool {
+		return seed == "" || seed == m.config.Self.Address
+	})
+}
+
+// unknownSeeds are foreign seeds that no member of the table listens on.
+func (m *Machine) unknownSeeds() []string {
+	held := map[string]bool{}
+	for _, e := range m.table {
+		held[e.record.Info.Address] = true
+	}
+	return slices.DeleteFunc(m.foreignSeeds(), func(seed string) bool {
+		return held[seed]
+	})
+}
+
+// join asks all seeds in each heartbeat interval until one answers. A node whose
+// seeds stay silent takes itself to be alone, and goes on asking.
+func (m *Machine) join() {
+	if m.joined || m.now < m.nextJoin {
+		return
+	}
+	m.nextJoin = m.now + m.config.HeartbeatEvery
+	if m.now-m.startedAt >= m.joinPatience() {
+		m.noteJoined()
+	}
+	for _, seed := range m.foreignSeeds() {
+		m.askSeed(seed)
+	}
+}
+
+// noteJoined lets the search for monitors begin.
+func (m *Machine) noteJoined() {
+	if !m.joined {
+		m.joined = true
+		m.life.beganAt = m.now
+	}
+}
+
+func (m *Machine) joinPatience() time.Duration {
+	return joinPatienceFences * m.config.FenceAfter
+}
+
+func (m *Machine) askSeed(address string) {
+	m.outbox = append(m.outbox, Outbound{
+		Address: address,
+		Message: m.signed(Message{Type: MessageJoin, Records: []Record{m.selfRecord().clone()}}),
+	})
+}
+
+// forget drops lives that have been over for long, and remembers only that
+// they are over.
+func (m *Machine) forget() {
+	for _, id := range slices.Clone(m.order) {
+		e := m.table[id]
+		if id == m.config.Self.ID || !e.record.certainlyFenced() {
+			continue
+		}
+		if !e.over {
+			e.over = true
+			e.overSince = m.now
+		}
+		if m.now-e.overSince < m.config.ForgetAfter {
+			continue
+		}
+		m.ended[id] = e.record.Info.Incarnation
+		m.remove(id)
+		delete(m.peers, id)
+	}
+}
--- /dev/null
+++ b/pkg/membership/machine.go
@@ -0,0 +1,225 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// Machine is the membership state of one node. It does no I/O and reads no
+// clock; it is not safe for concurrent use.
+type Machine struct {
+	config Config
+	// boot names this process among all processes of the node.
+	boot   member.Incarnation
+	random *rand.Rand
+
+	now           time.Duration
+	lastTick      time.Duration
+	nextHeartbeat time.Duration
+	nextExchange  time.Duration
+	nextJoin      time.Duration
+	rounds        uint64
+	joined        bool
+	startedAt     time.Duration
+
+	table map[member.ID]*entry
+	// order holds the IDs of the table, sorted.
+	order []member.ID
+	// digest summarises the table.
+	digest uint64
+	// ended keeps the newest life of each forgotten member, which is over.
+	ended map[member.ID]member.Incarnation
+	news  map[member.ID]bool
+
+	life       life
+	fenceCount uint64
+	sequence   uint64
+	sent       []sentRound
+	peers      map[member.ID]*peer
+
+	outbox []Outbound
+}
+
+// entry is a row of the table with what this node adds to it.
+type entry struct {
+	record Record
+	watch  watch
+	// overSince is when this node first saw that the life is over.
+	overSince time.Duration
+	over      bool
+}
+
+// New returns the machine of a node that starts at now. The node is fenced
+// until enough monitors acknowledged it, or until it is known to be alone.
+func New(cfg Config, now time.Duration) *Machine {
+	cfg = cfg.withDefaults()
+	m := &Machine{
+		config:        cfg,
+		boot:          cfg.Self.Incarnation,
+		random:        rand.New(rand.NewPCG(ringPosition(cfg.Self.ID), uint64(cfg.Self.Incarnation))),
+		now:           now,
+		lastTick:      now,
+		nextHeartbeat: now,
+		nextJoin:      now,
+		startedAt:     now,
+		table:         map[member.ID]*entry{},
+		ended:         map[member.ID]member.Incarnation{},
+		news:          map[member.ID]bool{},
+		peers:         map[member.ID]*peer{},
+	}
+	m.joined = len(m.foreignSeeds()) == 0
+	m.beginLife(cfg.Self.Incarnation)
+	m.maintainMonitors()
+	return m
+}
+
+// Tick lets time pass. It should be called several times in HeartbeatEvery.
+func (m *Machine) Tick(now time.Duration) []Outbound {
+	m.advance(now)
+	if m.life.left {
+		return nil
+	}
+	m.forgiveOwnPause()
+	m.join()
+	m.reportSilences()
+	m.forget()
+	m.maintainMonitors()
+	if m.now >= m.nextHeartbeat {
+		m.heartbeat()
+	}
+	return m.flush()
+}
+
+// Step takes one message in.
+func (m *Machine) Step(now time.Duration, msg Message) []Outbound {
+	m.advance(now)
+	if msg.From.ID == m.config.Self.ID {
+		return m.flush()
+	}
+	m.mergeAll(msg)
+	switch msg.Type {
+	case MessageJoin:
+		m.reply(msg, Message{Type: MessageJoinReply, Records: m.Members()})
+	case MessageJoinReply:
+		m.noteJoined()
+	case MessageHeartbeat:
+		m.onHeartbeat(msg)
+	case MessageHeartbeatReply:
+		m.onHeartbeatReply(msg)
+	case MessageGossip:
+		m.onGossip(msg)
+	}
+	m.maintainAfter(msg)
+	if m.now >= m.nextHeartbeat && !m.life.left {
+		m.heartbeat()
+	}
+	return m.flush()
+}
+
+// Leave announces at once that this node stops. The node is fenced from then
+// on, for good.
+func (m *Machine) Leave(now time.Duration) []Outbound {
+	m.advance(now)
+	if m.life.left {
+		return nil
+	}
+	m.life.left = true
+	m.publishSelf()
+	record := m.selfRecord().clone()
+	clear(m.news)
+	for _, id := range m.order {
+		if id != m.config.Self.ID && m.table[id].record.State != StateLeft {
+			m.send(id, Message{Type: MessageGossip, Records: []Record{record}})
+		}
+	}
+	return m.flush()
+}
+
+// advance moves the clock, and ends the life that its fence has ended.
+func (m *Machine) advance(now time.Duration) {
+	m.now = max(m.now, now)
+	m.endFencedLife()
+}
+
+// forgiveOwnPause starts all timers anew when this node itself was stopped for
+// so long that what it didn't hear says nothing about others.
+func (m *Machine) forgiveOwnPause() {
+	paused := m.now-m.lastTick > m.config.unresponsiveAfter()
+	m.lastTick = m.now
+	if !paused {
+		return
+	}
+	for _, e := range m.table {
+		e.watch.heard = m.now
+	}
+	for _, p := range m.peers {
+		p.since = m.now
+	}
+}
+
+// Members returns the table sorted by ID, this node included.
+func (m *Machine) Members() []Record {
+	records := make([]Record, 0, len(m.table))
+	for _, id := range m.order {
+		records = append(records, m.table[id].record.clone())
+	}
+	return records
+}
+
+// Alive tells whether nothing speaks against the member: no monitor reports it
+// silent, and it has monitors left that would. A false suspicion ends within
+// about a round trip.
+func (m *Machine) Alive(id member.ID) bool {
+	e, known := m.table[id]
+	return known && e.record.State == StateAlive && !m.orphaned(&e.record)
+}
+
+// orphaned tells whether so many monitors of a member are not alive that a
+// living member would have replaced them by now.
+func (m *Machine) orphaned(record *Record) bool {
+	lost := 0
+	for _, id := range record.Monitors {
+		e, known := m.table[id]
+		if !known || e.record.State != StateAlive {
+			lost++
+		}
+	}
+	return lost > 0 && lost >= min(silencesNeeded(len(record.Monitors)), len(record.Monitors))
+}
+
+// CertainlyFenced tells whether the member's life that Incarnation returns
+// refuses traffic now and for ever, or left. A later life of the same member
+// may serve.
+func (m *Machine) CertainlyFenced(id member.ID) bool {
+	e, known := m.table[id]
+	if !known {
+		_, over := m.ended[id]
+		return over
+	}
+	return e.record.certainlyFenced()
+}
+
+// LifeEnded tells whether the given life of a member certainly serves no more:
+// it is fenced for certain, it left, or a later life has begun.
+func (m *Machine) LifeEnded(id member.ID, incarnation member.Incarnation) bool {
+	newest, known := m.Incarnation(id)
+	if !known || incarnation > newest {
+		return false
+	}
+	return incarnation < newest || m.CertainlyFenced(id)
+}
+
+// Incarnation returns the newest life known of the member.
+func (m *Machine) Incarnation(id member.ID) (member.Incarnation, bool) {
+	if e, known := m.table[id]; known {
+		return e.record.Info.Incarnation, true
+	}
+	incarnation, known := m.ended[id]
+	return incarnation, known
+}
+
+func (m *Machine) selfRecord() *Record {
+	return &m.table[m.config.Self.ID].record
+}
--- /dev/null
+++ b/pkg/membership/monitors.go
@@ -0,0 +1,183 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// retryUnresponsiveFences is for how many FenceAfter periods a node that left
+// heartbeats unanswered isn't tried again as a monitor.
+const retryUnresponsiveFences = 5
+
+// peer is what this node knows of a node that it sends heartbeats to.
+type peer struct {
+	// targeted tells whether heartbeats go to the peer now, and since when.
+	targeted bool
+	since    time.Duration
+	// answered tells whether contact holds the send time of a heartbeat of
+	// this life that the peer acknowledged.
+	answered bool
+	contact  time.Duration
+	boot     member.Incarnation
+	// silencedVersion is the newest set version of this life that the peer
+	// reported silent.
+	silencedVersion uint64
+	avoidUntil      time.Duration
+}
+
+// restart forgets what the peer said of an earlier life.
+func (p *peer) restart(now time.Duration) {
+	p.since = now
+	p.answered = false
+	p.contact = 0
+	p.silencedVersion = 0
+}
+
+func (p *peer) lastSign() time.Duration {
+	if p.answered {
+		return max(p.since, p.contact)
+	}
+	return p.since
+}
+
+// maintainAfter looks at the monitors anew when a message may allow a change
+// that is waited for.
+func (m *Machine) maintainAfter(msg Message) {
+	waiting := len(m.life.sets) != 1 || m.Fenced(m.now)
+	if !m.life.left && (waiting || msg.Type == MessageHeartbeatReply) {
+		m.maintainMonitors()
+	}
+}
+
+// maintainMonitors declares a set, replaces it, or begins a new life that can.
+func (m *Machine) maintainMonitors() {
+	if !m.joined || len(m.life.sets) > 1 {
+		return
+	}
+	if m.selfRecord().certainlyFenced() {
+		m.nextLife(m.life.incarnation + 1)
+	}
+	wanted := m.wantedMonitors()
+	m.target(wanted)
+	ready := m.allAnswer(wanted)
+	switch {
+	case len(m.life.sets) == 0:
+		if ready || m.now-m.life.beganAt >= m.config.unresponsiveAfter() {
+			m.declare(wanted)
+		}
+	case !ready || !m.shouldReplace(wanted):
+		return
+	case m.Fenced(m.now):
+		// The declared set can't be replaced without its majority.
+		m.nextLife(m.life.incarnation + 1)
+	default:
+		m.declare(wanted)
+	}
+}
+
+// wantedMonitors chooses among the members that answer, and takes others only
+// if there are too few: a node that nobody answers must stay fenced.
+func (m *Machine) wantedMonitors() []member.ID {
+	var answering, others []member.Info
+	for _, id := range m.order {
+		e := m.table[id]
+		switch {
+		case id == m.config.Self.ID || e.record.certainlyFenced():
+			continue
+		case m.responsive(&e.record):
+			answering = append(answering, e.record.Info)
+		default:
+			others = append(others, e.record.Info)
+		}
+	}
+	self := m.config.Self.ID
+	count := m.config.MonitorCount
+	wanted := chooseMonitors(ringSuccessors(self, answering), count)
+	if len(wanted) < count {
+		wanted = append(wanted, chooseMonitors(ringSuccessors(self, others), count-len(wanted))...)
+		slices.Sort(wanted)
+	}
+	return wanted
+}
+
+// responsive tells whether a member answers heartbeats, or has not yet had the
+// time to.
+func (m *Machine) responsive(record *Record) bool {
+	p, known := m.peers[record.Info.ID]
+	if !known || !p.targeted {
+		avoid := known && m.now < p.avoidUntil
+		return record.seemsReachable() && !avoid
+	}
+	if m.now-p.lastSign() < m.config.unresponsiveAfter() {
+		return true
+	}
+	if m.now >= p.avoidUntil {
+		p.avoidUntil = m.now + retryUnresponsiveFences*m.config.FenceAfter
+	}
+	return false
+}
+
+// target directs heartbeats to the monitors of all sets and to those wanted.
+func (m *Machine) target(wanted []member.ID) {
+	targets := map[member.ID]bool{}
+	for _, id := range wanted {
+		targets[id] = true
+	}
+	for _, set := range m.life.sets {
+		for _, id := range set.monitors {
+			targets[id] = true
+		}
+	}
+	for id, p := range m.peers {
+		if !targets[id] {
+			p.targeted = false
+		}
+	}
+	for id := range targets {
+		m.targetPeer(id)
+	}
+}
+
+func (m *Machine) targetPeer(id member.ID) {
+	p, known := m.peers[id]
+	if !known {
+		p = &peer{}
+		m.peers[id] = p
+	}
+	if p.targeted {
+		return
+	}
+	p.targeted = true
+	p.since = m.now
+	p.answered = false
+	m.nextHeartbeat = m.now
+}
+
+// allAnswer tells whether each of the wanted monitors answered lately.
+func (m *Machine) allAnswer(wanted []member.ID) bool {
+	for _, id := range wanted {
+		p := m.peers[id]
+		if !p.answered || m.now-p.contact >= m.config.unresponsiveAfter() {
+			return false
+		}
+	}
+	return true
+}
+
+// shouldReplace tells whether the declared set differs from the wanted one, or
+// holds a monitor whose acknowledgements no longer count.
+func (m *Machine) shouldReplace(wanted []member.ID) bool {
+	set := m.newestSet()
+	if !slices.Equal(set.monitors, wanted) {
+		return true
+	}
+	for i, id := range set.monitors {
+		p := m.peers[id]
+		if p.boot != set.boots[i] || p.silencedVersion >= set.version {
+			return true
+		}
+	}
+	return m.selfRecord().silenceCount() > 0
+}
--- /dev/null
+++ b/pkg/membership/quorum.go
@@ -0,0 +1,18 @@
+package membership
+
+// acksNeeded is how many of a set's monitors must acknowledge for the member
+// to serve. A majority is counted as if the member itself were a monitor that
+// always acknowledges, so that one of two monitors is enough. A single monitor
+// can't fence: in a deployment of two, the loss of one would stop both.
+func acksNeeded(monitors int) int {
+	if monitors < 2 {
+		return 0
+	}
+	return (monitors + 1) / 2
+}
+
+// silencesNeeded is the smallest number of monitors that leaves fewer than
+// acksNeeded. It exceeds the number of monitors when nothing can fence.
+func silencesNeeded(monitors int) int {
+	return monitors - acksNeeded(monitors) + 1
+}
--- /dev/null
+++ b/pkg/membership/timeline_test.go
@@ -0,0 +1,111 @@
+package membership_test
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// Each file of testdata is a timeline: the first row names the columns
+// (node@zone), each further row is an instant. A cell acts (start, start(seed
+// seed), kill, freeze, wake, leave, cut(b): nothing from here reaches b,
+// mend(b), isolate, rejoin) or checks (serving, fenced, lives(n): how many are
+// over, certain(b), uncertain(b), alive(b), notalive(b), unknown(b)).
+var _ = Describe("timelines", func() {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		panic("no timelines")
+	}
+	for _, file := range files {
+		It(strings.TrimSuffix(filepath.Base(file), ".txt"), func() {
+			text, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			runTimeline(string(text))
+		})
+	}
+})
+
+func runTimeline(text string) {
+	w := newNetwork(7)
+	var columns []string
+	for number, line := range strings.Split(text, "\n") {
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		cells := strings.Split(line, "|")
+		if columns == nil {
+			columns = addColumns(w, cells)
+			continue
+		}
+		at, err := time.ParseDuration(strings.TrimSpace(cells[0]))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(at).To(BeNumerically(">=", w.now))
+		w.runUntil(at)
+		for i, cell := range cells[1:] {
+			for _, token := range strings.Split(cell, ",") {
+				if token = strings.TrimSpace(token); token != "" {
+					perform(w, columns[i], token, number+1)
+				}
+			}
+		}
+	}
+	Expect(w.violations).To(BeEmpty())
+}
+
+func addColumns(w *network, cells []string) []string {
+	var columns []string
+	for _, cell := range cells[1:] {
+		name, zone, _ := strings.Cut(strings.TrimSpace(cell), "@")
+		w.add(name, zone)
+		columns = append(columns, name)
+	}
+	return columns
+}
+
+func perform(w *network, name, token string, line int) {
+	verb, argument, _ := strings.Cut(strings.TrimSuffix(token, ")"), "(")
+	n := w.nodes[name]
+	other := member.ID(argument)
+	where := "line " + strconv.Itoa(line) + ", " + name + ": " + token
+	switch verb {
+	case "start":
+		seeds := strings.Fields(argument)
+		if len(seeds) == 0 {
+			seeds = w.names[:min(3, len(w.names))]
+		}
+		w.start(name, seeds...)
+	case "kill":
+		w.kill(name)
+	case "freeze":
+		n.frozen = true
+	case "wake":
+		n.frozen = false
+	case "leave":
+		w.leave(name)
+	case "cut":
+		w.cut[oneWay{name, argument}] = true
+	case "mend":
+		w.cut[oneWay{name, argument}] = false
+	case "isolate", "rejoin":
+		w.isolate(name, verb == "isolate")
+	case "serving", "fenced":
+		Expect(w.serves(name)).To(Equal(verb == "serving"), where)
+	case "lives":
+		Expect(strconv.FormatUint(n.machine.FenceCount(), 10)).To(Equal(argument), where)
+	case "certain", "uncertain":
+		Expect(n.machine.CertainlyFenced(other)).To(Equal(verb == "certain"), where)
+	case "alive", "notalive":
+		Expect(n.machine.Alive(other)).To(Equal(verb == "alive"), where)
+	case "unknown":
+		_, known := n.machine.Incarnation(other)
+		Expect(known).To(BeFalse(), where)
+	default:
+		Fail("unknown token: " + where)
+	}
+}
--- /dev/null
+++ b/pkg/prefixindex/benchmark_test.go
@@ -0,0 +1,181 @@
+package prefixindex_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync/atomic"
+	"testing"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+const (
+	// benchmarkHolders are the replicas and the store of one pool.
+	benchmarkHolders = 19
+	// benchmarkDepth is the number of parts of a prompt.
+	benchmarkDepth = 32
+	// benchmarkPrompts are the prompts that the index is filled with. The first
+	// half of the parts of each are shared by the prompts of a family.
+	benchmarkPrompts = 4096
+	benchmarkFamily  = 64
+)
+
+// benchmarkChains are the prompts of the benchmarks.
+func benchmarkChains() [][]prefixindex.Link {
+	chains := make([][]prefixindex.Link, benchmarkPrompts)
+	for prompt := range chains {
+		parts := make([]prefixindex.Part, benchmarkDepth)
+		for position := range parts {
+			owner := prompt
+			if position < benchmarkDepth/2 {
+				owner = prompt / benchmarkFamily
+			}
+			parts[position] = prefixindex.Part{ID: fmt.Sprint(owner, "/", position), Tokens: 512}
+		}
+		chains[prompt] = prefixindex.Chain("model", "salt", parts)
+	}
+	return chains
+}
+
+// filled returns an index in which each prompt is kept by a third of the
+// holders.
+func filled(chains [][]prefixindex.Link) *prefixindex.Index {
+	index := prefixindex.New(prefixindex.Options{})
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, links := range chains {
+		for range benchmarkHolders / 3 {
+			index.Store(prefixindex.Holder(random.IntN(benchmarkHolders)), links)
+		}
+	}
+	return index
+}
+
+// BenchmarkLookup looks up prompts of 32 parts on all cores.
+func BenchmarkLookup(b *testing.B) {
+	chains := benchmarkChains()
+	index := filled(chains)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		var overlaps prefixindex.Overlaps
+		random := rand.New(rand.NewPCG(3, 4))
+		for pb.Next() {
+			index.Overlaps(0, chains[random.IntN(len(chains))], &overlaps)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "lookups/s")
+	b.ReportMetric(float64(b.N)*benchmarkDepth/b.Elapsed().Seconds(), "parts/s")
+}
+
+// BenchmarkLookupHotPrompt looks up one prompt on all cores.
+func BenchmarkLookupHotPrompt(b *testing.B) {
+	chains := benchmarkChains()
+	index := filled(chains)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		var overlaps prefixindex.Overlaps
+		for pb.Next() {
+			index.Overlaps(0, chains[0], &overlaps)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "lookups/s")
+}
+
+// BenchmarkLookupMiss looks up prompts that nobody keeps.
+func BenchmarkLookupMiss(b *testing.B) {
+	index := filled(benchmarkChains())
+	missing := prefixindex.Chain("model", "other salt", make([]prefixindex.Part, benchmarkDepth))
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		var overlaps prefixindex.Overlaps
+		for pb.Next() {
+			index.Overlaps(0, missing, &overlaps)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "lookups/s")
+}
+
+// BenchmarkEvents stores and removes parts, one at a time, each core as a
+// holder of its own.
+func BenchmarkEvents(b *testing.B) {
+	chains := benchmarkChains()
+	index := filled(chains)
+	var holders atomic.Uint32
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		holder := prefixindex.Holder(holders.Add(1) + benchmarkHolders)
+		writeEvents(pb, index, holder, chains)
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
+}
+
+func writeEvents(pb *testing.PB, index *prefixindex.Index, holder prefixindex.Holder, chains [][]prefixindex.Link) {
+	random := rand.New(rand.NewPCG(uint64(holder), 5))
+	removed := make([]prefixindex.ChainHash, 1)
+	for pb.Next() {
+		links := chains[random.IntN(len(chains))]
+		at := random.IntN(len(links))
+		if random.IntN(2) == 0 {
+			index.Store(holder, links[at:at+1])
+			continue
+		}
+		removed[0] = links[at].Hash
+		index.Remove(holder, removed)
+	}
+}
+
+// BenchmarkMixed has one core in four write events while the others look up.
+// One operation is a lookup or an event.
+func BenchmarkMixed(b *testing.B) {
+	chains := benchmarkChains()
+	index := filled(chains)
+	var workers atomic.Uint32
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		worker := workers.Add(1)
+		if worker%4 == 1 {
+			writeEvents(pb, index, prefixindex.Holder(worker+benchmarkHolders), chains)
+			return
+		}
+		var overlaps prefixindex.Overlaps
+		random := rand.New(rand.NewPCG(uint64(worker), 6))
+		for pb.Next() {
+			index.Overlaps(0, chains[random.IntN(len(chains))], &overlaps)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "operations/s")
+}
+
+// BenchmarkMemory fills an index with a million pairs of a part and a holder,
+// and reports the growth of the heap for each.
+func BenchmarkMemory(b *testing.B) {
+	const pairs = 1 << 20
+	links := make([]prefixindex.Link, pairs/16)
+	random := rand.New(rand.NewPCG(7, 8))
+	for at := range links {
+		links[at] = prefixindex.Link{Hash: prefixindex.ChainHash(random.Uint64()), Tokens: 512}
+	}
+	grown := uint64(0)
+	for range b.N {
+		before := heapInUse()
+		index := prefixindex.New(prefixindex.Options{})
+		for holder := range prefixindex.Holder(pairs / len(links)) {
+			index.Store(holder, links)
+		}
+		grown = heapInUse() - before
+		runtime.KeepAlive(index)
+	}
+	b.ReportMetric(float64(grown)/pairs, "bytes/block")
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/pkg/prefixindex/chain.go
@@ -0,0 +1,62 @@
+package prefixindex
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ChainHash names a prompt part together with everything before it.
+type ChainHash uint64
+
+// Part is one part of a prompt as the caller names it.
+type Part struct {
+	// ID is the caller's name of the part's content.
+	ID string
+	// Tokens is the length of the part.
+	Tokens uint32
+}
+
+// Link is one part of a prompt as replicas and the index name it.
+type Link struct {
+	Hash   ChainHash
+	Tokens uint32
+}
+
+// Root returns the hash that the chain of a prompt starts from.
+func Root(model, cacheSalt string) ChainHash {
+	digest := xxhash.New()
+	writeDelimited(digest, model)
+	writeDelimited(digest, cacheSalt)
+	return ChainHash(digest.Sum64())
+}
+
+// Next returns the name of the part that follows previous.
+func Next(previous ChainHash, partID string) ChainHash {
+	digest := xxhash.New()
+	var buffer [8]byte
+	binary.BigEndian.PutUint64(buffer[:], uint64(previous))
+	_, _ = digest.Write(buffer[:])
+	_, _ = digest.WriteString(partID)
+	return ChainHash(digest.Sum64())
+}
+
+// Chain names every part of a prompt under a model and a cache salt.
+func Chain(model, cacheSalt string, parts []Part) []Link {
+	links := make([]Link, len(parts))
+	previous := Root(model, cacheSalt)
+	for position, part := range parts {
+		previous = Next(previous, part.ID)
+		links[position] = Link{Hash: previous, Tokens: part.Tokens}
+	}
+	return links
+}
+
+// writeDelimited writes text with its length before it, so that two texts that
+// join to the same bytes still differ.
+func writeDelimited(digest *xxhash.Digest, text string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(text)))
+	_, _ = digest.Write(length[:])
+	_, _ = digest.WriteString(text)
+}
--- /dev/null
+++ b/pkg/prefixindex/model_test.go
@@ -0,0 +1,149 @@
+package prefixindex_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// modelIndex is the plainest index that is right: a set of hashes a holder.
+type modelIndex struct {
+	reported  map[prefixindex.Holder]map[prefixindex.ChainHash]bool
+	predicted map[prefixindex.Holder]map[prefixindex.ChainHash]time.Duration
+}
+
+// modelHolders are spread so that they belong to two groups.
+var modelHolders = []prefixindex.Holder{0, 1, 2, 63, 64}
+
+func newModelIndex() *modelIndex {
+	model := &modelIndex{
+		reported:  map[prefixindex.Holder]map[prefixindex.ChainHash]bool{},
+		predicted: map[prefixindex.Holder]map[prefixindex.ChainHash]time.Duration{},
+	}
+	for _, holder := range modelHolders {
+		model.drop(holder)
+	}
+	return model
+}
+
+func (m *modelIndex) drop(holder prefixindex.Holder) {
+	m.reported[holder] = map[prefixindex.ChainHash]bool{}
+	m.predicted[holder] = map[prefixindex.ChainHash]time.Duration{}
+}
+
+func (m *modelIndex) store(holder prefixindex.Holder, links []prefixindex.Link) {
+	for _, link := range links {
+		m.reported[holder][link.Hash] = true
+	}
+}
+
+func (m *modelIndex) remove(holder prefixindex.Holder, hashes []prefixindex.ChainHash) {
+	for _, hash := range hashes {
+		delete(m.reported[holder], hash)
+		delete(m.predicted[holder], hash)
+	}
+}
+
+func (m *modelIndex) predict(until time.Duration, holder prefixindex.Holder, links []prefixindex.Link) {
+	for _, link := range links {
+		m.predicted[holder][link.Hash] = max(until, m.predicted[holder][link.Hash])
+	}
+}
+
+func (m *modelIndex) overlap(now time.Duration, holder prefixindex.Holder, links []prefixindex.Link) prefixindex.Overlap {
+	var overlap prefixindex.Overlap
+	for position, link := range links {
+		reported := m.reported[holder][link.Hash]
+		likely := reported || m.predicted[holder][link.Hash] > now
+		if reported && overlap.Reported.Parts == position {
+			overlap.Reported = extent(position + 1)
+		}
+		if likely && overlap.Likely.Parts == position {
+			overlap.Likely = extent(position + 1)
+		}
+	}
+	return overlap
+}
+
+// randomPrompt draws from a small tree of prompts, so that prefixes are shared.
+func randomPrompt(random *rand.Rand) []prefixindex.Link {
+	ids := make([]byte, 1+random.IntN(12))
+	for at := range ids {
+		ids[at] = "ab"[random.IntN(2)]
+	}
+	return chain(string(ids))
+}
+
+// step applies one random change to the index and to the model.
+func step(random *rand.Rand, now time.Duration, index *prefixindex.Index, model *modelIndex) {
+	holder := modelHolders[random.IntN(len(modelHolders))]
+	links := randomPrompt(random)
+	some := links[random.IntN(len(links)):]
+	switch choice := random.IntN(100); {
+	case choice < 45:
+		index.Store(holder, some)
+		model.store(holder, some)
+	case choice < 75:
+		index.Remove(holder, hashes(some))
+		model.remove(holder, hashes(some))
+	case choice < 95:
+		index.PredictFor(now, 50*time.Second, holder, some)
+		model.predict(now+50*time.Second, holder, some)
+	case choice < 98:
+		index.Reset(holder, some)
+		model.drop(holder)
+		model.store(holder, some)
+	default:
+		index.Drop(holder)
+		model.drop(holder)
+	}
+}
+
+var _ = Describe("Index", func() {
+	DescribeTable("agrees with a plain model over random changes", func(shards int) {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, uint64(shards)))
+			index := prefixindex.New(prefixindex.Options{Shards: shards})
+			model := newModelIndex()
+			for change := range 1500 {
+				now := time.Duration(change) * time.Second / 4
+				step(random, now, index, model)
+				links := randomPrompt(random)
+				overlaps := lookUp(index, now, links)
+				for _, holder := range modelHolders {
+					Expect(overlaps.Of(holder)).To(Equal(model.overlap(now, holder, links)), "seed %d change %d holder %d", seed, change, holder)
+				}
+			}
+			kept := 0
+			for _, reported := range model.reported {
+				kept += len(reported)
+			}
+			Expect(index.Stats().Reported).To(Equal(kept))
+		}
+	},
+		Entry("in one table, where runs are long", 1),
+		Entry("in four tables", 4),
+		Entry("in many tables", 256),
+	)
+
+	It("gives memory back and keeps what is left", func() {
+		index := prefixindex.New(prefixindex.Options{Shards: 1})
+		empty := index.Stats().Bytes
+		const count = 50_000
+		links := make([]prefixindex.Link, count)
+		for at := range links {
+			links[at] = prefixindex.Link{Hash: prefixindex.ChainHash(at), Tokens: partTokens}
+		}
+		index.Store(1, links)
+		index.Store(2, links[count-1:])
+		Expect(index.Stats().Bytes).To(BeNumerically(">", count*16))
+		index.Remove(1, hashes(links))
+		Expect(index.Stats().Bytes).To(Equal(empty))
+		Expect(lookUp(index, 0, links[count-1:]).Of(2).Reported).To(Equal(extent(1)))
+		Expect(index.Stats().Reported).To(Equal(1))
+	})
+})
--- /dev/null
+++ b/pkg/prefixindex/overlaps_test.go
@@ -0,0 +1,207 @@
+package prefixindex_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+const partTokens = 16
+
+// parts names a prompt by one letter a part.
+func parts(ids string) []prefixindex.Part {
+	return lo.Map([]rune(ids), func(id rune, _ int) prefixindex.Part {
+		return prefixindex.Part{ID: string(id), Tokens: partTokens}
+	})
+}
+
+// chain is the prompt under one model and salt.
+func chain(ids string) []prefixindex.Link {
+	return prefixindex.Chain("model", "salt", parts(ids))
+}
+
+func hashes(links []prefixindex.Link) []prefixindex.ChainHash {
+	return lo.Map(links, func(link prefixindex.Link, _ int) prefixindex.ChainHash { return link.Hash })
+}
+
+func lookUp(index *prefixindex.Index, now time.Duration, links []prefixindex.Link) *prefixindex.Overlaps {
+	var overlaps prefixindex.Overlaps
+	index.Overlaps(now, links, &overlaps)
+	return &overlaps
+}
+
+func extent(leading int) prefixindex.Extent {
+	return prefixindex.Extent{Parts: leading, Tokens: uint32(leading) * partTokens}
+}
+
+var _ = Describe("Overlaps", func() {
+	var index *prefixindex.Index
+
+	BeforeEach(func() { index = prefixindex.New(prefixindex.Options{}) })
+
+	reported := func(holder prefixindex.Holder, links []prefixindex.Link) prefixindex.Extent {
+		return lookUp(index, 0, links).Of(holder).Reported
+	}
+
+	It("counts the leading parts of each holder", func() {
+		index.Store(1, chain("abc"))
+		index.Store(2, chain("ab"))
+		index.Store(3, chain("axy"))
+		overlaps := lookUp(index, 0, chain("abcd"))
+		Expect(overlaps.Holders()).To(Equal([]prefixindex.Holder{1, 2, 3}))
+		Expect(overlaps.Of(1).Reported).To(Equal(extent(3)))
+		Expect(overlaps.Of(2).Reported).To(Equal(extent(2)))
+		Expect(overlaps.Of(3).Reported).To(Equal(extent(1)))
+		Expect(overlaps.Of(4)).To(BeZero())
+	})
+
+	It("tells equal parts at other positions apart", func() {
+		index.Store(1, chain("ab"))
+		Expect(reported(1, chain("aba"))).To(Equal(extent(2)))
+		Expect(reported(1, chain("ba"))).To(BeZero())
+		index.Store(2, chain("aba")[2:])
+		Expect(reported(2, chain("a"))).To(BeZero())
+		Expect(reported(2, chain("aba"))).To(BeZero())
+	})
+
+	It("stops at the first gap of each holder", func() {
+		links := chain("abcde")
+		index.Store(1, links)
+		index.Store(2, links)
+		index.Remove(1, hashes(links[2:3]))
+		Expect(reported(1, links)).To(Equal(extent(2)))
+		Expect(reported(2, links)).To(Equal(extent(5)))
+		index.Store(1, links[2:3])
+		Expect(reported(1, links)).To(Equal(extent(5)))
+	})
+
+	It("takes parts in any order and doubled", func() {
+		links := chain("abcd")
+		index.Store(1, links[2:])
+		index.Store(1, links[:2])
+		index.Store(1, links)
+		Expect(reported(1, links)).To(Equal(extent(4)))
+		Expect(index.Stats().Reported).To(Equal(4))
+	})
+
+	It("never finds parts under another model or salt", func() {
+		index.Store(1, prefixindex.Chain("model", "salt", parts("abc")))
+		Expect(reported(1, prefixindex.Chain("model", "other", parts("abc")))).To(BeZero())
+		Expect(reported(1, prefixindex.Chain("other", "salt", parts("abc")))).To(BeZero())
+		Expect(reported(1, prefixindex.Chain("models", "alt", parts("abc")))).To(BeZero())
+	})
+
+	It("counts the tokens that the prompt states, without wrapping around", func() {
+		links := chain("abc")
+		index.Store(1, links)
+		links[1].Tokens = 1<<32 - 1
+		Expect(reported(1, links)).To(Equal(prefixindex.Extent{Parts: 3, Tokens: 1<<32 - 1}))
+	})
+
+	It("has room for many holders", func() {
+		for holder := range prefixindex.Holder(200) {
+			index.Store(holder, chain("abcd")[:1+holder%4])
+		}
+		overlaps := lookUp(index, 0, chain("abcd"))
+		Expect(overlaps.Holders()).To(HaveLen(200))
+		for holder := range prefixindex.Holder(200) {
+			Expect(overlaps.Of(holder).Reported).To(Equal(extent(1 + int(holder%4))))
+		}
+	})
+
+	It("replaces what a holder keeps on a reset, and forgets it on a drop", func() {
+		index.Store(1, chain("abc"))
+		index.Store(2, chain("abc"))
+		index.Reset(1, chain("ax"))
+		Expect(reported(1, chain("abc"))).To(Equal(extent(1)))
+		index.Drop(1)
+		Expect(reported(1, chain("abc"))).To(BeZero())
+		Expect(reported(2, chain("abc"))).To(Equal(extent(3)))
+		Expect(index.Stats().Reported).To(Equal(3))
+	})
+
+	It("leaves nothing of one lookup in the next", func() {
+		index.Store(7, chain("abc"))
+		var overlaps prefixindex.Overlaps
+		index.Overlaps(0, chain("abc"), &overlaps)
+		index.Overlaps(0, chain("xyz"), &overlaps)
+		Expect(overlaps.Holders()).To(BeEmpty())
+		Expect(overlaps.Of(7)).To(BeZero())
+		index.Overlaps(0, nil, &overlaps)
+		Expect(overlaps.Holders()).To(BeEmpty())
+	})
+
+	It("allocates nothing when its answer is reused", func() {
+		links := chain("abcdefgh")
+		for holder := range prefixindex.Holder(18) {
+			index.Store(holder, links)
+		}
+		index.Predict(0, 20, links)
+		var overlaps prefixindex.Overlaps
+		index.Overlaps(0, links, &overlaps)
+		allocations := testing.AllocsPerRun(100, func() { index.Overlaps(0, links, &overlaps) })
+		Expect(allocations).To(BeZero())
+	})
+})
+
+var _ = Describe("Predictions", func() {
+	const ttl = 120 * time.Second
+	links := chain("abcd")
+
+	It("lengthen the likely overlap but not the reported one", func() {
+		index := prefixindex.New(prefixindex.Options{})
+		index.Store(1, links[:1])
+		index.Predict(0, 1, links[:3])
+		overlap := lookUp(index, 0, links).Of(1)
+		Expect(overlap.Reported).To(Equal(extent(1)))
+		Expect(overlap.Likely).To(Equal(extent(3)))
+		Expect(index.Stats()).To(HaveField("Predicted", 3))
+		Expect(index.Stats()).To(HaveField("Reported", 1))
+	})
+
+	It("end with their time, counted from the last renewal", func() {
+		index := prefixindex.New(prefixindex.Options{})
+		index.Predict(0, 1, links)
+		index.Predict(60*time.Second, 1, links[:2])
+		Expect(lookUp(index, ttl-1, links).Of(1).Likely).To(Equal(extent(4)))
+		Expect(lookUp(index, ttl, links).Of(1).Likely).To(Equal(extent(2)))
+		Expect(lookUp(index, ttl+60*time.Second, links).Of(1)).To(BeZero())
+		Expect(index.Stats().Predicted).To(BeZero())
+	})
+
+	It("keep the longer of two times", func() {
+		index := prefixindex.New(prefixindex.Options{})
+		index.Predict(0, 1, links)
+		index.PredictFor(0, time.Second, 1, links)
+		Expect(lookUp(index, 2*time.Second, links).Of(1).Likely).To(Equal(extent(4)))
+	})
+
+	It("stay under the cap by dropping those that end first", func() {
+		index := prefixindex.New(prefixindex.Options{MaxPredicted: 4})
+		index.Predict(0, 1, chain("wxyz"))
+		index.Predict(time.Second, 2, links)
+		Expect(lookUp(index, time.Second, chain("wxyz")).Of(1)).To(BeZero())
+		Expect(lookUp(index, time.Second, links).Of(2).Likely).To(Equal(extent(4)))
+		for renewal := range 1000 {
+			index.Predict(time.Second+time.Duration(renewal), 2, links)
+		}
+		Expect(index.Stats().Predicted).To(Equal(4))
+	})
+
+	It("go with a report that the part was dropped, with a reset and with a drop", func() {
+		index := prefixindex.New(prefixindex.Options{})
+		index.Predict(0, 1, links)
+		index.Remove(1, hashes(links[2:3]))
+		Expect(lookUp(index, 0, links).Of(1).Likely).To(Equal(extent(2)))
+		index.Reset(1, links[:1])
+		Expect(lookUp(index, 0, links).Of(1).Likely).To(Equal(extent(1)))
+		index.Predict(0, 1, links)
+		index.Drop(1)
+		Expect(lookUp(index, 0, links).Of(1)).To(BeZero())
+	})
+})
--- /dev/null
+++ b/pkg/prefixindex/predictions.go
@@ -0,0 +1,184 @@
+package prefixindex
+
+import (
+	"container/heap"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// never is the next expiry while nothing is predicted.
+const never = int64(math.MaxInt64)
+
+// predictions holds parts that holders probably keep, apart from what they
+// reported, so that a guess never mixes with a fact.
+type predictions struct {
+	ttl     time.Duration
+	maximum int
+	parts   *partitions
+	// nextExpiry lets lookups skip the lock while nothing is due.
+	nextExpiry atomic.Int64
+
+	mutex   sync.Mutex
+	expires map[prediction]time.Duration
+	// queue holds an expiry for each prediction and each renewal of one; those
+	// that a renewal has overtaken are skipped when they come up.
+	queue expiryQueue
+}
+
+// prediction names a predicted part of a holder.
+type prediction struct {
+	hash   ChainHash
+	holder Holder
+}
+
+func newPredictions(options Options) *predictions {
+	p := &predictions{
+		ttl:     options.PredictionTTL,
+		maximum: options.MaxPredicted,
+		parts:   newPartitions(options.Shards),
+		expires: make(map[prediction]time.Duration),
+	}
+	p.nextExpiry.Store(never)
+	return p
+}
+
+func (p *predictions) add(now, ttl time.Duration, holder Holder, links []Link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.popDue(now)
+	for _, link := range links {
+		key := prediction{hash: link.Hash, holder: holder}
+		expiry := now + ttl
+		if known, present := p.expires[key]; present && known >= expiry {
+			continue
+		}
+		p.expires[key] = expiry
+		heap.Push(&p.queue, queuedExpiry{prediction: key, at: expiry})
+		p.parts.put(holder, link.Hash)
+	}
+	for len(p.expires) > p.maximum {
+		p.popFirst()
+	}
+	p.compact()
+	p.publishNextExpiry()
+}
+
+func (p *predictions) remove(holder Holder, hashes []ChainHash) {
+	if p.empty() {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, hash := range hashes {
+		p.forget(prediction{hash: hash, holder: holder})
+	}
+	p.compact()
+	p.publishNextExpiry()
+}
+
+func (p *predictions) drop(holder Holder) {
+	if p.empty() {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for key := range p.expires {
+		if key.holder == holder {
+			p.forget(key)
+		}
+	}
+	p.compact()
+	p.publishNextExpiry()
+}
+
+func (p *predictions) expire(now time.Duration) {
+	if p.nextExpiry.Load() > int64(now) {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.popDue(now)
+	p.publishNextExpiry()
+}
+
+func (p *predictions) count() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.expires)
+}
+
+// empty tells without a lock whether nothing is predicted.
+func (p *predictions) empty() bool { return p.nextExpiry.Load() == never }
+
+func (p *predictions) popDue(now time.Duration) {
+	for len(p.queue) > 0 && p.queue[0].at <= now {
+		p.popFirst()
+	}
+}
+
+// popFirst takes the earliest expiry, and forgets its prediction unless that
+// was renewed since.
+func (p *predictions) popFirst() {
+	first := heap.Pop(&p.queue).(queuedExpiry)
+	if p.expires[first.prediction] == first.at {
+		p.forget(first.prediction)
+	}
+}
+
+func (p *predictions) forget(key prediction) {
+	if _, present := p.expires[key]; !present {
+		return
+	}
+	delete(p.expires, key)
+	p.parts.remove(key.holder, key.hash)
+}
+
+// compact rebuilds the queue when overtaken expiries outnumber the others, so
+// that renewals do not grow it without bound.
+func (p *predictions) compact() {
+	if len(p.queue) <= 2*len(p.expires)+minimumSlots {
+		return
+	}
+	live := p.queue[:0]
+	for _, queued := range p.queue {
+		if p.expires[queued.prediction] == queued.at {
+			live = append(live, queued)
+		}
+	}
+	p.queue = live
+	heap.Init(&p.queue)
+}
+
+func (p *predictions) publishNextExpiry() {
+	if len(p.expires) == 0 {
+		p.nextExpiry.Store(never)
+		return
+	}
+	p.nextExpiry.Store(int64(p.queue[0].at))
+}
+
+// queuedExpiry is the instant at which a prediction ends.
+type queuedExpiry struct {
+	prediction
+	at time.Duration
+}
+
+// expiryQueue is a heap by instant, for container/heap.
+type expiryQueue []queuedExpiry
+
+func (q expiryQueue) Len() int           { return len(q) }
+func (q expiryQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q expiryQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push appends an element of type queuedExpiry.
+func (q *expiryQueue) Push(queued any) { *q = append(*q, queued.(queuedExpiry)) }
+
+// Pop takes the last element.
+func (q *expiryQueue) Pop() any {
+	last := len(*q) - 1
+	queued := (*q)[last]
+	*q = (*q)[:last]
+	return queued
+}
--- /dev/null
+++ b/pkg/prefixindex/shard.go
@@ -0,0 +1,149 @@
+package prefixindex
+
+import (
+	"math/bits"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// optimisticReads is how often a lookup reads without the lock before it
+	// waits for the writer.
+	optimisticReads = 4
+	// A table grows when more than growNumerator/growDenominator of its slots
+	// are in use, and shrinks when fewer than one in shrinkDivisor are.
+	growNumerator   = 3
+	growDenominator = 4
+	shrinkDivisor   = 8
+)
+
+// shard is one part of a partition.
+//
+// Invariant: version is odd exactly while a writer changes the table. A reader
+// that saw the same even version before and after its reads has read one
+// consistent state, without having written to memory that other readers share.
+type shard struct {
+	version atomic.Uint64
+	table   atomic.Pointer[table]
+	// used counts the slots in use, and kept the pairs of part and holder.
+	used    atomic.Int64
+	kept    atomic.Int64
+	writers sync.Mutex
+	_       [24]byte // keeps neighbouring shards off one cache line
+}
+
+func (s *shard) init() { s.table.Store(newTable(minimumSlots)) }
+
+// find returns the holders of a hash.
+func (s *shard) find(hash ChainHash) holderSet {
+	for range optimisticReads {
+		before := s.version.Load()
+		if before%2 == 1 {
+			continue
+		}
+		_, holders := s.table.Load().find(hash)
+		if s.version.Load() == before {
+			return holders
+		}
+	}
+	s.writers.Lock()
+	defer s.writers.Unlock()
+	_, holders := s.table.Load().find(hash)
+	return holders
+}
+
+// beginWrite and endWrite enclose every change of the table.
+func (s *shard) beginWrite() {
+	s.writers.Lock()
+	s.version.Add(1)
+}
+
+func (s *shard) endWrite() {
+	s.version.Add(1)
+	s.writers.Unlock()
+}
+
+// put adds holders to those of a hash.
+func (s *shard) put(hash ChainHash, added holderSet) {
+	s.beginWrite()
+	defer s.endWrite()
+	current := s.table.Load()
+	slot, holders := current.find(hash)
+	if holders&added == added {
+		return
+	}
+	current.store(slot, hash, holders|added)
+	s.kept.Add(int64(bits.OnesCount64(uint64(added &^ holders))))
+	if holders != 0 {
+		return
+	}
+	used := int(s.used.Add(1))
+	if used*growDenominator > current.slots()*growNumerator {
+		s.resize(current.slots() * 2)
+	}
+}
+
+// remove takes holders from those of a hash.
+func (s *shard) remove(hash ChainHash, removed holderSet) {
+	s.beginWrite()
+	defer s.endWrite()
+	current := s.table.Load()
+	slot, holders := current.find(hash)
+	if holders&removed == 0 {
+		return
+	}
+	s.removeAt(current, slot, removed)
+	s.shrink()
+}
+
+// drop takes holders from all hashes.
+func (s *shard) drop(removed holderSet) {
+	if s.used.Load() == 0 {
+		return
+	}
+	s.beginWrite()
+	defer s.endWrite()
+	current := s.table.Load()
+	for slot := range uint64(current.slots()) {
+		// Freeing the slot may move a later one here.
+		for s.removeAt(current, slot, removed) {
+		}
+	}
+	s.shrink()
+}
+
+// removeAt takes holders from those of a slot, and tells whether that freed
+// the slot.
+func (s *shard) removeAt(current *table, slot uint64, removed holderSet) bool {
+	hash, holders := current.load(slot)
+	left := holders &^ removed
+	if left == holders {
+		return false
+	}
+	s.kept.Add(-int64(bits.OnesCount64(uint64(holders & removed))))
+	if left != 0 {
+		current.store(slot, hash, left)
+		return false
+	}
+	current.erase(slot)
+	s.used.Add(-1)
+	return true
+}
+
+// shrink gives memory back after many removals.
+func (s *shard) shrink() {
+	slots := s.table.Load().slots()
+	smaller := slots
+	for smaller > minimumSlots && int(s.used.Load())*shrinkDivisor < smaller {
+		smaller /= 2
+	}
+	if smaller < slots {
+		s.resize(smaller)
+	}
+}
+
+func (s *shard) resize(slots int) {
+	resized := newTable(slots)
+	s.table.Load().copyTo(resized)
+	s.table.Store(resized)
+}
--- /dev/null
+++ b/pkg/relaytree/doc.go
@@ -0,0 +1,16 @@
+// Package relaytree spreads the newest revision of each topic from its root to
+// all nodes along a tree that every node derives alone from the live members.
+//
+// An update goes down the tree at once. Each node acknowledges it, and while an
+// update of a topic is on its way to a node, newer ones wait there in one place:
+// only the newest is kept, so that a storm of revisions costs each link one
+// update a round trip. Losses and repairs are covered by digests: every
+// DigestEvery a node tells its parents and one other member in turn what it
+// holds; whoever is newer sends, and whoever is older answers with its own
+// digest. So a node whose parent died, or whose tree differs from the others'
+// for a while, still converges.
+//
+// The invariant: the revision that a node holds of a topic never falls.
+//
+// Payloads are opaque and are shared, not copied: nobody may change one.
+package relaytree
--- /dev/null
+++ b/pkg/replication/cluster_test.go
@@ -0,0 +1,335 @@
+package replication_test
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+const (
+	heartbeatEvery  = 30 * time.Millisecond
+	electionTimeout = 100 * time.Millisecond
+	leaseDuration   = 240 * time.Millisecond
+	leaseMargin     = 24 * time.Millisecond
+	tickEvery       = 10 * time.Millisecond
+)
+
+// faults are the chances of what can happen to a message or a sync.
+type faults struct {
+	lose, double, stall float64
+	maxDelay            time.Duration
+}
+
+type link struct{ from, to member.ID }
+
+type packet struct {
+	at   time.Duration
+	link link
+	life int
+	m    replication.Message
+}
+
+// node is one member with its disk. What the state machine has not been told
+// to be durable is lost in a crash.
+type node struct {
+	id      member.ID
+	group   *replication.Group
+	disk    replication.Restored
+	learner bool
+	life    int
+	// held is a Ready whose sync has not ended.
+	held *replication.Ready
+	// stalled keeps every sync from ending.
+	stalled bool
+	// applied is the chain digest of all applied entries, at appliedIndex.
+	applied      uint64
+	appliedIndex uint64
+	// reads maps a read to the index that its answer must cover.
+	reads         map[uint64]uint64
+	answered      int
+	failed        int
+	offset, drift time.Duration
+}
+
+// cluster runs a group over a simulated network and checks, after each event,
+// what must hold whatever happens.
+type cluster struct {
+	config  replication.Config
+	nodes   []*node
+	now     time.Duration
+	random  *rand.Rand
+	faults  faults
+	cut     map[link]bool
+	packets []packet
+	// digests and owners are what the whole cluster has ever agreed on.
+	digests map[uint64]uint64
+	owners  map[uint64]member.ID
+	highest uint64
+	wiped   bool
+}
+
+func newCluster(random *rand.Rand, ids ...member.ID) *cluster {
+	c := &cluster{
+		random: random,
+		faults: faults{maxDelay: time.Millisecond},
+		config: replication.Config{
+			Group: ids, HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
+			LeaseDuration: leaseDuration, LeaseMargin: leaseMargin, MaxLogEntries: 2,
+		},
+		cut:     map[link]bool{},
+		digests: map[uint64]uint64{},
+		owners:  map[uint64]member.ID{},
+	}
+	for _, id := range ids {
+		n := &node{id: id}
+		c.nodes = append(c.nodes, n)
+		c.start(n)
+	}
+	return c
+}
+
+func (c *cluster) node(id member.ID) *node {
+	for _, n := range c.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// clock is the node's own: it differs in zero and in rate.
+func (c *cluster) clock(n *node) time.Duration {
+	return n.offset + c.now + c.now/1000*n.drift
+}
+
+func (c *cluster) start(n *node) {
+	config := c.config
+	config.Self = n.id
+	config.Learner = n.learner
+	group, err := replication.New(config, n.disk, c.clock(n))
+	Expect(err).NotTo(HaveOccurred())
+	n.group = group
+	n.life++
+	n.reads = map[uint64]uint64{}
+	n.applied, n.appliedIndex = 0, 0
+	if n.disk.Snapshot != nil {
+		c.restore(n, n.disk.Snapshot)
+	}
+}
+
+// crash loses the held Ready, or only what follows its sync.
+func (c *cluster) crash(n *node, synced bool) {
+	if n.held != nil && synced {
+		n.write(*n.held)
+	}
+	n.held = nil
+	n.group = nil
+}
+
+func (c *cluster) wipe(n *node) {
+	c.crash(n, false)
+	n.disk = replication.Restored{}
+	n.learner = true
+}
+
+func (n *node) write(ready replication.Ready) {
+	if ready.Snapshot != nil {
+		n.disk.Snapshot = ready.Snapshot
+		n.disk.Entries = nil
+	}
+	if len(ready.Entries) > 0 {
+		first := ready.Entries[0].Index
+		kept := slices.DeleteFunc(slices.Clone(n.disk.Entries), func(e replication.Entry) bool { return e.Index >= first })
+		n.disk.Entries = append(kept, ready.Entries...)
+	}
+	if ready.HardState != nil {
+		n.disk.HardState = *ready.HardState
+	}
+}
+
+// drain does what a driver does, until the node has nothing more to do.
+func (c *cluster) drain(n *node) {
+	for n.group != nil && n.held == nil && n.group.HasReady() {
+		ready := n.group.Ready()
+		if ready.MustSync() && (n.stalled || c.random.Float64() < c.faults.stall) {
+			n.held = &ready
+			return
+		}
+		c.finish(n, ready)
+	}
+	c.check()
+}
+
+func (c *cluster) finish(n *node, ready replication.Ready) {
+	n.write(ready)
+	for _, outbound := range ready.Messages {
+		c.post(n, outbound)
+	}
+	if ready.Snapshot != nil {
+		c.restore(n, ready.Snapshot)
+	}
+	for _, entry := range ready.Committed {
+		c.apply(n, entry)
+	}
+	for _, read := range ready.Reads {
+		Expect(read.Index).To(BeNumerically(">=", n.reads[read.ID]), "%s: stale read", n.id)
+		Expect(n.appliedIndex).To(BeNumerically(">=", read.Index))
+		n.answered++
+	}
+	n.failed += len(ready.ReadsFailed)
+	n.group.Advance()
+}
+
+// release ends the sync of the held Ready.
+func (c *cluster) release(n *node) {
+	if n.held == nil {
+		return
+	}
+	ready := *n.held
+	n.held = nil
+	c.finish(n, ready)
+	c.drain(n)
+}
+
+func (c *cluster) apply(n *node, entry replication.Entry) {
+	Expect(entry.Index).To(Equal(n.appliedIndex+1), "%s: applied out of order", n.id)
+	n.applied = n.applied*1099511628211 + entry.Epoch*31 + uint64(entry.Kind)
+	for _, b := range entry.Command {
+		n.applied = n.applied*1099511628211 + uint64(b)
+	}
+	n.appliedIndex = entry.Index
+	if agreed, known := c.digests[entry.Index]; known {
+		Expect(n.applied).To(Equal(agreed), "%s: another history at %d", n.id, entry.Index)
+	}
+	c.digests[entry.Index] = n.applied
+	c.highest = max(c.highest, entry.Index)
+}
+
+func (c *cluster) restore(n *node, snapshot *replication.Snapshot) {
+	n.applied = binary.BigEndian.Uint64(snapshot.Data)
+	n.appliedIndex = snapshot.Index
+	Expect(n.applied).To(Equal(c.digests[snapshot.Index]), "%s: another snapshot", n.id)
+}
+
+func (c *cluster) compact(n *node) error {
+	if n.group == nil || n.held != nil {
+		return nil
+	}
+	err := n.group.Compact(n.appliedIndex, binary.BigEndian.AppendUint64(nil, n.applied))
+	if err == nil {
+		n.disk = n.group.Checkpoint()
+	}
+	return err
+}
+
+func (c *cluster) read(n *node) {
+	id, err := n.group.RequestRead(c.clock(n))
+	if err == nil {
+		n.reads[id] = c.highest
+	}
+	c.drain(n)
+}
+
+func (c *cluster) post(n *node, outbound replication.Outbound) {
+	copies := 1
+	if c.random.Float64() < c.faults.lose {
+		copies = 0
+	} else if c.random.Float64() < c.faults.double {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Duration(1 + c.random.Int64N(int64(c.faults.maxDelay)))
+		c.enqueue(packet{
+			at: c.now + delay, link: link{n.id, outbound.To}, life: c.node(outbound.To).life, m: outbound.Message,
+		})
+	}
+}
+
+// enqueue keeps the packets in the order of their arrival.
+func (c *cluster) enqueue(p packet) {
+	index, _ := slices.BinarySearchFunc(c.packets, p, func(a, b packet) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), -1)
+	})
+	c.packets = slices.Insert(c.packets, index, p)
+}
+
+// advance lets time pass by one tick and delivers what is due.
+func (c *cluster) advance() {
+	end := c.now + tickEvery
+	for len(c.packets) > 0 && c.packets[0].at <= end {
+		next := c.packets[0]
+		c.packets = c.packets[1:]
+		c.now = next.at
+		c.deliver(next)
+	}
+	c.now = end
+	for _, n := range c.nodes {
+		if n.group != nil {
+			n.group.Tick(c.clock(n))
+			c.drain(n)
+		}
+	}
+}
+
+func (c *cluster) deliver(p packet) {
+	n := c.node(p.link.to)
+	// A connection does not outlive a lost disk; it may outlive all else here.
+	stale := n.learner && p.life != n.life
+	if n.group == nil || c.cut[p.link] || stale {
+		return
+	}
+	Expect(n.group.Step(c.clock(n), p.link.from, p.m)).To(Succeed())
+	c.drain(n)
+}
+
+// check holds at every instant: an epoch has one owner ever, one member at
+// most may command, and learners never own.
+func (c *cluster) check() {
+	var holders []member.ID
+	for _, n := range c.nodes {
+		if n.group == nil {
+			continue
+		}
+		status := n.group.Status()
+		if status.Role == replication.RoleOwner {
+			if n.learner {
+				Fail("a learner owns")
+			}
+			if owner, known := c.owners[status.Epoch]; known && owner != n.id {
+				Expect(n.id).To(Equal(owner), "epoch %d has two owners", status.Epoch)
+			}
+			c.owners[status.Epoch] = n.id
+		}
+		if n.group.MayCommand(c.clock(n)) {
+			holders = append(holders, n.id)
+		}
+	}
+	if len(holders) > 1 {
+		Fail(fmt.Sprintf("two hold the command lease: %v", holders))
+	}
+}
+
+// cell draws a node: role, epoch, commit/last, and marks.
+func (c *cluster) cell(n *node) string {
+	if n.group == nil {
+		return "down"
+	}
+	status := n.group.Status()
+	cell := fmt.Sprintf("%s e%d %d/%d", status.Role, status.Epoch, status.Commit, status.LastIndex)
+	if status.SnapshotIndex > 0 {
+		cell += fmt.Sprintf(" s%d", status.SnapshotIndex)
+	}
+	if n.group.MayCommand(c.clock(n)) {
+		cell += " lease"
+	}
+	return cell
+}
--- /dev/null
+++ b/pkg/replication/compact.go
@@ -0,0 +1,44 @@
+package replication
+
+import "slices"
+
+// Compact takes the application's state after index as the newest snapshot and
+// drops the entries before it but for MaxLogEntries. The index must be applied
+// (Advance was called) and newer than the last snapshot.
+func (g *Group) Compact(index uint64, data []byte) error {
+	if index > g.log.applied {
+		return &CompactError{Index: index, Message: "is not applied yet: call Advance first"}
+	}
+	if g.log.snapshot != nil && index <= g.log.snapshot.Index {
+		return &CompactError{Index: index, Message: "is covered by a snapshot already: compact at a newer index"}
+	}
+	epoch, held := g.log.epochAt(index)
+	if !held || index == 0 {
+		return &CompactError{Index: index, Message: "is not in the log: compact at an applied index"}
+	}
+	snapshot := &Snapshot{
+		Index: index,
+		Epoch: epoch,
+		Group: slices.Clone(g.cfg.Group),
+		Data:  slices.Clone(data),
+	}
+	g.log.compact(snapshot, uint64(g.cfg.MaxLogEntries))
+	return nil
+}
+
+// Checkpoint returns the whole durable state, with which the driver may
+// replace everything that it wrote before. It must not be called while a Ready
+// is outstanding, which could hold older records that are written after it.
+func (g *Group) Checkpoint() Restored {
+	hard := g.hard
+	hard.Commit = g.log.committed
+	first := g.log.offset + 1
+	if g.log.snapshot != nil {
+		first = g.log.snapshot.Index + 1
+	}
+	return Restored{
+		HardState: hard,
+		Snapshot:  g.log.snapshot,
+		Entries:   slices.Clone(g.log.slice(first, g.log.lastIndex())),
+	}
+}
--- /dev/null
+++ b/pkg/replication/durable/encoding.go
@@ -0,0 +1,141 @@
+package durable
+
+import (
+	"bytes"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication/durable/fb"
+)
+
+//go:generate flatc --go --gen-object-api -o . durable.fbs
+//go:generate gofmt -w fb
+
+// identifier marks the records of this schema; it stands behind the root
+// offset.
+const identifier = "RSD1"
+
+const initialBuilderBytes = 512
+
+var errEncoding = errors.New("durable: data is not a record of this release")
+
+// encode returns the whole state as one change.
+func encode(state replication.Restored) []byte {
+	return change{hardState: &state.HardState, snapshot: state.Snapshot, entries: state.Entries}.encode()
+}
+
+func (c change) encode() []byte {
+	table := &fb.StateT{
+		HardState: packHardState(c.hardState),
+		Snapshot:  packSnapshot(c.snapshot),
+		Entries:   packEntries(c.entries),
+	}
+	builder := flatbuffers.NewBuilder(initialBuilderBytes)
+	builder.FinishWithFileIdentifier(table.Pack(builder), []byte(identifier))
+	return builder.FinishedBytes()
+}
+
+func packHardState(hard *replication.HardState) *fb.HardStateT {
+	if hard == nil {
+		return nil
+	}
+	return &fb.HardStateT{Epoch: hard.Epoch, PromisedTo: string(hard.PromisedTo), Commit: hard.Commit}
+}
+
+func packSnapshot(snapshot *replication.Snapshot) *fb.SnapshotT {
+	if snapshot == nil {
+		return nil
+	}
+	return &fb.SnapshotT{
+		Index:    snapshot.Index,
+		Epoch:    snapshot.Epoch,
+		Group:    convert[string](snapshot.Group),
+		Learners: convert[string](snapshot.Learners),
+		Data:     snapshot.Data,
+	}
+}
+
+func packEntries(entries []replication.Entry) []*fb.EntryT {
+	packed := make([]*fb.EntryT, len(entries))
+	for i, entry := range entries {
+		packed[i] = &fb.EntryT{
+			Index:   entry.Index,
+			Epoch:   entry.Epoch,
+			Kind:    byte(entry.Kind),
+			Command: entry.Command,
+		}
+	}
+	return packed
+}
+
+// decode returns a change that shares no memory with data. The store has
+// checked that data is what was written.
+func decode(data []byte) (decoded change, err error) {
+	if len(data) < flatbuffers.SizeUOffsetT+len(identifier) || !flatbuffers.BufferHasIdentifier(data, identifier) {
+		return change{}, errEncoding
+	}
+	// The accessors have no verifier: a wrong offset shows as a panic of the
+	// bounds check.
+	defer func() {
+		if recover() != nil {
+			decoded, err = change{}, errEncoding
+		}
+	}()
+	table := fb.GetRootAsState(data, 0).UnPack()
+	return change{
+		hardState: unpackHardState(table.HardState),
+		snapshot:  unpackSnapshot(table.Snapshot),
+		entries:   unpackEntries(table.Entries),
+	}, nil
+}
+
+func unpackHardState(table *fb.HardStateT) *replication.HardState {
+	if table == nil {
+		return nil
+	}
+	return &replication.HardState{Epoch: table.Epoch, PromisedTo: member.ID(table.PromisedTo), Commit: table.Commit}
+}
+
+func unpackSnapshot(table *fb.SnapshotT) *replication.Snapshot {
+	if table == nil {
+		return nil
+	}
+	return &replication.Snapshot{
+		Index:    table.Index,
+		Epoch:    table.Epoch,
+		Group:    convert[member.ID](table.Group),
+		Learners: convert[member.ID](table.Learners),
+		Data:     bytes.Clone(table.Data),
+	}
+}
+
+func unpackEntries(tables []*fb.EntryT) []replication.Entry {
+	if len(tables) == 0 {
+		return nil
+	}
+	entries := make([]replication.Entry, len(tables))
+	for i, table := range tables {
+		entries[i] = replication.Entry{
+			Index:   table.Index,
+			Epoch:   table.Epoch,
+			Kind:    replication.EntryKind(table.Kind),
+			Command: bytes.Clone(table.Command),
+		}
+	}
+	return entries
+}
+
+// convert changes the type of names, and keeps nil for none.
+func convert[To, From ~string](names []From) []To {
+	if len(names) == 0 {
+		return nil
+	}
+	converted := make([]To, len(names))
+	for i, name := range names {
+		converted[i] = To(name)
+	}
+	return converted
+}
--- /dev/null
+++ b/pkg/replication/election.go
@@ -0,0 +1,222 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/lease"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// SetSuspected tells which members are thought to be down, for instance by the
+// membership. It shortens the wait of later members in the agreed order and
+// has no bearing on safety.
+func (g *Group) SetSuspected(suspected []member.ID) {
+	g.election.suspected = slices.Clone(suspected)
+}
+
+// electionWait is ElectionTimeout*(1 + i/2) for the i-th live voter in the
+// agreed order, so that the voters campaign one after the other.
+func (g *Group) electionWait() time.Duration {
+	rank := 0
+	for _, id := range g.cfg.Group {
+		if id == g.cfg.Self {
+			break
+		}
+		if id == g.election.lostOwner || slices.Contains(g.election.suspected, id) {
+			continue
+		}
+		rank++
+	}
+	return g.cfg.ElectionTimeout + time.Duration(rank)*g.cfg.ElectionTimeout/2
+}
+
+func (g *Group) tickElection() {
+	if g.role == RoleCandidate && g.now >= g.election.askedAt+g.cfg.HeartbeatEvery {
+		g.askForPromises()
+	}
+	if g.now < g.election.waitFrom+g.electionWait() {
+		return
+	}
+	if g.role == RoleCandidate && g.election.trial {
+		return
+	}
+	g.startTrial()
+}
+
+// hearsLiveOwner tells whether an election would disturb a working owner.
+func (g *Group) hearsLiveOwner() bool {
+	if g.role == RoleOwner {
+		return true
+	}
+	return g.owner != "" && g.now < g.election.ownerContact+g.cfg.ElectionTimeout
+}
+
+// startTrial asks whether a campaign could be won, without raising any epoch.
+// It goes on until it is won or an owner is heard.
+func (g *Group) startTrial() {
+	g.rest(g.hard.Epoch, "")
+	g.role = RoleCandidate
+	g.election.trial = true
+	g.election.granted = []member.ID{g.cfg.Self}
+	g.askForPromises()
+	g.countPromises()
+}
+
+// campaign raises the epoch and promises it to itself. The own promise counts
+// when it is durable.
+func (g *Group) campaign(handover bool) {
+	g.rest(g.hard.Epoch+1, "")
+	g.hard.PromisedTo = g.cfg.Self
+	g.role = RoleCandidate
+	g.election.handover = handover
+	g.election.waitFrom = g.now
+	// If this campaign fails, the members that campaign at the same time must
+	// not wait equally long again.
+	g.election.lostOwner = ""
+	g.askForPromises()
+}
+
+// askForPromises asks everyone who has not granted; a lost or premature
+// request is so repaired by the next one.
+func (g *Group) askForPromises() {
+	g.election.askedAt = g.now
+	g.election.rejected = nil
+	epoch := g.hard.Epoch
+	if g.election.trial {
+		epoch++
+	}
+	for _, id := range g.others() {
+		if slices.Contains(g.election.granted, id) {
+			continue
+		}
+		g.send(id, Message{
+			Type:       MessagePromiseRequest,
+			Epoch:      epoch,
+			Index:      g.log.lastIndex(),
+			IndexEpoch: g.log.lastEpoch(),
+			Trial:      g.election.trial,
+			Handover:   g.election.handover,
+		})
+	}
+}
+
+func (g *Group) stepPromiseRequest(from member.ID, m Message) {
+	reply := Message{Type: MessagePromiseReply, Epoch: m.Epoch, Trial: m.Trial}
+	switch {
+	case g.cfg.Learner:
+		reply.Learner = true
+		reply.Reject = true
+	case m.Trial:
+		reply.Reject = !g.wouldPromise(m)
+	default:
+		reply.Reject = !g.promise(from, m)
+	}
+	if reply.Reject {
+		reply.Epoch = g.hard.Epoch
+	}
+	g.send(from, reply)
+}
+
+func (g *Group) wouldPromise(m Message) bool {
+	if m.Epoch <= g.hard.Epoch || g.hearsLiveOwner() {
+		return false
+	}
+	return g.log.isUpToDate(m.Index, m.IndexEpoch)
+}
+
+// promise grants an epoch to one member at most. The grant leaves in the Ready
+// that carries it as HardState, and so after it is durable.
+func (g *Group) promise(from member.ID, m Message) bool {
+	if m.Epoch < g.hard.Epoch {
+		return false
+	}
+	if m.Epoch > g.hard.Epoch {
+		if g.hearsLiveOwner() && !m.Handover {
+			return false
+		}
+		g.rest(m.Epoch, "")
+	}
+	if g.hard.PromisedTo == from {
+		return true
+	}
+	if g.hard.PromisedTo != "" || g.owner != "" {
+		return false
+	}
+	if !g.log.isUpToDate(m.Index, m.IndexEpoch) {
+		return false
+	}
+	g.hard.PromisedTo = from
+	g.election.waitFrom = g.now
+	return true
+}
+
+func (g *Group) stepPromiseReply(from member.ID, m Message) {
+	if m.Reject && m.Epoch > g.hard.Epoch {
+		g.rest(m.Epoch, "")
+		return
+	}
+	if g.role != RoleCandidate || m.Trial != g.election.trial {
+		return
+	}
+	if m.Reject {
+		g.addRejection(from)
+		return
+	}
+	wanted := g.hard.Epoch
+	if g.election.trial {
+		wanted++
+	}
+	if m.Epoch != wanted || m.Learner {
+		return
+	}
+	g.addPromise(from)
+}
+
+func (g *Group) addPromise(from member.ID) {
+	if !slices.Contains(g.election.granted, from) {
+		g.election.granted = append(g.election.granted, from)
+	}
+	g.countPromises()
+}
+
+// addRejection gives a campaign up that a majority refuses. A trial goes on,
+// as its refusals pass when the voters miss the owner too.
+func (g *Group) addRejection(from member.ID) {
+	if g.election.trial || slices.Contains(g.election.granted, from) {
+		return
+	}
+	if !slices.Contains(g.election.rejected, from) {
+		g.election.rejected = append(g.election.rejected, from)
+	}
+	if len(g.election.rejected) > len(g.cfg.Group)-g.quorum() {
+		g.rest(g.hard.Epoch, "")
+	}
+}
+
+func (g *Group) countPromises() {
+	if len(g.election.granted) < g.quorum() {
+		return
+	}
+	if g.election.trial {
+		g.campaign(false)
+		return
+	}
+	g.takeOwnership()
+}
+
+// takeOwnership begins the epoch with a barrier entry: its commit commits all
+// entries that earlier epochs left.
+func (g *Group) takeOwnership() {
+	g.rest(g.hard.Epoch, g.cfg.Self)
+	g.role = RoleOwner
+	g.election.lostOwner = ""
+	g.ownership.progress = make(map[member.ID]*progress)
+	for _, id := range g.others() {
+		g.ownership.progress[id] = &progress{next: g.log.lastIndex() + 1, lastContact: g.now}
+	}
+	g.ownership.holder = lease.NewHolder(g.cfg.leaseTiming())
+	g.ownership.successor = lease.NewSuccessor(g.cfg.leaseTiming(), g.now)
+	g.ownership.barrier = g.appendOwn(EntryBarrier, nil)
+	g.startRound()
+}
--- /dev/null
+++ b/pkg/replication/errors.go
@@ -0,0 +1,76 @@
+package replication
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// ErrNoSuccessor tells that no other voter is live and caught up enough to
+// take over. Try again when another voter is back.
+var ErrNoSuccessor = errors.New("no other voter is live: try again when another voter is back")
+
+// ErrBacklogFull tells that too much waits for a quorum already. Try again
+// when earlier proposals or reads are answered.
+var ErrBacklogFull = errors.New("too many proposals or reads wait for a quorum: try again when earlier ones are answered")
+
+// NotOwnerError tells that only the owner can do what was asked.
+type NotOwnerError struct {
+	// Owner is the member to ask instead; empty if none is known now.
+	Owner member.ID
+}
+
+// Error names the member to ask instead.
+func (e *NotOwnerError) Error() string {
+	if e.Owner == "" {
+		return "this member is not the owner and knows of none: try again after an election"
+	}
+	return fmt.Sprintf("this member is not the owner: ask %s", e.Owner)
+}
+
+// ConfigError tells which field of a Config is wrong.
+type ConfigError struct {
+	Field   string
+	Message string
+}
+
+// Error names the field and its fault.
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("replication config: %s %s", e.Field, e.Message)
+}
+
+// RestoredError tells that durable state contradicts itself.
+type RestoredError struct {
+	Message string
+}
+
+// Error tells the contradiction and the remedy.
+func (e *RestoredError) Error() string {
+	return "restored state: " + e.Message
+}
+
+// MessageError tells that a message was not taken in, as no correct member of
+// the group could have sent it.
+type MessageError struct {
+	From    member.ID
+	Type    MessageType
+	Message string
+}
+
+// Error names the sender and what is wrong with its message.
+func (e *MessageError) Error() string {
+	return fmt.Sprintf("replication message of type %d from %q: %s", e.Type, e.From, e.Message)
+}
+
+// CompactError tells that the log cannot be compacted at Index.
+type CompactError struct {
+	Index   uint64
+	Message string
+}
+
+// Error names the index and the remedy.
+func (e *CompactError) Error() string {
+	return fmt.Sprintf("compact at index %d: %s", e.Index, e.Message)
+}
--- /dev/null
+++ b/pkg/replication/follower.go
@@ -0,0 +1,135 @@
+package replication
+
+import (
+	"slices"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// stepFromOwner takes messages in which only the owner of their epoch sends.
+func (g *Group) stepFromOwner(from member.ID, m Message) error {
+	if m.Epoch < g.hard.Epoch {
+		g.refuseOldOwner(from, m)
+		return nil
+	}
+	if m.Epoch == g.hard.Epoch && g.owner != "" && g.owner != from {
+		return &MessageError{From: from, Type: m.Type, Message: "the epoch has another owner already: check that no two members run under one ID"}
+	}
+	if m.Epoch > g.hard.Epoch || g.role == RoleCandidate || g.owner == "" {
+		g.rest(m.Epoch, from)
+	}
+	g.election.ownerContact = g.now
+	g.election.waitFrom = g.now
+	g.election.lostOwner = from
+	switch m.Type {
+	case MessageAppend:
+		return g.stepAppend(from, m)
+	case MessageSnapshot:
+		return g.stepSnapshot(from, m)
+	default:
+		g.stepHeartbeat(from, m)
+		return nil
+	}
+}
+
+// refuseOldOwner tells an owner of an earlier epoch that its time is over.
+func (g *Group) refuseOldOwner(from member.ID, m Message) {
+	reply := MessageAppendReply
+	if m.Type == MessageHeartbeat {
+		reply = MessageHeartbeatReply
+	}
+	g.send(from, Message{Type: reply, Epoch: g.hard.Epoch, Reject: true, Learner: g.cfg.Learner})
+}
+
+func (g *Group) stepHeartbeat(from member.ID, m Message) {
+	if m.Handover && g.role == RoleFollower {
+		g.campaign(true)
+		return
+	}
+	g.send(from, Message{
+		Type:    MessageHeartbeatReply,
+		Epoch:   g.hard.Epoch,
+		Round:   m.Round,
+		Commit:  g.log.committed,
+		Learner: g.cfg.Learner,
+	})
+}
+
+func (g *Group) stepAppend(from member.ID, m Message) error {
+	if err := g.checkAppend(from, m); err != nil {
+		return err
+	}
+	last, ok := g.log.maybeAppend(m.Index, m.IndexEpoch, m.Entries)
+	if !ok {
+		g.rejectAppend(from, m)
+		return nil
+	}
+	g.log.commitTo(min(m.Commit, last))
+	g.acknowledge(from, last)
+	return nil
+}
+
+// checkAppend refuses entries that no owner can send: with gaps, or in place
+// of entries that are committed here.
+func (g *Group) checkAppend(from member.ID, m Message) error {
+	previous := Entry{Index: m.Index, Epoch: m.IndexEpoch}
+	for _, entry := range m.Entries {
+		if entry.Index != previous.Index+1 || entry.Epoch < previous.Epoch || entry.Epoch > m.Epoch {
+			return &MessageError{From: from, Type: m.Type, Message: "the entries are out of order"}
+		}
+		held, ok := g.log.epochAt(entry.Index)
+		if ok && entry.Index <= g.log.committed && held != entry.Epoch {
+			return &MessageError{From: from, Type: m.Type, Message: "the entries contradict committed ones: check that no two groups are mixed up"}
+		}
+		previous = entry
+	}
+	return nil
+}
+
+func (g *Group) rejectAppend(to member.ID, m Message) {
+	hint, hintEpoch := g.log.conflictHint(m.Index, m.IndexEpoch)
+	g.send(to, Message{
+		Type:       MessageAppendReply,
+		Epoch:      g.hard.Epoch,
+		Index:      m.Index,
+		IndexEpoch: hintEpoch,
+		Reject:     true,
+		RejectHint: hint,
+		Learner:    g.cfg.Learner,
+	})
+}
+
+// acknowledge answers that the log matches the owner's up to index. The answer
+// leaves in the Ready that holds the entries, and so after they are durable.
+func (g *Group) acknowledge(to member.ID, index uint64) {
+	g.send(to, Message{
+		Type:    MessageAppendReply,
+		Epoch:   g.hard.Epoch,
+		Index:   index,
+		Commit:  g.log.committed,
+		Learner: g.cfg.Learner,
+	})
+}
+
+func (g *Group) stepSnapshot(from member.ID, m Message) error {
+	snapshot := m.Snapshot
+	if snapshot == nil {
+		return &MessageError{From: from, Type: m.Type, Message: "the snapshot is missing"}
+	}
+	if !slices.Equal(snapshot.Group, g.cfg.Group) {
+		return &MessageError{From: from, Type: m.Type, Message: "the snapshot is of a group with other voters: start all members with the same group"}
+	}
+	if snapshot.Index <= g.log.committed {
+		g.acknowledge(from, g.log.committed)
+		return nil
+	}
+	if g.log.matches(snapshot.Index, snapshot.Epoch) {
+		g.log.commitTo(snapshot.Index)
+		g.acknowledge(from, snapshot.Index)
+		return nil
+	}
+	g.log.install(snapshot)
+	g.output.snapshot = snapshot
+	g.acknowledge(from, snapshot.Index)
+	return nil
+}
--- /dev/null
+++ b/pkg/replication/group.go
@@ -0,0 +1,209 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/lease"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// Role is the part that a member plays in its group at present.
+type Role uint8
+
+// The roles of a member.
+const (
+	// RoleFollower follows the owner's log and votes.
+	RoleFollower Role = iota + 1
+	// RoleCandidate asks for promises.
+	RoleCandidate
+	// RoleOwner orders the log.
+	RoleOwner
+	// RoleLearner follows the owner's log and has no vote.
+	RoleLearner
+)
+
+// String names the role.
+func (r Role) String() string {
+	switch r {
+	case RoleFollower:
+		return "follower"
+	case RoleCandidate:
+		return "candidate"
+	case RoleOwner:
+		return "owner"
+	case RoleLearner:
+		return "learner"
+	default:
+		return "unknown"
+	}
+}
+
+// Group is one member's state machine of a replica group. It is not safe for
+// concurrent use.
+type Group struct {
+	cfg Config
+	// now is the newest instant that the driver has passed in.
+	now  time.Duration
+	hard HardState
+	log  *replicaLog
+	role Role
+	// owner is the member that is known to own hard.Epoch, or empty.
+	owner member.ID
+
+	election  election
+	ownership ownership
+	reads     readQueue
+	output    output
+}
+
+// election is what a voter knows about the need of a new owner.
+type election struct {
+	// ownerContact is when the owner was last heard.
+	ownerContact time.Duration
+	// waitFrom is when the wait for an owner began.
+	waitFrom time.Duration
+	// lostOwner is the owner that the wait is about; it is not waited for.
+	lostOwner member.ID
+	suspected []member.ID
+
+	// trial tells that the present campaign raises no epoch.
+	trial bool
+	// handover tells that the owner asked for the present campaign.
+	handover bool
+	granted  []member.ID
+	rejected []member.ID
+	askedAt  time.Duration
+}
+
+// ownership is what a member keeps while it owns the epoch.
+type ownership struct {
+	progress map[member.ID]*progress
+	// barrier is the index of the entry that began the epoch.
+	barrier     uint64
+	round       uint64
+	rounds      []sentRound
+	heartbeatAt time.Duration
+	holder      lease.Holder
+	successor   lease.Successor
+	// appendWanted tells that followers have yet to be sent news.
+	appendWanted bool
+	// handingTo is the member that is to take over, or empty.
+	handingTo    member.ID
+	handoverAt   time.Duration
+	handoverSent bool
+}
+
+// sentRound is a heartbeat round that no quorum has answered yet.
+type sentRound struct {
+	round  uint64
+	sentAt time.Duration
+}
+
+// New returns the state machine of a member with its durable state; the zero
+// Restored is that of an empty disk.
+func New(cfg Config, restored Restored, now time.Duration) (*Group, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	cfg.Group = slices.Clone(cfg.Group)
+	if err := restored.check(cfg.Group); err != nil {
+		return nil, err
+	}
+	g := &Group{
+		cfg:  cfg,
+		now:  now,
+		hard: restored.HardState,
+		log:  restoreLog(restored),
+	}
+	g.output.persisted = g.hard
+	g.role = g.restingRole()
+	g.election.waitFrom = now
+	return g, nil
+}
+
+func (g *Group) restingRole() Role {
+	if g.cfg.Learner {
+		return RoleLearner
+	}
+	return RoleFollower
+}
+
+// Tick lets time pass. The driver calls it several times per HeartbeatEvery.
+func (g *Group) Tick(now time.Duration) {
+	g.observe(now)
+	switch g.role {
+	case RoleOwner:
+		g.tickOwner()
+	case RoleFollower, RoleCandidate:
+		g.tickElection()
+	case RoleLearner:
+	}
+}
+
+// observe keeps time from running backwards.
+func (g *Group) observe(now time.Duration) {
+	g.now = max(g.now, now)
+}
+
+// Step takes a message from another member in. Messages may be lost, doubled,
+// delayed and reordered. An error means that the message was not taken in.
+func (g *Group) Step(now time.Duration, from member.ID, m Message) error {
+	g.observe(now)
+	if from == g.cfg.Self || !slices.Contains(g.cfg.Group, from) {
+		return &MessageError{From: from, Type: m.Type, Message: "the sender is not another member of the group: check the settings of both"}
+	}
+	switch m.Type {
+	case MessagePromiseRequest:
+		g.stepPromiseRequest(from, m)
+		return nil
+	case MessagePromiseReply:
+		g.stepPromiseReply(from, m)
+		return nil
+	case MessageAppend, MessageHeartbeat, MessageSnapshot:
+		return g.stepFromOwner(from, m)
+	case MessageAppendReply, MessageHeartbeatReply:
+		return g.stepToOwner(from, m)
+	default:
+		return &MessageError{From: from, Type: m.Type, Message: "unknown type: run the same version on all members"}
+	}
+}
+
+// rest makes the member a follower (or learner) of epoch. The owner may be
+// unknown yet.
+func (g *Group) rest(epoch uint64, owner member.ID) {
+	if epoch > g.hard.Epoch {
+		g.hard.Epoch = epoch
+		g.hard.PromisedTo = ""
+	}
+	if g.role == RoleOwner {
+		g.election.waitFrom = g.now
+		g.failReads()
+	}
+	g.role = g.restingRole()
+	g.owner = owner
+	g.ownership = ownership{}
+	g.election.granted = nil
+	g.election.rejected = nil
+	g.election.trial = false
+	g.election.handover = false
+}
+
+func (g *Group) quorum() int {
+	return len(g.cfg.Group)/2 + 1
+}
+
+// others returns the other members in the agreed order.
+func (g *Group) others() []member.ID {
+	others := make([]member.ID, 0, len(g.cfg.Group))
+	for _, id := range g.cfg.Group {
+		if id != g.cfg.Self {
+			others = append(others, id)
+		}
+	}
+	return others
+}
+
+func (g *Group) send(to member.ID, m Message) {
+	g.output.messages = append(g.output.messages, Outbound{To: to, Message: m})
+}
--- /dev/null
+++ b/pkg/replication/handover.go
@@ -0,0 +1,84 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// HandOver asks the next live voter in the agreed order to take over at once,
+// when it holds the whole log. Until then, and for ElectionTimeout at most, the
+// owner takes no proposals and gives no commands. It fails with ErrNoSuccessor
+// or a *NotOwnerError.
+func (g *Group) HandOver(now time.Duration) error {
+	g.observe(now)
+	if g.role != RoleOwner {
+		return &NotOwnerError{Owner: g.owner}
+	}
+	if g.ownership.handingTo != "" {
+		return nil
+	}
+	successor := g.nextLiveVoter()
+	if successor == "" {
+		return ErrNoSuccessor
+	}
+	g.ownership.handingTo = successor
+	g.ownership.handoverAt = g.now
+	g.ownership.handoverSent = false
+	g.continueHandover(successor)
+	return nil
+}
+
+// nextLiveVoter goes round the agreed order, beginning after this member.
+func (g *Group) nextLiveVoter() member.ID {
+	var before, after []member.ID
+	passedSelf := false
+	for _, id := range g.cfg.Group {
+		switch {
+		case id == g.cfg.Self:
+			passedSelf = true
+		case passedSelf:
+			after = append(after, id)
+		default:
+			before = append(before, id)
+		}
+	}
+	for _, id := range append(after, before...) {
+		follower := g.ownership.progress[id]
+		if !follower.learner && g.now < follower.lastContact+g.cfg.ElectionTimeout {
+			return id
+		}
+	}
+	return ""
+}
+
+// continueHandover asks the successor to campaign once it holds the whole log.
+func (g *Group) continueHandover(from member.ID) {
+	if g.ownership.handingTo != from || g.ownership.handoverSent {
+		return
+	}
+	if g.ownership.progress[from].match < g.log.lastIndex() {
+		return
+	}
+	g.ownership.handoverSent = true
+	g.send(from, Message{
+		Type:     MessageHeartbeat,
+		Epoch:    g.hard.Epoch,
+		Index:    g.log.lastIndex(),
+		Handover: true,
+	})
+}
+
+// repeatHandover asks again, as the first request may have been lost: the
+// successor would have left this epoch else.
+func (g *Group) repeatHandover(from member.ID) {
+	g.ownership.handoverSent = false
+	g.continueHandover(from)
+}
+
+// tickHandover goes on as the owner if the successor did not take over.
+func (g *Group) tickHandover() {
+	if g.ownership.handingTo != "" && g.now >= g.ownership.handoverAt+g.cfg.ElectionTimeout {
+		g.ownership.handingTo = ""
+	}
+}
--- /dev/null
+++ b/pkg/replication/heartbeat.go
@@ -0,0 +1,82 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// startRound sends a heartbeat to everyone. Its number is known to belong to
+// this instant; what a majority answers was so confirmed after it.
+func (g *Group) startRound() {
+	g.ownership.round++
+	g.ownership.heartbeatAt = g.now
+	g.ownership.rounds = append(g.ownership.rounds, sentRound{round: g.ownership.round, sentAt: g.now})
+	for _, id := range g.others() {
+		g.send(id, Message{
+			Type:  MessageHeartbeat,
+			Epoch: g.hard.Epoch,
+			Index: g.log.lastIndex(),
+			Round: g.ownership.round,
+		})
+	}
+	g.assignReads()
+	g.countRounds()
+}
+
+func (g *Group) heartbeatAnswered(from member.ID, m Message) {
+	follower := g.ownership.progress[from]
+	if m.Round <= g.ownership.round {
+		follower.ackedRound = max(follower.ackedRound, m.Round)
+	}
+	g.countRounds()
+	g.repair(from, m.Commit)
+	g.repeatHandover(from)
+}
+
+// repair sends again what may have been lost on the way to a follower that
+// lags behind.
+func (g *Group) repair(to member.ID, commit uint64) {
+	follower := g.ownership.progress[to]
+	if follower.state == progressSnapshot {
+		if g.now >= follower.snapshotSentAt+g.cfg.ElectionTimeout {
+			g.sendSnapshot(to)
+		}
+		return
+	}
+	if follower.match >= g.log.lastIndex() && commit >= g.log.committed {
+		return
+	}
+	follower.probing = false
+	if follower.full() {
+		// All that may be under way was sent, and nothing came back since the
+		// last round: ask where the follower stands.
+		follower.becomeProbe()
+	}
+	g.sendNews(to)
+}
+
+// countRounds takes in which rounds a majority has answered.
+func (g *Group) countRounds() {
+	answered := g.quorumOf(g.ownership.round, func(p *progress) uint64 { return p.ackedRound })
+	for len(g.ownership.rounds) > 0 && g.ownership.rounds[0].round <= answered {
+		g.ownership.holder.Confirm(g.ownership.rounds[0].sentAt)
+		g.ownership.rounds = g.ownership.rounds[1:]
+	}
+	g.confirmReads(answered)
+}
+
+// MayCommand tells whether the owner holds the command lease: it has applied
+// its own barrier, every lease of an earlier epoch has run out, and a majority
+// answered a heartbeat sent less than LeaseDuration-LeaseMargin ago. The
+// driver asks again at the instant of sending.
+func (g *Group) MayCommand(now time.Duration) bool {
+	g.observe(now)
+	if g.role != RoleOwner || g.ownership.handingTo != "" {
+		return false
+	}
+	if g.log.applied < g.ownership.barrier {
+		return false
+	}
+	return g.ownership.successor.MayAct(g.now) && g.ownership.holder.MayAct(g.now)
+}
