--- /dev/null
+++ b/pkg/replication/log.go
@@ -0,0 +1,197 @@
+package replication
+
+import "slices"
+
+// replicaLog is the part of the log that a member holds: the entries after
+// offset, and the newest snapshot, which covers at least everything up to
+// offset.
+type replicaLog struct {
+	offset      uint64
+	offsetEpoch uint64
+	entries     []Entry
+	snapshot    *Snapshot
+	// durable is the last index that the driver has made durable.
+	durable uint64
+	// committed <= lastIndex.
+	committed uint64
+	// applied <= committed.
+	applied uint64
+}
+
+func restoreLog(restored Restored) *replicaLog {
+	log := &replicaLog{}
+	if restored.Snapshot != nil {
+		log.install(restored.Snapshot)
+		log.applied = restored.Snapshot.Index
+	}
+	for _, entry := range restored.Entries {
+		if entry.Index > log.lastIndex() {
+			log.entries = append(log.entries, entry)
+		}
+	}
+	log.durable = log.lastIndex()
+	log.committed = max(log.committed, restored.Commit)
+	return log
+}
+
+func (l *replicaLog) lastIndex() uint64 {
+	return l.offset + uint64(len(l.entries))
+}
+
+func (l *replicaLog) lastEpoch() uint64 {
+	epoch, _ := l.epochAt(l.lastIndex())
+	return epoch
+}
+
+// epochAt is false for indexes that the log does not hold.
+func (l *replicaLog) epochAt(index uint64) (epoch uint64, held bool) {
+	if index == l.offset {
+		return l.offsetEpoch, true
+	}
+	if index < l.offset || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.offset-1].Epoch, true
+}
+
+func (l *replicaLog) matches(index, epoch uint64) bool {
+	held, ok := l.epochAt(index)
+	return ok && held == epoch
+}
+
+// isUpToDate tells whether a log that ends with (index, epoch) holds at least
+// what this log may have committed.
+func (l *replicaLog) isUpToDate(index, epoch uint64) bool {
+	if epoch != l.lastEpoch() {
+		return epoch > l.lastEpoch()
+	}
+	return index >= l.lastIndex()
+}
+
+// slice returns the entries first..last. Its capacity is cut so that no later
+// append to the log can be seen through it.
+func (l *replicaLog) slice(first, last uint64) []Entry {
+	if first > last {
+		return nil
+	}
+	from := first - l.offset - 1
+	to := last - l.offset
+	return l.entries[from:to:to]
+}
+
+// after returns entries from first on, of about maxBytes together and at
+// least one if there is any.
+func (l *replicaLog) after(first uint64, maxBytes int) []Entry {
+	entries := l.slice(first, l.lastIndex())
+	size := 0
+	for i, entry := range entries {
+		size += len(entry.Command)
+		if i > 0 && size > maxBytes {
+			return entries[:i:i]
+		}
+	}
+	return entries
+}
+
+func (l *replicaLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// maybeAppend takes entries in after the entry (index, epoch). It is false if
+// the log does not hold that entry; else it returns the last new index.
+func (l *replicaLog) maybeAppend(index, epoch uint64, entries []Entry) (last uint64, ok bool) {
+	last = index + uint64(len(entries))
+	if index < l.offset {
+		// What the offset covers is committed, and so the same everywhere.
+		skip := min(l.offset-index, uint64(len(entries)))
+		entries = entries[skip:]
+	} else if !l.matches(index, epoch) {
+		return 0, false
+	}
+	for i, entry := range entries {
+		if l.matches(entry.Index, entry.Epoch) {
+			continue
+		}
+		l.truncateFrom(entry.Index)
+		l.append(entries[i:]...)
+		break
+	}
+	return last, true
+}
+
+// truncateFrom drops the entries from index on, which conflict with the
+// owner's log.
+func (l *replicaLog) truncateFrom(index uint64) {
+	keep := index - l.offset - 1
+	if keep >= uint64(len(l.entries)) {
+		return
+	}
+	l.entries = l.entries[:keep:keep]
+	l.durable = min(l.durable, index-1)
+}
+
+// conflictHint returns the last index at or before index whose epoch is not
+// above epoch, which is where the logs may begin to agree.
+func (l *replicaLog) conflictHint(index, epoch uint64) (hint, hintEpoch uint64) {
+	hint = min(index, l.lastIndex())
+	for hint > l.offset {
+		held, _ := l.epochAt(hint)
+		if held <= epoch {
+			return hint, held
+		}
+		hint--
+	}
+	if hint < l.offset {
+		return hint, 0
+	}
+	return l.offset, l.offsetEpoch
+}
+
+func (l *replicaLog) commitTo(index uint64) bool {
+	if index <= l.committed {
+		return false
+	}
+	l.committed = min(index, l.lastIndex())
+	return true
+}
+
+// notDurable returns the entries that the driver has yet to write.
+func (l *replicaLog) notDurable() []Entry {
+	return l.slice(l.durable+1, l.lastIndex())
+}
+
+// wrote takes in that the entries are durable. Those that were truncated
+// meanwhile don't count; an entry that is still the same has the same entries
+// before it.
+func (l *replicaLog) wrote(entries []Entry) {
+	for i := len(entries) - 1; i >= 0; i-- {
+		if l.matches(entries[i].Index, entries[i].Epoch) {
+			l.durable = max(l.durable, entries[i].Index)
+			return
+		}
+	}
+}
+
+// install replaces the whole log by the snapshot.
+func (l *replicaLog) install(snapshot *Snapshot) {
+	l.snapshot = snapshot
+	l.offset = snapshot.Index
+	l.offsetEpoch = snapshot.Epoch
+	l.entries = nil
+	l.durable = snapshot.Index
+	l.committed = max(l.committed, snapshot.Index)
+}
+
+// compact makes the snapshot the newest one and keeps up to keep entries that
+// it covers.
+func (l *replicaLog) compact(snapshot *Snapshot, keep uint64) {
+	l.snapshot = snapshot
+	if snapshot.Index <= l.offset+keep {
+		return
+	}
+	offset := snapshot.Index - keep
+	epoch, _ := l.epochAt(offset)
+	l.entries = slices.Clone(l.entries[offset-l.offset:])
+	l.offset = offset
+	l.offsetEpoch = epoch
+}
--- /dev/null
+++ b/pkg/replication/message.go
@@ -0,0 +1,89 @@
+package replication
+
+import "github.com/ridgeswitch/ridgeswitch/pkg/member"
+
+// MessageType tells what a Message asks or answers.
+type MessageType uint8
+
+// The messages of the replication protocol.
+const (
+	// MessagePromiseRequest asks a voter to promise an epoch to the sender.
+	MessagePromiseRequest MessageType = iota + 1
+	// MessagePromiseReply grants or rejects a promise.
+	MessagePromiseReply
+	// MessageAppend carries entries from the owner to a follower.
+	MessageAppend
+	// MessageAppendReply tells how far the follower's durable log matches.
+	MessageAppendReply
+	// MessageHeartbeat keeps ownership alive and confirms reads.
+	MessageHeartbeat
+	// MessageHeartbeatReply echoes the heartbeat's Round.
+	MessageHeartbeatReply
+	// MessageSnapshot replaces the state of a follower that is too far behind.
+	MessageSnapshot
+)
+
+// EntryKind tells how an entry is applied.
+type EntryKind uint8
+
+// The kinds of log entries.
+const (
+	// EntryCommand carries a command of the state machine above.
+	EntryCommand EntryKind = iota + 1
+	// EntryBarrier is the empty entry with which a new owner commits what
+	// earlier epochs left.
+	EntryBarrier
+	// EntryGroupChange carries a change of the voters.
+	EntryGroupChange
+)
+
+// Entry is one slot of the replicated log.
+type Entry struct {
+	Index   uint64
+	Epoch   uint64
+	Kind    EntryKind
+	Command []byte
+}
+
+// Snapshot is the state after all entries up to and including Index.
+type Snapshot struct {
+	Index uint64
+	Epoch uint64
+	// Group holds the voters in the agreed order.
+	Group []member.ID
+	// Learners follow the log and do not vote.
+	Learners []member.ID
+	Data     []byte
+}
+
+// Message is what members of a group send each other. One struct serves every
+// MessageType; fields that a type does not use are zero.
+type Message struct {
+	Type  MessageType
+	Epoch uint64
+	// Index is the entry before Entries, the sender's last entry, or the last
+	// matching entry, by type.
+	Index uint64
+	// IndexEpoch is the epoch of the entry at Index.
+	IndexEpoch uint64
+	Commit     uint64
+	// Round numbers an owner's heartbeats; replies echo it.
+	Round uint64
+	// Trial asks for a promise without raising epochs, so that a member which
+	// cannot win does not disturb the owner.
+	Trial bool
+	// Handover marks a campaign that the present owner asked for.
+	Handover bool
+	// Learner tells that the sender of a reply has no vote.
+	Learner    bool
+	Reject     bool
+	RejectHint uint64
+	Entries    []Entry
+	Snapshot   *Snapshot
+}
+
+// Outbound is a message and the member it is for.
+type Outbound struct {
+	To      member.ID
+	Message Message
+}
--- /dev/null
+++ b/pkg/replication/owner.go
@@ -0,0 +1,208 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+const (
+	// maxAppendBytes bounds the commands in one append message.
+	maxAppendBytes = 1 << 20
+	// maxUncommitted bounds the entries that wait for a quorum.
+	maxUncommitted = 8192
+)
+
+// Propose appends a command to the log and returns the index at which it will
+// be committed if this member stays the owner. What becomes of it shows in
+// Ready.Committed: the entry at that index, if it has the same epoch.
+func (g *Group) Propose(now time.Duration, command []byte) (index uint64, err error) {
+	g.observe(now)
+	if err := g.acceptsWork(); err != nil {
+		return 0, err
+	}
+	if g.log.lastIndex()-g.log.committed >= maxUncommitted {
+		return 0, ErrBacklogFull
+	}
+	return g.appendOwn(EntryCommand, command), nil
+}
+
+func (g *Group) acceptsWork() error {
+	if g.role != RoleOwner {
+		return &NotOwnerError{Owner: g.owner}
+	}
+	if g.ownership.handingTo != "" {
+		return &NotOwnerError{Owner: g.ownership.handingTo}
+	}
+	return nil
+}
+
+// appendOwn appends an entry of the own epoch. The followers are sent it with
+// the next Ready, together with others appended until then.
+func (g *Group) appendOwn(kind EntryKind, command []byte) uint64 {
+	entry := Entry{
+		Index:   g.log.lastIndex() + 1,
+		Epoch:   g.hard.Epoch,
+		Kind:    kind,
+		Command: slices.Clone(command),
+	}
+	g.log.append(entry)
+	g.ownership.appendWanted = true
+	return entry.Index
+}
+
+func (g *Group) tickOwner() {
+	if !g.hearsQuorum() {
+		g.rest(g.hard.Epoch, "")
+		return
+	}
+	g.tickHandover()
+	if g.now >= g.ownership.heartbeatAt+g.cfg.HeartbeatEvery {
+		g.startRound()
+	}
+}
+
+// hearsQuorum tells whether a majority, this member included, was heard within
+// ElectionTimeout. An owner without one steps down, as the others may have
+// elected another.
+func (g *Group) hearsQuorum() bool {
+	heard := 1
+	for _, follower := range g.ownership.progress {
+		if !follower.learner && g.now < follower.lastContact+g.cfg.ElectionTimeout {
+			heard++
+		}
+	}
+	return heard >= g.quorum()
+}
+
+// broadcastAppend sends the news to all followers that can take it.
+func (g *Group) broadcastAppend() {
+	g.ownership.appendWanted = false
+	for _, id := range g.others() {
+		g.sendNews(id)
+	}
+}
+
+// sendNews sends an append with all that may be under way, at least an empty
+// one that tells the commit index.
+func (g *Group) sendNews(to member.ID) {
+	follower := g.ownership.progress[to]
+	if follower.full() {
+		return
+	}
+	g.sendAppend(to)
+	for follower.next <= g.log.lastIndex() && !follower.full() {
+		g.sendAppend(to)
+	}
+}
+
+func (g *Group) sendAppend(to member.ID) {
+	follower := g.ownership.progress[to]
+	before := follower.next - 1
+	beforeEpoch, held := g.log.epochAt(before)
+	if !held {
+		g.sendSnapshot(to)
+		return
+	}
+	entries := g.log.after(follower.next, maxAppendBytes)
+	g.send(to, Message{
+		Type:       MessageAppend,
+		Epoch:      g.hard.Epoch,
+		Index:      before,
+		IndexEpoch: beforeEpoch,
+		Commit:     g.log.committed,
+		Entries:    entries,
+	})
+	switch follower.state {
+	case progressReplicate:
+		follower.next += uint64(len(entries))
+	case progressProbe:
+		follower.probing = true
+	case progressSnapshot:
+	}
+}
+
+// sendSnapshot sends the newest snapshot. It is there whenever entries have
+// been dropped from the log.
+func (g *Group) sendSnapshot(to member.ID) {
+	snapshot := g.log.snapshot
+	g.ownership.progress[to].becomeSnapshot(snapshot.Index, g.now)
+	g.send(to, Message{
+		Type:     MessageSnapshot,
+		Epoch:    g.hard.Epoch,
+		Index:    snapshot.Index,
+		Snapshot: snapshot,
+	})
+}
+
+// stepToOwner takes replies of followers in.
+func (g *Group) stepToOwner(from member.ID, m Message) error {
+	if m.Epoch > g.hard.Epoch {
+		g.rest(m.Epoch, "")
+		return nil
+	}
+	if g.role != RoleOwner || m.Epoch < g.hard.Epoch {
+		return nil
+	}
+	if m.Type == MessageAppendReply && m.Index > g.log.lastIndex() {
+		return &MessageError{From: from, Type: m.Type, Message: "acknowledges entries that the owner never had: check that no two groups are mixed up"}
+	}
+	follower := g.ownership.progress[from]
+	follower.lastContact = g.now
+	if m.Learner && !follower.learner {
+		follower.becomeLearner()
+	}
+	if m.Type == MessageHeartbeatReply {
+		g.heartbeatAnswered(from, m)
+		return nil
+	}
+	g.appendAnswered(from, m)
+	return nil
+}
+
+func (g *Group) appendAnswered(from member.ID, m Message) {
+	follower := g.ownership.progress[from]
+	if m.Reject {
+		hint, _ := g.log.conflictHint(m.RejectHint, m.IndexEpoch)
+		if follower.rejected(m.Index, hint) {
+			g.sendNews(from)
+		}
+		return
+	}
+	if follower.acknowledged(m.Index) {
+		g.maybeCommit()
+		g.continueHandover(from)
+	}
+	if follower.next <= g.log.lastIndex() {
+		g.sendNews(from)
+	}
+}
+
+// maybeCommit commits what a majority of the voters holds durably, if the
+// newest such entry is of the own epoch. An entry of an earlier epoch could be
+// overwritten yet, however many copies it has.
+func (g *Group) maybeCommit() {
+	index := g.quorumOf(g.log.durable, func(p *progress) uint64 { return p.match })
+	if epoch, held := g.log.epochAt(index); !held || epoch != g.hard.Epoch {
+		return
+	}
+	if g.log.commitTo(index) {
+		g.ownership.appendWanted = true
+		g.releaseReads()
+	}
+}
+
+// quorumOf returns the greatest value that a majority of the voters reached.
+func (g *Group) quorumOf(own uint64, value func(*progress) uint64) uint64 {
+	values := []uint64{own}
+	for _, follower := range g.ownership.progress {
+		if follower.learner {
+			values = append(values, 0)
+			continue
+		}
+		values = append(values, value(follower))
+	}
+	slices.Sort(values)
+	return values[len(values)-g.quorum()]
+}
--- /dev/null
+++ b/pkg/replication/progress.go
@@ -0,0 +1,120 @@
+package replication
+
+import "time"
+
+// maxInFlight is how many entries the owner sends to a follower ahead of its
+// acknowledgements.
+const maxInFlight = 1024
+
+// progressState tells how the owner feeds a follower.
+type progressState uint8
+
+const (
+	// progressProbe looks for the last matching entry, one append at a time.
+	progressProbe progressState = iota
+	// progressReplicate sends entries ahead of their acknowledgements.
+	progressReplicate
+	// progressSnapshot waits for the follower to install a snapshot.
+	progressSnapshot
+)
+
+// progress is what an owner knows of a follower.
+type progress struct {
+	state progressState
+	// match is the last index known to be durable there and the same as here.
+	match uint64
+	// next is the first index to send.
+	next uint64
+	// probing tells that an append is under way in progressProbe.
+	probing bool
+	// snapshotIndex and snapshotSentAt are valid in progressSnapshot.
+	snapshotIndex  uint64
+	snapshotSentAt time.Duration
+	// lastContact is when the member was last heard of in this epoch.
+	lastContact time.Duration
+	// ackedRound is the newest heartbeat round that the member answered.
+	ackedRound uint64
+	// learner tells that neither match nor ackedRound counts.
+	learner bool
+}
+
+func (p *progress) becomeProbe() {
+	p.state = progressProbe
+	p.next = p.match + 1
+	p.probing = false
+}
+
+func (p *progress) becomeReplicate() {
+	p.state = progressReplicate
+	p.next = p.match + 1
+}
+
+func (p *progress) becomeSnapshot(index uint64, now time.Duration) {
+	p.state = progressSnapshot
+	p.snapshotIndex = index
+	p.snapshotSentAt = now
+	p.next = index + 1
+}
+
+// becomeLearner forgets what the member acknowledged with the durable state
+// that it lost.
+func (p *progress) becomeLearner() {
+	p.learner = true
+	p.match = 0
+	p.ackedRound = 0
+	p.becomeProbe()
+}
+
+// acknowledged takes in that the follower holds everything up to index. It is
+// true if that is news.
+func (p *progress) acknowledged(index uint64) bool {
+	news := index > p.match
+	p.match = max(p.match, index)
+	p.next = max(p.next, p.match+1)
+	switch p.state {
+	case progressProbe:
+		p.becomeReplicate()
+	case progressSnapshot:
+		if p.match >= p.snapshotIndex {
+			p.becomeReplicate()
+		}
+	case progressReplicate:
+	}
+	return news
+}
+
+// rejected takes in that the follower lacks the entry at index, and that the
+// logs may agree at hint. It is true if the owner must send again.
+func (p *progress) rejected(index, hint uint64) bool {
+	if p.learner {
+		// Its durable state may have been lost once more.
+		p.match = min(p.match, hint)
+	} else if index <= p.match {
+		return false
+	}
+	if p.state == progressSnapshot {
+		return false
+	}
+	if p.state == progressProbe && index != p.next-1 {
+		return false
+	}
+	p.becomeProbe()
+	if hint < index {
+		p.next = max(p.match, hint) + 1
+	} else {
+		p.next = max(p.match+1, index)
+	}
+	return true
+}
+
+// full tells that nothing more may be sent ahead of acknowledgements.
+func (p *progress) full() bool {
+	switch p.state {
+	case progressProbe:
+		return p.probing
+	case progressReplicate:
+		return p.next > p.match+maxInFlight
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/replication/timeline_test.go
@@ -0,0 +1,129 @@
+package replication_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+var redraw = flag.Bool("redraw", false, "write the timelines anew instead of comparing them")
+
+// A timeline has a line an event and a column a node, which shows the node
+// after the event. Lines that begin with # are remarks.
+var _ = DescribeTable("timelines", func(path string) {
+	content, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	drawn := runTimeline(string(content))
+	if *redraw {
+		Expect(os.WriteFile(path, []byte(drawn), 0o644)).To(Succeed())
+	}
+	Expect(drawn).To(Equal(string(content)))
+}, timelineEntries())
+
+func timelineEntries() []TableEntry {
+	paths, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(paths) == 0 {
+		panic("no timelines in testdata")
+	}
+	var entries []TableEntry
+	for _, path := range paths {
+		entries = append(entries, Entry(filepath.Base(path), path))
+	}
+	return entries
+}
+
+func runTimeline(content string) string {
+	var c *cluster
+	var drawn strings.Builder
+	for _, line := range strings.Split(strings.TrimRight(content, "\n"), "\n") {
+		event := strings.TrimSpace(strings.Split(line, "|")[0])
+		switch {
+		case strings.HasPrefix(line, "#") || event == "":
+			fmt.Fprintln(&drawn, line)
+			continue
+		case c == nil:
+			c = newCluster(rand.New(rand.NewPCG(1, 1)), parseIDs(event)...)
+		default:
+			runEvent(c, strings.Fields(event))
+		}
+		fmt.Fprintf(&drawn, "%-18s", event)
+		for _, n := range c.nodes {
+			fmt.Fprintf(&drawn, "| %-26s", c.cell(n))
+		}
+		fmt.Fprintf(&drawn, "| %s\n", c.now)
+	}
+	return drawn.String()
+}
+
+func parseIDs(event string) []member.ID {
+	var ids []member.ID
+	for _, field := range strings.Fields(event)[1:] {
+		ids = append(ids, member.ID(field))
+	}
+	return ids
+}
+
+func runEvent(c *cluster, words []string) {
+	if words[0] == "run" {
+		length, err := time.ParseDuration(words[1])
+		Expect(err).NotTo(HaveOccurred())
+		for end := c.now + length; c.now < end; {
+			c.advance()
+		}
+		return
+	}
+	if words[0] == "heal" {
+		clear(c.cut)
+		return
+	}
+	ends := strings.Split(words[1], ">")
+	if words[0] == "cut" && len(ends) == 2 {
+		c.cut[link{member.ID(ends[0]), member.ID(ends[1])}] = true
+		return
+	}
+	n := c.node(member.ID(words[1]))
+	Expect(n).NotTo(BeNil(), "no such node: %v", words)
+	runNodeEvent(c, n, words)
+}
+
+func runNodeEvent(c *cluster, n *node, words []string) {
+	switch words[0] {
+	case "propose":
+		_, err := n.group.Propose(c.clock(n), []byte(words[2]))
+		Expect(err).NotTo(HaveOccurred())
+		c.drain(n)
+	case "isolate":
+		for _, other := range c.nodes {
+			c.cut[link{n.id, other.id}] = true
+			c.cut[link{other.id, n.id}] = true
+		}
+	case "crash":
+		c.crash(n, false)
+	case "start":
+		c.start(n)
+	case "wipe":
+		c.wipe(n)
+		c.start(n)
+	case "stall":
+		n.stalled = true
+	case "release":
+		n.stalled = false
+		c.release(n)
+	case "compact":
+		Expect(c.compact(n)).To(Succeed())
+	case "handover":
+		Expect(n.group.HandOver(c.clock(n))).To(Succeed())
+		c.drain(n)
+	default:
+		Fail("unknown event " + words[0])
+	}
+}
--- /dev/null
+++ b/pkg/twoslot/fuzz_test.go
@@ -0,0 +1,126 @@
+package twoslot_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot/memdisk"
+)
+
+// FuzzOpen opens stores of arbitrary files: each opens to something that
+// stays, or is an error that says it is damaged.
+func FuzzOpen(f *testing.F) {
+	for steps := range len(history) + 1 {
+		disk := memdisk.New()
+		runHistory(disk, history[:steps])
+		var files [4][]byte
+		for i, suffix := range fileSuffixes {
+			files[i], _ = disk.ReadFile(storeName + suffix)
+		}
+		f.Add(files[0], files[1], files[2], files[3])
+	}
+	f.Fuzz(func(t *testing.T, slot0, slot1, log0, log1 []byte) {
+		disk := memdisk.New()
+		for i, data := range [][]byte{slot0, slot1, log0, log1} {
+			if len(data) > 0 {
+				_ = disk.WriteFile(storeName+fileSuffixes[i], data)
+			}
+		}
+		_, contents, err := twoslot.Open(disk.Clone(), storeName)
+		if err != nil {
+			if !errors.Is(err, twoslot.ErrCorrupt) {
+				t.Fatalf("untyped error: %v", err)
+			}
+			return
+		}
+		found := viewOf(contents)
+		if err := checkUsable(disk, outcome{found, found}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+var fileSuffixes = [4]string{".slot0", ".slot1", ".log0", ".log1"}
+
+// FuzzHistory runs a history that the bytes describe, with crashes within it:
+// whatever was acknowledged is there after each.
+func FuzzHistory(f *testing.F) {
+	f.Add([]byte{0x01, 0x42, 0x83, 0x04, 0xc5, 0x10, 0x06, 0x47})
+	f.Add([]byte{0xc1, 0x08, 0xc2, 0x30, 0x01, 0xc3, 0x50, 0x41})
+	f.Add([]byte{0x41, 0x41, 0xc1, 0x21, 0x41, 0xc1, 0x22, 0x05, 0xc2, 0x1f, 0x41})
+	f.Fuzz(func(t *testing.T, script []byte) {
+		const longestScript = 64
+		disk := memdisk.New()
+		var durable view
+		for _, steps := range splitScript(script[:min(len(script), longestScript)]) {
+			store, contents, err := twoslot.Open(disk, storeName)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if viewOf(contents).String() != durable.String() {
+				t.Fatalf("found %v, want %v", viewOf(contents), durable)
+			}
+			start := disk.Stats().Positions
+			disk.CrashAt(memdisk.Crash{Position: start + steps.crashAfter, Tear: steps.tear})
+			allowed := runSteps(store, durable, steps.steps)
+			disk.Restart()
+			_, contents, err = twoslot.Open(disk, storeName)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if durable = viewOf(contents); !allowed.allows(durable) {
+				t.Fatalf("found %v, want %v or %v", durable, allowed.acknowledged, allowed.underWay)
+			}
+		}
+	})
+}
+
+// scriptPart is a run of steps that a crash ends.
+type scriptPart struct {
+	steps      []step
+	tear       memdisk.Tear
+	crashAfter int
+}
+
+// splitScript reads two bits of each byte as its operation: append one record,
+// append two, checkpoint, or crash as far on as the next byte says.
+func splitScript(script []byte) []scriptPart {
+	const operationShift, sizeMask, reach = 6, 0x3f, 8
+	var parts []scriptPart
+	var steps []step
+	for i := 0; i < len(script); i++ {
+		size := int(script[i] & sizeMask)
+		content := string(make([]byte, size)) + string(rune('a'+size%26))
+		switch script[i] >> operationShift {
+		case 0:
+			steps = append(steps, step{records: []string{content}})
+		case 1:
+			steps = append(steps, step{records: []string{content, ""}})
+		case 2:
+			steps = append(steps, step{payload: content})
+		default:
+			i++
+			if i == len(script) {
+				break
+			}
+			tears := memdisk.Tears()
+			parts = append(parts, scriptPart{steps, tears[size%len(tears)], int(script[i]) * reach})
+			steps = nil
+		}
+	}
+	const never = 1 << 30
+	return append(parts, scriptPart{steps, memdisk.TearShort, never})
+}
+
+func runSteps(store *twoslot.Store, durable view, steps []step) outcome {
+	result := outcome{durable, durable}
+	for _, next := range steps {
+		result.underWay = result.acknowledged.after(next)
+		if next.run(store) != nil {
+			return result
+		}
+		result.acknowledged = result.underWay
+	}
+	return result
+}
--- /dev/null
+++ b/pkg/twoslot/memdisk/faults.go
@@ -0,0 +1,134 @@
+package memdisk
+
+import (
+	"slices"
+	"time"
+)
+
+// Tear tells what the write that a crash interrupts leaves of itself.
+type Tear uint8
+
+// The ways in which a write is torn.
+const (
+	// TearShort leaves the bytes up to the crash, and the file ends there.
+	TearShort Tear = iota + 1
+	// TearZeroed leaves the bytes up to the crash, and zeros for the rest:
+	// the file was extended before its bytes were written.
+	TearZeroed
+	// TearLost leaves nothing: what was not synced is gone, and the file is
+	// as it was before the write.
+	TearLost
+)
+
+// Tears lists all ways in which a write is torn.
+func Tears() []Tear {
+	return []Tear{TearShort, TearZeroed, TearLost}
+}
+
+// Crash is a crash to come.
+type Crash struct {
+	// Position is the place of the crash, counted as Stats.Positions is.
+	Position int
+	Tear     Tear
+}
+
+// CrashAt plans a crash. The write that reaches its position, and every call
+// after that, answers ErrCrashed until Restart.
+func (d *Disk) CrashAt(crash Crash) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.crash = &crash
+}
+
+// Restart ends a crash, and withdraws one that has not come yet. Files are as
+// the crash left them.
+func (d *Disk) Restart() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.crash = nil
+	d.crashed = false
+}
+
+// SetFull makes every write answer that the disk is full, or ends that.
+func (d *Disk) SetFull(full bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.full = full
+}
+
+// SetCapacity bounds the bytes of all files; 0 means no bound.
+func (d *Disk) SetCapacity(bytes int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.capacity = bytes
+}
+
+// SetDelay makes each write count as slow. Whoever drives virtual time adds
+// the growth of Stats.Delay to it.
+func (d *Disk) SetDelay(delay time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.delay = delay
+}
+
+// FlipBit inverts one bit of a file, counted from the lowest bit of its first
+// byte. It tells false if the file has no such bit.
+func (d *Disk) FlipBit(name string, bit int) bool {
+	const bitsPerByte = 8
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	position := bit / bitsPerByte
+	if bit < 0 || position >= len(d.files[name]) {
+		return false
+	}
+	damaged := slices.Clone(d.files[name])
+	damaged[position] ^= 1 << (bit % bitsPerByte)
+	d.files[name] = damaged
+	return true
+}
+
+// LoseFile removes one file.
+func (d *Disk) LoseFile(name string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.files, name)
+}
+
+// Lose empties the disk, as when it was replaced.
+func (d *Disk) Lose() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	clear(d.files)
+}
+
+// Clone returns a disk with the same files and no faults.
+func (d *Disk) Clone() *Disk {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	clone := New()
+	for name, data := range d.files {
+		// Neither disk may append into the memory of the other.
+		d.files[name] = slices.Clip(data)
+		clone.files[name] = d.files[name]
+	}
+	return clone
+}
+
+// crashWithin tells whether the planned crash comes within a write of that
+// many bytes, and how many of them are written by then.
+func (d *Disk) crashWithin(length int) (written int, ok bool) {
+	if d.crash == nil || d.crash.Position > d.stats.Positions+length {
+		return 0, false
+	}
+	return max(0, d.crash.Position-d.stats.Positions), true
+}
+
+// leaveTorn leaves what the interrupted write made of a file.
+func (d *Disk) leaveTorn(name string, kept, data []byte, written int) {
+	switch d.crash.Tear {
+	case TearShort:
+		d.files[name] = slices.Concat(kept, data[:written])
+	case TearZeroed:
+		d.files[name] = slices.Concat(kept, data[:written], make([]byte, len(data)-written))
+	}
+}
--- /dev/null
+++ b/pkg/twoslot/memdisk/memdisk.go
@@ -0,0 +1,130 @@
+// Package memdisk is a twoslot.Disk in memory that fails on request: it
+// crashes at any byte of what is written to it, runs full, rots, turns slow,
+// or loses everything. Simulators and tests use it.
+package memdisk
+
+import (
+	"errors"
+	"io/fs"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
+)
+
+// ErrCrashed answers every call to a disk between its crash and Restart.
+var ErrCrashed = errors.New("memdisk: disk has crashed; call Restart")
+
+var _ twoslot.Disk = (*Disk)(nil)
+
+// Disk is a disk in memory. It is safe for concurrent use.
+type Disk struct {
+	mutex    sync.Mutex
+	files    map[string][]byte
+	crash    *Crash
+	crashed  bool
+	full     bool
+	capacity int
+	delay    time.Duration
+	stats    Stats
+}
+
+// Stats counts what a disk did.
+type Stats struct {
+	// Writes counts the calls that write, and Reads those that read.
+	Writes, Reads int
+	// Positions counts the places at which a crash could have come: one
+	// before each write, and one behind each byte of it.
+	Positions int
+	// SlowWrites counts the writes under a delay, and Delay sums what they
+	// would have taken. The disk itself never waits.
+	SlowWrites int
+	Delay      time.Duration
+	// Refused counts the writes that did not fit.
+	Refused int
+}
+
+// New returns an empty disk.
+func New() *Disk {
+	return &Disk{files: map[string][]byte{}}
+}
+
+// ReadFile returns a copy of a file.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.crashed {
+		return nil, ErrCrashed
+	}
+	d.stats.Reads++
+	data, ok := d.files[name]
+	if !ok {
+		return nil, &fs.PathError{Op: "read", Path: name, Err: fs.ErrNotExist}
+	}
+	return slices.Clone(data), nil
+}
+
+// WriteFile replaces a file.
+func (d *Disk) WriteFile(name string, data []byte) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.write(name, nil, data)
+}
+
+// Append adds to the end of a file.
+func (d *Disk) Append(name string, data []byte) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.write(name, d.files[name], data)
+}
+
+// write leaves kept and, behind it, data in the file. The bytes of a file are
+// never changed in place, only added to.
+func (d *Disk) write(name string, kept, data []byte) error {
+	if d.crashed {
+		return ErrCrashed
+	}
+	growth := len(kept) + len(data) - len(d.files[name])
+	if d.full || (d.capacity > 0 && d.used()+growth > d.capacity) {
+		d.stats.Refused++
+		return &twoslot.Error{Kind: twoslot.KindDiskFull, Name: name}
+	}
+	d.stats.Writes++
+	if d.delay > 0 {
+		d.stats.SlowWrites++
+		d.stats.Delay += d.delay
+	}
+	if written, ok := d.crashWithin(len(data)); ok {
+		d.crashed = true
+		d.leaveTorn(name, kept, data, written)
+		return ErrCrashed
+	}
+	d.stats.Positions += 1 + len(data)
+	d.files[name] = append(kept, data...)
+	return nil
+}
+
+// used returns the bytes of all files.
+func (d *Disk) used() int {
+	total := 0
+	for data := range maps.Values(d.files) {
+		total += len(data)
+	}
+	return total
+}
+
+// Stats returns the counts so far.
+func (d *Disk) Stats() Stats {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.stats
+}
+
+// Names returns the names of all files in order.
+func (d *Disk) Names() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Sorted(maps.Keys(d.files))
+}
--- /dev/null
+++ b/pkg/twoslot/parse.go
@@ -0,0 +1,127 @@
+package twoslot
+
+import "bytes"
+
+// slot is what a whole slot file holds.
+type slot struct {
+	generation uint64
+	payload    []byte
+	// records were carried over from the log of the generation before.
+	records [][]byte
+}
+
+// parseSlot tells false if the file is not whole, be it cut short or damaged.
+func parseSlot(data []byte) (slot, bool) {
+	generation, length, ok := readHeader(data, slotMagic)
+	if !ok || uint64(len(data)) != headerBytes+length+checksumBytes || length < numberBytes {
+		return slot{}, false
+	}
+	body := data[headerBytes : headerBytes+length]
+	if checksumOf(generation, body) != order.Uint32(data[headerBytes+length:]) {
+		return slot{}, false
+	}
+	payloadBytes := order.Uint64(body)
+	rest := body[numberBytes:]
+	if payloadBytes > uint64(len(rest)) {
+		return slot{}, false
+	}
+	parsed := slot{generation: generation, payload: rest[:payloadBytes:payloadBytes]}
+	records, used, end := parseFrames(rest[payloadBytes:], generation)
+	parsed.records = records
+	return parsed, end == endClean && used == len(rest[payloadBytes:])
+}
+
+// frameEndKind tells how a run of frames ends.
+type frameEndKind uint8
+
+const (
+	// endClean runs end behind a whole frame.
+	endClean frameEndKind = iota + 1
+	// endTorn runs end in a frame that a crash cut short.
+	endTorn
+	// endDamaged runs hold bytes that no crash leaves.
+	endDamaged
+)
+
+// parseFrames returns the records of the whole frames at the start of data and
+// the bytes that these take.
+func parseFrames(data []byte, generation uint64) (records [][]byte, used int, end frameEndKind) {
+	for used < len(data) {
+		content, size, kind := parseFrame(data[used:], generation)
+		if kind != endClean {
+			return records, used, kind
+		}
+		found, ok := parseRecords(content)
+		if !ok {
+			return records, used, endDamaged
+		}
+		records = append(records, found...)
+		used += size
+	}
+	return records, used, endClean
+}
+
+// parseFrame returns the content of the frame at the start of data and the
+// size of the frame.
+func parseFrame(data []byte, generation uint64) (content []byte, size int, kind frameEndKind) {
+	if len(data) < frameStartBytes {
+		return nil, 0, endTorn
+	}
+	length := order.Uint32(data)
+	if checksumOf(generation, data[:4]) != order.Uint32(data[4:]) {
+		return nil, 0, tornIf(allZero(data[frameStartBytes:]))
+	}
+	size = frameStartBytes + int(length) + frameFinishBytes
+	if size > len(data) {
+		return nil, 0, endTorn
+	}
+	content = data[frameStartBytes : frameStartBytes+int(length)]
+	stored := order.Uint32(data[frameStartBytes+int(length):])
+	last := data[size-1]
+	if last == frameEnd && checksumOf(generation, content) == stored {
+		return content, size, endClean
+	}
+	return nil, 0, tornIf(last == 0 && allZero(data[size:]))
+}
+
+func tornIf(torn bool) frameEndKind {
+	if torn {
+		return endTorn
+	}
+	return endDamaged
+}
+
+func parseRecords(content []byte) (records [][]byte, ok bool) {
+	for len(content) > 0 {
+		if len(content) < recordStartBytes {
+			return nil, false
+		}
+		length := uint64(order.Uint32(content))
+		content = content[recordStartBytes:]
+		if length > uint64(len(content)) {
+			return nil, false
+		}
+		records = append(records, content[:length:length])
+		content = content[length:]
+	}
+	return records, true
+}
+
+// tornStart tells whether data is what a crash leaves of a file that was to
+// begin with expected: a part of that, and zeros.
+func tornStart(data, expected []byte) bool {
+	if len(data) > len(expected) && !allZero(data[len(expected):]) {
+		return false
+	}
+	written := bytes.TrimRight(data, "\x00")
+	return len(written) <= len(expected) && bytes.HasPrefix(expected, written)
+}
+
+func allZero(data []byte) bool {
+	for _, value := range data {
+		if value != 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/twoslot/store_test.go
@@ -0,0 +1,123 @@
+package twoslot_test
+
+import (
+	"errors"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot/memdisk"
+)
+
+// brokenDisk fails writes in a way that says nothing of what they left.
+type brokenDisk struct {
+	*memdisk.Disk
+	err error
+}
+
+func (d *brokenDisk) Append(name string, data []byte) error {
+	if d.err != nil {
+		return d.err
+	}
+	return d.Disk.Append(name, data)
+}
+
+var _ = Describe("A store", func() {
+	It("shows after each step what was written", func() {
+		disk := memdisk.New()
+		var want view
+		for _, next := range history {
+			store, contents, err := twoslot.Open(disk, storeName)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(viewOf(contents).String()).To(Equal(want.String()))
+			Expect(next.run(store)).To(Succeed())
+			want = want.after(next)
+		}
+	})
+
+	It("counts the bytes behind the newest checkpoint", func() {
+		store, _, err := twoslot.Open(memdisk.New(), storeName)
+		Expect(err).NotTo(HaveOccurred())
+		empty := store.LogBytes()
+		Expect(store.Append([]byte("record"))).To(Succeed())
+		Expect(store.LogBytes()).To(BeNumerically(">", empty+len("record")))
+		Expect(store.Checkpoint([]byte("payload"))).To(Succeed())
+		Expect(store.LogBytes()).To(Equal(empty))
+	})
+
+	It("is unchanged by a full disk, at any capacity, and goes on once there is room", func() {
+		const mostBytes = 600
+		refused := 0
+		for capacity := 100; capacity < mostBytes; capacity++ {
+			disk := memdisk.New()
+			store, _, err := twoslot.Open(disk, storeName)
+			Expect(err).NotTo(HaveOccurred())
+			disk.SetCapacity(capacity)
+			var want view
+			for _, next := range history {
+				if err := next.run(store); err != nil {
+					Expect(err).To(MatchError(twoslot.ErrDiskFull))
+					refused++
+					_, contents, err := twoslot.Open(disk.Clone(), storeName)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(viewOf(contents).String()).To(Equal(want.String()), "capacity %d", capacity)
+					disk.SetCapacity(0)
+					Expect(next.run(store)).To(Succeed())
+					disk.SetCapacity(capacity)
+				}
+				want = want.after(next)
+			}
+			Expect(checkUsable(disk.Clone(), outcome{want, want})).To(Succeed())
+		}
+		Expect(refused).To(BeNumerically(">", 0))
+	})
+
+	It("opens with a torn tail on a full disk and appends once there is room", func() {
+		disk := memdisk.New()
+		whole := runHistory(disk, history[:1])
+		disk.CrashAt(memdisk.Crash{Position: disk.Stats().Positions + 7, Tear: memdisk.TearShort})
+		store, _, err := twoslot.Open(disk, storeName)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Append([]byte("torn"))).To(MatchError(memdisk.ErrCrashed))
+		disk.Restart()
+		disk.SetFull(true)
+		store, contents, err := twoslot.Open(disk, storeName)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(viewOf(contents)).To(Equal(whole.acknowledged))
+		Expect(store.Append([]byte("further"))).To(MatchError(twoslot.ErrDiskFull))
+		disk.SetFull(false)
+		further := step{records: []string{"further"}}
+		Expect(further.run(store)).To(Succeed())
+		want := whole.acknowledged.after(further)
+		Expect(checkUsable(disk, outcome{want, want})).To(Succeed())
+	})
+
+	It("takes no write after one that failed for an unknown reason", func() {
+		disk := &brokenDisk{Disk: memdisk.New()}
+		store, _, err := twoslot.Open(disk, storeName)
+		Expect(err).NotTo(HaveOccurred())
+		disk.err = errors.New("input/output error")
+		Expect(store.Append([]byte("lost"))).To(MatchError(disk.err))
+		disk.err = nil
+		Expect(store.Append([]byte("later"))).To(MatchError(twoslot.ErrBroken))
+		Expect(store.Checkpoint([]byte("later"))).To(MatchError(twoslot.ErrBroken))
+	})
+
+	It("starts empty on a disk that was replaced", func() {
+		disk := memdisk.New()
+		runHistory(disk, history)
+		disk.Lose()
+		Expect(checkUsable(disk, outcome{})).To(Succeed())
+	})
+
+	It("keeps stores of different names apart", func() {
+		disk := memdisk.New()
+		first, _, err := twoslot.Open(disk, "first")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Checkpoint([]byte("one"))).To(Succeed())
+		_, contents, err := twoslot.Open(disk, "second")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contents).To(Equal(twoslot.Contents{}))
+	})
+})
