--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,278 @@
+package transport
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	firstHost  = "127.77.1.1"
+	secondHost = "127.77.1.2"
+	// patience bounds how long a test waits for what must happen.
+	patience = 20 * time.Second
+)
+
+// node is a transport whose frames arrive on a channel.
+type node struct {
+	*Transport
+	frames chan []byte
+}
+
+func startAt(address string, options Options) *node {
+	started := &node{frames: make(chan []byte, 1000)}
+	var err error
+	started.Transport, err = Listen(address, func(frame []byte) { started.frames <- frame }, options)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	DeferCleanup(started.Close)
+	return started
+}
+
+func start(host string, options Options) *node {
+	return startAt(net.JoinHostPort(host, "0"), options)
+}
+
+func (n *node) next() []byte {
+	select {
+	case frame := <-n.frames:
+		return frame
+	case <-time.After(patience):
+		Fail("no frame arrived")
+		return nil
+	}
+}
+
+// rawListener is a peer that takes connections and does nothing by itself.
+func rawListener() net.Listener {
+	listener, err := net.Listen("tcp", net.JoinHostPort(secondHost, "0"))
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func acceptFrom(listener net.Listener) net.Conn {
+	Expect(listener.(*net.TCPListener).SetDeadline(time.Now().Add(patience))).To(Succeed())
+	connection, err := listener.Accept()
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = connection.Close() })
+	Expect(connection.SetDeadline(time.Now().Add(patience))).To(Succeed())
+	return connection
+}
+
+func dialRaw(address string) net.Conn {
+	connection, err := net.Dial("tcp", address)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = connection.Close() })
+	Expect(connection.SetDeadline(time.Now().Add(patience))).To(Succeed())
+	return connection
+}
+
+func prefixed(frame []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(frame))), frame...)
+}
+
+// sendUntilAccepted sends a frame again and again until the peer has taken a
+// new connection and has done with it.
+func sendUntilAccepted(sender *node, peer net.Listener, frame []byte, use func(net.Conn)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer GinkgoRecover()
+		use(acceptFrom(peer))
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			sender.Send(peer.Addr().String(), frame)
+			runtime.Gosched()
+		}
+	}
+}
+
+// expectClosed blocks until the other side closes the connection.
+func expectClosed(connection net.Conn) {
+	_, err := connection.Read(make([]byte, 1))
+	ExpectWithOffset(1, err).To(HaveOccurred())
+	timeout, ok := err.(net.Error)
+	ExpectWithOffset(1, ok && timeout.Timeout()).To(BeFalse())
+}
+
+var _ = Describe("A transport", func() {
+	It("delivers the frames for a peer in order, from the host it listens on", func() {
+		sender, peer := start(firstHost, Options{}), rawListener()
+		var want []byte
+		for i := range 500 {
+			frame := fmt.Appendf(nil, "frame %d", i)
+			want = append(want, prefixed(frame)...)
+			sender.Send(peer.Addr().String(), frame)
+		}
+		connection := acceptFrom(peer)
+		Expect(connection.RemoteAddr().(*net.TCPAddr).IP.String()).To(Equal(firstHost))
+		got := make([]byte, len(want))
+		_, err := io.ReadFull(connection, got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(want))
+	})
+
+	It("delivers between two of its kind, and to itself", func() {
+		first, second := start(firstHost, Options{}), start(secondHost, Options{})
+		first.Send(second.Address(), []byte("there"))
+		Expect(second.next()).To(Equal([]byte("there")))
+		second.Send(first.Address(), []byte("and back"))
+		Expect(first.next()).To(Equal([]byte("and back")))
+		first.Send(first.Address(), []byte("here"))
+		Expect(first.next()).To(Equal([]byte("here")))
+		Expect(second.Stats().FramesReceived).To(Equal(uint64(1)))
+		Expect(first.Stats().FramesReceived).To(Equal(uint64(2)))
+	})
+
+	It("delivers the largest frame, and drops and counts larger and empty ones", func() {
+		first, second := start(firstHost, Options{}), start(secondHost, Options{})
+		first.Send(second.Address(), make([]byte, MaxFrameBytes+1))
+		first.Send(second.Address(), nil)
+		largest := bytes.Repeat([]byte("0123456789abcdef"), MaxFrameBytes/16)
+		first.Send(second.Address(), largest)
+		Expect(bytes.Equal(second.next(), largest)).To(BeTrue())
+		Expect(first.Stats().DroppedSize).To(Equal(uint64(2)))
+	})
+
+	It("keeps frames for a peer that is down until it comes", func() {
+		held := rawListener()
+		address := held.Addr().String()
+		Expect(held.Close()).To(Succeed())
+		sender := start(firstHost, Options{MinBackoff: time.Millisecond, MaxBackoff: 4 * time.Millisecond})
+		sender.Send(address, []byte("early"))
+		for sender.Stats().ConnectFailures < 3 {
+			runtime.Gosched()
+		}
+		late := startAt(address, Options{})
+		Expect(late.next()).To(Equal([]byte("early")))
+	})
+
+	It("connects again after a connection is lost", func() {
+		sender, peer := start(firstHost, Options{MinBackoff: time.Millisecond}), rawListener()
+		address := peer.Addr().String()
+		sender.Send(address, []byte("first"))
+		lost := acceptFrom(peer)
+		_, err := io.ReadFull(lost, make([]byte, len(prefixed([]byte("first")))))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lost.Close()).To(Succeed())
+		// A frame may be lost with the connection: the protocols send on.
+		sendUntilAccepted(sender, peer, []byte("again"), func(connection net.Conn) {
+			got := make([]byte, len(prefixed([]byte("again"))))
+			_, err := io.ReadFull(connection, got)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got).To(Equal(prefixed([]byte("again"))))
+		})
+	})
+
+	It("never blocks on a frozen peer, holds bounded memory for it, and gives its connection up", func() {
+		const queuedBytes = 4 << 20
+		options := Options{MaxQueuedBytes: queuedBytes, WriteTimeout: 50 * time.Millisecond, MinBackoff: time.Millisecond}
+		sender, frozen := start(firstHost, options), rawListener()
+		frame := make([]byte, 1<<20)
+		sender.Send(frozen.Addr().String(), frame)
+		acceptFrom(frozen)
+		sendUntilAccepted(sender, frozen, frame, func(net.Conn) {})
+		stats := sender.Stats()
+		Expect(stats.QueuedBytes).To(BeNumerically("<=", queuedBytes))
+		Expect(stats.DroppedFull).To(BeNumerically(">", 0))
+		Expect(stats.DroppedUnsent).To(BeNumerically(">", 0))
+	})
+
+	It("starts afresh with a peer that it was told to forget", func() {
+		sender, peer := start(firstHost, Options{}), rawListener()
+		address := peer.Addr().String()
+		sender.Send(address, []byte("before"))
+		first := acceptFrom(peer)
+		_, err := io.ReadFull(first, make([]byte, len(prefixed([]byte("before")))))
+		Expect(err).NotTo(HaveOccurred())
+		sender.Forget(address)
+		expectClosed(first)
+		Expect(sender.Stats().Peers).To(Equal(0))
+		sender.Send(address, []byte("after"))
+		got := make([]byte, len(prefixed([]byte("after"))))
+		_, err = io.ReadFull(acceptFrom(peer), got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(prefixed([]byte("after"))))
+	})
+
+	It("ends all it runs on Close, and counts what it then drops", func() {
+		held := rawListener()
+		address := held.Addr().String()
+		Expect(held.Close()).To(Succeed())
+		sender := start(firstHost, Options{})
+		sender.Send(address, []byte("queued"))
+		inbound := dialRaw(sender.Address())
+		sender.Close()
+		expectClosed(inbound)
+		Expect(sender.Stats().DroppedClosed).To(Equal(uint64(1)))
+		sender.Send(address, []byte("late"))
+		Expect(sender.Stats().DroppedClosed).To(Equal(uint64(2)))
+		_, err := net.Dial("tcp", sender.Address())
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("names the remedy when it cannot listen", func() {
+		taken := start(firstHost, Options{})
+		_, err := Listen(taken.Address(), func([]byte) {}, Options{})
+		Expect(err).To(MatchError(ContainSubstring("check that the address is this machine's and free")))
+	})
+})
+
+var _ = Describe("A hostile or broken sender", func() {
+	It("is cut off when the length of a frame is out of bounds", func() {
+		receiver := start(firstHost, Options{})
+		for _, length := range []uint32{0, MaxFrameBytes + 1, 1<<32 - 1} {
+			connection := dialRaw(receiver.Address())
+			_, err := connection.Write(binary.BigEndian.AppendUint32(nil, length))
+			Expect(err).NotTo(HaveOccurred())
+			expectClosed(connection)
+		}
+		Expect(receiver.Stats().BadFrames).To(Equal(uint64(3)))
+	})
+
+	It("is cut off when it stalls within a frame, whole frames before count", func() {
+		receiver := start(firstHost, Options{FrameTimeout: 20 * time.Millisecond})
+		connection := dialRaw(receiver.Address())
+		_, err := connection.Write(append(prefixed([]byte("whole")), 0, 0, 1, 0, 'h'))
+		Expect(err).NotTo(HaveOccurred())
+		expectClosed(connection)
+		Expect(receiver.next()).To(Equal([]byte("whole")))
+		Expect(receiver.Stats().BadFrames).To(Equal(uint64(1)))
+	})
+
+	It("takes no memory by claiming a large frame", func() {
+		receiver := start(firstHost, Options{FrameTimeout: 20 * time.Millisecond})
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		const claims = 20
+		for range claims {
+			connection := dialRaw(receiver.Address())
+			_, err := connection.Write(binary.BigEndian.AppendUint32(nil, MaxFrameBytes))
+			Expect(err).NotTo(HaveOccurred())
+			expectClosed(connection)
+		}
+		runtime.ReadMemStats(&after)
+		Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", MaxFrameBytes))
+	})
+
+	It("opens no more connections than allowed", func() {
+		receiver := start(firstHost, Options{MaxConnections: 1})
+		first := dialRaw(receiver.Address())
+		_, err := first.Write(prefixed([]byte("first")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(receiver.next()).To(Equal([]byte("first")))
+		expectClosed(dialRaw(receiver.Address()))
+		Expect(receiver.Stats().ConnectionsRefused).To(Equal(uint64(1)))
+	})
+})
--- a/pkg/attempts/ledger.go
+++ b/pkg/attempts/ledger.go
@@ -135,6 +135,7 @@
 // is permitted. An attempt that was sent never becomes one that was not.
 func transition(record Record, kind EventKind) (Record, bool) {
 	from := record.State
+	partly := from == Answered && !record.Complete
 	switch kind {
 	case ConnectStarted:
 		record.State = Connecting
@@ -155,10 +156,10 @@
 	case AnswerCompleted:
 		record.State = Answered
 		record.Complete = true
-		return record, from == Sent || from == Answered && !record.Complete
+		return record, from == Sent || partly
 	case EndLost:
 		record.State = Unknown
-		return record, from == Sent || from == Answered && !record.Complete
+		return record, from == Sent || partly
 	default:
 		return record, false
 	}
--- a/pkg/attempts/ledger_test.go
+++ b/pkg/attempts/ledger_test.go
@@ -158,6 +158,17 @@
 		Expect(ledger.Next()).To(Equal(attempts.Move{Kind: attempts.AbortRelay, Attempt: 1}))
 	})
 
+	It("relays an answer from its first part to its end", func() {
+		ledger := replay(attempts.Options{MaxAttempts: 1}, []attempts.Event{
+			{Kind: attempts.AttemptPlanned, Attempt: 1}, {Kind: attempts.ConnectStarted, Attempt: 1},
+			{Kind: attempts.BytesMayHaveLeft, Attempt: 1}, {Kind: attempts.AnswerBegan, Attempt: 1},
+		})
+		Expect(ledger.Next()).To(Equal(attempts.Move{Kind: attempts.Relay, Attempt: 1}))
+		Expect(ledger.Apply(attempts.Event{Kind: attempts.AnswerCompleted, Attempt: 1})).To(Succeed())
+		Expect(ledger.Next()).To(Equal(attempts.Move{Kind: attempts.Relay, Attempt: 1}))
+		Expect(ledger.Apply(attempts.Event{Kind: attempts.EndLost, Attempt: 1})).NotTo(Succeed())
+	})
+
 	DescribeTable("the next move", func(repeatable bool, last attempts.EventKind, expected attempts.MoveKind) {
 		ledger := replay(attempts.Options{Repeatable: repeatable, MaxAttempts: 3}, []attempts.Event{
 			{Kind: attempts.AttemptPlanned, Attempt: 1}, {Kind: attempts.ConnectStarted, Attempt: 1},
--- a/pkg/config/dynamic/bounds.go
+++ b/pkg/config/dynamic/bounds.go
@@ -47,6 +47,8 @@
 	// MaxRoutingKnob bounds the scales, weights and temperature of selection.
 	MaxRoutingKnob = 1e6
 
+	// MaxFaults bounds the faults that are reported at once.
+	MaxFaults = 1000
 	// MaxAnswers bounds the accepted orders that are remembered.
 	MaxAnswers = 4096
 )
--- a/pkg/config/dynamic/checks.go
+++ b/pkg/config/dynamic/checks.go
@@ -19,11 +19,7 @@
 
 // checker collects faults while it walks over a configuration.
 type checker struct {
-	faults Errors
-}
-
-func (c *checker) add(kind Kind, path, format string, arguments ...any) {
-	c.faults = append(c.faults, &Error{Kind: kind, Field: path, Message: fmt.Sprintf(format, arguments...)})
+	collector
 }
 
 // name checks an identifier that may stand in a path of the control interface.
--- a/pkg/config/dynamic/errors.go
+++ b/pkg/config/dynamic/errors.go
@@ -123,6 +123,20 @@
 	return fmt.Sprintf("%d faults: %s", len(list), strings.Join(parts, "; "))
 }
 
+// collector gathers the faults of one input.
+type collector struct {
+	faults Errors
+}
+
+// add keeps a fault, up to MaxFaults, so that a document of nothing but faults
+// can't take up the node's memory.
+func (c *collector) add(kind Kind, path, format string, arguments ...any) {
+	if len(c.faults) >= MaxFaults {
+		return
+	}
+	c.faults = append(c.faults, &Error{Kind: kind, Field: path, Message: fmt.Sprintf(format, arguments...)})
+}
+
 // orNil returns the list as an error, or nil when it is empty.
 func (list Errors) orNil() error {
 	if len(list) == 0 {
--- a/pkg/config/dynamic/parse.go
+++ b/pkg/config/dynamic/parse.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -16,7 +17,7 @@
 
 // Parse reads a configuration from JSON. It returns an *Error when the text is
 // too large or is no JSON, and Errors with every unknown field, repeated field
-// and value of the wrong type otherwise. The result is not validated.
+// and value of the wrong type, up to MaxFaults, otherwise. The result is not validated.
 func Parse(data []byte) (*ridgeswitchv1.Configuration, error) {
 	configuration := &ridgeswitchv1.Configuration{}
 	if err := ParseMessage(data, configuration); err != nil {
@@ -65,11 +66,7 @@
 // walker compares a JSON document with a message descriptor and collects every
 // fault with the path of its field, which protojson alone does not tell.
 type walker struct {
-	faults Errors
-}
-
-func (w *walker) add(kind Kind, path, format string, arguments ...any) {
-	w.faults = append(w.faults, &Error{Kind: kind, Field: path, Message: fmt.Sprintf(format, arguments...)})
+	collector
 }
 
 // message checks one JSON object against the fields of a message.
@@ -142,14 +139,25 @@
 	seen[oneof.FullName()] = true
 }
 
-// list checks every element of a repeated field.
+// list checks every element of a repeated field. It stops at the longest list
+// that any configuration may hold, before the list takes up memory.
 func (w *walker) list(path string, data []byte, field protoreflect.FieldDescriptor) {
-	var elements []json.RawMessage
-	if err := json.Unmarshal(data, &elements); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	token, err := decoder.Token()
+	if err != nil || token != json.Delim('[') {
 		w.add(KindMalformed, path, "must be a JSON array")
 		return
 	}
-	for i, element := range elements {
+	for i := 0; decoder.More(); i++ {
+		if i == MaxRoutes {
+			w.add(KindOversize, path, "has more than %d entries; reduce it", MaxRoutes)
+			return
+		}
+		var element json.RawMessage
+		if err := decoder.Decode(&element); err != nil {
+			w.add(KindMalformed, path, "%v; correct the document", err)
+			return
+		}
 		w.value(path+"["+strconv.Itoa(i)+"]", element, field)
 	}
 }
@@ -160,11 +168,19 @@
 		w.message(path, data, field.Message())
 		return
 	}
+	if field.Kind() == protoreflect.StringKind && isPlainString(data) {
+		return
+	}
 	if err := checkScalar(data, field); err != nil {
 		w.add(KindMalformed, path, "must be a JSON value of type %s", field.Kind())
 	}
 }
 
+// isPlainString spares most strings the slow way: those without escapes.
+func isPlainString(data []byte) bool {
+	return data[0] == '"' && !bytes.ContainsRune(data, '\\') && utf8.Valid(data)
+}
+
 // checkScalar has protojson read the value alone, so that exactly what it
 // accepts in the whole document is accepted here.
 func checkScalar(data []byte, field protoreflect.FieldDescriptor) error {
--- a/pkg/config/dynamic/parse_test.go
+++ b/pkg/config/dynamic/parse_test.go
@@ -34,9 +34,16 @@
 		Entry("field twice", `{"pools":[],"pools":[]}`, "duplicate pools"),
 		Entry("field twice by both names", `{"web_services":[],"webServices":[]}`, "duplicate web_services"),
 		Entry("two destinations", `{"routes":[{"host":"h","pool":"p","web_service":"w"}]}`, "invalid routes[0].web_service"),
+		Entry("a list too long for any configuration", `{"routes":[{}`+strings.Repeat(",{}", dynamic.MaxRoutes)+`]}`, "oversize routes"),
+		Entry("a lone surrogate", `{"tenants":[{"name":"\ud800"}]}`, "malformed tenants[0].name"),
 		Entry("bad UTF-8", "{\"tenants\":[{\"name\":\"\xff\"}]}", "malformed tenants[0].name"),
 	)
 
+	It("reports a bounded number of faults", func() {
+		_, err := dynamic.Parse([]byte(`{"a":1` + strings.Repeat(`,"a":1`, dynamic.MaxFaults) + `}`))
+		Expect(err).To(HaveLen(dynamic.MaxFaults))
+	})
+
 	It("reads what it should and null as absence", func() {
 		configuration, err := dynamic.Parse([]byte(`{"tenants":null,"webServices":[{"requestTimeoutMs":5}],"revision":"7"}`))
 		Expect(err).NotTo(HaveOccurred())
@@ -46,7 +53,7 @@
 })
 
 // FuzzParse checks that Parse accepts exactly what protojson accepts, short of
-// the size bound, and that what it accepts can be validated and read again.
+// the size bounds, and that what it accepts can be validated and read again.
 func FuzzParse(f *testing.F) {
 	f.Fuzz(func(t *testing.T, document []byte) {
 		configuration, err := dynamic.Parse(document)
--- a/pkg/config/dynamic/validate.go
+++ b/pkg/config/dynamic/validate.go
@@ -6,8 +6,8 @@
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 )
 
-// Validate checks every rule of a configuration and returns all faults at once
-// as Errors, or nil.
+// Validate checks every rule of a configuration and returns all faults at once,
+// up to MaxFaults, as Errors, or nil.
 func Validate(configuration *ridgeswitchv1.Configuration) error {
 	if configuration == nil {
 		return &Error{Kind: KindMissing, Field: "configuration", Message: "is missing; give the whole configuration"}
--- a/pkg/config/static/check.go
+++ b/pkg/config/static/check.go
@@ -5,27 +5,30 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
-
-	"github.com/sirupsen/logrus"
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 
+// logLevels are the levels that settings may name.
+var logLevels = []string{"debug", "info", "warning", "error"}
+
 // Check returns every fault of the settings at once, each an *Error; none when
 // they are sound. It touches neither disk nor network.
 func (s *Settings) Check() []error {
 	check := &checker{}
 	check.name("node", s.Node)
 	check.name("zone", s.Zone)
+	check.name("deployment", s.Deployment)
 	check.listeners(s)
 	check.seeds(s)
 	check.group(s)
 	check.disk(s)
 	check.address("platform_address", s.PlatformAddress)
 	check.numbers(s)
-	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
-		check.add(KindInvalid, "log_level", "%q; use debug, info, warning or error", s.LogLevel)
+	if !slices.Contains(logLevels, s.LogLevel) {
+		check.add(KindInvalid, "log_level", "%q; use one of %s", s.LogLevel, strings.Join(logLevels, ", "))
 	}
 	return check.faults
 }
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -16,6 +16,8 @@
 	DefaultPlatformPollEvery = 500 * time.Millisecond
 	// DefaultLogRing is the number of log entries kept in memory.
 	DefaultLogRing = 4096
+	// DefaultDeployment is the name of a deployment that needs none.
+	DefaultDeployment = "default"
 	// DefaultLogLevel is the lowest level that enters the log ring.
 	DefaultLogLevel = "info"
 )
@@ -51,6 +53,9 @@
 type Settings struct {
 	// Node is the node's name, unique in the deployment and kept for life.
 	Node string `yaml:"node" usage:"unique name of the node"`
+	// Deployment names the deployment; it must be the same on every node. Nodes
+	// of other deployments are not listened to.
+	Deployment string `yaml:"deployment" usage:"name of the deployment, the same on every node"`
 	// Zone is the failure domain that the node stands in.
 	Zone string `yaml:"zone" usage:"failure domain of the node"`
 	// Internal is the IP and port for other nodes.
@@ -119,6 +124,7 @@
 	setDefault(&s.DrainTimeoutMS, int(DefaultDrainTimeout.Milliseconds()))
 	setDefault(&s.LogRing, DefaultLogRing)
 	setDefault(&s.LogLevel, DefaultLogLevel)
+	setDefault(&s.Deployment, DefaultDeployment)
 }
 
 // setDefault replaces a zero value.
--- /dev/null
+++ b/pkg/config/static/suite_test.go
@@ -0,0 +1,127 @@
+package static_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/urfave/cli/v3"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
+)
+
+func TestStatic(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Static settings")
+}
+
+// validSettings are those of a node with a disk.
+const validSettings = `
+node: core-1
+zone: a
+internal: 127.1.1.1:7100
+traffic: 127.1.1.1:7200
+control: 127.1.1.1:7300
+seeds: [127.1.2.1:7100, 127.1.3.1:7100]
+group: [core-1, core-2, core-3]
+group_zones: [a, b, c]
+data_folder: /var/lib/ridgeswitch
+platform_address: 127.5.0.1:7500
+`
+
+func parsed(document string) *static.Settings {
+	settings, err := static.Parse([]byte(document))
+	Expect(err).NotTo(HaveOccurred())
+	return settings
+}
+
+// faultsOf lists faults as "kind field".
+func faultsOf(faults []error) []string {
+	var found []string
+	for _, fault := range faults {
+		typed := fault.(*static.Error)
+		Expect(typed.Message).NotTo(BeEmpty())
+		found = append(found, string(typed.Kind)+" "+typed.Field)
+	}
+	return found
+}
+
+var _ = Describe("Settings", func() {
+	It("are read from YAML and JSON with defaults", func() {
+		settings := parsed(validSettings)
+		Expect(settings.Check()).To(BeEmpty())
+		Expect(settings.HoldsState()).To(BeTrue())
+		Expect(settings.DrainTimeout()).To(Equal(static.DefaultDrainTimeout))
+		Expect(settings.HeartbeatEvery()).To(Equal(100 * time.Millisecond))
+		Expect(settings.PlatformPollEvery()).To(Equal(500 * time.Millisecond))
+		Expect(parsed(`{"node": "front-1", "log_ring": 10}`).LogRing).To(Equal(10))
+		Expect(parsed("").LogLevel).To(Equal(static.DefaultLogLevel))
+	})
+
+	DescribeTable("report what can't be read, all at once", func(document string, faults ...string) {
+		_, err := static.Parse([]byte(document))
+		Expect(faultsOf(err.(static.Errors).Unwrap())).To(Equal(faults))
+		Expect(err).To(MatchError(Not(BeEmpty())))
+	},
+		Entry("no mapping", "[]", "unreadable "),
+		Entry("no YAML", "node: [", "unreadable "),
+		Entry("oversize", strings.Repeat(" ", 1<<20+1), "unreadable "),
+		Entry("unknown, twice and of the wrong type", "nodes: a\nzone: a\nzone: b\nlog_ring: many\nseeds: {}\n",
+			"unknown_field nodes", "duplicate zone", "malformed log_ring", "malformed seeds"),
+	)
+
+	DescribeTable("are checked", func(change func(s *static.Settings), faults ...string) {
+		settings := parsed(validSettings)
+		change(settings)
+		Expect(faultsOf(settings.Check())).To(Equal(faults))
+	},
+		Entry("node empty", func(s *static.Settings) { s.Node = "" }, "missing node", "inconsistent data_folder"),
+		Entry("zone of wrong form", func(s *static.Settings) { s.Zone = "a b"; s.GroupZones = nil }, "invalid zone"),
+		Entry("addresses of wrong form", func(s *static.Settings) { s.Internal = "host:1"; s.Traffic = ""; s.Control = "127.0.0.1:0" },
+			"invalid internal", "missing traffic", "invalid control"),
+		Entry("unspecified address", func(s *static.Settings) { s.Internal = "0.0.0.0:7100" }, "invalid internal"),
+		Entry("one address for two listeners", func(s *static.Settings) { s.Control = s.Traffic }, "duplicate control"),
+		Entry("too many seeds, one twice", func(s *static.Settings) {
+			s.Seeds = []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:1", "x"}
+		}, "out_of_range seeds", "invalid seeds[3]", "duplicate seeds[2]"),
+		Entry("group empty", func(s *static.Settings) { s.Group, s.GroupZones = nil, nil }, "missing group", "inconsistent data_folder"),
+		Entry("group member twice", func(s *static.Settings) { s.Group[2] = "core-2" }, "duplicate group[2]"),
+		Entry("group too large", func(s *static.Settings) {
+			s.Group = append(strings.Split("abcdefghijklmno", ""), "core-1")
+			s.GroupZones = nil
+		}, "out_of_range group"),
+		Entry("group zones of another length", func(s *static.Settings) { s.GroupZones = s.GroupZones[:2] }, "inconsistent group_zones"),
+		Entry("own zone contradicts", func(s *static.Settings) { s.GroupZones[0] = "b" }, "inconsistent group_zones[0]"),
+		Entry("no folder in group", func(s *static.Settings) { s.DataFolder = "" }, "missing data_folder"),
+		Entry("folder outside group", func(s *static.Settings) { s.Node = "front-1" }, "inconsistent data_folder"),
+		Entry("numbers out of range", func(s *static.Settings) {
+			s.ServiceShards, s.LogRing, s.DrainTimeoutMS, s.HeartbeatEveryMS, s.PlatformPollEveryMS = -1, -1, -1, 251, 1001
+		}, "out_of_range service_shards", "out_of_range log_ring", "out_of_range drain_timeout_ms", "out_of_range heartbeat_every_ms", "out_of_range platform_poll_every_ms"),
+		Entry("log level", func(s *static.Settings) { s.LogLevel = "loud" }, "invalid log_level"),
+		Entry("platform address", func(s *static.Settings) { s.PlatformAddress = "" }, "missing platform_address"),
+	)
+
+	It("take flags over the file", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
+		Expect(os.WriteFile(path, []byte(validSettings), 0o600)).To(Succeed())
+		var settings *static.Settings
+		command := &cli.Command{Flags: static.Flags(), Action: func(_ context.Context, command *cli.Command) error {
+			var err error
+			settings, err = static.FromCommand(command)
+			return err
+		}}
+		arguments := []string{"node", "--settings", path, "--zone", "b", "--seeds", "127.0.0.1:1", "--seeds", "127.0.0.1:2", "--log-ring", "7"}
+		Expect(command.Run(context.Background(), arguments)).To(Succeed())
+		Expect(settings.Zone).To(Equal("b"))
+		Expect(settings.Seeds).To(Equal([]string{"127.0.0.1:1", "127.0.0.1:2"}))
+		Expect(settings.LogRing).To(Equal(7))
+		Expect(settings.Node).To(Equal("core-1"))
+		_, err := static.Load(path + ".absent")
+		Expect(err).To(MatchError(ContainSubstring("name a readable settings file")))
+	})
+})
--- /dev/null
+++ b/pkg/kvrouter/concurrency_test.go
@@ -0,0 +1,94 @@
+package kvrouter_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+var _ = Describe("Router under concurrent use", func() {
+	It("keeps its accounts and never picks what it was not offered", func() {
+		f := newFleet(kvrouter.Options{}, "a", "b", "c", "d")
+		var workers sync.WaitGroup
+		var failures sync.Map
+		for worker := range 4 {
+			workers.Go(func() {
+				for round := range 300 {
+					now := late + time.Duration(round)*time.Millisecond
+					decision, err := f.router.Select(f.request(now, prompt(round%20)), f.candidates)
+					if err != nil || len(decision.Address) != 1 {
+						failures.Store(fmt.Sprint(worker, " ", round), decision.Address)
+						continue
+					}
+					decision.Reservation.FirstToken(now)
+					decision.Reservation.Progress(now, 5)
+					decision.Reservation.Finish(now, round%3 > 0)
+				}
+			})
+		}
+		for _, candidate := range f.candidates {
+			workers.Go(func() { f.disturb(candidate.Address) })
+		}
+		workers.Wait()
+		failures.Range(func(key, value any) bool {
+			Fail(fmt.Sprint("selection ", key, " gave ", value))
+			return false
+		})
+		for _, candidate := range f.candidates {
+			Expect(f.router.Load(late+time.Hour, candidate.Address)).To(BeZero())
+		}
+	})
+})
+
+// disturb feeds events and reports of a replica, and forgets it at times.
+func (f *fleet) disturb(address string) {
+	for round := range uint64(200) {
+		now := late + time.Duration(round)*time.Millisecond
+		f.router.Stored(now, address, life, 2*round+1, links(prompt(10)))
+		f.router.Removed(now, address, life, 2*round+2, hashes(links(prompt(10))[5:]))
+		f.isBusyWith(now, address, round, round, 1)
+		switch round % 50 {
+		case 20:
+			f.router.Reset(now, address, life+round, 1, links(prompt(3)))
+		case 40:
+			f.router.Forget(address)
+		}
+		f.router.ResyncWanted(now)
+		f.router.LinkMeasured("zone", "zone", float64(round))
+	}
+}
+
+// BenchmarkSelect selects for prompts of 32 parts among 18 replicas, on all
+// cores at once.
+func BenchmarkSelect(b *testing.B) {
+	router := kvrouter.New(kvrouter.Options{})
+	var candidates []kvrouter.Candidate
+	for number := range 18 {
+		address := fmt.Sprint("replica-", number)
+		candidates = append(candidates, kvrouter.Candidate{Address: address, Zone: fmt.Sprint(number % 4), WeightVersion: version})
+		router.Report(0, address, kvrouter.Report{WeightVersion: version, Incarnation: life})
+		router.Stored(0, address, life, 1, links(prompt(2*number)))
+	}
+	parts := prompt(32)
+	settings := kvrouter.DefaultSettings()
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			decision, err := router.Select(kvrouter.Request{
+				Now: late, Model: model, Parts: parts, SaltFor: salt, Settings: settings,
+			}, candidates)
+			if err != nil {
+				b.Fatal(err)
+			}
+			decision.Reservation.Finish(late, false)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "selections/s")
+}
--- a/pkg/kvrouter/feed.go
+++ b/pkg/kvrouter/feed.go
@@ -48,6 +48,8 @@
 	started     bool
 	incarnation uint64
 	retired     []uint64
+	// heardAt is when the present life was last heard of.
+	heardAt time.Duration
 	// life counts how often everything was dropped.
 	life          uint64
 	weightVersion string
@@ -69,7 +71,7 @@
 func (f *feed) take(now time.Duration, incarnation uint64, taken event) (status FeedStatus, restarted bool) {
 	f.mutex.Lock()
 	defer f.unlock()
-	current, restarted := f.enter(incarnation)
+	current, restarted := f.enter(now, incarnation)
 	if !current || taken.sequence == 0 {
 		return Stale, false
 	}
@@ -82,26 +84,34 @@
 	return status, restarted
 }
 
-// enter checks the incarnation of an event, and starts a new life if it is new.
-func (f *feed) enter(incarnation uint64) (current, restarted bool) {
+// enter checks the incarnation of an event, and starts a new life if it is
+// newer than the present one.
+//
+// Lives are numbered upwards, so anything else is late news of an earlier life.
+// Only if the present life has been silent for long is it taken for the newest
+// all the same, so that a replica which numbers its lives in another way is
+// believed in the end.
+func (f *feed) enter(now time.Duration, incarnation uint64) (current, restarted bool) {
 	if f.forgotten {
 		return false, false
 	}
+	if f.started && incarnation != f.incarnation {
+		newer := incarnation > f.incarnation && !slices.Contains(f.retired, incarnation)
+		silent := now-f.heardAt >= f.options.ReportLag
+		if !newer && !silent {
+			return false, false
+		}
+		f.retire(f.incarnation)
+		f.begin(incarnation)
+		f.dropAll()
+		restarted = true
+	}
 	if !f.started {
 		f.started = true
 		f.begin(incarnation)
-		return true, false
-	}
-	if incarnation == f.incarnation {
-		return true, false
 	}
-	if slices.Contains(f.retired, incarnation) {
-		return false, false
-	}
-	f.retire(f.incarnation)
-	f.begin(incarnation)
-	f.dropAll()
-	return true, true
+	f.heardAt = max(f.heardAt, now)
+	return true, restarted
 }
 
 func (f *feed) retire(incarnation uint64) {
@@ -232,7 +242,7 @@
 	f.mutex.Lock()
 	defer f.unlock()
 	if report.Incarnation != 0 {
-		current, restarted = f.enter(report.Incarnation)
+		current, restarted = f.enter(now, report.Incarnation)
 		if !current {
 			return false, false
 		}
@@ -326,7 +336,8 @@
 		reports:      f.eventsSeen,
 	}
 	if published := f.published.Load(); published == nil || *published != state {
-		f.published.Store(&state)
+		changed := state // a copy, so that only a change allocates
+		f.published.Store(&changed)
 	}
 	f.mutex.Unlock()
 }
--- a/pkg/kvrouter/options.go
+++ b/pkg/kvrouter/options.go
@@ -11,10 +11,10 @@
 	DefaultBlockTokens            = 16
 	DefaultGuessCredit            = 0.75
 	DefaultReportLag              = 5 * time.Second
-	DefaultBytesPerToken          = 128 << 10
-	DefaultLinkBytesPerSecond     = 1 << 30
+	DefaultBytesPerToken          = 320 << 10
+	DefaultLinkBytesPerSecond     = 2.5e9
 	DefaultLinkLatency            = 2 * time.Millisecond
-	DefaultCrossZoneFactor        = 2.0
+	DefaultCrossZoneFactor        = 1.5
 	DefaultPullAdvantage          = 1.25
 	DefaultMaxPullsPerSource      = 4
 	DefaultPrefillTokensPerSecond = 8000.0
@@ -39,7 +39,8 @@
 	// ReportLag is how long a part counts as predicted on a replica that does
 	// report, from the first token until its report should have come.
 	ReportLag time.Duration
-	// BytesPerToken is the size of the kept state of one token.
+	// BytesPerToken is the size of the kept state of one token. The default is
+	// that of a model with 80 layers of 8 key-value heads of 128 in 16 bits.
 	BytesPerToken float64
 	// LinkBytesPerSecond is assumed of links that were not measured yet.
 	LinkBytesPerSecond float64
--- a/pkg/kvrouter/prompt.go
+++ b/pkg/kvrouter/prompt.go
@@ -1,6 +1,8 @@
 package kvrouter
 
 import (
+	"math"
+
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
@@ -69,13 +71,14 @@
 	return req.SaltFor(version)
 }
 
-// promptTokens counts the tokens of all parts.
-func (req *Request) promptTokens() uint32 {
-	tokens := uint32(0)
+// countTokens counts the tokens of the prompt. The count stays at the largest
+// number instead of wrapping around.
+func (req *Request) countTokens() {
+	tokens := uint64(0)
 	for _, part := range req.Parts {
-		tokens += part.Tokens
+		tokens += uint64(part.Tokens)
 	}
-	return tokens
+	req.promptTokens = uint32(min(tokens, math.MaxUint32))
 }
 
 // identity names the prompt, to spread ties.
--- a/pkg/kvrouter/pull.go
+++ b/pkg/kvrouter/pull.go
@@ -63,25 +63,21 @@
 	p.sources = append(p.sources, pullSource{state: state, zone: zone, reach: reach, isStore: isStore})
 }
 
-// planPull finds the pull that saves a replica the most time, or nil when
-// prefill is about as fast. The pull begins where the replica's own overlap
-// ends. The router's lock is held.
-func (r *Router) planPull(req *Request, p *prompt, state *replicaState, zone string, own prefixindex.Extent) *plannedPull {
-	var best plannedPull
+// planPull finds the pull that saves a replica the most time; planned is false
+// when prefill is about as fast as any. The pull begins where the replica's own
+// overlap ends. The router's lock is held.
+func (r *Router) planPull(req *Request, p *prompt, state *replicaState, zone string, own prefixindex.Extent) (best plannedPull, planned bool) {
 	for at := range p.sources {
 		source := &p.sources[at]
 		if source.state == state || source.reach.Parts <= own.Parts || source.reach.Tokens <= own.Tokens {
 			continue
 		}
-		planned := r.estimatePull(req, source, state, zone, own)
-		if planned.saved > best.saved {
-			best = planned
+		candidate := r.estimatePull(req, source, state, zone, own)
+		if candidate.saved > best.saved {
+			best = candidate
 		}
 	}
-	if best.saved <= 0 {
-		return nil
-	}
-	return &best
+	return best, best.saved > 0
 }
 
 // estimatePull compares a pull with prefill. Its saved time is 0 or less when
--- /dev/null
+++ b/pkg/kvrouter/pull_test.go
@@ -0,0 +1,170 @@
+package kvrouter_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+var _ = Describe("Pull", func() {
+	const (
+		blocks         = 100
+		tokens         = blocks * blockTokens
+		tokensToBytes  = 1000
+		prefillSpeed   = 1000.0
+		fastLink       = 10 * prefillSpeed * tokensToBytes
+		slowLink       = prefillSpeed * tokensToBytes
+		prefillSeconds = tokens / prefillSpeed
+	)
+	var (
+		f       *fleet
+		options kvrouter.Options
+	)
+
+	BeforeEach(func() {
+		options = kvrouter.Options{
+			BytesPerToken:          tokensToBytes,
+			LinkBytesPerSecond:     fastLink,
+			PrefillTokensPerSecond: prefillSpeed,
+			LinkLatency:            time.Millisecond,
+		}
+		f = newFleet(options, "holder", "taker")
+		f.keeps("holder", links(prompt(blocks)))
+	})
+
+	// measure tells the router a bandwidth at the time of the requests.
+	measure := func(from string, bytesPerSecond float64) {
+		f.isBusyWith(late, "taker", 0, 0, 0)
+		f.router.LinkMeasured(from, "zone", bytesPerSecond)
+	}
+
+	// taken selects for the taker although the holder is a candidate.
+	taken := func() kvrouter.Decision {
+		req := f.request(late, prompt(blocks))
+		f.isBusyWith(late, "holder", 0, 10*blocks, 1)
+		decision, err := f.router.Select(req, f.candidates)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decision.Address).To(Equal("taker"))
+		return decision
+	}
+
+	It("fetches what is missing behind the own overlap, up to where the source ends", func() {
+		f.keeps("taker", links(prompt(blocks))[:30])
+		f.router.Removed(0, "holder", life, 2, hashes(links(prompt(blocks))[90:91]))
+		pull := taken().Pull
+		Expect(pull).To(HaveValue(And(
+			HaveField("Source", "holder"),
+			HaveField("FirstPart", 30),
+			HaveField("LastPart", 89),
+			HaveField("Tokens", uint32(60*blockTokens)),
+		)))
+		seconds := 60 * blockTokens * tokensToBytes / fastLink
+		Expect(pull.EstimatedTime.Seconds()).To(BeNumerically("~", seconds+0.001, 1e-6))
+	})
+
+	It("counts the fetched parts with the peer's credit, and not as prefill", func() {
+		decision := taken()
+		Expect(decision.Cost).To(BeNumerically("~", blocks-kvrouter.DefaultPeerCredit*blocks+blocks))
+		Expect(f.router.Load(late, "taker").PrefillBlocks).To(BeZero())
+	})
+
+	It("prefills when the link is too slow, as measured", func() {
+		measure("zone", slowLink)
+		decision := taken()
+		Expect(decision.Pull).To(BeNil())
+		Expect(f.router.Load(late, "taker").PrefillBlocks).To(BeEquivalentTo(blocks))
+		measure("zone", 20*fastLink)
+		Expect(taken().Pull).NotTo(BeNil())
+	})
+
+	It("tries a link that was slow again after a while", func() {
+		measure("zone", slowLink)
+		Expect(taken().Pull).To(BeNil())
+		f.isBusyWith(late+31*time.Second, "holder", 0, 10*blocks, 1)
+		Expect(f.choose(late+31*time.Second, prompt(blocks)).Pull).NotTo(BeNil())
+	})
+
+	It("learns from a first token that came late that the link is slow", func() {
+		for range 8 {
+			decision := taken()
+			if decision.Pull == nil {
+				return
+			}
+			decision.Reservation.FirstToken(late + 4*time.Duration(prefillSeconds*float64(time.Second)))
+			decision.Reservation.Finish(late, false)
+			f.router.Removed(late, "taker", life, 1, nil)
+			f.router.Reset(late, "taker", life, 2, nil)
+		}
+		Fail("the router went on pulling over a slow link")
+	})
+
+	It("prefills where the replica is learnt to be fast", func() {
+		f.candidates = f.candidates[1:]
+		other := []prefixindex.Part{{ID: "other", Tokens: 10_000}}
+		f.choose(late, other).Reservation.FirstToken(late + 100*time.Millisecond)
+		f.candidates = append(f.candidates, kvrouter.Candidate{Address: "holder", Zone: "zone", WeightVersion: version})
+		Expect(taken().Pull).To(BeNil())
+	})
+
+	It("pulls from another zone only for a greater gain", func() {
+		f.candidates[0].Zone = "far"
+		measure("far", 1.6*slowLink)
+		Expect(taken().Pull).To(BeNil())
+		f.candidates[0].Zone = "zone"
+		measure("zone", 1.6*slowLink)
+		Expect(taken().Pull).NotTo(BeNil())
+	})
+
+	It("spares sources that are busy, in doubt, or serve many pulls already", func() {
+		for range kvrouter.DefaultMaxPullsPerSource {
+			Expect(taken().Pull).NotTo(BeNil())
+		}
+		last := taken()
+		Expect(last.Pull).To(BeNil())
+
+		f = newFleet(options, "holder", "taker")
+		f.keeps("holder", links(prompt(blocks)))
+		f.settings.BusyThresholdBlocks = 10 * blocks
+		Expect(taken().Pull).To(BeNil())
+
+		f = newFleet(options, "holder", "taker")
+		f.keeps("holder", links(prompt(blocks)))
+		f.router.Stored(late, "holder", life, 3, nil)
+		Expect(taken().Pull).To(BeNil())
+	})
+
+	It("releases the source at the first token or at the end", func() {
+		for round := range 3 * kvrouter.DefaultMaxPullsPerSource {
+			decision := taken()
+			Expect(decision.Pull).NotTo(BeNil(), "round %d", round)
+			decision.Reservation.Finish(late, false)
+		}
+		for range kvrouter.DefaultMaxPullsPerSource + 1 {
+			f.router.Reset(late, "taker", life, 1, nil)
+			decision := taken()
+			Expect(decision.Pull).NotTo(BeNil())
+			decision.Reservation.FirstToken(late + decision.Pull.EstimatedTime)
+		}
+	})
+
+	It("pulls from the store, which is never chosen to run the request", func() {
+		f = newFleet(options, "taker")
+		f.router.Stored(0, "store", 1, 1, links(prompt(blocks)))
+		req := f.request(late, prompt(blocks))
+		req.Store, req.StoreZone = "store", "zone"
+		decision, err := f.router.Select(req, f.candidates)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decision.Address).To(Equal("taker"))
+		Expect(decision.Pull).To(HaveValue(HaveField("Source", "store")))
+		Expect(decision.Cost).To(BeNumerically("~", blocks-kvrouter.DefaultStoreCredit*blocks+blocks))
+		// A store that comes back empty has a new incarnation.
+		f.router.Reset(late, "store", 2, 1, nil)
+		decision, err = f.router.Select(req, f.candidates)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decision.Pull).To(BeNil())
+	})
+})
--- a/pkg/kvrouter/ramp.go
+++ b/pkg/kvrouter/ramp.go
@@ -15,7 +15,7 @@
 
 // limit returns how many reservations the replica may have.
 func (r ramp) limit(now time.Duration, options *Options) int {
-	elapsed := now - r.since
+	elapsed := max(0, now-r.since)
 	if elapsed >= options.RampDuration {
 		return math.MaxInt
 	}
--- a/pkg/kvrouter/request.go
+++ b/pkg/kvrouter/request.go
@@ -35,6 +35,9 @@
 	// Random draws when the temperature is above 0; nil selects the lowest
 	// cost at any temperature.
 	Random *rand.Rand
+
+	// promptTokens counts the tokens of all parts.
+	promptTokens uint32
 }
 
 // Decision is the outcome of a selection.
--- a/pkg/kvrouter/reservation.go
+++ b/pkg/kvrouter/reservation.go
@@ -13,7 +13,8 @@
 	router *Router
 	state  *replicaState
 	links  []prefixindex.Link
-	pull   *plannedPull
+	pull   plannedPull
+	pulls  bool
 	// life is the life of the replica's feed that the attempt belongs to.
 	life uint64
 	// startedAt, computeTokens and backlogTokens tell how long the first token
@@ -33,9 +34,9 @@
 // reserve adds the load of a request to the chosen replica. The router's lock
 // is held.
 func (r *Router) reserve(req *Request, chosen *scoredCandidate) *Reservation {
-	promptTokens := float64(req.promptTokens())
+	promptTokens := float64(req.promptTokens)
 	compute := promptTokens - float64(chosen.overlap.Likely.Tokens)
-	if chosen.pull != nil {
+	if chosen.pulls {
 		compute -= float64(chosen.pull.tokens)
 		chosen.pull.source.state.pullsServed++
 	}
@@ -44,6 +45,7 @@
 		state:         chosen.state,
 		links:         chosen.prompt.links,
 		pull:          chosen.pull,
+		pulls:         chosen.pulls,
 		life:          chosen.view.life,
 		startedAt:     req.Now,
 		computeTokens: max(0, compute),
@@ -87,7 +89,7 @@
 // time was spent on a pull as well.
 func (r *Reservation) learn(took time.Duration) {
 	computed := r.backlogTokens + r.computeTokens
-	if r.pull == nil {
+	if !r.pulls {
 		r.state.speed.learn(computed, took)
 		return
 	}
@@ -97,7 +99,7 @@
 }
 
 func (r *Reservation) endPull() {
-	if r.pull != nil {
+	if r.pulls {
 		r.pull.source.state.pullsServed--
 	}
 }
--- a/pkg/kvrouter/select.go
+++ b/pkg/kvrouter/select.go
@@ -21,7 +21,8 @@
 	prompt         *prompt
 	view           feedView
 	overlap        prefixindex.Overlap
-	pull           *plannedPull
+	pull           plannedPull
+	pulls          bool
 	backlogTokens  float64
 	activeRequests float64
 	cost           float64
@@ -37,6 +38,7 @@
 	s := r.scratches.Get().(*scratch)
 	defer r.scratches.Put(s)
 	s.reset()
+	req.countTokens()
 	r.lookUp(s, &req, candidates)
 
 	r.mutex.Lock()
@@ -95,17 +97,17 @@
 		view:      state.feed.view(req.Now),
 		overlap:   p.overlaps.Of(state.holder),
 	}
-	scored.pull = r.planPull(req, p, state, candidate.Zone, scored.overlap.Likely)
+	scored.pull, scored.pulls = r.planPull(req, p, state, candidate.Zone, scored.overlap.Likely)
 	total := state.load.total(req.Now, &r.options)
 	active := r.blocks(total)
 	scored.backlogTokens = total.prefillTokens
 	scored.activeRequests = active.ActiveRequests
 	scored.cost = cost(req.Settings, costInputs{
 		activePrefill:  active.PrefillBlocks,
-		incomingPrompt: r.tokensToBlocks(req.promptTokens()),
+		incomingPrompt: r.tokensToBlocks(req.promptTokens),
 		overlapCredit:  r.credit(req.Settings, &scored),
 		activeDecode:   active.DecodeBlocks,
-		incomingDecode: r.tokensToBlocks(req.promptTokens()) + r.tokensToBlocks(req.OutputTokens),
+		incomingDecode: r.tokensToBlocks(req.promptTokens) + r.tokensToBlocks(req.OutputTokens),
 		activeRequests: active.ActiveRequests,
 	})
 	return scored
@@ -121,7 +123,7 @@
 		certain = 0
 	}
 	credit := settings.OwnCredit * (certain + r.options.GuessCredit*guessed)
-	if scored.pull != nil {
+	if scored.pulls {
 		credit += scored.pull.credit(settings) * r.tokensToBlocks(scored.pull.tokens)
 	}
 	return credit
@@ -138,10 +140,10 @@
 		WeightVersion: chosen.candidate.WeightVersion,
 		CacheSalt:     chosen.prompt.salt,
 		OverlapTokens: chosen.overlap.Likely.Tokens,
-		PromptTokens:  req.promptTokens(),
+		PromptTokens:  req.promptTokens,
 		Cost:          chosen.cost,
 	}
-	if chosen.pull != nil {
+	if chosen.pulls {
 		decision.Pull = chosen.pull.pull()
 	}
 	decision.Reservation = r.reserve(req, chosen)
--- /dev/null
+++ b/pkg/kvrouter/select_test.go
@@ -0,0 +1,210 @@
+package kvrouter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// slowLinks make every pull dearer than prefill.
+var slowLinks = kvrouter.Options{LinkBytesPerSecond: 1}
+
+var _ = Describe("Select", func() {
+	It("scores the three workers of the paper's figure as the paper does", func() {
+		f := newFleet(slowLinks, "worker-1", "worker-2", "worker-3")
+		f.settings.BusyThresholdBlocks = 100
+		whole := links(prompt(60))
+		f.keeps("worker-1", whole[:48])
+		f.keeps("worker-2", whole[:20])
+		f.keeps("worker-3", whole)
+		f.isBusyWith(late, "worker-1", 0, 46, 1)
+		f.isBusyWith(late, "worker-2", 0, 8, 1)
+		f.isBusyWith(late, "worker-3", 0, 100, 1)
+		chosen := f.choose(late, prompt(60))
+		Expect(chosen.Address).To(Equal("worker-2"))
+		// The figure leaves out the 60 blocks that the request will occupy
+		// wherever it goes.
+		Expect(chosen.Cost).To(BeNumerically("~", 48+60))
+		chosen.Reservation.Finish(late, false)
+		f.candidates = f.candidates[:1]
+		Expect(f.choose(late, prompt(60)).Cost).To(BeNumerically("~", 58+60))
+	})
+
+	It("gives the deepest overlap the request when loads are equal", func() {
+		f := newFleet(slowLinks, "a", "b")
+		f.keeps("b", links(prompt(10))[:4])
+		chosen := f.choose(late, prompt(10))
+		Expect(chosen.Address).To(Equal("b"))
+		Expect(chosen.OverlapTokens).To(BeEquivalentTo(4 * blockTokens))
+		Expect(chosen.PromptTokens).To(BeEquivalentTo(10 * blockTokens))
+		Expect(chosen.CacheSalt).To(Equal(salt(version)))
+		Expect(chosen.Pull).To(BeNil())
+	})
+
+	It("weighs the prefill term and the requests as configured", func() {
+		f := newFleet(slowLinks, "a", "b")
+		f.keeps("a", links(prompt(10)))
+		f.isBusyWith(late, "a", 0, 12, 2)
+		Expect(f.choose(late, prompt(10)).Address).To(Equal("b"))
+		f.settings.PrefillLoadScale = 2
+		Expect(f.choose(late, prompt(10)).Address).To(Equal("a"))
+		f.settings.RequestWeight = 20
+		Expect(f.choose(late, prompt(10)).Address).To(Equal("b"))
+	})
+
+	It("never lets a credit make the prefill term negative", func() {
+		f := newFleet(slowLinks, "a")
+		f.keeps("a", links(prompt(10)))
+		f.settings.OwnCredit = 3
+		f.isBusyWith(late, "a", 5, 7, 1)
+		Expect(f.choose(late, prompt(10)).Cost).To(BeNumerically("~", 7+10))
+	})
+
+	It("reads a pool's configuration, with defaults for what is not set", func() {
+		Expect(kvrouter.SettingsFrom(nil)).To(Equal(kvrouter.DefaultSettings()))
+		wanted := kvrouter.DefaultSettings()
+		wanted.PeerCredit, wanted.BusyThresholdBlocks, wanted.Temperature = 0.5, 100, 0.1
+		Expect(kvrouter.SettingsFrom(&ridgeswitchv1.Routing{PeerCredit: 0.5, BusyThresholdBlocks: 100, Temperature: 0.1})).To(Equal(wanted))
+	})
+
+	It("never finds parts kept under another weight version or sharing domain", func() {
+		f := newFleet(kvrouter.Options{LinkBytesPerSecond: 1e15})
+		f.add("old", "zone", "v1")
+		f.add("new", "zone", "v2")
+		f.keeps("old", links(prompt(10)))
+		chosen := f.choose(late, prompt(10))
+		Expect(chosen.Address).To(Equal("old"))
+		chosen.Reservation.Finish(late, false)
+
+		f.candidates = f.candidates[1:]
+		chosen = f.choose(late, prompt(10))
+		Expect(chosen.Address).To(Equal("new"))
+		Expect(chosen.CacheSalt).To(Equal(salt("v2")))
+		Expect(chosen.OverlapTokens).To(BeZero())
+		Expect(chosen.Pull).To(BeNil())
+
+		f = newFleet(kvrouter.Options{}, "a")
+		f.keeps("a", links(prompt(10)))
+		walled := f.request(late, prompt(10))
+		walled.SaltFor = func(weightVersion string) string { return "walled/" + weightVersion }
+		decision, err := f.router.Select(walled, f.candidates)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decision.OverlapTokens).To(BeZero())
+	})
+
+	It("breaks ties by active requests, then spreads them by the prompt", func() {
+		f := newFleet(slowLinks, "a", "b", "c")
+		f.isBusyWith(late, "a", 0, 0, 2)
+		f.isBusyWith(late, "b", 0, 0, 1)
+		f.isBusyWith(late, "c", 0, 0, 2)
+		Expect(f.choose(late, nil).Address).To(Equal("b"))
+
+		counts := map[string]int{}
+		f = newFleet(slowLinks, "a", "b", "c")
+		for number := range 300 {
+			other := []prefixindex.Part{{ID: fmt.Sprint(number), Tokens: 1}}
+			chosen := f.choose(late, other)
+			chosen.Reservation.Finish(late, false)
+			again := f.choose(late, other)
+			again.Reservation.Finish(late, false)
+			Expect(again.Address).To(Equal(chosen.Address))
+			counts[chosen.Address]++
+		}
+		Expect(counts).To(HaveLen(3))
+		for _, count := range counts {
+			Expect(count).To(BeNumerically("~", 100, 30))
+		}
+	})
+
+	It("draws by the seeded random numbers when the temperature is above 0", func() {
+		f := newFleet(slowLinks, "a", "b", "c")
+		f.isBusyWith(late, "b", 0, 50, 0)
+		f.isBusyWith(late, "c", 0, 100, 0)
+		draw := func(temperature float64, seed uint64) (counts map[string]int, order string) {
+			counts = map[string]int{}
+			req := f.request(late, prompt(1))
+			req.Settings.Temperature = temperature
+			req.Random = rand.New(rand.NewPCG(seed, 0))
+			for range 600 {
+				decision, err := f.router.Select(req, f.candidates)
+				Expect(err).NotTo(HaveOccurred())
+				decision.Reservation.Finish(late, false)
+				counts[decision.Address]++
+				order += decision.Address
+			}
+			return counts, order
+		}
+		// The normalized costs are 0, 0.5 and 1: weights 1, e^-1 and e^-2.
+		counts, order := draw(0.5, 1)
+		Expect(counts["a"]).To(BeNumerically("~", 399, 40))
+		Expect(counts["b"]).To(BeNumerically("~", 147, 40))
+		Expect(counts["c"]).To(BeNumerically("~", 54, 30))
+		_, again := draw(0.5, 1)
+		Expect(again).To(Equal(order))
+		counts, _ = draw(0, 1)
+		Expect(counts).To(Equal(map[string]int{"a": 600}))
+	})
+
+	It("says why no replica can take a request", func() {
+		f := newFleet(slowLinks, "a", "b")
+		refusal := func(req kvrouter.Request, candidates []kvrouter.Candidate) kvrouter.Reason {
+			_, err := f.router.Select(req, candidates)
+			var refused *kvrouter.NoReplicaError
+			Expect(err).To(BeAssignableToTypeOf(refused))
+			refused = err.(*kvrouter.NoReplicaError)
+			Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+			Expect(refused.Error()).To(ContainSubstring("again after"))
+			return refused.Reason
+		}
+		req := f.request(late, prompt(1))
+		Expect(refusal(req, nil)).To(Equal(kvrouter.NoneListed))
+		req.Exclude = func(string) bool { return true }
+		Expect(refusal(req, f.candidates)).To(Equal(kvrouter.AllExcluded))
+		f.settings.BusyThresholdBlocks = 10
+		f.isBusyWith(late, "a", 4, 6, 1)
+		req = f.request(late, prompt(1))
+		req.Exclude = func(address string) bool { return address == "b" }
+		Expect(refusal(req, f.candidates)).To(Equal(kvrouter.AllBusy))
+		Expect(f.choose(late, prompt(1)).Address).To(Equal("b"))
+	})
+})
+
+var _ = Describe("Slow start", func() {
+	// admitted counts the requests that a replica takes at once.
+	admitted := func(f *fleet, now time.Duration) (count int) {
+		var reservations []*kvrouter.Reservation
+		for count < 1000 {
+			decision, err := f.router.Select(f.request(now, nil), f.candidates)
+			if err != nil {
+				break
+			}
+			reservations = append(reservations, decision.Reservation)
+			count++
+		}
+		for _, reservation := range reservations {
+			reservation.Finish(now, false)
+		}
+		return count
+	}
+
+	It("ramps up the requests of a replica that is new, restarted or warming", func() {
+		f := newFleet(kvrouter.Options{}, "a")
+		Expect(admitted(f, 0)).To(Equal(4))
+		Expect(admitted(f, 5*time.Second)).To(Equal(24))
+		Expect(admitted(f, 10*time.Second)).To(Equal(1000))
+
+		f.router.Report(late, "a", kvrouter.Report{WeightVersion: version, Incarnation: life, Warming: true})
+		Expect(admitted(f, late)).To(Equal(4))
+		Expect(admitted(f, late+10*time.Second)).To(Equal(1000))
+
+		f.router.Reset(2*late, "a", life+1, 1, nil)
+		Expect(admitted(f, 2*late)).To(Equal(4))
+	})
+})
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -4,13 +4,15 @@
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 )
 
-// Defaults of Settings.
+// Defaults of Settings. The busy threshold lies above the blocks that fit into
+// a replica's memory, since requests that share a prefix share its blocks there
+// but count them each.
 const (
 	DefaultPrefillLoadScale    = 1.0
 	DefaultOwnCredit           = 1.0
 	DefaultPeerCredit          = 0.75
 	DefaultStoreCredit         = 0.5
-	DefaultBusyThresholdBlocks = 16384
+	DefaultBusyThresholdBlocks = 32768
 )
 
 // Settings are the knobs of selection for one pool.
--- /dev/null
+++ b/pkg/kvrouter/suite_test.go
@@ -0,0 +1,104 @@
+package kvrouter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+func TestKVRouter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "kvrouter")
+}
+
+const (
+	model       = "model"
+	version     = "v1"
+	blockTokens = kvrouter.DefaultBlockTokens
+	// late is a time at which slow start is over for replicas first seen at 0.
+	late = time.Minute
+	// life is the incarnation that replicas begin with.
+	life = 7
+)
+
+// fleet is a router with replicas a, b and so on in one zone each by choice.
+type fleet struct {
+	router     *kvrouter.Router
+	candidates []kvrouter.Candidate
+	sequences  map[string]uint64
+	settings   kvrouter.Settings
+}
+
+// newFleet returns a router that has known its replicas since time 0.
+func newFleet(options kvrouter.Options, addresses ...string) *fleet {
+	f := &fleet{router: kvrouter.New(options), sequences: map[string]uint64{}, settings: kvrouter.DefaultSettings()}
+	for _, address := range addresses {
+		f.add(address, "zone", version)
+	}
+	return f
+}
+
+func (f *fleet) add(address, zone, weightVersion string) {
+	f.candidates = append(f.candidates, kvrouter.Candidate{Address: address, Zone: zone, WeightVersion: weightVersion})
+	f.router.Report(0, address, kvrouter.Report{WeightVersion: weightVersion, Incarnation: life})
+}
+
+// prompt is a prompt of parts of one block each, named by position.
+func prompt(blocks int) []prefixindex.Part {
+	return lo.Times(blocks, func(position int) prefixindex.Part {
+		return prefixindex.Part{ID: fmt.Sprint("part ", position), Tokens: blockTokens}
+	})
+}
+
+func salt(weightVersion string) string { return "domain/" + weightVersion }
+
+func links(parts []prefixindex.Part) []prefixindex.Link {
+	return prefixindex.Chain(model, salt(version), parts)
+}
+
+func hashes(links []prefixindex.Link) []prefixindex.ChainHash {
+	return lo.Map(links, func(link prefixindex.Link, _ int) prefixindex.ChainHash { return link.Hash })
+}
+
+// keeps makes a replica report parts of the prompt.
+func (f *fleet) keeps(address string, kept []prefixindex.Link) {
+	f.sequences[address]++
+	Expect(f.router.Stored(0, address, life, f.sequences[address], kept)).To(Equal(kvrouter.Accepted))
+}
+
+// isBusyWith makes a replica report load, in blocks.
+func (f *fleet) isBusyWith(now time.Duration, address string, prefill, decode uint64, requests uint32) {
+	f.router.Report(now, address, kvrouter.Report{
+		ActivePrefillTokens: prefill * blockTokens,
+		ActiveDecodeTokens:  decode * blockTokens,
+		ActiveRequests:      requests,
+		WeightVersion:       version,
+		Incarnation:         life,
+	})
+}
+
+func (f *fleet) request(now time.Duration, parts []prefixindex.Part) kvrouter.Request {
+	return kvrouter.Request{Now: now, Model: model, Parts: parts, SaltFor: salt, Settings: f.settings}
+}
+
+func (f *fleet) choose(now time.Duration, parts []prefixindex.Part) kvrouter.Decision {
+	decision, err := f.router.Select(f.request(now, parts), f.candidates)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return decision
+}
+
+// overlap returns how many tokens the router thinks that a replica keeps.
+func (f *fleet) overlap(now time.Duration, address string, parts []prefixindex.Part) uint32 {
+	only := lo.Filter(f.candidates, func(candidate kvrouter.Candidate, _ int) bool { return candidate.Address == address })
+	decision, err := f.router.Select(f.request(now, parts), only)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	decision.Reservation.Finish(now, false)
+	return decision.OverlapTokens
+}
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -22,6 +22,9 @@
 const (
 	// gossipFanOut is how many members each holder of news passes it to.
 	gossipFanOut = 4
+	// leastHeartbeatsInFence heartbeats must fit into FenceAfter, so that one may
+	// be lost before others are tried, and there is time to change to them.
+	leastHeartbeatsInFence = 4
 	// probeRounds is how many heartbeat rounds lie between two digests sent to
 	// a member beyond the monitors, which heals splits.
 	probeRounds = 5
@@ -39,7 +42,9 @@
 	Seeds []string
 	// MonitorCount is how many monitors a member chooses, when there are
 	// enough members.
-	MonitorCount   int
+	MonitorCount int
+	// HeartbeatEvery is the time between two heartbeats; a quarter of FenceAfter
+	// at most.
 	HeartbeatEvery time.Duration
 	// FenceAfter is how long a member may serve after it sent the newest
 	// heartbeat that enough monitors acknowledged.
@@ -59,6 +64,7 @@
 	c.FenceAfter = defaultDuration(c.FenceAfter, DefaultFenceAfter)
 	c.FenceMargin = defaultDuration(c.FenceMargin, DefaultFenceMargin)
 	c.ForgetAfter = defaultDuration(c.ForgetAfter, DefaultForgetAfter)
+	c.HeartbeatEvery = min(c.HeartbeatEvery, c.FenceAfter/leastHeartbeatsInFence)
 	return c
 }
 
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -2,20 +2,25 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
-// exchangesPerHeartbeat bounds how often a node starts a whole exchange.
-const exchangesPerHeartbeat = 4
+// A node starts a whole exchange at most exchangesPerHeartbeat times in
+// HeartbeatEvery, and less often the more it would send.
+const (
+	exchangesPerHeartbeat = 4
+	exchangePerRecord     = time.Millisecond
+)
 
 // mergeAll takes in the records of a message.
 func (m *Machine) mergeAll(msg Message) {
 	for _, record := range msg.Records {
 		m.merge(record)
 	}
-	if msg.Type == MessageJoinReply {
+	if msg.Type == MessageJoinReply && !m.joined {
 		// The seed's neighbours know the table already; only this node is new.
 		clear(m.news)
 		m.news[m.config.Self.ID] = true
@@ -25,10 +30,11 @@
 // merge joins one record into the table and notes what is news.
 func (m *Machine) merge(record Record) {
 	id := record.Info.ID
+	if id == "" {
+		return
+	}
 	if id == m.config.Self.ID && m.outlivedBy(record) {
-		if !m.life.left {
-			m.nextLife(record.Info.Incarnation + 1)
-		}
+		m.outlive(record.Info.Incarnation)
 		return
 	}
 	if over, forgotten := m.ended[id]; forgotten && record.Info.Incarnation <= over {
@@ -56,6 +62,9 @@
 	m.table[id] = &entry{record: record, watch: watch{heard: m.now}}
 	at, _ := slices.BinarySearch(m.order, id)
 	m.order = slices.Insert(m.order, at, id)
+	if id != m.config.Self.ID {
+		m.ring.insert(id)
+	}
 	m.digest += recordDigest(record)
 	m.news[id] = true
 }
@@ -65,6 +74,7 @@
 	delete(m.table, id)
 	at, _ := slices.BinarySearch(m.order, id)
 	m.order = slices.Delete(m.order, at, at+1)
+	m.ring.remove(id)
 }
 
 // outlivedBy tells whether the table speaks of a life of this node that this
@@ -76,6 +86,16 @@
 	return record.Version > m.life.version
 }
 
+// outlive begins a life after the given one. Should two processes run under one
+// ID, they outbid each other no faster than once in FenceAfter.
+func (m *Machine) outlive(incarnation member.Incarnation) {
+	if m.life.left || m.now < m.nextOutlive {
+		return
+	}
+	m.nextOutlive = m.now + m.config.FenceAfter
+	m.nextLife(incarnation + 1)
+}
+
 // updateWatch starts the timer anew for each new life and each new set, since
 // this node learnt of it only now.
 func (m *Machine) updateWatch(e *entry, merged Record) {
@@ -107,10 +127,14 @@
 	if msg.Digest == m.digest || m.now < m.nextExchange {
 		return
 	}
-	m.nextExchange = m.now + m.config.HeartbeatEvery/exchangesPerHeartbeat
+	m.nextExchange = m.now + m.exchangeEvery()
 	m.reply(msg, Message{Type: MessageGossip, Full: true, Records: m.Members()})
 }
 
+func (m *Machine) exchangeEvery() time.Duration {
+	return m.config.HeartbeatEvery/exchangesPerHeartbeat + time.Duration(len(m.order))*exchangePerRecord
+}
+
 // newerThan returns the records that would change the given table.
 func (m *Machine) newerThan(theirs []Record) []Record {
 	held := map[member.ID]Record{}
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -108,11 +108,13 @@
 		p.contact = max(p.contact, sentAt)
 		p.answered = true
 	}
+	if len(m.life.sets) == 0 || m.life.left {
+		return
+	}
 	for i := range m.life.sets {
 		m.life.sets[i].acknowledge(msg, sentAt)
 	}
-	m.retireSets()
-	m.noteServing()
+	m.settleSets()
 }
 
 func (m *Machine) sentAt(sequence uint64) (time.Duration, bool) {
--- a/pkg/membership/life.go
+++ b/pkg/membership/life.go
@@ -24,6 +24,8 @@
 	// sets are the monitor sets that may still fence this life, oldest first.
 	// There are two while one replaces the other.
 	sets []monitorSet
+	// deadline is the fence deadline that the sets amount to.
+	deadline time.Duration
 	// served tells whether this life was ever unfenced.
 	served bool
 	left   bool
@@ -86,14 +88,7 @@
 // FenceDeadline returns the instant at which Fenced becomes true unless more
 // acknowledgements come; Never if nothing can fence this node.
 func (m *Machine) FenceDeadline() time.Duration {
-	if m.life.left || len(m.life.sets) == 0 {
-		return 0
-	}
-	deadline := Never
-	for i := range m.life.sets {
-		deadline = min(deadline, m.life.sets[i].deadline(m.config.FenceAfter))
-	}
-	return max(deadline, 0)
+	return m.life.deadline
 }
 
 // FenceCount returns how many lives of this process are over. A node may serve
@@ -125,7 +120,7 @@
 	m.life = life{incarnation: incarnation, firstSequence: m.sequence + 1, beganAt: m.now}
 	m.sent = nil
 	for _, p := range m.peers {
-		p.restart(m.now)
+		p.restart(m.now, m.config.unresponsiveAfter(), m.avoidUntil())
 	}
 	m.publishSelf()
 }
@@ -150,9 +145,8 @@
 		}
 	}
 	m.life.sets = append(m.life.sets, set)
-	m.retireSets()
+	m.settleSets()
 	m.publishSelf()
-	m.noteServing()
 	m.nextHeartbeat = m.now
 }
 
@@ -173,17 +167,18 @@
 	return &m.life.sets[len(m.life.sets)-1]
 }
 
-// retireSets drops the replaced sets that can't be certainly fenced any more.
-func (m *Machine) retireSets() {
+// settleSets drops the replaced sets that can't be certainly fenced any more,
+// and derives the deadline: every set that is left must have its majority.
+func (m *Machine) settleSets() {
 	for len(m.life.sets) > 1 && m.life.sets[0].retired() {
 		m.life.sets = m.life.sets[1:]
 	}
-}
-
-func (m *Machine) noteServing() {
-	if !m.Fenced(m.now) {
-		m.life.served = true
+	deadline := Never
+	for i := range m.life.sets {
+		deadline = min(deadline, m.life.sets[i].deadline(m.config.FenceAfter))
 	}
+	m.life.deadline = max(deadline, 0)
+	m.life.served = m.life.served || !m.Fenced(m.now)
 }
 
 // publishSelf writes this node's own row and marks it as news.
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -20,6 +20,7 @@
 	nextHeartbeat time.Duration
 	nextExchange  time.Duration
 	nextJoin      time.Duration
+	nextOutlive   time.Duration
 	rounds        uint64
 	joined        bool
 	startedAt     time.Duration
@@ -27,6 +28,7 @@
 	table map[member.ID]*entry
 	// order holds the IDs of the table, sorted.
 	order []member.ID
+	ring  ring
 	// digest summarises the table.
 	digest uint64
 	// ended keeps the newest life of each forgotten member, which is over.
@@ -64,6 +66,7 @@
 		nextHeartbeat: now,
 		nextJoin:      now,
 		startedAt:     now,
+		ring:          newRing(cfg.Self.ID),
 		table:         map[member.ID]*entry{},
 		ended:         map[member.ID]member.Incarnation{},
 		news:          map[member.ID]bool{},
@@ -81,7 +84,7 @@
 	if m.life.left {
 		return nil
 	}
-	m.forgiveOwnPause()
+	m.lastTick = m.now
 	m.join()
 	m.reportSilences()
 	m.forget()
@@ -95,7 +98,7 @@
 // Step takes one message in.
 func (m *Machine) Step(now time.Duration, msg Message) []Outbound {
 	m.advance(now)
-	if msg.From.ID == m.config.Self.ID {
+	if msg.From.ID == m.config.Self.ID || msg.From.ID == "" {
 		return m.flush()
 	}
 	m.mergeAll(msg)
@@ -126,6 +129,7 @@
 		return nil
 	}
 	m.life.left = true
+	m.life.deadline = 0
 	m.publishSelf()
 	record := m.selfRecord().clone()
 	clear(m.news)
@@ -137,20 +141,49 @@
 	return m.flush()
 }
 
+// Remove announces that a member's process has stopped for good, on the word of
+// an operator: for a machine that was taken away together with its monitors, so
+// that nobody is left to be certain. It is refused for this node itself, for
+// members that aren't known, and for a life that isn't the newest. A process
+// that runs nevertheless begins a new life as soon as it hears of it; until then
+// it may serve, against what CertainlyFenced says.
+func (m *Machine) Remove(now time.Duration, id member.ID, incarnation member.Incarnation) ([]Outbound, error) {
+	m.advance(now)
+	e, known := m.table[id]
+	switch {
+	case id == m.config.Self.ID:
+		return m.flush(), &RemoveError{ID: id, Reason: RemoveSelf}
+	case !known:
+		return m.flush(), &RemoveError{ID: id, Reason: RemoveUnknown}
+	case e.record.Info.Incarnation != incarnation:
+		return m.flush(), &RemoveError{ID: id, Reason: RemoveOtherLife}
+	}
+	record := e.record.clone()
+	record.Version++
+	record.State = StateLeft
+	m.merge(record)
+	return m.flush(), nil
+}
+
 // advance moves the clock, and ends the life that its fence has ended.
 func (m *Machine) advance(now time.Duration) {
 	m.now = max(m.now, now)
+	m.forgiveOwnPause()
 	m.endFencedLife()
 }
 
-// forgiveOwnPause starts all timers anew when this node itself was stopped for
-// so long that what it didn't hear says nothing about others.
+// paused tells whether this node was stopped for so long that what it didn't
+// hear says nothing about others.
+func (m *Machine) paused() bool {
+	return m.now-m.lastTick > m.config.unresponsiveAfter()
+}
+
+// forgiveOwnPause starts all timers anew after a pause.
 func (m *Machine) forgiveOwnPause() {
-	paused := m.now-m.lastTick > m.config.unresponsiveAfter()
-	m.lastTick = m.now
-	if !paused {
+	if !m.paused() {
 		return
 	}
+	m.lastTick = m.now
 	for _, e := range m.table {
 		e.watch.heard = m.now
 	}
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -88,8 +88,8 @@
 	Records []Record
 }
 
-// Outbound is a message and where it goes. Address is set alone when the
-// receiver's ID is not known yet, as with seeds.
+// Outbound is a message and where it goes: to a node that listens on Address.
+// To is empty when the receiver's ID is not known yet, as with seeds.
 type Outbound struct {
 	To      member.ID
 	Address string
--- a/pkg/membership/monitors.go
+++ b/pkg/membership/monitors.go
@@ -27,8 +27,13 @@
 	avoidUntil      time.Duration
 }
 
-// restart forgets what the peer said of an earlier life.
-func (p *peer) restart(now time.Duration) {
+// restart forgets what the peer said of an earlier life. A peer that seems
+// lost is not waited for again.
+func (p *peer) restart(now, unresponsiveAfter, avoidUntil time.Duration) {
+	if p.targeted && now-p.lastSign() >= unresponsiveAfter {
+		p.targeted = false
+		p.avoidUntil = avoidUntil
+	}
 	p.since = now
 	p.answered = false
 	p.contact = 0
@@ -80,25 +85,26 @@
 // wantedMonitors chooses among the members that answer, and takes others only
 // if there are too few: a node that nobody answers must stay fenced.
 func (m *Machine) wantedMonitors() []member.ID {
-	var answering, others []member.Info
-	for _, id := range m.order {
-		e := m.table[id]
+	count := m.config.MonitorCount
+	answering := monitorChoice{count: count}
+	others := monitorChoice{count: count}
+	for _, place := range m.ring.successors {
+		record := &m.table[place.id].record
 		switch {
-		case id == m.config.Self.ID || e.record.certainlyFenced():
+		case record.certainlyFenced():
 			continue
-		case m.responsive(&e.record):
-			answering = append(answering, e.record.Info)
+		case m.responsive(record):
+			answering.offer(record.Info)
 		default:
-			others = append(others, e.record.Info)
+			others.offer(record.Info)
+		}
+		if answering.complete() {
+			break
 		}
 	}
-	self := m.config.Self.ID
-	count := m.config.MonitorCount
-	wanted := chooseMonitors(ringSuccessors(self, answering), count)
-	if len(wanted) < count {
-		wanted = append(wanted, chooseMonitors(ringSuccessors(self, others), count-len(wanted))...)
-		slices.Sort(wanted)
-	}
+	wanted := answering.chosen(count)
+	wanted = append(wanted, others.chosen(count-len(wanted))...)
+	slices.Sort(wanted)
 	return wanted
 }
 
@@ -114,11 +120,15 @@
 		return true
 	}
 	if m.now >= p.avoidUntil {
-		p.avoidUntil = m.now + retryUnresponsiveFences*m.config.FenceAfter
+		p.avoidUntil = m.avoidUntil()
 	}
 	return false
 }
 
+func (m *Machine) avoidUntil() time.Duration {
+	return m.now + retryUnresponsiveFences*m.config.FenceAfter
+}
+
 // target directs heartbeats to the monitors of all sets and to those wanted.
 func (m *Machine) target(wanted []member.ID) {
 	targets := map[member.ID]bool{}
--- a/pkg/membership/ring.go
+++ b/pkg/membership/ring.go
@@ -8,41 +8,86 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
-// ringPosition is the place of a member on the ring.
+// ring lists the other members in the order in which they follow one origin on
+// a circle of hashes.
+type ring struct {
+	origin     uint64
+	successors []ringPlace
+}
+
+// ringPlace is a member and its distance from the origin.
+type ringPlace struct {
+	distance uint64
+	id       member.ID
+}
+
+// ringPosition is the place of a member on the circle.
 func ringPosition(id member.ID) uint64 {
 	return xxhash.Sum64String(string(id))
 }
 
-// ringSuccessors sorts candidates by their distance after self on the ring.
-func ringSuccessors(self member.ID, candidates []member.Info) []member.Info {
-	origin := ringPosition(self)
-	sorted := slices.Clone(candidates)
-	slices.SortFunc(sorted, func(a, b member.Info) int {
-		// Unsigned subtraction wraps, which closes the ring.
-		return cmp.Or(
-			cmp.Compare(ringPosition(a.ID)-origin, ringPosition(b.ID)-origin),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
-	return sorted
-}
-
-// chooseMonitors takes count successors, first one from each zone and then in
-// plain order, so that the loss of one zone takes as few as possible.
-func chooseMonitors(successors []member.Info, count int) []member.ID {
-	var chosen []member.ID
-	zones := map[string]bool{}
-	for _, candidate := range successors {
-		if len(chosen) < count && !zones[candidate.Zone] {
-			zones[candidate.Zone] = true
-			chosen = append(chosen, candidate.ID)
-		}
+func newRing(origin member.ID) ring {
+	return ring{origin: ringPosition(origin)}
+}
+
+// place works out a member's distance. Unsigned subtraction wraps, which closes
+// the circle.
+func (r *ring) place(id member.ID) ringPlace {
+	return ringPlace{distance: ringPosition(id) - r.origin, id: id}
+}
+
+func (r *ring) insert(id member.ID) {
+	place := r.place(id)
+	at, found := slices.BinarySearchFunc(r.successors, place, compareRingPlaces)
+	if !found {
+		r.successors = slices.Insert(r.successors, at, place)
+	}
+}
+
+func (r *ring) remove(id member.ID) {
+	at, found := slices.BinarySearchFunc(r.successors, r.place(id), compareRingPlaces)
+	if found {
+		r.successors = slices.Delete(r.successors, at, at+1)
 	}
-	for _, candidate := range successors {
-		if len(chosen) < count && !slices.Contains(chosen, candidate.ID) {
-			chosen = append(chosen, candidate.ID)
+}
+
+func compareRingPlaces(a, b ringPlace) int {
+	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.id, b.id))
+}
+
+// monitorChoice collects monitors in ring order: first one from each zone, then
+// the nearest of the rest, so that the loss of a zone takes as few as possible.
+type monitorChoice struct {
+	count int
+	// perZone are the nearest members of distinct zones.
+	perZone []member.Info
+	// rest are the nearest members that perZone passed over.
+	rest []member.Info
+}
+
+// offer considers the next member of the ring.
+func (c *monitorChoice) offer(candidate member.Info) {
+	sameZone := func(chosen member.Info) bool { return chosen.Zone == candidate.Zone }
+	switch {
+	case len(c.perZone) < c.count && !slices.ContainsFunc(c.perZone, sameZone):
+		c.perZone = append(c.perZone, candidate)
+	case len(c.rest) < c.count:
+		c.rest = append(c.rest, candidate)
+	}
+}
+
+// complete tells whether no later member can be chosen.
+func (c *monitorChoice) complete() bool {
+	return len(c.perZone) == c.count
+}
+
+// chosen returns at most limit monitors.
+func (c *monitorChoice) chosen(limit int) []member.ID {
+	var ids []member.ID
+	for _, info := range slices.Concat(c.perZone, c.rest) {
+		if len(ids) < limit {
+			ids = append(ids, info.ID)
 		}
 	}
-	slices.Sort(chosen)
-	return chosen
+	return ids
 }
--- /dev/null
+++ b/pkg/membership/table_test.go
@@ -0,0 +1,172 @@
+package membership_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+	"github.com/samber/lo"
+)
+
+var _ = Describe("the table", func() {
+	It("does not depend on the order in which records come", func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 300 {
+			records := randomRecords(random, 12)
+			first := tableOf(records)
+			random.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+			Expect(tableOf(records)).To(Equal(first))
+		}
+	})
+
+	DescribeTable("counts a silence only under the set and from the processes that the member named",
+		func(version uint64, firstBoot, secondBoot member.Incarnation, certain bool) {
+			record := randomRecords(rand.New(rand.NewPCG(1, 1)), 1)[0]
+			record.MonitorSetVersion = 2
+			record.Silences = []membership.Silence{
+				{Monitor: "m1", MonitorBoot: firstBoot, Incarnation: record.Info.Incarnation, MonitorSetVersion: version},
+				{Monitor: "m2", MonitorBoot: secondBoot, Incarnation: record.Info.Incarnation, MonitorSetVersion: version},
+			}
+			Expect(tableOf([]membership.Record{record}).State == membership.StateFenced).To(Equal(certain))
+		},
+		Entry("both", uint64(2), member.Incarnation(1), member.Incarnation(1), true),
+		Entry("one monitor started again", uint64(2), member.Incarnation(1), member.Incarnation(9), false),
+		Entry("an earlier set", uint64(1), member.Incarnation(1), member.Incarnation(1), false),
+		Entry("a later set, not yet known", uint64(3), member.Incarnation(1), member.Incarnation(1), false),
+	)
+
+	It("gives a member the full time from when its new set is learnt", func() {
+		monitor := membership.New(membership.Config{Self: member.Info{ID: "m1", Incarnation: 1}}, 0)
+		record := membership.Record{
+			Info:              member.Info{ID: "x", Address: "x", Incarnation: 5},
+			MonitorSetVersion: 1,
+			Monitors:          []member.ID{"m1", "m2", "m3"},
+			MonitorBoots:      []member.Incarnation{1, 1, 1},
+			Version:           1,
+		}
+		var reportedAt time.Duration
+		for now := time.Duration(0); reportedAt == 0; now += 100 * time.Millisecond {
+			if now == time.Second {
+				record.MonitorSetVersion, record.Version = 2, 2
+			}
+			gossip := membership.Message{Type: membership.MessageGossip, From: record.Info, Records: []membership.Record{record}}
+			monitor.Step(now, gossip)
+			monitor.Tick(now)
+			if rowOfX(monitor).State == membership.StateSuspect {
+				reportedAt = now
+			}
+		}
+		Expect(reportedAt).To(Equal(2200 * time.Millisecond))
+	})
+
+	It("forgets lives that are over, and remembers that they are", func() {
+		w := newNetwork(3)
+		w.config.ForgetAfter = 5 * time.Second
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			w.add(name, name)
+		}
+		for _, name := range w.names {
+			w.start(name, "a", "b")
+		}
+		w.runUntil(2 * time.Second)
+		incarnation := w.nodes["e"].incarnation
+		w.kill("e")
+		w.runUntil(20 * time.Second)
+		for _, name := range []string{"a", "b", "c", "d"} {
+			machine := w.nodes[name].machine
+			Expect(machine.Members()).To(HaveLen(4))
+			Expect(machine.CertainlyFenced("e")).To(BeTrue())
+			Expect(machine.LifeEnded("e", incarnation)).To(BeTrue())
+		}
+		w.start("e", "b")
+		w.runUntil(22 * time.Second)
+		Expect(w.nodes["a"].machine.Alive("e")).To(BeTrue())
+		Expect(w.nodes["a"].machine.CertainlyFenced("e")).To(BeFalse())
+		Expect(w.nodes["a"].machine.LifeEnded("e", incarnation)).To(BeTrue())
+	})
+
+	It("lets a process that started with an old incarnation outlive the table", func() {
+		w := fleetOf(5, 5, 5)
+		w.runUntil(2 * time.Second)
+		w.kill("n04")
+		w.nodes["n04"].incarnation -= 1500
+		w.start("n04", "n00")
+		w.runUntil(5 * time.Second)
+		w.expectAllServing("restarted with an older incarnation")
+		incarnation, _ := w.nodes["n00"].machine.Incarnation("n04")
+		Expect(incarnation).To(BeNumerically(">", 1000))
+	})
+
+	It("removes only the newest life of another member", func() {
+		w := fleetOf(9, 3, 3)
+		w.runUntil(2 * time.Second)
+		for id, reason := range map[member.ID]membership.RemoveReason{
+			"n00": membership.RemoveSelf, "n01": membership.RemoveOtherLife, "x": membership.RemoveUnknown,
+		} {
+			_, err := w.nodes["n00"].machine.Remove(w.clock(w.nodes["n00"]), id, 7)
+			Expect(err).To(Equal(&membership.RemoveError{ID: id, Reason: reason}))
+		}
+	})
+
+	It("spreads monitors over zones", func() {
+		w := fleetOf(9, 17, 4)
+		w.runUntil(4 * time.Second)
+		for _, record := range w.nodes["n00"].machine.Members() {
+			zones := map[string]bool{}
+			for _, id := range record.Monitors {
+				zones[w.nodes[string(id)].zone] = true
+			}
+			Expect(record.Monitors).To(HaveLen(3))
+			Expect(zones).To(HaveLen(3))
+		}
+	})
+})
+
+// randomRecords draws what many tables may say of one member.
+func randomRecords(random *rand.Rand, count int) []membership.Record {
+	monitors := []member.ID{"m1", "m2", "m3"}
+	boots := []member.Incarnation{1, 1, 1}
+	var records []membership.Record
+	for range count {
+		incarnation := member.Incarnation(1 + random.IntN(2))
+		version := uint64(1 + random.IntN(3))
+		record := membership.Record{
+			Info:              member.Info{ID: "x", Incarnation: incarnation},
+			State:             membership.StateAlive,
+			MonitorSetVersion: version,
+			Monitors:          monitors,
+			MonitorBoots:      boots,
+			Version:           version,
+		}
+		for range random.IntN(3) {
+			record.Silences = append(record.Silences, membership.Silence{
+				Monitor:           monitors[random.IntN(len(monitors))],
+				MonitorBoot:       member.Incarnation(1 + random.IntN(2)),
+				Incarnation:       member.Incarnation(1 + random.IntN(2)),
+				MonitorSetVersion: uint64(1 + random.IntN(3)),
+			})
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
+func tableOf(records []membership.Record) membership.Record {
+	machine := membership.New(membership.Config{Self: member.Info{ID: "o", Incarnation: 1}}, 0)
+	for _, record := range records {
+		machine.Step(0, membership.Message{
+			Type:    membership.MessageGossip,
+			From:    member.Info{ID: "y", Address: "y"},
+			Records: []membership.Record{record},
+		})
+	}
+	return rowOfX(machine)
+}
+
+func rowOfX(machine *membership.Machine) membership.Record {
+	isX := func(record membership.Record) bool { return record.Info.ID == "x" }
+	return lo.Must(lo.Find(machine.Members(), isX))
+}
--- a/pkg/membership/timeline_test.go
+++ b/pkg/membership/timeline_test.go
@@ -14,7 +14,7 @@
 
 // Each file of testdata is a timeline: the first row names the columns
 // (node@zone), each further row is an instant. A cell acts (start, start(seed
-// seed), kill, freeze, wake, leave, cut(b): nothing from here reaches b,
+// seed), kill, freeze, wake, leave, remove(b), cut(b): nothing from here reaches b,
 // mend(b), isolate, rejoin) or checks (serving, fenced, lives(n): how many are
 // over, certain(b), uncertain(b), alive(b), notalive(b), unknown(b)).
 var _ = Describe("timelines", func() {
@@ -88,6 +88,11 @@
 		n.frozen = false
 	case "leave":
 		w.leave(name)
+	case "remove":
+		incarnation, _ := n.machine.Incarnation(other)
+		out, err := n.machine.Remove(w.clock(n), other, incarnation)
+		Expect(err).NotTo(HaveOccurred())
+		w.send(name, out)
 	case "cut":
 		w.cut[oneWay{name, argument}] = true
 	case "mend":
--- a/pkg/prefixindex/chain.go
+++ b/pkg/prefixindex/chain.go
@@ -33,12 +33,11 @@
 
 // Next returns the name of the part that follows previous.
 func Next(previous ChainHash, partID string) ChainHash {
-	digest := xxhash.New()
-	var buffer [8]byte
-	binary.BigEndian.PutUint64(buffer[:], uint64(previous))
-	_, _ = digest.Write(buffer[:])
-	_, _ = digest.WriteString(partID)
-	return ChainHash(digest.Sum64())
+	// The array keeps the names of usual length off the heap.
+	var buffer [128]byte
+	data := binary.BigEndian.AppendUint64(buffer[:0], uint64(previous))
+	data = append(data, partID...)
+	return ChainHash(xxhash.Sum64(data))
 }
 
 // Chain names every part of a prompt under a model and a cache salt.
--- a/pkg/prefixindex/overlaps_test.go
+++ b/pkg/prefixindex/overlaps_test.go
@@ -191,6 +191,7 @@
 			index.Predict(time.Second+time.Duration(renewal), 2, links)
 		}
 		Expect(index.Stats().Predicted).To(Equal(4))
+		Expect(prefixindex.QueuedExpiries(index)).To(BeNumerically("<", 30))
 	})
 
 	It("go with a report that the part was dropped, with a reset and with a drop", func() {
--- a/pkg/prefixindex/table.go
+++ b/pkg/prefixindex/table.go
@@ -10,6 +10,8 @@
 	bytesPerSlot = wordsPerSlot * 8
 	// minimumSlots is the smallest capacity of a table.
 	minimumSlots = 16
+	// mixFactor is odd and has its bits well spread: 2^64 by the golden ratio.
+	mixFactor = 0x9E3779B97F4A7C15
 )
 
 // holderSet is a set of the holders of one group, a bit each.
@@ -96,6 +98,6 @@
 // mix spreads a hash over all bits, since the hashes come from outside and the
 // table and the choice of the shard use different bits of the result.
 func mix(hash ChainHash) uint64 {
-	mixed := uint64(hash) * 0x9E3779B97F4A7C15
+	mixed := uint64(hash) * mixFactor
 	return mixed ^ mixed>>32
 }
--- /dev/null
+++ b/pkg/relaytree/machine_test.go
@@ -0,0 +1,125 @@
+package relaytree_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+)
+
+const (
+	convergence = 2 * time.Second
+	// betweenDigests is when the first digests are over and the next not due:
+	// one that crosses an update has it sent twice.
+	betweenDigests = 50 * time.Millisecond
+)
+
+var _ = Describe("the relay tree", func() {
+	DescribeTable("reaches all nodes at once, once a zone and a node, with bounded children",
+		func(count, zones int, within time.Duration) {
+			w := newNetwork(1, numbered(count, zones))
+			w.jitter = 0
+			w.setRoot("n00")
+			w.run(betweenDigests)
+			w.publish(w.nodes[0])
+			w.run(within)
+			Expect(w.behind()).To(BeEmpty())
+			updates, crossings := 0, 0
+			for _, n := range w.nodes {
+				Expect(len(n.children)).To(BeNumerically("<=", 2*relaytree.DefaultFanOut))
+				updates += n.updates
+				for child := range n.children {
+					if w.node(child).zone != n.zone {
+						crossings++
+					}
+				}
+			}
+			Expect(updates).To(Equal(count - 1))
+			Expect(crossings).To(Equal(zones - 1))
+		},
+		Entry("one node", 1, 1, stepEvery),
+		Entry("two", 2, 2, 10*time.Millisecond),
+		Entry("17 in 4 zones", 17, 4, 25*time.Millisecond),
+		Entry("200 in 9 zones", 200, 9, 50*time.Millisecond),
+	)
+
+	It("coalesces a storm to one update a link and round trip", func() {
+		w := newNetwork(1, numbered(17, 4))
+		w.setRoot("n00")
+		for range 1000 {
+			w.publish(w.nodes[0])
+		}
+		w.run(100 * time.Millisecond)
+		Expect(w.behind()).To(BeEmpty())
+		Expect(w.nodes[0].updates).To(BeNumerically("<=", 2*len(w.nodes[0].children)))
+		Expect(w.violations).To(BeEmpty())
+	})
+
+	It("pulls what the receiver of a digest holds beyond it", func() {
+		old := relaytree.New(relaytree.Config{Self: "old"})
+		ahead := relaytree.New(relaytree.Config{Self: "ahead"})
+		Expect(ahead.Publish(topic, 7, []byte("7"))).To(BeEmpty())
+		ahead.SetMembers([]relaytree.Member{{ID: "old"}, {ID: "ahead"}})
+		digest := ahead.Tick(0)
+		Expect(digest).To(HaveLen(1))
+		ask, _ := old.Step(0, "ahead", digest[0].Message)
+		Expect(ask).To(HaveLen(1))
+		answer, _ := ahead.Step(0, "old", ask[0].Message)
+		Expect(answer).To(HaveLen(1))
+		_, updates := old.Step(0, "ahead", answer[0].Message)
+		Expect(updates).To(Equal([]relaytree.Update{{Topic: topic, Revision: 7, Payload: []byte("7")}}))
+		again, updates := old.Step(0, "ahead", answer[0].Message)
+		Expect(updates).To(BeEmpty())
+		Expect(again).To(HaveLen(1))
+	})
+
+	It("never takes an older revision, nor a delta that it can't apply", func() {
+		machine := relaytree.New(relaytree.Config{Self: "a"})
+		machine.Publish(topic, 5, []byte("5"))
+		machine.Publish(topic, 4, []byte("4"))
+		update := relaytree.Message{Type: relaytree.MessageUpdate, Topic: topic, Revision: 3}
+		_, updates := machine.Step(0, "b", update)
+		Expect(updates).To(BeEmpty())
+		update.Revision, update.BaseRevision = 6, 5
+		out, updates := machine.Step(0, "b", update)
+		Expect(updates).To(BeEmpty())
+		Expect(out[0].Message.Revision).To(Equal(uint64(5)))
+		revision, payload := machine.Held(topic)
+		Expect(revision).To(Equal(uint64(5)))
+		Expect(payload).To(Equal([]byte("5")))
+	})
+
+	It("converges within a bound after inner nodes died, whatever the views", func() {
+		for seed := range uint64(300) {
+			w := newNetwork(seed, numbered(8+int(seed%12), 1+int(seed%4)))
+			w.loss = []float64{0, 0.1, 0.3}[seed%3]
+			w.jitter = []time.Duration{0, 50 * time.Millisecond}[seed%2]
+			root := w.nodes[w.random.IntN(len(w.nodes))]
+			w.setRoot(root.id)
+			for range 10 {
+				w.publish(root)
+				w.run(time.Duration(w.random.IntN(100)) * time.Millisecond)
+				w.killInner(root)
+			}
+			// Members change late, and for some nodes later than for others.
+			w.tellMembers(func(*node) bool { return w.random.IntN(2) == 0 })
+			w.publish(root)
+			w.run(300 * time.Millisecond)
+			w.tellMembers(everyone)
+			w.run(convergence)
+			Expect(w.behind()).To(BeEmpty(), "seed %d", seed)
+			Expect(w.violations).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+})
+
+// killInner kills, now and then, a node that has fed others.
+func (w *network) killInner(root *node) {
+	for _, n := range w.nodes {
+		if n != root && len(n.children) > 0 && w.random.IntN(8) == 0 {
+			n.dead = true
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/relaytree/timeline_test.go
@@ -0,0 +1,75 @@
+package relaytree_test
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Each file of testdata is a timeline: the first row names the columns
+// (node@zone), each further row is an instant. A cell acts (root, publish, kill:
+// all learn of it, lost: dies and nobody learns of it, deaf, hear) or checks
+// (holds(revision)).
+var _ = Describe("timelines", func() {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		panic("no timelines")
+	}
+	for _, file := range files {
+		It(strings.TrimSuffix(filepath.Base(file), ".txt"), func() {
+			text, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			runTimeline(string(text))
+		})
+	}
+})
+
+func runTimeline(text string) {
+	var w *network
+	for line := range strings.Lines(text) {
+		cells := strings.Split(strings.TrimSpace(line), "|")
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		if w == nil {
+			w = newNetwork(1, cells[1:])
+			continue
+		}
+		at, err := time.ParseDuration(strings.TrimSpace(cells[0]))
+		Expect(err).NotTo(HaveOccurred())
+		w.run(at - w.now)
+		for i, cell := range cells[1:] {
+			for token := range strings.SplitSeq(cell, ",") {
+				w.perform(w.nodes[i], strings.TrimSpace(token), line)
+			}
+		}
+	}
+	Expect(w.violations).To(BeEmpty())
+}
+
+func (w *network) perform(n *node, token, line string) {
+	verb, argument, _ := strings.Cut(strings.TrimSuffix(token, ")"), "(")
+	switch verb {
+	case "":
+	case "root":
+		w.setRoot(n.id)
+	case "publish":
+		w.publish(n)
+	case "kill":
+		n.dead = true
+		w.tellMembers(everyone)
+	case "lost":
+		n.dead = true
+	case "deaf", "hear":
+		n.deaf = verb == "deaf"
+	case "holds":
+		Expect(strconv.FormatUint(n.machine.Revision(topic), 10)).To(Equal(argument), string(n.id)+": "+line)
+	default:
+		Fail("unknown token " + token)
+	}
+}
--- /dev/null
+++ b/pkg/twoslot/memdisk/memdisk_test.go
@@ -0,0 +1,68 @@
+package memdisk_test
+
+import (
+	"io/fs"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot/memdisk"
+)
+
+func TestMemdisk(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "memdisk")
+}
+
+var _ = Describe("A disk in memory", func() {
+	var disk *memdisk.Disk
+
+	BeforeEach(func() {
+		disk = memdisk.New()
+		Expect(disk.WriteFile("file", []byte("abc"))).To(Succeed())
+	})
+
+	DescribeTable("leaves of an append that a crash tears",
+		func(tear memdisk.Tear, want string) {
+			disk.CrashAt(memdisk.Crash{Position: disk.Stats().Positions + 2, Tear: tear})
+			Expect(disk.Append("file", []byte("def"))).To(MatchError(memdisk.ErrCrashed))
+			_, err := disk.ReadFile("file")
+			Expect(err).To(MatchError(memdisk.ErrCrashed))
+			disk.Restart()
+			Expect(disk.ReadFile("file")).To(Equal([]byte(want)))
+		},
+		Entry("a start", memdisk.TearShort, "abcde"),
+		Entry("a start and zeros", memdisk.TearZeroed, "abcde\x00"),
+		Entry("nothing", memdisk.TearLost, "abc"),
+	)
+
+	It("counts slow writes and the time that they would have taken", func() {
+		disk.SetDelay(time.Second)
+		Expect(disk.Append("file", []byte("d"))).To(Succeed())
+		Expect(disk.Append("file", []byte("e"))).To(Succeed())
+		Expect(disk.Stats().SlowWrites).To(Equal(2))
+		Expect(disk.Stats().Delay).To(Equal(2 * time.Second))
+	})
+
+	It("refuses what exceeds its capacity, and takes what replaces as much", func() {
+		disk.SetCapacity(4)
+		Expect(disk.Append("file", []byte("de"))).To(MatchError(twoslot.ErrDiskFull))
+		Expect(disk.WriteFile("file", []byte("four"))).To(Succeed())
+		Expect(disk.Stats().Refused).To(Equal(1))
+	})
+
+	It("shares nothing with its clone", func() {
+		clone := disk.Clone()
+		Expect(disk.Append("file", []byte("1"))).To(Succeed())
+		Expect(clone.Append("file", []byte("2"))).To(Succeed())
+		Expect(clone.FlipBit("file", 0)).To(BeTrue())
+		Expect(disk.ReadFile("file")).To(Equal([]byte("abc1")))
+		Expect(clone.ReadFile("file")).To(Equal([]byte("`bc2")))
+		disk.Lose()
+		_, err := disk.ReadFile("file")
+		Expect(err).To(MatchError(fs.ErrNotExist))
+	})
+})
