--- a/internal/wire/fb/Envelope.go
+++ b/internal/wire/fb/Envelope.go
@@ -14,6 +14,7 @@
 	Membership  *MembershipT  `json:"membership"`
 	Relay       *RelayT       `json:"relay"`
 	Control     *ControlT     `json:"control"`
+	Deployment  string        `json:"deployment"`
 }
 
 func (t *EnvelopeT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -25,6 +26,7 @@
 	membershipOffset := t.Membership.Pack(builder)
 	relayOffset := t.Relay.Pack(builder)
 	controlOffset := t.Control.Pack(builder)
+	deploymentOffset := builder.CreateString(t.Deployment)
 	EnvelopeStart(builder)
 	EnvelopeAddFrom(builder, fromOffset)
 	EnvelopeAddIncarnation(builder, t.Incarnation)
@@ -33,6 +35,7 @@
 	EnvelopeAddMembership(builder, membershipOffset)
 	EnvelopeAddRelay(builder, relayOffset)
 	EnvelopeAddControl(builder, controlOffset)
+	EnvelopeAddDeployment(builder, deploymentOffset)
 	return EnvelopeEnd(builder)
 }
 
@@ -44,6 +47,7 @@
 	t.Membership = rcv.Membership(nil).UnPack()
 	t.Relay = rcv.Relay(nil).UnPack()
 	t.Control = rcv.Control(nil).UnPack()
+	t.Deployment = string(rcv.Deployment())
 }
 
 func (rcv *Envelope) UnPack() *EnvelopeT {
@@ -166,8 +170,16 @@
 	return nil
 }
 
+func (rcv *Envelope) Deployment() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
 func EnvelopeStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(8)
 }
 func EnvelopeAddFrom(builder *flatbuffers.Builder, from flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(from), 0)
@@ -190,6 +202,9 @@
 func EnvelopeAddControl(builder *flatbuffers.Builder, control flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(control), 0)
 }
+func EnvelopeAddDeployment(builder *flatbuffers.Builder, deployment flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(7, flatbuffers.UOffsetT(deployment), 0)
+}
 func EnvelopeEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/fb/Membership.go
+++ b/internal/wire/fb/Membership.go
@@ -16,6 +16,8 @@
 	Digest            uint64     `json:"digest"`
 	Full              bool       `json:"full"`
 	Records           []*RecordT `json:"records"`
+	Boot              uint64     `json:"boot"`
+	SilencedVersion   uint64     `json:"silenced_version"`
 }
 
 func (t *MembershipT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -59,6 +61,8 @@
 	MembershipAddDigest(builder, t.Digest)
 	MembershipAddFull(builder, t.Full)
 	MembershipAddRecords(builder, recordsOffset)
+	MembershipAddBoot(builder, t.Boot)
+	MembershipAddSilencedVersion(builder, t.SilencedVersion)
 	return MembershipEnd(builder)
 }
 
@@ -82,6 +86,8 @@
 		rcv.Records(&x, j)
 		t.Records[j] = x.UnPack()
 	}
+	t.Boot = rcv.Boot()
+	t.SilencedVersion = rcv.SilencedVersion()
 }
 
 func (rcv *Membership) UnPack() *MembershipT {
@@ -242,8 +248,32 @@
 	return 0
 }
 
+func (rcv *Membership) Boot() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Membership) MutateBoot(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(22, n)
+}
+
+func (rcv *Membership) SilencedVersion() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Membership) MutateSilencedVersion(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(24, n)
+}
+
 func MembershipStart(builder *flatbuffers.Builder) {
-	builder.StartObject(9)
+	builder.StartObject(11)
 }
 func MembershipAddType(builder *flatbuffers.Builder, type_ byte) {
 	builder.PrependByteSlot(0, type_, 0)
@@ -278,6 +308,12 @@
 func MembershipStartRecordsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func MembershipAddBoot(builder *flatbuffers.Builder, boot uint64) {
+	builder.PrependUint64Slot(9, boot, 0)
+}
+func MembershipAddSilencedVersion(builder *flatbuffers.Builder, silencedVersion uint64) {
+	builder.PrependUint64Slot(10, silencedVersion, 0)
+}
 func MembershipEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/fb/Record.go
+++ b/internal/wire/fb/Record.go
@@ -13,6 +13,7 @@
 	Monitors          []string    `json:"monitors"`
 	Silences          []*SilenceT `json:"silences"`
 	Version           uint64      `json:"version"`
+	MonitorBoots      []uint64    `json:"monitor_boots"`
 }
 
 func (t *RecordT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -46,6 +47,15 @@
 		}
 		silencesOffset = builder.EndVector(silencesLength)
 	}
+	monitorBootsOffset := flatbuffers.UOffsetT(0)
+	if t.MonitorBoots != nil {
+		monitorBootsLength := len(t.MonitorBoots)
+		RecordStartMonitorBootsVector(builder, monitorBootsLength)
+		for j := monitorBootsLength - 1; j >= 0; j-- {
+			builder.PrependUint64(t.MonitorBoots[j])
+		}
+		monitorBootsOffset = builder.EndVector(monitorBootsLength)
+	}
 	RecordStart(builder)
 	RecordAddInfo(builder, infoOffset)
 	RecordAddState(builder, t.State)
@@ -53,6 +63,7 @@
 	RecordAddMonitors(builder, monitorsOffset)
 	RecordAddSilences(builder, silencesOffset)
 	RecordAddVersion(builder, t.Version)
+	RecordAddMonitorBoots(builder, monitorBootsOffset)
 	return RecordEnd(builder)
 }
 
@@ -73,6 +84,11 @@
 		t.Silences[j] = x.UnPack()
 	}
 	t.Version = rcv.Version()
+	monitorBootsLength := rcv.MonitorBootsLength()
+	t.MonitorBoots = make([]uint64, monitorBootsLength)
+	for j := 0; j < monitorBootsLength; j++ {
+		t.MonitorBoots[j] = rcv.MonitorBoots(j)
+	}
 }
 
 func (rcv *Record) UnPack() *RecordT {
@@ -197,8 +213,34 @@
 	return rcv._tab.MutateUint64Slot(14, n)
 }
 
+func (rcv *Record) MonitorBoots(j int) uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetUint64(a + flatbuffers.UOffsetT(j*8))
+	}
+	return 0
+}
+
+func (rcv *Record) MonitorBootsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Record) MutateMonitorBoots(j int, n uint64) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateUint64(a+flatbuffers.UOffsetT(j*8), n)
+	}
+	return false
+}
+
 func RecordStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(7)
 }
 func RecordAddInfo(builder *flatbuffers.Builder, info flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(info), 0)
@@ -224,6 +266,12 @@
 func RecordAddVersion(builder *flatbuffers.Builder, version uint64) {
 	builder.PrependUint64Slot(5, version, 0)
 }
+func RecordAddMonitorBoots(builder *flatbuffers.Builder, monitorBoots flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(monitorBoots), 0)
+}
+func RecordStartMonitorBootsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(8, numElems, 8)
+}
 func RecordEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/fb/Silence.go
+++ b/internal/wire/fb/Silence.go
@@ -10,6 +10,7 @@
 	Monitor           string `json:"monitor"`
 	Incarnation       uint64 `json:"incarnation"`
 	MonitorSetVersion uint64 `json:"monitor_set_version"`
+	MonitorBoot       uint64 `json:"monitor_boot"`
 }
 
 func (t *SilenceT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -21,6 +22,7 @@
 	SilenceAddMonitor(builder, monitorOffset)
 	SilenceAddIncarnation(builder, t.Incarnation)
 	SilenceAddMonitorSetVersion(builder, t.MonitorSetVersion)
+	SilenceAddMonitorBoot(builder, t.MonitorBoot)
 	return SilenceEnd(builder)
 }
 
@@ -28,6 +30,7 @@
 	t.Monitor = string(rcv.Monitor())
 	t.Incarnation = rcv.Incarnation()
 	t.MonitorSetVersion = rcv.MonitorSetVersion()
+	t.MonitorBoot = rcv.MonitorBoot()
 }
 
 func (rcv *Silence) UnPack() *SilenceT {
@@ -98,8 +101,20 @@
 	return rcv._tab.MutateUint64Slot(8, n)
 }
 
+func (rcv *Silence) MonitorBoot() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Silence) MutateMonitorBoot(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(10, n)
+}
+
 func SilenceStart(builder *flatbuffers.Builder) {
-	builder.StartObject(3)
+	builder.StartObject(4)
 }
 func SilenceAddMonitor(builder *flatbuffers.Builder, monitor flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(monitor), 0)
@@ -110,6 +125,9 @@
 func SilenceAddMonitorSetVersion(builder *flatbuffers.Builder, monitorSetVersion uint64) {
 	builder.PrependUint64Slot(2, monitorSetVersion, 0)
 }
+func SilenceAddMonitorBoot(builder *flatbuffers.Builder, monitorBoot uint64) {
+	builder.PrependUint64Slot(3, monitorBoot, 0)
+}
 func SilenceEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/membership.go
+++ b/internal/wire/membership.go
@@ -20,6 +20,8 @@
 		Digest:            message.Digest,
 		Full:              message.Full,
 		Records:           packRecords(message.Records),
+		Boot:              uint64(message.Boot),
+		SilencedVersion:   message.SilencedVersion,
 	}
 }
 
@@ -48,6 +50,7 @@
 			Monitors:          packMemberIDs(record.Monitors),
 			Silences:          packSilences(record.Silences),
 			Version:           record.Version,
+			MonitorBoots:      packIncarnations(record.MonitorBoots),
 		}
 	}
 	return packed
@@ -63,6 +66,7 @@
 			Monitor:           string(silence.Monitor),
 			Incarnation:       uint64(silence.Incarnation),
 			MonitorSetVersion: silence.MonitorSetVersion,
+			MonitorBoot:       uint64(silence.MonitorBoot),
 		}
 	}
 	return packed
@@ -82,6 +86,8 @@
 		Digest:            table.Digest(),
 		Full:              table.Full(),
 		Records:           r.records(table),
+		Boot:              member.Incarnation(table.Boot()),
+		SilencedVersion:   table.SilencedVersion(),
 	}
 }
 
@@ -116,6 +122,7 @@
 			Monitors:          r.memberIDs(stored.MonitorsLength(), stored.Monitors),
 			Silences:          r.silences(&stored),
 			Version:           stored.Version(),
+			MonitorBoots:      r.incarnations(stored.MonitorBootsLength(), stored.MonitorBoots),
 		}
 	}
 	return records
@@ -134,6 +141,7 @@
 			Monitor:           member.ID(r.text(stored.Monitor())),
 			Incarnation:       member.Incarnation(stored.Incarnation()),
 			MonitorSetVersion: stored.MonitorSetVersion(),
+			MonitorBoot:       member.Incarnation(stored.MonitorBoot()),
 		}
 	}
 	return silences
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -9,6 +9,7 @@
 // The least bytes that an element of a vector takes in an honest frame: its
 // offset in the vector, and what the builder always stores for it.
 const (
+	incarnationBytes  = flatbuffers.SizeUint64
 	offsetBytes       = flatbuffers.SizeUOffsetT
 	leastStringBytes  = offsetBytes + flatbuffers.SizeUOffsetT // length
 	leastTableBytes   = offsetBytes + flatbuffers.SizeSOffsetT // vtable
@@ -86,3 +87,28 @@
 	}
 	return packed
 }
+
+// incarnations copies a vector of incarnations.
+func (r *reader) incarnations(length int, at func(int) uint64) []member.Incarnation {
+	length = r.elements(length, incarnationBytes)
+	if length == 0 {
+		return nil
+	}
+	incarnations := make([]member.Incarnation, length)
+	for i := range incarnations {
+		incarnations[i] = member.Incarnation(at(i))
+	}
+	return incarnations
+}
+
+// packIncarnations is the other direction of incarnations.
+func packIncarnations(incarnations []member.Incarnation) []uint64 {
+	if len(incarnations) == 0 {
+		return nil
+	}
+	packed := make([]uint64, len(incarnations))
+	for i, incarnation := range incarnations {
+		packed[i] = uint64(incarnation)
+	}
+	return packed
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,6 +33,8 @@
 
 // Envelope is what one frame carries: the sender and exactly one message.
 type Envelope struct {
+	// Deployment names the deployment that the sender belongs to.
+	Deployment  string
 	From        member.ID
 	Incarnation member.Incarnation
 	// Shard is the replica group that a Replication message belongs to.
@@ -47,6 +49,7 @@
 // the envelope.
 func Encode(envelope Envelope) []byte {
 	table := &fb.EnvelopeT{
+		Deployment:  envelope.Deployment,
 		From:        string(envelope.From),
 		Incarnation: uint64(envelope.Incarnation),
 		Shard:       envelope.Shard,
@@ -100,6 +103,7 @@
 
 func (r *reader) envelope(table *fb.Envelope) Envelope {
 	return Envelope{
+		Deployment:  r.text(table.Deployment()),
 		From:        member.ID(r.text(table.From())),
 		Incarnation: member.Incarnation(table.Incarnation()),
 		Shard:       table.Shard(),
