--- a/internal/lab/hollow/doc.go
+++ b/internal/lab/hollow/doc.go
@@ -11,4 +11,9 @@
 // time; and the platform's list, which is handed over instead of fetched. With
 // shared sockets, the nodes of one zone share one transport, and a frame starts
 // with the number of the node that it is for.
+//
+// On the virtual clock, one goroutine runs all nodes: it does with the outputs of
+// the control machines what their drivers do, frames are encoded and decoded but
+// cross no socket, and inputs take no time. Such a run is the same each time for
+// the same settings, but for what it measures of the processor and the memory.
 package hollow
