--- a/cmd/ridgeswitch-lab/bench.go
+++ b/cmd/ridgeswitch-lab/bench.go
@@ -15,7 +15,7 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure parts of the product",
-		Commands: []*cli.Command{benchRoutingCommand()},
+		Commands: []*cli.Command{benchRoutingCommand(), benchProxyCommand()},
 	}
 }
 
--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -10,6 +11,9 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 )
 
+// maxTrustedBytes bounds the buffer that a declared length gets in advance.
+const maxTrustedBytes = 64 << 10
+
 // bodyReader reads the caller's body whole, so that every attempt sends the
 // same bytes and a caller that sends slowly never holds a back end.
 type bodyReader struct {
@@ -40,7 +44,16 @@
 		_ = controller.SetReadDeadline(deadline)
 		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	}
-	return io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, r.maxBytes))
+	return readAll(http.MaxBytesReader(e.writer, e.request.Body, r.maxBytes), e.request.ContentLength)
+}
+
+// readAll reads to the end. The declared length, -1 if there is none, sizes the
+// buffer, but only up to a bound: memory is not given on a caller's word.
+func readAll(reader io.Reader, declared int64) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.Grow(int(min(max(declared, 0), maxTrustedBytes)) + bytes.MinRead)
+	_, err := buffer.ReadFrom(reader)
+	return buffer.Bytes(), err
 }
 
 // bodyProblem is the refusal of a request whose body cannot be read.
--- a/internal/dataplane/chain.go
+++ b/internal/dataplane/chain.go
@@ -21,12 +21,13 @@
 }
 
 // newChain returns the handlers in their order. The check that the node may
-// serve comes first of all, so that a node which was frozen refuses before it
-// does anything by state that may be out of date.
+// serve comes before all that reads state, so that a node which was frozen
+// refuses before it does anything by state that may be out of date. Only the
+// name comes first, so that every refusal bears it.
 func (s *Server) newChain() chain {
 	steps := chain{
-		&servingCheck{source: s.options.Source},
 		&requestNamer{identities: s.identities},
+		&servingCheck{source: s.options.Source},
 		&tenantIdentifier{},
 		&hostRouter{destinations: s.destinations},
 		&headerReader{},
@@ -34,13 +35,16 @@
 	if s.recorder != nil {
 		steps = append(steps, &requestRecorder{recorder: s.recorder, clock: s.options.Clock, started: s.options.Clock()})
 	}
-	return append(steps,
+	steps = append(steps,
 		&deadlineSetter{fallback: s.options.RequestTimeout},
-		&tenantLimiter{limiter: s.limiter},
+		&tenantLimiter{limiter: s.limiter, clock: s.options.Clock},
 		&bodyReader{maxBytes: s.options.MaxBodyBytes},
 		&duplicateCheck{register: s.duplicates, clock: s.options.Clock},
-		s.newDispatcher(),
 	)
+	if s.options.Claims != nil {
+		steps = append(steps, &claimStep{claims: s.options.Claims})
+	}
+	return append(steps, s.newDispatcher())
 }
 
 // ServeHTTP implements http.Handler.
--- /dev/null
+++ b/internal/dataplane/claiming/driver.go
@@ -0,0 +1,167 @@
+// Package claiming drives the claims of a node: it gives the claim machine the
+// time and the messages of other nodes, and lets requests wait for decisions.
+package claiming
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/pkg/claims"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// ticksPerResend is how often the machine is told the time between two askings
+// of a silent home.
+const ticksPerResend = 4
+
+// Options set up a Driver.
+type Options struct {
+	// Config sets up the machine. Its Life must never come twice, also not
+	// after the loss of a disk.
+	Config claims.Config
+	// Clock returns the time elapsed on a clock that counts suspended time.
+	Clock func() time.Duration
+	// Send sends a message to another node. It must not block; the message may
+	// be lost.
+	Send func(to member.ID, message claims.Message)
+}
+
+// Driver implements dataplane.Claims. It may be used by many goroutines.
+type Driver struct {
+	options Options
+	mutex   sync.Mutex
+	machine *claims.Machine
+	// waiting holds a channel for each undecided claim.
+	waiting map[claims.Number]chan claims.Outcome
+}
+
+var _ dataplane.Claims = (*Driver)(nil)
+
+// New returns a driver whose homes start now.
+func New(options Options) *Driver {
+	return &Driver{
+		options: options,
+		machine: claims.New(options.Config, options.Clock()),
+		waiting: make(map[claims.Number]chan claims.Outcome),
+	}
+}
+
+// SetDirectory replaces the sets of homes. The comment of package claims says
+// when a set may be left out.
+func (d *Driver) SetDirectory(sets []claims.Set) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.machine.SetDirectory(sets)
+}
+
+// Claim implements dataplane.Claims.
+func (d *Driver) Claim(ctx context.Context, tenant, requestID string) (dataplane.Claim, error) {
+	number, decided, err := d.begin(claims.KeyOf(tenant, requestID))
+	if err != nil {
+		return nil, dataplane.ErrClaimUndecided
+	}
+	select {
+	case outcome := <-decided:
+		return d.result(number, outcome)
+	case <-ctx.Done():
+		d.end(number, false)
+		return nil, dataplane.ErrClaimUndecided
+	}
+}
+
+// Receive takes in a message of another node.
+func (d *Driver) Receive(from member.ID, message claims.Message) {
+	d.do(func(now time.Duration) []claims.Outbound { return d.machine.Step(now, from, message) })
+}
+
+// Tick tells the machine the time.
+func (d *Driver) Tick() {
+	d.do(d.machine.Tick)
+}
+
+// Serve implements suture.Service: it ticks until ctx ends.
+func (d *Driver) Serve(ctx context.Context) error {
+	every := d.options.Config.ResendEvery
+	if every <= 0 {
+		every = claims.DefaultResendEvery
+	}
+	ticker := time.NewTicker(every / ticksPerResend)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			d.Tick()
+		}
+	}
+}
+
+// begin asks for a key. The channel gets the decision.
+func (d *Driver) begin(key claims.Key) (number claims.Number, decided chan claims.Outcome, err error) {
+	decided = make(chan claims.Outcome, 1)
+	d.do(func(now time.Duration) []claims.Outbound {
+		var out []claims.Outbound
+		if number, out, err = d.machine.Claim(now, key); err == nil {
+			d.waiting[number] = decided
+		}
+		return out
+	})
+	return number, decided, err
+}
+
+// result turns an outcome into what the data plane takes.
+func (d *Driver) result(number claims.Number, outcome claims.Outcome) (dataplane.Claim, error) {
+	switch outcome {
+	case claims.Held:
+		return &heldClaim{driver: d, number: number}, nil
+	case claims.Taken:
+		return nil, dataplane.ErrClaimTaken
+	default:
+		return nil, dataplane.ErrClaimUndecided
+	}
+}
+
+// end ends a claim, decided or not.
+func (d *Driver) end(number claims.Number, mayHaveRun bool) {
+	d.do(func(now time.Duration) []claims.Outbound {
+		delete(d.waiting, number)
+		return d.machine.End(now, number, mayHaveRun)
+	})
+}
+
+// do runs a step of the machine, hands decisions out, and sends what follows.
+func (d *Driver) do(step func(now time.Duration) []claims.Outbound) {
+	d.mutex.Lock()
+	out := step(d.options.Clock())
+	for _, decision := range d.machine.Decisions() {
+		if decided, waits := d.waiting[decision.Number]; waits {
+			delete(d.waiting, decision.Number)
+			decided <- decision.Outcome
+		}
+	}
+	d.mutex.Unlock()
+	for _, one := range out {
+		d.options.Send(one.To, one.Message)
+	}
+}
+
+// heldClaim is a claim that was decided for this node.
+type heldClaim struct {
+	driver *Driver
+	number claims.Number
+}
+
+// Valid implements dataplane.Claim.
+func (c *heldClaim) Valid() bool {
+	c.driver.mutex.Lock()
+	defer c.driver.mutex.Unlock()
+	return c.driver.machine.MayRun(c.driver.options.Clock(), c.number)
+}
+
+// End implements dataplane.Claim.
+func (c *heldClaim) End(mayHaveRun bool) {
+	c.driver.end(c.number, mayHaveRun)
+}
--- /dev/null
+++ b/internal/dataplane/claiming/driver_test.go
@@ -0,0 +1,105 @@
+package claiming_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/claiming"
+	"github.com/ridgeswitch/ridgeswitch/pkg/claims"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+func TestClaiming(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Claiming Suite")
+}
+
+var _ = Describe("Driver", func() {
+	names := []member.ID{"a", "b", "c"}
+	var drivers map[member.ID]*claiming.Driver
+	var clock atomic.Int64
+	// alone, while it is set, lets nothing through but to itself.
+	var alone atomic.Bool
+	var dropped chan claims.Message
+
+	BeforeEach(func() {
+		clock.Store(0)
+		alone.Store(false)
+		dropped = make(chan claims.Message, 64)
+		drivers = map[member.ID]*claiming.Driver{}
+		for _, name := range names {
+			drivers[name] = claiming.New(claiming.Options{
+				Config: claims.Config{Self: name, Life: 1},
+				Clock:  func() time.Duration { return time.Duration(clock.Load()) },
+				Send: func(to member.ID, message claims.Message) {
+					if alone.Load() {
+						dropped <- message
+						return
+					}
+					drivers[to].Receive(name, message)
+				},
+			})
+			drivers[name].SetDirectory([]claims.Set{{Epoch: 1, Members: names}})
+		}
+		clock.Store(int64(2 * claims.DefaultRemember))
+	})
+
+	claim := func(name member.ID) (dataplane.Claim, error) {
+		return drivers[name].Claim(context.Background(), "court", "r-1")
+	}
+
+	It("lets one of several nodes run a request", func() {
+		held, err := claim("a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held.Valid()).To(BeTrue())
+		_, err = claim("b")
+		Expect(err).To(MatchError(dataplane.ErrClaimTaken))
+		held.End(false)
+		_, err = claim("b")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("loses a claim that nobody acknowledges any more", func() {
+		held, err := claim("a")
+		Expect(err).NotTo(HaveOccurred())
+		clock.Add(int64(claims.DefaultRemember))
+		Expect(held.Valid()).To(BeFalse())
+	})
+
+	It("says in time that too few homes answer", func() {
+		alone.Store(true)
+		failed := make(chan error, 1)
+		go func() {
+			_, err := claim("a")
+			failed <- err
+		}()
+		<-dropped
+		<-dropped
+		clock.Add(int64(claims.DefaultDecideWithin))
+		drivers["a"].Tick()
+		Expect(<-failed).To(MatchError(dataplane.ErrClaimUndecided))
+	})
+
+	It("gives back what nobody waits for any more", func() {
+		alone.Store(true)
+		ctx, leave := context.WithCancel(context.Background())
+		leave()
+		_, err := drivers["a"].Claim(ctx, "court", "r-1")
+		Expect(err).To(MatchError(dataplane.ErrClaimUndecided))
+		alone.Store(false)
+		_, err = claim("a")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("cannot tell without a directory", func() {
+		lost := claiming.New(claiming.Options{Clock: func() time.Duration { return 0 }})
+		_, err := lost.Claim(context.Background(), "court", "r-1")
+		Expect(err).To(MatchError(dataplane.ErrClaimUndecided))
+	})
+})
--- /dev/null
+++ b/internal/dataplane/claims_test.go
@@ -0,0 +1,144 @@
+package dataplane_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+)
+
+// scriptedClaims decides as a test says, and notes what it is told.
+type scriptedClaims struct {
+	mutex   sync.Mutex
+	refusal error
+	// validLooks is how many looks at a claim find it valid.
+	validLooks int
+	claimed    []string
+	ended      []bool
+}
+
+func (c *scriptedClaims) Claim(_ context.Context, tenant, requestID string) (dataplane.Claim, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.claimed = append(c.claimed, tenant+"/"+requestID)
+	if c.refusal != nil {
+		return nil, c.refusal
+	}
+	return c, nil
+}
+
+func (c *scriptedClaims) Valid() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.validLooks--
+	return c.validLooks >= 0
+}
+
+func (c *scriptedClaims) End(mayHaveRun bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ended = append(c.ended, mayHaveRun)
+}
+
+var _ = Describe("A request that must not run twice", func() {
+	named := header{"Request-Id", "r-1"}
+
+	newNode := func(decided *scriptedClaims, script http.HandlerFunc) (*fixture, *replicaStandIn) {
+		stand := newReplica(script)
+		f := newFixtureWith(func(options *dataplane.Options) { options.Claims = decided }, stand.address())
+		return f, stand
+	}
+
+	It("is claimed before it is sent, and held as one that may have run", func() {
+		decided := &scriptedClaims{validLooks: 10}
+		f, stand := newNode(decided, answering("ok"))
+		Expect(f.generate(named).status).To(Equal(http.StatusOK))
+		Expect(decided.claimed).To(Equal([]string{"court/r-1"}))
+		Expect(stand.requests()).To(HaveLen(1))
+		f.front.Close()
+		Expect(decided.ended).To(Equal([]bool{true}))
+	})
+
+	It("is given back if it has certainly not run", func() {
+		decided := &scriptedClaims{validLooks: 10}
+		f, _ := newNode(decided, refusing())
+		Expect(f.generate(named).problem.MayHaveRun).To(BeFalse())
+		f.front.Close()
+		Expect(decided.ended).To(Equal([]bool{false}))
+	})
+
+	It("is held if its answer was lost", func() {
+		decided := &scriptedClaims{validLooks: 10}
+		f, _ := newNode(decided, dying())
+		Expect(f.generate(named).problem.Kind).To(Equal(caller.KindOutcomeUnknown))
+		f.front.Close()
+		Expect(decided.ended).To(Equal([]bool{true}))
+	})
+
+	It("is refused when another node has it", func() {
+		f, stand := newNode(&scriptedClaims{refusal: dataplane.ErrClaimTaken}, answering("ok"))
+		got := f.generate(named)
+		Expect(got.status).To(Equal(http.StatusConflict))
+		Expect(got.problem.Kind).To(Equal(caller.KindDuplicateRequest))
+		Expect(got.problem.MayHaveRun).To(BeTrue())
+		Expect(got.header).NotTo(HaveKey("Retry-After"))
+		Expect(stand.requests()).To(BeEmpty())
+	})
+
+	It("is refused while that cannot be told, and may be sent again to the same node", func() {
+		decided := &scriptedClaims{refusal: dataplane.ErrClaimUndecided, validLooks: 10}
+		f, stand := newNode(decided, answering("ok"))
+		got := f.generate(named)
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.problem.Kind).To(Equal(caller.KindClaimUndecided))
+		Expect(got.problem.MayHaveRun).To(BeTrue())
+		Expect(got.header.Get("Retry-After")).To(Equal("1"))
+		Expect(stand.requests()).To(BeEmpty())
+		decided.refusal = nil
+		Expect(f.generate(named).status).To(Equal(http.StatusOK))
+	})
+
+	It("is not sent once its claim is lost", func() {
+		f, stand := newNode(&scriptedClaims{validLooks: 0}, answering("ok"))
+		got := f.generate(named)
+		Expect(got.problem.Kind).To(Equal(caller.KindClaimUndecided))
+		Expect(got.problem.MayHaveRun).To(BeTrue())
+		Expect(stand.requests()).To(BeEmpty())
+	})
+
+	DescribeTable("is sent again only while its claim holds", func(validLooks, sent int) {
+		script := func(writer http.ResponseWriter, request *http.Request) {
+			if request.Header.Get("Request-Id") == named.value {
+				refusing()(writer, request)
+				return
+			}
+			answering("ok")(writer, request)
+		}
+		f, first := newNode(&scriptedClaims{validLooks: validLooks}, script)
+		second := newReplica(script)
+		f.replicas = append(f.replicas, f.replicas[0])
+		f.replicas[1].Address = second.address()
+		f.publish()
+		f.earn()
+		before := len(first.requests()) + len(second.requests())
+		got := f.generate(named)
+		Expect(got.problem.MayHaveRun).To(Equal(sent == 1))
+		Expect(len(first.requests()) + len(second.requests()) - before).To(Equal(sent))
+	},
+		Entry("that is lost after the first attempt", 1, 1),
+		Entry("that holds on", 10, 2),
+	)
+
+	It("needs no claim if it may be repeated, or if the caller chose no identity", func() {
+		decided := &scriptedClaims{refusal: dataplane.ErrClaimTaken}
+		f, _ := newNode(decided, answering("ok"))
+		Expect(f.generate(named, header{"Repeatable", "true"}).status).To(Equal(http.StatusOK))
+		Expect(f.generate().status).To(Equal(http.StatusOK))
+		Expect(decided.claimed).To(BeEmpty())
+	})
+})
--- a/internal/dataplane/dispatch.go
+++ b/internal/dataplane/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
@@ -37,8 +38,8 @@
 type work struct {
 	*exchange
 	ledger *attempts.Ledger
-	// tried holds the back ends of earlier attempts.
-	tried map[string]bool
+	// tried holds the back ends of earlier attempts, of which there are few.
+	tried []string
 	// problem is why the last attempt, or the last selection, failed.
 	problem *caller.Problem
 	// ready is the answer that the ledger's Relay move hands on.
@@ -60,7 +61,7 @@
 
 // handle implements handler.
 func (d *dispatcher) handle(e *exchange, _ func()) {
-	w := &work{exchange: e, tried: make(map[string]bool)}
+	w := &work{exchange: e}
 	w.ledger = attempts.New(attempts.Options{
 		Repeatable:  e.described.Repeatable,
 		MaxAttempts: d.server.options.MaxAttempts,
@@ -97,7 +98,7 @@
 		return
 	}
 	w.watch.attempt(attempt)
-	w.tried[chosen.address()] = true
+	w.tried = append(w.tried, chosen.address())
 	completed := false
 	defer func() { d.release(chosen, completed) }()
 	completed = d.run(w, chosen, attempt)
@@ -141,6 +142,7 @@
 		return false
 	}
 	defer received.Close()
+	d.server.suspects.heard(chosen.address())
 	w.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
 	if err := d.receive(w, chosen, attempt, received); err != nil {
 		d.enterLoss(w, chosen, attempt, err)
@@ -173,6 +175,11 @@
 	return nil
 }
 
+// hasTried tells whether an earlier attempt went to a back end.
+func (w *work) hasTried(address string) bool {
+	return slices.Contains(w.tried, address)
+}
+
 // recheck looks at the newest view: a key may have been revoked, or the node
 // may have been cut off, while the request waited.
 func (w *work) recheck(server *Server) *caller.Problem {
@@ -183,6 +190,9 @@
 	if !w.keyStillAdmits(view) {
 		return unauthorized()
 	}
+	if !w.claimHolds() {
+		return claimProblem(ErrClaimUndecided)
+	}
 	return nil
 }
 
--- a/internal/dataplane/duplicates.go
+++ b/internal/dataplane/duplicates.go
@@ -111,7 +111,7 @@
 		return
 	}
 	defer func() {
-		if e.certainlyNotRun || e.failed && e.described.Repeatable {
+		if e.certainlyNotRun || e.notRunHere || e.failed && e.described.Repeatable {
 			c.register.forget(name)
 			return
 		}
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -32,6 +32,11 @@
 	// certainlyNotRun tells, after the answer, that the request has not run
 	// and will not run.
 	certainlyNotRun bool
+	// notRunHere tells, after a refusal, that this submission does not run,
+	// although an earlier one of the same request may have.
+	notRunHere bool
+	// claim is nil unless the request must not run twice.
+	claim Claim
 	// failed tells that the caller has got no complete answer of a back end.
 	failed bool
 	// watch notes the answer's beginning for the recording; nil without one.
@@ -42,7 +47,7 @@
 // where sending the request again is safe.
 func (e *exchange) refuse(problem *caller.Problem) {
 	problem.RequestID = e.requestID
-	if problem.MayHaveRun && !e.described.Repeatable {
+	if problem.MayHaveRun && !e.described.Repeatable && !problem.RepeatIsSafe {
 		problem.RetryAfter = 0
 	}
 	e.failed = true
--- a/internal/dataplane/generate_test.go
+++ b/internal/dataplane/generate_test.go
@@ -84,6 +84,8 @@
 		got := f.generate(header{"Authorization", "Bearer other"})
 		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(got.problem.Kind).To(Equal(caller.KindNotServing))
+		Expect(got.problem.RequestID).NotTo(BeEmpty())
+		Expect(got.header.Get("Request-Id")).To(Equal(got.problem.RequestID))
 		Expect(got.header.Get("Retry-After")).To(Equal("1"))
 	})
 
--- a/internal/dataplane/harness_test.go
+++ b/internal/dataplane/harness_test.go
@@ -90,18 +90,24 @@
 
 // newRecordingFixture starts a node that records its requests in a file.
 func newRecordingFixture(recordFile string, replicas ...string) *fixture {
+	return newFixtureWith(func(options *dataplane.Options) { options.RecordFile = recordFile }, replicas...)
+}
+
+// newFixtureWith starts a node with changed options.
+func newFixtureWith(change func(*dataplane.Options), replicas ...string) *fixture {
 	f := &fixture{source: &source{}, limits: &ridgeswitchv1.Limits{}, timeout: 10000, domain: "shared/1"}
 	for _, address := range replicas {
 		f.replicas = append(f.replicas, routing.Replica{Address: address, Zone: "a", WeightVersion: weightsOne, Admitting: true})
 	}
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
-	server, err := dataplane.New(dataplane.Options{
+	options := dataplane.Options{
 		Node: "node", Zone: "a", Address: "127.0.0.1:0", Source: f.source,
-		Clock:      func() time.Duration { return time.Duration(f.clock.Load()) },
-		Log:        logrus.NewEntry(log),
-		RecordFile: recordFile,
-	})
+		Clock: func() time.Duration { return time.Duration(f.clock.Load()) },
+		Log:   logrus.NewEntry(log),
+	}
+	change(&options)
+	server, err := dataplane.New(options)
 	Expect(err).NotTo(HaveOccurred())
 	f.server = server
 	f.front = httptest.NewServer(server)
--- a/internal/dataplane/limiter.go
+++ b/internal/dataplane/limiter.go
@@ -20,37 +20,51 @@
 }
 
 // newLimiter returns a limiter that has seen no request.
-func newLimiter(clock func() time.Duration) *limiter {
+func newLimiter(clock func() time.Duration, node admission.Options) *limiter {
 	return &limiter{
 		clock:      clock,
-		controller: admission.New(),
+		controller: admission.New(node),
 		waiting:    make(map[admission.Ticket]chan struct{}),
 	}
 }
 
 // acquire admits a request, waiting in the tenant's queue if need be, or says
-// why not. An admitted request is to be released.
-func (l *limiter) acquire(ctx context.Context, tenant *routing.Tenant) *caller.Problem {
-	decision, granted := l.arrive(tenant)
+// why not. The ticket of an admitted request is to be released.
+func (l *limiter) acquire(ctx context.Context, arrival admission.Arrival) (admission.Ticket, *caller.Problem) {
+	decision, granted := l.arrive(arrival)
 	switch decision.Outcome {
 	case admission.Admitted:
-		return nil
+		return decision.Ticket, nil
 	case admission.Queued:
-		return l.wait(ctx, tenant.Name, decision, granted)
+		return decision.Ticket, l.wait(ctx, arrival.Tenant, decision, granted)
+	default:
+		return 0, refusedArrival(arrival.Tenant, decision)
+	}
+}
+
+// refusedArrival tells why a request was neither admitted nor queued.
+func refusedArrival(tenant string, decision admission.Decision) *caller.Problem {
+	var problem *caller.Problem
+	switch decision.Outcome {
 	case admission.RefusedRate:
-		return caller.NewProblem(caller.KindRateLimited,
-			"tenant %q sends more requests a second than it may: slow down", tenant.Name).After(decision.RetryAfter)
+		problem = caller.NewProblem(caller.KindRateLimited,
+			"tenant %q sends more requests a second than it may: slow down", tenant)
+	case admission.RefusedDeadline:
+		problem = caller.NewProblem(caller.KindDeadlineUnreachable,
+			"so many requests of tenant %q wait on this node that the deadline would pass first: come back, or send a larger %s",
+			tenant, caller.HeaderDeadline)
 	default:
-		return caller.NewProblem(caller.KindQueueFull,
-			"tenant %q has as many requests running and waiting as it may: wait for some to finish", tenant.Name).After(decision.RetryAfter)
+		problem = caller.NewProblem(caller.KindQueueFull,
+			"tenant %q has as many requests running and waiting as it may: wait for some to finish", tenant)
 	}
+	return problem.After(decision.RetryAfter)
 }
 
 // arrive enters a request. The channel is nil unless the request waits.
-func (l *limiter) arrive(tenant *routing.Tenant) (admission.Decision, chan struct{}) {
+func (l *limiter) arrive(arrival admission.Arrival) (admission.Decision, chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	decision := l.controller.Arrive(l.clock(), tenant.Name, admissionLimits(tenant))
+	decision := l.controller.Arrive(l.clock(), arrival)
 	if decision.Outcome != admission.Queued {
 		return decision, nil
 	}
@@ -89,10 +103,10 @@
 }
 
 // release gives back the place of an admitted request.
-func (l *limiter) release(tenant string) {
+func (l *limiter) release(ended admission.Ticket) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for _, ticket := range l.controller.Release(l.clock(), tenant) {
+	for _, ticket := range l.controller.Release(l.clock(), ended) {
 		granted, waits := l.waiting[ticket]
 		if waits {
 			delete(l.waiting, ticket)
@@ -133,21 +147,37 @@
 	}
 }
 
-// tenantLimiter holds each tenant to its limits.
+// publicTenant is whom requests without a key count for. No tenant is called
+// so.
+const publicTenant = ""
+
+// tenantLimiter holds each tenant to its limits, and all of them together to
+// the node's.
 type tenantLimiter struct {
 	limiter *limiter
+	clock   func() time.Duration
 }
 
 // handle implements handler.
 func (t *tenantLimiter) handle(e *exchange, next func()) {
-	if e.tenant == nil {
-		next()
-		return
-	}
-	if problem := t.limiter.acquire(e.ctx, e.tenant); problem != nil {
+	ticket, problem := t.limiter.acquire(e.ctx, t.arrival(e))
+	if problem != nil {
 		e.refuse(problem)
 		return
 	}
-	defer t.limiter.release(e.tenant.Name)
+	defer t.limiter.release(ticket)
 	next()
 }
+
+// arrival describes a request to admission.
+func (t *tenantLimiter) arrival(e *exchange) admission.Arrival {
+	arrival := admission.Arrival{Tenant: publicTenant}
+	if e.tenant != nil {
+		arrival.Tenant = e.tenant.Name
+		arrival.Limits = admissionLimits(e.tenant)
+	}
+	if deadline, bounded := e.ctx.Deadline(); bounded {
+		arrival.Deadline = t.clock() + time.Until(deadline)
+	}
+	return arrival
+}
--- a/internal/dataplane/limits_test.go
+++ b/internal/dataplane/limits_test.go
@@ -1,13 +1,17 @@
 package dataplane_test
 
 import (
+	"fmt"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
 )
 
 var _ = Describe("A tenant's limits", func() {
@@ -66,4 +70,68 @@
 		close(proceed)
 		<-done
 	})
+
+	It("give a place that becomes free on a full node to the tenant that holds none", func() {
+		entered, proceed := make(chan string, 8), make(chan struct{})
+		stand := newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			entered <- request.Header.Get(caller.HeaderRequestID)
+			<-proceed
+			answering("ok")(writer, request)
+		})
+		f := newFixtureWith(func(options *dataplane.Options) {
+			options.Admission = admission.Options{Concurrent: 1, Queued: 2, QueueTimeout: time.Minute}
+		}, stand.address())
+		results := make(chan outcome, 8)
+		send := func(key, id string) {
+			go func() { results <- f.generate(header{"Authorization", "Bearer " + key}, header{"Request-Id", id}) }()
+		}
+		send(courtKey, "court-0")
+		Expect(<-entered).To(Equal("court-0"))
+		// Of three requests two wait, which the refusal of the third shows.
+		for _, tenant := range []struct{ key, name string }{{courtKey, "court"}, {schoolKey, "school"}} {
+			for number := 1; number <= 3; number++ {
+				send(tenant.key, fmt.Sprintf("%s-%d", tenant.name, number))
+			}
+			Expect((<-results).problem.Kind).To(Equal(caller.KindQueueFull))
+		}
+		close(proceed)
+		Expect(<-entered).To(HavePrefix("school"))
+		Expect(<-entered).To(HavePrefix("court"))
+		Expect(<-entered).To(HavePrefix("school"))
+		Expect(<-entered).To(HavePrefix("court"))
+		for range 5 {
+			Expect((<-results).status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("refuse at once what would miss its deadline in the queue, and say when to come back", func() {
+		arrived, proceed := make(chan struct{}, 2), make(chan struct{})
+		var f *fixture
+		stand := newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			arrived <- struct{}{}
+			<-proceed
+			f.clock.Add(int64(3 * time.Second))
+			answering("ok")(writer, request)
+		})
+		f = newFixtureWith(func(options *dataplane.Options) {
+			options.Admission = admission.Options{Concurrent: 1, Queued: 2, QueueTimeout: time.Minute}
+		}, stand.address())
+		results := make(chan outcome, 2)
+		start := func() {
+			go func() { results <- f.generate() }()
+			<-arrived
+		}
+		start()
+		proceed <- struct{}{}
+		Expect((<-results).status).To(Equal(http.StatusOK))
+		start()
+		refused := f.generate(header{"Deadline-Ms", "2000"})
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.problem.Kind).To(Equal(caller.KindDeadlineUnreachable))
+		Expect(refused.problem.MayHaveRun).To(BeFalse())
+		Expect(refused.header.Get("Retry-After")).To(Equal("3"))
+		Expect(stand.requests()).To(HaveLen(2))
+		close(proceed)
+		Expect((<-results).status).To(Equal(http.StatusOK))
+	})
 })
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 )
 
@@ -32,8 +33,27 @@
 	DefaultRememberedRequests = 1 << 16
 	// DefaultRememberFor is how long their identity is remembered.
 	DefaultRememberFor = 10 * time.Minute
+	// DefaultConcurrentRequests bounds the requests that run on a node.
+	DefaultConcurrentRequests = 8192
+	// DefaultReservedRequests is how many of these are kept for tenants that
+	// hold less than their fair share.
+	DefaultReservedRequests = DefaultConcurrentRequests / 8
+	// DefaultQueuedRequests is how many requests of a tenant may wait for a
+	// node that is full, unless the tenant's own queue is longer.
+	DefaultQueuedRequests = 1024
+	// DefaultQueueTimeout is how long they may, unless the tenant's own bound
+	// is longer.
+	DefaultQueueTimeout = 5 * time.Second
 )
 
+// defaultAdmission is the bound of a node that sets none.
+var defaultAdmission = admission.Options{
+	Concurrent:   DefaultConcurrentRequests,
+	Reserved:     DefaultReservedRequests,
+	Queued:       DefaultQueuedRequests,
+	QueueTimeout: DefaultQueueTimeout,
+}
+
 // Options set up a Server. Zero values mean the defaults, where there are any.
 type Options struct {
 	// Node is the node's name.
@@ -53,6 +73,12 @@
 	RecordFile string
 	// Router configures the choice of replicas.
 	Router kvrouter.Options
+	// Admission bounds the requests that run on this node at a time, and says
+	// how tenants wait for a place.
+	Admission admission.Options
+	// Claims decide among all nodes who runs a request that must not run
+	// twice; nil leaves that to this node's own register.
+	Claims Claims
 	// MaxBodyBytes bounds a caller's body.
 	MaxBodyBytes int64
 	// MaxAnswerBytes bounds an answer that is read whole before any of it is
@@ -91,6 +117,7 @@
 	if o.Log == nil {
 		o.Log = logrus.NewEntry(logrus.StandardLogger())
 	}
+	setDefault(&o.Admission, defaultAdmission)
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
--- a/internal/dataplane/outcome.go
+++ b/internal/dataplane/outcome.go
@@ -50,11 +50,17 @@
 		return
 	}
 	w.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
+	if unsent == nil {
+		d.server.suspects.heard(chosen.address())
+	}
 	if problem := refusedProblem(err); problem != nil {
 		w.problem = problem
 		w.apply(attempts.Event{Kind: attempts.Refused, Attempt: attempt})
 		return
 	}
+	if unsent != nil && deadlinePassed(w.ctx) {
+		d.server.suspects.timedOut(d.server.options.Clock(), chosen.address())
+	}
 	d.enterLoss(w, chosen, attempt, err)
 }
 
@@ -147,6 +153,10 @@
 	if problem == nil {
 		problem = caller.NewProblem(caller.KindNoBackend, "no attempt was possible: send the request again").After(backendRetry)
 	}
-	problem.MayHaveRun = w.ledger.MayHaveRun()
+	// A lost claim may have let another node run the request.
+	problem.MayHaveRun = problem.MayHaveRun || w.ledger.MayHaveRun()
+	if w.ledger.MayHaveRun() {
+		problem.RepeatIsSafe = false
+	}
 	return problem
 }
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -39,13 +39,12 @@
 	}
 	now := b.server.options.Clock()
 	avoidSuspects := func(address string) bool {
-		return w.tried[address] || b.server.suspects.avoided(now, address)
+		return w.hasTried(address) || b.server.suspects.avoided(now, address)
 	}
 	decision, err := b.server.router.Select(b.selection(w, pool, now, avoidSuspects), b.candidates(pool))
 	var none *kvrouter.NoReplicaError
 	if errors.As(err, &none) && none.Reason == kvrouter.AllExcluded {
-		avoidTried := func(address string) bool { return w.tried[address] }
-		decision, err = b.server.router.Select(b.selection(w, pool, now, avoidTried), b.candidates(pool))
+		decision, err = b.server.router.Select(b.selection(w, pool, now, w.hasTried), b.candidates(pool))
 	}
 	if err != nil {
 		return nil, noReplicaProblem(err)
@@ -163,8 +162,6 @@
 
 // call describes the attempt to the replica.
 func (t *replicaTarget) call(w *work, attempt int) replica.Call {
-	extra := make(http.Header)
-	caller.CopyPassThrough(extra, w.request.Header)
 	return replica.Call{
 		Address:      t.decision.Address,
 		Model:        w.destination.Pool.Config.GetModel(),
@@ -177,7 +174,7 @@
 		Repeatable:   w.described.Repeatable,
 		Streamed:     w.described.Streamed,
 		Pull:         t.pull(w),
-		Extra:        extra,
+		Extra:        caller.PassThrough(w.request.Header),
 		ContentType:  w.request.Header.Get("Content-Type"),
 		Body:         w.body,
 	}
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -61,7 +61,7 @@
 		router:       kvrouter.New(options.Router),
 		identities:   named,
 		destinations: newDestinations(),
-		limiter:      newLimiter(options.Clock),
+		limiter:      newLimiter(options.Clock, options.Admission),
 		duplicates:   newDuplicateRegister(options.RememberedRequests, options.RememberFor),
 		inFlight:     newInFlight(),
 		suspects:     newSuspects(),
--- a/internal/dataplane/web.go
+++ b/internal/dataplane/web.go
@@ -38,10 +38,10 @@
 	}
 	now := b.server.options.Clock()
 	address, found := b.leastInFlight(service, func(address string) bool {
-		return w.tried[address] || b.server.suspects.avoided(now, address)
+		return w.hasTried(address) || b.server.suspects.avoided(now, address)
 	})
 	if !found {
-		address, found = b.leastInFlight(service, func(address string) bool { return w.tried[address] })
+		address, found = b.leastInFlight(service, w.hasTried)
 	}
 	if !found {
 		return nil, noWebBackendProblem()
--- a/internal/edge/caller/prefix.go
+++ b/internal/edge/caller/prefix.go
@@ -38,6 +38,7 @@
 // FormatPrefix writes parts as ParsePrefix reads them.
 func FormatPrefix(parts []prefixindex.Part) string {
 	var text strings.Builder
+	text.Grow(prefixBytes(parts))
 	for position, part := range parts {
 		if position > 0 {
 			text.WriteString(", ")
@@ -49,6 +50,16 @@
 	return text.String()
 }
 
+// prefixBytes bounds the length of the parts as text.
+func prefixBytes(parts []prefixindex.Part) int {
+	const besidesID = len(", ;"+tokensParameter+"=") + len("4294967295")
+	total := besidesID * len(parts)
+	for _, part := range parts {
+		total += len(part.ID)
+	}
+	return total
+}
+
 // parsePart reads one part.
 func parsePart(position int, field string) (prefixindex.Part, error) {
 	id, parameter, found := strings.Cut(field, ";")
--- a/internal/edge/caller/problem.go
+++ b/internal/edge/caller/problem.go
@@ -13,46 +13,50 @@
 
 // The kinds of errors that callers meet.
 const (
-	KindBadRequest       Kind = "bad_request"
-	KindBodyTooLarge     Kind = "body_too_large"
-	KindNotServing       Kind = "not_serving"
-	KindUnauthorized     Kind = "unauthorized"
-	KindUnknownHost      Kind = "unknown_host"
-	KindModelMismatch    Kind = "model_mismatch"
-	KindDuplicateRequest Kind = "duplicate_request"
-	KindRateLimited      Kind = "rate_limited"
-	KindQueueFull        Kind = "queue_full"
-	KindQueueTimeout     Kind = "queue_timeout"
-	KindNoBackend        Kind = "no_backend"
-	KindBackendsBusy     Kind = "backends_busy"
-	KindBackendRefused   Kind = "backend_refused"
-	KindRetryBudgetSpent Kind = "retry_budget_spent"
-	KindDeadlineExceeded Kind = "deadline_exceeded"
-	KindOutcomeUnknown   Kind = "outcome_unknown"
-	KindAnswerCut        Kind = "answer_cut"
-	KindInternal         Kind = "internal"
+	KindBadRequest          Kind = "bad_request"
+	KindBodyTooLarge        Kind = "body_too_large"
+	KindNotServing          Kind = "not_serving"
+	KindUnauthorized        Kind = "unauthorized"
+	KindUnknownHost         Kind = "unknown_host"
+	KindModelMismatch       Kind = "model_mismatch"
+	KindDuplicateRequest    Kind = "duplicate_request"
+	KindClaimUndecided      Kind = "claim_undecided"
+	KindRateLimited         Kind = "rate_limited"
+	KindQueueFull           Kind = "queue_full"
+	KindQueueTimeout        Kind = "queue_timeout"
+	KindDeadlineUnreachable Kind = "deadline_unreachable"
+	KindNoBackend           Kind = "no_backend"
+	KindBackendsBusy        Kind = "backends_busy"
+	KindBackendRefused      Kind = "backend_refused"
+	KindRetryBudgetSpent    Kind = "retry_budget_spent"
+	KindDeadlineExceeded    Kind = "deadline_exceeded"
+	KindOutcomeUnknown      Kind = "outcome_unknown"
+	KindAnswerCut           Kind = "answer_cut"
+	KindInternal            Kind = "internal"
 )
 
 // statusByKind maps each kind to its HTTP status.
 var statusByKind = map[Kind]int{
-	KindBadRequest:       http.StatusBadRequest,
-	KindBodyTooLarge:     http.StatusRequestEntityTooLarge,
-	KindNotServing:       http.StatusServiceUnavailable,
-	KindUnauthorized:     http.StatusUnauthorized,
-	KindUnknownHost:      http.StatusNotFound,
-	KindModelMismatch:    http.StatusBadRequest,
-	KindDuplicateRequest: http.StatusConflict,
-	KindRateLimited:      http.StatusTooManyRequests,
-	KindQueueFull:        http.StatusTooManyRequests,
-	KindQueueTimeout:     http.StatusServiceUnavailable,
-	KindNoBackend:        http.StatusServiceUnavailable,
-	KindBackendsBusy:     http.StatusServiceUnavailable,
-	KindBackendRefused:   http.StatusServiceUnavailable,
-	KindRetryBudgetSpent: http.StatusServiceUnavailable,
-	KindDeadlineExceeded: http.StatusGatewayTimeout,
-	KindOutcomeUnknown:   http.StatusBadGateway,
-	KindAnswerCut:        http.StatusBadGateway,
-	KindInternal:         http.StatusInternalServerError,
+	KindBadRequest:          http.StatusBadRequest,
+	KindBodyTooLarge:        http.StatusRequestEntityTooLarge,
+	KindNotServing:          http.StatusServiceUnavailable,
+	KindUnauthorized:        http.StatusUnauthorized,
+	KindUnknownHost:         http.StatusNotFound,
+	KindModelMismatch:       http.StatusBadRequest,
+	KindDuplicateRequest:    http.StatusConflict,
+	KindClaimUndecided:      http.StatusServiceUnavailable,
+	KindRateLimited:         http.StatusTooManyRequests,
+	KindQueueFull:           http.StatusTooManyRequests,
+	KindQueueTimeout:        http.StatusServiceUnavailable,
+	KindDeadlineUnreachable: http.StatusServiceUnavailable,
+	KindNoBackend:           http.StatusServiceUnavailable,
+	KindBackendsBusy:        http.StatusServiceUnavailable,
+	KindBackendRefused:      http.StatusServiceUnavailable,
+	KindRetryBudgetSpent:    http.StatusServiceUnavailable,
+	KindDeadlineExceeded:    http.StatusGatewayTimeout,
+	KindOutcomeUnknown:      http.StatusBadGateway,
+	KindAnswerCut:           http.StatusBadGateway,
+	KindInternal:            http.StatusInternalServerError,
 }
 
 // Problem is an error that a caller is told of.
@@ -65,6 +69,9 @@
 	MayHaveRun bool `json:"may_have_run"`
 	// RequestID echoes the request's identity.
 	RequestID string `json:"request_id"`
+	// RepeatIsSafe tells that the same request may be sent again, although an
+	// earlier submission of it may have run.
+	RepeatIsSafe bool `json:"-"`
 	// RetryAfter is when to come back; zero if coming back does not help.
 	RetryAfter time.Duration `json:"-"`
 }
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -79,13 +79,20 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-// CopyPassThrough copies the headers that pass untouched.
-func CopyPassThrough(to, from http.Header) {
-	for name, values := range from {
-		if strings.HasPrefix(name, PassThroughPrefix) {
-			to[name] = append([]string(nil), values...)
+// PassThrough returns the headers that pass untouched, or nil if there are
+// none.
+func PassThrough(header http.Header) http.Header {
+	var passed http.Header
+	for name, values := range header {
+		if !strings.HasPrefix(name, PassThroughPrefix) {
+			continue
 		}
+		if passed == nil {
+			passed = make(http.Header)
+		}
+		passed[name] = append([]string(nil), values...)
 	}
+	return passed
 }
 
 // acceptsStream tells whether the caller asks for a streamed answer.
--- a/internal/edge/caller/request_test.go
+++ b/internal/edge/caller/request_test.go
@@ -111,7 +111,7 @@
 		for _, kind := range []caller.Kind{
 			caller.KindBadRequest, caller.KindBodyTooLarge, caller.KindNotServing, caller.KindUnauthorized, caller.KindUnknownHost,
 			caller.KindModelMismatch, caller.KindDuplicateRequest, caller.KindRateLimited, caller.KindQueueFull,
-			caller.KindQueueTimeout, caller.KindNoBackend, caller.KindBackendsBusy, caller.KindBackendRefused,
+			caller.KindQueueTimeout, caller.KindDeadlineUnreachable, caller.KindClaimUndecided, caller.KindNoBackend, caller.KindBackendsBusy, caller.KindBackendRefused,
 			caller.KindRetryBudgetSpent, caller.KindDeadlineExceeded, caller.KindOutcomeUnknown, caller.KindAnswerCut,
 		} {
 			Expect(caller.NewProblem(kind, "x").Status()).NotTo(Equal(http.StatusInternalServerError), string(kind))
--- a/internal/edge/replica/answer.go
+++ b/internal/edge/replica/answer.go
@@ -14,6 +14,10 @@
 // streamBufferBytes is the size of the buffer that a stream is read through.
 const streamBufferBytes = 16 << 10
 
+// maxTrustedBytes bounds the buffer that an answer's declared length gets in
+// advance.
+const maxTrustedBytes = 64 << 10
+
 // passThroughPrefix begins the headers that pass untouched.
 const passThroughPrefix = "Lab-"
 
@@ -40,10 +44,11 @@
 
 // Header returns the headers that are handed on to the caller.
 func (a *Answer) Header() http.Header {
-	relayed := make(http.Header)
+	relayed := make(http.Header, len(a.response.Header))
 	for name, values := range a.response.Header {
 		if relayedHeaders[name] || strings.HasPrefix(name, passThroughPrefix) {
-			relayed[name] = append([]string(nil), values...)
+			// The response's own header is not used again.
+			relayed[name] = values
 		}
 	}
 	return relayed
@@ -73,14 +78,15 @@
 	if !a.delimited() {
 		return nil, false, &FaultError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, a.maxBytes+1))
-	if err != nil {
+	var body bytes.Buffer
+	body.Grow(int(min(max(a.response.ContentLength, 0), maxTrustedBytes)) + bytes.MinRead)
+	if _, err := body.ReadFrom(io.LimitReader(a.response.Body, a.maxBytes+1)); err != nil {
 		return nil, false, &FaultError{Reason: "the answer was cut", cause: errors.WithStack(err)}
 	}
-	if int64(len(body)) > a.maxBytes {
+	if int64(body.Len()) > a.maxBytes {
 		return nil, false, &FaultError{Reason: "the answer is larger than this node takes"}
 	}
-	return body, true, nil
+	return body.Bytes(), true, nil
 }
 
 // delimited tells whether the end of the answer is marked.
--- a/internal/edge/replica/events.go
+++ b/internal/edge/replica/events.go
@@ -19,8 +19,9 @@
 const (
 	// maxEventBytes bounds one line of the event stream.
 	maxEventBytes = 64 << 20
-	// eventBufferBytes is the first size of the buffer for a line.
-	eventBufferBytes = 64 << 10
+	// eventBufferBytes is the first size of the buffer for a line, which grows
+	// with the lines that come. A node follows thousands of streams.
+	eventBufferBytes = 2 << 10
 	// hexBase is the base in which hashes are written.
 	hexBase = 16
 	// hashBits is the size of a hash.
--- /dev/null
+++ b/internal/lab/proxybench/measure.go
@@ -0,0 +1,236 @@
+package proxybench
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+)
+
+const (
+	// warmUp is how long each target is saturated before anything counts.
+	warmUp = 100 * time.Millisecond
+	// halfLoad is the share of the saturation under which latencies are taken.
+	halfLoad = 0.5
+	// microsecondsPerMillisecond turns the histograms' unit into the reports'.
+	microsecondsPerMillisecond = 1000
+)
+
+// series is what one target has shown, a value a round.
+type series struct {
+	target    *target
+	rates     []float64
+	processor []float64
+	halfRates []float64
+	latencies *hdrhistogram.Histogram
+}
+
+// bench holds everything that runs during a measurement.
+type bench struct {
+	settings  Settings
+	replicas  []*endpoint
+	front     *endpoint
+	node      *dataplane.Server
+	direct    *series
+	forwarder *series
+	proxied   *series
+	addedP50  []float64
+	addedP99  []float64
+}
+
+// Measure runs all rounds.
+func Measure(ctx context.Context, settings Settings) (Report, error) {
+	if err := settings.check(); err != nil {
+		return Report{}, err
+	}
+	running := &bench{settings: settings}
+	defer running.close()
+	if err := running.start(); err != nil {
+		return Report{}, err
+	}
+	for _, measured := range running.all() {
+		if _, err := measured.target.saturate(ctx, warmUp); err != nil {
+			return Report{}, err
+		}
+	}
+	for round := range settings.Rounds {
+		if err := running.round(ctx, round); err != nil {
+			return Report{}, err
+		}
+	}
+	return running.report(), nil
+}
+
+// start starts replicas and proxies, and connects callers to them.
+func (b *bench) start() error {
+	var addresses []string
+	for range b.settings.Replicas {
+		started, err := newReplica(b.settings.BodyBytes)
+		if err != nil {
+			return err
+		}
+		b.replicas = append(b.replicas, started)
+		addresses = append(addresses, started.address)
+	}
+	var err error
+	if b.front, err = serve(newForwarder(addresses, b.settings.Connections)); err != nil {
+		return err
+	}
+	if b.node, err = startNode(addresses, b.settings.Connections); err != nil {
+		return err
+	}
+	if b.direct, err = b.connect(TargetDirect, addresses[0]); err != nil {
+		return err
+	}
+	if b.forwarder, err = b.connect(TargetForwarder, b.front.address); err != nil {
+		return err
+	}
+	b.proxied, err = b.connect(TargetNode, b.node.Address())
+	return err
+}
+
+// connect opens the connections to a target.
+func (b *bench) connect(name TargetName, address string) (*series, error) {
+	opened, err := openTarget(string(name), address, b.settings)
+	if err != nil {
+		return nil, err
+	}
+	return &series{target: opened, latencies: hdrhistogram.New(1, longestLatency, latencyDigits)}, nil
+}
+
+// all returns the series that have been connected.
+func (b *bench) all() []*series {
+	connected := []*series{b.direct, b.forwarder, b.proxied}
+	return slices.DeleteFunc(connected, func(one *series) bool { return one == nil })
+}
+
+// round measures every target once. The order turns with the rounds, so that
+// none always follows the same other.
+func (b *bench) round(ctx context.Context, round int) error {
+	order := b.all()
+	turn := round % len(order)
+	order = append(order[turn:len(order):len(order)], order[:turn]...)
+	for _, measured := range order {
+		if err := b.saturate(ctx, measured); err != nil {
+			return err
+		}
+	}
+	for _, measured := range order {
+		rate := halfLoad * measured.rates[round]
+		histogram, err := measured.target.paced(ctx, rate, b.settings.HalfLoadTime)
+		if err != nil {
+			return err
+		}
+		measured.halfRates = append(measured.halfRates, rate)
+		measured.latencies.Merge(histogram)
+	}
+	return b.compareLatencies(ctx, halfLoad*b.proxied.rates[round], round)
+}
+
+// saturate adds one saturation to a series.
+func (b *bench) saturate(ctx context.Context, measured *series) error {
+	shown, err := measured.target.saturate(ctx, b.settings.SaturationTime)
+	if err != nil {
+		return err
+	}
+	measured.rates = append(measured.rates, shown.perSecond())
+	measured.processor = append(measured.processor, shown.processorPerRequest())
+	return nil
+}
+
+// compareLatencies puts forwarder and node under one rate, one after the other.
+func (b *bench) compareLatencies(ctx context.Context, rate float64, round int) error {
+	order := []*series{b.forwarder, b.proxied}
+	if round%2 == 1 {
+		slices.Reverse(order)
+	}
+	shown := make(map[*series]*hdrhistogram.Histogram, len(order))
+	for _, measured := range order {
+		histogram, err := measured.target.paced(ctx, rate, b.settings.HalfLoadTime)
+		if err != nil {
+			return err
+		}
+		shown[measured] = histogram
+	}
+	added := func(percentile float64) float64 {
+		return milliseconds(shown[b.proxied], percentile) - milliseconds(shown[b.forwarder], percentile)
+	}
+	b.addedP50 = append(b.addedP50, added(50))
+	b.addedP99 = append(b.addedP99, added(99))
+	return nil
+}
+
+// report sums the rounds up.
+func (b *bench) report() Report {
+	return Report{
+		Targets: []TargetResult{
+			b.direct.result(TargetDirect),
+			b.forwarder.result(TargetForwarder),
+			b.proxied.result(TargetNode),
+		},
+		Summary: b.summary(),
+	}
+}
+
+// summary compares node and forwarder round by round.
+func (b *bench) summary() Summary {
+	var throughputs, processors []float64
+	for round := range b.settings.Rounds {
+		direct := b.direct.processor[round]
+		throughputs = append(throughputs, b.proxied.rates[round]/b.forwarder.rates[round])
+		processors = append(processors, (b.forwarder.processor[round]-direct)/(b.proxied.processor[round]-direct))
+	}
+	return Summary{
+		Rounds:          b.settings.Rounds,
+		ThroughputRatio: median(throughputs),
+		ProcessorRatio:  median(processors),
+		AddedP50MS:      median(b.addedP50),
+		AddedP99MS:      median(b.addedP99),
+	}
+}
+
+// result sums a series up.
+func (s *series) result(name TargetName) TargetResult {
+	return TargetResult{
+		Target:                name,
+		RequestsPerSecond:     median(s.rates),
+		ProcessorMicroseconds: median(s.processor),
+		HalfLoadPerSecond:     median(s.halfRates),
+		HalfLoadP50MS:         milliseconds(s.latencies, 50),
+		HalfLoadP99MS:         milliseconds(s.latencies, 99),
+	}
+}
+
+// close ends everything that was started.
+func (b *bench) close() {
+	for _, connected := range b.all() {
+		connected.target.close()
+	}
+	if b.node != nil {
+		b.node.Stop()
+	}
+	if b.front != nil {
+		b.front.close()
+	}
+	for _, started := range b.replicas {
+		started.close()
+	}
+}
+
+// median returns the middle value.
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
+
+// milliseconds returns a percentile of a histogram.
+func milliseconds(histogram *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(histogram.ValueAtQuantile(percentile)) / microsecondsPerMillisecond
+}
--- a/internal/lab/standin/replica/generate.go
+++ b/internal/lab/standin/replica/generate.go
@@ -24,6 +24,7 @@
 // generate runs one attempt.
 func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
 	read, err := readCall(r.Header)
+	echo(w, read.request)
 	if err == nil {
 		err = standin.DrainBody(r)
 	}
@@ -32,7 +33,6 @@
 		standin.WriteJSON(w, http.StatusBadRequest, standin.Problem{Kind: "bad_request", Message: err.Error()})
 		return
 	}
-	echo(w, read.request)
 	fate := s.faults.Draw()
 	handle, notices, err := s.submit(read.request, fate)
 	if err != nil {
--- a/internal/lab/standin/replica/server_test.go
+++ b/internal/lab/standin/replica/server_test.go
@@ -196,6 +196,8 @@
 		response, _, err = one.generate("r2", func(header http.Header) { header.Set(protocol.HeaderPrefix, "a;tokens=none") })
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(response.Header.Get(protocol.HeaderNotRun)).To(Equal("true"))
+		Expect(response.Header.Get(protocol.HeaderAttemptID)).To(Equal("attempt-r2"))
 	})
 
 	It("stops a request whose caller has gone", func() {
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -1,6 +1,31 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// waiter is a request in a queue.
+type waiter struct {
+	ticket Ticket
+	until  time.Duration
+}
+
+// gate is the state of one tenant.
+type gate struct {
+	tenant  string
+	limits  Limits
+	tokens  float64
+	refill  time.Duration
+	running uint32
+	queue   []waiter
+	holding holding
+	// lastGrant orders gates by when they were last given a place.
+	lastGrant uint64
+	// countedWeight and listed are what the controller's sums hold of it.
+	countedWeight uint64
+	listed        bool
+}
 
 // burst returns the most tokens that limits let a tenant save up. Without a
 // whole token nothing could ever be admitted.
@@ -33,23 +58,41 @@
 	return Decision{}, false
 }
 
-// mayRun tells whether a new request may run now: nobody waits before it.
+// mayRun tells whether a new request may run as far as its tenant goes: nobody
+// waits before it.
 func (g *gate) mayRun() bool {
 	return len(g.queue) == 0 && g.hasRoom()
 }
 
-// hasRoom tells whether one more request may run.
+// hasRoom tells whether one more request of the tenant may run.
 func (g *gate) hasRoom() bool {
 	return g.limits.Concurrent == 0 || g.running < g.limits.Concurrent
 }
 
+// inUse tells whether the tenant has requests that run or wait.
+func (g *gate) inUse() bool {
+	return g.running > 0 || len(g.queue) > 0
+}
+
 // expire drops the requests that have waited long enough.
 func (g *gate) expire(now time.Duration) {
-	kept := g.queue[:0]
-	for _, waiting := range g.queue {
-		if waiting.until > now {
-			kept = append(kept, waiting)
-		}
+	g.queue = slices.DeleteFunc(g.queue, func(waiting waiter) bool { return waiting.until <= now })
+}
+
+// expireFirst drops such requests from the head of the queue only, so that a
+// grant does not look at all of it.
+func (g *gate) expireFirst(now time.Duration) {
+	for len(g.queue) > 0 && g.queue[0].until <= now {
+		g.queue = g.queue[1:]
+	}
+}
+
+// remove takes a request out of the queue.
+func (g *gate) remove(ticket Ticket) bool {
+	at := slices.IndexFunc(g.queue, func(waiting waiter) bool { return waiting.ticket == ticket })
+	if at < 0 {
+		return false
 	}
-	g.queue = kept
+	g.queue = slices.Delete(g.queue, at, at+1)
+	return true
 }
--- /dev/null
+++ b/pkg/admission/share_test.go
@@ -0,0 +1,215 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
+)
+
+// node is a controller with the tenants of its tickets.
+type node struct {
+	*admission.Controller
+	owners map[admission.Ticket]string
+	held   map[string][]admission.Ticket
+}
+
+func newNode(options admission.Options) *node {
+	return &node{
+		Controller: admission.New(options),
+		owners:     map[admission.Ticket]string{},
+		held:       map[string][]admission.Ticket{},
+	}
+}
+
+func (n *node) arrive(now time.Duration, tenant string, weight uint32) admission.Decision {
+	decision := n.Arrive(now, admission.Arrival{Tenant: tenant, Limits: admission.Limits{Weight: weight}})
+	n.owners[decision.Ticket] = tenant
+	if decision.Outcome == admission.Admitted {
+		n.held[tenant] = append(n.held[tenant], decision.Ticket)
+	}
+	return decision
+}
+
+// release ends a tenant's oldest request, and returns who got its place.
+func (n *node) release(now time.Duration, tenant string) []string {
+	ticket := n.held[tenant][0]
+	n.held[tenant] = n.held[tenant][1:]
+	var granted []string
+	for _, next := range n.Release(now, ticket) {
+		owner := n.owners[next]
+		n.held[owner] = append(n.held[owner], next)
+		granted = append(granted, owner)
+	}
+	return granted
+}
+
+var _ = Describe("Controller of a full node", func() {
+	options := admission.Options{Concurrent: 6, Queued: 100, QueueTimeout: time.Minute}
+
+	It("gives free places to whoever holds the fewest, not to the longest queue", func() {
+		full := newNode(options)
+		for range 50 {
+			full.arrive(0, "storm", 1)
+		}
+		Expect(full.arrive(0, "court", 1).Outcome).To(Equal(admission.Queued))
+		full.arrive(0, "court", 1)
+		full.arrive(0, "school", 1)
+		var order []string
+		for range 6 {
+			order = append(order, full.release(time.Second, "storm")...)
+		}
+		Expect(order).To(Equal([]string{"court", "school", "court", "storm", "storm", "storm"}))
+	})
+
+	It("shares in proportion to the weights while all have enough to do", func() {
+		full := newNode(options)
+		for range 50 {
+			full.arrive(0, "storm", 1)
+			full.arrive(0, "court", 2)
+		}
+		for turn := range 40 {
+			for _, tenant := range []string{"storm", "court"} {
+				if len(full.held[tenant]) > 0 {
+					full.release(time.Duration(turn)*time.Second, tenant)
+				}
+			}
+		}
+		Expect(full.held["storm"]).To(HaveLen(2))
+		Expect(full.held["court"]).To(HaveLen(4))
+	})
+
+	It("keeps the reserved places for tenants that hold less than their share", func() {
+		reserving := options
+		reserving.Reserved = 2
+		full := newNode(reserving)
+		for range 10 {
+			full.arrive(0, "storm", 1)
+		}
+		Expect(full.held["storm"]).To(HaveLen(4))
+		Expect(full.arrive(0, "court", 1).Outcome).To(Equal(admission.Admitted))
+		Expect(full.arrive(0, "court", 1).Outcome).To(Equal(admission.Admitted))
+		Expect(full.arrive(0, "court", 1).Outcome).To(Equal(admission.Queued))
+		// Court now holds a third, which is its share if one more tenant comes.
+		Expect(full.release(time.Second, "storm")).To(BeEmpty())
+		Expect(full.arrive(time.Second, "school", 1).Outcome).To(Equal(admission.Admitted))
+	})
+
+	It("lets a tenant wait for the node although it may not wait for its own places", func() {
+		small := newNode(admission.Options{Concurrent: 1, Queued: 1, QueueTimeout: time.Second})
+		small.arrive(0, "storm", 1)
+		limits := admission.Limits{Concurrent: 1}
+		waits := small.Arrive(0, admission.Arrival{Tenant: "court", Limits: limits})
+		Expect(waits.Outcome).To(Equal(admission.Queued))
+		Expect(waits.Until).To(Equal(time.Second))
+		Expect(small.Arrive(0, admission.Arrival{Tenant: "court", Limits: limits}).Outcome).To(Equal(admission.RefusedQueueFull))
+	})
+
+	It("refuses at once what would miss its deadline in the queue", func() {
+		busy := newNode(admission.Options{Concurrent: 1, Queued: 10, QueueTimeout: time.Minute})
+		busy.arrive(0, "court", 1)
+		busy.release(2*time.Second, "court")
+		now := 2 * time.Second
+		busy.arrive(now, "court", 1)
+		due := func(after time.Duration) admission.Decision {
+			return busy.Arrive(now, admission.Arrival{Tenant: "court", Deadline: now + after})
+		}
+		// A request holds a place for two seconds, and one runs already.
+		late := due(4 * time.Second)
+		Expect(late.Outcome).To(Equal(admission.RefusedDeadline))
+		Expect(late.RetryAfter).To(Equal(2 * time.Second))
+		inTime := due(4*time.Second + time.Millisecond)
+		Expect(inTime.Outcome).To(Equal(admission.Queued))
+		Expect(inTime.Until).To(Equal(now + 2*time.Second + time.Millisecond))
+		Expect(due(6 * time.Second).Outcome).To(Equal(admission.RefusedDeadline))
+	})
+
+	It("grants no place to a request that could not use it in time", func() {
+		busy := newNode(admission.Options{Concurrent: 1, Queued: 10, QueueTimeout: time.Minute})
+		busy.arrive(0, "court", 1)
+		busy.release(time.Second, "court")
+		busy.arrive(time.Second, "court", 1)
+		waits := busy.Arrive(time.Second, admission.Arrival{Tenant: "court", Deadline: 4 * time.Second})
+		Expect(waits.Outcome).To(Equal(admission.Queued))
+		Expect(busy.release(3500*time.Millisecond, "court")).To(BeEmpty())
+	})
+
+	It("never exceeds a bound nor leaves a place unused that somebody may take", func() {
+		for seed := range uint64(20) {
+			explore(seed)
+		}
+	})
+})
+
+// explore runs a random sequence and checks every bound after each step.
+func explore(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	options := admission.Options{
+		Concurrent: 1 + random.Uint32N(6), Reserved: random.Uint32N(3), Queued: random.Uint32N(5), QueueTimeout: 3 * time.Second,
+	}
+	limits := admission.Limits{Concurrent: random.Uint32N(4), Queued: random.Uint32N(4), QueueTimeout: 2 * time.Second}
+	explored := newNode(options)
+	now := time.Duration(0)
+	waiting := map[admission.Ticket]time.Duration{}
+	for range 3000 {
+		now += time.Duration(random.IntN(200)) * time.Millisecond
+		tenant := fmt.Sprintf("tenant-%d", random.IntN(4))
+		switch action := random.IntN(5); {
+		case action < 3:
+			deadline := now + time.Duration(1+random.IntN(4000))*time.Millisecond
+			decision := explored.Arrive(now, admission.Arrival{Tenant: tenant, Limits: limits, Deadline: deadline})
+			explored.owners[decision.Ticket] = tenant
+			if decision.Outcome == admission.Admitted {
+				explored.held[tenant] = append(explored.held[tenant], decision.Ticket)
+			} else if decision.Outcome == admission.Queued {
+				Expect(decision.Until).To(BeNumerically("<=", deadline))
+				waiting[decision.Ticket] = decision.Until
+			} else {
+				Expect(decision.RetryAfter).To(BeNumerically(">", 0))
+			}
+		case action == 3 && len(explored.held[tenant]) > 0:
+			ticket := explored.held[tenant][0]
+			explored.held[tenant] = explored.held[tenant][1:]
+			for _, next := range explored.Release(now, ticket) {
+				Expect(waiting).To(HaveKey(next))
+				Expect(waiting[next]).To(BeNumerically(">", now))
+				delete(waiting, next)
+				owner := explored.owners[next]
+				explored.held[owner] = append(explored.held[owner], next)
+			}
+		default:
+			for ticket := range waiting {
+				explored.Abandon(explored.owners[ticket], ticket)
+				delete(waiting, ticket)
+				break
+			}
+		}
+		total := 0
+		for _, held := range explored.held {
+			if limits.Concurrent > 0 {
+				Expect(len(held)).To(BeNumerically("<=", int(limits.Concurrent)))
+			}
+			total += len(held)
+		}
+		Expect(explored.Running()).To(Equal(total))
+		Expect(total).To(BeNumerically("<=", int(options.Concurrent)))
+		if total == 0 {
+			Expect(stillValid(waiting, now)).To(BeZero(), "an idle node lets nobody wait")
+		}
+	}
+}
+
+// stillValid counts the requests that have not waited long enough.
+func stillValid(waiting map[admission.Ticket]time.Duration, now time.Duration) int {
+	count := 0
+	for _, until := range waiting {
+		if until > now {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/claims/cluster_test.go
@@ -0,0 +1,331 @@
+package claims_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/claims"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// remember is short, so that windows pass often.
+const remember = 2 * time.Second
+
+// step is how often nodes tick.
+const step = 10 * time.Millisecond
+
+// packet is a message on its way.
+type packet struct {
+	at       time.Duration
+	order    int
+	from, to member.ID
+	message  claims.Message
+}
+
+type wire []packet
+
+func (w wire) Len() int { return len(w) }
+func (w wire) Less(i, j int) bool {
+	return w[i].at < w[j].at || w[i].at == w[j].at && w[i].order < w[j].order
+}
+func (w wire) Swap(i, j int)   { w[i], w[j] = w[j], w[i] }
+func (w *wire) Push(value any) { *w = append(*w, value.(packet)) }
+func (w *wire) Pop() any {
+	last := (*w)[len(*w)-1]
+	*w = (*w)[:len(*w)-1]
+	return last
+}
+
+// submission is a request in the hands of a node.
+type submission struct {
+	key     claims.Key
+	number  claims.Number
+	outcome claims.Outcome
+	decided bool
+	// sendAt is when the node is about to send it to a back end.
+	sendAt time.Duration
+}
+
+// peer is a node of the cluster.
+type peer struct {
+	id          member.ID
+	life        member.Incarnation
+	machine     *claims.Machine
+	open        map[claims.Number]*submission
+	frozenUntil time.Duration
+	// inbox holds what comes while the node is frozen.
+	inbox []packet
+	// adopted is how many directories the node has followed.
+	adopted int
+}
+
+// run is a request that was sent to a back end.
+type run struct {
+	node    *peer
+	life    member.Incarnation
+	number  claims.Number
+	start   time.Duration
+	end     time.Duration
+	ended   bool
+	spoiled bool
+}
+
+// cluster is a deployment in virtual time.
+type cluster struct {
+	now    time.Duration
+	random *rand.Rand
+	wire   wire
+	order  int
+	peers  []*peer
+	// loss, late and twice are the faults of the network.
+	loss, twice float64
+	latest      time.Duration
+	// cut holds pairs of nodes that do not reach each other.
+	cut map[[2]member.ID]bool
+	// plans are the directories in their order; barrierAt is when the last
+	// one may be followed by one without the older set.
+	plans     [][]claims.Set
+	barrierAt time.Duration
+	runs      map[claims.Key][]*run
+	outcomes  map[claims.Outcome]int
+}
+
+func newCluster(seed uint64, size int) *cluster {
+	c := &cluster{
+		random: rand.New(rand.NewPCG(seed, 9)), latest: 20 * time.Millisecond,
+		cut: map[[2]member.ID]bool{}, runs: map[claims.Key][]*run{}, outcomes: map[claims.Outcome]int{},
+	}
+	var members []member.ID
+	for number := range size {
+		id := member.ID(string(rune('a' + number)))
+		members = append(members, id)
+		c.peers = append(c.peers, &peer{id: id})
+	}
+	c.plans = [][]claims.Set{{{Epoch: 1, Members: members}}}
+	for _, started := range c.peers {
+		c.restart(started)
+	}
+	return c
+}
+
+// restart begins a new life of a node. Its runs go on without it.
+func (c *cluster) restart(p *peer) {
+	p.life++
+	p.open = map[claims.Number]*submission{}
+	p.inbox = nil
+	p.frozenUntil = 0
+	p.adopted = len(c.plans) - 1
+	p.machine = claims.New(claims.Config{Self: p.id, Life: p.life, Remember: remember}, c.now)
+	p.machine.SetDirectory(c.plans[p.adopted])
+	for _, runs := range c.runs {
+		for _, running := range runs {
+			if running.node == p && !running.ended {
+				running.spoiled = true
+			}
+		}
+	}
+}
+
+func (c *cluster) send(from member.ID, out []claims.Outbound) {
+	for _, one := range out {
+		if c.random.Float64() < c.loss || c.cut[[2]member.ID{from, one.To}] {
+			continue
+		}
+		copies := 1
+		if c.random.Float64() < c.twice {
+			copies = 2
+		}
+		for range copies {
+			c.order++
+			delay := time.Duration(c.random.Int64N(int64(c.latest)))
+			heap.Push(&c.wire, packet{at: c.now + delay, order: c.order, from: from, to: one.To, message: one.Message})
+		}
+	}
+}
+
+func (c *cluster) peer(id member.ID) *peer {
+	return c.peers[slices.IndexFunc(c.peers, func(p *peer) bool { return p.id == id })]
+}
+
+// submit hands a request to a node.
+func (c *cluster) submit(p *peer, key claims.Key) claims.Number {
+	number, out, err := p.machine.Claim(c.now, key)
+	Expect(err).NotTo(HaveOccurred())
+	p.open[number] = &submission{key: key, number: number}
+	c.send(p.id, out)
+	c.collect(p)
+	return number
+}
+
+// collect takes a node's decisions in.
+func (c *cluster) collect(p *peer) {
+	for _, decision := range p.machine.Decisions() {
+		c.outcomes[decision.Outcome]++
+		decided := p.open[decision.Number]
+		decided.decided, decided.outcome = true, decision.Outcome
+		decided.sendAt = c.now + time.Duration(c.random.Int64N(int64(50*time.Millisecond)))
+		if decision.Outcome != claims.Held {
+			delete(p.open, decision.Number)
+		}
+	}
+}
+
+// advance lets time pass.
+func (c *cluster) advance(duration time.Duration) {
+	for until := c.now + duration; c.now < until; {
+		c.now += step
+		for c.wire.Len() > 0 && c.wire[0].at <= c.now {
+			c.deliver(heap.Pop(&c.wire).(packet))
+		}
+		for _, p := range c.peers {
+			if p.frozenUntil <= c.now {
+				c.act(p)
+			}
+		}
+		c.followDirectory()
+		c.checkOneMayRun()
+	}
+}
+
+func (c *cluster) deliver(one packet) {
+	p := c.peer(one.to)
+	if p.frozenUntil > c.now {
+		p.inbox = append(p.inbox, one)
+		return
+	}
+	c.send(p.id, p.machine.Step(c.now, one.from, one.message))
+	c.collect(p)
+}
+
+// act is what a node does at each step. One that wakes sends before it reads
+// what has come meanwhile, which is the worst that it can do.
+func (c *cluster) act(p *peer) {
+	for _, number := range sortedNumbers(p.open) {
+		if held := p.open[number]; held.decided && held.sendAt <= c.now {
+			delete(p.open, number)
+			c.start(p, held)
+		}
+	}
+	for _, waited := range p.inbox {
+		c.send(p.id, p.machine.Step(c.now, waited.from, waited.message))
+	}
+	p.inbox = nil
+	c.send(p.id, p.machine.Tick(c.now))
+	c.collect(p)
+	for _, running := range c.runningOn(p) {
+		if running.end <= c.now {
+			running.ended = true
+			c.send(p.id, p.machine.End(c.now, running.number, true))
+		}
+	}
+}
+
+// start sends a request to a back end if its claim still holds.
+func (c *cluster) start(p *peer, held *submission) {
+	if !p.machine.MayRun(c.now, held.number) {
+		c.send(p.id, p.machine.End(c.now, held.number, false))
+		return
+	}
+	lasts := time.Duration(c.random.Int64N(int64(2 * remember)))
+	begun := &run{node: p, life: p.life, number: held.number, start: c.now, end: c.now + lasts}
+	c.runs[held.key] = append(c.runs[held.key], begun)
+}
+
+func (c *cluster) runningOn(p *peer) []*run {
+	var running []*run
+	for _, runs := range c.runs {
+		for _, one := range runs {
+			if one.node == p && one.life == p.life && !one.ended {
+				running = append(running, one)
+			}
+		}
+	}
+	slices.SortFunc(running, func(a, b *run) int { return int(a.number) - int(b.number) })
+	return running
+}
+
+// freeze stops a node for a time.
+func (c *cluster) freeze(p *peer, duration time.Duration) {
+	p.frozenUntil = c.now + duration
+	for _, running := range c.runningOn(p) {
+		running.spoiled = true
+	}
+}
+
+// changeDirectory begins to replace the set, unless a change is under way.
+func (c *cluster) changeDirectory(members []member.ID) {
+	newest := c.plans[len(c.plans)-1]
+	if len(newest) > 1 {
+		return
+	}
+	next := claims.Set{Epoch: newest[0].Epoch + 1, Members: members}
+	c.plans = append(c.plans, []claims.Set{newest[0], next})
+	c.barrierAt = 0
+}
+
+// followDirectory lets nodes adopt directories late, and leaves the old set out
+// when all have adopted the new one and enough time has passed.
+func (c *cluster) followDirectory() {
+	last := len(c.plans) - 1
+	all := true
+	for _, p := range c.peers {
+		if p.adopted < last && p.frozenUntil <= c.now && c.random.IntN(20) == 0 {
+			p.adopted++
+			p.machine.SetDirectory(c.plans[p.adopted])
+		}
+		all = all && p.adopted == last
+	}
+	newest := c.plans[last]
+	if !all || len(newest) == 1 {
+		return
+	}
+	if c.barrierAt == 0 {
+		c.barrierAt = c.now + remember
+	}
+	if c.now >= c.barrierAt {
+		c.plans = append(c.plans, newest[1:])
+	}
+}
+
+// checkOneMayRun checks that no two nodes may send the same request.
+func (c *cluster) checkOneMayRun() {
+	holders := map[claims.Key]member.ID{}
+	for _, p := range c.peers {
+		for _, open := range p.open {
+			if !p.machine.MayRun(c.now, open.number) {
+				continue
+			}
+			Expect(holders).NotTo(HaveKey(open.key), "two claims hold at %v", c.now)
+			holders[open.key] = p.id
+		}
+	}
+}
+
+// checkRuns checks how far apart two runs of one request are.
+func (c *cluster) checkRuns() (twice int) {
+	for _, runs := range c.runs {
+		for at := 1; at < len(runs); at++ {
+			before, after := runs[at-1], runs[at]
+			Expect(after.start-before.start).To(BeNumerically(">", remember/8), "runs that begin together")
+			if !before.spoiled {
+				Expect(before.ended).To(BeTrue(), "a run beside a run that goes on")
+				Expect(after.start-before.end).To(BeNumerically(">=", remember/4), "a run soon after another")
+			}
+			twice++
+		}
+	}
+	return twice
+}
+
+func sortedNumbers(open map[claims.Number]*submission) []claims.Number {
+	numbers := make([]claims.Number, 0, len(open))
+	for number := range open {
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
--- /dev/null
+++ b/pkg/claims/timeline_test.go
@@ -0,0 +1,193 @@
+package claims_test
+
+import (
+	"container/heap"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/claims"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// Each file of testdata is a timeline: the first row names the columns, a node
+// each, and each further row is an instant. Homes remember for 2s, and grant
+// nothing for 2.25s after a start. A cell acts (claim(k), end(k): it may have
+// run, back(k): it has not, restart, freeze, wake, cut(b): nothing from here
+// reaches b, mend(b), adopt(1 2): the sets of these epochs agree) or checks what
+// the node's newest claim of k is (held(k), taken(k), undecided(k), asking(k)) and
+// whether its request may be sent (may(k), maynot(k)).
+var _ = Describe("timelines", func() {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		panic("no timelines")
+	}
+	for _, file := range files {
+		It(strings.TrimSuffix(filepath.Base(file), ".txt"), func() {
+			text, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			runTimeline(string(text))
+		})
+	}
+})
+
+// timeline is a cluster whose network loses nothing.
+type timeline struct {
+	*cluster
+	columns []string
+	// newest are the claims of a node and key; decided is what became of them.
+	newest  map[string]claims.Number
+	decided map[string]claims.Outcome
+}
+
+func runTimeline(text string) {
+	var line *timeline
+	for number, row := range strings.Split(text, "\n") {
+		if row == "" || strings.HasPrefix(row, "#") {
+			continue
+		}
+		cells := strings.Split(row, "|")
+		if line == nil {
+			line = newTimeline(cells[1:])
+			continue
+		}
+		at, err := time.ParseDuration(strings.TrimSpace(cells[0]))
+		Expect(err).NotTo(HaveOccurred())
+		line.runUntil(at)
+		for column, cell := range cells[1:] {
+			for _, token := range strings.Split(cell, ",") {
+				if token = strings.TrimSpace(token); token != "" {
+					line.perform(line.columns[column], token, number+1)
+				}
+			}
+		}
+	}
+}
+
+func newTimeline(cells []string) *timeline {
+	line := &timeline{cluster: newCluster(1, len(cells)), newest: map[string]claims.Number{}, decided: map[string]claims.Outcome{}}
+	for at, cell := range cells {
+		line.columns = append(line.columns, strings.TrimSpace(cell))
+		Expect(line.columns[at]).To(Equal(string(line.peers[at].id)), "columns are a, b and so on")
+	}
+	return line
+}
+
+// runUntil lets messages arrive and nodes tick.
+func (l *timeline) runUntil(at time.Duration) {
+	for l.now < at {
+		l.now += step
+		for l.wire.Len() > 0 && l.wire[0].at <= l.now {
+			next := heap.Pop(&l.wire).(packet)
+			l.take(next)
+		}
+		for _, p := range l.peers {
+			if p.frozenUntil <= l.now {
+				l.send(p.id, p.machine.Tick(l.now))
+				l.note(p)
+			}
+		}
+	}
+}
+
+func (l *timeline) take(one packet) {
+	p := l.peer(one.to)
+	if p.frozenUntil > l.now {
+		p.inbox = append(p.inbox, one)
+		return
+	}
+	l.send(p.id, p.machine.Step(l.now, one.from, one.message))
+	l.note(p)
+}
+
+// note keeps a node's decisions.
+func (l *timeline) note(p *peer) {
+	for _, decision := range p.machine.Decisions() {
+		l.decided[decisionName(p, decision.Number)] = decision.Outcome
+	}
+}
+
+func decisionName(p *peer, number claims.Number) string {
+	return string(p.id) + "/" + strconv.FormatUint(uint64(p.life), 10) + "/" + strconv.FormatUint(uint64(number), 10)
+}
+
+func (l *timeline) perform(name, token string, number int) {
+	verb, argument, _ := strings.Cut(strings.TrimSuffix(token, ")"), "(")
+	where := "line " + strconv.Itoa(number) + ", " + name + ": " + token
+	p := l.peer(member.ID(name))
+	if !l.act(p, verb, argument) {
+		l.check(p, verb, argument, where)
+	}
+}
+
+func (l *timeline) act(p *peer, verb, argument string) bool {
+	claim := string(p.id) + "/" + argument
+	reaches := [2]member.ID{p.id, member.ID(argument)}
+	switch verb {
+	case "claim":
+		begun, out, err := p.machine.Claim(l.now, claims.KeyOf("court", argument))
+		Expect(err).NotTo(HaveOccurred())
+		l.newest[claim] = begun
+		l.send(p.id, out)
+		l.note(p)
+	case "end", "back":
+		l.send(p.id, p.machine.End(l.now, l.newest[claim], verb == "end"))
+	case "restart":
+		l.restart(p)
+	case "freeze":
+		p.frozenUntil = time.Hour
+	case "wake":
+		p.frozenUntil = 0
+		waited := p.inbox
+		p.inbox = nil
+		for _, one := range waited {
+			l.take(one)
+		}
+	case "cut":
+		l.cut[reaches] = true
+	case "mend":
+		delete(l.cut, reaches)
+	case "adopt":
+		p.machine.SetDirectory(setsOf(l.columns, argument))
+	default:
+		return false
+	}
+	return true
+}
+
+// setsOf returns the sets of some epochs. That of epoch 1 has all nodes; each
+// later one leaves one more of the first nodes out.
+func setsOf(columns []string, epochs string) []claims.Set {
+	var sets []claims.Set
+	for _, text := range strings.Fields(epochs) {
+		epoch, err := strconv.Atoi(text)
+		Expect(err).NotTo(HaveOccurred())
+		set := claims.Set{Epoch: uint64(epoch)}
+		for _, name := range columns[epoch-1:] {
+			set.Members = append(set.Members, member.ID(name))
+		}
+		sets = append(sets, set)
+	}
+	return sets
+}
+
+func (l *timeline) check(p *peer, verb, key, where string) {
+	number := l.newest[string(p.id)+"/"+key]
+	outcome, decided := l.decided[decisionName(p, number)]
+	switch verb {
+	case "may":
+		Expect(p.machine.MayRun(l.now, number)).To(BeTrue(), where)
+	case "maynot":
+		Expect(p.machine.MayRun(l.now, number)).To(BeFalse(), where)
+	case "asking":
+		Expect(decided).To(BeFalse(), where)
+	default:
+		Expect(decided).To(BeTrue(), where)
+		Expect(outcome.String()).To(Equal(verb), where)
+	}
+}
