One client for back ends beside the edges that use it

The edges imported the client from below the data plane, and two of them wrote the same fault type. The package stands beside them now and holds the type once.

--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -8,7 +8,7 @@
 
 	"github.com/thejerf/suture/v4"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 )
--- a/internal/dataplane/outbound/client_test.go
+++ b/internal/edge/outbound/client_test.go
@@ -17,7 +17,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
 const (
--- /dev/null
+++ b/internal/edge/outbound/fault.go
@@ -0,0 +1,23 @@
+package outbound
+
+// FaultError says that an answer was cut, that a cut could not be noticed, or
+// that the answer cannot be taken for that of the attempt. The request may have
+// run.
+type FaultError struct {
+	Reason string
+	// Cause is what was seen of the connection; it may be nil.
+	Cause error
+}
+
+// Error implements error.
+func (e *FaultError) Error() string {
+	if e.Cause == nil {
+		return e.Reason
+	}
+	return e.Reason + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *FaultError) Unwrap() error {
+	return e.Cause
+}
--- a/internal/edge/platform/list.go
+++ b/internal/edge/platform/list.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
 const (
--- a/internal/edge/platform/list_test.go
+++ b/internal/edge/platform/list_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
 )
 
--- a/internal/edge/replica/answer.go
+++ b/internal/edge/replica/answer.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
 // streamBufferBytes is the size of the buffer that a stream is read through.
@@ -73,18 +75,18 @@
 
 // ReadWhole reads the whole answer; the second result is always true without
 // an error. An answer that is cut, whose end cannot be told from a cut, or that
-// is too large, is a *FaultError.
+// is too large, is a *outbound.FaultError.
 func (a *Answer) ReadWhole() ([]byte, bool, error) {
 	if !a.delimited() {
-		return nil, false, &FaultError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
+		return nil, false, &outbound.FaultError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
 	}
 	var body bytes.Buffer
 	body.Grow(int(min(max(a.response.ContentLength, 0), maxTrustedBytes)) + bytes.MinRead)
 	if _, err := body.ReadFrom(io.LimitReader(a.response.Body, a.maxBytes+1)); err != nil {
-		return nil, false, &FaultError{Reason: "the answer was cut", cause: errors.WithStack(err)}
+		return nil, false, &outbound.FaultError{Reason: "the answer was cut", Cause: errors.WithStack(err)}
 	}
 	if int64(body.Len()) > a.maxBytes {
-		return nil, false, &FaultError{Reason: "the answer is larger than this node takes"}
+		return nil, false, &outbound.FaultError{Reason: "the answer is larger than this node takes"}
 	}
 	return body.Bytes(), true, nil
 }
@@ -101,7 +103,7 @@
 
 // Next returns the next whole event of a stream, with the blank line that
 // ends it. After the event that ends the stream it returns io.EOF; a stream
-// that ends in any other way is a *FaultError. A part of an event is never
+// that ends in any other way is a *outbound.FaultError. A part of an event is never
 // returned.
 func (a *Answer) Next() ([]byte, error) {
 	if a.stream == nil {
@@ -125,13 +127,13 @@
 		line, err := a.stream.ReadSlice('\n')
 		event = append(event, line...)
 		if int64(len(event)) > a.maxBytes {
-			return nil, &FaultError{Reason: "an event of the answer is larger than this node takes"}
+			return nil, &outbound.FaultError{Reason: "an event of the answer is larger than this node takes"}
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			return nil, &FaultError{Reason: "the streamed answer was cut", cause: unexpected(err)}
+			return nil, &outbound.FaultError{Reason: "the streamed answer was cut", Cause: unexpected(err)}
 		}
 		if bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\n\r\n")) {
 			return event, nil
@@ -153,7 +155,7 @@
 // terminator has been seen.
 func (a *Answer) checkNothingFollows() error {
 	if _, err := a.stream.ReadByte(); err == nil {
-		return &FaultError{Reason: "the streamed answer goes on after its end"}
+		return &outbound.FaultError{Reason: "the streamed answer goes on after its end"}
 	}
 	return io.EOF
 }
--- a/internal/edge/replica/client_test.go
+++ b/internal/edge/replica/client_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
@@ -92,14 +92,14 @@
 			writer.Header().Set(replica.HeaderNotRun, "true")
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		})
-		Expect(err).To(BeAssignableToTypeOf(&replica.FaultError{}))
+		Expect(err).To(BeAssignableToTypeOf(&outbound.FaultError{}))
 	})
 
 	DescribeTable("takes no whole answer", func(script http.HandlerFunc) {
 		answer, err := generate(replica.Call{}, script)
 		Expect(err).NotTo(HaveOccurred())
 		_, _, err = answer.ReadWhole()
-		Expect(err).To(BeAssignableToTypeOf(&replica.FaultError{}))
+		Expect(err).To(BeAssignableToTypeOf(&outbound.FaultError{}))
 		answer.Close()
 	},
 		Entry("that is too large", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
@@ -126,7 +126,7 @@
 		if properEnd {
 			Expect(err).To(BeIdenticalTo(io.EOF))
 		} else {
-			Expect(err).To(BeAssignableToTypeOf(&replica.FaultError{}))
+			Expect(err).To(BeAssignableToTypeOf(&outbound.FaultError{}))
 			Expect(err).NotTo(MatchError(io.EOF), "no cut may pass for the proper end")
 		}
 	},
--- a/internal/edge/replica/command.go
+++ b/internal/edge/replica/command.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
 // maxControlAnswerBytes bounds a replica's answer to a control call.
--- a/internal/edge/replica/events.go
+++ b/internal/edge/replica/events.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
--- a/internal/edge/replica/generate.go
+++ b/internal/edge/replica/generate.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
 // contentTypeStream is the media type of a streamed answer.
@@ -64,26 +64,6 @@
 	return fmt.Sprintf("the replica refused the request with status %d: %s", e.Status, e.Message)
 }
 
-// FaultError says that an answer cannot be taken for that of the attempt, or
-// that it was cut. The request may have run.
-type FaultError struct {
-	Reason string
-	cause  error
-}
-
-// Error implements error.
-func (e *FaultError) Error() string {
-	if e.cause == nil {
-		return e.Reason
-	}
-	return e.Reason + ": " + e.cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *FaultError) Unwrap() error {
-	return e.cause
-}
-
 // Client runs requests on replicas. It may be used by many goroutines.
 type Client struct {
 	sender *outbound.Client
@@ -98,7 +78,7 @@
 }
 
 // Generate runs one attempt up to the header of its answer. The errors are
-// *outbound.Error, *RefusedError and *FaultError.
+// *outbound.Error, *RefusedError and *outbound.FaultError.
 func (c *Client) Generate(ctx context.Context, call Call) (*Answer, error) {
 	request, err := c.request(ctx, call)
 	if err != nil {
@@ -162,7 +142,7 @@
 	if echoed == call.AttemptID {
 		return nil
 	}
-	return &FaultError{Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
+	return &outbound.FaultError{Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
 }
 
 // refusal reads a refusal and closes it.
--- a/internal/edge/store/events.go
+++ b/internal/edge/store/events.go
@@ -6,7 +6,7 @@
 	"context"
 	"time"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 )
 
--- a/internal/edge/webservice/answer.go
+++ b/internal/edge/webservice/answer.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
 const (
@@ -54,14 +56,14 @@
 
 // ReadWhole reads the answer up to the bound. It returns false if there is
 // more, which Next returns. A cut answer, or one whose end cannot be told from
-// a cut, is a *FaultError.
+// a cut, is a *outbound.FaultError.
 func (a *Answer) ReadWhole() ([]byte, bool, error) {
 	if err := a.checkDelimited(); err != nil {
 		return nil, false, err
 	}
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, a.maxBytes+1))
 	if err != nil {
-		return nil, false, &FaultError{Reason: "the answer was cut", cause: errors.WithStack(err)}
+		return nil, false, &outbound.FaultError{Reason: "the answer was cut", Cause: errors.WithStack(err)}
 	}
 	return body, int64(len(body)) <= a.maxBytes, nil
 }
@@ -84,12 +86,12 @@
 			return nil, io.EOF
 		}
 		if err != nil {
-			return nil, &FaultError{Reason: "the answer was cut", cause: errors.WithStack(err)}
+			return nil, &outbound.FaultError{Reason: "the answer was cut", Cause: errors.WithStack(err)}
 		}
 	}
 }
 
-// checkDelimited returns a *FaultError unless the end of the answer is marked.
+// checkDelimited returns a *outbound.FaultError unless the end of the answer is marked.
 func (a *Answer) checkDelimited() error {
 	response := a.response
 	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
@@ -98,5 +100,5 @@
 	if response.Request != nil && response.Request.Method == http.MethodHead {
 		return nil
 	}
-	return &FaultError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
+	return &outbound.FaultError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
 }
--- a/internal/edge/webservice/client.go
+++ b/internal/edge/webservice/client.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
 const (
@@ -59,25 +59,6 @@
 	return fmt.Sprintf("the back end refused the request with status %d", e.Status)
 }
 
-// FaultError says that an answer was cut, or that a cut could not be noticed.
-type FaultError struct {
-	Reason string
-	cause  error
-}
-
-// Error implements error.
-func (e *FaultError) Error() string {
-	if e.cause == nil {
-		return e.Reason
-	}
-	return e.Reason + ": " + e.cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *FaultError) Unwrap() error {
-	return e.cause
-}
-
 // Client hands requests to web services. It may be used by many goroutines.
 type Client struct {
 	sender *outbound.Client
@@ -93,7 +74,7 @@
 }
 
 // Forward runs one attempt up to the header of its answer. The errors are
-// *outbound.Error, *RefusedError and *FaultError.
+// *outbound.Error, *RefusedError and *outbound.FaultError.
 func (c *Client) Forward(ctx context.Context, call Call) (*Answer, error) {
 	target := "http://" + call.Address + call.Request.URL.RequestURI()
 	request, err := http.NewRequestWithContext(ctx, call.Request.Method, target, nil)
@@ -124,7 +105,7 @@
 		return nil
 	}
 	if echoed != call.AttemptID {
-		return &FaultError{Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
+		return &outbound.FaultError{Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
 	}
 	if response.Header.Get(HeaderNotRun) != "true" || response.StatusCode < http.StatusBadRequest {
 		return nil
--- a/internal/edge/webservice/client_test.go
+++ b/internal/edge/webservice/client_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/webservice"
 )
 
@@ -43,7 +43,7 @@
 		_, err := forward(echoing("a-1"))
 		Expect(err).To(Equal(&webservice.RefusedError{Status: http.StatusServiceUnavailable, RetryAfter: 2 * time.Second}))
 		_, err = forward(echoing("a-2"))
-		Expect(err).To(BeAssignableToTypeOf(&webservice.FaultError{}))
+		Expect(err).To(BeAssignableToTypeOf(&outbound.FaultError{}))
 		answer, err := forward(echoing(""))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Status()).To(Equal(http.StatusServiceUnavailable))
@@ -76,7 +76,7 @@
 		})
 		Expect(err).NotTo(HaveOccurred())
 		_, _, err = answer.ReadWhole()
-		Expect(err).To(BeAssignableToTypeOf(&webservice.FaultError{}))
+		Expect(err).To(BeAssignableToTypeOf(&outbound.FaultError{}))
 	},
 		Entry("that is cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npage"),
 		Entry("that is cut between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npage\r\n"),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,7 +14,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/clock"
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
