--- a/internal/dataplane/outcome.go
+++ b/internal/dataplane/outcome.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/webservice"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
