--- /dev/null
+++ b/internal/operatorcli/status.go
@@ -0,0 +1,177 @@
+package operatorcli
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator/schema"
+)
+
+const (
+	// flagAll makes status ask every node.
+	flagAll = "all"
+	// statusCall is the call whose table begins with a summary.
+	statusCall protoreflect.Name = "GetStatus"
+
+	// maxQuestions bounds the calls that run at once.
+	maxQuestions = 32
+	// questionTimeout bounds one of them, so that nodes that hang do not hold up
+	// the answer of the others.
+	questionTimeout = 3 * time.Second
+)
+
+// isStatus tells whether a call is the one that runStatus serves.
+func isStatus(call schema.Call) bool {
+	return call.Method.Name() == statusCall
+}
+
+// statusFlags are the flags that status has beside those of every verb.
+func statusFlags() []cli.Flag {
+	return []cli.Flag{&cli.BoolFlag{
+		Name:  flagAll,
+		Usage: "ask every live member too, and compare what they serve; needs --output table",
+	}}
+}
+
+// survey is what the summary of a deployment is made from.
+type survey struct {
+	// status is the view of the node that was asked first.
+	status *ridgeswitchv1.NodeStatus
+	// askedAll tells that the live members were asked, whose answers follow.
+	askedAll bool
+	answers  []nodeAnswer
+	// weights tell how far the pools are, unless weightsError says why that is
+	// not known.
+	weights      []*ridgeswitchv1.WeightsStatus
+	weightsError error
+}
+
+// nodeAnswer is what one member said of itself.
+type nodeAnswer struct {
+	member *ridgeswitchv1.MemberStatus
+	// status is nil if err says why there is no answer.
+	status *ridgeswitchv1.NodeStatus
+	err    error
+}
+
+// runStatus prints the status: as JSON alone, or as tables after a summary.
+func runStatus(ctx context.Context, command *cli.Command, call schema.Call) error {
+	if command.String(flagOutput) != outputTable {
+		if command.Bool(flagAll) {
+			return usageError("--" + flagAll + " needs --" + flagOutput + " " + outputTable)
+		}
+		return runVerb(ctx, command, call)
+	}
+	if command.Args().Present() {
+		return usageError("unexpected argument " + command.Args().First() + "; give flags alone")
+	}
+	printer, err := newPrinter(command, call.Method.Output())
+	if err != nil {
+		return err
+	}
+	asker := &asker{client: newClient(command.StringSlice(flagNode), command.Duration(flagTimeout))}
+	status := &ridgeswitchv1.NodeStatus{}
+	body, err := asker.ask(ctx, statusCall, &ridgeswitchv1.GetStatusRequest{}, status)
+	if err != nil {
+		return err
+	}
+	taken := &survey{status: status, askedAll: command.Bool(flagAll)}
+	if taken.askedAll {
+		taken.answers = asker.askMembers(ctx, call, status)
+	}
+	taken.weights, taken.weightsError = asker.askWeights(ctx)
+	if err := taken.print(printer.out); err != nil {
+		return err
+	}
+	return printer.print(body)
+}
+
+// asker asks nodes questions that change nothing.
+type asker struct {
+	client *client
+}
+
+// ask asks the named nodes in turn and fills the response.
+func (a *asker) ask(ctx context.Context, name protoreflect.Name, request, response proto.Message) ([]byte, error) {
+	call := lo.FindOrElse(lo.Must(schema.Calls()), schema.Call{}, func(call schema.Call) bool {
+		return call.Method.Name() == name
+	})
+	answer, err := a.client.send(ctx, call, request.ProtoReflect())
+	if err != nil {
+		return nil, err
+	}
+	return answer.body, parseAnswer(answer.body, response)
+}
+
+// parseAnswer reads an answer, of which a newer node may say more than is known
+// here.
+func parseAnswer(body []byte, response proto.Message) error {
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(body, response); err != nil {
+		return &ExitError{Code: ExitRefused, Message: "the node's answer does not fit the schema; use --output json: " + err.Error()}
+	}
+	return nil
+}
+
+// askMembers asks every live member of a table for its own status, several at a
+// time. The answers are in the order of the table.
+func (a *asker) askMembers(ctx context.Context, call schema.Call, table *ridgeswitchv1.NodeStatus) []nodeAnswer {
+	live := lo.Filter(table.GetMembers(), func(member *ridgeswitchv1.MemberStatus, _ int) bool { return isLive(member) })
+	answers := make([]nodeAnswer, len(live))
+	var group errgroup.Group
+	group.SetLimit(maxQuestions)
+	for position, member := range live {
+		group.Go(func() error {
+			status, err := a.askMember(ctx, call, member)
+			answers[position] = nodeAnswer{member: member, status: status, err: err}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return answers
+}
+
+func (a *asker) askMember(ctx context.Context, call schema.Call, member *ridgeswitchv1.MemberStatus) (*ridgeswitchv1.NodeStatus, error) {
+	bounded, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	request := (&ridgeswitchv1.GetStatusRequest{}).ProtoReflect()
+	got, err := a.client.sendTo(bounded, member.GetControlAddress(), call, request)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := accept(member.GetControlAddress(), got); err != nil {
+		return nil, err
+	}
+	status := &ridgeswitchv1.NodeStatus{}
+	return status, parseAnswer(got.body, status)
+}
+
+// askWeights asks how far every pool's roll-out is.
+func (a *asker) askWeights(ctx context.Context) ([]*ridgeswitchv1.WeightsStatus, error) {
+	configuration := &ridgeswitchv1.Configuration{}
+	if _, err := a.ask(ctx, "GetConfiguration", &ridgeswitchv1.GetConfigurationRequest{}, configuration); err != nil {
+		return nil, err
+	}
+	pools := configuration.GetPools()
+	weights := make([]*ridgeswitchv1.WeightsStatus, len(pools))
+	var group errgroup.Group
+	group.SetLimit(maxQuestions)
+	for position, pool := range pools {
+		group.Go(func() error {
+			weights[position] = &ridgeswitchv1.WeightsStatus{}
+			_, err := a.ask(ctx, "GetWeights", &ridgeswitchv1.GetWeightsRequest{Pool: pool.GetName()}, weights[position])
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return weights, nil
+}
--- a/internal/operatorcli/suite_test.go
+++ b/internal/operatorcli/suite_test.go
@@ -32,6 +32,9 @@
 	sync.Mutex
 	machine *dynamic.Machine
 	pending bool
+	// status and weights, when set, are what the nodes answer.
+	status  *ridgeswitchv1.NodeStatus
+	weights *ridgeswitchv1.WeightsStatus
 }
 
 func (c *cluster) Submit(_ context.Context, order *controlpb.Order) (*controlpb.Answer, error) {
@@ -45,10 +48,16 @@
 func (c *cluster) Configuration() *ridgeswitchv1.Configuration { return c.machine.Configuration() }
 
 func (c *cluster) Weights(string) (*ridgeswitchv1.WeightsStatus, error) {
+	if c.weights != nil {
+		return c.weights, nil
+	}
 	return nil, &dynamic.Error{Kind: dynamic.KindNotFound, Field: "pool", Message: "there is no such pool"}
 }
 
 func (c *cluster) Status() *ridgeswitchv1.NodeStatus {
+	if c.status != nil {
+		return c.status
+	}
 	return &ridgeswitchv1.NodeStatus{
 		Node:    "front-1",
 		Members: []*ridgeswitchv1.MemberStatus{{Node: "core-1", Zone: "a", State: "alive"}},
--- /dev/null
+++ b/internal/operatorcli/survey.go
@@ -0,0 +1,204 @@
+package operatorcli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/samber/lo"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+// result is what a check of the summary comes to.
+type result string
+
+const (
+	resultOK        result = "ok"
+	resultAttention result = "ATTENTION"
+	resultUnderWay  result = "under way"
+	resultUnknown   result = "unknown"
+)
+
+// The states of a member.
+const (
+	stateAlive   = "alive"
+	stateSuspect = "suspect"
+	stateLeft    = "left"
+)
+
+// phaseServing is the phase of a replica that takes requests.
+const phaseServing = "serving"
+
+// maxListed bounds the names that a line of the summary holds.
+const maxListed = 8
+
+// check is one line of the summary.
+type check struct {
+	name   string
+	result result
+	detail string
+}
+
+// print writes the summary and, where all were asked, a table of the nodes.
+func (s *survey) print(out io.Writer) error {
+	writer := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
+	_, _ = fmt.Fprintln(writer, "summary\nCHECK\tRESULT\tDETAIL")
+	for _, made := range s.checks() {
+		_, _ = fmt.Fprintf(writer, "%s\t%s\t%s\n", made.name, made.result, made.detail)
+	}
+	_, _ = fmt.Fprintln(writer)
+	if s.askedAll {
+		s.writeNodes(writer)
+	}
+	return writer.Flush()
+}
+
+// writeNodes writes what each node said of itself.
+func (s *survey) writeNodes(writer io.Writer) {
+	_, _ = fmt.Fprintln(writer, "nodes\nNODE\tCONTROL_ADDRESS\tFENCED\tFENCES\tSERVED_REVISION\tSHARDS_OWNED")
+	for _, given := range s.answers {
+		member := given.member
+		if given.err != nil {
+			_, _ = fmt.Fprintf(writer, "%s\t%s\t-\t-\t-\tno answer: %v\n", member.GetNode(), member.GetControlAddress(), given.err)
+			continue
+		}
+		status := given.status
+		_, _ = fmt.Fprintf(writer, "%s\t%s\t%t\t%d\t%d\t%d\n", member.GetNode(), member.GetControlAddress(),
+			status.GetFenced(), status.GetFences(), status.GetServedRevision(), len(ownedBy(status)))
+	}
+	_, _ = fmt.Fprintln(writer)
+}
+
+// checks answer what is asked first when something seems wrong.
+func (s *survey) checks() []check {
+	return []check{s.checkShards(), s.checkMembers(), s.checkTraffic(), s.checkRevisions(), s.checkRollOuts()}
+}
+
+// checkShards tells whether every shard has an owner: one that says so itself
+// if all were asked, else one that is live as far as the asked node knows.
+func (s *survey) checkShards() check {
+	shards := s.status.GetShards()
+	var faults []string
+	for _, shard := range shards {
+		if fault := s.ownerFault(shard); fault != "" {
+			faults = append(faults, fmt.Sprintf("shard %d: %s", shard.GetShard(), fault))
+		}
+	}
+	if len(faults) > 0 {
+		return check{"shards", resultAttention, strings.Join(shortened(faults), "; ")}
+	}
+	detail := fmt.Sprintf("each of %d owned", len(shards))
+	if !s.askedAll {
+		detail += ", as far as " + s.status.GetNode() + " knows"
+	}
+	return check{"shards", resultOK, detail}
+}
+
+// ownerFault tells what is wrong with the ownership of a shard.
+func (s *survey) ownerFault(shard *ridgeswitchv1.ShardStatus) string {
+	if !s.askedAll {
+		return s.knownOwnerFault(shard.GetOwner())
+	}
+	var claims []string
+	for _, given := range s.answers {
+		for _, owned := range ownedBy(given.status) {
+			if owned.GetShard() == shard.GetShard() {
+				claims = append(claims, fmt.Sprintf("%s in epoch %d", given.member.GetNode(), owned.GetEpoch()))
+			}
+		}
+	}
+	switch len(claims) {
+	case 0:
+		return "no node that answered owns it"
+	case 1:
+		return ""
+	default:
+		return "claimed by " + strings.Join(claims, " and ")
+	}
+}
+
+// knownOwnerFault judges an owner by the asked node's table of members.
+func (s *survey) knownOwnerFault(owner string) string {
+	if owner == "" {
+		return "no known owner"
+	}
+	for _, member := range s.status.GetMembers() {
+		if member.GetNode() == owner && !isLive(member) {
+			return "owner " + owner + " is " + member.GetState()
+		}
+	}
+	return ""
+}
+
+// checkMembers names the members that are neither alive nor left in order.
+func (s *survey) checkMembers() check {
+	byState := lo.GroupBy(s.status.GetMembers(), func(member *ridgeswitchv1.MemberStatus) string { return member.GetState() })
+	detail := fmt.Sprintf("%d alive", len(byState[stateAlive]))
+	if left := len(byState[stateLeft]); left > 0 {
+		detail += fmt.Sprintf(", %d left", left)
+	}
+	made := check{"members", resultOK, detail}
+	for _, state := range []string{"fenced", stateSuspect, "unknown"} {
+		if len(byState[state]) > 0 {
+			made.result = resultAttention
+			made.detail += "; " + state + ": " + listed(lo.Map(byState[state], nodeOfMember))
+		}
+	}
+	return made
+}
+
+// checkTraffic names the nodes that refuse traffic, and those that are silent.
+func (s *survey) checkTraffic() check {
+	if !s.askedAll {
+		if s.status.GetFenced() {
+			return check{"traffic", resultAttention, s.status.GetNode() + " refuses traffic"}
+		}
+		return check{"traffic", resultOK, s.status.GetNode() + " serves; --all asks every node"}
+	}
+	var refusing, silent []string
+	for _, given := range s.answers {
+		switch {
+		case given.err != nil:
+			silent = append(silent, given.member.GetNode())
+		case given.status.GetFenced():
+			refusing = append(refusing, given.member.GetNode())
+		}
+	}
+	made := check{"traffic", resultOK, fmt.Sprintf("%d of %d live members serve", len(s.answers)-len(refusing)-len(silent), len(s.answers))}
+	if len(refusing) > 0 {
+		made.result = resultAttention
+		made.detail += "; refusing: " + listed(refusing)
+	}
+	if len(silent) > 0 {
+		made.result = resultAttention
+		made.detail += "; no answer: " + listed(silent)
+	}
+	return made
+}
+
+// ownedBy lists the shards that a node takes itself for the owner of.
+func ownedBy(status *ridgeswitchv1.NodeStatus) []*ridgeswitchv1.ShardStatus {
+	return lo.Filter(status.GetShards(), func(shard *ridgeswitchv1.ShardStatus, _ int) bool {
+		return shard.GetOwner() == status.GetNode()
+	})
+}
+
+func isLive(member *ridgeswitchv1.MemberStatus) bool {
+	return member.GetState() == stateAlive || member.GetState() == stateSuspect
+}
+
+func nodeOfMember(member *ridgeswitchv1.MemberStatus, _ int) string { return member.GetNode() }
+
+// listed joins names, of which there may be very many.
+func listed(names []string) string {
+	return strings.Join(shortened(names), ", ")
+}
+
+func shortened(texts []string) []string {
+	if len(texts) <= maxListed {
+		return texts
+	}
+	return append(texts[:maxListed:maxListed], fmt.Sprintf("and %d more", len(texts)-maxListed))
+}
--- a/internal/wire/fb/Control.go
+++ b/internal/wire/fb/Control.go
@@ -16,6 +16,7 @@
 	Owner       string            `json:"owner"`
 	Accepted    bool              `json:"accepted"`
 	Revisions   []*ShardRevisionT `json:"revisions"`
+	Epoch       uint64            `json:"epoch"`
 }
 
 func (t *ControlT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -50,6 +51,7 @@
 	ControlAddOwner(builder, ownerOffset)
 	ControlAddAccepted(builder, t.Accepted)
 	ControlAddRevisions(builder, revisionsOffset)
+	ControlAddEpoch(builder, t.Epoch)
 	return ControlEnd(builder)
 }
 
@@ -69,6 +71,7 @@
 		rcv.Revisions(&x, j)
 		t.Revisions[j] = x.UnPack()
 	}
+	t.Epoch = rcv.Epoch()
 }
 
 func (rcv *Control) UnPack() *ControlT {
@@ -241,8 +244,20 @@
 	return 0
 }
 
+func (rcv *Control) Epoch() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Control) MutateEpoch(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(22, n)
+}
+
 func ControlStart(builder *flatbuffers.Builder) {
-	builder.StartObject(9)
+	builder.StartObject(10)
 }
 func ControlAddType(builder *flatbuffers.Builder, type_ byte) {
 	builder.PrependByteSlot(0, type_, 0)
@@ -277,6 +292,9 @@
 func ControlStartRevisionsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func ControlAddEpoch(builder *flatbuffers.Builder, epoch uint64) {
+	builder.PrependUint64Slot(9, epoch, 0)
+}
 func ControlEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/membership.go
+++ b/internal/wire/membership.go
@@ -6,15 +6,21 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
 )
 
-func packMembership(message *membership.Message) *fb.MembershipT {
+// packMembership leaves From out when it holds no more than the sender's ID,
+// which the envelope tells already.
+func packMembership(message *membership.Message, sender member.ID) *fb.MembershipT {
 	if message == nil {
 		return nil
 	}
+	var from *fb.InfoT
+	if message.From != (member.Info{ID: sender}) {
+		from = packInfo(message.From)
+	}
 	return &fb.MembershipT{
 		Type:              byte(message.Type),
 		Sequence:          message.Sequence,
 		Incarnation:       uint64(message.Incarnation),
-		From:              packInfo(message.From),
+		From:              from,
 		MonitorSetVersion: message.MonitorSetVersion,
 		Monitors:          packMemberIDs(message.Monitors),
 		Digest:            message.Digest,
@@ -72,15 +78,19 @@
 	return packed
 }
 
-func (r *reader) membership(table *fb.Membership) *membership.Message {
+func (r *reader) membership(table *fb.Membership, sender member.ID) *membership.Message {
 	if table == nil {
 		return nil
 	}
+	from := member.Info{ID: sender}
+	if stored := table.From(nil); stored != nil {
+		from = r.info(stored)
+	}
 	return &membership.Message{
 		Type:              membership.MessageType(table.Type()),
 		Sequence:          table.Sequence(),
 		Incarnation:       member.Incarnation(table.Incarnation()),
-		From:              r.info(table.From(nil)),
+		From:              from,
 		MonitorSetVersion: table.MonitorSetVersion(),
 		Monitors:          r.memberIDs(table.MonitorsLength(), table.Monitors),
 		Digest:            table.Digest(),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,7 +54,7 @@
 		Incarnation: uint64(envelope.Incarnation),
 		Shard:       envelope.Shard,
 		Replication: packReplication(envelope.Replication),
-		Membership:  packMembership(envelope.Membership),
+		Membership:  packMembership(envelope.Membership, envelope.From),
 		Relay:       packRelay(envelope.Relay),
 		Control:     packControl(envelope.Control),
 	}
@@ -102,13 +102,14 @@
 }
 
 func (r *reader) envelope(table *fb.Envelope) Envelope {
+	sender := member.ID(r.text(table.From()))
 	return Envelope{
 		Deployment:  r.text(table.Deployment()),
-		From:        member.ID(r.text(table.From())),
+		From:        sender,
 		Incarnation: member.Incarnation(table.Incarnation()),
 		Shard:       table.Shard(),
 		Replication: r.replication(table.Replication(nil)),
-		Membership:  r.membership(table.Membership(nil)),
+		Membership:  r.membership(table.Membership(nil), sender),
 		Relay:       r.relay(table.Relay(nil)),
 		Control:     r.control(table.Control(nil)),
 	}
--- a/pkg/config/dynamic/answers.go
+++ b/pkg/config/dynamic/answers.go
@@ -48,6 +48,12 @@
 	})
 }
 
+// AcceptedAnswers are the remembered answers, oldest first. They are shared: no
+// one may write to them.
+func (m *Machine) AcceptedAnswers() []*controlpb.Answer {
+	return m.answers.oldestFirst
+}
+
 func cloneAnswer(answer *controlpb.Answer) *controlpb.Answer {
 	return proto.Clone(answer).(*controlpb.Answer)
 }
--- a/pkg/kvrouter/feed.go
+++ b/pkg/kvrouter/feed.go
@@ -288,12 +288,19 @@
 		return
 	}
 	if f.eventsSeen {
-		f.index.PredictFor(now, f.options.ReportLag, f.holder, links)
+		f.predictUntilReported(now, links)
 		return
 	}
 	f.index.Predict(now, f.holder, links)
 }
 
+// predictUntilReported bridges the time until the holder's own report comes.
+func (f *feed) predictUntilReported(now time.Duration, links []prefixindex.Link) {
+	if f.options.PredictionLag > 0 {
+		f.index.PredictFor(now, f.options.PredictionLag, f.holder, links)
+	}
+}
+
 // forget drops everything and writes nothing from now on.
 func (f *feed) forget() {
 	f.mutex.Lock()
--- a/pkg/kvrouter/options.go
+++ b/pkg/kvrouter/options.go
@@ -36,9 +36,13 @@
 	// GuessCredit multiplies the credit of parts that are predicted, or that a
 	// replica reported before some of its reports were lost.
 	GuessCredit float64
-	// ReportLag is how long a part counts as predicted on a replica that does
-	// report, from the first token until its report should have come.
+	// ReportLag is how late news of a replica may be: events that a load report
+	// tells of are lost, and a life is over, when nothing came for so long.
 	ReportLag time.Duration
+	// PredictionLag is how long a part counts as predicted on a replica that does
+	// report, from the first token until its report should have come. The default
+	// is ReportLag; a negative one turns these predictions off.
+	PredictionLag time.Duration
 	// BytesPerToken is the size of the kept state of one token. The default is
 	// that of a model with 80 layers of 8 key-value heads of 128 in 16 bits.
 	BytesPerToken float64
@@ -77,6 +81,7 @@
 	setDefault(&o.BlockTokens, DefaultBlockTokens)
 	setDefault(&o.GuessCredit, DefaultGuessCredit)
 	setDefault(&o.ReportLag, DefaultReportLag)
+	setDefault(&o.PredictionLag, o.ReportLag)
 	setDefault(&o.BytesPerToken, DefaultBytesPerToken)
 	setDefault(&o.LinkBytesPerSecond, DefaultLinkBytesPerSecond)
 	setDefault(&o.LinkLatency, DefaultLinkLatency)
--- a/pkg/kvrouter/pull.go
+++ b/pkg/kvrouter/pull.go
@@ -25,6 +25,8 @@
 	transfer   time.Duration
 	// saved is how much sooner the parts are there than by prefill.
 	saved time.Duration
+	// savedShare is saved as a share of the time of prefill, from 0 to 1.
+	savedShare float64
 }
 
 // gatherSources finds the holders that others may pull each prompt from. The
@@ -96,16 +98,23 @@
 	if source.zone != zone {
 		weighted *= r.options.CrossZoneFactor
 	}
-	planned.saved = state.speed.timeFor(tokens, &r.options) - time.Duration(weighted)
+	prefill := state.speed.timeFor(tokens, &r.options)
+	planned.saved = prefill - time.Duration(weighted)
+	if planned.saved > 0 {
+		planned.savedShare = float64(planned.saved) / float64(prefill)
+	}
 	return planned
 }
 
-// credit returns the credit per block of a pull.
+// credit returns the credit per block of a pull: that of the settings, but no
+// more than the share of prefill that the pull saves. Over a slow link a pull
+// saves little, and a replica must not win by it against one that keeps the
+// parts itself.
 func (p *plannedPull) credit(settings Settings) float64 {
 	if p.source.isStore {
-		return settings.StoreCredit
+		return min(settings.StoreCredit, p.savedShare)
 	}
-	return settings.PeerCredit
+	return min(settings.PeerCredit, p.savedShare)
 }
 
 // pull returns the instruction for the replica.
--- a/pkg/kvrouter/pull_test.go
+++ b/pkg/kvrouter/pull_test.go
@@ -52,6 +52,15 @@
 		return decision
 	}
 
+	DescribeTable("credits a pull with no more than the share of prefill that it saves", func(speedup, credited float64) {
+		measure("zone", speedup*slowLink)
+		const promptAndMemory = 2 * blocks
+		Expect(taken().Cost).To(BeNumerically("~", promptAndMemory-credited*blocks, 0.2))
+	},
+		Entry("half the time, taken 1.25 times", 2.0, 1-1.25/2),
+		Entry("a quarter of the time, taken 1.25 times", 4.0, 1-1.25/4),
+		Entry("a tenth of the time: the credit of a peer", 10.0, kvrouter.DefaultPeerCredit))
+
 	It("fetches what is missing behind the own overlap, up to where the source ends", func() {
 		f.keeps("taker", links(prompt(blocks))[:30])
 		f.router.Removed(0, "holder", life, 2, hashes(links(prompt(blocks))[90:91]))
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -25,6 +25,9 @@
 	// leastHeartbeatsInFence heartbeats must fit into FenceAfter, so that one may
 	// be lost before others are tried, and there is time to change to them.
 	leastHeartbeatsInFence = 4
+	// rowRepeatRounds is for how many rounds a peer may leave heartbeats
+	// unanswered before they hold this node's row again.
+	rowRepeatRounds = 2
 	// probeRounds is how many heartbeat rounds lie between two digests sent to
 	// a member beyond the monitors, which heals splits.
 	probeRounds = 5
--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -8,10 +8,13 @@
 // holder of news passes it to a few members at once, heartbeats carry a digest
 // of the table whose mismatch leads to an exchange, and now and then a digest
 // goes to any member, or a join to any seed that is not in the table, so that
-// two halves of a split meet again.
+// two halves of a split meet again. News waits while some went out a moment ago,
+// and an exchange waits while news comes in, so that a burst costs few messages.
 //
 // Each node declares a set of monitors, its successors on a ring of hashes
-// spread over the zones, and sends them heartbeats. A node that too few
+// spread over the zones, and sends them heartbeats. They hold its row until the
+// monitor's replies show that it has it; each reply states what the monitor's own
+// table holds, so that nothing below depends on that. A node that too few
 // monitors acknowledged within FenceAfter, counted from when the heartbeat was
 // sent, is fenced. A monitor that heard nothing for FenceAfter+FenceMargin
 // reports a Silence.
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +16,14 @@
 	exchangePerRecord     = time.Millisecond
 )
 
+// News goes out newsPerHeartbeat times in HeartbeatEvery at most, newsBatch
+// records at a time, so that a fleet that starts or loses much at once sends few
+// messages of many records.
+const (
+	newsPerHeartbeat = 4
+	newsBatch        = 128
+)
+
 // A process that outlives an earlier one skips outliveStep incarnations, and up
 // to outliveSpread more, drawn by its own start.
 const (
@@ -61,12 +70,16 @@
 	m.digest += recordDigest(merged) - recordDigest(e.record)
 	e.record = merged
 	e.over = e.over && merged.certainlyFenced()
+	m.file(id, e)
 	m.news[id] = true
+	m.changed = m.now
 }
 
 func (m *Machine) insert(record Record) {
 	id := record.Info.ID
-	m.table[id] = &entry{record: record, watch: watch{heard: m.now}}
+	e := &entry{record: record, watch: watch{heard: m.now}}
+	m.table[id] = e
+	m.file(id, e)
 	at, _ := slices.BinarySearch(m.order, id)
 	m.order = slices.Insert(m.order, at, id)
 	if id != m.config.Self.ID {
@@ -74,11 +87,13 @@
 	}
 	m.digest += recordDigest(record)
 	m.news[id] = true
+	m.changed = m.now
 }
 
 func (m *Machine) remove(id member.ID) {
 	m.digest -= recordDigest(m.table[id].record)
 	delete(m.table, id)
+	m.unfile(id)
 	at, _ := slices.BinarySearch(m.order, id)
 	m.order = slices.Delete(m.order, at, at+1)
 	m.ring.remove(id)
@@ -131,11 +146,15 @@
 }
 
 // exchangeIfDifferent sends the whole table and asks for what the sender of
-// msg knows beyond it.
+// msg knows beyond it. While news comes in, a difference is most likely news on
+// its way, so that a table that changes all the time is exchanged less often.
 func (m *Machine) exchangeIfDifferent(msg Message) {
 	if msg.Digest == m.digest || m.now < m.nextExchange {
 		return
 	}
+	if m.now-m.changed < m.config.HeartbeatEvery/2 && m.now < m.nextExchange+m.config.FenceAfter {
+		return
+	}
 	m.nextExchange = m.now + m.exchangeEvery()
 	m.reply(msg, Message{Type: MessageGossip, Full: true, Records: m.Members()})
 }
@@ -165,11 +184,8 @@
 // seed that the table doesn't hold: so that two halves of a split find each
 // other again.
 func (m *Machine) probe() {
-	ids := slices.DeleteFunc(slices.Clone(m.order), func(id member.ID) bool {
-		return id == m.config.Self.ID || m.table[id].record.State == StateLeft
-	})
-	if len(ids) > 0 {
-		m.send(ids[m.random.IntN(len(ids))], Message{Type: MessageGossip})
+	if id := m.anyOther(); id != "" {
+		m.send(id, Message{Type: MessageGossip})
 	}
 	seeds := m.unknownSeeds()
 	if len(seeds) > 0 {
@@ -177,9 +193,22 @@
 	}
 }
 
-// flush sends the news to some members, and returns all that is to be sent.
+// anyOther draws a member that hasn't left, or returns "" if there is none.
+func (m *Machine) anyOther() member.ID {
+	first := m.random.IntN(len(m.order))
+	for offset := range m.order {
+		id := m.order[(first+offset)%len(m.order)]
+		if id != m.config.Self.ID && m.table[id].record.State != StateLeft {
+			return id
+		}
+	}
+	return ""
+}
+
+// flush sends the news to some members, unless some went out a moment ago, and
+// returns all that is to be sent.
 func (m *Machine) flush() []Outbound {
-	if len(m.news) > 0 {
+	if len(m.news) > 0 && (m.now >= m.nextNews || m.life.left) {
 		m.spreadNews()
 	}
 	outbox := m.outbox
@@ -188,13 +217,11 @@
 }
 
 func (m *Machine) spreadNews() {
+	m.nextNews = m.now + m.config.HeartbeatEvery/newsPerHeartbeat
 	var records []Record
-	for _, id := range m.order {
-		if m.news[id] {
-			records = append(records, m.table[id].record.clone())
-		}
+	for _, id := range m.takeNews() {
+		records = append(records, m.table[id].record.clone())
 	}
-	clear(m.news)
 	receivers := m.liveOthers()
 	m.random.Shuffle(len(receivers), func(i, j int) {
 		receivers[i], receivers[j] = receivers[j], receivers[i]
@@ -204,6 +231,26 @@
 	}
 }
 
+// takeNews returns the members whose records are to be sent now, this node's own
+// before all others, and leaves those beyond a batch for later.
+func (m *Machine) takeNews() []member.ID {
+	ids := slices.Sorted(maps.Keys(m.news))
+	ids = slices.DeleteFunc(ids, func(id member.ID) bool { return m.table[id] == nil })
+	if len(ids) <= newsBatch {
+		clear(m.news)
+		return ids
+	}
+	m.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	if self := slices.Index(ids, m.config.Self.ID); self >= newsBatch {
+		ids[0], ids[self] = ids[self], ids[0]
+	}
+	ids = ids[:newsBatch]
+	for _, id := range ids {
+		delete(m.news, id)
+	}
+	return ids
+}
+
 func (m *Machine) liveOthers() []member.ID {
 	return slices.DeleteFunc(slices.Clone(m.order), func(id member.ID) bool {
 		return id == m.config.Self.ID || m.table[id].record.certainlyFenced()
@@ -221,15 +268,22 @@
 
 // reply addresses msg to the sender of received, which may be a stranger.
 func (m *Machine) reply(received Message, msg Message) {
+	address := received.From.Address
+	if e, known := m.table[received.From.ID]; known && address == "" {
+		address = e.record.Info.Address
+	}
 	m.outbox = append(m.outbox, Outbound{
 		To:      received.From.ID,
-		Address: received.From.Address,
+		Address: address,
 		Message: m.signed(msg),
 	})
 }
 
 func (m *Machine) signed(msg Message) Message {
 	msg.From = m.selfRecord().Info
+	if msg.isBrief() {
+		msg.From = member.Info{ID: msg.From.ID}
+	}
 	if msg.Type != MessageHeartbeatReply {
 		msg.Incarnation = m.life.incarnation
 	}
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -32,14 +32,20 @@
 	m.sent = append(m.sent, sentRound{sequence: m.sequence, at: m.now})
 	m.pruneSent()
 	for _, id := range m.targets() {
-		m.send(id, m.heartbeatMessage())
+		m.send(id, m.heartbeatFor(m.peers[id]))
 	}
 	if m.rounds%probeRounds == 0 {
 		m.probe()
 	}
 }
 
-func (m *Machine) heartbeatMessage() Message {
+// heartbeatFor holds this node's own row unless the peer's newest reply shows
+// that it holds it. A peer that stopped replying is sent the row again, since it
+// may have started anew without a table.
+func (m *Machine) heartbeatFor(p *peer) Message {
+	if m.holdsSelf(p) {
+		return Message{Type: MessageHeartbeat, Sequence: m.sequence, MonitorSetVersion: p.setVersion}
+	}
 	record := m.selfRecord().clone()
 	return Message{
 		Type:              MessageHeartbeat,
@@ -50,6 +56,17 @@
 	}
 }
 
+// holdsSelf tells whether a peer that answers holds the present row of this
+// node. A reply is given only to the life in the replier's row, and within a life
+// the row changes with the set version alone, beside silences.
+func (m *Machine) holdsSelf(p *peer) bool {
+	self := m.selfRecord()
+	return p.answered &&
+		m.now-p.contact <= rowRepeatRounds*m.config.HeartbeatEvery &&
+		p.setVersion == self.MonitorSetVersion &&
+		len(self.Silences) == 0
+}
+
 // pruneSent drops the rounds whose acknowledgement would come too late.
 func (m *Machine) pruneSent() {
 	m.sent = slices.DeleteFunc(m.sent, func(round sentRound) bool {
@@ -104,6 +121,7 @@
 	}
 	p.boot = msg.Boot
 	p.silencedVersion = max(p.silencedVersion, msg.SilencedVersion)
+	p.setVersion = msg.MonitorSetVersion
 	if p.targeted {
 		p.contact = max(p.contact, sentAt)
 		p.answered = true
@@ -130,7 +148,8 @@
 // and has been silent for long enough. The report is a promise: this process
 // never again acknowledges that incarnation under that set version.
 func (m *Machine) reportSilences() {
-	for _, id := range m.order {
+	// A report changes the table and with it the set.
+	for _, id := range slices.Clone(m.watched) {
 		e := m.table[id]
 		if id == m.config.Self.ID || !m.mustReport(e) {
 			continue
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -14,13 +14,13 @@
 
 // unknownSeeds are foreign seeds that no member of the table listens on.
 func (m *Machine) unknownSeeds() []string {
-	held := map[string]bool{}
+	unknown := m.foreignSeeds()
 	for _, e := range m.table {
-		held[e.record.Info.Address] = true
+		if slices.Contains(unknown, e.record.Info.Address) {
+			unknown = slices.DeleteFunc(unknown, func(seed string) bool { return seed == e.record.Info.Address })
+		}
 	}
-	return slices.DeleteFunc(m.foreignSeeds(), func(seed string) bool {
-		return held[seed]
-	})
+	return unknown
 }
 
 // join asks all seeds in each heartbeat interval until one answers. A node whose
@@ -60,9 +60,9 @@
 // forget drops lives that have been over for long, and remembers only that
 // they are over.
 func (m *Machine) forget() {
-	for _, id := range slices.Clone(m.order) {
+	for _, id := range slices.Clone(m.fenced) {
 		e := m.table[id]
-		if id == m.config.Self.ID || !e.record.certainlyFenced() {
+		if id == m.config.Self.ID {
 			continue
 		}
 		if !e.over {
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -19,16 +19,23 @@
 	lastTick      time.Duration
 	nextHeartbeat time.Duration
 	nextExchange  time.Duration
-	nextJoin      time.Duration
-	nextOutlive   time.Duration
-	rounds        uint64
-	joined        bool
-	startedAt     time.Duration
+	nextNews      time.Duration
+	// changed is when the table last changed.
+	changed     time.Duration
+	nextJoin    time.Duration
+	nextOutlive time.Duration
+	rounds      uint64
+	joined      bool
+	startedAt   time.Duration
 
 	table map[member.ID]*entry
 	// order holds the IDs of the table, sorted.
 	order []member.ID
 	ring  ring
+	// watched are the members that count on this process as a monitor, and
+	// fenced those whose newest life is over.
+	watched idSet
+	fenced  idSet
 	// digest summarises the table.
 	digest uint64
 	// ended keeps the newest life of each forgotten member, which is over.
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -74,7 +74,8 @@
 	Incarnation member.Incarnation
 	// Boot is the incarnation with which the sender's process started.
 	Boot member.Incarnation
-	// From describes the sender, so that a receiver can answer a stranger.
+	// From describes the sender, so that a receiver can answer a stranger. Replies
+	// to heartbeats, and heartbeats without a row, hold the ID alone.
 	From              member.Info
 	MonitorSetVersion uint64
 	Monitors          []member.ID
@@ -88,6 +89,13 @@
 	Records []Record
 }
 
+// isBrief tells whether the receiver knows the sender already, so that From
+// needs no more than the ID: it replied to a heartbeat that brought the row, or
+// was sent a heartbeat itself.
+func (m Message) isBrief() bool {
+	return m.Type == MessageHeartbeatReply || m.Type == MessageHeartbeat && len(m.Records) == 0
+}
+
 // Outbound is a message and where it goes: to a node that listens on Address.
 // To is empty when the receiver's ID is not known yet, as with seeds.
 type Outbound struct {
--- a/pkg/membership/monitors.go
+++ b/pkg/membership/monitors.go
@@ -24,7 +24,10 @@
 	// silencedVersion is the newest set version of this life that the peer
 	// reported silent.
 	silencedVersion uint64
-	avoidUntil      time.Duration
+	// setVersion is the set version of this life that the peer's newest reply
+	// stated.
+	setVersion uint64
+	avoidUntil time.Duration
 }
 
 // restart forgets what the peer said of an earlier life. A peer that seems
@@ -38,6 +41,7 @@
 	p.answered = false
 	p.contact = 0
 	p.silencedVersion = 0
+	p.setVersion = 0
 }
 
 func (p *peer) lastSign() time.Duration {
@@ -131,21 +135,16 @@
 
 // target directs heartbeats to the monitors of all sets and to those wanted.
 func (m *Machine) target(wanted []member.ID) {
-	targets := map[member.ID]bool{}
-	for _, id := range wanted {
-		targets[id] = true
-	}
+	targets := slices.Clone(wanted)
 	for _, set := range m.life.sets {
-		for _, id := range set.monitors {
-			targets[id] = true
-		}
+		targets = append(targets, set.monitors...)
 	}
 	for id, p := range m.peers {
-		if !targets[id] {
+		if p.targeted && !slices.Contains(targets, id) {
 			p.targeted = false
 		}
 	}
-	for id := range targets {
+	for _, id := range targets {
 		m.targetPeer(id)
 	}
 }
--- a/pkg/membership/network_test.go
+++ b/pkg/membership/network_test.go
@@ -23,6 +23,10 @@
 	rate        float64
 	life        int
 	left        bool
+	// checkedTable and checkedDeadline are what the last check of this life saw.
+	checked         bool
+	checkedTable    uint64
+	checkedDeadline time.Duration
 }
 
 func (n *node) runs() bool { return n.machine != nil && !n.frozen }
@@ -76,6 +80,8 @@
 	// clocksGoBack lets incarnations fall from one process to the next, about
 	// which LifeEnded makes no promise.
 	clocksGoBack bool
+	// onSend, if set, sees each message that a node sends.
+	onSend func(from string, out membership.Outbound)
 }
 
 func newNetwork(seed uint64) *network {
@@ -106,7 +112,7 @@
 		n.incarnation = member.Incarnation(1 + w.random.IntN(1_000_000_000))
 	}
 	n.life++
-	n.frozen, n.left = false, false
+	n.frozen, n.left, n.checked = false, false, false
 	n.offset = time.Duration(w.random.IntN(1000)) * time.Second
 	cfg := w.config
 	cfg.Seeds = seeds
@@ -139,6 +145,9 @@
 
 func (w *network) send(from string, outbox []membership.Outbound) {
 	for _, out := range outbox {
+		if w.onSend != nil {
+			w.onSend(from, out)
+		}
 		to := out.Address
 		if to == "" {
 			to = string(out.To)
@@ -200,10 +209,23 @@
 	return n.machine != nil && !n.machine.Fenced(w.clock(n))
 }
 
+// unchanged tells whether the table and the fence deadline are those of the last
+// check. Then nobody has become certain of anything, and this node serves only if
+// it did then.
+func (n *node) unchanged() bool {
+	table, deadline := n.machine.Digest(), n.machine.FenceDeadline()
+	same := n.checked && table == n.checkedTable && deadline == n.checkedDeadline
+	n.checked, n.checkedTable, n.checkedDeadline = true, table, deadline
+	return same
+}
+
 // check compares what changed with everybody else: changed may have become
 // certain of another's fence, or may have begun to serve.
 func (w *network) check(changed string) {
 	n := w.nodes[changed]
+	if n.unchanged() {
+		return
+	}
 	serves := w.serves(changed)
 	for _, other := range w.all {
 		if other.serves(w) {
--- a/pkg/membership/random_test.go
+++ b/pkg/membership/random_test.go
@@ -37,6 +37,7 @@
 			w.runUntil(w.now + 8*time.Second)
 			Expect(w.violations).To(BeEmpty(), "seed %d", seed)
 			w.expectAllServing(fmt.Sprintf("seed %d", seed))
+			Expect(w.tables()).To(Equal(1), "seed %d: all hold one table", seed)
 		}
 	})
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -18,6 +18,16 @@
 	return m.flush()
 }
 
+// Records returns the table as Members does, but shares memory with it: read only,
+// and until the next input.
+func (m *Machine) Records() []Record {
+	records := make([]Record, 0, len(m.order))
+	for _, id := range m.order {
+		records = append(records, m.table[id].record)
+	}
+	return records
+}
+
 // Digest summarises the table: it changes whenever a record does. It spares
 // callers that follow the table a copy of it.
 func (m *Machine) Digest() uint64 {
--- a/pkg/relaytree/machine.go
+++ b/pkg/relaytree/machine.go
@@ -17,6 +17,9 @@
 	DefaultPartBytes   = 128 << 10
 )
 
+// greetingsPerDigest is how often in DigestEvery new parents are asked at most.
+const greetingsPerDigest = 4
+
 // Config sets up a Machine. Zero values take the defaults.
 type Config struct {
 	Self member.ID
@@ -36,8 +39,12 @@
 	config     Config
 	now        time.Duration
 	nextDigest time.Duration
-	// turn chooses the other member that the next digest goes to.
+	// turn chooses the parent and the other member that the next digest goes to.
 	turn uint64
+	// moved tells that the parents may be new, and greeted when all of them were
+	// last sent a digest for that.
+	moved   bool
+	greeted time.Duration
 
 	members []Member
 	roots   map[Topic]member.ID
@@ -120,10 +127,12 @@
 	m.moveInTrees()
 }
 
-// moveInTrees derives all positions anew and asks the new parents soon.
+// moveInTrees derives all positions anew and asks the new parents soon: at once,
+// but not again and again while members come and go one after the other.
 func (m *Machine) moveInTrees() {
 	m.positions = map[member.ID]position{}
-	m.nextDigest = m.now
+	m.moved = true
+	m.nextDigest = min(m.nextDigest, max(m.now, m.greeted+m.config.DigestEvery/greetingsPerDigest))
 }
 
 func (m *Machine) dropGone() {
--- a/pkg/relaytree/spread.go
+++ b/pkg/relaytree/spread.go
@@ -91,9 +91,18 @@
 	return overdue
 }
 
-// sendDigests tells the parents and one other member in turn what is held.
+// sendDigests tells a parent in turn, and one other member in turn, what is held;
+// and all parents after a move in the trees. Any of them that holds something
+// newer sends it, whatever the topic.
 func (m *Machine) sendDigests() {
 	receivers := m.parents()
+	if m.moved {
+		m.moved = false
+		m.greeted = m.now
+	} else if len(receivers) > 1 {
+		inTurn := m.turn % uint64(len(receivers))
+		receivers = receivers[inTurn : inTurn+1]
+	}
 	if len(m.members) > 1 {
 		others := slices.DeleteFunc(slices.Clone(m.members), func(other Member) bool {
 			return other.ID == m.config.Self
--- a/pkg/relaytree/tree.go
+++ b/pkg/relaytree/tree.go
@@ -49,18 +49,37 @@
 // between roots, so that the inner nodes differ as well. While the root isn't
 // live, the first of the others stands in.
 func orderForRoot(root member.ID, members []Member) []Member {
-	weights := make(map[member.ID]uint64, len(members))
-	for _, m := range members {
-		weights[m.ID] = xxhash.Sum64String(string(root) + "\x00" + string(m.ID))
+	weighed := make([]weighedMember, len(members))
+	for i, m := range members {
+		weighed[i] = weighedMember{Member: m, weight: weightForRoot(root, m.ID)}
 	}
-	weights[root] = 0
-	ordered := slices.Clone(members)
-	slices.SortFunc(ordered, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weights[a.ID], weights[b.ID]), cmp.Compare(a.ID, b.ID))
+	slices.SortFunc(weighed, func(a, b weighedMember) int {
+		if a.weight != b.weight {
+			return cmp.Compare(a.weight, b.weight)
+		}
+		return cmp.Compare(a.ID, b.ID)
 	})
+	ordered := make([]Member, len(members))
+	for i, m := range weighed {
+		ordered[i] = m.Member
+	}
 	return ordered
 }
 
+// weighedMember is a member with its weight for one root.
+type weighedMember struct {
+	Member
+	weight uint64
+}
+
+// weightForRoot is the place of a member in a root's order; the root comes first.
+func weightForRoot(root, id member.ID) uint64 {
+	if id == root {
+		return 0
+	}
+	return xxhash.Sum64String(string(root) + "\x00" + string(id))
+}
+
 // placeInHeap reads nodes as a heap in which each has fanOut children.
 func placeInHeap(self member.ID, nodes []member.ID, fanOut int) position {
 	at := slices.Index(nodes, self)
--- a/pkg/replication/cluster_test.go
+++ b/pkg/replication/cluster_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -85,8 +86,14 @@
 	// schedules with neverRepaired there is one such loss at most.
 	wiped         bool
 	neverRepaired bool
+	// majorityLost allows losses of any number of disks at once.
+	majorityLost bool
 	// lost counts the disks that were lost and are to be repaired.
 	lost int
+	// reformed counts how often the group was formed anew; ballotsFail keeps it
+	// from that, as if the state could not be found.
+	reformed    int
+	ballotsFail bool
 }
 
 // spareMark stands before the IDs of members that have no place at first.
@@ -141,6 +148,7 @@
 	group, err := replication.New(config, n.disk, c.clock(n))
 	Expect(err).NotTo(HaveOccurred())
 	n.group = group
+	group.ExpectState()
 	n.life++
 	n.reads = map[uint64]uint64{}
 	n.applied, n.appliedIndex = 0, 0
@@ -271,10 +279,7 @@
 
 func (c *cluster) apply(n *node, entry replication.Entry) {
 	Expect(entry.Index).To(Equal(n.appliedIndex+1), "%s: applied out of order", n.id)
-	n.applied = n.applied*1099511628211 + entry.Epoch*31 + uint64(entry.Kind)
-	for _, b := range entry.Command {
-		n.applied = n.applied*1099511628211 + uint64(b)
-	}
+	n.applied = digestAfter(n.applied, entry)
 	n.appliedIndex = entry.Index
 	if agreed, known := c.digests[entry.Index]; known {
 		Expect(n.applied).To(Equal(agreed), "%s: another history at %d", n.id, entry.Index)
@@ -300,6 +305,44 @@
 	return err
 }
 
+// reform forms the group anew once a node has won a ballot. What no member
+// knows any more was lost with the disks.
+func (c *cluster) reform(n *node) {
+	ballot, won := n.group.Ballot()
+	if !won || c.ballotsFail {
+		return
+	}
+	if used := slices.Max(append(slices.Collect(maps.Keys(c.owners)), 0)); used >= ballot {
+		// All who knew the epoch may have lost their disks; witnesses have not.
+		n.group.RaiseBallot(used)
+		c.drain(n)
+		return
+	}
+	state := n.applied
+	for _, entry := range n.group.Unapplied() {
+		state = digestAfter(state, entry)
+	}
+	c.highest = 0
+	for _, other := range c.nodes {
+		c.highest = max(c.highest, other.appliedIndex)
+	}
+	maps.DeleteFunc(c.digests, func(index uint64, _ uint64) bool { return index > c.highest })
+	Expect(n.group.Reform(c.clock(n), ballot, binary.BigEndian.AppendUint64(nil, state))).To(Succeed())
+	c.reformed++
+	c.drain(n)
+}
+
+func digestAfter(digest uint64, entry replication.Entry) uint64 {
+	if entry.Kind == replication.EntryRestore {
+		return binary.BigEndian.Uint64(entry.Command)
+	}
+	digest = digest*1099511628211 + entry.Epoch*31 + uint64(entry.Kind)
+	for _, b := range entry.Command {
+		digest = digest*1099511628211 + uint64(b)
+	}
+	return digest
+}
+
 func (c *cluster) read(n *node) {
 	id, err := n.group.RequestRead(c.clock(n))
 	if err == nil {
@@ -345,6 +388,7 @@
 		if n.group != nil && c.now >= n.pausedUntil {
 			n.group.Tick(c.clock(n))
 			c.drain(n)
+			c.reform(n)
 		}
 	}
 }
--- a/pkg/replication/doc.go
+++ b/pkg/replication/doc.go
@@ -37,4 +37,7 @@
 //     as one that never answers, which is why one lost disk is safe before the
 //     owner has learnt of it: all majorities share a voter that still has what
 //     they acknowledged.
+//   - A group that lost the majority of its voters' lives is formed anew only
+//     under a ballot that the present life of every place has promised, by the
+//     member whose log is the newest of all.
 package replication
--- a/pkg/replication/group.go
+++ b/pkg/replication/group.go
@@ -55,6 +55,7 @@
 	owner member.ID
 
 	election  election
+	reform    reformation
 	ownership ownership
 	reads     readQueue
 	output    output
@@ -161,8 +162,11 @@
 	case RoleOwner:
 		g.tickOwner()
 	case RoleFollower, RoleCandidate:
-		g.tickElection()
+		if !g.tickReform() {
+			g.tickElection()
+		}
 	case RoleLearner:
+		g.tickReform()
 	}
 }
 
@@ -187,6 +191,12 @@
 	case MessagePromiseReply:
 		g.stepPromiseReply(from, m)
 		return nil
+	case MessageBallotRequest:
+		g.stepBallotRequest(from, m)
+		return nil
+	case MessageBallotReply:
+		g.stepBallotReply(from, m)
+		return nil
 	case MessageAppend, MessageHeartbeat, MessageSnapshot:
 		return g.stepFromOwner(from, m)
 	case MessageAppendReply, MessageHeartbeatReply:
--- a/pkg/replication/log.go
+++ b/pkg/replication/log.go
@@ -28,7 +28,7 @@
 // follow: to pass over them would be unsafe.
 func (e Entry) check(cfg Config) error {
 	switch e.Kind {
-	case EntryCommand, EntryBarrier:
+	case EntryCommand, EntryBarrier, EntryRestore:
 		return nil
 	case EntryGroupChange:
 		changed, err := decodePlaces(e.Command)
--- a/pkg/replication/message.go
+++ b/pkg/replication/message.go
@@ -21,6 +21,11 @@
 	MessageHeartbeatReply
 	// MessageSnapshot replaces the state of a follower that is too far behind.
 	MessageSnapshot
+	// MessageBallotRequest asks every place to promise a ballot, under which a
+	// group that lost the majority is formed anew.
+	MessageBallotRequest
+	// MessageBallotReply grants or rejects a ballot.
+	MessageBallotReply
 )
 
 // EntryKind tells how an entry is applied.
@@ -35,6 +40,9 @@
 	EntryBarrier
 	// EntryGroupChange carries the group after a change of one voter.
 	EntryGroupChange
+	// EntryRestore carries the whole state of the state machine above, in place
+	// of the state that the entries before it led to.
+	EntryRestore
 )
 
 // Entry is one slot of the replicated log.
--- a/pkg/replication/random_test.go
+++ b/pkg/replication/random_test.go
@@ -18,7 +18,7 @@
 const (
 	randomSchedules = 2000
 	faultyTicks     = 200
-	healedTicks     = 150
+	healedTicks     = 200
 	// neverRepairedEvery is how often a schedule has a lost disk whose member
 	// stays a learner, in place of several that are repaired.
 	neverRepairedEvery = 4
@@ -26,7 +26,7 @@
 
 var _ = Describe("random schedules", func() {
 	It("keep one history, one owner an epoch and one lease holder, and end in agreement", func() {
-		var committed, epochs, reads, leases, lost int
+		var committed, epochs, reads, leases, lost, reformed int
 		for seed := range uint64(*schedules) {
 			c := randomCluster(seed)
 			for range faultyTicks {
@@ -38,6 +38,7 @@
 			expectAgreement(c, seed)
 			committed += int(c.highest)
 			lost += c.lost
+			reformed += c.reformed
 			epochs += len(c.owners)
 			for _, n := range c.nodes {
 				reads += n.answered
@@ -49,6 +50,7 @@
 		Expect(reads).To(BeNumerically(">", *schedules))
 		Expect(leases).To(BeNumerically(">", *schedules))
 		Expect(lost).To(BeNumerically(">", 2**schedules))
+		Expect(reformed).To(BeNumerically(">", *schedules/10))
 	})
 })
 
@@ -57,6 +59,7 @@
 	ids := []member.ID{"n1", "n2", "n3", "n4", "n5"}[:3+2*random.IntN(2)]
 	c := newCluster(random, ids...)
 	c.neverRepaired = seed%neverRepairedEvery == 0
+	c.majorityLost = seed%neverRepairedEvery == 1
 	c.faults = faults{lose: 0.1, double: 0.1, stall: 0.1, maxDelay: 20 * time.Millisecond}
 	for _, n := range c.nodes {
 		n.offset = time.Duration(random.Int64N(int64(time.Hour)))
@@ -106,6 +109,10 @@
 	case roll < 86 && !c.neverRepaired && c.intactAfter(n):
 		// More lost disks than this could hold all copies of an entry.
 		c.loseDisk(n)
+	case roll < 87 && c.majorityLost && c.random.IntN(4) == 0:
+		for range 1 + c.random.IntN(len(c.nodes)) {
+			c.loseDisk(c.nodes[c.random.IntN(len(c.nodes))])
+		}
 	case roll < 89:
 		n.pausedUntil = c.now + time.Duration(c.random.IntN(60))*tickEvery
 	default:
--- a/pkg/replication/ready.go
+++ b/pkg/replication/ready.go
@@ -120,6 +120,7 @@
 // countOwnCopies lets this member's own promise and own entries count, as they
 // are durable now.
 func (g *Group) countOwnCopies(ready *Ready) {
+	g.countOwnBallot(ready)
 	switch g.role {
 	case RoleOwner:
 		g.maybeCommit()
--- a/pkg/replication/timeline_test.go
+++ b/pkg/replication/timeline_test.go
@@ -82,6 +82,11 @@
 		}
 		return
 	}
+	if words[0] == "seek" || words[0] == "found" {
+		// While the state is sought, a ballot is won and nothing comes of it.
+		c.ballotsFail = words[0] == "seek"
+		return
+	}
 	if words[0] == "heal" {
 		clear(c.cut)
 		return
