--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -11,7 +11,7 @@
 
 const (
 	// rolloutTarget is the time in which a roll-out is to reach every replica.
-	rolloutTarget = 10 * time.Second
+	rolloutTarget = 12 * time.Second
 	// replicaRolloutTime is the time that one replica is taken to need: to
 	// finish its requests, load the weights and report them.
 	replicaRolloutTime = 5 * time.Second
