--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -10,11 +10,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
-	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
@@ -23,50 +21,6 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
 
-// Send is a message for another node. Address is used when To is empty, as with
-// seeds whose ID is not known.
-type Send struct {
-	To       member.ID
-	Address  string
-	Envelope wire.Envelope
-}
-
-// Save is what a shard has to write. The driver calls Saved when it is durable.
-type Save struct {
-	Shard uint32
-	Ready replication.Ready
-	// Checkpoint, if set, replaces everything written before; Ready is empty.
-	Checkpoint *replication.Restored
-}
-
-// Reply answers an order that this node took.
-type Reply struct {
-	Ticket uint64
-	Answer *controlpb.Answer
-	Err    error
-}
-
-// Command orders a replica to load weights. The driver sends it only if the
-// clock still reads less than Deadline, since the right to command ends then.
-type Command struct {
-	Address       string
-	WeightVersion string
-	// Epoch grows with every later right to command, and with every later
-	// decision under the same right.
-	Epoch    uint64
-	Deadline time.Duration
-}
-
-// Output is what a node has to do after an input.
-type Output struct {
-	Sends    []Send
-	Saves    []Save
-	Replies  []Reply
-	Commands []Command
-	// View is set when traffic is to use a new view.
-	View *routing.View
-}
-
 // Machine is the control state machine of one node. It is not safe for
 // concurrent use: one goroutine owns it.
 type Machine struct {
@@ -137,7 +91,18 @@
 		}
 	}
 	machine.registry = newRegistrar(machine.shardIDs)
-	machine.members = membership.New(membership.Config{
+	machine.members = newMembership(config, now)
+	machine.relay = relaytree.New(relaytree.Config{
+		Self:        config.Self.ID,
+		FanOut:      relayFanOut,
+		DigestEvery: config.Times.DigestEvery,
+	})
+	return machine, nil
+}
+
+// newMembership returns the table of members of a node.
+func newMembership(config Config, now time.Duration) *membership.Machine {
+	return membership.New(membership.Config{
 		Self:           config.Self,
 		Seeds:          config.Seeds,
 		MonitorCount:   monitorCount,
@@ -146,12 +111,6 @@
 		FenceMargin:    config.Times.FenceMargin,
 		ForgetAfter:    forgetAfter,
 	}, now)
-	machine.relay = relaytree.New(relaytree.Config{
-		Self:        config.Self.ID,
-		FanOut:      relayFanOut,
-		DigestEvery: config.Times.DigestEvery,
-	})
-	return machine, nil
 }
 
 // hostShard starts the replica group member of a shard, if this node is in its
@@ -256,102 +215,6 @@
 	return m.take()
 }
 
-// pump carries out what a group is ready to do. A group has one write
-// outstanding at most; messages and committed entries of that write wait for it.
-func (m *Machine) pump(hosted *shard) {
-	if hosted.checkpointDue && !hosted.saving {
-		m.startCheckpoint(hosted)
-	}
-	for !hosted.saving && hosted.group.HasReady() {
-		ready := hosted.group.Ready()
-		if ready.MustSync() {
-			hosted.saving = true
-			hosted.outstanding = ready
-			m.output.Saves = append(m.output.Saves, Save{Shard: hosted.id, Ready: ready})
-			return
-		}
-		m.finish(hosted, ready)
-	}
-}
-
-// startCheckpoint writes the compacted state in place of the whole log.
-func (m *Machine) startCheckpoint(hosted *shard) {
-	state := hosted.group.Checkpoint()
-	hosted.checkpointDue = false
-	hosted.checkpointing = true
-	hosted.saving = true
-	m.output.Saves = append(m.output.Saves, Save{Shard: hosted.id, Checkpoint: &state})
-}
-
-// finish sends and applies what a durable Ready allows.
-func (m *Machine) finish(hosted *shard, ready replication.Ready) {
-	for _, outbound := range ready.Messages {
-		message := outbound.Message
-		m.send(outbound.To, wire.Envelope{Shard: hosted.id, Replication: &message})
-	}
-	if ready.Snapshot != nil {
-		m.restoreShard(hosted, ready.Snapshot)
-	}
-	for _, entry := range ready.Committed {
-		m.applyEntry(hosted, entry)
-	}
-	hosted.group.Advance()
-	hosted.compactWhenLong()
-	m.publishOwned(hosted)
-}
-
-// applyEntry applies one committed entry and answers whoever waits for it.
-func (m *Machine) applyEntry(hosted *shard, entry replication.Entry) {
-	hosted.applied = entry.Index
-	if entry.Kind == replication.EntryRestore {
-		m.restoreShard(hosted, &replication.Snapshot{Index: entry.Index, Data: entry.Command})
-		return
-	}
-	if entry.Kind != replication.EntryCommand {
-		return
-	}
-	command := &controlpb.Command{}
-	if err := proto.Unmarshal(entry.Command, command); err != nil {
-		// Every member fails alike on the same bytes, so that skipping keeps
-		// the copies equal.
-		hosted.badEntries++
-		return
-	}
-	answer := hosted.state.Apply(command)
-	m.afterApply(hosted, entry.Index, command, answer)
-}
-
-// restoreShard replaces a shard's state by a snapshot.
-func (m *Machine) restoreShard(hosted *shard, snapshot *replication.Snapshot) {
-	if err := hosted.restore(snapshot); err != nil {
-		hosted.badEntries++
-	}
-}
-
-// publishOwned hands a shard's newest committed state to the relay tree when
-// this node owns the shard.
-func (m *Machine) publishOwned(hosted *shard) {
-	if !hosted.group.BarrierApplied() {
-		// What is applied until then may be about to give way to the state of a
-		// group that was formed anew.
-		return
-	}
-	revision := hosted.state.Revision()
-	topic := relaytree.Topic(hosted.id)
-	if revision <= m.relay.Revision(topic) {
-		return
-	}
-	sections, err := hosted.state.Sections()
-	if err != nil {
-		hosted.badEntries++
-		return
-	}
-	m.relay.SetRoot(topic, m.config.Self.ID)
-	sends, updates := m.relay.Publish(topic, revision, sections)
-	m.sendRelay(sends)
-	m.hold(updates)
-}
-
 // refreshMembers passes on who is alive when that has changed.
 func (m *Machine) refreshMembers() {
 	if m.members.Digest() == m.tableDigest {
@@ -375,44 +238,6 @@
 	}
 }
 
-// send queues a message for a node.
-func (m *Machine) send(to member.ID, envelope wire.Envelope) {
-	envelope.From = m.config.Self.ID
-	m.output.Sends = append(m.output.Sends, Send{To: to, Address: m.addressOf(to), Envelope: envelope})
-}
-
-// sendControl queues a control message; one for this node itself is handled at
-// once.
-func (m *Machine) sendControl(to member.ID, message protocol.Message) {
-	if to == m.config.Self.ID {
-		m.receiveControl(to, message)
-		return
-	}
-	m.send(to, wire.Envelope{Shard: message.Shard, Control: &message})
-}
-
-func (m *Machine) sendMembership(outbound []membership.Outbound) {
-	for _, out := range outbound {
-		message := out.Message
-		address := out.Address
-		if address == "" {
-			address = m.addressOf(out.To)
-		}
-		envelope := wire.Envelope{From: m.config.Self.ID, Membership: &message}
-		m.output.Sends = append(m.output.Sends, Send{To: out.To, Address: address, Envelope: envelope})
-	}
-}
-
-func (m *Machine) sendRelay(outbound []relaytree.Outbound) {
-	for _, out := range outbound {
-		message := out.Message
-		m.send(out.To, wire.Envelope{Relay: &message})
-	}
-}
-
-// addressOf returns the internal address of a node, or "" while it is unknown.
-func (m *Machine) addressOf(id member.ID) string { return m.addresses[id] }
-
 // take returns what has been gathered and starts anew.
 func (m *Machine) take() Output {
 	m.followLife()
--- /dev/null
+++ b/internal/control/output.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+// Send is a message for another node. Address is used when To is empty, as with
+// seeds whose ID is not known.
+type Send struct {
+	To       member.ID
+	Address  string
+	Envelope wire.Envelope
+}
+
+// Save is what a shard has to write. The driver calls Saved when it is durable.
+type Save struct {
+	Shard uint32
+	Ready replication.Ready
+	// Checkpoint, if set, replaces everything written before; Ready is empty.
+	Checkpoint *replication.Restored
+}
+
+// Reply answers an order that this node took.
+type Reply struct {
+	Ticket uint64
+	Answer *controlpb.Answer
+	Err    error
+}
+
+// Command orders a replica to load weights. The driver sends it only if the
+// clock still reads less than Deadline, since the right to command ends then.
+type Command struct {
+	Address       string
+	WeightVersion string
+	// Epoch grows with every later right to command, and with every later
+	// decision under the same right.
+	Epoch    uint64
+	Deadline time.Duration
+}
+
+// Output is what a node has to do after an input.
+type Output struct {
+	Sends    []Send
+	Saves    []Save
+	Replies  []Reply
+	Commands []Command
+	// View is set when traffic is to use a new view.
+	View *routing.View
+}
--- /dev/null
+++ b/internal/control/persist.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire"
+	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+// pump carries out what a group is ready to do. A group has one write
+// outstanding at most; messages and committed entries of that write wait for it.
+func (m *Machine) pump(hosted *shard) {
+	if hosted.checkpointDue && !hosted.saving {
+		m.startCheckpoint(hosted)
+	}
+	for !hosted.saving && hosted.group.HasReady() {
+		ready := hosted.group.Ready()
+		if ready.MustSync() {
+			hosted.saving = true
+			hosted.outstanding = ready
+			m.output.Saves = append(m.output.Saves, Save{Shard: hosted.id, Ready: ready})
+			return
+		}
+		m.finish(hosted, ready)
+	}
+}
+
+// startCheckpoint writes the compacted state in place of the whole log.
+func (m *Machine) startCheckpoint(hosted *shard) {
+	state := hosted.group.Checkpoint()
+	hosted.checkpointDue = false
+	hosted.checkpointing = true
+	hosted.saving = true
+	m.output.Saves = append(m.output.Saves, Save{Shard: hosted.id, Checkpoint: &state})
+}
+
+// finish sends and applies what a durable Ready allows.
+func (m *Machine) finish(hosted *shard, ready replication.Ready) {
+	for _, outbound := range ready.Messages {
+		message := outbound.Message
+		m.send(outbound.To, wire.Envelope{Shard: hosted.id, Replication: &message})
+	}
+	if ready.Snapshot != nil {
+		m.restoreShard(hosted, ready.Snapshot)
+	}
+	for _, entry := range ready.Committed {
+		m.applyEntry(hosted, entry)
+	}
+	hosted.group.Advance()
+	hosted.compactWhenLong()
+	m.publishOwned(hosted)
+}
+
+// applyEntry applies one committed entry and answers whoever waits for it.
+func (m *Machine) applyEntry(hosted *shard, entry replication.Entry) {
+	hosted.applied = entry.Index
+	if entry.Kind == replication.EntryRestore {
+		m.restoreShard(hosted, &replication.Snapshot{Index: entry.Index, Data: entry.Command})
+		return
+	}
+	if entry.Kind != replication.EntryCommand {
+		return
+	}
+	command := &controlpb.Command{}
+	if err := proto.Unmarshal(entry.Command, command); err != nil {
+		// Every member fails alike on the same bytes, so that skipping keeps
+		// the copies equal.
+		hosted.badEntries++
+		return
+	}
+	answer := hosted.state.Apply(command)
+	m.afterApply(hosted, entry.Index, command, answer)
+}
+
+// restoreShard replaces a shard's state by a snapshot.
+func (m *Machine) restoreShard(hosted *shard, snapshot *replication.Snapshot) {
+	if err := hosted.restore(snapshot); err != nil {
+		hosted.badEntries++
+	}
+}
+
+// publishOwned hands a shard's newest committed state to the relay tree when
+// this node owns the shard.
+func (m *Machine) publishOwned(hosted *shard) {
+	if !hosted.group.BarrierApplied() {
+		// What is applied until then may be about to give way to the state of a
+		// group that was formed anew.
+		return
+	}
+	revision := hosted.state.Revision()
+	topic := relaytree.Topic(hosted.id)
+	if revision <= m.relay.Revision(topic) {
+		return
+	}
+	sections, err := hosted.state.Sections()
+	if err != nil {
+		hosted.badEntries++
+		return
+	}
+	m.relay.SetRoot(topic, m.config.Self.ID)
+	sends, updates := m.relay.Publish(topic, revision, sections)
+	m.sendRelay(sends)
+	m.hold(updates)
+}
--- /dev/null
+++ b/internal/control/sends.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+)
+
+// send queues a message for a node.
+func (m *Machine) send(to member.ID, envelope wire.Envelope) {
+	envelope.From = m.config.Self.ID
+	m.output.Sends = append(m.output.Sends, Send{To: to, Address: m.addressOf(to), Envelope: envelope})
+}
+
+// sendControl queues a control message; one for this node itself is handled at
+// once.
+func (m *Machine) sendControl(to member.ID, message protocol.Message) {
+	if to == m.config.Self.ID {
+		m.receiveControl(to, message)
+		return
+	}
+	m.send(to, wire.Envelope{Shard: message.Shard, Control: &message})
+}
+
+func (m *Machine) sendMembership(outbound []membership.Outbound) {
+	for _, out := range outbound {
+		message := out.Message
+		address := out.Address
+		if address == "" {
+			address = m.addressOf(out.To)
+		}
+		envelope := wire.Envelope{From: m.config.Self.ID, Membership: &message}
+		m.output.Sends = append(m.output.Sends, Send{To: out.To, Address: address, Envelope: envelope})
+	}
+}
+
+func (m *Machine) sendRelay(outbound []relaytree.Outbound) {
+	for _, out := range outbound {
+		message := out.Message
+		m.send(out.To, wire.Envelope{Relay: &message})
+	}
+}
+
+// addressOf returns the internal address of a node, or "" while it is unknown.
+func (m *Machine) addressOf(id member.ID) string { return m.addresses[id] }
