--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -77,6 +77,7 @@
 	status := &ridgeswitchv1.ShardStatus{
 		Shard:    id,
 		Owner:    string(m.knownOwner(id)),
+		Epoch:    m.epochs[id].epoch,
 		Revision: m.held.revisions[id],
 		Group: lo.Map(m.config.GroupOfShard(id), func(id member.ID, _ int) string {
 			return string(id)
