--- a/cmd/ridgeswitch-lab/demo.go
+++ b/cmd/ridgeswitch-lab/demo.go
@@ -37,20 +37,26 @@
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run a whole deployment on this machine under load, change and faults, and check it",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "deployment", Usage: "name of a folder below --deploy-folder", Value: "hivatal"},
-			&cli.StringFlag{Name: "deploy-folder", Usage: "folder of the deployments", Value: "deploy"},
+		Flags: append([]cli.Flag{
 			&cli.DurationFlag{Name: "duration", Usage: "length of the load", Value: 10 * time.Second},
-			&cli.Uint64Flag{Name: "seed", Usage: "seed of the load and of the faults", Value: 1},
-			&cli.StringFlag{Name: "binary", Usage: "binary of ridgeswitch; built when not given"},
-			&cli.Float64Flag{Name: "rate", Usage: "requests to the model per second", Value: demoModelRate},
-			&cli.Float64Flag{Name: "time-scale", Usage: "how many times faster than real machines replicas compute", Value: demoTimeScale},
-			&cli.StringFlag{Name: "folder", Usage: "folder for settings, data and logs, kept after the run; a temporary one when not given"},
-		},
+		}, fleetFlags(demoModelRate)...),
 		Action: runDemo,
 	}
 }
 
+// fleetFlags are the flags of every command that runs a whole deployment.
+func fleetFlags(modelRate float64) []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "deployment", Usage: "name of a folder below --deploy-folder", Value: "hivatal"},
+		&cli.StringFlag{Name: "deploy-folder", Usage: "folder of the deployments", Value: "deploy"},
+		&cli.Uint64Flag{Name: "seed", Usage: "seed of the load and of the faults", Value: 1},
+		&cli.StringFlag{Name: "binary", Usage: "binary of ridgeswitch; built when not given"},
+		&cli.Float64Flag{Name: "rate", Usage: "requests to the model per second", Value: modelRate},
+		&cli.Float64Flag{Name: "time-scale", Usage: "how many times faster than real machines replicas compute", Value: demoTimeScale},
+		&cli.StringFlag{Name: "folder", Usage: "folder for settings, data and logs, kept after the run; a temporary one when not given"},
+	}
+}
+
 // runDemo runs a demonstration and prints its summary as the last line.
 func runDemo(ctx context.Context, command *cli.Command) error {
 	folder, cleanUp, err := demoFolder(command.String("folder"))
--- a/cmd/ridgeswitch-lab/experiment.go
+++ b/cmd/ridgeswitch-lab/experiment.go
@@ -31,17 +31,10 @@
 	return &cli.Command{
 		Name:  "experiment",
 		Usage: "run a whole deployment on this machine through a plan of faults under load, and check it",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "deployment", Usage: "name of a folder below --deploy-folder", Value: "hivatal"},
-			&cli.StringFlag{Name: "deploy-folder", Usage: "folder of the deployments", Value: "deploy"},
+		Flags: append([]cli.Flag{
 			&cli.StringFlag{Name: "plan", Usage: "name of the plan, or list", Required: true},
 			&cli.DurationFlag{Name: "duration", Usage: "shortest length of the load, which lasts as long as the plan", Value: 10 * time.Second},
-			&cli.Uint64Flag{Name: "seed", Usage: "seed of the load and of the faults", Value: 1},
-			&cli.StringFlag{Name: "binary", Usage: "binary of ridgeswitch; built when not given"},
-			&cli.Float64Flag{Name: "rate", Usage: "requests to the model per second", Value: experimentModelRate},
-			&cli.Float64Flag{Name: "time-scale", Usage: "how many times faster than real machines replicas compute", Value: demoTimeScale},
-			&cli.StringFlag{Name: "folder", Usage: "folder for settings, data and logs, kept after the run; a temporary one when not given"},
-		},
+		}, fleetFlags(experimentModelRate)...),
 		Action: runExperiment,
 	}
 }
--- a/internal/control/confirmations.go
+++ b/internal/control/confirmations.go
@@ -173,7 +173,7 @@
 		incarnation := member.Incarnation(node.GetIncarnation())
 		row := m.confirmed.rows[confirmationKey{shard: hosted.id, node: id}]
 		current := row.incarnation == incarnation && row.revision >= overdue.revision && row.drained >= overdue.drained
-		if !current && !m.lifeIsOver(id, incarnation) {
+		if !current && !m.members.LifeEnded(id, incarnation) {
 			m.sendControl(id, protocol.Message{Type: protocol.MessageAskConfirm, Shard: hosted.id})
 		}
 	}
@@ -209,28 +209,18 @@
 		if row.incarnation == incarnation && satisfied(row) {
 			continue
 		}
-		if !m.lifeIsOver(id, incarnation) {
+		if !m.members.LifeEnded(id, incarnation) {
 			return false
 		}
 	}
 	return true
 }
 
-// lifeIsOver tells whether a node is certain not to serve under a life again:
-// its monitors have fenced that life, or the node itself announced a newer one.
-func (m *Machine) lifeIsOver(id member.ID, incarnation member.Incarnation) bool {
-	current, known := m.members.Incarnation(id)
-	if !known || current < incarnation {
-		return false
-	}
-	return current > incarnation || m.members.CertainlyFenced(id)
-}
-
 // forgetEndedLives removes registered lives that are over, while the evidence
 // is at hand, so that a later owner does not wait for them.
 func (m *Machine) forgetEndedLives(hosted *shard) {
 	for _, node := range hosted.state.Nodes() {
-		if !m.lifeIsOver(member.ID(node.GetNode()), member.Incarnation(node.GetIncarnation())) {
+		if !m.members.LifeEnded(member.ID(node.GetNode()), member.Incarnation(node.GetIncarnation())) {
 			continue
 		}
 		forget := &controlpb.ForgetNode{Node: node.GetNode(), Incarnation: node.GetIncarnation()}
