Data plane speaks to callers and back ends through edges declared by itself

Routes by host and longest path prefix with weighted destinations, kinds, times, attempts and priorities; attempts that could not be sent need not count; a cut stream may be taken up at another back end where the route permits it.

--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -76,7 +76,7 @@
 		Revision:      configuration.GetRevision(),
 		Configuration: configuration,
 		Tenants:       map[routing.KeyDigest]*routing.Tenant{},
-		Destinations:  map[string]routing.Destination{},
+		Hosts:         map[string]routing.Routes{},
 		Pools:         map[string]*routing.Pool{},
 		WebServices:   map[string]*routing.WebService{},
 	}
@@ -88,7 +88,8 @@
 	for _, service := range configuration.GetWebServices() {
 		view.WebServices[service.GetName()] = m.viewWebService(service, evacuated)
 	}
-	addDestinations(view, configuration)
+	addRoutes(view, configuration)
+	view.RankPriorities()
 	return view
 }
 
@@ -115,6 +116,7 @@
 			Walled:        tenant.GetWalled(),
 			SharingDomain: dynamic.SharingDomain(configuration, tenant.GetName()),
 			Limits:        tenant.GetLimits(),
+			Priority:      tenant.Priority,
 		}
 		for _, key := range tenant.GetKeys() {
 			view.Tenants[routing.KeyDigest(key.GetSha256())] = entry
@@ -122,14 +124,34 @@
 	}
 }
 
-func addDestinations(view *routing.View, configuration *ridgeswitchv1.Configuration) {
+func addRoutes(view *routing.View, configuration *ridgeswitchv1.Configuration) {
 	for _, route := range configuration.GetRoutes() {
-		view.Destinations[route.GetHost()] = routing.Destination{
-			Pool:       view.Pools[route.GetPool()],
-			WebService: view.WebServices[route.GetWebService()],
-			Public:     route.GetPublic(),
+		if choices := choicesOf(view, route); len(choices) > 0 {
+			view.Hosts[route.GetHost()] = append(view.Hosts[route.GetHost()], routing.NewRoute(route, choices...))
 		}
 	}
+	for _, routes := range view.Hosts {
+		routes.Sort()
+	}
+}
+
+// choicesOf resolves the destinations of a route. The configuration was checked:
+// a name that is not found is one of a later configuration.
+func choicesOf(view *routing.View, route *ridgeswitchv1.Route) []routing.Choice {
+	var choices []routing.Choice
+	add := func(pool, webService string, weight uint32) {
+		destination := routing.Destination{Pool: view.Pools[pool], WebService: view.WebServices[webService]}
+		if destination.Pool != nil || destination.WebService != nil {
+			choices = append(choices, routing.Choice{Destination: destination, Weight: weight})
+		}
+	}
+	if route.GetDestination() != nil {
+		add(route.GetPool(), route.GetWebService(), 1)
+	}
+	for _, share := range route.GetSplit() {
+		add(share.GetPool(), share.GetWebService(), share.GetWeight())
+	}
+	return choices
 }
 
 // viewPool lists a pool's replicas. Without a registration with the shard that
--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -44,7 +44,15 @@
 		_ = controller.SetReadDeadline(deadline)
 		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	}
-	return readAll(http.MaxBytesReader(e.writer, e.request.Body, r.maxBytes), e.request.ContentLength)
+	return readAll(http.MaxBytesReader(e.writer, e.request.Body, r.limit(e)), e.request.ContentLength)
+}
+
+// limit is the bound of the configuration, or the node's own.
+func (r *bodyReader) limit(e *exchange) int64 {
+	if bound := e.view.Configuration.GetCallerLimits().GetMaxBodyBytes(); bound > 0 {
+		return int64(bound)
+	}
+	return r.maxBytes
 }
 
 // readAll reads to the end. The declared length, -1 if there is none, sizes the
--- a/internal/dataplane/chain.go
+++ b/internal/dataplane/chain.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"math/rand/v2"
 	"net/http"
 )
 
@@ -29,7 +30,7 @@
 		&requestNamer{identities: s.identities},
 		&servingCheck{source: s.options.Source},
 		&tenantIdentifier{},
-		&hostRouter{destinations: s.destinations},
+		&routeFinder{destinations: s.destinations, draw: rand.Uint64},
 		&headerReader{},
 	}
 	if s.recorder != nil {
@@ -50,6 +51,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	s.chain.run(&exchange{
+		edges:   &s.options.Edges,
 		writer:  writer,
 		request: request,
 		ctx:     request.Context(),
--- a/internal/dataplane/deadline.go
+++ b/internal/dataplane/deadline.go
@@ -26,7 +26,10 @@
 
 // handle implements handler.
 func (s *deadlineSetter) handle(e *exchange, next func()) {
-	limit := destinationTimeout(e.destination, s.fallback)
+	limit := e.route.Timeout()
+	if limit == 0 {
+		limit = destinationTimeout(e.destination, s.fallback)
+	}
 	if e.described.Deadline > 0 {
 		limit = min(limit, e.described.Deadline)
 	}
--- a/internal/dataplane/destinations.go
+++ b/internal/dataplane/destinations.go
@@ -107,9 +107,10 @@
 	return all
 }
 
-// permitAttempt counts an attempt, or returns false if the retry budget does
-// not permit it. First attempts are always permitted.
-func (s *destinationState) permitAttempt(now time.Duration, attempt int) bool {
+// permitAttempt counts an attempt of a request, of which some may have been
+// sent, or returns false if the retry budget does not permit it. The first one
+// that is sent is always permitted.
+func (s *destinationState) permitAttempt(now time.Duration, sent, attempt int) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if attempt == 1 {
@@ -117,6 +118,10 @@
 		s.stats.FirstAttempts++
 		return true
 	}
+	if sent == 0 {
+		// Nothing of the earlier ones left this node.
+		return true
+	}
 	if !s.budget.TryRetry(now) {
 		s.stats.RetriesDenied++
 		return false
--- a/internal/dataplane/dispatch.go
+++ b/internal/dataplane/dispatch.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"slices"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
 )
 
@@ -26,7 +29,7 @@
 	// current tells whether the newest view still lets the request go there.
 	current(w *work) bool
 	// send runs the attempt up to the header of its answer.
-	send(ctx context.Context, w *work, attempt int) (answer, error)
+	send(ctx context.Context, w *work, attempt int) (Answer, error)
 	// firstOutput says that a streamed answer has begun. When a whole answer
 	// began is not known: its header may come at any time before its end.
 	firstOutput()
@@ -44,6 +47,10 @@
 	problem *caller.Problem
 	// ready is the answer that the ledger's Relay move hands on.
 	ready *readyAnswer
+	// relaying tells that the head of an answer went to the caller, and
+	// lastEvent is the last event that did.
+	relaying  bool
+	lastEvent string
 }
 
 // dispatcher is the last handler of the chain: it runs attempts as the ledger
@@ -64,7 +71,9 @@
 	w := &work{exchange: e}
 	w.ledger = attempts.New(attempts.Options{
 		Repeatable:  e.described.Repeatable,
-		MaxAttempts: d.server.options.MaxAttempts,
+		Resumable:   e.route.Config.GetResumable(),
+		MaxAttempts: e.maxAttempts(d.server.options.MaxAttempts),
+		MaxUnsent:   d.server.options.MaxUnsent,
 	})
 	for {
 		w.noticeEnd()
@@ -88,7 +97,7 @@
 // dispatch runs one attempt, or enters why there can be none.
 func (d *dispatcher) dispatch(w *work, attempt int) {
 	chosen, problem := d.choose(w)
-	if problem == nil && !w.counters.permitAttempt(d.server.options.Clock(), attempt) {
+	if problem == nil && !w.counters.permitAttempt(d.server.options.Clock(), w.ledger.Sent(), attempt) {
 		d.release(chosen, false)
 		problem = budgetProblem(w.problem)
 	}
@@ -155,7 +164,10 @@
 
 // receive reads an answer to its end. What need not be held back is handed on
 // at once.
-func (d *dispatcher) receive(w *work, chosen target, attempt int, received answer) error {
+func (d *dispatcher) receive(w *work, chosen target, attempt int, received Answer) error {
+	if w.relaying && (!received.Streamed() || received.Status() != http.StatusOK) {
+		return &outbound.FaultError{Reason: fmt.Sprintf("the stream was not taken up: the back end answered with status %d", received.Status())}
+	}
 	if received.Streamed() {
 		chunk, err := received.Next()
 		if err != nil && !isProperEnd(err) {
--- /dev/null
+++ b/internal/dataplane/edges.go
@@ -0,0 +1,166 @@
+package dataplane
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// CallerEdge speaks the protocol of callers.
+type CallerEdge interface {
+	// RequestID returns the identity that the caller gave its request, or "".
+	RequestID(header http.Header) string
+	// KeyDigest returns the digest of the request's key, or false if the request
+	// carries none.
+	KeyDigest(header http.Header) (string, bool)
+	// Describe reads what the caller says of its request. The error is a
+	// *caller.Problem.
+	Describe(request *http.Request) (caller.Request, error)
+	// WriteProblem answers a request with a problem of this node.
+	WriteProblem(writer http.ResponseWriter, problem *caller.Problem)
+	// CompleteHeader adds what this node says in the header of a back end's
+	// answer.
+	CompleteHeader(header http.Header, requestID string)
+	// StreamProblem returns what is written of a problem into a stream that is
+	// cut, before its connection is broken; nil for nothing.
+	StreamProblem(problem *caller.Problem) []byte
+}
+
+// BackendEdge runs attempts on back ends of one kind.
+type BackendEdge interface {
+	// Send runs one attempt up to the header of its answer. It sends the request
+	// once at most. The errors are *outbound.Error, *outbound.RefusedError and
+	// *outbound.FaultError; after any other one the request may have run.
+	Send(ctx context.Context, attempt Attempt) (Answer, error)
+}
+
+// Edges are the protocols that a node speaks to callers and back ends.
+type Edges struct {
+	Callers     CallerEdge
+	Replicas    BackendEdge
+	WebServices BackendEdge
+	// Reports reads the reports of replicas and stores page by page; nil if they
+	// push a stream of the node's own protocol.
+	Reports ReportReader
+}
+
+// Attempt is one attempt to have a back end run a request.
+type Attempt struct {
+	// Address is where the attempt goes.
+	Address string
+	// Instance names the incarnation that it is for; empty for whichever
+	// answers at the address.
+	Instance string
+	// RequestID is the identity of the request.
+	RequestID string
+	// AttemptID is unique among all attempts of all nodes.
+	AttemptID string
+	// Number counts the attempts of the request, from 1.
+	Number int
+	// Tenant is the name of the tenant whose key the request carried, or "".
+	Tenant string
+	// Remaining is the time that is left for the answer; 0 if it is not bounded.
+	Remaining time.Duration
+	// Priority of the request, 0 first.
+	Priority uint32
+	// Repeatable tells whether the request may run more than once.
+	Repeatable bool
+	// Streamed tells whether the caller wants a stream of events.
+	Streamed bool
+	// ResumeAfter is the identity of the last event of an earlier attempt after
+	// which the stream is to go on, or "".
+	ResumeAfter string
+	// Request is the caller's request. Its body has been read.
+	Request *http.Request
+	Body    []byte
+	// Generation is set for the replicas of pools.
+	Generation *Generation
+}
+
+// Generation is what a replica is told of a prompt.
+type Generation struct {
+	Model string
+	// WeightVersion is the version that the cache salt is for.
+	WeightVersion string
+	CacheSalt     string
+	Parts         []prefixindex.Part
+	OutputTokens  uint32
+	// Pull is nil if nothing is to be fetched.
+	Pull *Pull
+	// SaveTo is the address of the store that the parts are to be saved to, or
+	// "".
+	SaveTo string
+}
+
+// Pull asks a replica to fetch parts instead of computing them.
+type Pull struct {
+	// Source is the address to fetch from.
+	Source string
+	// FirstPart and LastPart are positions in the prompt, from 0.
+	FirstPart, LastPart int
+}
+
+// Answer is a back end's answer whose header has arrived.
+type Answer interface {
+	// Status returns the HTTP status.
+	Status() int
+	// Header returns the headers that are handed on.
+	Header() http.Header
+	// WeightVersion returns the version that produced the answer, or "".
+	WeightVersion() string
+	// Streamed tells whether the answer is to be handed on as it comes.
+	Streamed() bool
+	// ReadWhole reads the answer, or returns false with its beginning if it
+	// is too long to be held back.
+	ReadWhole() ([]byte, bool, error)
+	// Next returns the next bytes to hand on, and io.EOF after the proper end.
+	// Of a stream of events it returns whole events. The bytes are valid until
+	// the next call.
+	Next() ([]byte, error)
+	// LastEventID returns the identity of the last event that Next returned, or
+	// "" if events have none.
+	LastEventID() string
+	// Close ends the answer. Unless it was read to its end, the attempt ends
+	// with it, as far as the back end listens.
+	Close()
+}
+
+// ReportReader reads what back ends report of the prompt parts that they keep
+// under their own names, a page at a time. Back ends that push a stream of
+// chained names are followed by the node's own feeds instead.
+type ReportReader interface {
+	// Read waits up to the given time for changes after a position; the zero
+	// position begins with the oldest that the back end still has.
+	Read(ctx context.Context, address string, since uint64, wait time.Duration) (ReportPage, error)
+	// List returns everything that the back end keeps. It holds the back end's
+	// work up, and is for gaps that matter.
+	List(ctx context.Context, address string) (ReportPage, error)
+}
+
+// ReportPage is one page of a back end's reports.
+type ReportPage struct {
+	// BootEpoch changes when the back end restarts with an empty memory.
+	BootEpoch uint64
+	// Next is the position after this page.
+	Next uint64
+	// Lost tells that changes before this page are not to be had any more.
+	Lost    bool
+	Changes []PartChange
+}
+
+// PartChange reports a kept part, or one that was dropped.
+type PartChange struct {
+	// Sequence numbers the changes of a boot epoch; 0 in a list.
+	Sequence uint64
+	// Removed tells that the part, or some of it, was dropped.
+	Removed   bool
+	CacheSalt string
+	Model     string
+	// ID is the caller's name of the part.
+	ID string
+	// Tokens is how much of the part is kept now.
+	Tokens uint32
+}
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -12,6 +12,7 @@
 // exchange is one request on its way through the chain, with what the handlers
 // have learnt of it. It belongs to one goroutine.
 type exchange struct {
+	edges   *Edges
 	writer  http.ResponseWriter
 	request *http.Request
 	// ctx ends when the caller leaves or the deadline passes.
@@ -23,6 +24,7 @@
 	keyDigest   routing.KeyDigest
 	tenant      *routing.Tenant
 	host        string
+	route       *routing.Route
 	destination routing.Destination
 	described   caller.Request
 	requestID   string
@@ -56,5 +58,37 @@
 		e.counters.countRefusal(problem.Kind)
 	}
 	e.watch.refused(problem)
-	caller.WriteProblem(e.writer, problem)
+	e.edges.Callers.WriteProblem(e.writer, problem)
+}
+
+// maxAttempts is the route's bound of attempts, or the default.
+func (e *exchange) maxAttempts(fallback int) int {
+	if bound := e.route.Config.GetMaxAttempts(); bound > 0 {
+		return int(bound)
+	}
+	return fallback
+}
+
+// attempt describes an attempt on a back end, as far as all kinds of back ends
+// are told the same.
+func (w *work) attempt(server *Server, address string, number int) Attempt {
+	described := Attempt{
+		Address:     address,
+		RequestID:   w.requestID,
+		AttemptID:   server.identities.next(),
+		Number:      number,
+		Priority:    w.view.Priority(w.tenant, w.route),
+		Repeatable:  w.described.Repeatable,
+		Streamed:    w.described.Streamed,
+		ResumeAfter: w.lastEvent,
+		Request:     w.request,
+		Body:        w.body,
+	}
+	if w.tenant != nil {
+		described.Tenant = w.tenant.Name
+	}
+	if deadline, bounded := w.ctx.Deadline(); bounded {
+		described.Remaining = time.Until(deadline)
+	}
+	return described
 }
--- a/internal/dataplane/harness_test.go
+++ b/internal/dataplane/harness_test.go
@@ -135,9 +135,10 @@
 			digest(courtKey):  {Name: "court", SharingDomain: f.domain, Limits: f.limits},
 			digest(schoolKey): {Name: "school", Walled: true, SharingDomain: "school/1", Limits: f.limits},
 		},
-		Destinations: map[string]routing.Destination{
-			poolHost: {Pool: pool},
-			webHost:  {WebService: web, Public: true},
+		Hosts: map[string]routing.Routes{
+			poolHost: {routing.NewRoute(&ridgeswitchv1.Route{}, routing.Choice{Destination: routing.Destination{Pool: pool}})},
+			webHost: {routing.NewRoute(&ridgeswitchv1.Route{Public: true},
+				routing.Choice{Destination: routing.Destination{WebService: web}})},
 		},
 		Pools:       map[string]*routing.Pool{"pool": pool},
 		WebServices: map[string]*routing.WebService{"calendar": web},
--- a/internal/dataplane/identify.go
+++ b/internal/dataplane/identify.go
@@ -13,7 +13,7 @@
 // handle implements handler. An identity that cannot be used is replaced here
 // and refused when the headers are read.
 func (n *requestNamer) handle(e *exchange, next func()) {
-	e.requestID = e.request.Header.Get(caller.HeaderRequestID)
+	e.requestID = e.edges.Callers.RequestID(e.request.Header)
 	if e.requestID == "" || len(e.requestID) > caller.MaxRequestIDBytes {
 		e.requestID = n.identities.next()
 	}
@@ -26,7 +26,7 @@
 
 // handle implements handler.
 func (*tenantIdentifier) handle(e *exchange, next func()) {
-	digest, given := caller.KeyDigest(e.request.Header)
+	digest, given := e.edges.Callers.KeyDigest(e.request.Header)
 	if given {
 		e.keyDigest = routing.KeyDigest(digest)
 		e.tenant = e.view.Tenants[e.keyDigest]
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -71,6 +71,9 @@
 	// RecordFile is where requests are recorded; empty for no recording. What is
 	// in the file stays.
 	RecordFile string
+	// Edges are the protocols of callers and back ends; those that are nil mean
+	// the node's own.
+	Edges Edges
 	// Router configures the choice of replicas.
 	Router kvrouter.Options
 	// Admission bounds the requests that run on this node at a time, and says
@@ -88,6 +91,9 @@
 	RequestTimeout time.Duration
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int
+	// MaxUnsent is how many attempts that could not be sent do not count among
+	// these.
+	MaxUnsent int
 	// DrainTimeout bounds the time in which a stopping node finishes.
 	DrainTimeout time.Duration
 	// EventSilence is the longest time without an event of a back end.
--- a/internal/dataplane/outcome.go
+++ b/internal/dataplane/outcome.go
@@ -9,25 +9,12 @@
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/webservice"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
 )
 
 // backendRetry is when a caller may come back after a failure of a back end.
 const backendRetry = time.Second
 
-// failedAnswerError says that a back end answered with a failure that does not
-// tell whether the request has run.
-type failedAnswerError struct {
-	status int
-}
-
-// Error implements error.
-func (e *failedAnswerError) Error() string {
-	return fmt.Sprintf("the back end failed with status %d", e.status)
-}
-
 // versionError says that an answer was made under other weights than the cache
 // salt of its request names.
 type versionError struct {
@@ -66,7 +53,7 @@
 
 // enterLoss enters that an attempt which was sent has no certain end.
 func (d *dispatcher) enterLoss(w *work, chosen target, attempt int, err error) {
-	var failed *failedAnswerError
+	var failed *outbound.FailedAnswerError
 	var gone *callerGoneError
 	switch {
 	case errors.As(err, &gone):
@@ -92,19 +79,12 @@
 // refusedProblem tells of a back end that promised not to run the request, or
 // is nil if the error is no such promise.
 func refusedProblem(err error) *caller.Problem {
-	var byReplica *replica.RefusedError
-	var byWebService *webservice.RefusedError
-	var wait time.Duration
-	switch {
-	case errors.As(err, &byReplica):
-		wait = byReplica.RetryAfter
-	case errors.As(err, &byWebService):
-		wait = byWebService.RetryAfter
-	default:
+	var refused *outbound.RefusedError
+	if !errors.As(err, &refused) {
 		return nil
 	}
 	return caller.NewProblem(caller.KindBackendRefused,
-		"the back end did not take the request (%v): send it again later", err).After(max(wait, backendRetry))
+		"the back end did not take the request (%v): send it again later", err).After(max(refused.RetryAfter, backendRetry))
 }
 
 // budgetProblem tells of a retry that the budget does not permit. It keeps
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,12 +15,12 @@
 // poolBackend runs attempts on the replicas of pools.
 type poolBackend struct {
 	server *Server
-	client *replica.Client
+	edge   BackendEdge
 }
 
 // newPoolBackend returns the backend of all pools.
 func newPoolBackend(server *Server) *poolBackend {
-	return &poolBackend{server: server, client: replica.NewClient(server.sender, server.options.MaxAnswerBytes)}
+	return &poolBackend{server: server, edge: server.options.Edges.Replicas}
 }
 
 // replicaTarget is a replica chosen for one attempt.
@@ -105,9 +104,15 @@
 			return tenant.SharingDomain
 		}
 	}
+	if w.tenant == nil {
+		return anonymousDomain
+	}
 	return w.tenant.SharingDomain
 }
 
+// anonymousDomain is the sharing domain of requests without a key.
+const anonymousDomain = "anonymous"
+
 // noReplicaProblem tells why no replica was chosen.
 func noReplicaProblem(err error) *caller.Problem {
 	kind := caller.KindNoBackend
@@ -148,8 +153,8 @@
 }
 
 // send implements target.
-func (t *replicaTarget) send(ctx context.Context, w *work, attempt int) (answer, error) {
-	received, err := t.backend.client.Generate(ctx, t.call(w, attempt))
+func (t *replicaTarget) send(ctx context.Context, w *work, attempt int) (Answer, error) {
+	received, err := t.backend.edge.Send(ctx, t.attempt(w, attempt))
 	if err != nil {
 		return nil, err
 	}
@@ -160,29 +165,23 @@
 	return received, nil
 }
 
-// call describes the attempt to the replica.
-func (t *replicaTarget) call(w *work, attempt int) replica.Call {
-	return replica.Call{
-		Address:      t.decision.Address,
-		Model:        w.destination.Pool.Config.GetModel(),
-		CacheSalt:    t.decision.CacheSalt,
-		Prefix:       caller.FormatPrefix(w.described.Parts),
-		RequestID:    w.requestID,
-		AttemptID:    t.backend.server.identities.next(),
-		Attempt:      attempt,
-		OutputTokens: w.described.OutputTokens,
-		Repeatable:   w.described.Repeatable,
-		Streamed:     w.described.Streamed,
-		Pull:         t.pull(w),
-		Extra:        caller.PassThrough(w.request.Header),
-		ContentType:  w.request.Header.Get("Content-Type"),
-		Body:         w.body,
+// attempt describes the attempt to the replica.
+func (t *replicaTarget) attempt(w *work, number int) Attempt {
+	described := w.attempt(t.backend.server, t.decision.Address, number)
+	described.Generation = &Generation{
+		Model:         w.destination.Pool.Config.GetModel(),
+		WeightVersion: t.decision.WeightVersion,
+		CacheSalt:     t.decision.CacheSalt,
+		Parts:         w.described.Parts,
+		OutputTokens:  w.described.OutputTokens,
+		Pull:          t.pull(w),
 	}
+	return described
 }
 
 // pull returns the planned fetch if its source may still be used: the pool's
 // store, or an admitting replica of the same version.
-func (t *replicaTarget) pull(w *work) *replica.Pull {
+func (t *replicaTarget) pull(w *work) *Pull {
 	planned := t.decision.Pull
 	pool := t.backend.newestPool(w)
 	if planned == nil || pool == nil {
@@ -191,7 +190,7 @@
 	if planned.Source != pool.Store.GetAddress() && !t.backend.mayServeParts(pool, planned.Source, t.decision.WeightVersion) {
 		return nil
 	}
-	return &replica.Pull{Source: planned.Source, FirstPart: planned.FirstPart, LastPart: planned.LastPart}
+	return &Pull{Source: planned.Source, FirstPart: planned.FirstPart, LastPart: planned.LastPart}
 }
 
 // mayServeParts tells whether a replica may be pulled from under a version.
@@ -199,12 +198,8 @@
 	return admits(pool, address, weightVersion) && !b.server.quarantine.holds(address, weightVersion)
 }
 
-// check refuses answers that leave open whether the request has run, and those
-// made under other weights.
-func (t *replicaTarget) check(received *replica.Answer) error {
-	if received.Status() >= http.StatusInternalServerError {
-		return &failedAnswerError{status: received.Status()}
-	}
+// check refuses answers made under other weights.
+func (t *replicaTarget) check(received Answer) error {
 	answered := received.WeightVersion()
 	if answered == "" {
 		return nil
--- a/internal/dataplane/relay.go
+++ b/internal/dataplane/relay.go
@@ -9,23 +9,6 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
 )
 
-// answer is a back end's answer whose header has arrived.
-type answer interface {
-	// Status returns the HTTP status.
-	Status() int
-	// Header returns the headers that are handed on.
-	Header() http.Header
-	// Streamed tells whether the answer is to be handed on as it comes.
-	Streamed() bool
-	// ReadWhole reads the answer, or returns false with its beginning if it
-	// is too long to be held back.
-	ReadWhole() ([]byte, bool, error)
-	// Next returns the next bytes to hand on, and io.EOF after the proper end.
-	Next() ([]byte, error)
-	// Close ends the answer.
-	Close()
-}
-
 // readyAnswer is a whole answer that is known to be complete.
 type readyAnswer struct {
 	status int
@@ -45,9 +28,12 @@
 
 // relay hands an answer on as it comes, beginning with what has been read. The
 // status line goes out only here, after a first part has come.
-func (d *dispatcher) relay(w *work, attempt int, received answer, chunk []byte, err error) error {
+func (d *dispatcher) relay(w *work, attempt int, received Answer, chunk []byte, err error) error {
 	w.apply(attempts.Event{Kind: attempts.AnswerBegan, Attempt: attempt})
-	w.writeHeader(received.Status(), received.Header())
+	if !w.relaying {
+		w.relaying = true
+		w.writeHeader(received.Status(), received.Header())
+	}
 	controller := http.NewResponseController(w.writer)
 	for err == nil {
 		if _, writeError := w.writer.Write(chunk); writeError != nil {
@@ -56,6 +42,7 @@
 		if flushError := controller.Flush(); flushError != nil {
 			return &callerGoneError{cause: flushError}
 		}
+		w.lastEvent = received.LastEventID()
 		chunk, err = received.Next()
 	}
 	if isProperEnd(err) {
@@ -77,12 +64,22 @@
 	w.failed = true
 	w.countAbort()
 	if w.writer.Header().Get("Content-Type") == caller.StreamType {
-		_, _ = w.writer.Write(caller.StreamProblem(w.cutProblem()))
-		_ = http.NewResponseController(w.writer).Flush()
+		w.writeStreamProblem()
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// writeStreamProblem tells of the cut inside the stream, where the protocol has
+// a way to say so.
+func (w *work) writeStreamProblem() {
+	event := w.edges.Callers.StreamProblem(w.cutProblem())
+	if len(event) == 0 {
+		return
+	}
+	_, _ = w.writer.Write(event)
+	_ = http.NewResponseController(w.writer).Flush()
+}
+
 // countAbort counts a cut answer, or one that nobody waits for any more.
 func (w *work) countAbort() {
 	if w.ledger.CallerLeft() {
@@ -130,6 +127,6 @@
 	for name, values := range header {
 		target[name] = values
 	}
-	target.Set(caller.HeaderRequestID, w.requestID)
+	w.edges.Callers.CompleteHeader(target, w.requestID)
 	w.writer.WriteHeader(status)
 }
--- a/internal/dataplane/route.go
+++ b/internal/dataplane/route.go
@@ -1,44 +1,43 @@
 package dataplane
 
 import (
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
-// hostRouter finds the destination of the request's host.
-type hostRouter struct {
+// routeFinder finds the route and the destination of a request by its host and
+// the longest path prefix.
+type routeFinder struct {
 	destinations *destinations
+	draw         func() uint64
 }
 
 // handle implements handler.
-func (r *hostRouter) handle(e *exchange, next func()) {
+func (r *routeFinder) handle(e *exchange, next func()) {
 	e.host = caller.HostName(e.request)
-	destination, known := e.view.Destinations[e.host]
-	if !known {
+	route := e.view.Hosts[e.host].Find(e.request.URL.EscapedPath())
+	if route == nil {
 		e.refuse(caller.NewProblem(caller.KindUnknownHost,
-			"no route serves the host %q: send a Host header that the operator has configured", e.host))
+			"no route serves the host %q at this path: send a Host header and a path that the operator has configured", e.host))
 		return
 	}
-	e.destination = destination
-	e.counters = r.destinations.of(destination)
-	if e.tenant == nil && needsKey(e) {
+	e.route = route
+	e.destination = route.Destination(r.draw())
+	e.counters = r.destinations.of(e.destination)
+	if e.tenant == nil && !route.Config.GetPublic() {
 		e.refuse(unauthorized())
 		return
 	}
 	next()
 }
 
-// needsKey tells whether the destination needs a tenant's key. Pools always
-// do.
-func needsKey(e *exchange) bool {
-	return e.destination.Pool != nil || !e.destination.Public
-}
-
-// headerReader reads the caller's headers.
+// headerReader reads what the caller says of its request.
 type headerReader struct{}
 
 // handle implements handler.
 func (*headerReader) handle(e *exchange, next func()) {
-	described, err := caller.Parse(e.request)
+	described, err := e.edges.Callers.Describe(e.request)
 	if err != nil {
 		e.refuse(asProblem(err))
 		return
@@ -50,6 +49,21 @@
 			e.host, pool.Config.GetModel(), described.Model, caller.HeaderModel))
 		return
 	}
-	e.described = described
+	e.described = byRoute(described, e.route)
 	next()
 }
+
+// byRoute lets the route's kind decide what the caller's headers would decide
+// otherwise.
+func byRoute(described caller.Request, route *routing.Route) caller.Request {
+	switch route.Config.GetKind() {
+	case ridgeswitchv1.RequestKind_REPEATABLE:
+		described.Repeatable = true
+	case ridgeswitchv1.RequestKind_AT_MOST_ONCE:
+		described.Repeatable = false
+	case ridgeswitchv1.RequestKind_STREAMING:
+		described.Streamed = true
+		described.Repeatable = route.Config.GetResumable()
+	}
+	return described
+}
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -55,9 +55,11 @@
 	if err != nil {
 		return nil, err
 	}
+	sender := outbound.New(outbound.Options{Name: clientName})
+	options.Edges = options.Edges.withDefaults(sender, options.MaxAnswerBytes)
 	server := &Server{
 		options:      options,
-		sender:       outbound.New(outbound.Options{Name: clientName}),
+		sender:       sender,
 		router:       kvrouter.New(options.Router),
 		identities:   named,
 		destinations: newDestinations(),
--- a/internal/dataplane/web.go
+++ b/internal/dataplane/web.go
@@ -6,21 +6,20 @@
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/webservice"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
 // webBackend runs attempts on the back ends of web services.
 type webBackend struct {
 	server *Server
-	client *webservice.Client
+	edge   BackendEdge
 	// turn rotates the choice among equally loaded back ends.
 	turn atomic.Uint64
 }
 
 // newWebBackend returns the backend of all web services.
 func newWebBackend(server *Server) *webBackend {
-	return &webBackend{server: server, client: webservice.NewClient(server.sender, server.options.MaxAnswerBytes)}
+	return &webBackend{server: server, edge: server.options.Edges.WebServices}
 }
 
 // webTarget is a back end chosen for one attempt.
@@ -102,18 +101,8 @@
 }
 
 // send implements target.
-func (t *webTarget) send(ctx context.Context, w *work, _ int) (answer, error) {
-	received, err := t.backend.client.Forward(ctx, webservice.Call{
-		Address:   t.chosen,
-		Request:   w.request,
-		Body:      w.body,
-		RequestID: w.requestID,
-		AttemptID: t.backend.server.identities.next(),
-	})
-	if err != nil {
-		return nil, err
-	}
-	return received, nil
+func (t *webTarget) send(ctx context.Context, w *work, attempt int) (Answer, error) {
+	return t.backend.edge.Send(ctx, w.attempt(t.backend.server, t.chosen, attempt))
 }
 
 // firstOutput implements target.
--- /dev/null
+++ b/internal/edge/outbound/refusal.go
@@ -0,0 +1,36 @@
+package outbound
+
+import (
+	"fmt"
+	"time"
+)
+
+// RefusedError says that a back end promised not to run a request.
+type RefusedError struct {
+	Status int
+	// RetryAfter is zero if the back end named no time.
+	RetryAfter time.Duration
+	Message    string
+	// WrongTarget tells that the back end is not the one that the request was
+	// for, or has other weights: what this node knows of it is out of date.
+	WrongTarget bool
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	if e.Message == "" {
+		return fmt.Sprintf("the back end refused the request with status %d", e.Status)
+	}
+	return fmt.Sprintf("the back end refused the request with status %d: %s", e.Status, e.Message)
+}
+
+// FailedAnswerError says that a back end answered with a failure that does not
+// tell whether the request has run.
+type FailedAnswerError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *FailedAnswerError) Error() string {
+	return fmt.Sprintf("the back end failed with status %d", e.Status)
+}
--- a/internal/edge/replica/answer.go
+++ b/internal/edge/replica/answer.go
@@ -170,3 +170,8 @@
 	}
 	return false
 }
+
+// LastEventID returns "": the events of this protocol have no identities.
+func (a *Answer) LastEventID() string {
+	return ""
+}
--- a/internal/edge/replica/client_test.go
+++ b/internal/edge/replica/client_test.go
@@ -75,7 +75,7 @@
 			writer.Header().Set("Retry-After", "4")
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		})
-		refused, typed := err.(*replica.RefusedError)
+		refused, typed := err.(*outbound.RefusedError)
 		Expect(typed).To(BeTrue())
 		Expect(refused.RetryAfter).To(Equal(4 * time.Second))
 
--- a/internal/edge/replica/generate.go
+++ b/internal/edge/replica/generate.go
@@ -51,19 +51,6 @@
 	Body        []byte
 }
 
-// RefusedError says that the replica promised not to run the request.
-type RefusedError struct {
-	Status int
-	// RetryAfter is zero if the replica named no time.
-	RetryAfter time.Duration
-	Message    string
-}
-
-// Error implements error.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("the replica refused the request with status %d: %s", e.Status, e.Message)
-}
-
 // Client runs requests on replicas. It may be used by many goroutines.
 type Client struct {
 	sender *outbound.Client
@@ -78,7 +65,7 @@
 }
 
 // Generate runs one attempt up to the header of its answer. The errors are
-// *outbound.Error, *RefusedError and *outbound.FaultError.
+// *outbound.Error, *outbound.RefusedError and *outbound.FaultError.
 func (c *Client) Generate(ctx context.Context, call Call) (*Answer, error) {
 	request, err := c.request(ctx, call)
 	if err != nil {
@@ -146,10 +133,10 @@
 }
 
 // refusal reads a refusal and closes it.
-func refusal(response *http.Response) *RefusedError {
+func refusal(response *http.Response) *outbound.RefusedError {
 	defer func() { _ = response.Body.Close() }()
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
-	refused := &RefusedError{Status: response.StatusCode, Message: string(bytes.TrimSpace(body))}
+	refused := &outbound.RefusedError{Status: response.StatusCode, Message: string(bytes.TrimSpace(body))}
 	seconds, err := strconv.ParseUint(strings.TrimSpace(response.Header.Get("Retry-After")), 10, 32)
 	if err == nil {
 		refused.RetryAfter = time.Duration(seconds) * time.Second
--- a/internal/edge/webservice/answer.go
+++ b/internal/edge/webservice/answer.go
@@ -102,3 +102,13 @@
 	}
 	return &outbound.FaultError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
 }
+
+// WeightVersion returns "": a web service has no weights.
+func (a *Answer) WeightVersion() string {
+	return ""
+}
+
+// LastEventID returns "": the events of this protocol have no identities.
+func (a *Answer) LastEventID() string {
+	return ""
+}
--- a/internal/edge/webservice/client.go
+++ b/internal/edge/webservice/client.go
@@ -47,18 +47,6 @@
 	AttemptID string
 }
 
-// RefusedError says that the back end promised not to run the request.
-type RefusedError struct {
-	Status int
-	// RetryAfter is zero if the back end named no time.
-	RetryAfter time.Duration
-}
-
-// Error implements error.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("the back end refused the request with status %d", e.Status)
-}
-
 // Client hands requests to web services. It may be used by many goroutines.
 type Client struct {
 	sender *outbound.Client
@@ -74,7 +62,7 @@
 }
 
 // Forward runs one attempt up to the header of its answer. The errors are
-// *outbound.Error, *RefusedError and *outbound.FaultError.
+// *outbound.Error, *outbound.RefusedError and *outbound.FaultError.
 func (c *Client) Forward(ctx context.Context, call Call) (*Answer, error) {
 	target := "http://" + call.Address + call.Request.URL.RequestURI()
 	request, err := http.NewRequestWithContext(ctx, call.Request.Method, target, nil)
@@ -110,7 +98,7 @@
 	if response.Header.Get(HeaderNotRun) != "true" || response.StatusCode < http.StatusBadRequest {
 		return nil
 	}
-	refused := &RefusedError{Status: response.StatusCode}
+	refused := &outbound.RefusedError{Status: response.StatusCode}
 	seconds, err := strconv.ParseUint(strings.TrimSpace(response.Header.Get(headerRetryAfter)), 10, 32)
 	if err == nil {
 		refused.RetryAfter = time.Duration(seconds) * time.Second
--- a/internal/edge/webservice/client_test.go
+++ b/internal/edge/webservice/client_test.go
@@ -41,7 +41,7 @@
 var _ = Describe("Client", func() {
 	It("takes a promise not to run only if it names the attempt", func() {
 		_, err := forward(echoing("a-1"))
-		Expect(err).To(Equal(&webservice.RefusedError{Status: http.StatusServiceUnavailable, RetryAfter: 2 * time.Second}))
+		Expect(err).To(Equal(&outbound.RefusedError{Status: http.StatusServiceUnavailable, RetryAfter: 2 * time.Second}))
 		_, err = forward(echoing("a-2"))
 		Expect(err).To(BeAssignableToTypeOf(&outbound.FaultError{}))
 		answer, err := forward(echoing(""))
--- a/internal/lab/proxybench/node.go
+++ b/internal/lab/proxybench/node.go
@@ -45,10 +45,10 @@
 	digest := sha256.Sum256([]byte(tenantKey))
 	tenant := &routing.Tenant{Name: tenantName, SharingDomain: "shared", Limits: &ridgeswitchv1.Limits{}}
 	return &routing.View{
-		Revision:     1,
-		Tenants:      map[routing.KeyDigest]*routing.Tenant{routing.KeyDigest(hex.EncodeToString(digest[:])): tenant},
-		Destinations: map[string]routing.Destination{host: {Pool: pool}},
-		Pools:        map[string]*routing.Pool{poolName: pool},
+		Revision: 1,
+		Tenants:  map[routing.KeyDigest]*routing.Tenant{routing.KeyDigest(hex.EncodeToString(digest[:])): tenant},
+		Hosts:    map[string]routing.Routes{host: {routing.NewRoute(&ridgeswitchv1.Route{}, routing.Choice{Destination: routing.Destination{Pool: pool}})}},
+		Pools:    map[string]*routing.Pool{poolName: pool},
 	}
 }
 
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -4,6 +4,8 @@
 package routing
 
 import (
+	"time"
+
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 )
 
@@ -18,13 +20,23 @@
 	// changes with every epoch of a wall.
 	SharingDomain string
 	Limits        *ridgeswitchv1.Limits
+	// Priority outranks that of the route, if the tenant has one.
+	Priority *uint32
 }
 
 // Replica is a back end of a pool or of a web service, as the platform's list
 // and the service's shard describe it together.
 type Replica struct {
 	Address string
-	Zone    string
+	// Instance names the incarnation that the platform lists at the address;
+	// empty if it names none.
+	Instance string
+	Zone     string
+	// Slots is how many requests it works on at once; 0 if that is not known.
+	Slots int
+	// ColdUntil is when it has warmed up after a start, on the node's clock;
+	// zero if it is warm.
+	ColdUntil time.Duration
 	// WeightVersion is the version that the replica confirmed. Empty for the
 	// back ends of a web service.
 	WeightVersion string
@@ -48,12 +60,10 @@
 	Replicas []Replica
 }
 
-// Destination is where a host's requests go: exactly one field is set.
+// Destination is where a route's requests go: exactly one field is set.
 type Destination struct {
 	Pool       *Pool
 	WebService *WebService
-	// Public destinations need no tenant key.
-	Public bool
 }
 
 // View is everything that traffic needs to know of control state.
@@ -63,9 +73,12 @@
 	// Configuration is the source of the maps below; read only.
 	Configuration *ridgeswitchv1.Configuration
 	Tenants       map[KeyDigest]*Tenant
-	Destinations  map[string]Destination
-	Pools         map[string]*Pool
-	WebServices   map[string]*WebService
+	// Hosts holds the routes of each host.
+	Hosts       map[string]Routes
+	Pools       map[string]*Pool
+	WebServices map[string]*WebService
+
+	priorities priorities
 }
 
 // Source is how traffic reaches control state.
--- a/pkg/attempts/ledger.go
+++ b/pkg/attempts/ledger.go
@@ -6,8 +6,14 @@
 type Options struct {
 	// Repeatable permits a further attempt after one that may have run.
 	Repeatable bool
+	// Resumable permits a further attempt after one of whose answer a part went
+	// to the caller, which goes on behind that part.
+	Resumable bool
 	// MaxAttempts bounds the attempts; at least 1.
 	MaxAttempts int
+	// MaxUnsent is how many attempts that ended before any byte could leave do
+	// not count.
+	MaxUnsent int
 }
 
 // Record is one attempt in the ledger.
@@ -18,6 +24,8 @@
 	Relayed bool
 	// Complete tells that the whole answer has been received.
 	Complete bool
+	// Unsent tells that the attempt ended before any byte could leave.
+	Unsent bool
 }
 
 // mayHaveRun tells whether the back end may have run the request. Connecting
@@ -85,6 +93,22 @@
 	return false
 }
 
+// Sent counts the attempts of which a byte may have left.
+func (l *Ledger) Sent() int {
+	return len(l.records) - l.unsent()
+}
+
+// unsent counts the attempts that ended before any byte could leave.
+func (l *Ledger) unsent() int {
+	count := 0
+	for _, record := range l.records {
+		if record.Unsent {
+			count++
+		}
+	}
+	return count
+}
+
 // CallerLeft tells whether nobody waits for the answer any more.
 func (l *Ledger) CallerLeft() bool {
 	return l.callerLeft
@@ -145,6 +169,7 @@
 		return record, from == Connecting
 	case NotSent:
 		record.State = RefusedNotRun
+		record.Unsent = true
 		return record, from == Planned || from == Connecting
 	case Refused:
 		record.State = RefusedNotRun
--- a/pkg/attempts/next.go
+++ b/pkg/attempts/next.go
@@ -25,17 +25,34 @@
 	for position, record := range l.records {
 		number := position + 1
 		switch {
-		case record.State == Unknown && record.Relayed:
-			return Move{Kind: AbortRelay, Attempt: number}, true
 		case record.running():
 			return Move{Kind: l.moveWhileRunning(record), Attempt: number}, true
 		case record.State == Answered:
 			return Move{Kind: Relay, Attempt: number}, true
 		}
 	}
+	if cut := l.cutRelay(); cut > 0 && !l.mayResume() {
+		return Move{Kind: AbortRelay, Attempt: cut}, true
+	}
 	return Move{}, false
 }
 
+// cutRelay returns the number of the last attempt of whose answer only a part
+// went to the caller, or 0.
+func (l *Ledger) cutRelay() int {
+	for position := len(l.records) - 1; position >= 0; position-- {
+		if record := l.records[position]; record.State == Unknown && record.Relayed {
+			return position + 1
+		}
+	}
+	return 0
+}
+
+// mayResume tells whether another attempt may go on where a cut answer ended.
+func (l *Ledger) mayResume() bool {
+	return l.options.Resumable && !l.callerLeft && !l.deadlinePassed && l.attemptLeft()
+}
+
 // moveWhileRunning decides over an attempt that has not ended. It is cancelled
 // as soon as nobody can use its answer.
 func (l *Ledger) moveWhileRunning(record Record) MoveKind {
@@ -50,8 +67,14 @@
 
 // mayDispatch tells whether another attempt is permitted.
 func (l *Ledger) mayDispatch() bool {
-	if l.exhausted || len(l.records) >= l.options.MaxAttempts {
+	if !l.attemptLeft() {
 		return false
 	}
 	return l.options.Repeatable || !l.MayHaveRun()
 }
+
+// attemptLeft tells whether the bounds permit another attempt.
+func (l *Ledger) attemptLeft() bool {
+	counted := len(l.records) - min(l.unsent(), l.options.MaxUnsent)
+	return !l.exhausted && counted < l.options.MaxAttempts
+}
