--- a/internal/dataplane/destinations.go
+++ b/internal/dataplane/destinations.go
@@ -119,7 +119,9 @@
 		return true
 	}
 	if sent == 0 {
-		// Nothing of the earlier ones left this node.
+		// Nothing of the earlier ones left this node, so that the back end gets
+		// this one as the first.
+		s.stats.Retries++
 		return true
 	}
 	if !s.budget.TryRetry(now) {
