--- a/pkg/kvrouter/events.go
+++ b/pkg/kvrouter/events.go
@@ -54,13 +54,33 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	known.load.report(describes, load{
+	known.load.report(describes, report.total())
+	if report.MemoryTotal > 0 {
+		known.memory = memoryReport{
+			used:      float64(report.MemoryUsed),
+			total:     float64(report.MemoryTotal),
+			waiting:   float64(report.Waiting),
+			describes: describes,
+			known:     true,
+		}
+	}
+	if report.Warming {
+		known.ramp.since = now
+	}
+}
+
+// total is the load that a report tells of.
+func (report *Report) total() load {
+	if report.MemoryTotal > 0 {
+		return load{
+			decodeTokens: float64(report.MemoryUsed),
+			requests:     float64(report.Waiting) + float64(report.Running),
+		}
+	}
+	return load{
 		prefillTokens: float64(report.ActivePrefillTokens),
 		decodeTokens:  float64(report.ActiveDecodeTokens),
 		requests:      float64(report.ActiveRequests),
-	})
-	if report.Warming {
-		known.ramp.since = now
 	}
 }
 
@@ -107,5 +127,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	known.load.forgetReports()
+	known.shared = sharedLoads{}
+	known.memory = memoryReport{}
+	known.slowness = slowness{}
+	known.moves = moves{}
 	known.ramp.since = now
 }
--- a/pkg/kvrouter/feed.go
+++ b/pkg/kvrouter/feed.go
@@ -36,7 +36,9 @@
 // within the reorder window or time, they are taken for lost: what waited is
 // taken in, and all that is known of the holder is in doubt until a reset.
 type feed struct {
-	index   *prefixindex.Index
+	index *prefixindex.Index
+	// pending holds the parts of requests that have not answered yet.
+	pending *prefixindex.Index
 	holder  prefixindex.Holder
 	options *Options
 
@@ -64,6 +66,8 @@
 	lost      bool
 	// eventsSeen tells that the holder does report what it keeps.
 	eventsSeen bool
+	// parts is used by holders that report parts by their own IDs.
+	parts partsFeed
 }
 
 // take brings in an event. Restarted tells that it was the first sign of a
@@ -128,11 +132,13 @@
 	f.tail = 0
 	f.lost = false
 	f.weightVersion = ""
+	f.parts = partsFeed{}
 }
 
 func (f *feed) dropAll() {
 	f.life++
 	f.index.Drop(f.holder)
+	f.pending.Drop(f.holder)
 }
 
 // place applies an event or lets it wait for its turn.
@@ -296,9 +302,41 @@
 
 // predictUntilReported bridges the time until the holder's own report comes.
 func (f *feed) predictUntilReported(now time.Duration, links []prefixindex.Link) {
-	if f.options.PredictionLag > 0 {
-		f.index.PredictFor(now, f.options.PredictionLag, f.holder, links)
+	lag := f.options.PredictionLag
+	if f.parts.seen && lag > 0 {
+		lag = f.options.NamedPredictionLag
 	}
+	if lag > 0 {
+		f.index.PredictFor(now, lag, f.holder, links)
+	}
+}
+
+// expect records that a request with the parts is on its way, so that requests
+// behind it find them kept once their turn has come.
+func (f *feed) expect(now time.Duration, links []prefixindex.Link) {
+	f.mutex.Lock()
+	defer f.unlock()
+	if !f.forgotten {
+		f.pending.Predict(now, f.holder, links)
+	}
+}
+
+// unexpect takes back expect.
+func (f *feed) unexpect(links []prefixindex.Link) {
+	for _, link := range links {
+		f.pending.Remove(f.holder, []prefixindex.ChainHash{link.Hash})
+	}
+}
+
+// replaced drops everything, since another replica has the address now.
+func (f *feed) replaced() {
+	f.mutex.Lock()
+	defer f.unlock()
+	if f.forgotten {
+		return
+	}
+	f.dropAll()
+	f.parts = partsFeed{}
 }
 
 // forget drops everything and writes nothing from now on.
@@ -307,6 +345,7 @@
 	defer f.unlock()
 	f.forgotten = true
 	f.waiting = nil
+	f.parts = partsFeed{}
 	f.dropAll()
 }
 
@@ -326,6 +365,7 @@
 func (f *feed) view(now time.Duration) feedView {
 	if f.mutex.TryLock() {
 		f.giveUpIfDue(now)
+		f.giveUpPartsIfDue(now)
 		f.unlock()
 	}
 	if published := f.published.Load(); published != nil {
@@ -338,7 +378,7 @@
 func (f *feed) unlock() {
 	state := feedView{
 		life:         f.life,
-		doubtful:     f.lost || len(f.waiting) > 0,
+		doubtful:     !f.parts.seen && (f.lost || len(f.waiting) > 0),
 		resyncWanted: f.lost,
 		reports:      f.eventsSeen,
 	}
--- /dev/null
+++ b/pkg/kvrouter/naming.go
@@ -0,0 +1,23 @@
+package kvrouter
+
+import "github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+
+// Naming says how the replicas of a pool name the parts of a prompt in their
+// reports.
+type Naming int
+
+// The ways to name parts.
+const (
+	// Chained names stand for a part and all before it.
+	Chained Naming = iota
+	// Named parts go by their own ID, under the cache salt and the model.
+	Named
+)
+
+// links names the parts of a prompt.
+func (n Naming) links(model, cacheSalt string, parts []prefixindex.Part) []prefixindex.Link {
+	if n == Named {
+		return prefixindex.Named(model, cacheSalt, parts)
+	}
+	return prefixindex.Chain(model, cacheSalt, parts)
+}
--- a/pkg/kvrouter/options.go
+++ b/pkg/kvrouter/options.go
@@ -11,6 +11,8 @@
 	DefaultBlockTokens            = 16
 	DefaultGuessCredit            = 0.75
 	DefaultReportLag              = 5 * time.Second
+	DefaultNamedPredictionLag     = 20 * time.Second
+	DefaultDoubtTTL               = 60 * time.Second
 	DefaultBytesPerToken          = 320 << 10
 	DefaultLinkBytesPerSecond     = 2.5e9
 	DefaultLinkLatency            = 2 * time.Millisecond
@@ -43,6 +45,13 @@
 	// report, from the first token until its report should have come. The default
 	// is ReportLag; a negative one turns these predictions off.
 	PredictionLag time.Duration
+	// NamedPredictionLag is PredictionLag for replicas that report parts by
+	// their own IDs. It may be longer than their reports take, since a report
+	// that the part is gone ends the prediction.
+	NamedPredictionLag time.Duration
+	// DoubtTTL is how long parts count as predicted that were reported before
+	// some reports were lost.
+	DoubtTTL time.Duration
 	// BytesPerToken is the size of the kept state of one token. The default is
 	// that of a model with 80 layers of 8 key-value heads of 128 in 16 bits.
 	BytesPerToken float64
@@ -82,6 +91,8 @@
 	setDefault(&o.GuessCredit, DefaultGuessCredit)
 	setDefault(&o.ReportLag, DefaultReportLag)
 	setDefault(&o.PredictionLag, o.ReportLag)
+	setDefault(&o.NamedPredictionLag, DefaultNamedPredictionLag)
+	setDefault(&o.DoubtTTL, DefaultDoubtTTL)
 	setDefault(&o.BytesPerToken, DefaultBytesPerToken)
 	setDefault(&o.LinkBytesPerSecond, DefaultLinkBytesPerSecond)
 	setDefault(&o.LinkLatency, DefaultLinkLatency)
--- /dev/null
+++ b/pkg/kvrouter/parts.go
@@ -0,0 +1,77 @@
+package kvrouter
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// Feed tells where a batch of part changes stands among all that a replica or
+// store has reported.
+type Feed struct {
+	// BootEpoch changes with each start of the holder. Epochs have no order.
+	BootEpoch uint64
+	// From is the sequence number after which the batch begins, and Next the
+	// last one that it covers: what to ask for changes after.
+	From, Next uint64
+	// Lost tells that changes before this batch are gone for good.
+	Lost bool
+}
+
+// PartChange is what a holder reported of one part.
+type PartChange struct {
+	// Sequence is the number of the change; 0 when it is not known.
+	Sequence uint64
+	Salt     string
+	Model    string
+	ID       string
+	// Tokens is what the holder keeps of the part now, from its beginning. It
+	// may be less than the part, and more than 0 for a removal.
+	Tokens  uint32
+	Removed bool
+}
+
+// PartsReported takes in a batch of changes that a replica or store reported of
+// parts by their own IDs. Batches may come doubled, late and out of order. Where
+// some are lost, everything that the holder reported before becomes a guess,
+// which ends after the DoubtTTL unless it is reported again.
+func (r *Router) PartsReported(now time.Duration, address string, batch Feed, changes []PartChange) FeedStatus {
+	known := r.stateOf(now, address)
+	status, restarted := known.feed.takeParts(now, batch, changes)
+	if restarted {
+		r.restarted(now, known)
+	}
+	return status
+}
+
+// PartsListed takes in all that a replica or store keeps after the change with
+// the given sequence number. It replaces everything that was known.
+func (r *Router) PartsListed(now time.Duration, address string, bootEpoch, sequence uint64, parts []PartChange) FeedStatus {
+	known := r.stateOf(now, address)
+	status, restarted := known.feed.takeList(now, bootEpoch, sequence, parts)
+	if restarted {
+		r.restarted(now, known)
+	}
+	return status
+}
+
+// PartsPosition returns the boot epoch and the sequence number of the newest
+// change of a holder that was taken in. Known is false when there was none.
+func (r *Router) PartsPosition(address string) (bootEpoch, sequence uint64, known bool) {
+	r.mutex.Lock()
+	state, present := r.replicas[address]
+	r.mutex.Unlock()
+	if !present {
+		return 0, 0, false
+	}
+	return state.feed.partsPosition()
+}
+
+// Observe takes in that another router has sent a request to a replica, which
+// therefore probably keeps the parts from now on. A request that saves parts
+// to a store is observed for the store as well.
+func (r *Router) Observe(now time.Duration, address, model, cacheSalt string, naming Naming, parts []prefixindex.Part) {
+	known := r.stateOf(now, address)
+	life := known.feed.view(now).life
+	known.feed.predict(now, life, naming.links(model, cacheSalt, parts))
+}
--- a/pkg/kvrouter/prompt.go
+++ b/pkg/kvrouter/prompt.go
@@ -15,7 +15,9 @@
 	salt     string
 	links    []prefixindex.Link
 	overlaps prefixindex.Overlaps
-	sources  []pullSource
+	// pending is what holders will keep when the requests before are done.
+	pending prefixindex.Overlaps
+	sources []pullSource
 }
 
 // scratch is the memory of one selection, reused by later ones.
@@ -56,9 +58,12 @@
 		s.used++
 		added.version = version
 		added.salt = req.salt(version)
-		added.links = prefixindex.Chain(req.Model, added.salt, req.Parts)
+		added.links = req.Naming.links(req.Model, added.salt, req.Parts)
 		added.sources = added.sources[:0]
 		r.index.Overlaps(req.Now, added.links, &added.overlaps)
+		if req.Engine != nil {
+			r.pending.Overlaps(req.Now, added.links, &added.pending)
+		}
 	}
 }
 
--- a/pkg/kvrouter/pull.go
+++ b/pkg/kvrouter/pull.go
@@ -10,8 +10,11 @@
 type pullSource struct {
 	state   *replicaState
 	zone    string
+	region  string
 	reach   prefixindex.Extent
 	isStore bool
+	// sure tells that the holder has reported to keep all of it.
+	sure bool
 }
 
 // plannedPull is a pull with what its planning was based on.
@@ -27,6 +30,8 @@
 	saved time.Duration
 	// savedShare is saved as a share of the time of prefill, from 0 to 1.
 	savedShare float64
+	// price is what the moved bytes cost, in milliseconds.
+	price float64
 }
 
 // gatherSources finds the holders that others may pull each prompt from. The
@@ -37,21 +42,25 @@
 		if req.excludes(candidate.Address) {
 			continue
 		}
-		r.addSource(req, s.prompt(candidate.WeightVersion), candidate.Address, candidate.Zone, false)
+		r.addSource(req, s.prompt(candidate.WeightVersion), candidate.Address, candidate.Zone, candidate.Region, false)
 	}
 	if req.Store == "" {
 		return
 	}
 	for at := range s.used {
-		r.addSource(req, &s.prompts[at], req.Store, req.StoreZone, true)
+		r.addSource(req, &s.prompts[at], req.Store, req.StoreZone, req.StoreRegion, true)
 	}
 }
 
 // addSource adds a holder that certainly keeps the beginning of the prompt and
 // has the strength left to serve it. Only parts that it reported count: a guess
 // would send the replica for nothing.
-func (r *Router) addSource(req *Request, p *prompt, address, zone string, isStore bool) {
+func (r *Router) addSource(req *Request, p *prompt, address, zone, region string, isStore bool) {
 	state := r.state(req.Now, address)
+	if req.Engine != nil {
+		p.addTimedSource(state, zone, region, isStore)
+		return
+	}
 	reach := p.overlaps.Of(state.holder).Reported
 	if reach.Parts == 0 || state.pullsServed >= r.options.MaxPullsPerSource {
 		return
--- a/pkg/kvrouter/replica.go
+++ b/pkg/kvrouter/replica.go
@@ -15,6 +15,21 @@
 	load    loadRecord
 	speed   prefillSpeed
 	ramp    ramp
+	// queue estimates what is left to read for own requests, and shared what
+	// other routers told of.
+	queue  prefillQueue
+	shared sharedLoads
+	// toldLoad tells that OwnLoads has told of load here.
+	toldLoad bool
+	slowness slowness
+	// perToken is the pool's learnt time per token of prompt, in milliseconds.
+	perToken float64
+	// meanCompute is the moving average of the tokens that requests have to read.
+	meanCompute float64
+	memory      memoryReport
+	moves       moves
+	// instance is the life of the replica that candidates named last.
+	instance string
 	// pullsServed counts the pulls under way from here.
 	pullsServed int
 }
@@ -29,8 +44,9 @@
 	created := &replicaState{
 		address: address,
 		holder:  holder,
-		feed:    &feed{index: r.index, holder: holder, options: &r.options},
+		feed:    &feed{index: r.index, pending: r.pending, holder: holder, options: &r.options},
 		ramp:    ramp{since: now},
+		queue:   prefillQueue{updatedAt: now},
 	}
 	r.replicas[address] = created
 	return created
--- a/pkg/kvrouter/request.go
+++ b/pkg/kvrouter/request.go
@@ -11,7 +11,14 @@
 type Candidate struct {
 	Address       string
 	Zone          string
+	Region        string
 	WeightVersion string
+	// Instance names the replica's present life, or is "" when it is not known.
+	// A change ends all that is known of the address.
+	Instance string
+	// ColdUntil is when the replica stops being cold, on the router's clock; 0
+	// when it is not.
+	ColdUntil time.Duration
 }
 
 // Request is what selection needs to know of a request.
@@ -20,15 +27,32 @@
 	Model string
 	// Parts is the prompt.
 	Parts []prefixindex.Part
+	// Naming says how the pool's replicas name parts.
+	Naming Naming
 	// OutputTokens bounds the tokens that will be generated.
 	OutputTokens uint32
 	// SaltFor returns the cache salt of the request under a weight version.
 	SaltFor  func(weightVersion string) string
 	Settings Settings
+	// Engine says how the pool's replicas run requests; nil makes the router
+	// count blocks only.
+	Engine *EngineProfile
+	// Priority is the rank at the replica; 0 is the most urgent.
+	Priority uint8
+	// MaxWait is the longest time to the first event at which the request may go
+	// to a replica that is full, if all are. With 0 it is refused.
+	MaxWait time.Duration
+	// Session tells that the last part of the prompt is its session's, and comes
+	// again.
+	Session bool
+	// ColdAllowed tells whether one more request may go to a cold replica. It
+	// must not count the request, which may go elsewhere. With nil none may.
+	ColdAllowed func(address string) bool
 	// Store is the address of the pool's store, or "".
 	Store string
 	// StoreZone is the zone of the store.
-	StoreZone string
+	StoreZone   string
+	StoreRegion string
 	// Exclude tells which candidates the request must not go to, such as those
 	// that it failed on. May be nil.
 	Exclude func(address string) bool
@@ -38,11 +62,15 @@
 
 	// promptTokens counts the tokens of all parts.
 	promptTokens uint32
+	// pace is that of the model's replicas, when there is an engine profile.
+	pace *pace
 }
 
 // Decision is the outcome of a selection.
 type Decision struct {
-	Address       string
+	Address string
+	// Instance is that of the candidate.
+	Instance      string
 	WeightVersion string
 	CacheSalt     string
 	// OverlapTokens counts the tokens that the replica probably keeps.
@@ -53,6 +81,11 @@
 	Cost float64
 	// Pull is what the replica is to pull, or nil.
 	Pull *Pull
+	// Save tells the replica to save the prompt's parts to the store.
+	Save bool
+	// ExpectedDelay is the estimated time to the first event; 0 without an
+	// engine profile.
+	ExpectedDelay time.Duration
 	// Reservation accounts for the load; Finish must be called on it.
 	Reservation *Reservation
 }
@@ -85,6 +118,11 @@
 	// LastSequence is the newest event sequence number at that time; 0 when
 	// it is not known.
 	LastSequence uint64
+	// Waiting and Running count the replica's requests, and MemoryUsed and
+	// MemoryTotal tokens; a report with MemoryTotal counts instead of the active
+	// tokens and requests above.
+	Waiting, Running        uint32
+	MemoryUsed, MemoryTotal uint64
 	// Warming tells that the replica started lately and is fragile.
 	Warming bool
 }
--- a/pkg/kvrouter/reservation.go
+++ b/pkg/kvrouter/reservation.go
@@ -22,6 +22,13 @@
 	startedAt     time.Duration
 	computeTokens float64
 	backlogTokens float64
+	// work, pace and expected are set with an engine profile. Expected is the
+	// estimated time to the first event in milliseconds.
+	work     *prefillWork
+	pace     *pace
+	expected float64
+	// store is the store that the parts are saved to, or nil.
+	store *replicaState
 
 	// The router's lock guards what follows; nothing of it changes once the
 	// attempt is finished.
@@ -65,8 +72,12 @@
 // FirstToken says that the replica has sent the first token, so that the prompt
 // has been computed. Only the first call counts.
 func (r *Reservation) FirstToken(now time.Duration) {
-	if r.endPrefill(now) {
-		r.state.feed.predict(now, r.life, r.links)
+	if !r.endPrefill(now) {
+		return
+	}
+	r.state.feed.predict(now, r.life, r.links)
+	if r.store != nil {
+		r.store.feed.predict(now, r.store.feed.view(now).life, r.links)
 	}
 }
 
@@ -79,7 +90,13 @@
 		return false
 	}
 	r.firstToken = true
-	r.learn(now - r.startedAt)
+	if r.work != nil {
+		r.state.settle(now)
+		r.learnTimed(now)
+		r.state.queue.remove(r.work)
+	} else {
+		r.learn(now - r.startedAt)
+	}
 	r.endPull()
 	r.hold(now, load{decodeTokens: r.held.decodeTokens, requests: r.held.requests})
 	return true
@@ -143,7 +160,29 @@
 	r.finished = true
 	if !r.firstToken {
 		r.endPull()
+		r.endWork(now)
 	}
 	r.hold(now, load{})
 	return true
 }
+
+// endWork takes the prompt off the replica's queue.
+func (r *Reservation) endWork(now time.Duration) {
+	if r.work == nil {
+		return
+	}
+	r.state.settle(now)
+	r.state.queue.remove(r.work)
+}
+
+// Cancelled says that the attempt has ended because nobody waits for it any
+// more, or that it has not run. Nothing is learnt from it.
+func (r *Reservation) Cancelled(now time.Duration) {
+	if !r.release(now) || r.firstToken {
+		return
+	}
+	r.state.feed.unexpect(r.links)
+	if r.store != nil {
+		r.store.feed.unexpect(r.links)
+	}
+}
--- a/pkg/kvrouter/router.go
+++ b/pkg/kvrouter/router.go
@@ -9,10 +9,21 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
+const (
+	// pendingTTL ends the parts of a request that never answers.
+	pendingTTL = 10 * time.Second
+	// maxPending bounds the parts of requests that have not answered.
+	maxPending    = 1 << 16
+	pendingShards = 16
+)
+
 // Router selects replicas. It is safe for concurrent use.
 type Router struct {
-	options   Options
-	index     *prefixindex.Index
+	options Options
+	index   *prefixindex.Index
+	// pending holds the parts of requests that have not answered yet. They are
+	// not there to pull, but a request behind will find them.
+	pending   *prefixindex.Index
 	scratches sync.Pool
 
 	mutex       sync.Mutex
@@ -20,6 +31,8 @@
 	nextHolder  prefixindex.Holder
 	freeHolders []prefixindex.Holder
 	links       links
+	paces       map[string]*pace
+	seen        seenParts
 	// latest is the newest time that the router was told.
 	latest time.Duration
 }
@@ -37,9 +50,11 @@
 	return &Router{
 		options:   options,
 		index:     prefixindex.New(options.Index),
+		pending:   prefixindex.New(prefixindex.Options{PredictionTTL: pendingTTL, MaxPredicted: maxPending, Shards: pendingShards}),
 		scratches: sync.Pool{New: func() any { return &scratch{} }},
 		replicas:  make(map[string]*replicaState),
 		links:     newLinks(),
+		paces:     make(map[string]*pace),
 	}
 }
 
--- a/pkg/kvrouter/select.go
+++ b/pkg/kvrouter/select.go
@@ -26,6 +26,8 @@
 	backlogTokens  float64
 	activeRequests float64
 	cost           float64
+	// timed is used with an engine profile.
+	timed timedTerms
 }
 
 // Select chooses the replica for a request and reserves its load. It returns a
@@ -39,21 +41,41 @@
 	defer r.scratches.Put(s)
 	s.reset()
 	req.countTokens()
+	if req.Engine != nil {
+		profile := req.Engine.withDefaults(&r.options)
+		req.Engine = &profile
+		req.Priority = min(req.Priority, Priorities-1)
+		r.noticeInstances(req.Now, candidates)
+	}
 	r.lookUp(s, &req, candidates)
+	decision, err := r.selectLocked(s, &req, candidates)
+	if err == nil && req.Engine != nil {
+		r.expect(&req, &decision)
+	}
+	return decision, err
+}
 
+// selectLocked takes the router's lock for the choice.
+func (r *Router) selectLocked(s *scratch, req *Request, candidates []Candidate) (Decision, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.advance(req.Now)
-	r.gatherSources(s, &req, candidates)
-	allowed := r.score(s, &req, candidates)
+	if req.Engine != nil {
+		req.pace = r.paceOf(req.Model, req.Engine)
+	}
+	r.gatherSources(s, req, candidates)
+	allowed := r.score(s, req, candidates)
 	if allowed == 0 {
 		return Decision{}, &NoReplicaError{Reason: AllExcluded, RetryAfter: defaultRetryAfter}
 	}
+	if req.Engine != nil {
+		s.dropFull(req)
+	}
 	if len(s.scored) == 0 {
-		return Decision{}, &NoReplicaError{Reason: AllBusy, RetryAfter: r.retryAfter(&req, candidates)}
+		return Decision{}, &NoReplicaError{Reason: AllBusy, RetryAfter: r.retryAfter(req, candidates)}
 	}
-	at := choose(req.Settings, s.scored, s.scored[0].prompt.identity(), req.Random)
-	return r.decide(&req, &s.scored[at]), nil
+	at := choose(req.Settings, s.scored, s.scored[0].prompt.affinity(req), req.Random)
+	return r.decide(req, &s.scored[at]), nil
 }
 
 // score fills in the candidates that may take the request, and returns how
@@ -66,6 +88,12 @@
 		}
 		allowed++
 		state := r.state(req.Now, candidate.Address)
+		if req.Engine != nil {
+			if req.bears(candidate) {
+				s.scored = append(s.scored, r.scoreTimed(req, candidate, state, s.prompt(candidate.WeightVersion)))
+			}
+			continue
+		}
 		if r.busy(req, state) || r.ramping(req, state) {
 			continue
 		}
@@ -137,6 +165,7 @@
 func (r *Router) decide(req *Request, chosen *scoredCandidate) Decision {
 	decision := Decision{
 		Address:       chosen.candidate.Address,
+		Instance:      chosen.candidate.Instance,
 		WeightVersion: chosen.candidate.WeightVersion,
 		CacheSalt:     chosen.prompt.salt,
 		OverlapTokens: chosen.overlap.Likely.Tokens,
@@ -146,6 +175,12 @@
 	if chosen.pulls {
 		decision.Pull = chosen.pull.pull()
 	}
+	if req.Engine != nil {
+		decision.ExpectedDelay = fromMilliseconds(chosen.timed.delay)
+		decision.Save = r.shouldSave(req, chosen.prompt)
+		decision.Reservation = r.reserveTimed(req, chosen, decision.Save)
+		return decision
+	}
 	decision.Reservation = r.reserve(req, chosen)
 	return decision
 }
@@ -153,6 +188,9 @@
 // retryAfter estimates when the first of the candidates has worked off its
 // prefill.
 func (r *Router) retryAfter(req *Request, candidates []Candidate) time.Duration {
+	if req.Engine != nil {
+		return r.retryAfterTimed(req, candidates)
+	}
 	shortest := mostRetryAfter
 	for at := range candidates {
 		if req.excludes(candidates[at].Address) {
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -13,6 +13,10 @@
 	DefaultPeerCredit          = 0.75
 	DefaultStoreCredit         = 0.5
 	DefaultBusyThresholdBlocks = 32768
+	DefaultDecodeWeight        = 0.05
+	DefaultHarmWeight          = 0.5
+	DefaultLessUrgentWeight    = 0.5
+	DefaultMovePrice           = 0.05
 )
 
 // Settings are the knobs of selection for one pool.
@@ -31,6 +35,17 @@
 	// together, from which on a replica takes no further request. 0 means that
 	// none is ever busy.
 	BusyThresholdBlocks float64
+	// The weights that follow apply to pools with an engine profile.
+
+	// DecodeWeight is the weight of a block of memory in use.
+	DecodeWeight float64
+	// HarmWeight is how often the request's own prefill counts beyond its own
+	// delay, for those that come behind it.
+	HarmWeight float64
+	// LessUrgentWeight is the share of less urgent prompts that count as ahead.
+	LessUrgentWeight float64
+	// MovePrice is what a megabyte moved costs, in milliseconds.
+	MovePrice float64
 	// Temperature of the softmax over the costs; 0 selects the lowest cost.
 	Temperature float64
 }
@@ -43,6 +58,10 @@
 		PeerCredit:          DefaultPeerCredit,
 		StoreCredit:         DefaultStoreCredit,
 		BusyThresholdBlocks: DefaultBusyThresholdBlocks,
+		DecodeWeight:        DefaultDecodeWeight,
+		HarmWeight:          DefaultHarmWeight,
+		LessUrgentWeight:    DefaultLessUrgentWeight,
+		MovePrice:           DefaultMovePrice,
 	}
 }
 
--- /dev/null
+++ b/pkg/kvrouter/timedpull.go
@@ -0,0 +1,168 @@
+package kvrouter
+
+import (
+	"math"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+const (
+	// zoneFactor and regionFactor multiply the time of moves between zones and
+	// between regions.
+	zoneFactor   = 2.0
+	regionFactor = 10.0
+	// longestMoveWait is the wait for a link from which on no pull is planned.
+	longestMoveWait = time.Second
+	// leastPull is the smallest pull that is planned, in tokens.
+	leastPull = 64
+	// linkSlowLeast is the excess of a pull's time that tells of a slow link.
+	linkSlowLeast = 150.0
+	// linkSlowHalving is how fast the memory of a slow link ends.
+	linkSlowHalving = 4 * time.Second
+	mostLinkSlow    = 200.0
+	// saveShare is the largest share of the store that one prompt may take.
+	saveShare = 0.125
+)
+
+// moves is the state of one holder's link for moves of kept parts, which run one
+// after another.
+type moves struct {
+	freeAt time.Duration
+	// slow is how many times longer moves take than they should, at slowAt.
+	slow   float64
+	slowAt time.Duration
+}
+
+// factor returns how many times longer moves take now.
+func (m *moves) factor(now time.Duration) float64 {
+	if m.slow <= 1 {
+		return 1
+	}
+	halvings := float64(now-m.slowAt) / float64(linkSlowHalving)
+	return max(1, m.slow*math.Exp2(-halvings))
+}
+
+// observe takes in how many times longer a move took.
+func (m *moves) observe(now time.Duration, ratio float64) {
+	m.slow = min(max(ratio, m.factor(now)), mostLinkSlow)
+	m.slowAt = now
+}
+
+// addTimedSource adds a holder that keeps the beginning of the prompt, or has
+// probably read it. A miss costs little.
+func (p *prompt) addTimedSource(state *replicaState, zone, region string, isStore bool) {
+	overlap := p.overlaps.Of(state.holder)
+	if overlap.Likely.Tokens < leastPull {
+		return
+	}
+	p.sources = append(p.sources, pullSource{
+		state:   state,
+		zone:    zone,
+		region:  region,
+		reach:   overlap.Likely,
+		isStore: isStore,
+		sure:    overlap.Reported.Tokens >= overlap.Likely.Tokens,
+	})
+}
+
+// planTimedPull finds the pull that brings the prompt sooner than reading it, or
+// than any other. The router's lock is held.
+func (r *Router) planTimedPull(req *Request, p *prompt, state *replicaState, candidate *Candidate, own prefixindex.Extent, slow float64) (best plannedPull, planned bool) {
+	for at := range p.sources {
+		source := &p.sources[at]
+		if source.state == state || source.reach.Tokens < own.Tokens+leastPull {
+			continue
+		}
+		considered := r.estimateTimedPull(req, source, state, candidate, own, slow)
+		if considered.saved > best.saved {
+			best = considered
+		}
+	}
+	return best, best.saved > 0
+}
+
+func (r *Router) estimateTimedPull(req *Request, source *pullSource, state *replicaState, candidate *Candidate, own prefixindex.Extent, slow float64) plannedPull {
+	planned := plannedPull{
+		source:    *source,
+		firstPart: own.Parts,
+		tokens:    source.reach.Tokens - own.Tokens,
+	}
+	free := max(source.state.moves.freeAt, state.moves.freeAt)
+	wait := max(0, free-req.Now)
+	if wait > longestMoveWait {
+		return planned
+	}
+	tokens := float64(planned.tokens)
+	planned.transfer = wait + r.moveTime(req, source, state, candidate, tokens)
+	prefill := slow * req.pace.perToken * tokens
+	bytes := tokens * req.Engine.BytesPerToken
+	price := req.Settings.MovePrice * bytes / bytesPerMegabyte
+	if source.zone != candidate.Zone {
+		price *= zoneFactor
+	}
+	saved := prefill - r.options.PullAdvantage*milliseconds(planned.transfer) - price
+	if !source.sure {
+		saved *= r.options.GuessCredit
+	}
+	planned.price = price
+	planned.saved = fromMilliseconds(saved)
+	return planned
+}
+
+const bytesPerMegabyte = 1e6
+
+// moveTime estimates how long tokens take between two holders, without a wait.
+func (r *Router) moveTime(req *Request, source *pullSource, state *replicaState, candidate *Candidate, tokens float64) time.Duration {
+	rate := req.Engine.LinkBitsPerSecond
+	if source.isStore {
+		rate = min(rate, req.Engine.StoreLinkBitsPerSecond)
+	}
+	transfer := seconds(tokens * req.Engine.BytesPerToken * bitsPerByte / rate)
+	transfer = time.Duration(float64(transfer) * distance(source.zone, source.region, candidate))
+	factor := max(source.state.moves.factor(req.Now), state.moves.factor(req.Now))
+	return req.Engine.PullSetup + time.Duration(float64(transfer)*factor)
+}
+
+// distance returns how many times longer moves to a replica take than within a
+// zone.
+func distance(zone, region string, candidate *Candidate) float64 {
+	switch {
+	case region != candidate.Region:
+		return regionFactor
+	case zone != candidate.Zone:
+		return zoneFactor
+	}
+	return 1
+}
+
+// beginMove books the links of both ends.
+func (r *Reservation) beginMove(now time.Duration) {
+	end := now + r.pull.transfer
+	r.pull.source.state.moves.freeAt = end
+	r.state.moves.freeAt = end
+}
+
+// shouldSave tells whether the request is to save its parts to the store: those
+// that others are likely to use again, when the store lacks some of them. The
+// router's lock is held.
+func (r *Router) shouldSave(req *Request, p *prompt) bool {
+	if req.Store == "" || len(p.links) == 0 {
+		return false
+	}
+	last := len(p.links) - 1
+	again := r.seen.add(p.links[last].Hash) || req.Session
+	wanted := p.links
+	if !again {
+		wanted = p.links[:last]
+	}
+	tokens := 0.0
+	for _, link := range wanted {
+		tokens += float64(link.Tokens)
+	}
+	if room := req.Engine.StoreTokens; room > 0 && float64(req.promptTokens) > saveShare*room {
+		return false
+	}
+	kept := p.overlapOf(r.state(req.Now, req.Store).holder).Likely
+	return tokens >= leastPull && float64(kept.Tokens) < tokens
+}
--- a/pkg/prefixindex/index.go
+++ b/pkg/prefixindex/index.go
@@ -10,6 +10,7 @@
 const (
 	DefaultPredictionTTL = 120 * time.Second
 	DefaultMaxPredicted  = 1 << 18
+	DefaultMaxSized      = 1 << 20
 	DefaultShards        = 256
 )
 
@@ -20,6 +21,9 @@
 	// MaxPredicted bounds the predicted parts of all holders together. Past
 	// it, those that would expire first are dropped.
 	MaxPredicted int
+	// MaxSized bounds the pairs of a part and a holder with a reported size, of
+	// all holders together. Past it, further parts are not taken in.
+	MaxSized int
 	// Shards is the number of parts that are locked apart; rounded up to a
 	// power of two.
 	Shards int
@@ -32,6 +36,7 @@
 type Index struct {
 	reported  *partitions
 	predicted *predictions
+	sizes     *sizes
 }
 
 // Stats describes the size of an Index.
@@ -40,6 +45,9 @@
 	Reported int
 	// Predicted counts pairs of a part and a holder that are predicted.
 	Predicted int
+	// Sized counts those of them, and of the predicted ones, that were reported
+	// with a size.
+	Sized int
 	// Bytes is the memory of the tables of reported parts.
 	Bytes int
 }
@@ -52,12 +60,17 @@
 	if options.MaxPredicted <= 0 {
 		options.MaxPredicted = DefaultMaxPredicted
 	}
+	if options.MaxSized <= 0 {
+		options.MaxSized = DefaultMaxSized
+	}
 	if options.Shards <= 0 {
 		options.Shards = DefaultShards
 	}
+	kept := newSizes(options.MaxSized)
 	return &Index{
 		reported:  newPartitions(options.Shards),
-		predicted: newPredictions(options),
+		predicted: newPredictions(options, kept),
+		sizes:     kept,
 	}
 }
 
@@ -65,6 +78,7 @@
 // hashes are kept: a lookup counts the tokens that its prompt states.
 func (x *Index) Store(holder Holder, links []Link) {
 	for _, link := range links {
+		x.sizes.clear(holder, link.Hash, false)
 		x.reported.put(holder, link.Hash)
 	}
 }
@@ -73,6 +87,7 @@
 func (x *Index) Remove(holder Holder, hashes []ChainHash) {
 	for _, hash := range hashes {
 		x.reported.remove(holder, hash)
+		x.sizes.clear(holder, hash, false)
 	}
 	x.predicted.remove(holder, hashes)
 }
@@ -87,16 +102,20 @@
 func (x *Index) Drop(holder Holder) {
 	x.reported.drop(holder)
 	x.predicted.drop(holder)
+	x.sizes.drop(holder)
 }
 
 // Predict records for the TTL of the options that holder probably keeps the
 // parts. A newer prediction of the same part renews it.
 func (x *Index) Predict(now time.Duration, holder Holder, links []Link) {
-	x.predicted.add(now, x.predicted.ttl, holder, links)
+	x.PredictFor(now, x.predicted.ttl, holder, links)
 }
 
 // PredictFor is Predict with a TTL of its own.
 func (x *Index) PredictFor(now, ttl time.Duration, holder Holder, links []Link) {
+	for _, link := range links {
+		x.sizes.clear(holder, link.Hash, true)
+	}
 	x.predicted.add(now, ttl, holder, links)
 }
 
@@ -107,5 +126,5 @@
 // Stats returns the present size.
 func (x *Index) Stats() Stats {
 	kept, bytes := x.reported.size()
-	return Stats{Reported: kept, Predicted: x.predicted.count(), Bytes: bytes}
+	return Stats{Reported: kept, Predicted: x.predicted.count(), Sized: int(x.sizes.count.Load()), Bytes: bytes}
 }
--- a/pkg/prefixindex/overlaps.go
+++ b/pkg/prefixindex/overlaps.go
@@ -10,7 +10,8 @@
 type Extent struct {
 	// Parts counts the leading parts.
 	Parts int
-	// Tokens is the sum of their tokens.
+	// Tokens is the sum of their tokens, and of what is kept of the next part
+	// if its end was evicted.
 	Tokens uint32
 }
 
@@ -54,6 +55,9 @@
 	}
 	for group := range max(len(reported), len(predicted)) {
 		walk := walk{into: into, first: Holder(group * holdersPerGroup)}
+		if x.sizes.count.Load() > 0 {
+			walk.sizes = x.sizes
+		}
 		if group < len(reported) {
 			walk.reported = reported[group]
 		}
@@ -87,6 +91,11 @@
 	first     Holder
 	reported  *partition
 	predicted *partition
+	// sizes is nil when all holders keep whole parts.
+	sizes *sizes
+	// cutReported and cutLikely are the holders that keep only the beginning of
+	// the part at hand.
+	cutReported, cutLikely holderSet
 }
 
 func (w *walk) run(links []Link) {
@@ -94,13 +103,19 @@
 	reached := Extent{}
 	for position, link := range links {
 		kept := find(w.reported, link.Hash)
+		predicted := find(w.predicted, link.Hash)
 		stillReported := reported & kept
-		stillLikely := likely & (kept | find(w.predicted, link.Hash))
+		stillLikely := likely & (kept | predicted)
 		if position == 0 {
 			w.begin(stillLikely)
 		} else {
 			w.end(reported&^stillReported, likely&^stillLikely, reached)
 		}
+		if w.sizes != nil && stillLikely != 0 {
+			w.cut(link, stillReported, stillLikely, predicted, reached)
+			stillReported &^= w.cutReported
+			stillLikely &^= w.cutLikely
+		}
 		reported, likely = stillReported, stillLikely
 		if likely == 0 {
 			return
@@ -112,6 +127,28 @@
 	}
 }
 
+// cut finds the holders that keep only the beginning of a part, and records how
+// far they come. A prediction stands for the whole part, unless it is a report
+// that came into doubt.
+func (w *walk) cut(link Link, reported, likely, predicted holderSet, reached Extent) {
+	w.cutReported, w.cutLikely = 0, 0
+	w.sizes.shorter(link.Hash, link.Tokens, func(kept keptSize) {
+		if kept.holder < w.first || kept.holder >= w.first+holdersPerGroup {
+			return
+		}
+		bit := holderSet(1) << (kept.holder - w.first)
+		partly := Extent{Parts: reached.Parts, Tokens: reached.with(kept.tokens).Tokens}
+		if reported&bit != 0 && !kept.doubted {
+			w.cutReported |= bit
+			w.into.byHolder[kept.holder].Reported = partly
+		}
+		if likely&bit != 0 && (kept.doubted || predicted&bit == 0) {
+			w.cutLikely |= bit
+			w.into.byHolder[kept.holder].Likely = partly
+		}
+	})
+}
+
 // find returns the holders of a hash in a partition, which may be nil.
 func find(p *partition, hash ChainHash) holderSet {
 	if p == nil {
--- a/pkg/prefixindex/partition.go
+++ b/pkg/prefixindex/partition.go
@@ -101,3 +101,13 @@
 	}
 	return kept, bytes
 }
+
+// heldBy lists the hashes of a holder.
+func (p *partitions) heldBy(holder Holder) []ChainHash {
+	group, bit := p.of(holder)
+	var held []ChainHash
+	for at := range group.shards {
+		held = group.shards[at].appendHeld(held, bit)
+	}
+	return held
+}
--- a/pkg/prefixindex/predictions.go
+++ b/pkg/prefixindex/predictions.go
@@ -17,6 +17,8 @@
 	ttl     time.Duration
 	maximum int
 	parts   *partitions
+	// sizes holds the kept tokens of predictions that were reported once.
+	sizes *sizes
 	// nextExpiry lets lookups skip the lock while nothing is due.
 	nextExpiry atomic.Int64
 
@@ -33,11 +35,12 @@
 	holder Holder
 }
 
-func newPredictions(options Options) *predictions {
+func newPredictions(options Options, kept *sizes) *predictions {
 	p := &predictions{
 		ttl:     options.PredictionTTL,
 		maximum: options.MaxPredicted,
 		parts:   newPartitions(options.Shards),
+		sizes:   kept,
 		expires: make(map[prediction]time.Duration),
 	}
 	p.nextExpiry.Store(never)
@@ -49,15 +52,34 @@
 	defer p.mutex.Unlock()
 	p.popDue(now)
 	for _, link := range links {
-		key := prediction{hash: link.Hash, holder: holder}
-		expiry := now + ttl
-		if known, present := p.expires[key]; present && known >= expiry {
-			continue
-		}
-		p.expires[key] = expiry
-		heap.Push(&p.queue, queuedExpiry{prediction: key, at: expiry})
-		p.parts.put(holder, link.Hash)
+		p.put(prediction{hash: link.Hash, holder: holder}, now+ttl)
+	}
+	p.bound()
+}
+
+// addHashes is add for parts of which only the names are known.
+func (p *predictions) addHashes(now, ttl time.Duration, holder Holder, hashes []ChainHash) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.popDue(now)
+	for _, hash := range hashes {
+		p.put(prediction{hash: hash, holder: holder}, now+ttl)
 	}
+	p.bound()
+}
+
+// put makes or renews a prediction. The lock is held.
+func (p *predictions) put(key prediction, expiry time.Duration) {
+	if known, present := p.expires[key]; present && known >= expiry {
+		return
+	}
+	p.expires[key] = expiry
+	heap.Push(&p.queue, queuedExpiry{prediction: key, at: expiry})
+	p.parts.put(key.holder, key.hash)
+}
+
+// bound drops what is beyond the cap. The lock is held.
+func (p *predictions) bound() {
 	for len(p.expires) > p.maximum {
 		p.popFirst()
 	}
@@ -133,6 +155,7 @@
 	}
 	delete(p.expires, key)
 	p.parts.remove(key.holder, key.hash)
+	p.sizes.clear(key.holder, key.hash, true)
 }
 
 // compact rebuilds the queue when overtaken expiries outnumber the others, so
--- a/pkg/prefixindex/shard.go
+++ b/pkg/prefixindex/shard.go
@@ -147,3 +147,19 @@
 	s.table.Load().copyTo(resized)
 	s.table.Store(resized)
 }
+
+// appendHeld appends the hashes that have the given holder.
+func (s *shard) appendHeld(held []ChainHash, holder holderSet) []ChainHash {
+	if s.used.Load() == 0 {
+		return held
+	}
+	s.writers.Lock()
+	defer s.writers.Unlock()
+	current := s.table.Load()
+	for slot := range uint64(current.slots()) {
+		if hash, holders := current.load(slot); holders&holder != 0 {
+			held = append(held, hash)
+		}
+	}
+	return held
+}
