Nodes tell each other of their traffic, and one of them reads each back end's reports

A back end that reports kept parts page by page is read by one node, by rendezvous hashing within its zone; the others get its pages from that node.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -55,6 +55,9 @@
 	Sender     Sender
 	Storage    map[uint32]Storage
 	Commander  Commander
+	// Traffic takes in what other nodes tell of their traffic; nil on nodes that
+	// serve none.
+	Traffic TrafficReceiver
 	Log        *logrus.Entry
 }
 
@@ -72,6 +75,7 @@
 	watched    atomic.Pointer[[]string]
 	lastRun    atomic.Int64
 	prepared   atomic.Bool
+	peers      livePeers
 
 	// waiting belongs to the control goroutine.
 	waiting    map[uint64]chan Reply
@@ -127,6 +131,7 @@
 	d.serveUntil.Store(int64(d.machine.ServeUntil()))
 	d.lastRun.Store(int64(d.machine.Now()))
 	d.prepared.Store(d.machine.Prepared())
+	d.peers.follow(d.machine)
 	watched := d.machine.WatchedReplicas()
 	d.watched.Store(&watched)
 	for _, save := range output.Saves {
@@ -229,6 +234,10 @@
 		d.options.Log.WithField("deployment", envelope.Deployment).Warn("dropped a frame of another deployment; check seeds and addresses")
 		return
 	}
+	if envelope.Traffic != nil {
+		d.receiveTraffic(envelope)
+		return
+	}
 	d.post(func(now time.Duration) Output { return d.machine.Receive(now, envelope) })
 }
 
--- /dev/null
+++ b/internal/dataplane/engine.go
@@ -0,0 +1,66 @@
+package dataplane
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+// waitShare is the share of the time left for which a request may wait at a
+// replica that is full, if all are.
+const waitShare = 2
+
+// engineProfile describes a pool's engine to the router, or is nil if the
+// configuration does not.
+func engineProfile(pool *routing.Pool) *kvrouter.EngineProfile {
+	engine := pool.Config.GetEngine()
+	if engine == nil {
+		return nil
+	}
+	return &kvrouter.EngineProfile{
+		Slots:                  int(engine.GetSlots()),
+		MemoryTokens:           float64(engine.GetMemoryTokens()),
+		BytesPerToken:          float64(engine.GetTokenBytes()),
+		LinkBitsPerSecond:      engine.GetLinkBitsPerSecond(),
+		StoreLinkBitsPerSecond: pool.Store.GetLinkBitsPerSecond(),
+		StoreTokens:            float64(pool.Store.GetMemoryTokens()),
+	}
+}
+
+// longestWait is how long a request may wait at a full replica.
+func longestWait(w *work) time.Duration {
+	deadline, bounded := w.ctx.Deadline()
+	if !bounded {
+		return 0
+	}
+	return time.Until(deadline) / waitShare
+}
+
+// naming tells how the back ends name the parts of prompts.
+func (b *poolBackend) naming() kvrouter.Naming {
+	if b.server.options.Edges.Reports != nil {
+		return kvrouter.Named
+	}
+	return kvrouter.Chained
+}
+
+// tell notes for the other nodes where a request's parts will be kept.
+func (b *poolBackend) tell(attempt Attempt) {
+	if len(attempt.Generation.Parts) == 0 {
+		return
+	}
+	dispatch := shared.Dispatch{
+		Address:   attempt.Address,
+		Model:     attempt.Generation.Model,
+		CacheSalt: attempt.Generation.CacheSalt,
+		Naming:    b.naming(),
+		Parts:     attempt.Generation.Parts,
+	}
+	b.server.sharing.dispatched(dispatch)
+	if attempt.Generation.SaveTo != "" {
+		dispatch.Address = attempt.Generation.SaveTo
+		b.server.sharing.dispatched(dispatch)
+	}
+}
--- a/internal/dataplane/feeds.go
+++ b/internal/dataplane/feeds.go
@@ -100,6 +100,9 @@
 // wanted returns the back ends whose events matter under a view.
 func (f *feeds) wanted(view *routing.View) map[string]wantedFeed {
 	wanted := make(map[string]wantedFeed)
+	if f.server.options.Edges.Reports != nil {
+		return wanted
+	}
 	for _, pool := range view.Pools {
 		for _, listed := range pool.Replicas {
 			wanted[listed.Address] = wantedFeed{source: f.replicas, weightVersion: listed.WeightVersion}
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -9,6 +9,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
 // Defaults of Options.
@@ -58,8 +59,13 @@
 type Options struct {
 	// Node is the node's name.
 	Node string
+	// Member is this node's identity among the nodes.
+	Member member.ID
 	// Zone is the zone that the node stands in.
 	Zone string
+	// Peers returns the live nodes that serve callers, this one included. It may
+	// be nil for a node that stands alone.
+	Peers func() []member.Info
 	// Address is the host and port to listen on.
 	Address string
 	// Source is where control state comes from.
@@ -123,6 +129,10 @@
 	if o.Log == nil {
 		o.Log = logrus.NewEntry(logrus.StandardLogger())
 	}
+	if o.Peers == nil {
+		self := []member.Info{{ID: o.Member, Zone: o.Zone}}
+		o.Peers = func() []member.Info { return self }
+	}
 	setDefault(&o.Admission, defaultAdmission)
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -67,7 +67,11 @@
 		Now:          now,
 		Model:        model,
 		Parts:        w.described.Parts,
+		Naming:       b.naming(),
 		OutputTokens: w.described.OutputTokens,
+		Engine:       engineProfile(pool),
+		Priority:     uint8(w.view.Priority(w.tenant, w.route)),
+		MaxWait:      longestWait(w),
 		SaltFor: func(weightVersion string) string {
 			return replica.CacheSalt(model, weightVersion, w.sharingDomain(b.server.options.Source.View()))
 		},
@@ -90,6 +94,8 @@
 				Address:       listed.Address,
 				Zone:          listed.Zone,
 				WeightVersion: listed.WeightVersion,
+				Instance:      listed.Instance,
+				ColdUntil:     listed.ColdUntil,
 			})
 		}
 	}
@@ -176,6 +182,11 @@
 		OutputTokens:  w.described.OutputTokens,
 		Pull:          t.pull(w),
 	}
+	described.Instance = t.decision.Instance
+	if t.decision.Save {
+		described.Generation.SaveTo = w.destination.Pool.Store.GetAddress()
+	}
+	t.backend.tell(described)
 	return described
 }
 
--- /dev/null
+++ b/internal/dataplane/readers.go
@@ -0,0 +1,207 @@
+package dataplane
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+const (
+	// readWait is how long one read waits for news.
+	readWait = time.Second
+	// readPause is the least time between two reads of one back end, so that
+	// news is read in batches.
+	readPause = 200 * time.Millisecond
+	// readBackoff is the pause after a failed read, and longestReadBackoff
+	// bounds it after further ones.
+	readBackoff        = 250 * time.Millisecond
+	longestReadBackoff = 2 * time.Second
+	// readPatience is how much longer than its wait a read may take.
+	readPatience = time.Second
+)
+
+// reportReaders reads the reports of the replicas and stores that this node is
+// the reader of. Of all nodes one reads a back end, and tells the others.
+type reportReaders struct {
+	server *Server
+	reader ReportReader
+
+	mutex   sync.Mutex
+	running map[string]context.CancelFunc
+}
+
+// newReportReaders returns readers that run once Serve does.
+func newReportReaders(server *Server) *reportReaders {
+	return &reportReaders{
+		server:  server,
+		reader:  server.options.Edges.Reports,
+		running: make(map[string]context.CancelFunc),
+	}
+}
+
+// Serve implements suture.Service: it compares what is read with the newest
+// view and the live nodes until ctx ends.
+func (r *reportReaders) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(r.server.options.ViewInterval)
+	defer ticker.Stop()
+	defer r.stopAll()
+	for {
+		if view := r.server.options.Source.View(); view != nil {
+			r.reconcile(ctx, r.owned(view))
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// String implements fmt.Stringer for the supervisor's messages.
+func (r *reportReaders) String() string {
+	return "report readers"
+}
+
+// owned returns the addresses that this node reads.
+func (r *reportReaders) owned(view *routing.View) map[string]bool {
+	peers := r.server.options.Peers()
+	owned := make(map[string]bool)
+	for address, zone := range reportingBackends(view) {
+		if readerOf(address, zone, peers) == r.server.options.Member {
+			owned[address] = true
+		}
+	}
+	return owned
+}
+
+// reportingBackends returns the zones of all back ends that report kept parts.
+func reportingBackends(view *routing.View) map[string]string {
+	zones := make(map[string]string)
+	for _, pool := range view.Pools {
+		for _, listed := range pool.Replicas {
+			zones[listed.Address] = listed.Zone
+		}
+		if address := pool.Store.GetAddress(); address != "" {
+			zones[address] = pool.Store.GetZone()
+		}
+	}
+	return zones
+}
+
+// readerOf returns the node that reads a back end: of the nodes in its zone, or
+// of all if there is none, the one that weighs highest for it.
+func readerOf(address, zone string, peers []member.Info) member.ID {
+	candidates := lo.Filter(peers, func(peer member.Info, _ int) bool { return peer.Zone == zone })
+	if len(candidates) == 0 {
+		candidates = peers
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	return slices.MaxFunc(candidates, func(a, b member.Info) int {
+		return cmp.Or(
+			cmp.Compare(readerWeight(address, a.ID), readerWeight(address, b.ID)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	}).ID
+}
+
+// readerWeight is the rendezvous weight of a node for a back end.
+func readerWeight(address string, id member.ID) uint64 {
+	return xxhash.Sum64String(address + "\x00" + string(id))
+}
+
+// reconcile starts and stops loops so that exactly the owned back ends are
+// read.
+func (r *reportReaders) reconcile(ctx context.Context, owned map[string]bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for address, stop := range r.running {
+		if !owned[address] {
+			stop()
+			delete(r.running, address)
+		}
+	}
+	for address := range owned {
+		if _, runs := r.running[address]; runs {
+			continue
+		}
+		reading, stop := context.WithCancel(ctx)
+		r.running[address] = stop
+		go r.read(reading, address)
+	}
+}
+
+func (r *reportReaders) stopAll() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for address, stop := range r.running {
+		stop()
+		delete(r.running, address)
+	}
+}
+
+// read reads one back end until ctx ends.
+func (r *reportReaders) read(ctx context.Context, address string) {
+	backoff := readBackoff
+	for ctx.Err() == nil {
+		if err := r.readOnce(ctx, address); err != nil {
+			pause(ctx, backoff)
+			backoff = min(2*backoff, longestReadBackoff)
+			continue
+		}
+		backoff = readBackoff
+		pause(ctx, readPause)
+	}
+}
+
+// readOnce reads a page from where this node stands, takes it in, and tells the
+// others.
+func (r *reportReaders) readOnce(ctx context.Context, address string) error {
+	epoch, since, known := r.server.router.PartsPosition(address)
+	bounded, cancel := context.WithTimeout(ctx, readWait+readPatience)
+	defer cancel()
+	page, err := r.reader.Read(bounded, address, since, readWait)
+	if err != nil {
+		return err
+	}
+	report := sharedReport(address, since, page)
+	if known && page.BootEpoch != epoch {
+		// The position belongs to an earlier life of the back end.
+		report.Feed.From = 0
+	}
+	if known && page.BootEpoch == epoch && len(report.Changes) == 0 && !page.Lost {
+		return nil
+	}
+	r.server.takeReport(r.server.options.Clock(), report)
+	r.server.sharing.reported(report)
+	return nil
+}
+
+// sharedReport is a page as it is told to others.
+func sharedReport(address string, since uint64, page ReportPage) shared.Report {
+	return shared.Report{
+		Address: address,
+		Feed:    kvrouter.Feed{BootEpoch: page.BootEpoch, From: since, Next: page.Next, Lost: page.Lost},
+		Changes: lo.Map(page.Changes, func(change PartChange, _ int) kvrouter.PartChange {
+			return kvrouter.PartChange{
+				Sequence: change.Sequence,
+				Salt:     change.CacheSalt,
+				Model:    change.Model,
+				ID:       change.ID,
+				Tokens:   change.Tokens,
+				Removed:  change.Removed,
+			}
+		}),
+	}
+}
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -29,6 +29,8 @@
 	suspects     *suspects
 	quarantine   *quarantine
 	feeds        *feeds
+	sharing      *sharing
+	readers      *reportReaders
 	chain        chain
 	listener     *listener
 	// recorder is nil without a recording.
@@ -68,10 +70,12 @@
 		inFlight:     newInFlight(),
 		suspects:     newSuspects(),
 		quarantine:   newQuarantine(),
+		sharing:      newSharing(),
 		seed:         rand.Uint64(),
 	}
 	server.feedsCtx, server.stopFeeds = context.WithCancel(context.Background())
 	server.feeds = newFeeds(server)
+	server.readers = newReportReaders(server)
 	if server.listener, err = newListener(options, server); err != nil {
 		return nil, err
 	}
@@ -90,6 +94,9 @@
 	supervisor := newSupervisor("traffic", s.options.Log)
 	supervisor.Add(s.feeds.supervisor)
 	supervisor.Add(s.feeds)
+	if s.options.Edges.Reports != nil {
+		supervisor.Add(s.readers)
+	}
 	ended := supervisor.ServeBackground(s.feedsCtx)
 	err := s.listener.serve()
 	s.stopFeeds()
--- /dev/null
+++ b/internal/dataplane/sharing.go
@@ -0,0 +1,119 @@
+package dataplane
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+const (
+	// loadRefresh is how long a load that has not changed is not told again. It
+	// is half the time for which others believe it.
+	loadRefresh = 500 * time.Millisecond
+	// maxHeldNews bounds the dispatches, and the pages of reports, that wait to
+	// be told; what is beyond it is not told.
+	maxHeldNews = 1024
+)
+
+// toldLoad is the load of a replica as the others were told it last.
+type toldLoad struct {
+	load kvrouter.SharedLoad
+	at   time.Duration
+}
+
+// sharing gathers what this node tells the others of its traffic.
+type sharing struct {
+	mutex      sync.Mutex
+	told       map[string]toldLoad
+	dispatches []shared.Dispatch
+	reports    []shared.Report
+}
+
+// newSharing returns a sharing that has nothing to tell.
+func newSharing() *sharing {
+	return &sharing{told: make(map[string]toldLoad)}
+}
+
+// dispatched notes a request that was sent to a replica.
+func (s *sharing) dispatched(dispatch shared.Dispatch) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.dispatches) < maxHeldNews {
+		s.dispatches = append(s.dispatches, dispatch)
+	}
+}
+
+// reported notes a page of reports that this node has read.
+func (s *sharing) reported(report shared.Report) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.reports) < maxHeldNews {
+		s.reports = append(s.reports, report)
+	}
+}
+
+// take returns what is to be told now, given the present loads.
+func (s *sharing) take(now time.Duration, loads []kvrouter.AddressLoad) *shared.Message {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	message := &shared.Message{Dispatches: s.dispatches, Reports: s.reports}
+	s.dispatches = nil
+	s.reports = nil
+	for _, load := range loads {
+		if s.worthTelling(now, load) {
+			message.Loads = append(message.Loads, load)
+		}
+	}
+	return message
+}
+
+// worthTelling tells whether the others believe another load, or would cease to
+// believe this one. The lock is held.
+func (s *sharing) worthTelling(now time.Duration, load kvrouter.AddressLoad) bool {
+	told, known := s.told[load.Address]
+	idle := load.SharedLoad.Requests == 0
+	if known && told.load == load.SharedLoad && (idle || now-told.at < loadRefresh) {
+		return false
+	}
+	if idle {
+		delete(s.told, load.Address)
+		return known
+	}
+	s.told[load.Address] = toldLoad{load: load.SharedLoad, at: now}
+	return true
+}
+
+// Share returns what this node has to tell the others of its traffic since the
+// last call, or nil if there is nothing.
+func (s *Server) Share() *shared.Message {
+	now := s.options.Clock()
+	message := s.sharing.take(now, s.router.OwnLoads(now))
+	if message.Empty() {
+		return nil
+	}
+	return message
+}
+
+// TakeShared takes in what another node has told.
+func (s *Server) TakeShared(node string, message *shared.Message) {
+	now := s.options.Clock()
+	for _, load := range message.Loads {
+		s.router.RemoteLoad(now, node, load.Address, load.SharedLoad)
+	}
+	for _, dispatch := range message.Dispatches {
+		s.router.Observe(now, dispatch.Address, dispatch.Model, dispatch.CacheSalt, dispatch.Naming, dispatch.Parts)
+	}
+	for _, report := range message.Reports {
+		s.takeReport(now, report)
+	}
+}
+
+// takeReport brings a page of reports into the index.
+func (s *Server) takeReport(now time.Duration, report shared.Report) kvrouter.FeedStatus {
+	if report.Whole {
+		return s.router.PartsListed(now, report.Address, report.Feed.BootEpoch, report.Feed.Next, report.Changes)
+	}
+	return s.router.PartsReported(now, report.Address, report.Feed, report.Changes)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,9 @@
 	source := &lateSource{}
 	n.dataplane, err = dataplane.New(dataplane.Options{
 		Node:         n.settings.Node,
+		Member:       member.ID(n.settings.Node),
 		Zone:         n.settings.Zone,
+		Peers:        source.peers,
 		Address:      n.settings.Traffic,
 		Source:       source,
 		Clock:        clock.SinceBoot,
@@ -113,6 +115,7 @@
 		Sender:     listening,
 		Storage:    n.storage.shards(),
 		Commander:  n.commander,
+		Traffic:    n.dataplane,
 		Log:        n.log.WithField("component", "control"),
 	})
 	n.commander.driver = n.driver
@@ -153,6 +156,7 @@
 	supervisor.Add(&controlService{driver: n.driver})
 	supervisor.Add(&platformService{node: n})
 	supervisor.Add(&reportService{commander: n.commander})
+	supervisor.Add(&shareService{dataplane: n.dataplane, driver: n.driver})
 	finished := make(chan struct{})
 	ended := supervisor.ServeBackground(ctx)
 	go func() {
--- a/internal/wire/fb/Envelope.go
+++ b/internal/wire/fb/Envelope.go
@@ -15,6 +15,7 @@
 	Relay       *RelayT       `json:"relay"`
 	Control     *ControlT     `json:"control"`
 	Deployment  string        `json:"deployment"`
+	Traffic     *TrafficT     `json:"traffic"`
 }
 
 func (t *EnvelopeT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -27,6 +28,7 @@
 	relayOffset := t.Relay.Pack(builder)
 	controlOffset := t.Control.Pack(builder)
 	deploymentOffset := builder.CreateString(t.Deployment)
+	trafficOffset := t.Traffic.Pack(builder)
 	EnvelopeStart(builder)
 	EnvelopeAddFrom(builder, fromOffset)
 	EnvelopeAddIncarnation(builder, t.Incarnation)
@@ -36,6 +38,7 @@
 	EnvelopeAddRelay(builder, relayOffset)
 	EnvelopeAddControl(builder, controlOffset)
 	EnvelopeAddDeployment(builder, deploymentOffset)
+	EnvelopeAddTraffic(builder, trafficOffset)
 	return EnvelopeEnd(builder)
 }
 
@@ -48,6 +51,7 @@
 	t.Relay = rcv.Relay(nil).UnPack()
 	t.Control = rcv.Control(nil).UnPack()
 	t.Deployment = string(rcv.Deployment())
+	t.Traffic = rcv.Traffic(nil).UnPack()
 }
 
 func (rcv *Envelope) UnPack() *EnvelopeT {
@@ -178,8 +182,21 @@
 	return nil
 }
 
+func (rcv *Envelope) Traffic(obj *Traffic) *Traffic {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(Traffic)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
 func EnvelopeStart(builder *flatbuffers.Builder) {
-	builder.StartObject(8)
+	builder.StartObject(9)
 }
 func EnvelopeAddFrom(builder *flatbuffers.Builder, from flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(from), 0)
@@ -205,6 +222,9 @@
 func EnvelopeAddDeployment(builder *flatbuffers.Builder, deployment flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(7, flatbuffers.UOffsetT(deployment), 0)
 }
+func EnvelopeAddTraffic(builder *flatbuffers.Builder, traffic flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(8, flatbuffers.UOffsetT(traffic), 0)
+}
 func EnvelopeEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- /dev/null
+++ b/internal/wire/traffic.go
@@ -0,0 +1,216 @@
+package wire
+
+import (
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// The least bytes that an element of a vector of a Traffic message takes.
+const (
+	partChangeBytes = 32
+	textIndexBytes  = 4
+)
+
+// textTable gives each text of a message an index.
+type textTable struct {
+	indexes map[string]uint32
+	texts   []string
+}
+
+func newTextTable() *textTable {
+	return &textTable{indexes: map[string]uint32{}}
+}
+
+// index returns the index of a text, which is new if it was not met before.
+func (t *textTable) index(text string) uint32 {
+	known, found := t.indexes[text]
+	if found {
+		return known
+	}
+	added := uint32(len(t.texts))
+	t.indexes[text] = added
+	t.texts = append(t.texts, text)
+	return added
+}
+
+func packTraffic(message *shared.Message) *fb.TrafficT {
+	if message == nil {
+		return nil
+	}
+	table := newTextTable()
+	packed := &fb.TrafficT{}
+	for _, load := range message.Loads {
+		packed.Loads = append(packed.Loads, packLoad(table, load))
+	}
+	for _, dispatch := range message.Dispatches {
+		packed.Dispatches = append(packed.Dispatches, packDispatch(table, dispatch))
+	}
+	for _, report := range message.Reports {
+		packed.Reports = append(packed.Reports, packReport(table, report))
+	}
+	packed.Texts = table.texts
+	return packed
+}
+
+func packLoad(table *textTable, load kvrouter.AddressLoad) *fb.TrafficLoadT {
+	packed := &fb.TrafficLoadT{
+		Address:        table.index(load.Address),
+		DecodeTokens:   float32(load.DecodeTokens),
+		Requests:       float32(load.Requests),
+		SlownessSum:    float32(load.Slowness.Sum),
+		SlownessWeight: float32(load.Slowness.Weight),
+	}
+	for priority, tokens := range load.PrefillTokens {
+		if tokens == 0 {
+			continue
+		}
+		for len(packed.PrefillTokens) <= priority {
+			packed.PrefillTokens = append(packed.PrefillTokens, 0)
+		}
+		packed.PrefillTokens[priority] = float32(tokens)
+	}
+	return packed
+}
+
+func packDispatch(table *textTable, dispatch shared.Dispatch) *fb.TrafficDispatchT {
+	packed := &fb.TrafficDispatchT{
+		Address:   table.index(dispatch.Address),
+		Model:     table.index(dispatch.Model),
+		CacheSalt: table.index(dispatch.CacheSalt),
+		Naming:    byte(dispatch.Naming),
+	}
+	for _, part := range dispatch.Parts {
+		packed.PartIds = append(packed.PartIds, table.index(part.ID))
+		packed.PartTokens = append(packed.PartTokens, part.Tokens)
+	}
+	return packed
+}
+
+func packReport(table *textTable, report shared.Report) *fb.TrafficReportT {
+	packed := &fb.TrafficReportT{
+		Address:   table.index(report.Address),
+		BootEpoch: report.Feed.BootEpoch,
+		From:      report.Feed.From,
+		Next:      report.Feed.Next,
+		Lost:      report.Feed.Lost,
+		Whole:     report.Whole,
+	}
+	for _, change := range report.Changes {
+		packed.Changes = append(packed.Changes, &fb.PartChangeT{
+			Sequence:  change.Sequence,
+			CacheSalt: table.index(change.Salt),
+			Model:     table.index(change.Model),
+			Id:        table.index(change.ID),
+			Tokens:    change.Tokens,
+			Removed:   change.Removed,
+		})
+	}
+	return packed
+}
+
+// texts is the text table of a message that was received.
+type texts []string
+
+// at returns a text, or "" for an index that the message does not have.
+func (t texts) at(index uint32) string {
+	if int64(index) >= int64(len(t)) {
+		return ""
+	}
+	return t[index]
+}
+
+func (r *reader) traffic(table *fb.Traffic) *shared.Message {
+	if table == nil {
+		return nil
+	}
+	named := make(texts, r.elements(table.TextsLength(), leastStringBytes))
+	for i := range named {
+		named[i] = r.text(table.Texts(i))
+	}
+	return &shared.Message{
+		Loads:      r.trafficLoads(table, named),
+		Dispatches: r.trafficDispatches(table, named),
+		Reports:    r.trafficReports(table, named),
+	}
+}
+
+func (r *reader) trafficLoads(table *fb.Traffic, named texts) []kvrouter.AddressLoad {
+	loads := make([]kvrouter.AddressLoad, r.elements(table.LoadsLength(), leastTableBytes))
+	var stored fb.TrafficLoad
+	for i := range loads {
+		table.Loads(&stored, i)
+		loads[i].Address = named.at(stored.Address())
+		loads[i].DecodeTokens = float64(stored.DecodeTokens())
+		loads[i].Requests = float64(stored.Requests())
+		loads[i].Slowness.Sum = float64(stored.SlownessSum())
+		loads[i].Slowness.Weight = float64(stored.SlownessWeight())
+		for priority := range min(stored.PrefillTokensLength(), kvrouter.Priorities) {
+			loads[i].PrefillTokens[priority] = float64(stored.PrefillTokens(priority))
+		}
+	}
+	return loads
+}
+
+func (r *reader) trafficDispatches(table *fb.Traffic, named texts) []shared.Dispatch {
+	dispatches := make([]shared.Dispatch, r.elements(table.DispatchesLength(), leastTableBytes))
+	var stored fb.TrafficDispatch
+	for i := range dispatches {
+		table.Dispatches(&stored, i)
+		dispatches[i] = shared.Dispatch{
+			Address:   named.at(stored.Address()),
+			Model:     named.at(stored.Model()),
+			CacheSalt: named.at(stored.CacheSalt()),
+			Naming:    kvrouter.Naming(stored.Naming()),
+			Parts:     r.trafficParts(&stored, named),
+		}
+	}
+	return dispatches
+}
+
+func (r *reader) trafficParts(stored *fb.TrafficDispatch, named texts) []prefixindex.Part {
+	length := min(stored.PartIdsLength(), stored.PartTokensLength())
+	parts := make([]prefixindex.Part, r.elements(length, textIndexBytes))
+	for i := range parts {
+		parts[i] = prefixindex.Part{ID: named.at(stored.PartIds(i)), Tokens: stored.PartTokens(i)}
+	}
+	return parts
+}
+
+func (r *reader) trafficReports(table *fb.Traffic, named texts) []shared.Report {
+	reports := make([]shared.Report, r.elements(table.ReportsLength(), leastTableBytes))
+	var stored fb.TrafficReport
+	for i := range reports {
+		table.Reports(&stored, i)
+		reports[i] = shared.Report{
+			Address: named.at(stored.Address()),
+			Feed: kvrouter.Feed{
+				BootEpoch: stored.BootEpoch(),
+				From:      stored.From(),
+				Next:      stored.Next(),
+				Lost:      stored.Lost(),
+			},
+			Whole:   stored.Whole(),
+			Changes: r.partChanges(&stored, named),
+		}
+	}
+	return reports
+}
+
+func (r *reader) partChanges(stored *fb.TrafficReport, named texts) []kvrouter.PartChange {
+	changes := make([]kvrouter.PartChange, r.elements(stored.ChangesLength(), partChangeBytes))
+	var change fb.PartChange
+	for i := range changes {
+		stored.Changes(&change, i)
+		changes[i] = kvrouter.PartChange{
+			Sequence: change.Sequence(),
+			Salt:     named.at(change.CacheSalt()),
+			Model:    named.at(change.Model()),
+			ID:       named.at(change.Id()),
+			Tokens:   change.Tokens(),
+			Removed:  change.Removed(),
+		}
+	}
+	return changes
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	flatbuffers "github.com/google/flatbuffers/go"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
@@ -43,6 +44,7 @@
 	Membership  *membership.Message
 	Relay       *relaytree.Message
 	Control     *protocol.Message
+	Traffic     *shared.Message
 }
 
 // Encode returns the frame of an envelope. The result shares no memory with
@@ -57,6 +59,7 @@
 		Membership:  packMembership(envelope.Membership, envelope.From),
 		Relay:       packRelay(envelope.Relay),
 		Control:     packControl(envelope.Control),
+		Traffic:     packTraffic(envelope.Traffic),
 	}
 	builder := flatbuffers.NewBuilder(initialBuilderBytes)
 	builder.FinishWithFileIdentifier(table.Pack(builder), []byte(identifier))
@@ -93,7 +96,7 @@
 // messages counts the messages that are set.
 func (e Envelope) messages() int {
 	count := 0
-	for _, set := range []bool{e.Replication != nil, e.Membership != nil, e.Relay != nil, e.Control != nil} {
+	for _, set := range []bool{e.Replication != nil, e.Membership != nil, e.Relay != nil, e.Control != nil, e.Traffic != nil} {
 		if set {
 			count++
 		}
@@ -112,5 +115,6 @@
 		Membership:  r.membership(table.Membership(nil), sender),
 		Relay:       r.relay(table.Relay(nil)),
 		Control:     r.control(table.Control(nil)),
+		Traffic:     r.traffic(table.Traffic(nil)),
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -29,6 +29,14 @@
 		value.SetBool(true)
 	case reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
 		value.SetUint(f.next%255 + 1)
+	case reflect.Int:
+		value.SetInt(int64(f.next%255 + 1))
+	case reflect.Float64:
+		value.SetFloat(float64(f.next%255 + 1))
+	case reflect.Array:
+		for i := range value.Len() {
+			f.fill(value.Index(i), path)
+		}
 	case reflect.String:
 		value.SetString(fmt.Sprintf("%s-%d", path, f.next))
 	case reflect.Pointer:
@@ -78,7 +86,7 @@
 var _ = Describe("Frames", func() {
 	It("carry every field of every message", func() {
 		envelopes := filledEnvelopes()
-		Expect(envelopes).To(HaveLen(4))
+		Expect(envelopes).To(HaveLen(5))
 		for _, envelope := range envelopes {
 			Expect(Decode(Encode(envelope))).To(Equal(envelope))
 		}
