--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -58,7 +58,7 @@
 	// Traffic takes in what other nodes tell of their traffic; nil on nodes that
 	// serve none.
 	Traffic TrafficReceiver
-	Log        *logrus.Entry
+	Log     *logrus.Entry
 }
 
 // Driver runs a Machine: one goroutine owns it, feeds it inputs and carries out
--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -36,6 +36,9 @@
 	server *Server
 	reader ReportReader
 
+	// seen is the view that forgetUnlisted looked at last. It belongs to Serve.
+	seen *routing.View
+
 	mutex   sync.Mutex
 	running map[string]context.CancelFunc
 }
@@ -58,6 +61,7 @@
 	for {
 		if view := r.server.options.Source.View(); view != nil {
 			r.reconcile(ctx, r.owned(view))
+			r.forgetUnlisted(view)
 		}
 		select {
 		case <-ctx.Done():
@@ -72,6 +76,22 @@
 	return "report readers"
 }
 
+// forgetUnlisted drops what is known of back ends that are not listed any more.
+func (r *reportReaders) forgetUnlisted(view *routing.View) {
+	if view == r.seen {
+		return
+	}
+	r.seen = view
+	listed := reportingBackends(view)
+	for _, address := range r.server.router.Addresses() {
+		if _, stays := listed[address]; !stays {
+			r.server.router.Forget(address)
+			r.server.quarantine.forget(address)
+			r.server.suspects.succeeded(address)
+		}
+	}
+}
+
 // owned returns the addresses that this node reads.
 func (r *reportReaders) owned(view *routing.View) map[string]bool {
 	peers := r.server.options.Peers()
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -12,6 +12,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
 // errDraining is the reason why a stopping node is not ready.
@@ -25,6 +26,9 @@
 // View implements routing.Source.
 func (s *lateSource) View() *routing.View { return s.driver.View() }
 
+// peers returns the live nodes that serve callers.
+func (s *lateSource) peers() []member.Info { return s.driver.Peers() }
+
 // Serving implements routing.Source.
 func (s *lateSource) Serving() error { return s.driver.Serving() }
 
