--- a/internal/dataplane/dispatch.go
+++ b/internal/dataplane/dispatch.go
@@ -30,6 +30,8 @@
 	current(w *work) bool
 	// send runs the attempt up to the header of its answer.
 	send(ctx context.Context, w *work, attempt int) (Answer, error)
+	// refused says that the back end promised not to run the attempt.
+	refused(refusal *outbound.RefusedError)
 	// firstOutput says that a streamed answer has begun. When a whole answer
 	// began is not known: its header may come at any time before its end.
 	firstOutput()
@@ -99,7 +101,7 @@
 	chosen, problem := d.choose(w)
 	if problem == nil && !w.counters.permitAttempt(d.server.options.Clock(), w.ledger.Sent(), attempt) {
 		d.release(chosen, false)
-		problem = budgetProblem(w.problem)
+		problem = budgetProblem(w.problem).After(d.server.options.BackendRetry)
 	}
 	if problem != nil {
 		w.problem = problem
@@ -131,7 +133,7 @@
 		d.release(chosen, false)
 	}
 	return nil, caller.NewProblem(caller.KindNoBackend,
-		"the back ends are changing: send the request again").After(backendRetry)
+		"the back ends are changing: send the request again").After(d.server.options.BackendRetry)
 }
 
 // release ends an attempt that choose has counted in.
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -22,6 +22,9 @@
 	DefaultRequestTimeout = 60 * time.Second
 	// DefaultMaxAttempts bounds the attempts of one request.
 	DefaultMaxAttempts = 4
+	// DefaultBackendRetry is when a caller may come back after a failure of a
+	// back end.
+	DefaultBackendRetry = time.Second
 	// DefaultDrainTimeout bounds the time in which a stopping node finishes.
 	DefaultDrainTimeout = 20 * time.Second
 	// DefaultEventSilence is the longest time without an event of a back end.
@@ -100,6 +103,8 @@
 	// MaxUnsent is how many attempts that could not be sent do not count among
 	// these.
 	MaxUnsent int
+	// BackendRetry is when a caller may come back after a failure of a back end.
+	BackendRetry time.Duration
 	// DrainTimeout bounds the time in which a stopping node finishes.
 	DrainTimeout time.Duration
 	// EventSilence is the longest time without an event of a back end.
@@ -138,6 +143,7 @@
 	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
 	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&o.BackendRetry, DefaultBackendRetry)
 	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&o.EventSilence, DefaultEventSilence)
 	setDefault(&o.ViewInterval, DefaultViewInterval)
--- a/internal/dataplane/outcome.go
+++ b/internal/dataplane/outcome.go
@@ -12,9 +12,6 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
 )
 
-// backendRetry is when a caller may come back after a failure of a back end.
-const backendRetry = time.Second
-
 // versionError says that an answer was made under other weights than the cache
 // salt of its request names.
 type versionError struct {
@@ -32,7 +29,7 @@
 	if errors.As(err, &unsent) && !unsent.MayHaveLeft {
 		d.suspectUnlessEnded(w, chosen)
 		w.problem = caller.NewProblem(caller.KindNoBackend,
-			"the back end could not be reached: send the request again").After(backendRetry)
+			"the back end could not be reached: send the request again").After(d.server.options.BackendRetry)
 		w.apply(attempts.Event{Kind: attempts.NotSent, Attempt: attempt})
 		return
 	}
@@ -40,8 +37,10 @@
 	if unsent == nil {
 		d.server.suspects.heard(chosen.address())
 	}
-	if problem := refusedProblem(err); problem != nil {
-		w.problem = problem
+	var refusal *outbound.RefusedError
+	if errors.As(err, &refusal) {
+		chosen.refused(refusal)
+		w.problem = refusedProblem(refusal, d.server.options.BackendRetry)
 		w.apply(attempts.Event{Kind: attempts.Refused, Attempt: attempt})
 		return
 	}
@@ -76,15 +75,10 @@
 	}
 }
 
-// refusedProblem tells of a back end that promised not to run the request, or
-// is nil if the error is no such promise.
-func refusedProblem(err error) *caller.Problem {
-	var refused *outbound.RefusedError
-	if !errors.As(err, &refused) {
-		return nil
-	}
+// refusedProblem tells of a back end that promised not to run the request.
+func refusedProblem(refusal *outbound.RefusedError, wait time.Duration) *caller.Problem {
 	return caller.NewProblem(caller.KindBackendRefused,
-		"the back end did not take the request (%v): send it again later", err).After(max(refused.RetryAfter, backendRetry))
+		"the back end did not take the request (%v): send it again later", refusal).After(max(refusal.RetryAfter, wait))
 }
 
 // budgetProblem tells of a retry that the budget does not permit. It keeps
@@ -95,7 +89,7 @@
 		reason = last.Message
 	}
 	return caller.NewProblem(caller.KindRetryBudgetSpent,
-		"the destination's share of retries is used up after this failure: %s", reason).After(backendRetry)
+		"the destination's share of retries is used up after this failure: %s", reason)
 }
 
 // answer does what the ledger asks for at the end.
@@ -131,7 +125,7 @@
 func (w *work) finalProblem() *caller.Problem {
 	problem := w.problem
 	if problem == nil {
-		problem = caller.NewProblem(caller.KindNoBackend, "no attempt was possible: send the request again").After(backendRetry)
+		problem = caller.NewProblem(caller.KindNoBackend, "no attempt was possible: send the request again").After(DefaultBackendRetry)
 	}
 	// A lost claim may have let another node run the request.
 	problem.MayHaveRun = problem.MayHaveRun || w.ledger.MayHaveRun()
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
@@ -34,19 +35,19 @@
 func (b *poolBackend) choose(w *work) (target, *caller.Problem) {
 	pool := b.newestPool(w)
 	if pool == nil || pool.Config.GetModel() != w.destination.Pool.Config.GetModel() {
-		return nil, noReplicaProblem(&kvrouter.NoReplicaError{Reason: kvrouter.NoneListed, RetryAfter: backendRetry})
+		return nil, noReplicaProblem(&kvrouter.NoReplicaError{Reason: kvrouter.NoneListed}, b.server.options.BackendRetry)
 	}
 	now := b.server.options.Clock()
 	avoidSuspects := func(address string) bool {
 		return w.hasTried(address) || b.server.suspects.avoided(now, address)
 	}
-	decision, err := b.server.router.Select(b.selection(w, pool, now, avoidSuspects), b.candidates(pool))
+	decision, err := b.server.router.Select(b.selection(w, pool, now, avoidSuspects), b.candidates(now, pool))
 	var none *kvrouter.NoReplicaError
 	if errors.As(err, &none) && none.Reason == kvrouter.AllExcluded {
-		decision, err = b.server.router.Select(b.selection(w, pool, now, w.hasTried), b.candidates(pool))
+		decision, err = b.server.router.Select(b.selection(w, pool, now, w.hasTried), b.candidates(now, pool))
 	}
 	if err != nil {
-		return nil, noReplicaProblem(err)
+		return nil, noReplicaProblem(err, b.server.options.BackendRetry)
 	}
 	return &replicaTarget{backend: b, decision: decision}, nil
 }
@@ -85,11 +86,12 @@
 
 // candidates returns the replicas of a pool that requests may go to. A replica
 // whose weight version is not confirmed gets none: no cache salt could be right.
-func (b *poolBackend) candidates(pool *routing.Pool) []kvrouter.Candidate {
+func (b *poolBackend) candidates(now time.Duration, pool *routing.Pool) []kvrouter.Candidate {
 	candidates := make([]kvrouter.Candidate, 0, len(pool.Replicas))
 	for _, listed := range pool.Replicas {
 		confirmed := listed.WeightVersion != ""
-		if listed.Admitting && confirmed && !b.server.quarantine.holds(listed.Address, listed.WeightVersion) {
+		if listed.Admitting && confirmed && !b.server.quarantine.holds(listed.Address, listed.WeightVersion) &&
+			!b.server.outdated.holds(now, listed) {
 			candidates = append(candidates, kvrouter.Candidate{
 				Address:       listed.Address,
 				Zone:          listed.Zone,
@@ -120,9 +122,8 @@
 const anonymousDomain = "anonymous"
 
 // noReplicaProblem tells why no replica was chosen.
-func noReplicaProblem(err error) *caller.Problem {
+func noReplicaProblem(err error, wait time.Duration) *caller.Problem {
 	kind := caller.KindNoBackend
-	wait := backendRetry
 	var none *kvrouter.NoReplicaError
 	if errors.As(err, &none) {
 		wait = max(none.RetryAfter, wait)
@@ -224,6 +225,15 @@
 	return nil
 }
 
+// refused implements target.
+func (t *replicaTarget) refused(refusal *outbound.RefusedError) {
+	if !refusal.WrongTarget {
+		return
+	}
+	server := t.backend.server
+	server.outdated.refused(server.options.Clock(), t.decision.Address, t.decision.Instance, t.decision.WeightVersion)
+}
+
 // firstOutput implements target.
 func (t *replicaTarget) firstOutput() {
 	t.decision.Reservation.FirstToken(t.backend.server.options.Clock())
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -28,6 +28,7 @@
 	inFlight     *inFlight
 	suspects     *suspects
 	quarantine   *quarantine
+	outdated     *outdated
 	feeds        *feeds
 	sharing      *sharing
 	readers      *reportReaders
@@ -70,6 +71,7 @@
 		inFlight:     newInFlight(),
 		suspects:     newSuspects(),
 		quarantine:   newQuarantine(),
+		outdated:     newOutdated(),
 		sharing:      newSharing(),
 		seed:         rand.Uint64(),
 	}
--- a/internal/dataplane/web.go
+++ b/internal/dataplane/web.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
@@ -25,7 +25,7 @@
 // webTarget is a back end chosen for one attempt.
 type webTarget struct {
 	backend *webBackend
-	chosen  string
+	chosen  routing.Replica
 }
 
 // choose implements backend: the fewest attempts in flight win. Back ends that
@@ -33,19 +33,19 @@
 func (b *webBackend) choose(w *work) (target, *caller.Problem) {
 	service := b.newestService(w)
 	if service == nil {
-		return nil, noWebBackendProblem()
+		return nil, noWebBackendProblem().After(b.server.options.BackendRetry)
 	}
 	now := b.server.options.Clock()
-	address, found := b.leastInFlight(service, func(address string) bool {
-		return w.hasTried(address) || b.server.suspects.avoided(now, address)
+	chosen, found := b.leastInFlight(service, func(listed routing.Replica) bool {
+		return w.hasTried(listed.Address) || b.server.suspects.avoided(now, listed.Address) || b.server.outdated.holds(now, listed)
 	})
 	if !found {
-		address, found = b.leastInFlight(service, w.hasTried)
+		chosen, found = b.leastInFlight(service, func(listed routing.Replica) bool { return w.hasTried(listed.Address) })
 	}
 	if !found {
-		return nil, noWebBackendProblem()
+		return nil, noWebBackendProblem().After(b.server.options.BackendRetry)
 	}
-	return &webTarget{backend: b, chosen: address}, nil
+	return &webTarget{backend: b, chosen: chosen}, nil
 }
 
 // newestService returns the work's service in the newest view, or nil.
@@ -58,18 +58,18 @@
 }
 
 // leastInFlight returns the admitting back end with the fewest attempts.
-func (b *webBackend) leastInFlight(service *routing.WebService, exclude func(string) bool) (string, bool) {
-	best, bestCount, found := "", 0, false
+func (b *webBackend) leastInFlight(service *routing.WebService, exclude func(routing.Replica) bool) (routing.Replica, bool) {
+	best, bestCount, found := routing.Replica{}, 0, false
 	total := uint64(len(service.Replicas))
 	turn := b.turn.Add(1)
 	for offset := range total {
 		listed := service.Replicas[(turn+offset)%total]
-		if !listed.Admitting || exclude(listed.Address) {
+		if !listed.Admitting || exclude(listed) {
 			continue
 		}
 		count := b.server.inFlight.of(listed.Address)
 		if !found || count < bestCount {
-			best, bestCount, found = listed.Address, count, true
+			best, bestCount, found = listed, count, true
 		}
 	}
 	return best, found
@@ -78,12 +78,12 @@
 // noWebBackendProblem tells that no back end admits requests.
 func noWebBackendProblem() *caller.Problem {
 	return caller.NewProblem(caller.KindNoBackend,
-		"no back end of the web service takes requests: send the request again").After(time.Second)
+		"no back end of the web service takes requests: send the request again")
 }
 
 // address implements target.
 func (t *webTarget) address() string {
-	return t.chosen
+	return t.chosen.Address
 }
 
 // current implements target.
@@ -93,8 +93,8 @@
 		return false
 	}
 	for _, listed := range service.Replicas {
-		if listed.Address == t.chosen {
-			return listed.Admitting
+		if listed.Address == t.chosen.Address {
+			return listed.Admitting && listed.Instance == t.chosen.Instance
 		}
 	}
 	return false
@@ -102,7 +102,18 @@
 
 // send implements target.
 func (t *webTarget) send(ctx context.Context, w *work, attempt int) (Answer, error) {
-	return t.backend.edge.Send(ctx, w.attempt(t.backend.server, t.chosen, attempt))
+	described := w.attempt(t.backend.server, t.chosen.Address, attempt)
+	described.Instance = t.chosen.Instance
+	return t.backend.edge.Send(ctx, described)
+}
+
+// refused implements target.
+func (t *webTarget) refused(refusal *outbound.RefusedError) {
+	if !refusal.WrongTarget {
+		return
+	}
+	server := t.backend.server
+	server.outdated.refused(server.options.Clock(), t.chosen.Address, t.chosen.Instance, t.chosen.WeightVersion)
 }
 
 // firstOutput implements target.
