The platform's list is read by one node and passed on: the machine

One node reads the list and spreads each reading in few bytes; a silent reader is replaced by the next in an order that all derive alike. Readings are ordered by term, reader and number, and travel with their age. Not wired yet.

--- /dev/null
+++ b/internal/control/listing/machine.go
@@ -0,0 +1,241 @@
+package listing
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+const (
+	// DefaultReadEvery is the time between two readings of the list.
+	DefaultReadEvery = time.Second
+	// requestAfter is how much longer than ReadEvery a node waits for a refresh
+	// before it asks another node, which repairs a lost message.
+	requestAfter = 350 * time.Millisecond
+	// requestEvery is the time between two such requests.
+	requestEvery = 200 * time.Millisecond
+	// takeOverAfter is how much longer than ReadEvery the first in the order of
+	// readers waits for a refresh before it reads by itself, and takeOverStep how
+	// much longer each further step of the order waits.
+	takeOverAfter = 500 * time.Millisecond
+	takeOverStep  = 350 * time.Millisecond
+	// firstReadAfter is how long a starting node waits for the list of another
+	// node before the first in the order reads, and aloneAfter how long it waits
+	// if it knows no other node.
+	firstReadAfter = 300 * time.Millisecond
+	aloneAfter     = time.Second
+	// readLimit is how long a reading may take.
+	readLimit = 2 * time.Second
+	// leastBackOff and mostBackOff bound the pause after a failed reading.
+	leastBackOff = time.Second
+	mostBackOff  = 4 * time.Second
+	// mostDoublings bounds how often the pause doubles.
+	mostDoublings = 3
+	// mergeWithin is how long after the reading in force one of another reader
+	// may have begun and yet be older, since ages leave out the time on the way.
+	mergeWithin = 2 * time.Second
+	// frozenAfter is the time between two ticks from which on a node takes itself
+	// to have been suspended.
+	frozenAfter = 500 * time.Millisecond
+	// coldJitter is by how much two readings of one cold spell may differ.
+	coldJitter = 500 * time.Millisecond
+	// directFor is how long a node that had to ask gets readings directly, in
+	// case the one that should pass them on does not.
+	directFor = 10 * time.Second
+	// answerWithin is how long a request waits for a reading to answer it with.
+	answerWithin = 500 * time.Millisecond
+)
+
+// Config sets up a Machine.
+type Config struct {
+	Self member.ID
+	Zone string
+	// ReadEvery is the time between two readings; 0 means the default.
+	ReadEvery time.Duration
+}
+
+// Machine is the part of one node. It is not safe for concurrent use.
+type Machine struct {
+	config  Config
+	now     time.Duration
+	started time.Duration
+	members []Member
+	// introduced tells that this node asked the first members that it learnt of.
+	introduced bool
+	held       held
+	// replicas is what the node uses, on its own clock.
+	replicas []Replica
+	changed  bool
+	// common tells that replicas is what the lists of two readers have in common,
+	// and commonUntil until when no list is used alone.
+	common      bool
+	commonUntil time.Duration
+
+	// reader tells that this node is the reader.
+	reader    bool
+	reading   bool
+	readBegan time.Duration
+	nextRead  time.Duration
+	failures  int
+	// notBefore is until when a failed reading keeps this node from another.
+	notBefore time.Duration
+
+	nextRequest time.Duration
+	// requests counts those since the last refresh.
+	requests int
+	// askedAt is when each node that had a list last asked this one.
+	askedAt map[member.ID]time.Duration
+	// waiting are requests that this node had nothing newer for.
+	waiting map[member.ID]waitingRequest
+	// answeredAt is when each outdated reader was last told.
+	answeredAt map[member.ID]time.Duration
+	forwarded  Version
+	output     Output
+}
+
+// held is the newest reading that this node has.
+type held struct {
+	present bool
+	version Version
+	// readAt is when the reading began, on this node's clock, or a little before
+	// the message with it arrived; readerReadAt is the same on the reader's clock.
+	readAt       time.Duration
+	readerReadAt time.Duration
+	// heardAt is when the reading reached this node.
+	heardAt  time.Duration
+	replicas []Replica
+	digest   uint64
+}
+
+// waitingRequest is a request that a later reading answers.
+type waitingRequest struct {
+	at     time.Duration
+	digest uint64
+}
+
+// Output is what a node has to do after an input.
+type Output struct {
+	Sends []Outbound
+	// Read asks for a reading; its outcome comes by ReadDone.
+	Read bool
+	// Changed tells that Replicas has changed.
+	Changed bool
+}
+
+// New returns the machine of a node that starts.
+func New(config Config, now time.Duration) *Machine {
+	if config.ReadEvery <= 0 {
+		config.ReadEvery = DefaultReadEvery
+	}
+	return &Machine{
+		config:     config,
+		now:        now,
+		started:    now,
+		members:    []Member{{ID: config.Self, Zone: config.Zone}},
+		askedAt:    map[member.ID]time.Duration{},
+		waiting:    map[member.ID]waitingRequest{},
+		answeredAt: map[member.ID]time.Duration{},
+	}
+}
+
+// Replicas returns the list that the node uses, sorted by service and address;
+// read only. ColdUntil is on the node's clock.
+func (m *Machine) Replicas() []Replica { return m.replicas }
+
+// ReadAt returns when the list that the node uses was read; false before the first.
+func (m *Machine) ReadAt() (readAt time.Duration, present bool) {
+	return m.held.readAt, m.held.present
+}
+
+// Version names the newest reading.
+func (m *Machine) Version() Version { return m.held.version }
+
+// Reads tells whether this node is the reader.
+func (m *Machine) Reads() bool { return m.reader }
+
+// Tick advances time.
+func (m *Machine) Tick(now time.Duration) Output {
+	if now-m.now > frozenAfter {
+		// Others may have taken over. What this node would read now says nothing
+		// about that, so that it waits for them like any other.
+		m.reader = false
+	}
+	m.now = now
+	if m.reading && now-m.readBegan >= readLimit {
+		m.readFailed()
+	}
+	if !m.reading && m.readingDue() {
+		m.beginReading()
+	}
+	if now >= m.nextRequest && m.requestDue() {
+		m.sendRequest()
+	}
+	return m.take()
+}
+
+func (m *Machine) take() Output {
+	m.output.Changed = m.changed
+	m.changed = false
+	output := m.output
+	m.output = Output{}
+	return output
+}
+
+// readingDue tells whether this node is to read now.
+func (m *Machine) readingDue() bool {
+	if m.now < m.notBefore {
+		return false
+	}
+	if m.reader {
+		return m.now >= m.nextRead
+	}
+	return m.now >= m.takeOverAt()
+}
+
+// takeOverAt is when this node reads unless its list is refreshed.
+func (m *Machine) takeOverAt() time.Duration {
+	patience := time.Duration(stepsOf(m.rank())) * takeOverStep
+	switch {
+	case m.held.present:
+		return m.held.heardAt + m.config.ReadEvery + takeOverAfter + patience
+	case len(m.members) <= 1:
+		return m.started + aloneAfter
+	default:
+		return m.started + firstReadAfter + patience
+	}
+}
+
+func (m *Machine) beginReading() {
+	m.reading = true
+	m.readBegan = m.now
+	m.nextRead = m.now + m.config.ReadEvery
+	m.output.Read = true
+}
+
+// readFailed leaves the reading to others for a while.
+func (m *Machine) readFailed() {
+	m.reading = false
+	m.reader = false
+	m.notBefore = m.now + min(leastBackOff<<min(m.failures, mostDoublings), mostBackOff)
+	m.failures++
+}
+
+// ReadDone takes the outcome of a reading that began at startedAt: the list with
+// ColdUntil on this node's clock, or an error, after which the last list stays in
+// force.
+func (m *Machine) ReadDone(now, startedAt time.Duration, replicas []Replica, err error) Output {
+	m.now = now
+	switch {
+	case err != nil:
+		m.readFailed()
+	case m.held.present && m.held.readAt >= startedAt:
+		// Another node read meanwhile.
+		m.reading = false
+	default:
+		m.reading = false
+		m.failures = 0
+		m.notBefore = 0
+		m.publish(startedAt, replicas)
+	}
+	return m.take()
+}
--- /dev/null
+++ b/internal/control/listing/message.go
@@ -0,0 +1,200 @@
+package listing
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing/listingpb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// Message is what nodes send each other: exactly one field is set.
+type Message struct {
+	// List is a reading.
+	List *List
+	// Request asks for the receiver's reading.
+	Request *Request
+}
+
+// Outbound is a message and the member it is for.
+type Outbound struct {
+	To      member.ID
+	Message Message
+}
+
+// Version orders readings.
+type Version struct {
+	// Term grows with each change of the reader.
+	Term   uint64
+	Reader member.ID
+	// Sequence numbers the readings of one reader in one term.
+	Sequence uint64
+}
+
+// newerThan orders readings: two readers of one term, which did not know of each
+// other, are ordered by their weights, so that all nodes settle on the same one.
+func (v Version) newerThan(other Version) bool {
+	if v.Term != other.Term {
+		return v.Term > other.Term
+	}
+	if v.Reader == other.Reader {
+		return v.Sequence > other.Sequence
+	}
+	return precedes(v.Reader, other.Reader)
+}
+
+// List is one reading as it travels.
+type List struct {
+	Version Version
+	// Age is how long ago the reading began when the message was sent.
+	Age time.Duration
+	// ReadAt is when it began on the reader's clock.
+	ReadAt time.Duration
+	// Digest is that of the whole list.
+	Digest uint64
+	// Base is the digest of the list that Changes apply to; 0 when Changes are the
+	// whole list.
+	Base    uint64
+	Changes []change
+	// Forward tells the receiver to pass the message on within its zone.
+	Forward bool
+}
+
+// Request asks for a list that is newer than the sender's.
+type Request struct {
+	Version Version
+	Digest  uint64
+}
+
+// Encode returns the payload of a message.
+func (m Message) Encode() ([]byte, error) {
+	if m.Request != nil {
+		return proto.Marshal(&listingpb.Request{
+			Term:     m.Request.Version.Term,
+			Reader:   string(m.Request.Version.Reader),
+			Sequence: m.Request.Version.Sequence,
+			Digest:   m.Request.Digest,
+		})
+	}
+	return proto.Marshal(m.List.pack())
+}
+
+// DecodeRequest reads the payload of a request.
+func DecodeRequest(payload []byte) (Message, error) {
+	packed := &listingpb.Request{}
+	if err := proto.Unmarshal(payload, packed); err != nil {
+		return Message{}, errors.Wrap(err, "decode a request for the platform's list")
+	}
+	return Message{Request: &Request{
+		Version: Version{Term: packed.GetTerm(), Reader: member.ID(packed.GetReader()), Sequence: packed.GetSequence()},
+		Digest:  packed.GetDigest(),
+	}}, nil
+}
+
+// DecodeList reads the payload of a list.
+func DecodeList(payload []byte) (Message, error) {
+	packed := &listingpb.List{}
+	if err := proto.Unmarshal(payload, packed); err != nil {
+		return Message{}, errors.Wrap(err, "decode the platform's list of another node")
+	}
+	list := &List{
+		Version: Version{Term: packed.GetTerm(), Reader: member.ID(packed.GetReader()), Sequence: packed.GetSequence()},
+		Age:     milliseconds(packed.GetAgeMs()),
+		ReadAt:  milliseconds(packed.GetReadAtMs()),
+		Digest:  packed.GetDigest(),
+		Base:    packed.GetBase(),
+		Forward: packed.GetForward(),
+	}
+	for _, replica := range packed.GetReplicas() {
+		list.Changes = append(list.Changes, unpackChange(replica, packed.GetNames()))
+	}
+	return Message{List: list}, nil
+}
+
+func (l *List) pack() *listingpb.List {
+	packed := &listingpb.List{
+		Term:     l.Version.Term,
+		Reader:   string(l.Version.Reader),
+		Sequence: l.Version.Sequence,
+		AgeMs:    uint64(l.Age.Milliseconds()),
+		ReadAtMs: uint64(l.ReadAt.Milliseconds()),
+		Digest:   l.Digest,
+		Base:     l.Base,
+		Forward:  l.Forward,
+	}
+	names := nameTable{numbers: map[string]uint32{}}
+	for _, one := range l.Changes {
+		packed.Replicas = append(packed.Replicas, packChange(one, &names))
+	}
+	packed.Names = names.names
+	return packed
+}
+
+func packChange(one change, names *nameTable) *listingpb.Replica {
+	packed := &listingpb.Replica{
+		Address: one.replica.Address,
+		Service: names.number(one.replica.Service),
+		Gone:    one.gone,
+	}
+	if one.gone {
+		return packed
+	}
+	packed.Zone = names.number(one.replica.Zone)
+	packed.Instance = one.replica.Instance
+	packed.WeightVersion = names.number(one.replica.WeightVersion)
+	packed.Slots = uint32(one.replica.Slots)
+	packed.Draining = one.replica.Draining
+	packed.ColdUntilMs = uint64(one.replica.ColdUntil.Milliseconds())
+	return packed
+}
+
+func unpackChange(packed *listingpb.Replica, names []string) change {
+	return change{
+		gone: packed.GetGone(),
+		replica: Replica{
+			Service:       nameAt(names, packed.GetService()),
+			Address:       packed.GetAddress(),
+			Zone:          nameAt(names, packed.GetZone()),
+			Instance:      packed.GetInstance(),
+			WeightVersion: nameAt(names, packed.GetWeightVersion()),
+			Slots:         int(packed.GetSlots()),
+			Draining:      packed.GetDraining(),
+			ColdUntil:     milliseconds(packed.GetColdUntilMs()),
+		},
+	}
+}
+
+// nameTable numbers names from 1; 0 stands for the empty name.
+type nameTable struct {
+	names   []string
+	numbers map[string]uint32
+}
+
+func (t *nameTable) number(name string) uint32 {
+	if name == "" {
+		return 0
+	}
+	if number, known := t.numbers[name]; known {
+		return number
+	}
+	t.names = append(t.names, name)
+	t.numbers[name] = uint32(len(t.names))
+	return t.numbers[name]
+}
+
+// nameAt is the name of a number; a number without one stands for none.
+func nameAt(names []string, number uint32) string {
+	if number == 0 || int64(number) > int64(len(names)) {
+		return ""
+	}
+	return names[number-1]
+}
+
+// milliseconds converts a number of them, within bounds that keep sums of times
+// from overflowing.
+func milliseconds(count uint64) time.Duration {
+	const most = uint64(1) << 40
+	return time.Duration(min(count, most)) * time.Millisecond
+}
--- /dev/null
+++ b/internal/control/listing/timeline_test.go
@@ -0,0 +1,124 @@
+package listing
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// Each file of testdata is a timeline: the first row names the columns (node@zone;
+// nodes that begin with d have disks), each further row is an instant. A cell acts
+// (start, kill, freeze, wake, isolate, rejoin, cut(b): nothing from here reaches b,
+// mend(b), fail, mended: readings of this node fail, or no more) or checks (reads,
+// follows, admits(x), excludes(x)). The platform's column acts (drain(x), ready(x),
+// remove(x), version(x v)) or checks (calls(n): at most so many since the last such
+// check).
+var _ = Describe("timelines", func() {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		panic("no timelines")
+	}
+	for _, file := range files {
+		It(strings.TrimSuffix(filepath.Base(file), ".txt"), func() {
+			text, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			runTimeline(string(text))
+		})
+	}
+})
+
+func runTimeline(text string) {
+	w := newWorld(7)
+	var columns []string
+	for number, line := range strings.Split(text, "\n") {
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		cells := strings.Split(line, "|")
+		if columns == nil {
+			columns = addColumns(w, cells)
+			continue
+		}
+		at, err := time.ParseDuration(strings.TrimSpace(cells[0]))
+		Expect(err).NotTo(HaveOccurred())
+		w.runUntil(at)
+		for i, cell := range cells[1:] {
+			for _, token := range strings.Split(cell, ",") {
+				if token = strings.TrimSpace(token); token != "" {
+					perform(w, columns[i], token, number+1)
+				}
+			}
+		}
+	}
+}
+
+func addColumns(w *world, cells []string) []string {
+	var columns []string
+	for _, cell := range cells[1:] {
+		name, zone, isNode := strings.Cut(strings.TrimSpace(cell), "@")
+		if isNode {
+			w.add(name, zone, strings.HasPrefix(name, "d"))
+		}
+		columns = append(columns, name)
+	}
+	return columns
+}
+
+func perform(w *world, column, token string, line int) {
+	verb, argument, _ := strings.Cut(strings.TrimSuffix(token, ")"), "(")
+	where := "line " + strconv.Itoa(line) + ", " + column + ": " + token
+	if column == "platform" {
+		performOnPlatform(w, verb, argument, where)
+		return
+	}
+	n := w.node(column)
+	switch verb {
+	case "start":
+		w.start(n)
+	case "kill":
+		w.kill(n)
+	case "freeze":
+		n.frozen = true
+		n.silent = w.now
+	case "wake":
+		w.wake(n)
+	case "isolate", "rejoin":
+		w.isolate(n, verb == "isolate")
+	case "cut", "mend":
+		w.cut[[2]member.ID{n.id, member.ID(argument)}] = verb == "cut"
+	case "fail", "mended":
+		n.failing = verb == "fail"
+	case "reads", "follows":
+		Expect(n.machine.Reads()).To(Equal(verb == "reads"), where)
+	case "admits", "excludes":
+		Expect(admits(n, argument)).To(Equal(verb == "admits"), where)
+	default:
+		Fail("unknown token: " + where)
+	}
+}
+
+func performOnPlatform(w *world, verb, argument, where string) {
+	switch verb {
+	case "drain", "ready":
+		w.setReplica(argument, func(one *Replica) { one.Draining = verb == "drain" })
+	case "remove":
+		w.removeReplica(argument)
+	case "version":
+		address, version, _ := strings.Cut(argument, " ")
+		w.setReplica(address, func(one *Replica) { one.WeightVersion = version })
+	case "calls":
+		most, err := strconv.Atoi(argument)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.calls).To(BeNumerically("<=", most), where)
+		w.calls = 0
+	default:
+		Fail("unknown token: " + where)
+	}
+}
