--- a/internal/control/backends.go
+++ b/internal/control/backends.go
@@ -1,31 +1,30 @@
 package control
 
 import (
-	"cmp"
-	"slices"
 	"time"
-)
-
-// ListedReplica is a back end as the platform lists it.
-type ListedReplica struct {
-	Address  string
-	Zone     string
-	Draining bool
-}
 
-// ListedService is a service with its back ends as the platform lists them.
-type ListedService struct {
-	Name     string
-	Replicas []ListedReplica
-}
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
+)
 
 // ReplicaReport is what a replica said of itself when it was asked.
 type ReplicaReport struct {
-	Address       string
-	Incarnation   uint64
+	Address string
+	// Instance names the incarnation that answered, as the list does; empty if the
+	// replica does not tell it.
+	Instance string
+	// Incarnation numbers it, where replicas do that; else 0.
+	Incarnation uint64
+	// WeightVersion is empty while other weights are being loaded.
 	WeightVersion string
+	// Busy tells that a command is under way.
+	Busy bool
+	// Sequence counts the commands that the incarnation took; 0 if unknown.
+	Sequence uint64
 	// ActiveRequests counts requests that run or wait on the replica.
 	ActiveRequests int
+	// Age is how old the numbers may have been when the replica was asked. It is
+	// part of MeasuredAt.
+	Age time.Duration
 	// MeasuredAt is when the replica took the numbers, which may be well
 	// before they arrived.
 	MeasuredAt time.Duration
@@ -33,74 +32,37 @@
 
 // backends is what this node knows of back ends from outside control state.
 type backends struct {
-	services map[string][]ListedReplica
+	services map[string][]listing.Replica
 	listed   bool
 	reports  map[string]ReplicaReport
+	asks     map[string]*reportAsk
 	dirty    bool
-	// watched are the replicas whose reports this node needs.
-	watched []string
 }
 
 func newBackends() backends {
 	return backends{
-		services: map[string][]ListedReplica{},
+		services: map[string][]listing.Replica{},
 		reports:  map[string]ReplicaReport{},
+		asks:     map[string]*reportAsk{},
 		dirty:    true,
 	}
 }
 
-// SetPlatformList takes the platform's newest list.
-func (m *Machine) SetPlatformList(now time.Duration, services []ListedService) Output {
-	m.now = now
-	next := map[string][]ListedReplica{}
-	for _, service := range services {
-		replicas := slices.Clone(service.Replicas)
-		slices.SortFunc(replicas, func(a, b ListedReplica) int { return cmp.Compare(a.Address, b.Address) })
-		next[service.Name] = replicas
-	}
-	m.registry.listed = true
-	if !m.backends.listed || !sameServices(m.backends.services, next) {
-		m.backends.services = next
-		m.backends.listed = true
-		m.backends.dirty = true
-	}
-	return m.take()
-}
-
-// SetReplicaReport takes what a replica said of itself.
-func (m *Machine) SetReplicaReport(now time.Duration, report ReplicaReport) Output {
-	m.now = now
-	m.backends.reports[report.Address] = report
-	return m.take()
-}
-
-// WatchedReplicas lists the replicas whose reports this node needs; read only.
-func (m *Machine) WatchedReplicas() []string { return m.backends.watched }
-
-// replicasToWatch lists the replicas of the shards that this node owns.
-func (m *Machine) replicasToWatch() []string {
-	var watched []string
-	for _, pool := range m.held.configuration.GetPools() {
-		hosted := m.shards[ShardOfService(pool.GetService(), m.config.ServiceShards)]
-		if hosted == nil || !hosted.owned() {
-			continue
-		}
-		for _, replica := range m.backends.services[pool.GetService()] {
-			watched = append(watched, replica.Address)
-		}
-	}
-	slices.Sort(watched)
-	return slices.Compact(watched)
-}
-
-func sameServices(a, b map[string][]ListedReplica) bool {
-	if len(a) != len(b) {
-		return false
+// setReplicas takes a changed list, and forgets what is known of replicas that left
+// it.
+func (b *backends) setReplicas(replicas []listing.Replica) {
+	b.services = map[string][]listing.Replica{}
+	listed := map[string]struct{}{}
+	for _, replica := range replicas {
+		b.services[replica.Service] = append(b.services[replica.Service], replica)
+		listed[replica.Address] = struct{}{}
 	}
-	for name, replicas := range a {
-		if !slices.Equal(replicas, b[name]) {
-			return false
+	for address := range b.asks {
+		if _, found := listed[address]; !found {
+			delete(b.asks, address)
+			delete(b.reports, address)
 		}
 	}
-	return true
+	b.listed = true
+	b.dirty = true
 }
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
@@ -21,7 +22,7 @@
 	DefaultElectionTimeout = 1500 * time.Millisecond
 	// DefaultLeaseDuration is how long an owner may command replicas after a
 	// quorum has last confirmed it.
-	DefaultLeaseDuration = 3 * time.Second
+	DefaultLeaseDuration = time.Second
 	// DefaultLeaseMargin covers clocks that run at slightly different rates.
 	DefaultLeaseMargin = 300 * time.Millisecond
 	// DefaultFenceAfter is how long a node serves without its monitors.
@@ -42,6 +43,12 @@
 	DefaultConfirmEvery = 250 * time.Millisecond
 	// DefaultDigestEvery is how often relay nodes compare revisions.
 	DefaultDigestEvery = 200 * time.Millisecond
+	// DefaultListReadEvery is how often the platform's list is read, by one node
+	// for all.
+	DefaultListReadEvery = listing.DefaultReadEvery
+	// DefaultCommandGap is how far apart the commands of two owners to one replica
+	// are.
+	DefaultCommandGap = 3 * time.Second
 )
 
 const (
@@ -77,6 +84,13 @@
 	RetryEvery         time.Duration
 	ConfirmEvery       time.Duration
 	DigestEvery        time.Duration
+	// ListReadEvery is how often one node reads the platform's list.
+	ListReadEvery time.Duration
+	// CommandGap is how far apart the commands of two owners to one replica are.
+	CommandGap time.Duration
+	// WeightsDeadline is how long after a version was named nodes give up the
+	// replicas that do not run it; 0 means never.
+	WeightsDeadline time.Duration
 }
 
 // DefaultTimes returns the times that nodes run with.
@@ -93,6 +107,8 @@
 		RetryEvery:         DefaultRetryEvery,
 		ConfirmEvery:       DefaultConfirmEvery,
 		DigestEvery:        DefaultDigestEvery,
+		ListReadEvery:      DefaultListReadEvery,
+		CommandGap:         DefaultCommandGap,
 	}
 }
 
@@ -115,6 +131,10 @@
 	// founding life, or for a life of this process alone if Learner is set.
 	Life  uint64
 	Times Times
+	// ReplicasFinishFirst tells that a replica which is ordered to load weights
+	// finishes its requests first, and refuses others until it has loaded, as not
+	// run. So it need not be drained by the nodes.
+	ReplicasFinishFirst bool
 	// MaxLogEntries is how many applied entries a shard keeps for stragglers; 0
 	// means the default.
 	MaxLogEntries int
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -41,9 +41,19 @@
 	Checkpoint(hard replication.HardState, snapshot *replication.Snapshot, entries []replication.Entry) error
 }
 
-// Commander orders a replica to load weights.
+// Commander carries out what control wants of replicas.
 type Commander interface {
+	// Command orders a replica to load weights; what came of it is told by
+	// Driver.CommandDone.
 	Command(command Command)
+	// Report asks a replica for its report, which is handed to
+	// Driver.SetReplicaReport; if none comes, Driver.ReplicaReportFailed tells so.
+	Report(request ReportRequest)
+}
+
+// ListReader reads the platform's list, and hands the outcome to Driver.ListRead.
+type ListReader interface {
+	ReadList()
 }
 
 // DriverOptions are the surroundings of a control machine in a daemon.
@@ -55,6 +65,7 @@
 	Sender     Sender
 	Storage    map[uint32]Storage
 	Commander  Commander
+	Lists      ListReader
 	Log        *logrus.Entry
 }
 
@@ -69,7 +80,6 @@
 
 	view       atomic.Pointer[routing.View]
 	serveUntil atomic.Int64
-	watched    atomic.Pointer[[]string]
 	lastRun    atomic.Int64
 	prepared   atomic.Bool
 
@@ -127,8 +137,6 @@
 	d.serveUntil.Store(int64(d.machine.ServeUntil()))
 	d.lastRun.Store(int64(d.machine.Now()))
 	d.prepared.Store(d.machine.Prepared())
-	watched := d.machine.WatchedReplicas()
-	d.watched.Store(&watched)
 	for _, save := range output.Saves {
 		d.saves[save.Shard] <- save
 	}
@@ -144,6 +152,12 @@
 	for _, command := range output.Commands {
 		d.options.Commander.Command(command)
 	}
+	for _, request := range output.Reports {
+		d.options.Commander.Report(request)
+	}
+	if output.ReadList {
+		d.options.Lists.ReadList()
+	}
 }
 
 // noticeIncidents logs what the log ring is to be written out for.
@@ -232,9 +246,14 @@
 	d.post(func(now time.Duration) Output { return d.machine.Receive(now, envelope) })
 }
 
-// SetPlatformList takes the platform's newest list.
-func (d *Driver) SetPlatformList(services []ListedService) {
-	d.post(func(now time.Duration) Output { return d.machine.SetPlatformList(now, services) })
+// ListRead takes the outcome of a reading of the platform's list.
+func (d *Driver) ListRead(reading ListReading) {
+	d.post(func(now time.Duration) Output { return d.machine.ListRead(now, reading) })
+}
+
+// CommandDone takes what came of a command.
+func (d *Driver) CommandDone(command Command, outcome CommandOutcome) {
+	d.post(func(now time.Duration) Output { return d.machine.CommandDone(now, command, outcome) })
 }
 
 // SetReplicaReport takes what a replica said of itself.
@@ -242,13 +261,9 @@
 	d.post(func(now time.Duration) Output { return d.machine.SetReplicaReport(now, report) })
 }
 
-// WatchedReplicas lists the replicas whose reports the machine needs.
-func (d *Driver) WatchedReplicas() []string {
-	watched := d.watched.Load()
-	if watched == nil {
-		return nil
-	}
-	return *watched
+// ReplicaReportFailed tells that a replica gave no report.
+func (d *Driver) ReplicaReportFailed(address string) {
+	d.post(func(now time.Duration) Output { return d.machine.ReplicaReportFailed(now, address) })
 }
 
 // Leave announces that the node stops and hands over what it owns.
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -13,6 +13,7 @@
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
@@ -34,6 +35,8 @@
 	registry  registrar
 	confirmed confirmations
 	backends  backends
+	list      *listing.Machine
+	named     map[string]namedWeights
 	load      routing.LoadReader
 	held      heldState
 	output    Output
@@ -74,6 +77,8 @@
 		challenges: map[challengeKey]challenge{},
 		epochs:     map[uint32]knownEpoch{},
 		addresses:  map[member.ID]string{},
+		named:      map[string]namedWeights{},
+		list:       newListing(config, now),
 		held: heldState{
 			configuration: &ridgeswitchv1.Configuration{},
 			services:      map[uint32]*controlpb.ServiceState{},
@@ -130,6 +135,7 @@
 
 // Tick advances time and does what is due.
 func (m *Machine) Tick(now time.Duration) Output {
+	before := m.now
 	m.now = now
 	m.sendMembership(m.members.Tick(now))
 	m.refreshMembers()
@@ -144,7 +150,9 @@
 	m.tickRegistration()
 	m.tickConfirmations()
 	m.tickOrders()
+	m.tickList()
 	m.tickRollouts()
+	m.tickWeightsDeadline(before)
 	return m.take()
 }
 
@@ -222,6 +230,7 @@
 	}
 	m.tableDigest = m.members.Digest()
 	records := m.members.Records()
+	m.setListMembers(records)
 	digest := digestOfMembers(records)
 	if digest == m.membersDigest {
 		return
--- a/internal/control/output.go
+++ b/internal/control/output.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
@@ -33,23 +31,17 @@
 	Err    error
 }
 
-// Command orders a replica to load weights. The driver sends it only if the
-// clock still reads less than Deadline, since the right to command ends then.
-type Command struct {
-	Address       string
-	WeightVersion string
-	// Epoch grows with every later right to command, and with every later
-	// decision under the same right.
-	Epoch    uint64
-	Deadline time.Duration
-}
-
 // Output is what a node has to do after an input.
 type Output struct {
 	Sends    []Send
 	Saves    []Save
 	Replies  []Reply
 	Commands []Command
+	// Reports are the replicas that are to be asked for their reports. Each is
+	// answered by SetReplicaReport or ReplicaReportFailed.
+	Reports []ReportRequest
+	// ReadList asks for the platform's list, which is answered by ListRead.
+	ReadList bool
 	// View is set when traffic is to use a new view.
 	View *routing.View
 }
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
@@ -100,6 +101,10 @@
 		m.confirmed.record(from, message)
 	case protocol.MessageAskConfirm:
 		m.sendControl(from, m.ownConfirmation())
+	case protocol.MessageList:
+		m.receiveListing(from, message.Payload, listing.DecodeList)
+	case protocol.MessageListRequest:
+		m.receiveListing(from, message.Payload, listing.DecodeRequest)
 	}
 }
 
--- a/internal/control/protocol/message.go
+++ b/internal/control/protocol/message.go
@@ -31,6 +31,12 @@
 	// MessageWitnessReply tells the revision that the sender holds, and the
 	// newest epoch that it had heard of before.
 	MessageWitnessReply
+	// MessageList passes a reading of the platform's list on; its payload is that
+	// of a listing.Message.
+	MessageList
+	// MessageListRequest asks for a newer reading; its payload is that of a
+	// listing.Message.
+	MessageListRequest
 )
 
 // ShardRevision is the newest revision of one shard that a node serves.
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -7,47 +7,40 @@
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 )
 
 const (
-	// rolloutTarget is the time in which a roll-out is to reach every replica.
-	rolloutTarget = 12 * time.Second
-	// replicaRolloutTime is the time that one replica is taken to need: to
-	// finish its requests, load the weights and report them.
-	replicaRolloutTime = 5 * time.Second
-	// commandWindow is how long after the decision a command may be sent.
-	commandWindow = 200 * time.Millisecond
-	// commandEvery is how often a replica that has not confirmed is ordered
-	// again.
-	commandEvery = time.Second
-	// reportFreshness is how old a report may be to tell that a replica runs
-	// now.
-	reportFreshness = 3 * time.Second
 	// rolloutEvery is how often the owner of a shard looks for its next moves.
 	rolloutEvery = 100 * time.Millisecond
+	// rowLifetime is for how long a row tells the version of a replica whose
+	// version the list shows. The list has caught up by then.
+	rowLifetime = 10 * time.Second
 )
 
-// rolloutState is what the owner of a service shard remembers of its commands.
+// rolloutState is what the owner of a service shard remembers of its roll-outs.
 // It may be lost: a new owner repeats a command under its own epoch.
 type rolloutState struct {
 	// epoch is the epoch of ownership that the rest belongs to, and since is
 	// when this node first acted in it.
 	epoch uint64
 	since time.Duration
-	// drainedSince is when each draining replica was first known to get no
-	// more requests.
-	drainedSince map[string]time.Duration
-	// nextCommand is when each loading replica is ordered again.
-	nextCommand map[string]time.Duration
-	nextForget  time.Duration
+	// work is what goes on at each replica that a row keeps requests from.
+	work map[string]*replicaWork
+	// confirmedSince is when the row of each serving replica was first seen.
+	confirmedSince map[string]time.Duration
+	// paces belong to the pools.
+	paces      map[string]*pace
+	nextForget time.Duration
 }
 
 func newRolloutState(epoch uint64, since time.Duration) rolloutState {
 	return rolloutState{
-		epoch:        epoch,
-		since:        since,
-		drainedSince: map[string]time.Duration{},
-		nextCommand:  map[string]time.Duration{},
+		epoch:          epoch,
+		since:          since,
+		work:           map[string]*replicaWork{},
+		confirmedSince: map[string]time.Duration{},
+		paces:          map[string]*pace{},
 	}
 }
 
@@ -57,7 +50,6 @@
 		return
 	}
 	m.nextRollout = m.now + rolloutEvery
-	m.backends.watched = m.replicasToWatch()
 	for _, id := range m.shardIDs {
 		hosted := m.shards[id]
 		if hosted == nil || !hosted.owned() {
@@ -85,21 +77,18 @@
 		return
 	}
 	change := &controlpb.SetReplicas{}
-	listed := map[string]struct{}{}
+	listed := map[string]listing.Replica{}
 	for _, pool := range m.held.configuration.GetPools() {
 		if ShardOfService(pool.GetService(), m.config.ServiceShards) != hosted.id {
 			continue
 		}
 		for _, replica := range m.backends.services[pool.GetService()] {
-			listed[replica.Address] = struct{}{}
+			listed[replica.Address] = replica
 		}
 		m.rollOutPool(hosted, service, pool, change)
 	}
-	for _, row := range service.replicas() {
-		if _, found := listed[row.GetAddress()]; !found {
-			change.Removed = append(change.Removed, row.GetAddress())
-		}
-	}
+	hosted.rollout.forgetWork(service.replicas())
+	change.Removed = m.outlivedRows(hosted, service, listed)
 	if len(change.Replicas) == 0 && len(change.Removed) == 0 {
 		return
 	}
@@ -107,202 +96,170 @@
 	m.proposeCommand(hosted, command)
 }
 
-// rollOutPool gathers the changes of one pool's replicas.
-func (m *Machine) rollOutPool(hosted *shard, service *serviceShard, pool *ridgeswitchv1.Pool, change *controlpb.SetReplicas) {
-	replicas := m.leastBusyFirst(m.backends.services[pool.GetService()])
-	free := m.freeForRollout(hosted, service, replicas)
-	for _, replica := range replicas {
-		row := findReplica(service.replicas(), replica.Address)
-		next := m.nextRow(hosted, pool, replica, row, &free)
-		if next != nil {
-			change.Replicas = append(change.Replicas, next)
+// outlivedRows lists the rows that say nothing any more: of replicas that left the
+// list or came back as another incarnation, and those that the list has caught up
+// with.
+func (m *Machine) outlivedRows(hosted *shard, service *serviceShard, listed map[string]listing.Replica) []string {
+	var outlived []string
+	for _, row := range service.replicas() {
+		replica, found := listed[row.GetAddress()]
+		if !found || !sameInstance(row, replica) || m.caughtUp(hosted, row, replica) {
+			outlived = append(outlived, row.GetAddress())
 		}
 	}
+	return outlived
 }
 
-// leastBusyFirst orders replicas by the requests that they reported, so that
-// those which drain soonest go first.
-func (m *Machine) leastBusyFirst(replicas []ListedReplica) []ListedReplica {
-	ordered := slices.Clone(replicas)
-	slices.SortStableFunc(ordered, func(a, b ListedReplica) int {
-		return cmp.Compare(m.backends.reports[a.Address].ActiveRequests, m.backends.reports[b.Address].ActiveRequests)
-	})
-	return ordered
-}
-
-// freeForRollout is how many more replicas may be taken out of service: so many
-// at once that the roll-out ends in time, and never more than half.
-func (m *Machine) freeForRollout(hosted *shard, service *serviceShard, replicas []ListedReplica) int {
-	wanted := (len(replicas)*int(replicaRolloutTime) + int(rolloutTarget) - 1) / int(rolloutTarget)
-	allowed := max(1, min(wanted, len(replicas)/2))
-	for _, replica := range replicas {
-		row := findReplica(service.replicas(), replica.Address)
-		if row == nil || row.GetPhase() == controlpb.ReplicaPhase_SERVING {
-			continue
-		}
-		if !m.seemsDown(hosted, replica.Address) {
-			allowed--
-		}
+// caughtUp tells whether the list knows as much as a row by now.
+func (m *Machine) caughtUp(hosted *shard, row *controlpb.ReplicaState, listed listing.Replica) bool {
+	address := row.GetAddress()
+	if listed.WeightVersion == "" || row.GetPhase() != controlpb.ReplicaPhase_SERVING {
+		delete(hosted.rollout.confirmedSince, address)
+		return false
 	}
-	return allowed
-}
-
-// seemsDown tells whether a replica has not answered for long enough that
-// taking it out of service costs nothing. An owner that has only begun to ask
-// knows of none.
-func (m *Machine) seemsDown(hosted *shard, address string) bool {
-	asked := m.now - hosted.rollout.since
-	return asked >= reportFreshness && !m.reportIsFresh(address)
-}
-
-// nextRow returns the row that a replica moves to, or nil if it stays.
-func (m *Machine) nextRow(hosted *shard, pool *ridgeswitchv1.Pool, replica ListedReplica, row *controlpb.ReplicaState, free *int) *controlpb.ReplicaState {
-	target := pool.GetWeightVersion()
-	report, known := m.backends.reports[replica.Address]
-	if row == nil {
-		return m.firstRow(pool, replica, report, known)
+	since, seen := hosted.rollout.confirmedSince[address]
+	if !seen {
+		hosted.rollout.confirmedSince[address] = m.now
+		return false
 	}
-	switch row.GetPhase() {
-	case controlpb.ReplicaPhase_SERVING:
-		return m.leaveServing(row, target, report, known, free)
-	case controlpb.ReplicaPhase_DRAINING:
-		return m.leaveDraining(hosted, row, target, report, known)
-	default:
-		return m.leaveLoading(hosted, row, target, report, known)
+	if m.now-since < rowLifetime {
+		return false
 	}
+	delete(hosted.rollout.confirmedSince, address)
+	return true
 }
 
-// firstRow admits a replica with the version that it runs; the roll-out then
-// moves it on like all others, so that a version named before the first
-// admission does not keep the whole pool out of service.
-func (m *Machine) firstRow(pool *ridgeswitchv1.Pool, replica ListedReplica, report ReplicaReport, known bool) *controlpb.ReplicaState {
-	if !known || report.WeightVersion == "" || !m.reportIsFresh(replica.Address) {
-		return nil
-	}
-	return &controlpb.ReplicaState{
-		Address:       replica.Address,
-		Service:       pool.GetService(),
-		Zone:          replica.Zone,
-		Phase:         controlpb.ReplicaPhase_SERVING,
-		WeightVersion: report.WeightVersion,
-		Incarnation:   report.Incarnation,
-	}
+// poolRollout is one look at the replicas of a pool.
+type poolRollout struct {
+	hosted *shard
+	pool   *ridgeswitchv1.Pool
+	pace   *pace
+	// replicas are those that the list does not show draining, with their rows.
+	replicas []rolledReplica
 }
 
-// leaveServing starts the drain of a replica with an outdated version. A replica
-// that reports another version than it confirmed is drained at once.
-func (m *Machine) leaveServing(row *controlpb.ReplicaState, target string, report ReplicaReport, known bool, free *int) *controlpb.ReplicaState {
-	changedBehind := known && report.WeightVersion != row.GetWeightVersion()
-	if row.GetWeightVersion() == target && !changedBehind {
-		return nil
-	}
-	if !m.reportIsFresh(row.GetAddress()) {
-		// It is down, or this owner has not heard of it yet.
-		return nil
-	}
-	if !changedBehind && *free <= 0 {
-		return nil
-	}
-	*free--
-	return withPhase(row, controlpb.ReplicaPhase_DRAINING, row.GetWeightVersion())
+// rolledReplica is a listed replica with its row, if it has one.
+type rolledReplica struct {
+	listing.Replica
+	row *controlpb.ReplicaState
 }
 
-// leaveDraining orders the new version once no node can send, or has left, a
-// request on the replica, and the replica itself says so after that.
-func (m *Machine) leaveDraining(hosted *shard, row *controlpb.ReplicaState, target string, report ReplicaReport, known bool) *controlpb.ReplicaState {
-	if !m.drainedEverywhere(hosted, row.GetPhaseRevision()) {
-		delete(hosted.rollout.drainedSince, row.GetAddress())
-		return nil
-	}
-	drainedSince, seen := hosted.rollout.drainedSince[row.GetAddress()]
-	if !seen {
-		hosted.rollout.drainedSince[row.GetAddress()] = m.now
-		return nil
+// out tells whether a row keeps requests from the replica.
+func (r rolledReplica) out() bool { return movedByRollout(r.row, r.Replica) }
+
+func (r poolRollout) target() string { return r.pool.GetWeightVersion() }
+
+// rollOutPool gathers the changes of one pool's replicas.
+func (m *Machine) rollOutPool(hosted *shard, service *serviceShard, pool *ridgeswitchv1.Pool, change *controlpb.SetReplicas) {
+	rolling := poolRollout{hosted: hosted, pool: pool, pace: hosted.rollout.paceOf(pool, m.now, m.config.ReplicasFinishFirst)}
+	for _, replica := range m.backends.services[pool.GetService()] {
+		row := findReplica(service.replicas(), replica.Address)
+		if row != nil && !sameInstance(row, replica) {
+			// The row goes first.
+			continue
+		}
+		rolling.replicas = append(rolling.replicas, rolledReplica{Replica: replica, row: row})
 	}
-	if !known || report.MeasuredAt <= drainedSince || report.ActiveRequests > 0 {
-		return nil
+	moved := map[string]struct{}{}
+	for _, replica := range rolling.replicas {
+		if next := m.proceed(rolling, replica); next != nil {
+			change.Replicas = append(change.Replicas, next)
+			moved[replica.Address] = struct{}{}
+		}
 	}
-	delete(hosted.rollout.drainedSince, row.GetAddress())
-	if report.WeightVersion == target {
-		return servingRow(row, report)
+	for _, replica := range m.chooseNext(rolling, moved) {
+		change.Replicas = append(change.Replicas, m.takeOut(rolling, replica))
 	}
-	return withPhase(row, controlpb.ReplicaPhase_LOADING, target)
 }
 
-// leaveLoading admits the replica once it confirms the version, and otherwise
-// orders it again. A newer named version replaces an unfinished one.
-func (m *Machine) leaveLoading(hosted *shard, row *controlpb.ReplicaState, target string, report ReplicaReport, known bool) *controlpb.ReplicaState {
-	if row.GetWeightVersion() != target {
-		delete(hosted.rollout.nextCommand, row.GetAddress())
-		return withPhase(row, controlpb.ReplicaPhase_LOADING, target)
-	}
-	if known && m.reportIsFresh(row.GetAddress()) && report.WeightVersion == target {
-		delete(hosted.rollout.nextCommand, row.GetAddress())
-		return servingRow(row, report)
+// proceed returns the row that a replica moves to without anybody's choice, or nil
+// if it stays.
+func (m *Machine) proceed(rolling poolRollout, replica rolledReplica) *controlpb.ReplicaState {
+	switch {
+	case replica.row == nil:
+		return m.firstRow(rolling, replica)
+	case replica.row.GetPhase() == controlpb.ReplicaPhase_DRAINING:
+		return m.leaveDraining(rolling, replica)
+	case replica.row.GetPhase() == controlpb.ReplicaPhase_LOADING:
+		return m.leaveLoading(rolling, replica)
+	default:
+		return m.keepServing(rolling, replica)
 	}
-	m.commandReplica(hosted, row)
-	return nil
 }
 
-// commandReplica orders a replica to load its row's version, if this node's
-// right to command is certain for the whole window in which the command is sent.
-func (m *Machine) commandReplica(hosted *shard, row *controlpb.ReplicaState) {
-	if m.now < hosted.rollout.nextCommand[row.GetAddress()] {
-		return
-	}
-	if !hosted.group.MayCommand(m.now) || !hosted.group.MayCommand(m.now+commandWindow) {
-		return
-	}
-	hosted.rollout.nextCommand[row.GetAddress()] = m.now + commandEvery
-	m.output.Commands = append(m.output.Commands, Command{
-		Address:       row.GetAddress(),
-		WeightVersion: row.GetWeightVersion(),
-		Epoch:         commandEpoch(hosted.group.Status().Epoch, row.GetPhaseRevision()),
-		Deadline:      m.now + commandWindow,
+// chooseNext returns the replicas to take out of service now: as many as the pace
+// allows, from the zones that miss the fewest, the least busy first.
+func (m *Machine) chooseNext(rolling poolRollout, moved map[string]struct{}) []rolledReplica {
+	candidates := slices.DeleteFunc(slices.Clone(rolling.replicas), func(replica rolledReplica) bool {
+		_, done := moved[replica.Address]
+		return done || !m.mayMove(rolling, replica)
 	})
+	zones := m.countZones(rolling)
+	free := m.freeForRollout(rolling, len(candidates))
+	var chosen []rolledReplica
+	for free > 0 && len(candidates) > 0 {
+		slices.SortStableFunc(candidates, func(a, b rolledReplica) int {
+			return cmp.Or(
+				cmp.Compare(zones[a.Zone].out, zones[b.Zone].out),
+				cmp.Compare(m.backends.reports[a.Address].ActiveRequests, m.backends.reports[b.Address].ActiveRequests),
+			)
+		})
+		next := candidates[0]
+		candidates = candidates[1:]
+		zone := zones[next.Zone]
+		if zone.serving <= 1 && zone.serving+zone.out > 1 && !rolling.pace.late(m.now) {
+			continue
+		}
+		zone.serving--
+		zone.out++
+		free--
+		chosen = append(chosen, next)
+	}
+	return chosen
 }
 
-// commandEpoch orders all commands that a replica ever gets: first by the epoch
-// of the ownership, then by the revision at which the ordered phase was entered.
-// So a replica also refuses a late command of the same owner for a version that
-// has been replaced since.
-func commandEpoch(epoch, phaseRevision uint64) uint64 {
-	const revisionBits = 32
-	return epoch<<revisionBits | phaseRevision&(1<<revisionBits-1)
-}
-
-// reportIsFresh tells whether a replica answered lately.
-func (m *Machine) reportIsFresh(address string) bool {
-	report, known := m.backends.reports[address]
-	return known && m.now-report.MeasuredAt < reportFreshness
+// zoneCount is how many replicas of a pool serve in a zone, and how many are out.
+type zoneCount struct {
+	serving, out int
 }
 
-// findReplica returns the row of a replica, or nil. Rows are sorted by address.
-func findReplica(rows []*controlpb.ReplicaState, address string) *controlpb.ReplicaState {
-	position, found := slices.BinarySearchFunc(rows, address, func(row *controlpb.ReplicaState, address string) int {
-		return cmp.Compare(row.GetAddress(), address)
-	})
-	if !found {
-		return nil
+func (m *Machine) countZones(rolling poolRollout) map[string]*zoneCount {
+	zones := map[string]*zoneCount{}
+	for _, replica := range rolling.replicas {
+		zone := zones[replica.Zone]
+		if zone == nil {
+			zone = &zoneCount{}
+			zones[replica.Zone] = zone
+		}
+		switch {
+		case replica.out():
+			zone.out++
+		case !replica.Draining:
+			zone.serving++
+		}
 	}
-	return rows[position]
+	return zones
 }
 
-// withPhase copies a row into another phase.
-func withPhase(row *controlpb.ReplicaState, phase controlpb.ReplicaPhase, version string) *controlpb.ReplicaState {
-	return &controlpb.ReplicaState{
-		Address:       row.GetAddress(),
-		Service:       row.GetService(),
-		Zone:          row.GetZone(),
-		Phase:         phase,
-		WeightVersion: version,
-		Incarnation:   row.GetIncarnation(),
+// freeForRollout is how many more replicas may be taken out of service. Those that
+// do not answer count for nothing: they serve nobody.
+func (m *Machine) freeForRollout(rolling poolRollout, candidates int) int {
+	out := 0
+	for _, replica := range rolling.replicas {
+		if replica.out() && !m.seemsDown(rolling, replica) {
+			out++
+		}
 	}
+	return rolling.pace.allowed(m.now, candidates+out, len(rolling.replicas)) - out
 }
 
-// servingRow copies a row into the serving phase with what the replica confirmed.
-func servingRow(row *controlpb.ReplicaState, report ReplicaReport) *controlpb.ReplicaState {
-	next := withPhase(row, controlpb.ReplicaPhase_SERVING, report.WeightVersion)
-	next.Incarnation = report.Incarnation
-	return next
+// seemsDown tells whether a replica has not answered for long enough that
+// taking it out of service costs nothing. An owner that has only begun to ask
+// knows of none.
+func (m *Machine) seemsDown(rolling poolRollout, replica rolledReplica) bool {
+	if replica.WeightVersion != "" {
+		return m.answersNot(replica.Address)
+	}
+	asked := m.now - rolling.hosted.rollout.since
+	return asked >= reportFreshness && !m.reportIsFresh(replica.Address)
 }
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -78,6 +78,12 @@
 	return n.answers[n.ticket]
 }
 
+// list has the node read a list with one service.
+func (n *soloNode) list(replicas []ListedReplica) {
+	reading := ListReading{StartedAt: n.now, Services: []ListedService{{Name: "s", Replicas: replicas}}}
+	n.perform(n.machine.ListRead(n.now, reading))
+}
+
 func (n *soloNode) report(version string) {
 	for _, replica := range poolReplicas() {
 		n.perform(n.machine.SetReplicaReport(n.now, ReplicaReport{
@@ -116,7 +122,7 @@
 
 	BeforeEach(func() {
 		node = newSoloNode()
-		node.perform(node.machine.SetPlatformList(0, []ListedService{{Name: "s", Replicas: poolReplicas()}}))
+		node.list(poolReplicas())
 		node.run(3 * time.Second)
 		Expect(node.submit(poolConfiguration()).GetConfirmed()).To(BeTrue())
 		node.report("v1")
@@ -174,7 +180,7 @@
 var _ = Describe("the first admission", func() {
 	It("serves with the version that runs when a newer one is named already", func() {
 		node := newSoloNode()
-		node.perform(node.machine.SetPlatformList(0, []ListedService{{Name: "s", Replicas: poolReplicas()}}))
+		node.list(poolReplicas())
 		node.run(3 * time.Second)
 		node.report("v0")
 		Expect(node.submit(poolConfiguration()).GetConfirmed()).To(BeTrue())
--- /dev/null
+++ b/internal/control/rolloutrows.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+// firstRow makes the row of a replica whose version the list does not show, from
+// its own report: it is admitted with what it runs, and moved on like all others,
+// so that a version named before the first admission does not keep the whole pool
+// out of service. Others need no row until they are moved.
+func (m *Machine) firstRow(rolling poolRollout, replica rolledReplica) *controlpb.ReplicaState {
+	if replica.WeightVersion != "" {
+		return nil
+	}
+	m.askReport(replica.Address, replica.Instance)
+	report, known := m.backends.reports[replica.Address]
+	if !known || report.WeightVersion == "" || !m.reportIsFresh(replica.Address) {
+		return nil
+	}
+	return rowOf(rolling, replica, controlpb.ReplicaPhase_SERVING, report.WeightVersion, report)
+}
+
+// keepServing watches a serving replica whose version the list does not show. One
+// that reports another version than it confirmed is drained at once.
+func (m *Machine) keepServing(rolling poolRollout, replica rolledReplica) *controlpb.ReplicaState {
+	if replica.WeightVersion != "" {
+		return nil
+	}
+	m.askReport(replica.Address, replica.Instance)
+	report, known := m.backends.reports[replica.Address]
+	changedBehind := known && m.reportIsFresh(replica.Address) && report.WeightVersion != replica.row.GetWeightVersion()
+	if !changedBehind {
+		return nil
+	}
+	return withPhase(replica.row, controlpb.ReplicaPhase_DRAINING, replica.row.GetWeightVersion())
+}
+
+// mayMove tells whether a serving replica is to load the named version: it runs an
+// older one and answers. Its report also keeps it from a command in vain.
+func (m *Machine) mayMove(rolling poolRollout, replica rolledReplica) bool {
+	running := runningVersion(replica.row, replica.Replica)
+	if replica.out() || replica.Draining || running == "" || versionReached(running, rolling.target()) {
+		return false
+	}
+	if replica.WeightVersion == "" {
+		// It is asked all the time.
+		return m.reportIsFresh(replica.Address)
+	}
+	if _, known := m.reportSince(replica.Address, replica.Instance, rolling.pace.since); !known {
+		m.askReport(replica.Address, replica.Instance)
+		return false
+	}
+	return true
+}
+
+// takeOut begins to move a replica. One that has the version already, which the
+// list does not show yet, is admitted with it instead.
+func (m *Machine) takeOut(rolling poolRollout, replica rolledReplica) *controlpb.ReplicaState {
+	report := m.backends.reports[replica.Address]
+	switch {
+	case versionReached(report.WeightVersion, rolling.target()):
+		return rowOf(rolling, replica, controlpb.ReplicaPhase_SERVING, report.WeightVersion, report)
+	case m.config.ReplicasFinishFirst:
+		return rowOf(rolling, replica, controlpb.ReplicaPhase_LOADING, rolling.target(), report)
+	default:
+		return rowOf(rolling, replica, controlpb.ReplicaPhase_DRAINING, runningVersion(replica.row, replica.Replica), report)
+	}
+}
+
+// leaveDraining orders the new version once no node can send, or has left, a
+// request on the replica, and the replica itself says so after that.
+func (m *Machine) leaveDraining(rolling poolRollout, replica rolledReplica) *controlpb.ReplicaState {
+	m.askReport(replica.Address, replica.Instance)
+	work := rolling.hosted.rollout.workOn(replica.row, m.now)
+	if !m.drainedEverywhere(rolling.hosted, replica.row.GetPhaseRevision()) {
+		work.drained = false
+		return nil
+	}
+	if !work.drained {
+		work.drained = true
+		work.drainedSince = m.now
+		return nil
+	}
+	report, known := m.backends.reports[replica.Address]
+	if !known || report.MeasuredAt <= work.drainedSince || report.ActiveRequests > 0 {
+		return nil
+	}
+	if versionReached(report.WeightVersion, rolling.target()) {
+		return rowOf(rolling, replica, controlpb.ReplicaPhase_SERVING, report.WeightVersion, report)
+	}
+	return withPhase(replica.row, controlpb.ReplicaPhase_LOADING, rolling.target())
+}
+
+// leaveLoading admits the replica once it confirms the version, and otherwise
+// orders it to load. A newer named version replaces an unfinished one.
+func (m *Machine) leaveLoading(rolling poolRollout, replica rolledReplica) *controlpb.ReplicaState {
+	work := rolling.hosted.rollout.workOn(replica.row, m.now)
+	if !m.config.ReplicasFinishFirst {
+		m.askReport(replica.Address, replica.Instance)
+	}
+	report, known := m.reportSince(replica.Address, replica.Instance, rolling.hosted.rollout.since)
+	if known && m.reportIsFresh(replica.Address) && versionReached(report.WeightVersion, rolling.target()) {
+		rolling.pace.learn(work.level, m.now-work.since)
+		return rowOf(rolling, replica, controlpb.ReplicaPhase_SERVING, report.WeightVersion, report)
+	}
+	if rolling.target() != "" && versionReached(replica.WeightVersion, rolling.target()) {
+		return rowOf(rolling, replica, controlpb.ReplicaPhase_SERVING, replica.WeightVersion, report)
+	}
+	if replica.row.GetWeightVersion() != rolling.target() && rolling.target() != "" {
+		return withPhase(replica.row, controlpb.ReplicaPhase_LOADING, rolling.target())
+	}
+	if work.refused {
+		// A greater number is needed, which the revision of a new row gives.
+		return withPhase(replica.row, controlpb.ReplicaPhase_LOADING, replica.row.GetWeightVersion())
+	}
+	m.commandReplica(rolling, replica, work)
+	return nil
+}
+
+// findReplica returns the row of a replica, or nil. Rows are sorted by address.
+func findReplica(rows []*controlpb.ReplicaState, address string) *controlpb.ReplicaState {
+	position, found := slices.BinarySearchFunc(rows, address, func(row *controlpb.ReplicaState, address string) int {
+		return cmp.Compare(row.GetAddress(), address)
+	})
+	if !found {
+		return nil
+	}
+	return rows[position]
+}
+
+// withPhase copies a row into another phase.
+func withPhase(row *controlpb.ReplicaState, phase controlpb.ReplicaPhase, version string) *controlpb.ReplicaState {
+	return &controlpb.ReplicaState{
+		Address:       row.GetAddress(),
+		Service:       row.GetService(),
+		Zone:          row.GetZone(),
+		Phase:         phase,
+		WeightVersion: version,
+		Incarnation:   row.GetIncarnation(),
+		Instance:      row.GetInstance(),
+	}
+}
+
+// rowOf makes the row of a replica from what it reported.
+func rowOf(rolling poolRollout, replica rolledReplica, phase controlpb.ReplicaPhase, version string, report ReplicaReport) *controlpb.ReplicaState {
+	return &controlpb.ReplicaState{
+		Address:       replica.Address,
+		Service:       rolling.pool.GetService(),
+		Zone:          replica.Zone,
+		Phase:         phase,
+		WeightVersion: version,
+		Incarnation:   report.Incarnation,
+		Instance:      replica.Instance,
+	}
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -9,6 +9,7 @@
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
 	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
@@ -34,7 +35,7 @@
 		return false
 	}
 	for _, pool := range m.held.configuration.GetPools() {
-		if !m.registered(ShardOfService(pool.GetService(), m.config.ServiceShards)) {
+		if !m.config.ReplicasFinishFirst && !m.registered(ShardOfService(pool.GetService(), m.config.ServiceShards)) {
 			return false
 		}
 	}
@@ -122,14 +123,31 @@
 		status.Replicas = append(status.Replicas, &ridgeswitchv1.ReplicaStatus{
 			Address:          listed.Address,
 			Zone:             listed.Zone,
-			Phase:            phaseName(row.GetPhase()),
-			WeightVersion:    row.GetWeightVersion(),
+			Phase:            phaseOf(row, listed),
+			WeightVersion:    statusVersion(row, listed),
 			PlatformDraining: listed.Draining,
 		})
 	}
 	return status
 }
 
+// phaseOf is the phase of a replica; one without a row serves if the list shows its
+// version.
+func phaseOf(row *controlpb.ReplicaState, listed listing.Replica) string {
+	if row == nil && listed.WeightVersion != "" {
+		return phaseName(controlpb.ReplicaPhase_SERVING)
+	}
+	return phaseName(row.GetPhase())
+}
+
+// statusVersion is what a replica runs, or is ordered to load.
+func statusVersion(row *controlpb.ReplicaState, listed listing.Replica) string {
+	if movedByRollout(row, listed) {
+		return row.GetWeightVersion()
+	}
+	return runningVersion(row, listed)
+}
+
 func phaseName(phase controlpb.ReplicaPhase) string {
 	switch phase {
 	case controlpb.ReplicaPhase_SERVING:
--- /dev/null
+++ b/internal/control/versions.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"strconv"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
+)
+
+// Weight versions are labels. Those that are whole numbers are compared as such, so
+// that a replica which is ahead of the named version is left as it is.
+
+// versionReached tells whether a replica that runs one version need not load the
+// named one. No version was reached by a replica of unknown weights; whatever a
+// replica runs does if none is named.
+func versionReached(running, named string) bool {
+	if running == "" {
+		return false
+	}
+	if named == "" || running == named {
+		return true
+	}
+	return numericallyNewer(running, named)
+}
+
+// numericallyNewer tells whether both are numbers and the first is greater.
+func numericallyNewer(version, than string) bool {
+	a, errA := strconv.ParseUint(version, 10, 64)
+	b, errB := strconv.ParseUint(than, 10, 64)
+	return errA == nil && errB == nil && a > b
+}
+
+// sameInstance tells whether a row is about the incarnation that the list names.
+func sameInstance(row *controlpb.ReplicaState, listed listing.Replica) bool {
+	return row.GetInstance() == "" || listed.Instance == "" || row.GetInstance() == listed.Instance
+}
+
+// runningVersion is the version of a replica that takes requests, from its row, if
+// it has one, or else from the list, which lags behind rows; empty if unknown.
+func runningVersion(row *controlpb.ReplicaState, listed listing.Replica) string {
+	if row == nil || !sameInstance(row, listed) || row.GetPhase() != controlpb.ReplicaPhase_SERVING {
+		return listed.WeightVersion
+	}
+	if numericallyNewer(listed.WeightVersion, row.GetWeightVersion()) {
+		return listed.WeightVersion
+	}
+	return row.GetWeightVersion()
+}
+
+// movedByRollout tells whether a row keeps requests from a replica.
+func movedByRollout(row *controlpb.ReplicaState, listed listing.Replica) bool {
+	return row != nil && sameInstance(row, listed) && row.GetPhase() != controlpb.ReplicaPhase_SERVING
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -3,6 +3,7 @@
 import (
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
 	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
@@ -132,23 +133,23 @@
 	}
 }
 
-// viewPool lists a pool's replicas. Without a registration with the shard that
-// holds them, this node would not be waited for when one is drained, so that it
-// admits nothing to them.
+// viewPool lists a pool's replicas. Where replicas are drained before they load
+// weights, a node without a registration with the shard that holds them would not
+// be waited for, so that it admits nothing to them.
 func (m *Machine) viewPool(pool *ridgeswitchv1.Pool, evacuated zoneSet) *routing.Pool {
 	shardID := ShardOfService(pool.GetService(), m.config.ServiceShards)
-	registered := m.registered(shardID)
+	registered := m.registered(shardID) || m.config.ReplicasFinishFirst
 	rows := m.held.services[shardID].GetReplicas()
 	entry := &routing.Pool{Config: pool, Store: findStore(m.held.configuration, pool.GetStore())}
 	for _, listed := range m.backends.services[pool.GetService()] {
 		row := findReplica(rows, listed.Address)
-		serving := row.GetPhase() == controlpb.ReplicaPhase_SERVING
-		entry.Replicas = append(entry.Replicas, routing.Replica{
-			Address:       listed.Address,
-			Zone:          listed.Zone,
-			WeightVersion: row.GetWeightVersion(),
-			Admitting:     registered && serving && !listed.Draining && !evacuated.has(listed.Zone),
-		})
+		version := runningVersion(row, listed)
+		known := version != "" || pool.GetWeightVersion() == "" && listed.Instance != ""
+		kept := listed.Draining || movedByRollout(row, listed) || evacuated.has(listed.Zone)
+		entry.Replicas = append(entry.Replicas, viewReplica(listed, version, registered && known && !kept))
+	}
+	if named := m.noteNamedWeights(pool); m.weightsOverdue(named) {
+		giveUpOutdated(entry, named.version)
 	}
 	return entry
 }
@@ -156,15 +157,24 @@
 func (m *Machine) viewWebService(service *ridgeswitchv1.WebService, evacuated zoneSet) *routing.WebService {
 	entry := &routing.WebService{Config: service}
 	for _, listed := range m.backends.services[service.GetService()] {
-		entry.Replicas = append(entry.Replicas, routing.Replica{
-			Address:   listed.Address,
-			Zone:      listed.Zone,
-			Admitting: !listed.Draining && !evacuated.has(listed.Zone),
-		})
+		entry.Replicas = append(entry.Replicas, viewReplica(listed, "", !listed.Draining && !evacuated.has(listed.Zone)))
 	}
 	return entry
 }
 
+// viewReplica is a listed back end as traffic sees it.
+func viewReplica(listed listing.Replica, version string, admitting bool) routing.Replica {
+	return routing.Replica{
+		Address:       listed.Address,
+		Zone:          listed.Zone,
+		Instance:      listed.Instance,
+		Slots:         listed.Slots,
+		ColdUntil:     listed.ColdUntil,
+		WeightVersion: version,
+		Admitting:     admitting,
+	}
+}
+
 func findStore(configuration *ridgeswitchv1.Configuration, name string) *ridgeswitchv1.Store {
 	for _, store := range configuration.GetStores() {
 		if store.GetName() == name {
--- a/internal/lab/hollow/index.go
+++ b/internal/lab/hollow/index.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"time"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
@@ -40,8 +41,8 @@
 	// replicas of one pool.
 	PlacementMicroseconds float64 `json:"placement_us"`
 	PlacementCandidates   int     `json:"placement_candidates"`
-	// PlatformListBytes is the size of the platform's list, which a node reads
-	// at ListsPerSecond.
+	// PlatformListBytes is the size of the platform's list, which one node for
+	// all reads at ListsPerSecond.
 	PlatformListBytes int     `json:"platform_list_bytes"`
 	ListsPerSecond    float64 `json:"platform_lists_s"`
 }
@@ -177,7 +178,7 @@
 		PlacementMicroseconds: float64(placement) / float64(time.Microsecond),
 		PlacementCandidates:   candidates,
 		PlatformListBytes:     listBytes,
-		ListsPerSecond:        1 / listEvery.Seconds(),
+		ListsPerSecond:        1 / control.DefaultListReadEvery.Seconds(),
 	}
 }
 
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -20,9 +20,6 @@
 // deployment names hollow deployments on the wire.
 const deployment = "hollow"
 
-// listEvery is the time between two readings of the platform's list.
-const listEvery = 500 * time.Millisecond
-
 // node is one hollow node.
 type node struct {
 	number int
@@ -64,7 +61,8 @@
 		Clock:      of.clock,
 		Sender:     built,
 		Storage:    storage,
-		Commander:  of.replicas,
+		Commander:  built,
+		Lists:      built,
 		Log:        of.log.WithFields(logrus.Fields{"node": config.Self.ID}),
 	})
 	return built, nil
@@ -97,31 +95,22 @@
 			_ = n.driver.Serve(ctx)
 		})
 	})
-	running.Go(func() {
-		pprof.Do(ctx, pprof.Labels("role", n.role()+" inputs"), n.feed)
-	})
 }
 
-// feed brings in what a node reads from the platform and from replicas.
-func (n *node) feed(ctx context.Context) {
-	settings := n.fleet.settings
-	lists := time.NewTicker(settings.stretched(listEvery))
-	defer lists.Stop()
-	reports := time.NewTicker(settings.stretched(reportEvery))
-	defer reports.Stop()
-	n.driver.SetPlatformList(n.fleet.topology.list)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-lists.C:
-			n.driver.SetPlatformList(n.fleet.topology.list)
-		case <-reports.C:
-			for _, address := range n.driver.WatchedReplicas() {
-				n.driver.SetReplicaReport(n.fleet.replicas.report(address, n.fleet.clock()))
-			}
-		}
-	}
+// ReadList implements control.ListReader.
+func (n *node) ReadList() {
+	go n.driver.ListRead(control.ListReading{StartedAt: n.fleet.clock(), Services: n.fleet.topology.list})
+}
+
+// Report implements control.Commander.
+func (n *node) Report(request control.ReportRequest) {
+	go n.driver.SetReplicaReport(n.fleet.replicas.report(request.Address, n.fleet.clock()))
+}
+
+// Command implements control.Commander.
+func (n *node) Command(command control.Command) {
+	n.fleet.replicas.load(command)
+	go n.driver.CommandDone(command, control.CommandAccepted)
 }
 
 // revision is the revision of the configuration that the node serves.
--- a/internal/lab/hollow/replicas.go
+++ b/internal/lab/hollow/replicas.go
@@ -7,10 +7,6 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 )
 
-// reportEvery is the time between two reports of a replica to the owner of its
-// shard, as daemons ask for them.
-const reportEvery = 250 * time.Millisecond
-
 // replicas stand for the model replicas: they report at once and load weights
 // in no time.
 type replicas struct {
@@ -21,8 +17,8 @@
 
 func newReplicas() *replicas { return &replicas{versions: map[string]string{}} }
 
-// Command implements control.Commander.
-func (r *replicas) Command(command control.Command) {
+// load is what a command leads to.
+func (r *replicas) load(command control.Command) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.versions[command.Address] = command.WeightVersion
--- a/internal/lab/hollow/topology.go
+++ b/internal/lab/hollow/topology.go
@@ -73,7 +73,7 @@
 	for _, length := range []*time.Duration{
 		&times.HeartbeatEvery, &times.ElectionTimeout, &times.LeaseDuration, &times.LeaseMargin,
 		&times.FenceAfter, &times.FenceMargin, &times.AcknowledgeTimeout, &times.OrderTimeout,
-		&times.RetryEvery, &times.ConfirmEvery, &times.DigestEvery,
+		&times.RetryEvery, &times.ConfirmEvery, &times.DigestEvery, &times.ListReadEvery, &times.CommandGap,
 	} {
 		*length = s.stretched(*length)
 	}
--- a/internal/lab/hollow/virtualnode.go
+++ b/internal/lab/hollow/virtualnode.go
@@ -20,7 +20,6 @@
 	fleet   *virtualFleet
 	meter   meter
 	view    *routing.View
-	watched []string
 	// serveUntil is until when the node admits traffic.
 	serveUntil time.Duration
 	// used is the processor time of the node's inputs.
@@ -50,10 +49,6 @@
 // start begins the timers of the node.
 func (n *virtualNode) start(now time.Duration) {
 	n.every(now, control.DefaultTickEvery, n.tick)
-	n.every(now, n.fleet.settings.stretched(listEvery), func(now time.Duration) {
-		n.take(now, func() control.Output { return n.machine.SetPlatformList(now, n.fleet.topology.list) })
-	})
-	n.every(now, n.fleet.settings.stretched(reportEvery), n.readReports)
 }
 
 // every repeats an action from an instant on.
@@ -68,11 +63,11 @@
 	n.usedTick += n.take(now, func() control.Output { return n.machine.Tick(now) })
 }
 
-func (n *virtualNode) readReports(now time.Duration) {
-	for _, address := range n.watched {
-		report := n.fleet.replicas.report(address, now)
-		n.take(now, func() control.Output { return n.machine.SetReplicaReport(now, report) })
-	}
+// call runs an input that a call to the platform or to a replica leads to.
+func (n *virtualNode) call(now time.Duration, input func(now time.Duration) control.Output) {
+	n.fleet.queue.add(now+virtualCallTime, func(now time.Duration) {
+		n.take(now, func() control.Output { return input(now) })
+	})
 }
 
 // receive takes a frame of another node.
@@ -105,7 +100,6 @@
 		n.view = output.View
 	}
 	n.serveUntil = n.machine.ServeUntil()
-	n.watched = n.machine.WatchedReplicas()
 	for _, save := range output.Saves {
 		n.save(now, save)
 	}
@@ -115,11 +109,30 @@
 	for _, reply := range output.Replies {
 		n.fleet.answered(now, reply)
 	}
+	n.performCalls(now, output)
+}
+
+// performCalls makes the calls to the platform and to replicas.
+func (n *virtualNode) performCalls(now time.Duration, output control.Output) {
 	for _, command := range output.Commands {
-		n.fleet.replicas.Command(command)
+		n.fleet.replicas.load(command)
+		n.call(now, func(now time.Duration) control.Output {
+			return n.machine.CommandDone(now, command, control.CommandAccepted)
+		})
+	}
+	for _, request := range output.Reports {
+		report := n.fleet.replicas.report(request.Address, now)
+		n.call(now, func(now time.Duration) control.Output { return n.machine.SetReplicaReport(now, report) })
+	}
+	if output.ReadList {
+		reading := control.ListReading{StartedAt: now, Services: n.fleet.topology.list}
+		n.call(now, func(now time.Duration) control.Output { return n.machine.ListRead(now, reading) })
 	}
 }
 
+// virtualCallTime is how long a call takes.
+const virtualCallTime = 2 * time.Millisecond
+
 // save writes at once and tells so a little later.
 func (n *virtualNode) save(now time.Duration, save control.Save) {
 	if err := write(n.storage[save.Shard], save); err != nil {
--- a/internal/lab/sim/checks.go
+++ b/internal/lab/sim/checks.go
@@ -52,7 +52,7 @@
 
 type takenCommand struct {
 	incarnation uint64
-	epoch       uint64
+	token       uint64
 }
 
 func newChecks(world *simulation) *checks {
@@ -167,7 +167,7 @@
 	c.commands = append(c.commands, checker.Command{
 		Replica:       command.Address,
 		Holder:        string(n.info.ID),
-		Epoch:         command.Epoch,
+		Epoch:         command.Token,
 		WeightVersion: command.WeightVersion,
 		At:            c.world.now,
 	})
@@ -176,11 +176,11 @@
 // commandTaken holds that the epochs that a replica follows never go back.
 func (c *checks) commandTaken(target *replica, holder *node, command control.Command) {
 	last := c.taken[target]
-	if last.incarnation == target.incarnation && command.Epoch < last.epoch {
-		c.world.violate("epochs_never_back", "%s took a command of %s in epoch %d after epoch %d", target.address, holder.info.ID, command.Epoch, last.epoch)
+	if last.incarnation == target.incarnation && command.Token < last.token {
+		c.world.violate("epochs_never_back", "%s took a command of %s with token %x after %x", target.address, holder.info.ID, command.Token, last.token)
 		return
 	}
-	c.taken[target] = takenCommand{incarnation: target.incarnation, epoch: command.Epoch}
+	c.taken[target] = takenCommand{incarnation: target.incarnation, token: command.Token}
 }
 
 // relayed holds that a revision of a shard has one content, whoever sends it.
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -165,8 +165,6 @@
 func (n *node) scheduleAll() {
 	life := n.life
 	n.every(life, control.DefaultTickEvery, func() { n.post(life, n.machine.Tick) })
-	n.every(life, platformEvery, func() { n.pollPlatform(life) })
-	n.every(life, reportEvery, func() { n.askReports(life) })
 	n.scheduleTraffic(life)
 }
 
@@ -289,6 +287,12 @@
 	for _, command := range output.Commands {
 		n.command(command)
 	}
+	for _, request := range output.Reports {
+		n.askReport(request)
+	}
+	if output.ReadList {
+		n.readList()
+	}
 }
 
 // publish puts a view in force for traffic.
--- a/internal/lab/sim/platform.go
+++ b/internal/lab/sim/platform.go
@@ -8,9 +8,6 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 )
 
-// platformEvery is how often a node reads the platform's list.
-const platformEvery = 500 * time.Millisecond
-
 // platform is the list of the deployment's back ends.
 type platform struct {
 	world    *simulation
@@ -82,12 +79,14 @@
 	return listed
 }
 
-// pollPlatform reads the list and hands it to the node.
-func (n *node) pollPlatform(life uint64) {
+// readList reads the list and hands it to the node.
+func (n *node) readList() {
+	life := n.life
+	reading := control.ListReading{StartedAt: n.now()}
 	n.world.after(minLatency+n.world.upTo(replicaLatency), func() {
-		shown := n.world.platform.shown
-		n.post(life, func(now time.Duration) control.Output {
-			return n.machine.SetPlatformList(now, shown)
+		reading.Services = n.world.platform.shown
+		n.world.after(minLatency+n.world.upTo(replicaLatency), func() {
+			n.post(life, func(now time.Duration) control.Output { return n.machine.ListRead(now, reading) })
 		})
 	})
 }
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// reportEvery is how often a node asks the replicas that it commands.
-	reportEvery = 250 * time.Millisecond
 	// measureEvery is how old the numbers in a report may be.
 	measureEvery = 200 * time.Millisecond
 	// minLoad and loadSpread bound the time to load weights.
@@ -16,6 +14,8 @@
 	loadSpread = 300 * time.Millisecond
 	// replicaLatency bounds one way between a node and a replica.
 	replicaLatency = 8 * time.Millisecond
+	// callTimeout is how long a node waits for an answer of a replica.
+	callTimeout = 2 * time.Second
 	// dispatchDelay bounds the time between a command's output and its sending.
 	dispatchDelay = 30 * time.Millisecond
 	// maxStuck bounds how late a command that got stuck arrives.
@@ -40,8 +40,8 @@
 	lastVersion string
 	// loading numbers the loads.
 	loading uint64
-	// highestEpoch is the newest epoch of a command in this life.
-	highestEpoch uint64
+	// highestToken is the greatest token of a command in this life.
+	highestToken uint64
 	active       int
 	// strayed tells that the replica came back with other weights, which
 	// nobody ordered, and since when.
@@ -53,16 +53,22 @@
 }
 
 // take handles a command.
-func (r *replica) take(holder *node, command control.Command) {
-	if command.Epoch < r.highestEpoch && !r.world.broken(BreakNoEpochCheck) {
+func (r *replica) take(holder *node, command control.Command) control.CommandOutcome {
+	if command.Token < r.highestToken && !r.world.broken(BreakNoEpochCheck) {
 		r.world.counts.StaleCommands++
-		return
+		return control.CommandFenced
 	}
 	r.world.checks.commandTaken(r, holder, command)
-	r.highestEpoch = command.Epoch
+	r.highestToken = command.Token
 	if r.target == command.WeightVersion || (r.target == "" && r.version == command.WeightVersion) {
-		return
+		return control.CommandAccepted
 	}
+	r.load(command)
+	return control.CommandAccepted
+}
+
+// load begins to load the weights of a command.
+func (r *replica) load(command control.Command) {
 	r.world.checks.weightsChange(r, command)
 	r.strayed = false
 	r.version = ""
@@ -107,7 +113,7 @@
 	}
 	r.up = true
 	r.incarnation++
-	r.highestEpoch = 0
+	r.highestToken = 0
 	r.strayed = version != r.lastVersion
 	r.strayedAt = r.world.now
 	r.version, r.target, r.lastVersion = version, "", version
@@ -119,7 +125,7 @@
 	life := n.life
 	n.world.after(n.world.upTo(dispatchDelay), func() {
 		if n.life == life && n.up {
-			n.whenAwake(func() { n.dispatch(command) })
+			n.whenAwake(func() { n.dispatch(life, command) })
 		}
 	})
 	if n.world.freezeNextCommand {
@@ -128,24 +134,43 @@
 	}
 }
 
-func (n *node) dispatch(command control.Command) {
+func (n *node) dispatch(life uint64, command control.Command) {
 	if n.now() >= command.Deadline && !n.world.broken(BreakCommandAfterDeadline) {
+		n.commandDone(life, command, control.CommandNotSent)
 		return
 	}
 	target := n.world.replicas[command.Address]
-	n.note("%s:=%s e%d", command.Address, command.WeightVersion, command.Epoch)
+	n.note("%s:=%s t%x", command.Address, command.WeightVersion, command.Token)
 	n.world.checks.commandSent(n, command)
+	answered := false
+	n.world.after(command.Deadline-n.now(), func() {
+		if !answered {
+			answered = true
+			n.commandDone(life, command, control.CommandUnknown)
+		}
+	})
 	if n.world.losesCall() {
 		return
 	}
 	incarnation := target.incarnation
 	n.world.after(n.world.commandLatency(), func() {
-		if target.up && target.incarnation == incarnation {
-			target.take(n, command)
+		if !target.up || target.incarnation != incarnation {
+			return
 		}
+		outcome := target.take(n, command)
+		n.world.after(minLatency+n.world.upTo(replicaLatency), func() {
+			if !answered {
+				answered = true
+				n.commandDone(life, command, outcome)
+			}
+		})
 	})
 }
 
+func (n *node) commandDone(life uint64, command control.Command, outcome control.CommandOutcome) {
+	n.post(life, func(now time.Duration) control.Output { return n.machine.CommandDone(now, command, outcome) })
+}
+
 // commandLatency is mostly short; while commands get stuck, some arrive long
 // after their sender's right has ended.
 func (w *simulation) commandLatency() time.Duration {
@@ -166,21 +191,19 @@
 	return false
 }
 
-// askReports asks the replicas that the node commands for their numbers.
-func (n *node) askReports(life uint64) {
-	for _, address := range n.machine.WatchedReplicas() {
-		if target := n.world.replicas[address]; target != nil && !n.world.losesCall() {
-			n.askReport(life, target)
-		}
-	}
-}
-
 // askReport counts the numbers as measured when the question was sent, less the
 // age that the replica states.
-func (n *node) askReport(life uint64, target *replica) {
+func (n *node) askReport(request control.ReportRequest) {
+	life := n.life
 	askedAt := n.now()
+	target := n.world.replicas[request.Address]
+	if target == nil || n.world.losesCall() {
+		n.world.after(callTimeout, func() { n.reportFailed(life, request) })
+		return
+	}
 	n.world.after(minLatency+n.world.upTo(replicaLatency), func() {
 		if !target.up {
+			n.reportFailed(life, request)
 			return
 		}
 		report, age := target.report()
@@ -192,3 +215,9 @@
 		})
 	})
 }
+
+func (n *node) reportFailed(life uint64, request control.ReportRequest) {
+	n.post(life, func(now time.Duration) control.Output {
+		return n.machine.ReplicaReportFailed(now, request.Address)
+	})
+}
--- a/internal/lab/sim/scenario_test.go
+++ b/internal/lab/sim/scenario_test.go
@@ -68,7 +68,7 @@
 			world.at(5*second, func() { world.place(world.nameWeights(0, poolNames[0])) })
 			world.at(15*second, func() {
 				first := world.checks.commands[0]
-				late = control.Command{Address: first.Replica, Epoch: first.Epoch, WeightVersion: first.WeightVersion}
+				late = control.Command{Address: first.Replica, Token: first.Epoch, WeightVersion: first.WeightVersion}
 				world.place(world.nameWeights(0, poolNames[0]))
 			})
 			world.at(28*second, func() {
--- a/internal/node/commander.go
+++ b/internal/node/commander.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/clock"
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 )
 
 const (
@@ -21,102 +19,84 @@
 
 // commander carries out what control wants of replicas: reports and commands.
 type commander struct {
-	holder string
-	client *replica.CommandClient
-	driver *control.Driver
-	log    *logrus.Entry
-	slots  chan struct{}
-
-	mutex sync.Mutex
-	// asking are the replicas whose report is under way.
-	asking map[string]struct{}
+	replicas ReplicaCommander
+	driver   *control.Driver
+	log      *logrus.Entry
+	slots    chan struct{}
 }
 
-func newCommander(holder string, client *replica.CommandClient, log *logrus.Entry) *commander {
+func newCommander(replicas ReplicaCommander, log *logrus.Entry) *commander {
 	return &commander{
-		holder: holder,
-		client: client,
-		log:    log,
-		slots:  make(chan struct{}, maxReplicaCalls),
-		asking: map[string]struct{}{},
+		replicas: replicas,
+		log:      log,
+		slots:    make(chan struct{}, maxReplicaCalls),
 	}
 }
 
-// Command implements control.Commander. The call runs beside control. The right
-// to command is checked again at the moment of sending, on the clock that counts
-// suspended time, and the call itself ends with that right.
+// Command implements control.Commander. The call runs beside control.
 func (c *commander) Command(command control.Command) {
-	select {
-	case c.slots <- struct{}{}:
-	default:
-		// Control orders again.
-		return
-	}
-	go func() {
-		defer func() { <-c.slots }()
-		c.send(command)
-	}()
+	go func() { c.driver.CommandDone(command, c.send(command)) }()
 }
 
-func (c *commander) send(command control.Command) {
+// send checks the right to command again at the moment of sending, on the clock that
+// counts suspended time, and the call itself ends with that right.
+func (c *commander) send(command control.Command) control.CommandOutcome {
+	if !c.begin() {
+		return control.CommandNotSent
+	}
+	defer c.end()
 	remaining := command.Deadline - clock.SinceBoot()
 	if remaining <= 0 {
-		return
+		return control.CommandNotSent
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
-	err := c.client.LoadWeights(ctx, command.Address, replica.WeightsCommand{
-		WeightVersion: command.WeightVersion,
-		Epoch:         command.Epoch,
-		Holder:        c.holder,
-	})
+	outcome, err := c.replicas.LoadWeights(ctx, command)
 	if err != nil {
-		c.log.WithError(err).WithField("replica", command.Address).Warn("a weights command was not taken; it is repeated while this node commands the replica")
+		c.log.WithError(err).WithField("replica", command.Address).WithField("outcome", outcome.String()).
+			Warn("a weights command was not taken; it is repeated while this node commands the replica")
 	}
+	return outcome
 }
 
-// askReports starts a report call to each watched replica that has none under
-// way.
-func (c *commander) askReports(ctx context.Context) {
-	for _, address := range c.driver.WatchedReplicas() {
-		if c.begin(address) {
-			go c.askReport(ctx, address)
+// Report implements control.Commander. The numbers of a report count as measured no
+// later than the question was sent, less the age that they may have.
+func (c *commander) Report(request control.ReportRequest) {
+	go func() {
+		report, err := c.report(request)
+		if err != nil {
+			c.driver.ReplicaReportFailed(request.Address)
+			return
 		}
-	}
+		c.driver.SetReplicaReport(report)
+	}()
 }
 
-func (c *commander) begin(address string) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if _, found := c.asking[address]; found || len(c.asking) >= maxReplicaCalls {
-		return false
+func (c *commander) report(request control.ReportRequest) (control.ReplicaReport, error) {
+	if !c.begin() {
+		return control.ReplicaReport{}, errTooManyCalls
 	}
-	c.asking[address] = struct{}{}
-	return true
-}
-
-func (c *commander) end(address string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.asking, address)
-}
-
-// askReport hands a replica's report to control. Its numbers count as measured
-// no later than the question was sent, less the age that the replica states.
-func (c *commander) askReport(ctx context.Context, address string) {
-	defer c.end(address)
-	bounded, cancel := context.WithTimeout(ctx, replicaCallTimeout)
+	defer c.end()
+	ctx, cancel := context.WithTimeout(context.Background(), replicaCallTimeout)
 	defer cancel()
 	askedAt := clock.SinceBoot()
-	report, err := c.client.Report(bounded, address)
+	report, err := c.replicas.Report(ctx, request.Address, request.Instance)
 	if err != nil {
-		return
+		return control.ReplicaReport{}, err
+	}
+	report.Address = request.Address
+	report.MeasuredAt = askedAt - report.Age
+	return report, nil
+}
+
+// begin takes one of the calls that may run at once.
+func (c *commander) begin() bool {
+	select {
+	case c.slots <- struct{}{}:
+		return true
+	default:
+		return false
 	}
-	c.driver.SetReplicaReport(control.ReplicaReport{
-		Address:        address,
-		Incarnation:    report.Incarnation,
-		WeightVersion:  report.WeightVersion,
-		ActiveRequests: int(report.ActiveRequests),
-		MeasuredAt:     askedAt - report.Age(),
-	})
 }
+
+func (c *commander) end() { <-c.slots }
--- /dev/null
+++ b/internal/node/lists.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/clock"
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+)
+
+// listReadTimeout bounds one reading of the platform's list with all its pages.
+const listReadTimeout = 1500 * time.Millisecond
+
+// lists reads the platform's list when control asks for it.
+type lists struct {
+	reader ListReader
+	driver *control.Driver
+	log    *logrus.Entry
+}
+
+// ReadList implements control.ListReader. Control asks for one reading at a time.
+func (l *lists) ReadList() {
+	go func() { l.driver.ListRead(l.read()) }()
+}
+
+func (l *lists) read() control.ListReading {
+	ctx, cancel := context.WithTimeout(context.Background(), listReadTimeout)
+	defer cancel()
+	reading := control.ListReading{StartedAt: clock.SinceBoot()}
+	reading.Services, reading.Err = l.reader.Read(ctx)
+	if reading.Err != nil {
+		l.log.WithError(reading.Err).Warn("cannot read the platform's list; the last one stays in force")
+	}
+	return reading
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,9 +15,6 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/internal/metrics"
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
@@ -42,14 +39,20 @@
 	dataplane *dataplane.Server
 	operator  *operator.Server
 	health    *health
-	platform  *platform.Client
+	edges     Edges
 	commander *commander
+	lists     *lists
 }
 
 // New builds a node from checked settings. It listens for other nodes at once
 // and for callers and operators when Run is called.
 func New(settings *static.Settings, log *logrus.Entry) (*Node, error) {
-	node := &Node{settings: settings, log: log, health: &health{}}
+	return NewWithEdges(settings, log, ownEdges(settings.PlatformAddress))
+}
+
+// NewWithEdges is New with other protocols of the platform and of replicas.
+func NewWithEdges(settings *static.Settings, log *logrus.Entry, edges Edges) (*Node, error) {
+	node := &Node{settings: settings, log: log, health: &health{}, edges: edges}
 	if err := node.build(); err != nil {
 		node.close()
 		return nil, err
@@ -78,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	machine, err := control.New(controlConfig(n.settings, n.storage), n.storage.restored, n.dataplane, clock.SinceBoot())
+	machine, err := control.New(n.controlConfig(), n.storage.restored, n.dataplane, clock.SinceBoot())
 	if err != nil {
 		return err
 	}
@@ -98,9 +101,8 @@
 // buildDriver connects the control machine to the network, the disk and the
 // replicas.
 func (n *Node) buildDriver(machine *control.Machine) error {
-	sender := outbound.New(outbound.Options{Name: "control"})
-	n.platform = platform.NewClient(sender, n.settings.PlatformAddress)
-	n.commander = newCommander(n.settings.Node, replica.NewCommandClient(sender), n.log.WithField("component", "commander"))
+	n.commander = newCommander(n.edges.Replicas, n.log.WithField("component", "commander"))
+	n.lists = &lists{reader: n.edges.Lists, log: n.log.WithField("component", "lists")}
 	frames := &lateFrames{}
 	listening, err := transport.Listen(n.settings.InternalListener(), frames.receive, transport.Options{})
 	if err != nil {
@@ -113,9 +115,11 @@
 		Sender:     listening,
 		Storage:    n.storage.shards(),
 		Commander:  n.commander,
+		Lists:      n.lists,
 		Log:        n.log.WithField("component", "control"),
 	})
 	n.commander.driver = n.driver
+	n.lists.driver = n.driver
 	frames.driver.Store(n.driver)
 	return nil
 }
@@ -151,8 +155,6 @@
 func (n *Node) supervise(ctx context.Context) <-chan struct{} {
 	supervisor := suture.New("node "+n.settings.Node, suture.Spec{EventHook: n.logEvent})
 	supervisor.Add(&controlService{driver: n.driver})
-	supervisor.Add(&platformService{node: n})
-	supervisor.Add(&reportService{commander: n.commander})
 	finished := make(chan struct{})
 	ended := supervisor.ServeBackground(ctx)
 	go func() {
@@ -192,6 +194,13 @@
 	}
 }
 
+// controlConfig is what the control machine of this node needs.
+func (n *Node) controlConfig() control.Config {
+	config := controlConfig(n.settings, n.storage)
+	config.ReplicasFinishFirst = n.edges.ReplicasFinishFirst
+	return config
+}
+
 // controlConfig turns settings into what the control machine needs.
 func controlConfig(settings *static.Settings, disk *storage) control.Config {
 	config := control.Config{
@@ -210,6 +219,9 @@
 		Times:         control.DefaultTimes(),
 	}
 	config.Times.HeartbeatEvery = settings.HeartbeatEvery()
+	config.Times.ListReadEvery = settings.PlatformPollEvery()
+	config.Times.CommandGap = settings.CommandGap()
+	config.Times.WeightsDeadline = settings.WeightsDeadline()
 	for _, name := range settings.Group {
 		config.Group = append(config.Group, member.ID(name))
 	}
--- /dev/null
+++ b/internal/node/ownedges.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+)
+
+// errTooManyCalls tells that a control call was not made.
+var errTooManyCalls = errors.New("too many control calls to replicas are under way")
+
+// ownEdges are the product's own protocols with the platform and with replicas.
+func ownEdges(platformAddress string) Edges {
+	sender := outbound.New(outbound.Options{Name: "control"})
+	return Edges{
+		Lists:    &ownLists{client: platform.NewClient(sender, platformAddress)},
+		Replicas: &ownReplicas{client: replica.NewCommandClient(sender)},
+	}
+}
+
+// ownLists reads the platform's list by the product's own protocol.
+type ownLists struct {
+	client *platform.Client
+}
+
+// Read implements ListReader.
+func (l *ownLists) Read(ctx context.Context) ([]control.ListedService, error) {
+	list, err := l.client.Fetch(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return lo.Map(list.Services, listedService), nil
+}
+
+func listedService(service platform.Service, _ int) control.ListedService {
+	return control.ListedService{
+		Name: service.Name,
+		Replicas: lo.Map(service.Replicas, func(replica platform.Replica, _ int) control.ListedReplica {
+			return control.ListedReplica{
+				Address:  replica.Address,
+				Zone:     replica.Zone,
+				Draining: replica.State != platform.StateRunning,
+			}
+		}),
+	}
+}
+
+// ownReplicas speaks to replicas by the product's own protocol.
+type ownReplicas struct {
+	client *replica.CommandClient
+}
+
+// LoadWeights implements ReplicaCommander.
+func (r *ownReplicas) LoadWeights(ctx context.Context, command control.Command) (control.CommandOutcome, error) {
+	err := r.client.LoadWeights(ctx, command.Address, replica.WeightsCommand{
+		WeightVersion: command.WeightVersion,
+		Epoch:         command.Token,
+		Holder:        command.Holder,
+	})
+	var stale *replica.StaleEpochError
+	var status *replica.StatusError
+	switch {
+	case err == nil:
+		return control.CommandAccepted, nil
+	case errors.As(err, &stale):
+		return control.CommandFenced, err
+	case errors.As(err, &status):
+		return control.CommandRefused, err
+	default:
+		return control.CommandUnknown, err
+	}
+}
+
+// Report implements ReplicaCommander.
+func (r *ownReplicas) Report(ctx context.Context, address, _ string) (control.ReplicaReport, error) {
+	report, err := r.client.Report(ctx, address)
+	if err != nil {
+		return control.ReplicaReport{}, err
+	}
+	return control.ReplicaReport{
+		Incarnation:    report.Incarnation,
+		WeightVersion:  report.WeightVersion,
+		ActiveRequests: int(report.ActiveRequests),
+		Age:            report.Age(),
+	}, nil
+}
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
-	"github.com/samber/lo"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
@@ -72,57 +69,3 @@
 	}
 	return errors.Wrap(suture.ErrTerminateSupervisorTree, err.Error())
 }
-
-// platformService keeps the platform's list fresh.
-type platformService struct {
-	node *Node
-}
-
-// Serve implements suture.Service.
-func (s *platformService) Serve(ctx context.Context) error {
-	s.node.platform.Poll(ctx, s.node.settings.PlatformPollEvery(), s.deliver)
-	return ctx.Err()
-}
-
-func (s *platformService) deliver(list *platform.List, err error) {
-	if err != nil {
-		s.node.log.WithError(err).Warn("cannot read the platform's list; the last one stays in force")
-		return
-	}
-	s.node.driver.SetPlatformList(lo.Map(list.Services, listedService))
-}
-
-func listedService(service platform.Service, _ int) control.ListedService {
-	return control.ListedService{
-		Name: service.Name,
-		Replicas: lo.Map(service.Replicas, func(replica platform.Replica, _ int) control.ListedReplica {
-			return control.ListedReplica{
-				Address:  replica.Address,
-				Zone:     replica.Zone,
-				Draining: replica.State != platform.StateRunning,
-			}
-		}),
-	}
-}
-
-// reportService asks the replicas that this node commands for their reports.
-type reportService struct {
-	commander *commander
-}
-
-// reportEvery is the time between two reports of one replica.
-const reportEvery = 250 * time.Millisecond
-
-// Serve implements suture.Service.
-func (s *reportService) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			s.commander.askReports(ctx)
-		}
-	}
-}
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -4,6 +4,8 @@
 package routing
 
 import (
+	"time"
+
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 )
 
@@ -25,6 +27,13 @@
 type Replica struct {
 	Address string
 	Zone    string
+	// Instance names the incarnation of the back end, which requests are meant
+	// for; empty if the platform gives no name.
+	Instance string
+	// Slots is how many requests it works on at once; 0 if unknown.
+	Slots int
+	// ColdUntil is until when it is cold; 0 if it is warm.
+	ColdUntil time.Duration
 	// WeightVersion is the version that the replica confirmed. Empty for the
 	// back ends of a web service.
 	WeightVersion string
--- a/pkg/config/static/check.go
+++ b/pkg/config/static/check.go
@@ -144,6 +144,8 @@
 	c.duration("drain_timeout_ms", s.DrainTimeoutMS, time.Millisecond, MaxDrainTimeout)
 	c.duration("heartbeat_every_ms", s.HeartbeatEveryMS, MinHeartbeatEvery, MaxHeartbeatEvery)
 	c.duration("platform_poll_every_ms", s.PlatformPollEveryMS, MinPlatformPollEvery, MaxPlatformPollEvery)
+	c.duration("command_gap_ms", s.CommandGapMS, 0, MaxCommandGap)
+	c.duration("weights_deadline_ms", s.WeightsDeadlineMS, 0, MaxWeightsDeadline)
 }
 
 func (c *checker) between(field string, value, low, high int) {
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -13,7 +13,10 @@
 	DefaultHeartbeatEvery = 100 * time.Millisecond
 	// DefaultPlatformPollEvery is the interval at which the platform's list of
 	// replicas is read.
-	DefaultPlatformPollEvery = 500 * time.Millisecond
+	DefaultPlatformPollEvery = time.Second
+	// DefaultCommandGap is how far apart the commands of two nodes to one replica
+	// are at least.
+	DefaultCommandGap = 3 * time.Second
 	// DefaultLogRing is the number of log entries kept in memory.
 	DefaultLogRing = 4096
 	// DefaultDeployment is the name of a deployment that needs none.
@@ -41,6 +44,10 @@
 	MinPlatformPollEvery = 50 * time.Millisecond
 	// MaxPlatformPollEvery keeps draining replicas from being used for long.
 	MaxPlatformPollEvery = time.Second
+	// MaxCommandGap bounds how long a new commander of replicas waits.
+	MaxCommandGap = time.Minute
+	// MaxWeightsDeadline bounds the time for named weights.
+	MaxWeightsDeadline = time.Hour
 	// MaxLogRing bounds the log entries kept in memory.
 	MaxLogRing = 1 << 20
 	// maxNameBytes bounds node and zone names.
@@ -86,6 +93,13 @@
 	// PlatformPollEveryMS is the interval between reads of that list, in
 	// milliseconds.
 	PlatformPollEveryMS int `yaml:"platform_poll_every_ms" usage:"interval between reads of that list"`
+	// CommandGapMS is how far apart the commands of two nodes to one replica are at
+	// least, in milliseconds.
+	CommandGapMS int `yaml:"command_gap_ms" usage:"least time between the weights commands of two nodes to one replica"`
+	// WeightsDeadlineMS is how long after weights were named a node gives up the
+	// replicas that do not run them, if enough others do, in milliseconds; 0 means
+	// never.
+	WeightsDeadlineMS int `yaml:"weights_deadline_ms" usage:"time after which replicas without the named weights get no requests"`
 	// ServiceShards is the number of shards of service state, the same on every
 	// node.
 	ServiceShards int `yaml:"service_shards" usage:"shards of service state, the same on every node"`
@@ -132,9 +146,21 @@
 	return time.Duration(s.PlatformPollEveryMS) * time.Millisecond
 }
 
+// CommandGap is how far apart the commands of two nodes to one replica are.
+func (s *Settings) CommandGap() time.Duration {
+	return time.Duration(s.CommandGapMS) * time.Millisecond
+}
+
+// WeightsDeadline is the time after which replicas without the named weights get no
+// requests; 0 means never.
+func (s *Settings) WeightsDeadline() time.Duration {
+	return time.Duration(s.WeightsDeadlineMS) * time.Millisecond
+}
+
 // fillDefaults replaces zero numbers and an empty log level.
 func (s *Settings) fillDefaults() {
 	setDefault(&s.PlatformPollEveryMS, int(DefaultPlatformPollEvery.Milliseconds()))
+	setDefault(&s.CommandGapMS, int(DefaultCommandGap.Milliseconds()))
 	setDefault(&s.ServiceShards, DefaultServiceShards)
 	setDefault(&s.HeartbeatEveryMS, int(DefaultHeartbeatEvery.Milliseconds()))
 	setDefault(&s.DrainTimeoutMS, int(DefaultDrainTimeout.Milliseconds()))
--- a/pkg/config/static/suite_test.go
+++ b/pkg/config/static/suite_test.go
@@ -58,7 +58,9 @@
 		Expect(settings.HoldsState()).To(BeTrue())
 		Expect(settings.DrainTimeout()).To(Equal(static.DefaultDrainTimeout))
 		Expect(settings.HeartbeatEvery()).To(Equal(100 * time.Millisecond))
-		Expect(settings.PlatformPollEvery()).To(Equal(500 * time.Millisecond))
+		Expect(settings.PlatformPollEvery()).To(Equal(time.Second))
+		Expect(settings.CommandGap()).To(Equal(3 * time.Second))
+		Expect(settings.WeightsDeadline()).To(BeZero())
 		Expect(parsed(`{"node": "front-1", "log_ring": 10}`).LogRing).To(Equal(10))
 		Expect(parsed("record_file: /var/log/day.jsonl").RecordFile).To(Equal("/var/log/day.jsonl"))
 		Expect(parsed("").RecordFile).To(BeEmpty())
@@ -105,7 +107,9 @@
 		Entry("folder outside group", func(s *static.Settings) { s.Node = "front-1" }, "inconsistent data_folder"),
 		Entry("numbers out of range", func(s *static.Settings) {
 			s.ServiceShards, s.LogRing, s.DrainTimeoutMS, s.HeartbeatEveryMS, s.PlatformPollEveryMS = -1, -1, -1, 251, 1001
-		}, "out_of_range service_shards", "out_of_range log_ring", "out_of_range drain_timeout_ms", "out_of_range heartbeat_every_ms", "out_of_range platform_poll_every_ms"),
+			s.CommandGapMS, s.WeightsDeadlineMS = 60_001, -1
+		}, "out_of_range service_shards", "out_of_range log_ring", "out_of_range drain_timeout_ms", "out_of_range heartbeat_every_ms", "out_of_range platform_poll_every_ms",
+			"out_of_range command_gap_ms", "out_of_range weights_deadline_ms"),
 		Entry("log level", func(s *static.Settings) { s.LogLevel = "loud" }, "invalid log_level"),
 		Entry("platform address", func(s *static.Settings) { s.PlatformAddress = "" }, "missing platform_address"),
 	)
