--- a/internal/control/backends.go
+++ b/internal/control/backends.go
@@ -8,9 +8,18 @@
 
 // ListedReplica is a back end as the platform lists it.
 type ListedReplica struct {
-	Address  string
-	Zone     string
-	Draining bool
+	Address string
+	Zone    string
+	// Instance names the incarnation at the address; empty if the platform names
+	// none.
+	Instance string
+	// Slots is how many requests it works on at once; 0 if unknown.
+	Slots int
+	// ColdRemaining is for how much longer it is cold after its start.
+	ColdRemaining time.Duration
+	// WeightVersion is the version that the list shows; empty if it shows none.
+	WeightVersion string
+	Draining      bool
 }
 
 // ListedService is a service with its back ends as the platform lists them.
