Documents of operators' own versions, and checks of all new fields

A document is taken on the version in force under a higher one; evacuations and the weights of pools that stay are left alone. Its order identity follows from its versions and content, so that an identical resend is acknowledged again by any node, also when it was superseded. GetSource reads the document through the leader, confirmed by a quorum; it is kept on disks and never relayed.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -7,6 +7,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -202,6 +203,16 @@
 	return m.take()
 }
 
+// Abandon ends an order or a read whose answer nobody waits for any more: it is
+// not sent again. What was sent already may still take effect.
+func (m *Machine) Abandon(now time.Duration, ticket uint64) Output {
+	m.now = now
+	m.orders.pending = slices.DeleteFunc(m.orders.pending, func(pending *pendingOrder) bool {
+		return pending.ticket == ticket
+	})
+	return m.take()
+}
+
 // Leave tells the others that this node stops, and hands its shards over.
 func (m *Machine) Leave(now time.Duration) Output {
 	m.now = now
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -11,11 +11,12 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
-// pendingOrder is an order that this node took from an operator and that the
-// owner of the configuration has not answered yet.
+// pendingOrder is an order, or a read, that this node took from an operator and
+// that the owner of the configuration has not answered yet.
 type pendingOrder struct {
 	ticket   uint64
 	request  uint64
+	kind     protocol.MessageType
 	payload  []byte
 	target   member.ID
 	nextAsk  time.Duration
@@ -47,12 +48,13 @@
 		m.output.Replies = append(m.output.Replies, Reply{Ticket: ticket, Err: err})
 		return
 	}
-	pending := &pendingOrder{
-		ticket:   ticket,
-		request:  m.nextRequest(),
-		payload:  payload,
-		deadline: m.now + m.config.Times.OrderTimeout,
-	}
+	m.begin(&pendingOrder{ticket: ticket, kind: protocol.MessageOrder, payload: payload})
+}
+
+// begin asks the owner what an operator wants.
+func (m *Machine) begin(pending *pendingOrder) {
+	pending.request = m.nextRequest()
+	pending.deadline = m.now + m.config.Times.OrderTimeout
 	m.orders.pending = append(m.orders.pending, pending)
 	m.askOwner(pending, m.ownerGuess(ConfigurationShard))
 }
@@ -65,7 +67,7 @@
 		return
 	}
 	m.sendControl(target, protocol.Message{
-		Type:    protocol.MessageOrder,
+		Type:    pending.kind,
 		Shard:   ConfigurationShard,
 		Request: pending.request,
 		Payload: pending.payload,
@@ -79,7 +81,7 @@
 	for _, pending := range slices.Clone(m.orders.pending) {
 		switch {
 		case m.now >= pending.deadline:
-			m.answerOrder(pending, &controlpb.Answer{})
+			m.giveUp(pending)
 		case m.now >= pending.nextAsk:
 			m.askOwner(pending, m.nextOwnerGuess(ConfigurationShard, pending.target))
 		}
@@ -87,9 +89,19 @@
 	m.answerWaiting()
 }
 
-// answerOrder answers the operator and ends the pending order.
-func (m *Machine) answerOrder(pending *pendingOrder, answer *controlpb.Answer) {
-	m.output.Replies = append(m.output.Replies, Reply{Ticket: pending.ticket, Answer: answer})
+// giveUp answers what nobody decided in time.
+func (m *Machine) giveUp(pending *pendingOrder) {
+	if pending.kind == protocol.MessageReadSource {
+		m.settle(pending, Reply{Err: ErrNoQuorum})
+		return
+	}
+	m.settle(pending, Reply{Answer: &controlpb.Answer{}})
+}
+
+// settle answers the operator and ends what is pending.
+func (m *Machine) settle(pending *pendingOrder, reply Reply) {
+	reply.Ticket = pending.ticket
+	m.output.Replies = append(m.output.Replies, reply)
 	m.orders.pending = slices.DeleteFunc(m.orders.pending, func(other *pendingOrder) bool {
 		return other == pending
 	})
@@ -121,8 +133,12 @@
 
 // refuseOrder tells a node that this one does not own the shard.
 func (m *Machine) refuseOrder(from member.ID, message protocol.Message) {
+	reply := protocol.MessageOrderReply
+	if message.Type == protocol.MessageReadSource {
+		reply = protocol.MessageReadSourceReply
+	}
 	m.sendControl(from, protocol.Message{
-		Type:    protocol.MessageOrderReply,
+		Type:    reply,
 		Shard:   message.Shard,
 		Request: message.Request,
 		Owner:   m.knownOwner(message.Shard),
@@ -196,10 +212,10 @@
 		}
 		return
 	}
-	answer := &controlpb.Answer{}
-	if err := proto.Unmarshal(message.Payload, answer); err != nil {
+	reply, err := decodeReply(message)
+	if err != nil {
 		return
 	}
 	m.lastOwners[message.Shard] = from
-	m.answerOrder(pending, answer)
+	m.settle(pending, reply)
 }
--- a/internal/control/output.go
+++ b/internal/control/output.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
@@ -26,10 +27,12 @@
 	Checkpoint *replication.Restored
 }
 
-// Reply answers an order that this node took.
+// Reply answers an order, or a read, that this node took.
 type Reply struct {
 	Ticket uint64
+	// Answer is set for an order, and Source for a read of the document.
 	Answer *controlpb.Answer
+	Source *ridgeswitchv1.Source
 	Err    error
 }
 
--- a/internal/control/persist.go
+++ b/internal/control/persist.go
@@ -48,6 +48,7 @@
 	for _, entry := range ready.Committed {
 		m.applyEntry(hosted, entry)
 	}
+	m.finishReads(hosted, ready)
 	hosted.group.Advance()
 	hosted.compactWhenLong()
 	m.publishOwned(hosted)
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -86,7 +86,9 @@
 	switch message.Type {
 	case protocol.MessageOrder:
 		m.receiveOrder(from, message)
-	case protocol.MessageOrderReply:
+	case protocol.MessageReadSource:
+		m.receiveReadSource(from, message)
+	case protocol.MessageOrderReply, protocol.MessageReadSourceReply:
 		m.receiveOrderReply(from, message)
 	case protocol.MessageRegister:
 		m.receiveRegister(from, message)
--- a/internal/control/protocol/message.go
+++ b/internal/control/protocol/message.go
@@ -31,6 +31,11 @@
 	// MessageWitnessReply tells the revision that the sender holds, and the
 	// newest epoch that it had heard of before.
 	MessageWitnessReply
+	// MessageReadSource asks the owner of the configuration for the source
+	// document in force, as a quorum confirms it.
+	MessageReadSource
+	// MessageReadSourceReply answers a MessageReadSource.
+	MessageReadSourceReply
 )
 
 // ShardRevision is the newest revision of one shard that a node serves.
@@ -50,7 +55,8 @@
 	// Request numbers a question of the sender; replies echo it.
 	Request     uint64
 	Incarnation member.Incarnation
-	// Payload is an encoded controlpb.Command or controlpb.Answer.
+	// Payload is an encoded controlpb.Command, controlpb.Answer or
+	// ridgeswitchv1.Source.
 	Payload   []byte
 	Revision  uint64
 	Owner     member.ID
--- a/internal/control/sections.go
+++ b/internal/control/sections.go
@@ -23,8 +23,10 @@
 	field protoreflect.Name
 	// prefix stands before the element's key in the name of its section.
 	prefix string
-	// key is the element's field whose value is unique in the list.
-	key protoreflect.Name
+	// keys are the element's fields whose values together are unique in the
+	// list. The first one holds no slash, and a further one begins with a slash
+	// or is empty.
+	keys []protoreflect.Name
 	// copy gives a message a list of its own with another's elements. It stands
 	// in for reflection, which would take milliseconds for a large list.
 	copy func(to, from proto.Message)
@@ -39,17 +41,17 @@
 
 // configurationLists are the lists of a Configuration.
 var configurationLists = []sectionedList{
-	{field: "tenants", prefix: "tenant/", key: "name", copy: copyOf(tenantsOf)},
-	{field: "pools", prefix: "pool/", key: "name", copy: copyOf(poolsOf)},
-	{field: "web_services", prefix: "web-service/", key: "name", copy: copyOf(webServicesOf)},
-	{field: "stores", prefix: "store/", key: "name", copy: copyOf(storesOf)},
-	{field: "routes", prefix: "route/", key: "host", copy: copyOf(routesOf)},
-	{field: "evacuations", prefix: "evacuation/", key: "zone", copy: copyOf(evacuationsOf)},
+	{field: "tenants", prefix: "tenant/", keys: keyedBy("name"), copy: copyOf(tenantsOf)},
+	{field: "pools", prefix: "pool/", keys: keyedBy("name"), copy: copyOf(poolsOf)},
+	{field: "web_services", prefix: "web-service/", keys: keyedBy("name"), copy: copyOf(webServicesOf)},
+	{field: "stores", prefix: "store/", keys: keyedBy("name"), copy: copyOf(storesOf)},
+	{field: "routes", prefix: "route/", keys: keyedBy("host", "path_prefix"), copy: copyOf(routesOf)},
+	{field: "evacuations", prefix: "evacuation/", keys: keyedBy("zone"), copy: copyOf(evacuationsOf)},
 }
 
 // serviceLists are the lists of a ServiceState that all nodes need.
 var serviceLists = []sectionedList{
-	{field: "replicas", prefix: "replica/", key: "address", copy: copyOf(replicasOf)},
+	{field: "replicas", prefix: "replica/", keys: keyedBy("address"), copy: copyOf(replicasOf)},
 }
 
 func tenantsOf(c *ridgeswitchv1.Configuration) *[]*ridgeswitchv1.Tenant { return &c.Tenants }
@@ -75,9 +77,16 @@
 	return message.Descriptor().Fields().ByName(l.field)
 }
 
-// keyOf is an element's value of the key field.
+func keyedBy(fields ...protoreflect.Name) []protoreflect.Name { return fields }
+
+// keyOf joins an element's values of the key fields.
 func (l sectionedList) keyOf(element protoreflect.Message) string {
-	return element.Get(element.Descriptor().Fields().ByName(l.key)).String()
+	fields := element.Descriptor().Fields()
+	key := ""
+	for _, name := range l.keys {
+		key += element.Get(fields.ByName(name)).String()
+	}
+	return key
 }
 
 // sectionError tells why a state cannot be relayed in sections.
--- a/internal/control/sections_test.go
+++ b/internal/control/sections_test.go
@@ -39,6 +39,11 @@
 		configuration.Stores = append(configuration.Stores, &ridgeswitchv1.Store{Name: name, Zone: fmt.Sprint(random.IntN(2))})
 		route := &ridgeswitchv1.Route{Host: name, Destination: &ridgeswitchv1.Route_Pool{Pool: name}}
 		configuration.Routes = append(configuration.Routes, route)
+		for _, prefix := range random.Perm(random.IntN(3)) {
+			below := proto.CloneOf(route)
+			below.PathPrefix = fmt.Sprintf("/%d/", prefix)
+			configuration.Routes = append(configuration.Routes, below)
+		}
 		configuration.Evacuations = append(configuration.Evacuations, &ridgeswitchv1.ZoneEvacuation{Zone: name})
 	}
 	return configuration
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -47,7 +47,9 @@
 	badEntries uint64
 	// proposals are this node's commands that wait to be applied.
 	proposals map[uint64]proposal
-	rollout   rolloutState
+	// reads are those that wait for a quorum, by their numbers in the group.
+	reads   map[uint64]sourceRead
+	rollout rolloutState
 	// witnessing is set while this node is to form the group anew.
 	witnessing *witnessing
 	// awaited is what this node, as owner, waits for the nodes to confirm.
@@ -77,6 +79,7 @@
 		learner:       config.Learner,
 		maxLogEntries: uint64(config.logEntries()),
 		proposals:     map[uint64]proposal{},
+		reads:         map[uint64]sourceRead{},
 		rollout:       newRolloutState(0, now),
 	}
 	if restored.Snapshot != nil {
--- a/internal/edge/operator/control.go
+++ b/internal/edge/operator/control.go
@@ -18,6 +18,9 @@
 	// Configuration is the configuration that the node serves; nil before the
 	// first one. It is read only.
 	Configuration() *ridgeswitchv1.Configuration
+	// Source reads the source document of the configuration, as a quorum
+	// confirms it; nil if there is none.
+	Source(ctx context.Context) (*ridgeswitchv1.Source, error)
 	// Weights tells how far a pool's roll-out has come.
 	Weights(pool string) (*ridgeswitchv1.WeightsStatus, error)
 	// Status is the node's view of the deployment.
--- a/internal/edge/operator/resources.go
+++ b/internal/edge/operator/resources.go
@@ -43,9 +43,24 @@
 	return []call{
 		newCall("ApplyConfiguration", order[*ridgeswitchv1.ApplyConfigurationRequest](c.control)),
 		newCall("GetConfiguration", c.get),
+		newCall("GetSource", c.source),
 	}
 }
 
+func (c *configurations) source(ctx context.Context, _ *ridgeswitchv1.GetSourceRequest) (*ridgeswitchv1.Source, error) {
+	source, err := c.control.Source(ctx)
+	if err != nil {
+		return nil, &UnavailableError{Kind: KindNoOwner, Message: err.Error()}
+	}
+	if source == nil {
+		return nil, &dynamic.Error{
+			Kind:    dynamic.KindNotFound,
+			Message: "the configuration in force was not applied as a document; read the configuration instead",
+		}
+	}
+	return source, nil
+}
+
 func (c *configurations) get(context.Context, *ridgeswitchv1.GetConfigurationRequest) (*ridgeswitchv1.Configuration, error) {
 	configuration := c.control.Configuration()
 	if configuration == nil {
--- a/internal/edge/operator/server_test.go
+++ b/internal/edge/operator/server_test.go
@@ -55,6 +55,10 @@
 		}
 	},
 		Entry("the configuration", "GET /v1/configuration", "", 200, `"revision":"1"`, `"wall_epoch":"1"`, `"sha256":"e3b0c442`),
+		Entry("no source document", "GET /v1/configuration/source", "", 404, `"kind":"not_found"`),
+		Entry("a document without an identity", "PUT /v1/configuration", `{"configuration":{},"source":{"version":3,"document":"Zmlyc3Q="}}`, 200, acknowledged, `"revision":"2"`),
+		Entry("a document on another version", "PUT /v1/configuration", `{"configuration":{},"source":{"version":3,"base_version":2}}`, 409, `"kind":"base_revision_stale"`, `"field":"source.base_version"`),
+		Entry("a document whose version is not above", "PUT /v1/configuration", `{"configuration":{},"source":{"version":2,"base_version":2}}`, 409, `"kind":"source_version_not_above"`),
 		Entry("the status", "GET /v1/status", "", 200, `"node":"front-1"`, `"fenced":false`),
 		Entry("weights", "GET /v1/pools/p/weights", "", 200, `"weight_version":"w"`),
 		Entry("weights of no pool", "GET /v1/pools/x/weights", "", 404, `"kind":"not_found"`, `"field":"pool"`),
@@ -89,6 +93,14 @@
 		Entry("liveness", "GET /healthz/live", "", 200, `"status":"ok"`),
 	)
 
+	It("gives the source document back as it was sent", func() {
+		const document = `{"configuration":{},"source":{"version":3,"document":"Zmlyc3Q="}}`
+		Expect(call(n, "PUT /v1/configuration", document).status).To(Equal(http.StatusOK))
+		Expect(call(n, "GET /v1/configuration/source", "").body).To(MatchJSON(`{"version":"3","base_version":"0","document":"Zmlyc3Q="}`))
+		n.submitError = errors.New("no quorum")
+		Expect(call(n, "GET /v1/configuration/source", "").status).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	It("stops reading a body that goes on without end", func() {
 		endless := &endlessReader{}
 		handler, err := operator.NewHandler(n, n)
--- a/internal/edge/operator/suite_test.go
+++ b/internal/edge/operator/suite_test.go
@@ -59,6 +59,15 @@
 	return n.machine.Configuration()
 }
 
+func (n *node) Source(context.Context) (*ridgeswitchv1.Source, error) {
+	n.Lock()
+	defer n.Unlock()
+	if n.submitError != nil {
+		return nil, n.submitError
+	}
+	return n.machine.Source(), nil
+}
+
 func (n *node) Weights(pool string) (*ridgeswitchv1.WeightsStatus, error) {
 	switch pool {
 	case "p":
--- a/internal/lab/operator/operator_test.go
+++ b/internal/lab/operator/operator_test.go
@@ -118,6 +118,12 @@
 	return answer, nil
 }
 
+func (s *state) Source(context.Context) (*ridgeswitchv1.Source, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.machine.Source(), nil
+}
+
 func (s *state) Configuration() *ridgeswitchv1.Configuration {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/internal/operatorcli/commands_test.go
+++ b/internal/operatorcli/commands_test.go
@@ -60,6 +60,16 @@
 		Entry("identity taken", "zone evacuate --zone a --order-id first", operatorcli.ExitRefused, "order_id_conflict"),
 	)
 
+	It("applies a document and reads it", func() {
+		folder := GinkgoT().TempDir()
+		Expect(os.WriteFile(filepath.Join(folder, "document"), []byte("as written"), 0o600)).To(Succeed())
+		line := "apply --file - --version 3 --document " + filepath.Join(folder, "document")
+		Expect(run(configuration, line, first).out).To(ContainSubstring("ACKNOWLEDGED"))
+		Expect(string(state.machine.Source().GetDocument())).To(Equal("as written"))
+		Expect(run("", "source", first).out).To(ContainSubstring(`"version": "3"`))
+		Expect(run("", "apply --file - --version 4 --document /absent", first).code).To(Equal(operatorcli.ExitUsage))
+	})
+
 	It("tells a fault of the configuration before anything is sent", func() {
 		ended := run(`{"tennants":[]}`, "apply --file -", first)
 		Expect(ended.code).To(Equal(operatorcli.ExitUsage))
--- a/internal/operatorcli/flags.go
+++ b/internal/operatorcli/flags.go
@@ -83,6 +83,11 @@
 	return f.last().Message() != nil
 }
 
+// isBytes tells whether the flag names a file with the content of the field.
+func (f flagField) isBytes() bool {
+	return f.last().Kind() == protoreflect.BytesKind
+}
+
 func (f flagField) isDigest() bool {
 	return f.last().Name() == digestField
 }
@@ -91,6 +96,8 @@
 	switch {
 	case f.isFile():
 		return "`FILE` with the " + string(f.last().Message().Name()) + " as JSON; - reads standard input"
+	case f.isBytes():
+		return "`FILE` with the " + string(f.last().Name()) + "; - reads standard input"
 	case f.flag == flagOrderID:
 		return "identity of the order; made up when it is not given"
 	case f.flag == flagBase:
--- a/internal/operatorcli/request.go
+++ b/internal/operatorcli/request.go
@@ -1,6 +1,7 @@
 package operatorcli
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"io"
 	"os"
@@ -52,6 +53,8 @@
 		return orderID, nil
 	case field.isFile():
 		return fileValue(command, text)
+	case field.isBytes():
+		return bytesValue(command, text)
 	case field.isDigest():
 		return digestValue(command, text)
 	case text == "" && isSegment(call, field):
@@ -78,6 +81,18 @@
 	return json.RawMessage(data), nil
 }
 
+// bytesValue is what a file holds, as JSON spells bytes; nil when no file is named.
+func bytesValue(command *cli.Command, path string) (any, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := readInput(command, path)
+	if err != nil {
+		return nil, err
+	}
+	return base64.StdEncoding.EncodeToString(data), nil
+}
+
 // digestValue is a digest that is given, or that of a secret that is given.
 func digestValue(command *cli.Command, digest string) (any, error) {
 	secret := command.String(flagSecret)
--- a/internal/operatorcli/suite_test.go
+++ b/internal/operatorcli/suite_test.go
@@ -45,6 +45,10 @@
 	return answer, nil
 }
 
+func (c *cluster) Source(context.Context) (*ridgeswitchv1.Source, error) {
+	return c.machine.Source(), nil
+}
+
 func (c *cluster) Configuration() *ridgeswitchv1.Configuration { return c.machine.Configuration() }
 
 func (c *cluster) Weights(string) (*ridgeswitchv1.WeightsStatus, error) {
--- a/pkg/config/dynamic/bounds.go
+++ b/pkg/config/dynamic/bounds.go
@@ -8,7 +8,10 @@
 	// MaxDocumentBytes bounds a configuration as JSON text.
 	MaxDocumentBytes = 16 << 20
 	// MaxConfigurationBytes bounds a configuration as nodes hold and relay it.
-	MaxConfigurationBytes = 4 << 20
+	// Together with a source document it has to fit one frame between nodes.
+	MaxConfigurationBytes = 6 << 20
+	// MaxSourceBytes bounds the source document of a configuration.
+	MaxSourceBytes = 8 << 20
 
 	// MaxTenants bounds the tenants of a configuration.
 	MaxTenants = 32768
@@ -29,9 +32,21 @@
 	MaxNameBytes = 128
 	// MaxHostBytes bounds the host name of a route, as DNS does.
 	MaxHostBytes = 253
+	// MaxPathBytes bounds the path prefix of a route and the path of a health
+	// check.
+	MaxPathBytes = 1024
 	// MaxReasonBytes bounds the reason of an evacuation.
 	MaxReasonBytes = 1024
 
+	// MaxSplit bounds the destinations that one route is split over.
+	MaxSplit = 64
+	// MaxWeight bounds the weight of one destination of a split.
+	MaxWeight = 1_000_000
+	// MaxPriority is the least urgent priority; 0 is the most urgent one.
+	MaxPriority = 9
+	// MaxAttempts bounds the back ends that one request may be sent to.
+	MaxAttempts = 100
+
 	// MaxRequestsPerSecond bounds a tenant's rate on one node.
 	MaxRequestsPerSecond = 1e6
 	// MaxBurst bounds a tenant's burst on one node.
@@ -44,6 +59,33 @@
 	MaxQueueTimeout = 10 * time.Minute
 	// MaxRequestTimeout bounds the time of one request.
 	MaxRequestTimeout = 24 * time.Hour
+	// MaxColdStart bounds the time for which a back end is cold after a start.
+	MaxColdStart = time.Hour
+	// MaxBackendConnections bounds the connections that a back end bears.
+	MaxBackendConnections = 1_000_000
+	// MaxReportReaders bounds the readers of a back end's reports.
+	MaxReportReaders = 1_000_000
+
+	// MaxEngineSlots bounds the requests that a replica runs at once.
+	MaxEngineSlots = 100_000
+	// MaxMemoryTokens bounds the tokens that a replica or a store keeps.
+	MaxMemoryTokens = 1e12
+	// MaxTokenBytes bounds the kept state of one token.
+	MaxTokenBytes = 1 << 30
+	// MaxTokensPerEvent bounds the tokens of one event of a stream.
+	MaxTokensPerEvent = 1_000_000
+	// MaxLinkBitsPerSecond bounds the rate at which kept parts move.
+	MaxLinkBitsPerSecond = 1e15
+
+	// MaxCallerHeaderBytes bounds what a caller's header may be allowed to take.
+	MaxCallerHeaderBytes = 1 << 20
+	// MaxCallerBodyBytes bounds what a caller's body may be allowed to take.
+	MaxCallerBodyBytes = 1 << 32
+	// MaxCallerHeaderTimeout bounds the wait for a caller's header.
+	MaxCallerHeaderTimeout = 10 * time.Minute
+	// MaxCallerIdleTimeout bounds the wait for a caller's next request.
+	MaxCallerIdleTimeout = 24 * time.Hour
+
 	// MaxRoutingKnob bounds the scales, weights and temperature of selection.
 	MaxRoutingKnob = 1e6
 
--- a/pkg/config/dynamic/change.go
+++ b/pkg/config/dynamic/change.go
@@ -28,8 +28,11 @@
 }
 
 func applyChange(current *ridgeswitchv1.Configuration, order *controlpb.Order) (*ridgeswitchv1.Configuration, error) {
-	if apply, whole := order.GetChange().(*controlpb.Order_Apply); whole {
-		return withoutAssignedFields(apply.Apply), nil
+	switch change := order.GetChange().(type) {
+	case *controlpb.Order_Apply:
+		return withoutAssignedFields(change.Apply), nil
+	case *controlpb.Order_ApplyDocument:
+		return documentConfiguration(current, change.ApplyDocument), nil
 	}
 	next := proto.Clone(current).(*ridgeswitchv1.Configuration)
 	switch change := order.GetChange().(type) {
--- a/pkg/config/dynamic/checks.go
+++ b/pkg/config/dynamic/checks.go
@@ -100,6 +100,39 @@
 	}
 }
 
+// atMost checks a number for which 0 has a meaning of its own.
+func (c *checker) atMost(path string, value, bound uint64) {
+	if value > bound {
+		c.add(KindOutOfRange, path, "is %d; use a number from 0 to %d", value, bound)
+	}
+}
+
+// timeoutOrZero checks a time in milliseconds for which 0 has a meaning of its
+// own.
+func (c *checker) timeoutOrZero(path string, milliseconds uint32, bound time.Duration) {
+	c.atMost(path, uint64(milliseconds), uint64(bound.Milliseconds()))
+}
+
+// path checks an optional path, or its beginning.
+func (c *checker) path(path, value string) {
+	switch {
+	case value == "":
+	case len(value) > MaxPathBytes:
+		c.add(KindOversize, path, "has %d bytes; use at most %d", len(value), MaxPathBytes)
+	case !strings.HasPrefix(value, "/") || !isVisibleASCII(value):
+		c.add(KindInvalid, path, "%q: begin with a slash and use visible ASCII characters without spaces", value)
+	}
+}
+
+// pathPrefix checks the prefix that a route binds; empty means every path.
+func (c *checker) pathPrefix(path, value string) {
+	if value != "" && !strings.HasSuffix(value, "/") {
+		c.add(KindInvalid, path, "%q: begin and end with a slash", value)
+		return
+	}
+	c.path(path, value)
+}
+
 // timeout checks a positive time in milliseconds.
 func (c *checker) timeout(path string, milliseconds uint32, bound time.Duration) {
 	c.positive(path, milliseconds, uint64(bound.Milliseconds()))
--- /dev/null
+++ b/pkg/config/dynamic/document.go
@@ -0,0 +1,147 @@
+package dynamic
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+const (
+	// documentOrderPrefix begins the identities of orders that apply a document.
+	documentOrderPrefix = "document/"
+	// documentDigestBytes is how much of a document's digest its identity holds.
+	documentDigestBytes = 16
+)
+
+// DocumentOrder orders a configuration that was made from a document of the
+// operator's. The document's versions take the place of base revisions, and its
+// identity follows from them and its content, so that a resend needs none of its
+// own. The error is an *Error or Errors.
+func DocumentOrder(configuration *ridgeswitchv1.Configuration, source *ridgeswitchv1.Source) (*controlpb.Order, error) {
+	if err := Validate(configuration); err != nil {
+		return nil, err
+	}
+	if err := checkDocument(configuration, source); err != nil {
+		return nil, err
+	}
+	return &controlpb.Order{
+		OrderId: documentOrderID(source),
+		Digest:  documentDigest(source),
+		Change: &controlpb.Order_ApplyDocument{ApplyDocument: &controlpb.ApplyDocument{
+			Configuration: withoutAssignedFields(configuration),
+			Source:        proto.CloneOf(source),
+		}},
+	}, nil
+}
+
+// checkDocument checks what Validate does not see.
+func checkDocument(configuration *ridgeswitchv1.Configuration, source *ridgeswitchv1.Source) error {
+	check := &checker{}
+	switch {
+	case source.GetVersion() == 0:
+		check.add(KindMissing, "source.version", "is missing; give the document a version above the one that it builds on")
+	case source.GetVersion() <= source.GetBaseVersion():
+		check.add(KindSourceVersionNotAbove, "source.version", "is not above source.base_version; give the document a higher version")
+	}
+	if len(source.GetDocument()) > MaxSourceBytes {
+		check.add(KindOversize, "source.document", "has %d bytes; use at most %d", len(source.GetDocument()), MaxSourceBytes)
+	}
+	if len(configuration.GetEvacuations()) > 0 {
+		check.add(KindInvalid, "configuration.evacuations", "a document leaves evacuations as they are; remove them and evacuate zones by orders of their own")
+	}
+	return check.faults.orNil()
+}
+
+// documentOrderID is equal for equal documents under equal versions, and for no
+// others.
+func documentOrderID(source *ridgeswitchv1.Source) string {
+	digest := sha256.Sum256(source.GetDocument())
+	return fmt.Sprintf("%s%d/%d/%s", documentOrderPrefix, source.GetVersion(), source.GetBaseVersion(),
+		hex.EncodeToString(digest[:documentDigestBytes]))
+}
+
+// documentDigest covers the versions and the document. It leaves out the
+// configuration, which another release of a node may make otherwise of the same
+// document.
+func documentDigest(source *ridgeswitchv1.Source) []byte {
+	digest := sha256.New()
+	// A hash never returns an error.
+	_, _ = fmt.Fprintf(digest, "%d/%d/", source.GetVersion(), source.GetBaseVersion())
+	_, _ = digest.Write(source.GetDocument())
+	return digest.Sum(nil)
+}
+
+// documentConfiguration is the configuration that a document leads to: it leaves
+// the evacuations in force, and the weight versions of pools that stay.
+func documentConfiguration(current *ridgeswitchv1.Configuration, document *controlpb.ApplyDocument) *ridgeswitchv1.Configuration {
+	next := withoutAssignedFields(document.GetConfiguration())
+	next.Evacuations = proto.CloneOf(&ridgeswitchv1.Configuration{Evacuations: current.GetEvacuations()}).Evacuations
+	pools := lo.KeyBy(current.GetPools(), (*ridgeswitchv1.Pool).GetName)
+	for _, pool := range next.GetPools() {
+		if before := pools[pool.GetName()]; before.GetModel() == pool.GetModel() && before.GetWeightVersion() != "" {
+			pool.WeightVersion = before.GetWeightVersion()
+		}
+	}
+	digest := sha256.Sum256(document.GetSource().GetDocument())
+	next.Source = &ridgeswitchv1.SourceVersion{Version: document.GetSource().GetVersion(), Sha256: digest[:]}
+	return next
+}
+
+// Source is the document that the configuration in force was made from, or nil.
+// It is shared: no one may write to it.
+func (m *Machine) Source() *ridgeswitchv1.Source {
+	return m.source
+}
+
+// sourceInForce tells whether a document is the one in force, so that a resend is
+// accepted also when its answer is not remembered any more.
+func (m *Machine) sourceInForce(document *controlpb.ApplyDocument) bool {
+	inForce := m.configuration.GetSource()
+	if document == nil || document.GetSource().GetVersion() != inForce.GetVersion() {
+		return false
+	}
+	if m.source != nil && m.source.GetBaseVersion() != document.GetSource().GetBaseVersion() {
+		return false
+	}
+	digest := sha256.Sum256(document.GetSource().GetDocument())
+	return bytes.Equal(digest[:], inForce.GetSha256())
+}
+
+// checkSourceBase compares the versions of a document with the one in force.
+func (m *Machine) checkSourceBase(source *ridgeswitchv1.Source) error {
+	inForce := m.configuration.GetSource().GetVersion()
+	if source.GetBaseVersion() != inForce {
+		return &Error{
+			Kind:    KindBaseRevisionStale,
+			Field:   "source.base_version",
+			Message: fmt.Sprintf("is %d, and version %d is in force; read the document in force, merge your change and order anew on top of it", source.GetBaseVersion(), inForce),
+		}
+	}
+	if source.GetVersion() <= inForce {
+		return &Error{
+			Kind:    KindSourceVersionNotAbove,
+			Field:   "source.version",
+			Message: fmt.Sprintf("is %d, and version %d is in force; choose a higher version", source.GetVersion(), inForce),
+		}
+	}
+	return nil
+}
+
+// adoptSource keeps the document of the configuration that an order has put in
+// force. A whole configuration without a document ends the one before; a single
+// change leaves it.
+func (m *Machine) adoptSource(order *controlpb.Order) {
+	switch change := order.GetChange().(type) {
+	case *controlpb.Order_ApplyDocument:
+		m.source = proto.CloneOf(change.ApplyDocument.GetSource())
+	case *controlpb.Order_Apply:
+		m.source = nil
+	}
+}
--- /dev/null
+++ b/pkg/config/dynamic/document_test.go
@@ -0,0 +1,176 @@
+package dynamic_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+func source(version, base uint64, document string) *ridgeswitchv1.Source {
+	return &ridgeswitchv1.Source{Version: version, BaseVersion: base, Document: []byte(document)}
+}
+
+// documentConfiguration is one that a document may lead to.
+func documentConfiguration() *config {
+	configuration := validConfiguration()
+	configuration.Evacuations = nil
+	return configuration
+}
+
+func documentCommand(configuration *config, source *ridgeswitchv1.Source) *controlpb.Command {
+	order, err := dynamic.DocumentOrder(configuration, source)
+	Expect(err).NotTo(HaveOccurred())
+	return &controlpb.Command{Command: &controlpb.Command_Order{Order: order}}
+}
+
+func evacuationCommand(id, zone string, evacuated bool) *controlpb.Command {
+	order, err := dynamic.EvacuationOrder(id, zone, evacuated, "")
+	Expect(err).NotTo(HaveOccurred())
+	return &controlpb.Command{Command: &controlpb.Command_Order{Order: order}}
+}
+
+var _ = Describe("Documents", func() {
+	var machine *dynamic.Machine
+
+	apply := func(source *ridgeswitchv1.Source) string {
+		return outcome(machine.Apply(documentCommand(documentConfiguration(), source)))
+	}
+
+	// restart passes the machine through a snapshot.
+	restart := func() {
+		snapshot, err := machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		machine, err = dynamic.RestoreMachine(snapshot)
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	BeforeEach(func() {
+		machine = dynamic.NewMachine(nil)
+		Expect(apply(source(3, 0, "first"))).To(Equal("1"))
+	})
+
+	It("are taken on the version in force, under a higher one", func() {
+		Expect(apply(source(9, 0, "second"))).To(Equal("base_revision_stale 1"))
+		Expect(apply(source(9, 2, "second"))).To(Equal("base_revision_stale 1"))
+		Expect(apply(source(9, 3, "second"))).To(Equal("2"))
+		Expect(apply(source(12, 3, "third"))).To(Equal("base_revision_stale 2"))
+		Expect(apply(source(12, 9, "third"))).To(Equal("3"))
+	})
+
+	It("are refused under a version that is not above", func() {
+		for _, version := range []uint64{0, 2, 3} {
+			_, err := dynamic.DocumentOrder(documentConfiguration(), source(version, 3, "x"))
+			kind := map[bool]string{true: "missing", false: "source_version_not_above"}[version == 0]
+			Expect(faultsOf(err)).To(Equal([]string{kind + " source.version"}))
+		}
+		By("an order that got past the node's own check")
+		bare := documentCommand(documentConfiguration(), source(4, 3, "x"))
+		bare.GetOrder().GetApplyDocument().Source.Version = 2
+		Expect(outcome(machine.Apply(bare))).To(Equal("source_version_not_above 1"))
+	})
+
+	It("get their first answer again, also when superseded and after a restart", func() {
+		Expect(apply(source(4, 3, "second"))).To(Equal("2"))
+		Expect(outcome(machine.Apply(evacuationCommand("e", "a", true)))).To(Equal("3"))
+		for range 2 {
+			Expect(apply(source(3, 0, "first"))).To(Equal("1"))
+			Expect(apply(source(4, 3, "second"))).To(Equal("2"))
+			Expect(apply(source(4, 3, "other"))).To(Equal("base_revision_stale 3"))
+			Expect(apply(source(3, 0, "other"))).To(Equal("base_revision_stale 3"))
+			restart()
+		}
+	})
+
+	It("get it also when the translated configuration differs, and once the answer is forgotten", func() {
+		changed := documentConfiguration()
+		changed.Routes = changed.Routes[:1]
+		Expect(outcome(machine.Apply(documentCommand(changed, source(3, 0, "first"))))).To(Equal("1"))
+		for i := range dynamic.MaxAnswers {
+			machine.Apply(evacuationCommand(fmt.Sprint("e", i), "a", true))
+		}
+		Expect(apply(source(3, 0, "first"))).To(Equal("2"))
+		Expect(apply(source(3, 0, "other"))).To(Equal("base_revision_stale 2"))
+		Expect(machine.Configuration().GetRoutes()).To(HaveLen(2))
+	})
+
+	It("leave evacuations and the weights of pools that stay", func() {
+		Expect(outcome(machine.Apply(evacuationCommand("e", "a", true)))).To(Equal("2"))
+		name, err := dynamic.NameWeightsOrder("w", "summaries", "w9")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome(machine.Apply(&controlpb.Command{Command: &controlpb.Command_Order{Order: name}}))).To(Equal("3"))
+		next := documentConfiguration()
+		next.Pools[0].WeightVersion = ""
+		other := proto.CloneOf(next.Pools[0])
+		other.Name, other.Service, other.WeightVersion = "fresh", "fresh", "w1"
+		next.Pools = append(next.Pools, other)
+		Expect(outcome(machine.Apply(documentCommand(next, source(5, 3, "second"))))).To(Equal("4"))
+		inForce := machine.Configuration()
+		Expect(inForce.GetEvacuations()).To(HaveExactElements(equalMessage(&ridgeswitchv1.ZoneEvacuation{Zone: "a"})))
+		Expect(inForce.GetPools()[0].GetWeightVersion()).To(Equal("w9"))
+		Expect(inForce.GetPools()[1].GetWeightVersion()).To(Equal("w1"))
+		By("another model under the same name")
+		next.Pools[0].Model = "other"
+		Expect(outcome(machine.Apply(documentCommand(next, source(6, 5, "third"))))).To(Equal("5"))
+		Expect(machine.Configuration().GetPools()[0].GetWeightVersion()).To(BeEmpty())
+	})
+
+	It("are kept as they were sent, and named in the configuration", func() {
+		restart()
+		Expect(machine.Source()).To(equalMessage(source(3, 0, "first")))
+		digest := sha256.Sum256([]byte("first"))
+		Expect(machine.Configuration().GetSource()).To(equalMessage(&ridgeswitchv1.SourceVersion{Version: 3, Sha256: digest[:]}))
+		By("a single change")
+		machine.Apply(evacuationCommand("e", "a", true))
+		Expect(machine.Source().GetVersion()).To(Equal(uint64(3)))
+		Expect(machine.Configuration().GetSource().GetVersion()).To(Equal(uint64(3)))
+		By("a whole configuration without a document")
+		Expect(outcome(machine.Apply(applyCommand("a", 2, machine.Configuration())))).To(Equal("3"))
+		Expect(machine.Source()).To(BeNil())
+		Expect(machine.Configuration().GetSource()).To(BeNil())
+	})
+
+	It("never change when others write to what they were given", func() {
+		command := documentCommand(documentConfiguration(), source(4, 3, "second"))
+		machine.Apply(command)
+		command.GetOrder().GetApplyDocument().GetSource().Document[0] = 'x'
+		Expect(machine.Source().GetDocument()).To(Equal([]byte("second")))
+		machine.State().GetSource().Document[0] = 'x'
+		Expect(machine.Source().GetDocument()).To(Equal([]byte("second")))
+	})
+
+	It("need no identity in a request, and no other order may use theirs", func() {
+		order, err := dynamic.OrderFromRequest(&ridgeswitchv1.ApplyConfigurationRequest{
+			Configuration: documentConfiguration(), Source: source(4, 3, "second")})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(order).To(equalMessage(documentCommand(documentConfiguration(), source(4, 3, "second")).GetOrder()))
+		_, err = dynamic.EvacuationOrder(order.GetOrderId(), "a", true, "")
+		Expect(faultsOf(err)).To(Equal([]string{"invalid order.order_id"}))
+	})
+
+	It("name every fault", func() {
+		_, err := dynamic.DocumentOrder(validConfiguration(), source(3, 3, strings.Repeat("x", dynamic.MaxSourceBytes+1)))
+		Expect(faultsOf(err)).To(Equal([]string{"source_version_not_above source.version", "oversize source.document", "invalid configuration.evacuations"}))
+		_, err = dynamic.DocumentOrder(nil, source(3, 2, ""))
+		Expect(faultsOf(err)).To(Equal([]string{"missing configuration"}))
+		_, err = dynamic.NameWeightsOrder("w", "summaries", "")
+		Expect(faultsOf(err)).To(Equal([]string{"missing weight_version"}))
+	})
+})
+
+var _ = Describe("Orders without an identity of the operator's", func() {
+	It("are accepted again under a new identity, as the state holds already", func() {
+		machine := dynamic.NewMachine(nil)
+		Expect(outcome(machine.Apply(evacuationCommand("n1/1", "a", true)))).To(Equal("1"))
+		Expect(outcome(machine.Apply(evacuationCommand("n2/1", "a", true)))).To(Equal("1"))
+		Expect(outcome(machine.Apply(evacuationCommand("n1/2", "a", false)))).To(Equal("2"))
+		Expect(outcome(machine.Apply(evacuationCommand("n2/2", "a", false)))).To(Equal("2"))
+	})
+})
--- a/pkg/config/dynamic/errors.go
+++ b/pkg/config/dynamic/errors.go
@@ -38,6 +38,9 @@
 	// KindBaseRevisionStale marks an order that is based on another revision
 	// than the one in force.
 	KindBaseRevisionStale Kind = "base_revision_stale"
+	// KindSourceVersionNotAbove marks a document whose version is not above the
+	// one in force.
+	KindSourceVersionNotAbove Kind = "source_version_not_above"
 )
 
 // maxReportedFaults bounds the faults that one Problem spells out.
--- a/pkg/config/dynamic/machine.go
+++ b/pkg/config/dynamic/machine.go
@@ -17,6 +17,9 @@
 	configuration *ridgeswitchv1.Configuration
 	answers       *answerLog
 	nodes         *registry
+	// source is the document that the configuration was made from, or nil. It is
+	// replaced and never changed.
+	source *ridgeswitchv1.Source
 }
 
 // NewMachine begins with a copy of a state. A nil state, like an empty one, is
@@ -30,6 +33,7 @@
 		configuration: configuration,
 		answers:       newAnswerLog(state.GetAnswers()),
 		nodes:         newRegistry(state.GetNodes()),
+		source:        proto.CloneOf(state.GetSource()),
 	}
 }
 
@@ -54,6 +58,7 @@
 		Configuration: proto.Clone(m.configuration).(*ridgeswitchv1.Configuration),
 		Answers:       m.answers.list(),
 		Nodes:         m.nodes.list(),
+		Source:        proto.CloneOf(m.source),
 	}
 }
 
@@ -106,6 +111,9 @@
 	if first := m.answers.find(order.GetOrderId()); first != nil {
 		return m.repeat(order, first)
 	}
+	if m.sourceInForce(order.GetApplyDocument()) {
+		return m.accept(order)
+	}
 	if err := m.checkBase(order); err != nil {
 		return m.refuse(order, err)
 	}
@@ -114,6 +122,12 @@
 		return m.refuse(order, err)
 	}
 	m.adopt(next)
+	m.adoptSource(order)
+	return m.accept(order)
+}
+
+// accept answers an order that is in force, and remembers the answer.
+func (m *Machine) accept(order *controlpb.Order) *controlpb.Answer {
 	answer := &controlpb.Answer{
 		OrderId:  order.GetOrderId(),
 		Digest:   bytes.Clone(order.GetDigest()),
@@ -136,8 +150,12 @@
 }
 
 // checkBase compares the revision that an order is based on with the one in
-// force. Only a single change may leave it open.
+// force. Only a single change may leave it open. A document names versions
+// instead.
 func (m *Machine) checkBase(order *controlpb.Order) error {
+	if document := order.GetApplyDocument(); document != nil {
+		return m.checkSourceBase(document.GetSource())
+	}
 	base := order.GetBaseRevision()
 	if base == m.Revision() {
 		return nil
--- a/pkg/config/dynamic/order.go
+++ b/pkg/config/dynamic/order.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -33,14 +34,11 @@
 		change := &controlpb.RevokeKey{Tenant: request.GetTenant(), Key: request.GetKey()}
 		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_RevokeKey{RevokeKey: change}})
 	case *ridgeswitchv1.EvacuateZoneRequest:
-		change := &controlpb.SetEvacuation{Zone: request.GetZone(), Evacuated: true, Reason: request.GetReason()}
-		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_SetEvacuation{SetEvacuation: change}})
+		return evacuationOrder(request.GetOrder(), request.GetZone(), true, request.GetReason())
 	case *ridgeswitchv1.RestoreZoneRequest:
-		change := &controlpb.SetEvacuation{Zone: request.GetZone()}
-		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_SetEvacuation{SetEvacuation: change}})
+		return evacuationOrder(request.GetOrder(), request.GetZone(), false, "")
 	case *ridgeswitchv1.NameWeightsRequest:
-		change := &controlpb.NameWeights{Pool: request.GetPool(), WeightVersion: request.GetWeightVersion()}
-		return newOrder(request.GetOrder(), &controlpb.Order{Change: &controlpb.Order_NameWeights{NameWeights: change}})
+		return nameWeightsOrder(request.GetOrder(), request.GetPool(), request.GetWeightVersion())
 	default:
 		return nil, errors.Errorf("%T is no order; build one with the function that fits the request", request)
 	}
@@ -53,6 +51,9 @@
 }
 
 func applyOrder(request *ridgeswitchv1.ApplyConfigurationRequest) (*controlpb.Order, error) {
+	if request.GetSource() != nil {
+		return DocumentOrder(request.GetConfiguration(), request.GetSource())
+	}
 	if err := Validate(request.GetConfiguration()); err != nil {
 		return nil, err
 	}
@@ -62,7 +63,7 @@
 
 // newOrder completes an order with its identity and digest.
 func newOrder(header *ridgeswitchv1.OrderHeader, order *controlpb.Order) (*controlpb.Order, error) {
-	if err := checkOrderID(header.GetOrderId()); err != nil {
+	if err := checkChosenOrderID(header.GetOrderId()); err != nil {
 		return nil, err
 	}
 	order.BaseRevision = header.GetBaseRevision()
@@ -92,6 +93,21 @@
 	return check.faults.orNil()
 }
 
+// checkChosenOrderID checks an identity that was not derived from a document.
+func checkChosenOrderID(id string) error {
+	if err := checkOrderID(id); err != nil {
+		return err
+	}
+	if strings.HasPrefix(id, documentOrderPrefix) {
+		return &Error{
+			Kind:    KindInvalid,
+			Field:   "order.order_id",
+			Message: fmt.Sprintf("begins with %q, which names documents; choose another identity", documentOrderPrefix),
+		}
+	}
+	return nil
+}
+
 // checkChange checks the form of a single change. A whole configuration is left
 // to Validate.
 func checkChange(order *controlpb.Order) error {
@@ -132,6 +148,7 @@
 	copied := proto.Clone(configuration).(*ridgeswitchv1.Configuration)
 	copied.Revision = 0
 	copied.SharedEpoch = 0
+	copied.Source = nil
 	for _, tenant := range copied.GetTenants() {
 		tenant.WallEpoch = 0
 	}
--- /dev/null
+++ b/pkg/config/dynamic/singlechange.go
@@ -0,0 +1,30 @@
+package dynamic
+
+import (
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+// EvacuationOrder orders that a zone be evacuated, or that its evacuation end.
+// An order under another identity for what is in force already is accepted and
+// changes nothing, so that a caller without identities of its own may resend
+// under new ones.
+func EvacuationOrder(orderID, zone string, evacuated bool, reason string) (*controlpb.Order, error) {
+	return evacuationOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, zone, evacuated, reason)
+}
+
+// NameWeightsOrder orders that every replica of a pool run a weight version. Like
+// EvacuationOrder, it may be repeated under new identities.
+func NameWeightsOrder(orderID, pool, weightVersion string) (*controlpb.Order, error) {
+	return nameWeightsOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, pool, weightVersion)
+}
+
+func evacuationOrder(header *ridgeswitchv1.OrderHeader, zone string, evacuated bool, reason string) (*controlpb.Order, error) {
+	change := &controlpb.SetEvacuation{Zone: zone, Evacuated: evacuated, Reason: reason}
+	return newOrder(header, &controlpb.Order{Change: &controlpb.Order_SetEvacuation{SetEvacuation: change}})
+}
+
+func nameWeightsOrder(header *ridgeswitchv1.OrderHeader, pool, weightVersion string) (*controlpb.Order, error) {
+	change := &controlpb.NameWeights{Pool: pool, WeightVersion: weightVersion}
+	return newOrder(header, &controlpb.Order{Change: &controlpb.Order_NameWeights{NameWeights: change}})
+}
--- a/pkg/config/dynamic/validate.go
+++ b/pkg/config/dynamic/validate.go
@@ -20,7 +20,7 @@
 			webServices: newUniqueSet("web service"),
 			services:    newUniqueSet("platform service"),
 			stores:      newUniqueSet("store"),
-			hosts:       newUniqueSet("host"),
+			routes:      newUniqueSet("host and path prefix"),
 			zones:       newUniqueSet("evacuated zone"),
 		},
 	}
@@ -30,7 +30,7 @@
 
 // nameSets hold what must be unique across a configuration.
 type nameSets struct {
-	tenants, digests, pools, webServices, services, stores, hosts, zones *uniqueSet
+	tenants, digests, pools, webServices, services, stores, routes, zones *uniqueSet
 }
 
 // validation is one run over a configuration.
@@ -48,6 +48,7 @@
 	v.pools(configuration.GetPools())
 	v.webServices(configuration.GetWebServices())
 	v.routes(configuration.GetRoutes())
+	v.callerLimits("caller_limits", configuration.GetCallerLimits())
 	v.evacuations(configuration.GetEvacuations())
 }
 
@@ -66,6 +67,7 @@
 		v.unique(v.names.tenants, path+".name", tenant.GetName())
 		v.keys(path+".keys", tenant.GetKeys())
 		v.limits(path+".limits", tenant.GetLimits())
+		v.priority(path+".priority", tenant.GetPriority())
 	}
 }
 
@@ -106,6 +108,9 @@
 		v.unique(v.names.stores, path+".name", store.GetName())
 		v.address(path+".address", store.GetAddress())
 		v.name(path+".zone", store.GetZone())
+		v.memory(path+".memory_tokens", store.GetMemoryTokens())
+		v.knob(path+".link_bits_per_second", store.GetLinkBitsPerSecond(), MaxLinkBitsPerSecond)
+		v.atMost(path+".max_report_readers", uint64(store.GetMaxReportReaders()), MaxReportReaders)
 	}
 }
 
@@ -120,9 +125,13 @@
 		if pool.GetStore() != "" {
 			v.reference(v.names.stores, path+".store", pool.GetStore())
 		}
-		v.label(path+".weight_version", pool.GetWeightVersion())
+		if pool.GetWeightVersion() != "" {
+			v.label(path+".weight_version", pool.GetWeightVersion())
+		}
 		v.timeout(path+".request_timeout_ms", pool.GetRequestTimeoutMs(), MaxRequestTimeout)
 		v.routing(path+".routing", pool.GetRouting())
+		v.engine(path+".engine", pool.GetEngine())
+		v.backends(path+".backends", pool.GetBackends())
 	}
 }
 
@@ -149,30 +158,7 @@
 		v.unique(v.names.webServices, path+".name", service.GetName())
 		v.service(path+".service", service.GetService())
 		v.timeout(path+".request_timeout_ms", service.GetRequestTimeoutMs(), MaxRequestTimeout)
-	}
-}
-
-func (v *validation) routes(routes []*ridgeswitchv1.Route) {
-	v.count("routes", len(routes), MaxRoutes)
-	for i, route := range routes {
-		path := itemPath("routes", i)
-		v.host(path+".host", route.GetHost())
-		v.unique(v.names.hosts, path+".host", route.GetHost())
-		v.destination(path, route)
-	}
-}
-
-func (v *validation) destination(path string, route *ridgeswitchv1.Route) {
-	switch destination := route.GetDestination().(type) {
-	case *ridgeswitchv1.Route_Pool:
-		v.reference(v.names.pools, path+".pool", destination.Pool)
-		if route.GetPublic() {
-			v.add(KindInvalid, path+".public", "a pool always needs a tenant's key; remove public or route to a web service")
-		}
-	case *ridgeswitchv1.Route_WebService:
-		v.reference(v.names.webServices, path+".web_service", destination.WebService)
-	default:
-		v.add(KindMissing, path, "has no destination; give pool or web_service")
+		v.backends(path+".backends", service.GetBackends())
 	}
 }
 
--- /dev/null
+++ b/pkg/config/dynamic/validatebackends.go
@@ -0,0 +1,33 @@
+package dynamic
+
+import (
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+// engine checks what is told of a pool's engines; absent tells nothing.
+func (v *validation) engine(path string, engine *ridgeswitchv1.Engine) {
+	if engine == nil {
+		return
+	}
+	v.positive(path+".slots", engine.GetSlots(), MaxEngineSlots)
+	if engine.GetMemoryTokens() == 0 {
+		v.add(KindOutOfRange, path+".memory_tokens", "is 0; give the tokens that fit into a replica's memory")
+	}
+	v.memory(path+".memory_tokens", engine.GetMemoryTokens())
+	v.atMost(path+".token_bytes", uint64(engine.GetTokenBytes()), MaxTokenBytes)
+	v.knob(path+".link_bits_per_second", engine.GetLinkBitsPerSecond(), MaxLinkBitsPerSecond)
+	v.atMost(path+".tokens_per_event", uint64(engine.GetTokensPerEvent()), MaxTokensPerEvent)
+	v.atMost(path+".max_report_readers", uint64(engine.GetMaxReportReaders()), MaxReportReaders)
+}
+
+func (v *validation) memory(path string, tokens uint64) {
+	v.atMost(path, tokens, MaxMemoryTokens)
+}
+
+// backends checks what one back end bears; zero means that there is no bound.
+func (v *validation) backends(path string, limits *ridgeswitchv1.BackendLimits) {
+	v.atMost(path+".max_connections", uint64(limits.GetMaxConnections()), MaxBackendConnections)
+	v.path(path+".health_path", limits.GetHealthPath())
+	v.timeoutOrZero(path+".cold_start_ms", limits.GetColdStartMs(), MaxColdStart)
+	v.knob(path+".cold_requests_per_second", limits.GetColdRequestsPerSecond(), MaxRequestsPerSecond)
+}
