--- a/internal/edge/operator/server.go
+++ b/internal/edge/operator/server.go
@@ -50,6 +50,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return Listen(address, handler)
+}
+
+// Listen is NewServer for calls that another handler serves.
+func Listen(address string, handler http.Handler) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for operators; free %s or change control in the settings", address)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
@@ -35,21 +37,22 @@
 // Node is one running node.
 type Node struct {
 	settings  *static.Settings
+	edges     Edges
 	log       *logrus.Entry
 	storage   *storage
 	transport *transport.Transport
 	driver    *control.Driver
 	dataplane *dataplane.Server
-	operator  *operator.Server
+	operators []*operator.Server
 	health    *health
 	platform  *platform.Client
 	commander *commander
 }
 
-// New builds a node from checked settings. It listens for other nodes at once
+// New builds a node from checked settings and the protocols that it speaks. It listens for other nodes at once
 // and for callers and operators when Run is called.
-func New(settings *static.Settings, log *logrus.Entry) (*Node, error) {
-	node := &Node{settings: settings, log: log, health: &health{}}
+func New(settings *static.Settings, edges Edges, log *logrus.Entry) (*Node, error) {
+	node := &Node{settings: settings, edges: edges, log: log, health: &health{}}
 	if err := node.build(); err != nil {
 		node.close()
 		return nil, err
@@ -74,6 +77,7 @@
 		Log:          n.log.WithField("component", "dataplane"),
 		DrainTimeout: n.settings.DrainTimeout(),
 		RecordFile:   n.settings.RecordFile,
+		Edges:        n.edges.Dataplane,
 	})
 	if err != nil {
 		return err
@@ -87,12 +91,36 @@
 	}
 	source.driver = n.driver
 	n.health.driver = n.driver
-	served, err := metrics.NewHandler(n.driver, n.dataplane, n.transport)
+	return n.buildOperators()
+}
+
+// buildOperators listens for operators and for whoever asks for the node's
+// health.
+func (n *Node) buildOperators() error {
+	handler, err := n.operatorHandler()
 	if err != nil {
 		return err
 	}
-	n.operator, err = operator.NewServer(n.settings.Control, n.driver, n.health, operator.WithMetrics(served))
-	return err
+	for _, address := range lo.Uniq(lo.Compact([]string{n.settings.Control, n.edges.ReadyAddress})) {
+		server, err := operator.Listen(address, handler)
+		if err != nil {
+			return err
+		}
+		n.operators = append(n.operators, server)
+	}
+	return nil
+}
+
+// operatorHandler returns what serves operators.
+func (n *Node) operatorHandler() (http.Handler, error) {
+	if n.edges.Operator != nil {
+		return n.edges.Operator(n), nil
+	}
+	served, err := metrics.NewHandler(n.driver, n.dataplane, n.transport)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewHandler(n.driver, n.health, operator.WithMetrics(served))
 }
 
 // buildDriver connects the control machine to the network, the disk and the
@@ -126,9 +154,11 @@
 	defer n.close()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, serverCount)
+	failed := make(chan error, len(n.operators)+1)
 	finished := n.supervise(background)
-	go func() { failed <- errors.Wrap(n.operator.Start(), "operators' listener") }()
+	for _, server := range n.operators {
+		go func() { failed <- errors.Wrap(server.Start(), "operators' listener") }()
+	}
 	go func() { failed <- errors.Wrap(n.dataplane.Start(), "callers' listener") }()
 	select {
 	case err := <-failed:
@@ -143,9 +173,6 @@
 	return nil
 }
 
-// serverCount is the number of HTTP servers of a node.
-const serverCount = 2
-
 // supervise starts the supervised loops and returns a channel that closes when
 // they have ended.
 func (n *Node) supervise(ctx context.Context) <-chan struct{} {
@@ -179,7 +206,9 @@
 	n.driver.Leave()
 	time.Sleep(leaveGrace)
 	n.dataplane.Stop()
-	n.operator.Stop()
+	for _, server := range n.operators {
+		server.Stop()
+	}
 }
 
 // close releases what New took.
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -80,8 +80,30 @@
 
 // Serve implements suture.Service.
 func (s *platformService) Serve(ctx context.Context) error {
-	s.node.platform.Poll(ctx, s.node.settings.PlatformPollEvery(), s.deliver)
-	return ctx.Err()
+	if s.node.edges.List == nil {
+		s.node.platform.Poll(ctx, s.node.settings.PlatformPollEvery(), s.deliver)
+		return ctx.Err()
+	}
+	ticker := time.NewTicker(s.node.settings.PlatformPollEvery())
+	defer ticker.Stop()
+	for {
+		s.read(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// read reads the list once.
+func (s *platformService) read(ctx context.Context) {
+	services, err := s.node.edges.List.Read(ctx)
+	if err != nil {
+		s.node.log.WithError(err).Warn("cannot read the platform's list; the last one stays in force")
+		return
+	}
+	s.node.driver.SetPlatformList(services)
 }
 
 func (s *platformService) deliver(list *platform.List, err error) {
