--- a/pkg/config/static/check.go
+++ b/pkg/config/static/check.go
@@ -105,9 +105,14 @@
 	c.distinct(items("seeds", s.Seeds))
 }
 
+// group checks who may hold control state: the nodes that are named, or those
+// that find each other through seeds.
 func (c *checker) group(s *Settings) {
-	if len(s.Group) == 0 {
-		c.add(KindMissing, "group", "is empty; name the nodes with disks in the order agreed for the deployment")
+	if s.Seeded() && len(s.Seeds) == 0 {
+		c.add(KindMissing, "group", "is empty, as seeds are; name the nodes with disks in the order agreed for the deployment, or give seeds through which they find each other")
+	}
+	if s.Founding && !s.Seeded() {
+		c.add(KindInconsistent, "founding", "is set with a group; run init on the nodes of group instead, or leave group empty")
 	}
 	if len(s.Group) > MaxGroup {
 		c.add(KindOutOfRange, "group", "has %d nodes; give at most %d", len(s.Group), MaxGroup)
@@ -124,8 +129,12 @@
 	}
 }
 
-// disk checks that exactly the nodes of the group have a data folder.
+// disk checks that exactly the nodes of the group, if it is given, have a data
+// folder.
 func (c *checker) disk(s *Settings) {
+	if s.Seeded() {
+		return
+	}
 	position := slices.Index(s.Group, s.Node)
 	if position >= 0 && !s.HoldsState() {
 		c.add(KindMissing, "data_folder", "is empty on a node of group; give its folder or take the node off group")
@@ -141,6 +150,9 @@
 func (c *checker) numbers(s *Settings) {
 	c.between("service_shards", s.ServiceShards, 1, MaxServiceShards)
 	c.between("log_ring", s.LogRing, 1, MaxLogRing)
+	c.duration("contact_ms", s.ContactMS, MinContact, MaxContact)
+	c.duration("acknowledge_ms", s.AcknowledgeMS, MinAcknowledge, MaxAcknowledge)
+	c.duration("tick_every_ms", s.TickEveryMS, MinTickEvery, MaxTickEvery)
 	c.duration("drain_timeout_ms", s.DrainTimeoutMS, time.Millisecond, MaxDrainTimeout)
 	c.duration("heartbeat_every_ms", s.HeartbeatEveryMS, MinHeartbeatEvery, MaxHeartbeatEvery)
 	c.duration("platform_poll_every_ms", s.PlatformPollEveryMS, MinPlatformPollEvery, MaxPlatformPollEvery)
--- a/pkg/config/static/flags.go
+++ b/pkg/config/static/flags.go
@@ -30,7 +30,8 @@
 func FromCommand(command *cli.Command) (*Settings, error) {
 	settings := &Settings{}
 	if path := command.String(FlagSettings); path != "" {
-		loaded, err := Load(path)
+		// Defaults depend on what flags give.
+		loaded, err := readFile(path)
 		if err != nil {
 			return nil, err
 		}
@@ -51,6 +52,8 @@
 		switch field := field.(type) {
 		case *string:
 			*field = command.String(flag)
+		case *bool:
+			*field = command.Bool(flag)
 		case *int:
 			*field = command.Int(flag)
 		case *[]string:
@@ -64,6 +67,8 @@
 	name := flagName(field.Tag.Get("yaml"))
 	usage := field.Tag.Get("usage")
 	switch field.Type.Kind() {
+	case reflect.Bool:
+		return &cli.BoolFlag{Name: name, Usage: usage}
 	case reflect.Int:
 		return &cli.IntFlag{Name: name, Usage: usage}
 	case reflect.Slice:
--- a/pkg/config/static/load.go
+++ b/pkg/config/static/load.go
@@ -13,11 +13,25 @@
 // returns Errors with every unknown field, repeated field and value of the wrong
 // type. The result is not checked: see Settings.Check.
 func Load(path string) (*Settings, error) {
+	settings, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	settings.fillDefaults()
+	return settings, nil
+}
+
+// readFile is Load without defaults.
+func readFile(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, Errors{{Kind: KindUnreadable, Message: err.Error() + "; name a readable settings file"}}
 	}
-	return Parse(data)
+	settings := &Settings{}
+	if faults := settings.read(data); len(faults) > 0 {
+		return nil, faults
+	}
+	return settings, nil
 }
 
 // Parse reads settings from YAML or JSON text as Load does from a file.
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -1,12 +1,24 @@
 package static
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Defaults of the settings that a file may leave out.
 const (
 	// DefaultServiceShards is the number of shards of service state. It must be
 	// the same on every node of a deployment.
 	DefaultServiceShards = 16
+	// DefaultSeededServiceShards is DefaultServiceShards where nodes with disks
+	// find each other through seeds.
+	DefaultSeededServiceShards = 1
+	// DefaultContact is how long a node that fell silent counts as in contact.
+	DefaultContact = 3 * time.Second
+	// DefaultAcknowledge bounds the wait for the acknowledgement of an order.
+	DefaultAcknowledge = 4 * time.Second
+	// DefaultTickEvery is the interval at which control state looks at the clock.
+	DefaultTickEvery = 20 * time.Millisecond
 	// DefaultDrainTimeout bounds the time to finish requests after SIGTERM.
 	DefaultDrainTimeout = 20 * time.Second
 	// DefaultHeartbeatEvery is the interval of heartbeats between nodes.
@@ -30,6 +42,18 @@
 	MaxGroup = 15
 	// MaxServiceShards bounds the shards of service state.
 	MaxServiceShards = 1024
+	// MinContact leaves time for several heartbeats.
+	MinContact = 500 * time.Millisecond
+	// MaxContact bounds how long a silent node counts as in contact.
+	MaxContact = time.Minute
+	// MinAcknowledge leaves time for an election.
+	MinAcknowledge = time.Second
+	// MaxAcknowledge bounds the wait for an acknowledgement.
+	MaxAcknowledge = time.Minute
+	// MinTickEvery keeps control state from taking up the processor.
+	MinTickEvery = 5 * time.Millisecond
+	// MaxTickEvery leaves several ticks in one heartbeat.
+	MaxTickEvery = 50 * time.Millisecond
 	// MaxDrainTimeout bounds the time to finish requests.
 	MaxDrainTimeout = time.Hour
 	// MinHeartbeatEvery keeps heartbeats from taking up the network.
@@ -69,28 +93,51 @@
 	Traffic string `yaml:"traffic" usage:"IP and port for callers"`
 	// Control is the IP and port for operators and health checks.
 	Control string `yaml:"control" usage:"IP and port for operators and health checks"`
-	// Seeds are internal addresses of other nodes, at most MaxSeeds; empty on
-	// the first node of a deployment.
+	// Seeds are internal addresses of nodes, at most MaxSeeds; the node's own may
+	// be among them. They may be empty on the first node of a deployment whose
+	// Group is given. Seeds are taken over while the node runs.
 	Seeds []string `yaml:"seeds" usage:"internal address of another node; at most three"`
+	// Founding is set at the first start of a whole deployment whose Group is
+	// empty, and never again: the nodes at the addresses of Seeds then form the
+	// replica groups. It has no bearing on a node whose data folder is in use.
+	Founding bool `yaml:"founding" usage:"first start of the whole deployment: the nodes at the seeds form the replica groups"`
 	// Group names the nodes with disks in the order agreed for the whole
-	// deployment; it must be the same on every node.
+	// deployment; it must be the same on every node. If it is empty, the nodes
+	// with disks are those that find each other through seeds, and are known by
+	// their internal addresses.
 	Group []string `yaml:"group" usage:"names of the nodes with disks, in the agreed order"`
 	// GroupZones holds the zones of the nodes in Group, in the same order. It
 	// may be empty; then replica groups are not spread over zones.
 	GroupZones []string `yaml:"group_zones" usage:"zones of the nodes in group, in the same order"`
-	// DataFolder holds all files of the node. It is set on the nodes of Group
+	// DataFolder holds all files of the node. With a Group, it is set on its nodes
 	// alone; the others route and relay.
-	DataFolder string `yaml:"data_folder" usage:"folder of all files; on nodes of group alone"`
+	DataFolder string `yaml:"data_folder" usage:"folder of all files, on nodes with disks"`
+	// FailOpen lets a node that may be cut off go on serving by its newest
+	// configuration, and acknowledgements go on without nodes that are out of
+	// reach. Otherwise such a node refuses traffic, and is waited for until that
+	// is certain. It must be the same on every node.
+	FailOpen bool `yaml:"fail_open" usage:"go on serving while cut off, and acknowledge without nodes out of reach"`
+	// ContactMS is how long a node that fell silent counts as in contact, in
+	// milliseconds. With FailOpen, elections and the detection of failures take
+	// less.
+	ContactMS int `yaml:"contact_ms" usage:"how long a silent node counts as in contact"`
+	// AcknowledgeMS bounds the wait for the acknowledgement of an order with
+	// FailOpen, in milliseconds.
+	AcknowledgeMS int `yaml:"acknowledge_ms" usage:"longest wait for the acknowledgement of an order"`
 	// PlatformAddress is the IP and port of the platform's list of replicas.
 	PlatformAddress string `yaml:"platform_address" usage:"IP and port of the platform's list of replicas"`
 	// PlatformPollEveryMS is the interval between reads of that list, in
 	// milliseconds.
 	PlatformPollEveryMS int `yaml:"platform_poll_every_ms" usage:"interval between reads of that list"`
 	// ServiceShards is the number of shards of service state, the same on every
-	// node.
+	// node. Its default is DefaultServiceShards, or DefaultSeededServiceShards
+	// without a Group.
 	ServiceShards int `yaml:"service_shards" usage:"shards of service state, the same on every node"`
 	// HeartbeatEveryMS is the interval of heartbeats, in milliseconds.
 	HeartbeatEveryMS int `yaml:"heartbeat_every_ms" usage:"interval of heartbeats between nodes"`
+	// TickEveryMS is the interval at which control state looks at the clock, in
+	// milliseconds. A longer one costs less while nothing happens.
+	TickEveryMS int `yaml:"tick_every_ms" usage:"interval at which control state looks at the clock"`
 	// DrainTimeoutMS bounds the time to finish requests after SIGTERM, in
 	// milliseconds.
 	DrainTimeoutMS int `yaml:"drain_timeout_ms" usage:"time to finish requests after SIGTERM"`
@@ -109,6 +156,25 @@
 	return s.DataFolder != ""
 }
 
+// Seeded tells whether the nodes with disks find each other through seeds instead
+// of being named by a group.
+func (s *Settings) Seeded() bool {
+	return len(s.Group) == 0
+}
+
+// MemberID is the name by which other nodes know this one.
+func (s *Settings) MemberID() string {
+	if s.Seeded() {
+		return s.Internal
+	}
+	return s.Node
+}
+
+// Founder tells whether the node is one of those that form the replica groups.
+func (s *Settings) Founder() bool {
+	return s.Founding && s.Seeded() && s.HoldsState() && slices.Contains(s.Seeds, s.Internal)
+}
+
 // InternalListener is the IP and port to listen on for other nodes.
 func (s *Settings) InternalListener() string {
 	if s.InternalListen != "" {
@@ -122,6 +188,21 @@
 	return time.Duration(s.DrainTimeoutMS) * time.Millisecond
 }
 
+// Contact is how long a node that fell silent counts as in contact.
+func (s *Settings) Contact() time.Duration {
+	return time.Duration(s.ContactMS) * time.Millisecond
+}
+
+// Acknowledge bounds the wait for the acknowledgement of an order.
+func (s *Settings) Acknowledge() time.Duration {
+	return time.Duration(s.AcknowledgeMS) * time.Millisecond
+}
+
+// TickEvery is the interval at which control state looks at the clock.
+func (s *Settings) TickEvery() time.Duration {
+	return time.Duration(s.TickEveryMS) * time.Millisecond
+}
+
 // HeartbeatEvery is the interval of heartbeats between nodes.
 func (s *Settings) HeartbeatEvery() time.Duration {
 	return time.Duration(s.HeartbeatEveryMS) * time.Millisecond
@@ -135,7 +216,13 @@
 // fillDefaults replaces zero numbers and an empty log level.
 func (s *Settings) fillDefaults() {
 	setDefault(&s.PlatformPollEveryMS, int(DefaultPlatformPollEvery.Milliseconds()))
+	if s.Seeded() {
+		setDefault(&s.ServiceShards, DefaultSeededServiceShards)
+	}
 	setDefault(&s.ServiceShards, DefaultServiceShards)
+	setDefault(&s.ContactMS, int(DefaultContact.Milliseconds()))
+	setDefault(&s.AcknowledgeMS, int(DefaultAcknowledge.Milliseconds()))
+	setDefault(&s.TickEveryMS, int(DefaultTickEvery.Milliseconds()))
 	setDefault(&s.HeartbeatEveryMS, int(DefaultHeartbeatEvery.Milliseconds()))
 	setDefault(&s.DrainTimeoutMS, int(DefaultDrainTimeout.Milliseconds()))
 	setDefault(&s.LogRing, DefaultLogRing)
