--- a/internal/node/edges.go
+++ b/internal/node/edges.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
 )
 
 // ListReader reads the platform's list of back ends. An error leaves the last list in
@@ -24,10 +26,26 @@
 	Report(ctx context.Context, address, instance string) (control.ReplicaReport, error)
 }
 
-// Edges are how a node speaks to the platform and to replicas.
+// Edges are the protocols that a node speaks to the world outside. Zero values
+// mean the node's own.
 type Edges struct {
+	// Dataplane speaks to callers and back ends.
+	Dataplane dataplane.Edges
+	// Lists reads the platform's list of back ends.
 	Lists    ListReader
 	Replicas ReplicaCommander
 	// ReplicasFinishFirst is that of control.Config.
 	ReplicasFinishFirst bool
+	// Operator returns what serves operators, and whoever asks for the node's
+	// health.
+	Operator func(node *Node) http.Handler
+	// ReadyAddress is a further IP and port at which Operator's handler is
+	// served; empty for none.
+	ReadyAddress string
 }
+
+// Control returns the control state of the node.
+func (n *Node) Control() *control.Driver { return n.driver }
+
+// Ready returns nil while new connections may be sent to the node.
+func (n *Node) Ready() error { return n.health.Ready() }
--- a/internal/node/ownedges.go
+++ b/internal/node/ownedges.go
@@ -15,13 +15,17 @@
 // errTooManyCalls tells that a control call was not made.
 var errTooManyCalls = errors.New("too many control calls to replicas are under way")
 
-// ownEdges are the product's own protocols with the platform and with replicas.
-func ownEdges(platformAddress string) Edges {
+// withDefaults fills in the product's own protocols with the platform and with
+// replicas.
+func (e Edges) withDefaults(platformAddress string) Edges {
 	sender := outbound.New(outbound.Options{Name: "control"})
-	return Edges{
-		Lists:    &ownLists{client: platform.NewClient(sender, platformAddress)},
-		Replicas: &ownReplicas{client: replica.NewCommandClient(sender)},
+	if e.Lists == nil {
+		e.Lists = &ownLists{client: platform.NewClient(sender, platformAddress)}
 	}
+	if e.Replicas == nil {
+		e.Replicas = &ownReplicas{client: replica.NewCommandClient(sender)}
+	}
+	return e
 }
 
 // ownLists reads the platform's list by the product's own protocol.
