--- a/pkg/replication/change.go
+++ b/pkg/replication/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -11,11 +12,14 @@
 // The changes of a group.
 const (
 	// ChangeRemoveVoter takes the vote from Voter and keeps its place for
-	// Successor.
+	// Successor, or drops the place if there is none.
 	ChangeRemoveVoter GroupChangeKind = iota + 1
 	// ChangeAddVoter gives Voter the vote in the place that is kept for its
-	// member. Voter may be in a later life than the one the place was kept for.
+	// member, or in a new place at the end. Voter may be in a later life than
+	// the one the place was kept for.
 	ChangeAddVoter
+	// ChangeDropPlace gives the place up that is kept for Voter.
+	ChangeDropPlace
 )
 
 // GroupChange is one step of a change of the voters: it removes or adds a
@@ -25,7 +29,7 @@
 	Kind  GroupChangeKind
 	Voter Voter
 	// Successor is who the place of a removed voter is kept for: the same
-	// member in a later life, or another member that has no place.
+	// member in a later life, another member that has no place, or nobody.
 	Successor Voter
 }
 
@@ -96,6 +100,7 @@
 		return &GroupChangeError{Change: change, Problem: problem}
 	}
 	g.appendOwn(EntryGroupChange, encodePlaces(changed))
+	g.trackOthers()
 	return nil
 }
 
@@ -113,6 +118,8 @@
 		return g.afterRemoval(change)
 	case ChangeAddVoter:
 		return g.afterAddition(change)
+	case ChangeDropPlace:
+		return g.afterDrop(change)
 	default:
 		return nil, ProblemUnknownKind
 	}
@@ -120,46 +127,72 @@
 
 func (g *Group) afterRemoval(change GroupChange) (places, GroupChangeProblem) {
 	group := g.places()
-	successor := change.Successor
 	if !group.votes(change.Voter) {
 		return nil, ProblemNoSuchPlace
 	}
 	if change.Voter.ID == g.cfg.Self {
 		return nil, ProblemOwner
 	}
-	if successor.ID == change.Voter.ID {
-		if successor.Life == change.Voter.Life {
-			return nil, ProblemNoSuchPlace
+	position := group.position(change.Voter.ID)
+	changed := group.without(position)
+	if change.Successor != (Voter{}) {
+		if problem := g.successorProblem(change); problem != 0 {
+			return nil, problem
 		}
-	} else if group.position(successor.ID) >= 0 {
-		return nil, ProblemNoSuchPlace
+		changed = group.with(position, Place{Voter: change.Successor, Learner: true})
 	}
-	if !g.caughtUp(successor) {
-		return nil, ProblemNotCaughtUp
-	}
-	changed := group.with(group.position(change.Voter.ID), Place{Voter: successor, Learner: true})
 	if !g.majorityLive(changed) {
 		return nil, ProblemNoMajority
 	}
 	return changed, 0
 }
 
+// successorProblem tells why a place can't be kept for the successor.
+func (g *Group) successorProblem(change GroupChange) GroupChangeProblem {
+	successor := change.Successor
+	if successor.ID == change.Voter.ID {
+		if successor.Life == change.Voter.Life {
+			return ProblemNoSuchPlace
+		}
+	} else if g.places().position(successor.ID) >= 0 {
+		return ProblemNoSuchPlace
+	}
+	if !g.caughtUp(successor) {
+		return ProblemNotCaughtUp
+	}
+	return 0
+}
+
 func (g *Group) afterAddition(change GroupChange) (places, GroupChangeProblem) {
 	group := g.places()
 	position := group.position(change.Voter.ID)
-	if position < 0 || !group[position].Learner {
+	if change.Voter.ID == "" || (position >= 0 && !group[position].Learner) {
 		return nil, ProblemNoSuchPlace
 	}
 	if !g.caughtUp(change.Voter) {
 		return nil, ProblemNotCaughtUp
 	}
-	changed := group.with(position, Place{Voter: change.Voter})
+	added := Place{Voter: change.Voter}
+	changed := append(slices.Clone(group), added)
+	if position >= 0 {
+		changed = group.with(position, added)
+	}
 	if !g.majorityLive(changed) {
 		return nil, ProblemNoMajority
 	}
 	return changed, 0
 }
 
+// afterDrop changes no majority, as a kept place has no vote.
+func (g *Group) afterDrop(change GroupChange) (places, GroupChangeProblem) {
+	group := g.places()
+	position := group.position(change.Voter.ID)
+	if position < 0 || !group[position].Learner {
+		return nil, ProblemNoSuchPlace
+	}
+	return group.without(position), 0
+}
+
 // caughtUp tells whether the member is live in that life, wants a vote, and
 // holds all that the log held when the last heartbeat round began.
 func (g *Group) caughtUp(voter Voter) bool {
@@ -181,51 +214,3 @@
 	}
 	return live >= group.quorum()
 }
-
-// repairGroup brings members that lost their durable state back to a vote, one
-// step at a time: the lost life is removed, then the new one is added. A place
-// is filled again before the next voter is removed.
-func (g *Group) repairGroup() {
-	if g.fillPlaces() {
-		return
-	}
-	if change, due := g.dueRemoval(); due {
-		// A refusal is not an end: the next round looks again.
-		_ = g.ProposeGroupChange(g.now, change)
-	}
-}
-
-// fillPlaces adds a member that a place is kept for, as soon as a removal is
-// committed: until then the group tolerates fewer losses. It is true if it did.
-func (g *Group) fillPlaces() bool {
-	change, due := g.dueAddition()
-	return due && g.ProposeGroupChange(g.now, change) == nil
-}
-
-func (g *Group) dueAddition() (change GroupChange, due bool) {
-	for _, place := range g.places() {
-		voter := g.presentLife(place)
-		if place.Learner && g.caughtUp(voter) {
-			return GroupChange{Kind: ChangeAddVoter, Voter: voter}, true
-		}
-	}
-	return GroupChange{}, false
-}
-
-func (g *Group) dueRemoval() (change GroupChange, due bool) {
-	for _, place := range g.places() {
-		successor := g.presentLife(place)
-		if !place.Learner && successor.Life != place.Life && g.caughtUp(successor) {
-			return GroupChange{Kind: ChangeRemoveVoter, Voter: place.Voter, Successor: successor}, true
-		}
-	}
-	return GroupChange{}, false
-}
-
-// presentLife is the life in which the member of a place was last heard.
-func (g *Group) presentLife(place Place) Voter {
-	if follower := g.ownership.progress[place.ID]; follower != nil {
-		return Voter{ID: place.ID, Life: follower.life}
-	}
-	return place.Voter
-}
--- a/pkg/replication/compact.go
+++ b/pkg/replication/compact.go
@@ -16,10 +16,14 @@
 	if !held || index == 0 {
 		return &CompactError{Index: index, Message: "is not in the log: compact at an applied index"}
 	}
+	group := g.log.groups.at(index)
+	if len(group) == 0 {
+		return &CompactError{Index: index, Message: "is of a log that tells of no group yet: compact at a later index"}
+	}
 	snapshot := &Snapshot{
 		Index: index,
 		Epoch: epoch,
-		Group: g.log.groups.at(index),
+		Group: group,
 		Data:  slices.Clone(data),
 	}
 	g.log.compact(snapshot, uint64(g.cfg.MaxLogEntries))
--- a/pkg/replication/config.go
+++ b/pkg/replication/config.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/ridgeswitch/ridgeswitch/pkg/lease"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
@@ -14,6 +12,13 @@
 // send within one ElectionTimeout, so that one lost heartbeat costs nothing.
 const minHeartbeatsPerElection = 2
 
+const (
+	// DefaultMaxVoters bears the loss of four voters at once.
+	DefaultMaxVoters = 9
+	// DefaultRemoveAfter outlasts the restart of a process.
+	DefaultRemoveAfter = 1500 * time.Millisecond
+)
+
 // Config is what a member of a group is started with.
 type Config struct {
 	// Self is the member that runs this state machine.
@@ -24,11 +29,18 @@
 	// and that must be durable before New is called.
 	Life uint64
 	// Group holds the founding voters in the agreed order, the same on every
-	// member for as long as the group exists. Earlier members are preferred as
-	// owners. The present voters are those that the log tells of.
+	// founder. Earlier members are preferred as owners. It is empty on a member
+	// that joins a group, and may be empty on any member whose log or snapshot
+	// is not: the present voters are those that the log tells of, and its first
+	// entry tells of the founders. A member that knows of no group is a learner.
 	Group []member.ID
-	// Spares are members that follow the log and may be given a place.
-	Spares []member.ID
+	// MaxVoters bounds how far the leader lets the group grow by itself; zero
+	// stands for DefaultMaxVoters.
+	MaxVoters int
+	// RemoveAfter is how long a voter is silent before the leader removes it
+	// from a group with an even number of voters; zero stands for
+	// DefaultRemoveAfter.
+	RemoveAfter time.Duration
 	// HeartbeatEvery is the time between two heartbeats of an owner.
 	HeartbeatEvery time.Duration
 	// ElectionTimeout is how long a voter waits for an owner before the first
@@ -51,25 +63,16 @@
 	return lease.Timing{Duration: c.LeaseDuration, Margin: c.LeaseMargin}
 }
 
-// members returns all that may have a place.
-func (c Config) members() []member.ID {
-	return slices.Concat(c.Group, c.Spares)
-}
-
-// checkPlaces refuses a group that these settings can't be of.
-func (c Config) checkPlaces(group places) error {
-	if err := group.check(); err != nil {
-		return err
+// withDefaults returns the settings with those that were left to the package.
+func (c Config) withDefaults() Config {
+	c.Group = slices.Clone(c.Group)
+	if c.MaxVoters == 0 {
+		c.MaxVoters = DefaultMaxVoters
 	}
-	if len(group) != len(c.Group) {
-		return errors.Errorf("the group has %d places and not %d: start all members with the same group", len(group), len(c.Group))
+	if c.RemoveAfter == 0 {
+		c.RemoveAfter = DefaultRemoveAfter
 	}
-	for _, place := range group {
-		if !slices.Contains(c.members(), place.ID) {
-			return errors.Errorf("the group has a place for %q, which is not known: list it among the spares", place.ID)
-		}
-	}
-	return nil
+	return c
 }
 
 func (c Config) check() error {
@@ -79,12 +82,15 @@
 	if c.Life == 0 {
 		return &ConfigError{Field: "Life", Message: "is zero: name the durable state, FoundingLife on a founder"}
 	}
-	if len(c.Group) == 0 || !slices.Contains(c.members(), c.Self) {
-		return &ConfigError{Field: "Group", Message: "does not hold Self: list every member in the agreed order"}
-	}
-	if err := checkDistinct(c.members()); err != nil {
+	if err := checkDistinct(c.Group); err != nil {
 		return err
 	}
+	if c.MaxVoters < 0 {
+		return &ConfigError{Field: "MaxVoters", Message: "must not be negative"}
+	}
+	if c.RemoveAfter < 0 {
+		return &ConfigError{Field: "RemoveAfter", Message: "must not be negative"}
+	}
 	if c.HeartbeatEvery <= 0 {
 		return &ConfigError{Field: "HeartbeatEvery", Message: "must be positive"}
 	}
@@ -136,10 +142,10 @@
 }
 
 // check finds what durable state can never be if it was kept whole.
-func (r Restored) check(cfg Config) error {
+func (r Restored) check() error {
 	if r.Snapshot != nil {
-		if err := cfg.checkPlaces(r.Snapshot.Group); err != nil {
-			return &RestoredError{Message: "the snapshot is of another group: " + err.Error()}
+		if err := places(r.Snapshot.Group).check(); err != nil {
+			return &RestoredError{Message: "the snapshot is of no possible group: " + err.Error()}
 		}
 	}
 	previous := Entry{}
@@ -153,7 +159,7 @@
 		if entry.Index != previous.Index+1 {
 			return &RestoredError{Message: "the log has a gap: restore the member as a learner with an empty disk"}
 		}
-		if err := entry.check(cfg); err != nil {
+		if err := entry.check(); err != nil {
 			return &RestoredError{Message: err.Error()}
 		}
 		if entry.Epoch < previous.Epoch || entry.Epoch > r.Epoch {
--- a/pkg/replication/doc.go
+++ b/pkg/replication/doc.go
@@ -26,7 +26,9 @@
 //   - A voter is a member in one life of its durable state. A member that lost
 //     its state goes on in a new life, as a learner: neither its promises nor
 //     its acknowledgements count, and those of the lost life bind nobody else.
-//   - The group follows from the log. A change of one voter takes effect when
+//   - The group follows from the log. Its first entry tells of the founders, and
+//     a founder is told of them by its settings until it holds that entry. A
+//     member that knows of no group is a learner. A change of one voter takes effect when
 //     its entry is appended, and is undone when the entry is truncated. The
 //     owner makes one at a time: the next only after the one before it, and an
 //     entry of the owner's own epoch, are committed. So each majority before a
@@ -37,7 +39,13 @@
 //     as one that never answers, which is why one lost disk is safe before the
 //     owner has learnt of it: all majorities share a voter that still has what
 //     they acknowledged.
+//   - The leader fits the group to the members that are there: a peer that has
+//     caught up gets a vote, and a silent voter is removed from a group with an
+//     even number of them, which bears as many losses without it. An odd group
+//     keeps its silent voters until a new one has come.
 //   - A group that lost the majority of its voters' lives is formed anew only
 //     under a ballot that the present life of every place has promised, by the
-//     member whose log is the newest of all.
+//     member whose log is the newest of all. The places are those of the newest
+//     group that the member knows; it yields to a voter with a newer log, which
+//     may know a newer one.
 package replication
--- a/pkg/replication/durable/log_test.go
+++ b/pkg/replication/durable/log_test.go
@@ -274,6 +274,36 @@
 		Entry("an older epoch", replication.Ready{HardState: hard(5, "a", 24)}),
 	)
 
+	It("restores the founders to a member that is not told of them", func() {
+		disk := memdisk.New()
+		log, _, err := OpenWithLimit(disk, logName, smallLimit)
+		Expect(err).NotTo(HaveOccurred())
+		config := replication.Config{
+			Self: "a", Life: replication.FoundingLife, Group: []member.ID{"a"},
+			HeartbeatEvery: time.Millisecond, ElectionTimeout: time.Second,
+		}
+		group, err := replication.New(config, replication.Restored{}, 0)
+		Expect(err).NotTo(HaveOccurred())
+		group.Tick(time.Second)
+		for group.HasReady() {
+			Expect(log.Save(group.Ready())).To(Succeed())
+			group.Advance()
+		}
+		founded := group.Status().Places
+		config.Group = nil
+		for range 2 {
+			_, restored, err := OpenWithLimit(disk, logName, smallLimit)
+			Expect(err).NotTo(HaveOccurred())
+			again, err := replication.New(config, restored, 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(again.Status().Places).To(Equal(founded))
+			Expect(again.Status().Role).To(Equal(replication.RoleFollower))
+			Expect(group.Compact(1, nil)).To(Or(Succeed(), BeAssignableToTypeOf(&replication.CompactError{})))
+			kept := group.Checkpoint()
+			Expect(log.Checkpoint(kept.HardState, kept.Snapshot, kept.Entries)).To(Succeed())
+		}
+	})
+
 	It("reports records that it did not write as damage", func() {
 		disk := memdisk.New()
 		store, _, err := twoslot.Open(disk, logName)
--- /dev/null
+++ b/pkg/replication/elastic_test.go
@@ -0,0 +1,358 @@
+package replication_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+var elasticSchedules = flag.Int("elastic", 120, "how many random schedules are run in which members come and go")
+
+const (
+	elasticTicks = 600
+	settledTicks = 100
+	// elasticRemoveAfter lets a schedule see many removals.
+	elasticRemoveAfter = 300 * time.Millisecond
+	mostNodes          = 9
+)
+
+// replacement is a node that comes because another goes.
+type replacement struct {
+	old *node
+	// at is when the next step is due: a new node for one that is gone, or the
+	// end of one that a new node stands in for.
+	at      time.Duration
+	planned bool
+}
+
+// elasticSchedule is a cluster whose nodes come and go.
+type elasticSchedule struct {
+	*cluster
+	replacements []replacement
+	started      int
+	// killed counts how often all nodes went down at once.
+	killed, planned, unplanned int
+}
+
+func newElasticSchedule(seed uint64) *elasticSchedule {
+	random := rand.New(rand.NewPCG(seed, 11))
+	c := newCluster(random, "n1", "n2", "n3")
+	c.elastic, c.forgetful = true, true
+	c.config.RemoveAfter = elasticRemoveAfter
+	c.faults = faults{lose: 0.05, double: 0.05, stall: 0.05, maxDelay: 20 * time.Millisecond}
+	for _, n := range c.nodes {
+		n.offset = time.Duration(random.Int64N(int64(time.Hour)))
+		n.drift = time.Duration(random.IntN(21) - 10)
+		c.start(n)
+	}
+	return &elasticSchedule{cluster: c, started: len(c.nodes)}
+}
+
+// join starts a node that nobody knew before.
+func (s *elasticSchedule) join() {
+	if len(s.present()) >= mostNodes {
+		return
+	}
+	s.started++
+	s.addNode(laterMark + "n" + strconv.Itoa(s.started))
+	n := s.nodes[len(s.nodes)-1]
+	n.diskLife = uint64(1 + s.random.IntN(100))
+	n.offset = time.Duration(s.random.Int64N(int64(time.Hour)))
+	s.start(n)
+}
+
+// event is one of those of a fixed group, or one of an elastic group.
+func (s *elasticSchedule) event() {
+	s.replace()
+	s.restart()
+	nodes := s.present()
+	n := nodes[s.random.IntN(len(nodes))]
+	switch roll := s.random.IntN(200); {
+	case roll < 2:
+		s.join()
+	case roll < 4 && !n.left:
+		// Planned: the new one comes first.
+		s.join()
+		n.left = true
+		s.gossip()
+		s.replacements = append(s.replacements, replacement{old: n, at: s.now, planned: true})
+	case roll < 6 && !n.left && s.intactAfter(n):
+		// Unplanned: the new one comes 1 to 2 s later.
+		s.end(n)
+		s.unplanned++
+		wait := time.Second + time.Duration(s.random.Int64N(int64(time.Second)))
+		s.replacements = append(s.replacements, replacement{at: s.now + wait})
+	case roll < 7 && s.random.IntN(8) == 0:
+		s.killed++
+		for _, n := range nodes {
+			s.crash(n, s.random.IntN(2) == 0)
+		}
+	case roll < 8:
+		s.gossip()
+	case roll < 16:
+		clear(s.cut)
+	case roll < 56:
+		randomEvent(s.cluster)
+	case roll < 96 && s.owner() != nil:
+		owner := s.owner()
+		if _, err := owner.group.Propose(s.clock(owner), fmt.Append(nil, s.now)); err == nil {
+			s.drain(owner)
+		}
+	}
+}
+
+// restart starts nodes that are down, some time later.
+func (s *elasticSchedule) restart() {
+	for _, n := range s.present() {
+		if n.group == nil && s.random.IntN(30) == 0 {
+			s.start(n)
+		}
+	}
+}
+
+// replace goes on with the replacements that are due.
+func (s *elasticSchedule) replace() {
+	s.replacements = slices.DeleteFunc(s.replacements, func(r replacement) bool {
+		switch {
+		case s.now < r.at:
+			return false
+		case !r.planned:
+			s.join()
+			return true
+		case !s.intactAfter(r.old):
+			return false
+		default:
+			s.end(r.old)
+			s.planned++
+			return true
+		}
+	})
+}
+
+// settle ends what was begun, lets the nodes come to rest, and has the group
+// prove that it goes on.
+func (s *elasticSchedule) settle(seed uint64) {
+	for _, n := range s.present() {
+		n.left = false
+	}
+	s.replacements = nil
+	s.gossip()
+	healAll(s.cluster)
+	for range settledTicks {
+		s.advance()
+	}
+	owner := s.owner()
+	Expect(owner).NotTo(BeNil(), "seed %d: no owner", seed)
+	before := s.highest
+	_, err := owner.group.Propose(s.clock(owner), []byte("last"))
+	Expect(err).NotTo(HaveOccurred())
+	s.drain(owner)
+	for range settledTicks {
+		s.advance()
+	}
+	Expect(s.highest).To(BeNumerically(">", before), "seed %d: nothing is committed", seed)
+	expectAgreement(s.cluster, seed)
+}
+
+func (c *cluster) owner() *node {
+	var owner *node
+	for _, n := range c.nodes {
+		if n.group == nil {
+			continue
+		}
+		status := n.group.Status()
+		if status.Role == replication.RoleOwner && (owner == nil || status.Epoch > owner.group.Status().Epoch) {
+			owner = n
+		}
+	}
+	return owner
+}
+
+// expectAllVote expects every node that is there to vote in the life of its
+// disk, on all nodes and finally, and of those that are gone only what an odd
+// group keeps.
+func expectAllVote(c *cluster, seed uint64) {
+	var whole []replication.Place
+	for _, n := range c.present() {
+		whole = append(whole, replication.Place{Voter: n.voter()})
+	}
+	group := c.owner().group.Status().Places
+	Expect(group).To(ContainElements(whole), "seed %d: a live peer has no vote", seed)
+	for _, place := range group {
+		Expect(place.Learner).To(BeFalse(), "seed %d: a place is kept for %s", seed, place.ID)
+	}
+	if len(group) > len(whole) {
+		Expect(len(group)%2).To(Equal(1), "seed %d: an even group keeps a silent voter", seed)
+	}
+	for _, n := range c.present() {
+		status := n.group.Status()
+		Expect(status.Places).To(Equal(group), "seed %d: %s has another group", seed, n.id)
+		Expect(status.ChangeIndex).To(BeNumerically("<=", status.Commit), "seed %d: %s", seed, n.id)
+		Expect(status.Role).NotTo(Equal(replication.RoleLearner), "seed %d: %s", seed, n.id)
+	}
+}
+
+// advanceBy lets time pass.
+func (c *cluster) advanceBy(length time.Duration) {
+	for end := c.now + length; c.now < end; {
+		c.advance()
+	}
+}
+
+// propose has the present leader commit a command.
+func (c *cluster) propose(command string) {
+	owner := c.owner()
+	ExpectWithOffset(1, owner).NotTo(BeNil())
+	index, err := owner.group.Propose(c.clock(owner), []byte(command))
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	c.drain(owner)
+	c.advanceBy(5 * heartbeatEvery)
+	ExpectWithOffset(1, c.highest).To(BeNumerically(">=", index), "%q is not committed", command)
+}
+
+func calmCluster(ids ...member.ID) *cluster {
+	c := newCluster(rand.New(rand.NewPCG(3, 3)), ids...)
+	c.elastic = true
+	c.advanceBy(time.Second)
+	return c
+}
+
+var _ = Describe("an elastic group", func() {
+	It("keeps one history and one leader a term in random schedules, and ends with a vote for every member", func() {
+		var committed, lost, killed, planned, unplanned, started int
+		for seed := range uint64(*elasticSchedules) {
+			s := newElasticSchedule(seed)
+			for range elasticTicks {
+				s.event()
+				s.advance()
+			}
+			s.settle(seed)
+			committed += int(s.highest)
+			lost += s.lost
+			killed += s.killed
+			planned += s.planned
+			unplanned += s.unplanned
+			started += s.started
+		}
+		GinkgoWriter.Println("committed", committed, "lost", lost, "killed", killed, "planned", planned, "unplanned", unplanned, "started", started)
+		Expect(committed).To(BeNumerically(">", 30**elasticSchedules))
+		Expect(lost).To(BeNumerically(">", *elasticSchedules))
+		Expect(killed).To(BeNumerically(">", *elasticSchedules/4))
+		Expect(planned).To(BeNumerically(">", *elasticSchedules))
+		Expect(unplanned).To(BeNumerically(">", *elasticSchedules))
+		Expect(started).To(BeNumerically(">", 6**elasticSchedules))
+	})
+
+	It("grows from three to five to nine voters, and no further", func() {
+		ids := []member.ID{"n1", "n2", "n3"}
+		for i := 4; i <= 10; i++ {
+			ids = append(ids, member.ID(fmt.Sprint(laterMark, "n", i)))
+		}
+		c := calmCluster(ids...)
+		for i, voters := range []int{4, 5, 6, 7, 8, 9, 9} {
+			c.start(c.nodes[3+i])
+			c.advanceBy(10 * heartbeatEvery)
+			Expect(c.owner().group.Status().Group).To(HaveLen(voters))
+			c.propose("grown")
+		}
+		Expect(c.nodes[9].group.Status().Role).To(Equal(replication.RoleLearner))
+		Expect(c.nodes[9].appliedIndex).To(Equal(c.highest))
+	})
+
+	It("goes on with the old voters as they go one after the other, each after a new one came", func() {
+		c := calmCluster("n1", "n2", "n3", "-n4", "-n5", "-n6")
+		for i := range 3 {
+			c.propose("before")
+			c.start(c.nodes[3+i])
+			c.advanceBy(10 * heartbeatEvery)
+			old := c.nodes[i]
+			old.left = true
+			c.gossip()
+			if old == c.owner() {
+				Expect(old.group.HandOver(c.clock(old))).To(Succeed())
+				c.drain(old)
+				c.advanceBy(electionTimeout)
+			}
+			c.end(old)
+			c.advanceBy(2*electionTimeout + 10*heartbeatEvery)
+			c.propose("after")
+		}
+		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n4", "n5", "n6"}))
+		expectAgreement(c, 0)
+	})
+
+	It("takes a new member in for one of a full group that is gone", func() {
+		c := calmCluster("max=3", "n1", "n2", "n3", "+n4")
+		Expect(c.owner().group.Status().Group).To(HaveLen(3))
+		c.end(c.node("n3"))
+		c.advanceBy(replication.DefaultRemoveAfter + 10*heartbeatEvery)
+		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4"}))
+	})
+
+	It("keeps the silent voter of an odd group, and that of an even one for a while", func() {
+		c := calmCluster("n1", "n2", "n3", "-n4")
+		c.crash(c.node("n3"), true)
+		c.advanceBy(2 * replication.DefaultRemoveAfter)
+		Expect(c.owner().group.Status().Group).To(HaveLen(3))
+		c.start(c.node("n3"))
+		c.start(c.node("n4"))
+		c.advanceBy(10 * heartbeatEvery)
+		c.crash(c.node("n3"), true)
+		c.advanceBy(replication.DefaultRemoveAfter - 2*heartbeatEvery)
+		Expect(c.owner().group.Status().Group).To(HaveLen(4))
+		c.advanceBy(10 * heartbeatEvery)
+		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4"}))
+		c.start(c.node("n3"))
+		c.advanceBy(10 * heartbeatEvery)
+		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4", "n3"}), "in its old life")
+	})
+
+	It("is formed anew by the voters of the newest known group", func() {
+		c := calmCluster("n1", "n2", "n3", "-n4", "-n5")
+		c.start(c.node("n4"))
+		c.start(c.node("n5"))
+		c.advanceBy(10 * heartbeatEvery)
+		c.propose("kept")
+		kept := c.highest
+		for _, id := range []member.ID{"n1", "n2", "n3"} {
+			c.loseDisk(c.node(id))
+		}
+		c.crash(c.node("n4"), true)
+		c.crash(c.node("n5"), true)
+		for _, id := range []member.ID{"n1", "n2", "n3", "n4"} {
+			c.start(c.node(id))
+		}
+		c.advanceBy(3 * time.Second)
+		Expect(c.reformed).To(BeZero(), "without a voter of the newest group")
+		c.start(c.node("n5"))
+		c.advanceBy(2 * time.Second)
+		Expect(c.reformed).To(Equal(1))
+		Expect(c.highest).To(BeNumerically(">", kept))
+		expectAgreement(c, 0)
+	})
+
+	It("survives that all go down, with founders that are not told who founded it", func() {
+		c := calmCluster("n1", "n2", "n3")
+		c.forgetful = true
+		c.propose("kept")
+		for _, n := range c.nodes {
+			c.crash(n, true)
+		}
+		for _, n := range c.nodes {
+			n.life = 1
+			c.start(n)
+		}
+		c.advanceBy(time.Second)
+		c.propose("after")
+		expectAgreement(c, 0)
+	})
+})
--- a/pkg/replication/election.go
+++ b/pkg/replication/election.go
@@ -77,7 +77,7 @@
 	g.askForPromises()
 }
 
-// askForPromises asks everyone who has not granted; a lost or premature
+// askForPromises asks all voters that have not granted; a lost or premature
 // request is so repaired by the next one.
 func (g *Group) askForPromises() {
 	g.election.askedAt = g.now
@@ -89,8 +89,8 @@
 		// owner again.
 		g.election.granted = []Voter{g.self()}
 	}
-	for _, id := range g.others() {
-		if g.grantedBy(id) {
+	for _, id := range g.log.groups.latest().voterIDs {
+		if id == g.cfg.Self || g.grantedBy(id) {
 			continue
 		}
 		g.send(id, Message{
@@ -161,6 +161,9 @@
 }
 
 func (g *Group) stepPromiseReply(from member.ID, m Message) {
+	if !g.knows(from) {
+		return
+	}
 	if m.Reject && m.Epoch > g.hard.Epoch {
 		g.rest(m.Epoch, "")
 		return
@@ -221,23 +224,23 @@
 }
 
 // takeOwnership begins the epoch with a barrier entry: its commit commits all
-// entries that earlier epochs left.
+// entries that earlier epochs left. In an empty log that entry tells of the
+// founding voters, so that the log alone tells of the group from then on.
 func (g *Group) takeOwnership() {
 	g.rest(g.hard.Epoch, g.cfg.Self)
 	g.role = RoleOwner
 	g.election.lostOwner = ""
 	g.ownership.progress = make(map[member.ID]*progress)
-	for _, id := range g.others() {
-		g.ownership.progress[id] = &progress{next: g.log.lastIndex() + 1, lastContact: g.now}
-	}
-	for _, voter := range g.log.groups.latest().voters {
-		if voter != g.self() {
-			// Until the member is heard in a later life.
-			g.ownership.progress[voter.ID].life = voter.Life
-		}
-	}
+	g.trackOthers()
 	g.ownership.holder = lease.NewHolder(g.cfg.leaseTiming())
 	g.ownership.successor = lease.NewSuccessor(g.cfg.leaseTiming(), g.now)
-	g.ownership.barrier = g.appendOwn(EntryBarrier, nil)
+	g.ownership.barrier = g.appendBarrier()
 	g.startRound()
 }
+
+func (g *Group) appendBarrier() uint64 {
+	if g.log.lastIndex() == 0 {
+		return g.appendOwn(EntryGroupChange, encodePlaces(g.places()))
+	}
+	return g.appendOwn(EntryBarrier, nil)
+}
--- a/pkg/replication/follower.go
+++ b/pkg/replication/follower.go
@@ -88,7 +88,7 @@
 		if entry.Index != previous.Index+1 || entry.Epoch < previous.Epoch || entry.Epoch > m.Epoch {
 			return &MessageError{From: from, Type: m.Type, Message: "the entries are out of order"}
 		}
-		if err := entry.check(g.cfg); err != nil {
+		if err := entry.check(); err != nil {
 			return &MessageError{From: from, Type: m.Type, Message: err.Error()}
 		}
 		held, ok := g.log.epochAt(entry.Index)
@@ -125,13 +125,13 @@
 	})
 }
 
-// checkSnapshot refuses a snapshot of a group that this member isn't in.
+// checkSnapshot refuses a snapshot of a group that can't be.
 func (g *Group) checkSnapshot(from member.ID, m Message) error {
 	if m.Snapshot == nil {
 		return &MessageError{From: from, Type: m.Type, Message: "the snapshot is missing"}
 	}
-	if err := g.cfg.checkPlaces(m.Snapshot.Group); err != nil {
-		return &MessageError{From: from, Type: m.Type, Message: "the snapshot is of another group: " + err.Error()}
+	if err := places(m.Snapshot.Group).check(); err != nil {
+		return &MessageError{From: from, Type: m.Type, Message: "the snapshot is of no possible group: " + err.Error()}
 	}
 	return nil
 }
--- a/pkg/replication/group.go
+++ b/pkg/replication/group.go
@@ -1,7 +1,6 @@
 package replication
 
 import (
-	"slices"
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/pkg/lease"
@@ -53,6 +52,8 @@
 	role Role
 	// owner is the member that is known to own hard.Epoch, or empty.
 	owner member.ID
+	// peers are the other members that are known at present, see SetPeers.
+	peers []Peer
 
 	election  election
 	reform    reformation
@@ -112,9 +113,8 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	cfg.Group = slices.Clone(cfg.Group)
-	cfg.Spares = slices.Clone(cfg.Spares)
-	if err := restored.check(cfg); err != nil {
+	cfg = cfg.withDefaults()
+	if err := restored.check(); err != nil {
 		return nil, err
 	}
 	g := &Group{
@@ -175,14 +175,16 @@
 	g.now = max(g.now, now)
 }
 
-// Step takes a message from another member in. Messages may be lost, doubled,
+// Step takes a message from another member in, whether it is known here or not:
+// a new voter may be heard before the entry or the gossip that tells of it. What
+// a member without a vote sends binds nobody. Messages may be lost, doubled,
 // delayed and reordered. An error means that the message was not taken in. The
 // clock must be read after the message arrived: the wait of a successor in the
 // command lease counts from there.
 func (g *Group) Step(now time.Duration, from member.ID, m Message) error {
 	g.observe(now)
-	if from == g.cfg.Self || !slices.Contains(g.cfg.members(), from) {
-		return &MessageError{From: from, Type: m.Type, Message: "the sender is not another member of the group: check the settings of both"}
+	if from == g.cfg.Self || from == "" {
+		return &MessageError{From: from, Type: m.Type, Message: "the sender is not another member: check that no two members run under one ID"}
 	}
 	switch m.Type {
 	case MessagePromiseRequest:
@@ -231,11 +233,6 @@
 	return g.places().quorum()
 }
 
-// others returns the other members, spares last, whether they vote or not.
-func (g *Group) others() []member.ID {
-	return slices.DeleteFunc(g.cfg.members(), func(id member.ID) bool { return id == g.cfg.Self })
-}
-
 // send queues a message for the next Ready. While a sync stalls, the queue is
 // bounded; what is dropped then counts as lost on the way, and is repeated.
 func (g *Group) send(to member.ID, m Message) {
--- a/pkg/replication/handover.go
+++ b/pkg/replication/handover.go
@@ -45,7 +45,7 @@
 	}
 	for _, id := range append(after, before...) {
 		place := g.places()[g.places().position(id)]
-		if g.voterHeard(place.Voter) {
+		if g.voterHeard(place.Voter) && !g.hasLeft(id) {
 			return id
 		}
 	}
--- a/pkg/replication/log.go
+++ b/pkg/replication/log.go
@@ -26,16 +26,13 @@
 
 // check refuses kinds that this member doesn't know, and groups that it can't
 // follow: to pass over them would be unsafe.
-func (e Entry) check(cfg Config) error {
+func (e Entry) check() error {
 	switch e.Kind {
 	case EntryCommand, EntryBarrier, EntryRestore:
 		return nil
 	case EntryGroupChange:
-		changed, err := decodePlaces(e.Command)
-		if err != nil {
-			return err
-		}
-		return cfg.checkPlaces(changed)
+		_, err := decodePlaces(e.Command)
+		return err
 	default:
 		return errors.New("an entry is of a kind that this member can't follow: run the same version on all members")
 	}
@@ -91,6 +88,11 @@
 	return index >= l.lastIndex()
 }
 
+// isNewest tells whether no log that ends with (index, epoch) is newer.
+func (l *replicaLog) isNewest(index, epoch uint64) bool {
+	return epoch < l.lastEpoch() || (epoch == l.lastEpoch() && index <= l.lastIndex())
+}
+
 // slice returns the entries first..last. Its capacity is cut so that no later
 // append to the log can be seen through it.
 func (l *replicaLog) slice(first, last uint64) []Entry {
--- a/pkg/replication/owner.go
+++ b/pkg/replication/owner.go
@@ -146,6 +146,9 @@
 
 // stepToOwner takes replies of followers in.
 func (g *Group) stepToOwner(from member.ID, m Message) error {
+	if !g.knows(from) {
+		return nil
+	}
 	if m.Epoch > g.hard.Epoch {
 		g.rest(m.Epoch, "")
 		return nil
@@ -157,6 +160,9 @@
 		return &MessageError{From: from, Type: m.Type, Message: "acknowledges entries that the owner never had: check that no two groups are mixed up"}
 	}
 	follower := g.ownership.progress[from]
+	if follower == nil {
+		return nil
+	}
 	if m.Life != follower.life {
 		if !follower.isLaterLife(m) {
 			// The durable state that vouched for this may be lost.
--- a/pkg/replication/place.go
+++ b/pkg/replication/place.go
@@ -22,8 +22,8 @@
 	Life uint64
 }
 
-// Place is one place in the agreed order of a group. The number of places and
-// their order are fixed; who fills a place changes.
+// Place is one place in the agreed order of a group. A new voter gets a place
+// at the end; one that lost its durable state gets its place back.
 type Place struct {
 	Voter
 	// Learner tells that the place is kept for the member, which has no vote
@@ -81,6 +81,11 @@
 	return changed
 }
 
+// without returns a copy without the place at position.
+func (p places) without(position int) places {
+	return slices.Delete(slices.Clone(p), position, position+1)
+}
+
 // check finds places that no group can have.
 func (p places) check() error {
 	if len(p.voters()) == 0 {
--- a/pkg/replication/reform.go
+++ b/pkg/replication/reform.go
@@ -60,7 +60,16 @@
 }
 
 func (g *Group) ballotWon() bool {
-	return g.ownBallot() && len(g.reform.granted) == len(g.places())
+	return g.ownBallot() && g.allPlacesGranted()
+}
+
+func (g *Group) allPlacesGranted() bool {
+	for _, place := range g.places() {
+		if !g.ballotGrantedBy(place.ID) {
+			return false
+		}
+	}
+	return true
 }
 
 // ownBallot tells whether a ballot of this member is still the newest epoch.
@@ -107,6 +116,9 @@
 		return &BallotError{Ballot: ballot}
 	}
 	group := g.presentGroup()
+	if g.log.lastIndex() == 0 {
+		g.appendOwn(EntryGroupChange, encodePlaces(g.places()))
+	}
 	g.appendOwn(EntryRestore, state)
 	g.appendOwn(EntryGroupChange, encodePlaces(group))
 	// A ballot forms one group only: the epoch may outlast this ownership.
@@ -119,7 +131,9 @@
 func (g *Group) presentGroup() places {
 	group := slices.Clone(g.places())
 	for _, voter := range g.reform.granted {
-		group[group.position(voter.ID)] = Place{Voter: voter}
+		if position := group.position(voter.ID); position >= 0 {
+			group[position] = Place{Voter: voter}
+		}
 	}
 	return group
 }
@@ -170,14 +184,15 @@
 	return true
 }
 
-// askForBallot asks every place that has not granted.
+// askForBallot asks every place that has not granted, and the other peers, whose
+// grants don't count but one of which may be a voter of a newer group.
 func (g *Group) askForBallot() {
 	g.reform.askedAt = g.now
-	for _, place := range g.places() {
-		if place.ID == g.cfg.Self || g.ballotGrantedBy(place.ID) {
+	for _, id := range g.others() {
+		if g.ballotGrantedBy(id) {
 			continue
 		}
-		g.send(place.ID, Message{
+		g.send(id, Message{
 			Type:       MessageBallotRequest,
 			Epoch:      g.reform.ballot,
 			Index:      g.log.lastIndex(),
@@ -202,11 +217,22 @@
 	default:
 		granted = granted && g.promise(from, m)
 	}
-	g.send(from, Message{Type: MessageBallotReply, Epoch: g.hard.Epoch, Trial: m.Trial, Reject: !granted})
+	reply := Message{Type: MessageBallotReply, Epoch: g.hard.Epoch, Trial: m.Trial, Reject: !granted}
+	if g.places().votes(g.self()) {
+		reply.Index, reply.IndexEpoch = g.log.lastIndex(), g.log.lastEpoch()
+	}
+	g.send(from, reply)
 }
 
 func (g *Group) stepBallotReply(from member.ID, m Message) {
+	if !g.knows(from) {
+		return
+	}
 	g.RaiseEpochFloor(m.Epoch)
+	if !g.log.isNewest(m.Index, m.IndexEpoch) {
+		g.yieldBallot()
+		return
+	}
 	asking := m.Trial == (g.reform.ballot == 0) && len(g.reform.granted) > 0
 	if m.Reject || !asking || g.hearsLiveOwner() || g.places().position(from) < 0 {
 		return
@@ -217,6 +243,15 @@
 	g.addGrant(Voter{ID: from, Life: m.Life})
 }
 
+// yieldBallot leaves it to a voter with a newer log to form the group anew: this
+// member may not know the newest group, and so not all whose promise is needed.
+func (g *Group) yieldBallot() {
+	if g.reform.ballot != 0 || len(g.reform.granted) > 0 {
+		g.abandonBallot()
+		g.reform.retryAt = g.now + reformTimeouts*g.cfg.ElectionTimeout
+	}
+}
+
 func (g *Group) addGrant(from Voter) {
 	if !g.ballotGrantedBy(from.ID) {
 		g.reform.granted = append(g.reform.granted, from)
@@ -228,7 +263,7 @@
 // be formed anew: this member's log is the newest, and so is the group that it
 // tells of.
 func (g *Group) countGrants() {
-	if len(g.reform.granted) < len(g.places()) {
+	if !g.allPlacesGranted() {
 		return
 	}
 	switch {
--- /dev/null
+++ b/pkg/replication/repair.go
@@ -0,0 +1,134 @@
+package replication
+
+import "slices"
+
+// What the leader does by itself to keep its group whole: one step at a time,
+// and each only if it leaves a live majority. A refusal is not an end, as the
+// next heartbeat round looks again.
+
+// leastReducible is the smallest group that bears a loss with one voter less.
+const leastReducible = 4
+
+// repairGroup proposes the change that is due first, if any.
+func (g *Group) repairGroup() {
+	for _, due := range []func() (GroupChange, bool){
+		g.dueRefill, g.dueLifeRemoval, g.dueReduction, g.dueGrowth, g.dueDrop,
+	} {
+		if change, found := due(); found && g.ProposeGroupChange(g.now, change) == nil {
+			return
+		}
+	}
+}
+
+// fillPlaces adds a member that a place is kept for, as soon as a removal is
+// committed: until then the group tolerates fewer losses.
+func (g *Group) fillPlaces() {
+	if change, due := g.dueRefill(); due {
+		_ = g.ProposeGroupChange(g.now, change)
+	}
+}
+
+// dueRefill gives the vote back to a member that a place is kept for.
+func (g *Group) dueRefill() (change GroupChange, due bool) {
+	for _, place := range g.places() {
+		voter := g.presentLife(place)
+		if place.Learner && g.caughtUp(voter) {
+			return GroupChange{Kind: ChangeAddVoter, Voter: voter}, true
+		}
+	}
+	return GroupChange{}, false
+}
+
+// dueLifeRemoval removes a lost life whose member holds the log in a new one,
+// and keeps its place.
+func (g *Group) dueLifeRemoval() (change GroupChange, due bool) {
+	for _, place := range g.places() {
+		successor := g.presentLife(place)
+		if !place.Learner && successor.Life != place.Life && g.caughtUp(successor) {
+			return GroupChange{Kind: ChangeRemoveVoter, Voter: place.Voter, Successor: successor}, true
+		}
+	}
+	return GroupChange{}, false
+}
+
+// dueReduction removes a silent voter from a group with an even number of
+// voters: without it the group bears as many losses. A group with an odd number
+// keeps its silent voters, which may come back with their disks.
+func (g *Group) dueReduction() (change GroupChange, due bool) {
+	voters := g.places().voters()
+	if len(voters) < leastReducible || len(voters)%2 != 0 {
+		return GroupChange{}, false
+	}
+	for _, voter := range voters {
+		if g.silent(voter) {
+			return GroupChange{Kind: ChangeRemoveVoter, Voter: voter}, true
+		}
+	}
+	return GroupChange{}, false
+}
+
+// dueGrowth gives a vote to a peer that has caught up.
+func (g *Group) dueGrowth() (change GroupChange, due bool) {
+	if !g.mayGrow() {
+		return GroupChange{}, false
+	}
+	for _, peer := range g.peers {
+		follower := g.ownership.progress[peer.ID]
+		if peer.Left || follower == nil || g.places().position(peer.ID) >= 0 {
+			continue
+		}
+		if voter := (Voter{ID: peer.ID, Life: follower.life}); g.caughtUp(voter) {
+			return GroupChange{Kind: ChangeAddVoter, Voter: voter}, true
+		}
+	}
+	return GroupChange{}, false
+}
+
+// mayGrow tells whether there is room for a voter. A full group takes one in
+// that is to replace a silent voter, since an odd group removes none before.
+func (g *Group) mayGrow() bool {
+	group := g.places()
+	if len(group)%2 == 1 && slices.ContainsFunc(group.voters(), g.inDoubt) {
+		return false
+	}
+	if len(group) < g.cfg.MaxVoters {
+		return true
+	}
+	return len(group) == g.cfg.MaxVoters && slices.ContainsFunc(group.voters(), g.silent)
+}
+
+// inDoubt tells whether the voter is not heard, but may yet be back. One voter
+// more raises the majority of an odd group, which then bears less until the
+// silent voter can be removed: that must be possible at once.
+func (g *Group) inDoubt(voter Voter) bool {
+	follower := g.ownership.progress[voter.ID]
+	return follower != nil && !g.heard(follower) && !g.silent(voter)
+}
+
+// dueDrop gives a place up whose member does not come back for it.
+func (g *Group) dueDrop() (change GroupChange, due bool) {
+	for _, place := range g.places() {
+		if place.Learner && g.silent(place.Voter) {
+			return GroupChange{Kind: ChangeDropPlace, Voter: place.Voter}, true
+		}
+	}
+	return GroupChange{}, false
+}
+
+// silent tells whether nothing was heard of the member, in any life, for long
+// enough to go on without it.
+func (g *Group) silent(voter Voter) bool {
+	follower := g.ownership.progress[voter.ID]
+	if follower == nil || g.heard(follower) {
+		return false
+	}
+	return g.hasLeft(voter.ID) || g.now >= follower.lastContact+g.cfg.RemoveAfter
+}
+
+// presentLife is the life in which the member of a place was last heard.
+func (g *Group) presentLife(place Place) Voter {
+	if follower := g.ownership.progress[place.ID]; follower != nil {
+		return Voter{ID: place.ID, Life: follower.life}
+	}
+	return place.Voter
+}
--- /dev/null
+++ b/pkg/replication/repair_test.go
@@ -0,0 +1,227 @@
+package replication_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+// firstLeader returns the leader n1 of three founders with empty logs, after its
+// barrier is durable.
+func firstLeader() *replication.Group {
+	g := newMember("n1", "n1", "n2", "n3")
+	g.Tick(electionTimeout)
+	for _, trial := range []bool{true, false} {
+		granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Epoch: 1, Trial: trial}
+		Expect(g.Step(electionTimeout, "n2", granted)).To(Succeed())
+		settle(g)
+	}
+	Expect(g.Status().Role).To(Equal(replication.RoleOwner))
+	return g
+}
+
+// sentTo passes all Readies and returns who was sent messages of that type.
+func sentTo(g *replication.Group, kind replication.MessageType) []member.ID {
+	var ids []member.ID
+	for g.HasReady() {
+		for _, outbound := range g.Ready().Messages {
+			if outbound.Message.Type == kind {
+				ids = append(ids, outbound.To)
+			}
+		}
+		g.Advance()
+	}
+	return ids
+}
+
+var _ = Describe("the founders", func() {
+	It("are told by the first entry to whoever does not know them", func() {
+		leader := firstLeader()
+		first := leader.Checkpoint().Entries
+		Expect(first).To(Equal([]replication.Entry{changeEntry(1, 1, founded("n1", "n2", "n3"))}))
+
+		joined := newMember("n4")
+		Expect(joined.Status().Role).To(Equal(replication.RoleLearner))
+		Expect(joined.Step(0, "n1", appendOf(1, 0, 0, 1, first...))).To(Succeed())
+		settle(joined)
+		Expect(joined.Status().Group).To(Equal([]member.ID{"n1", "n2", "n3"}))
+		Expect(joined.Status().Role).To(Equal(replication.RoleLearner))
+
+		founder := newMember("n2", "n1", "n2", "n3")
+		Expect(founder.Step(0, "n1", appendOf(1, 0, 0, 1, first...))).To(Succeed())
+		settle(founder)
+		again, err := replication.New(replication.Config{
+			Self: "n2", Life: replication.FoundingLife, HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
+		}, founder.Checkpoint(), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Status().Places).To(Equal(founded("n1", "n2", "n3")))
+		Expect(again.Status().Role).To(Equal(replication.RoleFollower))
+	})
+
+	It("are not made up by a member that knows of no group", func() {
+		g := newMember("n4")
+		g.ExpectState()
+		g.SetPeers(0, []replication.Peer{{ID: "n1"}, {ID: "n2"}})
+		for now := time.Duration(0); now < time.Minute; now += heartbeatEvery {
+			g.Tick(now)
+		}
+		Expect(g.HasReady()).To(BeFalse())
+		Expect(g.Status().Role).To(Equal(replication.RoleLearner))
+	})
+
+	It("stay in doubt in a log that does not tell of them, which is not compacted", func() {
+		g := newMember("n4")
+		Expect(g.Step(0, "n1", appendOf(1, 0, 0, 1, entry(1, 1)))).To(Succeed())
+		settle(g)
+		Expect(g.Compact(1, nil)).To(BeAssignableToTypeOf(&replication.CompactError{}))
+	})
+})
+
+var _ = Describe("members without a vote", func() {
+	It("are sent the log and the heartbeats, and are not asked for promises", func() {
+		g := newMember("n1", "n1", "n2", "n3")
+		g.SetPeers(0, []replication.Peer{{ID: "n4"}, {ID: "n1"}, {ID: "n4"}, {ID: "n2"}, {ID: ""}})
+		g.Tick(electionTimeout)
+		Expect(sentTo(g, replication.MessagePromiseRequest)).To(Equal([]member.ID{"n2", "n3"}))
+
+		leader := firstLeader()
+		leader.SetPeers(electionTimeout, []replication.Peer{{ID: "n4"}})
+		leader.Tick(electionTimeout + heartbeatEvery)
+		Expect(sentTo(leader, replication.MessageHeartbeat)).To(Equal([]member.ID{"n2", "n3", "n4"}))
+	})
+
+	It("disturb no live leader, whatever epoch they tell of", func() {
+		leader := electedOwner()
+		follower := newMember("n2", "n1", "n2", "n3")
+		Expect(follower.Step(0, "n1", appendOf(1, 0, 0, 0))).To(Succeed())
+		for _, g := range []*replication.Group{leader, follower} {
+			before := g.Status()
+			for _, m := range []replication.Message{
+				{Type: replication.MessagePromiseRequest, Trial: true},
+				{Type: replication.MessagePromiseRequest},
+				{Type: replication.MessagePromiseReply, Reject: true},
+				{Type: replication.MessagePromiseReply},
+				{Type: replication.MessageAppendReply, Reject: true},
+				{Type: replication.MessageHeartbeatReply},
+				{Type: replication.MessageBallotReply, Reject: true},
+				{Type: replication.MessageBallotRequest, Trial: true},
+				{Type: replication.MessageBallotRequest},
+			} {
+				m.Epoch, m.Life, m.Index, m.IndexEpoch = 90, 5, 90, 90
+				Expect(g.Step(0, "n9", m)).To(Succeed())
+			}
+			Expect(g.Status()).To(Equal(before))
+		}
+		for follower.HasReady() {
+			for _, outbound := range follower.Ready().Messages {
+				Expect(outbound.To != "n9" || outbound.Message.Reject).To(BeTrue(), "%v is granted", outbound)
+			}
+			follower.Advance()
+		}
+	})
+
+	It("do not count when they grant promises", func() {
+		g := newMember("n1", "n1", "n2", "n3")
+		g.SetPeers(0, []replication.Peer{{ID: "n4"}})
+		g.Tick(electionTimeout)
+		for _, id := range []member.ID{"n4", "n9"} {
+			granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Epoch: 1, Trial: true}
+			Expect(g.Step(electionTimeout, id, granted)).To(Succeed())
+		}
+		Expect(g.Status().Epoch).To(BeZero())
+	})
+
+	It("get one when they have caught up, unless they leave", func() {
+		c := calmCluster("n1", "n2", "n3", "-n4", "-n5")
+		c.node("n4").left = true
+		c.start(c.node("n4"))
+		c.start(c.node("n5"))
+		c.advanceBy(10 * heartbeatEvery)
+		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n3", "n5"}))
+	})
+
+	It("get none while a silent voter of an odd group may yet be back", func() {
+		c := calmCluster("n1", "n2", "n3", "-n4")
+		c.crash(c.node("n3"), true)
+		c.advanceBy(electionTimeout + tickEvery)
+		c.start(c.node("n4"))
+		c.advanceBy(time.Second)
+		Expect(c.owner().group.Status().Group).To(HaveLen(3))
+		c.start(c.node("n3"))
+		c.advanceBy(10 * heartbeatEvery)
+		Expect(c.owner().group.Status().Group).To(HaveLen(4))
+	})
+})
+
+var _ = Describe("a change of an elastic group", func() {
+	It("drops a voter without a successor, and takes a new one in at the end", func() {
+		g := electedOwner()
+		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
+		Expect(problemOf(g.ProposeGroupChange(tookAt, replication.GroupChange{
+			Kind: replication.ChangeAddVoter, Voter: replication.Voter{ID: "n4", Life: 1},
+		}))).To(Equal(replication.ProblemNotCaughtUp))
+		g.SetPeers(tookAt, []replication.Peer{{ID: "n4"}})
+		later := tookAt + heartbeatEvery
+		g.Tick(later)
+		settle(g)
+		Expect(g.Step(later, "n4", answers(2))).To(Succeed())
+		Expect(g.Step(later, "n4", matched(2, 2))).To(Succeed())
+		add := replication.GroupChange{Kind: replication.ChangeAddVoter, Voter: replication.Voter{ID: "n4", Life: 1}}
+		drop := replication.GroupChange{Kind: replication.ChangeRemoveVoter, Voter: lostN3}
+		Expect(g.ProposeGroupChange(later, drop)).To(Succeed())
+		Expect(g.Status().Places).To(Equal(founded("n1", "n2")))
+		Expect(problemOf(g.ProposeGroupChange(later, add))).To(Equal(replication.ProblemChangeUnderWay))
+		settle(g)
+		Expect(g.Step(later, "n2", matched(2, 3))).To(Succeed())
+		Expect(g.Step(later, "n4", matched(2, 3))).To(Succeed())
+		Expect(g.ProposeGroupChange(later, add)).To(Succeed())
+		Expect(g.Status().Places).To(Equal(founded("n1", "n2", "n4")))
+	})
+
+	It("gives a kept place up whose member stays silent", func() {
+		g := settledOwner()
+		Expect(problemOf(g.ProposeGroupChange(tookAt, replication.GroupChange{
+			Kind: replication.ChangeDropPlace, Voter: lostN3,
+		}))).To(Equal(replication.ProblemNoSuchPlace))
+		Expect(g.ProposeGroupChange(tookAt, remove)).To(Succeed())
+		silent := tookAt + electionTimeout
+		beatUntil(g, tookAt, silent)
+		Expect(g.Step(silent, "n2", matched(2, 3))).To(Succeed())
+		end := tookAt + replication.DefaultRemoveAfter
+		beatUntil(g, silent, end-heartbeatEvery)
+		Expect(g.Status().Places).To(Equal(waiting()))
+		beatUntil(g, end-heartbeatEvery, end+heartbeatEvery)
+		Expect(g.Status().Places).To(Equal(founded("n1", "n2")))
+	})
+})
+
+var _ = Describe("a group that lost a majority", func() {
+	It("is not formed anew by a member of which a voter with a newer log knows better", func() {
+		grant := replication.Message{Type: replication.MessageBallotReply, Life: 8, Trial: true}
+		newer := replication.Message{Type: replication.MessageBallotReply, Life: 1, Trial: true, Reject: true, Index: 2, IndexEpoch: 1}
+		for _, objected := range []bool{false, true} {
+			g := newMember("n3", "n1", "n2", "n3")
+			g.SetPeers(0, []replication.Peer{{ID: "n4"}})
+			Expect(g.Step(0, "n1", appendOf(1, 0, 0, 0, entry(1, 1)))).To(Succeed())
+			settle(g)
+			now := time.Duration(0)
+			for asked := []member.ID(nil); len(asked) == 0; now += tickEvery {
+				g.Tick(now)
+				if asked = sentTo(g, replication.MessageBallotRequest); len(asked) > 0 {
+					Expect(asked).To(Equal([]member.ID{"n1", "n2", "n4"}))
+				}
+			}
+			Expect(g.Step(now, "n1", grant)).To(Succeed())
+			if objected {
+				Expect(g.Step(now, "n4", newer)).To(Succeed())
+			}
+			Expect(g.Step(now, "n2", grant)).To(Succeed())
+			ballot, _ := g.Ballot()
+			Expect(ballot == 0).To(Equal(objected))
+		}
+	})
+})
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -25,7 +25,8 @@
 	// ChangeIndex is the index of the entry that began this group; the change
 	// is final when it is committed.
 	ChangeIndex uint64
-	// Followers is set on the owner only, in the order of the settings.
+	// Followers is set on the owner only: the places in their order, then the
+	// peers without one.
 	Followers []FollowerStatus
 }
 
--- a/pkg/replication/timeline_test.go
+++ b/pkg/replication/timeline_test.go
@@ -127,6 +127,11 @@
 		c.drain(n)
 	case "lose":
 		c.loseDisk(n)
+	case "leave":
+		n.left = true
+		c.gossip()
+	case "end":
+		c.end(n)
 	case "stall":
 		n.stalled = true
 	case "release":
