News of traffic travels through one relay a zone

Now a node hands it to the relay of its zone, which passes batches on to its zone and to the other relays.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 
-	"github.com/samber/lo"
-
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
@@ -13,7 +11,7 @@
 // TrafficReceiver takes in what other nodes tell of their traffic. It is safe
 // for concurrent use.
 type TrafficReceiver interface {
-	TakeShared(node string, message *shared.Message)
+	TakeBatch(batch shared.Batch)
 }
 
 // livePeers are the nodes that serve callers, for traffic to read without
@@ -55,24 +53,21 @@
 	return *published
 }
 
-// ShareTraffic sends what this node tells of its traffic to all other nodes that
-// serve callers. What gets lost is not repeated.
-func (d *Driver) ShareTraffic(message *shared.Message) {
-	self := d.machine.config.Self
-	others := lo.Reject(d.Peers(), func(peer member.Info, _ int) bool { return peer.ID == self.ID })
-	if len(others) == 0 {
-		return
-	}
-	envelope := wire.Envelope{Deployment: d.options.Deployment, From: self.ID, Traffic: message}
-	for _, peer := range others {
-		d.options.Sender.Send(peer.Address, wire.Encode(envelope))
+// SendTraffic sends a batch of news about traffic to another node. It may get
+// lost.
+func (d *Driver) SendTraffic(send shared.Outbound) {
+	envelope := wire.Envelope{
+		Deployment: d.options.Deployment,
+		From:       d.machine.config.Self.ID,
+		Traffic:    &send.Batch,
 	}
+	d.options.Sender.Send(send.To.Address, wire.Encode(envelope))
 }
 
-// receiveTraffic hands a message about traffic on. It does not go through the
+// receiveTraffic hands news about traffic on. It does not go through the
 // control goroutine, as it changes no control state.
 func (d *Driver) receiveTraffic(envelope wire.Envelope) {
 	if d.options.Traffic != nil {
-		d.options.Traffic.TakeShared(string(envelope.From), envelope.Traffic)
+		d.options.Traffic.TakeBatch(*envelope.Traffic)
 	}
 }
--- /dev/null
+++ b/internal/dataplane/shared/exchange_test.go
@@ -0,0 +1,143 @@
+package shared_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+func TestShared(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Shared Suite")
+}
+
+// network is a set of exchanges whose batches arrive at once.
+type network struct {
+	peers     []member.Info
+	exchanges map[member.ID]*shared.Exchange
+	// heard counts how often each node heard the news of each.
+	heard map[member.ID]map[member.ID]int
+	// crossings counts the batches between zones, and sent all batches.
+	crossings, sent int
+}
+
+func newNetwork(zones, perZone int) *network {
+	n := &network{exchanges: map[member.ID]*shared.Exchange{}, heard: map[member.ID]map[member.ID]int{}}
+	for zone := range zones {
+		for number := range perZone {
+			info := member.Info{ID: member.ID(fmt.Sprintf("node-%d-%d", zone, number)), Zone: fmt.Sprintf("zone-%d", zone)}
+			n.peers = append(n.peers, info)
+			n.exchanges[info.ID] = shared.NewExchange(info.ID, info.Zone)
+			n.heard[info.ID] = map[member.ID]int{}
+		}
+	}
+	return n
+}
+
+// zoneOf returns the zone of a node.
+func (n *network) zoneOf(id member.ID) string {
+	for _, peer := range n.peers {
+		if peer.ID == id {
+			return peer.Zone
+		}
+	}
+	return ""
+}
+
+// round lets every node flush once by its view of the live nodes.
+func (n *network) round(views map[member.ID][]member.Info) {
+	for _, peer := range n.peers {
+		view, given := views[peer.ID]
+		if !given {
+			view = n.peers
+		}
+		for _, send := range n.exchanges[peer.ID].Flush(view) {
+			n.sent++
+			if n.zoneOf(peer.ID) != send.To.Zone {
+				n.crossings++
+			}
+			for _, news := range n.exchanges[send.To.ID].Take(send.Batch) {
+				n.heard[send.To.ID][news.Node]++
+			}
+		}
+	}
+}
+
+var _ = Describe("Exchange", func() {
+	It("brings everybody's news to everybody else once", func() {
+		n := newNetwork(4, 18)
+		for id, exchange := range n.exchanges {
+			exchange.Add(shared.News{Node: id})
+		}
+		for range 4 {
+			n.round(nil)
+		}
+		for id, heard := range n.heard {
+			Expect(heard).To(HaveLen(len(n.peers)-1), "news at %s", id)
+			Expect(heard).NotTo(HaveKey(id))
+			for from, times := range heard {
+				Expect(times).To(Equal(1), "%s of %s", id, from)
+			}
+		}
+	})
+
+	It("crosses zones between relays alone", func() {
+		n := newNetwork(4, 18)
+		for range 20 {
+			for _, exchange := range n.exchanges {
+				exchange.Add(shared.News{})
+			}
+			n.round(nil)
+		}
+		Expect(n.crossings).To(BeNumerically("<=", 20*4*3))
+		Expect(n.sent).To(BeNumerically("<=", 20*(72+4*17+4*3)))
+	})
+
+	It("still brings news to everybody when nodes disagree on who is live", func() {
+		n := newNetwork(3, 3)
+		relay, _ := shared.RelayOf("zone-0", n.peers)
+		var without []member.Info
+		for _, peer := range n.peers {
+			if peer.ID != relay.ID {
+				without = append(without, peer)
+			}
+		}
+		teller := without[0]
+		Expect(teller.Zone).To(Equal("zone-0"))
+		n.exchanges[teller.ID].Add(shared.News{})
+		for range 4 {
+			// The teller alone has noticed that the relay is dead.
+			n.round(map[member.ID][]member.Info{teller.ID: without})
+		}
+		for _, peer := range without {
+			if peer.ID != teller.ID && peer.Zone != "zone-0" {
+				Expect(n.heard[peer.ID]).To(HaveKey(teller.ID), "news at %s", peer.ID)
+			}
+		}
+	})
+
+	It("holds no more than its bound", func() {
+		exchange := shared.NewExchange("relay", "zone")
+		news := make([]shared.News, 10000)
+		for i := range news {
+			news[i].Node = "other"
+		}
+		Expect(exchange.Take(shared.Batch{Stage: shared.Gathering, News: news})).To(HaveLen(len(news)))
+		peers := []member.Info{{ID: "relay", Zone: "zone"}, {ID: "listener", Zone: "zone"}}
+		sends := exchange.Flush(peers)
+		Expect(sends).To(HaveLen(1))
+		Expect(len(sends[0].Batch.News)).To(Equal(4096))
+	})
+
+	It("sends nothing without news, or without live nodes", func() {
+		exchange := shared.NewExchange("a", "zone")
+		Expect(exchange.Flush([]member.Info{{ID: "a", Zone: "zone"}, {ID: "b", Zone: "zone"}})).To(BeEmpty())
+		exchange.Add(shared.News{})
+		Expect(exchange.Flush(nil)).To(BeEmpty())
+	})
+})
--- a/internal/dataplane/shared/message.go
+++ b/internal/dataplane/shared/message.go
@@ -2,15 +2,43 @@
 // that each has on the replicas, which prompts it sent where, and what replicas
 // and stores reported to it of the parts that they keep. All of it may be lost,
 // late or doubled without harm: it only makes the choice of replicas better.
+//
+// News travels in batches. A node hands its own to the relay of its zone, which
+// passes what it gathered on to the other nodes of the zone and to the relays of
+// the other zones. So each piece of news crosses into another zone once, and a
+// node gets few messages however many nodes there are. Exchange is the state
+// machine of this; it does no I/O and reads no clock.
 package shared
 
 import (
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
-// Message is what a node tells the others at one time.
-type Message struct {
+// Stage tells how far a batch has come.
+type Stage uint8
+
+// The stages of a batch.
+const (
+	// Gathering batches go from a node to the relay of its zone.
+	Gathering Stage = iota + 1
+	// Crossing batches go from a relay to the relays of other zones.
+	Crossing
+	// Spreading batches go from a relay to the nodes of its zone.
+	Spreading
+)
+
+// Batch carries the news of several nodes.
+type Batch struct {
+	Stage Stage
+	News  []News
+}
+
+// News is what one node tells of its traffic at one time.
+type News struct {
+	// Node is whose news it is.
+	Node       member.ID
 	Loads      []kvrouter.AddressLoad
 	Dispatches []Dispatch
 	Reports    []Report
@@ -36,7 +64,7 @@
 	Changes []kvrouter.PartChange
 }
 
-// Empty tells whether the message says nothing.
-func (m *Message) Empty() bool {
-	return len(m.Loads) == 0 && len(m.Dispatches) == 0 && len(m.Reports) == 0
+// Empty tells whether the news says nothing.
+func (n *News) Empty() bool {
+	return len(n.Loads) == 0 && len(n.Dispatches) == 0 && len(n.Reports) == 0
 }
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -55,18 +55,18 @@
 }
 
 // take returns what is to be told now, given the present loads.
-func (s *sharing) take(now time.Duration, loads []kvrouter.AddressLoad) *shared.Message {
+func (s *sharing) take(now time.Duration, loads []kvrouter.AddressLoad) shared.News {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	message := &shared.Message{Dispatches: s.dispatches, Reports: s.reports}
+	news := shared.News{Dispatches: s.dispatches, Reports: s.reports}
 	s.dispatches = nil
 	s.reports = nil
 	for _, load := range loads {
 		if s.worthTelling(now, load) {
-			message.Loads = append(message.Loads, load)
+			news.Loads = append(news.Loads, load)
 		}
 	}
-	return message
+	return news
 }
 
 // worthTelling tells whether the others believe another load, or would cease to
@@ -85,27 +85,23 @@
 	return true
 }
 
-// Share returns what this node has to tell the others of its traffic since the
-// last call, or nil if there is nothing.
-func (s *Server) Share() *shared.Message {
+// News returns what this node has to tell the others of its traffic since the
+// last call.
+func (s *Server) News() shared.News {
 	now := s.options.Clock()
-	message := s.sharing.take(now, s.router.OwnLoads(now))
-	if message.Empty() {
-		return nil
-	}
-	return message
+	return s.sharing.take(now, s.router.OwnLoads(now))
 }
 
-// TakeShared takes in what another node has told.
-func (s *Server) TakeShared(node string, message *shared.Message) {
+// TakeNews takes in what another node has told.
+func (s *Server) TakeNews(news shared.News) {
 	now := s.options.Clock()
-	for _, load := range message.Loads {
-		s.router.RemoteLoad(now, node, load.Address, load.SharedLoad)
+	for _, load := range news.Loads {
+		s.router.RemoteLoad(now, string(news.Node), load.Address, load.SharedLoad)
 	}
-	for _, dispatch := range message.Dispatches {
+	for _, dispatch := range news.Dispatches {
 		s.router.Observe(now, dispatch.Address, dispatch.Model, dispatch.CacheSalt, dispatch.Naming, dispatch.Parts)
 	}
-	for _, report := range message.Reports {
+	for _, report := range news.Reports {
 		s.takeReport(now, report)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	transport *transport.Transport
 	driver    *control.Driver
 	dataplane *dataplane.Server
+	sharer    *sharer
 	operators []*operator.Server
 	health    *health
 	commander *commander
@@ -82,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	n.sharer = newSharer(member.ID(n.settings.Node), n.settings.Zone, n.dataplane)
 	machine, err := control.New(n.controlConfig(), n.storage.restored, n.dataplane, clock.SinceBoot())
 	if err != nil {
 		return err
@@ -140,11 +142,12 @@
 		Sender:     listening,
 		Storage:    n.storage.shards(),
 		Commander:  n.commander,
-		Traffic:    n.dataplane,
+		Traffic:    n.sharer,
 		Lists:      n.lists,
 		Log:        n.log.WithField("component", "control"),
 	})
 	n.commander.driver = n.driver
+	n.sharer.driver = n.driver
 	n.lists.driver = n.driver
 	frames.driver.Store(n.driver)
 	return nil
@@ -180,7 +183,7 @@
 func (n *Node) supervise(ctx context.Context) <-chan struct{} {
 	supervisor := suture.New("node "+n.settings.Node, suture.Spec{EventHook: n.logEvent})
 	supervisor.Add(&controlService{driver: n.driver})
-	supervisor.Add(&shareService{dataplane: n.dataplane, driver: n.driver})
+	supervisor.Add(n.sharer)
 	finished := make(chan struct{})
 	ended := supervisor.ServeBackground(ctx)
 	go func() {
--- a/internal/node/sharer.go
+++ b/internal/node/sharer.go
@@ -2,24 +2,36 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
 // shareEvery is how often a node tells the others of its traffic, if there is
 // anything to tell.
-const shareEvery = 100 * time.Millisecond
+const shareEvery = 50 * time.Millisecond
 
-// shareService tells the other nodes of this node's traffic.
-type shareService struct {
+// sharer tells the other nodes of this node's traffic, and passes on what they
+// tell.
+type sharer struct {
 	dataplane *dataplane.Server
 	driver    *control.Driver
+
+	mutex    sync.Mutex
+	exchange *shared.Exchange
+}
+
+// newSharer returns the sharer of a node. The driver is set before it serves.
+func newSharer(id member.ID, zone string, server *dataplane.Server) *sharer {
+	return &sharer{dataplane: server, exchange: shared.NewExchange(id, zone)}
 }
 
 // Serve implements suture.Service.
-func (s *shareService) Serve(ctx context.Context) error {
+func (s *sharer) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(shareEvery)
 	defer ticker.Stop()
 	for {
@@ -27,14 +39,40 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			if message := s.dataplane.Share(); message != nil {
-				s.driver.ShareTraffic(message)
-			}
+			s.share()
 		}
 	}
 }
 
+// share sends what is due.
+func (s *sharer) share() {
+	news := s.dataplane.News()
+	for _, send := range s.flush(news) {
+		s.driver.SendTraffic(send)
+	}
+}
+
+// flush adds this node's own news to what it passes on, and takes what is due.
+func (s *sharer) flush(own shared.News) []shared.Outbound {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !own.Empty() {
+		s.exchange.Add(own)
+	}
+	return s.exchange.Flush(s.driver.Peers())
+}
+
+// TakeBatch implements control.TrafficReceiver.
+func (s *sharer) TakeBatch(batch shared.Batch) {
+	s.mutex.Lock()
+	fresh := s.exchange.Take(batch)
+	s.mutex.Unlock()
+	for _, news := range fresh {
+		s.dataplane.TakeNews(news)
+	}
+}
+
 // String implements fmt.Stringer for the supervisor's messages.
-func (s *shareService) String() string {
+func (s *sharer) String() string {
 	return "traffic sharing"
 }
--- a/internal/wire/fb/Traffic.go
+++ b/internal/wire/fb/Traffic.go
@@ -7,10 +7,9 @@
 )
 
 type TrafficT struct {
-	Texts      []string            `json:"texts"`
-	Loads      []*TrafficLoadT     `json:"loads"`
-	Dispatches []*TrafficDispatchT `json:"dispatches"`
-	Reports    []*TrafficReportT   `json:"reports"`
+	Stage byte            `json:"stage"`
+	Texts []string        `json:"texts"`
+	News  []*TrafficNewsT `json:"news"`
 }
 
 func (t *TrafficT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -30,79 +29,39 @@
 		}
 		textsOffset = builder.EndVector(textsLength)
 	}
-	loadsOffset := flatbuffers.UOffsetT(0)
-	if t.Loads != nil {
-		loadsLength := len(t.Loads)
-		loadsOffsets := make([]flatbuffers.UOffsetT, loadsLength)
-		for j := 0; j < loadsLength; j++ {
-			loadsOffsets[j] = t.Loads[j].Pack(builder)
+	newsOffset := flatbuffers.UOffsetT(0)
+	if t.News != nil {
+		newsLength := len(t.News)
+		newsOffsets := make([]flatbuffers.UOffsetT, newsLength)
+		for j := 0; j < newsLength; j++ {
+			newsOffsets[j] = t.News[j].Pack(builder)
 		}
-		TrafficStartLoadsVector(builder, loadsLength)
-		for j := loadsLength - 1; j >= 0; j-- {
-			builder.PrependUOffsetT(loadsOffsets[j])
+		TrafficStartNewsVector(builder, newsLength)
+		for j := newsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(newsOffsets[j])
 		}
-		loadsOffset = builder.EndVector(loadsLength)
-	}
-	dispatchesOffset := flatbuffers.UOffsetT(0)
-	if t.Dispatches != nil {
-		dispatchesLength := len(t.Dispatches)
-		dispatchesOffsets := make([]flatbuffers.UOffsetT, dispatchesLength)
-		for j := 0; j < dispatchesLength; j++ {
-			dispatchesOffsets[j] = t.Dispatches[j].Pack(builder)
-		}
-		TrafficStartDispatchesVector(builder, dispatchesLength)
-		for j := dispatchesLength - 1; j >= 0; j-- {
-			builder.PrependUOffsetT(dispatchesOffsets[j])
-		}
-		dispatchesOffset = builder.EndVector(dispatchesLength)
-	}
-	reportsOffset := flatbuffers.UOffsetT(0)
-	if t.Reports != nil {
-		reportsLength := len(t.Reports)
-		reportsOffsets := make([]flatbuffers.UOffsetT, reportsLength)
-		for j := 0; j < reportsLength; j++ {
-			reportsOffsets[j] = t.Reports[j].Pack(builder)
-		}
-		TrafficStartReportsVector(builder, reportsLength)
-		for j := reportsLength - 1; j >= 0; j-- {
-			builder.PrependUOffsetT(reportsOffsets[j])
-		}
-		reportsOffset = builder.EndVector(reportsLength)
+		newsOffset = builder.EndVector(newsLength)
 	}
 	TrafficStart(builder)
+	TrafficAddStage(builder, t.Stage)
 	TrafficAddTexts(builder, textsOffset)
-	TrafficAddLoads(builder, loadsOffset)
-	TrafficAddDispatches(builder, dispatchesOffset)
-	TrafficAddReports(builder, reportsOffset)
+	TrafficAddNews(builder, newsOffset)
 	return TrafficEnd(builder)
 }
 
 func (rcv *Traffic) UnPackTo(t *TrafficT) {
+	t.Stage = rcv.Stage()
 	textsLength := rcv.TextsLength()
 	t.Texts = make([]string, textsLength)
 	for j := 0; j < textsLength; j++ {
 		t.Texts[j] = string(rcv.Texts(j))
 	}
-	loadsLength := rcv.LoadsLength()
-	t.Loads = make([]*TrafficLoadT, loadsLength)
-	for j := 0; j < loadsLength; j++ {
-		x := TrafficLoad{}
-		rcv.Loads(&x, j)
-		t.Loads[j] = x.UnPack()
-	}
-	dispatchesLength := rcv.DispatchesLength()
-	t.Dispatches = make([]*TrafficDispatchT, dispatchesLength)
-	for j := 0; j < dispatchesLength; j++ {
-		x := TrafficDispatch{}
-		rcv.Dispatches(&x, j)
-		t.Dispatches[j] = x.UnPack()
-	}
-	reportsLength := rcv.ReportsLength()
-	t.Reports = make([]*TrafficReportT, reportsLength)
-	for j := 0; j < reportsLength; j++ {
-		x := TrafficReport{}
-		rcv.Reports(&x, j)
-		t.Reports[j] = x.UnPack()
+	newsLength := rcv.NewsLength()
+	t.News = make([]*TrafficNewsT, newsLength)
+	for j := 0; j < newsLength; j++ {
+		x := TrafficNews{}
+		rcv.News(&x, j)
+		t.News[j] = x.UnPack()
 	}
 }
 
@@ -142,36 +101,28 @@
 	return rcv._tab
 }
 
-func (rcv *Traffic) Texts(j int) []byte {
+func (rcv *Traffic) Stage() byte {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
 	if o != 0 {
-		a := rcv._tab.Vector(o)
-		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+		return rcv._tab.GetByte(o + rcv._tab.Pos)
 	}
-	return nil
+	return 0
 }
 
-func (rcv *Traffic) TextsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
-	if o != 0 {
-		return rcv._tab.VectorLen(o)
-	}
-	return 0
+func (rcv *Traffic) MutateStage(n byte) bool {
+	return rcv._tab.MutateByteSlot(4, n)
 }
 
-func (rcv *Traffic) Loads(obj *TrafficLoad, j int) bool {
+func (rcv *Traffic) Texts(j int) []byte {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
-		x := rcv._tab.Vector(o)
-		x += flatbuffers.UOffsetT(j) * 4
-		x = rcv._tab.Indirect(x)
-		obj.Init(rcv._tab.Bytes, x)
-		return true
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
 	}
-	return false
+	return nil
 }
 
-func (rcv *Traffic) LoadsLength() int {
+func (rcv *Traffic) TextsLength() int {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
@@ -179,7 +130,7 @@
 	return 0
 }
 
-func (rcv *Traffic) Dispatches(obj *TrafficDispatch, j int) bool {
+func (rcv *Traffic) News(obj *TrafficNews, j int) bool {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
 	if o != 0 {
 		x := rcv._tab.Vector(o)
@@ -191,7 +142,7 @@
 	return false
 }
 
-func (rcv *Traffic) DispatchesLength() int {
+func (rcv *Traffic) NewsLength() int {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
@@ -199,51 +150,22 @@
 	return 0
 }
 
-func (rcv *Traffic) Reports(obj *TrafficReport, j int) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
-	if o != 0 {
-		x := rcv._tab.Vector(o)
-		x += flatbuffers.UOffsetT(j) * 4
-		x = rcv._tab.Indirect(x)
-		obj.Init(rcv._tab.Bytes, x)
-		return true
-	}
-	return false
-}
-
-func (rcv *Traffic) ReportsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
-	if o != 0 {
-		return rcv._tab.VectorLen(o)
-	}
-	return 0
-}
-
 func TrafficStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
+	builder.StartObject(3)
+}
+func TrafficAddStage(builder *flatbuffers.Builder, stage byte) {
+	builder.PrependByteSlot(0, stage, 0)
 }
 func TrafficAddTexts(builder *flatbuffers.Builder, texts flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(texts), 0)
+	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(texts), 0)
 }
 func TrafficStartTextsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
-func TrafficAddLoads(builder *flatbuffers.Builder, loads flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(loads), 0)
-}
-func TrafficStartLoadsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(4, numElems, 4)
-}
-func TrafficAddDispatches(builder *flatbuffers.Builder, dispatches flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(dispatches), 0)
-}
-func TrafficStartDispatchesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(4, numElems, 4)
-}
-func TrafficAddReports(builder *flatbuffers.Builder, reports flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(3, flatbuffers.UOffsetT(reports), 0)
+func TrafficAddNews(builder *flatbuffers.Builder, news flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(news), 0)
 }
-func TrafficStartReportsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+func TrafficStartNewsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
 func TrafficEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -4,6 +4,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
@@ -35,22 +36,30 @@
 	return added
 }
 
-func packTraffic(message *shared.Message) *fb.TrafficT {
-	if message == nil {
+func packTraffic(batch *shared.Batch) *fb.TrafficT {
+	if batch == nil {
 		return nil
 	}
 	table := newTextTable()
-	packed := &fb.TrafficT{}
-	for _, load := range message.Loads {
+	packed := &fb.TrafficT{Stage: byte(batch.Stage)}
+	for _, news := range batch.News {
+		packed.News = append(packed.News, packNews(table, news))
+	}
+	packed.Texts = table.texts
+	return packed
+}
+
+func packNews(table *textTable, news shared.News) *fb.TrafficNewsT {
+	packed := &fb.TrafficNewsT{Node: table.index(string(news.Node))}
+	for _, load := range news.Loads {
 		packed.Loads = append(packed.Loads, packLoad(table, load))
 	}
-	for _, dispatch := range message.Dispatches {
+	for _, dispatch := range news.Dispatches {
 		packed.Dispatches = append(packed.Dispatches, packDispatch(table, dispatch))
 	}
-	for _, report := range message.Reports {
+	for _, report := range news.Reports {
 		packed.Reports = append(packed.Reports, packReport(table, report))
 	}
-	packed.Texts = table.texts
 	return packed
 }
 
@@ -121,7 +130,7 @@
 	return t[index]
 }
 
-func (r *reader) traffic(table *fb.Traffic) *shared.Message {
+func (r *reader) traffic(table *fb.Traffic) *shared.Batch {
 	if table == nil {
 		return nil
 	}
@@ -129,14 +138,22 @@
 	for i := range named {
 		named[i] = r.text(table.Texts(i))
 	}
-	return &shared.Message{
-		Loads:      r.trafficLoads(table, named),
-		Dispatches: r.trafficDispatches(table, named),
-		Reports:    r.trafficReports(table, named),
+	batch := &shared.Batch{Stage: shared.Stage(table.Stage())}
+	batch.News = make([]shared.News, r.elements(table.NewsLength(), leastTableBytes))
+	var stored fb.TrafficNews
+	for i := range batch.News {
+		table.News(&stored, i)
+		batch.News[i] = shared.News{
+			Node:       member.ID(named.at(stored.Node())),
+			Loads:      r.trafficLoads(&stored, named),
+			Dispatches: r.trafficDispatches(&stored, named),
+			Reports:    r.trafficReports(&stored, named),
+		}
 	}
+	return batch
 }
 
-func (r *reader) trafficLoads(table *fb.Traffic, named texts) []kvrouter.AddressLoad {
+func (r *reader) trafficLoads(table *fb.TrafficNews, named texts) []kvrouter.AddressLoad {
 	loads := make([]kvrouter.AddressLoad, r.elements(table.LoadsLength(), leastTableBytes))
 	var stored fb.TrafficLoad
 	for i := range loads {
@@ -153,7 +170,7 @@
 	return loads
 }
 
-func (r *reader) trafficDispatches(table *fb.Traffic, named texts) []shared.Dispatch {
+func (r *reader) trafficDispatches(table *fb.TrafficNews, named texts) []shared.Dispatch {
 	dispatches := make([]shared.Dispatch, r.elements(table.DispatchesLength(), leastTableBytes))
 	var stored fb.TrafficDispatch
 	for i := range dispatches {
@@ -178,7 +195,7 @@
 	return parts
 }
 
-func (r *reader) trafficReports(table *fb.Traffic, named texts) []shared.Report {
+func (r *reader) trafficReports(table *fb.TrafficNews, named texts) []shared.Report {
 	reports := make([]shared.Report, r.elements(table.ReportsLength(), leastTableBytes))
 	var stored fb.TrafficReport
 	for i := range reports {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,7 +44,7 @@
 	Membership  *membership.Message
 	Relay       *relaytree.Message
 	Control     *protocol.Message
-	Traffic     *shared.Message
+	Traffic     *shared.Batch
 }
 
 // Encode returns the frame of an envelope. The result shares no memory with
