--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	transport *transport.Transport
 	driver    *control.Driver
 	dataplane *dataplane.Server
+	sharer    *sharer
 	operators []*operator.Server
 	health    *health
 	commander *commander
@@ -85,6 +86,7 @@
 	if err != nil {
 		return err
 	}
+	n.sharer = newSharer(member.ID(n.settings.Node), n.settings.Zone, n.dataplane)
 	machine, err := control.New(n.controlConfig(), n.storage.restored, n.dataplane, clock.SinceBoot())
 	if err != nil {
 		return err
@@ -144,11 +146,12 @@
 		Sender:     listening,
 		Storage:    n.storage.shards(),
 		Commander:  n.commander,
-		Traffic:    n.dataplane,
+		Traffic:    n.sharer,
 		Lists:      n.lists,
 		Log:        n.log.WithField("component", "control"),
 	})
 	n.commander.driver = n.driver
+	n.sharer.driver = n.driver
 	n.lists.driver = n.driver
 	frames.driver.Store(n.driver)
 	return nil
@@ -187,7 +190,7 @@
 	if n.storage.disk != nil && n.settings.Seeded() {
 		supervisor.Add(&addressService{storage: n.storage, driver: n.driver, log: n.log})
 	}
-	supervisor.Add(&shareService{dataplane: n.dataplane, driver: n.driver})
+	supervisor.Add(n.sharer)
 	finished := make(chan struct{})
 	ended := supervisor.ServeBackground(ctx)
 	go func() {
