--- /dev/null
+++ b/internal/edge/outbound/direct.go
@@ -0,0 +1,175 @@
+package outbound
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Defaults of DirectOptions.
+const (
+	// DefaultDirectDialTimeout bounds the time to connect.
+	DefaultDirectDialTimeout = 300 * time.Millisecond
+	// DefaultDirectIdleTimeout ends the reuse of connections that have carried
+	// nothing lately.
+	DefaultDirectIdleTimeout = 3 * time.Second
+	// DefaultUnacknowledged is how long sent bytes, or probes of a connection
+	// that waits, may stay without the other machine's acknowledgement.
+	DefaultUnacknowledged = 3 * time.Second
+	// probeEvery is the interval of probes on a connection that waits.
+	probeEvery = time.Second
+)
+
+// Bounds of what is taken beside the answer that is waited for.
+const (
+	// maxInterim bounds the interim answers before an answer.
+	maxInterim = 8
+	// maxSurplus bounds the answers of others before an answer, and
+	// maxSurplusBytes the body of one.
+	maxSurplus      = 2
+	maxSurplusBytes = 1 << 20
+)
+
+// DirectOptions set up a Direct. Zero values mean the defaults.
+type DirectOptions struct {
+	// DialTimeout bounds the time to connect.
+	DialTimeout time.Duration
+	// IdleTimeout ends the reuse of connections that have carried nothing lately;
+	// a back end may name a shorter time.
+	IdleTimeout time.Duration
+	// IdlePerAddress bounds the idle connections to one back end.
+	IdlePerAddress int
+	// Unacknowledged is how long sent bytes may stay without the other machine's
+	// acknowledgement.
+	Unacknowledged time.Duration
+	// Belongs tells whether an answer is that of the request. One that is not is
+	// a surplus answer to an earlier request and is passed over. Nil takes every
+	// answer.
+	Belongs func(request *http.Request, response *http.Response) bool
+}
+
+// Direct sends requests on connections of its own, in place of net/http's
+// transport. It uses no goroutines of its own while a request runs, knows for
+// certain whether a byte has left, looks at a kept connection before it uses it
+// again, keeps none on which anything came behind an answer, and keeps each no
+// longer than the back end said. It may be used by many goroutines.
+type Direct struct {
+	options DirectOptions
+	dialer  net.Dialer
+	idle    *idleConnections
+}
+
+// NewDirect returns a client without connections.
+func NewDirect(options DirectOptions) *Direct {
+	setDefault(&options.DialTimeout, DefaultDirectDialTimeout)
+	setDefault(&options.IdleTimeout, DefaultDirectIdleTimeout)
+	setDefault(&options.IdlePerAddress, DefaultIdlePerAddress)
+	setDefault(&options.Unacknowledged, DefaultUnacknowledged)
+	return &Direct{
+		options: options,
+		idle:    newIdleConnections(options.IdlePerAddress),
+		dialer: net.Dialer{
+			Timeout: options.DialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     probeEvery,
+				Interval: probeEvery,
+				Count:    max(int(options.Unacknowledged/probeEvery), 1),
+			},
+			Control: limitUnacknowledged(options.Unacknowledged),
+		},
+	}
+}
+
+// setDefault replaces a zero value.
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// limitUnacknowledged makes a connection fail when the other machine
+// acknowledges nothing, as one without power does.
+func limitUnacknowledged(limit time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(descriptor uintptr) {
+			failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failure
+	}
+}
+
+// Send sends a request with a body once. A returned error is an *Error. The
+// caller closes the answer's body; unless it was read to its end the connection
+// is closed with it. The request's context ends the connection, until the body
+// has ended.
+func (d *Direct) Send(request *http.Request, body []byte) (*http.Response, error) {
+	ctx := request.Context()
+	if err := checkHeader(request.Header); err != nil {
+		return nil, NotSent(err)
+	}
+	connection, err := d.connect(ctx, request.URL.Host)
+	if err != nil {
+		return nil, NotSent(err)
+	}
+	sent := &exchange{connection: connection, request: request, options: &d.options, idle: d.idle}
+	sent.stop = context.AfterFunc(ctx, connection.close)
+	response, err := sent.run(body)
+	if err != nil {
+		sent.abort()
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, &Error{MayHaveLeft: connection.written > 0, cause: errors.WithStack(err)}
+	}
+	return response, nil
+}
+
+// checkHeader refuses values that would end their line.
+func checkHeader(header http.Header) error {
+	for name, values := range header {
+		for _, value := range values {
+			if strings.ContainsAny(value, "\r\n\x00") {
+				return errors.Errorf("header %s holds a line break: take it out", name)
+			}
+		}
+	}
+	return nil
+}
+
+// CloseIdle closes the connections that carry no request.
+func (d *Direct) CloseIdle() { d.idle.closeAll() }
+
+// connect returns a kept connection that is as it was left, or a new one.
+func (d *Direct) connect(ctx context.Context, address string) (*directConnection, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	for {
+		kept := d.idle.take(address)
+		if kept == nil {
+			break
+		}
+		if kept.quiet() {
+			kept.written = 0
+			return kept, nil
+		}
+		kept.close()
+	}
+	dialled, err := d.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newDirectConnection(address, dialled), nil
+}
--- /dev/null
+++ b/internal/edge/outbound/direct_test.go
@@ -0,0 +1,441 @@
+package outbound_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
+)
+
+// scripted is a back end whose connections a script serves, with their numbers
+// from 1.
+type scripted struct {
+	listener net.Listener
+	accepted atomic.Int32
+}
+
+// script serves one connection, which is closed when it returns.
+type script func(number int, connection *scriptedConnection)
+
+// scriptedConnection reads requests and writes text.
+type scriptedConnection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// next reads a whole request, or returns nil at the end of the connection.
+func (c *scriptedConnection) next() *http.Request {
+	request, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return nil
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	return request
+}
+
+// write writes text.
+func (c *scriptedConnection) write(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(c, format, arguments...)
+}
+
+// reset ends the connection abnormally.
+func (c *scriptedConnection) reset() {
+	_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// serveScript starts a scripted back end.
+func serveScript(run script) *scripted {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	server := &scripted{listener: listener}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			number := int(server.accepted.Add(1))
+			_ = connection.SetDeadline(time.Now().Add(patience))
+			go func() {
+				defer func() { _ = connection.Close() }()
+				run(number, &scriptedConnection{Conn: connection, reader: bufio.NewReader(connection)})
+			}()
+		}
+	}()
+	return server
+}
+
+// answered returns an answer that repeats an identity.
+func answered(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+}
+
+var _ = Describe("Direct", func() {
+	var client *outbound.Direct
+
+	belongs := func(request *http.Request, response *http.Response) bool {
+		return request.Header.Get("Id") == response.Header.Get("Id")
+	}
+
+	// use replaces the client.
+	use := func(options outbound.DirectOptions) {
+		client = outbound.NewDirect(options)
+		DeferCleanup(client.CloseIdle)
+	}
+
+	// send sends a request with an identity and reads its answer whole.
+	send := func(server *scripted, id string, body []byte) (string, error) {
+		request := newRequest(http.MethodPost, server.listener.Addr().String())
+		request.Header.Set("Id", id)
+		response, err := client.Send(request, body)
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		return string(text), err
+	}
+
+	// exchange is send for servers that care for no identity.
+	exchange := func(method, address string, body []byte) error {
+		response, err := client.Send(newRequest(method, address), body)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = response.Body.Close() }()
+		_, err = io.ReadAll(response.Body)
+		return err
+	}
+
+	BeforeEach(func() { use(outbound.DirectOptions{}) })
+
+	DescribeTable("sends once at most, wherever the connection ends in the request", func(method string, body []byte) {
+		for cut := range requestBytes(method, body) + 1 {
+			backend := newRawBackend(cut, len(fullAnswer))
+			address := backend.listener.Addr().String()
+			Expect(exchange(method, address, body)).To(Succeed())
+			err := exchange(method, address, body)
+			client.CloseIdle()
+			backend.stop()
+
+			Expect(backend.begun.Load()).To(BeNumerically("<=", 1), "cut after %d bytes", cut)
+			var failed *outbound.Error
+			switch {
+			case err == nil:
+				Expect(backend.whole.Load()).To(Equal(int32(1)), "cut after %d bytes", cut)
+			case errors.As(err, &failed) && !failed.MayHaveLeft:
+				Expect(backend.begun.Load()).To(BeZero(), "cut after %d bytes", cut)
+			}
+			if cut > 0 {
+				Expect(failed).NotTo(BeNil(), "cut after %d bytes", cut)
+				Expect(failed.MayHaveLeft).To(BeTrue(), "cut after %d bytes", cut)
+			}
+		}
+	},
+		Entry("with a body", http.MethodPost, []byte("prompt")),
+		Entry("with an empty body", http.MethodPost, []byte(nil)),
+		Entry("without a body", http.MethodGet, []byte(nil)),
+	)
+
+	DescribeTable("sends once, wherever the connection ends in the answer", func(method string) {
+		for cut := range len(fullAnswer) + 1 {
+			backend := newRawBackend(-1, cut)
+			address := backend.listener.Addr().String()
+			Expect(exchange(method, address, nil)).To(Succeed())
+			err := exchange(method, address, nil)
+			client.CloseIdle()
+			backend.stop()
+			Expect(backend.whole.Load()).To(Equal(int32(1)), "cut after %d bytes", cut)
+			if cut < len(fullAnswer) {
+				Expect(err).To(HaveOccurred(), "cut after %d bytes", cut)
+			} else {
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+	}, Entry("for POST", http.MethodPost), Entry("for GET", http.MethodGet))
+
+	It("writes method, path, query, host, headers and body as given", func() {
+		received := make(chan *http.Request, 1)
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			received <- connection.next()
+			connection.write("%s", fullAnswer)
+		})
+		request := newRequest(http.MethodPut, server.listener.Addr().String())
+		request.URL.Opaque, request.URL.RawQuery = "/a%2fb/{c}/../d", "x=%zz&&y"
+		request.Host = "host.example"
+		request.Header = http.Header{"Twice": {"one", "two"}, "Idempotency-Key": {"same"}}
+		response, err := client.Send(request, []byte("text"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		seen := <-received
+		Expect(seen.Method).To(Equal(http.MethodPut))
+		Expect(seen.RequestURI).To(Equal("/a%2fb/{c}/../d?x=%zz&&y"))
+		Expect(seen.Host).To(Equal("host.example"))
+		Expect(seen.Header).To(Equal(http.Header{"Twice": {"one", "two"}, "Idempotency-Key": {"same"}, "Content-Length": {"4"}}))
+		Expect(io.ReadAll(seen.Body)).To(Equal([]byte("text")))
+	})
+
+	It("uses a connection again", func() {
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			for connection.next() != nil {
+				connection.write("%s", fullAnswer)
+			}
+		})
+		for range 3 {
+			Expect(send(server, "", nil)).To(Equal("hello"))
+		}
+		Expect(server.accepted.Load()).To(Equal(int32(1)))
+	})
+
+	DescribeTable("uses a connection no more", func(answer string) {
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			for connection.next() != nil {
+				connection.write("%s", answer)
+			}
+		})
+		for range 2 {
+			Expect(send(server, "", nil)).To(Equal("hello"))
+		}
+		Expect(server.accepted.Load()).To(Equal(int32(2)))
+	},
+		Entry("that the back end will close", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello"),
+		Entry("that the back end keeps for no time", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nKeep-Alive: timeout=0, max=9\r\n\r\nhello"),
+		Entry("on which an answer follows the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"+fullAnswer),
+		Entry("on which bytes follow the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello!"),
+		Entry("on which bytes follow the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\nx"),
+	)
+
+	It("uses a connection no more on which bytes have come while it was idle", func() {
+		written := make(chan struct{})
+		server := serveScript(func(number int, connection *scriptedConnection) {
+			connection.next()
+			connection.write("%s", fullAnswer)
+			if number == 1 {
+				<-written
+				connection.write("%s", fullAnswer)
+				written <- struct{}{}
+			}
+			connection.next()
+		})
+		Expect(send(server, "", nil)).To(Equal("hello"))
+		written <- struct{}{}
+		<-written
+		Expect(send(server, "", nil)).To(Equal("hello"))
+		Expect(server.accepted.Load()).To(Equal(int32(2)))
+	})
+
+	It("does not use an idle connection that the back end has closed", func() {
+		closed := make(chan struct{})
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			connection.next()
+			connection.write("%s", fullAnswer)
+			_ = connection.Close()
+			closed <- struct{}{}
+		})
+		for range 3 {
+			Expect(send(server, "", nil)).To(Equal("hello"))
+			<-closed
+		}
+		Expect(server.accepted.Load()).To(Equal(int32(3)))
+	})
+
+	It("passes over a late answer to an earlier request", func() {
+		use(outbound.DirectOptions{Belongs: belongs})
+		server := serveScript(func(number int, connection *scriptedConnection) {
+			for request := connection.next(); request != nil; request = connection.next() {
+				id := request.Header.Get("Id")
+				if id == "second" {
+					connection.write("%s", answered("first"))
+				}
+				connection.write("%s", answered(id))
+			}
+		})
+		for _, id := range []string{"first", "second", "third"} {
+			Expect(send(server, id, nil)).To(Equal(id))
+		}
+		Expect(server.accepted.Load()).To(Equal(int32(2)), "no connection is used again after a surplus answer")
+	})
+
+	It("takes no answer when only others come", func() {
+		use(outbound.DirectOptions{Belongs: belongs})
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			connection.next()
+			connection.write("%s%s%s", answered("a"), answered("b"), answered("c"))
+			connection.next()
+		})
+		_, err := send(server, "mine", nil)
+		var failed *outbound.Error
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.MayHaveLeft).To(BeTrue())
+	})
+
+	DescribeTable("takes no answer out of what is none", func(bytes string) {
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			connection.next()
+			connection.write("%s", bytes)
+		})
+		_, err := send(server, "", nil)
+		var failed *outbound.Error
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.MayHaveLeft).To(BeTrue())
+	},
+		Entry("nothing", ""),
+		Entry("garbage", "\x16\x03\x01 no answer at all\r\n\r\n"),
+		Entry("a cut head", "HTTP/1.1 200 OK\r\nContent-Le"),
+		Entry("a change of protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n"),
+		Entry("an endless head", "HTTP/1.1 200 OK\r\nA: "+string(bytes.Repeat([]byte("x"), 300<<10))+"\r\n\r\n"),
+	)
+
+	It("passes over interim answers", func() {
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			connection.next()
+			connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n%s", fullAnswer)
+		})
+		Expect(send(server, "", nil)).To(Equal("hello"))
+	})
+
+	It("takes an early answer to a long body, and keeps no connection with half a body on it", func() {
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			_, _ = connection.reader.ReadString('\n')
+			connection.write("%s", fullAnswer)
+			// The rest of the body waits until the other end gives up.
+			_, _ = connection.reader.Discard(1 << 10)
+			_, _ = io.Copy(io.Discard, connection.reader)
+		})
+		long := bytes.Repeat([]byte("x"), 64<<20)
+		for range 2 {
+			Expect(send(server, "", long)).To(Equal("hello"))
+		}
+		Expect(server.accepted.Load()).To(Equal(int32(2)))
+	})
+
+	It("writes a long body whole", func() {
+		long := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			for request := connection.next(); request != nil; request = connection.next() {
+				body, _ := io.ReadAll(request.Body)
+				connection.write("%s", answered(fmt.Sprint(bytes.Equal(body, long))))
+			}
+		})
+		for range 2 {
+			Expect(send(server, "", long)).To(Equal("true"))
+		}
+	})
+
+	It("takes an answer without a length as whole only if its connection ends cleanly", func() {
+		server := serveScript(func(number int, connection *scriptedConnection) {
+			connection.next()
+			connection.write("HTTP/1.1 200 OK\r\n\r\nhello")
+			if number == 2 {
+				connection.reset()
+			}
+		})
+		Expect(send(server, "", nil)).To(Equal("hello"))
+		_, err := send(server, "", nil)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("ends the connection with the request's context", func() {
+		left := make(chan error, 1)
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			connection.next()
+			connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+			_, err := connection.reader.ReadByte()
+			left <- err
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		request := newRequest(http.MethodPost, server.listener.Addr().String()).WithContext(ctx)
+		response, err := client.Send(request, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(io.ReadFull(response.Body, make([]byte, 5))).To(Equal(5))
+		cancel()
+		Eventually(left, patience).Should(Receive(HaveOccurred()))
+		_, err = response.Body.Read(make([]byte, 1))
+		Expect(err).To(And(HaveOccurred(), Not(Equal(io.EOF))))
+		Expect(response.Body.Close()).To(Succeed())
+	})
+
+	It("says that a request may have left that a silent back end has got", func() {
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			connection.next()
+			connection.next()
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, err := client.Send(newRequest(http.MethodPost, server.listener.Addr().String()).WithContext(ctx), nil)
+		var failed *outbound.Error
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.MayHaveLeft).To(BeTrue())
+		Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue())
+	})
+
+	It("keeps the connection of a short answer that was not read", func() {
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			for connection.next() != nil {
+				connection.write("%s", fullAnswer)
+			}
+		})
+		for range 3 {
+			response, err := client.Send(newRequest(http.MethodPost, server.listener.Addr().String()), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+		}
+		Expect(server.accepted.Load()).To(Equal(int32(1)))
+	})
+
+	DescribeTable("knows that nothing has left", func(prepare func(*http.Request) *http.Request) {
+		server := serveScript(func(int, *scriptedConnection) {})
+		request := prepare(newRequest(http.MethodPost, server.listener.Addr().String()))
+		_, err := client.Send(request, nil)
+		var failed *outbound.Error
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.MayHaveLeft).To(BeFalse())
+	},
+		Entry("when a header would end its line", func(request *http.Request) *http.Request {
+			request.Header.Set("Id", "a\r\nB: c")
+			return request
+		}),
+		Entry("when the context has ended", func(request *http.Request) *http.Request {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			return request.WithContext(ctx)
+		}),
+		Entry("when nobody listens", func(request *http.Request) *http.Request {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(listener.Close()).To(Succeed())
+			request.URL.Host = listener.Addr().String()
+			return request
+		}),
+	)
+
+	It("keeps no connection for longer than it may", func() {
+		use(outbound.DirectOptions{IdleTimeout: time.Nanosecond})
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			for connection.next() != nil {
+				connection.write("%s", fullAnswer)
+			}
+		})
+		for range 2 {
+			Expect(send(server, "", nil)).To(Equal("hello"))
+		}
+		Expect(server.accepted.Load()).To(Equal(int32(2)))
+	})
+})
--- /dev/null
+++ b/internal/edge/outbound/directconnection.go
@@ -0,0 +1,71 @@
+package outbound
+
+import (
+	"bufio"
+	"io"
+	"math"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// directConnection is one connection of a Direct. It carries one request at a
+// time.
+type directConnection struct {
+	address string
+	net.Conn
+	// limited bounds what reader takes of the header of an answer.
+	limited io.LimitedReader
+	reader  *bufio.Reader
+	// head is the memory for the heads of requests.
+	head []byte
+	// written counts the bytes of the present request that the kernel has taken.
+	written int
+	closed  atomic.Bool
+	// expires is when it may not be used again.
+	expires time.Time
+}
+
+func newDirectConnection(address string, dialled net.Conn) *directConnection {
+	connection := &directConnection{address: address, Conn: dialled}
+	connection.limited = io.LimitedReader{R: dialled, N: math.MaxInt64}
+	connection.reader = bufio.NewReader(&connection.limited)
+	return connection
+}
+
+// close may be called more than once.
+func (c *directConnection) close() {
+	if !c.closed.Swap(true) {
+		_ = c.Conn.Close()
+	}
+}
+
+// quiet tells whether a kept connection is open and nothing has come on it since
+// its last answer.
+func (c *directConnection) quiet() bool {
+	tcp, known := c.Conn.(syscall.Conn)
+	if !known || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, failure := syscall.Read(int(descriptor), one[:])
+		quiet = errors.Is(failure, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// limitHeader bounds the bytes that are read until the bound is lifted.
+func (c *directConnection) limitHeader() { c.limited.N = maxHeaderBytes }
+
+// liftLimit lifts the bound.
+func (c *directConnection) liftLimit() { c.limited.N = math.MaxInt64 }
--- /dev/null
+++ b/internal/edge/outbound/exchange.go
@@ -0,0 +1,252 @@
+package outbound
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// inlineBodyBytes is the longest body that is written before the answer is read.
+// The back end may answer a longer one before it has read it.
+const inlineBodyBytes = 16 << 10
+
+// errNoAnswer says that what came on a connection is not the answer.
+var errNoAnswer = errors.New("no answer to the request came on its connection")
+
+// exchange is one request on its connection, and the body of its answer.
+type exchange struct {
+	connection *directConnection
+	request    *http.Request
+	options    *DirectOptions
+	idle       *idleConnections
+	// stop keeps the end of the request's context from closing the connection.
+	stop func() bool
+	// writing is closed when a long body has been written; nil otherwise.
+	writing chan struct{}
+	// incomplete tells that the request could not be written whole.
+	incomplete bool
+	response   *http.Response
+	body       io.ReadCloser
+	// surplus tells that another answer came on the connection.
+	surplus bool
+	ended   bool
+	failure error
+}
+
+// run writes the request and reads the head of its answer.
+func (e *exchange) run(body []byte) (*http.Response, error) {
+	if err := e.write(body); err != nil {
+		return nil, err
+	}
+	response, err := e.readHead()
+	if err != nil {
+		return nil, err
+	}
+	e.response = response
+	e.body = response.Body
+	response.Body = e
+	return response, nil
+}
+
+// write writes the request, a long body beside the reading of the answer. A
+// request that was written in part may have an answer all the same.
+func (e *exchange) write(body []byte) error {
+	connection := e.connection
+	connection.head = appendHead(connection.head[:0], e.request, len(body))
+	if len(body) <= inlineBodyBytes {
+		connection.head = append(connection.head, body...)
+		count, err := connection.Write(connection.head)
+		connection.written = count
+		e.incomplete = err != nil
+		if count == 0 {
+			return err
+		}
+		return nil
+	}
+	e.writing = make(chan struct{})
+	go func() {
+		defer close(e.writing)
+		message := net.Buffers{connection.head, body}
+		count, err := message.WriteTo(connection.Conn)
+		connection.written = int(count)
+		e.incomplete = err != nil
+	}()
+	return nil
+}
+
+// readHead reads the head of the answer, past interim answers and those of
+// others.
+func (e *exchange) readHead() (*http.Response, error) {
+	surplus := 0
+	for range maxInterim {
+		e.connection.limitHeader()
+		response, err := http.ReadResponse(e.connection.reader, e.request)
+		e.connection.liftLimit()
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errNoAnswer
+		case response.StatusCode < http.StatusOK:
+			continue
+		case e.options.Belongs == nil || e.options.Belongs(e.request, response):
+			return response, nil
+		case surplus == maxSurplus || !passOver(response):
+			return nil, errNoAnswer
+		}
+		surplus++
+		e.surplus = true
+	}
+	return nil, errNoAnswer
+}
+
+// passOver reads an answer of another request to its end, and returns false if
+// that cannot be done.
+func passOver(response *http.Response) bool {
+	defer func() { _ = response.Body.Close() }()
+	if !delimited(response) {
+		return false
+	}
+	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes))
+	return err == nil && count < maxSurplusBytes
+}
+
+// delimited tells whether the end of an answer is marked in it.
+func delimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// Read implements io.Reader for the answer's body.
+func (e *exchange) Read(data []byte) (int, error) {
+	if e.failure != nil {
+		return 0, e.failure
+	}
+	count, err := e.body.Read(data)
+	if err != nil {
+		e.failure = err
+		if err == io.EOF {
+			e.finish()
+		} else {
+			e.abort()
+		}
+	}
+	return count, err
+}
+
+// Close implements io.Closer for the answer's body. Of an answer that was not
+// read, the connection is kept if the rest of it has come already.
+func (e *exchange) Close() error {
+	if e.ended {
+		return nil
+	}
+	rest := e.response.ContentLength
+	if e.failure == nil && rest >= 0 && rest <= int64(e.connection.reader.Buffered()) {
+		_, _ = io.Copy(io.Discard, e)
+		return nil
+	}
+	e.abort()
+	return nil
+}
+
+// abort ends the exchange with its connection.
+func (e *exchange) abort() {
+	if e.ended {
+		return
+	}
+	e.ended = true
+	e.stop()
+	e.connection.close()
+	if e.writing != nil {
+		<-e.writing
+	}
+}
+
+// finish ends the exchange after the whole answer, and keeps the connection if
+// it may carry another request.
+func (e *exchange) finish() {
+	if e.ended {
+		return
+	}
+	if !e.reusable() || !e.stop() {
+		e.abort()
+		return
+	}
+	e.ended = true
+	e.idle.put(e.connection, e.keepFor())
+}
+
+// reusable tells whether the connection is as it was before the request. What
+// comes behind an answer belongs to nobody.
+func (e *exchange) reusable() bool {
+	return e.writtenWhole() && !e.surplus && !e.response.Close && delimited(e.response) && e.connection.reader.Buffered() == 0
+}
+
+// writtenWhole tells whether the whole request has been written by now.
+func (e *exchange) writtenWhole() bool {
+	if e.writing != nil {
+		select {
+		case <-e.writing:
+		default:
+			return false
+		}
+	}
+	return !e.incomplete
+}
+
+// keepFor returns how long the connection may be used again: not up to the very
+// moment at which the back end closes it.
+func (e *exchange) keepFor() time.Duration {
+	const safe, whole = 3, 4
+	_, parameter, given := strings.Cut(strings.ToLower(e.response.Header.Get("Keep-Alive")), "timeout=")
+	if !given {
+		return e.options.IdleTimeout
+	}
+	text, _, _ := strings.Cut(parameter, ",")
+	seconds, err := strconv.ParseUint(strings.TrimSpace(text), 10, 16)
+	if err != nil {
+		return e.options.IdleTimeout
+	}
+	return min(e.options.IdleTimeout, time.Duration(seconds)*time.Second*safe/whole)
+}
+
+// headersOfWriting are those that the message on the connection decides.
+var headersOfWriting = map[string]bool{
+	"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Connection": true, "Trailer": true,
+}
+
+// appendHead writes the head of a request.
+func appendHead(head []byte, request *http.Request, bodyBytes int) []byte {
+	head = append(head, request.Method...)
+	head = append(head, ' ')
+	head = append(head, request.URL.RequestURI()...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	if request.Host != "" {
+		head = append(head, request.Host...)
+	} else {
+		head = append(head, request.URL.Host...)
+	}
+	head = append(head, "\r\n"...)
+	for name, values := range request.Header {
+		if headersOfWriting[name] {
+			continue
+		}
+		for _, value := range values {
+			head = append(head, name...)
+			head = append(head, ": "...)
+			head = append(head, value...)
+			head = append(head, "\r\n"...)
+		}
+	}
+	if bodyBytes > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(bodyBytes), 10)
+		head = append(head, "\r\n"...)
+	}
+	return append(head, "\r\n"...)
+}
