--- a/pkg/config/dynamic/change.go
+++ b/pkg/config/dynamic/change.go
@@ -120,7 +120,9 @@
 	if !found {
 		return notFound("pool", fmt.Sprintf("pool %q", change.GetPool()))
 	}
-	pool.WeightVersion = change.GetWeightVersion()
+	if !change.GetRising() || raises(change.GetWeightVersion(), pool.GetWeightVersion()) {
+		pool.WeightVersion = change.GetWeightVersion()
+	}
 	return nil
 }
 
--- a/pkg/config/dynamic/document_test.go
+++ b/pkg/config/dynamic/document_test.go
@@ -174,3 +174,20 @@
 		Expect(outcome(machine.Apply(evacuationCommand("n2/2", "a", false)))).To(Equal("2"))
 	})
 })
+
+var _ = Describe("Weights that rise", func() {
+	It("are whole numbers, and never lowered", func() {
+		machine := dynamic.NewMachine(nil)
+		Expect(outcome(machine.Apply(applyCommand("a", 0, validConfiguration())))).To(Equal("1"))
+		for position, step := range []struct {
+			named   uint64
+			inForce string
+		}{{9, "9"}, {10, "10"}, {9, "10"}, {10, "10"}, {11, "11"}} {
+			order, err := dynamic.RaiseWeightsOrder(fmt.Sprint("w", position), "summaries", step.named)
+			Expect(err).NotTo(HaveOccurred())
+			answer := machine.Apply(&controlpb.Command{Command: &controlpb.Command_Order{Order: order}})
+			Expect(answer.GetProblem()).To(BeNil())
+			Expect(machine.Configuration().GetPools()[0].GetWeightVersion()).To(Equal(step.inForce))
+		}
+	})
+})
--- a/pkg/config/dynamic/singlechange.go
+++ b/pkg/config/dynamic/singlechange.go
@@ -1,6 +1,8 @@
 package dynamic
 
 import (
+	"strconv"
+
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 )
@@ -19,6 +21,25 @@
 	return nameWeightsOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, pool, weightVersion)
 }
 
+// RaiseWeightsOrder is NameWeightsOrder for versions that are whole numbers and
+// only rise: an order for one that is not above the version in force is accepted
+// and changes nothing, so that a late resend takes nothing back.
+func RaiseWeightsOrder(orderID, pool string, weightVersion uint64) (*controlpb.Order, error) {
+	change := &controlpb.NameWeights{Pool: pool, WeightVersion: strconv.FormatUint(weightVersion, 10), Rising: true}
+	return newOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, &controlpb.Order{Change: &controlpb.Order_NameWeights{NameWeights: change}})
+}
+
+// raises tells whether a version is a whole number above another, or the other is
+// none.
+func raises(weightVersion, inForce string) bool {
+	before, err := strconv.ParseUint(inForce, 10, 64)
+	if err != nil {
+		return true
+	}
+	after, err := strconv.ParseUint(weightVersion, 10, 64)
+	return err == nil && after > before
+}
+
 func evacuationOrder(header *ridgeswitchv1.OrderHeader, zone string, evacuated bool, reason string) (*controlpb.Order, error) {
 	change := &controlpb.SetEvacuation{Zone: zone, Evacuated: evacuated, Reason: reason}
 	return newOrder(header, &controlpb.Order{Change: &controlpb.Order_SetEvacuation{SetEvacuation: change}})
