--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	n.sharer = newSharer(member.ID(n.settings.Node), n.settings.Zone, n.dataplane)
+	n.sharer = newSharer(member.ID(n.settings.MemberID()), n.settings.Zone, n.dataplane)
 	machine, err := control.New(n.controlConfig(), n.storage.restored, n.dataplane, clock.SinceBoot())
 	if err != nil {
 		return err
@@ -168,7 +168,9 @@
 	for _, server := range n.operators {
 		go func() { failed <- errors.Wrap(server.Start(), "operators' listener") }()
 	}
-	go func() { failed <- errors.Wrap(n.dataplane.Start(), "callers' listener") }()
+	if !n.settings.ControlOnly {
+		go func() { failed <- errors.Wrap(n.dataplane.Start(), "callers' listener") }()
+	}
 	select {
 	case err := <-failed:
 		stop()
@@ -190,7 +192,9 @@
 	if n.storage.disk != nil && n.settings.Seeded() {
 		supervisor.Add(&addressService{storage: n.storage, driver: n.driver, log: n.log})
 	}
-	supervisor.Add(n.sharer)
+	if !n.settings.ControlOnly {
+		supervisor.Add(n.sharer)
+	}
 	finished := make(chan struct{})
 	ended := supervisor.ServeBackground(ctx)
 	go func() {
@@ -212,7 +216,7 @@
 	time.Sleep(min(readinessNotice, n.settings.DrainTimeout()/2))
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout())
 	defer cancel()
-	if err := n.dataplane.Drain(ctx); err != nil {
+	if err := n.drainCallers(ctx); err != nil {
 		n.log.WithError(err).Warn("requests were still running when the drain time ended")
 	}
 	n.driver.Leave()
@@ -223,6 +227,14 @@
 	}
 }
 
+// drainCallers lets running requests finish.
+func (n *Node) drainCallers(ctx context.Context) error {
+	if n.settings.ControlOnly {
+		return nil
+	}
+	return n.dataplane.Drain(ctx)
+}
+
 // close releases what New took.
 func (n *Node) close() {
 	if n.transport != nil {
@@ -246,7 +258,7 @@
 		Self: member.Info{
 			ID:             member.ID(settings.MemberID()),
 			Address:        settings.Internal,
-			TrafficAddress: settings.Traffic,
+			TrafficAddress: trafficAddress(settings),
 			ControlAddress: settings.Control,
 			Zone:           settings.Zone,
 			HoldsState:     settings.HoldsState(),
@@ -273,6 +285,15 @@
 	return config
 }
 
+// trafficAddress is where the node serves callers, as it tells others; empty if
+// it serves none.
+func trafficAddress(settings *static.Settings) string {
+	if settings.ControlOnly {
+		return ""
+	}
+	return settings.Traffic
+}
+
 // groupZones returns the zones of the nodes with disks, or nothing when the
 // settings do not tell them.
 func groupZones(settings *static.Settings) map[member.ID]string {
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -98,6 +98,9 @@
 	InternalListen string `yaml:"internal_listen" usage:"IP and port to listen on for other nodes, when they reach it elsewhere"`
 	// Traffic is the IP and port for callers.
 	Traffic string `yaml:"traffic" usage:"IP and port for callers"`
+	// ControlOnly nodes serve no callers: they hold state, relay it and answer
+	// operators.
+	ControlOnly bool `yaml:"control_only" usage:"serve no callers"`
 	// Control is the IP and port for operators and health checks.
 	Control string `yaml:"control" usage:"IP and port for operators and health checks"`
 	// Seeds are internal addresses of nodes, at most MaxSeeds; the node's own may
