A new life serves by a list whose age is proven; roll-outs begin in evacuated zones

What reached a node while it was suspended says nothing about its age: after a freeze, a node served by a list that was taken for fresh (sim seed 43). The node now asks how old its list is at the most.

--- a/internal/control/listing/machine.go
+++ b/internal/control/listing/machine.go
@@ -80,6 +80,8 @@
 	// notBefore is until when a failed reading keeps this node from another.
 	notBefore time.Duration
 
+	// proof is what this node asks for after its messages may have been held up.
+	proof       proof
 	nextRequest time.Duration
 	// requests counts those since the last refresh.
 	requests int
@@ -109,8 +111,20 @@
 
 // waitingRequest is a request that a later reading answers.
 type waitingRequest struct {
-	at     time.Duration
-	digest uint64
+	at      time.Duration
+	request Request
+}
+
+// proof bounds from when the list in force is at the latest.
+type proof struct {
+	wanted bool
+	// number is that of the requests for it, and sentAt when the first was sent.
+	number uint64
+	asked  bool
+	sentAt time.Duration
+	// readAt is when the list was read at the earliest, as of the last proof.
+	readAt  time.Duration
+	present bool
 }
 
 // Output is what a node has to do after an input.
@@ -150,6 +164,29 @@
 // Version names the newest reading.
 func (m *Machine) Version() Version { return m.held.version }
 
+// WantProof has the node ask how old its list is at the most. The times of messages
+// that arrived are no measure after this node was suspended or cut off, as they may
+// have been held up.
+func (m *Machine) WantProof() {
+	m.proof.wanted = true
+	m.proof.asked = false
+	m.proof.number++
+	m.nextRequest = m.now
+}
+
+// ProvenAt returns an instant before which the list in force was certainly not read,
+// as of the last proof; false before the first.
+func (m *Machine) ProvenAt() (readAt time.Duration, proven bool) {
+	return m.proof.readAt, m.proof.present
+}
+
+// prove notes that the list in force was not read before an instant.
+func (m *Machine) prove(readAt time.Duration) {
+	m.proof.wanted = false
+	m.proof.readAt = readAt
+	m.proof.present = true
+}
+
 // Reads tells whether this node is the reader.
 func (m *Machine) Reads() bool { return m.reader }
 
@@ -167,7 +204,7 @@
 	if !m.reading && m.readingDue() {
 		m.beginReading()
 	}
-	if now >= m.nextRequest && m.requestDue() {
+	if now >= m.nextRequest && (m.requestDue() || m.proof.wanted && len(m.members) > 1) {
 		m.sendRequest()
 	}
 	return m.take()
--- a/internal/control/listing/message.go
+++ b/internal/control/listing/message.go
@@ -58,6 +58,9 @@
 	// whole list.
 	Base    uint64
 	Changes []change
+	// Answers is the number of the request that the message answers; 0 if it
+	// answers none.
+	Answers uint64
 	// Forward tells the receiver to pass the message on within its zone.
 	Forward bool
 }
@@ -66,6 +69,8 @@
 type Request struct {
 	Version Version
 	Digest  uint64
+	// Number is set when an answer is wanted in any case.
+	Number uint64
 }
 
 // Encode returns the payload of a message.
@@ -76,6 +81,7 @@
 			Reader:   string(m.Request.Version.Reader),
 			Sequence: m.Request.Version.Sequence,
 			Digest:   m.Request.Digest,
+			Number:   m.Request.Number,
 		})
 	}
 	return proto.Marshal(m.List.pack())
@@ -90,6 +96,7 @@
 	return Message{Request: &Request{
 		Version: Version{Term: packed.GetTerm(), Reader: member.ID(packed.GetReader()), Sequence: packed.GetSequence()},
 		Digest:  packed.GetDigest(),
+		Number:  packed.GetNumber(),
 	}}, nil
 }
 
@@ -106,6 +113,7 @@
 		Digest:  packed.GetDigest(),
 		Base:    packed.GetBase(),
 		Forward: packed.GetForward(),
+		Answers: packed.GetAnswers(),
 	}
 	for _, replica := range packed.GetReplicas() {
 		list.Changes = append(list.Changes, unpackChange(replica, packed.GetNames()))
@@ -123,6 +131,7 @@
 		Digest:   l.Digest,
 		Base:     l.Base,
 		Forward:  l.Forward,
+		Answers:  l.Answers,
 	}
 	names := nameTable{numbers: map[string]uint32{}}
 	for _, one := range l.Changes {
--- a/internal/control/listing/receive.go
+++ b/internal/control/listing/receive.go
@@ -24,11 +24,11 @@
 	if request.Version != (Version{}) {
 		m.askedAt[from] = m.now
 	}
-	if m.held.present && m.held.version.newerThan(request.Version) {
-		m.answer(from, request.Digest)
+	if m.held.present && (request.Number > 0 || m.held.version.newerThan(request.Version)) {
+		m.answer(from, request)
 		return
 	}
-	m.waiting[from] = waitingRequest{at: m.now, digest: request.Digest}
+	m.waiting[from] = waitingRequest{at: m.now, request: request}
 }
 
 // answerWaiting answers the requests that waited for a newer reading.
@@ -36,24 +36,28 @@
 	for _, one := range m.members {
 		request, waits := m.waiting[one.ID]
 		if waits && m.now-request.at < answerWithin {
-			m.answer(one.ID, request.digest)
+			m.answer(one.ID, request.request)
 		}
 	}
 	clear(m.waiting)
 }
 
-// answer sends the newest reading to a node that holds the list of a digest.
-func (m *Machine) answer(to member.ID, digest uint64) {
+// answer sends the newest reading, without its replicas if the other node has them.
+func (m *Machine) answer(to member.ID, request Request) {
 	list := m.wholeList()
-	if digest == m.held.digest {
+	if request.Digest == m.held.digest {
 		list = m.freshList()
 	}
+	list.Answers = request.Number
 	m.send(to, Message{List: &list})
 }
 
 // receiveList takes a reading that is newer than the one in force.
 func (m *Machine) receiveList(from member.ID, list List) {
 	if m.held.present && !list.Version.newerThan(m.held.version) {
+		if list.Version == m.held.version {
+			m.takeProof(list)
+		}
 		m.tellOutdatedReader(list.Version)
 		return
 	}
@@ -64,6 +68,16 @@
 		return
 	}
 	m.accept(list, replicas)
+	m.takeProof(list)
+}
+
+// takeProof notes how old the list in force is at the most, if a message answers the
+// present requests for that: its age is counted from when the first was sent.
+func (m *Machine) takeProof(list List) {
+	if list.Answers == 0 || list.Answers != m.proof.number || !m.proof.wanted {
+		return
+	}
+	m.prove(m.proof.sentAt - list.Age)
 }
 
 // tellOutdatedReader shows a reader that does not know of a later one what is in
@@ -79,7 +93,7 @@
 		return
 	}
 	m.answeredAt[version.Reader] = m.now
-	m.answer(version.Reader, 0)
+	m.answer(version.Reader, Request{})
 }
 
 // forward passes a list on within the zone, each reading once.
@@ -178,5 +192,13 @@
 
 func (m *Machine) request(to member.ID) {
 	m.nextRequest = m.now + requestEvery
-	m.send(to, Message{Request: &Request{Version: m.held.version, Digest: m.held.digest}})
+	request := Request{Version: m.held.version, Digest: m.held.digest}
+	if m.proof.wanted {
+		if !m.proof.asked {
+			m.proof.asked = true
+			m.proof.sentAt = m.now
+		}
+		request.Number = m.proof.number
+	}
+	m.send(to, Message{Request: &request})
 }
--- a/internal/control/listing/spread.go
+++ b/internal/control/listing/spread.go
@@ -25,6 +25,7 @@
 	}
 	m.held.digest = digestOf(m.held.replicas)
 	m.requests = 0
+	m.prove(startedAt)
 	clear(m.waiting)
 	m.use(m.held.replicas)
 	m.spread(before)
--- a/internal/control/lists.go
+++ b/internal/control/lists.go
@@ -108,9 +108,10 @@
 	m.noteFreshList()
 }
 
-// noteFreshList lets the present life of this node serve by the list.
+// noteFreshList lets the present life of this node serve by the list, once that is
+// known to be fresh.
 func (m *Machine) noteFreshList() {
-	if readAt, present := m.list.ReadAt(); present && m.now-readAt < freshList {
+	if readAt, proven := m.list.ProvenAt(); proven && m.now-readAt < freshList {
 		m.registry.listed = true
 	}
 }
--- a/internal/control/registration.go
+++ b/internal/control/registration.go
@@ -278,6 +278,7 @@
 		m.registry.life = incarnation
 		m.registry.lifeBegan = m.now
 		m.registry.listed = false
+		m.list.WantProof()
 	}
 }
 
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -190,6 +190,7 @@
 // chooseNext returns the replicas to take out of service now: as many as the pace
 // allows, from the zones that miss the fewest, the least busy first.
 func (m *Machine) chooseNext(rolling poolRollout, moved map[string]struct{}) []rolledReplica {
+	evacuated := evacuatedZones(m.held.configuration)
 	candidates := slices.DeleteFunc(slices.Clone(rolling.replicas), func(replica rolledReplica) bool {
 		_, done := moved[replica.Address]
 		return done || !m.mayMove(rolling, replica)
@@ -200,6 +201,7 @@
 	for free > 0 && len(candidates) > 0 {
 		slices.SortStableFunc(candidates, func(a, b rolledReplica) int {
 			return cmp.Or(
+				compareEvacuated(evacuated, a.Zone, b.Zone),
 				cmp.Compare(zones[a.Zone].out, zones[b.Zone].out),
 				cmp.Compare(m.backends.reports[a.Address].ActiveRequests, m.backends.reports[b.Address].ActiveRequests),
 			)
@@ -207,7 +209,7 @@
 		next := candidates[0]
 		candidates = candidates[1:]
 		zone := zones[next.Zone]
-		if zone.serving <= 1 && zone.serving+zone.out > 1 && !rolling.pace.late(m.now) {
+		if !evacuated.has(next.Zone) && zone.serving <= 1 && zone.serving+zone.out > 1 && !rolling.pace.late(m.now) {
 			continue
 		}
 		zone.serving--
@@ -218,6 +220,18 @@
 	return chosen
 }
 
+// compareEvacuated orders what serves nobody first.
+func compareEvacuated(evacuated zoneSet, a, b string) int {
+	switch {
+	case evacuated.has(a) == evacuated.has(b):
+		return 0
+	case evacuated.has(a):
+		return -1
+	default:
+		return 1
+	}
+}
+
 // zoneCount is how many replicas of a pool serve in a zone, and how many are out.
 type zoneCount struct {
 	serving, out int
--- a/internal/control/versions.go
+++ b/internal/control/versions.go
@@ -38,7 +38,7 @@
 // runningVersion is the version of a replica that takes requests, from its row, if
 // it has one, or else from the list, which lags behind rows; empty if unknown.
 func runningVersion(row *controlpb.ReplicaState, listed listing.Replica) string {
-	if row == nil || !sameInstance(row, listed) || row.GetPhase() != controlpb.ReplicaPhase_SERVING {
+	if row == nil || !sameInstance(row, listed) || row.GetPhase() == controlpb.ReplicaPhase_LOADING {
 		return listed.WeightVersion
 	}
 	if numericallyNewer(listed.WeightVersion, row.GetWeightVersion()) {
--- a/internal/lab/sim/calm.go
+++ b/internal/lab/sim/calm.go
@@ -36,13 +36,42 @@
 			continue
 		}
 		for _, pool := range poolNames {
-			if w.mayServe(one.view, pool) && !admits(one.view, pool) {
-				w.violate("service_back", "%s admits nothing to pool %s %v after the faults", one.info.ID, pool, ServiceBackBound)
-			}
+			w.checkPoolBack(one, pool)
 		}
 	}
 }
 
+// checkPoolBack holds that a node admits to a pool that may serve. A roll-out may
+// have taken the last of its replicas out at this instant; then the node admits
+// again within the time that one replica takes.
+func (w *simulation) checkPoolBack(one *node, pool string) {
+	if !w.mayServe(one.view, pool) || admits(one.view, pool) {
+		return
+	}
+	if !w.rollingOut(one, pool) {
+		w.violate("service_back", "%s admits nothing to pool %s %v after the faults", one.info.ID, pool, ServiceBackBound)
+		return
+	}
+	w.after(ReplicaOutBound, func() {
+		if w.mayServe(one.view, pool) && !admits(one.view, pool) {
+			w.violate("service_back", "%s admits nothing to pool %s %v after its last replica was taken out", one.info.ID, pool, ReplicaOutBound)
+		}
+	})
+}
+
+// rollingOut tells whether a node knows every usable replica of a pool to be out for
+// a roll-out.
+func (w *simulation) rollingOut(one *node, pool string) bool {
+	phases := map[string]string{}
+	for _, status := range one.machine.Weights(pool).GetReplicas() {
+		phases[status.GetAddress()] = status.GetPhase()
+	}
+	return lo.EveryBy(w.usable(one.view, pool), func(usable *replica) bool {
+		phase := phases[usable.address]
+		return phase == "draining" || phase == "loading"
+	})
+}
+
 // mayServe tells whether the pool has a replica that nothing keeps from serving.
 func (w *simulation) mayServe(view *routing.View, pool string) bool {
 	return view.Pools[pool] != nil && len(w.usable(view, pool)) > 0
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -14,6 +14,9 @@
 	calmLength = 30 * time.Second
 	// ServiceBackBound is how long after the faults every node must serve.
 	ServiceBackBound = 12 * time.Second
+	// ReplicaOutBound is how long the last replica of a pool may be out of service
+	// for a roll-out in the calm.
+	ReplicaOutBound = 3 * time.Second
 	// AcknowledgeBound is how long an order may take in the calm.
 	AcknowledgeBound = 2 * time.Second
 	// SpreadBound is how long an acknowledged revision may take to be in force
