--- a/internal/edge/outbound/doc.go
+++ b/internal/edge/outbound/doc.go
@@ -8,6 +8,8 @@
 // itself: a connection counts the bytes that it is asked to write, and after a
 // failure it is sealed, so that nothing can leave later.
 //
-// Requests go through go-zero's httpc, whose adaptive breaker is switched off:
-// limits and retries are decided elsewhere.
+// Client sends through go-zero's httpc, whose adaptive breaker is switched off:
+// limits and retries are decided elsewhere. Direct keeps connections of its own
+// instead, for back ends whose connections are not to be trusted between two
+// requests, and for less processor time.
 package outbound
