--- a/cmd/ridgeswitch-lab/sim.go
+++ b/cmd/ridgeswitch-lab/sim.go
@@ -31,6 +31,7 @@
 			&cli.DurationFlag{Name: "virtual", Usage: "virtual time of each run", Value: sim.DefaultVirtual},
 			&cli.IntFlag{Name: "jobs", Usage: "seeds that run at once", Value: runtime.NumCPU()},
 			&cli.StringFlag{Name: "break", Usage: "mechanism to switch off; list names them"},
+			&cli.BoolFlag{Name: "fail-open", Usage: "deployments that find themselves through seeds, and serve while cut off"},
 			&cli.StringSliceFlag{Name: "faults", Usage: "kinds of faults to choose from; all if none is given"},
 			&cli.IntFlag{Name: "stop-after", Usage: "end after this many failing seeds; 0 runs all", Value: 0},
 			&cli.BoolFlag{Name: "timeline", Usage: "print the timeline of the first failing seed, or of a single seed", Value: true},
@@ -89,6 +90,7 @@
 		Last:      last,
 		Virtual:   virtual,
 		Break:     mechanism,
+		FailOpen:  command.Bool("fail-open"),
 		Faults:    faults,
 		Jobs:      command.Int("jobs"),
 		StopAfter: command.Int("stop-after"),
@@ -115,6 +117,9 @@
 		_, _ = fmt.Fprintf(writer, "%10.3f %s: %s\n", violation.At.Seconds(), violation.Invariant, violation.Detail)
 	}
 	_, _ = fmt.Fprintf(writer, "repeat with: ridgeswitch-lab sim --seeds %d --virtual %v", failure.Seed, campaign.Virtual)
+	if campaign.FailOpen {
+		_, _ = fmt.Fprint(writer, " --fail-open")
+	}
 	if campaign.Break != sim.BreakNone {
 		_, _ = fmt.Fprintf(writer, " --break %s", campaign.Break)
 	}
--- a/cmd/ridgeswitch/node.go
+++ b/cmd/ridgeswitch/node.go
@@ -67,6 +67,11 @@
 	if err != nil {
 		return err
 	}
+	// A node that is not ready to read its settings anew must not end by the
+	// signal.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	ring := logring.New(settings.LogRing, os.Stderr)
 	defer dumpOnPanic(ring)
 	logger := ring.Logger(level)
@@ -79,6 +84,14 @@
 	if err != nil {
 		return err
 	}
+	changes := &reloader{
+		command: command,
+		node:    running,
+		logger:  logger,
+		log:     logger.WithField("component", "settings"),
+		seen:    stateOf(command.String(static.FlagSettings)),
+	}
+	go changes.run(ctx, hangups)
 	return running.Run(ctx)
 }
 
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -32,6 +32,18 @@
 	// DefaultAcknowledgeTimeout is how long the owner waits for every serving
 	// node to confirm a revision before it answers that the order is pending.
 	DefaultAcknowledgeTimeout = 4 * time.Second
+	// openConfirmWait is how long a committed order waits for confirmations where
+	// nodes go on serving while cut off: a node that is out of reach can't be told
+	// from one that is about to confirm.
+	openConfirmWait = 600 * time.Millisecond
+	// minOpenElection and maxOpenElection bound the ElectionTimeout of
+	// FailOpenTimes. It has to hold two heartbeats and two slow writes.
+	minOpenElection = 600 * time.Millisecond
+	maxOpenElection = DefaultElectionTimeout
+	// electionsPerContact is how many election timeouts fit into the time for
+	// which a silent node counts as in contact: one to notice that an owner is
+	// silent, and one for the voters to follow each other.
+	electionsPerContact = 3
 	// DefaultOrderTimeout is how long a node looks for an owner that takes an
 	// order.
 	DefaultOrderTimeout = 8 * time.Second
@@ -112,12 +124,32 @@
 	}
 }
 
+// FailOpenTimes returns the times of nodes that go on serving while cut off. A
+// silent owner is replaced within contact, and orders are answered within
+// acknowledge.
+func FailOpenTimes(contact, acknowledge time.Duration) Times {
+	times := DefaultTimes()
+	times.ElectionTimeout = min(max(contact/electionsPerContact, minOpenElection), maxOpenElection)
+	times.AcknowledgeTimeout = acknowledge
+	times.OrderTimeout = acknowledge
+	return times
+}
+
 // Config is what a control machine knows when it starts.
 type Config struct {
 	Self member.Info
 	// Seeds are internal addresses of up to three other nodes.
 	Seeds []string
-	// Group holds the IDs of all nodes with disks, in the agreed order.
+	// Seeded tells that the nodes with disks are those that the membership tells
+	// of. They follow all shards and are given a vote when they have caught up.
+	Seeded bool
+	// FailOpen lets the node serve by the newest configuration that reached it,
+	// whether or not it is cut off. An acknowledgement waits for the live nodes,
+	// and for openConfirmWait at most.
+	FailOpen bool
+	// Group holds the IDs of all nodes with disks, in the agreed order. If Seeded
+	// is set, it holds the founding voters on nodes that were founders, and
+	// nobody on others.
 	Group []member.ID
 	// GroupZones holds the zones of the nodes in Group, as far as known. It must
 	// be the same on every node.
--- a/internal/control/confirmations.go
+++ b/internal/control/confirmations.go
@@ -6,6 +6,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
 )
 
 // confirmation is what a node said of one shard in its present life.
@@ -125,13 +126,28 @@
 func (m *Machine) sendConfirmation() {
 	m.nextBeat = m.now + confirmRepeat*m.config.Times.ConfirmEvery
 	message := m.ownConfirmation()
-	for _, id := range m.config.Group {
+	for _, id := range m.confirmationReceivers() {
 		if m.reachable(id) {
 			m.sendControl(id, message)
 		}
 	}
 }
 
+// confirmationReceivers are the nodes with disks; or the owners of shards alone,
+// where owners ask every node when they begin.
+func (m *Machine) confirmationReceivers() []member.ID {
+	if !m.config.FailOpen {
+		return m.groupOf(ConfigurationShard)
+	}
+	var owners []member.ID
+	for _, id := range m.shardIDs {
+		if owner := m.knownOwner(id); owner != "" && !contains(owners, owner) {
+			owners = append(owners, owner)
+		}
+	}
+	return owners
+}
+
 // awaited is what an owner waits for since some time: that the nodes serve a
 // revision, or have drained it.
 type awaited struct {
@@ -168,6 +184,10 @@
 
 // askNodes asks each node that may still serve without what is overdue.
 func (m *Machine) askNodes(hosted *shard, overdue awaited) {
+	if m.config.FailOpen {
+		m.askLiveNodes(hosted, overdue)
+		return
+	}
 	for _, node := range hosted.state.Nodes() {
 		id := member.ID(node.GetNode())
 		incarnation := member.Incarnation(node.GetIncarnation())
@@ -199,9 +219,43 @@
 	return everywhere
 }
 
+// askLiveNodes asks each live node that has not confirmed what is overdue.
+func (m *Machine) askLiveNodes(hosted *shard, overdue awaited) {
+	for _, record := range m.members.Records() {
+		row := m.liveConfirmation(hosted, record)
+		if m.members.Alive(record.Info.ID) && (row.revision < overdue.revision || row.drained < overdue.drained) {
+			m.askConfirmation(hosted, record.Info.ID)
+		}
+	}
+}
+
+// liveConfirmation is what the present life of a node has confirmed.
+func (m *Machine) liveConfirmation(hosted *shard, record membership.Record) confirmation {
+	row := m.confirmed.rows[confirmationKey{shard: hosted.id, node: record.Info.ID}]
+	if row.incarnation < record.Info.Incarnation {
+		return confirmation{}
+	}
+	return row
+}
+
+// everyLiveNode tells whether each node that nothing speaks against satisfies a
+// condition in its present life.
+func (m *Machine) everyLiveNode(hosted *shard, satisfied func(confirmation) bool) bool {
+	for _, record := range m.members.Records() {
+		if m.members.Alive(record.Info.ID) && !satisfied(m.liveConfirmation(hosted, record)) {
+			return false
+		}
+	}
+	return true
+}
+
 // everyNode tells whether each registered node satisfies a condition in its
-// registered life, or is certain to serve nothing in that life any more.
+// registered life, or is certain to serve nothing in that life any more; or each
+// live node, where nodes go on serving while cut off.
 func (m *Machine) everyNode(hosted *shard, satisfied func(confirmation) bool) bool {
+	if m.config.FailOpen {
+		return m.everyLiveNode(hosted, satisfied)
+	}
 	for _, node := range hosted.state.Nodes() {
 		id := member.ID(node.GetNode())
 		incarnation := member.Incarnation(node.GetIncarnation())
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,9 @@
 
 // DriverOptions are the surroundings of a control machine in a daemon.
 type DriverOptions struct {
+	// TickEvery is how often the machine looks at the clock; zero stands for
+	// DefaultTickEvery.
+	TickEvery time.Duration
 	// Deployment names the deployment. Frames of others are dropped, so that
 	// two deployments that reach each other never become one.
 	Deployment string
@@ -86,6 +90,8 @@
 	lastRun    atomic.Int64
 	prepared   atomic.Bool
 	peers      livePeers
+	// orderIDs counts the identities that NewOrderID has given.
+	orderIDs atomic.Uint64
 
 	// waiting belongs to the control goroutine.
 	waiting    map[uint64]chan Reply
@@ -117,7 +123,7 @@
 	for id, queue := range d.saves {
 		go d.saveLoop(ctx, id, queue)
 	}
-	ticker := time.NewTicker(DefaultTickEvery)
+	ticker := time.NewTicker(d.tickEvery())
 	defer ticker.Stop()
 	for {
 		select {
@@ -132,6 +138,13 @@
 	}
 }
 
+func (d *Driver) tickEvery() time.Duration {
+	if d.options.TickEvery <= 0 {
+		return DefaultTickEvery
+	}
+	return d.options.TickEvery
+}
+
 // perform carries out an output. What traffic may see changes first, so that
 // nothing is confirmed to others before it is in force here.
 func (d *Driver) perform(output Output) {
@@ -275,6 +288,32 @@
 	d.post(func(now time.Duration) Output { return d.machine.ReplicaReportFailed(now, address) })
 }
 
+// SetSeeds takes over other addresses to join through.
+func (d *Driver) SetSeeds(seeds []string) {
+	d.post(func(now time.Duration) Output { return d.machine.SetSeeds(now, seeds) })
+}
+
+// HandOver hands over what the node owns, while it goes on running.
+func (d *Driver) HandOver() {
+	d.ask(func(now time.Duration) Output { return d.machine.HandOver(now) })
+}
+
+// DiskAddresses lists the internal addresses of the other live nodes with disks.
+func (d *Driver) DiskAddresses() []string {
+	var addresses []string
+	d.ask(func(time.Duration) Output {
+		addresses = d.machine.DiskAddresses()
+		return Output{}
+	})
+	return addresses
+}
+
+// NewOrderID returns an identity that no other order has, for an order that its
+// operator gave none. A resend under another one must have the same effect.
+func (d *Driver) NewOrderID() string {
+	return d.machine.orderIDPrefix() + strconv.FormatUint(d.orderIDs.Add(1), 10)
+}
+
 // Leave announces that the node stops and hands over what it owns.
 func (d *Driver) Leave() {
 	d.ask(func(now time.Duration) Output { return d.machine.Leave(now) })
--- /dev/null
+++ b/internal/control/groups.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+// groupOf returns those that hold a shard, as far as this node can tell, in the
+// order in which they own it.
+func (m *Machine) groupOf(shardID uint32) []member.ID {
+	if !m.config.Seeded {
+		return m.config.GroupOfShard(shardID)
+	}
+	var group []member.ID
+	if hosted := m.shards[shardID]; hosted != nil {
+		for _, place := range hosted.group.Status().Places {
+			group = append(group, place.ID)
+		}
+	}
+	for _, id := range m.diskNodes {
+		if !contains(group, id) {
+			group = append(group, id)
+		}
+	}
+	return group
+}
+
+// hosts tells whether this node holds a copy of a shard. Where nodes with disks
+// find each other through seeds, each of them holds all shards, and the replicas
+// of a group are those that its log tells of.
+func (c Config) hosts(shardID uint32) bool {
+	if !c.Self.HoldsState {
+		return false
+	}
+	return c.Seeded || contains(c.GroupOfShard(shardID), c.Self.ID)
+}
+
+// foundersOf returns the founding voters of a shard's group.
+func (c Config) foundersOf(shardID uint32) []member.ID {
+	if c.Seeded {
+		return slices.Clone(c.Group)
+	}
+	return c.GroupOfShard(shardID)
+}
+
+// followDisks passes on which nodes with disks there are.
+func (m *Machine) followDisks(records []membership.Record) {
+	m.diskNodes = nil
+	var peers []replication.Peer
+	for _, record := range records {
+		if !record.Info.HoldsState {
+			continue
+		}
+		if isLive(record) {
+			m.diskNodes = append(m.diskNodes, record.Info.ID)
+		}
+		if left := record.State == membership.StateLeft; left || isLive(record) {
+			peers = append(peers, replication.Peer{ID: record.Info.ID, Left: left})
+		}
+	}
+	if !m.config.Seeded {
+		return
+	}
+	for _, id := range m.shardIDs {
+		if hosted := m.shards[id]; hosted != nil {
+			hosted.group.SetPeers(m.now, peers)
+		}
+	}
+}
+
+// DiskAddresses lists the internal addresses of the other live nodes with disks,
+// sorted by node.
+func (m *Machine) DiskAddresses() []string {
+	var addresses []string
+	for _, id := range m.diskNodes {
+		if id != m.config.Self.ID {
+			addresses = append(addresses, m.addressOf(id))
+		}
+	}
+	return addresses
+}
+
+// orderIDPrefix begins the identities of orders that this process makes up.
+func (m *Machine) orderIDPrefix() string {
+	return fmt.Sprintf("node/%s/%d/", m.config.Self.ID, m.config.Self.Incarnation)
+}
+
+// followOwners names the owner of each shard, as far as it is known, as the root
+// from which its states spread.
+func (m *Machine) followOwners() {
+	if !m.config.Seeded {
+		return
+	}
+	for _, id := range m.shardIDs {
+		if owner := m.ownerGuess(id); owner != "" {
+			m.relay.SetRoot(relaytree.Topic(id), owner)
+		}
+	}
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -54,6 +54,8 @@
 	tableDigest   uint64
 	membersDigest uint64
 	addresses     map[member.ID]string
+	// diskNodes are the live nodes with disks, sorted.
+	diskNodes []member.ID
 }
 
 // heldState is the newest state of every shard that reached this node.
@@ -122,11 +124,10 @@
 // hostShard starts the replica group member of a shard, if this node is in its
 // group.
 func (m *Machine) hostShard(id uint32, restored replication.Restored) error {
-	group := m.config.GroupOfShard(id)
-	if !contains(group, m.config.Self.ID) || !m.config.Self.HoldsState {
+	if !m.config.hosts(id) {
 		return nil
 	}
-	hosted, err := newShard(id, group, m.config, restored, m.now)
+	hosted, err := newShard(id, m.config.foundersOf(id), m.config, restored, m.now)
 	if err != nil {
 		return errors.Wrapf(err, "start shard %d", id)
 	}
@@ -144,12 +145,15 @@
 		if hosted := m.shards[id]; hosted != nil {
 			hosted.group.Tick(now)
 			m.pump(hosted)
+			m.publishRestored(hosted)
 		}
 	}
+	m.followOwners()
 	m.sendRelay(m.relay.Tick(now))
 	m.tickRecoveries()
 	m.tickRegistration()
 	m.tickConfirmations()
+	m.tickSpreading()
 	m.tickOrders()
 	m.tickList()
 	m.tickRollouts()
@@ -221,15 +225,26 @@
 	return m.take()
 }
 
-// Leave tells the others that this node stops, and hands its shards over.
-func (m *Machine) Leave(now time.Duration) Output {
+// HandOver hands the shards that this node owns over, which goes before a stop.
+func (m *Machine) HandOver(now time.Duration) Output {
 	m.now = now
+	m.handOver()
+	return m.take()
+}
+
+func (m *Machine) handOver() {
 	for _, id := range m.shardIDs {
 		if hosted := m.shards[id]; hosted != nil {
-			hosted.group.HandOver(now)
+			hosted.group.HandOver(m.now)
 			m.pump(hosted)
 		}
 	}
+}
+
+// Leave tells the others that this node stops, and hands its shards over.
+func (m *Machine) Leave(now time.Duration) Output {
+	m.now = now
+	m.handOver()
 	m.sendMembership(m.members.Leave(now))
 	return m.take()
 }
@@ -251,6 +266,10 @@
 		m.addresses[record.Info.ID] = record.Info.Address
 	}
 	m.relay.SetMembers(liveMembers(records))
+	m.followDisks(records)
+	if m.config.Seeded {
+		return
+	}
 	for _, id := range m.shardIDs {
 		if root := m.firstLive(id); root != "" {
 			m.relay.SetRoot(relaytree.Topic(id), root)
@@ -267,5 +286,12 @@
 	return output
 }
 
+// SetSeeds takes over other seeds.
+func (m *Machine) SetSeeds(now time.Duration, seeds []string) Output {
+	m.now = now
+	m.sendMembership(m.members.SetSeeds(now, seeds))
+	return m.take()
+}
+
 // Now returns the time of the last input.
 func (m *Machine) Now() time.Duration { return m.now }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -29,6 +29,7 @@
 	from     member.ID
 	request  uint64
 	answer   *controlpb.Answer
+	since    time.Duration
 	deadline time.Duration
 }
 
@@ -152,6 +153,7 @@
 		from:     open.from,
 		request:  open.request,
 		answer:   answer,
+		since:    m.now,
 		deadline: m.now + m.config.Times.AcknowledgeTimeout,
 	}
 	if answer.GetProblem() != nil {
@@ -170,6 +172,9 @@
 		switch {
 		case hosted.owned() && m.confirmedEverywhere(hosted, waiting.answer.GetRevision()):
 			m.replyToOrder(waiting, true)
+		case m.config.FailOpen && m.now >= waiting.since+openConfirmWait:
+			// It is committed, whoever owns the shard by now.
+			m.replyToOrder(waiting, true)
 		case m.now >= waiting.deadline:
 			m.replyToOrder(waiting, false)
 		default:
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -102,7 +102,7 @@
 	case protocol.MessageConfirm:
 		m.confirmed.record(from, message)
 	case protocol.MessageAskConfirm:
-		m.sendControl(from, m.ownConfirmation())
+		m.receiveAskConfirm(from, message)
 	case protocol.MessageList:
 		m.receiveListing(from, message.Payload, listing.DecodeList)
 	case protocol.MessageListRequest:
@@ -150,7 +150,7 @@
 
 // firstLive returns the first live member of a shard's group.
 func (m *Machine) firstLive(shardID uint32) member.ID {
-	for _, id := range m.config.GroupOfShard(shardID) {
+	for _, id := range m.groupOf(shardID) {
 		if m.reachable(id) {
 			return id
 		}
@@ -160,7 +160,7 @@
 
 // nextOwnerGuess returns the live group member after one that did not answer.
 func (m *Machine) nextOwnerGuess(shardID uint32, tried member.ID) member.ID {
-	group := m.config.GroupOfShard(shardID)
+	group := m.groupOf(shardID)
 	start := 0
 	for position, id := range group {
 		if id == tried {
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
@@ -204,15 +205,21 @@
 			return nil, err
 		}
 	}
+	if !m.config.FailOpen {
+		m.registerAll(state, hosted.witnessing)
+	}
+	return state.Snapshot()
+}
+
+func (m *Machine) registerAll(state shardState, search *witnessing) {
 	for _, record := range m.members.Members() {
 		if record.State != membership.StateLeft {
 			registerNode(state, record.Info.ID, record.Info.Incarnation)
 		}
 	}
-	for id, answer := range hosted.witnessing.answers {
+	for id, answer := range search.answers {
 		registerNode(state, id, answer.incarnation)
 	}
-	return state.Snapshot()
 }
 
 func registerNode(state shardState, id member.ID, incarnation member.Incarnation) {
@@ -292,9 +299,20 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the answers that a witness holds")
 	}
+	own := hosted.state.(*configurationShard)
 	return newConfigurationShard(&controlpb.ConfigurationState{
 		Configuration: m.held.configuration,
-		Answers:       joinAnswers(hosted.state.(*configurationShard).AcceptedAnswers(), answers),
+		Answers:       joinAnswers(own.AcceptedAnswers(), answers),
 		Nodes:         hosted.state.Nodes(),
+		Source:        sourceOf(m.held.configuration, own),
 	}), nil
 }
+
+// sourceOf is the document that a witnessed configuration was made from, if the
+// committed part of the log has it: documents are not relayed.
+func sourceOf(configuration *ridgeswitchv1.Configuration, logged *configurationShard) *ridgeswitchv1.Source {
+	if configuration.GetSource().GetVersion() != logged.Configuration().GetSource().GetVersion() {
+		return nil
+	}
+	return logged.Source()
+}
--- a/internal/control/registration.go
+++ b/internal/control/registration.go
@@ -62,7 +62,7 @@
 // life is not registered. A fenced node does not ask: it takes a new life
 // first, since others may have counted on the end of the old one.
 func (m *Machine) tickRegistration() {
-	if m.members.Fenced(m.now) {
+	if m.config.FailOpen || m.members.Fenced(m.now) {
 		return
 	}
 	incarnation := m.selfIncarnation()
@@ -260,8 +260,12 @@
 	m.sendRegister(message.Shard, current, m.selfIncarnation())
 }
 
-// registered tells whether this node may serve under a shard.
+// registered tells whether this node may serve under a shard. Where nodes go on
+// serving while cut off, nothing has to be known of a node before it serves.
 func (m *Machine) registered(shardID uint32) bool {
+	if m.config.FailOpen {
+		return true
+	}
 	current := m.registry.shards[shardID]
 	if current == nil || !current.accepted {
 		return false
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -54,6 +54,10 @@
 	witnessing *witnessing
 	// awaited is what this node, as owner, waits for the nodes to confirm.
 	awaited awaited
+	// spreading follows the newest state of a shard that this node owns.
+	spreading spreading
+	// restoredPublished tells that publishRestored has been done.
+	restoredPublished bool
 }
 
 // newShard starts a copy from what the disk kept.
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -22,6 +22,12 @@
 // ServeUntil is the instant until which this node may admit traffic if nothing
 // else is heard; zero while it may not admit any.
 func (m *Machine) ServeUntil() time.Duration {
+	if m.config.FailOpen {
+		if m.held.revisions[ConfigurationShard] == 0 {
+			return 0
+		}
+		return membership.Never
+	}
 	if !m.registered(ConfigurationShard) || m.members.Fenced(m.now) || !m.knowsBackends() {
 		return 0
 	}
@@ -80,7 +86,7 @@
 		Owner:    string(m.knownOwner(id)),
 		Epoch:    m.epochs[id].epoch,
 		Revision: m.held.revisions[id],
-		Group: lo.Map(m.config.GroupOfShard(id), func(id member.ID, _ int) string {
+		Group: lo.Map(m.groupOf(id), func(id member.ID, _ int) string {
 			return string(id)
 		}),
 	}
@@ -193,8 +199,11 @@
 	digest := xxhash.New()
 	for _, record := range records {
 		live := "down"
-		if isLive(record) {
+		switch {
+		case isLive(record):
 			live = "live"
+		case record.State == membership.StateLeft:
+			live = "left"
 		}
 		for _, text := range []string{string(record.Info.ID), record.Info.Address, live} {
 			_, _ = digest.WriteString(text)
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -74,6 +74,20 @@
 	return os.ReadFile(path)
 }
 
+// Empty tells whether the folder holds no file but the disk's own.
+func (d *Disk) Empty() (bool, error) {
+	entries, err := os.ReadDir(d.folder)
+	if err != nil {
+		return false, errors.Wrap(err, "disk: cannot list data folder")
+	}
+	for _, entry := range entries {
+		if entry.Name() != lockName && filepath.Ext(entry.Name()) != temporarySuffix {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
 // createFolder makes the folder and what is missing above it durable.
 func createFolder(folder string) error {
 	if _, err := os.Stat(folder); err == nil {
--- a/internal/lab/sim/calm.go
+++ b/internal/lab/sim/calm.go
@@ -21,6 +21,9 @@
 	for number := range probes {
 		w.at(back+time.Duration(number)*probeEvery, func() { w.probe(w.addKey(0)) })
 	}
+	if w.settings.FailOpen {
+		w.at(back+probes*probeEvery+AcknowledgeBound, w.checkDocument)
+	}
 	for _, pool := range poolNames {
 		w.at(back+probes*probeEvery, func() { w.probeWeights(pool) })
 	}
--- /dev/null
+++ b/internal/lab/sim/documents.go
@@ -0,0 +1,99 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+// document orders a configuration under a version of the operator's, in uneven
+// steps above the one that it builds on.
+func (w *simulation) document(configuration *ridgeswitchv1.Configuration, base uint64) *operatorOrder {
+	configuration.Evacuations = nil
+	w.operators.named++
+	source := &ridgeswitchv1.Source{
+		Version:     base + 1 + w.random.Uint64N(3),
+		BaseVersion: base,
+		Document:    fmt.Appendf(nil, "document %d", w.operators.named),
+	}
+	content, err := dynamic.DocumentOrder(configuration, source)
+	return newOrder(content, err, checker.Change{Kind: checker.ChangeApply})
+}
+
+// changedDocument changes what an operator has read, and applies it on top of
+// that.
+func (w *simulation) changedDocument(read *ridgeswitchv1.Configuration) *operatorOrder {
+	read = proto.CloneOf(read)
+	if len(read.GetWebServices()) > 0 {
+		read.Routes = append(read.Routes, &ridgeswitchv1.Route{
+			Host:        fmt.Sprintf("d%d.example", w.operators.named),
+			Destination: &ridgeswitchv1.Route_WebService{WebService: webService},
+		})
+	}
+	return w.document(read, read.GetSource().GetVersion())
+}
+
+// raceDocuments lets operators apply documents on top of the same one.
+func (w *simulation) raceDocuments() {
+	read := w.readConfiguration()
+	for range raceOf {
+		w.after(w.upTo(20*time.Millisecond), func() { w.place(w.changedDocument(read)) })
+	}
+}
+
+// documentAcknowledged holds that of the documents on top of one version, one is
+// acknowledged at most.
+func (c *checks) documentAcknowledged(order *operatorOrder) {
+	document := order.content.GetApplyDocument()
+	if document == nil {
+		return
+	}
+	base := document.GetSource().GetBaseVersion()
+	winner, taken := c.documents[base]
+	if taken && winner != order.content.GetOrderId() {
+		c.world.violate("one_document_per_base", "documents %s and %s were both acknowledged on version %d", winner, order.content.GetOrderId(), base)
+	}
+	c.documents[base] = order.content.GetOrderId()
+}
+
+// newestDocument is the acknowledged document with the highest version.
+func (w *simulation) newestDocument() *ridgeswitchv1.Source {
+	var newest *ridgeswitchv1.Source
+	for _, order := range w.operators.orders {
+		source := order.content.GetApplyDocument().GetSource()
+		if order.settled && order.outcome == checker.OutcomeAcknowledged && source.GetVersion() > newest.GetVersion() {
+			newest = source
+		}
+	}
+	return newest
+}
+
+// checkDocument holds that the document in force can be read back at any node, and
+// is the newest acknowledged one, or a later one whose fate nobody told.
+func (w *simulation) checkDocument() {
+	const readBound = time.Second
+	for _, reader := range w.nodes {
+		var read *ridgeswitchv1.Source
+		reader.nextTicket++
+		reader.reads[reader.nextTicket] = func(reply control.Reply) { read = reply.Source }
+		ticket := reader.nextTicket
+		reader.post(reader.life, func(now time.Duration) control.Output { return reader.machine.ReadSource(now, ticket) })
+		w.after(readBound, func() { w.compareDocument(reader, read) })
+	}
+}
+
+func (w *simulation) compareDocument(reader *node, read *ridgeswitchv1.Source) {
+	newest := w.newestDocument()
+	switch {
+	case read.GetVersion() < newest.GetVersion():
+		w.violate("document_kept", "%s reads version %d although %d was acknowledged", reader.info.ID, read.GetVersion(), newest.GetVersion())
+	case read.GetVersion() == newest.GetVersion() && !proto.Equal(read, newest):
+		w.violate("document_kept", "%s reads version %d with another content than was acknowledged", reader.info.ID, read.GetVersion())
+	}
+}
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -41,6 +41,10 @@
 	{"config-storm", 2, (*simulation).configStorm},
 	{"weights-overtaken", 3, (*simulation).overtakeWeights},
 	{"stuck-commands", 3, (*simulation).stickCommands},
+	{"machine-replaced", 4, (*simulation).replaceUnplanned},
+	{"machine-replaced-planned", 3, (*simulation).replacePlanned},
+	{"seeds-moved", 2, (*simulation).moveSeeds},
+	{"relay-parent-lost", 4, (*simulation).loseRelayParent},
 	{"replica-crash", 3, (*simulation).crashReplica},
 	{"replica-listing", 3, (*simulation).changeListing},
 	{"platform-lag", 2, (*simulation).lagPlatform},
@@ -56,7 +60,7 @@
 
 // scheduleFaults plans the faults of the run.
 func (w *simulation) scheduleFaults() {
-	kinds := chosenKinds(w.settings.Faults)
+	kinds := w.kinds()
 	weights := lo.SumBy(kinds, func(kind faultKind) int { return kind.weight })
 	span := w.settings.calmFrom() - formation - quietEnd
 	for range minFaults + w.plan.IntN(faultSpread) {
@@ -66,6 +70,18 @@
 	w.at(w.settings.calmFrom(), w.endFaults)
 }
 
+// kinds are those that the run chooses from.
+func (w *simulation) kinds() []faultKind {
+	if w.settings.FailOpen {
+		return lo.Filter(chosenKinds(w.settings.Faults), func(kind faultKind, _ int) bool {
+			return !lo.Contains(kindsOfGroups, kind.name)
+		})
+	}
+	return lo.Filter(chosenKinds(w.settings.Faults), func(kind faultKind, _ int) bool {
+		return !lo.Contains(kindsOfSeeds, kind.name)
+	})
+}
+
 // chosenKinds are the kinds of the given names, or all.
 func chosenKinds(names []string) []faultKind {
 	if len(names) == 0 {
@@ -136,7 +152,9 @@
 }
 
 // diskNodes are the nodes with disks.
-func (w *simulation) diskNodes() []*node { return w.nodes[:len(w.group)] }
+func (w *simulation) diskNodes() []*node {
+	return lo.Filter(w.nodes, func(one *node, _ int) bool { return one.storage != nil })
+}
 
 // restartAfter stops a node and starts it again.
 func (w *simulation) restartAfter(one *node, down time.Duration) {
@@ -177,6 +195,9 @@
 			return
 		}
 		w.after(start, func() {
+			if one.gone || !one.up {
+				return
+			}
 			one.post(one.life, one.machine.Leave)
 			w.after(leaveGrace, func() { w.restartAfter(one, w.lasting(50*time.Millisecond, 300*time.Millisecond)) })
 		})
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -46,6 +46,7 @@
 func (n *network) cut(from, to []*node, change int) {
 	for _, source := range from {
 		for _, target := range to {
+			n.world.linkChanged(source, target)
 			if source != target {
 				n.blocked[source.index][target.index] += change
 			}
--- a/internal/lab/sim/orders.go
+++ b/internal/lab/sim/orders.go
@@ -28,6 +28,9 @@
 
 // applyFirst is the order that forms the first configuration.
 func (w *simulation) applyFirst() *operatorOrder {
+	if w.settings.FailOpen {
+		return w.document(w.firstConfiguration(), 0)
+	}
 	content, err := dynamic.OrderFromRequest(&ridgeswitchv1.ApplyConfigurationRequest{
 		Order:         w.header(0),
 		Configuration: w.firstConfiguration(),
@@ -127,6 +130,9 @@
 // applyChanged reads the configuration, changes it and applies it whole.
 func (w *simulation) applyChanged() *operatorOrder {
 	configuration := w.readConfiguration()
+	if w.settings.FailOpen {
+		return w.changedDocument(configuration)
+	}
 	header := w.header(configuration.GetRevision())
 	configuration.Routes = append(configuration.Routes, &ridgeswitchv1.Route{
 		Host:        header.GetOrderId() + ".example",
@@ -144,6 +150,9 @@
 func (w *simulation) invalidOrder() *operatorOrder {
 	order := w.applyChanged()
 	apply := order.content.GetApply()
+	if w.settings.FailOpen {
+		apply = order.content.GetApplyDocument().GetConfiguration()
+	}
 	apply.Routes = append(apply.Routes, &ridgeswitchv1.Route{
 		Host:        "nowhere.example",
 		Destination: &ridgeswitchv1.Route_Pool{Pool: "nowhere"},
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -29,6 +29,9 @@
 	// Virtual is the virtual time of the run; at least MinVirtual.
 	Virtual time.Duration
 	Break   Break
+	// FailOpen runs a deployment whose nodes with disks find each other through
+	// seeds, and go on serving while they are cut off.
+	FailOpen bool
 	// Faults names the kinds of faults to choose from; none stands for all.
 	Faults []string
 	// Timeline records what happens on each node.
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -22,7 +22,9 @@
 	now    time.Duration
 	events eventQueue
 
+	// nodes are those that there are; all holds those taken away too.
 	nodes         []*node
+	all           []*node
 	byAddress     map[string]*node
 	group         []member.ID
 	groupZones    map[member.ID]string
@@ -41,6 +43,11 @@
 	// freezeNextCommand freezes the next node that is about to command.
 	freezeNextCommand bool
 
+	// seeds are what settings name from now on, in a deployment that finds itself
+	// through seeds.
+	seeds []string
+	touch touch
+
 	checks   *checks
 	counts   Counts
 	timeline *timeline
@@ -79,6 +86,7 @@
 	world.build()
 	world.scheduleStart()
 	world.scheduleFaults()
+	world.scheduleTouch()
 	world.scheduleOperators()
 	world.scheduleCalm()
 	world.loop()
--- a/internal/lab/sim/storage.go
+++ b/internal/lab/sim/storage.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication/durable"
 	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
@@ -32,6 +33,12 @@
 	logs map[uint32]*durable.Log
 	// life numbers the disk, as the identity file of a data folder does.
 	life uint64
+	// founders and addresses are what a data folder keeps of the founding and of
+	// other nodes, in a deployment that finds itself through seeds.
+	founders  []member.ID
+	addresses []string
+	// full tells that the disk refuses all writes.
+	full bool
 	// slow is added to the time of each write.
 	slow    time.Duration
 	pending []*pendingSave
--- /dev/null
+++ b/internal/node/addresses.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/disk"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
+)
+
+const (
+	// addressesFile holds the internal addresses of other nodes with disks.
+	addressesFile = "addresses"
+	// addressesEvery is how often they are compared with the file.
+	addressesEvery = 5 * time.Second
+)
+
+// seeds are those of the settings, and the nodes with disks that the node knew
+// before it stopped: seeds may be down, or name machines that are gone.
+func (s *storage) seeds(settings *static.Settings) []string {
+	if s.disk == nil || !settings.Seeded() {
+		return settings.Seeds
+	}
+	known, err := readAddresses(s.disk)
+	if err != nil {
+		// They only help to find others; the settings' seeds are enough.
+		return settings.Seeds
+	}
+	return lo.Uniq(slices.Concat(settings.Seeds, known))
+}
+
+func readAddresses(folder *disk.Disk) ([]string, error) {
+	data, err := folder.ReadFile(addressesFile)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	err = json.Unmarshal(data, &addresses)
+	return addresses, errors.Wrap(err, "read the addresses of other nodes")
+}
+
+// addressService keeps the addresses of other nodes with disks in the data
+// folder.
+type addressService struct {
+	storage *storage
+	driver  *control.Driver
+	log     *logrus.Entry
+}
+
+// Serve implements suture.Service.
+func (s *addressService) Serve(ctx context.Context) error {
+	written, _ := readAddresses(s.storage.disk)
+	ticker := time.NewTicker(addressesEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			written = s.write(written)
+		}
+	}
+}
+
+// write brings the file up to date, and returns what it holds. A node that knows
+// nobody else keeps what it knew: it may be cut off.
+func (s *addressService) write(written []string) []string {
+	addresses := s.driver.DiskAddresses()
+	if len(addresses) == 0 || slices.Equal(addresses, written) {
+		return written
+	}
+	data, err := json.Marshal(addresses)
+	if err == nil {
+		err = s.storage.disk.WriteFile(addressesFile, data)
+	}
+	if err != nil {
+		s.log.WithError(err).Warn("cannot write the addresses of other nodes; free space in the data folder")
+		return written
+	}
+	return addresses
+}
+
+// String implements fmt.Stringer for the supervisor's messages.
+func (s *addressService) String() string {
+	return "addresses of other nodes"
+}
--- /dev/null
+++ b/internal/node/founding_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+var _ = Describe("A data folder of nodes that find each other through seeds", func() {
+	seeds := []string{"127.1.3.1:7100", "127.1.1.1:7100", "127.1.2.1:7100"}
+	var settings *static.Settings
+
+	BeforeEach(func() {
+		settings = &static.Settings{
+			Node:          "core-1",
+			Internal:      "127.1.1.1:7100",
+			Seeds:         seeds,
+			Founding:      true,
+			DataFolder:    filepath.Join(GinkgoT().TempDir(), "data"),
+			ServiceShards: 1,
+		}
+	})
+
+	// foundersAtStart opens the folder as a start does.
+	foundersAtStart := func() []string {
+		opened, err := openStorage(settings)
+		ExpectWithOffset(1, err).NotTo(HaveOccurred())
+		defer opened.close()
+		config := controlConfig(settings, opened)
+		var group []string
+		for _, id := range config.Group {
+			group = append(group, string(id))
+		}
+		Expect(config.Seeded).To(BeTrue())
+		Expect(string(config.Self.ID)).To(Equal(settings.Internal))
+		return group
+	}
+
+	It("forms the groups at the first start, in an order of its own, and keeps the founders", func() {
+		founders := slices.Sorted(slices.Values(seeds))
+		Expect(foundersAtStart()).To(Equal(founders))
+		Expect(lifeAtStart(settings)).To(Equal(uint64(replication.FoundingLife)))
+		settings.Founding = false
+		settings.Seeds = []string{"127.1.9.1:7100"}
+		Expect(foundersAtStart()).To(Equal(founders))
+		Expect(lifeAtStart(settings)).To(Equal(uint64(replication.FoundingLife)))
+	})
+
+	DescribeTable("joins with a life of its own", func(change func()) {
+		change()
+		Expect(foundersAtStart()).To(BeEmpty())
+		life := lifeAtStart(settings)
+		Expect(life).NotTo(Equal(uint64(replication.FoundingLife)))
+		settings.Founding = true
+		settings.Seeds = seeds
+		Expect(foundersAtStart()).To(BeEmpty(), "a folder in use forms nothing")
+		Expect(lifeAtStart(settings)).To(Equal(life))
+	},
+		Entry("without founding", func() { settings.Founding = false }),
+		Entry("beside the seeds", func() { settings.Seeds = seeds[:1] }),
+	)
+
+	It("forms nothing after a loss, also while the settings still say so", func() {
+		Expect(foundersAtStart()).NotTo(BeEmpty())
+		By("losing the files of a shard")
+		files, err := filepath.Glob(filepath.Join(settings.DataFolder, "shard-001*"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, file := range files {
+			Expect(os.Remove(file)).To(Succeed())
+		}
+		Expect(foundersAtStart()).To(BeEmpty())
+		Expect(lifeAtStart(settings)).NotTo(Equal(uint64(replication.FoundingLife)))
+	})
+
+	It("forms nothing beside files of which it does not know", func() {
+		Expect(os.MkdirAll(settings.DataFolder, 0o700)).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(settings.DataFolder, "shard-000.slot0"), nil, 0o600)).To(Succeed())
+		opened, err := openStorage(settings)
+		if err == nil {
+			defer opened.close()
+			Expect(opened.founders).To(BeEmpty())
+		}
+	})
+
+	It("is not initialised by a command, and is refused under another address", func() {
+		Expect(Initialise(settings)).To(MatchError(ContainSubstring("set founding")))
+		Expect(foundersAtStart()).NotTo(BeEmpty())
+		settings.Internal = "127.1.4.1:7100"
+		_, err := openStorage(settings)
+		Expect(err).To(BeAssignableToTypeOf(&ForeignDataError{}))
+	})
+})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,13 +46,15 @@
 	health    *health
 	commander *commander
 	lists     *lists
+	// seeds are those in use.
+	seeds []string
 }
 
 // New builds a node from checked settings and the protocols that it speaks. It
 // listens for other nodes at once, and for callers and operators when Run is
 // called.
 func New(settings *static.Settings, edges Edges, log *logrus.Entry) (*Node, error) {
-	node := &Node{settings: settings, edges: edges.withDefaults(settings.PlatformAddress), log: log, health: &health{}}
+	node := &Node{settings: settings, edges: edges.withDefaults(settings.PlatformAddress), log: log, health: &health{}, seeds: settings.Seeds}
 	if err := node.build(); err != nil {
 		node.close()
 		return nil, err
@@ -69,7 +72,7 @@
 	source := &lateSource{}
 	n.dataplane, err = dataplane.New(dataplane.Options{
 		Node:         n.settings.Node,
-		Member:       member.ID(n.settings.Node),
+		Member:       member.ID(n.settings.MemberID()),
 		Zone:         n.settings.Zone,
 		Peers:        source.peers,
 		Address:      n.settings.Traffic,
@@ -137,6 +140,7 @@
 	}
 	n.transport = listening
 	n.driver = control.NewDriver(machine, control.DriverOptions{
+		TickEvery:  n.settings.TickEvery(),
 		Deployment: n.settings.Deployment,
 		Clock:      clock.SinceBoot,
 		Sender:     listening,
@@ -184,6 +188,9 @@
 	supervisor := suture.New("node "+n.settings.Node, suture.Spec{EventHook: n.logEvent})
 	supervisor.Add(&controlService{driver: n.driver})
 	supervisor.Add(n.sharer)
+	if n.storage.disk != nil && n.settings.Seeded() {
+		supervisor.Add(&addressService{storage: n.storage, driver: n.driver, log: n.log})
+	}
 	finished := make(chan struct{})
 	ended := supervisor.ServeBackground(ctx)
 	go func() {
@@ -201,6 +208,7 @@
 // and ends within the drain time.
 func (n *Node) drain() {
 	n.health.draining.Store(true)
+	n.driver.HandOver()
 	time.Sleep(min(readinessNotice, n.settings.DrainTimeout()/2))
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout())
 	defer cancel()
@@ -236,7 +244,7 @@
 func controlConfig(settings *static.Settings, disk *storage) control.Config {
 	config := control.Config{
 		Self: member.Info{
-			ID:             member.ID(settings.Node),
+			ID:             member.ID(settings.MemberID()),
 			Address:        settings.Internal,
 			TrafficAddress: settings.Traffic,
 			ControlAddress: settings.Control,
@@ -244,16 +252,21 @@
 			HoldsState:     settings.HoldsState(),
 			Incarnation:    member.Incarnation(time.Now().UnixMilli()),
 		},
-		Seeds:         settings.Seeds,
+		Seeds:         disk.seeds(settings),
+		Seeded:        settings.Seeded(),
+		FailOpen:      settings.FailOpen,
 		ServiceShards: uint32(settings.ServiceShards),
 		Life:          disk.life,
 		Times:         control.DefaultTimes(),
 	}
+	if settings.FailOpen {
+		config.Times = control.FailOpenTimes(settings.Contact(), settings.Acknowledge())
+	}
 	config.Times.HeartbeatEvery = settings.HeartbeatEvery()
 	config.Times.ListReadEvery = settings.PlatformPollEvery()
 	config.Times.CommandGap = settings.CommandGap()
 	config.Times.WeightsDeadline = settings.WeightsDeadline()
-	for _, name := range settings.Group {
+	for _, name := range slices.Concat(settings.Group, disk.founders) {
 		config.Group = append(config.Group, member.ID(name))
 	}
 	config.GroupZones = groupZones(settings)
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io/fs"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +26,9 @@
 	// Life tells the folders apart that the node has had; a founder's first is
 	// replication.FoundingLife.
 	Life uint64 `json:"life"`
+	// Founders are the founding voters of the groups that the node has helped to
+	// form through seeds; empty on a node that joined them.
+	Founders []string `json:"founders,omitempty"`
 	// Shards is how many shards have files in the folder, from shard 0 on. It is
 	// written after the files, and before anything is sent of their shards.
 	Shards uint32 `json:"shards,omitempty"`
@@ -50,6 +54,9 @@
 	// life names the folder. The node may have voted under another one that
 	// was lost; what it promised then counts for that folder's life only.
 	life uint64
+	// founders are the founding voters if the node is one of them, and the groups
+	// were formed through seeds.
+	founders []string
 }
 
 // openStorage opens the data folder, if the settings name one.
@@ -82,12 +89,13 @@
 	if !initialised || !whole {
 		// What the folder had promised for a shard whose files are gone is not
 		// known any more, so that it must not vote under its former life.
-		kept, err = beginLife(s.disk, settings)
+		kept, err = s.begin(settings, initialised)
 	}
 	if err != nil {
 		return err
 	}
 	s.life = kept.Life
+	s.founders = kept.Founders
 	for shard := uint32(0); shard <= uint32(settings.ServiceShards); shard++ {
 		if err := s.openShard(shard); err != nil {
 			return errors.Wrapf(err, "open shard %d in %s", shard, settings.DataFolder)
@@ -100,6 +108,30 @@
 	return nil
 }
 
+// begin makes the identity of a folder durable that can't vote under a former
+// life. A group is formed only in a folder that nothing was ever written to.
+func (s *storage) begin(settings *static.Settings, used bool) (identity, error) {
+	empty, err := s.disk.Empty()
+	if err != nil {
+		return identity{}, err
+	}
+	if settings.Founder() && !used && empty {
+		return foundGroups(s.disk, settings)
+	}
+	return beginLife(s.disk, settings)
+}
+
+// foundGroups makes the identity of a founder durable. The order of the founders
+// must not depend on that of the seeds in the settings.
+func foundGroups(folder *disk.Disk, settings *static.Settings) (identity, error) {
+	made := identity{
+		Node:     settings.MemberID(),
+		Life:     replication.FoundingLife,
+		Founders: slices.Sorted(slices.Values(settings.Seeds)),
+	}
+	return made, made.write(folder)
+}
+
 // openShard reads what the folder kept of a shard. A first checkpoint is written
 // of it, so that a loss of the files shows at a later start.
 func (s *storage) openShard(shard uint32) error {
@@ -179,7 +211,7 @@
 // writeIdentity makes the identity of an empty folder durable, which comes
 // before anything is sent under it.
 func writeIdentity(folder *disk.Disk, settings *static.Settings, life uint64) (identity, error) {
-	made := identity{Node: settings.Node, Life: life}
+	made := identity{Node: settings.MemberID(), Life: life}
 	return made, made.write(folder)
 }
 
@@ -204,8 +236,8 @@
 	if err := json.Unmarshal(data, &kept); err != nil {
 		return identity{}, false, errors.Wrapf(err, "read %s in %s; restore the folder or replace the node", identityFile, settings.DataFolder)
 	}
-	if kept.Node != settings.Node {
-		return identity{}, false, &ForeignDataError{Folder: settings.DataFolder, Found: kept.Node, Want: settings.Node}
+	if kept.Node != settings.MemberID() {
+		return identity{}, false, &ForeignDataError{Folder: settings.DataFolder, Found: kept.Node, Want: settings.MemberID()}
 	}
 	if kept.Life == 0 {
 		// Written by init before lives were numbered.
@@ -221,6 +253,9 @@
 	if !settings.HoldsState() {
 		return errors.New("the settings name no data_folder; only nodes with disks are initialised")
 	}
+	if settings.Seeded() {
+		return errors.New("the settings name no group; set founding at the first start of the nodes instead of running init")
+	}
 	folder, err := disk.Open(settings.DataFolder)
 	if err != nil {
 		return err
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -45,8 +45,8 @@
 	MaxGroup = 15
 	// MaxServiceShards bounds the shards of service state.
 	MaxServiceShards = 1024
-	// MinContact leaves time for several heartbeats.
-	MinContact = 500 * time.Millisecond
+	// MinContact leaves time for several heartbeats and an election.
+	MinContact = 2 * time.Second
 	// MaxContact bounds how long a silent node counts as in contact.
 	MaxContact = time.Minute
 	// MinAcknowledge leaves time for an election.
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -50,6 +50,17 @@
 	return joinPatienceFences * m.config.FenceAfter
 }
 
+// SetSeeds replaces the addresses to join through. A node that has joined needs
+// them to find the other side of a split alone.
+func (m *Machine) SetSeeds(now time.Duration, seeds []string) []Outbound {
+	m.advance(now)
+	m.config.Seeds = slices.Clone(seeds)
+	for _, seed := range m.unknownSeeds() {
+		m.askSeed(seed)
+	}
+	return m.flush()
+}
+
 func (m *Machine) askSeed(address string) {
 	m.outbox = append(m.outbox, Outbound{
 		Address: address,
--- a/pkg/relaytree/spread.go
+++ b/pkg/relaytree/spread.go
@@ -53,6 +53,22 @@
 	m.sendPart(way)
 }
 
+// Feed sends a member what it lacks of a topic, whatever its place in the tree: for
+// a publisher that knows better than the tree whom an update did not reach. A
+// member that is known to hold nothing of a large state is left to its parent.
+func (m *Machine) Feed(to member.ID, topic Topic) []Outbound {
+	held := m.held[topic]
+	if held == nil || to == m.config.Self {
+		return nil
+	}
+	base, heard := m.known[link{to: to, topic: topic}]
+	if heard && base == 0 && held.size > m.config.PartBytes {
+		return nil
+	}
+	m.feed(to, topic)
+	return m.flush()
+}
+
 func (m *Machine) sendPart(way link) {
 	flying := m.inFlight[way]
 	flying.sentAt = m.now
