--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -244,6 +244,7 @@
 			m.commandDone(work, command, outcome)
 		}
 	}
+	m.rollOutSoon()
 	return m.take()
 }
 
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -66,6 +66,9 @@
 	if registered := command.GetRegisterNode(); registered != nil {
 		m.confirmed.forgetOlder(hosted.id, member.ID(registered.GetNode()), member.Incarnation(registered.GetIncarnation()))
 	}
+	if command.GetSetReplicas() != nil {
+		m.nextRollout = m.now
+	}
 	open, found := hosted.proposals[index]
 	if !found {
 		return
@@ -99,6 +102,7 @@
 		m.receiveWitnessReply(from, message)
 	case protocol.MessageConfirm:
 		m.confirmed.record(from, message)
+		m.rollOutSoon()
 	case protocol.MessageAskConfirm:
 		m.sendControl(from, m.ownConfirmation())
 	case protocol.MessageList:
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -52,6 +52,16 @@
 	m.output.Reports = append(m.output.Reports, ReportRequest{Address: address, Instance: instance})
 }
 
+// askReportNow asks a replica that answered last time without the usual pause, since
+// only a report from now on tells what is waited for.
+func (m *Machine) askReportNow(address, instance string) {
+	if ask := m.backends.asks[address]; ask != nil && ask.failures == 0 {
+		ask.asking = false
+		ask.next = m.now
+	}
+	m.askReport(address, instance)
+}
+
 // SetReplicaReport takes what a replica said of itself.
 func (m *Machine) SetReplicaReport(now time.Duration, report ReplicaReport) Output {
 	m.now = now
@@ -61,6 +71,7 @@
 		ask.failures = 0
 		ask.next = ask.askedAt + reportEvery
 	}
+	m.rollOutSoon()
 	return m.take()
 }
 
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// rollOutSoon has the next moves looked for at the next tick, if any replica is being
+// moved: something that one may wait for has come.
+func (m *Machine) rollOutSoon() {
+	for _, hosted := range m.shards {
+		if len(hosted.rollout.work) > 0 {
+			m.nextRollout = m.now
+			return
+		}
+	}
+}
+
 // tickRollouts lets each shard that this node owns make its next moves.
 func (m *Machine) tickRollouts() {
 	if m.now < m.nextRollout {
--- a/internal/control/rolloutrows.go
+++ b/internal/control/rolloutrows.go
@@ -82,6 +82,7 @@
 	if !work.drained {
 		work.drained = true
 		work.drainedSince = m.now
+		m.askReportNow(replica.Address, replica.Instance)
 		return nil
 	}
 	report, known := m.backends.reports[replica.Address]
--- a/internal/lab/sim/deployment.go
+++ b/internal/lab/sim/deployment.go
@@ -107,6 +107,9 @@
 			version:     firstWeights,
 			lastVersion: firstWeights,
 		}
+		if number%2 == 1 {
+			one.measureEvery = measureEvery
+		}
 		w.replicas[one.address] = one
 		service.replicas = append(service.replicas, &listedReplica{replica: one})
 	}
