--- a/cmd/ridgeswitch-lab/sim.go
+++ b/cmd/ridgeswitch-lab/sim.go
@@ -32,6 +32,7 @@
 			&cli.IntFlag{Name: "jobs", Usage: "seeds that run at once", Value: runtime.NumCPU()},
 			&cli.StringFlag{Name: "break", Usage: "mechanism to switch off; list names them"},
 			&cli.StringSliceFlag{Name: "faults", Usage: "kinds of faults to choose from; all if none is given"},
+			&cli.BoolFlag{Name: "finish-first", Usage: "simulate replicas that finish their requests before they load weights, and a list that names incarnations and versions"},
 			&cli.IntFlag{Name: "stop-after", Usage: "end after this many failing seeds; 0 runs all", Value: 0},
 			&cli.BoolFlag{Name: "timeline", Usage: "print the timeline of the first failing seed, or of a single seed", Value: true},
 		},
@@ -85,13 +86,14 @@
 		return sim.Campaign{}, errors.Errorf("--virtual %v leaves no time for faults; use at least %v", virtual, sim.MinVirtual)
 	}
 	return sim.Campaign{
-		First:     first,
-		Last:      last,
-		Virtual:   virtual,
-		Break:     mechanism,
-		Faults:    faults,
-		Jobs:      command.Int("jobs"),
-		StopAfter: command.Int("stop-after"),
+		First:       first,
+		Last:        last,
+		Virtual:     virtual,
+		Break:       mechanism,
+		Faults:      faults,
+		FinishFirst: command.Bool("finish-first"),
+		Jobs:        command.Int("jobs"),
+		StopAfter:   command.Int("stop-after"),
 	}, nil
 }
 
--- a/internal/control/lists.go
+++ b/internal/control/lists.go
@@ -89,6 +89,9 @@
 	return readAt + remaining
 }
 
+// ReadsList tells whether this node reads the platform's list for the others.
+func (m *Machine) ReadsList() bool { return m.list.Reads() }
+
 func (m *Machine) tickList() {
 	m.takeListing(m.list.Tick(m.now))
 	m.noteFreshList()
--- a/internal/lab/sim/backendfaults.go
+++ b/internal/lab/sim/backendfaults.go
@@ -19,7 +19,7 @@
 	}
 	victim.crash()
 	version := victim.lastVersion
-	if w.chance(0.5) {
+	if w.chance(0.5) && !w.settings.FinishFirst {
 		version = firstWeights
 	}
 	w.after(w.lasting(500*time.Millisecond, 4*time.Second), func() { victim.restart(version) })
--- a/internal/lab/sim/breaks.go
+++ b/internal/lab/sim/breaks.go
@@ -46,6 +46,16 @@
 	// BreakNoWitnessFloor keeps what witnesses hold from the members of a group
 	// that is formed anew.
 	BreakNoWitnessFloor Break = "no-witness-floor"
+	// BreakReaderNeverReplaced gives the platform's list to the first node that read
+	// it, and to no other.
+	BreakReaderNeverReplaced Break = "reader-never-replaced"
+	// BreakTokenReused leaves the term out of the tokens of commands.
+	BreakTokenReused Break = "token-reused"
+	// BreakNoCommandGap has a new owner not wait for the last command of the one
+	// before.
+	BreakNoCommandGap Break = "no-command-gap"
+	// BreakVersionIgnored has replicas run requests that expect other weights.
+	BreakVersionIgnored Break = "version-ignored"
 )
 
 // Breaks lists what can be switched off.
@@ -64,6 +74,10 @@
 		BreakDrainIgnoresRunning,
 		BreakCommandAfterDeadline,
 		BreakNoWitnessFloor,
+		BreakReaderNeverReplaced,
+		BreakTokenReused,
+		BreakNoCommandGap,
+		BreakVersionIgnored,
 	}
 }
 
--- a/internal/lab/sim/deployment.go
+++ b/internal/lab/sim/deployment.go
@@ -104,8 +104,8 @@
 			pool:        pool,
 			up:          true,
 			incarnation: 1,
-			version:     firstWeights,
-			lastVersion: firstWeights,
+			version:     w.firstWeights(),
+			lastVersion: w.firstWeights(),
 		}
 		if number%2 == 1 {
 			one.measureEvery = measureEvery
@@ -116,6 +116,14 @@
 	w.platform.services = append(w.platform.services, service)
 }
 
+// firstWeights is the version that all replicas run at first.
+func (w *simulation) firstWeights() string {
+	if w.settings.FinishFirst {
+		return "1"
+	}
+	return firstWeights
+}
+
 // firstConfiguration is what the first order applies.
 func (w *simulation) firstConfiguration() *ridgeswitchv1.Configuration {
 	configuration := &ridgeswitchv1.Configuration{
@@ -134,7 +142,7 @@
 			Name:             pool,
 			Model:            pool,
 			Service:          pool,
-			WeightVersion:    firstWeights,
+			WeightVersion:    w.firstWeights(),
 			RequestTimeoutMs: 60000,
 		})
 		configuration.Routes = append(configuration.Routes, &ridgeswitchv1.Route{
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -88,6 +88,11 @@
 	n.life++
 	n.correctSeeds()
 	n.info.Incarnation = n.incarnation()
+	times := control.DefaultTimes()
+	times.WeightsDeadline = n.world.weightsDeadline()
+	if n.world.broken(BreakNoCommandGap) {
+		times.CommandGap = 0
+	}
 	machine, err := control.New(control.Config{
 		Self:          n.info,
 		Seeds:         n.seeds,
@@ -95,8 +100,10 @@
 		ServiceShards: n.world.serviceShards,
 		GroupZones:    n.world.groupZones,
 		Life:          n.diskLife(),
-		Times:         control.DefaultTimes(),
+		Times:         times,
 		MaxLogEntries: maxLogEntries,
+
+		ReplicasFinishFirst: n.world.settings.FinishFirst,
 	}, restored, n, n.now())
 	if err != nil {
 		n.world.violate("restart", "%s cannot start from its disk: %v", n.info.ID, err)
--- a/internal/lab/sim/orders.go
+++ b/internal/lab/sim/orders.go
@@ -85,6 +85,9 @@
 func (w *simulation) nameWeights(base uint64, pool string) *operatorOrder {
 	header := w.header(base)
 	version := "w" + header.GetOrderId()
+	if w.settings.FinishFirst {
+		version = fmt.Sprint(1 + w.operators.named)
+	}
 	content, err := dynamic.OrderFromRequest(&ridgeswitchv1.NameWeightsRequest{Order: header, Pool: pool, WeightVersion: version})
 	return newOrder(content, err, checker.Change{Kind: checker.ChangeWeights, Pool: pool, WeightVersion: version})
 }
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -34,6 +34,9 @@
 	Break   Break
 	// Faults names the kinds of faults to choose from; none stands for all.
 	Faults []string
+	// FinishFirst simulates replicas that finish their requests before they load
+	// weights, and a platform's list that names incarnations and versions.
+	FinishFirst bool
 	// Timeline records what happens on each node.
 	Timeline bool
 }
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -55,6 +55,13 @@
 	OrdersRefused uint64 `json:"orders_refused"`
 	Resends       uint64 `json:"resends"`
 	Commands      uint64 `json:"commands"`
+	// Refusals counts requests that replicas did not run, as they expected other
+	// weights.
+	Refusals uint64 `json:"requests_refused_by_replicas"`
+	// ListReadings counts readings of the platform's list, and Reports those of
+	// replicas' reports.
+	ListReadings uint64 `json:"list_readings"`
+	Reports      uint64 `json:"reports"`
 	// Undecided counts the histories of orders that were too hard to judge.
 	Undecided     uint64            `json:"histories_undecided"`
 	StaleCommands uint64            `json:"stale_commands_refused"`
--- a/internal/lab/sim/traffic.go
+++ b/internal/lab/sim/traffic.go
@@ -127,13 +127,20 @@
 		r.end()
 		return
 	}
+	if target.refuses(r) {
+		r.node.world.counts.Refusals++
+		r.end()
+		return
+	}
 	r.node.world.checks.arrived(r)
+	r.node.world.checks.begun(r)
 	target.active++
 	incarnation := target.incarnation
 	world := r.node.world
 	world.after(world.runTime(), func() {
 		if target.incarnation == incarnation && target.up {
 			target.active--
+			target.loadWhenIdle()
 		}
 		world.after(minLatency+world.upTo(replicaLatency), r.end)
 	})
