--- a/internal/control/rolloutrows.go
+++ b/internal/control/rolloutrows.go
@@ -82,10 +82,11 @@
 	if !work.drained {
 		work.drained = true
 		work.drainedSince = m.now
+		m.askReportNow(replica.Address, replica.Instance)
 		return nil
 	}
 	report, known := m.backends.reports[replica.Address]
-	if !known || report.MeasuredAt <= work.drainedSince || report.ActiveRequests > 0 {
+	if !known || report.MeasuredAt < work.drainedSince || report.ActiveRequests > 0 {
 		return nil
 	}
 	if versionReached(report.WeightVersion, rolling.target()) {
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -114,6 +114,11 @@
 
 // controlConfig is what the daemon makes of its settings and its data folder.
 func (n *node) controlConfig() control.Config {
+	times := control.DefaultTimes()
+	times.WeightsDeadline = n.world.weightsDeadline()
+	if n.world.broken(BreakNoCommandGap) {
+		times.CommandGap = 0
+	}
 	config := control.Config{
 		Self:          n.info,
 		Seeds:         n.seeds,
@@ -121,8 +126,10 @@
 		ServiceShards: n.world.serviceShards,
 		GroupZones:    n.world.groupZones,
 		Life:          n.diskLife(),
-		Times:         control.DefaultTimes(),
+		Times:         times,
 		MaxLogEntries: maxLogEntries,
+
+		ReplicasFinishFirst: n.world.settings.FinishFirst,
 	}
 	if n.world.settings.FailOpen {
 		n.openConfig(&config)
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -37,6 +37,9 @@
 	FailOpen bool
 	// Faults names the kinds of faults to choose from; none stands for all.
 	Faults []string
+	// FinishFirst simulates replicas that finish their requests before they load
+	// weights, and a platform's list that names incarnations and versions.
+	FinishFirst bool
 	// Timeline records what happens on each node.
 	Timeline bool
 }
