--- a/cmd/ridgeswitch-lab/bench.go
+++ b/cmd/ridgeswitch-lab/bench.go
@@ -17,7 +17,7 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure parts of the product",
-		Commands: []*cli.Command{benchRoutingCommand(), benchProxyCommand()},
+		Commands: []*cli.Command{benchRoutingCommand(), benchEngineCommand(), benchProxyCommand()},
 	}
 }
 
--- /dev/null
+++ b/internal/lab/enginebench/policy.go
@@ -0,0 +1,146 @@
+package enginebench
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+// Policy names a way to choose replicas.
+type Policy string
+
+// The policies.
+const (
+	Random          Policy = "random"
+	LeastRequests   Policy = "least requests"
+	Rendezvous      Policy = "rendezvous, bounded load"
+	RendezvousStore Policy = "rendezvous, priority, store"
+	LeastStore      Policy = "least requests, priority, store"
+	Router          Policy = "router"
+	RouterNoStore   Policy = "router, no store"
+	RouterNoShare   Policy = "router, no shared load"
+)
+
+// Policies returns all policies.
+func Policies() []Policy {
+	return []Policy{Random, LeastRequests, Rendezvous, RendezvousStore, LeastStore, Router, RouterNoStore, RouterNoShare}
+}
+
+func (p Policy) usesStore() bool {
+	return p == RendezvousStore || p == LeastStore || p == Router || p == RouterNoShare
+}
+
+func (p Policy) isRouter() bool { return p == Router || p == RouterNoStore || p == RouterNoShare }
+
+// placement is where a node sends a request.
+type placement struct {
+	replica     int
+	priority    uint8
+	source      *holder
+	save        bool
+	reservation *kvrouter.Reservation
+}
+
+// node is a router that sees its share of the requests.
+type node interface {
+	place(now time.Duration, arrival *arrival) (placed placement, again time.Duration)
+	first(now time.Duration, placed *placement)
+	done(now time.Duration, placed *placement)
+	changes(now time.Duration, address string, position kvrouter.Feed, changes []kvrouter.PartChange)
+	report(now time.Duration, address string, report kvrouter.Report)
+	loads(now time.Duration) []kvrouter.AddressLoad
+	remoteLoads(now time.Duration, from int, loads []kvrouter.AddressLoad)
+}
+
+func newNode(s *simulation, number int) node {
+	if s.settings.Policy.isRouter() {
+		return newRouterNode(s, number)
+	}
+	return &simpleNode{
+		sim:     s,
+		policy:  s.settings.Policy,
+		random:  rand.New(rand.NewPCG(s.settings.Seed, uint64(number)+100)),
+		running: make([]int, len(s.replicas)),
+	}
+}
+
+// simpleNode knows its own requests only.
+type simpleNode struct {
+	sim     *simulation
+	policy  Policy
+	random  *rand.Rand
+	running []int
+}
+
+// boundedLoad is the most requests of a replica relative to the mean.
+const boundedLoad = 1.25
+
+func (n *simpleNode) place(_ time.Duration, arrival *arrival) (placement, time.Duration) {
+	placed := placement{priority: 5}
+	switch n.policy {
+	case Random:
+		placed.replica = n.random.IntN(len(n.running))
+	case LeastRequests, LeastStore:
+		placed.replica = n.least()
+	default:
+		placed.replica = n.rendezvous(arrival.parts[0].ID)
+	}
+	if n.policy.usesStore() {
+		placed.priority = arrival.class.Priority
+		placed.source = n.sim.store
+		placed.save = true
+	}
+	n.running[placed.replica]++
+	return placed, 0
+}
+
+func (n *simpleNode) least() int {
+	offset := n.random.IntN(len(n.running))
+	best := offset
+	for step := range n.running {
+		number := (offset + step) % len(n.running)
+		if n.running[number] < n.running[best] {
+			best = number
+		}
+	}
+	return best
+}
+
+func (n *simpleNode) rendezvous(part string) int {
+	total := 1
+	for _, running := range n.running {
+		total += running
+	}
+	bound := boundedLoad * float64(total) / float64(len(n.running))
+	best, highest := -1, uint64(0)
+	for number, running := range n.running {
+		if float64(running) >= max(bound, 1) {
+			continue
+		}
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(part))
+		_, _ = hash.Write([]byte(n.sim.replicas[number].address))
+		mixed := hash.Sum64() * 0x9E3779B97F4A7C15
+		if best < 0 || mixed > highest {
+			best, highest = number, mixed
+		}
+	}
+	if best < 0 {
+		return n.least()
+	}
+	return best
+}
+
+func (n *simpleNode) first(time.Duration, *placement) {}
+
+func (n *simpleNode) done(_ time.Duration, placed *placement) { n.running[placed.replica]-- }
+
+func (n *simpleNode) changes(time.Duration, string, kvrouter.Feed, []kvrouter.PartChange) {}
+
+func (n *simpleNode) report(time.Duration, string, kvrouter.Report) {}
+
+func (n *simpleNode) loads(time.Duration) []kvrouter.AddressLoad { return nil }
+
+func (n *simpleNode) remoteLoads(time.Duration, int, []kvrouter.AddressLoad) {}
--- /dev/null
+++ b/internal/lab/enginebench/profile.go
@@ -0,0 +1,117 @@
+package enginebench
+
+import "time"
+
+// Engine is how a replica runs requests. Times are in milliseconds.
+type Engine struct {
+	Slots        int
+	MemoryTokens int
+	StepBase     float64
+	StepPerSlot  float64
+	// ContextPerThousand is the time per step and thousand tokens of context.
+	ContextPerThousand float64
+	// PrefillTokens are the tokens of prompts read in a millisecond.
+	PrefillTokens float64
+	// PairsPerMillion is the time for a million pairs of a read token and one
+	// before it.
+	PairsPerMillion float64
+	First           float64
+	// Stride is the number of tokens in an event.
+	Stride        int
+	Chunk         int
+	BytesPerToken float64
+	LinkBits      float64
+	StoreBits     float64
+	StoreTokens   int
+	MoveSetup     float64
+}
+
+// Class is one kind of request.
+type Class struct {
+	Name string
+	// PerSecond is the rate at a load of 1.
+	PerSecond float64
+	// Shared are the parts that requests share.
+	Shared []SharedPart
+	// Own is the mean of the own part, with the spread of its logarithm.
+	Own, OwnSpread, OwnMost float64
+	Out, OutSpread          float64
+	Aim, Deadline           time.Duration
+	Worth, LateWorth        float64
+	Priority                uint8
+}
+
+// SharedPart is a part drawn from a number of things.
+type SharedPart struct {
+	Things               int
+	Skew                 float64
+	Tokens, Spread, Most float64
+}
+
+// Profile is a fleet and what is asked of it.
+type Profile struct {
+	Name     string
+	Engine   Engine
+	Replicas int
+	Zones    int
+	// Slowness are the speeds that replicas get in turn.
+	Slowness []float64
+	Nodes    int
+	Classes  []Class
+}
+
+func harborEngine() Engine {
+	return Engine{
+		Slots: 64, MemoryTokens: 164044, StepBase: 4.63, StepPerSlot: 0.153,
+		ContextPerThousand: 0.00275, PrefillTokens: 37.9, PairsPerMillion: 0.248, First: 19,
+		Stride: 5, Chunk: 2048, BytesPerToken: 18432, LinkBits: 370e9, StoreBits: 37e9,
+		StoreTokens: 2_309_790, MoveSetup: 5,
+	}
+}
+
+func shared13(things int) []SharedPart {
+	return []SharedPart{{Things: things, Skew: 0.3, Tokens: 13300, Spread: 0.7, Most: 39900}}
+}
+
+func twoParts() []SharedPart {
+	return []SharedPart{
+		{Things: 4, Tokens: 2520, Spread: 0.4, Most: 6290},
+		{Things: 66, Skew: 0.3, Tokens: 3780, Spread: 0.7, Most: 11300},
+	}
+}
+
+func shortParts() []SharedPart {
+	return []SharedPart{
+		{Things: 40, Tokens: 210, Spread: 0.4, Most: 524},
+		{Things: 155, Skew: 0.3, Tokens: 140, Spread: 0.7, Most: 419},
+	}
+}
+
+// Profiles returns the fleets of the comparison: one with more memory and speed
+// and wider aims, and one with less.
+func Profiles() []Profile {
+	large := harborEngine()
+	large.MemoryTokens = 188_939
+	large.StepBase, large.StepPerSlot = 6.55, 0.2
+	large.PrefillTokens, large.BytesPerToken = 62.4, 35136
+	large.LinkBits, large.StoreBits = 740e9, 74e9
+	large.StoreTokens = 2_600_000
+	return []Profile{
+		{
+			Name: "large", Engine: large, Replicas: 18, Zones: 4, Nodes: 9, Slowness: []float64{1, 1, 1.3},
+			Classes: []Class{
+				{Name: "long", PerSecond: 18.9, Shared: shared13(94), Own: 3720, OwnSpread: 1.1, OwnMost: 53200, Out: 40, OutSpread: 1.4, Aim: time.Second, Deadline: 12 * time.Second, Worth: 3, LateWorth: 0.9, Priority: 0},
+				{Name: "middle", PerSecond: 15.3, Shared: twoParts(), Own: 2890, OwnSpread: 1, OwnMost: 39600, Out: 17, OutSpread: 1.4, Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Worth: 2, LateWorth: 0.6, Priority: 1},
+				{Name: "short", PerSecond: 20.5, Shared: shortParts(), Own: 1110, OwnSpread: 1, OwnMost: 3790, Out: 57, OutSpread: 0.9, Aim: 2 * time.Second, Deadline: 15 * time.Second, Worth: 1, LateWorth: 0.3, Priority: 2},
+			},
+		},
+		{
+			Name: "small", Engine: harborEngine(), Replicas: 18, Zones: 3, Nodes: 8, Slowness: []float64{1, 1, 1.3},
+			Classes: []Class{
+				{Name: "long", PerSecond: 13.3, Shared: shared13(94), Own: 3720, OwnSpread: 1.1, OwnMost: 53200, Out: 24, OutSpread: 1.4, Aim: time.Second, Deadline: 10 * time.Second, Worth: 2, LateWorth: 0.6, Priority: 1},
+				{Name: "middle", PerSecond: 9.4, Shared: twoParts(), Own: 2890, OwnSpread: 1, OwnMost: 39600, Out: 10, OutSpread: 1.4, Aim: 800 * time.Millisecond, Deadline: 5 * time.Second, Worth: 3, LateWorth: 0.9, Priority: 0},
+				{Name: "short", PerSecond: 14.7, Shared: shortParts(), Own: 1110, OwnSpread: 1, OwnMost: 3790, Out: 34, OutSpread: 0.9, Aim: 600 * time.Millisecond, Deadline: 10 * time.Second, Worth: 1, LateWorth: 0.3, Priority: 2},
+			},
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/enginebench/replica.go
@@ -0,0 +1,339 @@
+package enginebench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// run is a request on a replica.
+type run struct {
+	arrival  *arrival
+	order    int
+	priority uint8
+	// pinned are the parts that it holds on to.
+	pinned []string
+	// reserved are its own tokens in memory, and read its tokens to be read.
+	reserved int
+	read     int
+	unread   int
+	produced int
+	running  bool
+	// source is where it pulls from first, and save whether it saves.
+	source *holder
+	save   bool
+	first  func(now time.Duration)
+	done   func(now time.Duration)
+	// firstTold and wasted tell of the first event, and of tokens read twice
+	// because of preemption.
+	firstTold bool
+}
+
+// holder is a replica or the store, as the end of a move.
+type holder struct {
+	address string
+	zone    int
+	memory  *memory
+	// linkFree is when its moves so far have ended.
+	linkFree time.Duration
+	bits     float64
+	feed     feedLog
+}
+
+// replica is the model of one replica.
+type replica struct {
+	holder
+	engine   *Engine
+	slow     float64
+	sim      *simulation
+	waiting  []*run
+	active   []*run
+	stepping bool
+	orders   int
+}
+
+// submit takes a request, whose pull comes first.
+func (r *replica) submit(now time.Duration, request *run) {
+	r.orders++
+	request.order = r.orders
+	if request.source == nil {
+		r.enqueue(now, request)
+		return
+	}
+	parts, tokens := r.missing(request)
+	if tokens == 0 {
+		r.sim.timers.add(now+time.Millisecond, func(now time.Duration) { r.enqueue(now, request) })
+		return
+	}
+	end, begun := r.sim.move(now, request.source, &r.holder, tokens)
+	if !begun {
+		r.enqueue(now, request)
+		return
+	}
+	r.sim.result.movedTokens += tokens
+	r.sim.timers.add(end, func(now time.Duration) {
+		r.store(parts)
+		r.enqueue(now, request)
+	})
+}
+
+// missing returns the parts that the source keeps beyond the replica's own.
+func (r *replica) missing(request *run) (parts []prefixindex.Part, tokens int) {
+	own, whole := r.memory.leading(request.arrival.parts)
+	_, theirs := request.source.memory.leading(request.arrival.parts)
+	if theirs <= whole {
+		return nil, 0
+	}
+	parts = request.arrival.parts[whole:theirs]
+	for _, part := range parts {
+		tokens += int(part.Tokens)
+		request.source.memory.pin(part.ID)
+		request.source.memory.unpin(part.ID)
+	}
+	leading := 0
+	for _, part := range request.arrival.parts[:whole] {
+		leading += int(part.Tokens)
+	}
+	return parts, tokens - (own - leading)
+}
+
+// store puts moved parts into memory as far as there is room.
+func (r *replica) store(parts []prefixindex.Part) {
+	for _, part := range parts {
+		if !r.memory.reserve(int(part.Tokens)) {
+			return
+		}
+		if !r.memory.keep(part.ID, int(part.Tokens)) {
+			r.memory.release(int(part.Tokens))
+		}
+	}
+}
+
+// enqueue lets a request wait among the others, the more urgent first.
+func (r *replica) enqueue(now time.Duration, request *run) {
+	at, _ := slices.BinarySearchFunc(r.waiting, request, func(a, b *run) int {
+		if a.priority != b.priority {
+			return int(a.priority) - int(b.priority)
+		}
+		return a.order - b.order
+	})
+	r.waiting = slices.Insert(r.waiting, at, request)
+	r.step(now)
+}
+
+// step runs one step of the batch if there is anything to run.
+func (r *replica) step(now time.Duration) {
+	if r.stepping {
+		return
+	}
+	budget := r.engine.Chunk
+	work, pairs, context := 0, 0.0, 0
+	read := map[*run]int{}
+	for _, request := range r.active {
+		context += request.arrival.promptTokens() - request.unread + request.produced
+		if request.unread == 0 {
+			continue
+		}
+		work += r.readSome(request, &budget, read, &pairs)
+	}
+	for len(r.waiting) > 0 && budget > 0 && len(r.active) < r.engine.Slots && r.admit(r.waiting[0]) {
+		request := r.waiting[0]
+		r.waiting = r.waiting[1:]
+		r.active = append(r.active, request)
+		work += r.readSome(request, &budget, read, &pairs)
+	}
+	if len(r.active) == 0 {
+		return
+	}
+	r.stepping = true
+	took := r.engine.StepBase + r.engine.StepPerSlot*float64(len(r.active)) +
+		r.engine.ContextPerThousand*float64(context)/1000 +
+		float64(work)/r.engine.PrefillTokens + r.engine.PairsPerMillion*pairs/1e6
+	r.sim.timers.add(now+milliseconds(took*r.slow), func(now time.Duration) { r.stepped(now, read) })
+}
+
+// readSome reads the next piece of a prompt.
+func (r *replica) readSome(request *run, budget *int, read map[*run]int, pairs *float64) int {
+	tokens := min(request.unread, *budget)
+	*budget -= tokens
+	read[request] = tokens
+	before := request.arrival.promptTokens() - request.unread
+	*pairs += float64(tokens) * (float64(before) + float64(tokens)/2)
+	return tokens
+}
+
+// admit makes room for a request and finds what is kept of its prompt.
+func (r *replica) admit(request *run) bool {
+	kept, whole := r.memory.leading(request.arrival.parts)
+	prompt := request.arrival.promptTokens()
+	kept = min(kept, prompt-1)
+	for _, part := range request.arrival.parts[:whole] {
+		r.memory.pin(part.ID)
+	}
+	need := 0
+	for _, part := range request.arrival.parts[whole:] {
+		need += int(part.Tokens)
+	}
+	if !r.memory.reserve(need + blockTokens) {
+		for _, part := range request.arrival.parts[:whole] {
+			r.memory.unpin(part.ID)
+		}
+		return false
+	}
+	request.pinned = nil
+	for _, part := range request.arrival.parts[:whole] {
+		request.pinned = append(request.pinned, part.ID)
+	}
+	request.reserved = need + blockTokens
+	request.unread = prompt - kept
+	request.read += request.unread
+	request.running = true
+	r.sim.result.readTokens += request.unread
+	r.sim.countReread(request, kept)
+	return true
+}
+
+// stepped ends a step.
+func (r *replica) stepped(now time.Duration, read map[*run]int) {
+	r.stepping = false
+	for _, request := range slices.Clone(r.active) {
+		if !request.running {
+			continue
+		}
+		if tokens, reading := read[request]; reading {
+			request.unread -= tokens
+			if request.unread > 0 {
+				continue
+			}
+			r.promptRead(now, request)
+		}
+		r.produce(now, request)
+	}
+	r.step(now)
+}
+
+// promptRead keeps the parts of a prompt that has been read.
+func (r *replica) promptRead(now time.Duration, request *run) {
+	held := map[string]bool{}
+	for _, id := range request.pinned {
+		held[id] = true
+	}
+	for _, part := range request.arrival.parts {
+		if held[part.ID] {
+			continue
+		}
+		tokens := int(part.Tokens)
+		if r.memory.keep(part.ID, tokens) {
+			request.reserved -= tokens
+			r.memory.used += roundUp(tokens) - tokens
+		}
+		r.memory.pin(part.ID)
+		request.pinned = append(request.pinned, part.ID)
+	}
+	if request.save {
+		r.saveParts(now, request)
+	}
+}
+
+// saveParts sends the store what it lacks.
+func (r *replica) saveParts(now time.Duration, request *run) {
+	store := r.sim.store
+	if store == nil {
+		return
+	}
+	var lacking []prefixindex.Part
+	tokens := 0
+	for _, part := range request.arrival.parts {
+		if _, kept := store.memory.parts[part.ID]; !kept {
+			lacking = append(lacking, part)
+			tokens += int(part.Tokens)
+		}
+	}
+	if tokens == 0 {
+		return
+	}
+	end, begun := r.sim.move(now, &r.holder, store, tokens)
+	if !begun {
+		return
+	}
+	r.sim.result.movedTokens += tokens
+	r.sim.timers.add(end, func(time.Duration) {
+		for _, part := range lacking {
+			if store.memory.reserve(int(part.Tokens)) && !store.memory.keep(part.ID, int(part.Tokens)) {
+				store.memory.release(int(part.Tokens))
+			}
+		}
+	})
+}
+
+// produce adds a token to the output of a request.
+func (r *replica) produce(now time.Duration, request *run) {
+	if request.produced > 0 && request.produced%blockTokens == 0 {
+		if !r.grow(now, request) {
+			return
+		}
+	}
+	request.produced++
+	ended := request.produced >= request.arrival.out
+	if !request.firstTold && (request.produced >= r.engine.Stride || ended) {
+		request.firstTold = true
+		request.first(now + milliseconds(r.engine.First))
+	}
+	if ended {
+		r.remove(request)
+		request.done(now + milliseconds(r.engine.First))
+	}
+}
+
+// grow reserves the next block, and preempts others for it.
+func (r *replica) grow(now time.Duration, request *run) bool {
+	for !r.memory.reserve(blockTokens) {
+		victim := r.victim()
+		r.preempt(now, victim)
+		if victim == request {
+			return false
+		}
+	}
+	request.reserved += blockTokens
+	return true
+}
+
+// victim is the newest of the least urgent requests.
+func (r *replica) victim() *run {
+	return slices.MaxFunc(r.active, func(a, b *run) int {
+		if a.priority != b.priority {
+			return int(a.priority) - int(b.priority)
+		}
+		return a.order - b.order
+	})
+}
+
+func (r *replica) preempt(now time.Duration, request *run) {
+	r.sim.result.preempted++
+	r.remove(request)
+	request.produced = 0
+	at, _ := slices.BinarySearchFunc(r.waiting, request, func(a, b *run) int {
+		if a.priority != b.priority {
+			return int(a.priority) - int(b.priority)
+		}
+		return a.order - b.order
+	})
+	r.waiting = slices.Insert(r.waiting, at, request)
+}
+
+// remove takes a request out of the batch.
+func (r *replica) remove(request *run) {
+	request.running = false
+	r.active = slices.DeleteFunc(r.active, func(other *run) bool { return other == request })
+	r.memory.release(request.reserved)
+	request.reserved = 0
+	for _, id := range request.pinned {
+		r.memory.unpin(id)
+	}
+	request.pinned = nil
+}
+
+func milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/lab/enginebench/routernode.go
@@ -0,0 +1,121 @@
+package enginebench
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+// RouterSettings configure the prefix-aware router.
+type RouterSettings struct {
+	Options  kvrouter.Options
+	Settings kvrouter.Settings
+	Engine   kvrouter.EngineProfile
+}
+
+// routerNode is the router of the nodes.
+type routerNode struct {
+	sim        *simulation
+	number     int
+	router     *kvrouter.Router
+	candidates []kvrouter.Candidate
+	numbers    map[string]int
+	settings   RouterSettings
+}
+
+func newRouterNode(s *simulation, number int) *routerNode {
+	engine := &s.settings.Profile.Engine
+	settings := RouterSettings{
+		Settings: kvrouter.DefaultEngineSettings(),
+		Engine: kvrouter.EngineProfile{
+			Slots: engine.Slots, MemoryTokens: float64(engine.MemoryTokens), BytesPerToken: engine.BytesPerToken,
+			LinkBitsPerSecond: engine.LinkBits, StoreLinkBitsPerSecond: engine.StoreBits, StoreTokens: float64(engine.StoreTokens),
+		},
+	}
+	if s.settings.Tune != nil {
+		s.settings.Tune(&settings)
+	}
+	n := &routerNode{sim: s, number: number, router: kvrouter.New(settings.Options), numbers: map[string]int{}, settings: settings}
+	for at, replica := range s.replicas {
+		n.candidates = append(n.candidates, kvrouter.Candidate{
+			Address: replica.address, Zone: fmt.Sprint(replica.zone), WeightVersion: "1", Instance: replica.address,
+		})
+		n.numbers[replica.address] = at
+	}
+	return n
+}
+
+func (n *routerNode) place(now time.Duration, arrival *arrival) (placement, time.Duration) {
+	request := kvrouter.Request{
+		Now: now, Model: model, Parts: arrival.parts, Naming: kvrouter.Named, OutputTokens: uint32(4 * arrival.class.Out),
+		SaltFor: func(string) string { return salt }, Settings: n.settings.Settings, Engine: &n.settings.Engine,
+		Priority: arrival.class.Priority, MaxWait: arrival.class.Deadline / 2, Zone: fmt.Sprint(n.sim.zoneOf(n.number)),
+	}
+	if n.sim.store != nil {
+		request.Store, request.StoreZone = n.sim.store.address, fmt.Sprint(n.sim.store.zone)
+	}
+	decision, err := n.router.Select(request, n.candidates)
+	var none *kvrouter.NoReplicaError
+	if errors.As(err, &none) {
+		return placement{}, none.RetryAfter
+	}
+	placed := placement{
+		replica: n.numbers[decision.Address], priority: arrival.class.Priority, save: decision.Save, reservation: decision.Reservation,
+	}
+	if decision.Pull != nil {
+		placed.source = n.holder(decision.Pull.Source)
+	}
+	n.tell(now, &decision, arrival)
+	return placed, 0
+}
+
+// tell lets the other routers know of the dispatch.
+func (n *routerNode) tell(now time.Duration, decision *kvrouter.Decision, arrival *arrival) {
+	if n.sim.settings.ShareEvery == 0 {
+		return
+	}
+	address, save := decision.Address, decision.Save
+	n.sim.timers.add(now+n.sim.settings.ShareEvery, func(now time.Duration) {
+		for number, other := range n.sim.nodes {
+			if number == n.number {
+				continue
+			}
+			router := other.(*routerNode).router
+			router.Observe(now, address, model, salt, kvrouter.Named, arrival.parts)
+			if save {
+				router.Observe(now, n.sim.store.address, model, salt, kvrouter.Named, arrival.parts)
+			}
+		}
+	})
+}
+
+func (n *routerNode) holder(address string) *holder {
+	if number, found := n.numbers[address]; found {
+		return &n.sim.replicas[number].holder
+	}
+	return n.sim.store
+}
+
+func (n *routerNode) first(now time.Duration, placed *placement) { placed.reservation.FirstToken(now) }
+
+func (n *routerNode) done(now time.Duration, placed *placement) {
+	placed.reservation.Finish(now, true)
+}
+
+func (n *routerNode) changes(now time.Duration, address string, position kvrouter.Feed, changes []kvrouter.PartChange) {
+	n.router.PartsReported(now, address, position, changes)
+}
+
+func (n *routerNode) report(now time.Duration, address string, report kvrouter.Report) {
+	n.router.Report(now, address, report)
+}
+
+func (n *routerNode) loads(now time.Duration) []kvrouter.AddressLoad { return n.router.OwnLoads(now) }
+
+func (n *routerNode) remoteLoads(now time.Duration, from int, loads []kvrouter.AddressLoad) {
+	for _, told := range loads {
+		n.router.RemoteLoad(now, fmt.Sprint(from), told.Address, told.SharedLoad)
+	}
+}
--- /dev/null
+++ b/internal/lab/enginebench/simulation.go
@@ -0,0 +1,165 @@
+package enginebench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Settings describe one run.
+type Settings struct {
+	Profile  Profile
+	Policy   Policy
+	Seed     uint64
+	Load     float64
+	Duration time.Duration
+	// EventLoss is the share of changes that never come.
+	EventLoss float64
+	// ShareEvery is the time between shared loads; 0 means that none is shared.
+	ShareEvery time.Duration
+	// Tune changes the prefix-aware router's settings; may be nil.
+	Tune func(*RouterSettings)
+}
+
+// warmUp is the time whose requests do not count.
+const warmUp = 2 * time.Second
+
+// mostMoveWait is the wait for a link from which on a move is not begun.
+const mostMoveWait = 2 * time.Second
+
+type simulation struct {
+	settings Settings
+	random   *rand.Rand
+	timers   timers
+	replicas []*replica
+	store    *holder
+	holders  []*holder
+	nodes    []node
+	result   *Result
+	// everRead are the shared parts that some replica has read.
+	everRead map[string]bool
+}
+
+// Run plays one run.
+func Run(settings Settings) *Result {
+	s := &simulation{
+		settings: settings,
+		random:   rand.New(rand.NewPCG(settings.Seed, 3)),
+		result:   &Result{},
+		everRead: map[string]bool{},
+	}
+	s.build()
+	arrivals := workload(&settings.Profile, settings.Load, settings.Duration, settings.Seed)
+	for _, arrival := range arrivals {
+		s.timers.add(arrival.at, func(now time.Duration) { s.arrive(now, arrival, 0) })
+	}
+	s.timers.add(0, s.sendChanges)
+	s.timers.add(0, s.sendReports)
+	if settings.ShareEvery > 0 {
+		s.timers.add(0, s.share)
+	}
+	s.timers.run(settings.Duration + 20*time.Second)
+	s.result.summarize(arrivals, &settings.Profile)
+	return s.result
+}
+
+func (s *simulation) build() {
+	profile := &s.settings.Profile
+	engine := &profile.Engine
+	for number := range profile.Replicas {
+		created := &replica{
+			holder: holder{
+				address: fmt.Sprint("replica-", number),
+				zone:    number * profile.Zones / profile.Replicas,
+				memory:  newMemory(engine.MemoryTokens),
+				bits:    engine.LinkBits,
+			},
+			engine: engine,
+			slow:   profile.Slowness[s.random.IntN(len(profile.Slowness))],
+			sim:    s,
+		}
+		s.replicas = append(s.replicas, created)
+		s.holders = append(s.holders, &created.holder)
+	}
+	if s.settings.Policy.usesStore() {
+		s.store = &holder{address: "store", zone: 1, memory: newMemory(engine.StoreTokens), bits: engine.StoreBits}
+		s.holders = append(s.holders, s.store)
+	}
+	for number := range profile.Nodes {
+		s.nodes = append(s.nodes, newNode(s, number))
+	}
+}
+
+// arrive lets the node of a request place it.
+func (s *simulation) arrive(now time.Duration, arrival *arrival, attempt int) {
+	node := s.nodes[arrival.node]
+	placed, again := node.place(now, arrival)
+	if again > 0 {
+		s.result.refused++
+		if attempt < 1 && now+again < arrival.at+arrival.class.Deadline {
+			s.timers.add(now+again, func(now time.Duration) { s.arrive(now, arrival, attempt+1) })
+		}
+		return
+	}
+	outcome := &outcome{arrival: arrival, crossZone: s.replicas[placed.replica].zone != s.zoneOf(arrival.node)}
+	s.result.outcomes = append(s.result.outcomes, outcome)
+	request := &run{
+		arrival: arrival, priority: placed.priority, source: placed.source, save: placed.save,
+		first: func(at time.Duration) {
+			outcome.first = at - arrival.at
+			s.timers.add(at, func(now time.Duration) { node.first(now, &placed) })
+		},
+		done: func(at time.Duration) {
+			outcome.done = true
+			s.timers.add(at, func(now time.Duration) { node.done(now, &placed) })
+		},
+	}
+	s.replicas[placed.replica].submit(now+time.Millisecond, request)
+}
+
+func (s *simulation) zoneOf(node int) int { return node % s.settings.Profile.Zones }
+
+// move books the links of both ends, and returns when the move has ended.
+func (s *simulation) move(now time.Duration, from, to *holder, tokens int) (time.Duration, bool) {
+	start := max(now, from.linkFree, to.linkFree)
+	if from == s.store || to == s.store {
+		start = max(now, replicaOf(s, from, to).linkFree)
+	}
+	if start-now > mostMoveWait {
+		return 0, false
+	}
+	engine := &s.settings.Profile.Engine
+	took := float64(tokens) * engine.BytesPerToken * 8 / min(from.bits, to.bits) * 1000
+	if from.zone != to.zone {
+		took *= 2
+	}
+	end := start + milliseconds(engine.MoveSetup+took)
+	from.linkFree, to.linkFree = end, end
+	return end, true
+}
+
+// replicaOf returns the end of a move that is not the store, which serves many
+// at once.
+func replicaOf(s *simulation, from, to *holder) *holder {
+	if from == s.store {
+		return to
+	}
+	return from
+}
+
+// countReread counts the shared tokens that are read although some replica had
+// read them before.
+func (s *simulation) countReread(request *run, kept int) {
+	position := 0
+	parts := request.arrival.parts
+	for _, part := range parts[:len(parts)-1] {
+		position += int(part.Tokens)
+		if position <= kept {
+			continue
+		}
+		if s.everRead[part.ID] {
+			s.result.rereadTokens += min(int(part.Tokens), position-kept)
+		}
+		s.everRead[part.ID] = true
+	}
+}
--- /dev/null
+++ b/internal/lab/enginebench/workload.go
@@ -0,0 +1,97 @@
+package enginebench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// arrival is one request.
+type arrival struct {
+	at     time.Duration
+	number int
+	class  *Class
+	node   int
+	parts  []prefixindex.Part
+	out    int
+}
+
+func (a *arrival) promptTokens() int {
+	tokens := 0
+	for _, part := range a.parts {
+		tokens += int(part.Tokens)
+	}
+	return tokens
+}
+
+// logNormal draws around a mean.
+func logNormal(random *rand.Rand, mean, spread, most float64) int {
+	if spread == 0 {
+		return int(mean)
+	}
+	value := mean * math.Exp(spread*random.NormFloat64()-spread*spread/2)
+	return int(max(1, min(value, most)))
+}
+
+// drawThing draws one of things, the first ones more often by their skew.
+func drawThing(random *rand.Rand, things int, skew float64) int {
+	sum := 0.0
+	for thing := range things {
+		sum += math.Pow(float64(thing+1), -skew)
+	}
+	left := random.Float64() * sum
+	for thing := range things {
+		left -= math.Pow(float64(thing+1), -skew)
+		if left < 0 {
+			return thing
+		}
+	}
+	return things - 1
+}
+
+// workload draws the arrivals of all classes in order. The load waves a little.
+func workload(profile *Profile, load float64, duration time.Duration, seed uint64) []*arrival {
+	random := rand.New(rand.NewPCG(seed, 11))
+	sizes := map[string]uint32{}
+	var arrivals []*arrival
+	for position := range profile.Classes {
+		class := &profile.Classes[position]
+		for at := time.Duration(0); ; {
+			wave := 1 + 0.2*math.Sin(2*math.Pi*at.Seconds()/11+float64(position))
+			at += time.Duration(random.ExpFloat64() / (class.PerSecond * load * wave) * float64(time.Second))
+			if at >= duration {
+				break
+			}
+			arrivals = append(arrivals, draw(random, class, at, profile.Nodes, sizes))
+		}
+	}
+	slices.SortFunc(arrivals, func(a, b *arrival) int { return int(a.at - b.at) })
+	for number, arrival := range arrivals {
+		arrival.number = number
+		last := &arrival.parts[len(arrival.parts)-1]
+		last.ID = fmt.Sprint("own-", number)
+	}
+	return arrivals
+}
+
+func draw(random *rand.Rand, class *Class, at time.Duration, nodes int, sizes map[string]uint32) *arrival {
+	drawn := &arrival{at: at, class: class, node: random.IntN(nodes)}
+	// The last shared part says which ones go before it.
+	deepest := class.Shared[len(class.Shared)-1]
+	thing := drawThing(random, deepest.Things, deepest.Skew)
+	for level, shared := range class.Shared {
+		name := fmt.Sprint(class.Name, "/", level, ".", thing%shared.Things)
+		if _, known := sizes[name]; !known {
+			sizes[name] = uint32(logNormal(random, shared.Tokens, shared.Spread, shared.Most))
+		}
+		drawn.parts = append(drawn.parts, prefixindex.Part{ID: name, Tokens: sizes[name]})
+	}
+	own := logNormal(random, class.Own, class.OwnSpread, class.OwnMost)
+	drawn.parts = append(drawn.parts, prefixindex.Part{Tokens: uint32(own)})
+	drawn.out = logNormal(random, class.Out, class.OutSpread, 4*class.Out)
+	return drawn
+}
--- a/pkg/kvrouter/parts.go
+++ b/pkg/kvrouter/parts.go
@@ -68,10 +68,15 @@
 }
 
 // Observe takes in that another router has sent a request to a replica, which
-// therefore probably keeps the parts from now on. A request that saves parts
-// to a store is observed for the store as well.
+// therefore probably keeps the parts soon. A request that saves parts to a store
+// is observed for the store as well.
 func (r *Router) Observe(now time.Duration, address, model, cacheSalt string, naming Naming, parts []prefixindex.Part) {
 	known := r.stateOf(now, address)
-	life := known.feed.view(now).life
-	known.feed.predict(now, life, naming.links(model, cacheSalt, parts))
+	links := naming.links(model, cacheSalt, parts)
+	view := known.feed.view(now)
+	if view.reports {
+		known.feed.expect(now, links)
+		return
+	}
+	known.feed.predict(now, view.life, links)
 }
--- a/pkg/kvrouter/request.go
+++ b/pkg/kvrouter/request.go
@@ -37,6 +37,8 @@
 	// Engine says how the pool's replicas run requests; nil makes the router
 	// count blocks only.
 	Engine *EngineProfile
+	// Zone is the zone that the request comes from; "" when zones are all one.
+	Zone string
 	// Priority is the rank at the replica; 0 is the most urgent.
 	Priority uint8
 	// MaxWait is the longest time to the first event at which the request may go
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -44,6 +44,9 @@
 	HarmWeight float64
 	// LessUrgentWeight is the share of less urgent prompts that count as ahead.
 	LessUrgentWeight float64
+	// ZonePrice is what a request to a replica in another zone costs, in
+	// milliseconds.
+	ZonePrice float64
 	// MovePrice is what a megabyte moved costs, in milliseconds.
 	MovePrice float64
 	// Temperature of the softmax over the costs; 0 selects the lowest cost.
@@ -65,6 +68,16 @@
 	}
 }
 
+// DefaultEnginePrefillScale is PrefillLoadScale for pools with an engine profile.
+const DefaultEnginePrefillScale = 16
+
+// DefaultEngineSettings returns the settings of a pool with an engine profile.
+func DefaultEngineSettings() Settings {
+	settings := DefaultSettings()
+	settings.PrefillLoadScale = DefaultEnginePrefillScale
+	return settings
+}
+
 // SettingsFrom reads a pool's configuration, which may be nil. Zero values
 // mean the defaults.
 func SettingsFrom(routing *ridgeswitchv1.Routing) Settings {
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -32,6 +32,8 @@
 	pull, delay float64
 	// memory are the tokens that the request adds to those in use.
 	memory float64
+	// price is what the move and the distance cost, in milliseconds.
+	price float64
 	// over tells that the replica's slots or memory are full.
 	over bool
 }
@@ -75,6 +77,10 @@
 	if scored.pulls {
 		terms.compute -= float64(scored.pull.tokens)
 		terms.pull = milliseconds(scored.pull.transfer)
+		terms.price = scored.pull.price
+	}
+	if req.Zone != "" && req.Zone != candidate.Zone {
+		terms.price += req.Settings.ZonePrice
 	}
 	active := r.activeLoad(req, state)
 	r.addDelay(req, terms, active.requests)
@@ -101,7 +107,7 @@
 	blockTime := req.pace.perToken * float64(r.options.BlockTokens)
 	harm := terms.slowness * settings.HarmWeight * req.pace.perToken * terms.compute
 	pressure := terms.slowness * (active.decodeTokens + terms.memory) / float64(r.options.BlockTokens)
-	return settings.PrefillLoadScale*(terms.delay+harm)/blockTime +
+	return settings.PrefillLoadScale*(terms.delay+terms.price+harm)/blockTime +
 		settings.DecodeWeight*pressure +
 		settings.RequestWeight*terms.slowness*active.requests
 }
--- a/pkg/kvrouter/timedselect.go
+++ b/pkg/kvrouter/timedselect.go
@@ -133,7 +133,7 @@
 	certainty := (r.computeTokens + 1) / (work + 1)
 	ratio := min(max(read/max(usual, 1), leastSlowness), mostSlowness)
 	if r.backlogTokens <= r.computeTokens/4 {
-		r.pace.learn(work, read/r.state.slowness.factor())
+		r.pace.learn(work, read)
 	}
 	r.state.slowness.observe(now, ratio, certainty)
 }
