--- a/internal/lab/enginebench/routernode.go
+++ b/internal/lab/enginebench/routernode.go
@@ -10,9 +10,10 @@
 
 // RouterSettings configure the prefix-aware router.
 type RouterSettings struct {
-	Options  kvrouter.Options
-	Settings kvrouter.Settings
-	Engine   kvrouter.EngineProfile
+	Options      kvrouter.Options
+	Settings     kvrouter.Settings
+	Engine       kvrouter.EngineProfile
+	KeepSlowness bool
 }
 
 // routerNode is the router of the nodes.
@@ -37,6 +38,7 @@
 	if s.settings.Tune != nil {
 		s.settings.Tune(&settings)
 	}
+	settings.Options.Name = fmt.Sprint(number)
 	n := &routerNode{sim: s, number: number, router: kvrouter.New(settings.Options), numbers: map[string]int{}, settings: settings}
 	for at, replica := range s.replicas {
 		n.candidates = append(n.candidates, kvrouter.Candidate{
@@ -116,6 +118,9 @@
 
 func (n *routerNode) remoteLoads(now time.Duration, from int, loads []kvrouter.AddressLoad) {
 	for _, told := range loads {
+		if n.settings.KeepSlowness {
+			told.Slowness = kvrouter.Slowness{}
+		}
 		n.router.RemoteLoad(now, fmt.Sprint(from), told.Address, told.SharedLoad)
 	}
 }
--- a/pkg/kvrouter/pace.go
+++ b/pkg/kvrouter/pace.go
@@ -8,6 +8,10 @@
 	paceMemory = 0.995
 	// paceWeight is the weight of the assumed values, in observations.
 	paceWeight = 4
+	// lateWeight is the weight of an observation that took longer than expected.
+	// Most of those waited behind work that this router did not know of, so that
+	// the early ones tell more of the replica's speed.
+	lateWeight = 0.1
 	// shortTokens and longTokens are the prompts at which they are assumed.
 	shortTokens = 1000
 	longTokens  = 8000
@@ -22,6 +26,7 @@
 	slownessPrior   = 2.0
 	leastSlowness   = 0.3
 	mostSlowness    = 8.0
+	mostObserved    = 3.0
 	slownessHalving = 20 * time.Second
 )
 
@@ -38,8 +43,8 @@
 	p := &pace{}
 	fixed, perToken := milliseconds(profile.FirstEvent), 1/profile.PrefillTokensPerMillisecond
 	for range paceWeight / 2 {
-		p.add(shortTokens, fixed+perToken*shortTokens)
-		p.add(longTokens, fixed+perToken*longTokens)
+		p.add(1, shortTokens, fixed+perToken*shortTokens)
+		p.add(1, longTokens, fixed+perToken*longTokens)
 	}
 	p.solve()
 	return p
@@ -52,16 +57,20 @@
 	p.sumY *= paceMemory
 	p.sumXX *= paceMemory
 	p.sumXY *= paceMemory
-	p.add(tokens, took)
+	weight := 1.0
+	if took > p.expected(tokens) {
+		weight = lateWeight
+	}
+	p.add(weight, tokens, took)
 	p.solve()
 }
 
-func (p *pace) add(tokens, took float64) {
-	p.count++
-	p.sumX += tokens
-	p.sumY += took
-	p.sumXX += tokens * tokens
-	p.sumXY += tokens * took
+func (p *pace) add(weight, tokens, took float64) {
+	p.count += weight
+	p.sumX += weight * tokens
+	p.sumY += weight * took
+	p.sumXX += weight * tokens * tokens
+	p.sumXY += weight * tokens * took
 }
 
 func (p *pace) solve() {
@@ -96,6 +105,10 @@
 // observe takes in a ratio of observed to expected time.
 func (s *slowness) observe(now time.Duration, ratio, weight float64) {
 	s.fade(now)
+	ratio = min(max(ratio, leastSlowness), mostObserved)
+	if ratio > s.factor() {
+		weight *= lateWeight
+	}
 	s.own.Sum = s.own.Sum*slownessMemory + ratio*weight
 	s.own.Weight = s.own.Weight*slownessMemory + weight
 }
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -44,6 +44,10 @@
 	HarmWeight float64
 	// LessUrgentWeight is the share of less urgent prompts that count as ahead.
 	LessUrgentWeight float64
+	// SpreadTime bounds the preference, in milliseconds, that each router has of
+	// its own for each replica. It keeps routers whose news of each other is as
+	// old as that from all choosing the same replica.
+	SpreadTime float64
 	// ZonePrice is what a request to a replica in another zone costs, in
 	// milliseconds.
 	ZonePrice float64
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -1,6 +1,7 @@
 package kvrouter
 
 import (
+	"math"
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
@@ -82,6 +83,9 @@
 	if req.Zone != "" && req.Zone != candidate.Zone {
 		terms.price += req.Settings.ZonePrice
 	}
+	if spread := req.Settings.SpreadTime; spread > 0 {
+		terms.price += spread * preference(r.options.Name, candidate.Address, p.identity())
+	}
 	active := r.activeLoad(req, state)
 	r.addDelay(req, terms, active.requests)
 	terms.memory = requestMemory(req, float64(own.Tokens))
@@ -189,6 +193,12 @@
 	return overlap
 }
 
+// preference is a number from 0 to 1 that each router draws for each replica
+// and prompt.
+func preference(router, address string, prompt prefixindex.ChainHash) float64 {
+	return float64(tieHash(router+address, prompt)) / math.MaxUint64
+}
+
 // memoryReport is a replica's own account of its memory.
 type memoryReport struct {
 	used, total float64
--- a/pkg/kvrouter/timedselect.go
+++ b/pkg/kvrouter/timedselect.go
@@ -131,7 +131,7 @@
 	}
 	read := max(took-pull, 1)
 	certainty := (r.computeTokens + 1) / (work + 1)
-	ratio := min(max(read/max(usual, 1), leastSlowness), mostSlowness)
+	ratio := read / max(usual, 1)
 	if r.backlogTokens <= r.computeTokens/4 {
 		r.pace.learn(work, read)
 	}
