--- a/internal/lab/enginebench/routernode.go
+++ b/internal/lab/enginebench/routernode.go
@@ -5,17 +5,21 @@
 	"fmt"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 )
 
 // RouterSettings configure the prefix-aware router.
 type RouterSettings struct {
-	Options      kvrouter.Options
-	Settings     kvrouter.Settings
-	Engine       kvrouter.EngineProfile
-	KeepSlowness bool
+	Options  kvrouter.Options
+	Settings kvrouter.Settings
+	Engine   kvrouter.EngineProfile
 }
 
+// nodeNames name the routers to each other.
+var nodeNames = lo.Times(100, func(number int) string { return fmt.Sprint("node-", number) })
+
 // routerNode is the router of the nodes.
 type routerNode struct {
 	sim        *simulation
@@ -118,9 +122,6 @@
 
 func (n *routerNode) remoteLoads(now time.Duration, from int, loads []kvrouter.AddressLoad) {
 	for _, told := range loads {
-		if n.settings.KeepSlowness {
-			told.Slowness = kvrouter.Slowness{}
-		}
-		n.router.RemoteLoad(now, fmt.Sprint(from), told.Address, told.SharedLoad)
+		n.router.RemoteLoad(now, nodeNames[from], told.Address, told.SharedLoad)
 	}
 }
--- a/pkg/kvrouter/pace.go
+++ b/pkg/kvrouter/pace.go
@@ -87,19 +87,12 @@
 // is there.
 func (p *pace) expected(tokens float64) float64 { return p.fixed + p.perToken*tokens }
 
-// Slowness is what a router has observed of a replica's speed: a weighted sum
-// of how many times longer it took than its pool does, and the weight.
-type Slowness struct {
-	Sum    float64
-	Weight float64
-}
-
-// slowness is the learnt slowness of one replica.
+// slowness is what the router has observed of one replica's speed: a weighted sum
+// of how many times longer it took than its pool does, and the weight. Routers do
+// not share it: shared, the same queue slows a replica down in all their eyes.
 type slowness struct {
-	own       Slowness
-	updatedAt time.Duration
-	// remote is what other routers have observed.
-	remote Slowness
+	sum, weight float64
+	updatedAt   time.Duration
 }
 
 // observe takes in a ratio of observed to expected time.
@@ -109,15 +102,15 @@
 	if ratio > s.factor() {
 		weight *= lateWeight
 	}
-	s.own.Sum = s.own.Sum*slownessMemory + ratio*weight
-	s.own.Weight = s.own.Weight*slownessMemory + weight
+	s.sum = s.sum*slownessMemory + ratio*weight
+	s.weight = s.weight*slownessMemory + weight
 }
 
 // fade halves the weight of what was observed long ago.
 func (s *slowness) fade(now time.Duration) {
-	for now-s.updatedAt >= slownessHalving && s.own.Weight > 0.01 {
-		s.own.Sum /= 2
-		s.own.Weight /= 2
+	for now-s.updatedAt >= slownessHalving && s.weight > 0.01 {
+		s.sum /= 2
+		s.weight /= 2
 		s.updatedAt += slownessHalving
 	}
 	s.updatedAt = max(s.updatedAt, now-slownessHalving)
@@ -125,7 +118,6 @@
 
 // factor returns how many times longer the replica takes than its pool.
 func (s *slowness) factor() float64 {
-	sum := s.own.Sum + s.remote.Sum + slownessPrior
-	weight := s.own.Weight + s.remote.Weight + slownessPrior
-	return min(max(sum/weight, leastSlowness), mostSlowness)
+	observed := (s.sum + slownessPrior) / (s.weight + slownessPrior)
+	return min(max(observed, leastSlowness), mostSlowness)
 }
--- a/pkg/kvrouter/shared.go
+++ b/pkg/kvrouter/shared.go
@@ -24,8 +24,6 @@
 	DecodeTokens float64
 	// Requests counts its requests that have not ended.
 	Requests float64
-	// Slowness is what the router has learnt of the replica's speed.
-	Slowness Slowness
 }
 
 // AddressLoad is a SharedLoad of a replica.
@@ -35,10 +33,7 @@
 }
 
 // idle tells whether there is nothing to say.
-func (l *SharedLoad) idle() bool { return l.Requests == 0 && l.Slowness.Weight < leastWeightToShare }
-
-// leastWeightToShare is the weight below which a learnt slowness is not shared.
-const leastWeightToShare = 0.1
+func (l *SharedLoad) idle() bool { return l.Requests == 0 }
 
 func (l *SharedLoad) prefill() (sum float64) {
 	for _, tokens := range l.PrefillTokens {
@@ -110,8 +105,6 @@
 	}
 	s.sum.DecodeTokens = max(0, s.sum.DecodeTokens+sign*load.DecodeTokens)
 	s.sum.Requests = max(0, s.sum.Requests+sign*load.Requests)
-	s.sum.Slowness.Sum = max(0, s.sum.Slowness.Sum+sign*load.Slowness.Sum)
-	s.sum.Slowness.Weight = max(0, s.sum.Slowness.Weight+sign*load.Slowness.Weight)
 }
 
 // drain takes off tokens that the replica has read meanwhile.
@@ -154,7 +147,6 @@
 	known := r.state(now, address)
 	known.settle(now)
 	known.shared.set(now, router, told)
-	known.slowness.remote = known.shared.sum.Slowness
 }
 
 // OwnLoads returns, by address, the own load of each replica that has some, and
@@ -184,7 +176,6 @@
 	own := SharedLoad{
 		DecodeTokens: s.load.own.present.decodeTokens,
 		Requests:     s.load.own.present.requests,
-		Slowness:     s.slowness.own,
 	}
 	s.queue.byPriority(&own.PrefillTokens)
 	return own
@@ -199,7 +190,6 @@
 	}
 	s.queue.updatedAt = now
 	s.shared.sweep(now)
-	s.slowness.remote = s.shared.sum.Slowness
 	own, others := s.queue.left(), s.shared.sum.prefill()
 	if own+others <= 0 || s.perToken <= 0 {
 		return
--- a/pkg/retrybudget/budget.go
+++ b/pkg/retrybudget/budget.go
@@ -1,11 +1,20 @@
-// Package retrybudget bounds retries to a share of first attempts.
+// Package retrybudget bounds retries to a share of first attempts, on one node
+// and over a whole fleet.
 //
-// The budget counts both in one sliding window. A retry is counted in the slot
-// of its own time, never before the first attempts that permit it, so it leaves
-// the window no sooner than they do. One first attempt therefore never pays for
-// more than its share, however long the budget runs, and the share of the whole
-// run stays below the ratio as well. There is no constant minimum: a pool that
-// has had four first attempts in the window may not retry at a ratio of 0.2.
+// A budget counts both in one sliding window. A retry is counted at its own
+// time, never before the first attempts that permit it, so it leaves the window
+// no sooner than they do. One first attempt therefore never pays for more than
+// its share, however long the budget runs. The first attempts that permit a retry
+// may leave the window before it: a fleet is therefore judged by the first
+// attempts of a window, of the one before it, or of the one half a window
+// before it, whichever holds the most.
+//
+// Without Slack there is no constant minimum: a pool that has had four first
+// attempts in the window may not retry at a ratio of 0.2. With Slack, the nodes
+// of a fleet divide that number of retries in a window among them: each may use
+// the share that it is told. When the shares of all nodes add up to no more than
+// 1 in any window, the retries of the fleet in it stay below
+// Ratio x first attempts + Slack.
 package retrybudget
 
 import (
@@ -19,8 +28,10 @@
 	DefaultRatio = 0.2
 	// DefaultWindow is the length of the sliding window.
 	DefaultWindow = 10 * time.Second
-	// slotCount is the resolution of the window.
-	slotCount = 20
+	// maxCounted bounds the attempts of each kind that are remembered. Older ones
+	// are forgotten: first attempts then permit fewer retries, and no retry is
+	// permitted while so many are in the window.
+	maxCounted = 1 << 16
 )
 
 // Options set the bounds of a budget. Zero values mean the defaults.
@@ -29,25 +40,28 @@
 	Ratio float64
 	// Window is the length of the sliding window.
 	Window time.Duration
-}
-
-// slot counts the attempts of one part of the window.
-type slot struct {
-	// number is the slot's position in time since the clock's zero.
-	number  int64
-	firsts  uint64
-	retries uint64
+	// Slack is the number of retries in a window that the whole fleet may make
+	// beyond that.
+	Slack float64
+	// Share returns the part of Slack, from 0 to 1, that this node may use now;
+	// nil means all of it. FleetShare is one.
+	Share func(now time.Duration) float64
+	// StartedAt is when this node began its life. No slack is used in the first
+	// window of it, since its earlier life may have used some.
+	StartedAt time.Duration
 }
 
 // Budget is the retry budget of one pool. It may be used by many goroutines.
 type Budget struct {
-	mutex    sync.Mutex
-	ratio    float64
-	slotTime time.Duration
-	slots    [slotCount]slot
-	// newest is the highest slot number seen, so that a time that is slightly
-	// older than another goroutine's does not reopen a slot.
-	newest int64
+	mutex   sync.Mutex
+	options Options
+	firsts  attempts
+	retries attempts
+	// shares are what Share has returned in the last window.
+	shares shareHistory
+	// newest is the latest time seen, so that a time that is slightly older than
+	// another goroutine's does not reopen the past.
+	newest time.Duration
 }
 
 // New returns a budget that has seen no attempt.
@@ -58,18 +72,15 @@
 	if options.Window <= 0 {
 		options.Window = DefaultWindow
 	}
-	budget := &Budget{ratio: options.Ratio, slotTime: max(options.Window/slotCount, 1)}
-	for position := range budget.slots {
-		budget.slots[position].number = -1
-	}
-	return budget
+	return &Budget{options: options, shares: shareHistory{startedAt: options.StartedAt}}
 }
 
 // First counts a first attempt at the time now.
 func (b *Budget) First(now time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.current(now).firsts++
+	b.advance(now)
+	b.firsts.add(b.newest)
 }
 
 // TryRetry counts a retry at the time now and returns true, or returns false
@@ -77,33 +88,62 @@
 func (b *Budget) TryRetry(now time.Duration) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	current := b.current(now)
-	firsts, retries := b.totals()
-	if float64(retries+1) > b.ratio*float64(firsts) {
+	b.advance(now)
+	retries := b.retries.count()
+	permitted := b.options.Ratio*float64(b.firsts.count()) + b.slack()
+	if float64(retries+1) > permitted || retries >= maxCounted {
 		return false
 	}
-	current.retries++
+	b.retries.add(b.newest)
 	return true
 }
 
-// current returns the slot that the time now falls into.
-func (b *Budget) current(now time.Duration) *slot {
-	b.newest = max(b.newest, int64(now/b.slotTime))
-	current := &b.slots[b.newest%slotCount]
-	if current.number != b.newest {
-		*current = slot{number: b.newest}
+// slack is what this node may use of the fleet's slack. A share that has grown
+// counts only when it has lasted for a window, since the retries of the nodes
+// that had it before may still be in the window.
+func (b *Budget) slack() float64 {
+	if b.options.Slack <= 0 {
+		return 0
+	}
+	if b.options.Share == nil {
+		return b.options.Slack
+	}
+	return b.options.Slack * b.shares.least(b.newest, b.options.Window)
+}
+
+// advance forgets what has left the window.
+func (b *Budget) advance(now time.Duration) {
+	b.newest = max(b.newest, now)
+	b.firsts.forget(b.newest - b.options.Window)
+	b.retries.forget(b.newest - b.options.Window)
+	if b.options.Share != nil {
+		b.shares.add(b.newest, min(max(b.options.Share(b.newest), 0), 1))
+	}
+}
+
+// attempts are the times of attempts, in order.
+type attempts struct {
+	times []time.Duration
+	// gone counts the times at the front that have left the window.
+	gone int
+}
+
+func (a *attempts) count() int { return len(a.times) - a.gone }
+
+func (a *attempts) add(now time.Duration) {
+	if a.count() >= maxCounted {
+		a.gone++
+	}
+	if a.gone > len(a.times)/2 {
+		a.times = append(a.times[:0], a.times[a.gone:]...)
+		a.gone = 0
 	}
-	return current
+	a.times = append(a.times, now)
 }
 
-// totals sums the slots that are inside the window.
-func (b *Budget) totals() (firsts, retries uint64) {
-	oldest := b.newest - slotCount + 1
-	for _, candidate := range b.slots {
-		if candidate.number >= oldest && candidate.number >= 0 {
-			firsts += candidate.firsts
-			retries += candidate.retries
-		}
+// forget drops the attempts up to an instant.
+func (a *attempts) forget(until time.Duration) {
+	for a.gone < len(a.times) && a.times[a.gone] <= until {
+		a.gone++
 	}
-	return firsts, retries
 }
--- /dev/null
+++ b/pkg/retrybudget/fleet_test.go
@@ -0,0 +1,154 @@
+package retrybudget_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
+)
+
+const (
+	fleetWindow = 10 * time.Second
+	fleetSlack  = 56.0
+	// viewDelay is how late a node hears that another has come or gone.
+	viewDelay = 2 * time.Second
+)
+
+// member is one node of a fleet whose nodes come and go.
+type member struct {
+	budget *retrybudget.Budget
+	from   time.Duration
+	until  time.Duration
+}
+
+// testFleet counts the first attempts and retries of all nodes in a sliding
+// window.
+type testFleet struct {
+	now             time.Duration
+	members         []*member
+	firsts, retries []time.Duration
+}
+
+// known counts the nodes that a node knows: those that came and have not gone
+// until a while ago.
+func (f *testFleet) known() int {
+	count := 0
+	seenAt := f.now - viewDelay
+	for _, one := range f.members {
+		if one.from <= seenAt && one.until > seenAt {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *testFleet) join(until time.Duration) {
+	f.members = append(f.members, &member{
+		from:  f.now,
+		until: until,
+		budget: retrybudget.New(retrybudget.Options{
+			Window: fleetWindow, Slack: fleetSlack, StartedAt: f.now, Share: retrybudget.FleetShare(f.known, 0),
+		}),
+	})
+}
+
+func (f *testFleet) live() []*member {
+	var live []*member
+	for _, one := range f.members {
+		if one.from <= f.now && one.until > f.now {
+			live = append(live, one)
+		}
+	}
+	return live
+}
+
+func (f *testFleet) forget(times []time.Duration, windows time.Duration) []time.Duration {
+	for len(times) > 0 && times[0] <= f.now-windows*fleetWindow {
+		times = times[1:]
+	}
+	return times
+}
+
+// firstAttempts counts those of the window that ends now, of the one before it
+// or of the one half a window before it, whichever holds the most.
+func (f *testFleet) firstAttempts() float64 {
+	most := 0
+	for _, end := range []time.Duration{f.now, f.now - fleetWindow/2, f.now - fleetWindow} {
+		count := 0
+		for _, at := range f.firsts {
+			if at > end-fleetWindow && at <= end {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return float64(most)
+}
+
+var _ = Describe("Budget of a fleet", func() {
+	DescribeTable("stays below ratio and slack in any window while nodes come and go", func(seed uint64, nodes int) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		fleet := &testFleet{}
+		for range nodes {
+			fleet.join(time.Duration(20+random.IntN(200)) * time.Second)
+		}
+		most := 0
+		for fleet.now < 3*time.Minute {
+			fleet.now += time.Duration(random.IntN(8)) * time.Millisecond
+			if random.IntN(4000) == 0 {
+				fleet.join(fleet.now + time.Duration(1+random.IntN(100))*time.Second)
+			}
+			live := fleet.live()
+			if len(live) == 0 {
+				fleet.join(fleet.now + time.Minute)
+				continue
+			}
+			one := live[random.IntN(len(live))]
+			if random.IntN(3) == 0 {
+				one.budget.First(fleet.now)
+				fleet.firsts = append(fleet.firsts, fleet.now)
+			} else if one.budget.TryRetry(fleet.now) {
+				fleet.retries = append(fleet.retries, fleet.now)
+			}
+			fleet.firsts, fleet.retries = fleet.forget(fleet.firsts, 2), fleet.forget(fleet.retries, 1)
+			permitted := retrybudget.DefaultRatio * fleet.firstAttempts()
+			Expect(float64(len(fleet.retries))).To(BeNumerically("<=", permitted+fleetSlack))
+			most = max(most, len(fleet.retries)-int(permitted))
+		}
+		Expect(most).To(BeNumerically(">", fleetSlack/4))
+	},
+		Entry("9 nodes", uint64(1), 9),
+		Entry("8 nodes, other luck", uint64(2), 8),
+		Entry("72 nodes", uint64(3), 72),
+		Entry("one node", uint64(4), 1))
+
+	It("uses no slack before the node has lived for a window", func() {
+		budget := retrybudget.New(retrybudget.Options{
+			Slack: 10, StartedAt: 5 * time.Second, Share: func(time.Duration) float64 { return 1 },
+		})
+		Expect(budget.TryRetry(14 * time.Second)).To(BeFalse())
+		Expect(budget.TryRetry(15 * time.Second)).To(BeTrue())
+	})
+
+	It("uses all slack where there is no other node", func() {
+		budget := retrybudget.New(retrybudget.Options{Slack: 2})
+		Expect(budget.TryRetry(0)).To(BeTrue())
+		Expect(budget.TryRetry(0)).To(BeTrue())
+		Expect(budget.TryRetry(0)).To(BeFalse())
+	})
+
+	It("counts a share that grows only when it has lasted for a window", func() {
+		share := 0.1
+		budget := retrybudget.New(retrybudget.Options{Slack: 10, Share: func(time.Duration) float64 { return share }})
+		Expect(budget.TryRetry(20 * time.Second)).To(BeTrue())
+		Expect(budget.TryRetry(20 * time.Second)).To(BeFalse())
+		share = 1
+		Expect(budget.TryRetry(21 * time.Second)).To(BeFalse())
+		Expect(budget.TryRetry(30 * time.Second)).To(BeTrue())
+		Expect(budget.TryRetry(30*time.Second + 1)).To(BeFalse())
+		Expect(budget.TryRetry(31 * time.Second)).To(BeTrue())
+	})
+})
