--- a/internal/lab/enginebench/table.go
+++ b/internal/lab/enginebench/table.go
@@ -25,7 +25,7 @@
 }
 
 // defaultShareEvery is how often routers tell each other of their load.
-const defaultShareEvery = 100 * time.Millisecond
+const defaultShareEvery = 30 * time.Millisecond
 
 // Variants returns each policy as it is.
 func Variants() []Variant {
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -14,9 +14,11 @@
 	DefaultStoreCredit         = 0.5
 	DefaultBusyThresholdBlocks = 32768
 	DefaultDecodeWeight        = 0.05
-	DefaultHarmWeight          = 0.5
-	DefaultLessUrgentWeight    = 0.5
-	DefaultMovePrice           = 0.05
+	DefaultHarmWeight          = 0.3
+	DefaultLessUrgentWeight    = 0.8
+	DefaultMovePrice           = 0.2
+	DefaultSpreadTime          = 20.0
+	DefaultZonePrice           = 10.0
 )
 
 // Settings are the knobs of selection for one pool.
@@ -69,6 +71,8 @@
 		HarmWeight:          DefaultHarmWeight,
 		LessUrgentWeight:    DefaultLessUrgentWeight,
 		MovePrice:           DefaultMovePrice,
+		SpreadTime:          DefaultSpreadTime,
+		ZonePrice:           DefaultZonePrice,
 	}
 }
 
--- a/pkg/retrybudget/share.go
+++ b/pkg/retrybudget/share.go
@@ -46,7 +46,7 @@
 // usedSlack is the share of the slack that a fleet uses. The rest is for traffic
 // that comes in clumps: the first attempts that permit the retries of several
 // nodes may fall half into each of two of the windows that the fleet is judged by.
-const usedSlack = 0.8
+const usedSlack = 0.7
 
 // FleetShare returns a Share for a fleet in which nodes come and go. Live
 // returns how many nodes this node knows to live now. Margin is how many more
