--- a/internal/lab/enginebench/knobs.go
+++ b/internal/lab/enginebench/knobs.go
@@ -1,6 +1,9 @@
 package enginebench
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Knobs returns the router with one setting moved at a time.
 func Knobs() []Variant {
@@ -36,3 +39,15 @@
 	knob("zone price 60 ms", func(s *RouterSettings) { s.Settings.ZonePrice = 60 })
 	return variants
 }
+
+// Churn returns the router with other shares of memory.
+func Churn() []Variant {
+	var variants []Variant
+	for _, share := range []float64{0, 0.2, 0.4, 0.7, 1} {
+		variants = append(variants, Variant{
+			Name: fmt.Sprint("churn ", share), Policy: Router, ShareEvery: defaultShareEvery,
+			Tune: func(s *RouterSettings) { s.Settings.ChurnShare = share },
+		})
+	}
+	return variants
+}
--- /dev/null
+++ b/pkg/kvrouter/parts_test.go
@@ -0,0 +1,236 @@
+package kvrouter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+const epoch = 77
+
+// timedFleet is a router of a pool with an engine profile, whose replicas report
+// parts by their own IDs.
+type timedFleet struct {
+	router     *kvrouter.Router
+	candidates []kvrouter.Candidate
+	engine     kvrouter.EngineProfile
+	settings   kvrouter.Settings
+	change     func(*kvrouter.Request)
+}
+
+func newTimedFleet(addresses ...string) *timedFleet {
+	f := &timedFleet{
+		router:   kvrouter.New(kvrouter.Options{}),
+		settings: kvrouter.DefaultEngineSettings(),
+		engine: kvrouter.EngineProfile{
+			Slots: 4, MemoryTokens: 100_000, BytesPerToken: 20_000, LinkBitsPerSecond: 400e9,
+			PrefillTokensPerMillisecond: 40, FirstEvent: 20 * time.Millisecond,
+		},
+	}
+	f.settings.SpreadTime = 0
+	for _, address := range addresses {
+		f.candidates = append(f.candidates, kvrouter.Candidate{Address: address, Zone: "zone", WeightVersion: version, Instance: "first"})
+	}
+	return f
+}
+
+// longPrompt is a prompt of parts of 1,000 tokens each.
+func longPrompt(parts int) []prefixindex.Part {
+	var made []prefixindex.Part
+	for number := range parts {
+		made = append(made, prefixindex.Part{ID: fmt.Sprint("part ", number), Tokens: 1000})
+	}
+	return made
+}
+
+func (f *timedFleet) try(now time.Duration, parts []prefixindex.Part) (kvrouter.Decision, error) {
+	request := kvrouter.Request{
+		Now: now, Model: model, Parts: parts, Naming: kvrouter.Named, OutputTokens: 10,
+		SaltFor: salt, Settings: f.settings, Engine: &f.engine, Priority: 5,
+	}
+	if f.change != nil {
+		f.change(&request)
+	}
+	return f.router.Select(request, f.candidates)
+}
+
+func (f *timedFleet) choose(now time.Duration, parts []prefixindex.Part) kvrouter.Decision {
+	decision, err := f.try(now, parts)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return decision
+}
+
+// overlap returns how much of a prompt the router thinks that a replica keeps.
+func (f *timedFleet) overlap(now time.Duration, address string, parts []prefixindex.Part) uint32 {
+	all := f.candidates
+	defer func() { f.candidates = all }()
+	f.candidates = []kvrouter.Candidate{{Address: address, WeightVersion: version}}
+	decision := f.choose(now, parts)
+	decision.Reservation.Cancelled(now)
+	return decision.OverlapTokens
+}
+
+func held(sequence uint64, part, tokens int) kvrouter.PartChange {
+	return kvrouter.PartChange{
+		Sequence: sequence, Salt: salt(version), Model: model,
+		ID: fmt.Sprint("part ", part), Tokens: uint32(tokens), Removed: tokens < 1000,
+	}
+}
+
+func batch(from, next uint64) kvrouter.Feed {
+	return kvrouter.Feed{BootEpoch: epoch, From: from, Next: next}
+}
+
+var _ = Describe("Reports of parts by their own IDs", func() {
+	var f *timedFleet
+
+	BeforeEach(func() {
+		f = newTimedFleet("a", "b")
+		first := []kvrouter.PartChange{held(1, 0, 1000), held(2, 1, 1000), held(3, 2, 1000)}
+		Expect(f.router.PartsReported(late, "a", batch(0, 3), first)).To(Equal(kvrouter.Accepted))
+	})
+
+	overlap := func(now time.Duration) int { return int(f.overlap(now, "a", longPrompt(4))) }
+
+	It("make the overlap of a prompt, up to what is evicted", func() {
+		Expect(overlap(late)).To(Equal(3000))
+		f.router.PartsReported(late, "a", batch(3, 4), []kvrouter.PartChange{held(4, 1, 480)})
+		Expect(overlap(late)).To(Equal(1480))
+	})
+
+	It("count once, in whatever order and how often they come", func() {
+		removal := []kvrouter.PartChange{held(4, 2, 0)}
+		again := []kvrouter.PartChange{held(5, 2, 1000), held(6, 3, 1000)}
+		Expect(f.router.PartsReported(late, "a", batch(4, 6), again)).To(Equal(kvrouter.Accepted))
+		Expect(overlap(late)).To(Equal(3000))
+		Expect(f.router.PartsReported(late, "a", batch(3, 4), removal)).To(Equal(kvrouter.Accepted))
+		Expect(overlap(late)).To(Equal(4000))
+		Expect(f.router.PartsReported(late, "a", batch(3, 4), removal)).To(Equal(kvrouter.Duplicate))
+		Expect(overlap(late)).To(Equal(4000))
+		both := append(removal, again...)
+		Expect(f.router.PartsReported(late, "a", batch(3, 6), both)).To(Equal(kvrouter.Duplicate))
+		Expect(overlap(late)).To(Equal(4000))
+	})
+
+	It("become guesses when some are lost, and are asked for anew", func() {
+		lost := kvrouter.Feed{BootEpoch: epoch, From: 9, Next: 10, Lost: true}
+		Expect(f.router.PartsReported(late, "a", lost, []kvrouter.PartChange{held(10, 0, 1000)})).To(Equal(kvrouter.Gap))
+		Expect(overlap(late)).To(Equal(3000))
+		Expect(f.router.ResyncWanted(late)).To(Equal([]string{"a"}))
+		Expect(overlap(late + kvrouter.DefaultDoubtTTL)).To(Equal(1000))
+		f.router.PartsListed(late, "a", epoch, 12, []kvrouter.PartChange{held(0, 0, 1000), held(0, 1, 1000)})
+		Expect(f.router.ResyncWanted(late)).To(BeEmpty())
+		Expect(overlap(2 * late)).To(Equal(2000))
+	})
+
+	It("are taken in without the missing ones after a while", func() {
+		f.router.PartsReported(late, "a", batch(4, 5), []kvrouter.PartChange{held(5, 3, 1000)})
+		Expect(overlap(late)).To(Equal(3000))
+		Expect(f.router.ResyncWanted(late + kvrouter.DefaultReorderWait)).To(Equal([]string{"a"}))
+		Expect(overlap(late + kvrouter.DefaultReorderWait)).To(Equal(4000))
+	})
+
+	It("end with the life of the replica, and those of an earlier life are ignored", func() {
+		restarted := kvrouter.Feed{BootEpoch: epoch + 1, Next: 1}
+		Expect(f.router.PartsReported(late, "a", restarted, []kvrouter.PartChange{held(1, 0, 1000)})).To(Equal(kvrouter.Accepted))
+		Expect(overlap(late)).To(Equal(1000))
+		Expect(f.router.PartsReported(late, "a", batch(3, 4), []kvrouter.PartChange{held(4, 1, 1000)})).To(Equal(kvrouter.Stale))
+		Expect(overlap(late)).To(Equal(1000))
+	})
+
+	It("are ignored when a list is older than what is known", func() {
+		Expect(f.router.PartsListed(late, "a", epoch, 2, nil)).To(Equal(kvrouter.Stale))
+		Expect(overlap(late)).To(Equal(3000))
+		bootEpoch, sequence, known := f.router.PartsPosition("a")
+		Expect([]any{bootEpoch, sequence, known}).To(Equal([]any{uint64(epoch), uint64(3), true}))
+	})
+
+	It("end when another replica takes over the address", func() {
+		f.choose(late, longPrompt(1)).Reservation.Finish(late, false)
+		f.candidates[0].Instance = "second"
+		f.choose(late, longPrompt(1)).Reservation.Finish(late, false)
+		Expect(overlap(late)).To(BeZero())
+	})
+
+	It("are bridged by predictions, of other routers too", func() {
+		f.candidates = f.candidates[:1]
+		decision := f.choose(late, longPrompt(4))
+		Expect(overlap(late)).To(Equal(4000))
+		decision.Reservation.FirstToken(late + time.Second)
+		decision.Reservation.Finish(late+time.Second, true)
+		Expect(overlap(late + 15*time.Second)).To(Equal(4000))
+		Expect(overlap(late + time.Second + kvrouter.DefaultNamedPredictionLag)).To(Equal(3000))
+		f.router.Observe(2*late, "a", model, salt(version), kvrouter.Named, longPrompt(4))
+		Expect(overlap(2 * late)).To(Equal(4000))
+	})
+
+	It("take back a prediction when the part is gone or the attempt was cancelled", func() {
+		f.candidates = f.candidates[:1]
+		f.choose(late, longPrompt(4)).Reservation.Cancelled(late)
+		Expect(overlap(late)).To(Equal(3000))
+		decision := f.choose(late, longPrompt(4))
+		decision.Reservation.FirstToken(late)
+		f.router.PartsReported(late, "a", batch(3, 4), []kvrouter.PartChange{held(4, 3, 0)})
+		Expect(overlap(late)).To(Equal(3000))
+	})
+
+	It("follow the replica under loss, doubling and reordering", func() {
+		random := rand.New(rand.NewPCG(3, 3))
+		const parts = 8
+		kept := make([]int, parts)
+		copy(kept, []int{1000, 1000, 1000})
+		type message struct {
+			position kvrouter.Feed
+			changes  []kvrouter.PartChange
+		}
+		var underway []message
+		sequence := uint64(3)
+		now := late
+		for range 3000 {
+			now += 10 * time.Millisecond
+			from := sequence
+			var changes []kvrouter.PartChange
+			for range 1 + random.IntN(3) {
+				sequence++
+				part := random.IntN(parts)
+				kept[part] = []int{0, 480, 1000}[random.IntN(3)]
+				changes = append(changes, held(sequence, part, kept[part]))
+			}
+			if random.IntN(200) > 0 {
+				underway = append(underway, message{batch(from, sequence), changes})
+			}
+			for len(underway) > random.IntN(5) {
+				at := random.IntN(len(underway))
+				f.router.PartsReported(now, "a", underway[at].position, underway[at].changes)
+				if random.IntN(5) > 0 {
+					underway = append(underway[:at], underway[at+1:]...)
+				}
+			}
+		}
+		for _, late := range underway {
+			f.router.PartsReported(now, "a", late.position, late.changes)
+		}
+		now += time.Second
+		if len(f.router.ResyncWanted(now)) > 0 {
+			var all []kvrouter.PartChange
+			for part, tokens := range kept {
+				all = append(all, held(0, part, tokens))
+			}
+			Expect(f.router.PartsListed(now, "a", epoch, sequence, all)).To(Equal(kvrouter.Accepted))
+		}
+		want := 0
+		for _, tokens := range kept {
+			want += tokens
+			if tokens < 1000 {
+				break
+			}
+		}
+		Expect(int(f.overlap(now, "a", longPrompt(parts)))).To(Equal(want))
+	})
+})
--- a/pkg/kvrouter/reservation.go
+++ b/pkg/kvrouter/reservation.go
@@ -140,7 +140,11 @@
 // load. Only the first call counts. A completed attempt renews the prediction
 // of what the replica keeps, unless the replica reports that itself.
 func (r *Reservation) Finish(now time.Duration, completed bool) {
-	if !r.release(now) || !completed {
+	if !r.release(now) {
+		return
+	}
+	if !completed {
+		r.unexpect()
 		return
 	}
 	if r.firstToken && r.state.feed.view(now).reports {
@@ -178,7 +182,14 @@
 // Cancelled says that the attempt has ended because nobody waits for it any
 // more, or that it has not run. Nothing is learnt from it.
 func (r *Reservation) Cancelled(now time.Duration) {
-	if !r.release(now) || r.firstToken {
+	if r.release(now) {
+		r.unexpect()
+	}
+}
+
+// unexpect takes back that the prompt will be kept, if it was not read.
+func (r *Reservation) unexpect() {
+	if r.work == nil || r.firstToken {
 		return
 	}
 	r.state.feed.unexpect(r.links)
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -17,6 +17,7 @@
 	DefaultHarmWeight          = 0.3
 	DefaultLessUrgentWeight    = 0.8
 	DefaultMovePrice           = 0.2
+	DefaultChurnShare          = 0.5
 	DefaultSpreadTime          = 20.0
 	DefaultZonePrice           = 10.0
 )
@@ -46,6 +47,10 @@
 	HarmWeight float64
 	// LessUrgentWeight is the share of less urgent prompts that count as ahead.
 	LessUrgentWeight float64
+	// ChurnShare is the share of a replica's memory that may wait to be read before
+	// pulled parts count as evicted by the time that they are used. 0 means that
+	// they last.
+	ChurnShare float64
 	// SpreadTime bounds the preference, in milliseconds, that each router has of
 	// its own for each replica. It keeps routers whose news of each other is as
 	// old as that from all choosing the same replica.
@@ -71,6 +76,7 @@
 		HarmWeight:          DefaultHarmWeight,
 		LessUrgentWeight:    DefaultLessUrgentWeight,
 		MovePrice:           DefaultMovePrice,
+		ChurnShare:          DefaultChurnShare,
 		SpreadTime:          DefaultSpreadTime,
 		ZonePrice:           DefaultZonePrice,
 	}
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -76,7 +76,7 @@
 	terms.compute = float64(req.promptTokens) - float64(own.Tokens)
 	scored.pull, scored.pulls = r.planTimedPull(req, p, state, candidate, own, terms.slowness)
 	if scored.pulls {
-		terms.compute -= float64(scored.pull.tokens)
+		terms.compute -= float64(scored.pull.tokens) * r.lasting(req, state)
 		terms.pull = milliseconds(scored.pull.transfer)
 		terms.price = scored.pull.price
 	}
--- /dev/null
+++ b/pkg/kvrouter/timed_test.go
@@ -0,0 +1,272 @@
+package kvrouter_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+func otherPrompt(name string, tokens uint32) []prefixindex.Part {
+	return []prefixindex.Part{{ID: name, Tokens: tokens}}
+}
+
+func (f *timedFleet) keeps(address string, parts int) {
+	var changes []kvrouter.PartChange
+	for part := range parts {
+		changes = append(changes, held(uint64(part+1), part, 1000))
+	}
+	f.router.PartsReported(late, address, batch(0, uint64(parts)), changes)
+}
+
+// hasBacklog makes another router tell of unread prompts.
+func (f *timedFleet) hasBacklog(now time.Duration, address string, priority int, tokens float64) {
+	told := kvrouter.SharedLoad{Requests: 1, DecodeTokens: tokens}
+	told.PrefillTokens[priority] = tokens
+	f.router.RemoteLoad(now, "other", address, told)
+}
+
+var _ = Describe("Cost in the replica's own time", func() {
+	It("goes where the prompt is kept, and elsewhere when that replica is behind", func() {
+		f := newTimedFleet("a", "b")
+		f.engine.LinkBitsPerSecond = 1e6
+		f.keeps("b", 4)
+		decision := f.choose(late, longPrompt(5))
+		Expect(decision.Address).To(Equal("b"))
+		Expect(decision.Instance).To(Equal("first"))
+		Expect(decision.ExpectedDelay).To(BeNumerically("~", 45*time.Millisecond, time.Millisecond))
+		decision.Reservation.Cancelled(late)
+		f.hasBacklog(late, "b", 5, 20_000)
+		Expect(f.choose(late, longPrompt(5)).Address).To(Equal("a"))
+	})
+
+	It("counts what other routers told of for a second, less what was read since", func() {
+		f := newTimedFleet("a", "b")
+		f.hasBacklog(late, "a", 5, 8000)
+		Expect(f.choose(late, otherPrompt("x", 100)).Address).To(Equal("b"))
+		f.candidates = f.candidates[:1]
+		delay := func(now time.Duration) time.Duration {
+			decision := f.choose(now, otherPrompt(fmt.Sprint(now), 40))
+			decision.Reservation.Cancelled(now)
+			return decision.ExpectedDelay
+		}
+		before := delay(late)
+		Expect(delay(late + 100*time.Millisecond)).To(BeNumerically("~", before-100*time.Millisecond, 5*time.Millisecond))
+		Expect(delay(late + time.Second)).To(BeNumerically("~", 21*time.Millisecond, time.Millisecond))
+	})
+
+	It("replaces what a router told before, and hands out its own load", func() {
+		f := newTimedFleet("a")
+		f.hasBacklog(late, "a", 5, 8000)
+		f.router.RemoteLoad(late, "other", "a", kvrouter.SharedLoad{})
+		Expect(f.router.OwnLoads(late)).To(BeEmpty())
+		decision := f.choose(late, otherPrompt("x", 4000))
+		Expect(decision.ExpectedDelay).To(BeNumerically("~", 120*time.Millisecond, time.Millisecond))
+		loads := f.router.OwnLoads(late + 50*time.Millisecond)
+		Expect(loads).To(HaveLen(1))
+		Expect(loads[0].Address).To(Equal("a"))
+		Expect(loads[0].PrefillTokens[5]).To(BeNumerically("~", 2000, 1))
+		Expect(loads[0].Requests).To(Equal(1.0))
+		decision.Reservation.FirstToken(late + 120*time.Millisecond)
+		loads = f.router.OwnLoads(late + 120*time.Millisecond)
+		Expect(loads[0].PrefillTokens[5]).To(BeZero())
+		Expect(loads[0].DecodeTokens).To(BeNumerically(">", 4000))
+		decision.Reservation.Finish(late+time.Second, true)
+		Expect(f.router.OwnLoads(late + time.Second)).To(Equal([]kvrouter.AddressLoad{{Address: "a"}}))
+		Expect(f.router.OwnLoads(late + time.Second)).To(BeEmpty())
+	})
+
+	It("sums what many routers told, whatever was read in between", func() {
+		f := newTimedFleet("a")
+		f.choose(late, otherPrompt("first", 100)).Reservation.Cancelled(late)
+		for number := range 5 {
+			told := kvrouter.SharedLoad{Requests: 1}
+			told.PrefillTokens[0] = 4000
+			f.router.RemoteLoad(late, fmt.Sprint(number), "a", told)
+		}
+		f.change = func(request *kvrouter.Request) { request.MaxWait = time.Minute }
+		at := late + 250*time.Millisecond
+		for number := range 4 {
+			f.router.RemoteLoad(at, fmt.Sprint(number), "a", kvrouter.SharedLoad{})
+		}
+		decision := f.choose(at, otherPrompt("x", 400))
+		// Half of the fifth router's 4,000 tokens were read, then the own 400 follow.
+		Expect(decision.ExpectedDelay).To(BeNumerically("~", 80*time.Millisecond, 3*time.Millisecond))
+	})
+
+	It("waits behind less urgent prompts only in part", func() {
+		f := newTimedFleet("a")
+		f.hasBacklog(late, "a", 7, 8000)
+		delayAt := func(priority uint8) time.Duration {
+			f.change = func(request *kvrouter.Request) { request.Priority = priority }
+			decision := f.choose(late, otherPrompt("x", 100))
+			decision.Reservation.Cancelled(late)
+			return decision.ExpectedDelay
+		}
+		Expect(delayAt(7) - delayAt(3)).To(BeNumerically("~", 40*time.Millisecond, time.Millisecond))
+	})
+
+	It("learns that a replica is slow", func() {
+		f := newTimedFleet("a", "b")
+		all := f.candidates
+		now := late
+		for round := range 30 {
+			for at := range all {
+				f.candidates = all[at : at+1]
+				decision := f.choose(now, otherPrompt(fmt.Sprint(at, round), 4000))
+				took := time.Duration(at+1) * 120 * time.Millisecond
+				decision.Reservation.FirstToken(now + took)
+				decision.Reservation.Finish(now+took, true)
+			}
+			now += time.Second
+		}
+		f.candidates = all
+		for round := range 20 {
+			decision := f.choose(now, otherPrompt(fmt.Sprint("then ", round), 4000))
+			Expect(decision.Address).To(Equal("a"))
+			decision.Reservation.Cancelled(now)
+		}
+	})
+
+	It("avoids replicas whose slots or memory are full, and says when to come back if all are", func() {
+		f := newTimedFleet("a", "b")
+		f.keeps("a", 4)
+		f.router.RemoteLoad(late, "other", "a", kvrouter.SharedLoad{Requests: 4})
+		Expect(f.choose(late, longPrompt(4)).Address).To(Equal("b"))
+		f.router.Report(late, "b", kvrouter.Report{MemoryUsed: 97_500, MemoryTotal: 100_000, Running: 3})
+		f.hasBacklog(late, "a", 0, 80_000)
+		f.router.RemoteLoad(late, "more", "a", kvrouter.SharedLoad{Requests: 4})
+		_, err := f.try(late, otherPrompt("x", 4000))
+		Expect(err).To(HaveValue(HaveField("Reason", kvrouter.AllBusy)))
+		refused := err.(*kvrouter.NoReplicaError)
+		Expect(refused.RetryAfter).To(BeNumerically("<", time.Second))
+		f.change = func(request *kvrouter.Request) { request.MaxWait = time.Second }
+		Expect(f.choose(late, otherPrompt("x", 4000)).Address).To(Equal("b"))
+	})
+
+	It("goes to cold replicas only where the caller permits it", func() {
+		f := newTimedFleet("a")
+		f.candidates[0].ColdUntil = late + time.Second
+		_, err := f.try(late, longPrompt(1))
+		Expect(err).To(HaveValue(And(
+			HaveField("Reason", kvrouter.AllBusy), HaveField("RetryAfter", time.Second))))
+		f.change = func(request *kvrouter.Request) {
+			request.ColdAllowed = func(address string) bool { return address == "a" }
+		}
+		f.choose(late, longPrompt(1)).Reservation.Cancelled(late)
+		f.change = nil
+		f.choose(late+time.Second, longPrompt(1))
+	})
+
+	It("prefers its own zone when nothing else differs", func() {
+		f := newTimedFleet("a", "b", "c")
+		f.candidates[1].Zone = "near"
+		f.change = func(request *kvrouter.Request) { request.Zone = "near" }
+		Expect(f.choose(late, longPrompt(2)).Address).To(Equal("b"))
+	})
+
+	It("keeps routers with old news from choosing the same replica", func() {
+		chosen := map[string]int{}
+		for number := range 30 {
+			f := newTimedFleet("a", "b", "c", "d")
+			f.router = kvrouter.New(kvrouter.Options{Name: fmt.Sprint(number)})
+			f.settings.SpreadTime = 20
+			chosen[f.choose(late, longPrompt(2)).Address]++
+		}
+		Expect(chosen).To(HaveLen(4))
+	})
+})
+
+var _ = Describe("Pulls and saves with an engine profile", func() {
+	var f *timedFleet
+
+	BeforeEach(func() {
+		f = newTimedFleet("a", "b")
+		f.keeps("b", 8)
+		f.hasBacklog(late, "b", 0, 40_000)
+	})
+
+	It("pulls what a peer keeps when that is sooner than reading it", func() {
+		decision := f.choose(late, longPrompt(9))
+		Expect(decision.Address).To(Equal("a"))
+		Expect(decision.Pull).To(HaveValue(And(HaveField("Source", "b"), HaveField("Tokens", uint32(8000)))))
+		// 5 ms and 8,000 tokens of 20 kB at 400 Gbit/s.
+		Expect(decision.Pull.EstimatedTime).To(BeNumerically("~", 8200*time.Microsecond, 10*time.Microsecond))
+		Expect(f.router.Load(late, "a").PrefillBlocks).To(BeNumerically("~", 1000.0/blockTokens))
+	})
+
+	It("takes twice as long between zones, and ten times between regions", func() {
+		f.candidates[1].Zone = "other"
+		Expect(f.choose(late, longPrompt(9)).Pull.EstimatedTime).To(BeNumerically("~", 11400*time.Microsecond, 10*time.Microsecond))
+		f.candidates[1].Region = "other"
+		g := newTimedFleet("a", "b")
+		g.candidates = f.candidates
+		g.keeps("b", 8)
+		g.hasBacklog(late, "b", 0, 40_000)
+		Expect(g.choose(late, longPrompt(9)).Pull.EstimatedTime).To(BeNumerically("~", 37*time.Millisecond, 10*time.Microsecond))
+	})
+
+	It("waits for earlier moves of either end, and begins none that would wait long", func() {
+		f.engine.LinkBitsPerSecond = 8e9
+		f.engine.PrefillTokensPerMillisecond = 1
+		f.engine.Slots = 0
+		f.candidates = f.candidates[:]
+		first := f.choose(late, longPrompt(9))
+		Expect(first.Pull.EstimatedTime).To(BeNumerically("~", 165*time.Millisecond, time.Millisecond))
+		second := f.choose(late, longPrompt(9)[:8])
+		if second.Pull != nil {
+			Expect(second.Pull.EstimatedTime).To(BeNumerically(">", 165*time.Millisecond))
+		}
+	})
+
+	It("notices links that turn slow, and tries them again later", func() {
+		now := late
+		decision := f.choose(now, longPrompt(9))
+		Expect(decision.Pull).NotTo(BeNil())
+		decision.Reservation.FirstToken(now + 3*time.Second)
+		decision.Reservation.Finish(now+3*time.Second, true)
+		now += 3 * time.Second
+		f.router.PartsListed(now, "a", epoch, 1, nil)
+		f.hasBacklog(now, "b", 0, 40_000)
+		Expect(f.choose(now, longPrompt(9)).Pull).To(BeNil())
+		now += time.Minute
+		f.router.PartsListed(now, "a", epoch, 2, nil)
+		f.hasBacklog(now, "b", 0, 40_000)
+		Expect(f.choose(now, longPrompt(9)).Pull).NotTo(BeNil())
+	})
+
+	It("saves shared parts that the store lacks, once", func() {
+		g := newTimedFleet("a")
+		g.engine.StoreTokens, g.engine.Slots, g.engine.MemoryTokens = 1_000_000, 0, 0
+		g.change = func(request *kvrouter.Request) { request.Store, request.StoreZone = "store", "zone" }
+		Expect(g.choose(late, otherPrompt("own", 5000)).Save).To(BeFalse())
+		first := g.choose(late, longPrompt(3))
+		Expect(first.Save).To(BeTrue())
+		other := append(longPrompt(2), prefixindex.Part{ID: "other", Tokens: 500})
+		Expect(g.choose(late, other).Save).To(BeFalse())
+		first.Reservation.FirstToken(late)
+		Expect(g.choose(late+15*time.Second, other).Save).To(BeTrue(), "its last part came before")
+		g.router.PartsReported(late, "store", batch(0, 2), []kvrouter.PartChange{held(1, 0, 1000), held(2, 1, 1000)})
+		again := append(longPrompt(2), prefixindex.Part{ID: "third", Tokens: 500})
+		Expect(g.choose(late+time.Hour, again).Save).To(BeFalse())
+		g.router.PartsReported(late+time.Hour, "store", kvrouter.Feed{BootEpoch: epoch + 1, Next: 0}, nil)
+		fourth := append(longPrompt(2), prefixindex.Part{ID: "fourth", Tokens: 500})
+		Expect(g.choose(late+time.Hour, fourth).Save).To(BeTrue(), "the store came back empty")
+		g.engine.StoreTokens = 10_000
+		Expect(g.choose(late+time.Hour, longPrompt(5)).Save).To(BeFalse(), "it would fill the store")
+	})
+
+	It("pulls from the store what no replica keeps", func() {
+		g := newTimedFleet("a")
+		g.change = func(request *kvrouter.Request) { request.Store, request.StoreZone = "store", "zone" }
+		g.engine.StoreLinkBitsPerSecond = 40e9
+		g.router.PartsReported(late, "store", batch(0, 2), []kvrouter.PartChange{held(1, 0, 1000), held(2, 1, 1000)})
+		decision := g.choose(late, longPrompt(3))
+		Expect(decision.Pull).To(HaveValue(And(HaveField("Source", "store"), HaveField("Tokens", uint32(2000)))))
+		Expect(decision.Pull.EstimatedTime).To(BeNumerically("~", 13*time.Millisecond, 10*time.Microsecond))
+	})
+})
--- a/pkg/kvrouter/timedpull.go
+++ b/pkg/kvrouter/timedpull.go
@@ -101,7 +101,7 @@
 	if source.zone != candidate.Zone {
 		price *= zoneFactor
 	}
-	saved := prefill - r.options.PullAdvantage*milliseconds(planned.transfer) - price
+	saved := prefill*r.lasting(req, state) - r.options.PullAdvantage*milliseconds(planned.transfer) - price
 	if !source.sure {
 		saved *= r.options.GuessCredit
 	}
@@ -110,6 +110,17 @@
 	return planned
 }
 
+// lasting is the share of pulled parts that will be there when the request's turn
+// comes. Those that wait before it bring parts of their own into memory.
+func (r *Router) lasting(req *Request, state *replicaState) float64 {
+	room := req.Settings.ChurnShare * req.Engine.MemoryTokens
+	if room <= 0 {
+		return 1
+	}
+	waiting := state.queue.left() + state.shared.sum.prefill()
+	return max(0, 1-waiting/room)
+}
+
 const bytesPerMegabyte = 1e6
 
 // moveTime estimates how long tokens take between two holders, without a wait.
