--- a/internal/lab/enginebench/knobs.go
+++ b/internal/lab/enginebench/knobs.go
@@ -43,10 +43,19 @@
 // Churn returns the router with other shares of memory.
 func Churn() []Variant {
 	var variants []Variant
-	for _, share := range []float64{0, 0.2, 0.4, 0.7, 1} {
-		variants = append(variants, Variant{
-			Name: fmt.Sprint("churn ", share), Policy: Router, ShareEvery: defaultShareEvery,
-			Tune: func(s *RouterSettings) { s.Settings.ChurnShare = share },
+	add := func(name string, tune func(*RouterSettings)) {
+		variants = append(variants, Variant{Name: name, Policy: Router, ShareEvery: defaultShareEvery, Tune: tune})
+	}
+	for _, harm := range []float64{4, 8, 16} {
+		for _, churn := range []float64{0.1, 0.15} {
+			add(fmt.Sprint("churn ", churn, " harm ", harm), func(s *RouterSettings) {
+				s.Settings.ChurnShare, s.Settings.HarmWeight = churn, harm
+			})
+		}
+	}
+	for _, harm := range []float64{0.5, 1, 2} {
+		add(fmt.Sprint("churn 0.15 harm time 25 ", harm), func(s *RouterSettings) {
+			s.Settings.ChurnShare, s.Settings.HarmWeight, s.Settings.HarmTime = 0.15, harm, 25
 		})
 	}
 	return variants
--- a/internal/lab/enginebench/workload.go
+++ b/internal/lab/enginebench/workload.go
@@ -18,6 +18,8 @@
 	node   int
 	parts  []prefixindex.Part
 	out    int
+	predicted float64
+	pulls bool
 }
 
 func (a *arrival) promptTokens() int {
--- a/pkg/kvrouter/request.go
+++ b/pkg/kvrouter/request.go
@@ -66,6 +66,8 @@
 	promptTokens uint32
 	// pace is that of the model's replicas, when there is an engine profile.
 	pace *pace
+	// harmWeight is HarmWeight at the present backlog.
+	harmWeight float64
 }
 
 // Decision is the outcome of a selection.
--- a/pkg/kvrouter/select.go
+++ b/pkg/kvrouter/select.go
@@ -64,6 +64,9 @@
 		req.pace = r.paceOf(req.Model, req.Engine)
 	}
 	r.gatherSources(s, req, candidates)
+	if req.Engine != nil {
+		r.weighHarm(req, candidates)
+	}
 	allowed := r.score(s, req, candidates)
 	if allowed == 0 {
 		return Decision{}, &NoReplicaError{Reason: AllExcluded, RetryAfter: defaultRetryAfter}
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -14,10 +14,10 @@
 	DefaultStoreCredit         = 0.5
 	DefaultBusyThresholdBlocks = 32768
 	DefaultDecodeWeight        = 0.05
-	DefaultHarmWeight          = 0.3
+	DefaultHarmWeight          = 4
 	DefaultLessUrgentWeight    = 0.8
-	DefaultMovePrice           = 0.2
-	DefaultChurnShare          = 0.5
+	DefaultMovePrice           = 0.05
+	DefaultChurnShare          = 0.15
 	DefaultSpreadTime          = 20.0
 	DefaultZonePrice           = 10.0
 )
@@ -45,6 +45,10 @@
 	// HarmWeight is how often the request's own prefill counts beyond its own
 	// delay, for those that come behind it.
 	HarmWeight float64
+	// HarmTime is the mean backlog of the replicas, in milliseconds, at which
+	// HarmWeight doubles, and so on: the more prompts wait, the more of them wait
+	// for this one. 0 leaves HarmWeight as it is.
+	HarmTime float64
 	// LessUrgentWeight is the share of less urgent prompts that count as ahead.
 	LessUrgentWeight float64
 	// ChurnShare is the share of a replica's memory that may wait to be read before
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -96,6 +96,26 @@
 	return scored
 }
 
+// mostHarm is the largest weight of harm that a backlog leads to.
+var MostHarm = 16.0
+
+// weighHarm sets the weight of harm by the mean backlog of the candidates.
+func (r *Router) weighHarm(req *Request, candidates []Candidate) {
+	req.harmWeight = req.Settings.HarmWeight
+	if req.Settings.HarmTime <= 0 || len(candidates) == 0 {
+		return
+	}
+	waiting := 0.0
+	for at := range candidates {
+		state := r.state(req.Now, candidates[at].Address)
+		state.perToken = req.pace.perToken
+		state.settle(req.Now)
+		waiting += state.queue.left() + state.shared.sum.prefill()
+	}
+	backlog := waiting / float64(len(candidates)) * req.pace.perToken
+	req.harmWeight = min(req.Settings.HarmWeight*(1+backlog/req.Settings.HarmTime), max(MostHarm, req.Settings.HarmWeight))
+}
+
 // addDelay estimates the time to the first event.
 func (r *Router) addDelay(req *Request, terms *timedTerms, requests float64) {
 	work := terms.ahead + terms.compute
@@ -109,7 +129,7 @@
 func (r *Router) timedCost(req *Request, terms *timedTerms, active load) float64 {
 	settings := &req.Settings
 	blockTime := req.pace.perToken * float64(r.options.BlockTokens)
-	harm := terms.slowness * settings.HarmWeight * req.pace.perToken * terms.compute
+	harm := terms.slowness * req.harmWeight * req.pace.perToken * terms.compute
 	pressure := terms.slowness * (active.decodeTokens + terms.memory) / float64(r.options.BlockTokens)
 	return settings.PrefillLoadScale*(terms.delay+terms.price+harm)/blockTime +
 		settings.DecodeWeight*pressure +
--- a/pkg/kvrouter/timedpull.go
+++ b/pkg/kvrouter/timedpull.go
@@ -98,9 +98,6 @@
 	prefill := slow * req.pace.perToken * tokens
 	bytes := tokens * req.Engine.BytesPerToken
 	price := req.Settings.MovePrice * bytes / bytesPerMegabyte
-	if source.zone != candidate.Zone {
-		price *= zoneFactor
-	}
 	saved := prefill*r.lasting(req, state) - r.options.PullAdvantage*milliseconds(planned.transfer) - price
 	if !source.sure {
 		saved *= r.options.GuessCredit
