--- /dev/null
+++ b/internal/lab/enginebench/knobs.go
@@ -0,0 +1,62 @@
+package enginebench
+
+import (
+	"fmt"
+	"time"
+)
+
+// Knobs returns the router with one setting moved at a time.
+func Knobs() []Variant {
+	base := Variant{Name: "none moved", Policy: Router, ShareEvery: defaultShareEvery}
+	variants := []Variant{base}
+	knob := func(name string, tune func(*RouterSettings)) {
+		moved := base
+		moved.Name, moved.Tune = name, tune
+		variants = append(variants, moved)
+	}
+	share := func(name string, every time.Duration) {
+		moved := base
+		moved.Name, moved.ShareEvery = name, every
+		variants = append(variants, moved)
+	}
+	share("load shared every 10 ms", 10*time.Millisecond)
+	share("load shared every 100 ms", 100*time.Millisecond)
+	share("load shared every 300 ms", 300*time.Millisecond)
+	share("load not shared", 0)
+	knob("harm weight 0", func(s *RouterSettings) { s.Settings.HarmWeight = 0 })
+	knob("harm weight 1", func(s *RouterSettings) { s.Settings.HarmWeight = 1 })
+	knob("decode weight 0", func(s *RouterSettings) { s.Settings.DecodeWeight = 0 })
+	knob("decode weight 1", func(s *RouterSettings) { s.Settings.DecodeWeight = 1 })
+	knob("less urgent weight 0.2", func(s *RouterSettings) { s.Settings.LessUrgentWeight = 0.2 })
+	knob("less urgent weight 1", func(s *RouterSettings) { s.Settings.LessUrgentWeight = 1 })
+	knob("move price 0", func(s *RouterSettings) { s.Settings.MovePrice = 0 })
+	knob("move price 0.5", func(s *RouterSettings) { s.Settings.MovePrice = 0.5 })
+	knob("request weight 64", func(s *RouterSettings) { s.Settings.RequestWeight = 64 })
+	knob("spread 0", func(s *RouterSettings) { s.Settings.SpreadTime = 0 })
+	knob("spread 60 ms", func(s *RouterSettings) { s.Settings.SpreadTime = 60 })
+	knob("zone price 0", func(s *RouterSettings) { s.Settings.ZonePrice = 0 })
+	knob("zone price 30 ms", func(s *RouterSettings) { s.Settings.ZonePrice = 30 })
+	knob("zone price 60 ms", func(s *RouterSettings) { s.Settings.ZonePrice = 60 })
+	return variants
+}
+
+// Churn returns the router with other shares of memory.
+func Churn() []Variant {
+	var variants []Variant
+	add := func(name string, tune func(*RouterSettings)) {
+		variants = append(variants, Variant{Name: name, Policy: Router, ShareEvery: defaultShareEvery, Tune: tune})
+	}
+	for _, harm := range []float64{4, 8, 16} {
+		for _, churn := range []float64{0.1, 0.15} {
+			add(fmt.Sprint("churn ", churn, " harm ", harm), func(s *RouterSettings) {
+				s.Settings.ChurnShare, s.Settings.HarmWeight = churn, harm
+			})
+		}
+	}
+	for _, harm := range []float64{0.5, 1, 2} {
+		add(fmt.Sprint("churn 0.15 harm time 25 ", harm), func(s *RouterSettings) {
+			s.Settings.ChurnShare, s.Settings.HarmWeight, s.Settings.HarmTime = 0.15, harm, 25
+		})
+	}
+	return variants
+}
--- a/pkg/kvrouter/pace.go
+++ b/pkg/kvrouter/pace.go
@@ -8,6 +8,10 @@
 	paceMemory = 0.995
 	// paceWeight is the weight of the assumed values, in observations.
 	paceWeight = 4
+	// lateWeight is the weight of an observation that took longer than expected.
+	// Most of those waited behind work that this router did not know of, so that
+	// the early ones tell more of the replica's speed.
+	lateWeight = 0.1
 	// shortTokens and longTokens are the prompts at which they are assumed.
 	shortTokens = 1000
 	longTokens  = 8000
@@ -22,6 +26,7 @@
 	slownessPrior   = 2.0
 	leastSlowness   = 0.3
 	mostSlowness    = 8.0
+	mostObserved    = 3.0
 	slownessHalving = 20 * time.Second
 )
 
@@ -38,8 +43,8 @@
 	p := &pace{}
 	fixed, perToken := milliseconds(profile.FirstEvent), 1/profile.PrefillTokensPerMillisecond
 	for range paceWeight / 2 {
-		p.add(shortTokens, fixed+perToken*shortTokens)
-		p.add(longTokens, fixed+perToken*longTokens)
+		p.add(1, shortTokens, fixed+perToken*shortTokens)
+		p.add(1, longTokens, fixed+perToken*longTokens)
 	}
 	p.solve()
 	return p
@@ -52,16 +57,20 @@
 	p.sumY *= paceMemory
 	p.sumXX *= paceMemory
 	p.sumXY *= paceMemory
-	p.add(tokens, took)
+	weight := 1.0
+	if took > p.expected(tokens) {
+		weight = lateWeight
+	}
+	p.add(weight, tokens, took)
 	p.solve()
 }
 
-func (p *pace) add(tokens, took float64) {
-	p.count++
-	p.sumX += tokens
-	p.sumY += took
-	p.sumXX += tokens * tokens
-	p.sumXY += tokens * took
+func (p *pace) add(weight, tokens, took float64) {
+	p.count += weight
+	p.sumX += weight * tokens
+	p.sumY += weight * took
+	p.sumXX += weight * tokens * tokens
+	p.sumXY += weight * tokens * took
 }
 
 func (p *pace) solve() {
@@ -78,33 +87,30 @@
 // is there.
 func (p *pace) expected(tokens float64) float64 { return p.fixed + p.perToken*tokens }
 
-// Slowness is what a router has observed of a replica's speed: a weighted sum
-// of how many times longer it took than its pool does, and the weight.
-type Slowness struct {
-	Sum    float64
-	Weight float64
-}
-
-// slowness is the learnt slowness of one replica.
+// slowness is what the router has observed of one replica's speed: a weighted sum
+// of how many times longer it took than its pool does, and the weight. Routers do
+// not share it: shared, the same queue slows a replica down in all their eyes.
 type slowness struct {
-	own       Slowness
-	updatedAt time.Duration
-	// remote is what other routers have observed.
-	remote Slowness
+	sum, weight float64
+	updatedAt   time.Duration
 }
 
 // observe takes in a ratio of observed to expected time.
 func (s *slowness) observe(now time.Duration, ratio, weight float64) {
 	s.fade(now)
-	s.own.Sum = s.own.Sum*slownessMemory + ratio*weight
-	s.own.Weight = s.own.Weight*slownessMemory + weight
+	ratio = min(max(ratio, leastSlowness), mostObserved)
+	if ratio > s.factor() {
+		weight *= lateWeight
+	}
+	s.sum = s.sum*slownessMemory + ratio*weight
+	s.weight = s.weight*slownessMemory + weight
 }
 
 // fade halves the weight of what was observed long ago.
 func (s *slowness) fade(now time.Duration) {
-	for now-s.updatedAt >= slownessHalving && s.own.Weight > 0.01 {
-		s.own.Sum /= 2
-		s.own.Weight /= 2
+	for now-s.updatedAt >= slownessHalving && s.weight > 0.01 {
+		s.sum /= 2
+		s.weight /= 2
 		s.updatedAt += slownessHalving
 	}
 	s.updatedAt = max(s.updatedAt, now-slownessHalving)
@@ -112,7 +118,6 @@
 
 // factor returns how many times longer the replica takes than its pool.
 func (s *slowness) factor() float64 {
-	sum := s.own.Sum + s.remote.Sum + slownessPrior
-	weight := s.own.Weight + s.remote.Weight + slownessPrior
-	return min(max(sum/weight, leastSlowness), mostSlowness)
+	observed := (s.sum + slownessPrior) / (s.weight + slownessPrior)
+	return min(max(observed, leastSlowness), mostSlowness)
 }
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -14,9 +14,12 @@
 	DefaultStoreCredit         = 0.5
 	DefaultBusyThresholdBlocks = 32768
 	DefaultDecodeWeight        = 0.05
-	DefaultHarmWeight          = 0.5
-	DefaultLessUrgentWeight    = 0.5
+	DefaultHarmWeight          = 4
+	DefaultLessUrgentWeight    = 0.8
 	DefaultMovePrice           = 0.05
+	DefaultChurnShare          = 0.15
+	DefaultSpreadTime          = 20.0
+	DefaultZonePrice           = 10.0
 )
 
 // Settings are the knobs of selection for one pool.
@@ -42,8 +45,23 @@
 	// HarmWeight is how often the request's own prefill counts beyond its own
 	// delay, for those that come behind it.
 	HarmWeight float64
+	// HarmTime is the mean backlog of the replicas, in milliseconds, at which
+	// HarmWeight doubles, and so on: the more prompts wait, the more of them wait
+	// for this one. 0 leaves HarmWeight as it is.
+	HarmTime float64
 	// LessUrgentWeight is the share of less urgent prompts that count as ahead.
 	LessUrgentWeight float64
+	// ChurnShare is the share of a replica's memory that may wait to be read before
+	// pulled parts count as evicted by the time that they are used. 0 means that
+	// they last.
+	ChurnShare float64
+	// SpreadTime bounds the preference, in milliseconds, that each router has of
+	// its own for each replica. It keeps routers whose news of each other is as
+	// old as that from all choosing the same replica.
+	SpreadTime float64
+	// ZonePrice is what a request to a replica in another zone costs, in
+	// milliseconds.
+	ZonePrice float64
 	// MovePrice is what a megabyte moved costs, in milliseconds.
 	MovePrice float64
 	// Temperature of the softmax over the costs; 0 selects the lowest cost.
@@ -62,9 +80,22 @@
 		HarmWeight:          DefaultHarmWeight,
 		LessUrgentWeight:    DefaultLessUrgentWeight,
 		MovePrice:           DefaultMovePrice,
+		ChurnShare:          DefaultChurnShare,
+		SpreadTime:          DefaultSpreadTime,
+		ZonePrice:           DefaultZonePrice,
 	}
 }
 
+// DefaultEnginePrefillScale is PrefillLoadScale for pools with an engine profile.
+const DefaultEnginePrefillScale = 16
+
+// DefaultEngineSettings returns the settings of a pool with an engine profile.
+func DefaultEngineSettings() Settings {
+	settings := DefaultSettings()
+	settings.PrefillLoadScale = DefaultEnginePrefillScale
+	return settings
+}
+
 // SettingsFrom reads a pool's configuration, which may be nil. Zero values
 // mean the defaults.
 func SettingsFrom(routing *ridgeswitchv1.Routing) Settings {
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -1,6 +1,7 @@
 package kvrouter
 
 import (
+	"math"
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
@@ -32,6 +33,8 @@
 	pull, delay float64
 	// memory are the tokens that the request adds to those in use.
 	memory float64
+	// price is what the move and the distance cost, in milliseconds.
+	price float64
 	// over tells that the replica's slots or memory are full.
 	over bool
 }
@@ -73,8 +76,15 @@
 	terms.compute = float64(req.promptTokens) - float64(own.Tokens)
 	scored.pull, scored.pulls = r.planTimedPull(req, p, state, candidate, own, terms.slowness)
 	if scored.pulls {
-		terms.compute -= float64(scored.pull.tokens)
+		terms.compute -= float64(scored.pull.tokens) * r.lasting(req, state)
 		terms.pull = milliseconds(scored.pull.transfer)
+		terms.price = scored.pull.price
+	}
+	if req.Zone != "" && req.Zone != candidate.Zone {
+		terms.price += req.Settings.ZonePrice
+	}
+	if spread := req.Settings.SpreadTime; spread > 0 {
+		terms.price += spread * preference(r.options.Name, candidate.Address, p.identity())
 	}
 	active := r.activeLoad(req, state)
 	r.addDelay(req, terms, active.requests)
@@ -86,6 +96,26 @@
 	return scored
 }
 
+// mostHarm is the largest weight of harm that a backlog leads to.
+var MostHarm = 16.0
+
+// weighHarm sets the weight of harm by the mean backlog of the candidates.
+func (r *Router) weighHarm(req *Request, candidates []Candidate) {
+	req.harmWeight = req.Settings.HarmWeight
+	if req.Settings.HarmTime <= 0 || len(candidates) == 0 {
+		return
+	}
+	waiting := 0.0
+	for at := range candidates {
+		state := r.state(req.Now, candidates[at].Address)
+		state.perToken = req.pace.perToken
+		state.settle(req.Now)
+		waiting += state.queue.left() + state.shared.sum.prefill()
+	}
+	backlog := waiting / float64(len(candidates)) * req.pace.perToken
+	req.harmWeight = min(req.Settings.HarmWeight*(1+backlog/req.Settings.HarmTime), max(MostHarm, req.Settings.HarmWeight))
+}
+
 // addDelay estimates the time to the first event.
 func (r *Router) addDelay(req *Request, terms *timedTerms, requests float64) {
 	work := terms.ahead + terms.compute
@@ -99,9 +129,9 @@
 func (r *Router) timedCost(req *Request, terms *timedTerms, active load) float64 {
 	settings := &req.Settings
 	blockTime := req.pace.perToken * float64(r.options.BlockTokens)
-	harm := terms.slowness * settings.HarmWeight * req.pace.perToken * terms.compute
+	harm := terms.slowness * req.harmWeight * req.pace.perToken * terms.compute
 	pressure := terms.slowness * (active.decodeTokens + terms.memory) / float64(r.options.BlockTokens)
-	return settings.PrefillLoadScale*(terms.delay+harm)/blockTime +
+	return settings.PrefillLoadScale*(terms.delay+terms.price+harm)/blockTime +
 		settings.DecodeWeight*pressure +
 		settings.RequestWeight*terms.slowness*active.requests
 }
@@ -183,6 +213,12 @@
 	return overlap
 }
 
+// preference is a number from 0 to 1 that each router draws for each replica
+// and prompt.
+func preference(router, address string, prompt prefixindex.ChainHash) float64 {
+	return float64(tieHash(router+address, prompt)) / math.MaxUint64
+}
+
 // memoryReport is a replica's own account of its memory.
 type memoryReport struct {
 	used, total float64
