Retry budget over the fleet, bound for cold back ends and zones of requests, wired

Each node takes its part of the slack from the number of live nodes. A cold back end gets requests from its owners alone. The router is told the node's zone.

--- a/internal/dataplane/destinations.go
+++ b/internal/dataplane/destinations.go
@@ -56,13 +56,15 @@
 // destinations holds the state of every destination that was ever routed to.
 // Its size is bounded by the names that the configuration has had.
 type destinations struct {
+	budget retrybudget.Options
 	mutex  sync.Mutex
 	states map[destinationName]*destinationState
 }
 
-// newDestinations returns an empty set.
-func newDestinations() *destinations {
-	return &destinations{states: make(map[destinationName]*destinationState)}
+// newDestinations returns an empty set, in which each destination gets a retry
+// budget of its own.
+func newDestinations(budget retrybudget.Options) *destinations {
+	return &destinations{budget: budget, states: make(map[destinationName]*destinationState)}
 }
 
 // of returns the state of a destination.
@@ -73,7 +75,7 @@
 	state, known := d.states[name]
 	if !known {
 		state = &destinationState{
-			budget:   retrybudget.New(retrybudget.Options{}),
+			budget:   retrybudget.New(d.budget),
 			stats:    DestinationStats{Name: name.name, WebService: name.webService},
 			refusals: make(map[caller.Kind]uint64),
 		}
--- a/internal/dataplane/dispatch.go
+++ b/internal/dataplane/dispatch.go
@@ -28,6 +28,9 @@
 	address() string
 	// current tells whether the newest view still lets the request go there.
 	current(w *work) bool
+	// takeCold counts the attempt if the back end is cold, and returns false if
+	// that bears no more now.
+	takeCold() bool
 	// send runs the attempt up to the header of its answer.
 	send(ctx context.Context, w *work, attempt int) (Answer, error)
 	// refused says that the back end promised not to run the attempt.
@@ -127,7 +130,7 @@
 			return nil, problem
 		}
 		d.server.inFlight.begin(chosen.address())
-		if chosen.current(w) {
+		if chosen.current(w) && chosen.takeCold() {
 			return chosen, nil
 		}
 		d.release(chosen, false)
--- a/internal/dataplane/feeds.go
+++ b/internal/dataplane/feeds.go
@@ -63,6 +63,7 @@
 	defer ticker.Stop()
 	for {
 		f.reconcile(f.server.options.Source.View())
+		f.server.cold.setNodes(f.server.options.Clock(), f.server.options.Peers())
 		f.resyncWhereWanted()
 		select {
 		case <-ctx.Done():
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -10,6 +10,7 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
 )
 
 // Defaults of Options.
@@ -88,6 +89,8 @@
 	// Admission bounds the requests that run on this node at a time, and says
 	// how tenants wait for a place.
 	Admission admission.Options
+	// RetryBudget bounds the retries of each destination.
+	RetryBudget retrybudget.Options
 	// Claims decide among all nodes who runs a request that must not run
 	// twice; nil leaves that to this node's own register.
 	Claims Claims
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
@@ -28,6 +30,9 @@
 type replicaTarget struct {
 	backend  *poolBackend
 	decision kvrouter.Decision
+	limits   *ridgeswitchv1.BackendLimits
+	// coldUntil is when the replica has warmed up.
+	coldUntil time.Duration
 }
 
 // choose implements backend. Replicas that failed lately are avoided as long
@@ -49,7 +54,12 @@
 	if err != nil {
 		return nil, noReplicaProblem(err, b.server.options.BackendRetry)
 	}
-	return &replicaTarget{backend: b, decision: decision}, nil
+	return &replicaTarget{
+		backend:   b,
+		decision:  decision,
+		limits:    pool.Config.GetBackends(),
+		coldUntil: coldUntil(pool, decision.Address),
+	}, nil
 }
 
 // newestPool returns the work's pool in the newest view, or nil if it is gone.
@@ -72,7 +82,11 @@
 		OutputTokens: w.described.OutputTokens,
 		Engine:       engineProfile(pool),
 		Priority:     uint8(w.view.Priority(w.tenant, w.route)),
+		Zone:         b.server.options.Zone,
 		MaxWait:      longestWait(w),
+		ColdAllowed: func(address string) bool {
+			return b.server.cold.allowed(now, pool.Config.GetBackends(), address)
+		},
 		SaltFor: func(weightVersion string) string {
 			return replica.CacheSalt(model, weightVersion, w.sharingDomain(b.server.options.Source.View()))
 		},
@@ -121,6 +135,12 @@
 // anonymousDomain is the sharing domain of requests without a key.
 const anonymousDomain = "anonymous"
 
+// coldUntil returns when a listed replica has warmed up.
+func coldUntil(pool *routing.Pool, address string) time.Duration {
+	listed, _ := lo.Find(pool.Replicas, func(listed routing.Replica) bool { return listed.Address == address })
+	return listed.ColdUntil
+}
+
 // noReplicaProblem tells why no replica was chosen.
 func noReplicaProblem(err error, wait time.Duration) *caller.Problem {
 	kind := caller.KindNoBackend
@@ -159,6 +179,12 @@
 	return false
 }
 
+// takeCold implements target.
+func (t *replicaTarget) takeCold() bool {
+	server := t.backend.server
+	return server.cold.take(server.options.Clock(), t.limits, routing.Replica{Address: t.decision.Address, ColdUntil: t.coldUntil})
+}
+
 // send implements target.
 func (t *replicaTarget) send(ctx context.Context, w *work, attempt int) (Answer, error) {
 	received, err := t.backend.edge.Send(ctx, t.attempt(w, attempt))
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -29,6 +29,7 @@
 	suspects     *suspects
 	quarantine   *quarantine
 	outdated     *outdated
+	cold         *coldBounds
 	feeds        *feeds
 	sharing      *sharing
 	readers      *reportReaders
@@ -65,13 +66,14 @@
 		sender:       sender,
 		router:       kvrouter.New(options.Router),
 		identities:   named,
-		destinations: newDestinations(),
+		destinations: newDestinations(options.RetryBudget),
 		limiter:      newLimiter(options.Clock, options.Admission),
 		duplicates:   newDuplicateRegister(options.RememberedRequests, options.RememberFor),
 		inFlight:     newInFlight(),
 		suspects:     newSuspects(),
 		quarantine:   newQuarantine(),
 		outdated:     newOutdated(),
+		cold:         newColdBounds(options.Member),
 		sharing:      newSharing(),
 		seed:         rand.Uint64(),
 	}
--- a/internal/dataplane/web.go
+++ b/internal/dataplane/web.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
@@ -26,6 +28,7 @@
 type webTarget struct {
 	backend *webBackend
 	chosen  routing.Replica
+	limits  *ridgeswitchv1.BackendLimits
 }
 
 // choose implements backend: the fewest attempts in flight win. Back ends that
@@ -37,15 +40,23 @@
 	}
 	now := b.server.options.Clock()
 	chosen, found := b.leastInFlight(service, func(listed routing.Replica) bool {
-		return w.hasTried(listed.Address) || b.server.suspects.avoided(now, listed.Address) || b.server.outdated.holds(now, listed)
+		return w.hasTried(listed.Address) || b.server.suspects.avoided(now, listed.Address) ||
+			b.server.outdated.holds(now, listed) || b.tooCold(now, service, listed)
 	})
 	if !found {
-		chosen, found = b.leastInFlight(service, func(listed routing.Replica) bool { return w.hasTried(listed.Address) })
+		chosen, found = b.leastInFlight(service, func(listed routing.Replica) bool {
+			return w.hasTried(listed.Address) || b.tooCold(now, service, listed)
+		})
 	}
 	if !found {
 		return nil, noWebBackendProblem().After(b.server.options.BackendRetry)
 	}
-	return &webTarget{backend: b, chosen: chosen}, nil
+	return &webTarget{backend: b, chosen: chosen, limits: service.Config.GetBackends()}, nil
+}
+
+// tooCold tells whether a back end is cold and bears no more requests now.
+func (b *webBackend) tooCold(now time.Duration, service *routing.WebService, listed routing.Replica) bool {
+	return now < listed.ColdUntil && !b.server.cold.allowed(now, service.Config.GetBackends(), listed.Address)
 }
 
 // newestService returns the work's service in the newest view, or nil.
@@ -100,6 +111,12 @@
 	return false
 }
 
+// takeCold implements target.
+func (t *webTarget) takeCold() bool {
+	server := t.backend.server
+	return server.cold.take(server.options.Clock(), t.limits, t.chosen)
+}
+
 // send implements target.
 func (t *webTarget) send(ctx context.Context, w *work, attempt int) (Answer, error) {
 	described := w.attempt(t.backend.server, t.chosen.Address, attempt)
--- a/internal/lab/enginebench/workload.go
+++ b/internal/lab/enginebench/workload.go
@@ -12,14 +12,14 @@
 
 // arrival is one request.
 type arrival struct {
-	at     time.Duration
-	number int
-	class  *Class
-	node   int
-	parts  []prefixindex.Part
-	out    int
+	at        time.Duration
+	number    int
+	class     *Class
+	node      int
+	parts     []prefixindex.Part
+	out       int
 	predicted float64
-	pulls bool
+	pulls     bool
 }
 
 func (a *arrival) promptTokens() int {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
 )
 
 // leaveGrace is how long a stopping node goes on sending after it has handed its
@@ -82,6 +83,9 @@
 		DrainTimeout: n.settings.DrainTimeout(),
 		RecordFile:   n.settings.RecordFile,
 		Edges:        n.edges.Dataplane,
+		RetryBudget:  n.retryBudget(source),
+		MaxUnsent:    maxUnsent,
+		BackendRetry: n.settings.BackendRetry(),
 	})
 	if err != nil {
 		return err
@@ -99,6 +103,29 @@
 	return n.buildOperators()
 }
 
+const (
+	// maxUnsent is how many attempts that could not be sent do not count among a
+	// request's attempts.
+	maxUnsent = 3
+	// budgetMargin is how many nodes may have started without this one knowing
+	// it, when the fleet's retries are divided.
+	budgetMargin = 2
+	// percent is what shares in the settings are given in.
+	percent = 100.0
+)
+
+// retryBudget is this node's part of the fleet's retries.
+func (n *Node) retryBudget(source *lateSource) retrybudget.Options {
+	live := func() int { return max(1, len(source.peers())) }
+	return retrybudget.Options{
+		Ratio:     float64(n.settings.RetryPercent) / percent,
+		Window:    n.settings.RetryWindow(),
+		Slack:     float64(n.settings.RetrySlack),
+		Share:     retrybudget.FleetShare(live, budgetMargin),
+		StartedAt: clock.SinceBoot(),
+	}
+}
+
 // buildOperators listens for operators and for whoever asks for the node's
 // health.
 func (n *Node) buildOperators() error {
--- a/internal/wire/fb/TrafficLoad.go
+++ b/internal/wire/fb/TrafficLoad.go
@@ -7,12 +7,10 @@
 )
 
 type TrafficLoadT struct {
-	Address        uint32    `json:"address"`
-	PrefillTokens  []float32 `json:"prefill_tokens"`
-	DecodeTokens   float32   `json:"decode_tokens"`
-	Requests       float32   `json:"requests"`
-	SlownessSum    float32   `json:"slowness_sum"`
-	SlownessWeight float32   `json:"slowness_weight"`
+	Address       uint32    `json:"address"`
+	PrefillTokens []float32 `json:"prefill_tokens"`
+	DecodeTokens  float32   `json:"decode_tokens"`
+	Requests      float32   `json:"requests"`
 }
 
 func (t *TrafficLoadT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -33,8 +31,6 @@
 	TrafficLoadAddPrefillTokens(builder, prefillTokensOffset)
 	TrafficLoadAddDecodeTokens(builder, t.DecodeTokens)
 	TrafficLoadAddRequests(builder, t.Requests)
-	TrafficLoadAddSlownessSum(builder, t.SlownessSum)
-	TrafficLoadAddSlownessWeight(builder, t.SlownessWeight)
 	return TrafficLoadEnd(builder)
 }
 
@@ -47,8 +43,6 @@
 	}
 	t.DecodeTokens = rcv.DecodeTokens()
 	t.Requests = rcv.Requests()
-	t.SlownessSum = rcv.SlownessSum()
-	t.SlownessWeight = rcv.SlownessWeight()
 }
 
 func (rcv *TrafficLoad) UnPack() *TrafficLoadT {
@@ -149,32 +143,8 @@
 	return rcv._tab.MutateFloat32Slot(10, n)
 }
 
-func (rcv *TrafficLoad) SlownessSum() float32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
-	if o != 0 {
-		return rcv._tab.GetFloat32(o + rcv._tab.Pos)
-	}
-	return 0.0
-}
-
-func (rcv *TrafficLoad) MutateSlownessSum(n float32) bool {
-	return rcv._tab.MutateFloat32Slot(12, n)
-}
-
-func (rcv *TrafficLoad) SlownessWeight() float32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
-	if o != 0 {
-		return rcv._tab.GetFloat32(o + rcv._tab.Pos)
-	}
-	return 0.0
-}
-
-func (rcv *TrafficLoad) MutateSlownessWeight(n float32) bool {
-	return rcv._tab.MutateFloat32Slot(14, n)
-}
-
 func TrafficLoadStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(4)
 }
 func TrafficLoadAddAddress(builder *flatbuffers.Builder, address uint32) {
 	builder.PrependUint32Slot(0, address, 0)
@@ -191,12 +161,6 @@
 func TrafficLoadAddRequests(builder *flatbuffers.Builder, requests float32) {
 	builder.PrependFloat32Slot(3, requests, 0.0)
 }
-func TrafficLoadAddSlownessSum(builder *flatbuffers.Builder, slownessSum float32) {
-	builder.PrependFloat32Slot(4, slownessSum, 0.0)
-}
-func TrafficLoadAddSlownessWeight(builder *flatbuffers.Builder, slownessWeight float32) {
-	builder.PrependFloat32Slot(5, slownessWeight, 0.0)
-}
 func TrafficLoadEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -65,11 +65,9 @@
 
 func packLoad(table *textTable, load kvrouter.AddressLoad) *fb.TrafficLoadT {
 	packed := &fb.TrafficLoadT{
-		Address:        table.index(load.Address),
-		DecodeTokens:   float32(load.DecodeTokens),
-		Requests:       float32(load.Requests),
-		SlownessSum:    float32(load.Slowness.Sum),
-		SlownessWeight: float32(load.Slowness.Weight),
+		Address:      table.index(load.Address),
+		DecodeTokens: float32(load.DecodeTokens),
+		Requests:     float32(load.Requests),
 	}
 	for priority, tokens := range load.PrefillTokens {
 		if tokens == 0 {
@@ -161,8 +159,6 @@
 		loads[i].Address = named.at(stored.Address())
 		loads[i].DecodeTokens = float64(stored.DecodeTokens())
 		loads[i].Requests = float64(stored.Requests())
-		loads[i].Slowness.Sum = float64(stored.SlownessSum())
-		loads[i].Slowness.Weight = float64(stored.SlownessWeight())
 		for priority := range min(stored.PrefillTokensLength(), kvrouter.Priorities) {
 			loads[i].PrefillTokens[priority] = float64(stored.PrefillTokens(priority))
 		}
--- a/pkg/config/static/check.go
+++ b/pkg/config/static/check.go
@@ -156,6 +156,10 @@
 	c.duration("drain_timeout_ms", s.DrainTimeoutMS, time.Millisecond, MaxDrainTimeout)
 	c.duration("heartbeat_every_ms", s.HeartbeatEveryMS, MinHeartbeatEvery, MaxHeartbeatEvery)
 	c.duration("platform_poll_every_ms", s.PlatformPollEveryMS, MinPlatformPollEvery, MaxPlatformPollEvery)
+	c.between("retry_percent", s.RetryPercent, 1, MaxRetryPercent)
+	c.duration("retry_window_ms", s.RetryWindowMS, time.Second, MaxRetryWindow)
+	c.between("retry_slack", s.RetrySlack, 0, MaxRetrySlack)
+	c.duration("backend_retry_ms", s.BackendRetryMS, time.Millisecond, MaxBackendRetry)
 	c.duration("command_gap_ms", s.CommandGapMS, 0, MaxCommandGap)
 	c.duration("weights_deadline_ms", s.WeightsDeadlineMS, 0, MaxWeightsDeadline)
 }
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -29,6 +29,14 @@
 	// DefaultCommandGap is how far apart the commands of two nodes to one replica
 	// are at least.
 	DefaultCommandGap = 3 * time.Second
+	// DefaultRetryPercent is the share of requests that may be sent again, in
+	// hundredths.
+	DefaultRetryPercent = 20
+	// DefaultRetryWindow is the window in which that share counts.
+	DefaultRetryWindow = 10 * time.Second
+	// DefaultBackendRetry is when callers may come back after a failure of a
+	// back end.
+	DefaultBackendRetry = time.Second
 	// DefaultLogRing is the number of log entries kept in memory.
 	DefaultLogRing = 4096
 	// DefaultDeployment is the name of a deployment that needs none.
@@ -72,6 +80,14 @@
 	MaxCommandGap = time.Minute
 	// MaxWeightsDeadline bounds the time for named weights.
 	MaxWeightsDeadline = time.Hour
+	// MaxRetryPercent bounds the share of requests that may be sent again.
+	MaxRetryPercent = 100
+	// MaxRetryWindow bounds the window in which that share counts.
+	MaxRetryWindow = 10 * time.Minute
+	// MaxRetrySlack bounds the retries beyond that share.
+	MaxRetrySlack = 1 << 20
+	// MaxBackendRetry bounds when callers may come back.
+	MaxBackendRetry = time.Minute
 	// MaxLogRing bounds the log entries kept in memory.
 	MaxLogRing = 1 << 20
 	// maxNameBytes bounds node and zone names.
@@ -155,6 +171,17 @@
 	// TickEveryMS is the interval at which control state looks at the clock, in
 	// milliseconds. A longer one costs less while nothing happens.
 	TickEveryMS int `yaml:"tick_every_ms" usage:"interval at which control state looks at the clock"`
+	// RetryPercent is the share of the requests of a destination that may be sent
+	// again, in hundredths.
+	RetryPercent int `yaml:"retry_percent" usage:"share of requests that may be sent again, in hundredths"`
+	// RetryWindowMS is the window in which that share counts, in milliseconds.
+	RetryWindowMS int `yaml:"retry_window_ms" usage:"window in which the share of retries counts"`
+	// RetrySlack is how many requests of a destination may be sent again in a
+	// window beyond that share, by all nodes together.
+	RetrySlack int `yaml:"retry_slack" usage:"retries of all nodes in a window beyond the share"`
+	// BackendRetryMS is when a caller may come back after a failure of a back
+	// end, in milliseconds.
+	BackendRetryMS int `yaml:"backend_retry_ms" usage:"when callers may come back after a failure of a back end"`
 	// DrainTimeoutMS bounds the time to finish requests after SIGTERM, in
 	// milliseconds.
 	DrainTimeoutMS int `yaml:"drain_timeout_ms" usage:"time to finish requests after SIGTERM"`
@@ -241,6 +268,16 @@
 	return time.Duration(s.WeightsDeadlineMS) * time.Millisecond
 }
 
+// RetryWindow is the window in which the share of retries counts.
+func (s *Settings) RetryWindow() time.Duration {
+	return time.Duration(s.RetryWindowMS) * time.Millisecond
+}
+
+// BackendRetry is when a caller may come back after a failure of a back end.
+func (s *Settings) BackendRetry() time.Duration {
+	return time.Duration(s.BackendRetryMS) * time.Millisecond
+}
+
 // fillDefaults replaces zero numbers and an empty log level.
 func (s *Settings) fillDefaults() {
 	setDefault(&s.PlatformPollEveryMS, int(DefaultPlatformPollEvery.Milliseconds()))
@@ -253,6 +290,9 @@
 	setDefault(&s.AcknowledgeMS, int(DefaultAcknowledge.Milliseconds()))
 	setDefault(&s.TickEveryMS, int(DefaultTickEvery.Milliseconds()))
 	setDefault(&s.HeartbeatEveryMS, int(DefaultHeartbeatEvery.Milliseconds()))
+	setDefault(&s.RetryPercent, DefaultRetryPercent)
+	setDefault(&s.RetryWindowMS, int(DefaultRetryWindow.Milliseconds()))
+	setDefault(&s.BackendRetryMS, int(DefaultBackendRetry.Milliseconds()))
 	setDefault(&s.DrainTimeoutMS, int(DefaultDrainTimeout.Milliseconds()))
 	setDefault(&s.LogRing, DefaultLogRing)
 	setDefault(&s.LogLevel, DefaultLogLevel)
