--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -14,46 +14,61 @@
 	TakeBatch(batch shared.Batch)
 }
 
-// livePeers are the nodes that serve callers, for traffic to read without
-// waiting for control.
+// livePeers are the live nodes, for traffic to read without waiting for
+// control.
 type livePeers struct {
-	published atomic.Pointer[[]member.Info]
+	published atomic.Pointer[peerLists]
 	// digest is that of the members when they were published.
 	digest uint64
 }
 
+// peerLists are the live nodes, this one included, sorted by ID.
+type peerLists struct {
+	all     []member.Info
+	serving []member.Info
+}
+
 // follow publishes the peers again when the members have changed.
 func (p *livePeers) follow(machine *Machine) {
 	if p.published.Load() != nil && machine.membersDigest == p.digest {
 		return
 	}
 	p.digest = machine.membersDigest
-	peers := machine.servingMembers()
-	p.published.Store(&peers)
+	p.published.Store(machine.livePeers())
 }
 
-// servingMembers are the live nodes that serve callers, this one included if it
-// does, sorted by ID.
-func (m *Machine) servingMembers() []member.Info {
-	var serving []member.Info
+// livePeers are the live nodes and, of these, those that serve callers.
+func (m *Machine) livePeers() *peerLists {
+	peers := &peerLists{}
 	for _, record := range m.members.Members() {
-		if record.Info.TrafficAddress != "" && m.reachable(record.Info.ID) {
-			serving = append(serving, record.Info)
+		if !m.reachable(record.Info.ID) {
+			continue
+		}
+		peers.all = append(peers.all, record.Info)
+		if record.Info.TrafficAddress != "" {
+			peers.serving = append(peers.serving, record.Info)
 		}
 	}
-	return serving
+	return peers
 }
 
 // Peers returns the live nodes that serve callers; read only.
 func (d *Driver) Peers() []member.Info {
-	published := d.peers.published.Load()
-	if published == nil {
-		return nil
+	if published := d.peers.published.Load(); published != nil {
+		return published.serving
 	}
-	return *published
+	return nil
 }
 
-// SendTraffic sends a batch of news about traffic to another node. It may get
+// LiveNodes returns all live nodes; read only.
+func (d *Driver) LiveNodes() []member.Info {
+	if published := d.peers.published.Load(); published != nil {
+		return published.all
+	}
+	return nil
+}
+
+// SendTraffic sends a batch of news about traffic to other nodes. It may get
 // lost.
 func (d *Driver) SendTraffic(send shared.Outbound) {
 	envelope := wire.Envelope{
@@ -61,7 +76,10 @@
 		From:       d.machine.config.Self.ID,
 		Traffic:    &send.Batch,
 	}
-	d.options.Sender.Send(send.To.Address, wire.Encode(envelope))
+	frame := wire.Encode(envelope)
+	for _, to := range send.To {
+		d.options.Sender.Send(to.Address, frame)
+	}
 }
 
 // receiveTraffic hands news about traffic on. It does not go through the
--- a/internal/dataplane/shared/exchange.go
+++ b/internal/dataplane/shared/exchange.go
@@ -24,9 +24,9 @@
 	toRelays []News
 }
 
-// Outbound is a batch for another node.
+// Outbound is a batch for other nodes.
 type Outbound struct {
-	To    member.Info
+	To    []member.Info
 	Batch Batch
 }
 
@@ -56,36 +56,45 @@
 }
 
 // Flush returns what is to be sent now, given the live nodes.
-func (e *Exchange) Flush(peers []member.Info) []Outbound {
+func (e *Exchange) Flush(live []member.Info) []Outbound {
 	toZone, toRelays := e.toZone, e.toRelays
 	e.toZone, e.toRelays = nil, nil
-	relay, found := RelayOf(e.zone, peers)
+	relay, found := RelayOf(e.zone, live)
 	if !found {
 		return nil
 	}
 	if relay.ID != e.self {
-		return outbound(relay, Gathering, toRelays)
+		return outbound(Gathering, toRelays, relay)
 	}
-	var sends []Outbound
-	for _, peer := range peers {
-		switch {
-		case peer.ID == e.self:
-		case peer.Zone == e.zone:
-			sends = append(sends, outbound(peer, Spreading, besides(toZone, peer.ID))...)
-		}
-	}
-	for _, zone := range otherZones(e.zone, peers) {
-		if foreign, found := RelayOf(zone, peers); found {
-			sends = append(sends, outbound(foreign, Crossing, toRelays)...)
-		}
-	}
-	return sends
+	listeners := lo.Filter(live, func(node member.Info, _ int) bool {
+		return node.Zone == e.zone && node.ID != e.self && servesCallers(node)
+	})
+	sends := outbound(Spreading, toZone, listeners...)
+	return append(sends, outbound(Crossing, toRelays, e.foreignRelays(live)...)...)
+}
+
+// foreignRelays returns the relays of the other zones in which callers are
+// served.
+func (e *Exchange) foreignRelays(live []member.Info) []member.Info {
+	serving := lo.Filter(live, func(node member.Info, _ int) bool { return node.Zone != e.zone && servesCallers(node) })
+	zones := lo.Uniq(lo.Map(serving, func(node member.Info, _ int) string { return node.Zone }))
+	slices.Sort(zones)
+	return lo.FilterMap(zones, func(zone string, _ int) (member.Info, bool) { return RelayOf(zone, live) })
+}
+
+// servesCallers tells whether a node has traffic, and so a use for news of it.
+func servesCallers(node member.Info) bool {
+	return node.TrafficAddress != ""
 }
 
 // RelayOf returns the relay of a zone: of the live nodes in it, the one that
-// weighs highest.
-func RelayOf(zone string, peers []member.Info) (member.Info, bool) {
-	candidates := lo.Filter(peers, func(peer member.Info, _ int) bool { return peer.Zone == zone })
+// weighs highest. A node that serves no callers is taken before any that does,
+// as it has its link and processor to spare.
+func RelayOf(zone string, live []member.Info) (member.Info, bool) {
+	candidates := lo.Filter(live, func(node member.Info, _ int) bool { return node.Zone == zone })
+	if idle := lo.Reject(candidates, func(node member.Info, _ int) bool { return servesCallers(node) }); len(idle) > 0 {
+		candidates = idle
+	}
 	if len(candidates) == 0 {
 		return member.Info{}, false
 	}
@@ -99,22 +108,10 @@
 	return xxhash.Sum64String("relay\x00" + string(id))
 }
 
-// otherZones returns the zones of the nodes besides one, sorted.
-func otherZones(own string, peers []member.Info) []string {
-	zones := lo.Uniq(lo.Map(peers, func(peer member.Info, _ int) string { return peer.Zone }))
-	zones = lo.Without(zones, own)
-	slices.Sort(zones)
-	return zones
-}
-
-// besides returns the news of all nodes but one.
-func besides(news []News, id member.ID) []News {
-	return lo.Reject(news, func(item News, _ int) bool { return item.Node == id })
-}
-
-// outbound returns a batch for a node, or nothing if there is no news.
-func outbound(to member.Info, stage Stage, news []News) []Outbound {
-	if len(news) == 0 {
+// outbound returns a batch for nodes, or nothing if there is no news or nobody
+// to tell. Whose news comes back passes it over.
+func outbound(stage Stage, news []News, to ...member.Info) []Outbound {
+	if len(news) == 0 || len(to) == 0 {
 		return nil
 	}
 	return []Outbound{{To: to, Batch: Batch{Stage: stage, News: news}}}
--- a/internal/dataplane/shared/exchange_test.go
+++ b/internal/dataplane/shared/exchange_test.go
@@ -30,7 +30,11 @@
 	n := &network{exchanges: map[member.ID]*shared.Exchange{}, heard: map[member.ID]map[member.ID]int{}}
 	for zone := range zones {
 		for number := range perZone {
-			info := member.Info{ID: member.ID(fmt.Sprintf("node-%d-%d", zone, number)), Zone: fmt.Sprintf("zone-%d", zone)}
+			info := member.Info{
+				ID:             member.ID(fmt.Sprintf("node-%d-%d", zone, number)),
+				Zone:           fmt.Sprintf("zone-%d", zone),
+				TrafficAddress: "served",
+			}
 			n.peers = append(n.peers, info)
 			n.exchanges[info.ID] = shared.NewExchange(info.ID, info.Zone)
 			n.heard[info.ID] = map[member.ID]int{}
@@ -39,16 +43,6 @@
 	return n
 }
 
-// zoneOf returns the zone of a node.
-func (n *network) zoneOf(id member.ID) string {
-	for _, peer := range n.peers {
-		if peer.ID == id {
-			return peer.Zone
-		}
-	}
-	return ""
-}
-
 // round lets every node flush once by its view of the live nodes.
 func (n *network) round(views map[member.ID][]member.Info) {
 	for _, peer := range n.peers {
@@ -57,17 +51,27 @@
 			view = n.peers
 		}
 		for _, send := range n.exchanges[peer.ID].Flush(view) {
-			n.sent++
-			if n.zoneOf(peer.ID) != send.To.Zone {
-				n.crossings++
-			}
-			for _, news := range n.exchanges[send.To.ID].Take(send.Batch) {
-				n.heard[send.To.ID][news.Node]++
+			for _, to := range send.To {
+				n.deliver(peer, to, send.Batch)
 			}
 		}
 	}
 }
 
+// deliver lets a batch arrive.
+func (n *network) deliver(from, to member.Info, batch shared.Batch) {
+	n.sent++
+	if from.Zone != to.Zone {
+		n.crossings++
+	}
+	for _, news := range n.exchanges[to.ID].Take(batch) {
+		n.heard[to.ID][news.Node]++
+	}
+}
+
+// zoneOfAll is the zone of the nodes that serve no callers in tests.
+const zoneOfAll = "zone-0"
+
 var _ = Describe("Exchange", func() {
 	It("brings everybody's news to everybody else once", func() {
 		n := newNetwork(4, 18)
@@ -121,6 +125,32 @@
 		}
 	})
 
+	It("relays through a node that serves no callers, and tells it nothing else", func() {
+		n := newNetwork(2, 5)
+		idle := member.Info{ID: "idle", Zone: zoneOfAll}
+		n.peers = append(n.peers, idle)
+		n.exchanges[idle.ID] = shared.NewExchange(idle.ID, idle.Zone)
+		n.heard[idle.ID] = map[member.ID]int{}
+		relay, found := shared.RelayOf(zoneOfAll, n.peers)
+		Expect(found).To(BeTrue())
+		Expect(relay.ID).To(Equal(idle.ID))
+		for id, exchange := range n.exchanges {
+			if id != idle.ID {
+				exchange.Add(shared.News{Node: id})
+			}
+		}
+		for range 4 {
+			n.round(nil)
+		}
+		for id, heard := range n.heard {
+			for from, times := range heard {
+				Expect(times).To(Equal(1), "%s of %s", id, from)
+			}
+		}
+		Expect(n.heard["node-0-0"]).To(HaveLen(9))
+		Expect(n.heard["node-1-0"]).To(HaveLen(9))
+	})
+
 	It("holds no more than its bound", func() {
 		exchange := shared.NewExchange("relay", "zone")
 		news := make([]shared.News, 10000)
@@ -128,7 +158,7 @@
 			news[i].Node = "other"
 		}
 		Expect(exchange.Take(shared.Batch{Stage: shared.Gathering, News: news})).To(HaveLen(len(news)))
-		peers := []member.Info{{ID: "relay", Zone: "zone"}, {ID: "listener", Zone: "zone"}}
+		peers := []member.Info{{ID: "relay", Zone: "zone"}, {ID: "listener", Zone: "zone", TrafficAddress: "served"}}
 		sends := exchange.Flush(peers)
 		Expect(sends).To(HaveLen(1))
 		Expect(len(sends[0].Batch.News)).To(Equal(4096))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	n.sharer = newSharer(member.ID(n.settings.MemberID()), n.settings.Zone, n.dataplane)
+	n.sharer = newSharer(member.ID(n.settings.MemberID()), n.settings.Zone, n.served())
 	machine, err := control.New(n.controlConfig(), n.storage.restored, n.dataplane, clock.SinceBoot())
 	if err != nil {
 		return err
@@ -126,6 +126,14 @@
 	}
 }
 
+// served is what serves callers, or nil on a node that serves none.
+func (n *Node) served() *dataplane.Server {
+	if n.settings.ControlOnly {
+		return nil
+	}
+	return n.dataplane
+}
+
 // buildOperators listens for operators and for whoever asks for the node's
 // health.
 func (n *Node) buildOperators() error {
@@ -219,9 +227,7 @@
 	if n.storage.disk != nil && n.settings.Seeded() {
 		supervisor.Add(&addressService{storage: n.storage, driver: n.driver, log: n.log})
 	}
-	if !n.settings.ControlOnly {
-		supervisor.Add(n.sharer)
-	}
+	supervisor.Add(n.sharer)
 	finished := make(chan struct{})
 	ended := supervisor.ServeBackground(ctx)
 	go func() {
--- a/internal/node/sharer.go
+++ b/internal/node/sharer.go
@@ -18,6 +18,7 @@
 // sharer tells the other nodes of this node's traffic, and passes on what they
 // tell.
 type sharer struct {
+	// dataplane is nil on a node that serves no callers, which passes news on.
 	dataplane *dataplane.Server
 	driver    *control.Driver
 
@@ -46,7 +47,10 @@
 
 // share sends what is due.
 func (s *sharer) share() {
-	news := s.dataplane.News()
+	var news shared.News
+	if s.dataplane != nil {
+		news = s.dataplane.News()
+	}
 	for _, send := range s.flush(news) {
 		s.driver.SendTraffic(send)
 	}
@@ -59,7 +63,7 @@
 	if !own.Empty() {
 		s.exchange.Add(own)
 	}
-	return s.exchange.Flush(s.driver.Peers())
+	return s.exchange.Flush(s.driver.LiveNodes())
 }
 
 // TakeBatch implements control.TrafficReceiver.
@@ -67,6 +71,9 @@
 	s.mutex.Lock()
 	fresh := s.exchange.Take(batch)
 	s.mutex.Unlock()
+	if s.dataplane == nil {
+		return
+	}
 	for _, news := range fresh {
 		s.dataplane.TakeNews(news)
 	}
