--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -51,16 +51,14 @@
 	if len(attempt.Generation.Parts) == 0 {
 		return
 	}
+	generation := attempt.Generation
 	dispatch := shared.Dispatch{
-		Address:   attempt.Address,
-		Model:     attempt.Generation.Model,
-		CacheSalt: attempt.Generation.CacheSalt,
-		Naming:    b.naming(),
-		Parts:     attempt.Generation.Parts,
+		Address: attempt.Address,
+		Links:   b.naming().Links(generation.Model, generation.CacheSalt, generation.Parts),
 	}
 	b.server.sharing.dispatched(dispatch)
-	if attempt.Generation.SaveTo != "" {
-		dispatch.Address = attempt.Generation.SaveTo
+	if generation.SaveTo != "" {
+		dispatch.Address = generation.SaveTo
 		b.server.sharing.dispatched(dispatch)
 	}
 }
--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -14,6 +14,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
 const (
@@ -213,12 +214,10 @@
 	return shared.Report{
 		Address: address,
 		Feed:    kvrouter.Feed{BootEpoch: page.BootEpoch, From: since, Next: page.Next, Lost: page.Lost},
-		Changes: lo.Map(page.Changes, func(change PartChange, _ int) kvrouter.PartChange {
-			return kvrouter.PartChange{
+		Changes: lo.Map(page.Changes, func(change PartChange, _ int) shared.Change {
+			return shared.Change{
 				Sequence: change.Sequence,
-				Salt:     change.CacheSalt,
-				Model:    change.Model,
-				ID:       change.ID,
+				Name:     prefixindex.NamedPart(change.Model, change.CacheSalt, change.ID),
 				Tokens:   change.Tokens,
 				Removed:  change.Removed,
 			}
--- a/internal/dataplane/shared/message.go
+++ b/internal/dataplane/shared/message.go
@@ -48,11 +48,9 @@
 type Dispatch struct {
 	// Address is that of the replica, and of the store that its parts are saved
 	// to in a Dispatch of their own.
-	Address   string
-	Model     string
-	CacheSalt string
-	Naming    kvrouter.Naming
-	Parts     []prefixindex.Part
+	Address string
+	// Links are the prompt's parts as the index names them.
+	Links []prefixindex.Link
 }
 
 // Report hands on a page of a replica's or store's reports.
@@ -60,8 +58,19 @@
 	Address string
 	Feed    kvrouter.Feed
 	// Whole tells that the changes are all that is kept, instead of changes.
-	Whole   bool
-	Changes []kvrouter.PartChange
+	Whole bool
+	Changes []Change
+}
+
+// Change is a change of what a replica or store keeps of one part.
+type Change struct {
+	// Sequence is the number of the change; 0 when it is not known.
+	Sequence uint64
+	// Name is that of the part in the index.
+	Name prefixindex.ChainHash
+	// Tokens is what is kept now.
+	Tokens  uint32
+	Removed bool
 }
 
 // Empty tells whether the news says nothing.
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 )
@@ -99,7 +101,7 @@
 		s.router.RemoteLoad(now, string(news.Node), load.Address, load.SharedLoad)
 	}
 	for _, dispatch := range news.Dispatches {
-		s.router.Observe(now, dispatch.Address, dispatch.Model, dispatch.CacheSalt, dispatch.Naming, dispatch.Parts)
+		s.router.ObserveLinks(now, dispatch.Address, dispatch.Links)
 	}
 	for _, report := range news.Reports {
 		s.takeReport(now, report)
@@ -108,8 +110,16 @@
 
 // takeReport brings a page of reports into the index.
 func (s *Server) takeReport(now time.Duration, report shared.Report) kvrouter.FeedStatus {
+	changes := lo.Map(report.Changes, func(change shared.Change, _ int) kvrouter.PartChange {
+		return kvrouter.PartChange{
+			Sequence: change.Sequence,
+			Name:     change.Name,
+			Tokens:   change.Tokens,
+			Removed:  change.Removed,
+		}
+	})
 	if report.Whole {
-		return s.router.PartsListed(now, report.Address, report.Feed.BootEpoch, report.Feed.Next, report.Changes)
+		return s.router.PartsListed(now, report.Address, report.Feed.BootEpoch, report.Feed.Next, changes)
 	}
-	return s.router.PartsReported(now, report.Address, report.Feed, report.Changes)
+	return s.router.PartsReported(now, report.Address, report.Feed, changes)
 }
--- a/internal/wire/fb/PartChange.go
+++ b/internal/wire/fb/PartChange.go
@@ -7,25 +7,21 @@
 )
 
 type PartChangeT struct {
-	Sequence  uint64 `json:"sequence"`
-	CacheSalt uint32 `json:"cache_salt"`
-	Model     uint32 `json:"model"`
-	Id        uint32 `json:"id"`
-	Tokens    uint32 `json:"tokens"`
-	Removed   bool   `json:"removed"`
+	Sequence uint64 `json:"sequence"`
+	Name     uint64 `json:"name"`
+	Tokens   uint32 `json:"tokens"`
+	Removed  bool   `json:"removed"`
 }
 
 func (t *PartChangeT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	if t == nil {
 		return 0
 	}
-	return CreatePartChange(builder, t.Sequence, t.CacheSalt, t.Model, t.Id, t.Tokens, t.Removed)
+	return CreatePartChange(builder, t.Sequence, t.Name, t.Tokens, t.Removed)
 }
 func (rcv *PartChange) UnPackTo(t *PartChangeT) {
 	t.Sequence = rcv.Sequence()
-	t.CacheSalt = rcv.CacheSalt()
-	t.Model = rcv.Model()
-	t.Id = rcv.Id()
+	t.Name = rcv.Name()
 	t.Tokens = rcv.Tokens()
 	t.Removed = rcv.Removed()
 }
@@ -59,49 +55,33 @@
 	return rcv._tab.MutateUint64(rcv._tab.Pos+flatbuffers.UOffsetT(0), n)
 }
 
-func (rcv *PartChange) CacheSalt() uint32 {
-	return rcv._tab.GetUint32(rcv._tab.Pos + flatbuffers.UOffsetT(8))
+func (rcv *PartChange) Name() uint64 {
+	return rcv._tab.GetUint64(rcv._tab.Pos + flatbuffers.UOffsetT(8))
 }
-func (rcv *PartChange) MutateCacheSalt(n uint32) bool {
-	return rcv._tab.MutateUint32(rcv._tab.Pos+flatbuffers.UOffsetT(8), n)
-}
-
-func (rcv *PartChange) Model() uint32 {
-	return rcv._tab.GetUint32(rcv._tab.Pos + flatbuffers.UOffsetT(12))
-}
-func (rcv *PartChange) MutateModel(n uint32) bool {
-	return rcv._tab.MutateUint32(rcv._tab.Pos+flatbuffers.UOffsetT(12), n)
-}
-
-func (rcv *PartChange) Id() uint32 {
-	return rcv._tab.GetUint32(rcv._tab.Pos + flatbuffers.UOffsetT(16))
-}
-func (rcv *PartChange) MutateId(n uint32) bool {
-	return rcv._tab.MutateUint32(rcv._tab.Pos+flatbuffers.UOffsetT(16), n)
+func (rcv *PartChange) MutateName(n uint64) bool {
+	return rcv._tab.MutateUint64(rcv._tab.Pos+flatbuffers.UOffsetT(8), n)
 }
 
 func (rcv *PartChange) Tokens() uint32 {
-	return rcv._tab.GetUint32(rcv._tab.Pos + flatbuffers.UOffsetT(20))
+	return rcv._tab.GetUint32(rcv._tab.Pos + flatbuffers.UOffsetT(16))
 }
 func (rcv *PartChange) MutateTokens(n uint32) bool {
-	return rcv._tab.MutateUint32(rcv._tab.Pos+flatbuffers.UOffsetT(20), n)
+	return rcv._tab.MutateUint32(rcv._tab.Pos+flatbuffers.UOffsetT(16), n)
 }
 
 func (rcv *PartChange) Removed() bool {
-	return rcv._tab.GetBool(rcv._tab.Pos + flatbuffers.UOffsetT(24))
+	return rcv._tab.GetBool(rcv._tab.Pos + flatbuffers.UOffsetT(20))
 }
 func (rcv *PartChange) MutateRemoved(n bool) bool {
-	return rcv._tab.MutateBool(rcv._tab.Pos+flatbuffers.UOffsetT(24), n)
+	return rcv._tab.MutateBool(rcv._tab.Pos+flatbuffers.UOffsetT(20), n)
 }
 
-func CreatePartChange(builder *flatbuffers.Builder, sequence uint64, cacheSalt uint32, model uint32, id uint32, tokens uint32, removed bool) flatbuffers.UOffsetT {
-	builder.Prep(8, 32)
-	builder.Pad(7)
+func CreatePartChange(builder *flatbuffers.Builder, sequence uint64, name uint64, tokens uint32, removed bool) flatbuffers.UOffsetT {
+	builder.Prep(8, 24)
+	builder.Pad(3)
 	builder.PrependBool(removed)
 	builder.PrependUint32(tokens)
-	builder.PrependUint32(id)
-	builder.PrependUint32(model)
-	builder.PrependUint32(cacheSalt)
+	builder.PrependUint64(name)
 	builder.PrependUint64(sequence)
 	return builder.Offset()
 }
--- a/internal/wire/fb/TrafficDispatch.go
+++ b/internal/wire/fb/TrafficDispatch.go
@@ -7,60 +7,37 @@
 )
 
 type TrafficDispatchT struct {
-	Address    uint32   `json:"address"`
-	Model      uint32   `json:"model"`
-	CacheSalt  uint32   `json:"cache_salt"`
-	Naming     byte     `json:"naming"`
-	PartIds    []uint32 `json:"part_ids"`
-	PartTokens []uint32 `json:"part_tokens"`
+	Address uint32       `json:"address"`
+	Links   []*PartLinkT `json:"links"`
 }
 
 func (t *TrafficDispatchT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	if t == nil {
 		return 0
 	}
-	partIdsOffset := flatbuffers.UOffsetT(0)
-	if t.PartIds != nil {
-		partIdsLength := len(t.PartIds)
-		TrafficDispatchStartPartIdsVector(builder, partIdsLength)
-		for j := partIdsLength - 1; j >= 0; j-- {
-			builder.PrependUint32(t.PartIds[j])
+	linksOffset := flatbuffers.UOffsetT(0)
+	if t.Links != nil {
+		linksLength := len(t.Links)
+		TrafficDispatchStartLinksVector(builder, linksLength)
+		for j := linksLength - 1; j >= 0; j-- {
+			t.Links[j].Pack(builder)
 		}
-		partIdsOffset = builder.EndVector(partIdsLength)
-	}
-	partTokensOffset := flatbuffers.UOffsetT(0)
-	if t.PartTokens != nil {
-		partTokensLength := len(t.PartTokens)
-		TrafficDispatchStartPartTokensVector(builder, partTokensLength)
-		for j := partTokensLength - 1; j >= 0; j-- {
-			builder.PrependUint32(t.PartTokens[j])
-		}
-		partTokensOffset = builder.EndVector(partTokensLength)
+		linksOffset = builder.EndVector(linksLength)
 	}
 	TrafficDispatchStart(builder)
 	TrafficDispatchAddAddress(builder, t.Address)
-	TrafficDispatchAddModel(builder, t.Model)
-	TrafficDispatchAddCacheSalt(builder, t.CacheSalt)
-	TrafficDispatchAddNaming(builder, t.Naming)
-	TrafficDispatchAddPartIds(builder, partIdsOffset)
-	TrafficDispatchAddPartTokens(builder, partTokensOffset)
+	TrafficDispatchAddLinks(builder, linksOffset)
 	return TrafficDispatchEnd(builder)
 }
 
 func (rcv *TrafficDispatch) UnPackTo(t *TrafficDispatchT) {
 	t.Address = rcv.Address()
-	t.Model = rcv.Model()
-	t.CacheSalt = rcv.CacheSalt()
-	t.Naming = rcv.Naming()
-	partIdsLength := rcv.PartIdsLength()
-	t.PartIds = make([]uint32, partIdsLength)
-	for j := 0; j < partIdsLength; j++ {
-		t.PartIds[j] = rcv.PartIds(j)
-	}
-	partTokensLength := rcv.PartTokensLength()
-	t.PartTokens = make([]uint32, partTokensLength)
-	for j := 0; j < partTokensLength; j++ {
-		t.PartTokens[j] = rcv.PartTokens(j)
+	linksLength := rcv.LinksLength()
+	t.Links = make([]*PartLinkT, linksLength)
+	for j := 0; j < linksLength; j++ {
+		x := PartLink{}
+		rcv.Links(&x, j)
+		t.Links[j] = x.UnPack()
 	}
 }
 
@@ -112,120 +89,36 @@
 	return rcv._tab.MutateUint32Slot(4, n)
 }
 
-func (rcv *TrafficDispatch) Model() uint32 {
+func (rcv *TrafficDispatch) Links(obj *PartLink, j int) bool {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
-		return rcv._tab.GetUint32(o + rcv._tab.Pos)
-	}
-	return 0
-}
-
-func (rcv *TrafficDispatch) MutateModel(n uint32) bool {
-	return rcv._tab.MutateUint32Slot(6, n)
-}
-
-func (rcv *TrafficDispatch) CacheSalt() uint32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
-	if o != 0 {
-		return rcv._tab.GetUint32(o + rcv._tab.Pos)
-	}
-	return 0
-}
-
-func (rcv *TrafficDispatch) MutateCacheSalt(n uint32) bool {
-	return rcv._tab.MutateUint32Slot(8, n)
-}
-
-func (rcv *TrafficDispatch) Naming() byte {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
-	if o != 0 {
-		return rcv._tab.GetByte(o + rcv._tab.Pos)
-	}
-	return 0
-}
-
-func (rcv *TrafficDispatch) MutateNaming(n byte) bool {
-	return rcv._tab.MutateByteSlot(10, n)
-}
-
-func (rcv *TrafficDispatch) PartIds(j int) uint32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
-	if o != 0 {
-		a := rcv._tab.Vector(o)
-		return rcv._tab.GetUint32(a + flatbuffers.UOffsetT(j*4))
-	}
-	return 0
-}
-
-func (rcv *TrafficDispatch) PartIdsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
-	if o != 0 {
-		return rcv._tab.VectorLen(o)
-	}
-	return 0
-}
-
-func (rcv *TrafficDispatch) MutatePartIds(j int, n uint32) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
-	if o != 0 {
-		a := rcv._tab.Vector(o)
-		return rcv._tab.MutateUint32(a+flatbuffers.UOffsetT(j*4), n)
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 16
+		obj.Init(rcv._tab.Bytes, x)
+		return true
 	}
 	return false
 }
 
-func (rcv *TrafficDispatch) PartTokens(j int) uint32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
-	if o != 0 {
-		a := rcv._tab.Vector(o)
-		return rcv._tab.GetUint32(a + flatbuffers.UOffsetT(j*4))
-	}
-	return 0
-}
-
-func (rcv *TrafficDispatch) PartTokensLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+func (rcv *TrafficDispatch) LinksLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
 	}
 	return 0
 }
 
-func (rcv *TrafficDispatch) MutatePartTokens(j int, n uint32) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
-	if o != 0 {
-		a := rcv._tab.Vector(o)
-		return rcv._tab.MutateUint32(a+flatbuffers.UOffsetT(j*4), n)
-	}
-	return false
-}
-
 func TrafficDispatchStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(2)
 }
 func TrafficDispatchAddAddress(builder *flatbuffers.Builder, address uint32) {
 	builder.PrependUint32Slot(0, address, 0)
 }
-func TrafficDispatchAddModel(builder *flatbuffers.Builder, model uint32) {
-	builder.PrependUint32Slot(1, model, 0)
-}
-func TrafficDispatchAddCacheSalt(builder *flatbuffers.Builder, cacheSalt uint32) {
-	builder.PrependUint32Slot(2, cacheSalt, 0)
-}
-func TrafficDispatchAddNaming(builder *flatbuffers.Builder, naming byte) {
-	builder.PrependByteSlot(3, naming, 0)
-}
-func TrafficDispatchAddPartIds(builder *flatbuffers.Builder, partIds flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(4, flatbuffers.UOffsetT(partIds), 0)
-}
-func TrafficDispatchStartPartIdsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(4, numElems, 4)
-}
-func TrafficDispatchAddPartTokens(builder *flatbuffers.Builder, partTokens flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(partTokens), 0)
+func TrafficDispatchAddLinks(builder *flatbuffers.Builder, links flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(links), 0)
 }
-func TrafficDispatchStartPartTokensVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(4, numElems, 4)
+func TrafficDispatchStartLinksVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(16, numElems, 8)
 }
 func TrafficDispatchEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/internal/wire/fb/TrafficReport.go
+++ b/internal/wire/fb/TrafficReport.go
@@ -168,7 +168,7 @@
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
 	if o != 0 {
 		x := rcv._tab.Vector(o)
-		x += flatbuffers.UOffsetT(j) * 32
+		x += flatbuffers.UOffsetT(j) * 24
 		obj.Init(rcv._tab.Bytes, x)
 		return true
 	}
@@ -208,7 +208,7 @@
 	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(changes), 0)
 }
 func TrafficReportStartChangesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(32, numElems, 8)
+	return builder.StartVector(24, numElems, 8)
 }
 func TrafficReportEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -10,8 +10,8 @@
 
 // The least bytes that an element of a vector of a Traffic message takes.
 const (
-	partChangeBytes = 32
-	textIndexBytes  = 4
+	partChangeBytes = 24
+	partLinkBytes   = 16
 )
 
 // textTable gives each text of a message an index.
@@ -82,15 +82,9 @@
 }
 
 func packDispatch(table *textTable, dispatch shared.Dispatch) *fb.TrafficDispatchT {
-	packed := &fb.TrafficDispatchT{
-		Address:   table.index(dispatch.Address),
-		Model:     table.index(dispatch.Model),
-		CacheSalt: table.index(dispatch.CacheSalt),
-		Naming:    byte(dispatch.Naming),
-	}
-	for _, part := range dispatch.Parts {
-		packed.PartIds = append(packed.PartIds, table.index(part.ID))
-		packed.PartTokens = append(packed.PartTokens, part.Tokens)
+	packed := &fb.TrafficDispatchT{Address: table.index(dispatch.Address)}
+	for _, link := range dispatch.Links {
+		packed.Links = append(packed.Links, &fb.PartLinkT{Name: uint64(link.Hash), Tokens: link.Tokens})
 	}
 	return packed
 }
@@ -106,12 +100,10 @@
 	}
 	for _, change := range report.Changes {
 		packed.Changes = append(packed.Changes, &fb.PartChangeT{
-			Sequence:  change.Sequence,
-			CacheSalt: table.index(change.Salt),
-			Model:     table.index(change.Model),
-			Id:        table.index(change.ID),
-			Tokens:    change.Tokens,
-			Removed:   change.Removed,
+			Sequence: change.Sequence,
+			Name:     uint64(change.Name),
+			Tokens:   change.Tokens,
+			Removed:  change.Removed,
 		})
 	}
 	return packed
@@ -172,23 +164,21 @@
 	for i := range dispatches {
 		table.Dispatches(&stored, i)
 		dispatches[i] = shared.Dispatch{
-			Address:   named.at(stored.Address()),
-			Model:     named.at(stored.Model()),
-			CacheSalt: named.at(stored.CacheSalt()),
-			Naming:    kvrouter.Naming(stored.Naming()),
-			Parts:     r.trafficParts(&stored, named),
+			Address: named.at(stored.Address()),
+			Links:   r.partLinks(&stored),
 		}
 	}
 	return dispatches
 }
 
-func (r *reader) trafficParts(stored *fb.TrafficDispatch, named texts) []prefixindex.Part {
-	length := min(stored.PartIdsLength(), stored.PartTokensLength())
-	parts := make([]prefixindex.Part, r.elements(length, textIndexBytes))
-	for i := range parts {
-		parts[i] = prefixindex.Part{ID: named.at(stored.PartIds(i)), Tokens: stored.PartTokens(i)}
+func (r *reader) partLinks(stored *fb.TrafficDispatch) []prefixindex.Link {
+	links := make([]prefixindex.Link, r.elements(stored.LinksLength(), partLinkBytes))
+	var link fb.PartLink
+	for i := range links {
+		stored.Links(&link, i)
+		links[i] = prefixindex.Link{Hash: prefixindex.ChainHash(link.Name()), Tokens: link.Tokens()}
 	}
-	return parts
+	return links
 }
 
 func (r *reader) trafficReports(table *fb.TrafficNews, named texts) []shared.Report {
@@ -205,22 +195,20 @@
 				Lost:      stored.Lost(),
 			},
 			Whole:   stored.Whole(),
-			Changes: r.partChanges(&stored, named),
+			Changes: r.partChanges(&stored),
 		}
 	}
 	return reports
 }
 
-func (r *reader) partChanges(stored *fb.TrafficReport, named texts) []kvrouter.PartChange {
-	changes := make([]kvrouter.PartChange, r.elements(stored.ChangesLength(), partChangeBytes))
+func (r *reader) partChanges(stored *fb.TrafficReport) []shared.Change {
+	changes := make([]shared.Change, r.elements(stored.ChangesLength(), partChangeBytes))
 	var change fb.PartChange
 	for i := range changes {
 		stored.Changes(&change, i)
-		changes[i] = kvrouter.PartChange{
+		changes[i] = shared.Change{
 			Sequence: change.Sequence(),
-			Salt:     named.at(change.CacheSalt()),
-			Model:    named.at(change.Model()),
-			ID:       named.at(change.Id()),
+			Name:     prefixindex.ChainHash(change.Name()),
 			Tokens:   change.Tokens(),
 			Removed:  change.Removed(),
 		}
--- a/pkg/kvrouter/naming.go
+++ b/pkg/kvrouter/naming.go
@@ -14,8 +14,8 @@
 	Named
 )
 
-// links names the parts of a prompt.
-func (n Naming) links(model, cacheSalt string, parts []prefixindex.Part) []prefixindex.Link {
+// Links names the parts of a prompt.
+func (n Naming) Links(model, cacheSalt string, parts []prefixindex.Part) []prefixindex.Link {
 	if n == Named {
 		return prefixindex.Named(model, cacheSalt, parts)
 	}
--- a/pkg/kvrouter/parts.go
+++ b/pkg/kvrouter/parts.go
@@ -22,15 +22,25 @@
 type PartChange struct {
 	// Sequence is the number of the change; 0 when it is not known.
 	Sequence uint64
-	Salt     string
-	Model    string
-	ID       string
+	// Name is that of prefixindex.NamedPart; 0 to make it of the three texts.
+	Name  prefixindex.ChainHash
+	Salt  string
+	Model string
+	ID    string
 	// Tokens is what the holder keeps of the part now, from its beginning. It
 	// may be less than the part, and more than 0 for a removal.
 	Tokens  uint32
 	Removed bool
 }
 
+// IndexName returns the name of the part in the index.
+func (c PartChange) IndexName() prefixindex.ChainHash {
+	if c.Name != 0 {
+		return c.Name
+	}
+	return prefixindex.NamedPart(c.Model, c.Salt, c.ID)
+}
+
 // PartsReported takes in a batch of changes that a replica or store reported of
 // parts by their own IDs. Batches may come doubled, late and out of order. Where
 // some are lost, everything that the holder reported before becomes a guess,
@@ -71,8 +81,12 @@
 // therefore probably keeps the parts soon. A request that saves parts to a store
 // is observed for the store as well.
 func (r *Router) Observe(now time.Duration, address, model, cacheSalt string, naming Naming, parts []prefixindex.Part) {
+	r.ObserveLinks(now, address, naming.Links(model, cacheSalt, parts))
+}
+
+// ObserveLinks is Observe for parts that are named already.
+func (r *Router) ObserveLinks(now time.Duration, address string, links []prefixindex.Link) {
 	known := r.stateOf(now, address)
-	links := naming.links(model, cacheSalt, parts)
 	view := known.feed.view(now)
 	if view.reports {
 		known.feed.expect(now, links)
--- a/pkg/kvrouter/partsfeed.go
+++ b/pkg/kvrouter/partsfeed.go
@@ -106,7 +106,7 @@
 }
 
 func (f *feed) hold(change PartChange) {
-	name := prefixindex.NamedPart(change.Model, change.Salt, change.ID)
+	name := change.IndexName()
 	f.index.Hold(f.holder, name, change.Tokens)
 	if change.Removed {
 		f.pending.Remove(f.holder, []prefixindex.ChainHash{name})
--- a/pkg/kvrouter/prompt.go
+++ b/pkg/kvrouter/prompt.go
@@ -58,7 +58,7 @@
 		s.used++
 		added.version = version
 		added.salt = req.salt(version)
-		added.links = req.Naming.links(req.Model, added.salt, req.Parts)
+		added.links = req.Naming.Links(req.Model, added.salt, req.Parts)
 		added.sources = added.sources[:0]
 		r.index.Overlaps(req.Now, added.links, &added.overlaps)
 		if req.Engine != nil {
