--- a/internal/dataplane/shared/message.go
+++ b/internal/dataplane/shared/message.go
@@ -58,7 +58,7 @@
 	Address string
 	Feed    kvrouter.Feed
 	// Whole tells that the changes are all that is kept, instead of changes.
-	Whole bool
+	Whole   bool
 	Changes []Change
 }
 
