A lost voter is replaced by taking its vote before giving one

A peer that took a vote in addition raised the majority of three voters with one lost to three of four.

--- a/internal/lab/sim/operators.go
+++ b/internal/lab/sim/operators.go
@@ -73,6 +73,8 @@
 	sentID    string
 	answered  bool
 	abandoned bool
+	// overtaken tells that the operator went on to another node.
+	overtaken bool
 	record    checker.Order
 }
 
@@ -124,6 +126,7 @@
 	target.take(sent)
 	w.after(w.patience(), func() {
 		if !sent.answered {
+			sent.overtaken = w.settings.FailOpen
 			w.submit(order)
 		}
 	})
@@ -216,6 +219,9 @@
 	}
 	outcome := sent.record.Outcome
 	final := outcome == checker.OutcomeAcknowledged || outcome == checker.OutcomeRefused
+	if !final && sent.overtaken {
+		return
+	}
 	if !final && !order.doubtful {
 		w.after(w.upTo(2*retryDelay), func() { w.submit(order) })
 		return
--- a/pkg/replication/repair.go
+++ b/pkg/replication/repair.go
@@ -12,7 +12,7 @@
 // repairGroup proposes the change that is due first, if any.
 func (g *Group) repairGroup() {
 	for _, due := range []func() (GroupChange, bool){
-		g.dueRefill, g.dueLifeRemoval, g.dueReduction, g.dueGrowth, g.dueDrop,
+		g.dueRefill, g.dueLifeRemoval, g.dueReduction, g.dueReplacement, g.dueGrowth, g.dueDrop,
 	} {
 		if change, found := due(); found && g.ProposeGroupChange(g.now, change) == nil {
 			return
@@ -67,42 +67,58 @@
 	return GroupChange{}, false
 }
 
+// dueReplacement removes a silent voter from a group with an odd number of voters
+// in favour of a peer that has caught up. The vote is given only after it was
+// taken: a peer that took one in addition would raise the majority, which could
+// not be reached any more if the peer were lost at once as well.
+func (g *Group) dueReplacement() (change GroupChange, due bool) {
+	successor, found := g.candidate()
+	if !found {
+		return GroupChange{}, false
+	}
+	for _, voter := range g.places().voters() {
+		if g.silent(voter) {
+			return GroupChange{Kind: ChangeRemoveVoter, Voter: voter, Successor: successor}, true
+		}
+	}
+	return GroupChange{}, false
+}
+
 // dueGrowth gives a vote to a peer that has caught up.
 func (g *Group) dueGrowth() (change GroupChange, due bool) {
-	if !g.mayGrow() {
+	voter, found := g.candidate()
+	if !found || !g.mayGrow() {
 		return GroupChange{}, false
 	}
+	return GroupChange{Kind: ChangeAddVoter, Voter: voter}, true
+}
+
+// candidate is a peer without a place that has caught up.
+func (g *Group) candidate() (voter Voter, found bool) {
 	for _, peer := range g.peers {
 		follower := g.ownership.progress[peer.ID]
 		if peer.Left || follower == nil || g.places().position(peer.ID) >= 0 {
 			continue
 		}
 		if voter := (Voter{ID: peer.ID, Life: follower.life}); g.caughtUp(voter) {
-			return GroupChange{Kind: ChangeAddVoter, Voter: voter}, true
+			return voter, true
 		}
 	}
-	return GroupChange{}, false
+	return Voter{}, false
 }
 
-// mayGrow tells whether there is room for a voter. A full group takes one in
-// that is to replace a silent voter, since an odd group removes none before.
+// mayGrow tells whether there is room for a voter. One voter more raises the
+// majority of an odd group, which then bears less while a voter is not heard.
 func (g *Group) mayGrow() bool {
 	group := g.places()
-	if len(group)%2 == 1 && slices.ContainsFunc(group.voters(), g.inDoubt) {
+	if len(group) >= g.cfg.MaxVoters {
 		return false
 	}
-	if len(group) < g.cfg.MaxVoters {
-		return true
-	}
-	return len(group) == g.cfg.MaxVoters && slices.ContainsFunc(group.voters(), g.silent)
+	return len(group)%2 == 0 || !slices.ContainsFunc(group.voters(), g.unheard)
 }
 
-// inDoubt tells whether the voter is not heard, but may yet be back. One voter
-// more raises the majority of an odd group, which then bears less until the
-// silent voter can be removed: that must be possible at once.
-func (g *Group) inDoubt(voter Voter) bool {
-	follower := g.ownership.progress[voter.ID]
-	return follower != nil && !g.heard(follower) && !g.silent(voter)
+func (g *Group) unheard(voter Voter) bool {
+	return voter != g.self() && !g.voterHeard(voter)
 }
 
 // dueDrop gives a place up whose member does not come back for it.
