--- a/internal/lab/sim/breaks.go
+++ b/internal/lab/sim/breaks.go
@@ -49,7 +49,7 @@
 	// BreakReaderNeverReplaced gives the platform's list to the first node that read
 	// it, and to no other.
 	BreakReaderNeverReplaced Break = "reader-never-replaced"
-	// BreakTokenReused leaves the term out of the tokens of commands.
+	// BreakTokenReused gives all commands the same token.
 	BreakTokenReused Break = "token-reused"
 	// BreakNoCommandGap has a new owner not wait for the last command of the one
 	// before.
--- a/internal/lab/sim/finishfirst.go
+++ b/internal/lab/sim/finishfirst.go
@@ -98,9 +98,13 @@
 	return r.target != "" || r.version != arrived.version
 }
 
-// begun holds that no request begins on older weights than were named in the calm
-// and acknowledged longer ago than the bound.
+// begun holds that no request begins while weights are being loaded, or on older
+// weights than were named in the calm and acknowledged longer ago than the bound.
 func (c *checks) begun(begun *request) {
+	if begun.replica.loadingNow {
+		c.world.violate("weights_under_requests", "a request of %s began on %s, which loads weights %s",
+			begun.node.info.ID, begun.replica.address, begun.replica.target)
+	}
 	named, known := c.named[begun.replica.pool]
 	if !known || c.world.now <= named.at+finishFirstBound {
 		return
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -151,7 +151,7 @@
 
 func (n *node) dispatch(life uint64, command control.Command) {
 	if n.world.broken(BreakTokenReused) {
-		command.Token &= 1<<32 - 1
+		command.Token = 1
 	}
 	if n.now() >= command.Deadline && !n.world.broken(BreakCommandAfterDeadline) {
 		n.commandDone(life, command, control.CommandNotSent)
