--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -99,6 +99,10 @@
 	// when on its reports tell.
 	taken   bool
 	knownAt time.Duration
+	// askAt is when its reports are worth their price.
+	askAt time.Duration
+	// expected is how long the replica is thought to be out.
+	expected time.Duration
 	// refused tells that the replica wants a greater token.
 	refused  bool
 	next     time.Duration
@@ -125,6 +129,7 @@
 	w.since = earlier.since
 	w.taken = earlier.taken || earlier.sending
 	w.knownAt = earlier.knownAt
+	w.askAt = earlier.askAt
 	if earlier.sending {
 		w.knownAt = earlier.sentAt + commandWindow + reportSettle
 	}
@@ -169,6 +174,7 @@
 	work.sending = true
 	work.sentAt = m.now
 	work.taken = false
+	work.expected = rolling.pace.expected(work.level)
 	m.output.Commands = append(m.output.Commands, Command{
 		Address:          replica.Address,
 		Instance:         replica.Instance,
@@ -200,7 +206,7 @@
 	}
 	report, known := m.reportSince(replica.Address, replica.Instance, wanted)
 	if !known || report.Busy || report.WeightVersion == "" {
-		if m.now >= work.knownAt {
+		if m.now >= work.askAt {
 			m.askReport(replica.Address, replica.Instance)
 		}
 		return false
@@ -265,13 +271,16 @@
 		work.taken = true
 		work.failures = 0
 		work.knownAt = m.now + reportSettle
+		work.askAt = max(work.knownAt, work.sentAt+work.expected/2)
 	case CommandUnknown:
 		work.taken = true
 		work.knownAt = m.now + reportSettle
+		work.askAt = work.knownAt
 		m.pauseCommands(work)
 	case CommandBusy:
 		work.taken = true
 		work.knownAt = m.now + reportSettle
+		work.askAt = work.knownAt
 	case CommandFenced:
 		work.refused = true
 		m.pauseCommands(work)
--- /dev/null
+++ b/internal/control/commands_test.go
@@ -0,0 +1,333 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+)
+
+// modelReplica is a replica that finishes its requests before it loads weights.
+type modelReplica struct {
+	listed  ListedReplica
+	version string
+	target  string
+	// requestsEnd is how long its requests run on after a command.
+	requestsEnd time.Duration
+	loadsAt     time.Duration
+	doneAt      time.Duration
+	loading     bool
+	sequence    uint64
+	commands    []Command
+	// answers are given in place of what the replica would say, one a command.
+	answers []CommandOutcome
+	down    bool
+}
+
+// modelPool is the only pool of a solo node, with its replicas.
+type modelPool struct {
+	node     *soloNode
+	replicas []*modelReplica
+	// load is how long weights take while no more than free load at once.
+	load     time.Duration
+	free     int
+	reports  int
+	commands int
+	// mostOut is how many were out of service at once.
+	mostOut int
+	next    time.Duration
+}
+
+func newModelPool(replicas, zones, free int, load time.Duration) *modelPool {
+	return newModelPoolWithin(12*time.Second, replicas, zones, free, load)
+}
+
+// newModelPoolWithin is newModelPool with a bound on the time for new weights.
+func newModelPoolWithin(bound time.Duration, replicas, zones, free int, load time.Duration) *modelPool {
+	pool := &modelPool{load: load, free: free}
+	pool.node = newSoloNodeWith(func(config *Config) {
+		config.ReplicasFinishFirst = true
+		config.Times.WeightsDeadline = bound - 1500*time.Millisecond
+	})
+	for number := range replicas {
+		pool.replicas = append(pool.replicas, &modelReplica{
+			listed: ListedReplica{
+				Address:  fmt.Sprintf("10.0.%d.%d:80", number/250, number%250),
+				Zone:     fmt.Sprintf("z%d", number%zones),
+				Instance: fmt.Sprintf("i-%d", number),
+			},
+			version:     "1",
+			requestsEnd: 500 * time.Millisecond,
+		})
+	}
+	pool.node.perform(pool.list())
+	pool.run(3 * time.Second)
+	Expect(pool.node.submit(poolConfigurationWith("1")).GetConfirmed()).To(BeTrue())
+	pool.run(time.Second)
+	Expect(pool.node.phases()).To(Equal(map[string]int{"serving": replicas}))
+	pool.reports = 0
+	pool.mostOut = 0
+	return pool
+}
+
+// list is a reading of the list, which shows versions as they are.
+func (p *modelPool) list() Output {
+	listed := lo.Map(p.replicas, func(one *modelReplica, _ int) ListedReplica {
+		shown := one.listed
+		shown.WeightVersion = one.version
+		return shown
+	})
+	reading := ListReading{StartedAt: p.node.now, Services: []ListedService{{Name: "s", Replicas: listed}}}
+	return p.node.machine.ListRead(p.node.now, reading)
+}
+
+func (p *modelPool) at(address string) *modelReplica {
+	found, _ := lo.Find(p.replicas, func(one *modelReplica) bool { return one.listed.Address == address })
+	return found
+}
+
+// run advances the node with its replicas. The list is read each second.
+func (p *modelPool) run(length time.Duration) {
+	for end := p.node.now + length; p.node.now < end; p.node.now += DefaultTickEvery {
+		p.advance()
+		p.take(p.node.machine.Tick(p.node.now))
+		if p.node.now >= p.next {
+			p.next = p.node.now + time.Second
+			p.take(p.list())
+		}
+		out := len(p.replicas) - p.node.phases()["serving"]
+		p.mostOut = max(p.mostOut, out)
+	}
+}
+
+func (p *modelPool) take(output Output) {
+	p.node.perform(output)
+	for _, request := range output.Reports {
+		p.reports++
+		one := p.at(request.Address)
+		if one.down {
+			p.take(p.node.machine.ReplicaReportFailed(p.node.now, request.Address))
+			continue
+		}
+		p.take(p.node.machine.SetReplicaReport(p.node.now, one.report(p.node.now)))
+	}
+	for _, command := range output.Commands {
+		p.commands++
+		one := p.at(command.Address)
+		p.take(p.node.machine.CommandDone(p.node.now, command, one.take(p.node.now, command)))
+	}
+}
+
+func (r *modelReplica) report(now time.Duration) ReplicaReport {
+	return ReplicaReport{
+		Address: r.listed.Address, Instance: r.listed.Instance, WeightVersion: r.version,
+		Busy: r.target != "", Sequence: r.sequence, MeasuredAt: now - 300*time.Millisecond,
+	}
+}
+
+func (r *modelReplica) take(now time.Duration, command Command) CommandOutcome {
+	r.commands = append(r.commands, command)
+	if len(r.answers) > 0 {
+		answer := r.answers[0]
+		r.answers = r.answers[1:]
+		if answer != CommandUnknown {
+			return answer
+		}
+		r.begin(now, command)
+		return answer
+	}
+	switch {
+	case r.target != "":
+		return CommandBusy
+	case r.version == command.WeightVersion:
+		return CommandHolds
+	}
+	r.begin(now, command)
+	return CommandAccepted
+}
+
+func (r *modelReplica) begin(now time.Duration, command Command) {
+	r.sequence++
+	r.target = command.WeightVersion
+	r.loadsAt = now + r.requestsEnd
+}
+
+func (p *modelPool) advance() {
+	loading := lo.CountBy(p.replicas, func(one *modelReplica) bool { return one.loading })
+	for _, one := range p.replicas {
+		switch {
+		case one.target == "":
+		case one.loading && p.node.now >= one.doneAt:
+			one.version, one.target, one.loading = one.target, "", false
+		case !one.loading && p.node.now >= one.loadsAt:
+			loading++
+			one.loading = true
+			one.doneAt = p.node.now + p.load*time.Duration(max(loading, p.free))/time.Duration(p.free)
+		}
+	}
+}
+
+// everywhereAfter is how long it takes until all replicas run a version and serve.
+func (p *modelPool) everywhereAfter(version string) time.Duration {
+	begun := p.node.now
+	for p.node.now < begun+30*time.Second {
+		p.run(DefaultTickEvery)
+		behind := lo.CountBy(p.replicas, func(one *modelReplica) bool { return one.version != version })
+		if behind == 0 && p.node.phases()["serving"] == len(p.replicas) {
+			return p.node.now - begun
+		}
+	}
+	return p.node.now - begun
+}
+
+var _ = Describe("a roll-out by commands", func() {
+	name := func(pool *modelPool, version string) {
+		pool.node.ticket++
+		pool.take(pool.node.machine.Submit(pool.node.now, pool.node.ticket, nameWeights(version)))
+	}
+
+	DescribeTable("is over in time, with one command a replica", func(replicas, zones, free int, load, within time.Duration, most int) {
+		pool := newModelPoolWithin(within, replicas, zones, free, load)
+		name(pool, "2")
+		length := pool.everywhereAfter("2")
+		AddReportEntry("roll-out", fmt.Sprintf("%d replicas: %v, %d commands, %d reports, at most %d out", replicas, length, pool.commands, pool.reports, pool.mostOut))
+		Expect(length).To(BeNumerically("<", within))
+		Expect(pool.commands).To(Equal(replicas))
+		Expect(pool.mostOut).To(BeNumerically("<=", most))
+	},
+		Entry("of a small pool", 18, 3, 3, 1100*time.Millisecond, 12*time.Second, 6),
+		Entry("of one that loads slowly", 18, 4, 3, 1900*time.Millisecond, 15*time.Second, 9),
+		Entry("of a large one", 140, 4, 28, 1500*time.Millisecond, 12*time.Second, 47),
+		Entry("of three", 3, 3, 3, 1500*time.Millisecond, 12*time.Second, 1),
+		Entry("of one", 1, 1, 3, 1500*time.Millisecond, 5*time.Second, 1),
+	)
+
+	It("leaves replicas as they are that run a newer version", func() {
+		pool := newModelPool(4, 2, 3, time.Second)
+		pool.replicas[0].version = "9"
+		pool.run(2 * time.Second)
+		name(pool, "2")
+		pool.run(12 * time.Second)
+		Expect(pool.replicas[0].commands).To(BeEmpty())
+		Expect(pool.commands).To(Equal(3))
+		Expect(pool.node.phases()["serving"]).To(Equal(4))
+	})
+
+	It("goes on to a newer version that is named meanwhile, without a command in vain", func() {
+		pool := newModelPool(6, 3, 3, 1500*time.Millisecond)
+		name(pool, "2")
+		pool.run(1500 * time.Millisecond)
+		name(pool, "3")
+		Expect(pool.everywhereAfter("3")).To(BeNumerically("<", 12*time.Second))
+		for _, one := range pool.replicas {
+			Expect(len(one.commands)).To(BeNumerically("<=", 2))
+			Expect(one.commands[len(one.commands)-1].WeightVersion).To(Equal("3"))
+		}
+	})
+
+	It("asks before it repeats a command of which nothing is known", func() {
+		pool := newModelPool(2, 2, 3, 1500*time.Millisecond)
+		pool.replicas[0].answers = []CommandOutcome{CommandUnknown}
+		name(pool, "2")
+		Expect(pool.everywhereAfter("2")).To(BeNumerically("<", 12*time.Second))
+		Expect(pool.commands).To(Equal(2))
+	})
+
+	It("repeats a command that did not arrive, less and less often", func() {
+		pool := newModelPool(2, 2, 3, time.Second)
+		pool.replicas[0].answers = []CommandOutcome{CommandNotSent, CommandNotSent, CommandNotSent}
+		name(pool, "2")
+		Expect(pool.everywhereAfter("2")).To(BeNumerically("<", 14*time.Second))
+		sent := pool.replicas[0].commands
+		Expect(sent).To(HaveLen(4))
+		Expect(lo.Uniq(lo.Map(sent, func(one Command, _ int) uint64 { return one.Token }))).To(HaveLen(1))
+		Expect(sent[3].Deadline - sent[2].Deadline).To(BeNumerically(">=", 2*time.Second))
+	})
+
+	It("gets a greater token where a replica has seen one", func() {
+		pool := newModelPool(2, 2, 3, time.Second)
+		pool.replicas[0].answers = []CommandOutcome{CommandFenced}
+		name(pool, "2")
+		Expect(pool.everywhereAfter("2")).To(BeNumerically("<", 12*time.Second))
+		sent := pool.replicas[0].commands
+		Expect(sent).To(HaveLen(2))
+		Expect(sent[1].Token).To(BeNumerically(">", sent[0].Token))
+	})
+
+	It("begins anew with a replica that comes back as another incarnation", func() {
+		pool := newModelPool(3, 3, 3, 1500*time.Millisecond)
+		name(pool, "2")
+		pool.run(1200 * time.Millisecond)
+		victim, _ := lo.Find(pool.replicas, func(one *modelReplica) bool { return one.target != "" })
+		Expect(victim).NotTo(BeNil())
+		victim.target, victim.loading, victim.sequence = "", false, 0
+		victim.listed.Instance = "i-new"
+		Expect(pool.everywhereAfter("2")).To(BeNumerically("<", 14*time.Second))
+		last := victim.commands[len(victim.commands)-1]
+		Expect(last.Instance).To(Equal("i-new"))
+		Expect(victim.commands).To(HaveLen(2))
+	})
+
+	It("sends nothing to a replica that does not answer, and goes on with the others", func() {
+		pool := newModelPool(6, 3, 3, time.Second)
+		pool.replicas[2].down = true
+		name(pool, "2")
+		pool.run(9 * time.Second)
+		Expect(pool.replicas[2].commands).To(BeEmpty())
+		Expect(lo.CountBy(pool.replicas, func(one *modelReplica) bool { return one.version == "2" })).To(Equal(5))
+		pool.replicas[2].down = false
+		Expect(pool.everywhereAfter("2")).To(BeNumerically("<", 9*time.Second))
+	})
+
+	It("forgets the rows that the list has caught up with", func() {
+		pool := newModelPool(4, 2, 3, time.Second)
+		name(pool, "2")
+		pool.run(30 * time.Second)
+		Expect(pool.node.machine.held.services[1].GetReplicas()).To(BeEmpty())
+		Expect(pool.node.phases()).To(Equal(map[string]int{"serving": 4}))
+	})
+
+	It("keeps the replicas of every zone from being out at once", func() {
+		pool := newModelPool(18, 9, 3, 1100*time.Millisecond)
+		name(pool, "2")
+		for pool.node.now < 20*time.Second {
+			pool.run(DefaultTickEvery)
+			zones := map[string]int{}
+			for _, status := range pool.node.machine.Weights("pool").GetReplicas() {
+				if status.GetPhase() == "serving" {
+					zones[status.GetZone()]++
+				}
+			}
+			Expect(zones).To(HaveLen(9))
+		}
+	})
+})
+
+var _ = Describe("a new owner", func() {
+	It("waits until the last command of the one before is as old as holders must be apart", func() {
+		pool := newModelPool(3, 3, 3, time.Second)
+		hosted := pool.node.machine.shards[1]
+		hosted.rollout = newRolloutState(2, pool.node.now)
+		Expect(pool.node.machine.mayCommand(hosted)).To(BeFalse())
+		pool.node.now += DefaultLeaseDuration + DefaultLeaseMargin + DefaultCommandGap - time.Millisecond
+		pool.node.machine.Tick(pool.node.now)
+		hosted.rollout = newRolloutState(2, hosted.rollout.since)
+		Expect(pool.node.machine.mayCommand(hosted)).To(BeFalse())
+	})
+})
+
+var _ = Describe("versions", func() {
+	DescribeTable("are compared as numbers where they are", func(running, named string, reached bool) {
+		Expect(versionReached(running, named)).To(Equal(reached))
+	},
+		Entry("equal labels", "w1", "w1", true),
+		Entry("other labels", "w2", "w1", false),
+		Entry("newer", "10", "9", true),
+		Entry("older", "9", "10", false),
+		Entry("unknown", "", "1", false),
+		Entry("none named", "7", "", true),
+		Entry("unknown, none named", "", "", false),
+	)
+})
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -162,7 +162,7 @@
 
 // rollOutPool gathers the changes of one pool's replicas.
 func (m *Machine) rollOutPool(hosted *shard, service *serviceShard, pool *ridgeswitchv1.Pool, change *controlpb.SetReplicas) {
-	rolling := poolRollout{hosted: hosted, pool: pool, pace: hosted.rollout.paceOf(pool, m.now, m.config.ReplicasFinishFirst)}
+	rolling := poolRollout{hosted: hosted, pool: pool, pace: hosted.rollout.paceOf(pool, m.now, m.config)}
 	for _, replica := range m.backends.services[pool.GetService()] {
 		row := findReplica(service.replicas(), replica.Address)
 		if row != nil && !sameInstance(row, replica) {
@@ -275,7 +275,9 @@
 			out++
 		}
 	}
-	return rolling.pace.allowed(m.now, candidates+out, len(rolling.replicas)) - out
+	// Those that are out are half through on average.
+	left := candidates + (out+1)/2
+	return rolling.pace.allowed(m.now, left, len(rolling.replicas)) - out
 }
 
 // seemsDown tells whether a replica has not answered for long enough that
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -41,12 +41,17 @@
 }
 
 func newSoloNode() *soloNode {
+	return newSoloNodeWith(func(*Config) {})
+}
+
+func newSoloNodeWith(change func(*Config)) *soloNode {
 	config := Config{
 		Self:          member.Info{ID: "a", Address: "127.0.0.1:1", Zone: "z1", HoldsState: true, Incarnation: 1},
 		Group:         []member.ID{"a"},
 		ServiceShards: 1,
 		Times:         DefaultTimes(),
 	}
+	change(&config)
 	machine, err := New(config, map[uint32]replication.Restored{}, idleTraffic{}, 0)
 	Expect(err).NotTo(HaveOccurred())
 	return &soloNode{machine: machine, answers: map[uint64]*controlpb.Answer{}}
@@ -105,9 +110,11 @@
 	})
 }
 
-func poolConfiguration() *controlpb.Order {
+func poolConfiguration() *controlpb.Order { return poolConfigurationWith("v1") }
+
+func poolConfigurationWith(version string) *controlpb.Order {
 	configuration := &ridgeswitchv1.Configuration{
-		Pools: []*ridgeswitchv1.Pool{{Name: "pool", Model: "m", Service: "s", WeightVersion: "v1", RequestTimeoutMs: 1000}},
+		Pools: []*ridgeswitchv1.Pool{{Name: "pool", Model: "m", Service: "s", WeightVersion: version, RequestTimeoutMs: 1000}},
 	}
 	return &controlpb.Order{OrderId: "first", Digest: []byte("first"), Change: &controlpb.Order_Apply{Apply: configuration}}
 }
--- a/internal/control/rolloutpace.go
+++ b/internal/control/rolloutpace.go
@@ -8,9 +8,12 @@
 
 const (
 	// rolloutTarget is the time in which a roll-out is to reach every replica, and
-	// quickRolloutTarget the same where replicas need not be drained.
+	// quickRolloutTarget the same where replicas need not be drained and nobody has
+	// said when nodes give up those without the version.
 	rolloutTarget      = 12 * time.Second
 	quickRolloutTarget = 9 * time.Second
+	// beforeGivenUp is how long before that the roll-out is to be over.
+	beforeGivenUp = 1500 * time.Millisecond
 	// replicaRolloutTime is the time that one replica is taken to need before any
 	// was measured: to finish its requests, load the weights and report them.
 	replicaRolloutTime      = 5 * time.Second
@@ -34,16 +37,24 @@
 	since  time.Duration
 	// quick tells that replicas need not be drained.
 	quick bool
+	// length is the time in which the roll-out is to reach every replica.
+	length time.Duration
 	// measured is how long a replica was out, by how many were out with it.
 	measured map[int]time.Duration
 }
 
 // paceOf returns the pace of a pool, which begins anew with each named version but
 // keeps what was measured.
-func (r *rolloutState) paceOf(pool *ridgeswitchv1.Pool, now time.Duration, quick bool) *pace {
+func (r *rolloutState) paceOf(pool *ridgeswitchv1.Pool, now time.Duration, config Config) *pace {
 	current := r.paces[pool.GetName()]
 	if current == nil {
-		current = &pace{measured: map[int]time.Duration{}, since: now, target: pool.GetWeightVersion(), quick: quick}
+		current = &pace{
+			measured: map[int]time.Duration{},
+			since:    now,
+			target:   pool.GetWeightVersion(),
+			quick:    config.ReplicasFinishFirst,
+			length:   config.rolloutLength(),
+		}
 		r.paces[pool.GetName()] = current
 	}
 	if current.target != pool.GetWeightVersion() {
@@ -53,6 +64,18 @@
 	return current
 }
 
+// rolloutLength is the time in which a roll-out is to reach every replica.
+func (c Config) rolloutLength() time.Duration {
+	switch {
+	case !c.ReplicasFinishFirst:
+		return rolloutTarget
+	case c.Times.WeightsDeadline > 2*beforeGivenUp:
+		return c.Times.WeightsDeadline - beforeGivenUp
+	default:
+		return quickRolloutTarget
+	}
+}
+
 // learn takes in how long a replica was out while so many were.
 func (p *pace) learn(level int, length time.Duration) {
 	if level <= 0 {
@@ -86,12 +109,7 @@
 func distance(a, b int) int { return max(a-b, b-a) }
 
 // deadline is when the roll-out is to be over.
-func (p *pace) deadline() time.Duration {
-	if p.quick {
-		return p.since + quickRolloutTarget
-	}
-	return p.since + rolloutTarget
-}
+func (p *pace) deadline() time.Duration { return p.since + p.length }
 
 // late tells whether only the bound that operators count on matters any more.
 // Replicas that are drained first are never taken out all at once for it: that
@@ -100,8 +118,8 @@
 	return p.quick && now >= p.deadline()+lateAfter
 }
 
-// allowed is how many replicas of a pool may be out at once, when so many are to be
-// moved or on their way. It is the fewest with which the roll-out ends in time, as
+// allowed is how many replicas of a pool may be out at once, when as much is left
+// to do as so many take. It is the fewest with which the roll-out ends in time, as
 // more at once load more slowly, and no more than a third as long as that is enough.
 func (p *pace) allowed(now time.Duration, left, pool int) int {
 	if p.late(now) {
