--- a/cmd/ridgeswitch-lab/bench_engine.go
+++ b/cmd/ridgeswitch-lab/bench_engine.go
@@ -32,9 +32,6 @@
 	if command.String("variants") == "knobs" {
 		variants = enginebench.Knobs()
 	}
-	if command.String("variants") == "churn" {
-		variants = enginebench.Churn()
-	}
 	seeds := lo.RangeFrom(command.Uint64("seed"), command.Int("seeds"))
 	rows := enginebench.Compare(enginebench.Profiles(), command.Float64Slice("load"), variants, seeds, command.Duration("duration"), command.Int("jobs"))
 	_, err := fmt.Fprint(command.Root().Writer, enginebench.Table(rows))
--- a/internal/lab/enginebench/knobs.go
+++ b/internal/lab/enginebench/knobs.go
@@ -1,9 +1,6 @@
 package enginebench
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // Knobs returns the router with one setting moved at a time.
 func Knobs() []Variant {
@@ -24,7 +21,10 @@
 	share("load shared every 300 ms", 300*time.Millisecond)
 	share("load not shared", 0)
 	knob("harm weight 0", func(s *RouterSettings) { s.Settings.HarmWeight = 0 })
-	knob("harm weight 1", func(s *RouterSettings) { s.Settings.HarmWeight = 1 })
+	knob("harm weight 4", func(s *RouterSettings) { s.Settings.HarmWeight = 4 })
+	knob("harm weight 1 at any backlog", func(s *RouterSettings) { s.Settings.HarmTime = 0 })
+	knob("pulled parts last", func(s *RouterSettings) { s.Settings.ChurnShare = 0 })
+	knob("churn share 0.3", func(s *RouterSettings) { s.Settings.ChurnShare = 0.3 })
 	knob("decode weight 0", func(s *RouterSettings) { s.Settings.DecodeWeight = 0 })
 	knob("decode weight 1", func(s *RouterSettings) { s.Settings.DecodeWeight = 1 })
 	knob("less urgent weight 0.2", func(s *RouterSettings) { s.Settings.LessUrgentWeight = 0.2 })
@@ -39,24 +39,3 @@
 	knob("zone price 60 ms", func(s *RouterSettings) { s.Settings.ZonePrice = 60 })
 	return variants
 }
-
-// Churn returns the router with other shares of memory.
-func Churn() []Variant {
-	var variants []Variant
-	add := func(name string, tune func(*RouterSettings)) {
-		variants = append(variants, Variant{Name: name, Policy: Router, ShareEvery: defaultShareEvery, Tune: tune})
-	}
-	for _, harm := range []float64{4, 8, 16} {
-		for _, churn := range []float64{0.1, 0.15} {
-			add(fmt.Sprint("churn ", churn, " harm ", harm), func(s *RouterSettings) {
-				s.Settings.ChurnShare, s.Settings.HarmWeight = churn, harm
-			})
-		}
-	}
-	for _, harm := range []float64{0.5, 1, 2} {
-		add(fmt.Sprint("churn 0.15 harm time 25 ", harm), func(s *RouterSettings) {
-			s.Settings.ChurnShare, s.Settings.HarmWeight, s.Settings.HarmTime = 0.15, harm, 25
-		})
-	}
-	return variants
-}
--- a/internal/lab/enginebench/replica.go
+++ b/internal/lab/enginebench/replica.go
@@ -188,14 +188,6 @@
 	request.reserved = need + blockTokens
 	request.unread = prompt - kept
 	request.read += request.unread
-	if request.read == request.unread {
-		miss := float64(request.unread) - request.arrival.predicted
-		if request.arrival.pulls {
-			dbg.lostPull += miss
-		} else {
-			dbg.lostOwn += miss
-		}
-	}
 	request.running = true
 	r.sim.result.readTokens += request.unread
 	r.sim.countReread(request, kept)
@@ -342,10 +334,6 @@
 	request.pinned = nil
 }
 
-type debugSums struct{ n, predicted, pulled, lostOwn, lostPull float64 }
-
-var dbg debugSums
-
 func milliseconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Millisecond))
 }
--- a/internal/lab/enginebench/routernode.go
+++ b/internal/lab/enginebench/routernode.go
@@ -74,15 +74,6 @@
 		placed.source = n.holder(decision.Pull.Source)
 	}
 	n.tell(now, &decision, arrival)
-	dbg.n++
-	predicted := float64(decision.PromptTokens - decision.OverlapTokens)
-	if decision.Pull != nil {
-		predicted -= float64(decision.Pull.Tokens)
-		dbg.pulled += float64(decision.Pull.Tokens)
-	}
-	dbg.predicted += predicted
-	arrival.predicted = predicted
-	arrival.pulls = decision.Pull != nil
 	return placed, 0
 }
 
--- a/internal/lab/enginebench/workload.go
+++ b/internal/lab/enginebench/workload.go
@@ -18,8 +18,6 @@
 	node   int
 	parts  []prefixindex.Part
 	out    int
-	predicted float64
-	pulls bool
 }
 
 func (a *arrival) promptTokens() int {
--- a/pkg/kvrouter/concurrency_test.go
+++ b/pkg/kvrouter/concurrency_test.go
@@ -92,3 +92,31 @@
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "selections/s")
 }
+
+// BenchmarkSelectTimed selects for prompts of three parts among 140 replicas
+// with an engine profile, one of three keeping the prompt.
+func BenchmarkSelectTimed(b *testing.B) {
+	router := kvrouter.New(kvrouter.Options{})
+	var candidates []kvrouter.Candidate
+	parts := longPrompt(3)
+	for number := range 140 {
+		address := fmt.Sprint("replica-", number)
+		candidates = append(candidates, kvrouter.Candidate{Address: address, Zone: fmt.Sprint(number % 4), WeightVersion: version})
+		if number%3 == 0 {
+			router.PartsReported(0, address, batch(0, 3), []kvrouter.PartChange{held(1, 0, 1000), held(2, 1, 1000), held(3, 2, 1000)})
+		}
+	}
+	engine := kvrouter.EngineProfile{Slots: 64, MemoryTokens: 160_000, BytesPerToken: 20_000, LinkBitsPerSecond: 400e9}
+	settings := kvrouter.DefaultEngineSettings()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		decision, err := router.Select(kvrouter.Request{
+			Now: late, Model: model, Parts: parts, Naming: kvrouter.Named, SaltFor: salt, Settings: settings, Engine: &engine,
+		}, candidates)
+		if err != nil {
+			b.Fatal(err)
+		}
+		decision.Reservation.Finish(late, false)
+	}
+}
--- a/pkg/kvrouter/prompt.go
+++ b/pkg/kvrouter/prompt.go
@@ -25,6 +25,8 @@
 	prompts []prompt
 	used    int
 	scored  []scoredCandidate
+	// backlogs are the unread tokens of the candidates.
+	backlogs []float64
 }
 
 func (s *scratch) reset() {
--- a/pkg/kvrouter/pull.go
+++ b/pkg/kvrouter/pull.go
@@ -44,11 +44,13 @@
 		}
 		r.addSource(req, s.prompt(candidate.WeightVersion), candidate.Address, candidate.Zone, candidate.Region, false)
 	}
-	if req.Store == "" {
-		return
-	}
 	for at := range s.used {
-		r.addSource(req, &s.prompts[at], req.Store, req.StoreZone, req.StoreRegion, true)
+		if req.Store != "" {
+			r.addSource(req, &s.prompts[at], req.Store, req.StoreZone, req.StoreRegion, true)
+		}
+		if req.Engine != nil {
+			s.prompts[at].keepBestSources()
+		}
 	}
 }
 
--- a/pkg/kvrouter/select.go
+++ b/pkg/kvrouter/select.go
@@ -65,7 +65,7 @@
 	}
 	r.gatherSources(s, req, candidates)
 	if req.Engine != nil {
-		r.weighHarm(req, candidates)
+		r.weighHarm(s, req, candidates)
 	}
 	allowed := r.score(s, req, candidates)
 	if allowed == 0 {
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -14,10 +14,11 @@
 	DefaultStoreCredit         = 0.5
 	DefaultBusyThresholdBlocks = 32768
 	DefaultDecodeWeight        = 0.05
-	DefaultHarmWeight          = 4
+	DefaultHarmWeight          = 1.0
+	DefaultHarmTime            = 25.0
 	DefaultLessUrgentWeight    = 0.8
 	DefaultMovePrice           = 0.05
-	DefaultChurnShare          = 0.15
+	DefaultChurnShare          = 0.1
 	DefaultSpreadTime          = 20.0
 	DefaultZonePrice           = 10.0
 )
@@ -45,7 +46,7 @@
 	// HarmWeight is how often the request's own prefill counts beyond its own
 	// delay, for those that come behind it.
 	HarmWeight float64
-	// HarmTime is the mean backlog of the replicas, in milliseconds, at which
+	// HarmTime is the median backlog of the replicas, in milliseconds, at which
 	// HarmWeight doubles, and so on: the more prompts wait, the more of them wait
 	// for this one. 0 leaves HarmWeight as it is.
 	HarmTime float64
@@ -78,6 +79,7 @@
 		BusyThresholdBlocks: DefaultBusyThresholdBlocks,
 		DecodeWeight:        DefaultDecodeWeight,
 		HarmWeight:          DefaultHarmWeight,
+		HarmTime:            DefaultHarmTime,
 		LessUrgentWeight:    DefaultLessUrgentWeight,
 		MovePrice:           DefaultMovePrice,
 		ChurnShare:          DefaultChurnShare,
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
@@ -97,23 +98,25 @@
 }
 
 // mostHarm is the largest weight of harm that a backlog leads to.
-var MostHarm = 16.0
+const mostHarm = 16
 
-// weighHarm sets the weight of harm by the mean backlog of the candidates.
-func (r *Router) weighHarm(req *Request, candidates []Candidate) {
+// weighHarm sets the weight of harm by the median backlog of the candidates: as
+// long as half of them are idle, hardly anybody waits for this prompt.
+func (r *Router) weighHarm(s *scratch, req *Request, candidates []Candidate) {
 	req.harmWeight = req.Settings.HarmWeight
 	if req.Settings.HarmTime <= 0 || len(candidates) == 0 {
 		return
 	}
-	waiting := 0.0
+	s.backlogs = s.backlogs[:0]
 	for at := range candidates {
 		state := r.state(req.Now, candidates[at].Address)
 		state.perToken = req.pace.perToken
 		state.settle(req.Now)
-		waiting += state.queue.left() + state.shared.sum.prefill()
+		s.backlogs = append(s.backlogs, state.queue.left()+state.shared.sum.prefill())
 	}
-	backlog := waiting / float64(len(candidates)) * req.pace.perToken
-	req.harmWeight = min(req.Settings.HarmWeight*(1+backlog/req.Settings.HarmTime), max(MostHarm, req.Settings.HarmWeight))
+	slices.Sort(s.backlogs)
+	backlog := s.backlogs[(len(s.backlogs)-1)/2] * req.pace.perToken
+	req.harmWeight = min(req.Settings.HarmWeight*(1+backlog/req.Settings.HarmTime), max(mostHarm, req.Settings.HarmWeight))
 }
 
 // addDelay estimates the time to the first event.
--- a/pkg/kvrouter/timedpull.go
+++ b/pkg/kvrouter/timedpull.go
@@ -1,7 +1,9 @@
 package kvrouter
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
@@ -14,6 +16,10 @@
 	regionFactor = 10.0
 	// longestMoveWait is the wait for a link from which on no pull is planned.
 	longestMoveWait = time.Second
+	// maxSources and maxSourcesOfZone bound the sources that are considered for
+	// each candidate.
+	maxSources       = 4
+	maxSourcesOfZone = 1
 	// leastPull is the smallest pull that is planned, in tokens.
 	leastPull = 64
 	// linkSlowLeast is the excess of a pull's time that tells of a slow link.
@@ -66,15 +72,41 @@
 	})
 }
 
+// keepBestSources leaves a few of many sources: those that keep the most, and of
+// those that keep as much the ones whose link is free first, some in each zone.
+func (p *prompt) keepBestSources() {
+	if len(p.sources) <= maxSources {
+		return
+	}
+	slices.SortStableFunc(p.sources, func(a, b pullSource) int {
+		return cmp.Or(cmp.Compare(b.reach.Tokens, a.reach.Tokens), cmp.Compare(a.state.moves.freeAt, b.state.moves.freeAt))
+	})
+	kept := p.sources[:0]
+	for at := range p.sources {
+		source := p.sources[at]
+		inZone := 0
+		for _, earlier := range kept {
+			if earlier.zone == source.zone {
+				inZone++
+			}
+		}
+		if source.isStore || (inZone < maxSourcesOfZone && len(kept) < maxSources) {
+			kept = append(kept, source)
+		}
+	}
+	p.sources = kept
+}
+
 // planTimedPull finds the pull that brings the prompt sooner than reading it, or
 // than any other. The router's lock is held.
 func (r *Router) planTimedPull(req *Request, p *prompt, state *replicaState, candidate *Candidate, own prefixindex.Extent, slow float64) (best plannedPull, planned bool) {
+	worth := slow * r.lasting(req, state)
 	for at := range p.sources {
 		source := &p.sources[at]
 		if source.state == state || source.reach.Tokens < own.Tokens+leastPull {
 			continue
 		}
-		considered := r.estimateTimedPull(req, source, state, candidate, own, slow)
+		considered := r.estimateTimedPull(req, source, state, candidate, own, worth)
 		if considered.saved > best.saved {
 			best = considered
 		}
@@ -82,7 +114,7 @@
 	return best, best.saved > 0
 }
 
-func (r *Router) estimateTimedPull(req *Request, source *pullSource, state *replicaState, candidate *Candidate, own prefixindex.Extent, slow float64) plannedPull {
+func (r *Router) estimateTimedPull(req *Request, source *pullSource, state *replicaState, candidate *Candidate, own prefixindex.Extent, worth float64) plannedPull {
 	planned := plannedPull{
 		source:    *source,
 		firstPart: own.Parts,
@@ -95,10 +127,10 @@
 	}
 	tokens := float64(planned.tokens)
 	planned.transfer = wait + r.moveTime(req, source, state, candidate, tokens)
-	prefill := slow * req.pace.perToken * tokens
+	prefill := worth * req.pace.perToken * tokens
 	bytes := tokens * req.Engine.BytesPerToken
 	price := req.Settings.MovePrice * bytes / bytesPerMegabyte
-	saved := prefill*r.lasting(req, state) - r.options.PullAdvantage*milliseconds(planned.transfer) - price
+	saved := prefill - r.options.PullAdvantage*milliseconds(planned.transfer) - price
 	if !source.sure {
 		saved *= r.options.GuessCredit
 	}
