--- a/internal/lab/enginebench/workload.go
+++ b/internal/lab/enginebench/workload.go
@@ -12,14 +12,12 @@
 
 // arrival is one request.
 type arrival struct {
-	at        time.Duration
-	number    int
-	class     *Class
-	node      int
-	parts     []prefixindex.Part
-	out       int
-	predicted float64
-	pulls     bool
+	at     time.Duration
+	number int
+	class  *Class
+	node   int
+	parts  []prefixindex.Part
+	out    int
 }
 
 func (a *arrival) promptTokens() int {
