--- /dev/null
+++ b/scripts/knownred/run.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+)
+
+// GoCommand runs go with arguments and returns all that it printed. An exit
+// status other than zero is an error.
+type GoCommand func(arguments ...string) (output string, err error)
+
+// Runner runs all tests and passes over the failures of listed ones.
+type Runner struct {
+	// Go runs the go command.
+	Go GoCommand
+	// Out takes the output of the tests and the account of listed ones.
+	Out io.Writer
+}
+
+// Run runs every package. It returns an error when a test outside the list
+// fails, or when an entry does not select exactly one test.
+func (runner Runner) Run(entries []Failure) error {
+	if len(entries) == 0 {
+		return runner.print(runner.Go("test", "./..."))
+	}
+	outcomes, err := runner.runListed(entries)
+	if err != nil {
+		return err
+	}
+	err = runner.runOthers(entries)
+	for _, outcome := range outcomes {
+		fmt.Fprintln(runner.Out, outcome)
+	}
+	return err
+}
+
+// runListed runs each listed test alone. Whether one passes does not change the
+// verdict, but each entry has to select exactly one test, so that none hides
+// more than it names.
+func (runner Runner) runListed(entries []Failure) ([]Outcome, error) {
+	var outcomes []Outcome
+	for _, entry := range entries {
+		outcome := runner.runAlone(entry)
+		if outcome.Selected != 1 {
+			return nil, errors.Errorf("%s :: %s selects %d tests, want 1:\n%s",
+				entry.Package, entry.Test, outcome.Selected, outcome.Output)
+		}
+		outcomes = append(outcomes, outcome)
+	}
+	return outcomes, nil
+}
+
+// runAlone runs one listed test. A test that takes the whole process with it
+// leaves no account, and is then counted without being run.
+func (runner Runner) runAlone(entry Failure) Outcome {
+	output, _ := runner.Go(aloneArguments(entry)...)
+	outcome := readOutcome(entry, output)
+	if outcome.Selected == 0 && !entry.IsPlain() {
+		output, _ = runner.Go(countArguments(entry)...)
+		outcome = readOutcome(entry, output)
+		outcome.Passed = false
+	}
+	return outcome
+}
+
+// runOthers runs all tests that are not listed.
+func (runner Runner) runOthers(entries []Failure) error {
+	listedOf := lo.GroupBy(entries, func(entry Failure) string { return entry.Package })
+	folders, err := runner.foldersWithout(lo.Keys(listedOf))
+	if err != nil {
+		return err
+	}
+	var failed error
+	if len(folders) > 0 {
+		failed = runner.print(runner.Go(append([]string{"test"}, folders...)...))
+	}
+	for _, folder := range sortedKeys(listedOf) {
+		err := runner.print(runner.Go(suiteArguments(folder, listedOf[folder])...))
+		if err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+// foldersWithout returns the import paths of all packages but those in folders.
+func (runner Runner) foldersWithout(folders []string) ([]string, error) {
+	all, err := runner.Go("list", "./...")
+	if err != nil {
+		return nil, errors.Wrapf(err, "list the packages:\n%s", all)
+	}
+	listed, err := runner.Go(append([]string{"list"}, folders...)...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "list the packages of known failures:\n%s", listed)
+	}
+	without, _ := lo.Difference(strings.Fields(all), strings.Fields(listed))
+	return without, nil
+}
+
+func (runner Runner) print(output string, err error) error {
+	fmt.Fprint(runner.Out, output)
+	return errors.Wrap(err, "tests failed")
+}
+
+func sortedKeys(listedOf map[string][]Failure) []string {
+	keys := lo.Keys(listedOf)
+	sort.Strings(keys)
+	return keys
+}
