--- a/cmd/ridgeswitch/node.go
+++ b/cmd/ridgeswitch/node.go
@@ -67,6 +67,11 @@
 	if err != nil {
 		return err
 	}
+	// A node that is not ready to read its settings anew must not end by the
+	// signal.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	ring := logring.New(settings.LogRing, os.Stderr)
 	defer dumpOnPanic(ring)
 	logger := ring.Logger(level)
@@ -75,10 +80,18 @@
 	// The HTTP framework ends the process on its own some time after SIGTERM;
 	// the node drains first.
 	proc.SetTimeToForceQuit(settings.DrainTimeout() + forceQuitMargin)
-	running, err := node.New(settings, logger.WithField("node", settings.Node))
+	running, err := node.New(settings, node.Edges{}, logger.WithField("node", settings.Node))
 	if err != nil {
 		return err
 	}
+	changes := &reloader{
+		command: command,
+		node:    running,
+		logger:  logger,
+		log:     logger.WithField("component", "settings"),
+		seen:    stateOf(command.String(static.FlagSettings)),
+	}
+	go changes.run(ctx, hangups)
 	return running.Run(ctx)
 }
 
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
@@ -21,7 +22,7 @@
 	DefaultElectionTimeout = 1500 * time.Millisecond
 	// DefaultLeaseDuration is how long an owner may command replicas after a
 	// quorum has last confirmed it.
-	DefaultLeaseDuration = 3 * time.Second
+	DefaultLeaseDuration = time.Second
 	// DefaultLeaseMargin covers clocks that run at slightly different rates.
 	DefaultLeaseMargin = 300 * time.Millisecond
 	// DefaultFenceAfter is how long a node serves without its monitors.
@@ -31,6 +32,18 @@
 	// DefaultAcknowledgeTimeout is how long the owner waits for every serving
 	// node to confirm a revision before it answers that the order is pending.
 	DefaultAcknowledgeTimeout = 4 * time.Second
+	// openConfirmWait is how long a committed order waits for confirmations where
+	// nodes go on serving while cut off: a node that is out of reach can't be told
+	// from one that is about to confirm.
+	openConfirmWait = 600 * time.Millisecond
+	// minOpenElection and maxOpenElection bound the ElectionTimeout of
+	// FailOpenTimes. It has to hold two heartbeats and two slow writes.
+	minOpenElection = 600 * time.Millisecond
+	maxOpenElection = DefaultElectionTimeout
+	// electionsPerContact is how many election timeouts fit into the time for
+	// which a silent node counts as in contact: one to notice that an owner is
+	// silent, and one for the voters to follow each other.
+	electionsPerContact = 3
 	// DefaultOrderTimeout is how long a node looks for an owner that takes an
 	// order.
 	DefaultOrderTimeout = 8 * time.Second
@@ -42,6 +55,12 @@
 	DefaultConfirmEvery = 250 * time.Millisecond
 	// DefaultDigestEvery is how often relay nodes compare revisions.
 	DefaultDigestEvery = 200 * time.Millisecond
+	// DefaultListReadEvery is how often the platform's list is read, by one node
+	// for all.
+	DefaultListReadEvery = listing.DefaultReadEvery
+	// DefaultCommandGap is how far apart the commands of two owners to one replica
+	// are.
+	DefaultCommandGap = 3 * time.Second
 )
 
 const (
@@ -77,6 +96,13 @@
 	RetryEvery         time.Duration
 	ConfirmEvery       time.Duration
 	DigestEvery        time.Duration
+	// ListReadEvery is how often one node reads the platform's list.
+	ListReadEvery time.Duration
+	// CommandGap is how far apart the commands of two owners to one replica are.
+	CommandGap time.Duration
+	// WeightsDeadline is how long after a version was named nodes give up the
+	// replicas that do not run it; 0 means never.
+	WeightsDeadline time.Duration
 }
 
 // DefaultTimes returns the times that nodes run with.
@@ -93,15 +119,37 @@
 		RetryEvery:         DefaultRetryEvery,
 		ConfirmEvery:       DefaultConfirmEvery,
 		DigestEvery:        DefaultDigestEvery,
+		ListReadEvery:      DefaultListReadEvery,
+		CommandGap:         DefaultCommandGap,
 	}
 }
 
+// FailOpenTimes returns the times of nodes that go on serving while cut off. A
+// silent owner is replaced within contact, and orders are answered within
+// acknowledge.
+func FailOpenTimes(contact, acknowledge time.Duration) Times {
+	times := DefaultTimes()
+	times.ElectionTimeout = min(max(contact/electionsPerContact, minOpenElection), maxOpenElection)
+	times.AcknowledgeTimeout = acknowledge
+	times.OrderTimeout = acknowledge
+	return times
+}
+
 // Config is what a control machine knows when it starts.
 type Config struct {
 	Self member.Info
 	// Seeds are internal addresses of up to three other nodes.
 	Seeds []string
-	// Group holds the IDs of all nodes with disks, in the agreed order.
+	// Seeded tells that the nodes with disks are those that the membership tells
+	// of. They follow all shards and are given a vote when they have caught up.
+	Seeded bool
+	// FailOpen lets the node serve by the newest configuration that reached it,
+	// whether or not it is cut off. An acknowledgement waits for the live nodes,
+	// and for openConfirmWait at most.
+	FailOpen bool
+	// Group holds the IDs of all nodes with disks, in the agreed order. If Seeded
+	// is set, it holds the founding voters on nodes that were founders, and
+	// nobody on others.
 	Group []member.ID
 	// GroupZones holds the zones of the nodes in Group, as far as known. It must
 	// be the same on every node.
@@ -115,6 +163,10 @@
 	// founding life, or for a life of this process alone if Learner is set.
 	Life  uint64
 	Times Times
+	// ReplicasFinishFirst tells that a replica which is ordered to load weights
+	// finishes its requests first, and refuses others until it has loaded, as not
+	// run. So it need not be drained by the nodes.
+	ReplicasFinishFirst bool
 	// MaxLogEntries is how many applied entries a shard keeps for stragglers; 0
 	// means the default.
 	MaxLogEntries int
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -41,13 +42,26 @@
 	Checkpoint(hard replication.HardState, snapshot *replication.Snapshot, entries []replication.Entry) error
 }
 
-// Commander orders a replica to load weights.
+// Commander carries out what control wants of replicas.
 type Commander interface {
+	// Command orders a replica to load weights; what came of it is told by
+	// Driver.CommandDone.
 	Command(command Command)
+	// Report asks a replica for its report, which is handed to
+	// Driver.SetReplicaReport; if none comes, Driver.ReplicaReportFailed tells so.
+	Report(request ReportRequest)
+}
+
+// ListReader reads the platform's list, and hands the outcome to Driver.ListRead.
+type ListReader interface {
+	ReadList()
 }
 
 // DriverOptions are the surroundings of a control machine in a daemon.
 type DriverOptions struct {
+	// TickEvery is how often the machine looks at the clock; zero stands for
+	// DefaultTickEvery.
+	TickEvery time.Duration
 	// Deployment names the deployment. Frames of others are dropped, so that
 	// two deployments that reach each other never become one.
 	Deployment string
@@ -55,7 +69,11 @@
 	Sender     Sender
 	Storage    map[uint32]Storage
 	Commander  Commander
-	Log        *logrus.Entry
+	Lists      ListReader
+	// Traffic takes in what other nodes tell of their traffic; nil on nodes that
+	// serve none.
+	Traffic TrafficReceiver
+	Log     *logrus.Entry
 }
 
 // Driver runs a Machine: one goroutine owns it, feeds it inputs and carries out
@@ -69,9 +87,11 @@
 
 	view       atomic.Pointer[routing.View]
 	serveUntil atomic.Int64
-	watched    atomic.Pointer[[]string]
 	lastRun    atomic.Int64
 	prepared   atomic.Bool
+	peers      livePeers
+	// orderIDs counts the identities that NewOrderID has given.
+	orderIDs atomic.Uint64
 
 	// waiting belongs to the control goroutine.
 	waiting    map[uint64]chan Reply
@@ -103,7 +123,7 @@
 	for id, queue := range d.saves {
 		go d.saveLoop(ctx, id, queue)
 	}
-	ticker := time.NewTicker(DefaultTickEvery)
+	ticker := time.NewTicker(d.tickEvery())
 	defer ticker.Stop()
 	for {
 		select {
@@ -118,6 +138,13 @@
 	}
 }
 
+func (d *Driver) tickEvery() time.Duration {
+	if d.options.TickEvery <= 0 {
+		return DefaultTickEvery
+	}
+	return d.options.TickEvery
+}
+
 // perform carries out an output. What traffic may see changes first, so that
 // nothing is confirmed to others before it is in force here.
 func (d *Driver) perform(output Output) {
@@ -127,8 +154,7 @@
 	d.serveUntil.Store(int64(d.machine.ServeUntil()))
 	d.lastRun.Store(int64(d.machine.Now()))
 	d.prepared.Store(d.machine.Prepared())
-	watched := d.machine.WatchedReplicas()
-	d.watched.Store(&watched)
+	d.peers.follow(d.machine)
 	for _, save := range output.Saves {
 		d.saves[save.Shard] <- save
 	}
@@ -144,6 +170,12 @@
 	for _, command := range output.Commands {
 		d.options.Commander.Command(command)
 	}
+	for _, request := range output.Reports {
+		d.options.Commander.Report(request)
+	}
+	if output.ReadList {
+		d.options.Lists.ReadList()
+	}
 }
 
 // noticeIncidents logs what the log ring is to be written out for.
@@ -229,12 +261,21 @@
 		d.options.Log.WithField("deployment", envelope.Deployment).Warn("dropped a frame of another deployment; check seeds and addresses")
 		return
 	}
+	if envelope.Traffic != nil {
+		d.receiveTraffic(envelope)
+		return
+	}
 	d.post(func(now time.Duration) Output { return d.machine.Receive(now, envelope) })
 }
 
-// SetPlatformList takes the platform's newest list.
-func (d *Driver) SetPlatformList(services []ListedService) {
-	d.post(func(now time.Duration) Output { return d.machine.SetPlatformList(now, services) })
+// ListRead takes the outcome of a reading of the platform's list.
+func (d *Driver) ListRead(reading ListReading) {
+	d.post(func(now time.Duration) Output { return d.machine.ListRead(now, reading) })
+}
+
+// CommandDone takes what came of a command.
+func (d *Driver) CommandDone(command Command, outcome CommandOutcome) {
+	d.post(func(now time.Duration) Output { return d.machine.CommandDone(now, command, outcome) })
 }
 
 // SetReplicaReport takes what a replica said of itself.
@@ -242,13 +283,35 @@
 	d.post(func(now time.Duration) Output { return d.machine.SetReplicaReport(now, report) })
 }
 
-// WatchedReplicas lists the replicas whose reports the machine needs.
-func (d *Driver) WatchedReplicas() []string {
-	watched := d.watched.Load()
-	if watched == nil {
-		return nil
-	}
-	return *watched
+// ReplicaReportFailed tells that a replica gave no report.
+func (d *Driver) ReplicaReportFailed(address string) {
+	d.post(func(now time.Duration) Output { return d.machine.ReplicaReportFailed(now, address) })
+}
+
+// SetSeeds takes over other addresses to join through.
+func (d *Driver) SetSeeds(seeds []string) {
+	d.post(func(now time.Duration) Output { return d.machine.SetSeeds(now, seeds) })
+}
+
+// HandOver hands over what the node owns, while it goes on running.
+func (d *Driver) HandOver() {
+	d.ask(func(now time.Duration) Output { return d.machine.HandOver(now) })
+}
+
+// DiskAddresses lists the internal addresses of the other live nodes with disks.
+func (d *Driver) DiskAddresses() []string {
+	var addresses []string
+	d.ask(func(time.Duration) Output {
+		addresses = d.machine.DiskAddresses()
+		return Output{}
+	})
+	return addresses
+}
+
+// NewOrderID returns an identity that no other order has, for an order that its
+// operator gave none. A resend under another one must have the same effect.
+func (d *Driver) NewOrderID() string {
+	return d.machine.orderIDPrefix() + strconv.FormatUint(d.orderIDs.Add(1), 10)
 }
 
 // Leave announces that the node stops and hands over what it owns.
@@ -273,18 +336,64 @@
 func (d *Driver) Submit(ctx context.Context, order *controlpb.Order) (*controlpb.Answer, error) {
 	answers := make(chan Reply, 1)
 	d.post(func(now time.Duration) Output {
-		d.nextTicket++
-		d.waiting[d.nextTicket] = answers
-		return d.machine.Submit(now, d.nextTicket, order)
+		return d.machine.Submit(now, d.newTicket(answers), order)
 	})
+	reply, err := d.await(ctx, answers)
+	if err != nil {
+		return nil, errors.Wrap(err, "send the identical order again")
+	}
+	return reply.Answer, nil
+}
+
+// newTicket numbers what waits for a reply. It is called on the control
+// goroutine.
+func (d *Driver) newTicket(replies chan Reply) uint64 {
+	d.nextTicket++
+	d.waiting[d.nextTicket] = replies
+	return d.nextTicket
+}
+
+// await waits for a reply. One that comes after the context has ended is wanted
+// by nobody, so that the machine stops asking for it.
+func (d *Driver) await(ctx context.Context, replies chan Reply) (Reply, error) {
 	select {
-	case reply := <-answers:
-		return reply.Answer, reply.Err
+	case reply := <-replies:
+		return reply, reply.Err
 	case <-ctx.Done():
-		return nil, errors.Wrap(ctx.Err(), "the order was not answered in time; send the identical order again")
+		d.post(func(now time.Duration) Output { return d.abandon(now, replies) })
+		return Reply{}, errors.Wrap(ctx.Err(), "not answered in time")
 	case <-d.done:
-		return nil, ErrStopped
+		return Reply{}, ErrStopped
+	}
+}
+
+// abandon forgets whoever waits on a channel.
+func (d *Driver) abandon(now time.Duration, replies chan Reply) Output {
+	for ticket, waiting := range d.waiting {
+		if waiting == replies {
+			delete(d.waiting, ticket)
+			return d.machine.Abandon(now, ticket)
+		}
+	}
+	return Output{}
+}
+
+// Source reads the source document of the configuration, as a quorum of the nodes
+// with disks confirms it. It is nil if the configuration in force was not made
+// from a document.
+func (d *Driver) Source(ctx context.Context) (*ridgeswitchv1.Source, error) {
+	answers := make(chan Reply, 1)
+	d.post(func(now time.Duration) Output {
+		return d.machine.ReadSource(now, d.newTicket(answers))
+	})
+	reply, err := d.await(ctx, answers)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the source document; try again, at another node")
+	}
+	if reply.Source.GetVersion() == 0 {
+		return nil, nil
 	}
+	return reply.Source, nil
 }
 
 // deliver hands a reply to whoever waits for it.
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -7,12 +7,14 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
@@ -34,6 +36,8 @@
 	registry  registrar
 	confirmed confirmations
 	backends  backends
+	list      *listing.Machine
+	named     map[string]namedWeights
 	load      routing.LoadReader
 	held      heldState
 	output    Output
@@ -50,6 +54,8 @@
 	tableDigest   uint64
 	membersDigest uint64
 	addresses     map[member.ID]string
+	// diskNodes are the live nodes with disks, sorted.
+	diskNodes []member.ID
 }
 
 // heldState is the newest state of every shard that reached this node.
@@ -74,6 +80,8 @@
 		challenges: map[challengeKey]challenge{},
 		epochs:     map[uint32]knownEpoch{},
 		addresses:  map[member.ID]string{},
+		named:      map[string]namedWeights{},
+		list:       newListing(config, now),
 		held: heldState{
 			configuration: &ridgeswitchv1.Configuration{},
 			services:      map[uint32]*controlpb.ServiceState{},
@@ -116,11 +124,10 @@
 // hostShard starts the replica group member of a shard, if this node is in its
 // group.
 func (m *Machine) hostShard(id uint32, restored replication.Restored) error {
-	group := m.config.GroupOfShard(id)
-	if !contains(group, m.config.Self.ID) || !m.config.Self.HoldsState {
+	if !m.config.hosts(id) {
 		return nil
 	}
-	hosted, err := newShard(id, group, m.config, restored, m.now)
+	hosted, err := newShard(id, m.config.foundersOf(id), m.config, restored, m.now)
 	if err != nil {
 		return errors.Wrapf(err, "start shard %d", id)
 	}
@@ -130,6 +137,7 @@
 
 // Tick advances time and does what is due.
 func (m *Machine) Tick(now time.Duration) Output {
+	before := m.now
 	m.now = now
 	m.sendMembership(m.members.Tick(now))
 	m.refreshMembers()
@@ -137,14 +145,19 @@
 		if hosted := m.shards[id]; hosted != nil {
 			hosted.group.Tick(now)
 			m.pump(hosted)
+			m.publishRestored(hosted)
 		}
 	}
+	m.followOwners()
 	m.sendRelay(m.relay.Tick(now))
 	m.tickRecoveries()
 	m.tickRegistration()
 	m.tickConfirmations()
+	m.tickSpreading()
 	m.tickOrders()
+	m.tickList()
 	m.tickRollouts()
+	m.tickWeightsDeadline(before)
 	return m.take()
 }
 
@@ -202,15 +215,36 @@
 	return m.take()
 }
 
-// Leave tells the others that this node stops, and hands its shards over.
-func (m *Machine) Leave(now time.Duration) Output {
+// Abandon ends an order or a read whose answer nobody waits for any more: it is
+// not sent again. What was sent already may still take effect.
+func (m *Machine) Abandon(now time.Duration, ticket uint64) Output {
 	m.now = now
+	m.orders.pending = slices.DeleteFunc(m.orders.pending, func(pending *pendingOrder) bool {
+		return pending.ticket == ticket
+	})
+	return m.take()
+}
+
+// HandOver hands the shards that this node owns over, which goes before a stop.
+func (m *Machine) HandOver(now time.Duration) Output {
+	m.now = now
+	m.handOver()
+	return m.take()
+}
+
+func (m *Machine) handOver() {
 	for _, id := range m.shardIDs {
 		if hosted := m.shards[id]; hosted != nil {
-			hosted.group.HandOver(now)
+			hosted.group.HandOver(m.now)
 			m.pump(hosted)
 		}
 	}
+}
+
+// Leave tells the others that this node stops, and hands its shards over.
+func (m *Machine) Leave(now time.Duration) Output {
+	m.now = now
+	m.handOver()
 	m.sendMembership(m.members.Leave(now))
 	return m.take()
 }
@@ -222,6 +256,7 @@
 	}
 	m.tableDigest = m.members.Digest()
 	records := m.members.Records()
+	m.setListMembers(records)
 	digest := digestOfMembers(records)
 	if digest == m.membersDigest {
 		return
@@ -231,6 +266,10 @@
 		m.addresses[record.Info.ID] = record.Info.Address
 	}
 	m.relay.SetMembers(liveMembers(records))
+	m.followDisks(records)
+	if m.config.Seeded {
+		return
+	}
 	for _, id := range m.shardIDs {
 		if root := m.firstLive(id); root != "" {
 			m.relay.SetRoot(relaytree.Topic(id), root)
@@ -247,5 +286,12 @@
 	return output
 }
 
+// SetSeeds takes over other seeds.
+func (m *Machine) SetSeeds(now time.Duration, seeds []string) Output {
+	m.now = now
+	m.sendMembership(m.members.SetSeeds(now, seeds))
+	return m.take()
+}
+
 // Now returns the time of the last input.
 func (m *Machine) Now() time.Duration { return m.now }
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"sync/atomic"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// TrafficReceiver takes in what other nodes tell of their traffic. It is safe
+// for concurrent use.
+type TrafficReceiver interface {
+	TakeBatch(batch shared.Batch)
+}
+
+// livePeers are the live nodes, for traffic to read without waiting for
+// control.
+type livePeers struct {
+	published atomic.Pointer[peerLists]
+	// digest is that of the members when they were published.
+	digest uint64
+}
+
+// peerLists are the live nodes, this one included, sorted by ID.
+type peerLists struct {
+	all     []member.Info
+	serving []member.Info
+}
+
+// follow publishes the peers again when the members have changed.
+func (p *livePeers) follow(machine *Machine) {
+	if p.published.Load() != nil && machine.membersDigest == p.digest {
+		return
+	}
+	p.digest = machine.membersDigest
+	p.published.Store(machine.livePeers())
+}
+
+// livePeers are the live nodes and, of these, those that serve callers.
+func (m *Machine) livePeers() *peerLists {
+	peers := &peerLists{}
+	for _, record := range m.members.Members() {
+		if !m.reachable(record.Info.ID) {
+			continue
+		}
+		peers.all = append(peers.all, record.Info)
+		if record.Info.TrafficAddress != "" {
+			peers.serving = append(peers.serving, record.Info)
+		}
+	}
+	return peers
+}
+
+// Peers returns the live nodes that serve callers; read only.
+func (d *Driver) Peers() []member.Info {
+	if published := d.peers.published.Load(); published != nil {
+		return published.serving
+	}
+	return nil
+}
+
+// LiveNodes returns all live nodes; read only.
+func (d *Driver) LiveNodes() []member.Info {
+	if published := d.peers.published.Load(); published != nil {
+		return published.all
+	}
+	return nil
+}
+
+// SendTraffic sends a batch of news about traffic to other nodes. It may get
+// lost.
+func (d *Driver) SendTraffic(send shared.Outbound) {
+	envelope := wire.Envelope{
+		Deployment: d.options.Deployment,
+		From:       d.machine.config.Self.ID,
+		Traffic:    &send.Batch,
+	}
+	frame := wire.Encode(envelope)
+	for _, to := range send.To {
+		d.options.Sender.Send(to.Address, frame)
+	}
+}
+
+// receiveTraffic hands news about traffic on. It does not go through the
+// control goroutine, as it changes no control state.
+func (d *Driver) receiveTraffic(envelope wire.Envelope) {
+	if d.options.Traffic != nil {
+		d.options.Traffic.TakeBatch(*envelope.Traffic)
+	}
+}
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
@@ -65,6 +66,9 @@
 	if registered := command.GetRegisterNode(); registered != nil {
 		m.confirmed.forgetOlder(hosted.id, member.ID(registered.GetNode()), member.Incarnation(registered.GetIncarnation()))
 	}
+	if command.GetSetReplicas() != nil {
+		m.nextRollout = m.now
+	}
 	open, found := hosted.proposals[index]
 	if !found {
 		return
@@ -86,7 +90,9 @@
 	switch message.Type {
 	case protocol.MessageOrder:
 		m.receiveOrder(from, message)
-	case protocol.MessageOrderReply:
+	case protocol.MessageReadSource:
+		m.receiveReadSource(from, message)
+	case protocol.MessageOrderReply, protocol.MessageReadSourceReply:
 		m.receiveOrderReply(from, message)
 	case protocol.MessageRegister:
 		m.receiveRegister(from, message)
@@ -98,8 +104,13 @@
 		m.receiveWitnessReply(from, message)
 	case protocol.MessageConfirm:
 		m.confirmed.record(from, message)
+		m.rollOutSoon()
 	case protocol.MessageAskConfirm:
-		m.sendControl(from, m.ownConfirmation())
+		m.receiveAskConfirm(from, message)
+	case protocol.MessageList:
+		m.receiveListing(from, message.Payload, listing.DecodeList)
+	case protocol.MessageListRequest:
+		m.receiveListing(from, message.Payload, listing.DecodeRequest)
 	}
 }
 
@@ -143,7 +154,7 @@
 
 // firstLive returns the first live member of a shard's group.
 func (m *Machine) firstLive(shardID uint32) member.ID {
-	for _, id := range m.config.GroupOfShard(shardID) {
+	for _, id := range m.groupOf(shardID) {
 		if m.reachable(id) {
 			return id
 		}
@@ -153,7 +164,7 @@
 
 // nextOwnerGuess returns the live group member after one that did not answer.
 func (m *Machine) nextOwnerGuess(shardID uint32, tried member.ID) member.ID {
-	group := m.config.GroupOfShard(shardID)
+	group := m.groupOf(shardID)
 	start := 0
 	for position, id := range group {
 		if id == tried {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -9,6 +9,7 @@
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
 	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
@@ -21,6 +22,12 @@
 // ServeUntil is the instant until which this node may admit traffic if nothing
 // else is heard; zero while it may not admit any.
 func (m *Machine) ServeUntil() time.Duration {
+	if m.config.FailOpen {
+		if m.held.revisions[ConfigurationShard] == 0 {
+			return 0
+		}
+		return membership.Never
+	}
 	if !m.registered(ConfigurationShard) || m.members.Fenced(m.now) || !m.knowsBackends() {
 		return 0
 	}
@@ -34,7 +41,7 @@
 		return false
 	}
 	for _, pool := range m.held.configuration.GetPools() {
-		if !m.registered(ShardOfService(pool.GetService(), m.config.ServiceShards)) {
+		if !m.config.ReplicasFinishFirst && !m.registered(ShardOfService(pool.GetService(), m.config.ServiceShards)) {
 			return false
 		}
 	}
@@ -79,7 +86,7 @@
 		Owner:    string(m.knownOwner(id)),
 		Epoch:    m.epochs[id].epoch,
 		Revision: m.held.revisions[id],
-		Group: lo.Map(m.config.GroupOfShard(id), func(id member.ID, _ int) string {
+		Group: lo.Map(m.groupOf(id), func(id member.ID, _ int) string {
 			return string(id)
 		}),
 	}
@@ -122,14 +129,31 @@
 		status.Replicas = append(status.Replicas, &ridgeswitchv1.ReplicaStatus{
 			Address:          listed.Address,
 			Zone:             listed.Zone,
-			Phase:            phaseName(row.GetPhase()),
-			WeightVersion:    row.GetWeightVersion(),
+			Phase:            phaseOf(row, listed),
+			WeightVersion:    statusVersion(row, listed),
 			PlatformDraining: listed.Draining,
 		})
 	}
 	return status
 }
 
+// phaseOf is the phase of a replica; one without a row serves if the list shows its
+// version.
+func phaseOf(row *controlpb.ReplicaState, listed listing.Replica) string {
+	if row == nil && listed.WeightVersion != "" {
+		return phaseName(controlpb.ReplicaPhase_SERVING)
+	}
+	return phaseName(row.GetPhase())
+}
+
+// statusVersion is what a replica runs, or is ordered to load.
+func statusVersion(row *controlpb.ReplicaState, listed listing.Replica) string {
+	if movedByRollout(row, listed) {
+		return row.GetWeightVersion()
+	}
+	return runningVersion(row, listed)
+}
+
 func phaseName(phase controlpb.ReplicaPhase) string {
 	switch phase {
 	case controlpb.ReplicaPhase_SERVING:
@@ -175,8 +199,11 @@
 	digest := xxhash.New()
 	for _, record := range records {
 		live := "down"
-		if isLive(record) {
+		switch {
+		case isLive(record):
 			live = "live"
+		case record.State == membership.StateLeft:
+			live = "left"
 		}
 		for _, text := range []string{string(record.Info.ID), record.Info.Address, live} {
 			_, _ = digest.WriteString(text)
--- a/internal/dataplane/destinations.go
+++ b/internal/dataplane/destinations.go
@@ -56,13 +56,15 @@
 // destinations holds the state of every destination that was ever routed to.
 // Its size is bounded by the names that the configuration has had.
 type destinations struct {
+	budget retrybudget.Options
 	mutex  sync.Mutex
 	states map[destinationName]*destinationState
 }
 
-// newDestinations returns an empty set.
-func newDestinations() *destinations {
-	return &destinations{states: make(map[destinationName]*destinationState)}
+// newDestinations returns an empty set, in which each destination gets a retry
+// budget of its own.
+func newDestinations(budget retrybudget.Options) *destinations {
+	return &destinations{budget: budget, states: make(map[destinationName]*destinationState)}
 }
 
 // of returns the state of a destination.
@@ -73,7 +75,7 @@
 	state, known := d.states[name]
 	if !known {
 		state = &destinationState{
-			budget:   retrybudget.New(retrybudget.Options{}),
+			budget:   retrybudget.New(d.budget),
 			stats:    DestinationStats{Name: name.name, WebService: name.webService},
 			refusals: make(map[caller.Kind]uint64),
 		}
@@ -107,9 +109,10 @@
 	return all
 }
 
-// permitAttempt counts an attempt, or returns false if the retry budget does
-// not permit it. First attempts are always permitted.
-func (s *destinationState) permitAttempt(now time.Duration, attempt int) bool {
+// permitAttempt counts an attempt of a request, of which some may have been
+// sent, or returns false if the retry budget does not permit it. The first one
+// that is sent is always permitted.
+func (s *destinationState) permitAttempt(now time.Duration, sent, attempt int) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if attempt == 1 {
@@ -117,6 +120,12 @@
 		s.stats.FirstAttempts++
 		return true
 	}
+	if sent == 0 {
+		// Nothing of the earlier ones left this node, so that the back end gets
+		// this one as the first.
+		s.stats.Retries++
+		return true
+	}
 	if !s.budget.TryRetry(now) {
 		s.stats.RetriesDenied++
 		return false
--- a/internal/dataplane/feeds.go
+++ b/internal/dataplane/feeds.go
@@ -63,6 +63,7 @@
 	defer ticker.Stop()
 	for {
 		f.reconcile(f.server.options.Source.View())
+		f.server.cold.setNodes(f.server.options.Clock(), f.server.options.Peers())
 		f.resyncWhereWanted()
 		select {
 		case <-ctx.Done():
@@ -100,6 +101,9 @@
 // wanted returns the back ends whose events matter under a view.
 func (f *feeds) wanted(view *routing.View) map[string]wantedFeed {
 	wanted := make(map[string]wantedFeed)
+	if f.server.options.Edges.Reports != nil {
+		return wanted
+	}
 	for _, pool := range view.Pools {
 		for _, listed := range pool.Replicas {
 			wanted[listed.Address] = wantedFeed{source: f.replicas, weightVersion: listed.WeightVersion}
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -9,6 +9,8 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
 )
 
 // Defaults of Options.
@@ -21,6 +23,9 @@
 	DefaultRequestTimeout = 60 * time.Second
 	// DefaultMaxAttempts bounds the attempts of one request.
 	DefaultMaxAttempts = 4
+	// DefaultBackendRetry is when a caller may come back after a failure of a
+	// back end.
+	DefaultBackendRetry = time.Second
 	// DefaultDrainTimeout bounds the time in which a stopping node finishes.
 	DefaultDrainTimeout = 20 * time.Second
 	// DefaultEventSilence is the longest time without an event of a back end.
@@ -58,8 +63,13 @@
 type Options struct {
 	// Node is the node's name.
 	Node string
+	// Member is this node's identity among the nodes.
+	Member member.ID
 	// Zone is the zone that the node stands in.
 	Zone string
+	// Peers returns the live nodes that serve callers, this one included. It may
+	// be nil for a node that stands alone.
+	Peers func() []member.Info
 	// Address is the host and port to listen on.
 	Address string
 	// Source is where control state comes from.
@@ -71,11 +81,16 @@
 	// RecordFile is where requests are recorded; empty for no recording. What is
 	// in the file stays.
 	RecordFile string
+	// Edges are the protocols of callers and back ends; those that are nil mean
+	// the node's own.
+	Edges Edges
 	// Router configures the choice of replicas.
 	Router kvrouter.Options
 	// Admission bounds the requests that run on this node at a time, and says
 	// how tenants wait for a place.
 	Admission admission.Options
+	// RetryBudget bounds the retries of each destination.
+	RetryBudget retrybudget.Options
 	// Claims decide among all nodes who runs a request that must not run
 	// twice; nil leaves that to this node's own register.
 	Claims Claims
@@ -88,6 +103,11 @@
 	RequestTimeout time.Duration
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int
+	// MaxUnsent is how many attempts that could not be sent do not count among
+	// these.
+	MaxUnsent int
+	// BackendRetry is when a caller may come back after a failure of a back end.
+	BackendRetry time.Duration
 	// DrainTimeout bounds the time in which a stopping node finishes.
 	DrainTimeout time.Duration
 	// EventSilence is the longest time without an event of a back end.
@@ -117,11 +137,16 @@
 	if o.Log == nil {
 		o.Log = logrus.NewEntry(logrus.StandardLogger())
 	}
+	if o.Peers == nil {
+		self := []member.Info{{ID: o.Member, Zone: o.Zone}}
+		o.Peers = func() []member.Info { return self }
+	}
 	setDefault(&o.Admission, defaultAdmission)
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
 	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&o.BackendRetry, DefaultBackendRetry)
 	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&o.EventSilence, DefaultEventSilence)
 	setDefault(&o.ViewInterval, DefaultViewInterval)
--- a/internal/dataplane/outcome.go
+++ b/internal/dataplane/outcome.go
@@ -9,25 +9,9 @@
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/webservice"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
 )
 
-// backendRetry is when a caller may come back after a failure of a back end.
-const backendRetry = time.Second
-
-// failedAnswerError says that a back end answered with a failure that does not
-// tell whether the request has run.
-type failedAnswerError struct {
-	status int
-}
-
-// Error implements error.
-func (e *failedAnswerError) Error() string {
-	return fmt.Sprintf("the back end failed with status %d", e.status)
-}
-
 // versionError says that an answer was made under other weights than the cache
 // salt of its request names.
 type versionError struct {
@@ -45,7 +29,7 @@
 	if errors.As(err, &unsent) && !unsent.MayHaveLeft {
 		d.suspectUnlessEnded(w, chosen)
 		w.problem = caller.NewProblem(caller.KindNoBackend,
-			"the back end could not be reached: send the request again").After(backendRetry)
+			"the back end could not be reached: send the request again").After(d.server.options.BackendRetry)
 		w.apply(attempts.Event{Kind: attempts.NotSent, Attempt: attempt})
 		return
 	}
@@ -53,8 +37,10 @@
 	if unsent == nil {
 		d.server.suspects.heard(chosen.address())
 	}
-	if problem := refusedProblem(err); problem != nil {
-		w.problem = problem
+	var refusal *outbound.RefusedError
+	if errors.As(err, &refusal) {
+		chosen.refused(refusal)
+		w.problem = refusedProblem(refusal, d.server.options.BackendRetry)
 		w.apply(attempts.Event{Kind: attempts.Refused, Attempt: attempt})
 		return
 	}
@@ -66,7 +52,7 @@
 
 // enterLoss enters that an attempt which was sent has no certain end.
 func (d *dispatcher) enterLoss(w *work, chosen target, attempt int, err error) {
-	var failed *failedAnswerError
+	var failed *outbound.FailedAnswerError
 	var gone *callerGoneError
 	switch {
 	case errors.As(err, &gone):
@@ -89,22 +75,10 @@
 	}
 }
 
-// refusedProblem tells of a back end that promised not to run the request, or
-// is nil if the error is no such promise.
-func refusedProblem(err error) *caller.Problem {
-	var byReplica *replica.RefusedError
-	var byWebService *webservice.RefusedError
-	var wait time.Duration
-	switch {
-	case errors.As(err, &byReplica):
-		wait = byReplica.RetryAfter
-	case errors.As(err, &byWebService):
-		wait = byWebService.RetryAfter
-	default:
-		return nil
-	}
+// refusedProblem tells of a back end that promised not to run the request.
+func refusedProblem(refusal *outbound.RefusedError, wait time.Duration) *caller.Problem {
 	return caller.NewProblem(caller.KindBackendRefused,
-		"the back end did not take the request (%v): send it again later", err).After(max(wait, backendRetry))
+		"the back end did not take the request (%v): send it again later", refusal).After(max(refusal.RetryAfter, wait))
 }
 
 // budgetProblem tells of a retry that the budget does not permit. It keeps
@@ -115,7 +89,7 @@
 		reason = last.Message
 	}
 	return caller.NewProblem(caller.KindRetryBudgetSpent,
-		"the destination's share of retries is used up after this failure: %s", reason).After(backendRetry)
+		"the destination's share of retries is used up after this failure: %s", reason)
 }
 
 // answer does what the ledger asks for at the end.
@@ -151,7 +125,7 @@
 func (w *work) finalProblem() *caller.Problem {
 	problem := w.problem
 	if problem == nil {
-		problem = caller.NewProblem(caller.KindNoBackend, "no attempt was possible: send the request again").After(backendRetry)
+		problem = caller.NewProblem(caller.KindNoBackend, "no attempt was possible: send the request again").After(DefaultBackendRetry)
 	}
 	// A lost claim may have let another node run the request.
 	problem.MayHaveRun = problem.MayHaveRun || w.ledger.MayHaveRun()
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
@@ -16,18 +18,21 @@
 // poolBackend runs attempts on the replicas of pools.
 type poolBackend struct {
 	server *Server
-	client *replica.Client
+	edge   BackendEdge
 }
 
 // newPoolBackend returns the backend of all pools.
 func newPoolBackend(server *Server) *poolBackend {
-	return &poolBackend{server: server, client: replica.NewClient(server.sender, server.options.MaxAnswerBytes)}
+	return &poolBackend{server: server, edge: server.options.Edges.Replicas}
 }
 
 // replicaTarget is a replica chosen for one attempt.
 type replicaTarget struct {
 	backend  *poolBackend
 	decision kvrouter.Decision
+	limits   *ridgeswitchv1.BackendLimits
+	// coldUntil is when the replica has warmed up.
+	coldUntil time.Duration
 }
 
 // choose implements backend. Replicas that failed lately are avoided as long
@@ -35,21 +40,26 @@
 func (b *poolBackend) choose(w *work) (target, *caller.Problem) {
 	pool := b.newestPool(w)
 	if pool == nil || pool.Config.GetModel() != w.destination.Pool.Config.GetModel() {
-		return nil, noReplicaProblem(&kvrouter.NoReplicaError{Reason: kvrouter.NoneListed, RetryAfter: backendRetry})
+		return nil, noReplicaProblem(&kvrouter.NoReplicaError{Reason: kvrouter.NoneListed}, b.server.options.BackendRetry)
 	}
 	now := b.server.options.Clock()
 	avoidSuspects := func(address string) bool {
 		return w.hasTried(address) || b.server.suspects.avoided(now, address)
 	}
-	decision, err := b.server.router.Select(b.selection(w, pool, now, avoidSuspects), b.candidates(pool))
+	decision, err := b.server.router.Select(b.selection(w, pool, now, avoidSuspects), b.candidates(now, pool))
 	var none *kvrouter.NoReplicaError
 	if errors.As(err, &none) && none.Reason == kvrouter.AllExcluded {
-		decision, err = b.server.router.Select(b.selection(w, pool, now, w.hasTried), b.candidates(pool))
+		decision, err = b.server.router.Select(b.selection(w, pool, now, w.hasTried), b.candidates(now, pool))
 	}
 	if err != nil {
-		return nil, noReplicaProblem(err)
+		return nil, noReplicaProblem(err, b.server.options.BackendRetry)
 	}
-	return &replicaTarget{backend: b, decision: decision}, nil
+	return &replicaTarget{
+		backend:   b,
+		decision:  decision,
+		limits:    pool.Config.GetBackends(),
+		coldUntil: coldUntil(pool, decision.Address),
+	}, nil
 }
 
 // newestPool returns the work's pool in the newest view, or nil if it is gone.
@@ -68,7 +78,15 @@
 		Now:          now,
 		Model:        model,
 		Parts:        w.described.Parts,
+		Naming:       b.naming(),
 		OutputTokens: w.described.OutputTokens,
+		Engine:       engineProfile(pool),
+		Priority:     uint8(w.view.Priority(w.tenant, w.route)),
+		Zone:         b.server.options.Zone,
+		MaxWait:      longestWait(w),
+		ColdAllowed: func(address string) bool {
+			return b.server.cold.allowed(now, pool.Config.GetBackends(), address)
+		},
 		SaltFor: func(weightVersion string) string {
 			return replica.CacheSalt(model, weightVersion, w.sharingDomain(b.server.options.Source.View()))
 		},
@@ -82,15 +100,18 @@
 
 // candidates returns the replicas of a pool that requests may go to. A replica
 // whose weight version is not confirmed gets none: no cache salt could be right.
-func (b *poolBackend) candidates(pool *routing.Pool) []kvrouter.Candidate {
+func (b *poolBackend) candidates(now time.Duration, pool *routing.Pool) []kvrouter.Candidate {
 	candidates := make([]kvrouter.Candidate, 0, len(pool.Replicas))
 	for _, listed := range pool.Replicas {
 		confirmed := listed.WeightVersion != ""
-		if listed.Admitting && confirmed && !b.server.quarantine.holds(listed.Address, listed.WeightVersion) {
+		if listed.Admitting && confirmed && !b.server.quarantine.holds(listed.Address, listed.WeightVersion) &&
+			!b.server.outdated.holds(now, listed) {
 			candidates = append(candidates, kvrouter.Candidate{
 				Address:       listed.Address,
 				Zone:          listed.Zone,
 				WeightVersion: listed.WeightVersion,
+				Instance:      listed.Instance,
+				ColdUntil:     listed.ColdUntil,
 			})
 		}
 	}
@@ -105,13 +126,24 @@
 			return tenant.SharingDomain
 		}
 	}
+	if w.tenant == nil {
+		return anonymousDomain
+	}
 	return w.tenant.SharingDomain
 }
 
+// anonymousDomain is the sharing domain of requests without a key.
+const anonymousDomain = "anonymous"
+
+// coldUntil returns when a listed replica has warmed up.
+func coldUntil(pool *routing.Pool, address string) time.Duration {
+	listed, _ := lo.Find(pool.Replicas, func(listed routing.Replica) bool { return listed.Address == address })
+	return listed.ColdUntil
+}
+
 // noReplicaProblem tells why no replica was chosen.
-func noReplicaProblem(err error) *caller.Problem {
+func noReplicaProblem(err error, wait time.Duration) *caller.Problem {
 	kind := caller.KindNoBackend
-	wait := backendRetry
 	var none *kvrouter.NoReplicaError
 	if errors.As(err, &none) {
 		wait = max(none.RetryAfter, wait)
@@ -147,9 +179,15 @@
 	return false
 }
 
+// takeCold implements target.
+func (t *replicaTarget) takeCold() bool {
+	server := t.backend.server
+	return server.cold.take(server.options.Clock(), t.limits, routing.Replica{Address: t.decision.Address, ColdUntil: t.coldUntil})
+}
+
 // send implements target.
-func (t *replicaTarget) send(ctx context.Context, w *work, attempt int) (answer, error) {
-	received, err := t.backend.client.Generate(ctx, t.call(w, attempt))
+func (t *replicaTarget) send(ctx context.Context, w *work, attempt int) (Answer, error) {
+	received, err := t.backend.edge.Send(ctx, t.attempt(w, attempt))
 	if err != nil {
 		return nil, err
 	}
@@ -160,29 +198,28 @@
 	return received, nil
 }
 
-// call describes the attempt to the replica.
-func (t *replicaTarget) call(w *work, attempt int) replica.Call {
-	return replica.Call{
-		Address:      t.decision.Address,
-		Model:        w.destination.Pool.Config.GetModel(),
-		CacheSalt:    t.decision.CacheSalt,
-		Prefix:       caller.FormatPrefix(w.described.Parts),
-		RequestID:    w.requestID,
-		AttemptID:    t.backend.server.identities.next(),
-		Attempt:      attempt,
-		OutputTokens: w.described.OutputTokens,
-		Repeatable:   w.described.Repeatable,
-		Streamed:     w.described.Streamed,
-		Pull:         t.pull(w),
-		Extra:        caller.PassThrough(w.request.Header),
-		ContentType:  w.request.Header.Get("Content-Type"),
-		Body:         w.body,
+// attempt describes the attempt to the replica.
+func (t *replicaTarget) attempt(w *work, number int) Attempt {
+	described := w.attempt(t.backend.server, t.decision.Address, number)
+	described.Generation = &Generation{
+		Model:         w.destination.Pool.Config.GetModel(),
+		WeightVersion: t.decision.WeightVersion,
+		CacheSalt:     t.decision.CacheSalt,
+		Parts:         w.described.Parts,
+		OutputTokens:  w.described.OutputTokens,
+		Pull:          t.pull(w),
+	}
+	described.Instance = t.decision.Instance
+	if t.decision.Save {
+		described.Generation.SaveTo = w.destination.Pool.Store.GetAddress()
 	}
+	t.backend.tell(described)
+	return described
 }
 
 // pull returns the planned fetch if its source may still be used: the pool's
 // store, or an admitting replica of the same version.
-func (t *replicaTarget) pull(w *work) *replica.Pull {
+func (t *replicaTarget) pull(w *work) *Pull {
 	planned := t.decision.Pull
 	pool := t.backend.newestPool(w)
 	if planned == nil || pool == nil {
@@ -191,7 +228,7 @@
 	if planned.Source != pool.Store.GetAddress() && !t.backend.mayServeParts(pool, planned.Source, t.decision.WeightVersion) {
 		return nil
 	}
-	return &replica.Pull{Source: planned.Source, FirstPart: planned.FirstPart, LastPart: planned.LastPart}
+	return &Pull{Source: planned.Source, FirstPart: planned.FirstPart, LastPart: planned.LastPart}
 }
 
 // mayServeParts tells whether a replica may be pulled from under a version.
@@ -199,12 +236,8 @@
 	return admits(pool, address, weightVersion) && !b.server.quarantine.holds(address, weightVersion)
 }
 
-// check refuses answers that leave open whether the request has run, and those
-// made under other weights.
-func (t *replicaTarget) check(received *replica.Answer) error {
-	if received.Status() >= http.StatusInternalServerError {
-		return &failedAnswerError{status: received.Status()}
-	}
+// check refuses answers made under other weights.
+func (t *replicaTarget) check(received Answer) error {
 	answered := received.WeightVersion()
 	if answered == "" {
 		return nil
@@ -218,6 +251,15 @@
 	return nil
 }
 
+// refused implements target.
+func (t *replicaTarget) refused(refusal *outbound.RefusedError) {
+	if !refusal.WrongTarget {
+		return
+	}
+	server := t.backend.server
+	server.outdated.refused(server.options.Clock(), t.decision.Address, t.decision.Instance, t.decision.WeightVersion)
+}
+
 // firstOutput implements target.
 func (t *replicaTarget) firstOutput() {
 	t.decision.Reservation.FirstToken(t.backend.server.options.Clock())
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -28,7 +28,11 @@
 	inFlight     *inFlight
 	suspects     *suspects
 	quarantine   *quarantine
+	outdated     *outdated
+	cold         *coldBounds
 	feeds        *feeds
+	sharing      *sharing
+	readers      *reportReaders
 	chain        chain
 	listener     *listener
 	// recorder is nil without a recording.
@@ -55,21 +59,27 @@
 	if err != nil {
 		return nil, err
 	}
+	sender := outbound.New(outbound.Options{Name: clientName})
+	options.Edges = options.Edges.withDefaults(sender, options.MaxAnswerBytes)
 	server := &Server{
 		options:      options,
-		sender:       outbound.New(outbound.Options{Name: clientName}),
+		sender:       sender,
 		router:       kvrouter.New(options.Router),
 		identities:   named,
-		destinations: newDestinations(),
+		destinations: newDestinations(options.RetryBudget),
 		limiter:      newLimiter(options.Clock, options.Admission),
 		duplicates:   newDuplicateRegister(options.RememberedRequests, options.RememberFor),
 		inFlight:     newInFlight(),
 		suspects:     newSuspects(),
 		quarantine:   newQuarantine(),
+		outdated:     newOutdated(),
+		cold:         newColdBounds(options.Member),
+		sharing:      newSharing(),
 		seed:         rand.Uint64(),
 	}
 	server.feedsCtx, server.stopFeeds = context.WithCancel(context.Background())
 	server.feeds = newFeeds(server)
+	server.readers = newReportReaders(server)
 	if server.listener, err = newListener(options, server); err != nil {
 		return nil, err
 	}
@@ -88,6 +98,9 @@
 	supervisor := newSupervisor("traffic", s.options.Log)
 	supervisor.Add(s.feeds.supervisor)
 	supervisor.Add(s.feeds)
+	if s.options.Edges.Reports != nil {
+		supervisor.Add(s.readers)
+	}
 	ended := supervisor.ServeBackground(s.feedsCtx)
 	err := s.listener.serve()
 	s.stopFeeds()
--- /dev/null
+++ b/internal/dataplane/shared/exchange.go
@@ -0,0 +1,124 @@
+package shared
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// maxWaiting bounds the news that waits at a relay. What comes beyond it is
+// dropped.
+const maxWaiting = 4096
+
+// Exchange passes news on at one node. It is not safe for concurrent use.
+type Exchange struct {
+	self member.ID
+	zone string
+	// toZone waits for the nodes of the zone, and toRelays for the relays of the
+	// other zones.
+	toZone   []News
+	toRelays []News
+}
+
+// Outbound is a batch for other nodes.
+type Outbound struct {
+	To    []member.Info
+	Batch Batch
+}
+
+// NewExchange returns the exchange of a node in a zone.
+func NewExchange(self member.ID, zone string) *Exchange {
+	return &Exchange{self: self, zone: zone}
+}
+
+// Add takes this node's own news.
+func (e *Exchange) Add(news News) {
+	news.Node = e.self
+	e.toZone = keep(e.toZone, news)
+	e.toRelays = keep(e.toRelays, news)
+}
+
+// Take takes a batch of another node and returns the news that is new here.
+func (e *Exchange) Take(batch Batch) []News {
+	foreign := lo.Reject(batch.News, func(news News, _ int) bool { return news.Node == e.self })
+	switch batch.Stage {
+	case Gathering:
+		e.toZone = keep(e.toZone, foreign...)
+		e.toRelays = keep(e.toRelays, foreign...)
+	case Crossing:
+		e.toZone = keep(e.toZone, foreign...)
+	}
+	return foreign
+}
+
+// Flush returns what is to be sent now, given the live nodes.
+func (e *Exchange) Flush(live []member.Info) []Outbound {
+	toZone, toRelays := e.toZone, e.toRelays
+	e.toZone, e.toRelays = nil, nil
+	relay, found := RelayOf(e.zone, live)
+	if !found {
+		return nil
+	}
+	if relay.ID != e.self {
+		return outbound(Gathering, toRelays, relay)
+	}
+	listeners := lo.Filter(live, func(node member.Info, _ int) bool {
+		return node.Zone == e.zone && node.ID != e.self && servesCallers(node)
+	})
+	sends := outbound(Spreading, toZone, listeners...)
+	return append(sends, outbound(Crossing, toRelays, e.foreignRelays(live)...)...)
+}
+
+// foreignRelays returns the relays of the other zones in which callers are
+// served.
+func (e *Exchange) foreignRelays(live []member.Info) []member.Info {
+	serving := lo.Filter(live, func(node member.Info, _ int) bool { return node.Zone != e.zone && servesCallers(node) })
+	zones := lo.Uniq(lo.Map(serving, func(node member.Info, _ int) string { return node.Zone }))
+	slices.Sort(zones)
+	return lo.FilterMap(zones, func(zone string, _ int) (member.Info, bool) { return RelayOf(zone, live) })
+}
+
+// servesCallers tells whether a node has traffic, and so a use for news of it.
+func servesCallers(node member.Info) bool {
+	return node.TrafficAddress != ""
+}
+
+// RelayOf returns the relay of a zone: of the live nodes in it, the one that
+// weighs highest. A node that serves no callers is taken before any that does,
+// as it has its link and processor to spare.
+func RelayOf(zone string, live []member.Info) (member.Info, bool) {
+	candidates := lo.Filter(live, func(node member.Info, _ int) bool { return node.Zone == zone })
+	if idle := lo.Reject(candidates, func(node member.Info, _ int) bool { return servesCallers(node) }); len(idle) > 0 {
+		candidates = idle
+	}
+	if len(candidates) == 0 {
+		return member.Info{}, false
+	}
+	return slices.MaxFunc(candidates, func(a, b member.Info) int {
+		return cmp.Or(cmp.Compare(relayWeight(a.ID), relayWeight(b.ID)), cmp.Compare(a.ID, b.ID))
+	}), true
+}
+
+// relayWeight orders the nodes of a zone.
+func relayWeight(id member.ID) uint64 {
+	return xxhash.Sum64String("relay\x00" + string(id))
+}
+
+// outbound returns a batch for nodes, or nothing if there is no news or nobody
+// to tell. Whose news comes back passes it over.
+func outbound(stage Stage, news []News, to ...member.Info) []Outbound {
+	if len(news) == 0 || len(to) == 0 {
+		return nil
+	}
+	return []Outbound{{To: to, Batch: Batch{Stage: stage, News: news}}}
+}
+
+// keep appends news up to the bound.
+func keep(waiting []News, added ...News) []News {
+	room := max(0, maxWaiting-len(waiting))
+	return append(waiting, added[:min(room, len(added))]...)
+}
--- /dev/null
+++ b/internal/dataplane/sharing.go
@@ -0,0 +1,125 @@
+package dataplane
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+const (
+	// loadRefresh is how long a load that has not changed is not told again. It
+	// is half the time for which others believe it.
+	loadRefresh = 500 * time.Millisecond
+	// maxHeldNews bounds the dispatches, and the pages of reports, that wait to
+	// be told; what is beyond it is not told.
+	maxHeldNews = 1024
+)
+
+// toldLoad is the load of a replica as the others were told it last.
+type toldLoad struct {
+	load kvrouter.SharedLoad
+	at   time.Duration
+}
+
+// sharing gathers what this node tells the others of its traffic.
+type sharing struct {
+	mutex      sync.Mutex
+	told       map[string]toldLoad
+	dispatches []shared.Dispatch
+	reports    []shared.Report
+}
+
+// newSharing returns a sharing that has nothing to tell.
+func newSharing() *sharing {
+	return &sharing{told: make(map[string]toldLoad)}
+}
+
+// dispatched notes a request that was sent to a replica.
+func (s *sharing) dispatched(dispatch shared.Dispatch) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.dispatches) < maxHeldNews {
+		s.dispatches = append(s.dispatches, dispatch)
+	}
+}
+
+// reported notes a page of reports that this node has read.
+func (s *sharing) reported(report shared.Report) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.reports) < maxHeldNews {
+		s.reports = append(s.reports, report)
+	}
+}
+
+// take returns what is to be told now, given the present loads.
+func (s *sharing) take(now time.Duration, loads []kvrouter.AddressLoad) shared.News {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	news := shared.News{Dispatches: s.dispatches, Reports: s.reports}
+	s.dispatches = nil
+	s.reports = nil
+	for _, load := range loads {
+		if s.worthTelling(now, load) {
+			news.Loads = append(news.Loads, load)
+		}
+	}
+	return news
+}
+
+// worthTelling tells whether the others believe another load, or would cease to
+// believe this one. The lock is held.
+func (s *sharing) worthTelling(now time.Duration, load kvrouter.AddressLoad) bool {
+	told, known := s.told[load.Address]
+	idle := load.SharedLoad.Requests == 0
+	if known && told.load == load.SharedLoad && (idle || now-told.at < loadRefresh) {
+		return false
+	}
+	if idle {
+		delete(s.told, load.Address)
+		return known
+	}
+	s.told[load.Address] = toldLoad{load: load.SharedLoad, at: now}
+	return true
+}
+
+// News returns what this node has to tell the others of its traffic since the
+// last call.
+func (s *Server) News() shared.News {
+	now := s.options.Clock()
+	return s.sharing.take(now, s.router.OwnLoads(now))
+}
+
+// TakeNews takes in what another node has told.
+func (s *Server) TakeNews(news shared.News) {
+	now := s.options.Clock()
+	for _, load := range news.Loads {
+		s.router.RemoteLoad(now, string(news.Node), load.Address, load.SharedLoad)
+	}
+	for _, dispatch := range news.Dispatches {
+		s.router.ObserveLinks(now, dispatch.Address, dispatch.Links)
+	}
+	for _, report := range news.Reports {
+		s.takeReport(now, report)
+	}
+}
+
+// takeReport brings a page of reports into the index.
+func (s *Server) takeReport(now time.Duration, report shared.Report) kvrouter.FeedStatus {
+	changes := lo.Map(report.Changes, func(change shared.Change, _ int) kvrouter.PartChange {
+		return kvrouter.PartChange{
+			Sequence: change.Sequence,
+			Name:     change.Name,
+			Tokens:   change.Tokens,
+			Removed:  change.Removed,
+		}
+	})
+	if report.Whole {
+		return s.router.PartsListed(now, report.Address, report.Feed.BootEpoch, report.Feed.Next, changes)
+	}
+	return s.router.PartsReported(now, report.Address, report.Feed, changes)
+}
--- a/internal/dataplane/web.go
+++ b/internal/dataplane/web.go
@@ -5,28 +5,30 @@
 	"sync/atomic"
 	"time"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/webservice"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
 // webBackend runs attempts on the back ends of web services.
 type webBackend struct {
 	server *Server
-	client *webservice.Client
+	edge   BackendEdge
 	// turn rotates the choice among equally loaded back ends.
 	turn atomic.Uint64
 }
 
 // newWebBackend returns the backend of all web services.
 func newWebBackend(server *Server) *webBackend {
-	return &webBackend{server: server, client: webservice.NewClient(server.sender, server.options.MaxAnswerBytes)}
+	return &webBackend{server: server, edge: server.options.Edges.WebServices}
 }
 
 // webTarget is a back end chosen for one attempt.
 type webTarget struct {
 	backend *webBackend
-	chosen  string
+	chosen  routing.Replica
+	limits  *ridgeswitchv1.BackendLimits
 }
 
 // choose implements backend: the fewest attempts in flight win. Back ends that
@@ -34,19 +36,27 @@
 func (b *webBackend) choose(w *work) (target, *caller.Problem) {
 	service := b.newestService(w)
 	if service == nil {
-		return nil, noWebBackendProblem()
+		return nil, noWebBackendProblem().After(b.server.options.BackendRetry)
 	}
 	now := b.server.options.Clock()
-	address, found := b.leastInFlight(service, func(address string) bool {
-		return w.hasTried(address) || b.server.suspects.avoided(now, address)
+	chosen, found := b.leastInFlight(service, func(listed routing.Replica) bool {
+		return w.hasTried(listed.Address) || b.server.suspects.avoided(now, listed.Address) ||
+			b.server.outdated.holds(now, listed) || b.tooCold(now, service, listed)
 	})
 	if !found {
-		address, found = b.leastInFlight(service, w.hasTried)
+		chosen, found = b.leastInFlight(service, func(listed routing.Replica) bool {
+			return w.hasTried(listed.Address) || b.tooCold(now, service, listed)
+		})
 	}
 	if !found {
-		return nil, noWebBackendProblem()
+		return nil, noWebBackendProblem().After(b.server.options.BackendRetry)
 	}
-	return &webTarget{backend: b, chosen: address}, nil
+	return &webTarget{backend: b, chosen: chosen, limits: service.Config.GetBackends()}, nil
+}
+
+// tooCold tells whether a back end is cold and bears no more requests now.
+func (b *webBackend) tooCold(now time.Duration, service *routing.WebService, listed routing.Replica) bool {
+	return now < listed.ColdUntil && !b.server.cold.allowed(now, service.Config.GetBackends(), listed.Address)
 }
 
 // newestService returns the work's service in the newest view, or nil.
@@ -59,18 +69,18 @@
 }
 
 // leastInFlight returns the admitting back end with the fewest attempts.
-func (b *webBackend) leastInFlight(service *routing.WebService, exclude func(string) bool) (string, bool) {
-	best, bestCount, found := "", 0, false
+func (b *webBackend) leastInFlight(service *routing.WebService, exclude func(routing.Replica) bool) (routing.Replica, bool) {
+	best, bestCount, found := routing.Replica{}, 0, false
 	total := uint64(len(service.Replicas))
 	turn := b.turn.Add(1)
 	for offset := range total {
 		listed := service.Replicas[(turn+offset)%total]
-		if !listed.Admitting || exclude(listed.Address) {
+		if !listed.Admitting || exclude(listed) {
 			continue
 		}
 		count := b.server.inFlight.of(listed.Address)
 		if !found || count < bestCount {
-			best, bestCount, found = listed.Address, count, true
+			best, bestCount, found = listed, count, true
 		}
 	}
 	return best, found
@@ -79,12 +89,12 @@
 // noWebBackendProblem tells that no back end admits requests.
 func noWebBackendProblem() *caller.Problem {
 	return caller.NewProblem(caller.KindNoBackend,
-		"no back end of the web service takes requests: send the request again").After(time.Second)
+		"no back end of the web service takes requests: send the request again")
 }
 
 // address implements target.
 func (t *webTarget) address() string {
-	return t.chosen
+	return t.chosen.Address
 }
 
 // current implements target.
@@ -94,26 +104,33 @@
 		return false
 	}
 	for _, listed := range service.Replicas {
-		if listed.Address == t.chosen {
-			return listed.Admitting
+		if listed.Address == t.chosen.Address {
+			return listed.Admitting && listed.Instance == t.chosen.Instance
 		}
 	}
 	return false
 }
 
+// takeCold implements target.
+func (t *webTarget) takeCold() bool {
+	server := t.backend.server
+	return server.cold.take(server.options.Clock(), t.limits, t.chosen)
+}
+
 // send implements target.
-func (t *webTarget) send(ctx context.Context, w *work, _ int) (answer, error) {
-	received, err := t.backend.client.Forward(ctx, webservice.Call{
-		Address:   t.chosen,
-		Request:   w.request,
-		Body:      w.body,
-		RequestID: w.requestID,
-		AttemptID: t.backend.server.identities.next(),
-	})
-	if err != nil {
-		return nil, err
+func (t *webTarget) send(ctx context.Context, w *work, attempt int) (Answer, error) {
+	described := w.attempt(t.backend.server, t.chosen.Address, attempt)
+	described.Instance = t.chosen.Instance
+	return t.backend.edge.Send(ctx, described)
+}
+
+// refused implements target.
+func (t *webTarget) refused(refusal *outbound.RefusedError) {
+	if !refusal.WrongTarget {
+		return
 	}
-	return received, nil
+	server := t.backend.server
+	server.outdated.refused(server.options.Clock(), t.chosen.Address, t.chosen.Instance, t.chosen.WeightVersion)
 }
 
 // firstOutput implements target.
--- a/internal/lab/sim/orders.go
+++ b/internal/lab/sim/orders.go
@@ -28,6 +28,9 @@
 
 // applyFirst is the order that forms the first configuration.
 func (w *simulation) applyFirst() *operatorOrder {
+	if w.settings.FailOpen {
+		return w.document(w.firstConfiguration(), 0)
+	}
 	content, err := dynamic.OrderFromRequest(&ridgeswitchv1.ApplyConfigurationRequest{
 		Order:         w.header(0),
 		Configuration: w.firstConfiguration(),
@@ -85,6 +88,9 @@
 func (w *simulation) nameWeights(base uint64, pool string) *operatorOrder {
 	header := w.header(base)
 	version := "w" + header.GetOrderId()
+	if w.settings.FinishFirst {
+		version = fmt.Sprint(1 + w.operators.named)
+	}
 	content, err := dynamic.OrderFromRequest(&ridgeswitchv1.NameWeightsRequest{Order: header, Pool: pool, WeightVersion: version})
 	return newOrder(content, err, checker.Change{Kind: checker.ChangeWeights, Pool: pool, WeightVersion: version})
 }
@@ -127,6 +133,9 @@
 // applyChanged reads the configuration, changes it and applies it whole.
 func (w *simulation) applyChanged() *operatorOrder {
 	configuration := w.readConfiguration()
+	if w.settings.FailOpen {
+		return w.changedDocument(configuration)
+	}
 	header := w.header(configuration.GetRevision())
 	configuration.Routes = append(configuration.Routes, &ridgeswitchv1.Route{
 		Host:        header.GetOrderId() + ".example",
@@ -144,6 +153,9 @@
 func (w *simulation) invalidOrder() *operatorOrder {
 	order := w.applyChanged()
 	apply := order.content.GetApply()
+	if w.settings.FailOpen {
+		apply = order.content.GetApplyDocument().GetConfiguration()
+	}
 	apply.Routes = append(apply.Routes, &ridgeswitchv1.Route{
 		Host:        "nowhere.example",
 		Destination: &ridgeswitchv1.Route_Pool{Pool: "nowhere"},
--- a/internal/lab/sim/settings.go
+++ b/internal/lab/sim/settings.go
@@ -14,6 +14,9 @@
 	calmLength = 30 * time.Second
 	// ServiceBackBound is how long after the faults every node must serve.
 	ServiceBackBound = 12 * time.Second
+	// ReplicaOutBound is how long the last replica of a pool may be out of service
+	// for a roll-out in the calm.
+	ReplicaOutBound = 3 * time.Second
 	// AcknowledgeBound is how long an order may take in the calm.
 	AcknowledgeBound = 2 * time.Second
 	// SpreadBound is how long an acknowledged revision may take to be in force
@@ -29,8 +32,14 @@
 	// Virtual is the virtual time of the run; at least MinVirtual.
 	Virtual time.Duration
 	Break   Break
+	// FailOpen runs a deployment whose nodes with disks find each other through
+	// seeds, and go on serving while they are cut off.
+	FailOpen bool
 	// Faults names the kinds of faults to choose from; none stands for all.
 	Faults []string
+	// FinishFirst simulates replicas that finish their requests before they load
+	// weights, and a platform's list that names incarnations and versions.
+	FinishFirst bool
 	// Timeline records what happens on each node.
 	Timeline bool
 }
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -22,7 +22,9 @@
 	now    time.Duration
 	events eventQueue
 
+	// nodes are those that there are; all holds those taken away too.
 	nodes         []*node
+	all           []*node
 	byAddress     map[string]*node
 	group         []member.ID
 	groupZones    map[member.ID]string
@@ -41,6 +43,11 @@
 	// freezeNextCommand freezes the next node that is about to command.
 	freezeNextCommand bool
 
+	// seeds are what settings name from now on, in a deployment that finds itself
+	// through seeds.
+	seeds []string
+	touch touch
+
 	checks   *checks
 	counts   Counts
 	timeline *timeline
@@ -55,6 +62,13 @@
 	OrdersRefused uint64 `json:"orders_refused"`
 	Resends       uint64 `json:"resends"`
 	Commands      uint64 `json:"commands"`
+	// Refusals counts requests that replicas did not run, as they expected other
+	// weights.
+	Refusals uint64 `json:"requests_refused_by_replicas"`
+	// ListReadings counts readings of the platform's list, and Reports those of
+	// replicas' reports.
+	ListReadings uint64 `json:"list_readings"`
+	Reports      uint64 `json:"reports"`
 	// Undecided counts the histories of orders that were too hard to judge.
 	Undecided     uint64            `json:"histories_undecided"`
 	StaleCommands uint64            `json:"stale_commands_refused"`
@@ -79,6 +93,7 @@
 	world.build()
 	world.scheduleStart()
 	world.scheduleFaults()
+	world.scheduleTouch()
 	world.scheduleOperators()
 	world.scheduleCalm()
 	world.loop()
--- /dev/null
+++ b/internal/node/edges.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+)
+
+// ListReader reads the platform's list of back ends. An error leaves the last list in
+// force.
+type ListReader interface {
+	Read(ctx context.Context) ([]control.ListedService, error)
+}
+
+// ReplicaCommander speaks to replicas about their weights.
+type ReplicaCommander interface {
+	// LoadWeights sends a command and tells what came of it. The error, if any,
+	// says why it was not taken, or may not have been. Nothing may be sent after
+	// the context has ended.
+	LoadWeights(ctx context.Context, command control.Command) (control.CommandOutcome, error)
+	// Report asks the incarnation of a replica that the list names for its report.
+	// Age in the result tells how old the numbers may have been when the replica was
+	// asked; Address and MeasuredAt are left zero.
+	Report(ctx context.Context, address, instance string) (control.ReplicaReport, error)
+}
+
+// Edges are the protocols that a node speaks to the world outside. Zero values
+// mean the node's own.
+type Edges struct {
+	// Dataplane speaks to callers and back ends.
+	Dataplane dataplane.Edges
+	// Lists reads the platform's list of back ends.
+	Lists    ListReader
+	Replicas ReplicaCommander
+	// ReplicasFinishFirst is that of control.Config.
+	ReplicasFinishFirst bool
+	// Operator returns what serves operators, and whoever asks for the node's
+	// health.
+	Operator func(node *Node) http.Handler
+	// ReadyAddress is a further IP and port at which Operator's handler is
+	// served; empty for none.
+	ReadyAddress string
+}
+
+// Control returns the control state of the node.
+func (n *Node) Control() *control.Driver { return n.driver }
+
+// Ready returns nil while new connections may be sent to the node.
+func (n *Node) Ready() error { return n.health.Ready() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
@@ -15,13 +18,11 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
-	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/internal/metrics"
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
 )
 
 // leaveGrace is how long a stopping node goes on sending after it has handed its
@@ -35,21 +36,26 @@
 // Node is one running node.
 type Node struct {
 	settings  *static.Settings
+	edges     Edges
 	log       *logrus.Entry
 	storage   *storage
 	transport *transport.Transport
 	driver    *control.Driver
 	dataplane *dataplane.Server
-	operator  *operator.Server
+	sharer    *sharer
+	operators []*operator.Server
 	health    *health
-	platform  *platform.Client
 	commander *commander
+	lists     *lists
+	// seeds are those in use.
+	seeds []string
 }
 
-// New builds a node from checked settings. It listens for other nodes at once
-// and for callers and operators when Run is called.
-func New(settings *static.Settings, log *logrus.Entry) (*Node, error) {
-	node := &Node{settings: settings, log: log, health: &health{}}
+// New builds a node from checked settings and the protocols that it speaks. It
+// listens for other nodes at once, and for callers and operators when Run is
+// called.
+func New(settings *static.Settings, edges Edges, log *logrus.Entry) (*Node, error) {
+	node := &Node{settings: settings, edges: edges.withDefaults(settings.PlatformAddress), log: log, health: &health{}, seeds: settings.Seeds}
 	if err := node.build(); err != nil {
 		node.close()
 		return nil, err
@@ -67,18 +73,25 @@
 	source := &lateSource{}
 	n.dataplane, err = dataplane.New(dataplane.Options{
 		Node:         n.settings.Node,
+		Member:       member.ID(n.settings.MemberID()),
 		Zone:         n.settings.Zone,
+		Peers:        source.peers,
 		Address:      n.settings.Traffic,
 		Source:       source,
 		Clock:        clock.SinceBoot,
 		Log:          n.log.WithField("component", "dataplane"),
 		DrainTimeout: n.settings.DrainTimeout(),
 		RecordFile:   n.settings.RecordFile,
+		Edges:        n.edges.Dataplane,
+		RetryBudget:  n.retryBudget(source),
+		MaxUnsent:    maxUnsent,
+		BackendRetry: n.settings.BackendRetry(),
 	})
 	if err != nil {
 		return err
 	}
-	machine, err := control.New(controlConfig(n.settings, n.storage), n.storage.restored, n.dataplane, clock.SinceBoot())
+	n.sharer = newSharer(member.ID(n.settings.MemberID()), n.settings.Zone, n.served())
+	machine, err := control.New(n.controlConfig(), n.storage.restored, n.dataplane, clock.SinceBoot())
 	if err != nil {
 		return err
 	}
@@ -87,20 +100,74 @@
 	}
 	source.driver = n.driver
 	n.health.driver = n.driver
-	served, err := metrics.NewHandler(n.driver, n.dataplane, n.transport)
+	return n.buildOperators()
+}
+
+const (
+	// maxUnsent is how many attempts that could not be sent do not count among a
+	// request's attempts.
+	maxUnsent = 3
+	// budgetMargin is how many nodes may have started without this one knowing
+	// it, when the fleet's retries are divided.
+	budgetMargin = 2
+	// percent is what shares in the settings are given in.
+	percent = 100.0
+)
+
+// retryBudget is this node's part of the fleet's retries.
+func (n *Node) retryBudget(source *lateSource) retrybudget.Options {
+	live := func() int { return max(1, len(source.peers())) }
+	return retrybudget.Options{
+		Ratio:     float64(n.settings.RetryPercent) / percent,
+		Window:    n.settings.RetryWindow(),
+		Slack:     float64(n.settings.RetrySlack),
+		Share:     retrybudget.FleetShare(live, budgetMargin),
+		StartedAt: clock.SinceBoot(),
+	}
+}
+
+// served is what serves callers, or nil on a node that serves none.
+func (n *Node) served() *dataplane.Server {
+	if n.settings.ControlOnly {
+		return nil
+	}
+	return n.dataplane
+}
+
+// buildOperators listens for operators and for whoever asks for the node's
+// health.
+func (n *Node) buildOperators() error {
+	handler, err := n.operatorHandler()
 	if err != nil {
 		return err
 	}
-	n.operator, err = operator.NewServer(n.settings.Control, n.driver, n.health, operator.WithMetrics(served))
-	return err
+	for _, address := range lo.Uniq(lo.Compact([]string{n.settings.Control, n.edges.ReadyAddress})) {
+		server, err := operator.Listen(address, handler)
+		if err != nil {
+			return err
+		}
+		n.operators = append(n.operators, server)
+	}
+	return nil
+}
+
+// operatorHandler returns what serves operators.
+func (n *Node) operatorHandler() (http.Handler, error) {
+	if n.edges.Operator != nil {
+		return n.edges.Operator(n), nil
+	}
+	served, err := metrics.NewHandler(n.driver, n.dataplane, n.transport)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewHandler(n.driver, n.health, operator.WithMetrics(served))
 }
 
 // buildDriver connects the control machine to the network, the disk and the
 // replicas.
 func (n *Node) buildDriver(machine *control.Machine) error {
-	sender := outbound.New(outbound.Options{Name: "control"})
-	n.platform = platform.NewClient(sender, n.settings.PlatformAddress)
-	n.commander = newCommander(n.settings.Node, replica.NewCommandClient(sender), n.log.WithField("component", "commander"))
+	n.commander = newCommander(n.edges.Replicas, n.log.WithField("component", "commander"))
+	n.lists = &lists{reader: n.edges.Lists, log: n.log.WithField("component", "lists")}
 	frames := &lateFrames{}
 	listening, err := transport.Listen(n.settings.InternalListener(), frames.receive, transport.Options{})
 	if err != nil {
@@ -108,14 +175,19 @@
 	}
 	n.transport = listening
 	n.driver = control.NewDriver(machine, control.DriverOptions{
+		TickEvery:  n.settings.TickEvery(),
 		Deployment: n.settings.Deployment,
 		Clock:      clock.SinceBoot,
 		Sender:     listening,
 		Storage:    n.storage.shards(),
 		Commander:  n.commander,
+		Traffic:    n.sharer,
+		Lists:      n.lists,
 		Log:        n.log.WithField("component", "control"),
 	})
 	n.commander.driver = n.driver
+	n.sharer.driver = n.driver
+	n.lists.driver = n.driver
 	frames.driver.Store(n.driver)
 	return nil
 }
@@ -126,10 +198,14 @@
 	defer n.close()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, serverCount)
+	failed := make(chan error, len(n.operators)+1)
 	finished := n.supervise(background)
-	go func() { failed <- errors.Wrap(n.operator.Start(), "operators' listener") }()
-	go func() { failed <- errors.Wrap(n.dataplane.Start(), "callers' listener") }()
+	for _, server := range n.operators {
+		go func() { failed <- errors.Wrap(server.Start(), "operators' listener") }()
+	}
+	if !n.settings.ControlOnly {
+		go func() { failed <- errors.Wrap(n.dataplane.Start(), "callers' listener") }()
+	}
 	select {
 	case err := <-failed:
 		stop()
@@ -143,16 +219,15 @@
 	return nil
 }
 
-// serverCount is the number of HTTP servers of a node.
-const serverCount = 2
-
 // supervise starts the supervised loops and returns a channel that closes when
 // they have ended.
 func (n *Node) supervise(ctx context.Context) <-chan struct{} {
 	supervisor := suture.New("node "+n.settings.Node, suture.Spec{EventHook: n.logEvent})
 	supervisor.Add(&controlService{driver: n.driver})
-	supervisor.Add(&platformService{node: n})
-	supervisor.Add(&reportService{commander: n.commander})
+	if n.storage.disk != nil && n.settings.Seeded() {
+		supervisor.Add(&addressService{storage: n.storage, driver: n.driver, log: n.log})
+	}
+	supervisor.Add(n.sharer)
 	finished := make(chan struct{})
 	ended := supervisor.ServeBackground(ctx)
 	go func() {
@@ -170,16 +245,27 @@
 // and ends within the drain time.
 func (n *Node) drain() {
 	n.health.draining.Store(true)
+	n.driver.HandOver()
 	time.Sleep(min(readinessNotice, n.settings.DrainTimeout()/2))
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout())
 	defer cancel()
-	if err := n.dataplane.Drain(ctx); err != nil {
+	if err := n.drainCallers(ctx); err != nil {
 		n.log.WithError(err).Warn("requests were still running when the drain time ended")
 	}
 	n.driver.Leave()
 	time.Sleep(leaveGrace)
 	n.dataplane.Stop()
-	n.operator.Stop()
+	for _, server := range n.operators {
+		server.Stop()
+	}
+}
+
+// drainCallers lets running requests finish.
+func (n *Node) drainCallers(ctx context.Context) error {
+	if n.settings.ControlOnly {
+		return nil
+	}
+	return n.dataplane.Drain(ctx)
 }
 
 // close releases what New took.
@@ -192,31 +278,55 @@
 	}
 }
 
+// controlConfig is what the control machine of this node needs.
+func (n *Node) controlConfig() control.Config {
+	config := controlConfig(n.settings, n.storage)
+	config.ReplicasFinishFirst = n.edges.ReplicasFinishFirst
+	return config
+}
+
 // controlConfig turns settings into what the control machine needs.
 func controlConfig(settings *static.Settings, disk *storage) control.Config {
 	config := control.Config{
 		Self: member.Info{
-			ID:             member.ID(settings.Node),
+			ID:             member.ID(settings.MemberID()),
 			Address:        settings.Internal,
-			TrafficAddress: settings.Traffic,
+			TrafficAddress: trafficAddress(settings),
 			ControlAddress: settings.Control,
 			Zone:           settings.Zone,
 			HoldsState:     settings.HoldsState(),
 			Incarnation:    member.Incarnation(time.Now().UnixMilli()),
 		},
-		Seeds:         settings.Seeds,
+		Seeds:         disk.seeds(settings),
+		Seeded:        settings.Seeded(),
+		FailOpen:      settings.FailOpen,
 		ServiceShards: uint32(settings.ServiceShards),
 		Life:          disk.life,
 		Times:         control.DefaultTimes(),
 	}
+	if settings.FailOpen {
+		config.Times = control.FailOpenTimes(settings.Contact(), settings.Acknowledge())
+	}
 	config.Times.HeartbeatEvery = settings.HeartbeatEvery()
-	for _, name := range settings.Group {
+	config.Times.ListReadEvery = settings.PlatformPollEvery()
+	config.Times.CommandGap = settings.CommandGap()
+	config.Times.WeightsDeadline = settings.WeightsDeadline()
+	for _, name := range slices.Concat(settings.Group, disk.founders) {
 		config.Group = append(config.Group, member.ID(name))
 	}
 	config.GroupZones = groupZones(settings)
 	return config
 }
 
+// trafficAddress is where the node serves callers, as it tells others; empty if
+// it serves none.
+func trafficAddress(settings *static.Settings) string {
+	if settings.ControlOnly {
+		return ""
+	}
+	return settings.Traffic
+}
+
 // groupZones returns the zones of the nodes with disks, or nothing when the
 // settings do not tell them.
 func groupZones(settings *static.Settings) map[member.ID]string {
