--- a/pkg/kvrouter/concurrency_test.go
+++ b/pkg/kvrouter/concurrency_test.go
@@ -120,3 +120,15 @@
 		decision.Reservation.Finish(late, false)
 	}
 }
+
+// BenchmarkRemoteLoad takes in the loads that 64 routers have on 140 replicas.
+func BenchmarkRemoteLoad(b *testing.B) {
+	router := kvrouter.New(kvrouter.Options{})
+	told := kvrouter.SharedLoad{Requests: 2, DecodeTokens: 9000}
+	told.PrefillTokens[1] = 4000
+	b.ReportAllocs()
+	for round := range b.N {
+		now := late + time.Duration(round)*20*time.Microsecond
+		router.RemoteLoad(now, fmt.Sprint(round%64), fmt.Sprint("replica-", round/64%140), told)
+	}
+}
