--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -29,6 +29,15 @@
 	}
 }
 
+// routerSettings are the knobs of a pool: the configured ones, over defaults for
+// engines that are described or not.
+func routerSettings(pool *routing.Pool) kvrouter.Settings {
+	if pool.Config.GetEngine() == nil || pool.Config.GetRouting() != nil {
+		return kvrouter.SettingsFrom(pool.Config.GetRouting())
+	}
+	return kvrouter.DefaultEngineSettings()
+}
+
 // longestWait is how long a request may wait at a full replica.
 func longestWait(w *work) time.Duration {
 	deadline, bounded := w.ctx.Deadline()
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -141,6 +141,7 @@
 		self := []member.Info{{ID: o.Member, Zone: o.Zone}}
 		o.Peers = func() []member.Info { return self }
 	}
+	setDefault(&o.Router.Name, o.Node)
 	setDefault(&o.Admission, defaultAdmission)
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -90,7 +90,7 @@
 		SaltFor: func(weightVersion string) string {
 			return replica.CacheSalt(model, weightVersion, w.sharingDomain(b.server.options.Source.View()))
 		},
-		Settings:  kvrouter.SettingsFrom(pool.Config.GetRouting()),
+		Settings:  routerSettings(pool),
 		Store:     pool.Store.GetAddress(),
 		StoreZone: pool.Store.GetZone(),
 		Exclude:   exclude,
