Revert the count of token pairs and of the unread rest of prompts

A prompt that counts 30 % unread until its first event seems to keep replicas out of the choice that are ready; the pairs of tokens are to be learnt instead of fixed.

--- a/pkg/kvrouter/backlog.go
+++ b/pkg/kvrouter/backlog.go
@@ -10,7 +10,7 @@
 
 // unfinishedShare is the least share of a prompt that counts as unread until
 // its first event has come.
-const unfinishedShare = 0.3
+const unfinishedShare = 0.05
 
 // prefillWork is the prompt of a request that has not answered yet.
 type prefillWork struct {
--- a/pkg/kvrouter/engine.go
+++ b/pkg/kvrouter/engine.go
@@ -9,7 +9,6 @@
 	DefaultPullSetup                   = 5 * time.Millisecond
 	DefaultStepPerRequest              = 150 * time.Microsecond
 	DefaultPrefillChunk                = 2048
-	DefaultPairTokens                  = 9.0
 )
 
 // EngineProfile says how the replicas of a pool run requests. With one, the
@@ -38,9 +37,6 @@
 	PullSetup time.Duration
 	// StepPerRequest is how much longer each step takes for each running request.
 	StepPerRequest time.Duration
-	// PairTokens is how many tokens could be read in the time that a million pairs
-	// of a token and one before it take: long prompts take more time per token.
-	PairTokens float64
 	// PrefillChunk is how many tokens of prompts are read in one step.
 	PrefillChunk float64
 }
@@ -54,19 +50,9 @@
 	setDefault(&p.PullSetup, DefaultPullSetup)
 	setDefault(&p.StepPerRequest, DefaultStepPerRequest)
 	setDefault(&p.PrefillChunk, DefaultPrefillChunk)
-	setDefault(&p.PairTokens, DefaultPairTokens)
 	return p
 }
 
-// work returns the tokens that reading some behind others is worth.
-func (p *EngineProfile) work(context, tokens float64) float64 {
-	pairs := tokens * (context + tokens/2)
-	return tokens + p.PairTokens*pairs/pairsUnit
-}
-
-// pairsUnit is the number of pairs that PairTokens is told of.
-const pairsUnit = 1e6
-
 const bitsPerByte = 8
 
 // milliseconds returns a duration as a number of milliseconds.
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -87,8 +87,6 @@
 	if spread := req.Settings.SpreadTime; spread > 0 {
 		terms.price += spread * preference(r.options.Name, candidate.Address, p.identity())
 	}
-	terms.compute = max(0, terms.compute)
-	terms.compute = req.Engine.work(float64(req.promptTokens)-terms.compute, terms.compute)
 	active := r.activeLoad(req, state)
 	r.addDelay(req, terms, active.requests)
 	terms.memory = requestMemory(req, float64(own.Tokens))
