--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -77,6 +77,10 @@
 	relayFanOut = 4
 	// monitorCount is the number of monitors that a node chooses.
 	monitorCount = 3
+	// seededMaxVoters bounds the voters of a group that follows the membership:
+	// nine bear the loss of four, and two more may stand in for machines that are
+	// about to be taken away.
+	seededMaxVoters = 11
 	// defaultMaxLogEntries is how many applied entries a shard keeps for
 	// stragglers.
 	defaultMaxLogEntries = 1024
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -48,6 +48,14 @@
 	return c.GroupOfShard(shardID)
 }
 
+// maxVoters bounds how far the leader lets a group grow; zero is the default.
+func (c Config) maxVoters() int {
+	if c.Seeded {
+		return seededMaxVoters
+	}
+	return 0
+}
+
 // followDisks passes on which nodes with disks there are.
 func (m *Machine) followDisks(records []membership.Record) {
 	m.diskNodes = nil
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -65,6 +65,7 @@
 	core, err := replication.New(replication.Config{
 		Self:            config.Self.ID,
 		Group:           group,
+		MaxVoters:       config.maxVoters(),
 		HeartbeatEvery:  config.Times.HeartbeatEvery,
 		ElectionTimeout: config.Times.ElectionTimeout,
 		LeaseDuration:   config.Times.LeaseDuration,
--- a/internal/lab/sim/campaign_test.go
+++ b/internal/lab/sim/campaign_test.go
@@ -58,6 +58,15 @@
 		Expect(summary.Commands).To(BeNumerically(">", 100))
 	})
 
+	It("finds nothing where nodes find each other through seeds and fail open", func() {
+		summary := Campaign{First: 5001, Last: 5012, Virtual: MinVirtual + 5*time.Second, FailOpen: true, Jobs: testJobs}.Run()
+		Expect(summary.Failures).To(BeEmpty())
+		Expect(summary.OrdersAcked).To(BeNumerically(">", 100))
+		for _, kind := range kindsOfSeeds {
+			Expect(FaultNames()).To(ContainElement(kind))
+		}
+	})
+
 	It("has a hunt for every mechanism", func() {
 		Expect(lo.Keys(hunts)).To(ConsistOf(Breaks()))
 		for _, hunt := range hunts {
--- /dev/null
+++ b/internal/lab/sim/failopen_test.go
@@ -0,0 +1,276 @@
+package sim
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+)
+
+// syncBound is how long a new machine may take to get a vote.
+const syncBound = 4 * time.Second
+
+// playOpen runs a deployment that finds itself through seeds, without random
+// faults and orders.
+func playOpen(seed uint64, script func(*simulation)) *simulation {
+	world := newSimulation(Settings{Seed: seed, Virtual: DefaultVirtual, FailOpen: true})
+	world.build()
+	world.scheduleTouch()
+	world.at(firstOrderAt, func() { world.place(world.applyFirst()) })
+	script(world)
+	world.scheduleCalm()
+	world.loop()
+	world.checks.finish()
+	return world
+}
+
+// playAll plays a script with several seeds, which must break nothing.
+func playAll(script func(*simulation)) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		world := playOpen(seed, script)
+		ExpectWithOffset(1, world.checks.violations).To(BeEmpty(), "seed %d", seed)
+	}
+}
+
+// startWithin starts all nodes in any order.
+func (w *simulation) startWithin(bound time.Duration) {
+	for _, one := range w.nodes {
+		w.at(w.planned(bound), one.start)
+	}
+}
+
+// startBound is how long a deployment's nodes lie apart when it starts.
+const startBound = 300 * time.Millisecond
+
+// ownerOfConfiguration is the node that owns the configuration, or nil.
+func (w *simulation) ownerOfConfiguration() *node {
+	for _, one := range w.diskNodes() {
+		if _, owns := one.machine.Places(0); one.up && owns {
+			return one
+		}
+	}
+	return nil
+}
+
+// expectAcknowledged places an order that must be acknowledged within a bound.
+func (w *simulation) expectAcknowledged(order *operatorOrder, bound time.Duration) {
+	w.place(order)
+	w.after(bound, func() {
+		if order.outcome != checker.OutcomeAcknowledged {
+			w.violate("acknowledged", "order %s has no acknowledgement after %v", order.content.GetOrderId(), bound)
+		}
+	})
+}
+
+var _ = Describe("A deployment that finds itself through seeds", func() {
+	It("forms in any order of starts, also when one seed comes late", func() {
+		for _, late := range []time.Duration{0, 4 * time.Second} {
+			playAll(func(world *simulation) {
+				world.startWithin(startBound)
+				if late > 0 {
+					one := world.nodes[world.plan.IntN(maxSeeds)]
+					world.at(startBound+time.Millisecond, one.stop)
+					world.at(late, one.start)
+				}
+				world.at(4*second, func() {
+					if one := world.ownerOfConfiguration(); one == nil {
+						world.violate("formed", "nobody owns the configuration after %v", world.now)
+					}
+				})
+			})
+		}
+	})
+
+	It("is the same after all its nodes were killed at once, and keeps what was acknowledged", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			world.at(7*second, func() {
+				order := world.addKey(0)
+				world.place(order)
+				world.whenAcknowledged(order, func() {
+					for _, one := range world.nodes {
+						world.restartAfter(one, world.upTo(second))
+					}
+					// All serve by then, and nothing is gone.
+					world.after(RecoveryBound, func() {
+						for _, one := range world.nodes {
+							if !one.serving() || one.view.Revision < order.answer.GetRevision() {
+								world.violate("recovered", "%s does not serve what was acknowledged", one.info.ID)
+							}
+						}
+					})
+				}, func() { world.violate("acknowledged", "an order was not acknowledged in the calm") })
+			})
+		})
+	})
+
+	It("takes a founder that lost its disk back with a vote, and never forms a second time", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			world.at(7*second, func() { world.replaceMachineAt(world.nodes[world.random.IntN(maxSeeds)], false) })
+			world.at(7*second+2*second+syncBound, func() {
+				if !world.whole() {
+					world.violate("vote_regained", "a founder has no vote in its new life")
+				}
+			})
+		})
+	})
+
+	It("gives a machine that replaces another a vote in time, planned or not, one after the other", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			for round := range 3 {
+				world.at(time.Duration(7+6*round)*second, func() {
+					victim := pick(world, world.diskNodes())
+					var added *node
+					if world.chance(0.5) {
+						world.removeMachine(victim)
+						added = world.addMachine(victim.info.Zone)
+					} else {
+						added = world.addMachine(victim.info.Zone)
+						world.after(syncBound, func() { world.leaveThen(victim, func() { world.removeMachine(victim) }) })
+					}
+					added.start()
+					world.after(syncBound, func() {
+						if !world.votes(added) {
+							world.violate("vote_in_time", "%s has no vote %v after its start", added.info.ID, syncBound)
+						}
+					})
+				})
+			}
+		})
+	})
+
+	It("goes on when the machine that replaces a lost one is lost at once", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			world.at(7*second, func() {
+				world.removeMachine(pick(world, world.diskNodes()))
+				added := world.addMachine("z1")
+				added.start()
+				world.after(world.upTo(2*second), func() { world.removeMachine(added) })
+			})
+			world.at(13*second, func() { world.expectAcknowledged(world.addKey(0), openAcknowledge) })
+		})
+	})
+})
+
+var _ = Describe("A deployment that fails open", func() {
+	It("acknowledges in time while a node is dead, frozen or cut off, or has a bad disk, and after its leader was lost", func() {
+		faults := []func(world *simulation, victim *node){
+			func(_ *simulation, victim *node) { victim.stop() },
+			func(_ *simulation, victim *node) { victim.freeze(15 * second) },
+			func(world *simulation, victim *node) { world.cutFor([]*node{victim}, world.nodes, true) },
+			func(_ *simulation, victim *node) { victim.storage.slow = 150 * time.Millisecond },
+			func(_ *simulation, victim *node) { victim.storage.disk.SetFull(true) },
+		}
+		for kind, fault := range faults {
+			for _, ofLeader := range []bool{false, true} {
+				for seed := uint64(1); seed <= 3; seed++ {
+					world := playOpen(seed, func(world *simulation) {
+						world.startWithin(startBound)
+						world.at(7*second, func() {
+							victim := pick(world, world.diskNodes())
+							if ofLeader {
+								victim = world.ownerOfConfiguration()
+							}
+							fault(world, victim)
+							victim.brokenAt = world.now
+							world.after(world.upTo(2*second), func() { world.expectAcknowledged(world.addKey(0), openAcknowledge) })
+							world.after(6*second, func() { world.expectAcknowledged(world.addKey(0), openAcknowledge) })
+							world.at(20*second, func() {
+								victim.storage.slow = 0
+								victim.storage.disk.SetFull(false)
+								victim.start()
+							})
+						})
+					})
+					Expect(world.checks.violations).To(BeEmpty(), "fault %d leader %v seed %d", kind, ofLeader, seed)
+				}
+			}
+		}
+	})
+
+	It("serves after a restart without a quorum, by what its peers hold", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			world.at(7*second, func() { world.place(world.addKey(0)) })
+			world.at(9*second, func() {
+				disks := world.diskNodes()
+				for _, one := range disks[:len(disks)/2+1] {
+					one.stop()
+				}
+			})
+			world.at(13*second, func() {
+				newest := world.checks.acknowledged
+				restarted := []*node{world.nodes[len(world.nodes)-1], world.diskNodes()[len(world.diskNodes())-1]}
+				for _, one := range restarted {
+					one.stop()
+					one.start()
+				}
+				world.after(second, func() {
+					for _, one := range restarted {
+						if !one.serving() || one.view.Revision < newest {
+							world.violate("serves_without_quorum", "%s does not serve revision %d", one.info.ID, newest)
+						}
+					}
+				})
+			})
+			world.at(15*second, world.endFaults)
+		})
+	})
+
+	It("goes on serving while it is cut off, and never goes back", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			world.at(7*second, func() {
+				cut := world.router()
+				world.network.cut([]*node{cut}, world.nodes, 1)
+				world.network.cut(world.nodes, []*node{cut}, 1)
+				world.after(5*second, func() {
+					if !cut.serving() {
+						world.violate("fails_open", "%s does not serve while it is cut off", cut.info.ID)
+					}
+					world.openCut(cut)
+				})
+			})
+		})
+	})
+
+	It("brings an acknowledged state to all nodes in touch when a relay parent is lost", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			for round := range 4 {
+				world.at(time.Duration(8+5*round)*second, func() {
+					world.loseRelayParent()
+					world.after(world.upTo(300*time.Millisecond), func() { world.place(world.addKey(0)) })
+				})
+			}
+		})
+	})
+
+	It("lets one of two operators win while the leader is cut off, and answers resends alike at any node", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			world.at(7*second, func() {
+				leader := world.ownerOfConfiguration()
+				world.cutFor([]*node{leader}, world.nodes, true)
+				read := world.readConfiguration()
+				first, other := world.changedDocument(read), world.changedDocument(read)
+				for _, order := range []*operatorOrder{first, other} {
+					order.firstSent = world.now
+					world.operators.orders = append(world.operators.orders, order)
+				}
+				world.submitTo(leader, first)
+				world.after(world.upTo(second), func() { world.submitTo(world.router(), other) })
+				// The answer is lost on its way, so that the order is sent again.
+				world.after(12*second, func() {
+					world.submitTo(world.router(), first)
+					world.submitTo(world.diskNodes()[0], other)
+				})
+			})
+		})
+	})
+})
--- a/internal/lab/sim/openmode.go
+++ b/internal/lab/sim/openmode.go
@@ -22,6 +22,9 @@
 	// slowHeartbeat and slowTick are those of nodes that save work while idle.
 	slowHeartbeat = 250 * time.Millisecond
 	slowTick      = 50 * time.Millisecond
+	// RecoveryBound is how long a deployment may take to serve again after all its
+	// nodes went down at once.
+	RecoveryBound = 12 * time.Second
 	// maxReplacements bounds the machines that a run adds.
 	maxReplacements = 12
 )
