--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -40,6 +40,9 @@
 	// FailOpenTimes. It has to hold two heartbeats and two slow writes.
 	minOpenElection = 600 * time.Millisecond
 	maxOpenElection = DefaultElectionTimeout
+	// openDigestEvery may be longer than DefaultDigestEvery, as owners send states
+	// directly to nodes that the relay tree did not reach.
+	openDigestEvery = 400 * time.Millisecond
 	// electionsPerContact is how many election timeouts fit into the time for
 	// which a silent node counts as in contact: one to notice that an owner is
 	// silent, and one for the voters to follow each other.
@@ -134,6 +137,7 @@
 func FailOpenTimes(contact, acknowledge time.Duration) Times {
 	times := DefaultTimes()
 	times.ElectionTimeout = min(max(contact/electionsPerContact, minOpenElection), maxOpenElection)
+	times.DigestEvery = openDigestEvery
 	times.AcknowledgeTimeout = acknowledge
 	times.OrderTimeout = acknowledge
 	return times
