Live nodes are published again when any record of the members changes

Cause: whether a member is reachable depends on the records of its monitors too, but the list of live nodes for traffic was published again only when states or addresses changed, not when a record told of other monitors. At the start of a deployment most members have monitors that are not known yet, so that most nodes held themselves for the only live one, for good.

Ruled out: interval of digests, settings of the router, links.

The test of internal/control failed before.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -18,7 +18,8 @@
 // control.
 type livePeers struct {
 	published atomic.Pointer[peerLists]
-	// digest is that of the members when they were published.
+	// digest is that of the table of members when they were published. Whether a
+	// member is reachable depends on the records of others too, its monitors.
 	digest uint64
 }
 
@@ -28,12 +29,12 @@
 	serving []member.Info
 }
 
-// follow publishes the peers again when the members have changed.
+// follow publishes the peers again when the table of members has changed.
 func (p *livePeers) follow(machine *Machine) {
-	if p.published.Load() != nil && machine.membersDigest == p.digest {
+	if p.published.Load() != nil && machine.tableDigest == p.digest {
 		return
 	}
-	p.digest = machine.membersDigest
+	p.digest = machine.tableDigest
 	p.published.Store(machine.livePeers())
 }
 
--- /dev/null
+++ b/internal/control/peers_test.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/wire"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+)
+
+var _ = Describe("Live nodes", func() {
+	It("are published again when a record tells of other monitors, and nothing else has changed", func() {
+		machine := newSoloNode().machine
+		var peers livePeers
+		hear := func(id member.ID, version uint64, monitors ...member.ID) []member.ID {
+			other := member.Info{ID: id, Address: "127.0.0.1:2", TrafficAddress: "127.0.0.1:3", Incarnation: 1}
+			machine.Receive(time.Second, wire.Envelope{Membership: &membership.Message{
+				Type: membership.MessageGossip,
+				From: other,
+				Records: []membership.Record{{
+					Info: other, Version: version, Monitors: monitors, MonitorSetVersion: version,
+				}},
+			}})
+			peers.follow(machine)
+			return lo.Map(peers.published.Load().all, func(info member.Info, _ int) member.ID { return info.ID })
+		}
+		self := machine.config.Self.ID
+		Expect(hear("c", 1, "b")).To(ConsistOf(self), "its monitor is not known")
+		Expect(hear("b", 1, "x")).To(ConsistOf(self, member.ID("c")), "nor is that of b")
+		members := machine.membersDigest
+		Expect(hear("b", 2, "c")).To(ConsistOf(self, member.ID("b"), member.ID("c")))
+		Expect(machine.membersDigest).To(Equal(members))
+		Expect(peers.published.Load().serving).To(HaveLen(2))
+	})
+})
