Requests wait until a replica has read what they share with an earlier one

Cause: a replica looks up what it keeps when a request arrives. The router counted the beginning as kept, chose that replica, and was wrong about its time and about everything behind it.

Change: such a decision says what is awaited and until when; the data plane holds the attempt back until the replica keeps it, nobody reads it any more, or time is over. Less urgent prompts are waited for only when that is sooner. The engine bench holds requests back likewise.

The tests of the data plane failed without the wait.

--- /dev/null
+++ b/internal/dataplane/awaiting_test.go
@@ -0,0 +1,103 @@
+package dataplane_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+)
+
+// sharedPrompt takes the assumed engine most of a second to read.
+const sharedPrompt = "case;tokens=32000, question;tokens=16"
+
+var _ = Describe("A request whose beginning a replica is reading for another", func() {
+	var (
+		stand    *replicaStandIn
+		f        *fixture
+		begin    chan struct{}
+		release  func()
+		begun    atomic.Bool
+		early    atomic.Int32
+		ended    chan int
+		requests = func() float64 {
+			sum := 0.0
+			for _, load := range f.server.News().Loads {
+				sum += load.Requests
+			}
+			return sum
+		}
+	)
+
+	generate := func(ctx context.Context) {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.front.URL+"/v1/generate", strings.NewReader(defaultBody))
+		Expect(err).NotTo(HaveOccurred())
+		request.Host = poolHost
+		request.Header.Set("Authorization", "Bearer "+courtKey)
+		request.Header.Set("Prefix", sharedPrompt)
+		request.Header.Set("Accept", caller.StreamType)
+		client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+		go func() {
+			response, err := client.Do(request)
+			if err != nil {
+				ended <- 0
+				return
+			}
+			_ = response.Body.Close()
+			ended <- response.StatusCode
+		}()
+	}
+
+	BeforeEach(func() {
+		begin = make(chan struct{})
+		release = sync.OnceFunc(func() { close(begin) })
+		ended = make(chan int, 2)
+		begun.Store(false)
+		early.Store(0)
+		stand = newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			if !begun.Load() {
+				early.Add(1)
+			}
+			<-begin
+			streaming("a", replica.StreamEnd)(writer, request)
+		})
+		DeferCleanup(release)
+		f = newFixture(stand.address())
+		f.engine = &ridgeswitchv1.Engine{Slots: 8, MemoryTokens: 1_000_000}
+		f.publish()
+		generate(context.Background())
+		Eventually(stand.requests, patience).Should(HaveLen(1))
+	})
+
+	It("is sent when the other has its first event", func() {
+		generate(context.Background())
+		Eventually(requests, patience).Should(Equal(2.0))
+		Consistently(stand.requests, 100*time.Millisecond).Should(HaveLen(1))
+		begun.Store(true)
+		release()
+		Eventually(stand.requests, patience).Should(HaveLen(2))
+		Eventually(ended, patience).Should(Receive(Equal(http.StatusOK)))
+		Eventually(ended, patience).Should(Receive(Equal(http.StatusOK)))
+		Expect(early.Load()).To(Equal(int32(1)))
+	})
+
+	It("is never sent when its caller leaves meanwhile", func() {
+		ctx, leave := context.WithCancel(context.Background())
+		generate(ctx)
+		Eventually(requests, patience).Should(Equal(2.0))
+		leave()
+		Eventually(requests, patience).Should(Equal(1.0))
+		begun.Store(true)
+		release()
+		Eventually(ended, patience).Should(Receive(Equal(http.StatusOK)))
+		Expect(stand.requests()).To(HaveLen(1))
+	})
+})
--- a/internal/dataplane/dispatch.go
+++ b/internal/dataplane/dispatch.go
@@ -24,6 +24,8 @@
 
 // target is a back end chosen for one attempt.
 type target interface {
+	// await holds the attempt back while that is better for it.
+	await(w *work)
 	// address returns where the attempt goes.
 	address() string
 	// current tells whether the newest view still lets the request go there.
@@ -102,6 +104,11 @@
 // dispatch runs one attempt, or enters why there can be none.
 func (d *dispatcher) dispatch(w *work, attempt int) {
 	chosen, problem := d.choose(w)
+	if problem == nil && w.ctx.Err() != nil {
+		// It ended while the attempt was held back.
+		d.release(chosen, false)
+		return
+	}
 	if problem == nil && !w.counters.permitAttempt(d.server.options.Clock(), w.ledger.Sent(), attempt) {
 		d.release(chosen, false)
 		problem = budgetProblem(w.problem).After(d.server.options.BackendRetry)
@@ -129,6 +136,7 @@
 		if problem != nil {
 			return nil, problem
 		}
+		chosen.await(w)
 		d.server.inFlight.begin(chosen.address())
 		if chosen.current(w) && chosen.takeCold() {
 			return chosen, nil
--- a/internal/dataplane/harness_test.go
+++ b/internal/dataplane/harness_test.go
@@ -81,6 +81,8 @@
 	timeout  uint32
 	// domain is the court's sharing domain.
 	domain string
+	// engine describes the pool's replicas, or is nil.
+	engine *ridgeswitchv1.Engine
 }
 
 // newFixture starts a node that lists the given replicas as admitting.
@@ -122,7 +124,7 @@
 // publish makes a new view of what the fixture lists.
 func (f *fixture) publish() {
 	pool := &routing.Pool{
-		Config:   &ridgeswitchv1.Pool{Name: "pool", Model: poolModel, RequestTimeoutMs: f.timeout},
+		Config:   &ridgeswitchv1.Pool{Name: "pool", Model: poolModel, RequestTimeoutMs: f.timeout, Engine: f.engine},
 		Replicas: append([]routing.Replica(nil), f.replicas...),
 	}
 	web := &routing.WebService{
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -159,6 +159,31 @@
 	return t.decision.Address
 }
 
+// await implements target: the replica may be about to have read what the request
+// has in common with an earlier one.
+func (t *replicaTarget) await(w *work) {
+	awaited := t.decision.Awaited
+	if awaited == nil {
+		return
+	}
+	now := t.backend.server.options.Clock
+	timer := time.NewTimer(awaited.Until() - now())
+	defer timer.Stop()
+	for {
+		changed := awaited.Changed()
+		if awaited.Over(now()) {
+			return
+		}
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-changed:
+		}
+	}
+}
+
 // current implements target.
 func (t *replicaTarget) current(w *work) bool {
 	pool := t.backend.newestPool(w)
--- a/internal/dataplane/web.go
+++ b/internal/dataplane/web.go
@@ -97,6 +97,9 @@
 	return t.chosen.Address
 }
 
+// await implements target.
+func (t *webTarget) await(*work) {}
+
 // current implements target.
 func (t *webTarget) current(w *work) bool {
 	service := t.backend.newestService(w)
--- a/internal/lab/enginebench/policy.go
+++ b/internal/lab/enginebench/policy.go
@@ -41,6 +41,8 @@
 	source      *holder
 	save        bool
 	reservation *kvrouter.Reservation
+	// awaited is what the request is held back for, or nil.
+	awaited *kvrouter.Awaited
 }
 
 // node is a router that sees its share of the requests.
--- a/internal/lab/enginebench/routernode.go
+++ b/internal/lab/enginebench/routernode.go
@@ -69,6 +69,7 @@
 	}
 	placed := placement{
 		replica: n.numbers[decision.Address], priority: arrival.class.Priority, save: decision.Save, reservation: decision.Reservation,
+		awaited: decision.Awaited,
 	}
 	if decision.Pull != nil {
 		placed.source = n.holder(decision.Pull.Source)
--- a/internal/lab/enginebench/simulation.go
+++ b/internal/lab/enginebench/simulation.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 )
 
 // Settings describe one run.
@@ -114,7 +116,21 @@
 			s.timers.add(at, func(now time.Duration) { node.done(now, &placed) })
 		},
 	}
-	s.replicas[placed.replica].submit(now+time.Millisecond, request)
+	s.hold(now, placed.awaited, func(now time.Duration) {
+		s.replicas[placed.replica].submit(now+time.Millisecond, request)
+	})
+}
+
+// holdStep is the time between two looks at what a request is held back for.
+const holdStep = 5 * time.Millisecond
+
+// hold sends a request once there is nothing to wait for any more.
+func (s *simulation) hold(now time.Duration, awaited *kvrouter.Awaited, send func(now time.Duration)) {
+	if awaited == nil || awaited.Over(now) {
+		send(now)
+		return
+	}
+	s.timers.add(now+holdStep, func(now time.Duration) { s.hold(now, awaited, send) })
 }
 
 func (s *simulation) zoneOf(node int) int { return node % s.settings.Profile.Zones }
--- a/pkg/kvrouter/feed.go
+++ b/pkg/kvrouter/feed.go
@@ -39,6 +39,9 @@
 	index *prefixindex.Index
 	// pending holds the parts of requests that have not answered yet.
 	pending *prefixindex.Index
+	// changed is closed at the next change of what the holder keeps; nil when
+	// nobody waits for it.
+	changed chan struct{}
 	holder  prefixindex.Holder
 	options *Options
 
@@ -139,6 +142,7 @@
 	f.life++
 	f.index.Drop(f.holder)
 	f.pending.Drop(f.holder)
+	f.announce()
 }
 
 // place applies an event or lets it wait for its turn.
@@ -207,6 +211,7 @@
 }
 
 func (f *feed) apply(taken event) {
+	defer f.announce()
 	switch taken.kind {
 	case storedEvent:
 		f.index.Store(f.holder, taken.links)
@@ -293,6 +298,7 @@
 	if f.forgotten || f.life != life {
 		return
 	}
+	defer f.announce()
 	if f.eventsSeen {
 		f.predictUntilReported(now, links)
 		return
@@ -323,6 +329,9 @@
 
 // unexpect takes back expect.
 func (f *feed) unexpect(links []prefixindex.Link) {
+	f.mutex.Lock()
+	defer f.unlock()
+	defer f.announce()
 	for _, link := range links {
 		f.pending.Remove(f.holder, []prefixindex.ChainHash{link.Hash})
 	}
@@ -349,6 +358,26 @@
 	f.dropAll()
 }
 
+// nextChange returns a channel that is closed at the next change of what the
+// holder keeps.
+func (f *feed) nextChange() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
+
+// announce tells who waits that what the holder keeps has changed. The feed's
+// lock is held.
+func (f *feed) announce() {
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
+
 // feedView is what selection reads of a feed.
 type feedView struct {
 	life uint64
--- a/pkg/kvrouter/partsfeed.go
+++ b/pkg/kvrouter/partsfeed.go
@@ -103,6 +103,7 @@
 		}
 	}
 	f.parts.position = max(f.parts.position, batch.position.Next)
+	f.announce()
 }
 
 func (f *feed) hold(change PartChange) {
@@ -169,6 +170,7 @@
 		return waiting.position.Next <= sequence
 	})
 	f.applyWaitingParts(now)
+	f.announce()
 	return Accepted, restarted
 }
 
--- a/pkg/kvrouter/request.go
+++ b/pkg/kvrouter/request.go
@@ -87,6 +87,8 @@
 	Pull *Pull
 	// Save tells the replica to save the prompt's parts to the store.
 	Save bool
+	// Awaited tells what to wait for before the request is sent, or is nil.
+	Awaited *Awaited
 	// ExpectedDelay is the estimated time to the first event; 0 without an
 	// engine profile.
 	ExpectedDelay time.Duration
--- a/pkg/kvrouter/reservation.go
+++ b/pkg/kvrouter/reservation.go
@@ -27,6 +27,9 @@
 	work     *prefillWork
 	pace     *pace
 	expected float64
+	// awaited tells that the attempt was held back, so that its time tells
+	// nothing of the replica's speed.
+	awaited bool
 	// store is the store that the parts are saved to, or nil.
 	store *replicaState
 
--- a/pkg/kvrouter/select.go
+++ b/pkg/kvrouter/select.go
@@ -16,13 +16,15 @@
 
 // scoredCandidate is a candidate that may take the request, with its cost.
 type scoredCandidate struct {
-	candidate      *Candidate
-	state          *replicaState
-	prompt         *prompt
-	view           feedView
-	overlap        prefixindex.Overlap
-	pull           plannedPull
-	pulls          bool
+	candidate *Candidate
+	state     *replicaState
+	prompt    *prompt
+	view      feedView
+	overlap   prefixindex.Overlap
+	pull      plannedPull
+	pulls     bool
+	// awaits tells that the overlap is there only after a wait.
+	awaits         bool
 	backlogTokens  float64
 	activeRequests float64
 	cost           float64
@@ -181,6 +183,7 @@
 	if req.Engine != nil {
 		decision.ExpectedDelay = fromMilliseconds(chosen.timed.delay)
 		decision.Save = r.shouldSave(req, chosen.prompt)
+		decision.Awaited = r.awaited(req, chosen)
 		decision.Reservation = r.reserveTimed(req, chosen, decision.Save)
 		return decision
 	}
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -63,7 +63,7 @@
 		state:     state,
 		prompt:    p,
 		view:      state.feed.view(req.Now),
-		overlap:   p.overlapOf(state.holder),
+		overlap:   p.overlaps.Of(state.holder),
 	}
 	state.perToken = req.pace.perToken
 	state.settle(req.Now)
@@ -73,6 +73,11 @@
 		terms.slowness *= coldSlowdown
 	}
 	terms.ahead = r.ahead(req, state)
+	if planned, worthIt := r.planAwait(p, state, scored.overlap.Likely, terms.ahead); worthIt {
+		scored.awaits = true
+		scored.overlap.Likely = planned.extent
+		terms.ahead = planned.backlog
+	}
 	own := scored.overlap.Likely
 	terms.compute = float64(req.promptTokens) - float64(own.Tokens)
 	scored.pull, scored.pulls = r.planTimedPull(req, p, state, candidate, own, terms.slowness)
--- a/pkg/kvrouter/timedselect.go
+++ b/pkg/kvrouter/timedselect.go
@@ -96,6 +96,7 @@
 		work:          work,
 		pace:          req.pace,
 		expected:      terms.delay,
+		awaited:       chosen.awaits,
 	}
 	if saves {
 		reservation.store = r.state(req.Now, req.Store)
@@ -115,6 +116,9 @@
 
 // learnTimed learns from the time to the first event. The router's lock is held.
 func (r *Reservation) learnTimed(now time.Duration) {
+	if r.awaited {
+		return
+	}
 	took := milliseconds(now - r.startedAt)
 	pull := 0.0
 	if r.pulls {
