A change of a group waits until the voters it rests on have answered once more

Cause: a voter that was lost a moment ago counts as heard for ElectionTimeout. The removal of a silent voter in favour of a new one had the same fault: with the third voter lost a moment before, the leader kept an entry that could not be committed, and the voter that came back could not win against it. Mend: a change that becomes due waits for answers to a heartbeat sent after that: of a majority of the changed group, and of all of it where an odd group grows. Ruled out: counting voters heard in the last round only, which never lets a group grow whose answers take longer than a heartbeat. Tests: replace_lost_at_once and replace_silent fail before and pass now.

--- a/pkg/replication/doc.go
+++ b/pkg/replication/doc.go
@@ -42,7 +42,8 @@
 //   - The leader fits the group to the members that are there: a peer that has
 //     caught up gets a vote, and a silent voter is removed from a group with an
 //     even number of them, which bears as many losses without it. An odd group
-//     keeps its silent voters until a new one has come.
+//     keeps its silent voters until a new one has come. The voters that a change
+//     rests on answer a heartbeat after it became due, and before it is made.
 //   - A group that lost the majority of its voters' lives is formed anew only
 //     under a ballot that the present life of every place has promised, by the
 //     member whose log is the newest of all. The places are those of the newest
--- a/pkg/replication/elastic_test.go
+++ b/pkg/replication/elastic_test.go
@@ -85,24 +85,24 @@
 		n.left = true
 		s.gossip()
 		s.replacements = append(s.replacements, replacement{old: n, at: s.now, planned: true})
-	case roll < 6 && !n.left && s.intactAfter(n):
+	case roll < 7 && !n.left && s.intactAfter(n):
 		// Unplanned: the new one comes 1 to 2 s later.
 		s.end(n)
 		s.unplanned++
 		wait := time.Second + time.Duration(s.random.Int64N(int64(time.Second)))
 		s.replacements = append(s.replacements, replacement{at: s.now + wait})
-	case roll < 7 && s.random.IntN(8) == 0:
+	case roll < 8 && s.random.IntN(8) == 0:
 		s.killed++
 		for _, n := range nodes {
 			s.crash(n, s.random.IntN(2) == 0)
 		}
-	case roll < 8:
+	case roll < 9:
 		s.gossip()
-	case roll < 16:
+	case roll < 17:
 		clear(s.cut)
-	case roll < 56:
+	case roll < 57:
 		randomEvent(s.cluster)
-	case roll < 96 && s.owner() != nil:
+	case roll < 97 && s.owner() != nil:
 		owner := s.owner()
 		if _, err := owner.group.Propose(s.clock(owner), fmt.Append(nil, s.now)); err == nil {
 			s.drain(owner)
--- a/pkg/replication/group.go
+++ b/pkg/replication/group.go
@@ -99,6 +99,7 @@
 	handingTo    member.ID
 	handoverAt   time.Duration
 	handoverSent bool
+	due          dueChange
 }
 
 // sentRound is a heartbeat round that no quorum has answered yet.
--- a/pkg/replication/heartbeat.go
+++ b/pkg/replication/heartbeat.go
@@ -32,6 +32,7 @@
 		follower.ackedRound = max(follower.ackedRound, m.Round)
 	}
 	g.countRounds()
+	g.makeDueChange()
 	g.repair(from, m.Commit)
 	g.repeatHandover(from)
 }
--- a/pkg/replication/repair.go
+++ b/pkg/replication/repair.go
@@ -5,19 +5,94 @@
 // What the leader does by itself to keep its group whole: one step at a time,
 // and each only if it leaves a live majority. A refusal is not an end, as the
 // next heartbeat round looks again.
+//
+// The group stops for good if the leader changes it just after another member of
+// the majority was lost for good: what it appended can't be committed any more.
+// That a voter was heard within ElectionTimeout says too little, as one loss is
+// often what makes the next change due. So the leader asks again: a change is
+// made when those that it rests on have answered a heartbeat that was sent after
+// it became due.
+
+// dueChange is the change that the leader is about to make.
+type dueChange struct {
+	// change is zero if none is due.
+	change GroupChange
+	// sinceRound is the heartbeat round that began when the change became due.
+	sinceRound uint64
+}
 
 // leastReducible is the smallest group that bears a loss with one voter less.
 const leastReducible = 4
 
-// repairGroup proposes the change that is due first, if any.
+// repairGroup looks, as a heartbeat round begins, for the change that is due.
 func (g *Group) repairGroup() {
+	if first := g.firstDue(); first != g.ownership.due.change {
+		g.ownership.due = dueChange{change: first, sinceRound: g.ownership.round}
+	}
+	g.makeDueChange()
+}
+
+// firstDue returns the change that is due first, or zero.
+func (g *Group) firstDue() GroupChange {
 	for _, due := range []func() (GroupChange, bool){
 		g.dueRefill, g.dueLifeRemoval, g.dueReduction, g.dueReplacement, g.dueGrowth, g.dueDrop,
 	} {
-		if change, found := due(); found && g.ProposeGroupChange(g.now, change) == nil {
-			return
+		change, found := due()
+		if !found {
+			continue
+		}
+		if _, problem := g.afterChange(change); problem == 0 {
+			return change
 		}
 	}
+	return GroupChange{}
+}
+
+// makeDueChange proposes the change that is due once it has the answers that it
+// waits for.
+func (g *Group) makeDueChange() {
+	due := g.ownership.due
+	if due.change == (GroupChange{}) || !g.answeredSince(due) {
+		return
+	}
+	g.ownership.due = dueChange{}
+	_ = g.ProposeGroupChange(g.now, due.change)
+}
+
+// answeredSince tells whether a majority of the changed group has answered since
+// the change became due. A group that grows to an even number bears no more
+// losses than before, and fewer while a voter is gone: there all have to answer.
+func (g *Group) answeredSince(due dueChange) bool {
+	changed, problem := g.afterChange(due.change)
+	if problem != 0 {
+		return false
+	}
+	voters := changed.voters()
+	answered := 0
+	for _, voter := range voters {
+		if g.answered(voter, due.sinceRound) {
+			answered++
+		}
+	}
+	if g.grows(due.change) && len(voters)%2 == 0 {
+		return answered == len(voters)
+	}
+	return answered >= changed.quorum()
+}
+
+// answered tells whether the voter has answered that heartbeat round or a later
+// one.
+func (g *Group) answered(voter Voter, round uint64) bool {
+	if voter == g.self() {
+		return true
+	}
+	follower := g.ownership.progress[voter.ID]
+	return follower != nil && follower.life == voter.Life && follower.ackedRound >= round
+}
+
+// grows tells whether the change gives a vote to a member without a place.
+func (g *Group) grows(change GroupChange) bool {
+	return change.Kind == ChangeAddVoter && g.places().position(change.Voter.ID) < 0
 }
 
 // fillPlaces adds a member that a place is kept for, as soon as a removal is
