Simulator: a replica strays until it is commanded, also when it crashes twice

The second start compared with the weights before it, which were w0 by then, and took the mark away that tells the check that nodes may not know. The check now keeps it until a command loads weights.

--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -129,7 +129,7 @@
 	r.sequence = 0
 	r.loadingNow = false
 	r.world.platform.showLater()
-	r.strayed = version != r.lastVersion
+	r.strayed = r.strayed || version != r.lastVersion
 	r.strayedAt = r.world.now
 	r.version, r.target, r.lastVersion = version, "", version
 	r.world.note(worldColumn, "%s back on %s", r.address, version)
--- a/internal/lab/sim/scenario_test.go
+++ b/internal/lab/sim/scenario_test.go
@@ -81,6 +81,30 @@
 		Expect(world.checks.violations).To(BeEmpty())
 	})
 
+	It("takes a replica back that came back twice with weights that nobody ordered", func() {
+		for seed := uint64(1); seed <= 6; seed++ {
+			world := play(seed, func(world *simulation) {
+				world.at(5*second, func() { world.place(world.nameWeights(0, poolNames[0])) })
+				world.at(15*second, func() {
+					target := world.platform.entries()[0].replica
+					Expect(target.version).NotTo(Equal(firstWeights))
+					// No node reads a report in between.
+					for range 2 {
+						target.crash()
+						target.restart(firstWeights)
+					}
+					Expect(target.strayed).To(BeTrue(), "seed %d", seed)
+				})
+				world.at(25*second, func() {
+					target := world.platform.entries()[0].replica
+					Expect(target.version).NotTo(Equal(firstWeights))
+					Expect(target.strayed).To(BeFalse(), "seed %d: ordered weights", seed)
+				})
+			})
+			Expect(world.checks.violations).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
 	It("never gives the answer to an order of an earlier life to a new one", func() {
 		world := play(3, func(world *simulation) {
 			taker, silent := world.router(), world.nodes[len(world.nodes)-2]
