A monitor that started again reports a member that it does not hear

Cause: a member that died shortly before its monitors started anew was taken for alive until it came back. The member counted on the earlier processes of its monitors, and a process that it did not count on reported nothing; its monitors are alive again, so that it did not look orphaned either. Where nodes fail open, each acknowledgement and each step of a roll-out then waits for the dead member. Mend: a monitor reports a member that chose its node and is silent for FenceAfter and FenceMargin from when the monitor learnt of it. Such a report makes the member suspect, and counts for no certain fence, as before. A living member notices the monitor's start and declares a new set, which withdraws the report. Each monitor's newest report and that of the process counted on are kept, no more. Records keep their form and digest.

--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -49,6 +49,8 @@
 //  5. A promise is lost with the process that gave it. So sets name processes
 //     (by the incarnation they started with), replies and silences name theirs,
 //     and only equal ones count.
+//     A process that started later reports a member that it doesn't hear as well:
+//     that makes the member suspect, and never certainly fenced.
 //
 // A member that left is fenced for good by its own act.
 //
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -144,9 +144,11 @@
 	return 0, false
 }
 
-// reportSilences reports each member that counts on this process as a monitor
-// and has been silent for long enough. The report is a promise: this process
-// never again acknowledges that incarnation under that set version.
+// reportSilences reports each member that chose this node as a monitor and has
+// been silent for long enough. The report is a promise: this process never again
+// acknowledges that incarnation under that set version. A process that the member
+// does not count on, as it started after the member's choice, reports too: a member
+// that died shortly before would be taken for alive for ever.
 func (m *Machine) reportSilences() {
 	// A report changes the table and with it the set.
 	for _, id := range slices.Clone(m.watched) {
@@ -167,7 +169,7 @@
 }
 
 func (m *Machine) mustReport(e *entry) bool {
-	if e.record.State == StateLeft || !e.record.bindsMonitor(m.config.Self.ID, m.boot) {
+	if e.record.State == StateLeft || !e.record.namesMonitor(m.config.Self.ID) {
 		return false
 	}
 	if e.watch.silencedVersion >= e.record.MonitorSetVersion {
--- a/pkg/membership/idset.go
+++ b/pkg/membership/idset.go
@@ -22,10 +22,10 @@
 	}
 }
 
-// file keeps the sets that follow an entry's record: those that count on this
-// process as a monitor, and those whose life is over.
+// file keeps the sets that follow an entry's record: those that chose this node as
+// a monitor, and those whose life is over.
 func (m *Machine) file(id member.ID, e *entry) {
-	m.watched.put(id, e.record.bindsMonitor(m.config.Self.ID, m.boot))
+	m.watched.put(id, e.record.namesMonitor(m.config.Self.ID))
 	m.fenced.put(id, e.record.certainlyFenced())
 }
 
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -32,8 +32,8 @@
 	// order holds the IDs of the table, sorted.
 	order []member.ID
 	ring  ring
-	// watched are the members that count on this process as a monitor, and
-	// fenced those whose newest life is over.
+	// watched are the members that chose this node as a monitor, and fenced
+	// those whose newest life is over.
 	watched idSet
 	fenced  idSet
 	// digest summarises the table.
--- a/pkg/membership/monitors.go
+++ b/pkg/membership/monitors.go
@@ -188,5 +188,5 @@
 			return true
 		}
 	}
-	return m.selfRecord().silenceCount() > 0
+	return m.selfRecord().doubted()
 }
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -45,6 +45,7 @@
 	for _, silence := range slices.Concat(a.Silences, b.Silences) {
 		merged.addSilence(silence)
 	}
+	merged.Silences = merged.withoutFormerProcesses()
 	merged.State = merged.derivedState()
 	return merged
 }
@@ -81,6 +82,36 @@
 	return r.bindsMonitor(s.Monitor, s.MonitorBoot)
 }
 
+// isDoubt tells whether s says that the member is silent under the monitor set that
+// r declares, whichever process of the monitor says so.
+func (r *Record) isDoubt(s Silence) bool {
+	return s.Incarnation == r.Info.Incarnation && s.MonitorSetVersion == r.MonitorSetVersion &&
+		r.namesMonitor(s.Monitor)
+}
+
+// doubted tells whether any monitor reports the member silent. A monitor that
+// started again has no part in a certain fence, but a member that lived would have
+// noticed its start and declared a new set.
+func (r *Record) doubted() bool {
+	return slices.ContainsFunc(r.Silences, r.isDoubt)
+}
+
+// withoutFormerProcesses returns the silences without those of processes that the
+// member does not count on and that another process of the same monitor followed.
+// So a monitor that starts again and again adds two at most.
+func (r *Record) withoutFormerProcesses() []Silence {
+	return slices.DeleteFunc(slices.Clone(r.Silences), func(s Silence) bool {
+		return r.isDoubt(s) && !r.countsSilence(s) && slices.ContainsFunc(r.Silences, func(other Silence) bool {
+			return r.isDoubt(other) && other.Monitor == s.Monitor && other.MonitorBoot > s.MonitorBoot
+		})
+	})
+}
+
+// namesMonitor tells whether the member chose this monitor, in whatever process.
+func (r *Record) namesMonitor(monitor member.ID) bool {
+	return slices.Contains(r.Monitors, monitor)
+}
+
 // bindsMonitor tells whether the member counts on this process as a monitor.
 func (r *Record) bindsMonitor(monitor member.ID, boot member.Incarnation) bool {
 	at := slices.Index(r.Monitors, monitor)
@@ -115,7 +146,7 @@
 		return StateLeft
 	case r.certainlyFenced():
 		return StateFenced
-	case r.silenceCount() > 0 || r.MonitorSetVersion == 0:
+	case r.doubted() || r.MonitorSetVersion == 0:
 		return StateSuspect
 	default:
 		return StateAlive
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -38,6 +38,26 @@
 		Entry("a later set, not yet known", uint64(3), member.Incarnation(1), member.Incarnation(1), false),
 	)
 
+	It("keeps two reports at most of a monitor that starts again and again", func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		record := randomRecords(random, 1)[0]
+		record.MonitorSetVersion = 2
+		report := func(boot member.Incarnation) membership.Silence {
+			return membership.Silence{Monitor: "m1", MonitorBoot: boot, Incarnation: record.Info.Incarnation, MonitorSetVersion: 2}
+		}
+		var records []membership.Record
+		for boot := member.Incarnation(1); boot <= 9; boot++ {
+			record.Silences = []membership.Silence{report(boot)}
+			records = append(records, record)
+		}
+		for range 20 {
+			random.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+			row := tableOf(records)
+			Expect(row.State).To(Equal(membership.StateSuspect))
+			Expect(row.Silences).To(Equal([]membership.Silence{report(1), report(9)}))
+		}
+	})
+
 	It("gives a member the full time from when its new set is learnt", func() {
 		monitor := membership.New(membership.Config{Self: member.Info{ID: "m1", Incarnation: 1}}, 0)
 		record := membership.Record{
