--- a/internal/lab/sim/failopen_test.go
+++ b/internal/lab/sim/failopen_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
 )
@@ -12,6 +13,9 @@
 // syncBound is how long a new machine may take to get a vote.
 const syncBound = 4 * time.Second
 
+// promptAcknowledge bounds an acknowledgement that waits for live nodes alone.
+const promptAcknowledge = 300 * time.Millisecond
+
 // playOpen runs a deployment that finds itself through seeds, without random
 // faults and orders.
 func playOpen(seed uint64, script func(*simulation)) *simulation {
@@ -57,6 +61,11 @@
 // expectAcknowledged places an order that must be acknowledged within a bound.
 func (w *simulation) expectAcknowledged(order *operatorOrder, bound time.Duration) {
 	w.place(order)
+	w.checkAcknowledged(order, bound)
+}
+
+// checkAcknowledged holds that an order is acknowledged within a bound from now.
+func (w *simulation) checkAcknowledged(order *operatorOrder, bound time.Duration) {
 	w.after(bound, func() {
 		if order.outcome != checker.OutcomeAcknowledged {
 			w.violate("acknowledged", "order %s has no acknowledgement after %v", order.content.GetOrderId(), bound)
@@ -227,6 +236,28 @@
 		}
 	})
 
+	It("waits for no node that died shortly before all others started anew", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			world.at(7*second, func() {
+				victim := world.router()
+				others := lo.Without(world.nodes, victim)
+				victim.stop()
+				for position, one := range others {
+					world.after(time.Duration(position)*50*time.Millisecond, func() { world.restartAfter(one, 10*time.Millisecond) })
+				}
+			})
+			for round := range 5 {
+				world.at(time.Duration(13+round)*second, func() {
+					order := world.addKey(0)
+					world.placeAt(pick(world, world.diskNodes()), order)
+					world.checkAcknowledged(order, promptAcknowledge)
+				})
+			}
+			world.at(19*second, func() { world.router().start() })
+		})
+	})
+
 	It("serves after a restart without a quorum, by what its peers hold", func() {
 		playAll(func(world *simulation) {
 			world.startWithin(startBound)
