--- a/internal/lab/sim/scenario_test.go
+++ b/internal/lab/sim/scenario_test.go
@@ -134,6 +134,28 @@
 	})
 })
 
+var _ = Describe("A deployment with one replica of a pool outside the evacuated zones", func() {
+	It("serves again in time when weights are named anew while that replica loads others", func() {
+		for _, namedAt := range []time.Duration{38 * time.Second, 38500 * time.Millisecond} {
+			world := newSimulation(Settings{Seed: 3, Virtual: DefaultVirtual, FinishFirst: true})
+			world.build()
+			world.scheduleStart()
+			world.at(firstOrderAt, func() { world.place(world.applyFirst()) })
+			world.at(20*second, func() {
+				for number := range 3 {
+					world.place(world.evacuate(0, zoneName(number+1)))
+				}
+			})
+			world.at(namedAt, func() { world.place(world.nameWeights(0, poolNames[0])) })
+			// The calm names other weights while the last replica is out.
+			world.scheduleCalm()
+			world.loop()
+			world.checks.finish()
+			Expect(world.checks.violations).To(BeEmpty(), "named at %v", namedAt)
+		}
+	})
+})
+
 // placeAt begins an order with a submission to a given node.
 func (w *simulation) placeAt(target *node, order *operatorOrder) {
 	order.firstSent = w.now
