--- a/internal/wire/fb/TrafficReport.go
+++ b/internal/wire/fb/TrafficReport.go
@@ -7,13 +7,13 @@
 )
 
 type TrafficReportT struct {
-	Address   uint32         `json:"address"`
-	BootEpoch uint64         `json:"boot_epoch"`
-	From      uint64         `json:"from"`
-	Next      uint64         `json:"next"`
-	Lost      bool           `json:"lost"`
-	Whole     bool           `json:"whole"`
-	Changes   []*PartChangeT `json:"changes"`
+	Address     uint32         `json:"address"`
+	Incarnation uint64         `json:"incarnation"`
+	From        uint64         `json:"from"`
+	Next        uint64         `json:"next"`
+	Lost        bool           `json:"lost"`
+	Whole       bool           `json:"whole"`
+	Changes     []*PartChangeT `json:"changes"`
 }
 
 func (t *TrafficReportT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -31,7 +31,7 @@
 	}
 	TrafficReportStart(builder)
 	TrafficReportAddAddress(builder, t.Address)
-	TrafficReportAddBootEpoch(builder, t.BootEpoch)
+	TrafficReportAddIncarnation(builder, t.Incarnation)
 	TrafficReportAddFrom(builder, t.From)
 	TrafficReportAddNext(builder, t.Next)
 	TrafficReportAddLost(builder, t.Lost)
@@ -42,7 +42,7 @@
 
 func (rcv *TrafficReport) UnPackTo(t *TrafficReportT) {
 	t.Address = rcv.Address()
-	t.BootEpoch = rcv.BootEpoch()
+	t.Incarnation = rcv.Incarnation()
 	t.From = rcv.From()
 	t.Next = rcv.Next()
 	t.Lost = rcv.Lost()
@@ -104,7 +104,7 @@
 	return rcv._tab.MutateUint32Slot(4, n)
 }
 
-func (rcv *TrafficReport) BootEpoch() uint64 {
+func (rcv *TrafficReport) Incarnation() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -112,7 +112,7 @@
 	return 0
 }
 
-func (rcv *TrafficReport) MutateBootEpoch(n uint64) bool {
+func (rcv *TrafficReport) MutateIncarnation(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(6, n)
 }
 
@@ -189,8 +189,8 @@
 func TrafficReportAddAddress(builder *flatbuffers.Builder, address uint32) {
 	builder.PrependUint32Slot(0, address, 0)
 }
-func TrafficReportAddBootEpoch(builder *flatbuffers.Builder, bootEpoch uint64) {
-	builder.PrependUint64Slot(1, bootEpoch, 0)
+func TrafficReportAddIncarnation(builder *flatbuffers.Builder, incarnation uint64) {
+	builder.PrependUint64Slot(1, incarnation, 0)
 }
 func TrafficReportAddFrom(builder *flatbuffers.Builder, from uint64) {
 	builder.PrependUint64Slot(2, from, 0)
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -91,12 +91,12 @@
 
 func packReport(table *textTable, report shared.Report) *fb.TrafficReportT {
 	packed := &fb.TrafficReportT{
-		Address:   table.index(report.Address),
-		BootEpoch: report.Feed.BootEpoch,
-		From:      report.Feed.From,
-		Next:      report.Feed.Next,
-		Lost:      report.Feed.Lost,
-		Whole:     report.Whole,
+		Address:     table.index(report.Address),
+		Incarnation: report.Feed.BootEpoch,
+		From:        report.Feed.From,
+		Next:        report.Feed.Next,
+		Lost:        report.Feed.Lost,
+		Whole:       report.Whole,
 	}
 	for _, change := range report.Changes {
 		packed.Changes = append(packed.Changes, &fb.PartChangeT{
@@ -189,7 +189,7 @@
 		reports[i] = shared.Report{
 			Address: named.at(stored.Address()),
 			Feed: kvrouter.Feed{
-				BootEpoch: stored.BootEpoch(),
+				BootEpoch: stored.Incarnation(),
 				From:      stored.From(),
 				Next:      stored.Next(),
 				Lost:      stored.Lost(),
--- a/pkg/kvrouter/parts.go
+++ b/pkg/kvrouter/parts.go
@@ -9,7 +9,8 @@
 // Feed tells where a batch of part changes stands among all that a replica or
 // store has reported.
 type Feed struct {
-	// BootEpoch changes with each start of the holder. Epochs have no order.
+	// BootEpoch is the incarnation of the holder: it changes with each start, and has
+	// no order.
 	BootEpoch uint64
 	// From is the sequence number after which the batch begins, and Next the
 	// last one that it covers: what to ask for changes after.
@@ -56,18 +57,18 @@
 
 // PartsListed takes in all that a replica or store keeps after the change with
 // the given sequence number. It replaces everything that was known.
-func (r *Router) PartsListed(now time.Duration, address string, bootEpoch, sequence uint64, parts []PartChange) FeedStatus {
+func (r *Router) PartsListed(now time.Duration, address string, incarnation, sequence uint64, parts []PartChange) FeedStatus {
 	known := r.stateOf(now, address)
-	status, restarted := known.feed.takeList(now, bootEpoch, sequence, parts)
+	status, restarted := known.feed.takeList(now, incarnation, sequence, parts)
 	if restarted {
 		r.restarted(now, known)
 	}
 	return status
 }
 
-// PartsPosition returns the boot epoch and the sequence number of the newest
+// PartsPosition returns the incarnation and the sequence number of the newest
 // change of a holder that was taken in. Known is false when there was none.
-func (r *Router) PartsPosition(address string) (bootEpoch, sequence uint64, known bool) {
+func (r *Router) PartsPosition(address string) (incarnation, sequence uint64, known bool) {
 	r.mutex.Lock()
 	state, present := r.replicas[address]
 	r.mutex.Unlock()
--- a/pkg/kvrouter/parts_test.go
+++ b/pkg/kvrouter/parts_test.go
@@ -147,8 +147,8 @@
 	It("are ignored when a list is older than what is known", func() {
 		Expect(f.router.PartsListed(late, "a", epoch, 2, nil)).To(Equal(kvrouter.Stale))
 		Expect(overlap(late)).To(Equal(3000))
-		bootEpoch, sequence, known := f.router.PartsPosition("a")
-		Expect([]any{bootEpoch, sequence, known}).To(Equal([]any{uint64(epoch), uint64(3), true}))
+		incarnation, sequence, known := f.router.PartsPosition("a")
+		Expect([]any{incarnation, sequence, known}).To(Equal([]any{uint64(epoch), uint64(3), true}))
 	})
 
 	It("end when another replica takes over the address", func() {
--- a/pkg/kvrouter/partsfeed.go
+++ b/pkg/kvrouter/partsfeed.go
@@ -28,7 +28,7 @@
 func (f *feed) takeParts(now time.Duration, batch Feed, changes []PartChange) (status FeedStatus, restarted bool) {
 	f.mutex.Lock()
 	defer f.unlock()
-	current, restarted := f.enterBoot(now, batch.BootEpoch)
+	current, restarted := f.enterUnordered(now, batch.BootEpoch)
 	if !current {
 		return Stale, false
 	}
@@ -43,13 +43,13 @@
 	return status, restarted
 }
 
-// enterBoot checks the boot epoch of a report. Epochs have no order, so one that
-// is neither the present one nor one of the last few is a new start.
-func (f *feed) enterBoot(now time.Duration, bootEpoch uint64) (current, restarted bool) {
-	if f.forgotten || slices.Contains(f.retired, bootEpoch) {
+// enterUnordered is enter for holders whose incarnations have no order: one that is
+// neither the present one nor one of the last few is a new start.
+func (f *feed) enterUnordered(now time.Duration, incarnation uint64) (current, restarted bool) {
+	if f.forgotten || slices.Contains(f.retired, incarnation) {
 		return false, false
 	}
-	if f.started && bootEpoch != f.incarnation {
+	if f.started && incarnation != f.incarnation {
 		f.retire(f.incarnation)
 		f.dropAll()
 		f.started = false
@@ -58,7 +58,7 @@
 	if !f.started {
 		version := f.weightVersion
 		f.started = true
-		f.begin(bootEpoch)
+		f.begin(incarnation)
 		f.weightVersion = version
 	}
 	f.heardAt = max(f.heardAt, now)
@@ -147,10 +147,10 @@
 }
 
 // takeList replaces everything by what the holder listed.
-func (f *feed) takeList(now time.Duration, bootEpoch, sequence uint64, parts []PartChange) (status FeedStatus, restarted bool) {
+func (f *feed) takeList(now time.Duration, incarnation, sequence uint64, parts []PartChange) (status FeedStatus, restarted bool) {
 	f.mutex.Lock()
 	defer f.unlock()
-	current, restarted := f.enterBoot(now, bootEpoch)
+	current, restarted := f.enterUnordered(now, incarnation)
 	if !current {
 		return Stale, false
 	}
@@ -172,7 +172,7 @@
 	return Accepted, restarted
 }
 
-func (f *feed) partsPosition() (bootEpoch, sequence uint64, known bool) {
+func (f *feed) partsPosition() (incarnation, sequence uint64, known bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.incarnation, f.parts.position, f.parts.seen
