One raw back end and one set of specs for both outbound clients

Cause: client_test.go and direct_test.go held the same two tables, word for word but for the client, around a raw back end that stood in one of them, and client_test.go wrote two more servers by hand.

rawbackend_test.go has the back end that cuts connections, with the requests that are sent to it; scripted_test.go the one that follows a script; sendsonce_test.go the tables, declared once and run for either client.

--- a/internal/edge/outbound/direct_test.go
+++ b/internal/edge/outbound/direct_test.go
@@ -1,14 +1,12 @@
 package outbound_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,75 +16,6 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
-// scripted is a back end whose connections a script serves, with their numbers
-// from 1.
-type scripted struct {
-	listener net.Listener
-	accepted atomic.Int32
-}
-
-// script serves one connection, which is closed when it returns.
-type script func(number int, connection *scriptedConnection)
-
-// scriptedConnection reads requests and writes text.
-type scriptedConnection struct {
-	net.Conn
-	reader *bufio.Reader
-}
-
-// next reads a whole request, or returns nil at the end of the connection.
-func (c *scriptedConnection) next() *http.Request {
-	request, err := http.ReadRequest(c.reader)
-	if err != nil {
-		return nil
-	}
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
-		return nil
-	}
-	request.Body = io.NopCloser(bytes.NewReader(body))
-	return request
-}
-
-// write writes text.
-func (c *scriptedConnection) write(format string, arguments ...any) {
-	_, _ = fmt.Fprintf(c, format, arguments...)
-}
-
-// reset ends the connection abnormally.
-func (c *scriptedConnection) reset() {
-	_ = c.Conn.(*net.TCPConn).SetLinger(0)
-	_ = c.Close()
-}
-
-// serveScript starts a scripted back end.
-func serveScript(run script) *scripted {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	server := &scripted{listener: listener}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			number := int(server.accepted.Add(1))
-			_ = connection.SetDeadline(time.Now().Add(patience))
-			go func() {
-				defer func() { _ = connection.Close() }()
-				run(number, &scriptedConnection{Conn: connection, reader: bufio.NewReader(connection)})
-			}()
-		}
-	}()
-	return server
-}
-
-// answered returns an answer that repeats an identity.
-func answered(id string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
-}
-
 var _ = Describe("Direct", func() {
 	var client *outbound.Direct
 
@@ -113,63 +42,9 @@
 		return string(text), err
 	}
 
-	// exchange is send for servers that care for no identity.
-	exchange := func(method, address string, body []byte) error {
-		response, err := client.Send(newRequest(method, address), body)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = response.Body.Close() }()
-		_, err = io.ReadAll(response.Body)
-		return err
-	}
-
 	BeforeEach(func() { use(outbound.DirectOptions{}) })
 
-	DescribeTable("sends once at most, wherever the connection ends in the request", func(method string, body []byte) {
-		for cut := range requestBytes(method, body) + 1 {
-			backend := newRawBackend(cut, len(fullAnswer))
-			address := backend.listener.Addr().String()
-			Expect(exchange(method, address, body)).To(Succeed())
-			err := exchange(method, address, body)
-			client.CloseIdle()
-			backend.stop()
-
-			Expect(backend.begun.Load()).To(BeNumerically("<=", 1), "cut after %d bytes", cut)
-			var failed *outbound.Error
-			switch {
-			case err == nil:
-				Expect(backend.whole.Load()).To(Equal(int32(1)), "cut after %d bytes", cut)
-			case errors.As(err, &failed) && !failed.MayHaveLeft:
-				Expect(backend.begun.Load()).To(BeZero(), "cut after %d bytes", cut)
-			}
-			if cut > 0 {
-				Expect(failed).NotTo(BeNil(), "cut after %d bytes", cut)
-				Expect(failed.MayHaveLeft).To(BeTrue(), "cut after %d bytes", cut)
-			}
-		}
-	},
-		Entry("with a body", http.MethodPost, []byte("prompt")),
-		Entry("with an empty body", http.MethodPost, []byte(nil)),
-		Entry("without a body", http.MethodGet, []byte(nil)),
-	)
-
-	DescribeTable("sends once, wherever the connection ends in the answer", func(method string) {
-		for cut := range len(fullAnswer) + 1 {
-			backend := newRawBackend(-1, cut)
-			address := backend.listener.Addr().String()
-			Expect(exchange(method, address, nil)).To(Succeed())
-			err := exchange(method, address, nil)
-			client.CloseIdle()
-			backend.stop()
-			Expect(backend.whole.Load()).To(Equal(int32(1)), "cut after %d bytes", cut)
-			if cut < len(fullAnswer) {
-				Expect(err).To(HaveOccurred(), "cut after %d bytes", cut)
-			} else {
-				Expect(err).NotTo(HaveOccurred())
-			}
-		}
-	}, Entry("for POST", http.MethodPost), Entry("for GET", http.MethodGet))
+	sendsOnce(func() clientUnderTest { return client })
 
 	It("writes method, path, query, host, headers and body as given", func() {
 		received := make(chan *http.Request, 1)
--- /dev/null
+++ b/internal/edge/outbound/scripted_test.go
@@ -0,0 +1,84 @@
+package outbound_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// scripted is a back end whose connections a script serves, with their numbers
+// from 1.
+type scripted struct {
+	listener net.Listener
+	accepted atomic.Int32
+}
+
+// script serves one connection, which is closed when it returns.
+type script func(number int, connection *scriptedConnection)
+
+// scriptedConnection reads requests and writes text.
+type scriptedConnection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// next reads a whole request, or returns nil at the end of the connection.
+func (c *scriptedConnection) next() *http.Request {
+	request, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return nil
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	return request
+}
+
+// write writes text.
+func (c *scriptedConnection) write(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(c, format, arguments...)
+}
+
+// reset ends the connection abnormally.
+func (c *scriptedConnection) reset() {
+	_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// serveScript starts a scripted back end.
+func serveScript(run script) *scripted {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	server := &scripted{listener: listener}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			number := int(server.accepted.Add(1))
+			_ = connection.SetDeadline(time.Now().Add(patience))
+			go func() {
+				defer func() { _ = connection.Close() }()
+				run(number, &scriptedConnection{Conn: connection, reader: bufio.NewReader(connection)})
+			}()
+		}
+	}()
+	return server
+}
+
+// answered returns an answer that repeats an identity.
+func answered(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+}
