Changed settings: one watcher for every program, and nothing of a faulty file

The watcher of the settings file moves from cmd/ridgeswitch to internal/reload, so that another program can use it.

- The level of the log was taken from settings that the node then refused as faulty.
Node.Reload now sets it, after the check.
- On a node with a disk, changed seeds replaced the addresses that the node knows from its disk too; those find the other side of a split.
- The state of the file was first noted after the node was built: a change between the first reading and then was never noticed.
The watcher is now made before the first reading.
- Faults were logged a line each.
Node.Reload returns them joined; they are one entry.

--- a/cmd/ridgeswitch/node.go
+++ b/cmd/ridgeswitch/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/ridgeswitch/ridgeswitch/internal/logring"
 	"github.com/ridgeswitch/ridgeswitch/internal/node"
+	"github.com/ridgeswitch/ridgeswitch/internal/reload"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 )
 
@@ -59,6 +60,8 @@
 }
 
 func runNode(ctx context.Context, command *cli.Command) error {
+	changes := reload.NewWatcher(command.String(static.FlagSettings))
+	defer changes.Close()
 	settings, err := checkedSettings(command)
 	if err != nil {
 		return err
@@ -67,11 +70,6 @@
 	if err != nil {
 		return err
 	}
-	// A node that is not ready to read its settings anew must not end by the
-	// signal.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ring := logring.New(settings.LogRing, os.Stderr)
 	defer dumpOnPanic(ring)
 	logger := ring.Logger(level)
@@ -84,14 +82,11 @@
 	if err != nil {
 		return err
 	}
-	changes := &reloader{
-		command: command,
-		node:    running,
-		logger:  logger,
-		log:     logger.WithField("component", "settings"),
-		seen:    stateOf(command.String(static.FlagSettings)),
-	}
-	go changes.run(ctx, hangups)
+	go changes.Run(ctx, reload.Target{
+		Read:  func() (*static.Settings, error) { return static.FromCommand(command) },
+		Apply: running.Reload,
+		Log:   logger.WithField("component", "settings"),
+	})
 	return running.Run(ctx)
 }
 
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -1,27 +1,34 @@
 package node
 
 import (
+	"errors"
 	"slices"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 )
 
 // Reload takes over what may change in the settings while the node runs: the
-// seeds. Faulty settings change nothing. What needs a restart is logged.
-func (n *Node) Reload(next *static.Settings) {
+// seeds and the level of the log. Faulty settings change nothing, and all their
+// faults are returned. What needs a restart is logged.
+func (n *Node) Reload(next *static.Settings) error {
 	if faults := next.Check(); len(faults) > 0 {
-		for _, fault := range faults {
-			n.log.WithError(fault).Error("the changed settings are faulty and were not taken over; correct them")
-		}
-		return
+		return errors.Join(faults...)
+	}
+	level, err := logrus.ParseLevel(next.LogLevel)
+	if err != nil {
+		return err
 	}
+	n.log.Logger.SetLevel(level)
 	if changed := n.settings.NeedRestart(next); len(changed) > 0 {
 		n.log.WithField("settings", changed).Warn("changed settings take effect at the next start of the node")
 	}
 	if slices.Equal(n.seeds, next.Seeds) {
-		return
+		return nil
 	}
 	n.seeds = next.Seeds
-	n.driver.SetSeeds(next.Seeds)
+	n.driver.SetSeeds(n.storage.seeds(next))
 	n.log.WithField("seeds", next.Seeds).Info("took over changed seeds")
+	return nil
 }
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logged "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
+)
+
+// patience bounds every wait on a socket.
+const patience = 10 * time.Second
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress() string {
+	listener := listen()
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// listen takes a free port of this machine.
+func listen() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
+// acceptedBy tells when a first connection has come.
+func acceptedBy(listener net.Listener) <-chan error {
+	accepted := make(chan error, 1)
+	go func() {
+		connection, err := listener.Accept()
+		if err == nil {
+			err = connection.Close()
+		}
+		accepted <- err
+	}()
+	return accepted
+}
+
+var _ = Describe("Changed settings of a running node", func() {
+	var (
+		node    *Node
+		entries *logged.Hook
+		seed    string
+		folder  string
+	)
+
+	// settings are those of the node, with a change.
+	settings := func(change func(s *static.Settings)) *static.Settings {
+		changed := *node.settings
+		change(&changed)
+		return &changed
+	}
+
+	// run starts a node with a disk that finds others through seeds.
+	run := func() {
+		parsed, err := static.Parse(fmt.Appendf(nil, `{"node":"n1","zone":"a","data_folder":%q,"seeds":[%q],"internal":%q,
+"traffic":%q,"control":%q,"platform_address":%q,"drain_timeout_ms":100}`, folder, seed, freeAddress(), freeAddress(), freeAddress(), freeAddress()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Check()).To(BeEmpty())
+		logger, hook := logged.NewNullLogger()
+		entries = hook
+		node, err = New(parsed, Edges{}, logger.WithField("node", "n1"))
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- node.Run(ctx) }()
+		DeferCleanup(func() {
+			cancel()
+			Eventually(ended, patience).Should(Receive(Succeed()))
+		})
+	}
+
+	BeforeEach(func() {
+		seed = freeAddress()
+		folder = filepath.Join(GinkgoT().TempDir(), "data")
+	})
+
+	It("are taken over as far as they can be", func() {
+		run()
+		next := settings(func(s *static.Settings) { s.Seeds, s.LogLevel = []string{freeAddress()}, "debug" })
+		Expect(node.Reload(next)).To(Succeed())
+		Expect(node.seeds).To(Equal(next.Seeds))
+		Expect(node.log.Logger.GetLevel()).To(Equal(logrus.DebugLevel))
+	})
+
+	It("are named if they need a restart, and change nothing", func() {
+		run()
+		Expect(node.Reload(settings(func(s *static.Settings) { s.Zone, s.LogRing = "b", 7 }))).To(Succeed())
+		Expect(entries.AllEntries()).To(ContainElement(HaveField("Data", HaveKeyWithValue("settings", []string{"log_ring", "zone"}))))
+		Expect(node.settings.Zone).To(Equal("a"))
+	})
+
+	It("change nothing when they are faulty, and every fault is named", func() {
+		run()
+		seeds, level := node.seeds, node.log.Logger.GetLevel()
+		err := node.Reload(settings(func(s *static.Settings) {
+			s.Seeds, s.LogLevel, s.Zone, s.LogRing = []string{"nowhere"}, "debug", "", -1
+		}))
+		Expect(err).To(MatchError(And(ContainSubstring("seeds[0]:"), ContainSubstring("zone:"), ContainSubstring("log_ring:"))))
+		Expect(node.seeds).To(Equal(seeds))
+		Expect(node.log.Logger.GetLevel()).To(Equal(level))
+	})
+
+	It("do not make a node forget the nodes that it knows from its disk", func() {
+		run()
+		known := listen()
+		DeferCleanup(known.Close)
+		addresses, err := json.Marshal([]string{known.Addr().String()})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(node.storage.disk.WriteFile(addressesFile, addresses)).To(Succeed())
+		asked := acceptedBy(known)
+		Expect(node.Reload(settings(func(s *static.Settings) { s.Seeds = []string{freeAddress()} }))).To(Succeed())
+		Eventually(asked, patience).Should(Receive(Succeed()))
+	})
+})
