--- /dev/null
+++ b/internal/control/driverinputs.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/wire"
+)
+
+// post hands an input to the control goroutine and drops it once the driver has
+// stopped.
+func (d *Driver) post(input func(now time.Duration) Output) {
+	select {
+	case d.inputs <- input:
+	case <-d.done:
+	}
+}
+
+// ReceiveFrame takes a frame of another node.
+func (d *Driver) ReceiveFrame(frame []byte) {
+	envelope, err := wire.Decode(frame)
+	if err != nil {
+		d.options.Log.WithError(err).Warn("dropped a frame that is not of this protocol")
+		return
+	}
+	if envelope.Deployment != d.options.Deployment {
+		d.options.Log.WithField("deployment", envelope.Deployment).Warn("dropped a frame of another deployment; check seeds and addresses")
+		return
+	}
+	if envelope.Traffic != nil {
+		d.receiveTraffic(envelope)
+		return
+	}
+	d.post(func(now time.Duration) Output { return d.machine.Receive(now, envelope) })
+}
+
+// ListRead takes the outcome of a reading of the platform's list.
+func (d *Driver) ListRead(reading ListReading) {
+	d.post(func(now time.Duration) Output { return d.machine.ListRead(now, reading) })
+}
+
+// CommandDone takes what came of a command.
+func (d *Driver) CommandDone(command Command, outcome CommandOutcome) {
+	d.post(func(now time.Duration) Output { return d.machine.CommandDone(now, command, outcome) })
+}
+
+// SetReplicaReport takes what a replica said of itself.
+func (d *Driver) SetReplicaReport(report ReplicaReport) {
+	d.post(func(now time.Duration) Output { return d.machine.SetReplicaReport(now, report) })
+}
+
+// ReplicaReportFailed tells that a replica gave no report.
+func (d *Driver) ReplicaReportFailed(address string) {
+	d.post(func(now time.Duration) Output { return d.machine.ReplicaReportFailed(now, address) })
+}
+
+// SetSeeds takes over other addresses to join through.
+func (d *Driver) SetSeeds(seeds []string) {
+	d.post(func(now time.Duration) Output { return d.machine.SetSeeds(now, seeds) })
+}
+
+// HandOver hands over what the node owns, while it goes on running.
+func (d *Driver) HandOver() {
+	d.ask(func(now time.Duration) Output { return d.machine.HandOver(now) })
+}
+
+// DiskAddresses lists the internal addresses of the other live nodes with disks.
+func (d *Driver) DiskAddresses() []string {
+	var addresses []string
+	d.ask(func(time.Duration) Output {
+		addresses = d.machine.DiskAddresses()
+		return Output{}
+	})
+	return addresses
+}
+
+// Leave announces that the node stops and hands over what it owns.
+func (d *Driver) Leave() {
+	d.ask(func(now time.Duration) Output { return d.machine.Leave(now) })
+}
+
+// ask runs an input and waits until its output is carried out.
+func (d *Driver) ask(input func(now time.Duration) Output) {
+	finished := make(chan struct{})
+	d.post(func(now time.Duration) Output {
+		defer close(finished)
+		return input(now)
+	})
+	select {
+	case <-finished:
+	case <-d.done:
+	}
+}
--- /dev/null
+++ b/internal/control/driverorders.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+)
+
+// ErrStopped is returned for an order that reaches a node that stops.
+var ErrStopped = errors.New("the node is stopping; send the identical order to another node")
+
+// NewOrderID returns an identity that no other order has, for an order that its
+// operator gave none. A resend under another one must have the same effect.
+func (d *Driver) NewOrderID() string {
+	return d.machine.orderIDPrefix() + strconv.FormatUint(d.orderIDs.Add(1), 10)
+}
+
+// Submit gives an order to the machine and waits for its answer.
+func (d *Driver) Submit(ctx context.Context, order *controlpb.Order) (*controlpb.Answer, error) {
+	answers := make(chan Reply, 1)
+	d.post(func(now time.Duration) Output {
+		return d.machine.Submit(now, d.newTicket(answers), order)
+	})
+	reply, err := d.await(ctx, answers)
+	if err != nil {
+		return nil, errors.Wrap(err, "send the identical order again")
+	}
+	return reply.Answer, nil
+}
+
+// newTicket numbers what waits for a reply. It is called on the control
+// goroutine.
+func (d *Driver) newTicket(replies chan Reply) uint64 {
+	d.nextTicket++
+	d.waiting[d.nextTicket] = replies
+	return d.nextTicket
+}
+
+// await waits for a reply. One that comes after the context has ended is wanted
+// by nobody, so that the machine stops asking for it.
+func (d *Driver) await(ctx context.Context, replies chan Reply) (Reply, error) {
+	select {
+	case reply := <-replies:
+		return reply, reply.Err
+	case <-ctx.Done():
+		d.post(func(now time.Duration) Output { return d.abandon(now, replies) })
+		return Reply{}, errors.Wrap(ctx.Err(), "not answered in time")
+	case <-d.done:
+		return Reply{}, ErrStopped
+	}
+}
+
+// abandon forgets whoever waits on a channel.
+func (d *Driver) abandon(now time.Duration, replies chan Reply) Output {
+	for ticket, waiting := range d.waiting {
+		if waiting == replies {
+			delete(d.waiting, ticket)
+			return d.machine.Abandon(now, ticket)
+		}
+	}
+	return Output{}
+}
+
+// Source reads the source document of the configuration, as a quorum of the nodes
+// with disks confirms it. It is nil if the configuration in force was not made
+// from a document.
+func (d *Driver) Source(ctx context.Context) (*ridgeswitchv1.Source, error) {
+	answers := make(chan Reply, 1)
+	d.post(func(now time.Duration) Output {
+		return d.machine.ReadSource(now, d.newTicket(answers))
+	})
+	reply, err := d.await(ctx, answers)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the source document; try again, at another node")
+	}
+	if reply.Source.GetVersion() == 0 {
+		return nil, nil
+	}
+	return reply.Source, nil
+}
+
+// deliver hands a reply to whoever waits for it.
+func (d *Driver) deliver(reply Reply) {
+	answers, found := d.waiting[reply.Ticket]
+	if !found {
+		return
+	}
+	delete(d.waiting, reply.Ticket)
+	answers <- reply
+}
