--- /dev/null
+++ b/internal/node/controlconfig.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// controlConfig is what the control machine of this node needs.
+func (n *Node) controlConfig() control.Config {
+	config := controlConfig(n.settings, n.storage)
+	config.ReplicasFinishFirst = n.edges.ReplicasFinishFirst
+	return config
+}
+
+// controlConfig turns settings into what the control machine needs.
+func controlConfig(settings *static.Settings, disk *storage) control.Config {
+	config := control.Config{
+		Self: member.Info{
+			ID:             member.ID(settings.MemberID()),
+			Address:        settings.Internal,
+			TrafficAddress: trafficAddress(settings),
+			ControlAddress: settings.Control,
+			Zone:           settings.Zone,
+			HoldsState:     settings.HoldsState(),
+			Incarnation:    member.Incarnation(time.Now().UnixMilli()),
+		},
+		Seeds:         disk.seeds(settings),
+		Seeded:        settings.Seeded(),
+		FailOpen:      settings.FailOpen,
+		ServiceShards: uint32(settings.ServiceShards),
+		Life:          disk.life,
+		Times:         control.DefaultTimes(),
+	}
+	if settings.FailOpen {
+		config.Times = control.FailOpenTimes(settings.Contact(), settings.Acknowledge())
+	}
+	config.Times.HeartbeatEvery = settings.HeartbeatEvery()
+	config.Times.ListReadEvery = settings.PlatformPollEvery()
+	config.Times.CommandGap = settings.CommandGap()
+	config.Times.WeightsDeadline = settings.WeightsDeadline()
+	for _, name := range slices.Concat(settings.Group, disk.founders) {
+		config.Group = append(config.Group, member.ID(name))
+	}
+	config.GroupZones = groupZones(settings)
+	return config
+}
+
+// trafficAddress is where the node serves callers, as it tells others; empty if
+// it serves none.
+func trafficAddress(settings *static.Settings) string {
+	if settings.ControlOnly {
+		return ""
+	}
+	return settings.Traffic
+}
+
+// groupZones returns the zones of the nodes with disks, or nothing when the
+// settings do not tell them.
+func groupZones(settings *static.Settings) map[member.ID]string {
+	zones := map[member.ID]string{}
+	for position, zone := range settings.GroupZones {
+		zones[member.ID(settings.Group[position])] = zone
+	}
+	return zones
+}
--- /dev/null
+++ b/pkg/config/static/bounds.go
@@ -0,0 +1,96 @@
+package static
+
+import (
+	"time"
+)
+
+// Defaults of the settings that a file may leave out.
+const (
+	// DefaultServiceShards is the number of shards of service state. It must be
+	// the same on every node of a deployment.
+	DefaultServiceShards = 16
+	// DefaultSeededServiceShards is DefaultServiceShards where nodes with disks
+	// find each other through seeds.
+	DefaultSeededServiceShards = 1
+	// DefaultContact is how long a node that fell silent counts as in contact.
+	DefaultContact = 3 * time.Second
+	// DefaultAcknowledge bounds the wait for the acknowledgement of an order.
+	DefaultAcknowledge = 4 * time.Second
+	// DefaultTickEvery is the interval at which control state looks at the clock.
+	DefaultTickEvery = 20 * time.Millisecond
+	// DefaultDrainTimeout bounds the time to finish requests after SIGTERM.
+	DefaultDrainTimeout = 20 * time.Second
+	// DefaultHeartbeatEvery is the interval of heartbeats between nodes.
+	DefaultHeartbeatEvery = 100 * time.Millisecond
+	// DefaultPlatformPollEvery is the interval at which the platform's list of
+	// replicas is read.
+	DefaultPlatformPollEvery = time.Second
+	// DefaultCommandGap is how far apart the commands of two nodes to one replica
+	// are at least.
+	DefaultCommandGap = 3 * time.Second
+	// DefaultRetryPercent is the share of requests that may be sent again, in
+	// hundredths.
+	DefaultRetryPercent = 20
+	// DefaultRetryWindow is the window in which that share counts.
+	DefaultRetryWindow = 10 * time.Second
+	// DefaultBackendRetry is when callers may come back after a failure of a
+	// back end.
+	DefaultBackendRetry = time.Second
+	// DefaultLogRing is the number of log entries kept in memory.
+	DefaultLogRing = 4096
+	// DefaultDeployment is the name of a deployment that needs none.
+	DefaultDeployment = "default"
+	// DefaultLogLevel is the lowest level that enters the log ring.
+	DefaultLogLevel = "info"
+)
+
+// Bounds of the settings.
+const (
+	// MaxSeeds bounds the addresses of other nodes in the settings.
+	MaxSeeds = 3
+	// MaxGroup bounds the nodes that may hold control state.
+	MaxGroup = 15
+	// MaxServiceShards bounds the shards of service state.
+	MaxServiceShards = 1024
+	// MinContact leaves time for several heartbeats and an election.
+	MinContact = 2 * time.Second
+	// MaxContact bounds how long a silent node counts as in contact.
+	MaxContact = time.Minute
+	// MinAcknowledge leaves time for an election.
+	MinAcknowledge = time.Second
+	// MaxAcknowledge bounds the wait for an acknowledgement.
+	MaxAcknowledge = time.Minute
+	// MinTickEvery keeps control state from taking up the processor.
+	MinTickEvery = 5 * time.Millisecond
+	// MaxTickEvery leaves several ticks in one heartbeat.
+	MaxTickEvery = 50 * time.Millisecond
+	// MaxDrainTimeout bounds the time to finish requests.
+	MaxDrainTimeout = time.Hour
+	// MinHeartbeatEvery keeps heartbeats from taking up the network.
+	MinHeartbeatEvery = 10 * time.Millisecond
+	// MaxHeartbeatEvery leaves several heartbeats in the second after which a
+	// silent node stops serving.
+	MaxHeartbeatEvery = 250 * time.Millisecond
+	// MinPlatformPollEvery keeps the platform from being flooded.
+	MinPlatformPollEvery = 50 * time.Millisecond
+	// MaxPlatformPollEvery keeps draining replicas from being used for long.
+	MaxPlatformPollEvery = time.Second
+	// MaxCommandGap bounds how long a new commander of replicas waits.
+	MaxCommandGap = time.Minute
+	// MaxWeightsDeadline bounds the time for named weights.
+	MaxWeightsDeadline = time.Hour
+	// MaxRetryPercent bounds the share of requests that may be sent again.
+	MaxRetryPercent = 100
+	// MaxRetryWindow bounds the window in which that share counts.
+	MaxRetryWindow = 10 * time.Minute
+	// MaxRetrySlack bounds the retries beyond that share.
+	MaxRetrySlack = 1 << 20
+	// MaxBackendRetry bounds when callers may come back.
+	MaxBackendRetry = time.Minute
+	// MaxLogRing bounds the log entries kept in memory.
+	MaxLogRing = 1 << 20
+	// maxNameBytes bounds node and zone names.
+	maxNameBytes = 128
+	// maxFileBytes bounds the settings file.
+	maxFileBytes = 1 << 20
+)
--- a/pkg/kvrouter/feed.go
+++ b/pkg/kvrouter/feed.go
@@ -285,49 +285,6 @@
 	}
 }
 
-// predict records that the holder probably keeps the parts of a request that
-// was dispatched in the given life.
-func (f *feed) predict(now time.Duration, life uint64, links []prefixindex.Link) {
-	f.mutex.Lock()
-	defer f.unlock()
-	if f.forgotten || f.life != life {
-		return
-	}
-	if f.eventsSeen {
-		f.predictUntilReported(now, links)
-		return
-	}
-	f.index.Predict(now, f.holder, links)
-}
-
-// predictUntilReported bridges the time until the holder's own report comes.
-func (f *feed) predictUntilReported(now time.Duration, links []prefixindex.Link) {
-	lag := f.options.PredictionLag
-	if f.parts.seen && lag > 0 {
-		lag = f.options.NamedPredictionLag
-	}
-	if lag > 0 {
-		f.index.PredictFor(now, lag, f.holder, links)
-	}
-}
-
-// expect records that a request with the parts is on its way, so that requests
-// behind it find them kept once their turn has come.
-func (f *feed) expect(now time.Duration, links []prefixindex.Link) {
-	f.mutex.Lock()
-	defer f.unlock()
-	if !f.forgotten {
-		f.pending.Predict(now, f.holder, links)
-	}
-}
-
-// unexpect takes back expect.
-func (f *feed) unexpect(links []prefixindex.Link) {
-	for _, link := range links {
-		f.pending.Remove(f.holder, []prefixindex.ChainHash{link.Hash})
-	}
-}
-
 // replaced drops everything, since another replica has the address now.
 func (f *feed) replaced() {
 	f.mutex.Lock()
@@ -348,43 +305,3 @@
 	f.parts = partsFeed{}
 	f.dropAll()
 }
-
-// feedView is what selection reads of a feed.
-type feedView struct {
-	life uint64
-	// doubtful tells that events are missing.
-	doubtful bool
-	// resyncWanted tells that they are lost, and only a reset helps.
-	resyncWanted bool
-	// reports tells that the holder does report what it keeps.
-	reports bool
-}
-
-// view returns the present state. It does not wait for an event that is being
-// taken in, so that a long reset does not hold up selection.
-func (f *feed) view(now time.Duration) feedView {
-	if f.mutex.TryLock() {
-		f.giveUpIfDue(now)
-		f.giveUpPartsIfDue(now)
-		f.unlock()
-	}
-	if published := f.published.Load(); published != nil {
-		return *published
-	}
-	return feedView{}
-}
-
-// unlock publishes the state for view, and ends a change of the feed.
-func (f *feed) unlock() {
-	state := feedView{
-		life:         f.life,
-		doubtful:     !f.parts.seen && (f.lost || len(f.waiting) > 0),
-		resyncWanted: f.lost,
-		reports:      f.eventsSeen,
-	}
-	if published := f.published.Load(); published == nil || *published != state {
-		changed := state // a copy, so that only a change allocates
-		f.published.Store(&changed)
-	}
-	f.mutex.Unlock()
-}
