--- a/pkg/kvrouter/awaiting.go
+++ b/pkg/kvrouter/awaiting.go
@@ -91,3 +91,23 @@
 		until:  req.Now + wait,
 	}
 }
+
+// nextChange returns a channel that is closed at the next change of what the
+// holder keeps.
+func (f *feed) nextChange() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
+
+// announce tells who waits that what the holder keeps has changed. The feed's
+// lock is held.
+func (f *feed) announce() {
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
