Dataplane: keep an address out until the list names who stands there

Each request that goes there is refused with 421. A node avoided the address for one second and then tried again, and each node found out by itself, so that the refusals used up attempts and the budget of retries.

Ruled out: that the refusals came from other weights.

Now an incarnation that a back end has denied counts as gone for good, and its address gets nothing until the list names another one there. Nodes tell each other in the traffic news (a new list at the end of TrafficNews). A refusal by the right incarnation, or by one that does not say who it is and has weights, is still taken for other weights, and holds for a second. The denial is looked at again right before a request is sent, and before a replica is pulled from.

--- a/internal/dataplane/feeds.go
+++ b/internal/dataplane/feeds.go
@@ -96,6 +96,7 @@
 		f.ensure(address, want)
 	}
 	f.server.limiter.retain(view)
+	f.server.outdated.retain(view)
 }
 
 // wanted returns the back ends whose events matter under a view.
--- /dev/null
+++ b/internal/dataplane/outdated_internal_test.go
@@ -0,0 +1,119 @@
+package dataplane
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+)
+
+// outdatedTimeline plays lines of "time event" on a memory of what is out of
+// date, and checks after each whether the address is "held" or "free". Events:
+//
+//	list INSTANCE VERSION    the view names them at the address
+//	unlist                   the view does not name the address
+//	refused BY               the back end there refused; "-" for one that did not say who it is
+//	told INSTANCE            another node told that the incarnation is gone
+//	wait                     nothing
+func outdatedTimeline(text string) {
+	subject := newOutdated()
+	listed := routing.Replica{Address: "a"}
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		words := strings.Fields(line)
+		now, err := time.ParseDuration(words[0])
+		Expect(err).NotTo(HaveOccurred(), line)
+		event, expected := words[1:len(words)-1], words[len(words)-1]
+		switch event[0] {
+		case "list":
+			listed.Instance, listed.WeightVersion = given(event[1]), given(event[2])
+			subject.retain(&routing.View{Pools: map[string]*routing.Pool{"p": {Replicas: []routing.Replica{listed}}}})
+		case "unlist":
+			subject.retain(&routing.View{})
+		case "refused":
+			subject.refused(now, listed, given(event[1]))
+		case "told":
+			subject.denied(shared.Denial{Address: "a", Instance: event[1]})
+		case "wait":
+		default:
+			Fail("no such event: " + line)
+		}
+		found := map[bool]string{true: "held", false: "free"}[subject.holds(now, listed)]
+		Expect(found).To(Equal(expected), line)
+	}
+}
+
+// given reads a word of a timeline, in which "-" stands for nothing.
+func given(word string) string {
+	if word == "-" {
+		return ""
+	}
+	return word
+}
+
+var _ = Describe("outdated", func() {
+	DescribeTable("keeps an address out", outdatedTimeline,
+		Entry("until the list names another incarnation there", `
+			0s     list i-1 w1   free
+			1s     refused i-9   held
+			2s     wait          held
+			60s    wait          held
+			61s    list i-1 w2   held
+			62s    list i-9 w2   free
+			63s    wait          free`),
+		Entry("when another node has been refused", `
+			0s     list i-1 w1   free
+			1s     told i-1      held
+			30s    wait          held
+			31s    list i-2 w1   free`),
+		Entry("but not for what is told of an earlier incarnation", `
+			0s     list i-2 w1   free
+			1s     told i-1      free`),
+		Entry("for a second when the incarnation is right, and has other weights", `
+			0s     list i-1 w1   free
+			1s     refused i-1   held
+			1.9s   wait          held
+			2s     wait          free`),
+		Entry("until the list names its weights", `
+			0s     list i-1 w1   free
+			1s     refused i-1   held
+			1.2s   list i-1 w2   free`),
+		Entry("for a second when it may be the weights alone", `
+			0s     list i-1 w1   free
+			1s     refused -     held
+			2s     wait          free`),
+		Entry("of a back end without weights, even if that does not say who it is", `
+			0s     list i-1 -    free
+			1s     refused -     held
+			9s     wait          held
+			10s    list i-2 -    free`),
+		Entry("for a second when the list names no incarnation", `
+			0s     list - w1     free
+			1s     refused i-9   held
+			2s     wait          free`),
+	)
+
+	It("tells once that an incarnation is gone", func() {
+		subject := newOutdated()
+		listed := routing.Replica{Address: "a", Instance: "i-1", WeightVersion: "w1"}
+		Expect(subject.refused(0, listed, "i-9")).To(BeTrue())
+		Expect(subject.refused(0, listed, "i-9")).To(BeFalse())
+		Expect(subject.refused(0, listed, "i-1")).To(BeFalse(), "other weights are no news for others")
+	})
+
+	It("forgets what is not listed any more, and holds no more than its bound", func() {
+		subject := newOutdated()
+		for number := range 2 * maxDenials {
+			subject.denied(shared.Denial{Address: fmt.Sprint(number), Instance: "i-1"})
+		}
+		Expect(subject.gone).To(HaveLen(maxDenials))
+		subject.refused(0, routing.Replica{Address: "a", WeightVersion: "w1"}, "")
+		subject.retain(&routing.View{})
+		Expect(subject.gone).To(BeEmpty())
+		Expect(subject.entries).To(BeEmpty())
+	})
+})
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -169,14 +169,11 @@
 	return salt == t.decision.CacheSalt
 }
 
-// admits tells whether a pool has an admitting replica of a version.
-func admits(pool *routing.Pool, address, weightVersion string) bool {
-	for _, listed := range pool.Replicas {
-		if listed.Address == address {
-			return listed.Admitting && listed.WeightVersion == weightVersion
-		}
-	}
-	return false
+// admitting returns a pool's replica if it admits requests of a version.
+func admitting(pool *routing.Pool, address, weightVersion string) (routing.Replica, bool) {
+	return lo.Find(pool.Replicas, func(listed routing.Replica) bool {
+		return listed.Address == address && listed.Admitting && listed.WeightVersion == weightVersion
+	})
 }
 
 // takeCold implements target.
@@ -233,7 +230,9 @@
 
 // mayServeParts tells whether a replica may be pulled from under a version.
 func (b *poolBackend) mayServeParts(pool *routing.Pool, address, weightVersion string) bool {
-	return admits(pool, address, weightVersion) && !b.server.quarantine.holds(address, weightVersion)
+	listed, admits := admitting(pool, address, weightVersion)
+	return admits && !b.server.quarantine.holds(address, weightVersion) &&
+		!b.server.outdated.holds(b.server.options.Clock(), listed)
 }
 
 // check refuses answers made under other weights.
@@ -256,8 +255,9 @@
 	if !refusal.WrongTarget {
 		return
 	}
-	server := t.backend.server
-	server.outdated.refused(server.options.Clock(), t.decision.Address, t.decision.Instance, t.decision.WeightVersion)
+	t.backend.server.wrongTarget(routing.Replica{
+		Address: t.decision.Address, Instance: t.decision.Instance, WeightVersion: t.decision.WeightVersion,
+	}, refusal)
 }
 
 // firstOutput implements target.
--- /dev/null
+++ b/internal/dataplane/reuse_test.go
@@ -0,0 +1,121 @@
+package dataplane_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
+)
+
+// occupants is a replica edge that knows who stands at which address, and
+// refuses what is for another one.
+type occupants struct {
+	mutex sync.Mutex
+	// standing holds the incarnation at each address.
+	standing map[string]string
+	// refusals counts the refused attempts.
+	refusals int
+}
+
+// Send implements dataplane.BackendEdge.
+func (o *occupants) Send(_ context.Context, attempt dataplane.Attempt) (dataplane.Answer, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	standing := o.standing[attempt.Address]
+	if attempt.Instance != standing {
+		o.refusals++
+		return nil, &outbound.RefusedError{Status: http.StatusMisdirectedRequest, WrongTarget: true, Instance: standing}
+	}
+	return wholeAnswer{}, nil
+}
+
+// wholeAnswer is an answer without a body.
+type wholeAnswer struct{}
+
+func (wholeAnswer) Status() int                      { return http.StatusOK }
+func (wholeAnswer) Header() http.Header              { return http.Header{} }
+func (wholeAnswer) WeightVersion() string            { return weightsOne }
+func (wholeAnswer) Streamed() bool                   { return false }
+func (wholeAnswer) ReadWhole() ([]byte, bool, error) { return nil, true, nil }
+func (wholeAnswer) Next() ([]byte, error)            { return nil, io.EOF }
+func (wholeAnswer) LastEventID() string              { return "" }
+func (wholeAnswer) Close()                           {}
+
+var _ = Describe("An address that another replica has got", func() {
+	const reused, other = "replica-0:1", "replica-1:1"
+	var edge *occupants
+
+	BeforeEach(func() {
+		edge = &occupants{standing: map[string]string{reused: "i-0", other: "i-1"}}
+	})
+	newNode := func() *fixture {
+		f := newFixtureWith(func(options *dataplane.Options) {
+			options.Edges.Replicas = edge
+			options.RetryBudget.Slack = 1
+		}, reused, other)
+		for at := range f.replicas {
+			f.replicas[at].Instance = edge.standing[f.replicas[at].Address]
+		}
+		f.publish()
+		return f
+	}
+	// serve sends a request a second, for prompts that nobody keeps.
+	serve := func(f *fixture, from time.Duration) {
+		for turn := range 30 {
+			f.clock.Store(int64(from + time.Duration(turn)*time.Second))
+			got := f.generate(header{"Prefix", fmt.Sprintf("case-%d-%d;tokens=32", from, turn)})
+			Expect(got.status).To(Equal(http.StatusOK))
+		}
+	}
+
+	It("costs one refusal, until the list names who stands there", func() {
+		f := newNode()
+		serve(f, 0)
+		edge.standing[reused] = "i-2"
+		serve(f, time.Minute)
+		Expect(edge.refusals).To(Equal(1))
+
+		By("sending to the one that the list names")
+		f.replicas[0].Instance = "i-2"
+		f.replicas[1].Admitting = false
+		f.publish()
+		serve(f, 2*time.Minute)
+		Expect(edge.refusals).To(Equal(1))
+	})
+
+	It("costs one refusal in all, since the nodes tell each other", func() {
+		first, second := newNode(), newNode()
+		serve(first, 0)
+		serve(second, 0)
+		edge.standing[reused] = "i-2"
+		serve(first, time.Minute)
+		second.server.TakeNews(first.server.News())
+		serve(second, time.Minute)
+		Expect(edge.refusals).To(Equal(1))
+	})
+
+	It("gets nothing that was on its way there when the news came", func() {
+		for look := int64(1); look <= 4; look++ {
+			f := newNode()
+			f.replicas[1].Admitting = false
+			f.publish()
+			edge.standing[reused] = "i-2"
+			f.source.onView = func(seen int64) {
+				if seen == look {
+					f.server.TakeNews(shared.News{Denials: []shared.Denial{{Address: reused, Instance: "i-0"}}})
+				}
+			}
+			Expect(f.generate().problem.MayHaveRun).To(BeFalse())
+			Expect(edge.refusals).To(BeZero(), "told at look %d", look)
+		}
+	})
+})
--- a/internal/dataplane/shared/message.go
+++ b/internal/dataplane/shared/message.go
@@ -1,6 +1,7 @@
 // Package shared holds what nodes tell each other of their traffic: the load
-// that each has on the replicas, which prompts it sent where, and what replicas
-// and stores reported to it of the parts that they keep. All of it may be lost,
+// that each has on the replicas, which prompts it sent where, what replicas and
+// stores reported to it of the parts that they keep, and which replicas it found
+// to be gone. All of it may be lost,
 // late or doubled without harm: it only makes the choice of replicas better.
 //
 // News travels in batches. A node hands its own to the relay of its zone, which
@@ -42,6 +43,7 @@
 	Loads      []kvrouter.AddressLoad
 	Dispatches []Dispatch
 	Reports    []Report
+	Denials    []Denial
 }
 
 // Dispatch tells of a request that was sent to a replica.
@@ -73,7 +75,14 @@
 	Removed bool
 }
 
+// Denial tells that an incarnation which a list may still name is gone from its
+// address: what answers there has said so.
+type Denial struct {
+	Address  string
+	Instance string
+}
+
 // Empty tells whether the news says nothing.
 func (n *News) Empty() bool {
-	return len(n.Loads) == 0 && len(n.Dispatches) == 0 && len(n.Reports) == 0
+	return len(n.Loads) == 0 && len(n.Dispatches) == 0 && len(n.Reports) == 0 && len(n.Denials) == 0
 }
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -7,6 +7,8 @@
 	"github.com/samber/lo"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 )
 
@@ -31,6 +33,7 @@
 	told       map[string]toldLoad
 	dispatches []shared.Dispatch
 	reports    []shared.Report
+	denials    []shared.Denial
 }
 
 // newSharing returns a sharing that has nothing to tell.
@@ -56,13 +59,21 @@
 	}
 }
 
+// denied notes an incarnation that was found to be gone from its address.
+func (s *sharing) denied(denial shared.Denial) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.denials) < maxHeldNews {
+		s.denials = append(s.denials, denial)
+	}
+}
+
 // take returns what is to be told now, given the present loads.
 func (s *sharing) take(now time.Duration, loads []kvrouter.AddressLoad) shared.News {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	news := shared.News{Dispatches: s.dispatches, Reports: s.reports}
-	s.dispatches = nil
-	s.reports = nil
+	news := shared.News{Dispatches: s.dispatches, Reports: s.reports, Denials: s.denials}
+	s.dispatches, s.reports, s.denials = nil, nil, nil
 	for _, load := range loads {
 		if s.worthTelling(now, load) {
 			news.Loads = append(news.Loads, load)
@@ -106,6 +117,17 @@
 	for _, report := range news.Reports {
 		s.takeReport(now, report)
 	}
+	for _, denial := range news.Denials {
+		s.outdated.denied(denial)
+	}
+}
+
+// wrongTarget enters that a listed back end said that a request was for another
+// one, and tells the others if that holds for good.
+func (s *Server) wrongTarget(listed routing.Replica, refusal *outbound.RefusedError) {
+	if s.outdated.refused(s.options.Clock(), listed, refusal.Instance) {
+		s.sharing.denied(shared.Denial{Address: listed.Address, Instance: listed.Instance})
+	}
 }
 
 // takeReport brings a page of reports into the index.
--- a/internal/dataplane/web.go
+++ b/internal/dataplane/web.go
@@ -129,8 +129,7 @@
 	if !refusal.WrongTarget {
 		return
 	}
-	server := t.backend.server
-	server.outdated.refused(server.options.Clock(), t.chosen.Address, t.chosen.Instance, t.chosen.WeightVersion)
+	t.backend.server.wrongTarget(t.chosen, refusal)
 }
 
 // firstOutput implements target.
--- a/internal/edge/outbound/refusal.go
+++ b/internal/edge/outbound/refusal.go
@@ -14,6 +14,8 @@
 	// WrongTarget tells that the back end is not the one that the request was
 	// for, or has other weights: what this node knows of it is out of date.
 	WrongTarget bool
+	// Instance names the incarnation that answered, if the answer tells it.
+	Instance string
 }
 
 // Error implements error.
--- a/internal/wire/fb/TrafficNews.go
+++ b/internal/wire/fb/TrafficNews.go
@@ -11,6 +11,7 @@
 	Loads      []*TrafficLoadT     `json:"loads"`
 	Dispatches []*TrafficDispatchT `json:"dispatches"`
 	Reports    []*TrafficReportT   `json:"reports"`
+	Denials    []*TrafficDenialT   `json:"denials"`
 }
 
 func (t *TrafficNewsT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -56,11 +57,25 @@
 		}
 		reportsOffset = builder.EndVector(reportsLength)
 	}
+	denialsOffset := flatbuffers.UOffsetT(0)
+	if t.Denials != nil {
+		denialsLength := len(t.Denials)
+		denialsOffsets := make([]flatbuffers.UOffsetT, denialsLength)
+		for j := 0; j < denialsLength; j++ {
+			denialsOffsets[j] = t.Denials[j].Pack(builder)
+		}
+		TrafficNewsStartDenialsVector(builder, denialsLength)
+		for j := denialsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(denialsOffsets[j])
+		}
+		denialsOffset = builder.EndVector(denialsLength)
+	}
 	TrafficNewsStart(builder)
 	TrafficNewsAddNode(builder, t.Node)
 	TrafficNewsAddLoads(builder, loadsOffset)
 	TrafficNewsAddDispatches(builder, dispatchesOffset)
 	TrafficNewsAddReports(builder, reportsOffset)
+	TrafficNewsAddDenials(builder, denialsOffset)
 	return TrafficNewsEnd(builder)
 }
 
@@ -87,6 +102,13 @@
 		rcv.Reports(&x, j)
 		t.Reports[j] = x.UnPack()
 	}
+	denialsLength := rcv.DenialsLength()
+	t.Denials = make([]*TrafficDenialT, denialsLength)
+	for j := 0; j < denialsLength; j++ {
+		x := TrafficDenial{}
+		rcv.Denials(&x, j)
+		t.Denials[j] = x.UnPack()
+	}
 }
 
 func (rcv *TrafficNews) UnPack() *TrafficNewsT {
@@ -197,8 +219,28 @@
 	return 0
 }
 
+func (rcv *TrafficNews) Denials(obj *TrafficDenial, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *TrafficNews) DenialsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func TrafficNewsStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
+	builder.StartObject(5)
 }
 func TrafficNewsAddNode(builder *flatbuffers.Builder, node uint32) {
 	builder.PrependUint32Slot(0, node, 0)
@@ -221,6 +263,12 @@
 func TrafficNewsStartReportsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func TrafficNewsAddDenials(builder *flatbuffers.Builder, denials flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(4, flatbuffers.UOffsetT(denials), 0)
+}
+func TrafficNewsStartDenialsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func TrafficNewsEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -60,6 +60,12 @@
 	for _, report := range news.Reports {
 		packed.Reports = append(packed.Reports, packReport(table, report))
 	}
+	for _, denial := range news.Denials {
+		packed.Denials = append(packed.Denials, &fb.TrafficDenialT{
+			Address:  table.index(denial.Address),
+			Instance: table.index(denial.Instance),
+		})
+	}
 	return packed
 }
 
@@ -138,6 +144,7 @@
 			Loads:      r.trafficLoads(&stored, named),
 			Dispatches: r.trafficDispatches(&stored, named),
 			Reports:    r.trafficReports(&stored, named),
+			Denials:    r.trafficDenials(&stored, named),
 		}
 	}
 	return batch
@@ -215,3 +222,13 @@
 	}
 	return changes
 }
+
+func (r *reader) trafficDenials(table *fb.TrafficNews, named texts) []shared.Denial {
+	denials := make([]shared.Denial, r.elements(table.DenialsLength(), leastTableBytes))
+	var stored fb.TrafficDenial
+	for i := range denials {
+		table.Denials(&stored, i)
+		denials[i] = shared.Denial{Address: named.at(stored.Address()), Instance: named.at(stored.Instance())}
+	}
+	return denials
+}
