--- a/internal/dataplane/destinations.go
+++ b/internal/dataplane/destinations.go
@@ -36,6 +36,20 @@
 	Abandoned uint64
 	// Refusals are sorted by kind.
 	Refusals []RefusalCount
+	// Ejected and Suspected count the back ends that get next to no requests now:
+	// those that failed a share of them, and those that could not be reached.
+	Ejected, Suspected int
+	// Ejections counts how often a back end was ejected.
+	Ejections uint64
+	// Outcomes are sorted by name.
+	Outcomes []OutcomeCount
+}
+
+// OutcomeCount counts the attempts of one outcome, as far as it tells of the
+// health of back ends.
+type OutcomeCount struct {
+	Name  string
+	Count uint64
 }
 
 // destinationName tells pools from web services of the same name.
@@ -44,6 +58,14 @@
 	webService bool
 }
 
+// key is one text for the name.
+func (n destinationName) key() string {
+	if n.webService {
+		return "web/" + n.name
+	}
+	return "pool/" + n.name
+}
+
 // destinationState is what a node remembers of a destination: its counters and
 // its retry budget.
 type destinationState struct {
--- a/internal/dataplane/dispatch.go
+++ b/internal/dataplane/dispatch.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
@@ -35,6 +36,12 @@
 	send(ctx context.Context, w *work, attempt int) (Answer, error)
 	// refused says that the back end promised not to run the attempt.
 	refused(refusal *outbound.RefusedError)
+	// hasRoom tells whether the back end is known to have places left, so that a
+	// refusal is not for want of them.
+	hasRoom() bool
+	// expectedDelay is how long the first output is expected to take; 0 if that is
+	// not known.
+	expectedDelay() time.Duration
 	// firstOutput says that a streamed answer has begun. When a whole answer
 	// began is not known: its header may come at any time before its end.
 	firstOutput()
@@ -50,6 +57,8 @@
 	tried []string
 	// problem is why the last attempt, or the last selection, failed.
 	problem *caller.Problem
+	// health is that of the last attempt's back end.
+	health *attemptHealth
 	// ready is the answer that the ledger's Relay move hands on.
 	ready *readyAnswer
 	// relaying tells that the head of an answer went to the caller, and
@@ -150,19 +159,20 @@
 func (d *dispatcher) run(w *work, chosen target, attempt int) bool {
 	w.apply(attempts.Event{Kind: attempts.AttemptPlanned, Attempt: attempt, Address: chosen.address()})
 	w.apply(attempts.Event{Kind: attempts.ConnectStarted, Attempt: attempt})
+	w.health = d.server.health.begin(d.server.options.Clock(), w, chosen.address(), chosen.expectedDelay())
+	defer w.health.end()
 	received, err := chosen.send(w.ctx, w, attempt)
 	if err != nil {
 		d.enterFailure(w, chosen, attempt, err)
 		return false
 	}
 	defer received.Close()
-	d.server.suspects.heard(chosen.address())
+	d.server.health.Heard(chosen.address())
 	w.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
 	if err := d.receive(w, chosen, attempt, received); err != nil {
-		d.enterLoss(w, chosen, attempt, err)
+		d.enterLoss(w, attempt, err)
 		return false
 	}
-	d.server.suspects.succeeded(chosen.address())
 	w.apply(attempts.Event{Kind: attempts.AnswerCompleted, Attempt: attempt})
 	return true
 }
@@ -179,12 +189,14 @@
 			return err
 		}
 		chosen.firstOutput()
+		w.health.answered(d.server.options.Clock(), received.Status())
 		return d.relay(w, attempt, received, chunk, err)
 	}
 	body, whole, err := received.ReadWhole()
 	if err != nil {
 		return err
 	}
+	w.health.answered(d.server.options.Clock(), received.Status())
 	if !whole {
 		return d.relay(w, attempt, received, body, nil)
 	}
--- a/internal/dataplane/feed.go
+++ b/internal/dataplane/feed.go
@@ -9,6 +9,7 @@
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 )
 
 const (
@@ -35,7 +36,7 @@
 	source     eventSource
 	router     *kvrouter.Router
 	quarantine *quarantine
-	suspects   *suspects
+	health     *outlier.Detector
 	clock      func() time.Duration
 
 	mutex sync.Mutex
@@ -124,7 +125,7 @@
 // take takes one event in.
 func (f *feed) take(event replica.Event) error {
 	f.heard = true
-	f.suspects.succeeded(f.address)
+	f.health.Alive(f.clock(), f.address)
 	if event.Kind == replica.EventReport {
 		return f.takeReport(event)
 	}
--- a/internal/dataplane/feed_internal_test.go
+++ b/internal/dataplane/feed_internal_test.go
@@ -17,6 +17,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
@@ -87,7 +88,7 @@
 		source = &scriptedSource{}
 		subject = &feed{
 			address: feedAddress, source: source, router: kvrouter.New(kvrouter.Options{}),
-			quarantine: newQuarantine(), suspects: newSuspects(),
+			quarantine: newQuarantine(), health: outlier.New(outlier.Options{}),
 			clock: func() time.Duration { return now },
 		}
 		subject.expect("w1")
@@ -149,10 +150,12 @@
 	})
 
 	It("clears a suspicion once the back end speaks", func() {
-		subject.suspects.failed(0, feedAddress)
+		subject.health.SetPools(map[string][]outlier.Member{"pool": {{Address: feedAddress}}})
+		subject.health.Observe(0, feedAddress, outlier.Unreached)
+		Expect(subject.health.Verdict(0, feedAddress, false)).To(Equal(outlier.Suspected))
 		source.events = []replica.Event{reports("w1")}
 		subject.follow(context.Background())
-		Expect(subject.suspects.avoided(0, feedAddress)).To(BeFalse())
+		Expect(subject.health.Verdict(0, feedAddress, false)).To(Equal(outlier.Fit))
 	})
 
 	DescribeTable("gives a stream up that cannot be read", func(event replica.Event) {
@@ -270,16 +273,3 @@
 		Expect(register.known).To(HaveLen(8))
 	})
 })
-
-var _ = Describe("suspects", func() {
-	It("avoid a back end for longer with each failure in a row", func() {
-		subject := newSuspects()
-		subject.failed(0, "a")
-		Expect(subject.avoided(firstSuspicion-1, "a")).To(BeTrue())
-		Expect(subject.avoided(firstSuspicion, "a")).To(BeFalse())
-		subject.failed(firstSuspicion, "a")
-		Expect(subject.avoided(2*firstSuspicion, "a")).To(BeTrue())
-		subject.succeeded("a")
-		Expect(subject.avoided(2*firstSuspicion, "a")).To(BeFalse())
-	})
-})
--- a/internal/dataplane/feeds.go
+++ b/internal/dataplane/feeds.go
@@ -97,6 +97,7 @@
 	}
 	f.server.limiter.retain(view)
 	f.server.outdated.retain(view)
+	f.server.health.follow(view)
 }
 
 // wanted returns the back ends whose events matter under a view.
@@ -125,7 +126,7 @@
 			source:     want.source,
 			router:     f.server.router,
 			quarantine: f.server.quarantine,
-			suspects:   f.server.suspects,
+			health:     f.server.health.Detector,
 			clock:      f.server.options.Clock,
 		}
 		present.feed.expect(want.weightVersion)
@@ -143,7 +144,6 @@
 	delete(f.running, address)
 	f.server.router.Forget(address)
 	f.server.quarantine.forget(address)
-	f.server.suspects.succeeded(address)
 }
 
 // resyncWhereWanted asks for a reset where events were lost.
--- a/internal/dataplane/harness_test.go
+++ b/internal/dataplane/harness_test.go
@@ -1,6 +1,7 @@
 package dataplane_test
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -79,6 +80,8 @@
 	webs     []routing.Replica
 	limits   *ridgeswitchv1.Limits
 	timeout  uint32
+	// target is the latency that the routes aim at, in milliseconds; 0 for none.
+	target uint32
 	// domain is the court's sharing domain.
 	domain string
 }
@@ -136,8 +139,8 @@
 			digest(schoolKey): {Name: "school", Walled: true, SharingDomain: "school/1", Limits: f.limits},
 		},
 		Hosts: map[string]routing.Routes{
-			poolHost: {routing.NewRoute(&ridgeswitchv1.Route{}, routing.Choice{Destination: routing.Destination{Pool: pool}})},
-			webHost: {routing.NewRoute(&ridgeswitchv1.Route{Public: true},
+			poolHost: {routing.NewRoute(&ridgeswitchv1.Route{TargetLatencyMs: f.target}, routing.Choice{Destination: routing.Destination{Pool: pool}})},
+			webHost: {routing.NewRoute(&ridgeswitchv1.Route{Public: true, TargetLatencyMs: f.target},
 				routing.Choice{Destination: routing.Destination{WebService: web}})},
 		},
 		Pools:       map[string]*routing.Pool{"pool": pool},
@@ -195,6 +198,19 @@
 	return f.send(http.MethodPost, poolHost, "/v1/generate", all...)
 }
 
+// generateUntil sends a request to the pool, and leaves when the context ends.
+func (f *fixture) generateUntil(ctx context.Context) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.front.URL, strings.NewReader(defaultBody))
+	if err != nil {
+		return
+	}
+	request.Host = poolHost
+	request.Header.Set("Authorization", "Bearer "+courtKey)
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
 // replicaStandIn is a replica with a scripted answer.
 type replicaStandIn struct {
 	server *httptest.Server
--- /dev/null
+++ b/internal/dataplane/health_test.go
@@ -0,0 +1,365 @@
+package dataplane_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// statusAnswer is a whole answer of a status.
+type statusAnswer struct {
+	wholeAnswer
+	status int
+}
+
+func (a statusAnswer) Status() int { return a.status }
+
+// backends is an edge whose back ends may be grey: of the requests to those that
+// are, some go wrong.
+type backends struct {
+	// wrong is what then happens, and every which of the requests it happens to.
+	wrong func(ctx context.Context) (dataplane.Answer, error)
+	every int
+	mutex sync.Mutex
+	grey  map[string]bool
+	sent  map[string]int
+}
+
+// Send implements dataplane.BackendEdge.
+func (b *backends) Send(ctx context.Context, attempt dataplane.Attempt) (dataplane.Answer, error) {
+	b.mutex.Lock()
+	b.sent[attempt.Address]++
+	wrong := b.grey[attempt.Address] && (b.sent[attempt.Address]-1)%b.every == 0
+	b.mutex.Unlock()
+	if wrong {
+		return b.wrong(ctx)
+	}
+	return wholeAnswer{}, nil
+}
+
+// turnGrey makes one back end grey, or well.
+func (b *backends) turnGrey(address string, grey bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.grey[address] = grey
+}
+
+// count returns how many requests a back end has got.
+func (b *backends) count(address string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.sent[address]
+}
+
+// What may go wrong.
+var (
+	failing = func(context.Context) (dataplane.Answer, error) {
+		return statusAnswer{status: http.StatusInternalServerError}, nil
+	}
+	shedding = func(context.Context) (dataplane.Answer, error) {
+		return nil, &outbound.RefusedError{Status: http.StatusServiceUnavailable}
+	}
+	unclear = func(context.Context) (dataplane.Answer, error) {
+		return nil, &outbound.FailedAnswerError{Status: http.StatusServiceUnavailable}
+	}
+	resetting = func(context.Context) (dataplane.Answer, error) {
+		return nil, &outbound.Error{MayHaveLeft: true}
+	}
+	garbling = func(context.Context) (dataplane.Answer, error) {
+		return nil, &outbound.FaultError{Reason: "the answer was cut"}
+	}
+	hanging = func(ctx context.Context) (dataplane.Answer, error) {
+		<-ctx.Done()
+		return nil, &outbound.Error{MayHaveLeft: true}
+	}
+	unreachable = func(context.Context) (dataplane.Answer, error) {
+		return nil, outbound.NotSent(errors.New("connection refused"))
+	}
+)
+
+var _ = Describe("A back end that is listed as well", func() {
+	const count = 6
+	var edge *backends
+
+	address := func(number int) string { return fmt.Sprintf("backend-%d:1", number) }
+	newEdge := func(wrong func(context.Context) (dataplane.Answer, error)) *backends {
+		return &backends{wrong: wrong, every: 2, grey: map[string]bool{}, sent: map[string]int{}}
+	}
+	// newPool starts a node before a pool of which the edge answers.
+	newPool := func(edge dataplane.BackendEdge, change func(*dataplane.Options)) *fixture {
+		var addresses []string
+		for number := range count {
+			addresses = append(addresses, address(number))
+		}
+		f := newFixtureWith(func(options *dataplane.Options) {
+			options.Edges.Replicas, options.Edges.WebServices = edge, edge
+			options.RetryBudget.Slack = 1000
+			change(options)
+		}, addresses...)
+		for at := range f.replicas {
+			f.replicas[at].Slots = 64
+		}
+		f.publish()
+		return f
+	}
+	unchanged := func(*dataplane.Options) {}
+	// serve sends requests whose prompts nobody keeps, one every 50 ms.
+	turn := 0
+	serve := func(f *fixture, requests int) (failed int) {
+		for range requests {
+			turn++
+			f.clock.Add(int64(50 * time.Millisecond))
+			got := f.generate(header{"Prefix", fmt.Sprintf("case-%d;tokens=32", turn)})
+			if got.status != http.StatusOK {
+				failed++
+			}
+		}
+		return failed
+	}
+
+	DescribeTable("gets next to nothing while every second request to it ends in", func(wrong func(context.Context) (dataplane.Answer, error)) {
+		edge = newEdge(wrong)
+		f := newPool(edge, unchanged)
+		serve(f, 60)
+		edge.turnGrey(address(0), true)
+		serve(f, 60)
+		before := edge.count(address(0))
+		failed := serve(f, 200)
+		Expect(edge.count(address(0))-before).To(BeNumerically("<=", 8), "ten seconds of probes")
+		Expect(failed).To(BeNumerically("<=", 4))
+		Expect(f.server.Stats()[0].Ejected).To(Equal(1))
+
+		By("and its share again once it is well")
+		edge.turnGrey(address(0), false)
+		serve(f, 400)
+		before = edge.count(address(0))
+		serve(f, 200)
+		Expect(edge.count(address(0)) - before).To(BeNumerically(">", 15))
+		Expect(f.server.Stats()[0].Ejected).To(BeZero())
+	},
+		Entry("a failure", failing),
+		Entry("a refusal without need", shedding),
+		Entry("a failure that may be a refusal", unclear),
+		Entry("a reset", resetting),
+		Entry("what is no answer", garbling),
+		Entry("no connection", unreachable),
+	)
+
+	DescribeTable("is found out by what it keeps waiting", func(every, requests int) {
+		edge = newEdge(hanging)
+		f := newPool(edge, unchanged)
+		f.target = 100
+		f.publish()
+		serve(f, 60)
+		f.clock.Add(int64(time.Minute))
+		for at := 1; at < count; at++ {
+			f.replicas[at].Admitting = false
+		}
+		f.publish()
+		edge.turnGrey(address(0), true)
+		edge.every = every
+		edge.sent[address(0)] = 0
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		for number := range requests {
+			go f.generateUntil(ctx)
+			Eventually(func() int { return edge.count(address(0)) }).WithTimeout(patience).Should(Equal(number + 1))
+		}
+		f.server.News()
+		Expect(f.server.Stats()[0].Ejected).To(BeZero(), "the time that is aimed at is not over")
+		f.clock.Add(int64(2 * time.Second))
+		f.server.News()
+		Expect(f.server.Stats()[0].Ejected).To(Equal(1))
+	},
+		Entry("whatever it is asked", 1, 2),
+		Entry("while it answers others", 2, 3),
+	)
+
+	It("is found out when it fails all requests, whatever it says of its health", func() {
+		edge = newEdge(failing)
+		f := newPool(edge, unchanged)
+		serve(f, 60)
+		edge.every = 1
+		edge.turnGrey(address(0), true)
+		Expect(serve(f, 200)).To(BeNumerically("<=", 7), "two, and then probes")
+	})
+
+	It("costs less each time when it comes and goes", func() {
+		edge = newEdge(unreachable)
+		f := newPool(edge, unchanged)
+		serve(f, 60)
+		cycle := func() int {
+			before := edge.count(address(0))
+			edge.turnGrey(address(0), true)
+			serve(f, 40)
+			edge.turnGrey(address(0), false)
+			serve(f, 40)
+			return edge.count(address(0)) - before
+		}
+		first := cycle()
+		for range 3 {
+			cycle()
+		}
+		Expect(cycle()).To(BeNumerically("<", first))
+	})
+
+	It("is still used when there is no other", func() {
+		edge = newEdge(failing)
+		f := newPool(edge, unchanged)
+		serve(f, 60)
+		edge.turnGrey(address(0), true)
+		serve(f, 60)
+		Expect(f.server.Stats()[0].Ejected).To(Equal(1))
+		for at := 1; at < count; at++ {
+			f.replicas[at].Admitting = false
+		}
+		f.publish()
+		Expect(serve(f, 20)).To(Equal(10))
+	})
+
+	It("is not probed by a retry", func() {
+		edge = newEdge(shedding)
+		f := newPool(edge, unchanged)
+		serve(f, 60)
+		for number := range count / 2 {
+			edge.turnGrey(address(number), true)
+		}
+		serve(f, 400)
+		Expect(f.server.Stats()[0].Ejected).To(Equal(count / 2))
+		retries := f.server.Stats()[0].Retries
+		probes := 0
+		for number := range count / 2 {
+			probes -= edge.count(address(number))
+		}
+		serve(f, 400)
+		for number := range count / 2 {
+			probes += edge.count(address(number))
+		}
+		Expect(f.server.Stats()[0].Retries - retries).To(BeNumerically("<=", probes))
+		Expect(probes).To(BeNumerically("<=", 20))
+	})
+
+	Context("by several nodes", func() {
+		peers := []member.Info{{ID: "a-1", Zone: "a"}, {ID: "a-2", Zone: "a"}, {ID: "b-1", Zone: "b"}, {ID: "b-2", Zone: "b"}}
+		// newFleet starts a node for each peer, with an edge of its own.
+		newFleet := func(wrong func(context.Context) (dataplane.Answer, error)) (nodes []*fixture, edges []*backends) {
+			for _, peer := range peers {
+				edge := newEdge(wrong)
+				edges = append(edges, edge)
+				nodes = append(nodes, newPool(edge, func(options *dataplane.Options) {
+					options.Member, options.Zone = peer.ID, peer.Zone
+					options.Peers = func() []member.Info { return peers }
+				}))
+			}
+			return nodes, edges
+		}
+		share := func(nodes []*fixture) {
+			for number, from := range nodes {
+				news := from.server.News()
+				news.Node = peers[number].ID
+				for other, to := range nodes {
+					if other != number {
+						to.server.TakeNews(news)
+					}
+				}
+			}
+		}
+		ejected := func(f *fixture) int { return f.server.Stats()[0].Ejected }
+
+		It("is ejected by those that have seen little of it themselves", func() {
+			nodes, edges := newFleet(failing)
+			for _, node := range nodes {
+				serve(node, 12)
+			}
+			for _, edge := range edges {
+				edge.turnGrey(address(0), true)
+			}
+			for range 10 {
+				for _, node := range nodes[:2] {
+					serve(node, 6)
+				}
+				share(nodes)
+			}
+			for _, node := range nodes[:2] {
+				Expect(ejected(node)).To(Equal(1))
+			}
+		})
+
+		It("stays in the choice of the zone for whose callers it is well", func() {
+			nodes, edges := newFleet(failing)
+			for _, edge := range edges[:2] {
+				edge.turnGrey(address(0), true)
+			}
+			for range 60 {
+				for _, node := range nodes {
+					serve(node, 3)
+				}
+				share(nodes)
+			}
+			for _, node := range nodes[:2] {
+				Expect(ejected(node)).To(Equal(1))
+			}
+			for _, node := range nodes[2:] {
+				Expect(ejected(node)).To(BeZero())
+			}
+		})
+	})
+
+	It("of a web service is judged by the same rules, and by its slowness", func() {
+		edge = newEdge(failing)
+		f := newPool(edge, unchanged)
+		f.webs = append([]routing.Replica(nil), f.replicas...)
+		f.publish()
+		ask := func(requests int) {
+			for range requests {
+				f.clock.Add(int64(50 * time.Millisecond))
+				f.send(http.MethodGet, webHost, "/")
+			}
+		}
+		ask(60)
+		edge.turnGrey(address(0), true)
+		ask(60)
+		before := edge.count(address(0))
+		ask(100)
+		Expect(edge.count(address(0)) - before).To(BeNumerically("<=", 4))
+
+		By("slowness")
+		edge.turnGrey(address(0), false)
+		ask(400)
+		f.target = 300
+		f.publish()
+		edge.mutex.Lock()
+		edge.every = 1
+		edge.wrong = func(context.Context) (dataplane.Answer, error) {
+			f.clock.Add(int64(400 * time.Millisecond))
+			return wholeAnswer{}, nil
+		}
+		edge.mutex.Unlock()
+		edge.turnGrey(address(1), true)
+		ask(200)
+		Expect(f.server.Stats()).To(ContainElement(And(HaveField("WebService", true), HaveField("Ejected", 1))))
+	})
+
+	It("is counted by the outcomes of the attempts on it", func() {
+		edge = newEdge(failing)
+		f := newPool(edge, unchanged)
+		edge.turnGrey(address(0), true)
+		serve(f, 60)
+		outcomes := map[string]uint64{}
+		for _, outcome := range f.server.Stats()[0].Outcomes {
+			outcomes[outcome.Name] = outcome.Count
+		}
+		Expect(outcomes).To(And(HaveKey("succeeded"), HaveKey("errored")))
+	})
+})
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -10,6 +10,7 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
 )
 
@@ -89,6 +90,8 @@
 	// Admission bounds the requests that run on this node at a time, and says
 	// how tenants wait for a place.
 	Admission admission.Options
+	// Outlier configures how back ends that fail are noticed and avoided.
+	Outlier outlier.Options
 	// RetryBudget bounds the retries of each destination.
 	RetryBudget retrybudget.Options
 	// Claims decide among all nodes who runs a request that must not run
--- a/internal/dataplane/outcome.go
+++ b/internal/dataplane/outcome.go
@@ -10,6 +10,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 )
 
 // versionError says that an answer was made under other weights than the cache
@@ -27,7 +28,7 @@
 func (d *dispatcher) enterFailure(w *work, chosen target, attempt int, err error) {
 	var unsent *outbound.Error
 	if errors.As(err, &unsent) && !unsent.MayHaveLeft {
-		d.suspectUnlessEnded(w, chosen)
+		d.countUnlessEnded(w, outlier.Unreached)
 		w.problem = caller.NewProblem(caller.KindNoBackend,
 			"the back end could not be reached: send the request again").After(d.server.options.BackendRetry)
 		w.apply(attempts.Event{Kind: attempts.NotSent, Attempt: attempt})
@@ -35,43 +36,51 @@
 	}
 	w.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
 	if unsent == nil {
-		d.server.suspects.heard(chosen.address())
+		d.server.health.Heard(chosen.address())
 	}
 	var refusal *outbound.RefusedError
 	if errors.As(err, &refusal) {
 		chosen.refused(refusal)
+		if !refusal.WrongTarget && chosen.hasRoom() {
+			w.health.failed(d.server.options.Clock(), outlier.Refused)
+		}
 		w.problem = refusedProblem(refusal, d.server.options.BackendRetry)
 		w.apply(attempts.Event{Kind: attempts.Refused, Attempt: attempt})
 		return
 	}
 	if unsent != nil && deadlinePassed(w.ctx) {
-		d.server.suspects.timedOut(d.server.options.Clock(), chosen.address())
+		d.server.health.Silent(d.server.options.Clock(), chosen.address())
 	}
-	d.enterLoss(w, chosen, attempt, err)
+	d.enterLoss(w, attempt, err)
 }
 
 // enterLoss enters that an attempt which was sent has no certain end.
-func (d *dispatcher) enterLoss(w *work, chosen target, attempt int, err error) {
+func (d *dispatcher) enterLoss(w *work, attempt int, err error) {
 	var failed *outbound.FailedAnswerError
 	var gone *callerGoneError
+	var otherWeights *versionError
 	switch {
 	case errors.As(err, &gone):
 		w.apply(attempts.Event{Kind: attempts.CallerLeft})
 	case errors.As(err, &failed):
 		// A back end that answers is not suspected of being dead.
+		d.countUnlessEnded(w, outlier.Errored)
+	case errors.As(err, &otherWeights):
+		// That is no fault of the back end, and passes.
+		d.server.health.Suspect(d.server.options.Clock(), w.health.address)
 	default:
-		d.suspectUnlessEnded(w, chosen)
+		d.countUnlessEnded(w, outlier.Reset)
 	}
 	w.problem = caller.NewProblem(caller.KindOutcomeUnknown,
 		"the back end's answer was lost (%v): find out whether the request has run before you send it again", err)
 	w.apply(attempts.Event{Kind: attempts.EndLost, Attempt: attempt})
 }
 
-// suspectUnlessEnded suspects the back end of a failed attempt, unless the
-// attempt was ended from this side.
-func (d *dispatcher) suspectUnlessEnded(w *work, chosen target) {
+// countUnlessEnded enters an outcome against the back end of an attempt, unless
+// the attempt was ended from this side.
+func (d *dispatcher) countUnlessEnded(w *work, outcome outlier.Outcome) {
 	if w.ctx.Err() == nil {
-		d.server.suspects.failed(d.server.options.Clock(), chosen.address())
+		w.health.failed(d.server.options.Clock(), outcome)
 	}
 }
 
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -33,41 +33,59 @@
 	limits   *ridgeswitchv1.BackendLimits
 	// coldUntil is when the replica has warmed up.
 	coldUntil time.Duration
+	slots     int
+	// namedVersion is the weight version that the pool's replicas are to run.
+	namedVersion string
 }
 
 // choose implements backend. Replicas that failed lately are avoided as long
-// as there are others.
+// as others take requests.
 func (b *poolBackend) choose(w *work) (target, *caller.Problem) {
 	pool := b.newestPool(w)
 	if pool == nil || pool.Config.GetModel() != w.destination.Pool.Config.GetModel() {
 		return nil, noReplicaProblem(&kvrouter.NoReplicaError{Reason: kvrouter.NoneListed}, b.server.options.BackendRetry)
 	}
 	now := b.server.options.Clock()
-	avoidSuspects := func(address string) bool {
-		return w.hasTried(address) || b.server.suspects.avoided(now, address)
-	}
-	decision, err := b.server.router.Select(b.selection(w, pool, now, avoidSuspects), b.candidates(now, pool))
-	var none *kvrouter.NoReplicaError
-	if errors.As(err, &none) && none.Reason == kvrouter.AllExcluded {
-		decision, err = b.server.router.Select(b.selection(w, pool, now, w.hasTried), b.candidates(now, pool))
-	}
+	candidates := b.candidates(now, pool)
+	var decision kvrouter.Decision
+	var err error
+	choose(b.server.health, now, w, func(exclude func(string) bool) selected {
+		decision, err = b.server.router.Select(b.selection(w, pool, now, exclude), candidates)
+		return selectedBy(err)
+	})
 	if err != nil {
 		return nil, noReplicaProblem(err, b.server.options.BackendRetry)
 	}
+	listed, _ := lo.Find(pool.Replicas, func(listed routing.Replica) bool { return listed.Address == decision.Address })
 	return &replicaTarget{
-		backend:   b,
-		decision:  decision,
-		limits:    pool.Config.GetBackends(),
-		coldUntil: coldUntil(pool, decision.Address),
+		backend:      b,
+		decision:     decision,
+		limits:       pool.Config.GetBackends(),
+		coldUntil:    listed.ColdUntil,
+		slots:        listed.Slots,
+		namedVersion: pool.Config.GetWeightVersion(),
 	}, nil
 }
 
+// selectedBy tells how a selection of the router ended.
+func selectedBy(err error) selected {
+	var none *kvrouter.NoReplicaError
+	switch {
+	case err == nil:
+		return foundOne
+	case errors.As(err, &none) && none.Reason == kvrouter.AllBusy:
+		return foundBusy
+	}
+	return foundNone
+}
+
 // newestPool returns the work's pool in the newest view, or nil if it is gone.
 func (b *poolBackend) newestPool(w *work) *routing.Pool {
 	view := b.server.options.Source.View()
 	if view == nil {
 		return nil
 	}
+	b.server.health.follow(view)
 	return view.Pools[w.destination.Pool.Config.GetName()]
 }
 
@@ -135,12 +153,6 @@
 // anonymousDomain is the sharing domain of requests without a key.
 const anonymousDomain = "anonymous"
 
-// coldUntil returns when a listed replica has warmed up.
-func coldUntil(pool *routing.Pool, address string) time.Duration {
-	listed, _ := lo.Find(pool.Replicas, func(listed routing.Replica) bool { return listed.Address == address })
-	return listed.ColdUntil
-}
-
 // noReplicaProblem tells why no replica was chosen.
 func noReplicaProblem(err error, wait time.Duration) *caller.Problem {
 	kind := caller.KindNoBackend
@@ -260,6 +272,22 @@
 	}, refusal)
 }
 
+// hasRoom implements target. A replica that is to load other weights takes
+// nothing while it does.
+func (t *replicaTarget) hasRoom() bool {
+	server := t.backend.server
+	now := server.options.Clock()
+	loads := t.namedVersion != "" && t.namedVersion != t.decision.WeightVersion
+	active := server.router.ActiveRequests(now, t.decision.Address)
+	return !loads && now >= t.coldUntil && active < float64(t.slots)*roomShare
+}
+
+// expectedDelay implements target.
+func (t *replicaTarget) expectedDelay() time.Duration { return t.decision.ExpectedDelay }
+
+// roomShare is the share of its slots up to which a replica has room for certain.
+const roomShare = 0.5
+
 // firstOutput implements target.
 func (t *replicaTarget) firstOutput() {
 	t.decision.Reservation.FirstToken(t.backend.server.options.Clock())
--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -88,7 +88,6 @@
 		if _, stays := listed[address]; !stays {
 			r.server.router.Forget(address)
 			r.server.quarantine.forget(address)
-			r.server.suspects.succeeded(address)
 		}
 	}
 }
--- a/internal/dataplane/reuse_test.go
+++ b/internal/dataplane/reuse_test.go
@@ -59,7 +59,7 @@
 	})
 	newNode := func() *fixture {
 		f := newFixtureWith(func(options *dataplane.Options) {
-			options.Edges.Replicas = edge
+			options.Edges.Replicas, options.Edges.WebServices = edge, edge
 			options.RetryBudget.Slack = 1
 		}, reused, other)
 		for at := range f.replicas {
@@ -103,6 +103,19 @@
 		Expect(edge.refusals).To(Equal(1))
 	})
 
+	It("gets nothing even if a web service has no other", func() {
+		f := newNode()
+		f.webs = f.replicas[:1]
+		f.webs[0].WeightVersion = ""
+		f.publish()
+		edge.standing[reused] = "i-2"
+		for range 5 {
+			f.clock.Add(int64(time.Minute))
+			Expect(f.send(http.MethodGet, webHost, "/").status).To(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(edge.refusals).To(Equal(1))
+	})
+
 	It("gets nothing that was on its way there when the news came", func() {
 		for look := int64(1); look <= 4; look++ {
 			f := newNode()
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -26,7 +26,7 @@
 	limiter      *limiter
 	duplicates   *duplicateRegister
 	inFlight     *inFlight
-	suspects     *suspects
+	health       *health
 	quarantine   *quarantine
 	outdated     *outdated
 	cold         *coldBounds
@@ -70,7 +70,7 @@
 		limiter:      newLimiter(options.Clock, options.Admission),
 		duplicates:   newDuplicateRegister(options.RememberedRequests, options.RememberFor),
 		inFlight:     newInFlight(),
-		suspects:     newSuspects(),
+		health:       newHealth(options),
 		quarantine:   newQuarantine(),
 		outdated:     newOutdated(),
 		cold:         newColdBounds(options.Member),
@@ -152,7 +152,12 @@
 
 // Stats returns the counters of every destination that was routed to.
 func (s *Server) Stats() []DestinationStats {
-	return s.destinations.snapshot()
+	now := s.options.Clock()
+	all := s.destinations.snapshot()
+	for at := range all {
+		s.health.describe(now, &all[at])
+	}
+	return all
 }
 
 // RecordStats returns what became of the records of this node's requests.
--- a/internal/dataplane/shared/message.go
+++ b/internal/dataplane/shared/message.go
@@ -1,7 +1,7 @@
 // Package shared holds what nodes tell each other of their traffic: the load
 // that each has on the replicas, which prompts it sent where, what replicas and
 // stores reported to it of the parts that they keep, and which replicas it found
-// to be gone. All of it may be lost,
+// to be gone, and how its requests went at replicas that fail some. All of it may be lost,
 // late or doubled without harm: it only makes the choice of replicas better.
 //
 // News travels in batches. A node hands its own to the relay of its zone, which
@@ -14,6 +14,7 @@
 import (
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
@@ -44,6 +45,7 @@
 	Dispatches []Dispatch
 	Reports    []Report
 	Denials    []Denial
+	Outcomes   []outlier.Report
 }
 
 // Dispatch tells of a request that was sent to a replica.
@@ -84,5 +86,6 @@
 
 // Empty tells whether the news says nothing.
 func (n *News) Empty() bool {
-	return len(n.Loads) == 0 && len(n.Dispatches) == 0 && len(n.Reports) == 0 && len(n.Denials) == 0
+	return len(n.Loads) == 0 && len(n.Dispatches) == 0 && len(n.Reports) == 0 &&
+		len(n.Denials) == 0 && len(n.Outcomes) == 0
 }
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -102,7 +102,10 @@
 // last call.
 func (s *Server) News() shared.News {
 	now := s.options.Clock()
-	return s.sharing.take(now, s.router.OwnLoads(now))
+	s.health.sweep(now)
+	news := s.sharing.take(now, s.router.OwnLoads(now))
+	news.Outcomes = s.health.TakeReports(now)
+	return news
 }
 
 // TakeNews takes in what another node has told.
@@ -120,6 +123,7 @@
 	for _, denial := range news.Denials {
 		s.outdated.denied(denial)
 	}
+	s.health.takeOutcomes(now, news)
 }
 
 // wrongTarget enters that a listed back end said that a request was for another
--- a/internal/dataplane/web.go
+++ b/internal/dataplane/web.go
@@ -39,15 +39,17 @@
 		return nil, noWebBackendProblem().After(b.server.options.BackendRetry)
 	}
 	now := b.server.options.Clock()
-	chosen, found := b.leastInFlight(service, func(listed routing.Replica) bool {
-		return w.hasTried(listed.Address) || b.server.suspects.avoided(now, listed.Address) ||
-			b.server.outdated.holds(now, listed) || b.tooCold(now, service, listed)
-	})
-	if !found {
+	var chosen routing.Replica
+	found := false
+	choose(b.server.health, now, w, func(exclude func(string) bool) selected {
 		chosen, found = b.leastInFlight(service, func(listed routing.Replica) bool {
-			return w.hasTried(listed.Address) || b.tooCold(now, service, listed)
+			return b.server.outdated.holds(now, listed) || b.tooCold(now, service, listed) || exclude(listed.Address)
 		})
-	}
+		if !found {
+			return foundNone
+		}
+		return foundOne
+	})
 	if !found {
 		return nil, noWebBackendProblem().After(b.server.options.BackendRetry)
 	}
@@ -65,6 +67,7 @@
 	if view == nil {
 		return nil
 	}
+	b.server.health.follow(view)
 	return view.WebServices[w.destination.WebService.Config.GetName()]
 }
 
@@ -132,6 +135,15 @@
 	t.backend.server.wrongTarget(t.chosen, refusal)
 }
 
+// hasRoom implements target. What the other nodes have sent is not known; if the
+// back ends are full, all refuse.
+func (t *webTarget) hasRoom() bool {
+	return t.backend.server.inFlight.of(t.chosen.Address) < t.chosen.Slots
+}
+
+// expectedDelay implements target.
+func (t *webTarget) expectedDelay() time.Duration { return 0 }
+
 // firstOutput implements target.
 func (t *webTarget) firstOutput() {}
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -76,6 +76,8 @@
 		destinations: []dataplane.DestinationStats{{
 			Name: "demo", FirstAttempts: 10, Retries: 1, Cut: 2,
 			Refusals: []dataplane.RefusalCount{{Kind: caller.KindRateLimited, Count: 3}},
+			Ejected:  2, Suspected: 1, Ejections: 7,
+			Outcomes: []dataplane.OutcomeCount{{Name: "errored", Count: 5}},
 		}},
 	}
 }
@@ -89,6 +91,10 @@
 			`ridgeswitch_cut_answers_total{destination="demo",kind="pool"} 2`,
 			`ridgeswitch_refusals_total{destination="demo",kind="pool",reason="rate_limited"} 3`,
 			`ridgeswitch_attempts_in_flight{destination="demo",kind="pool"} 4`,
+			`ridgeswitch_ejected_backends{destination="demo",kind="pool"} 2`,
+			`ridgeswitch_suspected_backends{destination="demo",kind="pool"} 1`,
+			`ridgeswitch_ejections_total{destination="demo",kind="pool"} 7`,
+			`ridgeswitch_backend_outcomes_total{destination="demo",kind="pool",outcome="errored"} 5`,
 			`ridgeswitch_attempts_in_flight{destination="demo",kind="web_service"} 1`,
 			`ridgeswitch_node_serve_remaining_seconds 0.75`,
 			`ridgeswitch_node_fences_total 2`,
--- a/internal/metrics/traffic.go
+++ b/internal/metrics/traffic.go
@@ -19,10 +19,13 @@
 	retryRatio                            metric
 	answered, cut, abandoned, refused     metric
 	inFlight                              metric
+	ejected, suspected                    metric
+	ejections, outcomes                   metric
 }
 
 func newTrafficCollector(traffic Traffic) *trafficCollector {
 	refusalLabels := append(append([]string{}, destinationLabels...), "reason")
+	outcomeLabels := append(append([]string{}, destinationLabels...), "outcome")
 	return &trafficCollector{
 		traffic:       traffic,
 		names:         newDestinationNames(MaxDestinations),
@@ -34,6 +37,10 @@
 		cut:           counter("", "cut_answers_total", "Answers that were cut after a part had been handed on.", destinationLabels...),
 		abandoned:     counter("", "abandoned_total", "Requests whose caller left.", destinationLabels...),
 		refused:       counter("", "refusals_total", "Requests that the node refused or could not complete, by the kind of the error.", refusalLabels...),
+		ejected:       gauge("", "ejected_backends", "Back ends that this node leaves out because they failed far more requests than others.", destinationLabels...),
+		suspected:     gauge("", "suspected_backends", "Back ends that this node leaves out because they could not be reached lately.", destinationLabels...),
+		ejections:     counter("", "ejections_total", "Times that this node began to leave a back end out for its failures.", destinationLabels...),
+		outcomes:      counter("", "backend_outcomes_total", "Attempts by what they told of the health of their back end.", outcomeLabels...),
 		inFlight:      gauge("", "attempts_in_flight", "Attempts that run on the back ends of the destination through this node.", destinationLabels...),
 	}
 }
@@ -43,6 +50,7 @@
 	all := []metric{
 		c.firstAttempts, c.retries, c.retriesDenied, c.retryRatio,
 		c.answered, c.cut, c.abandoned, c.refused, c.inFlight,
+		c.ejected, c.suspected, c.ejections, c.outcomes,
 	}
 	for _, described := range all {
 		into <- described.description
@@ -67,6 +75,7 @@
 type destinationSum struct {
 	stats    dataplane.DestinationStats
 	refusals map[caller.Kind]uint64
+	outcomes map[string]uint64
 }
 
 func (c *trafficCollector) sums() map[destination]*destinationSum {
@@ -75,7 +84,7 @@
 		name := c.names.of(stats.Name, stats.WebService)
 		sum, found := sums[name]
 		if !found {
-			sum = &destinationSum{refusals: make(map[caller.Kind]uint64)}
+			sum = &destinationSum{refusals: make(map[caller.Kind]uint64), outcomes: make(map[string]uint64)}
 			sums[name] = sum
 		}
 		sum.add(stats)
@@ -90,9 +99,15 @@
 	s.stats.Answered += stats.Answered
 	s.stats.Cut += stats.Cut
 	s.stats.Abandoned += stats.Abandoned
+	s.stats.Ejected += stats.Ejected
+	s.stats.Suspected += stats.Suspected
+	s.stats.Ejections += stats.Ejections
 	for _, refusal := range stats.Refusals {
 		s.refusals[refusal.Kind] += refusal.Count
 	}
+	for _, outcome := range stats.Outcomes {
+		s.outcomes[outcome.Name] += outcome.Count
+	}
 }
 
 func (c *trafficCollector) collectDestination(into chan<- prometheus.Metric, name destination, sum *destinationSum) {
@@ -107,6 +122,12 @@
 		ratio := float64(stats.Retries) / float64(stats.FirstAttempts)
 		c.retryRatio.send(into, ratio, name.kind, name.name)
 	}
+	c.ejected.send(into, float64(stats.Ejected), name.kind, name.name)
+	c.suspected.send(into, float64(stats.Suspected), name.kind, name.name)
+	c.ejections.send(into, float64(stats.Ejections), name.kind, name.name)
+	for outcome, count := range sum.outcomes {
+		c.outcomes.send(into, float64(count), name.kind, name.name, outcome)
+	}
 	for reason, count := range sum.refusals {
 		c.refused.send(into, float64(count), name.kind, name.name, string(reason))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
 )
 
@@ -86,6 +87,7 @@
 		RetryBudget:  n.retryBudget(source),
 		MaxUnsent:    maxUnsent,
 		BackendRetry: n.settings.BackendRetry(),
+		Outlier:      n.outlier(),
 	})
 	if err != nil {
 		return err
@@ -126,6 +128,19 @@
 	}
 }
 
+// ejectionGrowth is how many times longer than at first a back end that goes on
+// failing is left out.
+const ejectionGrowth = 8
+
+// outlier is how this node leaves out back ends that fail.
+func (n *Node) outlier() outlier.Options {
+	return outlier.Options{
+		Ejection:     n.settings.Ejection(),
+		MostEjection: ejectionGrowth * n.settings.Ejection(),
+		MostShare:    float64(n.settings.EjectedPercent) / percent,
+	}
+}
+
 // served is what serves callers, or nil on a node that serves none.
 func (n *Node) served() *dataplane.Server {
 	if n.settings.ControlOnly {
--- a/internal/wire/fb/TrafficNews.go
+++ b/internal/wire/fb/TrafficNews.go
@@ -12,6 +12,7 @@
 	Dispatches []*TrafficDispatchT `json:"dispatches"`
 	Reports    []*TrafficReportT   `json:"reports"`
 	Denials    []*TrafficDenialT   `json:"denials"`
+	Outcomes   []*TrafficOutcomesT `json:"outcomes"`
 }
 
 func (t *TrafficNewsT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -70,12 +71,26 @@
 		}
 		denialsOffset = builder.EndVector(denialsLength)
 	}
+	outcomesOffset := flatbuffers.UOffsetT(0)
+	if t.Outcomes != nil {
+		outcomesLength := len(t.Outcomes)
+		outcomesOffsets := make([]flatbuffers.UOffsetT, outcomesLength)
+		for j := 0; j < outcomesLength; j++ {
+			outcomesOffsets[j] = t.Outcomes[j].Pack(builder)
+		}
+		TrafficNewsStartOutcomesVector(builder, outcomesLength)
+		for j := outcomesLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(outcomesOffsets[j])
+		}
+		outcomesOffset = builder.EndVector(outcomesLength)
+	}
 	TrafficNewsStart(builder)
 	TrafficNewsAddNode(builder, t.Node)
 	TrafficNewsAddLoads(builder, loadsOffset)
 	TrafficNewsAddDispatches(builder, dispatchesOffset)
 	TrafficNewsAddReports(builder, reportsOffset)
 	TrafficNewsAddDenials(builder, denialsOffset)
+	TrafficNewsAddOutcomes(builder, outcomesOffset)
 	return TrafficNewsEnd(builder)
 }
 
@@ -109,6 +124,13 @@
 		rcv.Denials(&x, j)
 		t.Denials[j] = x.UnPack()
 	}
+	outcomesLength := rcv.OutcomesLength()
+	t.Outcomes = make([]*TrafficOutcomesT, outcomesLength)
+	for j := 0; j < outcomesLength; j++ {
+		x := TrafficOutcomes{}
+		rcv.Outcomes(&x, j)
+		t.Outcomes[j] = x.UnPack()
+	}
 }
 
 func (rcv *TrafficNews) UnPack() *TrafficNewsT {
@@ -239,8 +261,28 @@
 	return 0
 }
 
+func (rcv *TrafficNews) Outcomes(obj *TrafficOutcomes, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *TrafficNews) OutcomesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func TrafficNewsStart(builder *flatbuffers.Builder) {
-	builder.StartObject(5)
+	builder.StartObject(6)
 }
 func TrafficNewsAddNode(builder *flatbuffers.Builder, node uint32) {
 	builder.PrependUint32Slot(0, node, 0)
@@ -269,6 +311,12 @@
 func TrafficNewsStartDenialsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func TrafficNewsAddOutcomes(builder *flatbuffers.Builder, outcomes flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(outcomes), 0)
+}
+func TrafficNewsStartOutcomesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func TrafficNewsEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -5,6 +5,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
@@ -66,6 +67,13 @@
 			Instance: table.index(denial.Instance),
 		})
 	}
+	for _, report := range news.Outcomes {
+		packed.Outcomes = append(packed.Outcomes, &fb.TrafficOutcomesT{
+			Address:  table.index(report.Address),
+			Failures: float32(report.Failures),
+			Total:    float32(report.Total),
+		})
+	}
 	return packed
 }
 
@@ -145,6 +153,7 @@
 			Dispatches: r.trafficDispatches(&stored, named),
 			Reports:    r.trafficReports(&stored, named),
 			Denials:    r.trafficDenials(&stored, named),
+			Outcomes:   r.trafficOutcomes(&stored, named),
 		}
 	}
 	return batch
@@ -232,3 +241,17 @@
 	}
 	return denials
 }
+
+func (r *reader) trafficOutcomes(table *fb.TrafficNews, named texts) []outlier.Report {
+	outcomes := make([]outlier.Report, r.elements(table.OutcomesLength(), leastTableBytes))
+	var stored fb.TrafficOutcomes
+	for i := range outcomes {
+		table.Outcomes(&stored, i)
+		outcomes[i] = outlier.Report{
+			Address:  named.at(stored.Address()),
+			Failures: float64(stored.Failures()),
+			Total:    float64(stored.Total()),
+		}
+	}
+	return outcomes
+}
--- a/pkg/config/static/check.go
+++ b/pkg/config/static/check.go
@@ -160,6 +160,8 @@
 	c.duration("retry_window_ms", s.RetryWindowMS, time.Second, MaxRetryWindow)
 	c.between("retry_slack", s.RetrySlack, 0, MaxRetrySlack)
 	c.duration("backend_retry_ms", s.BackendRetryMS, time.Millisecond, MaxBackendRetry)
+	c.duration("ejection_ms", s.EjectionMS, MinEjection, MaxEjection)
+	c.between("ejected_percent", s.EjectedPercent, 1, MaxEjectedPercent)
 	c.duration("command_gap_ms", s.CommandGapMS, 0, MaxCommandGap)
 	c.duration("weights_deadline_ms", s.WeightsDeadlineMS, 0, MaxWeightsDeadline)
 }
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -37,6 +37,12 @@
 	// DefaultBackendRetry is when callers may come back after a failure of a
 	// back end.
 	DefaultBackendRetry = time.Second
+	// DefaultEjection is how long a back end that fails many requests is left out
+	// at first.
+	DefaultEjection = time.Second
+	// DefaultEjectedPercent is the largest share of a destination's back ends that
+	// is left out so, in hundredths.
+	DefaultEjectedPercent = 50
 	// DefaultLogRing is the number of log entries kept in memory.
 	DefaultLogRing = 4096
 	// DefaultDeployment is the name of a deployment that needs none.
@@ -88,6 +94,12 @@
 	MaxRetrySlack = 1 << 20
 	// MaxBackendRetry bounds when callers may come back.
 	MaxBackendRetry = time.Minute
+	// MinEjection leaves time for the requests that were on their way.
+	MinEjection = 100 * time.Millisecond
+	// MaxEjection bounds how long a back end is left out at first.
+	MaxEjection = time.Minute
+	// MaxEjectedPercent bounds the share of back ends that is left out.
+	MaxEjectedPercent = 100
 	// MaxLogRing bounds the log entries kept in memory.
 	MaxLogRing = 1 << 20
 	// maxNameBytes bounds node and zone names.
@@ -182,6 +194,13 @@
 	// BackendRetryMS is when a caller may come back after a failure of a back
 	// end, in milliseconds.
 	BackendRetryMS int `yaml:"backend_retry_ms" usage:"when callers may come back after a failure of a back end"`
+	// EjectionMS is how long a back end that fails far more requests than others is
+	// left out before it is tried again, in milliseconds. It is left out for up to
+	// eight times as long when it goes on failing.
+	EjectionMS int `yaml:"ejection_ms" usage:"how long a back end that fails many requests is left out at first"`
+	// EjectedPercent is the largest share of a destination's back ends that is left
+	// out so, in hundredths. Where it is less than one back end, none is.
+	EjectedPercent int `yaml:"ejected_percent" usage:"largest share of back ends that is left out, in hundredths"`
 	// DrainTimeoutMS bounds the time to finish requests after SIGTERM, in
 	// milliseconds.
 	DrainTimeoutMS int `yaml:"drain_timeout_ms" usage:"time to finish requests after SIGTERM"`
@@ -278,6 +297,11 @@
 	return time.Duration(s.BackendRetryMS) * time.Millisecond
 }
 
+// Ejection is how long a back end that fails many requests is left out at first.
+func (s *Settings) Ejection() time.Duration {
+	return time.Duration(s.EjectionMS) * time.Millisecond
+}
+
 // fillDefaults replaces zero numbers and an empty log level.
 func (s *Settings) fillDefaults() {
 	setDefault(&s.PlatformPollEveryMS, int(DefaultPlatformPollEvery.Milliseconds()))
@@ -293,6 +317,8 @@
 	setDefault(&s.RetryPercent, DefaultRetryPercent)
 	setDefault(&s.RetryWindowMS, int(DefaultRetryWindow.Milliseconds()))
 	setDefault(&s.BackendRetryMS, int(DefaultBackendRetry.Milliseconds()))
+	setDefault(&s.EjectionMS, int(DefaultEjection.Milliseconds()))
+	setDefault(&s.EjectedPercent, DefaultEjectedPercent)
 	setDefault(&s.DrainTimeoutMS, int(DefaultDrainTimeout.Milliseconds()))
 	setDefault(&s.LogRing, DefaultLogRing)
 	setDefault(&s.LogLevel, DefaultLogLevel)
--- a/pkg/config/static/suite_test.go
+++ b/pkg/config/static/suite_test.go
@@ -101,6 +101,9 @@
 		Entry("waits out of range", func(s *static.Settings) {
 			s.ContactMS, s.AcknowledgeMS, s.TickEveryMS = 1999, 60_001, 51
 		}, "out_of_range contact_ms", "out_of_range acknowledge_ms", "out_of_range tick_every_ms"),
+		Entry("ejection out of range", func(s *static.Settings) {
+			s.EjectionMS, s.EjectedPercent = 99, 101
+		}, "out_of_range ejection_ms", "out_of_range ejected_percent"),
 		Entry("group member twice", func(s *static.Settings) { s.Group[2] = "core-2" }, "duplicate group[2]"),
 		Entry("group too large", func(s *static.Settings) {
 			s.Group = append(strings.Split("abcdefghijklmno", ""), "core-1")
--- /dev/null
+++ b/pkg/kvrouter/active.go
@@ -0,0 +1,20 @@
+package kvrouter
+
+import "time"
+
+// ActiveRequests returns how many requests the router assumes that a replica
+// works on: its own, and those that other routers told or the replica reported,
+// whichever is more.
+func (r *Router) ActiveRequests(now time.Duration, address string) float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, present := r.replicas[address]
+	if !present {
+		return 0
+	}
+	others := known.shared.sum.Requests
+	if known.load.reported {
+		others = max(others, known.load.others.times(fade(now-known.load.reportedAt, &r.options)).requests)
+	}
+	return known.load.own.present.requests + others
+}
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -1,64 +1,39 @@
-// Package outlier notices replicas that fail more than others while they claim
-// to be well, takes them out of the choice for a while, and lets single requests
-// probe whether they have recovered.
-//
-// It is pure: time is passed in, and there is no goroutine.
 package outlier
 
 import (
-	"math"
 	"sync"
 	"time"
 )
 
-// Outcome is how an attempt on a replica ended.
-type Outcome int
+// Verdict is whether a request should go to a replica.
+type Verdict int
 
-// The outcomes of attempts.
+// The verdicts, from the best to the worst.
 const (
-	// Succeeded means a whole answer in time.
-	Succeeded Outcome = iota
-	// Errored means an answer that tells of a fault of the replica.
-	Errored
-	// Refused means that the replica did not run the request.
-	Refused
-	// TimedOut means that nothing came until the deadline.
-	TimedOut
-	// Reset means that the connection broke.
-	Reset
-	// SlowFirstToken means an answer whose first token came far too late.
-	SlowFirstToken
+	// Fit means that nothing speaks against it.
+	Fit Verdict = iota
+	// Ejected means that the replica fails a share of its requests: it is better
+	// than none.
+	Ejected
+	// Suspected means that the replica could not be reached lately.
+	Suspected
 )
 
-// Defaults of Options.
-const (
-	DefaultHalfLife     = 5 * time.Second
-	DefaultLeastWeight  = 3.0
-	DefaultEjectAt      = 0.5
-	DefaultReadmitAt    = 0.25
-	DefaultEjection     = time.Second
-	DefaultMostEjection = 16 * time.Second
-	DefaultMostShare    = 1.0 / 3
-)
-
-// maxReplicas bounds the replicas that are remembered.
-const maxReplicas = 4096
+// Member is a replica of a pool.
+type Member struct {
+	Address string
+	// Instance names the incarnation; another one begins without a past.
+	Instance string
+}
 
-// Options configure a Detector. Zero values mean the defaults.
-type Options struct {
-	// HalfLife is how long it takes an outcome to lose half of its weight.
-	HalfLife time.Duration
-	// LeastWeight is the weight of outcomes that it takes to eject a replica.
-	LeastWeight float64
-	// EjectAt is the share of failures from which on a replica is ejected.
-	EjectAt float64
-	// ReadmitAt is the share of failures that a probed replica must fall below.
-	ReadmitAt float64
-	// Ejection is how long the first ejection lasts until a probe; each further
-	// one in a row is twice as long, up to MostEjection.
-	Ejection, MostEjection time.Duration
-	// MostShare is the largest share of a pool that is ejected.
-	MostShare float64
+// PoolStats tells of the replicas of a pool.
+type PoolStats struct {
+	// Ejected and Suspected count the replicas that are out now.
+	Ejected, Suspected int
+	// Ejections counts how often one was ejected.
+	Ejections uint64
+	// Outcomes counts this node's attempts by their outcome.
+	Outcomes map[Outcome]uint64
 }
 
 // Detector keeps the statistics of the replicas of all pools. It is safe for
@@ -68,195 +43,313 @@
 
 	mutex    sync.Mutex
 	replicas map[string]*replica
+	pools    map[string]*pool
+}
+
+// pool is the replicas that are compared with each other.
+type pool struct {
+	members   []*replica
+	ejections uint64
+	outcomes  [outcomes]uint64
 }
 
 // replica is the statistic of one replica.
 type replica struct {
-	pool            string
-	failures, total float64
-	updatedAt       time.Duration
-	ejected         bool
-	ejectedUntil    time.Duration
-	length          time.Duration
-	probing         bool
-	probeUntil      time.Duration
+	member Member
+	// pools are those that the replica belongs to, mostly one.
+	pools []*pool
+	// own counts what this node has seen, near what its zone has, and all what
+	// every zone has. lately is near since the replica began to be watched.
+	own, near, all, lately tally
+	// untold counts this node's outcomes that the others do not know.
+	untold tally
+	toldAt time.Duration
+	// watchedUntil is how long after a failure the others are told of good outcomes
+	// too.
+	watchedUntil time.Duration
+	// failedAt is when this node itself saw a failure last.
+	failedAt  time.Duration
+	failed    bool
+	tellers   tellers
+	suspicion suspicion
+	ejection  ejection
 }
 
-// New returns a Detector that has seen nothing.
+// New returns a Detector that knows no replica.
 func New(options Options) *Detector {
-	setDefault(&options.HalfLife, DefaultHalfLife)
-	setDefault(&options.LeastWeight, DefaultLeastWeight)
-	setDefault(&options.EjectAt, DefaultEjectAt)
-	setDefault(&options.ReadmitAt, DefaultReadmitAt)
-	setDefault(&options.Ejection, DefaultEjection)
-	setDefault(&options.MostEjection, DefaultMostEjection)
-	setDefault(&options.MostShare, DefaultMostShare)
-	return &Detector{options: options, replicas: make(map[string]*replica)}
+	return &Detector{options: options.withDefaults(), replicas: map[string]*replica{}, pools: map[string]*pool{}}
 }
 
-func setDefault[T comparable](option *T, value T) {
-	var zero T
-	if *option == zero {
-		*option = value
+// SetPools makes the replicas of all pools known. What is known of those that
+// stay in the same incarnation is kept.
+func (d *Detector) SetPools(pools map[string][]Member) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	before, known := d.replicas, d.pools
+	d.replicas, d.pools = make(map[string]*replica, len(before)), make(map[string]*pool, len(pools))
+	for name, members := range pools {
+		made := &pool{}
+		if old := known[name]; old != nil {
+			made.ejections, made.outcomes = old.ejections, old.outcomes
+		}
+		d.pools[name] = made
+		for _, member := range members {
+			d.join(made, member, before)
+		}
 	}
 }
 
-// weight is how much an outcome counts as a failure, and how much it counts at
-// all. A refusal says that the replica is full, which is no fault.
-func (o Outcome) weight() (failure, total float64) {
-	switch o {
-	case Errored, Reset:
-		return 1, 1
-	case TimedOut:
-		return 1.5, 1.5
-	case SlowFirstToken:
-		return 0.5, 1
-	case Refused:
-		return 0, 0
+// join enters a replica into a pool. The lock is held.
+func (d *Detector) join(into *pool, member Member, before map[string]*replica) {
+	joined := d.replicas[member.Address]
+	if joined == nil {
+		joined = before[member.Address]
+		if joined == nil || joined.member != member {
+			joined = &replica{member: member}
+		}
+		joined.pools = nil
+		d.replicas[member.Address] = joined
 	}
-	return 0, 1
+	joined.pools = append(joined.pools, into)
+	into.members = append(into.members, joined)
 }
 
-// Observe takes in how an attempt on a replica of a pool ended.
-func (d *Detector) Observe(now time.Duration, pool, address string, outcome Outcome) {
+// Observe takes in how an attempt of this node on a replica went.
+func (d *Detector) Observe(now time.Duration, address string, outcome Outcome) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	known := d.replica(pool, address)
+	known := d.replicas[address]
 	if known == nil {
 		return
 	}
-	known.fade(now, d.options.HalfLife)
+	for _, of := range known.pools {
+		of.outcomes[outcome]++
+	}
+	if outcome.breaks() {
+		known.suspicion.begin(now, &d.options)
+	} else if outcome != Overdue {
+		known.suspicion.silent = 0
+	}
+	if outcome == Succeeded || outcome == Slow {
+		known.suspicion.clear()
+	}
 	failure, total := outcome.weight()
-	known.failures += failure
-	known.total += total
-	if known.ejected {
-		d.probed(now, known, outcome)
-		return
+	if failure > 0 {
+		known.watch(now, &d.options)
+		known.failed, known.failedAt = true, now
+	}
+	known.untold.add(now, d.options.HalfLife, failure, total)
+	known.own.add(now, d.options.HalfLife, failure, total)
+	d.count(now, known, true, failure, total)
+}
+
+// count enters outcomes of a replica, seen in this zone if they are near, and
+// judges the replica.
+func (d *Detector) count(now time.Duration, known *replica, near bool, failures, total float64) {
+	if failures > 0 {
+		known.watch(now, &d.options)
+	}
+	known.all.add(now, d.options.HalfLife, failures, total)
+	if near {
+		known.near.add(now, d.options.HalfLife, failures, total)
+		known.lately.add(now, d.options.HalfLife, failures, total)
+	}
+	switch {
+	case known.ejection.ejected:
+		if near && known.ejection.probed(now, known.member.Address, failures > 0, &d.options) {
+			d.readmit(now, known)
+		}
+	case failures > 0 && d.fails(now, known) && d.spare(known):
+		known.ejection.begin(now, known.member.Address, &d.options)
+		for _, of := range known.pools {
+			of.ejections++
+		}
+		d.options.Changed(known.member.Address, true)
+	}
+}
+
+// watch begins to tell the others all outcomes at a replica, or goes on. What was
+// before is not told: it would outweigh the failures.
+func (r *replica) watch(now time.Duration, options *Options) {
+	if now >= r.watchedUntil {
+		r.untold, r.lately = tally{updatedAt: now}, tally{updatedAt: now}
+		r.toldAt = now - tellEvery
+	}
+	r.watchedUntil = now + 2*options.HalfLife
+}
+
+// readmit gives a replica a clean past, and lets the others know of it.
+func (d *Detector) readmit(now time.Duration, known *replica) {
+	clean := tally{updatedAt: now}
+	known.own, known.near, known.all = clean, clean, clean
+	known.watchedUntil = now + 2*d.options.HalfLife
+	known.toldAt = now - tellEvery
+	d.options.Changed(known.member.Address, false)
+}
+
+// wellNear is the weight of outcomes in the own zone since a replica began to fail
+// somewhere, and wellShare the share of failures among them, by which it counts as
+// well for this zone whatever others say.
+const (
+	wellNear  = 1.8
+	wellShare = 0.1
+)
+
+// fails tells whether a replica fails far more than others, by what the own zone
+// has seen or by what all have.
+func (d *Detector) fails(now time.Duration, known *replica) bool {
+	if !known.vouched(now, &d.options) {
+		return false
+	}
+	known.near.fade(now, d.options.HalfLife)
+	known.all.fade(now, d.options.HalfLife)
+	if d.stands(now, known, known.near) {
+		return true
+	}
+	known.lately.fade(now, d.options.HalfLife)
+	well := known.lately.total >= wellNear && known.lately.share() < wellShare
+	return !well && d.stands(now, known, known.all)
+}
+
+// stands tells whether a replica stands out among its pools by the failures that
+// were seen.
+func (d *Detector) stands(now time.Duration, known *replica, seen tally) bool {
+	if seen.failures < d.options.LeastFailures || seen.share() < d.options.EjectAt {
+		return false
 	}
-	full := known.total >= d.options.LeastWeight
-	if full && known.failures >= d.options.EjectAt*known.total && failure > 0 {
-		d.eject(now, known)
+	for _, of := range known.pools {
+		if seen.share() < d.options.Contrast*of.usualShare(now, known, d.options.HalfLife) {
+			return false
+		}
+	}
+	return true
+}
+
+// usualShare is the share of failures of the replicas beside one that are in the
+// choice. It counts what this node has seen itself: others tell of replicas that
+// fail alone.
+func (p *pool) usualShare(now time.Duration, beside *replica, halfLife time.Duration) float64 {
+	sum := tally{}
+	for _, member := range p.members {
+		if member != beside && !member.ejection.ejected {
+			member.own.fade(now, halfLife)
+			sum = sum.plus(member.own)
+		}
 	}
+	return sum.share()
 }
 
-// Avoid tells whether a request should go to another replica of the pool. It
-// returns false for an ejected replica once its ejection has lasted, for a
-// single request; ProbeSent must be called when it is sent there.
-func (d *Detector) Avoid(now time.Duration, address string) bool {
+// spare tells whether the pools of a replica can spare it.
+func (d *Detector) spare(known *replica) bool {
+	for _, of := range known.pools {
+		if float64(of.ejected()+1) > d.options.MostShare*float64(len(of.members)) {
+			return false
+		}
+	}
+	return true
+}
+
+// ejected counts the replicas that are out.
+func (p *pool) ejected() (out int) {
+	for _, member := range p.members {
+		if member.ejection.ejected {
+			out++
+		}
+	}
+	return out
+}
+
+// Verdict tells whether a request should go to a replica. With probe, an ejected
+// one is fit for a single request when its probe is due; ProbeSent must be called
+// when that is sent.
+func (d *Detector) Verdict(now time.Duration, address string, probe bool) Verdict {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	known := d.replicas[address]
-	if known == nil || !known.ejected || now < known.ejectedUntil {
-		return known != nil && known.ejected
+	switch {
+	case known == nil:
+		return Fit
+	case known.suspicion.holds(now):
+		return Suspected
+	case known.ejection.ejected && !(probe && known.ejection.admitsProbe(now)):
+		return Ejected
 	}
-	return known.probing && now < known.probeUntil
+	return Fit
 }
 
 // ProbeSent says that a request has been sent to a replica. It matters only when
 // the replica is ejected: no other request goes there until this one has ended,
-// or for as long as one more ejection.
+// or for as long as the ejection.
 func (d *Detector) ProbeSent(now time.Duration, address string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if known := d.replicas[address]; known != nil && known.ejected {
-		known.probing = true
-		known.probeUntil = now + known.length
+	if known := d.replicas[address]; known != nil && known.ejection.ejected {
+		known.ejection.probing = true
+		known.ejection.probeUntil = now + known.ejection.length
 	}
 }
 
-// Forget drops the statistic of a replica that is gone or has restarted.
-func (d *Detector) Forget(address string) {
+// Silent says that a deadline has passed at a replica without any answer. Some
+// in a row make it suspect.
+func (d *Detector) Silent(now time.Duration, address string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	delete(d.replicas, address)
+	if known := d.replicas[address]; known != nil {
+		known.suspicion.silent++
+		if known.suspicion.silent >= silences {
+			known.suspicion.begin(now, &d.options)
+		}
+	}
 }
 
-// Ejected counts the ejected replicas of a pool.
-func (d *Detector) Ejected(pool string) int {
+// Heard says that a replica has answered something, well or not.
+func (d *Detector) Heard(address string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	ejected, _ := d.count(pool)
-	return ejected
+	if known := d.replicas[address]; known != nil {
+		known.suspicion.silent = 0
+	}
 }
 
-// SetPool makes the replicas of a pool known, so that the share that is ejected
-// is taken of all of them.
-func (d *Detector) SetPool(pool string, addresses []string) {
+// Suspect makes a replica suspect without counting a failure.
+func (d *Detector) Suspect(now time.Duration, address string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	listed := make(map[string]bool, len(addresses))
-	for _, address := range addresses {
-		listed[address] = true
-		d.replica(pool, address)
-	}
-	for address, known := range d.replicas {
-		if known.pool == pool && !listed[address] {
-			delete(d.replicas, address)
-		}
-	}
-}
-
-func (d *Detector) replica(pool, address string) *replica {
-	if known := d.replicas[address]; known != nil && known.pool == pool {
-		return known
-	}
-	if len(d.replicas) >= maxReplicas {
-		return nil
-	}
-	created := &replica{pool: pool}
-	d.replicas[address] = created
-	return created
-}
-
-func (d *Detector) count(pool string) (ejected, all int) {
-	for _, known := range d.replicas {
-		if known.pool != pool {
-			continue
-		}
-		all++
-		if known.ejected {
-			ejected++
-		}
+	if known := d.replicas[address]; known != nil {
+		known.suspicion.begin(now, &d.options)
 	}
-	return ejected, all
 }
 
-// eject takes a replica out, unless too many of its pool are out.
-func (d *Detector) eject(now time.Duration, known *replica) {
-	ejected, all := d.count(known.pool)
-	if float64(ejected+1) > d.options.MostShare*float64(all) {
-		return
+// Alive says that a replica has spoken by itself: it is not suspected, and if it
+// is ejected, its probe is due.
+func (d *Detector) Alive(now time.Duration, address string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if known := d.replicas[address]; known != nil {
+		known.suspicion.clear()
+		known.ejection.until = min(known.ejection.until, now)
 	}
-	known.ejected = true
-	known.probing = false
-	known.length = d.options.Ejection
-	known.ejectedUntil = now + known.length
 }
 
-// probed takes in the outcome of a request to an ejected replica. A good one
-// clears most of the past; the replica is back when few failures are left.
-func (d *Detector) probed(now time.Duration, known *replica, outcome Outcome) {
-	if now < known.ejectedUntil {
-		return // it was sent before the ejection
-	}
-	known.probing = false
-	if failure, total := outcome.weight(); failure > 0 || total == 0 {
-		known.length = min(2*known.length, d.options.MostEjection)
-		known.ejectedUntil = now + known.length
-		return
+// Stats tells of the replicas of a pool.
+func (d *Detector) Stats(now time.Duration, name string) PoolStats {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	stats := PoolStats{Outcomes: map[Outcome]uint64{}}
+	of := d.pools[name]
+	if of == nil {
+		return stats
 	}
-	known.failures /= 4
-	if known.failures < d.options.ReadmitAt*known.total || known.total < 1 {
-		known.ejected = false
+	stats.Ejected, stats.Ejections = of.ejected(), of.ejections
+	for _, member := range of.members {
+		if member.suspicion.holds(now) {
+			stats.Suspected++
+		}
 	}
-}
-
-// fade takes weight off old outcomes.
-func (r *replica) fade(now, halfLife time.Duration) {
-	if elapsed := now - r.updatedAt; elapsed > 0 {
-		factor := math.Exp2(-float64(elapsed) / float64(halfLife))
-		r.failures *= factor
-		r.total *= factor
-		r.updatedAt = now
+	for outcome, count := range of.outcomes {
+		if count > 0 {
+			stats.Outcomes[Outcome(outcome)] = count
+		}
 	}
+	return stats
 }
--- a/pkg/outlier/outlier_test.go
+++ b/pkg/outlier/outlier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -18,108 +19,454 @@
 
 const pool = "pool"
 
-func addresses(count int) []string {
-	var names []string
+func members(count int) []outlier.Member {
+	var all []outlier.Member
 	for number := range count {
-		names = append(names, fmt.Sprint("replica-", number))
+		all = append(all, outlier.Member{Address: fmt.Sprint("replica-", number), Instance: "i-1"})
 	}
-	return names
+	return all
 }
 
-func detector(replicas int) *outlier.Detector {
-	d := outlier.New(outlier.Options{})
-	d.SetPool(pool, addresses(replicas))
+func detectorOf(options outlier.Options, replicas int) *outlier.Detector {
+	d := outlier.New(options)
+	d.SetPools(map[string][]outlier.Member{pool: members(replicas)})
 	return d
 }
 
+func detector(replicas int) *outlier.Detector {
+	return detectorOf(outlier.Options{}, replicas)
+}
+
 func repeat(d *outlier.Detector, now time.Duration, address string, outcome outlier.Outcome, times int) {
 	for range times {
-		d.Observe(now, pool, address, outcome)
+		d.Observe(now, address, outcome)
+	}
+}
+
+// ejected counts the ejected replicas of the pool.
+func ejected(d *outlier.Detector, now time.Duration) int {
+	return d.Stats(now, pool).Ejected
+}
+
+// probeDue returns when the probe of an ejected replica is due, from a time on.
+func probeDue(d *outlier.Detector, from time.Duration, address string) time.Duration {
+	const step = 10 * time.Millisecond
+	for now := from; now < from+time.Minute; now += step {
+		if d.Verdict(now, address, true) == outlier.Fit {
+			return now
+		}
 	}
+	Fail("no probe is ever due")
+	return 0
 }
 
 var _ = Describe("Detector", func() {
-	It("ejects a replica that fails, and not one that fails now and then", func() {
+	DescribeTable("ejects a replica that fails a share of its requests", func(outcome outlier.Outcome, times int) {
+		d := detector(6)
+		repeat(d, 0, "replica-0", outlier.Succeeded, times-1)
+		repeat(d, 0, "replica-0", outcome, times-1)
+		Expect(ejected(d, 0)).To(BeZero())
+		repeat(d, 0, "replica-0", outcome, 1)
+		Expect(ejected(d, 0)).To(Equal(1))
+		Expect(d.Stats(0, pool).Ejections).To(Equal(uint64(1)))
+	},
+		Entry("errors", outlier.Errored, 2),
+		Entry("resets", outlier.Reset, 2),
+		Entry("nothing for long", outlier.Overdue, 2),
+		Entry("no connection", outlier.Unreached, 2),
+		Entry("refusals without need", outlier.Refused, 2),
+	)
+
+	It("takes answers that are always slow for a fault", func() {
 		d := detector(6)
-		repeat(d, 0, "replica-0", outlier.Succeeded, 10)
-		repeat(d, 0, "replica-0", outlier.Reset, 3)
-		Expect(d.Avoid(0, "replica-0")).To(BeFalse())
-		repeat(d, 0, "replica-1", outlier.Reset, 2)
-		Expect(d.Avoid(0, "replica-1")).To(BeFalse())
-		repeat(d, 0, "replica-1", outlier.Reset, 1)
-		Expect(d.Avoid(0, "replica-1")).To(BeTrue())
-		Expect(d.Ejected(pool)).To(Equal(1))
+		repeat(d, 0, "replica-0", outlier.Slow, 3)
+		Expect(ejected(d, 0)).To(BeZero())
+		repeat(d, 0, "replica-0", outlier.Slow, 1)
+		Expect(ejected(d, 0)).To(Equal(1))
 	})
 
-	It("does not take a refusal for a fault", func() {
+	It("does not eject a replica that fails now and then", func() {
 		d := detector(6)
-		repeat(d, 0, "replica-0", outlier.Refused, 100)
-		Expect(d.Avoid(0, "replica-0")).To(BeFalse())
+		for range 50 {
+			repeat(d, 0, "replica-0", outlier.Succeeded, 4)
+			repeat(d, 0, "replica-0", outlier.Errored, 1)
+			Expect(d.Verdict(0, "replica-0", false)).To(Equal(outlier.Fit))
+		}
 	})
 
-	It("takes first tokens that are always slow for a fault", func() {
+	It("finds out soon that a busy replica has begun to fail", func() {
 		d := detector(6)
-		repeat(d, 0, "replica-0", outlier.SlowFirstToken, 3)
-		Expect(d.Avoid(0, "replica-0")).To(BeTrue())
+		repeat(d, 0, "replica-0", outlier.Succeeded, 1000)
+		repeat(d, 0, "replica-0", outlier.Errored, 3)
+		Expect(d.Verdict(0, "replica-0", false)).To(Equal(outlier.Ejected))
 	})
 
 	It("forgets what is long past", func() {
 		d := detector(6)
-		repeat(d, 0, "replica-0", outlier.Reset, 2)
-		repeat(d, 30*time.Second, "replica-0", outlier.Reset, 2)
-		Expect(d.Avoid(30*time.Second, "replica-0")).To(BeFalse())
+		repeat(d, 0, "replica-0", outlier.Errored, 1)
+		repeat(d, 30*time.Second, "replica-0", outlier.Errored, 1)
+		Expect(d.Verdict(30*time.Second, "replica-0", false)).To(Equal(outlier.Fit))
+	})
+
+	It("does not eject for what all replicas do", func() {
+		d := detector(7)
+		for range 10 {
+			for _, member := range members(7) {
+				repeat(d, 0, member.Address, outlier.Refused, 1)
+			}
+		}
+		// The first had nothing to be compared with.
+		Expect(ejected(d, 0)).To(BeNumerically("<=", 1))
 	})
 
-	It("never ejects more than a third of a pool", func() {
+	It("never ejects more than its share of a pool", func() {
 		d := detector(7)
-		for _, address := range addresses(7) {
-			repeat(d, 0, address, outlier.Reset, 10)
+		for _, member := range members(7) {
+			repeat(d, 0, member.Address, outlier.Errored, 1)
+			repeat(d, 0, member.Address, outlier.Succeeded, 1)
+		}
+		for _, member := range members(7)[:5] {
+			repeat(d, 0, member.Address, outlier.Errored, 1)
 		}
-		Expect(d.Ejected(pool)).To(Equal(2))
+		Expect(ejected(d, 0)).To(BeNumerically("<=", 3))
+		alone := detector(1)
+		repeat(alone, 0, "replica-0", outlier.Errored, 10)
+		Expect(ejected(alone, 0)).To(BeZero())
 	})
 
-	It("probes with single requests, and readmits a replica that answers", func() {
+	It("probes with single requests, and readmits a replica after some in a row went well", func() {
 		d := detector(6)
-		repeat(d, 0, "replica-0", outlier.Reset, 3)
-		Expect(d.Avoid(999*time.Millisecond, "replica-0")).To(BeTrue())
-		Expect(d.Avoid(time.Second, "replica-0")).To(BeFalse())
-		d.ProbeSent(time.Second, "replica-0")
-		Expect(d.Avoid(time.Second, "replica-0")).To(BeTrue())
-		now := time.Second
-		for probes := 0; d.Ejected(pool) > 0; probes++ {
-			Expect(probes).To(BeNumerically("<", 4))
+		repeat(d, 0, "replica-0", outlier.Errored, 2)
+		Expect(d.Verdict(outlier.DefaultEjection-1, "replica-0", true)).To(Equal(outlier.Ejected))
+		now := probeDue(d, outlier.DefaultEjection, "replica-0")
+		Expect(d.Verdict(now, "replica-0", false)).To(Equal(outlier.Ejected), "what is no probe does not go there")
+		for range outlier.DefaultProbes {
+			Expect(ejected(d, now)).To(Equal(1))
+			Expect(d.Verdict(now, "replica-0", true)).To(Equal(outlier.Fit))
+			d.ProbeSent(now, "replica-0")
+			Expect(d.Verdict(now, "replica-0", true)).To(Equal(outlier.Ejected), "one at a time")
 			now += 100 * time.Millisecond
-			d.Observe(now, pool, "replica-0", outlier.Succeeded)
-			Expect(d.Avoid(now, "replica-0")).To(BeFalse())
+			d.Observe(now, "replica-0", outlier.Succeeded)
+		}
+		Expect(ejected(d, now)).To(BeZero())
+		Expect(d.Verdict(now, "replica-0", false)).To(Equal(outlier.Fit))
+	})
+
+	It("begins the row anew after a probe that failed", func() {
+		d := detector(6)
+		repeat(d, 0, "replica-0", outlier.Errored, 2)
+		now := time.Duration(0)
+		for _, outcome := range []outlier.Outcome{outlier.Succeeded, outlier.Succeeded, outlier.Errored, outlier.Succeeded, outlier.Succeeded} {
+			now = probeDue(d, now, "replica-0")
+			d.ProbeSent(now, "replica-0")
+			d.Observe(now, "replica-0", outcome)
+			Expect(ejected(d, now)).To(Equal(1))
 		}
 	})
 
-	It("waits twice as long after each probe that fails", func() {
+	It("waits twice as long after each probe that fails, up to a bound", func() {
 		d := detector(6)
-		repeat(d, 0, "replica-0", outlier.Reset, 3)
-		now := time.Second
-		for _, wait := range []time.Duration{2, 4, 8, 16, 16} {
+		repeat(d, 0, "replica-0", outlier.Errored, 2)
+		now := probeDue(d, 0, "replica-0")
+		for _, least := range []time.Duration{2, 4, 8, 8} {
 			d.ProbeSent(now, "replica-0")
-			d.Observe(now, pool, "replica-0", outlier.TimedOut)
-			Expect(d.Avoid(now+wait*time.Second-1, "replica-0")).To(BeTrue())
-			now += wait * time.Second
-			Expect(d.Avoid(now, "replica-0")).To(BeFalse())
+			d.Observe(now, "replica-0", outlier.Errored)
+			due := probeDue(d, now, "replica-0")
+			Expect(due - now).To(And(
+				BeNumerically(">=", least*time.Second), BeNumerically("<=", least*time.Second*3/2+time.Second/10)))
+			now = due
+		}
+	})
+
+	It("keeps a replica that comes and goes out for longer each time", func() {
+		d := detector(6)
+		now, last := time.Duration(0), time.Duration(0)
+		for range 3 {
+			begun := now
+			repeat(d, now, "replica-0", outlier.Errored, 2)
+			now = probeDue(d, now, "replica-0")
+			Expect(now - begun).To(BeNumerically(">", last))
+			last = now - begun
+			for range outlier.DefaultProbes {
+				d.ProbeSent(now, "replica-0")
+				d.Observe(now, "replica-0", outlier.Succeeded)
+			}
+			Expect(ejected(d, now)).To(BeZero())
 		}
+		By("forgetting it when the replica has been well for long")
+		now += time.Minute
+		repeat(d, now, "replica-0", outlier.Errored, 2)
+		Expect(probeDue(d, now, "replica-0") - now).To(BeNumerically("<=", 2*outlier.DefaultEjection))
 	})
 
 	It("lets another probe go when the first never ends", func() {
 		d := detector(6)
-		repeat(d, 0, "replica-0", outlier.Reset, 3)
-		d.ProbeSent(time.Second, "replica-0")
-		Expect(d.Avoid(2*time.Second-1, "replica-0")).To(BeTrue())
-		Expect(d.Avoid(2*time.Second, "replica-0")).To(BeFalse())
+		repeat(d, 0, "replica-0", outlier.Errored, 2)
+		now := probeDue(d, 0, "replica-0")
+		d.ProbeSent(now, "replica-0")
+		Expect(d.Verdict(now+outlier.DefaultEjection-1, "replica-0", true)).To(Equal(outlier.Ejected))
+		Expect(d.Verdict(now+outlier.DefaultEjection, "replica-0", true)).To(Equal(outlier.Fit))
+	})
+
+	It("forgets replicas that leave, and begins anew with another incarnation", func() {
+		d := detector(6)
+		repeat(d, 0, "replica-0", outlier.Errored, 2)
+		repeat(d, 0, "replica-1", outlier.Errored, 2)
+		Expect(ejected(d, 0)).To(Equal(2))
+		staying := members(6)
+		staying[0].Instance = "i-2"
+		d.SetPools(map[string][]outlier.Member{pool: staying})
+		Expect(ejected(d, 0)).To(Equal(1))
+		Expect(d.Verdict(0, "replica-0", false)).To(Equal(outlier.Fit))
+		d.SetPools(map[string][]outlier.Member{pool: staying[2:]})
+		Expect(ejected(d, 0)).To(BeZero())
+		Expect(d.Stats(0, pool).Ejections).To(Equal(uint64(2)), "counters stay")
+	})
+
+	It("judges a replica of several pools for all of them", func() {
+		d := outlier.New(outlier.Options{})
+		d.SetPools(map[string][]outlier.Member{"one": members(4), "two": members(1)})
+		repeat(d, 0, "replica-0", outlier.Errored, 5)
+		Expect(d.Verdict(0, "replica-0", false)).To(Equal(outlier.Fit), "the second pool cannot spare it")
+		repeat(d, 0, "replica-2", outlier.Succeeded, 9)
+		repeat(d, 0, "replica-1", outlier.Errored, 5)
+		Expect(d.Verdict(0, "replica-1", false)).To(Equal(outlier.Ejected))
+	})
+
+	It("says when a replica is ejected and readmitted", func() {
+		var said []string
+		d := detectorOf(outlier.Options{Probes: 1, Changed: func(address string, out bool) {
+			said = append(said, fmt.Sprint(address, " ", out))
+		}}, 6)
+		repeat(d, 0, "replica-0", outlier.Errored, 2)
+		now := probeDue(d, 0, "replica-0")
+		d.ProbeSent(now, "replica-0")
+		d.Observe(now, "replica-0", outlier.Succeeded)
+		Expect(said).To(Equal([]string{"replica-0 true", "replica-0 false"}))
+	})
+
+	It("counts the outcomes of the node", func() {
+		d := detector(6)
+		repeat(d, 0, "replica-0", outlier.Succeeded, 3)
+		repeat(d, 0, "replica-1", outlier.Errored, 1)
+		Expect(d.Stats(0, pool).Outcomes).To(Equal(map[outlier.Outcome]uint64{outlier.Succeeded: 3, outlier.Errored: 1}))
+		Expect(d.Stats(0, "other").Outcomes).To(BeEmpty())
+		Expect([]string{outlier.Unreached.String(), outlier.Outcome(99).String()}).To(Equal([]string{"unreached", "unknown"}))
+	})
+})
+
+var _ = Describe("A suspicion", func() {
+	It("begins with one broken connection, and lasts longer with each in a row", func() {
+		d := detector(6)
+		now := time.Duration(0)
+		for _, seconds := range []time.Duration{1, 2, 4, 8, 8} {
+			d.Suspect(now, "replica-0")
+			Expect(d.Verdict(now+seconds*time.Second-1, "replica-0", true)).To(Equal(outlier.Suspected))
+			now += seconds * time.Second
+			Expect(d.Verdict(now, "replica-0", true)).To(Equal(outlier.Fit))
+		}
+		d.Observe(now, "replica-0", outlier.Succeeded)
+		d.Suspect(now, "replica-0")
+		Expect(d.Verdict(now+time.Second, "replica-0", true)).To(Equal(outlier.Fit))
+	})
+
+	DescribeTable("begins at once with", func(outcome outlier.Outcome, expected outlier.Verdict) {
+		d := detector(6)
+		d.Observe(0, "replica-0", outcome)
+		Expect(d.Verdict(0, "replica-0", true)).To(Equal(expected))
+	},
+		Entry("a reset", outlier.Reset, outlier.Suspected),
+		Entry("no connection", outlier.Unreached, outlier.Suspected),
+		Entry("but not an error", outlier.Errored, outlier.Fit),
+		Entry("but not a refusal", outlier.Refused, outlier.Fit),
+		Entry("but not an answer that is overdue", outlier.Overdue, outlier.Fit),
+	)
+
+	It("begins after three deadlines in a row, between which nothing came", func() {
+		d := detector(6)
+		silent := func(times int) {
+			for range times {
+				d.Silent(0, "replica-0")
+			}
+		}
+		silent(2)
+		d.Observe(0, "replica-0", outlier.Refused)
+		silent(2)
+		d.Heard("replica-0")
+		silent(2)
+		Expect(d.Verdict(0, "replica-0", true)).To(Equal(outlier.Fit))
+		silent(1)
+		Expect(d.Verdict(0, "replica-0", true)).To(Equal(outlier.Suspected))
 	})
 
-	It("forgets replicas that leave the pool", func() {
+	It("ends when the replica speaks, and then a probe is due", func() {
 		d := detector(6)
-		repeat(d, 0, "replica-0", outlier.Reset, 3)
-		d.SetPool(pool, addresses(6)[1:])
-		Expect(d.Ejected(pool)).To(BeZero())
-		Expect(d.Avoid(0, "replica-0")).To(BeFalse())
+		repeat(d, 0, "replica-0", outlier.Unreached, 2)
+		Expect(ejected(d, 0)).To(Equal(1))
+		Expect(d.Stats(0, pool).Suspected).To(Equal(1))
+		Expect(d.Verdict(0, "replica-0", true)).To(Equal(outlier.Suspected))
+		d.Alive(0, "replica-0")
+		Expect(d.Verdict(0, "replica-0", true)).To(Equal(outlier.Fit))
+		Expect(d.Verdict(0, "replica-0", false)).To(Equal(outlier.Ejected))
+	})
+})
+
+// fleet is the detectors of nodes in two zones that tell each other everything.
+type fleet struct {
+	near, far []*outlier.Detector
+}
+
+func newFleet(perZone, replicas int) *fleet {
+	f := &fleet{}
+	for number := range perZone {
+		f.near = append(f.near, detectorOf(outlier.Options{Node: fmt.Sprint("near-", number)}, replicas))
+		f.far = append(f.far, detectorOf(outlier.Options{Node: fmt.Sprint("far-", number)}, replicas))
+	}
+	return f
+}
+
+// share lets every node tell every other what it has to tell.
+func (f *fleet) share(now time.Duration) (told int) {
+	zones := [][]*outlier.Detector{f.near, f.far}
+	for zone, tellers := range zones {
+		for number, from := range tellers {
+			reports := from.TakeReports(now)
+			told += len(reports)
+			for otherZone, listeners := range zones {
+				for _, to := range listeners {
+					if to == from {
+						continue
+					}
+					for _, report := range reports {
+						to.Told(now, fmt.Sprint(zone, number), zone == otherZone, report)
+					}
+				}
+			}
+		}
+	}
+	return told
+}
+
+var _ = Describe("Nodes that see a trickle each", func() {
+	It("eject together what none of them could eject alone", func() {
+		f := newFleet(4, 18)
+		for _, node := range f.near[:2] {
+			node.Observe(0, "replica-0", outlier.Errored)
+		}
+		f.share(0)
+		for _, node := range f.near {
+			Expect(ejected(node, 0)).To(Equal(1))
+		}
+		By("and so do those of other zones, which have seen nothing else of it")
+		for _, node := range f.far {
+			Expect(ejected(node, 0)).To(Equal(1))
+		}
+	})
+
+	It("tell nothing while all is well", func() {
+		f := newFleet(4, 18)
+		for _, node := range f.near {
+			repeat(node, 0, "replica-0", outlier.Succeeded, 50)
+		}
+		Expect(f.share(0)).To(BeZero())
+	})
+
+	It("tell the good outcomes once there are bad ones, so that a rare fault ejects nobody", func() {
+		f := newFleet(4, 18)
+		for _, node := range f.near {
+			repeat(node, 0, "replica-0", outlier.Succeeded, 3)
+		}
+		for second := range 30 * time.Second / time.Second {
+			now := second * time.Second
+			f.near[second%4].Observe(now, "replica-0", outlier.Errored)
+			f.share(now)
+			for _, node := range f.near {
+				node.Observe(now, "replica-0", outlier.Succeeded)
+			}
+			f.share(now + time.Second/2)
+			for _, node := range f.near {
+				Expect(ejected(node, now)).To(BeZero())
+			}
+		}
+	})
+
+	It("do not believe one node alone, which may be cut off", func() {
+		f := newFleet(4, 18)
+		for _, member := range members(18) {
+			repeat(f.near[0], 0, member.Address, outlier.Unreached, 3)
+		}
+		f.share(0)
+		for _, node := range append(f.near[1:], f.far...) {
+			Expect(ejected(node, 0)).To(BeZero())
+		}
 	})
+
+	// failNear lets a replica fail the nodes of one zone in turn, while it is well
+	// for the others.
+	failNear := func(f *fleet, rounds int) {
+		for round := range rounds {
+			now := time.Duration(round) * time.Second
+			f.near[round%len(f.near)].Observe(now, "replica-0", outlier.Errored)
+			f.share(now)
+			for _, node := range f.far {
+				node.Observe(now, "replica-0", outlier.Succeeded)
+			}
+			f.share(now + time.Second/2)
+		}
+	}
+
+	It("go by their own zone when a replica fails for the callers of one zone alone", func() {
+		f := newFleet(4, 18)
+		failNear(f, 8)
+		for _, node := range f.near {
+			Expect(ejected(node, 0)).To(Equal(1))
+		}
+		for _, node := range f.far {
+			Expect(ejected(node, 0)).To(BeZero())
+		}
+	})
+
+	It("share their probes, good and bad", func() {
+		f := newFleet(2, 18)
+		for _, node := range f.near {
+			repeat(node, 0, "replica-0", outlier.Errored, 2)
+		}
+		f.share(0)
+		now := 2 * outlier.DefaultEjection
+		f.near[0].ProbeSent(now, "replica-0")
+		f.near[0].Observe(now, "replica-0", outlier.Errored)
+		f.share(now)
+		Expect(f.near[1].Verdict(now, "replica-0", true)).To(Equal(outlier.Ejected), "the other's probe is put off")
+		for range outlier.DefaultProbes {
+			now += 8 * outlier.DefaultEjection
+			f.near[0].ProbeSent(now, "replica-0")
+			f.near[0].Observe(now, "replica-0", outlier.Succeeded)
+			f.share(now)
+		}
+		Expect(ejected(f.near[1], now)).To(BeZero())
+	})
+
+	It("probe at times of their own", func() {
+		f := newFleet(8, 18)
+		due := map[time.Duration]int{}
+		for _, node := range f.near {
+			repeat(node, 0, "replica-0", outlier.Errored, 2)
+			due[probeDue(node, 0, "replica-0")]++
+		}
+		Expect(len(due)).To(BeNumerically(">", 4))
+	})
+
+	DescribeTable("do not believe what cannot be", func(report outlier.Report) {
+		d := detector(6)
+		for _, node := range []string{"a", "b", "c"} {
+			d.Told(0, node, true, report)
+		}
+		Expect(ejected(d, 0)).To(BeZero())
+	},
+		Entry("more failures than outcomes", outlier.Report{Address: "replica-0", Failures: 9, Total: 1}),
+		Entry("too many", outlier.Report{Address: "replica-0", Failures: 1e9, Total: 1e9}),
+		Entry("less than nothing", outlier.Report{Address: "replica-0", Failures: -1, Total: -1}),
+		Entry("no number", outlier.Report{Address: "replica-0", Failures: math.NaN(), Total: math.NaN()}),
+		Entry("a replica that is not listed", outlier.Report{Address: "other", Failures: 9, Total: 9}),
+	)
 })
--- /dev/null
+++ b/pkg/outlier/tally.go
@@ -0,0 +1,51 @@
+package outlier
+
+import (
+	"math"
+	"time"
+)
+
+// memory is the weight of the newest outcomes that a tally counts. A busy replica
+// that begins to fail is found out as soon as one with little traffic.
+const memory = 6
+
+// tally counts outcomes, of which old ones lose weight, by their age and by those
+// that came after them.
+type tally struct {
+	failures, total float64
+	updatedAt       time.Duration
+}
+
+// add counts failures among a total of outcomes.
+func (t *tally) add(now, halfLife time.Duration, failures, total float64) {
+	t.fade(now, halfLife)
+	t.failures += failures
+	t.total += total
+	if t.total > memory {
+		t.failures *= memory / t.total
+		t.total = memory
+	}
+}
+
+// fade takes weight off old outcomes.
+func (t *tally) fade(now, halfLife time.Duration) {
+	if elapsed := now - t.updatedAt; elapsed > 0 {
+		factor := math.Exp2(-float64(elapsed) / float64(halfLife))
+		t.failures *= factor
+		t.total *= factor
+		t.updatedAt = now
+	}
+}
+
+// plus returns the sum with another tally of the same time.
+func (t tally) plus(other tally) tally {
+	return tally{failures: t.failures + other.failures, total: t.total + other.total, updatedAt: t.updatedAt}
+}
+
+// share is the share of failures.
+func (t tally) share() float64 {
+	if t.total <= 0 {
+		return 0
+	}
+	return t.failures / t.total
+}
