Back ends get no more connections of a node than its share

Cause: a back end takes maxConnections from all callers together and resets what is beyond, after which it is not known whether a request has run. The bound was read and checked, but no one kept it.

outbound.Direct counts its connections to each back end, and refuses with a typed error, before a byte is sent, to open one beyond the limit that it is told. The data plane tells it: the least max_connections of the back end's destinations, divided by the nodes that serve callers and two more, two at least. A request that finds all in use goes to another back end, and this one is not suspected.

The node's own protocols go through net/http's transport, which has no such bound yet.

--- /dev/null
+++ b/internal/dataplane/connections_test.go
@@ -0,0 +1,69 @@
+package dataplane_test
+
+import (
+	"context"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+var _ = Describe("The connections to a back end", func() {
+	// limits starts a node among others, with a pool and a web service that share
+	// a back end, and returns its bounds.
+	limits := func(nodes int, poolMost, webMost uint32) func(address string) int {
+		f := newFixtureWith(func(options *dataplane.Options) {
+			options.Peers = func() []member.Info { return make([]member.Info, nodes) }
+		})
+		pool := &routing.Pool{
+			Config:   &ridgeswitchv1.Pool{Name: "pool", Backends: &ridgeswitchv1.BackendLimits{MaxConnections: poolMost}},
+			Replicas: []routing.Replica{{Address: "pool:1"}, {Address: "both:1"}},
+		}
+		web := &routing.WebService{
+			Config:   &ridgeswitchv1.WebService{Name: "web", Backends: &ridgeswitchv1.BackendLimits{MaxConnections: webMost}},
+			Replicas: []routing.Replica{{Address: "web:1"}, {Address: "both:1"}},
+		}
+		f.source.view.Store(&routing.View{
+			Pools:       map[string]*routing.Pool{"pool": pool},
+			WebServices: map[string]*routing.WebService{"web": web},
+		})
+		return f.server.ConnectionLimit
+	}
+
+	It("are divided among the nodes, with a reserve, by the least bound of its destinations", func() {
+		limit := limits(9, 370, 110)
+		Expect([]int{limit("pool:1"), limit("web:1"), limit("both:1")}).To(Equal([]int{33, 10, 10}))
+	})
+
+	It("are two at least, so that reports leave one for requests", func() {
+		Expect(limits(72, 40, 0)("pool:1")).To(Equal(2))
+	})
+
+	It("are not bounded where nothing bounds them", func() {
+		limit := limits(9, 370, 0)
+		Expect([]int{limit("web:1"), limit("elsewhere:1")}).To(Equal([]int{0, 0}))
+	})
+
+	It("are no fault of the back end when they are spent", func() {
+		spent := &backends{wrong: func(context.Context) (dataplane.Answer, error) {
+			return nil, outbound.NotSent(&outbound.ConnectionsSpentError{Address: "only:1", Limit: 2})
+		}, every: 2, grey: map[string]bool{"only:1": true}, sent: map[string]int{}}
+		f := newFixtureWith(func(options *dataplane.Options) { options.Edges.Replicas = spent }, "only:1", "other:1")
+		f.replicas[1].Admitting = false
+		f.publish()
+		got := f.generate()
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.problem.MayHaveRun).To(BeFalse())
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(got.problem.Kind).To(Or(Equal(caller.KindBackendsBusy), Equal(caller.KindNoBackend)))
+		Expect(f.generate().status).To(Equal(http.StatusOK))
+		Expect(f.server.Stats()[0].Suspected).To(BeZero())
+	})
+})
--- a/internal/dataplane/outcome.go
+++ b/internal/dataplane/outcome.go
@@ -28,9 +28,7 @@
 func (d *dispatcher) enterFailure(w *work, chosen target, attempt int, err error) {
 	var unsent *outbound.Error
 	if errors.As(err, &unsent) && !unsent.MayHaveLeft {
-		d.countUnlessEnded(w, outlier.Unreached)
-		w.problem = caller.NewProblem(caller.KindNoBackend,
-			"the back end could not be reached: send the request again").After(d.server.options.BackendRetry)
+		w.problem = d.unsentProblem(w, unsent)
 		w.apply(attempts.Event{Kind: attempts.NotSent, Attempt: attempt})
 		return
 	}
@@ -54,6 +52,20 @@
 	d.enterLoss(w, attempt, err)
 }
 
+// unsentProblem tells why nothing was sent, and counts it against the back end
+// unless that is this node's own bound.
+func (d *dispatcher) unsentProblem(w *work, unsent *outbound.Error) *caller.Problem {
+	wait := d.server.options.BackendRetry
+	var spent *outbound.ConnectionsSpentError
+	if errors.As(unsent, &spent) {
+		return caller.NewProblem(caller.KindBackendsBusy,
+			"the back end has as many connections as it may have: send the request again").After(wait)
+	}
+	d.countUnlessEnded(w, outlier.Unreached)
+	return caller.NewProblem(caller.KindNoBackend,
+		"the back end could not be reached: send the request again").After(wait)
+}
+
 // enterLoss enters that an attempt which was sent has no certain end.
 func (d *dispatcher) enterLoss(w *work, attempt int, err error) {
 	var failed *outbound.FailedAnswerError
--- a/internal/edge/outbound/direct.go
+++ b/internal/edge/outbound/direct.go
@@ -63,6 +63,7 @@
 	options DirectOptions
 	dialer  net.Dialer
 	idle    *idleConnections
+	open    *openConnections
 }
 
 // NewDirect returns a client without connections.
@@ -74,6 +75,7 @@
 	return &Direct{
 		options: options,
 		idle:    newIdleConnections(options.IdlePerAddress),
+		open:    newOpenConnections(),
 		dialer: net.Dialer{
 			Timeout: options.DialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
@@ -148,6 +150,11 @@
 	return nil
 }
 
+// LimitConnections bounds the connections to each back end by what limit returns
+// for its address, 0 for any number. A request that finds all of them in use is not
+// sent; the cause of its error is a *ConnectionsSpentError.
+func (d *Direct) LimitConnections(limit func(address string) int) { d.open.setLimit(limit) }
+
 // CloseIdle closes the connections that carry no request.
 func (d *Direct) CloseIdle() { d.idle.closeAll() }
 
@@ -167,9 +174,13 @@
 		}
 		kept.close()
 	}
+	if err := d.open.reserve(address); err != nil {
+		return nil, err
+	}
 	dialled, err := d.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		d.open.release(address)
 		return nil, err
 	}
-	return newDirectConnection(address, dialled), nil
+	return newDirectConnection(address, dialled, d.open), nil
 }
--- a/internal/edge/outbound/directconnection.go
+++ b/internal/edge/outbound/directconnection.go
@@ -17,6 +17,8 @@
 type directConnection struct {
 	address string
 	net.Conn
+	// open counts the connection until it is closed.
+	open *openConnections
 	// limited bounds what reader takes of the header of an answer.
 	limited io.LimitedReader
 	reader  *bufio.Reader
@@ -29,8 +31,8 @@
 	expires time.Time
 }
 
-func newDirectConnection(address string, dialled net.Conn) *directConnection {
-	connection := &directConnection{address: address, Conn: dialled}
+func newDirectConnection(address string, dialled net.Conn, open *openConnections) *directConnection {
+	connection := &directConnection{address: address, Conn: dialled, open: open}
 	connection.limited = io.LimitedReader{R: dialled, N: math.MaxInt64}
 	connection.reader = bufio.NewReader(&connection.limited)
 	return connection
@@ -40,6 +42,7 @@
 func (c *directConnection) close() {
 	if !c.closed.Swap(true) {
 		_ = c.Conn.Close()
+		c.open.release(c.address)
 	}
 }
 
--- /dev/null
+++ b/internal/edge/outbound/open_test.go
@@ -0,0 +1,106 @@
+package outbound_test
+
+import (
+	"net"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
+)
+
+var _ = Describe("Direct with a bound on connections", func() {
+	var client *outbound.Direct
+
+	BeforeEach(func() {
+		client = outbound.NewDirect(outbound.DirectOptions{})
+		DeferCleanup(client.CloseIdle)
+	})
+
+	// begin sends a request and leaves its answer unread.
+	begin := func(address string) (*http.Response, error) {
+		return client.Send(newRequest(http.MethodPost, address), nil)
+	}
+	// boundOf returns the limit that stopped a request, of which nothing was sent.
+	boundOf := func(err error) int {
+		var failed *outbound.Error
+		ExpectWithOffset(1, errors.As(err, &failed)).To(BeTrue())
+		ExpectWithOffset(1, failed.MayHaveLeft).To(BeFalse())
+		var spent *outbound.ConnectionsSpentError
+		ExpectWithOffset(1, errors.As(err, &spent)).To(BeTrue())
+		return spent.Limit
+	}
+	endless := func(_ int, connection *scriptedConnection) {
+		for connection.next() != nil {
+			connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+
+	It("opens no more, and sends nothing when all are in use", func() {
+		server := serveScript(endless)
+		address := server.listener.Addr().String()
+		client.LimitConnections(func(string) int { return 2 })
+		first, err := begin(address)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := begin(address)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = begin(address)
+		Expect(boundOf(err)).To(Equal(2))
+		Expect(server.accepted.Load()).To(Equal(int32(2)))
+
+		By("using one again that has become free, and opening one for another that was closed")
+		Expect(first.Body.Close()).To(Succeed())
+		third, err := begin(address)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Body.Close()).To(Succeed())
+		client.CloseIdle()
+		fourth, err := begin(address)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = begin(address)
+		Expect(boundOf(err)).To(Equal(2))
+		Expect(third.Body.Close()).To(Succeed())
+		Expect(fourth.Body.Close()).To(Succeed())
+	})
+
+	It("counts each back end by itself, and one without a bound not at all", func() {
+		bounded, unbounded := serveScript(endless), serveScript(endless)
+		client.LimitConnections(func(address string) int {
+			if address == bounded.listener.Addr().String() {
+				return 1
+			}
+			return 0
+		})
+		for range 5 {
+			answer, err := begin(unbounded.listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = answer.Body.Close() }()
+		}
+		answer, err := begin(bounded.listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = answer.Body.Close() }()
+		_, err = begin(bounded.listener.Addr().String())
+		Expect(boundOf(err)).To(Equal(1))
+	})
+
+	It("counts none that did not come about, or was broken", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		closed := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		breaking := serveScript(func(_ int, connection *scriptedConnection) {
+			connection.next()
+			connection.reset()
+		})
+		client.LimitConnections(func(string) int { return 1 })
+		for _, address := range []string{closed, breaking.listener.Addr().String()} {
+			for range 3 {
+				_, err := begin(address)
+				Expect(err).To(HaveOccurred())
+				var spent *outbound.ConnectionsSpentError
+				Expect(errors.As(err, &spent)).To(BeFalse(), "%v", err)
+			}
+		}
+	})
+})
--- a/internal/node/edges.go
+++ b/internal/node/edges.go
@@ -31,6 +31,9 @@
 type Edges struct {
 	// Dataplane speaks to callers and back ends.
 	Dataplane dataplane.Edges
+	// LimitConnections, if set, is told how many connections this node may have to
+	// each back end, 0 for any number.
+	LimitConnections func(limit func(address string) int)
 	// Lists reads the platform's list of back ends.
 	Lists    ListReader
 	Replicas ReplicaCommander
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return err
 	}
+	if n.edges.LimitConnections != nil {
+		n.edges.LimitConnections(n.dataplane.ConnectionLimit)
+	}
 	n.sharer = newSharer(member.ID(n.settings.MemberID()), n.settings.Zone, n.served())
 	machine, err := control.New(n.controlConfig(), n.storage.restored, n.dataplane, clock.SinceBoot())
 	if err != nil {
