--- a/internal/dataplane/edges.go
+++ b/internal/dataplane/edges.go
@@ -142,8 +142,8 @@
 
 // ReportPage is one page of a back end's reports.
 type ReportPage struct {
-	// BootEpoch changes when the back end restarts with an empty memory.
-	BootEpoch uint64
+	// Incarnation changes when the back end restarts with an empty memory.
+	Incarnation uint64
 	// Next is the position after this page.
 	Next uint64
 	// Lost tells that changes before this page are not to be had any more.
@@ -153,7 +153,7 @@
 
 // PartChange reports a kept part, or one that was dropped.
 type PartChange struct {
-	// Sequence numbers the changes of a boot epoch; 0 in a list.
+	// Sequence numbers the changes of an incarnation; 0 in a list.
 	Sequence uint64
 	// Removed tells that the part, or some of it, was dropped.
 	Removed   bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 	"github.com/ridgeswitch/ridgeswitch/pkg/retrybudget"
 )
 
@@ -85,10 +86,14 @@
 		RetryBudget:  n.retryBudget(source),
 		MaxUnsent:    maxUnsent,
 		BackendRetry: n.settings.BackendRetry(),
+		Outlier:      n.outlier(),
 	})
 	if err != nil {
 		return err
 	}
+	if n.edges.LimitConnections != nil {
+		n.edges.LimitConnections(n.dataplane.ConnectionLimit)
+	}
 	n.sharer = newSharer(member.ID(n.settings.MemberID()), n.settings.Zone, n.served())
 	machine, err := control.New(n.controlConfig(), n.storage.restored, n.dataplane, clock.SinceBoot())
 	if err != nil {
@@ -125,6 +130,19 @@
 	}
 }
 
+// ejectionGrowth is how many times longer than at first a back end that goes on
+// failing is left out.
+const ejectionGrowth = 8
+
+// outlier is how this node leaves out back ends that fail.
+func (n *Node) outlier() outlier.Options {
+	return outlier.Options{
+		Ejection:     n.settings.Ejection(),
+		MostEjection: ejectionGrowth * n.settings.Ejection(),
+		MostShare:    float64(n.settings.EjectedPercent) / percent,
+	}
+}
+
 // served is what serves callers, or nil on a node that serves none.
 func (n *Node) served() *dataplane.Server {
 	if n.settings.ControlOnly {
--- a/internal/wire/fb/TrafficNews.go
+++ b/internal/wire/fb/TrafficNews.go
@@ -11,6 +11,8 @@
 	Loads      []*TrafficLoadT     `json:"loads"`
 	Dispatches []*TrafficDispatchT `json:"dispatches"`
 	Reports    []*TrafficReportT   `json:"reports"`
+	Denials    []*TrafficDenialT   `json:"denials"`
+	Outcomes   []*TrafficOutcomesT `json:"outcomes"`
 }
 
 func (t *TrafficNewsT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -56,11 +58,39 @@
 		}
 		reportsOffset = builder.EndVector(reportsLength)
 	}
+	denialsOffset := flatbuffers.UOffsetT(0)
+	if t.Denials != nil {
+		denialsLength := len(t.Denials)
+		denialsOffsets := make([]flatbuffers.UOffsetT, denialsLength)
+		for j := 0; j < denialsLength; j++ {
+			denialsOffsets[j] = t.Denials[j].Pack(builder)
+		}
+		TrafficNewsStartDenialsVector(builder, denialsLength)
+		for j := denialsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(denialsOffsets[j])
+		}
+		denialsOffset = builder.EndVector(denialsLength)
+	}
+	outcomesOffset := flatbuffers.UOffsetT(0)
+	if t.Outcomes != nil {
+		outcomesLength := len(t.Outcomes)
+		outcomesOffsets := make([]flatbuffers.UOffsetT, outcomesLength)
+		for j := 0; j < outcomesLength; j++ {
+			outcomesOffsets[j] = t.Outcomes[j].Pack(builder)
+		}
+		TrafficNewsStartOutcomesVector(builder, outcomesLength)
+		for j := outcomesLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(outcomesOffsets[j])
+		}
+		outcomesOffset = builder.EndVector(outcomesLength)
+	}
 	TrafficNewsStart(builder)
 	TrafficNewsAddNode(builder, t.Node)
 	TrafficNewsAddLoads(builder, loadsOffset)
 	TrafficNewsAddDispatches(builder, dispatchesOffset)
 	TrafficNewsAddReports(builder, reportsOffset)
+	TrafficNewsAddDenials(builder, denialsOffset)
+	TrafficNewsAddOutcomes(builder, outcomesOffset)
 	return TrafficNewsEnd(builder)
 }
 
@@ -87,6 +117,20 @@
 		rcv.Reports(&x, j)
 		t.Reports[j] = x.UnPack()
 	}
+	denialsLength := rcv.DenialsLength()
+	t.Denials = make([]*TrafficDenialT, denialsLength)
+	for j := 0; j < denialsLength; j++ {
+		x := TrafficDenial{}
+		rcv.Denials(&x, j)
+		t.Denials[j] = x.UnPack()
+	}
+	outcomesLength := rcv.OutcomesLength()
+	t.Outcomes = make([]*TrafficOutcomesT, outcomesLength)
+	for j := 0; j < outcomesLength; j++ {
+		x := TrafficOutcomes{}
+		rcv.Outcomes(&x, j)
+		t.Outcomes[j] = x.UnPack()
+	}
 }
 
 func (rcv *TrafficNews) UnPack() *TrafficNewsT {
@@ -197,8 +241,48 @@
 	return 0
 }
 
+func (rcv *TrafficNews) Denials(obj *TrafficDenial, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *TrafficNews) DenialsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *TrafficNews) Outcomes(obj *TrafficOutcomes, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *TrafficNews) OutcomesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func TrafficNewsStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
+	builder.StartObject(6)
 }
 func TrafficNewsAddNode(builder *flatbuffers.Builder, node uint32) {
 	builder.PrependUint32Slot(0, node, 0)
@@ -221,6 +305,18 @@
 func TrafficNewsStartReportsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func TrafficNewsAddDenials(builder *flatbuffers.Builder, denials flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(4, flatbuffers.UOffsetT(denials), 0)
+}
+func TrafficNewsStartDenialsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func TrafficNewsAddOutcomes(builder *flatbuffers.Builder, outcomes flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(outcomes), 0)
+}
+func TrafficNewsStartOutcomesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func TrafficNewsEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -5,6 +5,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
@@ -60,6 +61,19 @@
 	for _, report := range news.Reports {
 		packed.Reports = append(packed.Reports, packReport(table, report))
 	}
+	for _, denial := range news.Denials {
+		packed.Denials = append(packed.Denials, &fb.TrafficDenialT{
+			Address:  table.index(denial.Address),
+			Instance: table.index(denial.Instance),
+		})
+	}
+	for _, report := range news.Outcomes {
+		packed.Outcomes = append(packed.Outcomes, &fb.TrafficOutcomesT{
+			Address:  table.index(report.Address),
+			Failures: float32(report.Failures),
+			Total:    float32(report.Total),
+		})
+	}
 	return packed
 }
 
@@ -92,7 +106,7 @@
 func packReport(table *textTable, report shared.Report) *fb.TrafficReportT {
 	packed := &fb.TrafficReportT{
 		Address:     table.index(report.Address),
-		Incarnation: report.Feed.BootEpoch,
+		Incarnation: report.Feed.Incarnation,
 		From:        report.Feed.From,
 		Next:        report.Feed.Next,
 		Lost:        report.Feed.Lost,
@@ -138,6 +152,8 @@
 			Loads:      r.trafficLoads(&stored, named),
 			Dispatches: r.trafficDispatches(&stored, named),
 			Reports:    r.trafficReports(&stored, named),
+			Denials:    r.trafficDenials(&stored, named),
+			Outcomes:   r.trafficOutcomes(&stored, named),
 		}
 	}
 	return batch
@@ -189,10 +205,10 @@
 		reports[i] = shared.Report{
 			Address: named.at(stored.Address()),
 			Feed: kvrouter.Feed{
-				BootEpoch: stored.Incarnation(),
-				From:      stored.From(),
-				Next:      stored.Next(),
-				Lost:      stored.Lost(),
+				Incarnation: stored.Incarnation(),
+				From:        stored.From(),
+				Next:        stored.Next(),
+				Lost:        stored.Lost(),
 			},
 			Whole:   stored.Whole(),
 			Changes: r.partChanges(&stored),
@@ -215,3 +231,27 @@
 	}
 	return changes
 }
+
+func (r *reader) trafficDenials(table *fb.TrafficNews, named texts) []shared.Denial {
+	denials := make([]shared.Denial, r.elements(table.DenialsLength(), leastTableBytes))
+	var stored fb.TrafficDenial
+	for i := range denials {
+		table.Denials(&stored, i)
+		denials[i] = shared.Denial{Address: named.at(stored.Address()), Instance: named.at(stored.Instance())}
+	}
+	return denials
+}
+
+func (r *reader) trafficOutcomes(table *fb.TrafficNews, named texts) []outlier.Report {
+	outcomes := make([]outlier.Report, r.elements(table.OutcomesLength(), leastTableBytes))
+	var stored fb.TrafficOutcomes
+	for i := range outcomes {
+		table.Outcomes(&stored, i)
+		outcomes[i] = outlier.Report{
+			Address:  named.at(stored.Address()),
+			Failures: float64(stored.Failures()),
+			Total:    float64(stored.Total()),
+		}
+	}
+	return outcomes
+}
--- a/pkg/config/static/bounds.go
+++ b/pkg/config/static/bounds.go
@@ -36,6 +36,12 @@
 	// DefaultBackendRetry is when callers may come back after a failure of a
 	// back end.
 	DefaultBackendRetry = time.Second
+	// DefaultEjection is how long a back end that fails many requests is left out
+	// at first.
+	DefaultEjection = time.Second
+	// DefaultEjectedPercent is the largest share of a destination's back ends that
+	// is left out so, in hundredths.
+	DefaultEjectedPercent = 50
 	// DefaultLogRing is the number of log entries kept in memory.
 	DefaultLogRing = 4096
 	// DefaultDeployment is the name of a deployment that needs none.
@@ -87,6 +93,12 @@
 	MaxRetrySlack = 1 << 20
 	// MaxBackendRetry bounds when callers may come back.
 	MaxBackendRetry = time.Minute
+	// MinEjection leaves time for the requests that were on their way.
+	MinEjection = 100 * time.Millisecond
+	// MaxEjection bounds how long a back end is left out at first.
+	MaxEjection = time.Minute
+	// MaxEjectedPercent bounds the share of back ends that is left out.
+	MaxEjectedPercent = 100
 	// MaxLogRing bounds the log entries kept in memory.
 	MaxLogRing = 1 << 20
 	// maxNameBytes bounds node and zone names.
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -91,6 +91,13 @@
 	// BackendRetryMS is when a caller may come back after a failure of a back
 	// end, in milliseconds.
 	BackendRetryMS int `yaml:"backend_retry_ms" usage:"when callers may come back after a failure of a back end"`
+	// EjectionMS is how long a back end that fails far more requests than others is
+	// left out before it is tried again, in milliseconds. It is left out for up to
+	// eight times as long when it goes on failing.
+	EjectionMS int `yaml:"ejection_ms" usage:"how long a back end that fails many requests is left out at first"`
+	// EjectedPercent is the largest share of a destination's back ends that is left
+	// out so, in hundredths. Where it is less than one back end, none is.
+	EjectedPercent int `yaml:"ejected_percent" usage:"largest share of back ends that is left out, in hundredths"`
 	// DrainTimeoutMS bounds the time to finish requests after SIGTERM, in
 	// milliseconds.
 	DrainTimeoutMS int `yaml:"drain_timeout_ms" usage:"time to finish requests after SIGTERM"`
@@ -187,6 +194,11 @@
 	return time.Duration(s.BackendRetryMS) * time.Millisecond
 }
 
+// Ejection is how long a back end that fails many requests is left out at first.
+func (s *Settings) Ejection() time.Duration {
+	return time.Duration(s.EjectionMS) * time.Millisecond
+}
+
 // fillDefaults replaces zero numbers and an empty log level.
 func (s *Settings) fillDefaults() {
 	setDefault(&s.PlatformPollEveryMS, int(DefaultPlatformPollEvery.Milliseconds()))
@@ -202,6 +214,8 @@
 	setDefault(&s.RetryPercent, DefaultRetryPercent)
 	setDefault(&s.RetryWindowMS, int(DefaultRetryWindow.Milliseconds()))
 	setDefault(&s.BackendRetryMS, int(DefaultBackendRetry.Milliseconds()))
+	setDefault(&s.EjectionMS, int(DefaultEjection.Milliseconds()))
+	setDefault(&s.EjectedPercent, DefaultEjectedPercent)
 	setDefault(&s.DrainTimeoutMS, int(DefaultDrainTimeout.Milliseconds()))
 	setDefault(&s.LogRing, DefaultLogRing)
 	setDefault(&s.LogLevel, DefaultLogLevel)
--- a/pkg/kvrouter/parts.go
+++ b/pkg/kvrouter/parts.go
@@ -9,9 +9,9 @@
 // Feed tells where a batch of part changes stands among all that a replica or
 // store has reported.
 type Feed struct {
-	// BootEpoch is the incarnation of the holder: it changes with each start, and has
+	// Incarnation changes with each start of the holder. Incarnations have
 	// no order.
-	BootEpoch uint64
+	Incarnation uint64
 	// From is the sequence number after which the batch begins, and Next the
 	// last one that it covers: what to ask for changes after.
 	From, Next uint64
--- a/pkg/kvrouter/parts_test.go
+++ b/pkg/kvrouter/parts_test.go
@@ -84,7 +84,7 @@
 }
 
 func batch(from, next uint64) kvrouter.Feed {
-	return kvrouter.Feed{BootEpoch: epoch, From: from, Next: next}
+	return kvrouter.Feed{Incarnation: epoch, From: from, Next: next}
 }
 
 var _ = Describe("Reports of parts by their own IDs", func() {
@@ -119,7 +119,7 @@
 	})
 
 	It("become guesses when some are lost, and are asked for anew", func() {
-		lost := kvrouter.Feed{BootEpoch: epoch, From: 9, Next: 10, Lost: true}
+		lost := kvrouter.Feed{Incarnation: epoch, From: 9, Next: 10, Lost: true}
 		Expect(f.router.PartsReported(late, "a", lost, []kvrouter.PartChange{held(10, 0, 1000)})).To(Equal(kvrouter.Gap))
 		Expect(overlap(late)).To(Equal(3000))
 		Expect(f.router.ResyncWanted(late)).To(Equal([]string{"a"}))
@@ -137,7 +137,7 @@
 	})
 
 	It("end with the life of the replica, and those of an earlier life are ignored", func() {
-		restarted := kvrouter.Feed{BootEpoch: epoch + 1, Next: 1}
+		restarted := kvrouter.Feed{Incarnation: epoch + 1, Next: 1}
 		Expect(f.router.PartsReported(late, "a", restarted, []kvrouter.PartChange{held(1, 0, 1000)})).To(Equal(kvrouter.Accepted))
 		Expect(overlap(late)).To(Equal(1000))
 		Expect(f.router.PartsReported(late, "a", batch(3, 4), []kvrouter.PartChange{held(4, 1, 1000)})).To(Equal(kvrouter.Stale))
--- a/pkg/kvrouter/partsfeed.go
+++ b/pkg/kvrouter/partsfeed.go
@@ -28,7 +28,7 @@
 func (f *feed) takeParts(now time.Duration, batch Feed, changes []PartChange) (status FeedStatus, restarted bool) {
 	f.mutex.Lock()
 	defer f.unlock()
-	current, restarted := f.enterUnordered(now, batch.BootEpoch)
+	current, restarted := f.enterUnordered(now, batch.Incarnation)
 	if !current {
 		return Stale, false
 	}
