--- a/internal/dataplane/shared/message.go
+++ b/internal/dataplane/shared/message.go
@@ -2,8 +2,6 @@
 // that each has on the replicas, which prompts it sent where, what replicas and
 // stores reported to it of the parts that they keep, and which replicas it found
 // to be gone, and how its requests went at replicas that fail some. All of it may be lost,
-// that each has on the replicas, which prompts it sent where, how fast replicas
-// are, and what replicas and stores reported to it of the parts that they keep. All of it may be lost,
 // late or doubled without harm: it only makes the choice of replicas better.
 //
 // News travels in batches. A node hands its own to the relay of its zone, which
@@ -48,8 +46,6 @@
 	Reports    []Report
 	Denials    []Denial
 	Outcomes   []outlier.Report
-	// Observations tell how fast replicas are.
-	Observations []kvrouter.Observation
 }
 
 // Dispatch tells of a request that was sent to a replica.
@@ -91,6 +87,5 @@
 // Empty tells whether the news says nothing.
 func (n *News) Empty() bool {
 	return len(n.Loads) == 0 && len(n.Dispatches) == 0 && len(n.Reports) == 0 &&
-		len(n.Denials) == 0 && len(n.Outcomes) == 0 &&
-		len(n.Observations) == 0
+		len(n.Denials) == 0 && len(n.Outcomes) == 0
 }
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -105,7 +105,6 @@
 	s.health.sweep(now)
 	news := s.sharing.take(now, s.router.OwnLoads(now))
 	news.Outcomes = s.health.TakeReports(now)
-	news.Observations = s.router.OwnObservations()
 	return news
 }
 
@@ -118,9 +117,6 @@
 	for _, dispatch := range news.Dispatches {
 		s.router.ObserveLinks(now, dispatch.Address, dispatch.Links)
 	}
-	for _, observed := range news.Observations {
-		s.router.ObserveElsewhere(now, observed)
-	}
 	for _, report := range news.Reports {
 		s.takeReport(now, report)
 	}
--- a/internal/wire/fb/TrafficNews.go
+++ b/internal/wire/fb/TrafficNews.go
@@ -7,13 +7,12 @@
 )
 
 type TrafficNewsT struct {
-	Node         uint32                 `json:"node"`
-	Loads        []*TrafficLoadT        `json:"loads"`
-	Dispatches   []*TrafficDispatchT    `json:"dispatches"`
-	Reports      []*TrafficReportT      `json:"reports"`
-	Denials      []*TrafficDenialT      `json:"denials"`
-	Outcomes     []*TrafficOutcomesT    `json:"outcomes"`
-	Observations []*TrafficObservationT `json:"observations"`
+	Node       uint32              `json:"node"`
+	Loads      []*TrafficLoadT     `json:"loads"`
+	Dispatches []*TrafficDispatchT `json:"dispatches"`
+	Reports    []*TrafficReportT   `json:"reports"`
+	Denials    []*TrafficDenialT   `json:"denials"`
+	Outcomes   []*TrafficOutcomesT `json:"outcomes"`
 }
 
 func (t *TrafficNewsT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -85,15 +84,6 @@
 		}
 		outcomesOffset = builder.EndVector(outcomesLength)
 	}
-	observationsOffset := flatbuffers.UOffsetT(0)
-	if t.Observations != nil {
-		observationsLength := len(t.Observations)
-		TrafficNewsStartObservationsVector(builder, observationsLength)
-		for j := observationsLength - 1; j >= 0; j-- {
-			t.Observations[j].Pack(builder)
-		}
-		observationsOffset = builder.EndVector(observationsLength)
-	}
 	TrafficNewsStart(builder)
 	TrafficNewsAddNode(builder, t.Node)
 	TrafficNewsAddLoads(builder, loadsOffset)
@@ -101,7 +91,6 @@
 	TrafficNewsAddReports(builder, reportsOffset)
 	TrafficNewsAddDenials(builder, denialsOffset)
 	TrafficNewsAddOutcomes(builder, outcomesOffset)
-	TrafficNewsAddObservations(builder, observationsOffset)
 	return TrafficNewsEnd(builder)
 }
 
@@ -142,13 +131,6 @@
 		rcv.Outcomes(&x, j)
 		t.Outcomes[j] = x.UnPack()
 	}
-	observationsLength := rcv.ObservationsLength()
-	t.Observations = make([]*TrafficObservationT, observationsLength)
-	for j := 0; j < observationsLength; j++ {
-		x := TrafficObservation{}
-		rcv.Observations(&x, j)
-		t.Observations[j] = x.UnPack()
-	}
 }
 
 func (rcv *TrafficNews) UnPack() *TrafficNewsT {
@@ -299,27 +281,8 @@
 	return 0
 }
 
-func (rcv *TrafficNews) Observations(obj *TrafficObservation, j int) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
-	if o != 0 {
-		x := rcv._tab.Vector(o)
-		x += flatbuffers.UOffsetT(j) * 16
-		obj.Init(rcv._tab.Bytes, x)
-		return true
-	}
-	return false
-}
-
-func (rcv *TrafficNews) ObservationsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
-	if o != 0 {
-		return rcv._tab.VectorLen(o)
-	}
-	return 0
-}
-
 func TrafficNewsStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(6)
 }
 func TrafficNewsAddNode(builder *flatbuffers.Builder, node uint32) {
 	builder.PrependUint32Slot(0, node, 0)
@@ -354,12 +317,6 @@
 func TrafficNewsStartOutcomesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
-func TrafficNewsAddObservations(builder *flatbuffers.Builder, observations flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(observations), 0)
-}
-func TrafficNewsStartObservationsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(16, numElems, 4)
-}
 func TrafficNewsEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -11,9 +11,8 @@
 
 // The least bytes that an element of a vector of a Traffic message takes.
 const (
-	partChangeBytes  = 24
-	partLinkBytes    = 16
-	observationBytes = 16
+	partChangeBytes = 24
+	partLinkBytes   = 16
 )
 
 // textTable gives each text of a message an index.
@@ -75,9 +74,6 @@
 			Total:    float32(report.Total),
 		})
 	}
-	for _, observed := range news.Observations {
-		packed.Observations = append(packed.Observations, packObservation(table, observed))
-	}
 	return packed
 }
 
@@ -127,15 +123,6 @@
 	return packed
 }
 
-func packObservation(table *textTable, observed kvrouter.Observation) *fb.TrafficObservationT {
-	return &fb.TrafficObservationT{
-		Address:      table.index(observed.Address),
-		Model:        table.index(observed.Model),
-		Tokens:       float32(observed.Tokens),
-		Milliseconds: float32(observed.Milliseconds),
-	}
-}
-
 // texts is the text table of a message that was received.
 type texts []string
 
@@ -167,8 +154,6 @@
 			Reports:    r.trafficReports(&stored, named),
 			Denials:    r.trafficDenials(&stored, named),
 			Outcomes:   r.trafficOutcomes(&stored, named),
-
-			Observations: r.trafficObservations(&stored, named),
 		}
 	}
 	return batch
@@ -212,21 +197,6 @@
 	return links
 }
 
-func (r *reader) trafficObservations(table *fb.TrafficNews, named texts) []kvrouter.Observation {
-	observations := make([]kvrouter.Observation, r.elements(table.ObservationsLength(), observationBytes))
-	var stored fb.TrafficObservation
-	for i := range observations {
-		table.Observations(&stored, i)
-		observations[i] = kvrouter.Observation{
-			Address:      named.at(stored.Address()),
-			Model:        named.at(stored.Model()),
-			Tokens:       float64(stored.Tokens()),
-			Milliseconds: float64(stored.Milliseconds()),
-		}
-	}
-	return observations
-}
-
 func (r *reader) trafficReports(table *fb.TrafficNews, named texts) []shared.Report {
 	reports := make([]shared.Report, r.elements(table.ReportsLength(), leastTableBytes))
 	var stored fb.TrafficReport
--- a/pkg/kvrouter/pace.go
+++ b/pkg/kvrouter/pace.go
@@ -50,23 +50,17 @@
 	return p
 }
 
-// learn takes in that a replica read tokens in a time, behind other work that
-// this router may not know of.
+// learn takes in that a replica of usual speed read tokens in a time.
 func (p *pace) learn(tokens, took float64) {
-	weight := 1.0
-	if took > p.expected(tokens) {
-		weight = lateWeight
-	}
-	p.observe(weight, tokens, took)
-}
-
-// observe takes in that a replica read tokens in a time, with a weight.
-func (p *pace) observe(weight, tokens, took float64) {
 	p.count *= paceMemory
 	p.sumX *= paceMemory
 	p.sumY *= paceMemory
 	p.sumXX *= paceMemory
 	p.sumXY *= paceMemory
+	weight := 1.0
+	if took > p.expected(tokens) {
+		weight = lateWeight
+	}
 	p.add(weight, tokens, took)
 	p.solve()
 }
@@ -94,27 +88,20 @@
 func (p *pace) expected(tokens float64) float64 { return p.fixed + p.perToken*tokens }
 
 // slowness is what the router has observed of one replica's speed: a weighted sum
-// of how many times longer it took than its pool does, and the weight. Routers share
-// only observations of replicas that had nothing else to do: shared, the same
-// queue would slow a replica down in all their eyes.
+// of how many times longer it took than its pool does, and the weight. Routers do
+// not share it: shared, the same queue slows a replica down in all their eyes.
 type slowness struct {
 	sum, weight float64
 	updatedAt   time.Duration
 }
 
-// observeQueued takes in a ratio of observed to expected time of a prompt that
-// may have waited behind work that this router does not know of.
-func (s *slowness) observeQueued(now time.Duration, ratio, weight float64) {
-	if ratio > s.factor() {
-		weight *= lateWeight
-	}
-	s.observe(now, ratio, weight)
-}
-
 // observe takes in a ratio of observed to expected time.
 func (s *slowness) observe(now time.Duration, ratio, weight float64) {
 	s.fade(now)
 	ratio = min(max(ratio, leastSlowness), mostObserved)
+	if ratio > s.factor() {
+		weight *= lateWeight
+	}
 	s.sum = s.sum*slownessMemory + ratio*weight
 	s.weight = s.weight*slownessMemory + weight
 }
--- a/pkg/kvrouter/replica.go
+++ b/pkg/kvrouter/replica.go
@@ -22,9 +22,6 @@
 	// toldLoad tells that OwnLoads has told of load here.
 	toldLoad bool
 	slowness slowness
-	// joinedAt is when this router last sent a request here, or learnt that
-	// others have some.
-	joinedAt time.Duration
 	// perToken is the pool's learnt time per token of prompt, in milliseconds.
 	perToken float64
 	// meanCompute is the moving average of the tokens that requests have to read.
--- a/pkg/kvrouter/reservation.go
+++ b/pkg/kvrouter/reservation.go
@@ -30,10 +30,6 @@
 	// awaited tells that the attempt was held back, so that its time tells
 	// nothing of the replica's speed.
 	awaited bool
-	// model is set with an engine profile, and alone tells that the replica had
-	// no other request.
-	model string
-	alone bool
 	// store is the store that the parts are saved to, or nil.
 	store *replicaState
 
--- a/pkg/kvrouter/router.go
+++ b/pkg/kvrouter/router.go
@@ -33,8 +33,6 @@
 	links       links
 	paces       map[string]*pace
 	seen        seenParts
-	// observations wait to be told to the other routers.
-	observations []Observation
 	// latest is the newest time that the router was told.
 	latest time.Duration
 }
--- a/pkg/kvrouter/shared.go
+++ b/pkg/kvrouter/shared.go
@@ -146,9 +146,6 @@
 	r.advance(now)
 	known := r.state(now, address)
 	known.settle(now)
-	if !told.idle() {
-		known.joinedAt = now
-	}
 	known.shared.set(now, router, told)
 }
 
--- a/pkg/kvrouter/timedselect.go
+++ b/pkg/kvrouter/timedselect.go
@@ -97,10 +97,7 @@
 		pace:          req.pace,
 		expected:      terms.delay,
 		awaited:       chosen.awaits,
-		model:         req.Model,
-		alone:         chosen.activeRequests < aloneBelow,
 	}
-	chosen.state.joinedAt = req.Now
 	if saves {
 		reservation.store = r.state(req.Now, req.Store)
 	}
@@ -114,10 +111,6 @@
 	return reservation
 }
 
-// aloneBelow is the number of active requests, as estimated, below which a
-// replica counts as having nothing else to do.
-const aloneBelow = 0.5
-
 // meanComputeWeight is the weight of a new request in the average.
 const meanComputeWeight = 0.1
 
@@ -126,10 +119,6 @@
 	if r.awaited {
 		return
 	}
-	if r.undisturbed() {
-		r.learnUndisturbed(now)
-		return
-	}
 	took := milliseconds(now - r.startedAt)
 	pull := 0.0
 	if r.pulls {
@@ -150,7 +139,7 @@
 	if r.backlogTokens <= r.computeTokens/4 {
 		r.pace.learn(work, read)
 	}
-	r.state.slowness.observeQueued(now, ratio, certainty)
+	r.state.slowness.observe(now, ratio, certainty)
 }
 
 // retryAfterTimed estimates when the first replica has room: when it has read a
