--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -100,6 +100,7 @@
 		OutputTokens: w.described.OutputTokens,
 		Engine:       engineProfile(pool),
 		Priority:     uint8(w.view.Priority(w.tenant, w.route)),
+		BodyBytes:    len(w.body),
 		Zone:         b.server.options.Zone,
 		MaxWait:      longestWait(w),
 		ColdAllowed: func(address string) bool {
--- a/pkg/kvrouter/request.go
+++ b/pkg/kvrouter/request.go
@@ -39,6 +39,8 @@
 	Engine *EngineProfile
 	// Zone is the zone that the request comes from; "" when zones are all one.
 	Zone string
+	// BodyBytes is the size of what is sent to the replica.
+	BodyBytes int
 	// Priority is the rank at the replica; 0 is the most urgent.
 	Priority uint8
 	// MaxWait is the longest time to the first event at which the request may go
--- a/pkg/kvrouter/settings.go
+++ b/pkg/kvrouter/settings.go
@@ -8,19 +8,20 @@
 // a replica's memory, since requests that share a prefix share its blocks there
 // but count them each.
 const (
-	DefaultPrefillLoadScale    = 1.0
-	DefaultOwnCredit           = 1.0
-	DefaultPeerCredit          = 0.75
-	DefaultStoreCredit         = 0.5
-	DefaultBusyThresholdBlocks = 32768
-	DefaultDecodeWeight        = 0.05
-	DefaultHarmWeight          = 1.0
-	DefaultHarmTime            = 25.0
-	DefaultLessUrgentWeight    = 0.8
-	DefaultMovePrice           = 0.05
-	DefaultChurnShare          = 0.1
-	DefaultSpreadTime          = 20.0
-	DefaultZonePrice           = 10.0
+	DefaultPrefillLoadScale     = 1.0
+	DefaultOwnCredit            = 1.0
+	DefaultPeerCredit           = 0.75
+	DefaultStoreCredit          = 0.5
+	DefaultBusyThresholdBlocks  = 32768
+	DefaultDecodeWeight         = 0.05
+	DefaultHarmWeight           = 1.0
+	DefaultHarmTime             = 25.0
+	DefaultLessUrgentWeight     = 0.8
+	DefaultMovePrice            = 0.05
+	DefaultChurnShare           = 0.1
+	DefaultSpreadTime           = 20.0
+	DefaultZonePrice            = 5.0
+	DefaultZonePricePerKilobyte = 4.0
 )
 
 // Settings are the knobs of selection for one pool.
@@ -63,6 +64,8 @@
 	// ZonePrice is what a request to a replica in another zone costs, in
 	// milliseconds.
 	ZonePrice float64
+	// ZonePricePerKilobyte is added to it for each kilobyte of the request's body.
+	ZonePricePerKilobyte float64
 	// MovePrice is what a megabyte moved costs, in milliseconds.
 	MovePrice float64
 	// Temperature of the softmax over the costs; 0 selects the lowest cost.
@@ -72,19 +75,20 @@
 // DefaultSettings returns the settings of a pool that configures none.
 func DefaultSettings() Settings {
 	return Settings{
-		PrefillLoadScale:    DefaultPrefillLoadScale,
-		OwnCredit:           DefaultOwnCredit,
-		PeerCredit:          DefaultPeerCredit,
-		StoreCredit:         DefaultStoreCredit,
-		BusyThresholdBlocks: DefaultBusyThresholdBlocks,
-		DecodeWeight:        DefaultDecodeWeight,
-		HarmWeight:          DefaultHarmWeight,
-		HarmTime:            DefaultHarmTime,
-		LessUrgentWeight:    DefaultLessUrgentWeight,
-		MovePrice:           DefaultMovePrice,
-		ChurnShare:          DefaultChurnShare,
-		SpreadTime:          DefaultSpreadTime,
-		ZonePrice:           DefaultZonePrice,
+		PrefillLoadScale:     DefaultPrefillLoadScale,
+		OwnCredit:            DefaultOwnCredit,
+		PeerCredit:           DefaultPeerCredit,
+		StoreCredit:          DefaultStoreCredit,
+		BusyThresholdBlocks:  DefaultBusyThresholdBlocks,
+		DecodeWeight:         DefaultDecodeWeight,
+		HarmWeight:           DefaultHarmWeight,
+		HarmTime:             DefaultHarmTime,
+		LessUrgentWeight:     DefaultLessUrgentWeight,
+		MovePrice:            DefaultMovePrice,
+		ChurnShare:           DefaultChurnShare,
+		SpreadTime:           DefaultSpreadTime,
+		ZonePrice:            DefaultZonePrice,
+		ZonePricePerKilobyte: DefaultZonePricePerKilobyte,
 	}
 }
 
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -17,7 +17,8 @@
 	// memory in use: other requests may hold it already.
 	sharedMemory = 0.5
 	// outputMemory is the share of the most tokens out that a request uses.
-	outputMemory = 0.5
+	outputMemory     = 0.5
+	bytesPerKilobyte = 1000
 	// maxPaces bounds the models whose speed is learnt.
 	maxPaces = 64
 )
@@ -87,7 +88,7 @@
 		terms.price = scored.pull.price
 	}
 	if req.Zone != "" && req.Zone != candidate.Zone {
-		terms.price += req.Settings.ZonePrice
+		terms.price += req.zonePrice()
 	}
 	if spread := req.Settings.SpreadTime; spread > 0 {
 		terms.price += spread * preference(r.options.Name, candidate.Address, p.identity())
@@ -102,6 +103,12 @@
 	return scored
 }
 
+// zonePrice is what sending the request to another zone costs, in milliseconds.
+func (req *Request) zonePrice() float64 {
+	kilobytes := float64(req.BodyBytes) / bytesPerKilobyte
+	return req.Settings.ZonePrice + req.Settings.ZonePricePerKilobyte*kilobytes
+}
+
 // mostHarm is the largest weight of harm that a backlog leads to.
 const mostHarm = 16
 
--- a/pkg/kvrouter/timed_test.go
+++ b/pkg/kvrouter/timed_test.go
@@ -110,6 +110,20 @@
 		Expect(delayAt(7) - delayAt(3)).To(BeNumerically("~", 40*time.Millisecond, time.Millisecond))
 	})
 
+	It("sends large bodies to another zone for a longer wait only than small ones", func() {
+		f := newTimedFleet("near", "far")
+		f.candidates[1].Zone = "another"
+		f.hasBacklog(late, "near", 5, 2000)
+		addressOf := func(bodyBytes int) string {
+			f.change = func(request *kvrouter.Request) { request.Zone, request.BodyBytes = "zone", bodyBytes }
+			decision := f.choose(late, otherPrompt("x", 1000))
+			decision.Reservation.Cancelled(late)
+			return decision.Address
+		}
+		Expect(addressOf(1000)).To(Equal("far"))
+		Expect(addressOf(40_000)).To(Equal("near"))
+	})
+
 	It("learns that a replica is slow", func() {
 		f := newTimedFleet("a", "b")
 		all := f.candidates
