Replicas load no weights while a request of a life that has just ended is on its way

Where monitors are certain of a fence, FenceMargin covers what is on its way; a later life, and a member that leaves, had no such time. Mend: the membership tells when FenceMargin has passed since it learnt of a new life or of leaving. Until then nothing counts as drained, and the node's former life stays registered. That a revision is in force everywhere does not wait for it.

--- a/internal/control/confirmations.go
+++ b/internal/control/confirmations.go
@@ -212,13 +212,29 @@
 // drainedEverywhere tells whether no node has a request left on a replica that
 // the given revision keeps requests from.
 func (m *Machine) drainedEverywhere(hosted *shard, revision uint64) bool {
-	everywhere := m.everyNode(hosted, func(row confirmation) bool { return row.drained >= revision })
+	everywhere := m.formerLivesSettled(hosted) &&
+		m.everyNode(hosted, func(row confirmation) bool { return row.drained >= revision })
 	if !everywhere {
 		m.await(hosted, 0, revision)
 	}
 	return everywhere
 }
 
+// formerLivesSettled tells whether no request is on its way any more that a
+// registered node sent in an earlier life, which no confirmation tells of. Nodes that
+// go on serving while cut off promise nothing of that kind.
+func (m *Machine) formerLivesSettled(hosted *shard) bool {
+	if m.config.FailOpen {
+		return true
+	}
+	for _, node := range hosted.state.Nodes() {
+		if !m.members.FormerLifeSettled(member.ID(node.GetNode())) {
+			return false
+		}
+	}
+	return true
+}
+
 // askLiveNodes asks each live node that has not confirmed what is overdue.
 func (m *Machine) askLiveNodes(hosted *shard, overdue awaited) {
 	for _, record := range m.members.Records() {
@@ -274,7 +290,8 @@
 // is at hand, so that a later owner does not wait for them.
 func (m *Machine) forgetEndedLives(hosted *shard) {
 	for _, node := range hosted.state.Nodes() {
-		if !m.members.LifeEnded(member.ID(node.GetNode()), member.Incarnation(node.GetIncarnation())) {
+		id := member.ID(node.GetNode())
+		if !m.members.LifeEnded(id, member.Incarnation(node.GetIncarnation())) || !m.members.FormerLifeSettled(id) {
 			continue
 		}
 		forget := &controlpb.ForgetNode{Node: node.GetNode(), Incarnation: node.GetIncarnation()}
--- a/internal/lab/sim/scenario_test.go
+++ b/internal/lab/sim/scenario_test.go
@@ -105,6 +105,20 @@
 		}
 	})
 
+	It("loads no weights while a request of a life that a node has just ended is on its way", func() {
+		for seed := uint64(1); seed <= 12; seed++ {
+			world := play(seed, func(world *simulation) {
+				// The node hears of no order, and its next life is known to the others as
+				// soon as its fence ends this one.
+				world.at(6*second, func() { world.cutFor(world.nodes, []*node{world.router()}, false) })
+				for _, pool := range poolNames {
+					world.at(6*second+10*time.Millisecond, func() { world.place(world.nameWeights(0, pool)) })
+				}
+			})
+			Expect(world.checks.violations).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
 	It("never gives the answer to an order of an earlier life to a new one", func() {
 		world := play(3, func(world *simulation) {
 			taker, silent := world.router(), world.nodes[len(world.nodes)-2]
--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -52,7 +52,9 @@
 //     A process that started later reports a member that it doesn't hear as well:
 //     that makes the member suspect, and never certainly fenced.
 //
-// A member that left is fenced for good by its own act.
+// A member that left is fenced for good by its own act. That, and a later life, is
+// known at once, and so before what the member sent last has arrived everywhere.
+// FormerLifeSettled tells when it has; a certain fence includes FenceMargin.
 //
 // This assumes that a node's processes follow each other, one at a time, and
 // that each starts with an incarnation which no earlier one used. LifeEnded
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -67,6 +67,9 @@
 		return
 	}
 	m.updateWatch(e, merged)
+	if merged.Info.Incarnation != e.record.Info.Incarnation || leftRank(merged) != leftRank(e.record) {
+		e.lifeSince = m.now
+	}
 	m.digest += recordDigest(merged) - recordDigest(e.record)
 	e.record = merged
 	e.over = e.over && merged.certainlyFenced()
@@ -77,7 +80,7 @@
 
 func (m *Machine) insert(record Record) {
 	id := record.Info.ID
-	e := &entry{record: record, watch: watch{heard: m.now}}
+	e := &entry{record: record, watch: watch{heard: m.now}, lifeSince: m.now}
 	m.table[id] = e
 	m.file(id, e)
 	at, _ := slices.BinarySearch(m.order, id)
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -58,6 +58,9 @@
 	// overSince is when this node first saw that the life is over.
 	overSince time.Duration
 	over      bool
+	// lifeSince is when this node learnt of the member's newest life, or that the
+	// member left.
+	lifeSince time.Duration
 }
 
 // New returns the machine of a node that starts at now. The node is fenced
@@ -251,6 +254,15 @@
 	return incarnation < newest || m.CertainlyFenced(id)
 }
 
+// FormerLifeSettled tells whether what the member sent in lives that ended by its
+// own act, as it left or began a later one, has arrived by now: it is FenceMargin
+// since this node learnt of that. A fence that monitors are certain of includes that
+// time.
+func (m *Machine) FormerLifeSettled(id member.ID) bool {
+	e, known := m.table[id]
+	return !known || m.now-e.lifeSince >= m.config.FenceMargin
+}
+
 // Incarnation returns the newest life known of the member.
 func (m *Machine) Incarnation(id member.ID) (member.Incarnation, bool) {
 	if e, known := m.table[id]; known {
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -82,6 +82,34 @@
 		Expect(reportedAt).To(Equal(2200 * time.Millisecond))
 	})
 
+	It("tells when what a member sent in an ended life has arrived", func() {
+		machine := membership.New(membership.Config{Self: member.Info{ID: "o", Incarnation: 1}}, 0)
+		record := membership.Record{Info: member.Info{ID: "x", Address: "x", Incarnation: 5}, Version: 1}
+		learn := func(now time.Duration) {
+			machine.Step(now, membership.Message{Type: membership.MessageGossip, From: record.Info, Records: []membership.Record{record}})
+		}
+		settledAfter := func(from time.Duration) {
+			machine.Tick(from + membership.DefaultFenceMargin - 1)
+			ExpectWithOffset(1, machine.FormerLifeSettled("x")).To(BeFalse())
+			machine.Tick(from + membership.DefaultFenceMargin)
+			ExpectWithOffset(1, machine.FormerLifeSettled("x")).To(BeTrue())
+		}
+		Expect(machine.FormerLifeSettled("x")).To(BeTrue(), "of nobody known")
+		learn(time.Second)
+		settledAfter(time.Second)
+		record.Version = 2
+		learn(2 * time.Second)
+		Expect(machine.FormerLifeSettled("x")).To(BeTrue(), "the same life")
+		record.Info.Incarnation, record.Version = 6, 1
+		learn(3 * time.Second)
+		Expect(machine.LifeEnded("x", 5)).To(BeTrue())
+		settledAfter(3 * time.Second)
+		record.State = membership.StateLeft
+		learn(4 * time.Second)
+		Expect(machine.LifeEnded("x", 6)).To(BeTrue())
+		settledAfter(4 * time.Second)
+	})
+
 	It("forgets lives that are over, and remembers that they are", func() {
 		w := newNetwork(3)
 		w.config.ForgetAfter = 5 * time.Second
