--- a/internal/lab/sim/failopen_test.go
+++ b/internal/lab/sim/failopen_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
 )
@@ -12,6 +13,9 @@
 // syncBound is how long a new machine may take to get a vote.
 const syncBound = 4 * time.Second
 
+// promptAcknowledge bounds an acknowledgement that waits for live nodes alone.
+const promptAcknowledge = 300 * time.Millisecond
+
 // playOpen runs a deployment that finds itself through seeds, without random
 // faults and orders.
 func playOpen(seed uint64, script func(*simulation)) *simulation {
@@ -57,6 +61,11 @@
 // expectAcknowledged places an order that must be acknowledged within a bound.
 func (w *simulation) expectAcknowledged(order *operatorOrder, bound time.Duration) {
 	w.place(order)
+	w.checkAcknowledged(order, bound)
+}
+
+// checkAcknowledged holds that an order is acknowledged within a bound from now.
+func (w *simulation) checkAcknowledged(order *operatorOrder, bound time.Duration) {
 	w.after(bound, func() {
 		if order.outcome != checker.OutcomeAcknowledged {
 			w.violate("acknowledged", "order %s has no acknowledgement after %v", order.content.GetOrderId(), bound)
@@ -157,6 +166,40 @@
 	})
 })
 
+var _ = Describe("An operator of a deployment that fails open", func() {
+	It("goes on to another node when one leaves it without an answer", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			var orders []*operatorOrder
+			world.at(7*second, func() {
+				cut := world.router()
+				world.network.cut([]*node{cut}, world.nodes, 1)
+				world.network.cut(world.nodes, []*node{cut}, 1)
+				for range 10 {
+					order := world.addKey(0)
+					order.firstSent = world.now
+					world.operators.orders = append(world.operators.orders, order)
+					orders = append(orders, order)
+					world.submitTo(cut, order)
+				}
+				world.after(openAcknowledge, func() { world.openCut(cut) })
+			})
+			world.at(12*second, func() {
+				for _, order := range orders {
+					if len(order.submissions) < 2 {
+						world.violate("sent_again", "order %s was sent once", order.content.GetOrderId())
+					}
+					for position, sent := range order.submissions[1:] {
+						if sent.node == order.submissions[position].node {
+							world.violate("another_node", "order %s went to %s twice in a row", order.content.GetOrderId(), sent.node.info.ID)
+						}
+					}
+				}
+			})
+		})
+	})
+})
+
 var _ = Describe("A deployment that fails open", func() {
 	It("acknowledges in time while a node is dead, frozen or cut off, or has a bad disk, and after its leader was lost", func() {
 		faults := []func(world *simulation, victim *node){
@@ -193,6 +236,28 @@
 		}
 	})
 
+	It("waits for no node that died shortly before all others started anew", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			world.at(7*second, func() {
+				victim := world.router()
+				others := lo.Without(world.nodes, victim)
+				victim.stop()
+				for position, one := range others {
+					world.after(time.Duration(position)*50*time.Millisecond, func() { world.restartAfter(one, 10*time.Millisecond) })
+				}
+			})
+			for round := range 5 {
+				world.at(time.Duration(13+round)*second, func() {
+					order := world.addKey(0)
+					world.placeAt(pick(world, world.diskNodes()), order)
+					world.checkAcknowledged(order, promptAcknowledge)
+				})
+			}
+			world.at(19*second, func() { world.router().start() })
+		})
+	})
+
 	It("serves after a restart without a quorum, by what its peers hold", func() {
 		playAll(func(world *simulation) {
 			world.startWithin(startBound)
--- a/internal/lab/sim/scenario_test.go
+++ b/internal/lab/sim/scenario_test.go
@@ -81,6 +81,44 @@
 		Expect(world.checks.violations).To(BeEmpty())
 	})
 
+	It("takes a replica back that came back twice with weights that nobody ordered", func() {
+		for seed := uint64(1); seed <= 6; seed++ {
+			world := play(seed, func(world *simulation) {
+				world.at(5*second, func() { world.place(world.nameWeights(0, poolNames[0])) })
+				world.at(15*second, func() {
+					target := world.platform.entries()[0].replica
+					Expect(target.version).NotTo(Equal(firstWeights))
+					// No node reads a report in between.
+					for range 2 {
+						target.crash()
+						target.restart(firstWeights)
+					}
+					Expect(target.strayed).To(BeTrue(), "seed %d", seed)
+				})
+				world.at(25*second, func() {
+					target := world.platform.entries()[0].replica
+					Expect(target.version).NotTo(Equal(firstWeights))
+					Expect(target.strayed).To(BeFalse(), "seed %d: ordered weights", seed)
+				})
+			})
+			Expect(world.checks.violations).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
+	It("loads no weights while a request of a life that a node has just ended is on its way", func() {
+		for seed := uint64(1); seed <= 12; seed++ {
+			world := play(seed, func(world *simulation) {
+				// The node hears of no order, and its next life is known to the others as
+				// soon as its fence ends this one.
+				world.at(6*second, func() { world.cutFor(world.nodes, []*node{world.router()}, false) })
+				for _, pool := range poolNames {
+					world.at(6*second+10*time.Millisecond, func() { world.place(world.nameWeights(0, pool)) })
+				}
+			})
+			Expect(world.checks.violations).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
 	It("never gives the answer to an order of an earlier life to a new one", func() {
 		world := play(3, func(world *simulation) {
 			taker, silent := world.router(), world.nodes[len(world.nodes)-2]
@@ -110,6 +148,28 @@
 	})
 })
 
+var _ = Describe("A deployment with one replica of a pool outside the evacuated zones", func() {
+	It("serves again in time when weights are named anew while that replica loads others", func() {
+		for _, namedAt := range []time.Duration{38 * time.Second, 38500 * time.Millisecond} {
+			world := newSimulation(Settings{Seed: 3, Virtual: DefaultVirtual, FinishFirst: true})
+			world.build()
+			world.scheduleStart()
+			world.at(firstOrderAt, func() { world.place(world.applyFirst()) })
+			world.at(20*second, func() {
+				for number := range 3 {
+					world.place(world.evacuate(0, zoneName(number+1)))
+				}
+			})
+			world.at(namedAt, func() { world.place(world.nameWeights(0, poolNames[0])) })
+			// The calm names other weights while the last replica is out.
+			world.scheduleCalm()
+			world.loop()
+			world.checks.finish()
+			Expect(world.checks.violations).To(BeEmpty(), "named at %v", namedAt)
+		}
+	})
+})
+
 // placeAt begins an order with a submission to a given node.
 func (w *simulation) placeAt(target *node, order *operatorOrder) {
 	order.firstSent = w.now
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -38,6 +38,26 @@
 		Entry("a later set, not yet known", uint64(3), member.Incarnation(1), member.Incarnation(1), false),
 	)
 
+	It("keeps two reports at most of a monitor that starts again and again", func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		record := randomRecords(random, 1)[0]
+		record.MonitorSetVersion = 2
+		report := func(boot member.Incarnation) membership.Silence {
+			return membership.Silence{Monitor: "m1", MonitorBoot: boot, Incarnation: record.Info.Incarnation, MonitorSetVersion: 2}
+		}
+		var records []membership.Record
+		for boot := member.Incarnation(1); boot <= 9; boot++ {
+			record.Silences = []membership.Silence{report(boot)}
+			records = append(records, record)
+		}
+		for range 20 {
+			random.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+			row := tableOf(records)
+			Expect(row.State).To(Equal(membership.StateSuspect))
+			Expect(row.Silences).To(Equal([]membership.Silence{report(1), report(9)}))
+		}
+	})
+
 	It("gives a member the full time from when its new set is learnt", func() {
 		monitor := membership.New(membership.Config{Self: member.Info{ID: "m1", Incarnation: 1}}, 0)
 		record := membership.Record{
@@ -62,6 +82,34 @@
 		Expect(reportedAt).To(Equal(2200 * time.Millisecond))
 	})
 
+	It("tells when what a member sent in an ended life has arrived", func() {
+		machine := membership.New(membership.Config{Self: member.Info{ID: "o", Incarnation: 1}}, 0)
+		record := membership.Record{Info: member.Info{ID: "x", Address: "x", Incarnation: 5}, Version: 1}
+		learn := func(now time.Duration) {
+			machine.Step(now, membership.Message{Type: membership.MessageGossip, From: record.Info, Records: []membership.Record{record}})
+		}
+		settledAfter := func(from time.Duration) {
+			machine.Tick(from + membership.DefaultFenceMargin - 1)
+			ExpectWithOffset(1, machine.FormerLifeSettled("x")).To(BeFalse())
+			machine.Tick(from + membership.DefaultFenceMargin)
+			ExpectWithOffset(1, machine.FormerLifeSettled("x")).To(BeTrue())
+		}
+		Expect(machine.FormerLifeSettled("x")).To(BeTrue(), "of nobody known")
+		learn(time.Second)
+		settledAfter(time.Second)
+		record.Version = 2
+		learn(2 * time.Second)
+		Expect(machine.FormerLifeSettled("x")).To(BeTrue(), "the same life")
+		record.Info.Incarnation, record.Version = 6, 1
+		learn(3 * time.Second)
+		Expect(machine.LifeEnded("x", 5)).To(BeTrue())
+		settledAfter(3 * time.Second)
+		record.State = membership.StateLeft
+		learn(4 * time.Second)
+		Expect(machine.LifeEnded("x", 6)).To(BeTrue())
+		settledAfter(4 * time.Second)
+	})
+
 	It("forgets lives that are over, and remembers that they are", func() {
 		w := newNetwork(3)
 		w.config.ForgetAfter = 5 * time.Second
