--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -196,11 +196,11 @@
 		return err
 	}
 	report := sharedReport(address, since, page)
-	if known && page.BootEpoch != epoch {
+	if known && page.Incarnation != epoch {
 		// The position belongs to an earlier life of the back end.
 		report.Feed.From = 0
 	}
-	if known && page.BootEpoch == epoch && len(report.Changes) == 0 && !page.Lost {
+	if known && page.Incarnation == epoch && len(report.Changes) == 0 && !page.Lost {
 		return nil
 	}
 	r.server.takeReport(r.server.options.Clock(), report)
@@ -212,7 +212,7 @@
 func sharedReport(address string, since uint64, page ReportPage) shared.Report {
 	return shared.Report{
 		Address: address,
-		Feed:    kvrouter.Feed{BootEpoch: page.BootEpoch, From: since, Next: page.Next, Lost: page.Lost},
+		Feed:    kvrouter.Feed{Incarnation: page.Incarnation, From: since, Next: page.Next, Lost: page.Lost},
 		Changes: lo.Map(page.Changes, func(change PartChange, _ int) shared.Change {
 			return shared.Change{
 				Sequence: change.Sequence,
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -145,7 +145,7 @@
 		}
 	})
 	if report.Whole {
-		return s.router.PartsListed(now, report.Address, report.Feed.BootEpoch, report.Feed.Next, changes)
+		return s.router.PartsListed(now, report.Address, report.Feed.Incarnation, report.Feed.Next, changes)
 	}
 	return s.router.PartsReported(now, report.Address, report.Feed, changes)
 }
--- a/internal/lab/enginebench/feed.go
+++ b/internal/lab/enginebench/feed.go
@@ -43,7 +43,7 @@
 				Tokens: uint32(change.kept), Removed: change.kept == 0,
 			})
 		}
-		position := kvrouter.Feed{BootEpoch: 1, From: from, Next: holder.feed.sequence}
+		position := kvrouter.Feed{Incarnation: 1, From: from, Next: holder.feed.sequence}
 		late := 80*time.Millisecond + time.Duration(s.random.ExpFloat64()*float64(50*time.Millisecond))
 		address := holder.address
 		s.timers.add(now+late, func(now time.Duration) {
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -106,7 +106,7 @@
 func packReport(table *textTable, report shared.Report) *fb.TrafficReportT {
 	packed := &fb.TrafficReportT{
 		Address:     table.index(report.Address),
-		Incarnation: report.Feed.BootEpoch,
+		Incarnation: report.Feed.Incarnation,
 		From:        report.Feed.From,
 		Next:        report.Feed.Next,
 		Lost:        report.Feed.Lost,
@@ -205,10 +205,10 @@
 		reports[i] = shared.Report{
 			Address: named.at(stored.Address()),
 			Feed: kvrouter.Feed{
-				BootEpoch: stored.Incarnation(),
-				From:      stored.From(),
-				Next:      stored.Next(),
-				Lost:      stored.Lost(),
+				Incarnation: stored.Incarnation(),
+				From:        stored.From(),
+				Next:        stored.Next(),
+				Lost:        stored.Lost(),
 			},
 			Whole:   stored.Whole(),
 			Changes: r.partChanges(&stored),
--- a/pkg/kvrouter/timed_test.go
+++ b/pkg/kvrouter/timed_test.go
@@ -253,7 +253,7 @@
 		g.router.PartsReported(late, "store", batch(0, 2), []kvrouter.PartChange{held(1, 0, 1000), held(2, 1, 1000)})
 		again := append(longPrompt(2), prefixindex.Part{ID: "third", Tokens: 500})
 		Expect(g.choose(late+time.Hour, again).Save).To(BeFalse())
-		g.router.PartsReported(late+time.Hour, "store", kvrouter.Feed{BootEpoch: epoch + 1, Next: 0}, nil)
+		g.router.PartsReported(late+time.Hour, "store", kvrouter.Feed{Incarnation: epoch + 1, Next: 0}, nil)
 		fourth := append(longPrompt(2), prefixindex.Part{ID: "fourth", Tokens: 500})
 		Expect(g.choose(late+time.Hour, fourth).Save).To(BeTrue(), "the store came back empty")
 		g.engine.StoreTokens = 10_000
