--- a/pkg/kvrouter/awaiting.go
+++ b/pkg/kvrouter/awaiting.go
@@ -17,6 +17,9 @@
 	// expected time, and a margin.
 	awaitStretch = 1.5
 	awaitMargin  = 100 * time.Millisecond
+	// mostAwait bounds it in any case: a request that is held back has no place in
+	// the replica's queue.
+	mostAwait = 2 * time.Second
 )
 
 // Awaited is the beginning of a prompt that a replica reads for an earlier
@@ -79,7 +82,7 @@
 		return nil
 	}
 	expected := chosen.timed.slowness * req.pace.perToken * chosen.timed.ahead
-	wait := fromMilliseconds(awaitStretch*expected) + awaitMargin
+	wait := min(fromMilliseconds(awaitStretch*expected)+awaitMargin, mostAwait)
 	if req.MaxWait > 0 {
 		wait = min(wait, req.MaxWait)
 	}
--- a/pkg/kvrouter/awaiting_test.go
+++ b/pkg/kvrouter/awaiting_test.go
@@ -85,6 +85,15 @@
 		Expect(third.Awaited.Until() - late).To(Equal(30 * time.Millisecond))
 	})
 
+	It("waits no longer than two seconds, however much the replica has to read", func() {
+		f := newTimedFleet("a")
+		f.choose(late, append(longPrompt(60), prefixindex.Part{ID: "first", Tokens: 500}))
+		f.hasBacklog(late, "a", 5, 20_000)
+		f.change = func(request *kvrouter.Request) { request.MaxWait = time.Minute }
+		second := f.choose(late, append(longPrompt(60), prefixindex.Part{ID: "second", Tokens: 500}))
+		Expect(second.Awaited.Until() - late).To(Equal(2 * time.Second))
+	})
+
 	It("does not wait when the parts have little in common", func() {
 		f := newTimedFleet("a")
 		f.choose(late, []prefixindex.Part{{ID: "short", Tokens: 200}, {ID: "x", Tokens: 8000}})
