Overdue requests of pools count against a replica far later

What it costs: a replica that holds a part of its requests is found out later; web services keep the shorter time.

--- a/internal/dataplane/health.go
+++ b/internal/dataplane/health.go
@@ -17,11 +17,14 @@
 )
 
 const (
-	// overdueTargets is how many times the latency aimed at an attempt may go
-	// without any output before it counts against its back end, and
-	// overdueDelays how many times the delay that was expected of it beyond that.
-	overdueTargets = 2
-	overdueDelays  = 3
+	// webOverdueTargets is how many times the latency aimed at an attempt on a web
+	// service may go without any output before it counts against its back end.
+	webOverdueTargets = 2
+	// poolOverdueTargets is the same for the replicas of pools, where a prompt
+	// waits long in busy times, and overdueDelays how many times the delay that
+	// was expected of it may go beyond that.
+	poolOverdueTargets = 6
+	overdueDelays      = 3
 	// leastOverdue bounds that time from below.
 	leastOverdue = 500 * time.Millisecond
 )
@@ -98,11 +101,13 @@
 func (h *health) begin(now time.Duration, w *work, address string, expected time.Duration) *attemptHealth {
 	started := &attemptHealth{health: h, address: address}
 	if target := time.Duration(w.route.Config.GetTargetLatencyMs()) * time.Millisecond; target > 0 {
-		started.overdueAt = now + max(overdueTargets*target, leastOverdue) + overdueDelays*expected
+		targets := time.Duration(poolOverdueTargets)
 		// The router learns by itself how fast replicas are.
 		if w.destination.WebService != nil {
+			targets = webOverdueTargets
 			started.slowAt = now + target
 		}
+		started.overdueAt = now + max(targets*target, leastOverdue) + overdueDelays*expected
 	}
 	h.ProbeSent(now, address)
 	h.mutex.Lock()
