A node reads no reports until it knows the other nodes

Cause: of all live nodes one reads the reports of a back end. A node that starts knows itself alone for a second or more, and so read those of every back end, from their beginning, and told all of them to all others. After power had been off everywhere each of 64 nodes did: links of 10 Mbit/s were full for ten seconds and more, news of load and kept parts came as late (trace: nodes heard 46 to 52 of 63 others and half of the reports from 4 s to 14 s after the return, then all at once), and half of the answers were late.

Ruled out: relays that serve callers, as the relays were control-only nodes; the empty index by itself: the same return after 4 s of traffic, with few reports to read, was over in 8 s.

Change: reading begins when the live nodes have been the same for a second, or five seconds after the start.

--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -39,6 +39,8 @@
 
 	// seen is the view that forgetUnlisted looked at last. It belongs to Serve.
 	seen *routing.View
+	// settling belongs to Serve as well.
+	settling settling
 
 	mutex   sync.Mutex
 	running map[string]context.CancelFunc
@@ -61,7 +63,7 @@
 	defer r.stopAll()
 	for {
 		if view := r.server.options.Source.View(); view != nil {
-			r.reconcile(ctx, r.owned(view))
+			r.follow(ctx, view)
 			r.forgetUnlisted(view)
 		}
 		select {
@@ -72,6 +74,13 @@
 	}
 }
 
+// follow reads what this node is the reader of, once it knows the other nodes.
+func (r *reportReaders) follow(ctx context.Context, view *routing.View) {
+	if r.settling.settled(r.server.options.Clock(), r.server.options.Peers()) {
+		r.reconcile(ctx, r.owned(view))
+	}
+}
+
 // String implements fmt.Stringer for the supervisor's messages.
 func (r *reportReaders) String() string {
 	return "report readers"
