--- a/internal/dataplane/harness_test.go
+++ b/internal/dataplane/harness_test.go
@@ -80,6 +80,9 @@
 	webs     []routing.Replica
 	limits   *ridgeswitchv1.Limits
 	timeout  uint32
+	// route is the configuration of the route to the pool; nil for one that says
+	// nothing but the target.
+	route *ridgeswitchv1.Route
 	// target is the latency that the routes aim at, in milliseconds; 0 for none.
 	target uint32
 	// named is the weight version that the pool is to run; empty for none.
@@ -145,7 +148,7 @@
 			digest(schoolKey): {Name: "school", Walled: true, SharingDomain: "school/1", Limits: f.limits},
 		},
 		Hosts: map[string]routing.Routes{
-			poolHost: {routing.NewRoute(&ridgeswitchv1.Route{TargetLatencyMs: f.target}, routing.Choice{Destination: routing.Destination{Pool: pool}})},
+			poolHost: {routing.NewRoute(f.poolRoute(), routing.Choice{Destination: routing.Destination{Pool: pool}})},
 			webHost: {routing.NewRoute(&ridgeswitchv1.Route{Public: true, TargetLatencyMs: f.target},
 				routing.Choice{Destination: routing.Destination{WebService: web}})},
 		},
@@ -154,6 +157,14 @@
 	})
 }
 
+// poolRoute is the configuration of the route to the pool.
+func (f *fixture) poolRoute() *ridgeswitchv1.Route {
+	if f.route != nil {
+		return f.route
+	}
+	return &ridgeswitchv1.Route{TargetLatencyMs: f.target}
+}
+
 func digest(key string) routing.KeyDigest {
 	sum := sha256.Sum256([]byte(key))
 	return routing.KeyDigest(hex.EncodeToString(sum[:]))
--- /dev/null
+++ b/internal/dataplane/routetimeout_test.go
@@ -0,0 +1,94 @@
+package dataplane_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+)
+
+var _ = Describe("The time that a route gives a request", func() {
+	const (
+		// given is far less than the destination's own bound.
+		given = 300 * time.Millisecond
+		// grace is how long after it the answer may end.
+		grace = 500 * time.Millisecond
+	)
+
+	// stuck never goes on after the beginning of its answer.
+	stuck := func(begin http.HandlerFunc) http.HandlerFunc {
+		return func(writer http.ResponseWriter, request *http.Request) {
+			begin(writer, request)
+			<-request.Context().Done()
+		}
+	}
+	nothing := func(http.ResponseWriter, *http.Request) {}
+	head := func(writer http.ResponseWriter, _ *http.Request) { writer.(http.Flusher).Flush() }
+	part := func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(writer, "a part")
+		writer.(http.Flusher).Flush()
+	}
+
+	DescribeTable("ends it in time, whatever keeps it", func(script http.HandlerFunc, streamed, resumable bool) {
+		stand, other := newReplica(script), newReplica(script)
+		f := newFixture(stand.address(), other.address())
+		f.route = &ridgeswitchv1.Route{TimeoutMs: uint32(given.Milliseconds()), Resumable: resumable}
+		f.publish()
+		began := time.Now()
+		got := f.generate(header{"Repeatable", "true"})
+		took := time.Since(began)
+		Expect(took).To(BeNumerically(">=", given))
+		Expect(took).To(BeNumerically("<", given+grace))
+		if streamed {
+			Expect(got.err).To(HaveOccurred(), "a cut stream ends abnormally")
+			Expect(got.body).NotTo(ContainSubstring("[DONE]"))
+			return
+		}
+		Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(got.problem.Kind).To(Equal(caller.KindDeadlineExceeded))
+		Expect(got.problem.MayHaveRun).To(BeTrue())
+	},
+		Entry("no answer", stuck(nothing), false, false),
+		Entry("an answer without a body", stuck(head), false, false),
+		Entry("a part of an answer", stuck(part), false, false),
+		Entry("a stream that stands still", stuck(streaming("a")), true, false),
+		Entry("a stream that stands still and may be taken up", stuck(streaming("a")), true, true),
+		Entry("a stream that goes on for ever", func(writer http.ResponseWriter, request *http.Request) {
+			for number := 0; request.Context().Err() == nil; number++ {
+				streaming(fmt.Sprint(number))(writer, request)
+			}
+		}, true, false),
+	)
+
+	It("ends the wait for a place too, and says that nothing has run", func() {
+		arrived, proceed := make(chan struct{}), make(chan struct{})
+		stand := newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			close(arrived)
+			<-proceed
+			answering("ok")(writer, request)
+		})
+		f := newFixture(stand.address())
+		f.limits = &ridgeswitchv1.Limits{ConcurrentRequests: 1, QueuedRequests: 1, QueueTimeoutMs: 60000}
+		f.publish()
+		first := make(chan outcome)
+		go func() { first <- f.generate() }()
+		Eventually(arrived).WithTimeout(patience).Should(BeClosed())
+		f.route = &ridgeswitchv1.Route{TimeoutMs: uint32(given.Milliseconds())}
+		f.publish()
+		began := time.Now()
+		got := f.generate()
+		Expect(time.Since(began)).To(BeNumerically("<", given+grace))
+		Expect(got.status).To(BeNumerically(">=", http.StatusBadRequest))
+		Expect(got.problem.MayHaveRun).To(BeFalse())
+		close(proceed)
+		Expect((<-first).status).To(Equal(http.StatusOK), "the earlier one has its own time")
+		Expect(stand.requests()).To(HaveLen(1))
+	})
+})
--- a/pkg/attempts/ledger_test.go
+++ b/pkg/attempts/ledger_test.go
@@ -149,6 +149,39 @@
 		Entry("of a repeatable request", true),
 	)
 
+	DescribeTable("of a stream, over every short input sequence", func(resumable bool) {
+		options := attempts.Options{Repeatable: resumable, Resumable: resumable, MaxAttempts: 2}
+		takenUp, aborted := 0, 0
+		explore(options, nil, truth{}, func(events []attempts.Event, ledger *attempts.Ledger, known truth) {
+			begun, over := false, false
+			for _, event := range events {
+				begun = begun || event.Kind == attempts.AnswerBegan
+				over = over || event.Kind == attempts.DeadlinePassed || event.Kind == attempts.CallerLeft
+			}
+			move := ledger.Next()
+			if !begun {
+				return
+			}
+			switch move.Kind {
+			case attempts.AnswerNotRun, attempts.AnswerUnknown, attempts.AnswerDeadline:
+				Fail("an answer of the node's own after a part of a back end's: " + describe(events))
+			case attempts.Dispatch:
+				takenUp++
+				Expect(known.running()).To(BeZero(), describe(events))
+				Expect(over).To(BeFalse(), describe(events))
+				Expect(move.Attempt).To(BeNumerically("<=", options.MaxAttempts+options.MaxUnsent), describe(events))
+			case attempts.AbortRelay:
+				aborted++
+				Expect(known.running()).To(BeZero(), describe(events))
+			}
+		})
+		Expect(takenUp > 0).To(Equal(resumable))
+		Expect(aborted).To(BeNumerically(">", 0))
+	},
+		Entry("that may be taken up", true),
+		Entry("that may not", false),
+	)
+
 	It("never dispatches again once a part of an answer was handed on", func() {
 		ledger := replay(attempts.Options{Repeatable: true, MaxAttempts: 3}, []attempts.Event{
 			{Kind: attempts.AttemptPlanned, Attempt: 1}, {Kind: attempts.ConnectStarted, Attempt: 1},
