Ports of tests lie outside those of outgoing connections

Ports were taken from the system's own range by opening and closing a listener at 127.0.0.1, so that another connection, another test process at 127.0.0.2, or the same process could get the port before it was listened on: in a recorded failure a node ended with 'bind: address already in use' at 127.0.0.2, and in another a neighbour's node answered in place of the one under test, and the hangup met a process that did not expect it yet. Change: internal/lab/loopback allots each port once a process, below the range of outgoing connections, and only if nobody listens on it at any address.

--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	logged "github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/loopback"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 )
 
@@ -21,9 +22,9 @@
 
 // freeAddress returns an address that nobody listens on.
 func freeAddress() string {
-	listener := listen()
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	address, err := loopback.Address("127.0.0.1")
+	Expect(err).NotTo(HaveOccurred())
+	return address
 }
 
 // listen takes a free port of this machine.
