A node that has started adopts what another node knows of kept parts

Cause: a node that starts hears only the changes that back ends report from then on. What they kept before stayed unknown to it until it was stored anew, and for the back ends that it became the reader of it read every report from its beginning and told all others.

Tests: a random stream cut at random places gives what a router knows that heard everything; the specs of asking and answering.

--- /dev/null
+++ b/internal/dataplane/adopting_internal_test.go
@@ -0,0 +1,145 @@
+package dataplane
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+var _ = Describe("What a node knows of kept parts when it has started", func() {
+	const backend = "127.0.0.1:9000"
+	var now time.Duration
+	var live []member.Info
+
+	// newNode returns a server that runs nothing by itself.
+	newNode := func(id string) *Server {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		info := member.Info{ID: member.ID(id), Zone: "a", TrafficAddress: "served"}
+		live = append(live, info)
+		server, err := New(Options{
+			Node: id, Member: info.ID, Zone: info.Zone, Source: noSource{}, Address: "127.0.0.1:0",
+			Clock: func() time.Duration { return now },
+			Peers: func() []member.Info { return live },
+			Log:   logrus.NewEntry(log),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Stop)
+		return server
+	}
+	// deliver hands over what each server has for another one, and returns how
+	// many batches that were.
+	deliver := func(servers ...*Server) int {
+		delivered := 0
+		for _, from := range servers {
+			for _, send := range from.Adopt(live) {
+				for _, to := range servers {
+					if to.options.Member == send.To[0].ID {
+						to.TakeDirect(send.Batch)
+						delivered++
+					}
+				}
+			}
+		}
+		return delivered
+	}
+	// report tells a server of changes of the back end, from a number on.
+	report := func(server *Server, from, next uint64) {
+		page := ReportPage{Incarnation: 7, Next: next}
+		for sequence := from + 1; sequence <= next; sequence++ {
+			page.Changes = append(page.Changes, PartChange{Sequence: sequence, ID: fmt.Sprint("part ", sequence), Tokens: 100})
+		}
+		server.takeReport(now, sharedReport(backend, from, page))
+	}
+	known := func(server *Server) (int, kvrouter.Feed) {
+		at, parts, _ := server.router.PartsSnapshot(backend)
+		return len(parts), at
+	}
+
+	BeforeEach(func() { now, live = 0, nil })
+
+	It("is what the others know, with the changes since", func() {
+		old := newNode("old")
+		Expect(old.adopting.over(now)).To(BeFalse())
+		now = 10 * time.Second
+		report(old, 0, 5000)
+		started := newNode("started")
+		report(started, 5000, 5001)
+		report(old, 5000, 5001)
+		for range 20 {
+			deliver(started, old)
+		}
+		Expect(started.adopting.over(now)).To(BeTrue())
+		parts, at := known(started)
+		Expect(parts).To(Equal(5001))
+		Expect(at).To(Equal(kvrouter.Feed{Incarnation: 7, Next: 5001}))
+	})
+
+	It("goes on from where it was read before, instead of from the beginning", func() {
+		old := newNode("old")
+		Expect(old.adopting.over(now)).To(BeFalse())
+		now = 10 * time.Second
+		Expect(old.adopting.over(now)).To(BeTrue())
+		report(old, 0, 50)
+		started := newNode("started")
+		for range 5 {
+			deliver(started, old)
+		}
+		_, since, _ := started.router.PartsPosition(backend)
+		Expect(since).To(Equal(uint64(50)))
+	})
+
+	It("is nothing when all have started at once, which all find out without waiting for each other", func() {
+		servers := []*Server{newNode("one"), newNode("two"), newNode("three")}
+		for range 5 {
+			deliver(servers...)
+			now += 50 * time.Millisecond
+		}
+		now = 1500 * time.Millisecond
+		Expect(deliver(servers...)).To(BeZero())
+		for _, server := range servers {
+			Expect(server.adopting.over(now)).To(BeTrue())
+		}
+	})
+
+	It("is asked for before this node reads any report itself", func() {
+		newNode("old")
+		started := newNode("started")
+		view := &routing.View{Pools: map[string]*routing.Pool{"pool": {Replicas: []routing.Replica{{Address: backend, Zone: "a"}}}}}
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		live = live[1:]
+		live = append(live, member.Info{ID: "silent", Zone: "b"})
+		started.readers.follow(ctx, view)
+		now = 2 * time.Second
+		started.readers.follow(ctx, view)
+		Expect(started.readers.running).To(BeEmpty())
+		now = 5 * time.Second
+		started.readers.reader = unreadable{}
+		started.readers.follow(ctx, view)
+		Expect(started.readers.running).To(HaveKey(backend))
+	})
+
+})
+
+// unreadable is a reader of reports that gets none.
+type unreadable struct{}
+
+func (unreadable) Read(ctx context.Context, _ string, _ uint64, _ time.Duration) (ReportPage, error) {
+	<-ctx.Done()
+	return ReportPage{}, ctx.Err()
+}
+
+func (unreadable) List(ctx context.Context, _ string) (ReportPage, error) {
+	<-ctx.Done()
+	return ReportPage{}, ctx.Err()
+}
--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -74,9 +74,12 @@
 	}
 }
 
-// follow reads what this node is the reader of, once it knows the other nodes.
+// follow reads what this node is the reader of, once it knows the other nodes and
+// has learnt from them how far the reports were read.
 func (r *reportReaders) follow(ctx context.Context, view *routing.View) {
-	if r.settling.settled(r.server.options.Clock(), r.server.options.Peers()) {
+	now := r.server.options.Clock()
+	settled := r.settling.settled(now, r.server.options.Peers())
+	if adopted := r.server.adopting.over(now); settled && adopted {
 		r.reconcile(ctx, r.owned(view))
 	}
 }
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -32,6 +32,7 @@
 	cold         *coldBounds
 	feeds        *feeds
 	sharing      *sharing
+	adopting     *adopting
 	readers      *reportReaders
 	chain        chain
 	listener     *listener
@@ -78,6 +79,7 @@
 		seed:         rand.Uint64(),
 	}
 	server.feedsCtx, server.stopFeeds = context.WithCancel(context.Background())
+	server.adopting = newAdopting(options, server.router)
 	server.feeds = newFeeds(server)
 	server.readers = newReportReaders(server)
 	if server.listener, err = newListener(options, server); err != nil {
--- /dev/null
+++ b/internal/dataplane/shared/adoption_test.go
@@ -0,0 +1,163 @@
+package shared_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+)
+
+// serving is a live node that serves callers.
+func serving(id, zone string) member.Info {
+	return member.Info{ID: member.ID(id), Zone: zone, TrafficAddress: "served"}
+}
+
+var _ = Describe("A node that has started", func() {
+	const self = member.ID("self")
+	var adoption *shared.Adoption
+	var live []member.Info
+	BeforeEach(func() {
+		adoption = shared.NewAdoption(self, "a")
+		live = []member.Info{serving("self", "a"), serving("far", "b"), serving("near", "a"), {ID: "core", Zone: "a"}}
+	})
+
+	// asks expects a question to one node at a time, and returns whom.
+	asks := func(at time.Duration) member.ID {
+		sends := adoption.Tick(at, live)
+		ExpectWithOffset(1, sends).To(HaveLen(1))
+		ExpectWithOffset(1, sends[0].To).To(HaveLen(1))
+		ExpectWithOffset(1, sends[0].Batch.Stage).To(Equal(shared.Asking))
+		ExpectWithOffset(1, sends[0].Batch.News).To(Equal([]shared.News{{Node: self}}))
+		return sends[0].To[0].ID
+	}
+	nothingDue := func(at time.Duration) { ExpectWithOffset(1, adoption.Tick(at, live)).To(BeEmpty()) }
+	told := func(node member.ID, reports int) shared.News {
+		return shared.News{Node: node, Reports: make([]shared.Report, reports)}
+	}
+
+	It("asks a node of its zone that serves callers, and is done once that has told all", func() {
+		Expect(asks(0)).To(Equal(member.ID("near")))
+		nothingDue(900 * time.Millisecond)
+		Expect(adoption.Heard(900*time.Millisecond, shared.Answering, told("near", 2))).To(BeTrue())
+		nothingDue(1800 * time.Millisecond)
+		Expect(adoption.Over(1800 * time.Millisecond)).To(BeFalse())
+		Expect(adoption.Heard(1800*time.Millisecond, shared.Answered, told("near", 0))).To(BeTrue())
+		Expect(adoption.Over(1800 * time.Millisecond)).To(BeTrue())
+		nothingDue(4 * time.Second)
+	})
+
+	It("asks the next one at once if the first one knows nothing", func() {
+		asks(0)
+		adoption.Heard(10*time.Millisecond, shared.Answered, told("near", 0))
+		Expect(adoption.Over(10 * time.Millisecond)).To(BeFalse())
+		Expect(asks(20 * time.Millisecond)).To(Equal(member.ID("far")))
+	})
+
+	It("asks the next one if the first one is silent for a second, or falls silent", func() {
+		asks(0)
+		adoption.Heard(500*time.Millisecond, shared.Answering, told("near", 1))
+		nothingDue(1400 * time.Millisecond)
+		Expect(asks(1500 * time.Millisecond)).To(Equal(member.ID("far")))
+	})
+
+	It("takes no answer that it does not wait for", func() {
+		Expect(adoption.Heard(0, shared.Answered, told("near", 1))).To(BeFalse())
+		asks(0)
+		Expect(adoption.Heard(0, shared.Answered, told("far", 1))).To(BeFalse())
+		Expect(adoption.Over(0)).To(BeFalse())
+	})
+
+	It("waits for others to become known, and gives up after a while", func() {
+		all := live
+		live = live[:1]
+		nothingDue(0)
+		Expect(adoption.Over(1600 * time.Millisecond)).To(BeFalse())
+		live = all
+		asks(1700 * time.Millisecond)
+		Expect(adoption.Over(4900 * time.Millisecond)).To(BeFalse())
+		Expect(adoption.Over(5 * time.Second)).To(BeTrue())
+	})
+
+	It("is done when all have told that they know nothing, but not before it can know them all", func() {
+		for _, at := range []time.Duration{0, 10 * time.Millisecond} {
+			adoption.Heard(at, shared.Answered, told(asks(at), 0))
+		}
+		nothingDue(time.Second)
+		Expect(adoption.Over(time.Second)).To(BeFalse())
+		nothingDue(1500 * time.Millisecond)
+		Expect(adoption.Over(1500 * time.Millisecond)).To(BeTrue())
+	})
+
+	It("asks six nodes at most", func() {
+		live = lo.Times(20, func(number int) member.Info { return serving(fmt.Sprint("node ", number), "a") })
+		for number := range 6 {
+			at := time.Duration(number) * time.Millisecond
+			adoption.Heard(at, shared.Answered, told(asks(at), 0))
+		}
+		nothingDue(10 * time.Millisecond)
+	})
+})
+
+var _ = Describe("A node that is asked", func() {
+	var answers *shared.Answers
+	var live []member.Info
+	// changes is how many parts each back end keeps.
+	var changes int
+	BeforeEach(func() {
+		answers = shared.NewAnswers("self")
+		live = []member.Info{serving("one", "a"), serving("two", "b")}
+		changes = 400
+	})
+	snapshot := func(address string) (shared.Report, bool) {
+		return shared.Report{Address: address, Whole: true, Changes: make([]shared.Change, changes)}, address != "unknown"
+	}
+	// told is what a send tells: to whom, at what stage, of which back ends.
+	told := func(send shared.Outbound) string {
+		addresses := lo.Map(send.Batch.News[0].Reports, func(report shared.Report, _ int) string { return report.Address })
+		return fmt.Sprint(send.To[0].ID, " ", send.Batch.Stage == shared.Answered, " ", addresses)
+	}
+	tick := func() []string {
+		return lo.Map(answers.Tick(live, snapshot), func(send shared.Outbound, _ int) string { return told(send) })
+	}
+
+	It("tells what it knows in pieces, each tick about as much as a small link carries", func() {
+		answers.Asked("one", []string{"a", "b", "unknown", "c", "d"})
+		Expect(tick()).To(Equal([]string{"one false [a b c]"}))
+		Expect(tick()).To(Equal([]string{"one true [d]"}))
+		Expect(tick()).To(BeEmpty())
+	})
+
+	It("tells one after the other, and from the beginning to who asks again", func() {
+		answers.Asked("one", []string{"a", "b", "c", "d"})
+		answers.Asked("two", []string{"a"})
+		Expect(tick()).To(Equal([]string{"one false [a b c]"}))
+		answers.Asked("one", []string{"a"})
+		Expect(tick()).To(Equal([]string{"two true [a]", "one true [a]"}))
+	})
+
+	It("says so at once if it knows nothing", func() {
+		answers.Asked("one", nil)
+		Expect(tick()).To(Equal([]string{"one true []"}))
+	})
+
+	It("tells nothing to who is not live any more", func() {
+		answers.Asked("gone", []string{"a"})
+		Expect(tick()).To(BeEmpty())
+		live = append(live, serving("gone", "a"))
+		Expect(tick()).To(BeEmpty())
+	})
+
+	It("answers a bounded number of nodes at a time", func() {
+		changes = 0
+		for number := range 40 {
+			live = append(live, serving(fmt.Sprint("asker ", number), "a"))
+			answers.Asked(member.ID(fmt.Sprint("asker ", number)), []string{"a"})
+		}
+		Expect(tick()).To(HaveLen(16))
+	})
+})
--- a/internal/dataplane/shared/message.go
+++ b/internal/dataplane/shared/message.go
@@ -29,8 +29,18 @@
 	Crossing
 	// Spreading batches go from a relay to the nodes of its zone.
 	Spreading
+	// Asking batches go from a node that has started to one that it asks for
+	// what it knows, see Adoption.
+	Asking
+	// Answering batches carry a part of that back, and Answered ones the rest.
+	Answering
+	Answered
 )
 
+// Direct tells whether a batch is part of an Adoption: it is for the node that
+// gets it alone.
+func (s Stage) Direct() bool { return s >= Asking && s <= Answered }
+
 // Batch carries the news of several nodes.
 type Batch struct {
 	Stage Stage
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -136,7 +136,16 @@
 
 // takeReport brings a page of reports into the index.
 func (s *Server) takeReport(now time.Duration, report shared.Report) kvrouter.FeedStatus {
-	changes := lo.Map(report.Changes, func(change shared.Change, _ int) kvrouter.PartChange {
+	changes := partChanges(report.Changes)
+	if report.Whole {
+		return s.router.PartsListed(now, report.Address, report.Feed.Incarnation, report.Feed.Next, changes)
+	}
+	return s.router.PartsReported(now, report.Address, report.Feed, changes)
+}
+
+// partChanges are changes as the router takes them.
+func partChanges(told []shared.Change) []kvrouter.PartChange {
+	return lo.Map(told, func(change shared.Change, _ int) kvrouter.PartChange {
 		return kvrouter.PartChange{
 			Sequence: change.Sequence,
 			Name:     change.Name,
@@ -144,8 +153,4 @@
 			Removed:  change.Removed,
 		}
 	})
-	if report.Whole {
-		return s.router.PartsListed(now, report.Address, report.Feed.Incarnation, report.Feed.Next, changes)
-	}
-	return s.router.PartsReported(now, report.Address, report.Feed, changes)
 }
--- a/internal/node/sharer.go
+++ b/internal/node/sharer.go
@@ -47,27 +47,36 @@
 
 // share sends what is due.
 func (s *sharer) share() {
+	live := s.driver.LiveNodes()
 	var news shared.News
+	var direct []shared.Outbound
 	if s.dataplane != nil {
 		news = s.dataplane.News()
+		direct = s.dataplane.Adopt(live)
 	}
-	for _, send := range s.flush(news) {
+	for _, send := range append(direct, s.flush(news, live)...) {
 		s.driver.SendTraffic(send)
 	}
 }
 
 // flush adds this node's own news to what it passes on, and takes what is due.
-func (s *sharer) flush(own shared.News) []shared.Outbound {
+func (s *sharer) flush(own shared.News, live []member.Info) []shared.Outbound {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !own.Empty() {
 		s.exchange.Add(own)
 	}
-	return s.exchange.Flush(s.driver.LiveNodes())
+	return s.exchange.Flush(live)
 }
 
 // TakeBatch implements control.TrafficReceiver.
 func (s *sharer) TakeBatch(batch shared.Batch) {
+	if batch.Stage.Direct() {
+		if s.dataplane != nil {
+			s.dataplane.TakeDirect(batch)
+		}
+		return
+	}
 	s.mutex.Lock()
 	fresh := s.exchange.Take(batch)
 	s.mutex.Unlock()
--- a/pkg/kvrouter/partsfeed.go
+++ b/pkg/kvrouter/partsfeed.go
@@ -7,6 +7,10 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
+// maxTouched bounds the parts of one holder of which it is remembered that they
+// changed since the feed began.
+const maxTouched = 1 << 14
+
 // partsBatch is a batch that waits for an earlier one.
 type partsBatch struct {
 	position Feed
@@ -22,6 +26,11 @@
 	// waiting are batches beyond position, in order.
 	waiting      []partsBatch
 	waitingSince time.Duration
+	// begun is the sequence number after which the changes were followed.
+	begun uint64
+	// touched are the parts that changed since begun. It is nil once nothing is
+	// missing from before, or if too many changed to be told apart.
+	touched map[prefixindex.ChainHash]struct{}
 }
 
 // takeParts brings in a batch of changes.
@@ -35,14 +44,24 @@
 	f.eventsSeen = true
 	if !f.parts.seen {
 		f.parts.seen = true
-		f.parts.position = batch.From
-		f.lost = f.lost || batch.From > 0
+		f.beginParts(batch.From)
 	}
 	status = f.placeParts(now, partsBatch{position: batch, changes: changes})
 	f.giveUpPartsIfDue(now)
 	return status, restarted
 }
 
+// beginParts begins to follow the changes after a sequence number.
+func (f *feed) beginParts(from uint64) {
+	f.parts.position = from
+	if from == 0 {
+		return
+	}
+	f.lost = true
+	f.parts.begun = from
+	f.parts.touched = make(map[prefixindex.ChainHash]struct{})
+}
+
 // enterUnordered is enter for holders whose incarnations have no order: one that is
 // neither the present one nor one of the last few is a new start.
 func (f *feed) enterUnordered(now time.Duration, incarnation uint64) (current, restarted bool) {
@@ -108,16 +127,29 @@
 
 func (f *feed) hold(change PartChange) {
 	name := change.IndexName()
+	f.touch(name)
 	f.index.Hold(f.holder, name, change.Tokens)
 	if change.Removed {
 		f.pending.Remove(f.holder, []prefixindex.ChainHash{name})
 	}
 }
 
+// touch notes that a part has changed since the feed began, up to a bound.
+func (f *feed) touch(name prefixindex.ChainHash) {
+	if f.parts.touched == nil {
+		return
+	}
+	f.parts.touched[name] = struct{}{}
+	if len(f.parts.touched) > maxTouched {
+		f.parts.touched = nil
+	}
+}
+
 // doubtParts turns everything reported into guesses.
 func (f *feed) doubtParts(now time.Duration) {
 	f.index.Doubt(now, f.options.DoubtTTL, f.holder)
 	f.lost = true
+	f.parts.touched = nil
 }
 
 // applyWaitingParts applies the batches whose turn has come.
@@ -158,9 +190,16 @@
 	if f.parts.seen && sequence < f.parts.position {
 		return Stale, restarted
 	}
+	f.replaceParts(now, sequence, parts)
+	return Accepted, restarted
+}
+
+// replaceParts replaces everything by what was kept at a sequence number.
+func (f *feed) replaceParts(now time.Duration, sequence uint64, parts []PartChange) {
 	f.eventsSeen = true
 	f.parts.seen = true
 	f.parts.position = sequence
+	f.parts.touched = nil
 	f.lost = false
 	f.index.Drop(f.holder)
 	for _, part := range parts {
@@ -171,7 +210,6 @@
 	})
 	f.applyWaitingParts(now)
 	f.announce()
-	return Accepted, restarted
 }
 
 func (f *feed) partsPosition() (incarnation, sequence uint64, known bool) {
--- a/pkg/prefixindex/held.go
+++ b/pkg/prefixindex/held.go
@@ -1,6 +1,9 @@
 package prefixindex
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Hold records that a holder reported to keep so many tokens of a part, from
 // the part's beginning. 0 tokens mean that it keeps none of it any more. A
@@ -28,3 +31,17 @@
 	x.predicted.addHashes(now, ttl, holder, hashes)
 	x.reported.drop(holder)
 }
+
+// Held lists what a holder reported to keep, see Hold, in the order of the names.
+// Parts in doubt are left out.
+func (x *Index) Held(holder Holder) []Link {
+	hashes := x.reported.heldBy(holder)
+	slices.Sort(hashes)
+	held := make([]Link, 0, len(hashes))
+	for _, hash := range hashes {
+		if tokens, known := x.sizes.get(holder, hash); known {
+			held = append(held, Link{Hash: hash, Tokens: tokens})
+		}
+	}
+	return held
+}
--- a/pkg/prefixindex/sizes.go
+++ b/pkg/prefixindex/sizes.go
@@ -43,6 +43,19 @@
 	return &s.shards[mix(hash)%sizeShards]
 }
 
+// get returns the kept tokens of a part that is reported.
+func (s *sizes) get(holder Holder, hash ChainHash) (uint32, bool) {
+	shard := s.of(hash)
+	shard.mutex.RLock()
+	defer shard.mutex.RUnlock()
+	for _, kept := range shard.kept[hash] {
+		if kept.holder == holder {
+			return kept.tokens, !kept.doubted
+		}
+	}
+	return 0, false
+}
+
 // set records the kept tokens of a part that is reported. It returns false when
 // there is no room for another.
 func (s *sizes) set(holder Holder, hash ChainHash, tokens uint32) bool {
