--- a/internal/dataplane/adopting.go
+++ b/internal/dataplane/adopting.go
@@ -85,6 +85,10 @@
 	return s.adopting.tick(s.options.Clock(), live)
 }
 
+// Adopted tells whether this node has learnt what it could of the parts that back
+// ends keep. It is true a few seconds after the start in any case.
+func (s *Server) Adopted() bool { return s.adopting.over(s.options.Clock()) }
+
 // TakeDirect takes in a question or an answer of another node.
 func (s *Server) TakeDirect(batch shared.Batch) {
 	now := s.options.Clock()
--- a/internal/dataplane/shared/adoption.go
+++ b/internal/dataplane/shared/adoption.go
@@ -64,7 +64,7 @@
 	}
 	next, found := a.next(live)
 	if !found {
-		a.over = len(a.asked) > 0 && now-a.startAt >= peersKnownAfter
+		a.over = now-a.startAt >= peersKnownAfter
 		return nil
 	}
 	a.asked = append(a.asked, next.ID)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,7 @@
 	}
 	source.driver = n.driver
 	n.health.driver = n.driver
+	n.health.served = n.served()
 	return n.buildOperators()
 }
 
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -8,10 +8,14 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
+// errAdopting is the reason why a node that has just started is not ready.
+var errAdopting = errors.New("the node is still learning from others what back ends keep; it is ready within seconds")
+
 // errDraining is the reason why a stopping node is not ready.
 var errDraining = errors.New("the node is draining; use another one")
 
@@ -43,7 +47,9 @@
 
 // health answers the platform's probes.
 type health struct {
-	driver   *control.Driver
+	driver *control.Driver
+	// served is what serves callers, or nil.
+	served   *dataplane.Server
 	draining atomic.Bool
 }
 
@@ -52,7 +58,13 @@
 	if h.draining.Load() {
 		return errDraining
 	}
-	return h.driver.Ready()
+	if err := h.driver.Ready(); err != nil {
+		return err
+	}
+	if h.served != nil && !h.served.Adopted() {
+		return errAdopting
+	}
+	return nil
 }
 
 // Live implements operator.Health.
