A caller that sends a part of its body gets its answer at the route's time

Cause: after a failed read of the body its read deadline was taken back. The HTTP server reads up to 256 KB that are left of a body before it writes an answer, so the answer waited for bytes that never came. Seen with a declared length and less than that left; chunked bodies and larger ones were answered before too.

The deadline is now taken back after a whole body alone. A read that the deadline ended is told as a deadline also if the request's own timer fires a moment later; before, that could be told as a bad request.

--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,16 +36,21 @@
 	next()
 }
 
-// read reads the body within the request's deadline. The read deadline is
-// taken back, because the server watches the connection for the caller's leave
-// from then on.
+// read reads the body within the request's deadline. The read deadline is taken
+// back after a whole body alone: the server watches the connection for the
+// caller's leave from then on. After a part it stays, because the server tries
+// to read the rest before it writes an answer.
 func (r *bodyReader) read(e *exchange) ([]byte, error) {
 	controller := http.NewResponseController(e.writer)
-	if deadline, bounded := e.ctx.Deadline(); bounded {
+	deadline, bounded := e.ctx.Deadline()
+	if bounded {
 		_ = controller.SetReadDeadline(deadline)
-		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	}
-	return readAll(http.MaxBytesReader(e.writer, e.request.Body, r.limit(e)), e.request.ContentLength)
+	body, err := readAll(http.MaxBytesReader(e.writer, e.request.Body, r.limit(e)), e.request.ContentLength)
+	if bounded && err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
 }
 
 // limit is the bound of the configuration, or the node's own.
@@ -70,7 +76,7 @@
 	if errors.As(err, &tooLarge) {
 		return caller.NewProblem(caller.KindBodyTooLarge, "the body is larger than %d bytes: send less", tooLarge.Limit)
 	}
-	if deadlinePassed(e.ctx) {
+	if deadlinePassed(e.ctx) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return deadlineProblem()
 	}
 	return caller.NewProblem(caller.KindBadRequest, "the body cannot be read (%v): send the request again", err)
--- /dev/null
+++ b/internal/dataplane/unsent_test.go
@@ -0,0 +1,112 @@
+package dataplane_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+)
+
+// callerConnection is a caller's own connection, on which it writes what it
+// likes.
+type callerConnection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// connect opens a connection to the node. No read on it outlasts patience.
+func (f *fixture) connect() *callerConnection {
+	connection, err := net.DialTimeout("tcp", f.front.Listener.Addr().String(), patience)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(connection.Close)
+	Expect(connection.SetDeadline(time.Now().Add(patience))).To(Succeed())
+	return &callerConnection{Conn: connection, reader: bufio.NewReader(connection)}
+}
+
+// write writes text as it is.
+func (c *callerConnection) write(text string) {
+	_, err := io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// answer reads one answer with its body, and passes over interim ones.
+func (c *callerConnection) answer() (*http.Response, string) {
+	response, err := http.ReadResponse(c.reader, nil)
+	for err == nil && response.StatusCode == http.StatusContinue {
+		response, err = http.ReadResponse(c.reader, nil)
+	}
+	Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response, string(body)
+}
+
+// promptHead is the head of a request to the pool, up to its last lines.
+func promptHead(lines ...string) string {
+	return "POST /v1/generate HTTP/1.1\r\nHost: " + poolHost + "\r\nAuthorization: Bearer " + courtKey + "\r\n" +
+		strings.Join(append(lines, "", ""), "\r\n")
+}
+
+var _ = Describe("A caller that does not send its whole body", func() {
+	const (
+		given = 300 * time.Millisecond
+		// grace is how long after the route's time the answer may come.
+		grace = 500 * time.Millisecond
+	)
+
+	DescribeTable("gets its answer at the route's time, and nothing runs", func(lines []string, part string) {
+		stand := newReplica(answering("ok"))
+		f := newFixture(stand.address())
+		f.route = &ridgeswitchv1.Route{TimeoutMs: uint32(given.Milliseconds())}
+		f.publish()
+		connection := f.connect()
+		whole := promptHead(fmt.Sprintf("Content-Length: %d", len(defaultBody))) + defaultBody
+		connection.write(whole)
+		response, _ := connection.answer()
+		Expect(response.StatusCode).To(Equal(http.StatusOK), "a whole request before it, on the same connection")
+
+		began := time.Now()
+		connection.write(promptHead(lines...) + part)
+		response, _ = connection.answer()
+		took := time.Since(began)
+		Expect(response.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(took).To(BeNumerically(">=", given))
+		Expect(took).To(BeNumerically("<", given+grace))
+		Expect(response.Close).To(BeTrue(), "what comes later is no request")
+		_, err := connection.reader.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		Expect(stand.requests()).To(HaveLen(1))
+	},
+		Entry("but a part", []string{"Content-Length: 100"}, "a part"),
+		Entry("but nothing", []string{"Content-Length: 100"}, ""),
+		Entry("but a part of many bytes", []string{"Content-Length: 1000000"}, strings.Repeat("x", 300000)),
+		Entry("but a whole chunk", []string{"Transfer-Encoding: chunked"}, "6\r\na part\r\n"),
+		Entry("but a part of a chunk", []string{"Transfer-Encoding: chunked"}, "8\r\na part"),
+		Entry("but all chunks save the last", []string{"Transfer-Encoding: chunked"}, "6\r\na part\r\n0\r\n"),
+		Entry("though it was told to go on", []string{"Content-Length: 100", "Expect: 100-continue"}, ""),
+	)
+
+	It("is no hindrance to one that sends slowly, and to what follows on its connection", func() {
+		stand := newReplica(answering("ok"))
+		f := newFixture(stand.address())
+		f.route = &ridgeswitchv1.Route{TimeoutMs: uint32(given.Milliseconds())}
+		f.publish()
+		connection := f.connect()
+		for range 3 {
+			for _, piece := range []string{promptHead("Content-Length: 8"), "slow", "ness"} {
+				connection.write(piece)
+			}
+			response, body := connection.answer()
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+			Expect(body).To(Equal("ok"))
+		}
+	})
+})
