A refusal waits 200 ms at most for the rest of a body

Cause: the HTTP server reads what is left of a body before it writes an answer. A request that is refused before its body is read (no route, no key, a node that may not serve, one request too many) got no answer at all while the caller did not send the rest; nothing bounded the wait.

--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +14,10 @@
 // maxTrustedBytes bounds the buffer that a declared length gets in advance.
 const maxTrustedBytes = 64 << 10
 
+// unreadBodyGrace is how long a refusal waits for the rest of a body that nobody
+// reads, so that the connection may go on.
+const unreadBodyGrace = 200 * time.Millisecond
+
 // bodyReader reads the caller's body whole, so that every attempt sends the
 // same bytes and a caller that sends slowly never holds a back end.
 type bodyReader struct {
@@ -32,7 +35,7 @@
 		e.refuse(bodyProblem(e, err))
 		return
 	}
-	e.body = body
+	e.body, e.bodyRead = body, true
 	next()
 }
 
@@ -53,6 +56,20 @@
 	return body, err
 }
 
+// boundUnreadBody keeps an answer that is about to be written from waiting for the
+// rest of the body. What was read whole is left alone, since the server watches
+// that connection for the caller's leave.
+func (e *exchange) boundUnreadBody() {
+	if e.bodyRead || e.request.Body == nil || e.request.Body == http.NoBody {
+		return
+	}
+	until := time.Now().Add(unreadBodyGrace)
+	if deadline, bounded := e.ctx.Deadline(); bounded && deadline.Before(until) {
+		until = deadline
+	}
+	_ = http.NewResponseController(e.writer).SetReadDeadline(until)
+}
+
 // limit is the bound of the configuration, or the node's own.
 func (r *bodyReader) limit(e *exchange) int64 {
 	if bound := e.view.Configuration.GetCallerLimits().GetMaxBodyBytes(); bound > 0 {
@@ -76,7 +93,9 @@
 	if errors.As(err, &tooLarge) {
 		return caller.NewProblem(caller.KindBodyTooLarge, "the body is larger than %d bytes: send less", tooLarge.Limit)
 	}
-	if deadlinePassed(e.ctx) || errors.Is(err, os.ErrDeadlineExceeded) {
+	// The error of a read that the deadline ended does not always say so, and the
+	// context may end a moment later than the read.
+	if deadline, bounded := e.ctx.Deadline(); bounded && !time.Now().Before(deadline) {
 		return deadlineProblem()
 	}
 	return caller.NewProblem(caller.KindBadRequest, "the body cannot be read (%v): send the request again", err)
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -29,6 +29,8 @@
 	described   caller.Request
 	requestID   string
 	body        []byte
+	// bodyRead tells that body is all that the caller sends.
+	bodyRead bool
 	// counters count the outcomes of the destination; nil before routing.
 	counters *destinationState
 	// certainlyNotRun tells, after the answer, that the request has not run
@@ -58,6 +60,7 @@
 		e.counters.countRefusal(problem.Kind)
 	}
 	e.watch.refused(problem)
+	e.boundUnreadBody()
 	e.edges.Callers.WriteProblem(e.writer, problem)
 }
 
--- a/internal/dataplane/unsent_test.go
+++ b/internal/dataplane/unsent_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 )
@@ -94,6 +95,32 @@
 		Entry("though it was told to go on", []string{"Content-Length: 100", "Expect: 100-continue"}, ""),
 	)
 
+	DescribeTable("gets a refusal that needs no body soon", func(status int, change func(f *fixture), host, key string) {
+		stand := newReplica(answering("ok"))
+		f := newFixture(stand.address())
+		change(f)
+		before := len(stand.requests())
+		connection := f.connect()
+		began := time.Now()
+		connection.write("POST / HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + key + "\r\nContent-Length: 100\r\n\r\na part")
+		response, _ := connection.answer()
+		Expect(response.StatusCode).To(Equal(status))
+		Expect(time.Since(began)).To(BeNumerically("<", grace))
+		Expect(response.Close).To(BeTrue())
+		Expect(stand.requests()).To(HaveLen(before))
+	},
+		Entry("for want of a route", http.StatusNotFound, func(*fixture) {}, "gone.example", courtKey),
+		Entry("for want of a key", http.StatusUnauthorized, func(*fixture) {}, poolHost, "no key"),
+		Entry("of a node that may not serve", http.StatusServiceUnavailable, func(f *fixture) {
+			f.source.refusal = errors.New("cut off")
+		}, poolHost, courtKey),
+		Entry("of one request too many", http.StatusTooManyRequests, func(f *fixture) {
+			f.limits = &ridgeswitchv1.Limits{RequestsPerSecond: 0.001, Burst: 1}
+			f.publish()
+			Expect(f.generate().status).To(Equal(http.StatusOK))
+		}, poolHost, courtKey),
+	)
+
 	It("is no hindrance to one that sends slowly, and to what follows on its connection", func() {
 		stand := newReplica(answering("ok"))
 		f := newFixture(stand.address())
