--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -14,6 +14,10 @@
 // maxTrustedBytes bounds the buffer that a declared length gets in advance.
 const maxTrustedBytes = 64 << 10
 
+// unreadBodyGrace is how long a refusal waits for the rest of a body that nobody
+// reads, so that the connection may go on.
+const unreadBodyGrace = 200 * time.Millisecond
+
 // bodyReader reads the caller's body whole, so that every attempt sends the
 // same bytes and a caller that sends slowly never holds a back end.
 type bodyReader struct {
@@ -31,20 +35,39 @@
 		e.refuse(bodyProblem(e, err))
 		return
 	}
-	e.body = body
+	e.body, e.bodyRead = body, true
 	next()
 }
 
-// read reads the body within the request's deadline. The read deadline is
-// taken back, because the server watches the connection for the caller's leave
-// from then on.
+// read reads the body within the request's deadline. The read deadline is taken
+// back after a whole body alone: the server watches the connection for the
+// caller's leave from then on. After a part it stays, because the server tries
+// to read the rest before it writes an answer.
 func (r *bodyReader) read(e *exchange) ([]byte, error) {
 	controller := http.NewResponseController(e.writer)
-	if deadline, bounded := e.ctx.Deadline(); bounded {
+	deadline, bounded := e.ctx.Deadline()
+	if bounded {
 		_ = controller.SetReadDeadline(deadline)
-		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	}
-	return readAll(http.MaxBytesReader(e.writer, e.request.Body, r.limit(e)), e.request.ContentLength)
+	body, err := readAll(http.MaxBytesReader(e.writer, e.request.Body, r.limit(e)), e.request.ContentLength)
+	if bounded && err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
+// boundUnreadBody keeps an answer that is about to be written from waiting for the
+// rest of the body. What was read whole is left alone, since the server watches
+// that connection for the caller's leave.
+func (e *exchange) boundUnreadBody() {
+	if e.bodyRead || e.request.Body == nil || e.request.Body == http.NoBody {
+		return
+	}
+	until := time.Now().Add(unreadBodyGrace)
+	if deadline, bounded := e.ctx.Deadline(); bounded && deadline.Before(until) {
+		until = deadline
+	}
+	_ = http.NewResponseController(e.writer).SetReadDeadline(until)
 }
 
 // limit is the bound of the configuration, or the node's own.
@@ -70,7 +93,9 @@
 	if errors.As(err, &tooLarge) {
 		return caller.NewProblem(caller.KindBodyTooLarge, "the body is larger than %d bytes: send less", tooLarge.Limit)
 	}
-	if deadlinePassed(e.ctx) {
+	// The error of a read that the deadline ended does not always say so, and the
+	// context may end a moment later than the read.
+	if deadline, bounded := e.ctx.Deadline(); bounded && !time.Now().Before(deadline) {
 		return deadlineProblem()
 	}
 	return caller.NewProblem(caller.KindBadRequest, "the body cannot be read (%v): send the request again", err)
