--- a/internal/control/announcements.go
+++ b/internal/control/announcements.go
@@ -25,8 +25,8 @@
 // It is kept where the membership, and not a registry, tells which nodes there
 // are.
 type spreading struct {
-	// epoch is that of the ownership which the rest belongs to.
-	epoch uint64
+	// term is that of the ownership which the rest belongs to.
+	term uint64
 	// announced is when each life of a node was last told of the ownership.
 	announced map[member.ID]announcement
 	// revision is the newest one published, and since when it is under way.
@@ -55,9 +55,9 @@
 		if hosted == nil || !hosted.owned() || !hosted.group.BarrierApplied() {
 			continue
 		}
-		epoch := hosted.group.Status().Epoch
-		if hosted.spreading.epoch != epoch {
-			hosted.spreading = spreading{epoch: epoch, announced: map[member.ID]announcement{}}
+		term := hosted.group.Status().Term
+		if hosted.spreading.term != term {
+			hosted.spreading = spreading{term: term, announced: map[member.ID]announcement{}}
 		}
 		m.announce(hosted)
 		m.sendDirectly(hosted)
@@ -92,14 +92,14 @@
 	m.sendControl(id, protocol.Message{
 		Type:  protocol.MessageAskConfirm,
 		Shard: hosted.id,
-		Epoch: hosted.group.Status().Epoch,
+		Term:  hosted.group.Status().Term,
 	})
 }
 
 // receiveAskConfirm answers an owner, and notes that it is one.
 func (m *Machine) receiveAskConfirm(from member.ID, message protocol.Message) {
-	if message.Epoch > 0 && message.Epoch >= m.epochs[message.Shard].epoch {
-		m.learnEpoch(message.Shard, message.Epoch)
+	if message.Term > 0 && message.Term >= m.terms[message.Shard].term {
+		m.learnTerm(message.Shard, message.Term)
 		m.lastOwners[message.Shard] = from
 	}
 	m.sendControl(from, m.ownConfirmation())
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -170,7 +170,7 @@
 		return
 	}
 	report, known := m.backends.reports[replica.Address]
-	work.token = commandToken(hosted.group.Status().Epoch, replica.row.GetPhaseRevision())
+	work.token = commandToken(hosted.group.Status().Term, replica.row.GetPhaseRevision())
 	work.sending = true
 	work.sentAt = m.now
 	work.taken = false
@@ -223,19 +223,19 @@
 func (m *Machine) mayCommand(hosted *shard) bool {
 	times := m.config.Times
 	first := hosted.rollout.since + times.LeaseDuration + times.LeaseMargin + times.CommandGap
-	if hosted.rollout.epoch > 1 && m.now < first {
+	if hosted.rollout.term > 1 && m.now < first {
 		return false
 	}
 	return hosted.group.MayCommand(m.now) && hosted.group.MayCommand(m.now+commandWindow)
 }
 
-// commandToken orders all commands that a replica ever gets: first by the epoch
+// commandToken orders all commands that a replica ever gets: first by the term
 // of the ownership, then by the revision at which the ordered phase was entered.
 // So a replica also refuses a late command of the same owner for a version that
 // has been replaced since.
-func commandToken(epoch, phaseRevision uint64) uint64 {
+func commandToken(term, phaseRevision uint64) uint64 {
 	const revisionBits = 32
-	return epoch<<revisionBits | phaseRevision&(1<<revisionBits-1)
+	return term<<revisionBits | phaseRevision&(1<<revisionBits-1)
 }
 
 // CommandDone takes what came of a command.
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -47,7 +47,7 @@
 	lastOwners map[uint32]member.ID
 	// challenges are the numbers that nodes are to send back to this one.
 	challenges  map[challengeKey]challenge
-	epochs      map[uint32]knownEpoch
+	terms       map[uint32]knownTerm
 	nextRollout time.Duration
 	nextBeat    time.Duration
 	// tableDigest, membersDigest and addresses follow the table of members.
@@ -78,7 +78,7 @@
 		nextTry:    uint64(config.Self.Incarnation) << requestBits,
 		lastOwners: map[uint32]member.ID{},
 		challenges: map[challengeKey]challenge{},
-		epochs:     map[uint32]knownEpoch{},
+		terms:      map[uint32]knownTerm{},
 		addresses:  map[member.ID]string{},
 		named:      map[string]namedWeights{},
 		list:       newListing(config, now),
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -16,7 +16,7 @@
 
 // proposal is a command of this node, as owner, that waits to be applied.
 type proposal struct {
-	epoch   uint64
+	term    uint64
 	from    member.ID
 	request uint64
 	message protocol.Message
@@ -25,9 +25,9 @@
 // hasProposal tells whether a proposal of the present ownership waits to be
 // applied. One of an earlier ownership may have been lost for good.
 func (s *shard) hasProposal(wanted func(proposal) bool) bool {
-	epoch := s.group.Status().Epoch
+	term := s.group.Status().Term
 	for _, open := range s.proposals {
-		if open.epoch == epoch && wanted(open) {
+		if open.term == term && wanted(open) {
 			return true
 		}
 	}
@@ -40,7 +40,7 @@
 	if err != nil {
 		return
 	}
-	open.epoch = hosted.group.Status().Epoch
+	open.term = hosted.group.Status().Term
 	hosted.proposals[index] = open
 	m.pump(hosted)
 }
@@ -60,7 +60,7 @@
 }
 
 // afterApply answers whoever waits for the command at an index. An entry of
-// another epoch means that the proposal was lost to a later owner; its sender
+// another term means that the proposal was lost to a later owner; its sender
 // asks again.
 func (m *Machine) afterApply(hosted *shard, index uint64, command *controlpb.Command, answer *controlpb.Answer) {
 	if registered := command.GetRegisterNode(); registered != nil {
@@ -74,7 +74,7 @@
 		return
 	}
 	delete(hosted.proposals, index)
-	if hosted.group.Status().Epoch != open.epoch {
+	if hosted.group.Status().Term != open.term {
 		return
 	}
 	switch {
--- a/internal/control/protocol/message.go
+++ b/internal/control/protocol/message.go
@@ -25,11 +25,11 @@
 	// MessageAskConfirm asks for a MessageConfirm that the sender waits for.
 	MessageAskConfirm
 	// MessageWitnessRequest asks which state of a shard the receiver holds,
-	// since the shard's group lost the majority of its disks. Epoch is the
+	// since the shard's group lost the majority of its disks. Term is the
 	// ballot under which the group is to be formed anew.
 	MessageWitnessRequest
 	// MessageWitnessReply tells the revision that the sender holds, and the
-	// newest epoch that it had heard of before.
+	// newest term that it had heard of before.
 	MessageWitnessReply
 	// MessageList passes a reading of the platform's list on; its payload is that
 	// of a listing.Message.
@@ -68,8 +68,8 @@
 	Owner     member.ID
 	Accepted  bool
 	Revisions []ShardRevision
-	// Epoch is one of the shard's group that the sender knows of.
-	Epoch uint64
+	// Term is one of the shard's group that the sender knows of.
+	Term uint64
 }
 
 // Outbound is a message and the member it is for.
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -32,7 +32,7 @@
 // witness is what a node said of a shard.
 type witness struct {
 	revision    uint64
-	epoch       uint64
+	term        uint64
 	incarnation member.Incarnation
 }
 
@@ -45,20 +45,20 @@
 	answers map[member.ID]witness
 }
 
-// knownEpoch is the newest epoch of a shard's group that this node heard of, and
+// knownTerm is the newest term of a shard's group that this node heard of, and
 // the question that told it, if any.
-type knownEpoch struct {
-	epoch   uint64
+type knownTerm struct {
+	term    uint64
 	from    member.ID
 	request uint64
-	// before is the newest epoch when the question came first.
+	// before is the newest term when the question came first.
 	before uint64
 }
 
-// learnEpoch notes an epoch that is in use.
-func (m *Machine) learnEpoch(shardID uint32, epoch uint64) {
-	if known := m.epochs[shardID]; epoch > known.epoch {
-		m.epochs[shardID] = knownEpoch{epoch: epoch}
+// learnTerm notes a term that is in use.
+func (m *Machine) learnTerm(shardID uint32, term uint64) {
+	if known := m.terms[shardID]; term > known.term {
+		m.terms[shardID] = knownTerm{term: term}
 	}
 }
 
@@ -120,7 +120,7 @@
 			Type:    protocol.MessageWitnessRequest,
 			Shard:   shardID,
 			Request: search.request,
-			Epoch:   search.ballot,
+			Term:    search.ballot,
 		}
 		m.send(id, wire.Envelope{Shard: shardID, Control: &message})
 	}
@@ -129,15 +129,15 @@
 // receiveWitnessRequest answers what this node holds. It remembers the ballot, so
 // that no later one goes below it, even if all disks are lost again.
 func (m *Machine) receiveWitnessRequest(from member.ID, message protocol.Message) {
-	known := m.epochs[message.Shard]
+	known := m.terms[message.Shard]
 	if known.from != from || known.request != message.Request {
-		known = knownEpoch{
-			epoch:   max(known.epoch, message.Epoch),
+		known = knownTerm{
+			term:    max(known.term, message.Term),
 			from:    from,
 			request: message.Request,
-			before:  known.epoch,
+			before:  known.term,
 		}
-		m.epochs[message.Shard] = known
+		m.terms[message.Shard] = known
 	}
 	m.sendControl(from, protocol.Message{
 		Type:        protocol.MessageWitnessReply,
@@ -145,7 +145,7 @@
 		Request:     message.Request,
 		Revision:    m.held.revisions[message.Shard],
 		Incarnation: m.selfIncarnation(),
-		Epoch:       known.before,
+		Term:        known.before,
 	})
 }
 
@@ -157,7 +157,7 @@
 	}
 	hosted.witnessing.answers[from] = witness{
 		revision:    message.Revision,
-		epoch:       message.Epoch,
+		term:        message.Term,
 		incarnation: message.Incarnation,
 	}
 }
@@ -166,13 +166,13 @@
 // relay brings the state of the best witness; until it has, the search goes on.
 func (m *Machine) recoverShard(hosted *shard) {
 	search := hosted.witnessing
-	newest, epoch := uint64(0), m.epochs[hosted.id].epoch
+	newest, term := uint64(0), m.terms[hosted.id].term
 	for _, answer := range search.answers {
 		newest = max(newest, answer.revision)
-		epoch = max(epoch, answer.epoch)
+		term = max(term, answer.term)
 	}
-	if epoch >= search.ballot {
-		hosted.group.RaiseBallot(epoch)
+	if term >= search.ballot {
+		hosted.group.RaiseBallot(term)
 		m.pump(hosted)
 		return
 	}
--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -34,10 +34,10 @@
 
 // survivor is a node whose log evacuates zones, the first ones for certain.
 func survivor(committed uint64, zones ...string) (*Machine, *shard) {
-	restored := replication.Restored{HardState: replication.HardState{Epoch: 1, Commit: committed}}
+	restored := replication.Restored{HardState: replication.HardState{Term: 1, Commit: committed}}
 	for position, zone := range zones {
 		restored.Entries = append(restored.Entries, replication.Entry{
-			Index: uint64(position) + 1, Epoch: 1, Kind: replication.EntryCommand, Command: evacuation(zone),
+			Index: uint64(position) + 1, Term: 1, Kind: replication.EntryCommand, Command: evacuation(zone),
 		})
 	}
 	machine, err := New(Config{
--- a/internal/control/registration.go
+++ b/internal/control/registration.go
@@ -17,8 +17,8 @@
 	accepted    bool
 	incarnation member.Incarnation
 	required    uint64
-	// epoch is the one in which the owner told required.
-	epoch   uint64
+	// term is the one in which the owner told required.
+	term    uint64
 	target  member.ID
 	request uint64
 	nextAsk time.Duration
@@ -47,7 +47,7 @@
 // requiredPatience is how long a node waits for the revision that it must hold
 // before it asks the owner again. A group that lost the majority of its disks may
 // have been formed anew without that revision: it reached no node then, and the
-// owner of a later epoch tells another one.
+// owner of a later term tells another one.
 const requiredPatience = time.Second
 
 func newRegistrar(shardIDs []uint32) registrar {
@@ -193,7 +193,7 @@
 		Incarnation: max(registered, open.message.Incarnation),
 		Accepted:    registered <= open.message.Incarnation,
 		Revision:    hosted.state.Revision(),
-		Epoch:       hosted.group.Status().Epoch,
+		Term:        hosted.group.Status().Term,
 	})
 }
 
@@ -233,15 +233,15 @@
 		}
 		return
 	}
-	m.learnEpoch(message.Shard, message.Epoch)
+	m.learnTerm(message.Shard, message.Term)
 	known := current.accepted && current.incarnation == message.Incarnation
-	if (known && message.Epoch <= current.epoch) || message.Incarnation != m.selfIncarnation() {
+	if (known && message.Term <= current.term) || message.Incarnation != m.selfIncarnation() {
 		return
 	}
 	current.accepted = true
 	current.incarnation = message.Incarnation
 	current.required = message.Revision
-	current.epoch = message.Epoch
+	current.term = message.Term
 	current.nextAsk = m.now + requiredPatience
 	current.target = ""
 	m.lastOwners[message.Shard] = from
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -19,11 +19,11 @@
 )
 
 // rolloutState is what the owner of a service shard remembers of its roll-outs.
-// It may be lost: a new owner repeats a command under its own epoch.
+// It may be lost: a new owner repeats a command under its own term.
 type rolloutState struct {
-	// epoch is the epoch of ownership that the rest belongs to, and since is
+	// term is the term of ownership that the rest belongs to, and since is
 	// when this node first acted in it.
-	epoch uint64
+	term  uint64
 	since time.Duration
 	// work is what goes on at each replica that a row keeps requests from.
 	work map[string]*replicaWork
@@ -34,9 +34,9 @@
 	nextForget time.Duration
 }
 
-func newRolloutState(epoch uint64, since time.Duration) rolloutState {
+func newRolloutState(term uint64, since time.Duration) rolloutState {
 	return rolloutState{
-		epoch:          epoch,
+		term:           term,
 		since:          since,
 		work:           map[string]*replicaWork{},
 		confirmedSince: map[string]time.Duration{},
@@ -66,8 +66,8 @@
 		if hosted == nil || !hosted.owned() {
 			continue
 		}
-		if epoch := hosted.group.Status().Epoch; epoch != hosted.rollout.epoch {
-			hosted.rollout = newRolloutState(epoch, m.now)
+		if term := hosted.group.Status().Term; term != hosted.rollout.term {
+			hosted.rollout = newRolloutState(term, m.now)
 		}
 		if m.now >= hosted.rollout.nextForget {
 			hosted.rollout.nextForget = m.now + m.config.Times.RetryEvery
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -147,7 +147,7 @@
 	It("takes nothing out of service on an owner that has no reports yet", func() {
 		node.machine.backends.reports = map[string]ReplicaReport{}
 		hosted := node.machine.shards[1]
-		hosted.rollout = newRolloutState(hosted.rollout.epoch, node.now)
+		hosted.rollout = newRolloutState(hosted.rollout.term, node.now)
 		Expect(node.submit(nameWeights("v2")).GetConfirmed()).To(BeTrue())
 		node.run(time.Second)
 		Expect(node.phases()).To(Equal(map[string]int{"serving": poolSize}))
@@ -160,7 +160,7 @@
 		serving := node.machine.shards[1].state.(*serviceShard).replicas()
 		node.machine.backends.reports = map[string]ReplicaReport{}
 		hosted := node.machine.shards[1]
-		hosted.rollout = newRolloutState(hosted.rollout.epoch, node.now)
+		hosted.rollout = newRolloutState(hosted.rollout.term, node.now)
 		for _, row := range serving {
 			if row.GetPhase() == controlpb.ReplicaPhase_SERVING {
 				node.perform(node.machine.SetReplicaReport(node.now, ReplicaReport{
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -139,7 +139,7 @@
 }
 
 // settled tells whether everything in the log has been applied. For an owner
-// that includes the barrier of its own epoch, and so all that earlier owners
+// that includes the barrier of its own term, and so all that earlier owners
 // committed.
 func (s *shard) settled() bool {
 	status := s.group.Status()
--- a/internal/lab/plans/plans_test.go
+++ b/internal/lab/plans/plans_test.go
@@ -181,7 +181,7 @@
 		Expect(plans.VotesOn(folder, voter, 3)).NotTo(Succeed())
 
 		change := func(index uint64, places string) {
-			entry := replication.Entry{Index: index, Epoch: 1, Kind: replication.EntryGroupChange, Command: []byte(places)}
+			entry := replication.Entry{Index: index, Term: 1, Kind: replication.EntryGroupChange, Command: []byte(places)}
 			Expect(log.Save(replication.Ready{Entries: []replication.Entry{entry}})).To(Succeed())
 		}
 		change(1, `[{"ID":"core-1","Life":9,"Learner":true},{"ID":"core-2","Life":1}]`)
--- a/internal/lab/sim/diskfaults.go
+++ b/internal/lab/sim/diskfaults.go
@@ -89,11 +89,11 @@
 	return true
 }
 
-// places returns the places of a shard as its owner of the newest epoch knows
+// places returns the places of a shard as its owner of the newest term knows
 // them.
 func (w *simulation) places(shard uint32) ([]replication.Place, bool) {
 	var newest []replication.Place
-	epoch := uint64(0)
+	term := uint64(0)
 	for _, one := range w.diskNodes() {
 		if !one.up {
 			continue
@@ -102,11 +102,11 @@
 		if !owns {
 			continue
 		}
-		if of := one.machine.Status().GetShards()[shard].GetEpoch(); of > epoch {
-			newest, epoch = places, of
+		if of := one.machine.Status().GetShards()[shard].GetEpoch(); of > term {
+			newest, term = places, of
 		}
 	}
-	return newest, epoch > 0
+	return newest, term > 0
 }
 
 func (w *simulation) nodeNamed(id member.ID) *node {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -19,7 +19,7 @@
 		Revision:    message.Revision,
 		Owner:       string(message.Owner),
 		Accepted:    message.Accepted,
-		Epoch:       message.Epoch,
+		Term:        message.Term,
 	}
 	for _, revision := range message.Revisions {
 		packed.Revisions = append(packed.Revisions, &fb.ShardRevisionT{
@@ -44,7 +44,7 @@
 		Revision:    table.Revision(),
 		Owner:       member.ID(r.text(table.Owner())),
 		Accepted:    table.Accepted(),
-		Epoch:       table.Epoch(),
+		Term:        table.Term(),
 		Revisions:   r.shardRevisions(table),
 	}
 }
--- a/internal/wire/fb/Control.go
+++ b/internal/wire/fb/Control.go
@@ -16,7 +16,7 @@
 	Owner       string            `json:"owner"`
 	Accepted    bool              `json:"accepted"`
 	Revisions   []*ShardRevisionT `json:"revisions"`
-	Epoch       uint64            `json:"epoch"`
+	Term        uint64            `json:"term"`
 }
 
 func (t *ControlT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -51,7 +51,7 @@
 	ControlAddOwner(builder, ownerOffset)
 	ControlAddAccepted(builder, t.Accepted)
 	ControlAddRevisions(builder, revisionsOffset)
-	ControlAddEpoch(builder, t.Epoch)
+	ControlAddTerm(builder, t.Term)
 	return ControlEnd(builder)
 }
 
@@ -71,7 +71,7 @@
 		rcv.Revisions(&x, j)
 		t.Revisions[j] = x.UnPack()
 	}
-	t.Epoch = rcv.Epoch()
+	t.Term = rcv.Term()
 }
 
 func (rcv *Control) UnPack() *ControlT {
@@ -244,7 +244,7 @@
 	return 0
 }
 
-func (rcv *Control) Epoch() uint64 {
+func (rcv *Control) Term() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -252,7 +252,7 @@
 	return 0
 }
 
-func (rcv *Control) MutateEpoch(n uint64) bool {
+func (rcv *Control) MutateTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(22, n)
 }
 
@@ -292,8 +292,8 @@
 func ControlStartRevisionsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
-func ControlAddEpoch(builder *flatbuffers.Builder, epoch uint64) {
-	builder.PrependUint64Slot(9, epoch, 0)
+func ControlAddTerm(builder *flatbuffers.Builder, term uint64) {
+	builder.PrependUint64Slot(9, term, 0)
 }
 func ControlEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/internal/wire/fb/Entry.go
+++ b/internal/wire/fb/Entry.go
@@ -8,7 +8,7 @@
 
 type EntryT struct {
 	Index   uint64 `json:"index"`
-	Epoch   uint64 `json:"epoch"`
+	Term    uint64 `json:"term"`
 	Kind    byte   `json:"kind"`
 	Command []byte `json:"command"`
 }
@@ -23,7 +23,7 @@
 	}
 	EntryStart(builder)
 	EntryAddIndex(builder, t.Index)
-	EntryAddEpoch(builder, t.Epoch)
+	EntryAddTerm(builder, t.Term)
 	EntryAddKind(builder, t.Kind)
 	EntryAddCommand(builder, commandOffset)
 	return EntryEnd(builder)
@@ -31,7 +31,7 @@
 
 func (rcv *Entry) UnPackTo(t *EntryT) {
 	t.Index = rcv.Index()
-	t.Epoch = rcv.Epoch()
+	t.Term = rcv.Term()
 	t.Kind = rcv.Kind()
 	t.Command = rcv.CommandBytes()
 }
@@ -84,7 +84,7 @@
 	return rcv._tab.MutateUint64Slot(4, n)
 }
 
-func (rcv *Entry) Epoch() uint64 {
+func (rcv *Entry) Term() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -92,7 +92,7 @@
 	return 0
 }
 
-func (rcv *Entry) MutateEpoch(n uint64) bool {
+func (rcv *Entry) MutateTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(6, n)
 }
 
@@ -148,8 +148,8 @@
 func EntryAddIndex(builder *flatbuffers.Builder, index uint64) {
 	builder.PrependUint64Slot(0, index, 0)
 }
-func EntryAddEpoch(builder *flatbuffers.Builder, epoch uint64) {
-	builder.PrependUint64Slot(1, epoch, 0)
+func EntryAddTerm(builder *flatbuffers.Builder, term uint64) {
+	builder.PrependUint64Slot(1, term, 0)
 }
 func EntryAddKind(builder *flatbuffers.Builder, kind byte) {
 	builder.PrependByteSlot(2, kind, 0)
--- a/internal/wire/fb/Replication.go
+++ b/internal/wire/fb/Replication.go
@@ -8,9 +8,9 @@
 
 type ReplicationT struct {
 	Type       byte       `json:"type"`
-	Epoch      uint64     `json:"epoch"`
+	Term       uint64     `json:"term"`
 	Index      uint64     `json:"index"`
-	IndexEpoch uint64     `json:"index_epoch"`
+	IndexTerm  uint64     `json:"index_term"`
 	Commit     uint64     `json:"commit"`
 	Round      uint64     `json:"round"`
 	Trial      bool       `json:"trial"`
@@ -43,9 +43,9 @@
 	snapshotOffset := t.Snapshot.Pack(builder)
 	ReplicationStart(builder)
 	ReplicationAddType(builder, t.Type)
-	ReplicationAddEpoch(builder, t.Epoch)
+	ReplicationAddTerm(builder, t.Term)
 	ReplicationAddIndex(builder, t.Index)
-	ReplicationAddIndexEpoch(builder, t.IndexEpoch)
+	ReplicationAddIndexTerm(builder, t.IndexTerm)
 	ReplicationAddCommit(builder, t.Commit)
 	ReplicationAddRound(builder, t.Round)
 	ReplicationAddTrial(builder, t.Trial)
@@ -61,9 +61,9 @@
 
 func (rcv *Replication) UnPackTo(t *ReplicationT) {
 	t.Type = rcv.Type()
-	t.Epoch = rcv.Epoch()
+	t.Term = rcv.Term()
 	t.Index = rcv.Index()
-	t.IndexEpoch = rcv.IndexEpoch()
+	t.IndexTerm = rcv.IndexTerm()
 	t.Commit = rcv.Commit()
 	t.Round = rcv.Round()
 	t.Trial = rcv.Trial()
@@ -130,7 +130,7 @@
 	return rcv._tab.MutateByteSlot(4, n)
 }
 
-func (rcv *Replication) Epoch() uint64 {
+func (rcv *Replication) Term() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -138,7 +138,7 @@
 	return 0
 }
 
-func (rcv *Replication) MutateEpoch(n uint64) bool {
+func (rcv *Replication) MutateTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(6, n)
 }
 
@@ -154,7 +154,7 @@
 	return rcv._tab.MutateUint64Slot(8, n)
 }
 
-func (rcv *Replication) IndexEpoch() uint64 {
+func (rcv *Replication) IndexTerm() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -162,7 +162,7 @@
 	return 0
 }
 
-func (rcv *Replication) MutateIndexEpoch(n uint64) bool {
+func (rcv *Replication) MutateIndexTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(10, n)
 }
 
@@ -301,14 +301,14 @@
 func ReplicationAddType(builder *flatbuffers.Builder, type_ byte) {
 	builder.PrependByteSlot(0, type_, 0)
 }
-func ReplicationAddEpoch(builder *flatbuffers.Builder, epoch uint64) {
-	builder.PrependUint64Slot(1, epoch, 0)
+func ReplicationAddTerm(builder *flatbuffers.Builder, term uint64) {
+	builder.PrependUint64Slot(1, term, 0)
 }
 func ReplicationAddIndex(builder *flatbuffers.Builder, index uint64) {
 	builder.PrependUint64Slot(2, index, 0)
 }
-func ReplicationAddIndexEpoch(builder *flatbuffers.Builder, indexEpoch uint64) {
-	builder.PrependUint64Slot(3, indexEpoch, 0)
+func ReplicationAddIndexTerm(builder *flatbuffers.Builder, indexTerm uint64) {
+	builder.PrependUint64Slot(3, indexTerm, 0)
 }
 func ReplicationAddCommit(builder *flatbuffers.Builder, commit uint64) {
 	builder.PrependUint64Slot(4, commit, 0)
--- a/internal/wire/fb/Snapshot.go
+++ b/internal/wire/fb/Snapshot.go
@@ -8,7 +8,7 @@
 
 type SnapshotT struct {
 	Index  uint64    `json:"index"`
-	Epoch  uint64    `json:"epoch"`
+	Term   uint64    `json:"term"`
 	Data   []byte    `json:"data"`
 	Places []*PlaceT `json:"places"`
 }
@@ -36,7 +36,7 @@
 	}
 	SnapshotStart(builder)
 	SnapshotAddIndex(builder, t.Index)
-	SnapshotAddEpoch(builder, t.Epoch)
+	SnapshotAddTerm(builder, t.Term)
 	SnapshotAddData(builder, dataOffset)
 	SnapshotAddPlaces(builder, placesOffset)
 	return SnapshotEnd(builder)
@@ -44,7 +44,7 @@
 
 func (rcv *Snapshot) UnPackTo(t *SnapshotT) {
 	t.Index = rcv.Index()
-	t.Epoch = rcv.Epoch()
+	t.Term = rcv.Term()
 	t.Data = rcv.DataBytes()
 	placesLength := rcv.PlacesLength()
 	t.Places = make([]*PlaceT, placesLength)
@@ -103,7 +103,7 @@
 	return rcv._tab.MutateUint64Slot(4, n)
 }
 
-func (rcv *Snapshot) Epoch() uint64 {
+func (rcv *Snapshot) Term() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -111,7 +111,7 @@
 	return 0
 }
 
-func (rcv *Snapshot) MutateEpoch(n uint64) bool {
+func (rcv *Snapshot) MutateTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(6, n)
 }
 
@@ -175,8 +175,8 @@
 func SnapshotAddIndex(builder *flatbuffers.Builder, index uint64) {
 	builder.PrependUint64Slot(0, index, 0)
 }
-func SnapshotAddEpoch(builder *flatbuffers.Builder, epoch uint64) {
-	builder.PrependUint64Slot(1, epoch, 0)
+func SnapshotAddTerm(builder *flatbuffers.Builder, term uint64) {
+	builder.PrependUint64Slot(1, term, 0)
 }
 func SnapshotAddData(builder *flatbuffers.Builder, data flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(4, flatbuffers.UOffsetT(data), 0)
--- a/internal/wire/replication.go
+++ b/internal/wire/replication.go
@@ -12,10 +12,10 @@
 	}
 	return &fb.ReplicationT{
 		Type:       byte(message.Type),
-		Epoch:      message.Epoch,
+		Term:       message.Term,
 		Life:       message.Life,
 		Index:      message.Index,
-		IndexEpoch: message.IndexEpoch,
+		IndexTerm:  message.IndexTerm,
 		Commit:     message.Commit,
 		Round:      message.Round,
 		Trial:      message.Trial,
@@ -36,7 +36,7 @@
 	for i, entry := range entries {
 		packed[i] = &fb.EntryT{
 			Index:   entry.Index,
-			Epoch:   entry.Epoch,
+			Term:    entry.Term,
 			Kind:    byte(entry.Kind),
 			Command: entry.Command,
 		}
@@ -50,7 +50,7 @@
 	}
 	return &fb.SnapshotT{
 		Index:  snapshot.Index,
-		Epoch:  snapshot.Epoch,
+		Term:   snapshot.Term,
 		Places: packPlaces(snapshot.Group),
 		Data:   snapshot.Data,
 	}
@@ -73,10 +73,10 @@
 	}
 	return &replication.Message{
 		Type:       replication.MessageType(table.Type()),
-		Epoch:      table.Epoch(),
+		Term:       table.Term(),
 		Life:       table.Life(),
 		Index:      table.Index(),
-		IndexEpoch: table.IndexEpoch(),
+		IndexTerm:  table.IndexTerm(),
 		Commit:     table.Commit(),
 		Round:      table.Round(),
 		Trial:      table.Trial(),
@@ -100,7 +100,7 @@
 		table.Entries(&stored, i)
 		entries[i] = replication.Entry{
 			Index:   stored.Index(),
-			Epoch:   stored.Epoch(),
+			Term:    stored.Term(),
 			Kind:    replication.EntryKind(stored.Kind()),
 			Command: r.bytes(stored.CommandBytes()),
 		}
@@ -114,7 +114,7 @@
 	}
 	return &replication.Snapshot{
 		Index: table.Index(),
-		Epoch: table.Epoch(),
+		Term:  table.Term(),
 		Group: r.places(table),
 		Data:  r.bytes(table.DataBytes()),
 	}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -5,7 +5,7 @@
 //
 // The holder counts from the instant at which it sent the round that a
 // majority answered. The successor counts from the instant at which a majority
-// had promised it the next epoch. Any two majorities share a member, and that
+// had promised it the next term. Any two majorities share a member, and that
 // member answered the holder before it promised to the successor, so the
 // holder's count begins first and, by the two margins, ends first.
 package lease
@@ -78,7 +78,7 @@
 	return confirmed && now < deadline
 }
 
-// Successor tells when every lease of an earlier epoch has run out.
+// Successor tells when every lease of an earlier term has run out.
 // The zero Successor took over nothing.
 type Successor struct {
 	timing Timing
@@ -86,7 +86,7 @@
 	tookAt time.Duration
 }
 
-// NewSuccessor returns the successor that a majority had promised the epoch to
+// NewSuccessor returns the successor that a majority had promised the term to
 // at tookAt, on the successor's clock.
 func NewSuccessor(timing Timing, tookAt time.Duration) Successor {
 	return Successor{timing: timing, took: true, tookAt: tookAt}
--- a/pkg/replication/change.go
+++ b/pkg/replication/change.go
@@ -40,7 +40,7 @@
 const (
 	// ProblemChangeUnderWay: an earlier change is not committed yet.
 	ProblemChangeUnderWay GroupChangeProblem = iota + 1
-	// ProblemOwnershipNew: the owner has committed nothing in its epoch yet.
+	// ProblemOwnershipNew: the owner has committed nothing in its term yet.
 	ProblemOwnershipNew
 	// ProblemNoSuchPlace: the group has no such voter, or no place kept.
 	ProblemNoSuchPlace
@@ -60,7 +60,7 @@
 	case ProblemChangeUnderWay:
 		return "an earlier change is not committed yet: try again when it is"
 	case ProblemOwnershipNew:
-		return "the owner has committed nothing in its epoch yet: try again in a moment"
+		return "the owner has committed nothing in its term yet: try again in a moment"
 	case ProblemNoSuchPlace:
 		return "the group has no such place: read its status and name a voter of it, or a member without a place"
 	case ProblemNotCaughtUp:
@@ -86,7 +86,7 @@
 }
 
 // ProposeGroupChange appends a change of the voters. It takes effect at once,
-// and is undone if the entry is truncated in a later epoch; Status shows it as
+// and is undone if the entry is truncated in a later term; Status shows it as
 // committed when its index is. When a place is kept for a member, the owner
 // adds that member by itself once it has caught up. It fails with a
 // *NotOwnerError or a *GroupChangeError.
@@ -107,7 +107,7 @@
 // afterChange returns the group after the change, or why it can't be made.
 func (g *Group) afterChange(change GroupChange) (places, GroupChangeProblem) {
 	if g.log.committed < g.ownership.barrier {
-		// A change that an earlier epoch left could be in effect elsewhere.
+		// A change that an earlier term left could be in effect elsewhere.
 		return nil, ProblemOwnershipNew
 	}
 	if g.log.groups.latest().index > g.log.committed {
--- a/pkg/replication/change_test.go
+++ b/pkg/replication/change_test.go
@@ -23,10 +23,10 @@
 	return append(founded("n1", "n2"), replication.Place{Voter: newN3, Learner: true})
 }
 
-func changeEntry(index, epoch uint64, group []replication.Place) replication.Entry {
+func changeEntry(index, term uint64, group []replication.Place) replication.Entry {
 	command, err := json.Marshal(group)
 	Expect(err).NotTo(HaveOccurred())
-	return replication.Entry{Index: index, Epoch: epoch, Kind: replication.EntryGroupChange, Command: command}
+	return replication.Entry{Index: index, Term: term, Kind: replication.EntryGroupChange, Command: command}
 }
 
 func inLife(life uint64, m replication.Message) replication.Message {
@@ -44,9 +44,9 @@
 	return g
 }
 
-// answers is the answer to a heartbeat of epoch 2.
+// answers is the answer to a heartbeat of term 2.
 func answers(round uint64) replication.Message {
-	return replication.Message{Type: replication.MessageHeartbeatReply, Life: replication.FoundingLife, Epoch: 2, Round: round}
+	return replication.Message{Type: replication.MessageHeartbeatReply, Life: replication.FoundingLife, Term: 2, Round: round}
 }
 
 // newLifeMatches has the new n3 answer the first round and hold the log.
@@ -143,9 +143,9 @@
 		Expect(g.Status().Followers[1].Life).To(Equal(newN3.Life))
 	})
 
-	It("does not renew a promise of an epoch for another life", func() {
+	It("does not renew a promise of a term for another life", func() {
 		g := newMember("n1", "n1", "n2", "n3")
-		request := replication.Message{Type: replication.MessagePromiseRequest, Life: lostN3.Life, Epoch: 4}
+		request := replication.Message{Type: replication.MessagePromiseRequest, Life: lostN3.Life, Term: 4}
 		Expect(g.Step(0, "n3", request)).To(Succeed())
 		Expect(g.Step(0, "n3", inLife(newN3.Life, request))).To(Succeed())
 		messages := g.Ready().Messages
--- a/pkg/replication/clustercheck_test.go
+++ b/pkg/replication/clustercheck_test.go
@@ -11,7 +11,7 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
 
-// check holds at every instant: an epoch has one owner ever, one member at
+// check holds at every instant: a term has one owner ever, one member at
 // most may command, and learners never own.
 func (c *cluster) check() {
 	var holders []member.ID
@@ -24,10 +24,10 @@
 			if n.learner {
 				Fail("a learner owns")
 			}
-			if owner, known := c.owners[status.Epoch]; known && owner != n.voter() {
-				Expect(n.voter()).To(Equal(owner), "epoch %d has two owners", status.Epoch)
+			if owner, known := c.owners[status.Term]; known && owner != n.voter() {
+				Expect(n.voter()).To(Equal(owner), "term %d has two owners", status.Term)
 			}
-			c.owners[status.Epoch] = n.voter()
+			c.owners[status.Term] = n.voter()
 		}
 		n.places = status.Places
 		if n.group.MayCommand(c.clock(n)) {
@@ -39,14 +39,14 @@
 	}
 }
 
-// cell draws a node: role, epoch, commit/last, and marks. A group that is not
+// cell draws a node: role, term, commit/last, and marks. A group that is not
 // the founding one shows as the number of voters @ the index of the change.
 func (c *cluster) cell(n *node) string {
 	if n.group == nil {
 		return "down"
 	}
 	status := n.group.Status()
-	cell := fmt.Sprintf("%s e%d %d/%d", status.Role, status.Epoch, status.Commit, status.LastIndex)
+	cell := fmt.Sprintf("%s e%d %d/%d", status.Role, status.Term, status.Commit, status.LastIndex)
 	if status.SnapshotIndex > 0 {
 		cell += fmt.Sprintf(" s%d", status.SnapshotIndex)
 	}
--- a/pkg/replication/compact.go
+++ b/pkg/replication/compact.go
@@ -12,7 +12,7 @@
 	if g.log.snapshot != nil && index <= g.log.snapshot.Index {
 		return &CompactError{Index: index, Message: "is covered by a snapshot already: compact at a newer index"}
 	}
-	epoch, held := g.log.epochAt(index)
+	term, held := g.log.termAt(index)
 	if !held || index == 0 {
 		return &CompactError{Index: index, Message: "is not in the log: compact at an applied index"}
 	}
@@ -22,7 +22,7 @@
 	}
 	snapshot := &Snapshot{
 		Index: index,
-		Epoch: epoch,
+		Term:  term,
 		Group: group,
 		Data:  slices.Clone(data),
 	}
--- a/pkg/replication/config.go
+++ b/pkg/replication/config.go
@@ -119,9 +119,9 @@
 
 // HardState is what a member must never forget.
 type HardState struct {
-	// Epoch is the highest epoch that the member has seen.
-	Epoch uint64
-	// PromisedTo is the member that Epoch is promised to, or empty.
+	// Term is the highest term that the member has seen.
+	Term uint64
+	// PromisedTo is the member that Term is promised to, or empty.
 	PromisedTo member.ID
 	// PromisedLife is the life of PromisedTo. In another life the member would
 	// be another candidate.
@@ -150,7 +150,7 @@
 	}
 	previous := Entry{}
 	if r.Snapshot != nil {
-		previous = Entry{Index: r.Snapshot.Index, Epoch: r.Snapshot.Epoch}
+		previous = Entry{Index: r.Snapshot.Index, Term: r.Snapshot.Term}
 	}
 	for _, entry := range r.Entries {
 		if entry.Index <= previous.Index {
@@ -162,8 +162,8 @@
 		if err := entry.check(); err != nil {
 			return &RestoredError{Message: err.Error()}
 		}
-		if entry.Epoch < previous.Epoch || entry.Epoch > r.Epoch {
-			return &RestoredError{Message: "the log's epochs are out of order: restore the member as a learner with an empty disk"}
+		if entry.Term < previous.Term || entry.Term > r.Term {
+			return &RestoredError{Message: "the log's terms are out of order: restore the member as a learner with an empty disk"}
 		}
 		previous = entry
 	}
--- a/pkg/replication/doc.go
+++ b/pkg/replication/doc.go
@@ -1,5 +1,5 @@
 // Package replication is the state machine of one replica group: a replicated
-// log with one owner (the leader of the epoch) and followers, after Raft.
+// log with one owner (the leader of the term) and followers, after Raft.
 //
 // The package does no I/O, starts no goroutine and reads no clock. A driver
 // passes messages and time in through Step and Tick, takes the outcome from
@@ -17,12 +17,12 @@
 //
 // The rules which everything else rests on:
 //
-//   - A voter promises an epoch to one member only, and the promise is durable
+//   - A voter promises a term to one member only, and the promise is durable
 //     before the reply leaves.
 //   - A follower's acknowledgement leaves after the entries it speaks of are
 //     durable. The owner's own copy counts only after Advance.
-//   - An owner commits by counting copies of entries of its own epoch only;
-//     a barrier entry commits what earlier epochs left.
+//   - An owner commits by counting copies of entries of its own term only;
+//     a barrier entry commits what earlier terms left.
 //   - A voter is a member in one life of its durable state. A member that lost
 //     its state goes on in a new life, as a learner: neither its promises nor
 //     its acknowledgements count, and those of the lost life bind nobody else.
@@ -31,7 +31,7 @@
 //     member that knows of no group is a learner. A change of one voter takes effect when
 //     its entry is appended, and is undone when the entry is truncated. The
 //     owner makes one at a time: the next only after the one before it, and an
-//     entry of the owner's own epoch, are committed. So each majority before a
+//     entry of the owner's own term, are committed. So each majority before a
 //     change and each after it have a voter in common.
 //   - The owner repairs the group by itself: when a member in a new life holds
 //     the log, the lost life is removed and then the new one is added in its
--- a/pkg/replication/driver_test.go
+++ b/pkg/replication/driver_test.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if used := slices.Max(append(slices.Collect(maps.Keys(c.owners)), 0)); used >= ballot {
-		// All who knew the epoch may have lost their disks; witnesses have not.
+		// All who knew the term may have lost their disks; witnesses have not.
 		n.group.RaiseBallot(used)
 		c.drain(n)
 		return
@@ -136,7 +136,7 @@
 	if entry.Kind == replication.EntryRestore {
 		return binary.BigEndian.Uint64(entry.Command)
 	}
-	digest = digest*1099511628211 + entry.Epoch*31 + uint64(entry.Kind)
+	digest = digest*1099511628211 + entry.Term*31 + uint64(entry.Kind)
 	for _, b := range entry.Command {
 		digest = digest*1099511628211 + uint64(b)
 	}
--- a/pkg/replication/durability_test.go
+++ b/pkg/replication/durability_test.go
@@ -26,13 +26,13 @@
 	return group
 }
 
-func entry(index, epoch uint64) replication.Entry {
-	return replication.Entry{Index: index, Epoch: epoch, Kind: replication.EntryCommand, Command: []byte("c")}
+func entry(index, term uint64) replication.Entry {
+	return replication.Entry{Index: index, Term: term, Kind: replication.EntryCommand, Command: []byte("c")}
 }
 
-func appendOf(epoch, index, indexEpoch, commit uint64, entries ...replication.Entry) replication.Message {
+func appendOf(term, index, indexTerm, commit uint64, entries ...replication.Entry) replication.Message {
 	return replication.Message{
-		Type: replication.MessageAppend, Epoch: epoch, Index: index, IndexEpoch: indexEpoch, Commit: commit, Entries: entries,
+		Type: replication.MessageAppend, Term: term, Index: index, IndexTerm: indexTerm, Commit: commit, Entries: entries,
 	}
 }
 
@@ -40,7 +40,7 @@
 	It("lets a member's own promise and entries count after Advance only", func() {
 		g := newMember("n1", "n1")
 		g.Tick(electionTimeout)
-		Expect(g.Ready().HardState).To(Equal(&replication.HardState{Epoch: 1, PromisedTo: "n1", PromisedLife: replication.FoundingLife}))
+		Expect(g.Ready().HardState).To(Equal(&replication.HardState{Term: 1, PromisedTo: "n1", PromisedLife: replication.FoundingLife}))
 		Expect(g.Status().Role).To(Equal(replication.RoleCandidate))
 		g.Advance()
 		Expect(g.Status().Role).To(Equal(replication.RoleOwner))
@@ -53,15 +53,15 @@
 		Expect(g.Ready().Committed).To(Equal(barrier.Entries))
 	})
 
-	It("hands a promise out to be durable in the Ready of the reply, also in a known epoch", func() {
+	It("hands a promise out to be durable in the Ready of the reply, also in a known term", func() {
 		g := newMember("n1", "n1", "n2", "n3")
-		Expect(g.Step(0, "n2", replication.Message{Type: replication.MessagePromiseReply, Epoch: 4, Reject: true})).To(Succeed())
-		Expect(g.Ready().HardState).To(Equal(&replication.HardState{Epoch: 4}))
+		Expect(g.Step(0, "n2", replication.Message{Type: replication.MessagePromiseReply, Term: 4, Reject: true})).To(Succeed())
+		Expect(g.Ready().HardState).To(Equal(&replication.HardState{Term: 4}))
 		g.Advance()
-		request := replication.Message{Type: replication.MessagePromiseRequest, Epoch: 4, Life: 1}
+		request := replication.Message{Type: replication.MessagePromiseRequest, Term: 4, Life: 1}
 		Expect(g.Step(0, "n3", request)).To(Succeed())
 		ready := g.Ready()
-		Expect(ready.HardState).To(Equal(&replication.HardState{Epoch: 4, PromisedTo: "n3", PromisedLife: 1}))
+		Expect(ready.HardState).To(Equal(&replication.HardState{Term: 4, PromisedTo: "n3", PromisedLife: 1}))
 		Expect(ready.MustSync()).To(BeTrue())
 		Expect(ready.Messages).To(HaveLen(1))
 		Expect(ready.Messages[0].Message.Reject).To(BeFalse())
@@ -88,7 +88,7 @@
 		Expect(g.Step(0, "n2", appendOf(1, 0, 0, 0, entry(1, 1)))).To(Succeed())
 		g.Ready()
 		for range 10000 {
-			Expect(g.Step(0, "n2", replication.Message{Type: replication.MessageHeartbeat, Epoch: 1})).To(Succeed())
+			Expect(g.Step(0, "n2", replication.Message{Type: replication.MessageHeartbeat, Term: 1})).To(Succeed())
 		}
 		g.Advance()
 		Expect(len(g.Ready().Messages)).To(BeNumerically("<", 5000))
@@ -120,20 +120,20 @@
 		Expect(g.Step(0, "n2", appendOf(1, 0, 0, 2, entry(1, 1), entry(2, 1)))).To(Succeed())
 		before := g.Status()
 		for _, m := range []replication.Message{
-			{Type: 99, Epoch: 1},
-			{Type: replication.MessageSnapshot, Epoch: 1},
-			{Type: replication.MessageSnapshot, Epoch: 1, Snapshot: &replication.Snapshot{Index: 9, Epoch: 1}},
+			{Type: 99, Term: 1},
+			{Type: replication.MessageSnapshot, Term: 1},
+			{Type: replication.MessageSnapshot, Term: 1, Snapshot: &replication.Snapshot{Index: 9, Term: 1}},
 			appendOf(1, 2, 1, 2, entry(4, 1)),
 			appendOf(1, 0, 0, 2, entry(1, 1), entry(2, 0)),
 			appendOf(1, 1, 1, 2, entry(2, 2)),
-			appendOf(1, 2, 1, 2, replication.Entry{Index: 3, Epoch: 1, Kind: replication.EntryGroupChange}),
+			appendOf(1, 2, 1, 2, replication.Entry{Index: 3, Term: 1, Kind: replication.EntryGroupChange}),
 			appendOf(2, 1, 1, 2, entry(2, 2)),
 		} {
 			Expect(g.Step(0, "n2", m)).To(BeAssignableToTypeOf(refused))
 		}
 		Expect(g.Step(0, "n9", appendOf(1, 2, 1, 2))).To(BeAssignableToTypeOf(refused))
 		Expect(g.Status()).To(Equal(before))
-		Expect(g.Step(0, "n3", appendOf(before.Epoch, 2, 1, 2))).To(BeAssignableToTypeOf(refused))
+		Expect(g.Step(0, "n3", appendOf(before.Term, 2, 1, 2))).To(BeAssignableToTypeOf(refused))
 	})
 
 	It("name the owner to a caller that asks another member", func() {
@@ -165,17 +165,17 @@
 			_, err := replication.New(config, replication.Restored{}, 0)
 			Expect(err).To(BeAssignableToTypeOf(&replication.ConfigError{}))
 		}
-		hard := replication.HardState{Epoch: 1}
+		hard := replication.HardState{Term: 1}
 		for _, restored := range []replication.Restored{
 			{HardState: hard, Entries: []replication.Entry{entry(2, 1)}},
 			{HardState: hard, Entries: []replication.Entry{entry(1, 2)}},
-			{HardState: replication.HardState{Epoch: 1, Commit: 1}},
-			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Epoch: 1}},
-			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Epoch: 1, Group: founded("n1", "n1")}},
-			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Epoch: 1, Group: founded("n1", "")}},
-			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Epoch: 1, Group: waiting()[2:]}},
-			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Epoch: 1, Group: make([]replication.Place, 2)}},
-			{HardState: hard, Entries: []replication.Entry{{Index: 1, Epoch: 1, Kind: replication.EntryGroupChange, Command: []byte("[]")}}},
+			{HardState: replication.HardState{Term: 1, Commit: 1}},
+			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Term: 1}},
+			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Term: 1, Group: founded("n1", "n1")}},
+			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Term: 1, Group: founded("n1", "")}},
+			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Term: 1, Group: waiting()[2:]}},
+			{HardState: hard, Snapshot: &replication.Snapshot{Index: 1, Term: 1, Group: make([]replication.Place, 2)}},
+			{HardState: hard, Entries: []replication.Entry{{Index: 1, Term: 1, Kind: replication.EntryGroupChange, Command: []byte("[]")}}},
 		} {
 			_, err := replication.New(good, restored, 0)
 			Expect(err).To(BeAssignableToTypeOf(&replication.RestoredError{}))
--- a/pkg/replication/durable/change.go
+++ b/pkg/replication/durable/change.go
@@ -21,8 +21,8 @@
 // the former state, but not change them.
 func (c change) applyTo(state replication.Restored) (replication.Restored, error) {
 	if c.hardState != nil {
-		if c.hardState.Epoch < state.Epoch {
-			return state, &OrderError{Message: fmt.Sprintf("epoch %d after epoch %d", c.hardState.Epoch, state.Epoch)}
+		if c.hardState.Term < state.Term {
+			return state, &OrderError{Message: fmt.Sprintf("term %d after term %d", c.hardState.Term, state.Term)}
 		}
 		state.HardState = *c.hardState
 	}
--- a/pkg/replication/durable/encoding.go
+++ b/pkg/replication/durable/encoding.go
@@ -43,7 +43,7 @@
 		return nil
 	}
 	return &fb.HardStateT{
-		Epoch:        hard.Epoch,
+		Term:         hard.Term,
 		PromisedTo:   string(hard.PromisedTo),
 		PromisedLife: hard.PromisedLife,
 		Commit:       hard.Commit,
@@ -56,7 +56,7 @@
 	}
 	return &fb.SnapshotT{
 		Index:  snapshot.Index,
-		Epoch:  snapshot.Epoch,
+		Term:   snapshot.Term,
 		Places: packPlaces(snapshot.Group),
 		Data:   snapshot.Data,
 	}
@@ -75,7 +75,7 @@
 	for i, entry := range entries {
 		packed[i] = &fb.EntryT{
 			Index:   entry.Index,
-			Epoch:   entry.Epoch,
+			Term:    entry.Term,
 			Kind:    byte(entry.Kind),
 			Command: entry.Command,
 		}
@@ -109,7 +109,7 @@
 		return nil
 	}
 	return &replication.HardState{
-		Epoch:        table.Epoch,
+		Term:         table.Term,
 		PromisedTo:   member.ID(table.PromisedTo),
 		PromisedLife: table.PromisedLife,
 		Commit:       table.Commit,
@@ -122,7 +122,7 @@
 	}
 	return &replication.Snapshot{
 		Index: table.Index,
-		Epoch: table.Epoch,
+		Term:  table.Term,
 		Group: unpackPlaces(table.Places),
 		Data:  bytes.Clone(table.Data),
 	}
@@ -150,7 +150,7 @@
 	for i, table := range tables {
 		entries[i] = replication.Entry{
 			Index:   table.Index,
-			Epoch:   table.Epoch,
+			Term:    table.Term,
 			Kind:    replication.EntryKind(table.Kind),
 			Command: bytes.Clone(table.Command),
 		}
--- a/pkg/replication/durable/encoding_test.go
+++ b/pkg/replication/durable/encoding_test.go
@@ -66,7 +66,7 @@
 		}
 		_, err := decode(data[:len(identifier)])
 		Expect(err).To(MatchError(errEncoding))
-		_, err = decode([]byte("{\"epoch\": 3}"))
+		_, err = decode([]byte("{\"term\": 3}"))
 		Expect(err).To(MatchError(errEncoding))
 	})
 })
--- a/pkg/replication/durable/fb/HardState.go
+++ b/pkg/replication/durable/fb/HardState.go
@@ -7,7 +7,7 @@
 )
 
 type HardStateT struct {
-	Epoch        uint64 `json:"epoch"`
+	Term         uint64 `json:"term"`
 	PromisedTo   string `json:"promised_to"`
 	Commit       uint64 `json:"commit"`
 	PromisedLife uint64 `json:"promised_life"`
@@ -19,7 +19,7 @@
 	}
 	promisedToOffset := builder.CreateString(t.PromisedTo)
 	HardStateStart(builder)
-	HardStateAddEpoch(builder, t.Epoch)
+	HardStateAddTerm(builder, t.Term)
 	HardStateAddPromisedTo(builder, promisedToOffset)
 	HardStateAddCommit(builder, t.Commit)
 	HardStateAddPromisedLife(builder, t.PromisedLife)
@@ -27,7 +27,7 @@
 }
 
 func (rcv *HardState) UnPackTo(t *HardStateT) {
-	t.Epoch = rcv.Epoch()
+	t.Term = rcv.Term()
 	t.PromisedTo = string(rcv.PromisedTo())
 	t.Commit = rcv.Commit()
 	t.PromisedLife = rcv.PromisedLife()
@@ -69,7 +69,7 @@
 	return rcv._tab
 }
 
-func (rcv *HardState) Epoch() uint64 {
+func (rcv *HardState) Term() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -77,7 +77,7 @@
 	return 0
 }
 
-func (rcv *HardState) MutateEpoch(n uint64) bool {
+func (rcv *HardState) MutateTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(4, n)
 }
 
@@ -116,8 +116,8 @@
 func HardStateStart(builder *flatbuffers.Builder) {
 	builder.StartObject(4)
 }
-func HardStateAddEpoch(builder *flatbuffers.Builder, epoch uint64) {
-	builder.PrependUint64Slot(0, epoch, 0)
+func HardStateAddTerm(builder *flatbuffers.Builder, term uint64) {
+	builder.PrependUint64Slot(0, term, 0)
 }
 func HardStateAddPromisedTo(builder *flatbuffers.Builder, promisedTo flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(promisedTo), 0)
--- a/pkg/replication/durable/log.go
+++ b/pkg/replication/durable/log.go
@@ -80,7 +80,7 @@
 // Checkpoint replaces all durable state. It has the errors of Save.
 func (l *Log) Checkpoint(hard replication.HardState, snapshot *replication.Snapshot, entries []replication.Entry) error {
 	whole := change{hardState: &hard, snapshot: snapshot, entries: entries}
-	next, err := whole.applyTo(replication.Restored{HardState: replication.HardState{Epoch: l.state.Epoch}})
+	next, err := whole.applyTo(replication.Restored{HardState: replication.HardState{Term: l.state.Term}})
 	if err != nil {
 		return err
 	}
--- a/pkg/replication/durable/log_test.go
+++ b/pkg/replication/durable/log_test.go
@@ -28,24 +28,24 @@
 	checkpoint bool
 }
 
-func hard(epoch uint64, promisedTo member.ID, commit uint64) *replication.HardState {
-	return &replication.HardState{Epoch: epoch, PromisedTo: promisedTo, Commit: commit}
+func hard(term uint64, promisedTo member.ID, commit uint64) *replication.HardState {
+	return &replication.HardState{Term: term, PromisedTo: promisedTo, Commit: commit}
 }
 
-// entries returns the entries first..last of one epoch.
-func entries(epoch, first, last uint64) []replication.Entry {
+// entries returns the entries first..last of one term.
+func entries(term, first, last uint64) []replication.Entry {
 	var made []replication.Entry
 	for index := first; index <= last; index++ {
-		command := fmt.Appendf(nil, "command %d of epoch %d", index, epoch)
-		made = append(made, replication.Entry{Index: index, Epoch: epoch, Kind: replication.EntryCommand, Command: command})
+		command := fmt.Appendf(nil, "command %d of term %d", index, term)
+		made = append(made, replication.Entry{Index: index, Term: term, Kind: replication.EntryCommand, Command: command})
 	}
 	return made
 }
 
-func snapshot(epoch, index uint64) *replication.Snapshot {
+func snapshot(term, index uint64) *replication.Snapshot {
 	return &replication.Snapshot{
 		Index: index,
-		Epoch: epoch,
+		Term:  term,
 		Group: []replication.Place{
 			{Voter: replication.Voter{ID: "a", Life: 1}},
 			{Voter: replication.Voter{ID: "b", Life: 1700000000000}},
@@ -169,8 +169,8 @@
 		disk := memdisk.New()
 		log, _, err := OpenWithLimit(disk, logName, smallLimit)
 		Expect(err).NotTo(HaveOccurred())
-		for epoch := uint64(1); epoch <= 200; epoch++ {
-			Expect(log.Save(replication.Ready{HardState: hard(epoch, "a", 0)})).To(Succeed())
+		for term := uint64(1); term <= 200; term++ {
+			Expect(log.Save(replication.Ready{HardState: hard(term, "a", 0)})).To(Succeed())
 			Expect(log.store.LogBytes()).To(BeNumerically("<", 2*smallLimit))
 		}
 		_, restored, err := Open(disk, logName)
@@ -204,8 +204,8 @@
 		Expect(log.Save(replication.Ready{Entries: entries(2, 2, 2)})).To(MatchError(twoslot.ErrDiskFull))
 		disk.SetFull(false)
 		// Enough for a checkpoint, which is written from memory.
-		for epoch := uint64(3); epoch < 30; epoch++ {
-			Expect(log.Save(replication.Ready{HardState: hard(epoch, "a", 0)})).To(Succeed())
+		for term := uint64(3); term < 30; term++ {
+			Expect(log.Save(replication.Ready{HardState: hard(term, "a", 0)})).To(Succeed())
 		}
 		_, restored, err := Open(disk, logName)
 		Expect(err).NotTo(HaveOccurred())
@@ -244,7 +244,7 @@
 		}
 		command, err := json.Marshal(snapshot(1, 2).Group)
 		Expect(err).NotTo(HaveOccurred())
-		removal := replication.Entry{Index: 4, Epoch: 1, Kind: replication.EntryGroupChange, Command: command}
+		removal := replication.Entry{Index: 4, Term: 1, Kind: replication.EntryGroupChange, Command: command}
 
 		disk := memdisk.New()
 		log, _, err := Open(disk, logName)
@@ -271,7 +271,7 @@
 		Entry("entries behind a gap", replication.Ready{Entries: entries(6, 29, 30)}),
 		Entry("entries that the snapshot covers", replication.Ready{Entries: entries(6, 22, 30)}),
 		Entry("entries with a gap", replication.Ready{Entries: append(entries(6, 28, 28), entries(6, 30, 30)...)}),
-		Entry("an older epoch", replication.Ready{HardState: hard(5, "a", 24)}),
+		Entry("an older term", replication.Ready{HardState: hard(5, "a", 24)}),
 	)
 
 	It("restores the founders to a member that is not told of them", func() {
--- a/pkg/replication/elastic_test.go
+++ b/pkg/replication/elastic_test.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		status := n.group.Status()
-		if status.Role == replication.RoleOwner && (owner == nil || status.Epoch > owner.group.Status().Epoch) {
+		if status.Role == replication.RoleOwner && (owner == nil || status.Term > owner.group.Status().Term) {
 			owner = n
 		}
 	}
--- a/pkg/replication/election.go
+++ b/pkg/replication/election.go
@@ -52,20 +52,20 @@
 	return g.owner != "" && g.now < g.election.ownerContact+g.cfg.ElectionTimeout
 }
 
-// startTrial asks whether a campaign could be won, without raising any epoch.
+// startTrial asks whether a campaign could be won, without raising any term.
 // It goes on until it is won or an owner is heard.
 func (g *Group) startTrial() {
-	g.rest(g.hard.Epoch, "")
+	g.rest(g.hard.Term, "")
 	g.role = RoleCandidate
 	g.election.trial = true
 	g.askForPromises()
 	g.countPromises()
 }
 
-// campaign raises the epoch and promises it to itself. The own promise counts
+// campaign raises the term and promises it to itself. The own promise counts
 // when it is durable.
 func (g *Group) campaign(handover bool) {
-	g.rest(g.hard.Epoch+1, "")
+	g.rest(g.hard.Term+1, "")
 	g.hard.PromisedTo = g.cfg.Self
 	g.hard.PromisedLife = g.cfg.Life
 	g.role = RoleCandidate
@@ -82,9 +82,9 @@
 func (g *Group) askForPromises() {
 	g.election.askedAt = g.now
 	g.election.rejected = nil
-	epoch := g.hard.Epoch
+	term := g.hard.Term
 	if g.election.trial {
-		epoch++
+		term++
 		// What was granted earlier may be untrue by now: a voter may hear an
 		// owner again.
 		g.election.granted = []Voter{g.self()}
@@ -94,18 +94,18 @@
 			continue
 		}
 		g.send(id, Message{
-			Type:       MessagePromiseRequest,
-			Epoch:      epoch,
-			Index:      g.log.lastIndex(),
-			IndexEpoch: g.log.lastEpoch(),
-			Trial:      g.election.trial,
-			Handover:   g.election.handover,
+			Type:      MessagePromiseRequest,
+			Term:      term,
+			Index:     g.log.lastIndex(),
+			IndexTerm: g.log.lastTerm(),
+			Trial:     g.election.trial,
+			Handover:  g.election.handover,
 		})
 	}
 }
 
 func (g *Group) stepPromiseRequest(from member.ID, m Message) {
-	reply := Message{Type: MessagePromiseReply, Epoch: m.Epoch, Trial: m.Trial}
+	reply := Message{Type: MessagePromiseReply, Term: m.Term, Trial: m.Trial}
 	switch {
 	case g.cfg.Learner:
 		reply.Learner = true
@@ -116,29 +116,29 @@
 		reply.Reject = !g.promise(from, m)
 	}
 	if reply.Reject {
-		reply.Epoch = g.hard.Epoch
+		reply.Term = g.hard.Term
 	}
 	g.send(from, reply)
 }
 
 func (g *Group) wouldPromise(m Message) bool {
-	if m.Epoch <= g.hard.Epoch || g.hearsLiveOwner() {
+	if m.Term <= g.hard.Term || g.hearsLiveOwner() {
 		return false
 	}
-	return g.log.isUpToDate(m.Index, m.IndexEpoch)
+	return g.log.isUpToDate(m.Index, m.IndexTerm)
 }
 
-// promise grants an epoch to one member at most. The grant leaves in the Ready
+// promise grants a term to one member at most. The grant leaves in the Ready
 // that carries it as HardState, and so after it is durable.
 func (g *Group) promise(from member.ID, m Message) bool {
-	if m.Epoch < g.hard.Epoch {
+	if m.Term < g.hard.Term {
 		return false
 	}
-	if m.Epoch > g.hard.Epoch {
+	if m.Term > g.hard.Term {
 		if g.hearsLiveOwner() && !m.Handover {
 			return false
 		}
-		g.rest(m.Epoch, "")
+		g.rest(m.Term, "")
 	}
 	if g.hard.PromisedTo == from && g.hard.PromisedLife == m.Life {
 		return true
@@ -146,7 +146,7 @@
 	if g.hard.PromisedTo != "" || g.owner != "" {
 		return false
 	}
-	if !g.log.isUpToDate(m.Index, m.IndexEpoch) {
+	if !g.log.isUpToDate(m.Index, m.IndexTerm) {
 		return false
 	}
 	g.hard.PromisedTo = from
@@ -164,8 +164,8 @@
 	if !g.knows(from) {
 		return
 	}
-	if m.Reject && m.Epoch > g.hard.Epoch {
-		g.rest(m.Epoch, "")
+	if m.Reject && m.Term > g.hard.Term {
+		g.rest(m.Term, "")
 		return
 	}
 	if g.role != RoleCandidate || m.Trial != g.election.trial {
@@ -173,7 +173,7 @@
 	}
 	voter := Voter{ID: from, Life: m.Life}
 	if !g.places().votes(voter) {
-		// A promise counts only if nobody else can have been promised the epoch
+		// A promise counts only if nobody else can have been promised the term
 		// by the same voter and it knows all that this voter acknowledged.
 		return
 	}
@@ -181,11 +181,11 @@
 		g.addRejection(voter)
 		return
 	}
-	wanted := g.hard.Epoch
+	wanted := g.hard.Term
 	if g.election.trial {
 		wanted++
 	}
-	if m.Epoch != wanted || m.Learner {
+	if m.Term != wanted || m.Learner {
 		return
 	}
 	g.addPromise(voter)
@@ -208,7 +208,7 @@
 		g.election.rejected = append(g.election.rejected, from)
 	}
 	if len(g.election.rejected) > len(g.places().voters())-g.quorum() {
-		g.rest(g.hard.Epoch, "")
+		g.rest(g.hard.Term, "")
 	}
 }
 
@@ -223,11 +223,11 @@
 	g.takeOwnership()
 }
 
-// takeOwnership begins the epoch with a barrier entry: its commit commits all
-// entries that earlier epochs left. In an empty log that entry tells of the
+// takeOwnership begins the term with a barrier entry: its commit commits all
+// entries that earlier terms left. In an empty log that entry tells of the
 // founding voters, so that the log alone tells of the group from then on.
 func (g *Group) takeOwnership() {
-	g.rest(g.hard.Epoch, g.cfg.Self)
+	g.rest(g.hard.Term, g.cfg.Self)
 	g.role = RoleOwner
 	g.election.lostOwner = ""
 	g.ownership.progress = make(map[member.ID]*progress)
--- a/pkg/replication/follower.go
+++ b/pkg/replication/follower.go
@@ -2,17 +2,17 @@
 
 import "github.com/ridgeswitch/ridgeswitch/pkg/member"
 
-// stepFromOwner takes messages in which only the owner of their epoch sends.
+// stepFromOwner takes messages in which only the owner of their term sends.
 func (g *Group) stepFromOwner(from member.ID, m Message) error {
-	if m.Epoch < g.hard.Epoch {
+	if m.Term < g.hard.Term {
 		g.refuseOldOwner(from, m)
 		return nil
 	}
 	if err := g.checkFromOwner(from, m); err != nil {
 		return err
 	}
-	if m.Epoch > g.hard.Epoch || g.role == RoleCandidate || g.owner == "" {
-		g.rest(m.Epoch, from)
+	if m.Term > g.hard.Term || g.role == RoleCandidate || g.owner == "" {
+		g.rest(m.Term, from)
 	}
 	g.election.ownerContact = g.now
 	g.election.waitFrom = g.now
@@ -30,11 +30,11 @@
 
 // checkFromOwner comes before any change, so that a refused message has none.
 func (g *Group) checkFromOwner(from member.ID, m Message) error {
-	if m.Epoch == 0 {
-		return &MessageError{From: from, Type: m.Type, Message: "no owner has epoch zero"}
+	if m.Term == 0 {
+		return &MessageError{From: from, Type: m.Type, Message: "no owner has term zero"}
 	}
-	if m.Epoch == g.hard.Epoch && g.owner != "" && g.owner != from {
-		return &MessageError{From: from, Type: m.Type, Message: "the epoch has another owner already: check that no two members run under one ID"}
+	if m.Term == g.hard.Term && g.owner != "" && g.owner != from {
+		return &MessageError{From: from, Type: m.Type, Message: "the term has another owner already: check that no two members run under one ID"}
 	}
 	switch m.Type {
 	case MessageAppend:
@@ -46,13 +46,13 @@
 	}
 }
 
-// refuseOldOwner tells an owner of an earlier epoch that its time is over.
+// refuseOldOwner tells an owner of an earlier term that its time is over.
 func (g *Group) refuseOldOwner(from member.ID, m Message) {
 	reply := MessageAppendReply
 	if m.Type == MessageHeartbeat {
 		reply = MessageHeartbeatReply
 	}
-	g.send(from, Message{Type: reply, Epoch: g.hard.Epoch, Reject: true, Learner: g.cfg.Learner})
+	g.send(from, Message{Type: reply, Term: g.hard.Term, Reject: true, Learner: g.cfg.Learner})
 }
 
 func (g *Group) stepHeartbeat(from member.ID, m Message) {
@@ -62,7 +62,7 @@
 	}
 	g.send(from, Message{
 		Type:    MessageHeartbeatReply,
-		Epoch:   g.hard.Epoch,
+		Term:    g.hard.Term,
 		Round:   m.Round,
 		Commit:  g.log.committed,
 		Learner: g.cfg.Learner,
@@ -70,7 +70,7 @@
 }
 
 func (g *Group) stepAppend(from member.ID, m Message) {
-	last, ok := g.log.maybeAppend(m.Index, m.IndexEpoch, m.Entries)
+	last, ok := g.log.maybeAppend(m.Index, m.IndexTerm, m.Entries)
 	if !ok {
 		g.rejectAppend(from, m)
 		return
@@ -83,16 +83,16 @@
 // checkAppend refuses entries that no owner can send: with gaps, or in place
 // of entries that are committed here.
 func (g *Group) checkAppend(from member.ID, m Message) error {
-	previous := Entry{Index: m.Index, Epoch: m.IndexEpoch}
+	previous := Entry{Index: m.Index, Term: m.IndexTerm}
 	for _, entry := range m.Entries {
-		if entry.Index != previous.Index+1 || entry.Epoch < previous.Epoch || entry.Epoch > m.Epoch {
+		if entry.Index != previous.Index+1 || entry.Term < previous.Term || entry.Term > m.Term {
 			return &MessageError{From: from, Type: m.Type, Message: "the entries are out of order"}
 		}
 		if err := entry.check(); err != nil {
 			return &MessageError{From: from, Type: m.Type, Message: err.Error()}
 		}
-		held, ok := g.log.epochAt(entry.Index)
-		if ok && entry.Index <= g.log.committed && held != entry.Epoch {
+		held, ok := g.log.termAt(entry.Index)
+		if ok && entry.Index <= g.log.committed && held != entry.Term {
 			return &MessageError{From: from, Type: m.Type, Message: "the entries contradict committed ones: check that no two groups are mixed up"}
 		}
 		previous = entry
@@ -101,12 +101,12 @@
 }
 
 func (g *Group) rejectAppend(to member.ID, m Message) {
-	hint, hintEpoch := g.log.conflictHint(m.Index, m.IndexEpoch)
+	hint, hintTerm := g.log.conflictHint(m.Index, m.IndexTerm)
 	g.send(to, Message{
 		Type:       MessageAppendReply,
-		Epoch:      g.hard.Epoch,
+		Term:       g.hard.Term,
 		Index:      m.Index,
-		IndexEpoch: hintEpoch,
+		IndexTerm:  hintTerm,
 		Reject:     true,
 		RejectHint: hint,
 		Learner:    g.cfg.Learner,
@@ -118,7 +118,7 @@
 func (g *Group) acknowledge(to member.ID, index uint64) {
 	g.send(to, Message{
 		Type:    MessageAppendReply,
-		Epoch:   g.hard.Epoch,
+		Term:    g.hard.Term,
 		Index:   index,
 		Commit:  g.log.committed,
 		Learner: g.cfg.Learner,
@@ -142,7 +142,7 @@
 		g.acknowledge(from, g.log.committed)
 		return
 	}
-	if g.log.matches(snapshot.Index, snapshot.Epoch) {
+	if g.log.matches(snapshot.Index, snapshot.Term) {
 		g.log.commitTo(snapshot.Index)
 		g.acknowledge(from, snapshot.Index)
 		return
--- a/pkg/replication/group.go
+++ b/pkg/replication/group.go
@@ -50,7 +50,7 @@
 	hard HardState
 	log  *replicaLog
 	role Role
-	// owner is the member that is known to own hard.Epoch, or empty.
+	// owner is the member that is known to own hard.Term, or empty.
 	owner member.ID
 	// peers are the other members that are known at present, see SetPeers.
 	peers []Peer
@@ -72,7 +72,7 @@
 	lostOwner member.ID
 	suspected []member.ID
 
-	// trial tells that the present campaign raises no epoch.
+	// trial tells that the present campaign raises no term.
 	trial bool
 	// handover tells that the owner asked for the present campaign.
 	handover bool
@@ -81,10 +81,10 @@
 	askedAt  time.Duration
 }
 
-// ownership is what a member keeps while it owns the epoch.
+// ownership is what a member keeps while it owns the term.
 type ownership struct {
 	progress map[member.ID]*progress
-	// barrier is the index of the entry that began the epoch.
+	// barrier is the index of the entry that began the term.
 	barrier     uint64
 	round       uint64
 	rounds      []sentRound
@@ -209,11 +209,11 @@
 	}
 }
 
-// rest makes the member a follower (or learner) of epoch. The owner may be
+// rest makes the member a follower (or learner) of term. The owner may be
 // unknown yet.
-func (g *Group) rest(epoch uint64, owner member.ID) {
-	if epoch > g.hard.Epoch {
-		g.hard.Epoch = epoch
+func (g *Group) rest(term uint64, owner member.ID) {
+	if term > g.hard.Term {
+		g.hard.Term = term
 		g.hard.PromisedTo = ""
 		g.hard.PromisedLife = 0
 	}
--- a/pkg/replication/handover.go
+++ b/pkg/replication/handover.go
@@ -63,14 +63,14 @@
 	g.ownership.handoverSent = true
 	g.send(from, Message{
 		Type:     MessageHeartbeat,
-		Epoch:    g.hard.Epoch,
+		Term:     g.hard.Term,
 		Index:    g.log.lastIndex(),
 		Handover: true,
 	})
 }
 
 // repeatHandover asks again, as the first request may have been lost: the
-// successor would have left this epoch else.
+// successor would have left this term else.
 func (g *Group) repeatHandover(from member.ID) {
 	g.ownership.handoverSent = false
 	g.continueHandover(from)
--- a/pkg/replication/heartbeat.go
+++ b/pkg/replication/heartbeat.go
@@ -15,7 +15,7 @@
 	for _, id := range g.others() {
 		g.send(id, Message{
 			Type:  MessageHeartbeat,
-			Epoch: g.hard.Epoch,
+			Term:  g.hard.Term,
 			Index: g.log.lastIndex(),
 			Round: g.ownership.round,
 		})
@@ -70,7 +70,7 @@
 }
 
 // MayCommand tells whether the owner holds the command lease: it has applied
-// its own barrier, every lease of an earlier epoch has run out, and a majority
+// its own barrier, every lease of an earlier term has run out, and a majority
 // answered a heartbeat sent less than LeaseDuration-LeaseMargin ago. The
 // driver asks again at the instant of sending. Now may also lie ahead, to ask
 // whether the lease would last as long; the answer changes no state.
--- a/pkg/replication/log.go
+++ b/pkg/replication/log.go
@@ -10,10 +10,10 @@
 // offset, and the newest snapshot, which covers at least everything up to
 // offset.
 type replicaLog struct {
-	offset      uint64
-	offsetEpoch uint64
-	entries     []Entry
-	snapshot    *Snapshot
+	offset     uint64
+	offsetTerm uint64
+	entries    []Entry
+	snapshot   *Snapshot
 	// durable is the last index that the driver has made durable.
 	durable uint64
 	// committed <= lastIndex.
@@ -58,39 +58,39 @@
 	return l.offset + uint64(len(l.entries))
 }
 
-func (l *replicaLog) lastEpoch() uint64 {
-	epoch, _ := l.epochAt(l.lastIndex())
-	return epoch
+func (l *replicaLog) lastTerm() uint64 {
+	term, _ := l.termAt(l.lastIndex())
+	return term
 }
 
-// epochAt is false for indexes that the log does not hold.
-func (l *replicaLog) epochAt(index uint64) (epoch uint64, held bool) {
+// termAt is false for indexes that the log does not hold.
+func (l *replicaLog) termAt(index uint64) (term uint64, held bool) {
 	if index == l.offset {
-		return l.offsetEpoch, true
+		return l.offsetTerm, true
 	}
 	if index < l.offset || index > l.lastIndex() {
 		return 0, false
 	}
-	return l.entries[index-l.offset-1].Epoch, true
+	return l.entries[index-l.offset-1].Term, true
 }
 
-func (l *replicaLog) matches(index, epoch uint64) bool {
-	held, ok := l.epochAt(index)
-	return ok && held == epoch
+func (l *replicaLog) matches(index, term uint64) bool {
+	held, ok := l.termAt(index)
+	return ok && held == term
 }
 
-// isUpToDate tells whether a log that ends with (index, epoch) holds at least
+// isUpToDate tells whether a log that ends with (index, term) holds at least
 // what this log may have committed.
-func (l *replicaLog) isUpToDate(index, epoch uint64) bool {
-	if epoch != l.lastEpoch() {
-		return epoch > l.lastEpoch()
+func (l *replicaLog) isUpToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
 	}
 	return index >= l.lastIndex()
 }
 
-// isNewest tells whether no log that ends with (index, epoch) is newer.
-func (l *replicaLog) isNewest(index, epoch uint64) bool {
-	return epoch < l.lastEpoch() || (epoch == l.lastEpoch() && index <= l.lastIndex())
+// isNewest tells whether no log that ends with (index, term) is newer.
+func (l *replicaLog) isNewest(index, term uint64) bool {
+	return term < l.lastTerm() || (term == l.lastTerm() && index <= l.lastIndex())
 }
 
 // slice returns the entries first..last. Its capacity is cut so that no later
@@ -125,19 +125,19 @@
 	}
 }
 
-// maybeAppend takes entries in after the entry (index, epoch). It is false if
+// maybeAppend takes entries in after the entry (index, term). It is false if
 // the log does not hold that entry; else it returns the last new index.
-func (l *replicaLog) maybeAppend(index, epoch uint64, entries []Entry) (last uint64, ok bool) {
+func (l *replicaLog) maybeAppend(index, term uint64, entries []Entry) (last uint64, ok bool) {
 	last = index + uint64(len(entries))
 	if index < l.offset {
 		// What the offset covers is committed, and so the same everywhere.
 		skip := min(l.offset-index, uint64(len(entries)))
 		entries = entries[skip:]
-	} else if !l.matches(index, epoch) {
+	} else if !l.matches(index, term) {
 		return 0, false
 	}
 	for i, entry := range entries {
-		if l.matches(entry.Index, entry.Epoch) {
+		if l.matches(entry.Index, entry.Term) {
 			continue
 		}
 		l.truncateFrom(entry.Index)
@@ -159,13 +159,13 @@
 	l.groups = l.groups.truncated(index)
 }
 
-// conflictHint returns the last index at or before index whose epoch is not
-// above epoch, which is where the logs may begin to agree.
-func (l *replicaLog) conflictHint(index, epoch uint64) (hint, hintEpoch uint64) {
+// conflictHint returns the last index at or before index whose term is not
+// above term, which is where the logs may begin to agree.
+func (l *replicaLog) conflictHint(index, term uint64) (hint, hintTerm uint64) {
 	hint = min(index, l.lastIndex())
 	for hint > l.offset {
-		held, _ := l.epochAt(hint)
-		if held <= epoch {
+		held, _ := l.termAt(hint)
+		if held <= term {
 			return hint, held
 		}
 		hint--
@@ -173,7 +173,7 @@
 	if hint < l.offset {
 		return hint, 0
 	}
-	return l.offset, l.offsetEpoch
+	return l.offset, l.offsetTerm
 }
 
 func (l *replicaLog) commitTo(index uint64) bool {
@@ -194,7 +194,7 @@
 // before it.
 func (l *replicaLog) wrote(entries []Entry) {
 	for i := len(entries) - 1; i >= 0; i-- {
-		if l.matches(entries[i].Index, entries[i].Epoch) {
+		if l.matches(entries[i].Index, entries[i].Term) {
 			l.durable = max(l.durable, entries[i].Index)
 			return
 		}
@@ -205,7 +205,7 @@
 func (l *replicaLog) install(snapshot *Snapshot) {
 	l.snapshot = snapshot
 	l.offset = snapshot.Index
-	l.offsetEpoch = snapshot.Epoch
+	l.offsetTerm = snapshot.Term
 	l.entries = nil
 	l.durable = snapshot.Index
 	l.committed = max(l.committed, snapshot.Index)
@@ -221,8 +221,8 @@
 		return
 	}
 	offset := snapshot.Index - keep
-	epoch, _ := l.epochAt(offset)
+	term, _ := l.termAt(offset)
 	l.entries = slices.Clone(l.entries[offset-l.offset:])
 	l.offset = offset
-	l.offsetEpoch = epoch
+	l.offsetTerm = term
 }
--- a/pkg/replication/message.go
+++ b/pkg/replication/message.go
@@ -7,7 +7,7 @@
 
 // The messages of the replication protocol.
 const (
-	// MessagePromiseRequest asks a voter to promise an epoch to the sender.
+	// MessagePromiseRequest asks a voter to promise a term to the sender.
 	MessagePromiseRequest MessageType = iota + 1
 	// MessagePromiseReply grants or rejects a promise.
 	MessagePromiseReply
@@ -36,7 +36,7 @@
 	// EntryCommand carries a command of the state machine above.
 	EntryCommand EntryKind = iota + 1
 	// EntryBarrier is the empty entry with which a new owner commits what
-	// earlier epochs left.
+	// earlier terms left.
 	EntryBarrier
 	// EntryGroupChange carries the group after a change of one voter.
 	EntryGroupChange
@@ -48,7 +48,7 @@
 // Entry is one slot of the replicated log.
 type Entry struct {
 	Index   uint64
-	Epoch   uint64
+	Term    uint64
 	Kind    EntryKind
 	Command []byte
 }
@@ -56,7 +56,7 @@
 // Snapshot is the state after all entries up to and including Index.
 type Snapshot struct {
 	Index uint64
-	Epoch uint64
+	Term  uint64
 	// Group holds the places in the agreed order.
 	Group []Place
 	Data  []byte
@@ -65,20 +65,20 @@
 // Message is what members of a group send each other. One struct serves every
 // MessageType; fields that a type does not use are zero.
 type Message struct {
-	Type  MessageType
-	Epoch uint64
+	Type MessageType
+	Term uint64
 	// Life is the life of the sender's durable state. What the sender promises
 	// or acknowledges counts for that life only.
 	Life uint64
 	// Index is the entry before Entries, the sender's last entry, or the last
 	// matching entry, by type.
 	Index uint64
-	// IndexEpoch is the epoch of the entry at Index.
-	IndexEpoch uint64
-	Commit     uint64
+	// IndexTerm is the term of the entry at Index.
+	IndexTerm uint64
+	Commit    uint64
 	// Round numbers an owner's heartbeats; replies echo it.
 	Round uint64
-	// Trial asks for a promise without raising epochs, so that a member which
+	// Trial asks for a promise without raising terms, so that a member which
 	// cannot win does not disturb the owner.
 	Trial bool
 	// Handover marks a campaign that the present owner asked for.
--- a/pkg/replication/owner.go
+++ b/pkg/replication/owner.go
@@ -17,7 +17,7 @@
 
 // Propose appends a command to the log and returns the index at which it will
 // be committed if this member stays the owner. What becomes of it shows in
-// Ready.Committed: the entry at that index, if it has the same epoch.
+// Ready.Committed: the entry at that index, if it has the same term.
 func (g *Group) Propose(now time.Duration, command []byte) (index uint64, err error) {
 	g.observe(now)
 	if err := g.acceptsWork(); err != nil {
@@ -39,12 +39,12 @@
 	return nil
 }
 
-// appendOwn appends an entry of the own epoch. The followers are sent it with
+// appendOwn appends an entry of the own term. The followers are sent it with
 // the next Ready, together with others appended until then.
 func (g *Group) appendOwn(kind EntryKind, command []byte) uint64 {
 	entry := Entry{
 		Index:   g.log.lastIndex() + 1,
-		Epoch:   g.hard.Epoch,
+		Term:    g.hard.Term,
 		Kind:    kind,
 		Command: slices.Clone(command),
 	}
@@ -55,7 +55,7 @@
 
 func (g *Group) tickOwner() {
 	if !g.hearsQuorum() {
-		g.rest(g.hard.Epoch, "")
+		g.rest(g.hard.Term, "")
 		return
 	}
 	g.tickHandover()
@@ -108,19 +108,19 @@
 func (g *Group) sendAppend(to member.ID) {
 	follower := g.ownership.progress[to]
 	before := follower.next - 1
-	beforeEpoch, held := g.log.epochAt(before)
+	beforeTerm, held := g.log.termAt(before)
 	if !held {
 		g.sendSnapshot(to)
 		return
 	}
 	entries := g.log.after(follower.next, maxAppendBytes)
 	g.send(to, Message{
-		Type:       MessageAppend,
-		Epoch:      g.hard.Epoch,
-		Index:      before,
-		IndexEpoch: beforeEpoch,
-		Commit:     g.log.committed,
-		Entries:    entries,
+		Type:      MessageAppend,
+		Term:      g.hard.Term,
+		Index:     before,
+		IndexTerm: beforeTerm,
+		Commit:    g.log.committed,
+		Entries:   entries,
 	})
 	switch follower.state {
 	case progressReplicate:
@@ -138,7 +138,7 @@
 	g.ownership.progress[to].becomeSnapshot(snapshot.Index, g.now)
 	g.send(to, Message{
 		Type:     MessageSnapshot,
-		Epoch:    g.hard.Epoch,
+		Term:     g.hard.Term,
 		Index:    snapshot.Index,
 		Snapshot: snapshot,
 	})
@@ -149,11 +149,11 @@
 	if !g.knows(from) {
 		return nil
 	}
-	if m.Epoch > g.hard.Epoch {
-		g.rest(m.Epoch, "")
+	if m.Term > g.hard.Term {
+		g.rest(m.Term, "")
 		return nil
 	}
-	if g.role != RoleOwner || m.Epoch < g.hard.Epoch {
+	if g.role != RoleOwner || m.Term < g.hard.Term {
 		return nil
 	}
 	if m.Type == MessageAppendReply && m.Index > g.log.lastIndex() {
@@ -184,7 +184,7 @@
 func (g *Group) appendAnswered(from member.ID, m Message) {
 	follower := g.ownership.progress[from]
 	if m.Reject {
-		hint, _ := g.log.conflictHint(m.RejectHint, m.IndexEpoch)
+		hint, _ := g.log.conflictHint(m.RejectHint, m.IndexTerm)
 		if follower.rejected(m.Index, hint) {
 			g.sendNews(from)
 		}
@@ -200,11 +200,11 @@
 }
 
 // maybeCommit commits what a majority of the voters holds durably, if the
-// newest such entry is of the own epoch. An entry of an earlier epoch could be
+// newest such entry is of the own term. An entry of an earlier term could be
 // overwritten yet, however many copies it has.
 func (g *Group) maybeCommit() {
 	index := g.quorumOf(g.log.durable, func(p *progress) uint64 { return p.match })
-	if epoch, held := g.log.epochAt(index); !held || epoch != g.hard.Epoch {
+	if term, held := g.log.termAt(index); !held || term != g.hard.Term {
 		return
 	}
 	if g.log.commitTo(index) {
--- a/pkg/replication/ownership_test.go
+++ b/pkg/replication/ownership_test.go
@@ -10,23 +10,23 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
 
-// tookAt is when electedOwner becomes the owner of epoch 2.
+// tookAt is when electedOwner becomes the owner of term 2.
 const tookAt = electionTimeout
 
 // electedOwner returns the owner n1 of a group of three, whose log holds an
-// entry of epoch 1 and its own barrier, both durable here only.
+// entry of term 1 and its own barrier, both durable here only.
 func electedOwner() *replication.Group {
 	g, err := replication.New(replication.Config{
 		Self: "n1", Life: replication.FoundingLife, Group: []member.ID{"n1", "n2", "n3"},
 		HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
 		LeaseDuration: leaseDuration, LeaseMargin: leaseMargin,
 	}, replication.Restored{
-		HardState: replication.HardState{Epoch: 1},
+		HardState: replication.HardState{Term: 1},
 		Entries:   []replication.Entry{entry(1, 1)},
 	}, 0)
 	Expect(err).NotTo(HaveOccurred())
 	g.Tick(tookAt)
-	granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Epoch: 2, Trial: true}
+	granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Term: 2, Trial: true}
 	Expect(g.Step(tookAt, "n2", granted)).To(Succeed())
 	settle(g)
 	granted.Trial = false
@@ -49,8 +49,8 @@
 	return rounds
 }
 
-func matched(epoch, index uint64) replication.Message {
-	return replication.Message{Type: replication.MessageAppendReply, Life: 1, Epoch: epoch, Index: index}
+func matched(term, index uint64) replication.Message {
+	return replication.Message{Type: replication.MessageAppendReply, Life: 1, Term: term, Index: index}
 }
 
 // beatUntil answers every heartbeat at once until then.
@@ -64,32 +64,32 @@
 }
 
 func answerRound(g *replication.Group, now time.Duration, round uint64) {
-	reply := replication.Message{Type: replication.MessageHeartbeatReply, Life: 1, Epoch: 2, Round: round}
+	reply := replication.Message{Type: replication.MessageHeartbeatReply, Life: 1, Term: 2, Round: round}
 	Expect(g.Step(now, "n2", reply)).To(Succeed())
 }
 
 var _ = Describe("trials", func() {
 	It("are won by grants of one asking only", func() {
 		g := newMember("n1", "n1", "n2", "n3", "n4", "n5")
-		granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Epoch: 1, Trial: true}
+		granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Term: 1, Trial: true}
 		g.Tick(electionTimeout)
 		Expect(g.Step(electionTimeout, "n2", granted)).To(Succeed())
 		g.Tick(electionTimeout + heartbeatEvery)
 		Expect(g.Step(electionTimeout+heartbeatEvery, "n3", granted)).To(Succeed())
-		Expect(g.Status().Epoch).To(BeZero())
+		Expect(g.Status().Term).To(BeZero())
 		Expect(g.Step(electionTimeout+heartbeatEvery, "n2", granted)).To(Succeed())
-		Expect(g.Status().Epoch).To(Equal(uint64(1)))
+		Expect(g.Status().Term).To(Equal(uint64(1)))
 	})
 })
 
 var _ = Describe("ownership", func() {
-	It("commits an entry of an earlier epoch only together with its barrier", func() {
+	It("commits an entry of an earlier term only together with its barrier", func() {
 		g := electedOwner()
 		Expect(g.Step(tookAt, "n2", matched(2, 1))).To(Succeed())
 		Expect(g.Step(tookAt, "n3", matched(2, 1))).To(Succeed())
 		Expect(g.Status().Commit).To(BeZero())
 		Expect(g.Step(tookAt, "n3", matched(1, 2))).To(Succeed())
-		Expect(g.Status().Commit).To(BeZero(), "an answer to an earlier epoch counted")
+		Expect(g.Status().Commit).To(BeZero(), "an answer to an earlier term counted")
 		Expect(g.Step(tookAt, "n3", matched(2, 2))).To(Succeed())
 		Expect(g.Status().Commit).To(Equal(uint64(2)))
 	})
--- a/pkg/replication/progress.go
+++ b/pkg/replication/progress.go
@@ -30,7 +30,7 @@
 	// snapshotIndex and snapshotSentAt are valid in progressSnapshot.
 	snapshotIndex  uint64
 	snapshotSentAt time.Duration
-	// lastContact is when the member was last heard of in this epoch.
+	// lastContact is when the member was last heard of in this term.
 	lastContact time.Duration
 	// ackedRound is the newest heartbeat round that the member answered.
 	ackedRound uint64
--- a/pkg/replication/random_test.go
+++ b/pkg/replication/random_test.go
@@ -25,8 +25,8 @@
 )
 
 var _ = Describe("random schedules", func() {
-	It("keep one history, one owner an epoch and one lease holder, and end in agreement", func() {
-		var committed, epochs, reads, leases, lost, reformed int
+	It("keep one history, one owner a term and one lease holder, and end in agreement", func() {
+		var committed, terms, reads, leases, lost, reformed int
 		for seed := range uint64(*schedules) {
 			c := randomCluster(seed)
 			for range faultyTicks {
@@ -39,13 +39,13 @@
 			committed += int(c.highest)
 			lost += c.lost
 			reformed += c.reformed
-			epochs += len(c.owners)
+			terms += len(c.owners)
 			for _, n := range c.nodes {
 				reads += n.answered
 			}
 		}
 		// The schedules would prove nothing if they never came to the point.
-		Expect(epochs).To(BeNumerically(">", 2**schedules))
+		Expect(terms).To(BeNumerically(">", 2**schedules))
 		Expect(committed).To(BeNumerically(">", 10**schedules))
 		Expect(reads).To(BeNumerically(">", *schedules))
 		Expect(leases).To(BeNumerically(">", *schedules))
--- a/pkg/replication/ready.go
+++ b/pkg/replication/ready.go
@@ -55,7 +55,7 @@
 }
 
 func (g *Group) promiseChanged() bool {
-	return g.hard.Epoch != g.output.persisted.Epoch || g.hard.PromisedTo != g.output.persisted.PromisedTo ||
+	return g.hard.Term != g.output.persisted.Term || g.hard.PromisedTo != g.output.persisted.PromisedTo ||
 		g.hard.PromisedLife != g.output.persisted.PromisedLife
 }
 
@@ -129,7 +129,7 @@
 		if hard == nil || g.election.trial {
 			return
 		}
-		if hard.Epoch == g.hard.Epoch && hard.PromisedTo == g.cfg.Self && hard.PromisedLife == g.cfg.Life {
+		if hard.Term == g.hard.Term && hard.PromisedTo == g.cfg.Self && hard.PromisedLife == g.cfg.Life {
 			g.addPromise(g.self())
 		}
 	case RoleFollower, RoleLearner:
--- a/pkg/replication/reform.go
+++ b/pkg/replication/reform.go
@@ -8,10 +8,10 @@
 )
 
 // A group that lost the durable state of a majority of its voters can elect
-// nobody any more. It is formed anew under a ballot, an epoch that is promised
+// nobody any more. It is formed anew under a ballot, a term that is promised
 // not by a majority but by the present life of every place. Then each life that
 // may ever have voted either has promised the ballot, and takes no part in lower
-// epochs, or is one that its member has replaced, and is gone for good. Since
+// terms, or is one that its member has replaced, and is gone for good. Since
 // each promise is granted only to a log that is up to date, the member that wins
 // the ballot holds all that survived.
 
@@ -20,7 +20,7 @@
 	// a member asks whether the group has to be formed anew, and how many a
 	// ballot may take.
 	reformTimeouts = 3
-	// ballotStep is how far a ballot lies above all epochs that are known, so
+	// ballotStep is how far a ballot lies above all terms that are known, so
 	// that it is above those too that only lost disks knew.
 	ballotStep = 1 << 16
 )
@@ -35,7 +35,7 @@
 	// retryAt is when the next attempt may begin.
 	retryAt time.Duration
 	granted []Voter
-	// floor is the highest epoch that was heard of.
+	// floor is the highest term that was heard of.
 	floor uint64
 	// lastBallot is the newest ballot that this process began.
 	lastBallot uint64
@@ -48,10 +48,10 @@
 // was not set up, and a lost one would be opened as if it were new.
 func (g *Group) ExpectState() { g.reform.stateExpected = true }
 
-// RaiseEpochFloor tells that an epoch was in use in this group. Ballots lie
+// RaiseTermFloor tells that a term was in use in this group. Ballots lie
 // above it.
-func (g *Group) RaiseEpochFloor(epoch uint64) {
-	g.reform.floor = max(g.reform.floor, epoch)
+func (g *Group) RaiseTermFloor(term uint64) {
+	g.reform.floor = max(g.reform.floor, term)
 }
 
 // Ballot returns the ballot under which all members of the group wait for Reform.
@@ -76,16 +76,16 @@
 	})
 }
 
-// ownBallot tells whether a ballot of this member is still the newest epoch.
+// ownBallot tells whether a ballot of this member is still the newest term.
 func (g *Group) ownBallot() bool {
-	return g.reform.ballot != 0 && g.reform.ballot == g.hard.Epoch && g.role != RoleOwner
+	return g.reform.ballot != 0 && g.reform.ballot == g.hard.Term && g.role != RoleOwner
 }
 
-// RaiseBallot begins another ballot above an epoch that was in use, if one that
+// RaiseBallot begins another ballot above a term that was in use, if one that
 // this member has won does not lie above it.
-func (g *Group) RaiseBallot(epoch uint64) {
-	g.RaiseEpochFloor(epoch)
-	if g.ballotWon() && g.reform.ballot <= epoch {
+func (g *Group) RaiseBallot(term uint64) {
+	g.RaiseTermFloor(term)
+	if g.ballotWon() && g.reform.ballot <= term {
 		g.reform.lastBallot = 0
 		g.startBallot()
 	}
@@ -125,7 +125,7 @@
 	}
 	g.appendOwn(EntryRestore, state)
 	g.appendOwn(EntryGroupChange, encodePlaces(group))
-	// A ballot forms one group only: the epoch may outlast this ownership.
+	// A ballot forms one group only: the term may outlast this ownership.
 	g.abandonBallot()
 	g.takeOwnership()
 	return nil
@@ -197,11 +197,11 @@
 			continue
 		}
 		g.send(id, Message{
-			Type:       MessageBallotRequest,
-			Epoch:      g.reform.ballot,
-			Index:      g.log.lastIndex(),
-			IndexEpoch: g.log.lastEpoch(),
-			Trial:      g.reform.ballot == 0,
+			Type:      MessageBallotRequest,
+			Term:      g.reform.ballot,
+			Index:     g.log.lastIndex(),
+			IndexTerm: g.log.lastTerm(),
+			Trial:     g.reform.ballot == 0,
 		})
 	}
 }
@@ -211,19 +211,19 @@
 }
 
 // stepBallotRequest promises a ballot to a log that is up to date, durably
-// before the answer leaves. The epoch of the answer is the highest one that was
+// before the answer leaves. The term of the answer is the highest one that was
 // seen here.
 func (g *Group) stepBallotRequest(from member.ID, m Message) {
-	granted := !g.cfg.Learner && g.log.isUpToDate(m.Index, m.IndexEpoch)
+	granted := !g.cfg.Learner && g.log.isUpToDate(m.Index, m.IndexTerm)
 	switch {
 	case m.Trial:
 		granted = granted && !g.hearsLiveOwner()
 	default:
 		granted = granted && g.promise(from, m)
 	}
-	reply := Message{Type: MessageBallotReply, Epoch: g.hard.Epoch, Trial: m.Trial, Reject: !granted}
+	reply := Message{Type: MessageBallotReply, Term: g.hard.Term, Trial: m.Trial, Reject: !granted}
 	if g.places().votes(g.self()) {
-		reply.Index, reply.IndexEpoch = g.log.lastIndex(), g.log.lastEpoch()
+		reply.Index, reply.IndexTerm = g.log.lastIndex(), g.log.lastTerm()
 	}
 	g.send(from, reply)
 }
@@ -232,8 +232,8 @@
 	if !g.knows(from) {
 		return
 	}
-	g.RaiseEpochFloor(m.Epoch)
-	if !g.log.isNewest(m.Index, m.IndexEpoch) {
+	g.RaiseTermFloor(m.Term)
+	if !g.log.isNewest(m.Index, m.IndexTerm) {
 		g.yieldBallot()
 		return
 	}
@@ -241,7 +241,7 @@
 	if m.Reject || !asking || g.hearsLiveOwner() {
 		return
 	}
-	if !m.Trial && (!g.ownBallot() || m.Epoch != g.reform.ballot) {
+	if !m.Trial && (!g.ownBallot() || m.Term != g.reform.ballot) {
 		return
 	}
 	g.addGrant(Voter{ID: from, Life: m.Life})
@@ -310,7 +310,7 @@
 // nextBallot is above all that is known, and is one that no other place chooses:
 // of two ballots at a time one is higher, and wins.
 func (g *Group) nextBallot() uint64 {
-	newest := max(g.hard.Epoch, g.reform.floor)
+	newest := max(g.hard.Term, g.reform.floor)
 	ballot := newest + ballotStep
 	if newest == g.reform.lastBallot && newest > 0 {
 		// The own ballot came to nothing, and has made the step.
@@ -327,7 +327,7 @@
 // countOwnBallot lets this member's own promise count, as it is durable now.
 func (g *Group) countOwnBallot(ready *Ready) {
 	hard := ready.HardState
-	if hard == nil || !g.ownBallot() || hard.Epoch != g.reform.ballot {
+	if hard == nil || !g.ownBallot() || hard.Term != g.reform.ballot {
 		return
 	}
 	if hard.PromisedTo == g.cfg.Self && hard.PromisedLife == g.cfg.Life {
--- a/pkg/replication/repair_test.go
+++ b/pkg/replication/repair_test.go
@@ -16,7 +16,7 @@
 	g := newMember("n1", "n1", "n2", "n3")
 	g.Tick(electionTimeout)
 	for _, trial := range []bool{true, false} {
-		granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Epoch: 1, Trial: trial}
+		granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Term: 1, Trial: trial}
 		Expect(g.Step(electionTimeout, "n2", granted)).To(Succeed())
 		settle(g)
 	}
@@ -94,7 +94,7 @@
 		Expect(sentTo(leader, replication.MessageHeartbeat)).To(Equal([]member.ID{"n2", "n3", "n4"}))
 	})
 
-	It("disturb no live leader, whatever epoch they tell of", func() {
+	It("disturb no live leader, whatever term they tell of", func() {
 		leader := electedOwner()
 		follower := newMember("n2", "n1", "n2", "n3")
 		Expect(follower.Step(0, "n1", appendOf(1, 0, 0, 0))).To(Succeed())
@@ -111,7 +111,7 @@
 				{Type: replication.MessageBallotRequest, Trial: true},
 				{Type: replication.MessageBallotRequest},
 			} {
-				m.Epoch, m.Life, m.Index, m.IndexEpoch = 90, 5, 90, 90
+				m.Term, m.Life, m.Index, m.IndexTerm = 90, 5, 90, 90
 				Expect(g.Step(0, "n9", m)).To(Succeed())
 			}
 			Expect(g.Status()).To(Equal(before))
@@ -138,10 +138,10 @@
 		g.SetPeers(0, []replication.Peer{{ID: "n4"}})
 		g.Tick(electionTimeout)
 		for _, id := range []member.ID{"n4", "n9"} {
-			granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Epoch: 1, Trial: true}
+			granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Term: 1, Trial: true}
 			Expect(g.Step(electionTimeout, id, granted)).To(Succeed())
 		}
-		Expect(g.Status().Epoch).To(BeZero())
+		Expect(g.Status().Term).To(BeZero())
 	})
 
 	It("get one when they have caught up, unless they leave", func() {
@@ -211,7 +211,7 @@
 var _ = Describe("a group that lost a majority", func() {
 	It("is not formed anew by a member of which a voter with a newer log knows better", func() {
 		grant := replication.Message{Type: replication.MessageBallotReply, Life: 8, Trial: true}
-		newer := replication.Message{Type: replication.MessageBallotReply, Life: 1, Trial: true, Reject: true, Index: 2, IndexEpoch: 1}
+		newer := replication.Message{Type: replication.MessageBallotReply, Life: 1, Trial: true, Reject: true, Index: 2, IndexTerm: 1}
 		for _, objected := range []bool{false, true} {
 			g := newMember("n3", "n1", "n2", "n3")
 			g.SetPeers(0, []replication.Peer{{ID: "n4"}})
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -5,9 +5,9 @@
 // Status is a view of a member at one instant.
 type Status struct {
 	Self member.ID
-	// Owner is the owner of Epoch as far as known, or empty.
+	// Owner is the owner of Term as far as known, or empty.
 	Owner     member.ID
-	Epoch     uint64
+	Term      uint64
 	Commit    uint64
 	Applied   uint64
 	LastIndex uint64
@@ -49,7 +49,7 @@
 	status := Status{
 		Self:      g.cfg.Self,
 		Owner:     g.owner,
-		Epoch:     g.hard.Epoch,
+		Term:      g.hard.Term,
 		Commit:    g.log.committed,
 		Applied:   g.log.applied,
 		LastIndex: g.log.lastIndex(),
