--- a/internal/control/announcements.go
+++ b/internal/control/announcements.go
@@ -10,24 +10,24 @@
 )
 
 const (
-	// announceEvery is how often an owner tells a node which has not confirmed
-	// anything that it owns the shard.
+	// announceEvery is how often a leader tells a node which has not confirmed
+	// anything that it leads the shard.
 	announceEvery = time.Second
-	// directAfter is how long the relay tree may take before the owner of a
+	// directAfter is how long the relay tree may take before the leader of a
 	// shard sends a new state directly to nodes that have not confirmed it, and
 	// how often it does.
 	directAfter = 200 * time.Millisecond
-	// mostDirect bounds the nodes that an owner sends to at once.
+	// mostDirect bounds the nodes that a leader sends to at once.
 	mostDirect = 16
 )
 
-// spreading is what the owner of a shard knows of the way of its newest state.
+// spreading is what the leader of a shard knows of the way of its newest state.
 // It is kept where the membership, and not a registry, tells which nodes there
 // are.
 type spreading struct {
-	// term is that of the ownership which the rest belongs to.
+	// term is that of the leadership which the rest belongs to.
 	term uint64
-	// announced is when each life of a node was last told of the ownership.
+	// announced is when each life of a node was last told of the leadership.
 	announced map[member.ID]announcement
 	// revision is the newest one published, and since when it is under way.
 	revision uint64
@@ -42,7 +42,7 @@
 	at          time.Duration
 }
 
-// tickSpreading makes the ownership of shards known, and brings their newest
+// tickSpreading makes the leadership of shards known, and brings their newest
 // states to nodes that the relay tree did not reach in time: because their parent
 // is down, frozen or cut off, or because they see other members than their
 // parents do.
@@ -52,7 +52,7 @@
 	}
 	for _, id := range m.shardIDs {
 		hosted := m.shards[id]
-		if hosted == nil || !hosted.owned() || !hosted.group.BarrierApplied() {
+		if hosted == nil || !hosted.leads() || !hosted.group.BarrierApplied() {
 			continue
 		}
 		term := hosted.group.Status().Term
@@ -64,7 +64,7 @@
 	}
 }
 
-// announce tells nodes that this one owns the shard, and asks what they serve.
+// announce tells nodes that this one leads the shard, and asks what they serve.
 // Those that answer confirm what they serve from then on by themselves.
 func (m *Machine) announce(hosted *shard) {
 	for _, record := range m.members.Records() {
@@ -96,11 +96,11 @@
 	})
 }
 
-// receiveAskConfirm answers an owner, and notes that it is one.
+// receiveAskConfirm answers a leader, and notes that it is one.
 func (m *Machine) receiveAskConfirm(from member.ID, message protocol.Message) {
 	if message.Term > 0 && message.Term >= m.terms[message.Shard].term {
 		m.learnTerm(message.Shard, message.Term)
-		m.lastOwners[message.Shard] = from
+		m.lastLeaders[message.Shard] = from
 	}
 	m.sendControl(from, m.ownConfirmation())
 }
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -78,10 +78,10 @@
 	return names[o]
 }
 
-// replicaWork is what the owner knows of its work on one replica that a row keeps
+// replicaWork is what the leader knows of its work on one replica that a row keeps
 // requests from.
 type replicaWork struct {
-	// revision is the one at which the row was entered, and since when this owner
+	// revision is the one at which the row was entered, and since when this leader
 	// first saw it.
 	revision uint64
 	since    time.Duration
@@ -230,8 +230,8 @@
 }
 
 // commandToken orders all commands that a replica ever gets: first by the term
-// of the ownership, then by the revision at which the ordered phase was entered.
-// So a replica also refuses a late command of the same owner for a version that
+// of the leadership, then by the revision at which the ordered phase was entered.
+// So a replica also refuses a late command of the same leader for a version that
 // has been replaced since.
 func commandToken(term, phaseRevision uint64) uint64 {
 	const revisionBits = 32
--- a/internal/control/commands_test.go
+++ b/internal/control/commands_test.go
@@ -305,7 +305,7 @@
 	})
 })
 
-var _ = Describe("a new owner", func() {
+var _ = Describe("a new leader", func() {
 	It("waits until the last command of the one before is as old as holders must be apart", func() {
 		pool := newModelPool(3, 3, 3, time.Second)
 		hosted := pool.node.machine.shards[1]
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -13,14 +13,14 @@
 const (
 	// DefaultTickEvery is how often a driver calls Tick.
 	DefaultTickEvery = 20 * time.Millisecond
-	// DefaultHeartbeatEvery is how often owners and members are heard from.
+	// DefaultHeartbeatEvery is how often leaders and members are heard from.
 	DefaultHeartbeatEvery = 100 * time.Millisecond
-	// DefaultElectionTimeout is how long a silent owner keeps its place. A
+	// DefaultElectionTimeout is how long a silent leader keeps its place. A
 	// heartbeat and its answer may each wait for a write, so that it must exceed
 	// two slow writes, or a group whose disks all take half a second has no
-	// owner for long.
+	// leader for long.
 	DefaultElectionTimeout = 1500 * time.Millisecond
-	// DefaultLeaseDuration is how long an owner may command replicas after a
+	// DefaultLeaseDuration is how long a leader may command replicas after a
 	// quorum has last confirmed it.
 	DefaultLeaseDuration = time.Second
 	// DefaultLeaseMargin covers clocks that run at slightly different rates.
@@ -29,7 +29,7 @@
 	DefaultFenceAfter = time.Second
 	// DefaultFenceMargin is added before others count on the fence.
 	DefaultFenceMargin = 200 * time.Millisecond
-	// DefaultAcknowledgeTimeout is how long the owner waits for every serving
+	// DefaultAcknowledgeTimeout is how long the leader waits for every serving
 	// node to confirm a revision before it answers that the order is pending.
 	DefaultAcknowledgeTimeout = 4 * time.Second
 	// openConfirmWait is how long a committed order waits for confirmations where
@@ -40,20 +40,20 @@
 	// FailOpenTimes. It has to hold two heartbeats and two slow writes.
 	minOpenElection = 600 * time.Millisecond
 	maxOpenElection = DefaultElectionTimeout
-	// openDigestEvery may be longer than DefaultDigestEvery, as owners send states
+	// openDigestEvery may be longer than DefaultDigestEvery, as leaders send states
 	// directly to nodes that the relay tree did not reach.
 	openDigestEvery = 400 * time.Millisecond
 	// electionsPerContact is how many election timeouts fit into the time for
-	// which a silent node counts as in contact: one to notice that an owner is
+	// which a silent node counts as in contact: one to notice that a leader is
 	// silent, and one for the voters to follow each other.
 	electionsPerContact = 3
-	// DefaultOrderTimeout is how long a node looks for an owner that takes an
+	// DefaultOrderTimeout is how long a node looks for a leader that takes an
 	// order.
 	DefaultOrderTimeout = 8 * time.Second
 	// DefaultRetryEvery is how long a node waits for the answer to a message
 	// before it asks the next group member.
 	DefaultRetryEvery = 300 * time.Millisecond
-	// DefaultConfirmEvery is how often an owner asks the nodes whose
+	// DefaultConfirmEvery is how often a leader asks the nodes whose
 	// confirmation it waits for, in case one was lost.
 	DefaultConfirmEvery = 250 * time.Millisecond
 	// DefaultDigestEvery is how often relay nodes compare revisions.
@@ -61,7 +61,7 @@
 	// DefaultListReadEvery is how often the platform's list is read, by one node
 	// for all.
 	DefaultListReadEvery = listing.DefaultReadEvery
-	// DefaultCommandGap is how far apart the commands of two owners to one replica
+	// DefaultCommandGap is how far apart the commands of two leaders to one replica
 	// are.
 	DefaultCommandGap = 3 * time.Second
 )
@@ -105,7 +105,7 @@
 	DigestEvery        time.Duration
 	// ListReadEvery is how often one node reads the platform's list.
 	ListReadEvery time.Duration
-	// CommandGap is how far apart the commands of two owners to one replica are.
+	// CommandGap is how far apart the commands of two leaders to one replica are.
 	CommandGap time.Duration
 	// WeightsDeadline is how long after a version was named nodes give up the
 	// replicas that do not run it; 0 means never.
@@ -132,7 +132,7 @@
 }
 
 // FailOpenTimes returns the times of nodes that go on serving while cut off. A
-// silent owner is replaced within contact, and orders are answered within
+// silent leader is replaced within contact, and orders are answered within
 // acknowledge.
 func FailOpenTimes(contact, acknowledge time.Duration) Times {
 	times := DefaultTimes()
--- a/internal/control/confirmations.go
+++ b/internal/control/confirmations.go
@@ -23,7 +23,7 @@
 }
 
 // confirmations are what the nodes said they serve. Every member of a shard's
-// group keeps them, so that a new owner need not ask.
+// group keeps them, so that a new leader need not ask.
 type confirmations struct {
 	rows map[confirmationKey]confirmation
 	// sent and published are this node's own revisions.
@@ -133,22 +133,22 @@
 	}
 }
 
-// confirmationReceivers are the nodes with disks; or the owners of shards alone,
-// where owners ask every node when they begin.
+// confirmationReceivers are the nodes with disks; or the leaders of shards alone,
+// where leaders ask every node when they begin.
 func (m *Machine) confirmationReceivers() []member.ID {
 	if !m.config.FailOpen {
 		return m.groupOf(ConfigurationShard)
 	}
-	var owners []member.ID
+	var leaders []member.ID
 	for _, id := range m.shardIDs {
-		if owner := m.knownOwner(id); owner != "" && !contains(owners, owner) {
-			owners = append(owners, owner)
+		if leader := m.knownLeader(id); leader != "" && !contains(leaders, leader) {
+			leaders = append(leaders, leader)
 		}
 	}
-	return owners
+	return leaders
 }
 
-// awaited is what an owner waits for since some time: that the nodes serve a
+// awaited is what a leader waits for since some time: that the nodes serve a
 // revision, or have drained it.
 type awaited struct {
 	revision uint64
@@ -165,8 +165,8 @@
 	}
 }
 
-// askOverdue asks the nodes that have not confirmed for a while what the owner of
-// a shard waits for. So a lost message costs little time, as does a new owner
+// askOverdue asks the nodes that have not confirmed for a while what the leader of
+// a shard waits for. So a lost message costs little time, as does a new leader
 // that was not there when the nodes confirmed.
 func (m *Machine) askOverdue() {
 	for _, id := range m.shardIDs {
@@ -176,7 +176,7 @@
 		}
 		overdue := hosted.awaited
 		hosted.awaited = awaited{}
-		if hosted.owned() {
+		if hosted.leads() {
 			m.askNodes(hosted, overdue)
 		}
 	}
@@ -287,7 +287,7 @@
 }
 
 // forgetEndedLives removes registered lives that are over, while the evidence
-// is at hand, so that a later owner does not wait for them.
+// is at hand, so that a later leader does not wait for them.
 func (m *Machine) forgetEndedLives(hosted *shard) {
 	for _, node := range hosted.state.Nodes() {
 		id := member.ID(node.GetNode())
--- a/internal/control/confirmations_test.go
+++ b/internal/control/confirmations_test.go
@@ -45,7 +45,7 @@
 	return asked
 }
 
-var _ = Describe("an owner that waits for a confirmation", func() {
+var _ = Describe("a leader that waits for a confirmation", func() {
 	var node *soloNode
 
 	BeforeEach(func() {
--- a/internal/control/driverinputs.go
+++ b/internal/control/driverinputs.go
@@ -58,7 +58,7 @@
 	d.post(func(now time.Duration) Output { return d.machine.SetSeeds(now, seeds) })
 }
 
-// HandOver hands over what the node owns, while it goes on running.
+// HandOver hands over what the node leads, while it goes on running.
 func (d *Driver) HandOver() {
 	d.ask(func(now time.Duration) Output { return d.machine.HandOver(now) })
 }
@@ -73,7 +73,7 @@
 	return addresses
 }
 
-// Leave announces that the node stops and hands over what it owns.
+// Leave announces that the node stops and hands over what it leads.
 func (d *Driver) Leave() {
 	d.ask(func(now time.Duration) Output { return d.machine.Leave(now) })
 }
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -98,15 +98,15 @@
 	return fmt.Sprintf("node/%s/%d/", m.config.Self.ID, m.config.Self.Incarnation)
 }
 
-// followOwners names the owner of each shard, as far as it is known, as the root
+// followLeaders names the leader of each shard, as far as it is known, as the root
 // from which its states spread.
-func (m *Machine) followOwners() {
+func (m *Machine) followLeaders() {
 	if !m.config.Seeded {
 		return
 	}
 	for _, id := range m.shardIDs {
-		if owner := m.ownerGuess(id); owner != "" {
-			m.relay.SetRoot(relaytree.Topic(id), owner)
+		if leader := m.leaderGuess(id); leader != "" {
+			m.relay.SetRoot(relaytree.Topic(id), leader)
 		}
 	}
 }
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -42,9 +42,9 @@
 	held      heldState
 	output    Output
 	// incomplete is set when a relayed state could not be decoded.
-	incomplete bool
-	nextTry    uint64
-	lastOwners map[uint32]member.ID
+	incomplete  bool
+	nextTry     uint64
+	lastLeaders map[uint32]member.ID
 	// challenges are the numbers that nodes are to send back to this one.
 	challenges  map[challengeKey]challenge
 	terms       map[uint32]knownTerm
@@ -71,17 +71,17 @@
 // nothing was kept.
 func New(config Config, restored map[uint32]replication.Restored, load routing.LoadReader, now time.Duration) (*Machine, error) {
 	machine := &Machine{
-		config:     config,
-		now:        now,
-		shards:     map[uint32]*shard{},
-		load:       load,
-		nextTry:    uint64(config.Self.Incarnation) << requestBits,
-		lastOwners: map[uint32]member.ID{},
-		challenges: map[challengeKey]challenge{},
-		terms:      map[uint32]knownTerm{},
-		addresses:  map[member.ID]string{},
-		named:      map[string]namedWeights{},
-		list:       newListing(config, now),
+		config:      config,
+		now:         now,
+		shards:      map[uint32]*shard{},
+		load:        load,
+		nextTry:     uint64(config.Self.Incarnation) << requestBits,
+		lastLeaders: map[uint32]member.ID{},
+		challenges:  map[challengeKey]challenge{},
+		terms:       map[uint32]knownTerm{},
+		addresses:   map[member.ID]string{},
+		named:       map[string]namedWeights{},
+		list:        newListing(config, now),
 		held: heldState{
 			configuration: &ridgeswitchv1.Configuration{},
 			services:      map[uint32]*controlpb.ServiceState{},
@@ -148,7 +148,7 @@
 			m.publishRestored(hosted)
 		}
 	}
-	m.followOwners()
+	m.followLeaders()
 	m.sendRelay(m.relay.Tick(now))
 	m.tickRecoveries()
 	m.tickRegistration()
@@ -225,7 +225,7 @@
 	return m.take()
 }
 
-// HandOver hands the shards that this node owns over, which goes before a stop.
+// HandOver hands the shards that this node leads over, which goes before a stop.
 func (m *Machine) HandOver(now time.Duration) Output {
 	m.now = now
 	m.handOver()
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -12,7 +12,7 @@
 )
 
 // pendingOrder is an order, or a read, that this node took from an operator and
-// that the owner of the configuration has not answered yet.
+// that the leader of the configuration has not answered yet.
 type pendingOrder struct {
 	ticket   uint64
 	request  uint64
@@ -23,7 +23,7 @@
 	deadline time.Duration
 }
 
-// waitingOrder is an accepted order at the owner, whose answer waits until
+// waitingOrder is an accepted order at the leader, whose answer waits until
 // every serving node has confirmed its revision.
 type waitingOrder struct {
 	from     member.ID
@@ -41,7 +41,7 @@
 
 func newOrderBook() orderBook { return orderBook{} }
 
-// submitOrder takes an operator's order and asks the owner.
+// submitOrder takes an operator's order and asks the leader.
 func (m *Machine) submitOrder(ticket uint64, order *controlpb.Order) {
 	command := &controlpb.Command{Command: &controlpb.Command_Order{Order: order}}
 	payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(command)
@@ -52,16 +52,16 @@
 	m.begin(&pendingOrder{ticket: ticket, kind: protocol.MessageOrder, payload: payload})
 }
 
-// begin asks the owner what an operator wants.
+// begin asks the leader what an operator wants.
 func (m *Machine) begin(pending *pendingOrder) {
 	pending.request = m.nextRequest()
 	pending.deadline = m.now + m.config.Times.OrderTimeout
 	m.orders.pending = append(m.orders.pending, pending)
-	m.askOwner(pending, m.ownerGuess(ConfigurationShard))
+	m.askLeader(pending, m.leaderGuess(ConfigurationShard))
 }
 
-// askOwner sends a pending order to a node that may own the configuration.
-func (m *Machine) askOwner(pending *pendingOrder, target member.ID) {
+// askLeader sends a pending order to a node that may own the configuration.
+func (m *Machine) askLeader(pending *pendingOrder, target member.ID) {
 	pending.target = target
 	pending.nextAsk = m.now + m.config.Times.RetryEvery
 	if target == "" {
@@ -84,7 +84,7 @@
 		case m.now >= pending.deadline:
 			m.giveUp(pending)
 		case m.now >= pending.nextAsk:
-			m.askOwner(pending, m.nextOwnerGuess(ConfigurationShard, pending.target))
+			m.askLeader(pending, m.nextLeaderGuess(ConfigurationShard, pending.target))
 		}
 	}
 	m.answerWaiting()
@@ -108,10 +108,10 @@
 	})
 }
 
-// receiveOrder takes an order that a node forwarded to the supposed owner.
+// receiveOrder takes an order that a node forwarded to the supposed leader.
 func (m *Machine) receiveOrder(from member.ID, message protocol.Message) {
 	hosted := m.shards[message.Shard]
-	if hosted == nil || !hosted.owned() {
+	if hosted == nil || !hosted.leads() {
 		m.refuseOrder(from, message)
 		return
 	}
@@ -142,7 +142,7 @@
 		Type:    reply,
 		Shard:   message.Shard,
 		Request: message.Request,
-		Owner:   m.knownOwner(message.Shard),
+		Leader:  m.knownLeader(message.Shard),
 	})
 }
 
@@ -170,10 +170,10 @@
 	var still []waitingOrder
 	for _, waiting := range m.orders.waiting {
 		switch {
-		case hosted.owned() && m.confirmedEverywhere(hosted, waiting.answer.GetRevision()):
+		case hosted.leads() && m.confirmedEverywhere(hosted, waiting.answer.GetRevision()):
 			m.replyToOrder(waiting, true)
 		case m.config.FailOpen && m.now >= waiting.since+openConfirmWait:
-			// It is committed, whoever owns the shard by now.
+			// It is committed, whoever leads the shard by now.
 			m.replyToOrder(waiting, true)
 		case m.now >= waiting.deadline:
 			m.replyToOrder(waiting, false)
@@ -201,7 +201,7 @@
 	})
 }
 
-// receiveOrderReply handles the owner's answer, or a hint who owns the shard.
+// receiveOrderReply handles the leader's answer, or a hint who leads the shard.
 func (m *Machine) receiveOrderReply(from member.ID, message protocol.Message) {
 	position := slices.IndexFunc(m.orders.pending, func(pending *pendingOrder) bool {
 		return pending.request == message.Request
@@ -211,9 +211,9 @@
 	}
 	pending := m.orders.pending[position]
 	if !message.Accepted {
-		m.learnOwner(message.Shard, from, message.Owner)
-		if message.Owner != "" && message.Owner != pending.target {
-			m.askOwner(pending, message.Owner)
+		m.learnLeader(message.Shard, from, message.Leader)
+		if message.Leader != "" && message.Leader != pending.target {
+			m.askLeader(pending, message.Leader)
 		}
 		return
 	}
@@ -221,6 +221,6 @@
 	if err != nil {
 		return
 	}
-	m.lastOwners[message.Shard] = from
+	m.lastLeaders[message.Shard] = from
 	m.settle(pending, reply)
 }
--- a/internal/control/persist.go
+++ b/internal/control/persist.go
@@ -83,7 +83,7 @@
 }
 
 // publishOwned hands a shard's newest committed state to the relay tree when
-// this node owns the shard.
+// this node leads the shard.
 func (m *Machine) publishOwned(hosted *shard) {
 	if !hosted.group.BarrierApplied() {
 		// What is applied until then may be about to give way to the state of a
--- a/internal/control/places.go
+++ b/internal/control/places.go
@@ -3,7 +3,7 @@
 import "github.com/ridgeswitch/ridgeswitch/pkg/replication"
 
 // Places tells who holds a shard and has a vote in it, as far as this node's
-// copy of the shard knows. It is false when this node owns no copy in which the
+// copy of the shard knows. It is false when this node leads no copy in which the
 // last change of the group is final, so that it cannot tell.
 func (m *Machine) Places(shardID uint32) ([]replication.Place, bool) {
 	hosted := m.shards[shardID]
@@ -11,7 +11,7 @@
 		return nil, false
 	}
 	status := hosted.group.Status()
-	if status.Role != replication.RoleOwner || status.ChangeIndex > status.Commit {
+	if status.Role != replication.RoleLeader || status.ChangeIndex > status.Commit {
 		return nil, false
 	}
 	return status.Places, true
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -14,7 +14,7 @@
 // timeStamp is elapsed time on a clock that counts suspended time.
 type timeStamp = time.Duration
 
-// proposal is a command of this node, as owner, that waits to be applied.
+// proposal is a command of this node, as leader, that waits to be applied.
 type proposal struct {
 	term    uint64
 	from    member.ID
@@ -22,8 +22,8 @@
 	message protocol.Message
 }
 
-// hasProposal tells whether a proposal of the present ownership waits to be
-// applied. One of an earlier ownership may have been lost for good.
+// hasProposal tells whether a proposal of the present leadership waits to be
+// applied. One of an earlier leadership may have been lost for good.
 func (s *shard) hasProposal(wanted func(proposal) bool) bool {
 	term := s.group.Status().Term
 	for _, open := range s.proposals {
@@ -34,7 +34,7 @@
 	return false
 }
 
-// propose appends a command to a shard that this node owns.
+// propose appends a command to a shard that this node leads.
 func (m *Machine) propose(hosted *shard, payload []byte, open proposal) {
 	index, err := hosted.group.Propose(m.now, payload)
 	if err != nil {
@@ -53,14 +53,14 @@
 		return
 	}
 	if _, err := hosted.group.Propose(m.now, payload); err != nil {
-		// Ownership was lost; the next owner decides anew.
+		// Leadership was lost; the next leader decides anew.
 		return
 	}
 	m.pump(hosted)
 }
 
 // afterApply answers whoever waits for the command at an index. An entry of
-// another term means that the proposal was lost to a later owner; its sender
+// another term means that the proposal was lost to a later leader; its sender
 // asks again.
 func (m *Machine) afterApply(hosted *shard, index uint64, command *controlpb.Command, answer *controlpb.Answer) {
 	if registered := command.GetRegisterNode(); registered != nil {
@@ -125,29 +125,29 @@
 	return m.nextTry
 }
 
-// knownOwner returns the owner of a shard as far as this node knows.
-func (m *Machine) knownOwner(shardID uint32) member.ID {
+// knownLeader returns the leader of a shard as far as this node knows.
+func (m *Machine) knownLeader(shardID uint32) member.ID {
 	if hosted := m.shards[shardID]; hosted != nil {
-		return hosted.group.Status().Owner
+		return hosted.group.Status().Leader
 	}
-	return m.lastOwners[shardID]
+	return m.lastLeaders[shardID]
 }
 
-// learnOwner keeps a hint. A node that refuses is not the owner itself.
-func (m *Machine) learnOwner(shardID uint32, refusedBy, owner member.ID) {
+// learnLeader keeps a hint. A node that refuses is not the leader itself.
+func (m *Machine) learnLeader(shardID uint32, refusedBy, leader member.ID) {
 	switch {
-	case owner != "":
-		m.lastOwners[shardID] = owner
-	case m.lastOwners[shardID] == refusedBy:
-		delete(m.lastOwners, shardID)
+	case leader != "":
+		m.lastLeaders[shardID] = leader
+	case m.lastLeaders[shardID] == refusedBy:
+		delete(m.lastLeaders, shardID)
 	}
 }
 
-// ownerGuess returns the node that most likely owns a shard: the known owner if
+// leaderGuess returns the node that most likely leads a shard: the known leader if
 // it is alive, else the first live member in the agreed order.
-func (m *Machine) ownerGuess(shardID uint32) member.ID {
-	if owner := m.knownOwner(shardID); owner != "" && m.reachable(owner) {
-		return owner
+func (m *Machine) leaderGuess(shardID uint32) member.ID {
+	if leader := m.knownLeader(shardID); leader != "" && m.reachable(leader) {
+		return leader
 	}
 	return m.firstLive(shardID)
 }
@@ -162,8 +162,8 @@
 	return ""
 }
 
-// nextOwnerGuess returns the live group member after one that did not answer.
-func (m *Machine) nextOwnerGuess(shardID uint32, tried member.ID) member.ID {
+// nextLeaderGuess returns the live group member after one that did not answer.
+func (m *Machine) nextLeaderGuess(shardID uint32, tried member.ID) member.ID {
 	group := m.groupOf(shardID)
 	start := 0
 	for position, id := range group {
--- a/internal/control/protocol/message.go
+++ b/internal/control/protocol/message.go
@@ -9,11 +9,11 @@
 
 // The messages between the control machines of two nodes.
 const (
-	// MessageOrder forwards an operator's order to the owner of a shard.
+	// MessageOrder forwards an operator's order to the leader of a shard.
 	MessageOrder MessageType = iota + 1
 	// MessageOrderReply answers a forwarded order.
 	MessageOrderReply
-	// MessageRegister asks the owner of the configuration shard to count the
+	// MessageRegister asks the leader of the configuration shard to count the
 	// sender among the nodes that an acknowledgement waits for.
 	MessageRegister
 	// MessageRegisterReply tells the revision that the sender must hold
@@ -37,7 +37,7 @@
 	// MessageListRequest asks for a newer reading; its payload is that of a
 	// listing.Message.
 	MessageListRequest
-	// MessageReadSource asks the owner of the configuration for the source
+	// MessageReadSource asks the leader of the configuration for the source
 	// document in force, as a quorum confirms it.
 	MessageReadSource
 	// MessageReadSourceReply answers a MessageReadSource.
@@ -65,7 +65,7 @@
 	// ridgeswitchv1.Source.
 	Payload   []byte
 	Revision  uint64
-	Owner     member.ID
+	Leader    member.ID
 	Accepted  bool
 	Revisions []ShardRevision
 	// Term is one of the shard's group that the sender knows of.
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -30,12 +30,12 @@
 	return m.take()
 }
 
-// receiveReadSource begins a read if this node owns the shard. The owner's own
-// copy may be outdated if another owner was elected, so that a quorum has to
-// confirm its ownership first.
+// receiveReadSource begins a read if this node leads the shard. The leader's own
+// copy may be outdated if another leader was elected, so that a quorum has to
+// confirm its leadership first.
 func (m *Machine) receiveReadSource(from member.ID, message protocol.Message) {
 	hosted := m.shards[message.Shard]
-	if hosted == nil || message.Shard != ConfigurationShard || !hosted.owned() {
+	if hosted == nil || message.Shard != ConfigurationShard || !hosted.leads() {
 		m.refuseOrder(from, message)
 		return
 	}
@@ -88,7 +88,7 @@
 	})
 }
 
-// decodeReply reads the owner's answer to an order or a read.
+// decodeReply reads the leader's answer to an order or a read.
 func decodeReply(message protocol.Message) (Reply, error) {
 	if message.Type == protocol.MessageReadSourceReply {
 		source := &ridgeswitchv1.Source{}
--- a/internal/control/registration.go
+++ b/internal/control/registration.go
@@ -11,18 +11,18 @@
 )
 
 // registration is where this node stands with one shard. A node serves under a
-// shard only after the shard's owner has committed that acknowledgements wait
+// shard only after the shard's leader has committed that acknowledgements wait
 // for it, and after it holds at least the revision that was in force then.
 type registration struct {
 	accepted    bool
 	incarnation member.Incarnation
 	required    uint64
-	// term is the one in which the owner told required.
+	// term is the one in which the leader told required.
 	term    uint64
 	target  member.ID
 	request uint64
 	nextAsk time.Duration
-	// challenger is the owner that sent the number in challenge, to be sent
+	// challenger is the leader that sent the number in challenge, to be sent
 	// back to it.
 	challenger member.ID
 	challenge  uint64
@@ -45,9 +45,9 @@
 const listPatience = 1500 * time.Millisecond
 
 // requiredPatience is how long a node waits for the revision that it must hold
-// before it asks the owner again. A group that lost the majority of its disks may
+// before it asks the leader again. A group that lost the majority of its disks may
 // have been formed anew without that revision: it reached no node then, and the
-// owner of a later term tells another one.
+// leader of a later term tells another one.
 const requiredPatience = time.Second
 
 func newRegistrar(shardIDs []uint32) registrar {
@@ -58,7 +58,7 @@
 	return registrar
 }
 
-// tickRegistration asks the owners to count this node, as long as its present
+// tickRegistration asks the leaders to count this node, as long as its present
 // life is not registered. A fenced node does not ask: it takes a new life
 // first, since others may have counted on the end of the old one.
 func (m *Machine) tickRegistration() {
@@ -82,9 +82,9 @@
 	current.accepted = current.accepted && current.incarnation == incarnation
 	current.nextAsk = m.now + m.config.Times.RetryEvery
 	if current.target == "" {
-		current.target = m.ownerGuess(shardID)
+		current.target = m.leaderGuess(shardID)
 	} else {
-		current.target = m.nextOwnerGuess(shardID, current.target)
+		current.target = m.nextLeaderGuess(shardID, current.target)
 	}
 	if current.target == "" {
 		return
@@ -137,21 +137,21 @@
 		Type:     protocol.MessageRegisterReply,
 		Shard:    message.Shard,
 		Request:  message.Request,
-		Owner:    m.config.Self.ID,
+		Leader:   m.config.Self.ID,
 		Revision: issued.number,
 	})
 	return false
 }
 
-// receiveRegister commits a node's registration if this node owns the shard.
+// receiveRegister commits a node's registration if this node leads the shard.
 func (m *Machine) receiveRegister(from member.ID, message protocol.Message) {
 	hosted := m.shards[message.Shard]
-	if hosted == nil || !hosted.owned() {
+	if hosted == nil || !hosted.leads() {
 		m.sendControl(from, protocol.Message{
 			Type:    protocol.MessageRegisterReply,
 			Shard:   message.Shard,
 			Request: message.Request,
-			Owner:   m.knownOwner(message.Shard),
+			Leader:  m.knownLeader(message.Shard),
 		})
 		return
 	}
@@ -208,9 +208,9 @@
 }
 
 // receiveRegisterReply notes an accepted registration of the present life, or
-// asks the owner that the reply names. The answer to any question of this life
+// asks the leader that the reply names. The answer to any question of this life
 // counts, also when this node has asked again meanwhile: what was committed
-// holds for the whole life, and an owner with a slow disk would never be in time
+// holds for the whole life, and a leader with a slow disk would never be in time
 // for the last question.
 func (m *Machine) receiveRegisterReply(from member.ID, message protocol.Message) {
 	current := m.registry.shards[message.Shard]
@@ -226,9 +226,9 @@
 		return
 	}
 	if !message.Accepted {
-		m.learnOwner(message.Shard, from, message.Owner)
-		if current.request == message.Request && message.Owner != "" && message.Owner != current.target {
-			current.target = message.Owner
+		m.learnLeader(message.Shard, from, message.Leader)
+		if current.request == message.Request && message.Leader != "" && message.Leader != current.target {
+			current.target = message.Leader
 			m.sendRegister(message.Shard, current, m.selfIncarnation())
 		}
 		return
@@ -244,11 +244,11 @@
 	current.term = message.Term
 	current.nextAsk = m.now + requiredPatience
 	current.target = ""
-	m.lastOwners[message.Shard] = from
+	m.lastLeaders[message.Shard] = from
 	m.backends.dirty = true
 }
 
-// answerChallenge sends an owner's number back, once for each question.
+// answerChallenge sends a leader's number back, once for each question.
 func (m *Machine) answerChallenge(from member.ID, message protocol.Message, current *registration) {
 	answered := current.challenger == from && current.challenge == message.Revision
 	if answered || current.request != message.Request {
--- a/internal/control/registration_test.go
+++ b/internal/control/registration_test.go
@@ -15,7 +15,7 @@
 
 const strangerLife = member.Incarnation(7)
 
-// register hands the solo node, which owns every shard, the registration of a
+// register hands the solo node, which leads every shard, the registration of a
 // stranger and returns the replies to it.
 func (n *soloNode) register(sentBack uint64) []protocol.Message {
 	output := n.machine.Receive(n.now, wire.Envelope{From: "stranger", Control: &protocol.Message{
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	// rolloutEvery is how often the owner of a shard looks for its next moves.
+	// rolloutEvery is how often the leader of a shard looks for its next moves.
 	rolloutEvery = 100 * time.Millisecond
 	// rowLifetime is for how long a row tells the version of a replica whose
 	// version the list shows. The list has caught up by then.
 	rowLifetime = 10 * time.Second
 )
 
-// rolloutState is what the owner of a service shard remembers of its roll-outs.
-// It may be lost: a new owner repeats a command under its own term.
+// rolloutState is what the leader of a service shard remembers of its roll-outs.
+// It may be lost: a new leader repeats a command under its own term.
 type rolloutState struct {
-	// term is the term of ownership that the rest belongs to, and since is
+	// term is the term of leadership that the rest belongs to, and since is
 	// when this node first acted in it.
 	term  uint64
 	since time.Duration
@@ -55,7 +55,7 @@
 	}
 }
 
-// tickRollouts lets each shard that this node owns make its next moves.
+// tickRollouts lets each shard that this node leads make its next moves.
 func (m *Machine) tickRollouts() {
 	if m.now < m.nextRollout {
 		return
@@ -63,7 +63,7 @@
 	m.nextRollout = m.now + rolloutEvery
 	for _, id := range m.shardIDs {
 		hosted := m.shards[id]
-		if hosted == nil || !hosted.owned() {
+		if hosted == nil || !hosted.leads() {
 			continue
 		}
 		if term := hosted.group.Status().Term; term != hosted.rollout.term {
@@ -281,7 +281,7 @@
 }
 
 // seemsDown tells whether a replica has not answered for long enough that
-// taking it out of service costs nothing. An owner that has only begun to ask
+// taking it out of service costs nothing. A leader that has only begun to ask
 // knows of none.
 func (m *Machine) seemsDown(rolling poolRollout, replica rolledReplica) bool {
 	if replica.WeightVersion != "" {
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -144,7 +144,7 @@
 		Expect(node.phases()["serving"]).To(Equal(poolSize - poolSize/2))
 	})
 
-	It("takes nothing out of service on an owner that has no reports yet", func() {
+	It("takes nothing out of service on a leader that has no reports yet", func() {
 		node.machine.backends.reports = map[string]ReplicaReport{}
 		hosted := node.machine.shards[1]
 		hosted.rollout = newRolloutState(hosted.rollout.term, node.now)
@@ -153,7 +153,7 @@
 		Expect(node.phases()).To(Equal(map[string]int{"serving": poolSize}))
 	})
 
-	It("counts replicas that an earlier owner took out, before it has reports of its own", func() {
+	It("counts replicas that an earlier leader took out, before it has reports of its own", func() {
 		Expect(node.submit(nameWeights("v2")).GetConfirmed()).To(BeTrue())
 		node.report("v1")
 		node.run(time.Second)
--- a/internal/control/rolloutpace.go
+++ b/internal/control/rolloutpace.go
@@ -32,7 +32,7 @@
 
 // pace decides how many replicas of a pool are out of service at once.
 type pace struct {
-	// target is the named version, and since when this owner first saw it.
+	// target is the named version, and since when this leader first saw it.
 	target string
 	since  time.Duration
 	// quick tells that replicas need not be drained.
--- a/internal/control/sections_test.go
+++ b/internal/control/sections_test.go
@@ -199,7 +199,7 @@
 	})
 })
 
-// BenchmarkEncodeSections is the owner's cost of a change among 22,000 tenants.
+// BenchmarkEncodeSections is the leader's cost of a change among 22,000 tenants.
 func BenchmarkEncodeSections(b *testing.B) {
 	configuration := largeConfiguration(manyTenants)
 	for b.Loop() {
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -52,9 +52,9 @@
 	rollout rolloutState
 	// witnessing is set while this node is to form the group anew.
 	witnessing *witnessing
-	// awaited is what this node, as owner, waits for the nodes to confirm.
+	// awaited is what this node, as leader, waits for the nodes to confirm.
 	awaited awaited
-	// spreading follows the newest state of a shard that this node owns.
+	// spreading follows the newest state of a shard that this node leads.
 	spreading spreading
 	// restoredPublished tells that publishRestored has been done.
 	restoredPublished bool
@@ -133,13 +133,13 @@
 	return newServiceShard(state), nil
 }
 
-// owned tells whether this node owns the shard.
-func (s *shard) owned() bool {
-	return s.group.Status().Role == replication.RoleOwner
+// leads tells whether this node leads the shard.
+func (s *shard) leads() bool {
+	return s.group.Status().Role == replication.RoleLeader
 }
 
-// settled tells whether everything in the log has been applied. For an owner
-// that includes the barrier of its own term, and so all that earlier owners
+// settled tells whether everything in the log has been applied. For a leader
+// that includes the barrier of its own term, and so all that earlier leaders
 // committed.
 func (s *shard) settled() bool {
 	status := s.group.Status()
--- a/internal/control/shards.go
+++ b/internal/control/shards.go
@@ -19,7 +19,7 @@
 
 // GroupOfShard returns the members of a shard's replica group in the order in
 // which they own it. Every node with a disk holds the configuration; a service
-// shard is held by the nodes that weigh highest for it, so that owners spread,
+// shard is held by the nodes that weigh highest for it, so that leaders spread,
 // and by as many zones as there are, so that no zone takes a majority with it.
 func (c Config) GroupOfShard(shard uint32) []member.ID {
 	if shard == ConfigurationShard {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -83,7 +83,7 @@
 func (m *Machine) shardStatus(id uint32) *ridgeswitchv1.ShardStatus {
 	status := &ridgeswitchv1.ShardStatus{
 		Shard:    id,
-		Owner:    string(m.knownOwner(id)),
+		Leader:   string(m.knownLeader(id)),
 		Epoch:    m.terms[id].term,
 		Revision: m.held.revisions[id],
 		Group: lo.Map(m.groupOf(id), func(id member.ID, _ int) string {
--- a/internal/edge/operator/problem.go
+++ b/internal/edge/operator/problem.go
@@ -17,8 +17,8 @@
 const (
 	// KindUnavailable marks a call that the node can't serve now.
 	KindUnavailable dynamic.Kind = "unavailable"
-	// KindNoOwner marks a call for a shard that has no owner now.
-	KindNoOwner dynamic.Kind = "no_owner"
+	// KindNoLeader marks a call for a shard that has no leader now.
+	KindNoLeader dynamic.Kind = "no_leader"
 	// KindNoSuchCall marks a path that the control interface does not have.
 	KindNoSuchCall dynamic.Kind = "no_such_call"
 	// KindMethodNotAllowed marks a path with a method that it does not have.
@@ -75,7 +75,7 @@
 	KindNoSuchCall:                    http.StatusNotFound,
 	KindMethodNotAllowed:              http.StatusMethodNotAllowed,
 	KindUnavailable:                   http.StatusServiceUnavailable,
-	KindNoOwner:                       http.StatusServiceUnavailable,
+	KindNoLeader:                      http.StatusServiceUnavailable,
 	KindNotReady:                      http.StatusServiceUnavailable,
 	KindNotLive:                       http.StatusServiceUnavailable,
 	KindInternal:                      http.StatusInternalServerError,
--- a/internal/edge/operator/resources.go
+++ b/internal/edge/operator/resources.go
@@ -50,7 +50,7 @@
 func (c *configurations) source(ctx context.Context, _ *ridgeswitchv1.GetSourceRequest) (*ridgeswitchv1.Source, error) {
 	source, err := c.control.Source(ctx)
 	if err != nil {
-		return nil, &UnavailableError{Kind: KindNoOwner, Message: err.Error()}
+		return nil, &UnavailableError{Kind: KindNoLeader, Message: err.Error()}
 	}
 	if source == nil {
 		return nil, &dynamic.Error{
--- a/internal/edge/operator/server_test.go
+++ b/internal/edge/operator/server_test.go
@@ -129,7 +129,7 @@
 		Expect(got.body).To(ContainSubstring(fragment))
 	},
 		Entry("time is up", errors.WithStack(context.DeadlineExceeded), 202, "1", "PENDING"),
-		Entry("no owner", errors.WithStack(&operator.UnavailableError{Kind: operator.KindNoOwner, Message: "m", RetryAfter: 1500 * time.Millisecond}), 503, "2", `"no_owner"`),
+		Entry("no leader", errors.WithStack(&operator.UnavailableError{Kind: operator.KindNoLeader, Message: "m", RetryAfter: 1500 * time.Millisecond}), 503, "2", `"no_leader"`),
 		Entry("unknown", errors.New("disk on fire"), 503, "1", "may have taken effect: resend it unchanged"),
 		Entry("a kind that is not known", &dynamic.Error{Kind: "new"}, 500, "", `"new"`),
 	)
--- a/internal/edge/replica/command.go
+++ b/internal/edge/replica/command.go
@@ -46,7 +46,7 @@
 
 // Error implements error.
 func (e *StaleEpochError) Error() string {
-	return fmt.Sprintf("the replica refuses epoch %d since it has seen a later one; leave it to the later owner", e.Epoch)
+	return fmt.Sprintf("the replica refuses epoch %d since it has seen a later one; leave it to the later leader", e.Epoch)
 }
 
 // Report asks a replica for its state.
--- a/internal/lab/hollow/fleet.go
+++ b/internal/lab/hollow/fleet.go
@@ -110,7 +110,7 @@
 		answer, err := f.submit(ctx, f.nodes[0], order, firstOrderTimeout)
 		switch {
 		case ctx.Err() != nil:
-			return errors.Wrap(ctx.Err(), "no owner took the first configuration")
+			return errors.Wrap(ctx.Err(), "no leader took the first configuration")
 		case err == nil && answer.GetProblem() != nil:
 			return errors.Errorf("the first configuration was refused: %s", answer.GetProblem().GetMessage())
 		case err == nil && answer.GetRevision() > 0:
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -102,7 +102,7 @@
 		judged := watched.judge([]change{
 			{submittedAt: second, answeredAt: 2 * second, revision: 2, confirmed: true},
 			{submittedAt: 2 * second, answeredAt: 6 * second, revision: 3},
-			{problem: "no owner"},
+			{problem: "no leader"},
 		})
 		Expect(judged.Confirmed).To(Equal(1))
 		Expect(judged.Pending).To(Equal(1))
--- a/internal/lab/hollow/virtualfleet.go
+++ b/internal/lab/hollow/virtualfleet.go
@@ -118,7 +118,7 @@
 	return f.settledNodes(), nil
 }
 
-// virtualElection is enough for the nodes with state to have an owner.
+// virtualElection is enough for the nodes with state to have a leader.
 const virtualElection = 5 * time.Second
 
 func (f *virtualFleet) settledNodes() int {
--- a/internal/lab/operator/operator_test.go
+++ b/internal/lab/operator/operator_test.go
@@ -77,13 +77,13 @@
 	},
 		Entry("pending", reply{202, `{"outcome":"PENDING"}`}, checker.OutcomePending, ""),
 		Entry("refused", reply{409, `{"kind":"base_revision_stale"}`}, checker.OutcomeRefused, "base_revision_stale"),
-		Entry("unavailable", reply{503, `{"kind":"no_owner"}`}, checker.OutcomeUnavailable, "no_owner"),
+		Entry("unavailable", reply{503, `{"kind":"no_leader"}`}, checker.OutcomeUnavailable, "no_leader"),
 		Entry("broken", reply{500, `oops`}, checker.OutcomeLost, "untyped"),
 		Entry("unreadable", reply{200, `{`}, checker.OutcomeLost, ""),
 	)
 
 	It("is repeated at other nodes until there is a verdict", func() {
-		first, asked := node(reply{503, `{"kind":"no_owner"}`}, reply{202, `{"outcome":"PENDING"}`})
+		first, asked := node(reply{503, `{"kind":"no_leader"}`}, reply{202, `{"outcome":"PENDING"}`})
 		second, _ := node(reply{202, `{"outcome":"PENDING"}`}, reply{200, `{"outcome":"ACKNOWLEDGED","revision":"3"}`})
 		recorder := operator.NewRecorder(now)
 		record, err := recorder.Insist(context.Background(), []operator.Target{first, second}, revoke())
--- a/internal/lab/plans/disks.go
+++ b/internal/lab/plans/disks.go
@@ -10,18 +10,18 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
 )
 
-// loseDiskTwice takes the disk of the configuration's owner right after it has
+// loseDiskTwice takes the disk of the configuration's leader right after it has
 // acknowledged an order, waits until the member has its votes again, and at
-// once takes that of the next owner.
+// once takes that of the next leader.
 func loseDiskTwice(ctx context.Context, run *run) error {
-	first, err := run.loseOwnersDisk(ctx, "first", "")
+	first, err := run.loseLeadersDisk(ctx, "first", "")
 	if err != nil {
 		return err
 	}
 	if err := run.awaitVotes(ctx, first); err != nil {
 		return err
 	}
-	second, err := run.loseOwnersDisk(ctx, "second", first)
+	second, err := run.loseLeadersDisk(ctx, "second", first)
 	if err != nil {
 		return err
 	}
@@ -31,11 +31,11 @@
 	return run.awaitVotes(ctx, second)
 }
 
-// loseOwnersDisk lets an order be acknowledged, and kills the owner of the
+// loseLeadersDisk lets an order be acknowledged, and kills the leader of the
 // configuration with its disk; if that is the spared node, another one. The
 // node starts again on an empty disk.
-func (run *run) loseOwnersDisk(ctx context.Context, name, spared string) (string, error) {
-	victim, err := run.owner(ctx, control.ConfigurationShard)
+func (run *run) loseLeadersDisk(ctx context.Context, name, spared string) (string, error) {
+	victim, err := run.leader(ctx, control.ConfigurationShard)
 	if err != nil {
 		return "", err
 	}
--- a/internal/lab/plans/freeze.go
+++ b/internal/lab/plans/freeze.go
@@ -12,32 +12,32 @@
 const (
 	freezeTime = 25 * time.Second
 	// newerWeightsAfter is when newer weights are named during a freeze, so that
-	// the successor commands replicas while the frozen owner believes to.
+	// the successor commands replicas while the frozen leader believes to.
 	newerWeightsAfter = 8 * time.Second
 )
 
-// freezeCore freezes the owner of the configuration and the owner of the pool's
+// freezeCore freezes the leader of the configuration and the leader of the pool's
 // shard, together if a majority of the core goes on without them, else one
 // after the other.
 func freezeCore(ctx context.Context, run *run) error {
-	configuration, err := run.owner(ctx, control.ConfigurationShard)
+	configuration, err := run.leader(ctx, control.ConfigurationShard)
 	if err != nil {
 		return err
 	}
-	pool, err := run.owner(ctx, run.poolShard())
+	pool, err := run.leader(ctx, run.poolShard())
 	if err != nil {
 		return err
 	}
-	owners := lo.Uniq([]string{configuration, pool})
+	leaders := lo.Uniq([]string{configuration, pool})
 	group := run.Fleet.Topology().Group
-	if len(owners) <= (len(group)-1)/2 {
-		return run.freeze(ctx, owners, true)
+	if len(leaders) <= (len(group)-1)/2 {
+		return run.freeze(ctx, leaders, true)
 	}
-	if err := run.freeze(ctx, owners[:1], false); err != nil {
+	if err := run.freeze(ctx, leaders[:1], false); err != nil {
 		return err
 	}
 	// The first freeze may have moved the pool's shard.
-	pool, err = run.owner(ctx, run.poolShard())
+	pool, err = run.leader(ctx, run.poolShard())
 	if err != nil {
 		return err
 	}
--- a/internal/lab/plans/owners.go
+++ b/internal/lab/plans/leaders.go
@@ -19,30 +19,30 @@
 	return control.ShardOfService(run.Fleet.Topology().Replicas.Service, static.DefaultServiceShards)
 }
 
-// owner returns the owner of a shard as it calls itself: others may know of a
+// leader returns the leader of a shard as it calls itself: others may know of a
 // former one.
-func (run *run) owner(ctx context.Context, shard uint32) (string, error) {
+func (run *run) leader(ctx context.Context, shard uint32) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, recoveryLimit)
 	defer cancel()
 	for ctx.Err() == nil {
 		for _, target := range run.Fleet.LiveTargets() {
-			if run.owns(ctx, target, shard) {
+			if run.leads(ctx, target, shard) {
 				return target.Node, nil
 			}
 		}
 		pause(ctx, watchEvery)
 	}
-	return "", errors.Errorf("no node owned shard %d in time", shard)
+	return "", errors.Errorf("no node led shard %d in time", shard)
 }
 
-func (run *run) owns(ctx context.Context, target operator.Target, shard uint32) bool {
+func (run *run) leads(ctx context.Context, target operator.Target, shard uint32) bool {
 	status, err := run.Recorder.Status(ctx, target)
 	if err != nil {
 		return false
 	}
 	for _, row := range status.GetShards() {
 		if row.GetShard() == shard {
-			return row.GetOwner() == target.Node
+			return row.GetLeader() == target.Node
 		}
 	}
 	return false
--- a/internal/lab/plans/plan.go
+++ b/internal/lab/plans/plan.go
@@ -29,7 +29,7 @@
 		{Name: "core-loss", Summary: "all nodes with disks are killed at once, then a majority; they come back with their disks", act: loseCore},
 		{Name: "disk-loss-twice", Summary: "two nodes with disks lose them one after the other, right after an acknowledged order", act: loseDiskTwice},
 		{Name: "zone-cut", Summary: "a zone is cut off both ways, then each way alone", Links: true, act: cutZone},
-		{Name: "freeze-core-25s", Summary: "the owners of the configuration and of the pool's shard are frozen for 25 s", act: freezeCore},
+		{Name: "freeze-core-25s", Summary: "the leaders of the configuration and of the pool's shard are frozen for 25 s", act: freezeCore},
 		{Name: "machine-swap", Summary: "a node with a disk gets an empty machine at another address, and the seeds move", act: swapMachine},
 		{Name: "config-storm", Summary: "200 configurations with races, invalid ones and resends", OwnOrders: true, act: stormConfigurations},
 		{Name: "kill-third", Summary: "a third of all nodes is killed at once, twice", act: killThird},
--- a/internal/lab/sim/breaks.go
+++ b/internal/lab/sim/breaks.go
@@ -51,7 +51,7 @@
 	BreakReaderNeverReplaced Break = "reader-never-replaced"
 	// BreakTokenReused gives all commands the same token.
 	BreakTokenReused Break = "token-reused"
-	// BreakNoCommandGap has a new owner not wait for the last command of the one
+	// BreakNoCommandGap has a new leader not wait for the last command of the one
 	// before.
 	BreakNoCommandGap Break = "no-command-gap"
 	// BreakVersionIgnored has replicas run requests that expect other weights.
--- a/internal/lab/sim/campaign_test.go
+++ b/internal/lab/sim/campaign_test.go
@@ -27,8 +27,8 @@
 	BreakAckBeforeConfirm:        {1, 20, nil, false},
 	BreakEmptyDiskVotes:          {1, 40, []string{"disk-lost-after-ack"}, false},
 	BreakStaleConfigAfterRestart: {1, 20, nil, false},
-	BreakLeaseIgnoresSuspend:     {1, 20, []string{"freeze", "freeze-owner"}, false},
-	BreakNoEpochCheck:            {1, 20, []string{"stuck-commands", "freeze-owner", "weights-overtaken"}, false},
+	BreakLeaseIgnoresSuspend:     {1, 20, []string{"freeze", "freeze-leader"}, false},
+	BreakNoEpochCheck:            {1, 20, []string{"stuck-commands", "freeze-leader", "weights-overtaken"}, false},
 	BreakNoOrderDedup:            {1, 20, nil, false},
 	BreakNoCompareAndSet:         {1, 20, nil, false},
 	BreakRelayAcceptsOlder:       {1, 20, []string{"message-storm", "config-storm"}, false},
@@ -37,8 +37,8 @@
 	BreakCommandAfterDeadline:    {1, 40, []string{"freeze-at-command"}, false},
 	BreakNoWitnessFloor:          {1, 20, []string{"majority-disk-loss"}, false},
 	BreakReaderNeverReplaced:     {1, 20, []string{"reader-crash"}, true},
-	BreakTokenReused:             {1, 40, []string{"freeze-owner", "weights-overtaken"}, true},
-	BreakNoCommandGap:            {1, 60, []string{"freeze-owner", "weights-overtaken"}, true},
+	BreakTokenReused:             {1, 40, []string{"freeze-leader", "weights-overtaken"}, true},
+	BreakNoCommandGap:            {1, 60, []string{"freeze-leader", "weights-overtaken"}, true},
 	BreakVersionIgnored:          {1, 20, nil, true},
 }
 
--- a/internal/lab/sim/diskfaults.go
+++ b/internal/lab/sim/diskfaults.go
@@ -89,7 +89,7 @@
 	return true
 }
 
-// places returns the places of a shard as its owner of the newest term knows
+// places returns the places of a shard as its leader of the newest term knows
 // them.
 func (w *simulation) places(shard uint32) ([]replication.Place, bool) {
 	var newest []replication.Place
@@ -98,8 +98,8 @@
 		if !one.up {
 			continue
 		}
-		places, owns := one.machine.Places(shard)
-		if !owns {
+		places, leads := one.machine.Places(shard)
+		if !leads {
 			continue
 		}
 		if of := one.machine.Status().GetShards()[shard].GetEpoch(); of > term {
--- a/internal/lab/sim/failopen_test.go
+++ b/internal/lab/sim/failopen_test.go
@@ -48,10 +48,10 @@
 // startBound is how long a deployment's nodes lie apart when it starts.
 const startBound = 300 * time.Millisecond
 
-// ownerOfConfiguration is the node that owns the configuration, or nil.
-func (w *simulation) ownerOfConfiguration() *node {
+// leaderOfConfiguration is the node that leads the configuration, or nil.
+func (w *simulation) leaderOfConfiguration() *node {
 	for _, one := range w.diskNodes() {
-		if _, owns := one.machine.Places(0); one.up && owns {
+		if _, leads := one.machine.Places(0); one.up && leads {
 			return one
 		}
 	}
@@ -84,8 +84,8 @@
 					world.at(late, one.start)
 				}
 				world.at(4*second, func() {
-					if one := world.ownerOfConfiguration(); one == nil {
-						world.violate("formed", "nobody owns the configuration after %v", world.now)
+					if one := world.leaderOfConfiguration(); one == nil {
+						world.violate("formed", "nobody leads the configuration after %v", world.now)
 					}
 				})
 			})
@@ -236,7 +236,7 @@
 						world.at(7*second, func() {
 							victim := pick(world, world.diskNodes())
 							if ofLeader {
-								victim = world.ownerOfConfiguration()
+								victim = world.leaderOfConfiguration()
 							}
 							fault(world, victim)
 							victim.brokenAt = world.now
@@ -339,7 +339,7 @@
 		playAll(func(world *simulation) {
 			world.startWithin(startBound)
 			world.at(7*second, func() {
-				leader := world.ownerOfConfiguration()
+				leader := world.leaderOfConfiguration()
 				world.cutFor([]*node{leader}, world.nodes, true)
 				read := world.readConfiguration()
 				first, other := world.changedDocument(read), world.changedDocument(read)
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -30,7 +30,7 @@
 	{"slow-disk", 3, (*simulation).slowDisk},
 	{"full-disk", 2, (*simulation).fullDisk},
 	{"freeze", 4, (*simulation).freezeOne},
-	{"freeze-owner", 4, (*simulation).freezeOwner},
+	{"freeze-leader", 4, (*simulation).freezeLeader},
 	{"freeze-at-command", 4, (*simulation).freezeAtCommand},
 	{"power-lost-after-ack", 3, (*simulation).losePowerAfterAck},
 	{"clock-jump", 2, (*simulation).jumpClock},
@@ -214,28 +214,28 @@
 	pick(w, w.nodes).freeze(w.lasting(3*time.Second, 17*time.Second))
 }
 
-// freezeOwner stops an owner in the middle of its work.
-func (w *simulation) freezeOwner() {
-	if owner := w.anyOwner(); owner != nil {
+// freezeLeader stops a leader in the middle of its work.
+func (w *simulation) freezeLeader() {
+	if leader := w.anyLeader(); leader != nil {
 		w.place(w.nameWeights(0, pick(w, poolNames)))
 		w.after(w.upTo(2*time.Second), func() {
-			owner.freeze(w.lasting(3*time.Second, 9*time.Second))
+			leader.freeze(w.lasting(3*time.Second, 9*time.Second))
 		})
 	}
 }
 
-// freezeAtCommand freezes an owner between its decision to command a replica and
+// freezeAtCommand freezes a leader between its decision to command a replica and
 // the sending of the command.
 func (w *simulation) freezeAtCommand() {
 	w.freezeNextCommand = true
 	w.place(w.nameWeights(0, pick(w, poolNames)))
 }
 
-// anyOwner returns a node that owns a shard, or nil.
-func (w *simulation) anyOwner() *node {
+// anyLeader returns a node that leads a shard, or nil.
+func (w *simulation) anyLeader() *node {
 	shard := w.random.IntN(int(w.serviceShards) + 1)
 	for _, one := range w.diskNodes() {
-		if one.up && one.machine.Status().GetShards()[shard].GetOwner() == string(one.info.ID) {
+		if one.up && one.machine.Status().GetShards()[shard].GetLeader() == string(one.info.ID) {
 			return one
 		}
 	}
--- a/internal/lab/sim/majorityloss.go
+++ b/internal/lab/sim/majorityloss.go
@@ -93,7 +93,7 @@
 	w.at(from, look)
 }
 
-// whole tells whether the owner of every shard knows all members as voters in
+// whole tells whether the leader of every shard knows all members as voters in
 // the lives of their disks.
 func (w *simulation) whole() bool {
 	for shard := range w.serviceShards + 1 {
--- a/internal/lab/sim/scenario_test.go
+++ b/internal/lab/sim/scenario_test.go
@@ -62,7 +62,7 @@
 		}
 	})
 
-	It("does not go back to replaced weights by a late command of the same owner", func() {
+	It("does not go back to replaced weights by a late command of the same leader", func() {
 		var late control.Command
 		world := play(2, func(world *simulation) {
 			world.at(5*second, func() { world.place(world.nameWeights(0, poolNames[0])) })
--- a/internal/lab/sim/touch.go
+++ b/internal/lab/sim/touch.go
@@ -24,7 +24,7 @@
 	// connected majority, and disturbedAt when anything was.
 	unstableAt  time.Duration
 	disturbedAt time.Duration
-	// voters are those that the owner of each shard knew last.
+	// voters are those that the leader of each shard knew last.
 	voters map[uint32][]replication.Voter
 	// acknowledged are the acknowledged revisions in the order of time.
 	acknowledged []acknowledgement
@@ -82,7 +82,7 @@
 	}
 }
 
-// votersAmong tells whether the majority of the voters of each shard, as its owner
+// votersAmong tells whether the majority of the voters of each shard, as its leader
 // knew them last, is among some nodes and has kept its disks. Otherwise more was
 // lost at once than a deployment bears.
 func (w *simulation) votersAmong(core []*node) bool {
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -24,27 +24,27 @@
 
 	members metric
 
-	shardOwned, shardOwnerKnown, shardRevision metric
-	shardEpoch, shardCommit, shardApplied      metric
-	shardBadEntries                            metric
+	shardLed, shardLeaderKnown, shardRevision metric
+	shardEpoch, shardCommit, shardApplied     metric
+	shardBadEntries                           metric
 }
 
 func newControlCollector(control Control) *controlCollector {
 	return &controlCollector{
-		control:         control,
-		info:            gauge("node", "info", "Always 1; the labels describe the node.", "node", "zone", "holds_state"),
-		fenced:          gauge("node", "fenced", "1 while the node refuses traffic because it may be cut off or has not learnt what is in force."),
-		fences:          counter("node", "fences_total", "Times that the node fenced itself."),
-		serveRemaining:  gauge("node", "serve_remaining_seconds", "Time for which the node serves if it hears nothing more; +Inf if nothing can fence it."),
-		servedRevision:  gauge("node", "served_revision", "Revision of the configuration that traffic uses on this node."),
-		members:         gauge("", "members", "Rows of the node's table of members by state.", "state"),
-		shardOwned:      gauge("shard", "owned", "1 if this node takes itself for the owner of the shard.", shardLabel),
-		shardOwnerKnown: gauge("shard", "owner_known", "1 if this node knows an owner of the shard.", shardLabel),
-		shardRevision:   gauge("shard", "revision", "Revision of the shard's state that reached this node.", shardLabel),
-		shardEpoch:      gauge("shard", "epoch", "Epoch of the shard, on nodes that hold it.", shardLabel),
-		shardCommit:     gauge("shard", "commit_index", "Newest entry of the shard that is known to be decided, on nodes that hold it.", shardLabel),
-		shardApplied:    gauge("shard", "applied_index", "Newest entry of the shard that is carried out, on nodes that hold it.", shardLabel),
-		shardBadEntries: counter("shard", "bad_entries_total", "Entries that this node could not read or write; each is a fault of the software.", shardLabel),
+		control:          control,
+		info:             gauge("node", "info", "Always 1; the labels describe the node.", "node", "zone", "holds_state"),
+		fenced:           gauge("node", "fenced", "1 while the node refuses traffic because it may be cut off or has not learnt what is in force."),
+		fences:           counter("node", "fences_total", "Times that the node fenced itself."),
+		serveRemaining:   gauge("node", "serve_remaining_seconds", "Time for which the node serves if it hears nothing more; +Inf if nothing can fence it."),
+		servedRevision:   gauge("node", "served_revision", "Revision of the configuration that traffic uses on this node."),
+		members:          gauge("", "members", "Rows of the node's table of members by state.", "state"),
+		shardLed:         gauge("shard", "leader", "1 if this node takes itself for the leader of the shard.", shardLabel),
+		shardLeaderKnown: gauge("shard", "leader_known", "1 if this node knows a leader of the shard.", shardLabel),
+		shardRevision:    gauge("shard", "revision", "Revision of the shard's state that reached this node.", shardLabel),
+		shardEpoch:       gauge("shard", "epoch", "Epoch of the shard, on nodes that hold it.", shardLabel),
+		shardCommit:      gauge("shard", "commit_index", "Newest entry of the shard that is known to be decided, on nodes that hold it.", shardLabel),
+		shardApplied:     gauge("shard", "applied_index", "Newest entry of the shard that is carried out, on nodes that hold it.", shardLabel),
+		shardBadEntries:  counter("shard", "bad_entries_total", "Entries that this node could not read or write; each is a fault of the software.", shardLabel),
 	}
 }
 
@@ -52,7 +52,7 @@
 func (c *controlCollector) Describe(into chan<- *prometheus.Desc) {
 	all := []metric{
 		c.info, c.fenced, c.fences, c.serveRemaining, c.servedRevision, c.members,
-		c.shardOwned, c.shardOwnerKnown, c.shardRevision,
+		c.shardLed, c.shardLeaderKnown, c.shardRevision,
 		c.shardEpoch, c.shardCommit, c.shardApplied, c.shardBadEntries,
 	}
 	for _, described := range all {
@@ -86,11 +86,11 @@
 
 func (c *controlCollector) collectShard(into chan<- prometheus.Metric, shard *ridgeswitchv1.ShardStatus, self string) {
 	label := strconv.FormatUint(uint64(shard.GetShard()), 10)
-	c.shardOwned.send(into, truth(shard.GetOwner() == self), label)
-	c.shardOwnerKnown.send(into, truth(shard.GetOwner() != ""), label)
+	c.shardLed.send(into, truth(shard.GetLeader() == self), label)
+	c.shardLeaderKnown.send(into, truth(shard.GetLeader() != ""), label)
 	c.shardRevision.send(into, float64(shard.GetRevision()), label)
 	if shard.GetEpoch() == 0 {
-		// The node does not hold the shard, or the shard has never had an owner.
+		// The node does not hold the shard, or the shard has never had a leader.
 		return
 	}
 	c.shardEpoch.send(into, float64(shard.GetEpoch()), label)
--- a/internal/operatorcli/commands_test.go
+++ b/internal/operatorcli/commands_test.go
@@ -119,7 +119,7 @@
 		Expect(run("", "status --output table", first).out).To(Equal(strings.TrimLeft(`
 summary
 CHECK      RESULT   DETAIL
-shards     ok       each of 1 owned, as far as front-1 knows
+shards     ok       each of 1 has a leader, as far as front-1 knows
 members    ok       1 alive
 traffic    ok       front-1 serves; --all asks every node
 revisions  unknown  0 on front-1; --all asks every node
@@ -138,7 +138,7 @@
 core-1  -        a     false        alive  0            -
 
 shards
-SHARD  OWNER   EPOCH  REVISION  GROUP          COMMIT  APPLIED  BAD_ENTRIES
+SHARD  LEADER  EPOCH  REVISION  GROUP          COMMIT  APPLIED  BAD_ENTRIES
 3      core-1  0      0         core-1,core-2  0       0        0
 `, "\n")))
 	})
--- a/internal/operatorcli/status_test.go
+++ b/internal/operatorcli/status_test.go
@@ -10,7 +10,7 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
 )
 
-// deployment is a core node that owns shards and a front node, each with a state
+// deployment is a core node that leads shards and a front node, each with a state
 // of its own.
 type deployment struct {
 	core, front         *cluster
@@ -23,7 +23,7 @@
 	d.front = &cluster{machine: d.core.machine}
 	d.coreNode, d.frontNode = startNode(d.core), startNode(d.front)
 	shards := func() []*ridgeswitchv1.ShardStatus {
-		return []*ridgeswitchv1.ShardStatus{{Shard: 0, Owner: "core-1", Epoch: 4}, {Shard: 1, Owner: "core-1", Epoch: 2}}
+		return []*ridgeswitchv1.ShardStatus{{Shard: 0, Leader: "core-1", Epoch: 4}, {Shard: 1, Leader: "core-1", Epoch: 2}}
 	}
 	members := func() []*ridgeswitchv1.MemberStatus {
 		return []*ridgeswitchv1.MemberStatus{
@@ -58,7 +58,7 @@
 
 	It("says that all is well", func() {
 		Expect(d.summary(all)).To(HaveExactElements(
-			"shards ok each of 2 owned",
+			"shards ok each of 2 has a leader",
 			"members ok 2 alive, 1 left",
 			"traffic ok 2 of 2 live members serve",
 			"revisions ok 7 on all 2 that answered",
@@ -71,13 +71,13 @@
 		spoil()
 		Expect(d.summary(line)).To(ContainElement(expected))
 	},
-		Entry("no owner known", "status --output table", func() { d.core.status.Shards[1].Owner = "" },
-			"shards ATTENTION shard 1: no known owner"),
-		Entry("owner fenced", "status --output table", func() { d.core.status.Members[0].State = "fenced" },
-			"shards ATTENTION shard 0: owner core-1 is fenced; shard 1: owner core-1 is fenced"),
-		Entry("an owner that does not know of it", all, func() { d.core.status.Shards[1].Owner = "front-1" },
-			"shards ATTENTION shard 1: no node that answered owns it"),
-		Entry("two owners", all, func() { d.front.status.Shards[0] = &ridgeswitchv1.ShardStatus{Owner: "front-1", Epoch: 5} },
+		Entry("no leader known", "status --output table", func() { d.core.status.Shards[1].Leader = "" },
+			"shards ATTENTION shard 1: no known leader"),
+		Entry("leader fenced", "status --output table", func() { d.core.status.Members[0].State = "fenced" },
+			"shards ATTENTION shard 0: leader core-1 is fenced; shard 1: leader core-1 is fenced"),
+		Entry("a leader that does not know of it", all, func() { d.core.status.Shards[1].Leader = "front-1" },
+			"shards ATTENTION shard 1: no node that answered leads it"),
+		Entry("two leaders", all, func() { d.front.status.Shards[0] = &ridgeswitchv1.ShardStatus{Leader: "front-1", Epoch: 5} },
 			"shards ATTENTION shard 0: claimed by core-1 in epoch 4 and front-1 in epoch 5"),
 		Entry("suspect and fenced members", all, func() {
 			d.core.status.Members[1].State = "suspect"
--- a/internal/operatorcli/suite_test.go
+++ b/internal/operatorcli/suite_test.go
@@ -65,7 +65,7 @@
 	return &ridgeswitchv1.NodeStatus{
 		Node:    "front-1",
 		Members: []*ridgeswitchv1.MemberStatus{{Node: "core-1", Zone: "a", State: "alive"}},
-		Shards:  []*ridgeswitchv1.ShardStatus{{Shard: 3, Owner: "core-1", Group: []string{"core-1", "core-2"}}},
+		Shards:  []*ridgeswitchv1.ShardStatus{{Shard: 3, Leader: "core-1", Group: []string{"core-1", "core-2"}}},
 	}
 }
 
--- a/internal/operatorcli/survey.go
+++ b/internal/operatorcli/survey.go
@@ -66,7 +66,7 @@
 		}
 		status := given.status
 		_, _ = fmt.Fprintf(writer, "%s\t%s\t%t\t%d\t%d\t%d\n", member.GetNode(), member.GetControlAddress(),
-			status.GetFenced(), status.GetFences(), status.GetServedRevision(), len(ownedBy(status)))
+			status.GetFenced(), status.GetFences(), status.GetServedRevision(), len(ledBy(status)))
 	}
 	_, _ = fmt.Fprintln(writer)
 }
@@ -76,42 +76,42 @@
 	return []check{s.checkShards(), s.checkMembers(), s.checkTraffic(), s.checkRevisions(), s.checkRollOuts()}
 }
 
-// checkShards tells whether every shard has an owner: one that says so itself
+// checkShards tells whether every shard has a leader: one that says so itself
 // if all were asked, else one that is live as far as the asked node knows.
 func (s *survey) checkShards() check {
 	shards := s.status.GetShards()
 	var faults []string
 	for _, shard := range shards {
-		if fault := s.ownerFault(shard); fault != "" {
+		if fault := s.leaderFault(shard); fault != "" {
 			faults = append(faults, fmt.Sprintf("shard %d: %s", shard.GetShard(), fault))
 		}
 	}
 	if len(faults) > 0 {
 		return check{"shards", resultAttention, strings.Join(shortened(faults), "; ")}
 	}
-	detail := fmt.Sprintf("each of %d owned", len(shards))
+	detail := fmt.Sprintf("each of %d has a leader", len(shards))
 	if !s.askedAll {
 		detail += ", as far as " + s.status.GetNode() + " knows"
 	}
 	return check{"shards", resultOK, detail}
 }
 
-// ownerFault tells what is wrong with the ownership of a shard.
-func (s *survey) ownerFault(shard *ridgeswitchv1.ShardStatus) string {
+// leaderFault tells what is wrong with the leadership of a shard.
+func (s *survey) leaderFault(shard *ridgeswitchv1.ShardStatus) string {
 	if !s.askedAll {
-		return s.knownOwnerFault(shard.GetOwner())
+		return s.knownLeaderFault(shard.GetLeader())
 	}
 	var claims []string
 	for _, given := range s.answers {
-		for _, owned := range ownedBy(given.status) {
-			if owned.GetShard() == shard.GetShard() {
-				claims = append(claims, fmt.Sprintf("%s in epoch %d", given.member.GetNode(), owned.GetEpoch()))
+		for _, led := range ledBy(given.status) {
+			if led.GetShard() == shard.GetShard() {
+				claims = append(claims, fmt.Sprintf("%s in epoch %d", given.member.GetNode(), led.GetEpoch()))
 			}
 		}
 	}
 	switch len(claims) {
 	case 0:
-		return "no node that answered owns it"
+		return "no node that answered leads it"
 	case 1:
 		return ""
 	default:
@@ -119,14 +119,14 @@
 	}
 }
 
-// knownOwnerFault judges an owner by the asked node's table of members.
-func (s *survey) knownOwnerFault(owner string) string {
-	if owner == "" {
-		return "no known owner"
+// knownLeaderFault judges a leader by the asked node's table of members.
+func (s *survey) knownLeaderFault(leader string) string {
+	if leader == "" {
+		return "no known leader"
 	}
 	for _, member := range s.status.GetMembers() {
-		if member.GetNode() == owner && !isLive(member) {
-			return "owner " + owner + " is " + member.GetState()
+		if member.GetNode() == leader && !isLive(member) {
+			return "leader " + leader + " is " + member.GetState()
 		}
 	}
 	return ""
@@ -178,10 +178,10 @@
 	return made
 }
 
-// ownedBy lists the shards that a node takes itself for the owner of.
-func ownedBy(status *ridgeswitchv1.NodeStatus) []*ridgeswitchv1.ShardStatus {
+// ledBy lists the shards that a node takes itself for the leader of.
+func ledBy(status *ridgeswitchv1.NodeStatus) []*ridgeswitchv1.ShardStatus {
 	return lo.Filter(status.GetShards(), func(shard *ridgeswitchv1.ShardStatus, _ int) bool {
-		return shard.GetOwner() == status.GetNode()
+		return shard.GetLeader() == status.GetNode()
 	})
 }
 
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -17,7 +17,7 @@
 		Incarnation: uint64(message.Incarnation),
 		Payload:     message.Payload,
 		Revision:    message.Revision,
-		Owner:       string(message.Owner),
+		Leader:      string(message.Leader),
 		Accepted:    message.Accepted,
 		Term:        message.Term,
 	}
@@ -42,7 +42,7 @@
 		Incarnation: member.Incarnation(table.Incarnation()),
 		Payload:     r.bytes(table.PayloadBytes()),
 		Revision:    table.Revision(),
-		Owner:       member.ID(r.text(table.Owner())),
+		Leader:      member.ID(r.text(table.Leader())),
 		Accepted:    table.Accepted(),
 		Term:        table.Term(),
 		Revisions:   r.shardRevisions(table),
--- a/internal/wire/fb/Control.go
+++ b/internal/wire/fb/Control.go
@@ -13,7 +13,7 @@
 	Incarnation uint64            `json:"incarnation"`
 	Payload     []byte            `json:"payload"`
 	Revision    uint64            `json:"revision"`
-	Owner       string            `json:"owner"`
+	Leader      string            `json:"leader"`
 	Accepted    bool              `json:"accepted"`
 	Revisions   []*ShardRevisionT `json:"revisions"`
 	Term        uint64            `json:"term"`
@@ -27,7 +27,7 @@
 	if t.Payload != nil {
 		payloadOffset = builder.CreateByteString(t.Payload)
 	}
-	ownerOffset := builder.CreateString(t.Owner)
+	leaderOffset := builder.CreateString(t.Leader)
 	revisionsOffset := flatbuffers.UOffsetT(0)
 	if t.Revisions != nil {
 		revisionsLength := len(t.Revisions)
@@ -48,7 +48,7 @@
 	ControlAddIncarnation(builder, t.Incarnation)
 	ControlAddPayload(builder, payloadOffset)
 	ControlAddRevision(builder, t.Revision)
-	ControlAddOwner(builder, ownerOffset)
+	ControlAddLeader(builder, leaderOffset)
 	ControlAddAccepted(builder, t.Accepted)
 	ControlAddRevisions(builder, revisionsOffset)
 	ControlAddTerm(builder, t.Term)
@@ -62,7 +62,7 @@
 	t.Incarnation = rcv.Incarnation()
 	t.Payload = rcv.PayloadBytes()
 	t.Revision = rcv.Revision()
-	t.Owner = string(rcv.Owner())
+	t.Leader = string(rcv.Leader())
 	t.Accepted = rcv.Accepted()
 	revisionsLength := rcv.RevisionsLength()
 	t.Revisions = make([]*ShardRevisionT, revisionsLength)
@@ -204,7 +204,7 @@
 	return rcv._tab.MutateUint64Slot(14, n)
 }
 
-func (rcv *Control) Owner() []byte {
+func (rcv *Control) Leader() []byte {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
 	if o != 0 {
 		return rcv._tab.ByteVector(o + rcv._tab.Pos)
@@ -280,8 +280,8 @@
 func ControlAddRevision(builder *flatbuffers.Builder, revision uint64) {
 	builder.PrependUint64Slot(5, revision, 0)
 }
-func ControlAddOwner(builder *flatbuffers.Builder, owner flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(owner), 0)
+func ControlAddLeader(builder *flatbuffers.Builder, leader flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(leader), 0)
 }
 func ControlAddAccepted(builder *flatbuffers.Builder, accepted bool) {
 	builder.PrependBoolSlot(7, accepted, false)
--- a/pkg/replication/change.go
+++ b/pkg/replication/change.go
@@ -40,16 +40,16 @@
 const (
 	// ProblemChangeUnderWay: an earlier change is not committed yet.
 	ProblemChangeUnderWay GroupChangeProblem = iota + 1
-	// ProblemOwnershipNew: the owner has committed nothing in its term yet.
-	ProblemOwnershipNew
+	// ProblemLeadershipNew: the leader has committed nothing in its term yet.
+	ProblemLeadershipNew
 	// ProblemNoSuchPlace: the group has no such voter, or no place kept.
 	ProblemNoSuchPlace
 	// ProblemNotCaughtUp: the member that is to get the vote lacks entries.
 	ProblemNotCaughtUp
 	// ProblemNoMajority: too few of the remaining voters are live.
 	ProblemNoMajority
-	// ProblemOwner: the voter to be removed is the owner.
-	ProblemOwner
+	// ProblemLeader: the voter to be removed is the leader.
+	ProblemLeader
 	// ProblemUnknownKind: the kind of the change is none of the defined ones.
 	ProblemUnknownKind
 )
@@ -59,16 +59,16 @@
 	switch p {
 	case ProblemChangeUnderWay:
 		return "an earlier change is not committed yet: try again when it is"
-	case ProblemOwnershipNew:
-		return "the owner has committed nothing in its term yet: try again in a moment"
+	case ProblemLeadershipNew:
+		return "the leader has committed nothing in its term yet: try again in a moment"
 	case ProblemNoSuchPlace:
 		return "the group has no such place: read its status and name a voter of it, or a member without a place"
 	case ProblemNotCaughtUp:
 		return "the member does not hold the log yet: start it, and try again when it has caught up"
 	case ProblemNoMajority:
 		return "too few of the remaining voters are live: start them first"
-	case ProblemOwner:
-		return "the voter is the owner: hand the ownership over first"
+	case ProblemLeader:
+		return "the voter is the leader: hand the leadership over first"
 	default:
 		return "the kind of the change is unknown: use one of the defined kinds"
 	}
@@ -87,9 +87,9 @@
 
 // ProposeGroupChange appends a change of the voters. It takes effect at once,
 // and is undone if the entry is truncated in a later term; Status shows it as
-// committed when its index is. When a place is kept for a member, the owner
+// committed when its index is. When a place is kept for a member, the leader
 // adds that member by itself once it has caught up. It fails with a
-// *NotOwnerError or a *GroupChangeError.
+// *NotLeaderError or a *GroupChangeError.
 func (g *Group) ProposeGroupChange(now time.Duration, change GroupChange) error {
 	g.observe(now)
 	if err := g.acceptsWork(); err != nil {
@@ -106,9 +106,9 @@
 
 // afterChange returns the group after the change, or why it can't be made.
 func (g *Group) afterChange(change GroupChange) (places, GroupChangeProblem) {
-	if g.log.committed < g.ownership.barrier {
+	if g.log.committed < g.leadership.barrier {
 		// A change that an earlier term left could be in effect elsewhere.
-		return nil, ProblemOwnershipNew
+		return nil, ProblemLeadershipNew
 	}
 	if g.log.groups.latest().index > g.log.committed {
 		return nil, ProblemChangeUnderWay
@@ -131,7 +131,7 @@
 		return nil, ProblemNoSuchPlace
 	}
 	if change.Voter.ID == g.cfg.Self {
-		return nil, ProblemOwner
+		return nil, ProblemLeader
 	}
 	position := group.position(change.Voter.ID)
 	changed := group.without(position)
@@ -196,11 +196,11 @@
 // caughtUp tells whether the member is live in that life, wants a vote, and
 // holds all that the log held when the last heartbeat round began.
 func (g *Group) caughtUp(voter Voter) bool {
-	follower := g.ownership.progress[voter.ID]
+	follower := g.leadership.progress[voter.ID]
 	if follower == nil || follower.learner || follower.life != voter.Life {
 		return false
 	}
-	return g.heard(follower) && follower.match >= g.ownership.roundIndex
+	return g.heard(follower) && follower.match >= g.leadership.roundIndex
 }
 
 // majorityLive tells whether the voters that are heard, in the life that
--- a/pkg/replication/change_test.go
+++ b/pkg/replication/change_test.go
@@ -34,10 +34,10 @@
 	return m
 }
 
-// settledOwner is electedOwner after its barrier is committed, with the new n3
+// settledLeader is electedLeader after its barrier is committed, with the new n3
 // caught up.
-func settledOwner() *replication.Group {
-	g := electedOwner()
+func settledLeader() *replication.Group {
+	g := electedLeader()
 	Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 	newLifeMatches(g, tookAt)
 	settle(g)
@@ -63,10 +63,10 @@
 }
 
 var _ = Describe("a change of the group", func() {
-	It("waits for the owner's own barrier, and for the change before it", func() {
-		g := electedOwner()
+	It("waits for the leader's own barrier, and for the change before it", func() {
+		g := electedLeader()
 		newLifeMatches(g, tookAt)
-		Expect(problemOf(g.ProposeGroupChange(tookAt, remove))).To(Equal(replication.ProblemOwnershipNew))
+		Expect(problemOf(g.ProposeGroupChange(tookAt, remove))).To(Equal(replication.ProblemLeadershipNew))
 		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 		Expect(g.ProposeGroupChange(tookAt, remove)).To(Succeed())
 		Expect(g.Status().Places).To(Equal(waiting()))
@@ -80,7 +80,7 @@
 	})
 
 	It("is refused when it names the wrong member", func() {
-		g := settledOwner()
+		g := settledLeader()
 		for _, spoil := range []func(*replication.GroupChange){
 			func(c *replication.GroupChange) { c.Voter.ID = "n9" },
 			func(c *replication.GroupChange) { c.Voter.Life = 2 },
@@ -92,16 +92,16 @@
 			spoil(&change)
 			Expect(problemOf(g.ProposeGroupChange(tookAt, change))).To(Equal(replication.ProblemNoSuchPlace))
 		}
-		owner := remove
-		owner.Voter.ID = "n1"
-		Expect(problemOf(g.ProposeGroupChange(tookAt, owner))).To(Equal(replication.ProblemOwner))
+		leader := remove
+		leader.Voter.ID = "n1"
+		Expect(problemOf(g.ProposeGroupChange(tookAt, leader))).To(Equal(replication.ProblemLeader))
 		Expect(problemOf(g.ProposeGroupChange(tookAt, replication.GroupChange{}))).To(Equal(replication.ProblemUnknownKind))
 		follower := newMember("n2", "n1", "n2", "n3")
-		Expect(follower.ProposeGroupChange(0, remove)).To(Equal(&replication.NotOwnerError{}))
+		Expect(follower.ProposeGroupChange(0, remove)).To(Equal(&replication.NotLeaderError{}))
 	})
 
 	It("is refused while the successor lacks entries, or the others are not heard", func() {
-		g := electedOwner()
+		g := electedLeader()
 		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 		Expect(problemOf(g.ProposeGroupChange(tookAt, remove))).To(Equal(replication.ProblemNotCaughtUp))
 		late := tookAt + electionTimeout
@@ -110,14 +110,14 @@
 	})
 
 	It("counts neither a lost life nor a new one without a vote", func() {
-		g := electedOwner()
+		g := electedLeader()
 		newLifeMatches(g, tookAt)
 		Expect(g.Step(tookAt, "n3", inLife(lostN3.Life, matched(2, 2)))).To(Succeed())
 		Expect(g.Status().Commit).To(BeZero())
 	})
 
 	It("forgets what the lost life holds, also when that is told late", func() {
-		g := electedOwner()
+		g := electedLeader()
 		Expect(g.Step(tookAt, "n3", matched(2, 1))).To(Succeed())
 		Expect(g.Status().Followers[1].Match).To(Equal(uint64(1)))
 		later := tookAt + heartbeatEvery
@@ -131,7 +131,7 @@
 	})
 
 	It("takes a life for a later one only if it answers a round that began after the other was heard", func() {
-		g := electedOwner()
+		g := electedLeader()
 		Expect(g.Step(tookAt, "n3", matched(2, 1))).To(Succeed())
 		for _, late := range []replication.Message{answers(1), matched(2, 2)} {
 			Expect(g.Step(tookAt, "n3", inLife(newN3.Life, late))).To(Succeed())
--- a/pkg/replication/cluster_test.go
+++ b/pkg/replication/cluster_test.go
@@ -64,9 +64,9 @@
 	faults  faults
 	cut     map[link]bool
 	packets []packet
-	// digests and owners are what the whole cluster has ever agreed on.
+	// digests and leaders are what the whole cluster has ever agreed on.
 	digests map[uint64]uint64
-	owners  map[uint64]replication.Voter
+	leaders map[uint64]replication.Voter
 	highest uint64
 	// wiped tells that a disk was lost whose member gets no vote again; in
 	// schedules with neverRepaired there is one such loss at most.
@@ -105,7 +105,7 @@
 		},
 		cut:     map[link]bool{},
 		digests: map[uint64]uint64{},
-		owners:  map[uint64]replication.Voter{},
+		leaders: map[uint64]replication.Voter{},
 	}
 	for _, id := range ids {
 		c.addNode(string(id))
--- a/pkg/replication/clustercheck_test.go
+++ b/pkg/replication/clustercheck_test.go
@@ -11,8 +11,8 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
 
-// check holds at every instant: a term has one owner ever, one member at
-// most may command, and learners never own.
+// check holds at every instant: a term has one leader ever, one member at
+// most may command, and learners never lead.
 func (c *cluster) check() {
 	var holders []member.ID
 	for _, n := range c.nodes {
@@ -20,14 +20,14 @@
 			continue
 		}
 		status := n.group.Status()
-		if status.Role == replication.RoleOwner {
+		if status.Role == replication.RoleLeader {
 			if n.learner {
-				Fail("a learner owns")
+				Fail("a learner leads")
 			}
-			if owner, known := c.owners[status.Term]; known && owner != n.voter() {
-				Expect(n.voter()).To(Equal(owner), "term %d has two owners", status.Term)
+			if leader, known := c.leaders[status.Term]; known && leader != n.voter() {
+				Expect(n.voter()).To(Equal(leader), "term %d has two leaders", status.Term)
 			}
-			c.owners[status.Term] = n.voter()
+			c.leaders[status.Term] = n.voter()
 		}
 		n.places = status.Places
 		if n.group.MayCommand(c.clock(n)) {
@@ -46,7 +46,7 @@
 		return "down"
 	}
 	status := n.group.Status()
-	cell := fmt.Sprintf("%s e%d %d/%d", status.Role, status.Term, status.Commit, status.LastIndex)
+	cell := fmt.Sprintf("%s t%d %d/%d", status.Role, status.Term, status.Commit, status.LastIndex)
 	if status.SnapshotIndex > 0 {
 		cell += fmt.Sprintf(" s%d", status.SnapshotIndex)
 	}
--- a/pkg/replication/config.go
+++ b/pkg/replication/config.go
@@ -8,7 +8,7 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
-// minHeartbeatsPerElection is how many heartbeats an owner must be able to
+// minHeartbeatsPerElection is how many heartbeats a leader must be able to
 // send within one ElectionTimeout, so that one lost heartbeat costs nothing.
 const minHeartbeatsPerElection = 2
 
@@ -29,7 +29,7 @@
 	// and that must be durable before New is called.
 	Life uint64
 	// Group holds the founding voters in the agreed order, the same on every
-	// founder. Earlier members are preferred as owners. It is empty on a member
+	// founder. Earlier members are preferred as leaders. It is empty on a member
 	// that joins a group, and may be empty on any member whose log or snapshot
 	// is not: the present voters are those that the log tells of, and its first
 	// entry tells of the founders. A member that knows of no group is a learner.
@@ -41,10 +41,10 @@
 	// from a group with an even number of voters; zero stands for
 	// DefaultRemoveAfter.
 	RemoveAfter time.Duration
-	// HeartbeatEvery is the time between two heartbeats of an owner.
+	// HeartbeatEvery is the time between two heartbeats of a leader.
 	HeartbeatEvery time.Duration
-	// ElectionTimeout is how long a voter waits for an owner before the first
-	// live voter campaigns, and how long an owner stays without a majority.
+	// ElectionTimeout is how long a voter waits for a leader before the first
+	// live voter campaigns, and how long a leader stays without a majority.
 	ElectionTimeout time.Duration
 	// LeaseDuration is the length of the command lease; zero turns it off.
 	LeaseDuration time.Duration
@@ -54,7 +54,7 @@
 	// followers that are a little late.
 	MaxLogEntries int
 	// Learner starts a member that never votes, and that is given no vote. A
-	// member whose durable state was lost needs only another Life: the owner
+	// member whose durable state was lost needs only another Life: the leader
 	// gives it the vote back when that is safe.
 	Learner bool
 }
@@ -127,7 +127,7 @@
 	// be another candidate.
 	PromisedLife uint64
 	// Commit is the highest index known to be committed when the state was
-	// written. It may lag behind without harm, as the owner tells it again.
+	// written. It may lag behind without harm, as the leader tells it again.
 	Commit uint64
 }
 
--- a/pkg/replication/doc.go
+++ b/pkg/replication/doc.go
@@ -1,5 +1,5 @@
 // Package replication is the state machine of one replica group: a replicated
-// log with one owner (the leader of the term) and followers, after Raft.
+// log with one leader a term and followers, after Raft.
 //
 // The package does no I/O, starts no goroutine and reads no clock. A driver
 // passes messages and time in through Step and Tick, takes the outcome from
@@ -20,8 +20,8 @@
 //   - A voter promises a term to one member only, and the promise is durable
 //     before the reply leaves.
 //   - A follower's acknowledgement leaves after the entries it speaks of are
-//     durable. The owner's own copy counts only after Advance.
-//   - An owner commits by counting copies of entries of its own term only;
+//     durable. The leader's own copy counts only after Advance.
+//   - A leader commits by counting copies of entries of its own term only;
 //     a barrier entry commits what earlier terms left.
 //   - A voter is a member in one life of its durable state. A member that lost
 //     its state goes on in a new life, as a learner: neither its promises nor
@@ -30,14 +30,14 @@
 //     a founder is told of them by its settings until it holds that entry. A
 //     member that knows of no group is a learner. A change of one voter takes effect when
 //     its entry is appended, and is undone when the entry is truncated. The
-//     owner makes one at a time: the next only after the one before it, and an
-//     entry of the owner's own term, are committed. So each majority before a
+//     leader makes one at a time: the next only after the one before it, and an
+//     entry of the leader's own term, are committed. So each majority before a
 //     change and each after it have a voter in common.
-//   - The owner repairs the group by itself: when a member in a new life holds
+//   - The leader repairs the group by itself: when a member in a new life holds
 //     the log, the lost life is removed and then the new one is added in its
 //     place. Until the removal, the lost life counts in the size of the group
 //     as one that never answers, which is why one lost disk is safe before the
-//     owner has learnt of it: all majorities share a voter that still has what
+//     leader has learnt of it: all majorities share a voter that still has what
 //     they acknowledged.
 //   - The leader fits the group to the members that are there: a peer that has
 //     caught up gets a vote, and a silent voter is removed from a group with an
--- a/pkg/replication/driver_test.go
+++ b/pkg/replication/driver_test.go
@@ -112,7 +112,7 @@
 	if !won || c.ballotsFail {
 		return
 	}
-	if used := slices.Max(append(slices.Collect(maps.Keys(c.owners)), 0)); used >= ballot {
+	if used := slices.Max(append(slices.Collect(maps.Keys(c.leaders)), 0)); used >= ballot {
 		// All who knew the term may have lost their disks; witnesses have not.
 		n.group.RaiseBallot(used)
 		c.drain(n)
--- a/pkg/replication/durability_test.go
+++ b/pkg/replication/durability_test.go
@@ -43,7 +43,7 @@
 		Expect(g.Ready().HardState).To(Equal(&replication.HardState{Term: 1, PromisedTo: "n1", PromisedLife: replication.FoundingLife}))
 		Expect(g.Status().Role).To(Equal(replication.RoleCandidate))
 		g.Advance()
-		Expect(g.Status().Role).To(Equal(replication.RoleOwner))
+		Expect(g.Status().Role).To(Equal(replication.RoleLeader))
 		barrier := g.Ready()
 		Expect(barrier.Entries).To(HaveLen(1))
 		Expect(barrier.Committed).To(BeEmpty())
@@ -104,7 +104,7 @@
 		Expect(g.Ready().Entries).To(Equal([]replication.Entry{entry(3, 2)}))
 	})
 
-	It("commits no further than the owner's message vouches for", func() {
+	It("commits no further than the leader's message vouches for", func() {
 		g := newMember("n1", "n1", "n2", "n3")
 		Expect(g.Step(0, "n2", appendOf(1, 0, 0, 0, entry(1, 1), entry(2, 1)))).To(Succeed())
 		Expect(g.Step(0, "n3", appendOf(2, 1, 1, 2))).To(Succeed())
@@ -136,14 +136,14 @@
 		Expect(g.Step(0, "n3", appendOf(before.Term, 2, 1, 2))).To(BeAssignableToTypeOf(refused))
 	})
 
-	It("name the owner to a caller that asks another member", func() {
+	It("name the leader to a caller that asks another member", func() {
 		g := newMember("n1", "n1", "n2", "n3")
 		Expect(g.Step(0, "n2", appendOf(1, 0, 0, 0))).To(Succeed())
 		_, err := g.Propose(0, nil)
-		Expect(err).To(Equal(&replication.NotOwnerError{Owner: "n2"}))
+		Expect(err).To(Equal(&replication.NotLeaderError{Leader: "n2"}))
 		_, err = g.RequestRead(0)
-		Expect(err).To(Equal(&replication.NotOwnerError{Owner: "n2"}))
-		Expect(g.HandOver(0)).To(Equal(&replication.NotOwnerError{Owner: "n2"}))
+		Expect(err).To(Equal(&replication.NotLeaderError{Leader: "n2"}))
+		Expect(g.HandOver(0)).To(Equal(&replication.NotLeaderError{Leader: "n2"}))
 	})
 
 	It("find settings and durable state that can't be right", func() {
--- a/pkg/replication/durable/log_test.go
+++ b/pkg/replication/durable/log_test.go
@@ -56,7 +56,7 @@
 }
 
 // script has promises, entries, conflicting suffixes, a snapshot from the
-// owner, a compaction, and enough bytes for checkpoints in between.
+// leader, a compaction, and enough bytes for checkpoints in between.
 var script = []operation{
 	{ready: replication.Ready{HardState: hard(1, "a", 0)}},
 	{ready: replication.Ready{HardState: hard(1, "a", 0), Entries: entries(1, 1, 3)}},
--- a/pkg/replication/elastic_test.go
+++ b/pkg/replication/elastic_test.go
@@ -102,10 +102,10 @@
 		clear(s.cut)
 	case roll < 57:
 		randomEvent(s.cluster)
-	case roll < 97 && s.owner() != nil:
-		owner := s.owner()
-		if _, err := owner.group.Propose(s.clock(owner), fmt.Append(nil, s.now)); err == nil {
-			s.drain(owner)
+	case roll < 97 && s.leader() != nil:
+		leader := s.leader()
+		if _, err := leader.group.Propose(s.clock(leader), fmt.Append(nil, s.now)); err == nil {
+			s.drain(leader)
 		}
 	}
 }
@@ -150,12 +150,12 @@
 	for range settledTicks {
 		s.advance()
 	}
-	owner := s.owner()
-	Expect(owner).NotTo(BeNil(), "seed %d: no owner", seed)
+	leader := s.leader()
+	Expect(leader).NotTo(BeNil(), "seed %d: no leader", seed)
 	before := s.highest
-	_, err := owner.group.Propose(s.clock(owner), []byte("last"))
+	_, err := leader.group.Propose(s.clock(leader), []byte("last"))
 	Expect(err).NotTo(HaveOccurred())
-	s.drain(owner)
+	s.drain(leader)
 	for range settledTicks {
 		s.advance()
 	}
@@ -163,18 +163,18 @@
 	expectAgreement(s.cluster, seed)
 }
 
-func (c *cluster) owner() *node {
-	var owner *node
+func (c *cluster) leader() *node {
+	var leader *node
 	for _, n := range c.nodes {
 		if n.group == nil {
 			continue
 		}
 		status := n.group.Status()
-		if status.Role == replication.RoleOwner && (owner == nil || status.Term > owner.group.Status().Term) {
-			owner = n
+		if status.Role == replication.RoleLeader && (leader == nil || status.Term > leader.group.Status().Term) {
+			leader = n
 		}
 	}
-	return owner
+	return leader
 }
 
 // expectAllVote expects every node that is there to vote in the life of its
@@ -185,7 +185,7 @@
 	for _, n := range c.present() {
 		whole = append(whole, replication.Place{Voter: n.voter()})
 	}
-	group := c.owner().group.Status().Places
+	group := c.leader().group.Status().Places
 	Expect(group).To(ContainElements(whole), "seed %d: a live peer has no vote", seed)
 	for _, place := range group {
 		Expect(place.Learner).To(BeFalse(), "seed %d: a place is kept for %s", seed, place.ID)
@@ -210,11 +210,11 @@
 
 // propose has the present leader commit a command.
 func (c *cluster) propose(command string) {
-	owner := c.owner()
-	ExpectWithOffset(1, owner).NotTo(BeNil())
-	index, err := owner.group.Propose(c.clock(owner), []byte(command))
+	leader := c.leader()
+	ExpectWithOffset(1, leader).NotTo(BeNil())
+	index, err := leader.group.Propose(c.clock(leader), []byte(command))
 	ExpectWithOffset(1, err).NotTo(HaveOccurred())
-	c.drain(owner)
+	c.drain(leader)
 	c.advanceBy(5 * heartbeatEvery)
 	ExpectWithOffset(1, c.highest).To(BeNumerically(">=", index), "%q is not committed", command)
 }
@@ -261,7 +261,7 @@
 		for i, voters := range []int{4, 5, 6, 7, 8, 9, 9} {
 			c.start(c.nodes[3+i])
 			c.advanceBy(10 * heartbeatEvery)
-			Expect(c.owner().group.Status().Group).To(HaveLen(voters))
+			Expect(c.leader().group.Status().Group).To(HaveLen(voters))
 			c.propose("grown")
 		}
 		Expect(c.nodes[9].group.Status().Role).To(Equal(replication.RoleLearner))
@@ -277,7 +277,7 @@
 			old := c.nodes[i]
 			old.left = true
 			c.gossip()
-			if old == c.owner() {
+			if old == c.leader() {
 				Expect(old.group.HandOver(c.clock(old))).To(Succeed())
 				c.drain(old)
 				c.advanceBy(electionTimeout)
@@ -286,34 +286,34 @@
 			c.advanceBy(2*electionTimeout + 10*heartbeatEvery)
 			c.propose("after")
 		}
-		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n4", "n5", "n6"}))
+		Expect(c.leader().group.Status().Group).To(Equal([]member.ID{"n4", "n5", "n6"}))
 		expectAgreement(c, 0)
 	})
 
 	It("takes a new member in for one of a full group that is gone", func() {
 		c := calmCluster("max=3", "n1", "n2", "n3", "+n4")
-		Expect(c.owner().group.Status().Group).To(HaveLen(3))
+		Expect(c.leader().group.Status().Group).To(HaveLen(3))
 		c.end(c.node("n3"))
 		c.advanceBy(replication.DefaultRemoveAfter + 10*heartbeatEvery)
-		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4"}))
+		Expect(c.leader().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4"}))
 	})
 
 	It("keeps the silent voter of an odd group, and that of an even one for a while", func() {
 		c := calmCluster("n1", "n2", "n3", "-n4")
 		c.crash(c.node("n3"), true)
 		c.advanceBy(2 * replication.DefaultRemoveAfter)
-		Expect(c.owner().group.Status().Group).To(HaveLen(3))
+		Expect(c.leader().group.Status().Group).To(HaveLen(3))
 		c.start(c.node("n3"))
 		c.start(c.node("n4"))
 		c.advanceBy(10 * heartbeatEvery)
 		c.crash(c.node("n3"), true)
 		c.advanceBy(replication.DefaultRemoveAfter - 2*heartbeatEvery)
-		Expect(c.owner().group.Status().Group).To(HaveLen(4))
+		Expect(c.leader().group.Status().Group).To(HaveLen(4))
 		c.advanceBy(10 * heartbeatEvery)
-		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4"}))
+		Expect(c.leader().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4"}))
 		c.start(c.node("n3"))
 		c.advanceBy(10 * heartbeatEvery)
-		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4", "n3"}), "in its old life")
+		Expect(c.leader().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4", "n3"}), "in its old life")
 	})
 
 	It("is formed anew by the voters of the newest known group", func() {
@@ -345,7 +345,7 @@
 		c.start(c.node("n4"))
 		c.start(c.node("n5"))
 		c.advanceBy(10 * heartbeatEvery)
-		Expect(c.owner().group.Status().Group).To(HaveLen(5))
+		Expect(c.leader().group.Status().Group).To(HaveLen(5))
 		for _, n := range c.nodes {
 			c.loseDisk(n)
 		}
--- a/pkg/replication/election.go
+++ b/pkg/replication/election.go
@@ -23,7 +23,7 @@
 		if id == g.cfg.Self {
 			break
 		}
-		if id == g.election.lostOwner || slices.Contains(g.election.suspected, id) {
+		if id == g.election.lostLeader || slices.Contains(g.election.suspected, id) {
 			continue
 		}
 		rank++
@@ -44,16 +44,16 @@
 	g.startTrial()
 }
 
-// hearsLiveOwner tells whether an election would disturb a working owner.
-func (g *Group) hearsLiveOwner() bool {
-	if g.role == RoleOwner {
+// hearsLiveLeader tells whether an election would disturb a working leader.
+func (g *Group) hearsLiveLeader() bool {
+	if g.role == RoleLeader {
 		return true
 	}
-	return g.owner != "" && g.now < g.election.ownerContact+g.cfg.ElectionTimeout
+	return g.leader != "" && g.now < g.election.leaderContact+g.cfg.ElectionTimeout
 }
 
 // startTrial asks whether a campaign could be won, without raising any term.
-// It goes on until it is won or an owner is heard.
+// It goes on until it is won or a leader is heard.
 func (g *Group) startTrial() {
 	g.rest(g.hard.Term, "")
 	g.role = RoleCandidate
@@ -73,7 +73,7 @@
 	g.election.waitFrom = g.now
 	// If this campaign fails, the members that campaign at the same time must
 	// not wait equally long again.
-	g.election.lostOwner = ""
+	g.election.lostLeader = ""
 	g.askForPromises()
 }
 
@@ -86,7 +86,7 @@
 	if g.election.trial {
 		term++
 		// What was granted earlier may be untrue by now: a voter may hear an
-		// owner again.
+		// leader again.
 		g.election.granted = []Voter{g.self()}
 	}
 	for _, id := range g.log.groups.latest().voterIDs {
@@ -122,7 +122,7 @@
 }
 
 func (g *Group) wouldPromise(m Message) bool {
-	if m.Term <= g.hard.Term || g.hearsLiveOwner() {
+	if m.Term <= g.hard.Term || g.hearsLiveLeader() {
 		return false
 	}
 	return g.log.isUpToDate(m.Index, m.IndexTerm)
@@ -135,7 +135,7 @@
 		return false
 	}
 	if m.Term > g.hard.Term {
-		if g.hearsLiveOwner() && !m.Handover {
+		if g.hearsLiveLeader() && !m.Handover {
 			return false
 		}
 		g.rest(m.Term, "")
@@ -143,7 +143,7 @@
 	if g.hard.PromisedTo == from && g.hard.PromisedLife == m.Life {
 		return true
 	}
-	if g.hard.PromisedTo != "" || g.owner != "" {
+	if g.hard.PromisedTo != "" || g.leader != "" {
 		return false
 	}
 	if !g.log.isUpToDate(m.Index, m.IndexTerm) {
@@ -199,7 +199,7 @@
 }
 
 // addRejection gives a campaign up that a majority refuses. A trial goes on,
-// as its refusals pass when the voters miss the owner too.
+// as its refusals pass when the voters miss the leader too.
 func (g *Group) addRejection(from Voter) {
 	if g.election.trial || slices.Contains(g.election.granted, from) {
 		return
@@ -220,21 +220,21 @@
 		g.campaign(false)
 		return
 	}
-	g.takeOwnership()
+	g.takeLeadership()
 }
 
-// takeOwnership begins the term with a barrier entry: its commit commits all
+// takeLeadership begins the term with a barrier entry: its commit commits all
 // entries that earlier terms left. In an empty log that entry tells of the
 // founding voters, so that the log alone tells of the group from then on.
-func (g *Group) takeOwnership() {
+func (g *Group) takeLeadership() {
 	g.rest(g.hard.Term, g.cfg.Self)
-	g.role = RoleOwner
-	g.election.lostOwner = ""
-	g.ownership.progress = make(map[member.ID]*progress)
+	g.role = RoleLeader
+	g.election.lostLeader = ""
+	g.leadership.progress = make(map[member.ID]*progress)
 	g.trackOthers()
-	g.ownership.holder = lease.NewHolder(g.cfg.leaseTiming())
-	g.ownership.successor = lease.NewSuccessor(g.cfg.leaseTiming(), g.now)
-	g.ownership.barrier = g.appendBarrier()
+	g.leadership.holder = lease.NewHolder(g.cfg.leaseTiming())
+	g.leadership.successor = lease.NewSuccessor(g.cfg.leaseTiming(), g.now)
+	g.leadership.barrier = g.appendBarrier()
 	g.startRound()
 }
 
--- a/pkg/replication/errors.go
+++ b/pkg/replication/errors.go
@@ -16,18 +16,18 @@
 // when earlier proposals or reads are answered.
 var ErrBacklogFull = errors.New("too many proposals or reads wait for a quorum: try again when earlier ones are answered")
 
-// NotOwnerError tells that only the owner can do what was asked.
-type NotOwnerError struct {
-	// Owner is the member to ask instead; empty if none is known now.
-	Owner member.ID
+// NotLeaderError tells that only the leader can do what was asked.
+type NotLeaderError struct {
+	// Leader is the member to ask instead; empty if none is known now.
+	Leader member.ID
 }
 
 // Error names the member to ask instead.
-func (e *NotOwnerError) Error() string {
-	if e.Owner == "" {
-		return "this member is not the owner and knows of none: try again after an election"
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "this member is not the leader and knows of none: try again after an election"
 	}
-	return fmt.Sprintf("this member is not the owner: ask %s", e.Owner)
+	return fmt.Sprintf("this member is not the leader: ask %s", e.Leader)
 }
 
 // ConfigError tells which field of a Config is wrong.
--- a/pkg/replication/follower.go
+++ b/pkg/replication/follower.go
@@ -2,21 +2,21 @@
 
 import "github.com/ridgeswitch/ridgeswitch/pkg/member"
 
-// stepFromOwner takes messages in which only the owner of their term sends.
-func (g *Group) stepFromOwner(from member.ID, m Message) error {
+// stepFromLeader takes messages in which only the leader of their term sends.
+func (g *Group) stepFromLeader(from member.ID, m Message) error {
 	if m.Term < g.hard.Term {
-		g.refuseOldOwner(from, m)
+		g.refuseOldLeader(from, m)
 		return nil
 	}
-	if err := g.checkFromOwner(from, m); err != nil {
+	if err := g.checkFromLeader(from, m); err != nil {
 		return err
 	}
-	if m.Term > g.hard.Term || g.role == RoleCandidate || g.owner == "" {
+	if m.Term > g.hard.Term || g.role == RoleCandidate || g.leader == "" {
 		g.rest(m.Term, from)
 	}
-	g.election.ownerContact = g.now
+	g.election.leaderContact = g.now
 	g.election.waitFrom = g.now
-	g.election.lostOwner = from
+	g.election.lostLeader = from
 	switch m.Type {
 	case MessageAppend:
 		g.stepAppend(from, m)
@@ -28,13 +28,13 @@
 	return nil
 }
 
-// checkFromOwner comes before any change, so that a refused message has none.
-func (g *Group) checkFromOwner(from member.ID, m Message) error {
+// checkFromLeader comes before any change, so that a refused message has none.
+func (g *Group) checkFromLeader(from member.ID, m Message) error {
 	if m.Term == 0 {
-		return &MessageError{From: from, Type: m.Type, Message: "no owner has term zero"}
+		return &MessageError{From: from, Type: m.Type, Message: "no leader has term zero"}
 	}
-	if m.Term == g.hard.Term && g.owner != "" && g.owner != from {
-		return &MessageError{From: from, Type: m.Type, Message: "the term has another owner already: check that no two members run under one ID"}
+	if m.Term == g.hard.Term && g.leader != "" && g.leader != from {
+		return &MessageError{From: from, Type: m.Type, Message: "the term has another leader already: check that no two members run under one ID"}
 	}
 	switch m.Type {
 	case MessageAppend:
@@ -46,8 +46,8 @@
 	}
 }
 
-// refuseOldOwner tells an owner of an earlier term that its time is over.
-func (g *Group) refuseOldOwner(from member.ID, m Message) {
+// refuseOldLeader tells a leader of an earlier term that its time is over.
+func (g *Group) refuseOldLeader(from member.ID, m Message) {
 	reply := MessageAppendReply
 	if m.Type == MessageHeartbeat {
 		reply = MessageHeartbeatReply
@@ -80,7 +80,7 @@
 	g.acknowledge(from, last)
 }
 
-// checkAppend refuses entries that no owner can send: with gaps, or in place
+// checkAppend refuses entries that no leader can send: with gaps, or in place
 // of entries that are committed here.
 func (g *Group) checkAppend(from member.ID, m Message) error {
 	previous := Entry{Index: m.Index, Term: m.IndexTerm}
@@ -113,7 +113,7 @@
 	})
 }
 
-// acknowledge answers that the log matches the owner's up to index. The answer
+// acknowledge answers that the log matches the leader's up to index. The answer
 // leaves in the Ready that holds the entries, and so after they are durable.
 func (g *Group) acknowledge(to member.ID, index uint64) {
 	g.send(to, Message{
--- a/pkg/replication/group.go
+++ b/pkg/replication/group.go
@@ -12,13 +12,13 @@
 
 // The roles of a member.
 const (
-	// RoleFollower follows the owner's log and votes.
+	// RoleFollower follows the leader's log and votes.
 	RoleFollower Role = iota + 1
 	// RoleCandidate asks for promises.
 	RoleCandidate
-	// RoleOwner orders the log.
-	RoleOwner
-	// RoleLearner follows the owner's log and has no vote.
+	// RoleLeader orders the log.
+	RoleLeader
+	// RoleLearner follows the leader's log and has no vote.
 	RoleLearner
 )
 
@@ -29,8 +29,8 @@
 		return "follower"
 	case RoleCandidate:
 		return "candidate"
-	case RoleOwner:
-		return "owner"
+	case RoleLeader:
+		return "leader"
 	case RoleLearner:
 		return "learner"
 	default:
@@ -50,39 +50,39 @@
 	hard HardState
 	log  *replicaLog
 	role Role
-	// owner is the member that is known to own hard.Term, or empty.
-	owner member.ID
+	// leader is the member that is known to lead hard.Term, or empty.
+	leader member.ID
 	// peers are the other members that are known at present, see SetPeers.
 	peers []Peer
 
-	election  election
-	reform    reformation
-	ownership ownership
-	reads     readQueue
-	output    output
+	election   election
+	reform     reformation
+	leadership leadership
+	reads      readQueue
+	output     output
 }
 
-// election is what a voter knows about the need of a new owner.
+// election is what a voter knows about the need of a new leader.
 type election struct {
-	// ownerContact is when the owner was last heard.
-	ownerContact time.Duration
-	// waitFrom is when the wait for an owner began.
+	// leaderContact is when the leader was last heard.
+	leaderContact time.Duration
+	// waitFrom is when the wait for a leader began.
 	waitFrom time.Duration
-	// lostOwner is the owner that the wait is about; it is not waited for.
-	lostOwner member.ID
-	suspected []member.ID
+	// lostLeader is the leader that the wait is about; it is not waited for.
+	lostLeader member.ID
+	suspected  []member.ID
 
 	// trial tells that the present campaign raises no term.
 	trial bool
-	// handover tells that the owner asked for the present campaign.
+	// handover tells that the leader asked for the present campaign.
 	handover bool
 	granted  []Voter
 	rejected []Voter
 	askedAt  time.Duration
 }
 
-// ownership is what a member keeps while it owns the term.
-type ownership struct {
+// leadership is what a member keeps while it leads the term.
+type leadership struct {
 	progress map[member.ID]*progress
 	// barrier is the index of the entry that began the term.
 	barrier     uint64
@@ -130,7 +130,7 @@
 	return g, nil
 }
 
-// restingRole is that of a member which neither owns nor campaigns. Only a
+// restingRole is that of a member which neither leads nor campaigns. Only a
 // voter campaigns, as only it can win by the group that it knows.
 func (g *Group) restingRole() Role {
 	if g.cfg.Learner || !g.places().votes(g.self()) {
@@ -139,7 +139,7 @@
 	return RoleFollower
 }
 
-// followGroup takes in that the log of the owner may have changed the group.
+// followGroup takes in that the log of the leader may have changed the group.
 func (g *Group) followGroup() {
 	if g.role == RoleFollower || g.role == RoleLearner {
 		g.role = g.restingRole()
@@ -160,8 +160,8 @@
 func (g *Group) Tick(now time.Duration) {
 	g.observe(now)
 	switch g.role {
-	case RoleOwner:
-		g.tickOwner()
+	case RoleLeader:
+		g.tickLeader()
 	case RoleFollower, RoleCandidate:
 		if !g.tickReform() {
 			g.tickElection()
@@ -201,29 +201,29 @@
 		g.stepBallotReply(from, m)
 		return nil
 	case MessageAppend, MessageHeartbeat, MessageSnapshot:
-		return g.stepFromOwner(from, m)
+		return g.stepFromLeader(from, m)
 	case MessageAppendReply, MessageHeartbeatReply:
-		return g.stepToOwner(from, m)
+		return g.stepToLeader(from, m)
 	default:
 		return &MessageError{From: from, Type: m.Type, Message: "unknown type: run the same version on all members"}
 	}
 }
 
-// rest makes the member a follower (or learner) of term. The owner may be
+// rest makes the member a follower (or learner) of term. The leader may be
 // unknown yet.
-func (g *Group) rest(term uint64, owner member.ID) {
+func (g *Group) rest(term uint64, leader member.ID) {
 	if term > g.hard.Term {
 		g.hard.Term = term
 		g.hard.PromisedTo = ""
 		g.hard.PromisedLife = 0
 	}
-	if g.role == RoleOwner {
+	if g.role == RoleLeader {
 		g.election.waitFrom = g.now
 		g.failReads()
 	}
 	g.role = g.restingRole()
-	g.owner = owner
-	g.ownership = ownership{}
+	g.leader = leader
+	g.leadership = leadership{}
 	g.election.granted = nil
 	g.election.rejected = nil
 	g.election.trial = false
--- a/pkg/replication/handover.go
+++ b/pkg/replication/handover.go
@@ -8,23 +8,23 @@
 
 // HandOver asks the next live voter in the agreed order to take over at once,
 // when it holds the whole log. Until then, and for ElectionTimeout at most, the
-// owner takes no proposals and gives no commands. It fails with ErrNoSuccessor
-// or a *NotOwnerError.
+// leader takes no proposals and gives no commands. It fails with ErrNoSuccessor
+// or a *NotLeaderError.
 func (g *Group) HandOver(now time.Duration) error {
 	g.observe(now)
-	if g.role != RoleOwner {
-		return &NotOwnerError{Owner: g.owner}
+	if g.role != RoleLeader {
+		return &NotLeaderError{Leader: g.leader}
 	}
-	if g.ownership.handingTo != "" {
+	if g.leadership.handingTo != "" {
 		return nil
 	}
 	successor := g.nextLiveVoter()
 	if successor == "" {
 		return ErrNoSuccessor
 	}
-	g.ownership.handingTo = successor
-	g.ownership.handoverAt = g.now
-	g.ownership.handoverSent = false
+	g.leadership.handingTo = successor
+	g.leadership.handoverAt = g.now
+	g.leadership.handoverSent = false
 	g.continueHandover(successor)
 	return nil
 }
@@ -54,13 +54,13 @@
 
 // continueHandover asks the successor to campaign once it holds the whole log.
 func (g *Group) continueHandover(from member.ID) {
-	if g.ownership.handingTo != from || g.ownership.handoverSent {
+	if g.leadership.handingTo != from || g.leadership.handoverSent {
 		return
 	}
-	if g.ownership.progress[from].match < g.log.lastIndex() {
+	if g.leadership.progress[from].match < g.log.lastIndex() {
 		return
 	}
-	g.ownership.handoverSent = true
+	g.leadership.handoverSent = true
 	g.send(from, Message{
 		Type:     MessageHeartbeat,
 		Term:     g.hard.Term,
@@ -72,13 +72,13 @@
 // repeatHandover asks again, as the first request may have been lost: the
 // successor would have left this term else.
 func (g *Group) repeatHandover(from member.ID) {
-	g.ownership.handoverSent = false
+	g.leadership.handoverSent = false
 	g.continueHandover(from)
 }
 
-// tickHandover goes on as the owner if the successor did not take over.
+// tickHandover goes on as the leader if the successor did not take over.
 func (g *Group) tickHandover() {
-	if g.ownership.handingTo != "" && g.now >= g.ownership.handoverAt+g.cfg.ElectionTimeout {
-		g.ownership.handingTo = ""
+	if g.leadership.handingTo != "" && g.now >= g.leadership.handoverAt+g.cfg.ElectionTimeout {
+		g.leadership.handingTo = ""
 	}
 }
--- a/pkg/replication/heartbeat.go
+++ b/pkg/replication/heartbeat.go
@@ -9,26 +9,26 @@
 // startRound sends a heartbeat to everyone. Its number is known to belong to
 // this instant; what a majority answers was so confirmed after it.
 func (g *Group) startRound() {
-	g.ownership.round++
-	g.ownership.heartbeatAt = g.now
-	g.ownership.rounds = append(g.ownership.rounds, sentRound{round: g.ownership.round, sentAt: g.now})
+	g.leadership.round++
+	g.leadership.heartbeatAt = g.now
+	g.leadership.rounds = append(g.leadership.rounds, sentRound{round: g.leadership.round, sentAt: g.now})
 	for _, id := range g.others() {
 		g.send(id, Message{
 			Type:  MessageHeartbeat,
 			Term:  g.hard.Term,
 			Index: g.log.lastIndex(),
-			Round: g.ownership.round,
+			Round: g.leadership.round,
 		})
 	}
 	g.assignReads()
 	g.countRounds()
 	g.repairGroup()
-	g.ownership.roundIndex = g.log.lastIndex()
+	g.leadership.roundIndex = g.log.lastIndex()
 }
 
 func (g *Group) heartbeatAnswered(from member.ID, m Message) {
-	follower := g.ownership.progress[from]
-	if m.Round <= g.ownership.round {
+	follower := g.leadership.progress[from]
+	if m.Round <= g.leadership.round {
 		follower.ackedRound = max(follower.ackedRound, m.Round)
 	}
 	g.countRounds()
@@ -40,7 +40,7 @@
 // repair sends again what may have been lost on the way to a follower that
 // lags behind.
 func (g *Group) repair(to member.ID, commit uint64) {
-	follower := g.ownership.progress[to]
+	follower := g.leadership.progress[to]
 	if follower.state == progressSnapshot {
 		if g.now >= follower.snapshotSentAt+g.cfg.ElectionTimeout {
 			g.sendSnapshot(to)
@@ -61,25 +61,25 @@
 
 // countRounds takes in which rounds a majority has answered.
 func (g *Group) countRounds() {
-	answered := g.quorumOf(g.ownership.round, func(p *progress) uint64 { return p.ackedRound })
-	for len(g.ownership.rounds) > 0 && g.ownership.rounds[0].round <= answered {
-		g.ownership.holder.Confirm(g.ownership.rounds[0].sentAt)
-		g.ownership.rounds = g.ownership.rounds[1:]
+	answered := g.quorumOf(g.leadership.round, func(p *progress) uint64 { return p.ackedRound })
+	for len(g.leadership.rounds) > 0 && g.leadership.rounds[0].round <= answered {
+		g.leadership.holder.Confirm(g.leadership.rounds[0].sentAt)
+		g.leadership.rounds = g.leadership.rounds[1:]
 	}
 	g.confirmReads(answered)
 }
 
-// MayCommand tells whether the owner holds the command lease: it has applied
+// MayCommand tells whether the leader holds the command lease: it has applied
 // its own barrier, every lease of an earlier term has run out, and a majority
 // answered a heartbeat sent less than LeaseDuration-LeaseMargin ago. The
 // driver asks again at the instant of sending. Now may also lie ahead, to ask
 // whether the lease would last as long; the answer changes no state.
 func (g *Group) MayCommand(now time.Duration) bool {
-	if g.role != RoleOwner || g.ownership.handingTo != "" {
+	if g.role != RoleLeader || g.leadership.handingTo != "" {
 		return false
 	}
-	if g.log.applied < g.ownership.barrier {
+	if g.log.applied < g.leadership.barrier {
 		return false
 	}
-	return g.ownership.successor.MayAct(now) && g.ownership.holder.MayAct(max(now, g.now))
+	return g.leadership.successor.MayAct(now) && g.leadership.holder.MayAct(max(now, g.now))
 }
--- a/pkg/replication/owner.go
+++ b/pkg/replication/leader.go
@@ -16,7 +16,7 @@
 )
 
 // Propose appends a command to the log and returns the index at which it will
-// be committed if this member stays the owner. What becomes of it shows in
+// be committed if this member stays the leader. What becomes of it shows in
 // Ready.Committed: the entry at that index, if it has the same term.
 func (g *Group) Propose(now time.Duration, command []byte) (index uint64, err error) {
 	g.observe(now)
@@ -30,11 +30,11 @@
 }
 
 func (g *Group) acceptsWork() error {
-	if g.role != RoleOwner {
-		return &NotOwnerError{Owner: g.owner}
+	if g.role != RoleLeader {
+		return &NotLeaderError{Leader: g.leader}
 	}
-	if g.ownership.handingTo != "" {
-		return &NotOwnerError{Owner: g.ownership.handingTo}
+	if g.leadership.handingTo != "" {
+		return &NotLeaderError{Leader: g.leadership.handingTo}
 	}
 	return nil
 }
@@ -49,23 +49,23 @@
 		Command: slices.Clone(command),
 	}
 	g.log.append(entry)
-	g.ownership.appendWanted = true
+	g.leadership.appendWanted = true
 	return entry.Index
 }
 
-func (g *Group) tickOwner() {
+func (g *Group) tickLeader() {
 	if !g.hearsQuorum() {
 		g.rest(g.hard.Term, "")
 		return
 	}
 	g.tickHandover()
-	if g.now >= g.ownership.heartbeatAt+g.cfg.HeartbeatEvery {
+	if g.now >= g.leadership.heartbeatAt+g.cfg.HeartbeatEvery {
 		g.startRound()
 	}
 }
 
 // hearsQuorum tells whether a majority, this member included, was heard within
-// ElectionTimeout. An owner without one steps down, as the others may have
+// ElectionTimeout. A leader without one steps down, as the others may have
 // elected another.
 func (g *Group) hearsQuorum() bool {
 	return g.majorityLive(g.places())
@@ -80,13 +80,13 @@
 	if voter == g.self() {
 		return true
 	}
-	follower := g.ownership.progress[voter.ID]
+	follower := g.leadership.progress[voter.ID]
 	return follower != nil && follower.life == voter.Life && g.heard(follower)
 }
 
 // broadcastAppend sends the news to all followers that can take it.
 func (g *Group) broadcastAppend() {
-	g.ownership.appendWanted = false
+	g.leadership.appendWanted = false
 	for _, id := range g.others() {
 		g.sendNews(id)
 	}
@@ -95,7 +95,7 @@
 // sendNews sends an append with all that may be under way, at least an empty
 // one that tells the commit index.
 func (g *Group) sendNews(to member.ID) {
-	follower := g.ownership.progress[to]
+	follower := g.leadership.progress[to]
 	if follower.full() {
 		return
 	}
@@ -106,7 +106,7 @@
 }
 
 func (g *Group) sendAppend(to member.ID) {
-	follower := g.ownership.progress[to]
+	follower := g.leadership.progress[to]
 	before := follower.next - 1
 	beforeTerm, held := g.log.termAt(before)
 	if !held {
@@ -135,7 +135,7 @@
 // been dropped from the log.
 func (g *Group) sendSnapshot(to member.ID) {
 	snapshot := g.log.snapshot
-	g.ownership.progress[to].becomeSnapshot(snapshot.Index, g.now)
+	g.leadership.progress[to].becomeSnapshot(snapshot.Index, g.now)
 	g.send(to, Message{
 		Type:     MessageSnapshot,
 		Term:     g.hard.Term,
@@ -144,8 +144,8 @@
 	})
 }
 
-// stepToOwner takes replies of followers in.
-func (g *Group) stepToOwner(from member.ID, m Message) error {
+// stepToLeader takes replies of followers in.
+func (g *Group) stepToLeader(from member.ID, m Message) error {
 	if !g.knows(from) {
 		return nil
 	}
@@ -153,13 +153,13 @@
 		g.rest(m.Term, "")
 		return nil
 	}
-	if g.role != RoleOwner || m.Term < g.hard.Term {
+	if g.role != RoleLeader || m.Term < g.hard.Term {
 		return nil
 	}
 	if m.Type == MessageAppendReply && m.Index > g.log.lastIndex() {
-		return &MessageError{From: from, Type: m.Type, Message: "acknowledges entries that the owner never had: check that no two groups are mixed up"}
+		return &MessageError{From: from, Type: m.Type, Message: "acknowledges entries that the leader never had: check that no two groups are mixed up"}
 	}
-	follower := g.ownership.progress[from]
+	follower := g.leadership.progress[from]
 	if follower == nil {
 		return nil
 	}
@@ -171,7 +171,7 @@
 		follower.beginLife(m.Life)
 	}
 	follower.lastContact = g.now
-	follower.contactRound = g.ownership.round
+	follower.contactRound = g.leadership.round
 	follower.learner = m.Learner
 	if m.Type == MessageHeartbeatReply {
 		g.heartbeatAnswered(from, m)
@@ -182,7 +182,7 @@
 }
 
 func (g *Group) appendAnswered(from member.ID, m Message) {
-	follower := g.ownership.progress[from]
+	follower := g.leadership.progress[from]
 	if m.Reject {
 		hint, _ := g.log.conflictHint(m.RejectHint, m.IndexTerm)
 		if follower.rejected(m.Index, hint) {
@@ -208,7 +208,7 @@
 		return
 	}
 	if g.log.commitTo(index) {
-		g.ownership.appendWanted = true
+		g.leadership.appendWanted = true
 		g.releaseReads()
 		g.fillPlaces()
 	}
@@ -218,7 +218,7 @@
 func (g *Group) quorumOf(own uint64, value func(*progress) uint64) uint64 {
 	var values []uint64
 	for _, voter := range g.log.groups.latest().voters {
-		follower := g.ownership.progress[voter.ID]
+		follower := g.leadership.progress[voter.ID]
 		switch {
 		case voter == g.self():
 			values = append(values, own)
--- a/pkg/replication/ownership_test.go
+++ b/pkg/replication/leadership_test.go
@@ -10,12 +10,12 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
 
-// tookAt is when electedOwner becomes the owner of term 2.
+// tookAt is when electedLeader becomes the leader of term 2.
 const tookAt = electionTimeout
 
-// electedOwner returns the owner n1 of a group of three, whose log holds an
+// electedLeader returns the leader n1 of a group of three, whose log holds an
 // entry of term 1 and its own barrier, both durable here only.
-func electedOwner() *replication.Group {
+func electedLeader() *replication.Group {
 	g, err := replication.New(replication.Config{
 		Self: "n1", Life: replication.FoundingLife, Group: []member.ID{"n1", "n2", "n3"},
 		HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
@@ -32,7 +32,7 @@
 	granted.Trial = false
 	Expect(g.Step(tookAt, "n2", granted)).To(Succeed())
 	settle(g)
-	Expect(g.Status().Role).To(Equal(replication.RoleOwner))
+	Expect(g.Status().Role).To(Equal(replication.RoleLeader))
 	return g
 }
 
@@ -82,9 +82,9 @@
 	})
 })
 
-var _ = Describe("ownership", func() {
+var _ = Describe("leadership", func() {
 	It("commits an entry of an earlier term only together with its barrier", func() {
-		g := electedOwner()
+		g := electedLeader()
 		Expect(g.Step(tookAt, "n2", matched(2, 1))).To(Succeed())
 		Expect(g.Step(tookAt, "n3", matched(2, 1))).To(Succeed())
 		Expect(g.Status().Commit).To(BeZero())
@@ -95,7 +95,7 @@
 	})
 
 	It("does not command before its barrier is applied", func() {
-		g := electedOwner()
+		g := electedLeader()
 		late := tookAt + leaseDuration + leaseMargin
 		beatUntil(g, tookAt, late)
 		Expect(g.MayCommand(late)).To(BeFalse())
@@ -106,7 +106,7 @@
 	})
 
 	It("counts the lease from the sending of the round, not from its answer", func() {
-		g := electedOwner()
+		g := electedLeader()
 		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 		sent := tookAt + leaseDuration + leaseMargin
 		beatUntil(g, tookAt, sent-tickEvery)
@@ -125,14 +125,14 @@
 	})
 
 	It("is not moved in time by a question about a later instant", func() {
-		g := electedOwner()
+		g := electedLeader()
 		Expect(g.MayCommand(time.Hour)).To(BeFalse())
 		g.Tick(tookAt + heartbeatEvery)
-		Expect(g.Status().Role).To(Equal(replication.RoleOwner))
+		Expect(g.Status().Role).To(Equal(replication.RoleLeader))
 	})
 
 	It("refuses work that can't be bounded, and tells when it failed reads", func() {
-		g := electedOwner()
+		g := electedLeader()
 		read, err := g.RequestRead(tookAt)
 		Expect(err).NotTo(HaveOccurred())
 		for err == nil {
--- a/pkg/replication/log.go
+++ b/pkg/replication/log.go
@@ -148,7 +148,7 @@
 }
 
 // truncateFrom drops the entries from index on, which conflict with the
-// owner's log.
+// leader's log.
 func (l *replicaLog) truncateFrom(index uint64) {
 	keep := index - l.offset - 1
 	if keep >= uint64(len(l.entries)) {
--- a/pkg/replication/message.go
+++ b/pkg/replication/message.go
@@ -11,11 +11,11 @@
 	MessagePromiseRequest MessageType = iota + 1
 	// MessagePromiseReply grants or rejects a promise.
 	MessagePromiseReply
-	// MessageAppend carries entries from the owner to a follower.
+	// MessageAppend carries entries from the leader to a follower.
 	MessageAppend
 	// MessageAppendReply tells how far the follower's durable log matches.
 	MessageAppendReply
-	// MessageHeartbeat keeps ownership alive and confirms reads.
+	// MessageHeartbeat keeps leadership alive and confirms reads.
 	MessageHeartbeat
 	// MessageHeartbeatReply echoes the heartbeat's Round.
 	MessageHeartbeatReply
@@ -35,7 +35,7 @@
 const (
 	// EntryCommand carries a command of the state machine above.
 	EntryCommand EntryKind = iota + 1
-	// EntryBarrier is the empty entry with which a new owner commits what
+	// EntryBarrier is the empty entry with which a new leader commits what
 	// earlier terms left.
 	EntryBarrier
 	// EntryGroupChange carries the group after a change of one voter.
@@ -76,12 +76,12 @@
 	// IndexTerm is the term of the entry at Index.
 	IndexTerm uint64
 	Commit    uint64
-	// Round numbers an owner's heartbeats; replies echo it.
+	// Round numbers a leader's heartbeats; replies echo it.
 	Round uint64
 	// Trial asks for a promise without raising terms, so that a member which
-	// cannot win does not disturb the owner.
+	// cannot win does not disturb the leader.
 	Trial bool
-	// Handover marks a campaign that the present owner asked for.
+	// Handover marks a campaign that the present leader asked for.
 	Handover bool
 	// Learner tells that the sender of a reply wants no vote.
 	Learner    bool
--- a/pkg/replication/peers.go
+++ b/pkg/replication/peers.go
@@ -26,7 +26,7 @@
 			g.peers = append(g.peers, peer)
 		}
 	}
-	if g.role == RoleOwner {
+	if g.role == RoleLeader {
 		g.trackOthers()
 	}
 }
@@ -71,17 +71,17 @@
 // forgets none: a late message of a lost life must not count as that of a new one.
 func (g *Group) trackOthers() {
 	for _, id := range g.others() {
-		if g.ownership.progress[id] != nil {
+		if g.leadership.progress[id] != nil {
 			continue
 		}
-		g.ownership.progress[id] = &progress{
+		g.leadership.progress[id] = &progress{
 			next:         g.log.lastIndex() + 1,
 			lastContact:  g.now,
-			contactRound: g.ownership.round,
+			contactRound: g.leadership.round,
 		}
 	}
 	for _, voter := range g.log.groups.latest().voters {
-		if follower := g.ownership.progress[voter.ID]; follower != nil && follower.life == 0 {
+		if follower := g.leadership.progress[voter.ID]; follower != nil && follower.life == 0 {
 			// Until the member is heard in a later life.
 			follower.life = voter.Life
 		}
--- a/pkg/replication/progress.go
+++ b/pkg/replication/progress.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// maxInFlight is how many entries the owner sends to a follower ahead of its
+// maxInFlight is how many entries the leader sends to a follower ahead of its
 // acknowledgements.
 const maxInFlight = 1024
 
-// progressState tells how the owner feeds a follower.
+// progressState tells how the leader feeds a follower.
 type progressState uint8
 
 const (
@@ -18,7 +18,7 @@
 	progressSnapshot
 )
 
-// progress is what an owner knows of a follower.
+// progress is what a leader knows of a follower.
 type progress struct {
 	state progressState
 	// match is the last index known to be durable there and the same as here.
@@ -97,7 +97,7 @@
 }
 
 // rejected takes in that the follower lacks the entry at index, and that the
-// logs may agree at hint. It is true if the owner must send again.
+// logs may agree at hint. It is true if the leader must send again.
 func (p *progress) rejected(index, hint uint64) bool {
 	if index <= p.match {
 		return false
--- a/pkg/replication/random_test.go
+++ b/pkg/replication/random_test.go
@@ -25,7 +25,7 @@
 )
 
 var _ = Describe("random schedules", func() {
-	It("keep one history, one owner a term and one lease holder, and end in agreement", func() {
+	It("keep one history, one leader a term and one lease holder, and end in agreement", func() {
 		var committed, terms, reads, leases, lost, reformed int
 		for seed := range uint64(*schedules) {
 			c := randomCluster(seed)
@@ -39,7 +39,7 @@
 			committed += int(c.highest)
 			lost += c.lost
 			reformed += c.reformed
-			terms += len(c.owners)
+			terms += len(c.leaders)
 			for _, n := range c.nodes {
 				reads += n.answered
 			}
@@ -163,19 +163,19 @@
 	}
 }
 
-// expectAgreement expects one owner, and all that anyone ever applied to be
+// expectAgreement expects one leader, and all that anyone ever applied to be
 // applied everywhere.
 func expectAgreement(c *cluster, seed uint64) {
-	owners := 0
+	leaders := 0
 	for _, n := range c.present() {
 		status := n.group.Status()
-		if status.Role == replication.RoleOwner {
-			owners++
+		if status.Role == replication.RoleLeader {
+			leaders++
 		}
 		Expect(status.Applied).To(Equal(c.highest), "seed %d: %s lags", seed, n.id)
 		Expect(n.applied).To(Equal(c.digests[c.highest]), "seed %d: %s differs", seed, n.id)
 	}
-	Expect(owners).To(Equal(1), "seed %d: owners", seed)
+	Expect(leaders).To(Equal(1), "seed %d: leaders", seed)
 	switch {
 	case c.elastic:
 		expectAllVote(c, seed)
--- a/pkg/replication/read.go
+++ b/pkg/replication/read.go
@@ -14,7 +14,7 @@
 }
 
 // readQueue holds reads from their request until a quorum has confirmed the
-// ownership after it.
+// leadership after it.
 type readQueue struct {
 	lastID  uint64
 	waiting []pendingRead
@@ -30,7 +30,7 @@
 }
 
 // RequestRead asks for a linearizable read. It is answered in Ready.Reads, or
-// in Ready.ReadsFailed if the ownership is lost before. Reads that come while
+// in Ready.ReadsFailed if the leadership is lost before. Reads that come while
 // a round is under way share the next one.
 func (g *Group) RequestRead(now time.Duration) (readID uint64, err error) {
 	g.observe(now)
@@ -56,16 +56,16 @@
 func (g *Group) assignReads() {
 	for i := range g.reads.waiting {
 		if g.reads.waiting[i].round == 0 {
-			g.reads.waiting[i].round = g.ownership.round
+			g.reads.waiting[i].round = g.leadership.round
 		}
 	}
 }
 
 // confirmReads hands out the reads whose round a majority answered. Until the
-// barrier is committed the owner can't know the last committed entry, so they
+// barrier is committed the leader can't know the last committed entry, so they
 // wait for that too.
 func (g *Group) confirmReads(answered uint64) {
-	if g.role != RoleOwner || g.log.committed < g.ownership.barrier {
+	if g.role != RoleLeader || g.log.committed < g.leadership.barrier {
 		return
 	}
 	for g.readRoundUnderWay() && g.reads.waiting[0].round <= answered {
--- a/pkg/replication/ready.go
+++ b/pkg/replication/ready.go
@@ -47,7 +47,7 @@
 	return g.promiseChanged() ||
 		g.output.snapshot != nil ||
 		len(g.output.messages) > 0 ||
-		g.ownership.appendWanted ||
+		g.leadership.appendWanted ||
 		g.log.durable < g.log.lastIndex() ||
 		g.log.applied < g.log.committed ||
 		len(g.reads.ready) > 0 ||
@@ -65,7 +65,7 @@
 	if g.output.outstanding != nil {
 		return Ready{}
 	}
-	if g.ownership.appendWanted {
+	if g.leadership.appendWanted {
 		g.broadcastAppend()
 	}
 	ready := Ready{
@@ -76,7 +76,7 @@
 		Reads:       g.reads.ready,
 		ReadsFailed: g.reads.failed,
 	}
-	// A commit index alone is not worth a sync: the owner tells it again.
+	// A commit index alone is not worth a sync: the leader tells it again.
 	if ready.MustSync() || g.promiseChanged() {
 		g.hard.Commit = g.log.committed
 		hard := g.hard
@@ -122,7 +122,7 @@
 func (g *Group) countOwnCopies(ready *Ready) {
 	g.countOwnBallot(ready)
 	switch g.role {
-	case RoleOwner:
+	case RoleLeader:
 		g.maybeCommit()
 	case RoleCandidate:
 		hard := ready.HardState
--- a/pkg/replication/reform.go
+++ b/pkg/replication/reform.go
@@ -16,7 +16,7 @@
 // the ballot holds all that survived.
 
 const (
-	// reformTimeouts is how many election timeouts pass without an owner before
+	// reformTimeouts is how many election timeouts pass without a leader before
 	// a member asks whether the group has to be formed anew, and how many a
 	// ballot may take.
 	reformTimeouts = 3
@@ -78,7 +78,7 @@
 
 // ownBallot tells whether a ballot of this member is still the newest term.
 func (g *Group) ownBallot() bool {
-	return g.reform.ballot != 0 && g.reform.ballot == g.hard.Term && g.role != RoleOwner
+	return g.reform.ballot != 0 && g.reform.ballot == g.hard.Term && g.role != RoleLeader
 }
 
 // RaiseBallot begins another ballot above a term that was in use, if one that
@@ -98,10 +98,10 @@
 	g.reform.retryAt = g.now + g.cfg.HeartbeatEvery
 }
 
-// BarrierApplied tells whether this member owns the group and has applied all
-// that was there when it took the ownership.
+// BarrierApplied tells whether this member leads the group and has applied all
+// that was there when it took the leadership.
 func (g *Group) BarrierApplied() bool {
-	return g.role == RoleOwner && g.log.applied >= g.ownership.barrier
+	return g.role == RoleLeader && g.log.applied >= g.leadership.barrier
 }
 
 // Unapplied returns the entries that the state machine above has not applied,
@@ -125,9 +125,9 @@
 	}
 	g.appendOwn(EntryRestore, state)
 	g.appendOwn(EntryGroupChange, encodePlaces(group))
-	// A ballot forms one group only: the term may outlast this ownership.
+	// A ballot forms one group only: the term may outlast this leadership.
 	g.abandonBallot()
-	g.takeOwnership()
+	g.takeLeadership()
 	return nil
 }
 
@@ -142,7 +142,7 @@
 	return group
 }
 
-// tickReform asks, while no owner is heard, whether the group has to be formed
+// tickReform asks, while no leader is heard, whether the group has to be formed
 // anew. It is true while a ballot of this member is open, which leaves no room
 // for an election.
 func (g *Group) tickReform() bool {
@@ -164,7 +164,7 @@
 }
 
 func (g *Group) mayReform() bool {
-	if g.cfg.Learner || g.hearsLiveOwner() || g.places().position(g.cfg.Self) < 0 {
+	if g.cfg.Learner || g.hearsLiveLeader() || g.places().position(g.cfg.Self) < 0 {
 		return false
 	}
 	return g.reform.stateExpected || g.log.lastIndex() > 0
@@ -217,7 +217,7 @@
 	granted := !g.cfg.Learner && g.log.isUpToDate(m.Index, m.IndexTerm)
 	switch {
 	case m.Trial:
-		granted = granted && !g.hearsLiveOwner()
+		granted = granted && !g.hearsLiveLeader()
 	default:
 		granted = granted && g.promise(from, m)
 	}
@@ -238,7 +238,7 @@
 		return
 	}
 	asking := m.Trial == (g.reform.ballot == 0) && len(g.reform.granted) > 0
-	if m.Reject || !asking || g.hearsLiveOwner() {
+	if m.Reject || !asking || g.hearsLiveLeader() {
 		return
 	}
 	if !m.Trial && (!g.ownBallot() || m.Term != g.reform.ballot) {
--- a/pkg/replication/repair.go
+++ b/pkg/replication/repair.go
@@ -26,8 +26,8 @@
 
 // repairGroup looks, as a heartbeat round begins, for the change that is due.
 func (g *Group) repairGroup() {
-	if first := g.firstDue(); first != g.ownership.due.change {
-		g.ownership.due = dueChange{change: first, sinceRound: g.ownership.round}
+	if first := g.firstDue(); first != g.leadership.due.change {
+		g.leadership.due = dueChange{change: first, sinceRound: g.leadership.round}
 	}
 	g.makeDueChange()
 }
@@ -51,11 +51,11 @@
 // makeDueChange proposes the change that is due once it has the answers that it
 // waits for.
 func (g *Group) makeDueChange() {
-	due := g.ownership.due
+	due := g.leadership.due
 	if due.change == (GroupChange{}) || !g.answeredSince(due) {
 		return
 	}
-	g.ownership.due = dueChange{}
+	g.leadership.due = dueChange{}
 	_ = g.ProposeGroupChange(g.now, due.change)
 }
 
@@ -86,7 +86,7 @@
 	if voter == g.self() {
 		return true
 	}
-	follower := g.ownership.progress[voter.ID]
+	follower := g.leadership.progress[voter.ID]
 	return follower != nil && follower.life == voter.Life && follower.ackedRound >= round
 }
 
@@ -171,7 +171,7 @@
 // candidate is a peer without a place that has caught up.
 func (g *Group) candidate() (voter Voter, found bool) {
 	for _, peer := range g.peers {
-		follower := g.ownership.progress[peer.ID]
+		follower := g.leadership.progress[peer.ID]
 		if peer.Left || follower == nil || g.places().position(peer.ID) >= 0 {
 			continue
 		}
@@ -209,7 +209,7 @@
 // silent tells whether nothing was heard of the member, in any life, for long
 // enough to go on without it.
 func (g *Group) silent(voter Voter) bool {
-	follower := g.ownership.progress[voter.ID]
+	follower := g.leadership.progress[voter.ID]
 	if follower == nil || g.heard(follower) {
 		return false
 	}
@@ -218,7 +218,7 @@
 
 // presentLife is the life in which the member of a place was last heard.
 func (g *Group) presentLife(place Place) Voter {
-	if follower := g.ownership.progress[place.ID]; follower != nil {
+	if follower := g.leadership.progress[place.ID]; follower != nil {
 		return Voter{ID: place.ID, Life: follower.life}
 	}
 	return place.Voter
--- a/pkg/replication/repair_test.go
+++ b/pkg/replication/repair_test.go
@@ -20,7 +20,7 @@
 		Expect(g.Step(electionTimeout, "n2", granted)).To(Succeed())
 		settle(g)
 	}
-	Expect(g.Status().Role).To(Equal(replication.RoleOwner))
+	Expect(g.Status().Role).To(Equal(replication.RoleLeader))
 	return g
 }
 
@@ -95,7 +95,7 @@
 	})
 
 	It("disturb no live leader, whatever term they tell of", func() {
-		leader := electedOwner()
+		leader := electedLeader()
 		follower := newMember("n2", "n1", "n2", "n3")
 		Expect(follower.Step(0, "n1", appendOf(1, 0, 0, 0))).To(Succeed())
 		for _, g := range []*replication.Group{leader, follower} {
@@ -125,12 +125,12 @@
 	})
 
 	It("take nothing over when they leave, though they still vote", func() {
-		g := electedOwner()
+		g := electedLeader()
 		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 		g.SetPeers(tookAt, []replication.Peer{{ID: "n2", Left: true}, {ID: "n3"}})
 		Expect(g.HandOver(tookAt)).To(Succeed())
 		_, err := g.Propose(tookAt, nil)
-		Expect(err).To(Equal(&replication.NotOwnerError{Owner: "n3"}))
+		Expect(err).To(Equal(&replication.NotLeaderError{Leader: "n3"}))
 	})
 
 	It("do not count when they grant promises", func() {
@@ -150,7 +150,7 @@
 		c.start(c.node("n4"))
 		c.start(c.node("n5"))
 		c.advanceBy(10 * heartbeatEvery)
-		Expect(c.owner().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n3", "n5"}))
+		Expect(c.leader().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n3", "n5"}))
 	})
 
 	It("get none while a silent voter of an odd group may yet be back", func() {
@@ -159,16 +159,16 @@
 		c.advanceBy(electionTimeout + tickEvery)
 		c.start(c.node("n4"))
 		c.advanceBy(time.Second)
-		Expect(c.owner().group.Status().Group).To(HaveLen(3))
+		Expect(c.leader().group.Status().Group).To(HaveLen(3))
 		c.start(c.node("n3"))
 		c.advanceBy(10 * heartbeatEvery)
-		Expect(c.owner().group.Status().Group).To(HaveLen(4))
+		Expect(c.leader().group.Status().Group).To(HaveLen(4))
 	})
 })
 
 var _ = Describe("a change of an elastic group", func() {
 	It("drops a voter without a successor, and takes a new one in at the end", func() {
-		g := electedOwner()
+		g := electedLeader()
 		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 		Expect(problemOf(g.ProposeGroupChange(tookAt, replication.GroupChange{
 			Kind: replication.ChangeAddVoter, Voter: replication.Voter{ID: "n4", Life: 1},
@@ -192,7 +192,7 @@
 	})
 
 	It("gives a kept place up whose member stays silent", func() {
-		g := settledOwner()
+		g := settledLeader()
 		Expect(problemOf(g.ProposeGroupChange(tookAt, replication.GroupChange{
 			Kind: replication.ChangeDropPlace, Voter: lostN3,
 		}))).To(Equal(replication.ProblemNoSuchPlace))
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -5,8 +5,8 @@
 // Status is a view of a member at one instant.
 type Status struct {
 	Self member.ID
-	// Owner is the owner of Term as far as known, or empty.
-	Owner     member.ID
+	// Leader is the leader of Term as far as known, or empty.
+	Leader    member.ID
 	Term      uint64
 	Commit    uint64
 	Applied   uint64
@@ -25,12 +25,12 @@
 	// ChangeIndex is the index of the entry that began this group; the change
 	// is final when it is committed.
 	ChangeIndex uint64
-	// Followers is set on the owner only: the places in their order, then the
+	// Followers is set on the leader only: the places in their order, then the
 	// peers without one.
 	Followers []FollowerStatus
 }
 
-// FollowerStatus is what the owner knows of another member.
+// FollowerStatus is what the leader knows of another member.
 type FollowerStatus struct {
 	ID member.ID
 	// Match is the last index that is known to be durable there.
@@ -48,7 +48,7 @@
 	group := g.log.groups.latest()
 	status := Status{
 		Self:      g.cfg.Self,
-		Owner:     g.owner,
+		Leader:    g.leader,
 		Term:      g.hard.Term,
 		Commit:    g.log.committed,
 		Applied:   g.log.applied,
@@ -62,11 +62,11 @@
 	if g.log.snapshot != nil {
 		status.SnapshotIndex = g.log.snapshot.Index
 	}
-	if g.role != RoleOwner {
+	if g.role != RoleLeader {
 		return status
 	}
 	for _, id := range g.others() {
-		follower := g.ownership.progress[id]
+		follower := g.leadership.progress[id]
 		status.Followers = append(status.Followers, FollowerStatus{
 			ID:      id,
 			Match:   follower.match,
