--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -84,7 +84,7 @@
 	status := &ridgeswitchv1.ShardStatus{
 		Shard:    id,
 		Leader:   string(m.knownLeader(id)),
-		Epoch:    m.terms[id].term,
+		Term:     m.terms[id].term,
 		Revision: m.held.revisions[id],
 		Group: lo.Map(m.groupOf(id), func(id member.ID, _ int) string {
 			return string(id)
@@ -92,7 +92,7 @@
 	}
 	if hosted := m.shards[id]; hosted != nil {
 		core := hosted.group.Status()
-		status.Epoch = core.Term
+		status.Term = core.Term
 		status.Commit = core.Commit
 		status.Applied = hosted.applied
 		status.BadEntries = hosted.badEntries
--- a/internal/lab/sim/diskfaults.go
+++ b/internal/lab/sim/diskfaults.go
@@ -102,7 +102,7 @@
 		if !leads {
 			continue
 		}
-		if of := one.machine.Status().GetShards()[shard].GetEpoch(); of > term {
+		if of := one.machine.Status().GetShards()[shard].GetTerm(); of > term {
 			newest, term = places, of
 		}
 	}
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -25,7 +25,7 @@
 	members metric
 
 	shardLed, shardLeaderKnown, shardRevision metric
-	shardEpoch, shardCommit, shardApplied     metric
+	shardTerm, shardCommit, shardApplied      metric
 	shardBadEntries                           metric
 }
 
@@ -41,7 +41,7 @@
 		shardLed:         gauge("shard", "leader", "1 if this node takes itself for the leader of the shard.", shardLabel),
 		shardLeaderKnown: gauge("shard", "leader_known", "1 if this node knows a leader of the shard.", shardLabel),
 		shardRevision:    gauge("shard", "revision", "Revision of the shard's state that reached this node.", shardLabel),
-		shardEpoch:       gauge("shard", "epoch", "Epoch of the shard, on nodes that hold it.", shardLabel),
+		shardTerm:        gauge("shard", "term", "Term of the shard, on nodes that hold it.", shardLabel),
 		shardCommit:      gauge("shard", "commit_index", "Newest entry of the shard that is known to be decided, on nodes that hold it.", shardLabel),
 		shardApplied:     gauge("shard", "applied_index", "Newest entry of the shard that is carried out, on nodes that hold it.", shardLabel),
 		shardBadEntries:  counter("shard", "bad_entries_total", "Entries that this node could not read or write; each is a fault of the software.", shardLabel),
@@ -53,7 +53,7 @@
 	all := []metric{
 		c.info, c.fenced, c.fences, c.serveRemaining, c.servedRevision, c.members,
 		c.shardLed, c.shardLeaderKnown, c.shardRevision,
-		c.shardEpoch, c.shardCommit, c.shardApplied, c.shardBadEntries,
+		c.shardTerm, c.shardCommit, c.shardApplied, c.shardBadEntries,
 	}
 	for _, described := range all {
 		into <- described.description
@@ -89,11 +89,11 @@
 	c.shardLed.send(into, truth(shard.GetLeader() == self), label)
 	c.shardLeaderKnown.send(into, truth(shard.GetLeader() != ""), label)
 	c.shardRevision.send(into, float64(shard.GetRevision()), label)
-	if shard.GetEpoch() == 0 {
+	if shard.GetTerm() == 0 {
 		// The node does not hold the shard, or the shard has never had a leader.
 		return
 	}
-	c.shardEpoch.send(into, float64(shard.GetEpoch()), label)
+	c.shardTerm.send(into, float64(shard.GetTerm()), label)
 	c.shardCommit.send(into, float64(shard.GetCommit()), label)
 	c.shardApplied.send(into, float64(shard.GetApplied()), label)
 	c.shardBadEntries.send(into, float64(shard.GetBadEntries()), label)
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -69,7 +69,7 @@
 			Node: "core-1", Zone: "a", HoldsState: true, ServedRevision: 12, Fences: 2, ServeRemainingMs: 750,
 			Members: []*ridgeswitchv1.MemberStatus{{State: "alive"}, {State: "alive"}, {State: "suspect"}},
 			Shards: []*ridgeswitchv1.ShardStatus{
-				{Shard: 0, Leader: "core-1", Epoch: 3, Commit: 9, Applied: 8, Revision: 12, BadEntries: 1},
+				{Shard: 0, Leader: "core-1", Term: 3, Commit: 9, Applied: 8, Revision: 12, BadEntries: 1},
 				{Shard: 1},
 			},
 		},
@@ -110,7 +110,7 @@
 			`ridgeswitch_index_parts{source="predicted"} 6`,
 			`ridgeswitch_index_bytes 7`,
 		))
-		Expect(lines).NotTo(ContainElement(HavePrefix(`ridgeswitch_shard_epoch{shard="1"}`)))
+		Expect(lines).NotTo(ContainElement(HavePrefix(`ridgeswitch_shard_term{shard="1"}`)))
 		Expect(names).To(And(HaveKey("process_cpu_seconds_total"), HaveKey("process_resident_memory_bytes")))
 	})
 
--- a/internal/operatorcli/commands_test.go
+++ b/internal/operatorcli/commands_test.go
@@ -138,8 +138,8 @@
 core-1  -        a     false        alive  0            -
 
 shards
-SHARD  LEADER  EPOCH  REVISION  GROUP          COMMIT  APPLIED  BAD_ENTRIES
-3      core-1  0      0         core-1,core-2  0       0        0
+SHARD  LEADER  TERM  REVISION  GROUP          COMMIT  APPLIED  BAD_ENTRIES
+3      core-1  0     0         core-1,core-2  0       0        0
 `, "\n")))
 	})
 
--- a/internal/operatorcli/status_test.go
+++ b/internal/operatorcli/status_test.go
@@ -23,7 +23,7 @@
 	d.front = &cluster{machine: d.core.machine}
 	d.coreNode, d.frontNode = startNode(d.core), startNode(d.front)
 	shards := func() []*ridgeswitchv1.ShardStatus {
-		return []*ridgeswitchv1.ShardStatus{{Shard: 0, Leader: "core-1", Epoch: 4}, {Shard: 1, Leader: "core-1", Epoch: 2}}
+		return []*ridgeswitchv1.ShardStatus{{Shard: 0, Leader: "core-1", Term: 4}, {Shard: 1, Leader: "core-1", Term: 2}}
 	}
 	members := func() []*ridgeswitchv1.MemberStatus {
 		return []*ridgeswitchv1.MemberStatus{
@@ -77,8 +77,8 @@
 			"shards ATTENTION shard 0: leader core-1 is fenced; shard 1: leader core-1 is fenced"),
 		Entry("a leader that does not know of it", all, func() { d.core.status.Shards[1].Leader = "front-1" },
 			"shards ATTENTION shard 1: no node that answered leads it"),
-		Entry("two leaders", all, func() { d.front.status.Shards[0] = &ridgeswitchv1.ShardStatus{Leader: "front-1", Epoch: 5} },
-			"shards ATTENTION shard 0: claimed by core-1 in epoch 4 and front-1 in epoch 5"),
+		Entry("two leaders", all, func() { d.front.status.Shards[0] = &ridgeswitchv1.ShardStatus{Leader: "front-1", Term: 5} },
+			"shards ATTENTION shard 0: claimed by core-1 in term 4 and front-1 in term 5"),
 		Entry("suspect and fenced members", all, func() {
 			d.core.status.Members[1].State = "suspect"
 			d.core.status.Members[2].State = "fenced"
--- a/internal/operatorcli/survey.go
+++ b/internal/operatorcli/survey.go
@@ -105,7 +105,7 @@
 	for _, given := range s.answers {
 		for _, led := range ledBy(given.status) {
 			if led.GetShard() == shard.GetShard() {
-				claims = append(claims, fmt.Sprintf("%s in epoch %d", given.member.GetNode(), led.GetEpoch()))
+				claims = append(claims, fmt.Sprintf("%s in term %d", given.member.GetNode(), led.GetTerm()))
 			}
 		}
 	}
