--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -167,10 +167,11 @@
 	// Learner is set on a node whose disk has never been initialised: it
 	// follows the shards and must not vote.
 	Learner bool
-	// Life names the data folder, see replication.Config. Zero stands for the
-	// founding life, or for a life of this process alone if Learner is set.
-	Life  uint64
-	Times Times
+	// DiskIncarnation names the data folder, see replication.Config. Zero
+	// stands for the founding incarnation, or for one of this process alone if
+	// Learner is set.
+	DiskIncarnation uint64
+	Times           Times
 	// ReplicasFinishFirst tells that a replica which is ordered to load weights
 	// finishes its requests first, and refuses others until it has loaded, as not
 	// run. So it need not be drained by the nodes.
@@ -180,15 +181,15 @@
 	MaxLogEntries int
 }
 
-// life is Life or what zero stands for.
-func (c Config) life() uint64 {
+// diskIncarnation is DiskIncarnation or what zero stands for.
+func (c Config) diskIncarnation() uint64 {
 	switch {
-	case c.Life != 0:
-		return c.Life
+	case c.DiskIncarnation != 0:
+		return c.DiskIncarnation
 	case c.Learner:
 		return uint64(c.Self.Incarnation)
 	default:
-		return replication.FoundingLife
+		return replication.FoundingIncarnation
 	}
 }
 
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -72,7 +72,7 @@
 		LeaseMargin:     config.Times.LeaseMargin,
 		MaxLogEntries:   config.logEntries(),
 		Learner:         config.Learner,
-		Life:            config.life(),
+		Incarnation:     config.diskIncarnation(),
 	}, restored, now)
 	if err != nil {
 		return nil, err
--- a/internal/lab/plans/plans_test.go
+++ b/internal/lab/plans/plans_test.go
@@ -170,25 +170,25 @@
 })
 
 var _ = Describe("a vote", func() {
-	It("is one that the last change on a disk gives to that life", func() {
+	It("is one that the last change on a disk gives to that incarnation", func() {
 		folder := GinkgoT().TempDir()
 		store, err := disk.Open(folder)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(store.Close)
 		log, _, err := durable.Open(store, "shard-003")
 		Expect(err).NotTo(HaveOccurred())
-		voter := replication.Voter{ID: member.ID("core-1"), Life: 9}
+		voter := replication.Voter{ID: member.ID("core-1"), Incarnation: 9}
 		Expect(plans.VotesOn(folder, voter, 3)).NotTo(Succeed())
 
 		change := func(index uint64, places string) {
 			entry := replication.Entry{Index: index, Term: 1, Kind: replication.EntryGroupChange, Command: []byte(places)}
 			Expect(log.Save(replication.Ready{Entries: []replication.Entry{entry}})).To(Succeed())
 		}
-		change(1, `[{"ID":"core-1","Life":9,"Learner":true},{"ID":"core-2","Life":1}]`)
+		change(1, `[{"ID":"core-1","Incarnation":9,"Learner":true},{"ID":"core-2","Incarnation":1}]`)
 		Expect(plans.VotesOn(folder, voter, 3)).NotTo(Succeed(), "it only learns")
-		change(2, `[{"ID":"core-1","Life":8},{"ID":"core-2","Life":1}]`)
-		Expect(plans.VotesOn(folder, voter, 3)).NotTo(Succeed(), "it is another life's")
-		change(3, `[{"ID":"core-1","Life":9},{"ID":"core-2","Life":1}]`)
+		change(2, `[{"ID":"core-1","Incarnation":8},{"ID":"core-2","Incarnation":1}]`)
+		Expect(plans.VotesOn(folder, voter, 3)).NotTo(Succeed(), "it is another incarnation's")
+		change(3, `[{"ID":"core-1","Incarnation":9},{"ID":"core-2","Incarnation":1}]`)
 		Expect(plans.VotesOn(folder, voter, 3)).To(Succeed())
 	})
 })
--- a/internal/lab/plans/votes.go
+++ b/internal/lab/plans/votes.go
@@ -17,11 +17,11 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
 )
 
-// identityFile names the life of a data folder.
+// identityFile names the incarnation of a data folder.
 const identityFile = "identity"
 
 // awaitVotes returns when the disks of all nodes that hold a shard show a vote
-// of the present life of a node's folder, in every shard that the node is to
+// of the present incarnation of a node's folder, in every shard that the node is to
 // hold. A change that all of them hold survives any loss of a minority, whether
 // or not it has been marked as committed; what is durable proves it, whatever
 // nodes say.
@@ -46,11 +46,11 @@
 	if err != nil {
 		return err
 	}
-	life, err := lifeOf(run.Fleet.DataFolder(name))
+	incarnation, err := incarnationOf(run.Fleet.DataFolder(name))
 	if err != nil {
 		return err
 	}
-	voter := replication.Voter{ID: member.ID(name), Life: life}
+	voter := replication.Voter{ID: member.ID(name), Incarnation: incarnation}
 	for _, row := range status.GetShards() {
 		if !lo.Contains(row.GetGroup(), name) {
 			continue
@@ -76,21 +76,21 @@
 		return err
 	}
 	if !lo.Contains(places, replication.Place{Voter: voter}) {
-		return errors.Errorf("shard %d has no vote for %s in life %d", shard, voter.ID, voter.Life)
+		return errors.Errorf("shard %d has no vote for %s in incarnation %d", shard, voter.ID, voter.Incarnation)
 	}
 	return nil
 }
 
-// lifeOf reads the life of a data folder.
-func lifeOf(folder string) (uint64, error) {
+// incarnationOf reads the incarnation of a data folder.
+func incarnationOf(folder string) (uint64, error) {
 	data, err := os.ReadFile(filepath.Join(folder, identityFile))
 	if err != nil {
 		return 0, errors.Wrap(err, "read the identity of a data folder")
 	}
 	var identity struct {
-		Life uint64 `json:"life"`
+		Incarnation uint64 `json:"life"`
 	}
-	return identity.Life, errors.Wrap(json.Unmarshal(data, &identity), "parse the identity of a data folder")
+	return identity.Incarnation, errors.Wrap(json.Unmarshal(data, &identity), "parse the identity of a data folder")
 }
 
 // lastPlaces returns the places of a shard by the last change that is durable.
--- a/internal/lab/sim/diskfaults.go
+++ b/internal/lab/sim/diskfaults.go
@@ -78,7 +78,7 @@
 			}
 			voters++
 			holder := w.nodeNamed(place.ID)
-			if holder != victim && !holder.gone && !holder.leaving && holder.storage.life == place.Life {
+			if holder != victim && !holder.gone && !holder.leaving && holder.storage.incarnation == place.Incarnation {
 				sound++
 			}
 		}
@@ -149,7 +149,7 @@
 	victim.note("disk lost")
 	victim.stop()
 	victim.storage.disk.Lose()
-	victim.storage.life = w.newLife()
+	victim.storage.incarnation = w.newDiskIncarnation()
 	victim.storage.founders = nil
 	victim.clock.base = time.Second + w.upTo(maxUptime) - w.now
 	if elsewhere {
@@ -158,8 +158,8 @@
 	w.after(w.lasting(300*time.Millisecond, 2*time.Second), victim.start)
 }
 
-// newLife names a disk that is found empty.
-func (w *simulation) newLife() uint64 { return uint64(wallEpoch + w.now.Milliseconds()) }
+// newDiskIncarnation names a disk that is found empty.
+func (w *simulation) newDiskIncarnation() uint64 { return uint64(wallEpoch + w.now.Milliseconds()) }
 
 // move gives a node another address. Seeds that name the old one are dead.
 func (w *simulation) move(victim *node) {
--- a/internal/lab/sim/majorityloss.go
+++ b/internal/lab/sim/majorityloss.go
@@ -58,8 +58,8 @@
 }
 
 // loseDisksOf replaces machines, at least one of them at its address: nodes
-// without disks could find none of the others else. While the groups are formed anew, a member may
-// crash, and another disk may be lost.
+// without disks could find none of the others else. While the groups are formed
+// anew, a member may crash, and another disk may be lost.
 func (w *simulation) loseDisksOf(positions []int) {
 	const unsettled = 5 * time.Second
 	w.majorityLostAt = w.now
@@ -94,12 +94,12 @@
 }
 
 // whole tells whether the leader of every shard knows all members as voters in
-// the lives of their disks.
+// the incarnations of their disks.
 func (w *simulation) whole() bool {
 	for shard := range w.serviceShards + 1 {
 		places, known := w.places(shard)
 		if !known || !lo.EveryBy(places, func(place replication.Place) bool {
-			return !place.Learner && w.nodeNamed(place.ID).storage.life == place.Life
+			return !place.Learner && w.nodeNamed(place.ID).storage.incarnation == place.Incarnation
 		}) {
 			return false
 		}
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -122,14 +122,14 @@
 		times.CommandGap = 0
 	}
 	config := control.Config{
-		Self:          n.info,
-		Seeds:         n.seeds,
-		Group:         n.world.group,
-		ServiceShards: n.world.serviceShards,
-		GroupZones:    n.world.groupZones,
-		Life:          n.diskLife(),
-		Times:         times,
-		MaxLogEntries: maxLogEntries,
+		Self:            n.info,
+		Seeds:           n.seeds,
+		Group:           n.world.group,
+		ServiceShards:   n.world.serviceShards,
+		GroupZones:      n.world.groupZones,
+		DiskIncarnation: n.diskIncarnation(),
+		Times:           times,
+		MaxLogEntries:   maxLogEntries,
 
 		ReplicasFinishFirst: n.world.settings.FinishFirst,
 	}
@@ -176,15 +176,15 @@
 	n.seeds = n.world.chooseSeeds(n, n.world.random)
 }
 
-// diskLife is the life of the node's disk, or 0 without one.
-func (n *node) diskLife() uint64 {
+// diskIncarnation is the incarnation of the node's disk, or 0 without one.
+func (n *node) diskIncarnation() uint64 {
 	switch {
 	case n.storage == nil:
 		return 0
 	case n.world.broken(BreakEmptyDiskVotes):
-		return replication.FoundingLife
+		return replication.FoundingIncarnation
 	}
-	return n.storage.life
+	return n.storage.incarnation
 }
 
 // incarnation is the wall clock's reading in milliseconds, as in the daemon.
--- a/internal/lab/sim/openmode.go
+++ b/internal/lab/sim/openmode.go
@@ -49,7 +49,7 @@
 			one.storage.founders = founders
 			continue
 		}
-		one.storage.life = w.newLife() + uint64(one.index)
+		one.storage.incarnation = w.newDiskIncarnation() + uint64(one.index)
 	}
 }
 
@@ -87,7 +87,7 @@
 	}
 	w.addNode(len(w.all), true, zone)
 	added := w.nodes[len(w.nodes)-1]
-	added.storage.life = w.newLife()
+	added.storage.incarnation = w.newDiskIncarnation()
 	added.note("added")
 	return added
 }
@@ -211,7 +211,7 @@
 func (w *simulation) votes(one *node) bool {
 	for shard := range w.serviceShards + 1 {
 		places, known := w.places(shard)
-		voter := replication.Voter{ID: one.info.ID, Life: one.storage.life}
+		voter := replication.Voter{ID: one.info.ID, Incarnation: one.storage.incarnation}
 		if !known || !lo.Contains(places, replication.Place{Voter: voter}) {
 			return false
 		}
--- a/internal/lab/sim/storage.go
+++ b/internal/lab/sim/storage.go
@@ -31,8 +31,8 @@
 type storage struct {
 	disk *memdisk.Disk
 	logs map[uint32]*durable.Log
-	// life numbers the disk, as the identity file of a data folder does.
-	life uint64
+	// incarnation numbers the disk, as the identity file of a data folder does.
+	incarnation uint64
 	// founders and addresses are what a data folder keeps of the founding and of
 	// other nodes, in a deployment that finds itself through seeds.
 	founders  []member.ID
@@ -53,7 +53,7 @@
 }
 
 func newStorage() *storage {
-	return &storage{disk: memdisk.New(), life: replication.FoundingLife, busyUntil: map[uint32]time.Duration{}}
+	return &storage{disk: memdisk.New(), incarnation: replication.FoundingIncarnation, busyUntil: map[uint32]time.Duration{}}
 }
 
 // open reads what the disk kept of each shard.
--- a/internal/lab/sim/touch.go
+++ b/internal/lab/sim/touch.go
@@ -95,7 +95,7 @@
 		}
 		voters := w.touch.voters[shard]
 		sound := lo.CountBy(voters, func(voter replication.Voter) bool {
-			return lo.ContainsBy(core, func(one *node) bool { return one.info.ID == voter.ID && one.storage.life == voter.Life })
+			return lo.ContainsBy(core, func(one *node) bool { return one.info.ID == voter.ID && one.storage.incarnation == voter.Incarnation })
 		})
 		if len(voters) > 0 && 2*sound <= len(voters) {
 			return false
--- a/internal/node/controlconfig.go
+++ b/internal/node/controlconfig.go
@@ -28,12 +28,12 @@
 			HoldsState:     settings.HoldsState(),
 			Incarnation:    member.Incarnation(time.Now().UnixMilli()),
 		},
-		Seeds:         disk.seeds(settings),
-		Seeded:        settings.Seeded(),
-		FailOpen:      settings.FailOpen,
-		ServiceShards: uint32(settings.ServiceShards),
-		Life:          disk.life,
-		Times:         control.DefaultTimes(),
+		Seeds:           disk.seeds(settings),
+		Seeded:          settings.Seeded(),
+		FailOpen:        settings.FailOpen,
+		ServiceShards:   uint32(settings.ServiceShards),
+		DiskIncarnation: disk.incarnation,
+		Times:           control.DefaultTimes(),
 	}
 	if settings.FailOpen {
 		config.Times = control.FailOpenTimes(settings.Contact(), settings.Acknowledge())
--- a/internal/node/founding_test.go
+++ b/internal/node/founding_test.go
@@ -45,22 +45,22 @@
 	It("forms the groups at the first start, in an order of its own, and keeps the founders", func() {
 		founders := slices.Sorted(slices.Values(seeds))
 		Expect(foundersAtStart()).To(Equal(founders))
-		Expect(lifeAtStart(settings)).To(Equal(uint64(replication.FoundingLife)))
+		Expect(incarnationAtStart(settings)).To(Equal(uint64(replication.FoundingIncarnation)))
 		settings.Founding = false
 		settings.Seeds = []string{"127.1.9.1:7100"}
 		Expect(foundersAtStart()).To(Equal(founders))
-		Expect(lifeAtStart(settings)).To(Equal(uint64(replication.FoundingLife)))
+		Expect(incarnationAtStart(settings)).To(Equal(uint64(replication.FoundingIncarnation)))
 	})
 
-	DescribeTable("joins with a life of its own", func(change func()) {
+	DescribeTable("joins with an incarnation of its own", func(change func()) {
 		change()
 		Expect(foundersAtStart()).To(BeEmpty())
-		life := lifeAtStart(settings)
-		Expect(life).NotTo(Equal(uint64(replication.FoundingLife)))
+		incarnation := incarnationAtStart(settings)
+		Expect(incarnation).NotTo(Equal(uint64(replication.FoundingIncarnation)))
 		settings.Founding = true
 		settings.Seeds = seeds
 		Expect(foundersAtStart()).To(BeEmpty(), "a folder in use forms nothing")
-		Expect(lifeAtStart(settings)).To(Equal(life))
+		Expect(incarnationAtStart(settings)).To(Equal(incarnation))
 	},
 		Entry("without founding", func() { settings.Founding = false }),
 		Entry("beside the seeds", func() { settings.Seeds = seeds[:1] }),
@@ -75,7 +75,7 @@
 			Expect(os.Remove(file)).To(Succeed())
 		}
 		Expect(foundersAtStart()).To(BeEmpty())
-		Expect(lifeAtStart(settings)).NotTo(Equal(uint64(replication.FoundingLife)))
+		Expect(incarnationAtStart(settings)).NotTo(Equal(uint64(replication.FoundingIncarnation)))
 	})
 
 	It("forms nothing beside files of which it does not know", func() {
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -23,9 +23,10 @@
 // identity is the content of the identity file.
 type identity struct {
 	Node string `json:"node"`
-	// Life tells the folders apart that the node has had; a founder's first is
-	// replication.FoundingLife.
-	Life uint64 `json:"life"`
+	// Incarnation tells the folders apart that the node has had; a founder's
+	// first is replication.FoundingIncarnation. The key keeps its older name: a
+	// file under another one would be read as a founder's.
+	Incarnation uint64 `json:"life"`
 	// Founders are the founding voters of the groups that the node has helped to
 	// form through seeds; empty on a node that joined them.
 	Founders []string `json:"founders,omitempty"`
@@ -51,9 +52,9 @@
 	disk     *disk.Disk
 	logs     map[uint32]*durable.Log
 	restored map[uint32]replication.Restored
-	// life names the folder. The node may have voted under another one that
-	// was lost; what it promised then counts for that folder's life only.
-	life uint64
+	// incarnation names the folder. The node may have voted under another one that
+	// was lost; what it promised then counts for that folder's incarnation only.
+	incarnation uint64
 	// founders are the founding voters if the node is one of them, and the groups
 	// were formed through seeds.
 	founders []string
@@ -88,13 +89,13 @@
 	}
 	if !initialised || !whole {
 		// What the folder had promised for a shard whose files are gone is not
-		// known any more, so that it must not vote under its former life.
+		// known any more, so that it must not vote under its former incarnation.
 		kept, err = s.begin(settings, initialised)
 	}
 	if err != nil {
 		return err
 	}
-	s.life = kept.Life
+	s.incarnation = kept.Incarnation
 	s.founders = kept.Founders
 	for shard := uint32(0); shard <= uint32(settings.ServiceShards); shard++ {
 		if err := s.openShard(shard); err != nil {
@@ -109,7 +110,7 @@
 }
 
 // begin makes the identity of a folder durable that can't vote under a former
-// life. A group is formed only in a folder that nothing was ever written to.
+// incarnation. A group is formed only in a folder that nothing was ever written to.
 func (s *storage) begin(settings *static.Settings, used bool) (identity, error) {
 	empty, err := s.disk.Empty()
 	if err != nil {
@@ -118,16 +119,16 @@
 	if settings.Founder() && !used && empty {
 		return foundGroups(s.disk, settings)
 	}
-	return beginLife(s.disk, settings)
+	return beginIncarnation(s.disk, settings)
 }
 
 // foundGroups makes the identity of a founder durable. The order of the founders
 // must not depend on that of the seeds in the settings.
 func foundGroups(folder *disk.Disk, settings *static.Settings) (identity, error) {
 	made := identity{
-		Node:     settings.MemberID(),
-		Life:     replication.FoundingLife,
-		Founders: slices.Sorted(slices.Values(settings.Seeds)),
+		Node:        settings.MemberID(),
+		Incarnation: replication.FoundingIncarnation,
+		Founders:    slices.Sorted(slices.Values(settings.Seeds)),
 	}
 	return made, made.write(folder)
 }
@@ -189,29 +190,30 @@
 	}
 }
 
-// newLife names a folder that was found empty. It is random, since nothing that
-// the node could count on tells the lives of its folders before.
-func newLife() (uint64, error) {
+// newIncarnation names a folder that was found empty. It is random, since
+// nothing that the node could count on tells the incarnations of its folders
+// before.
+func newIncarnation() (uint64, error) {
 	var drawn [8]byte
 	if _, err := rand.Read(drawn[:]); err != nil {
-		return 0, errors.Wrap(err, "draw a life for the data folder")
+		return 0, errors.Wrap(err, "draw an incarnation for the data folder")
 	}
-	return max(binary.BigEndian.Uint64(drawn[:]), replication.FoundingLife+1), nil
+	return max(binary.BigEndian.Uint64(drawn[:]), replication.FoundingIncarnation+1), nil
 }
 
-// beginLife makes the identity of a folder that was found empty durable.
-func beginLife(folder *disk.Disk, settings *static.Settings) (identity, error) {
-	life, err := newLife()
+// beginIncarnation makes the identity of a folder that was found empty durable.
+func beginIncarnation(folder *disk.Disk, settings *static.Settings) (identity, error) {
+	incarnation, err := newIncarnation()
 	if err != nil {
 		return identity{}, err
 	}
-	return writeIdentity(folder, settings, life)
+	return writeIdentity(folder, settings, incarnation)
 }
 
 // writeIdentity makes the identity of an empty folder durable, which comes
 // before anything is sent under it.
-func writeIdentity(folder *disk.Disk, settings *static.Settings, life uint64) (identity, error) {
-	made := identity{Node: settings.MemberID(), Life: life}
+func writeIdentity(folder *disk.Disk, settings *static.Settings, incarnation uint64) (identity, error) {
+	made := identity{Node: settings.MemberID(), Incarnation: incarnation}
 	return made, made.write(folder)
 }
 
@@ -224,7 +226,7 @@
 }
 
 // readIdentity tells whether a data folder was initialised for this node, and
-// its life.
+// its incarnation.
 func readIdentity(folder *disk.Disk, settings *static.Settings) (kept identity, initialised bool, err error) {
 	data, err := folder.ReadFile(identityFile)
 	if errors.Is(err, fs.ErrNotExist) {
@@ -239,9 +241,9 @@
 	if kept.Node != settings.MemberID() {
 		return identity{}, false, &ForeignDataError{Folder: settings.DataFolder, Found: kept.Node, Want: settings.MemberID()}
 	}
-	if kept.Life == 0 {
-		// Written by init before lives were numbered.
-		kept.Life = replication.FoundingLife
+	if kept.Incarnation == 0 {
+		// Written by init before incarnations were numbered.
+		kept.Incarnation = replication.FoundingIncarnation
 	}
 	return kept, true, nil
 }
@@ -265,12 +267,12 @@
 	if err != nil {
 		return err
 	}
-	if initialised && kept.Life != replication.FoundingLife {
+	if initialised && kept.Incarnation != replication.FoundingIncarnation {
 		return errors.Errorf("data folder %s was made by a start without init, as for a replaced disk; start the node, or empty the folder first if the deployment is new", settings.DataFolder)
 	}
 	if initialised {
 		return errors.Errorf("data folder %s is initialised already; start the node", settings.DataFolder)
 	}
-	_, err = writeIdentity(folder, settings, replication.FoundingLife)
+	_, err = writeIdentity(folder, settings, replication.FoundingIncarnation)
 	return err
 }
--- a/internal/node/storage_test.go
+++ b/internal/node/storage_test.go
@@ -13,12 +13,12 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication/durable"
 )
 
-// lifeAtStart opens the folder as a start does and returns its life.
-func lifeAtStart(settings *static.Settings) uint64 {
+// incarnationAtStart opens the folder as a start does and returns its incarnation.
+func incarnationAtStart(settings *static.Settings) uint64 {
 	opened, err := openStorage(settings)
 	ExpectWithOffset(1, err).NotTo(HaveOccurred())
 	defer opened.close()
-	return opened.life
+	return opened.incarnation
 }
 
 var _ = Describe("A data folder", func() {
@@ -33,42 +33,42 @@
 		}
 	})
 
-	It("has the founding life once initialised, at every start", func() {
+	It("has the founding incarnation once initialised, at every start", func() {
 		Expect(Initialise(settings)).To(Succeed())
-		Expect(lifeAtStart(settings)).To(Equal(uint64(replication.FoundingLife)))
-		Expect(lifeAtStart(settings)).To(Equal(uint64(replication.FoundingLife)))
+		Expect(incarnationAtStart(settings)).To(Equal(uint64(replication.FoundingIncarnation)))
+		Expect(incarnationAtStart(settings)).To(Equal(uint64(replication.FoundingIncarnation)))
 		Expect(Initialise(settings)).To(MatchError(ContainSubstring("initialised already")))
 	})
 
-	It("has a life of its own when it is found empty, kept for later starts", func() {
-		lives := map[uint64]bool{replication.FoundingLife: true}
+	It("has an incarnation of its own when it is found empty, kept for later starts", func() {
+		incarnations := map[uint64]bool{replication.FoundingIncarnation: true}
 		for range 3 {
-			life := lifeAtStart(settings)
-			Expect(lives).NotTo(HaveKey(life))
-			Expect(lifeAtStart(settings)).To(Equal(life))
-			lives[life] = true
+			incarnation := incarnationAtStart(settings)
+			Expect(incarnations).NotTo(HaveKey(incarnation))
+			Expect(incarnationAtStart(settings)).To(Equal(incarnation))
+			incarnations[incarnation] = true
 			Expect(os.RemoveAll(settings.DataFolder)).To(Succeed())
 		}
 	})
 
 	It("does not become a founder's after a start without init", func() {
-		life := lifeAtStart(settings)
+		incarnation := incarnationAtStart(settings)
 		Expect(Initialise(settings)).To(MatchError(ContainSubstring("empty the folder first")))
-		Expect(lifeAtStart(settings)).To(Equal(life))
+		Expect(incarnationAtStart(settings)).To(Equal(incarnation))
 	})
 
-	It("gets a new life when the files of a shard are gone", func() {
+	It("gets a new incarnation when the files of a shard are gone", func() {
 		Expect(Initialise(settings)).To(Succeed())
-		life := lifeAtStart(settings)
+		incarnation := incarnationAtStart(settings)
 		files, err := filepath.Glob(filepath.Join(settings.DataFolder, "shard-001*"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(files).NotTo(BeEmpty())
 		for _, file := range files {
 			Expect(os.Remove(file)).To(Succeed())
 		}
-		next := lifeAtStart(settings)
-		Expect(next).NotTo(Equal(life))
-		Expect(lifeAtStart(settings)).To(Equal(next))
+		next := incarnationAtStart(settings)
+		Expect(next).NotTo(Equal(incarnation))
+		Expect(incarnationAtStart(settings)).To(Equal(next))
 	})
 
 	It("keeps what a shard wrote before its first checkpoint", func() {
@@ -77,7 +77,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		log, _, err := durable.Open(folder, shardName(1))
 		Expect(err).NotTo(HaveOccurred())
-		promised := replication.HardState{Term: 7, PromisedTo: "core-2", PromisedLife: 1}
+		promised := replication.HardState{Term: 7, PromisedTo: "core-2", PromisedIncarnation: 1}
 		Expect(log.Save(replication.Ready{HardState: &promised})).To(Succeed())
 		Expect(folder.Close()).To(Succeed())
 		for range 2 {
@@ -88,12 +88,12 @@
 		}
 	})
 
-	It("keeps its life when the deployment gets more shards", func() {
+	It("keeps its incarnation when the deployment gets more shards", func() {
 		Expect(Initialise(settings)).To(Succeed())
-		life := lifeAtStart(settings)
+		incarnation := incarnationAtStart(settings)
 		settings.ServiceShards = 3
-		Expect(lifeAtStart(settings)).To(Equal(life))
-		Expect(lifeAtStart(settings)).To(Equal(life))
+		Expect(incarnationAtStart(settings)).To(Equal(incarnation))
+		Expect(incarnationAtStart(settings)).To(Equal(incarnation))
 	})
 
 	It("of another node is refused", func() {
--- a/internal/wire/fb/Place.go
+++ b/internal/wire/fb/Place.go
@@ -7,9 +7,9 @@
 )
 
 type PlaceT struct {
-	Id      string `json:"id"`
-	Life    uint64 `json:"life"`
-	Learner bool   `json:"learner"`
+	Id          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+	Learner     bool   `json:"learner"`
 }
 
 func (t *PlaceT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -19,14 +19,14 @@
 	idOffset := builder.CreateString(t.Id)
 	PlaceStart(builder)
 	PlaceAddId(builder, idOffset)
-	PlaceAddLife(builder, t.Life)
+	PlaceAddIncarnation(builder, t.Incarnation)
 	PlaceAddLearner(builder, t.Learner)
 	return PlaceEnd(builder)
 }
 
 func (rcv *Place) UnPackTo(t *PlaceT) {
 	t.Id = string(rcv.Id())
-	t.Life = rcv.Life()
+	t.Incarnation = rcv.Incarnation()
 	t.Learner = rcv.Learner()
 }
 
@@ -74,7 +74,7 @@
 	return nil
 }
 
-func (rcv *Place) Life() uint64 {
+func (rcv *Place) Incarnation() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -82,7 +82,7 @@
 	return 0
 }
 
-func (rcv *Place) MutateLife(n uint64) bool {
+func (rcv *Place) MutateIncarnation(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(6, n)
 }
 
@@ -104,8 +104,8 @@
 func PlaceAddId(builder *flatbuffers.Builder, id flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(id), 0)
 }
-func PlaceAddLife(builder *flatbuffers.Builder, life uint64) {
-	builder.PrependUint64Slot(1, life, 0)
+func PlaceAddIncarnation(builder *flatbuffers.Builder, incarnation uint64) {
+	builder.PrependUint64Slot(1, incarnation, 0)
 }
 func PlaceAddLearner(builder *flatbuffers.Builder, learner bool) {
 	builder.PrependBoolSlot(2, learner, false)
--- a/internal/wire/fb/Replication.go
+++ b/internal/wire/fb/Replication.go
@@ -7,20 +7,20 @@
 )
 
 type ReplicationT struct {
-	Type       byte       `json:"type"`
-	Term       uint64     `json:"term"`
-	Index      uint64     `json:"index"`
-	IndexTerm  uint64     `json:"index_term"`
-	Commit     uint64     `json:"commit"`
-	Round      uint64     `json:"round"`
-	Trial      bool       `json:"trial"`
-	Handover   bool       `json:"handover"`
-	Learner    bool       `json:"learner"`
-	Reject     bool       `json:"reject"`
-	RejectHint uint64     `json:"reject_hint"`
-	Entries    []*EntryT  `json:"entries"`
-	Snapshot   *SnapshotT `json:"snapshot"`
-	Life       uint64     `json:"life"`
+	Type        byte       `json:"type"`
+	Term        uint64     `json:"term"`
+	Index       uint64     `json:"index"`
+	IndexTerm   uint64     `json:"index_term"`
+	Commit      uint64     `json:"commit"`
+	Round       uint64     `json:"round"`
+	Trial       bool       `json:"trial"`
+	Handover    bool       `json:"handover"`
+	Learner     bool       `json:"learner"`
+	Reject      bool       `json:"reject"`
+	RejectHint  uint64     `json:"reject_hint"`
+	Entries     []*EntryT  `json:"entries"`
+	Snapshot    *SnapshotT `json:"snapshot"`
+	Incarnation uint64     `json:"incarnation"`
 }
 
 func (t *ReplicationT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -55,7 +55,7 @@
 	ReplicationAddRejectHint(builder, t.RejectHint)
 	ReplicationAddEntries(builder, entriesOffset)
 	ReplicationAddSnapshot(builder, snapshotOffset)
-	ReplicationAddLife(builder, t.Life)
+	ReplicationAddIncarnation(builder, t.Incarnation)
 	return ReplicationEnd(builder)
 }
 
@@ -79,7 +79,7 @@
 		t.Entries[j] = x.UnPack()
 	}
 	t.Snapshot = rcv.Snapshot(nil).UnPack()
-	t.Life = rcv.Life()
+	t.Incarnation = rcv.Incarnation()
 }
 
 func (rcv *Replication) UnPack() *ReplicationT {
@@ -283,7 +283,7 @@
 	return nil
 }
 
-func (rcv *Replication) Life() uint64 {
+func (rcv *Replication) Incarnation() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -291,7 +291,7 @@
 	return 0
 }
 
-func (rcv *Replication) MutateLife(n uint64) bool {
+func (rcv *Replication) MutateIncarnation(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(30, n)
 }
 
@@ -340,8 +340,8 @@
 func ReplicationAddSnapshot(builder *flatbuffers.Builder, snapshot flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(12, flatbuffers.UOffsetT(snapshot), 0)
 }
-func ReplicationAddLife(builder *flatbuffers.Builder, life uint64) {
-	builder.PrependUint64Slot(13, life, 0)
+func ReplicationAddIncarnation(builder *flatbuffers.Builder, incarnation uint64) {
+	builder.PrependUint64Slot(13, incarnation, 0)
 }
 func ReplicationEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/internal/wire/replication.go
+++ b/internal/wire/replication.go
@@ -11,20 +11,20 @@
 		return nil
 	}
 	return &fb.ReplicationT{
-		Type:       byte(message.Type),
-		Term:       message.Term,
-		Life:       message.Life,
-		Index:      message.Index,
-		IndexTerm:  message.IndexTerm,
-		Commit:     message.Commit,
-		Round:      message.Round,
-		Trial:      message.Trial,
-		Handover:   message.Handover,
-		Learner:    message.Learner,
-		Reject:     message.Reject,
-		RejectHint: message.RejectHint,
-		Entries:    packEntries(message.Entries),
-		Snapshot:   packSnapshot(message.Snapshot),
+		Type:        byte(message.Type),
+		Term:        message.Term,
+		Incarnation: message.Incarnation,
+		Index:       message.Index,
+		IndexTerm:   message.IndexTerm,
+		Commit:      message.Commit,
+		Round:       message.Round,
+		Trial:       message.Trial,
+		Handover:    message.Handover,
+		Learner:     message.Learner,
+		Reject:      message.Reject,
+		RejectHint:  message.RejectHint,
+		Entries:     packEntries(message.Entries),
+		Snapshot:    packSnapshot(message.Snapshot),
 	}
 }
 
@@ -62,7 +62,7 @@
 	}
 	packed := make([]*fb.PlaceT, len(group))
 	for i, place := range group {
-		packed[i] = &fb.PlaceT{Id: string(place.ID), Life: place.Life, Learner: place.Learner}
+		packed[i] = &fb.PlaceT{Id: string(place.ID), Incarnation: place.Incarnation, Learner: place.Learner}
 	}
 	return packed
 }
@@ -72,20 +72,20 @@
 		return nil
 	}
 	return &replication.Message{
-		Type:       replication.MessageType(table.Type()),
-		Term:       table.Term(),
-		Life:       table.Life(),
-		Index:      table.Index(),
-		IndexTerm:  table.IndexTerm(),
-		Commit:     table.Commit(),
-		Round:      table.Round(),
-		Trial:      table.Trial(),
-		Handover:   table.Handover(),
-		Learner:    table.Learner(),
-		Reject:     table.Reject(),
-		RejectHint: table.RejectHint(),
-		Entries:    r.entries(table),
-		Snapshot:   r.snapshot(table.Snapshot(nil)),
+		Type:        replication.MessageType(table.Type()),
+		Term:        table.Term(),
+		Incarnation: table.Incarnation(),
+		Index:       table.Index(),
+		IndexTerm:   table.IndexTerm(),
+		Commit:      table.Commit(),
+		Round:       table.Round(),
+		Trial:       table.Trial(),
+		Handover:    table.Handover(),
+		Learner:     table.Learner(),
+		Reject:      table.Reject(),
+		RejectHint:  table.RejectHint(),
+		Entries:     r.entries(table),
+		Snapshot:    r.snapshot(table.Snapshot(nil)),
 	}
 }
 
@@ -130,7 +130,7 @@
 	for i := range group {
 		table.Places(&stored, i)
 		group[i] = replication.Place{
-			Voter:   replication.Voter{ID: member.ID(r.text(stored.Id())), Life: stored.Life()},
+			Voter:   replication.Voter{ID: member.ID(r.text(stored.Id())), Incarnation: stored.Incarnation()},
 			Learner: stored.Learner(),
 		}
 	}
--- a/pkg/replication/change.go
+++ b/pkg/replication/change.go
@@ -15,8 +15,8 @@
 	// Successor, or drops the place if there is none.
 	ChangeRemoveVoter GroupChangeKind = iota + 1
 	// ChangeAddVoter gives Voter the vote in the place that is kept for its
-	// member, or in a new place at the end. Voter may be in a later life than
-	// the one the place was kept for.
+	// member, or in a new place at the end. Voter may be in a later incarnation
+	// than the one the place was kept for.
 	ChangeAddVoter
 	// ChangeDropPlace gives the place up that is kept for Voter.
 	ChangeDropPlace
@@ -29,7 +29,7 @@
 	Kind  GroupChangeKind
 	Voter Voter
 	// Successor is who the place of a removed voter is kept for: the same
-	// member in a later life, another member that has no place, or nobody.
+	// member in a later incarnation, another member that has no place, or nobody.
 	Successor Voter
 }
 
@@ -82,7 +82,7 @@
 
 // Error names the voter, the problem and the remedy.
 func (e *GroupChangeError) Error() string {
-	return fmt.Sprintf("change of voter %s in life %d: %s", e.Change.Voter.ID, e.Change.Voter.Life, e.Problem.remedy())
+	return fmt.Sprintf("change of voter %s in incarnation %d: %s", e.Change.Voter.ID, e.Change.Voter.Incarnation, e.Problem.remedy())
 }
 
 // ProposeGroupChange appends a change of the voters. It takes effect at once,
@@ -151,7 +151,7 @@
 func (g *Group) successorProblem(change GroupChange) GroupChangeProblem {
 	successor := change.Successor
 	if successor.ID == change.Voter.ID {
-		if successor.Life == change.Voter.Life {
+		if successor.Incarnation == change.Voter.Incarnation {
 			return ProblemNoSuchPlace
 		}
 	} else if g.places().position(successor.ID) >= 0 {
@@ -193,17 +193,17 @@
 	return group.without(position), 0
 }
 
-// caughtUp tells whether the member is live in that life, wants a vote, and
+// caughtUp tells whether the member is live in that incarnation, wants a vote, and
 // holds all that the log held when the last heartbeat round began.
 func (g *Group) caughtUp(voter Voter) bool {
 	follower := g.leadership.progress[voter.ID]
-	if follower == nil || follower.learner || follower.life != voter.Life {
+	if follower == nil || follower.learner || follower.incarnation != voter.Incarnation {
 		return false
 	}
 	return g.heard(follower) && follower.match >= g.leadership.roundIndex
 }
 
-// majorityLive tells whether the voters that are heard, in the life that
+// majorityLive tells whether the voters that are heard, in the incarnation that
 // counts, are a majority of the group.
 func (g *Group) majorityLive(group places) bool {
 	live := 0
--- a/pkg/replication/change_test.go
+++ b/pkg/replication/change_test.go
@@ -12,8 +12,8 @@
 )
 
 var (
-	lostN3 = replication.Voter{ID: "n3", Life: replication.FoundingLife}
-	newN3  = replication.Voter{ID: "n3", Life: 7}
+	lostN3 = replication.Voter{ID: "n3", Incarnation: replication.FoundingIncarnation}
+	newN3  = replication.Voter{ID: "n3", Incarnation: 7}
 	remove = replication.GroupChange{Kind: replication.ChangeRemoveVoter, Voter: lostN3, Successor: newN3}
 	add    = replication.GroupChange{Kind: replication.ChangeAddVoter, Voter: newN3}
 )
@@ -29,8 +29,8 @@
 	return replication.Entry{Index: index, Term: term, Kind: replication.EntryGroupChange, Command: command}
 }
 
-func inLife(life uint64, m replication.Message) replication.Message {
-	m.Life = life
+func inIncarnation(incarnation uint64, m replication.Message) replication.Message {
+	m.Incarnation = incarnation
 	return m
 }
 
@@ -39,20 +39,20 @@
 func settledLeader() *replication.Group {
 	g := electedLeader()
 	Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
-	newLifeMatches(g, tookAt)
+	newIncarnationMatches(g, tookAt)
 	settle(g)
 	return g
 }
 
 // answers is the answer to a heartbeat of term 2.
 func answers(round uint64) replication.Message {
-	return replication.Message{Type: replication.MessageHeartbeatReply, Life: replication.FoundingLife, Term: 2, Round: round}
+	return replication.Message{Type: replication.MessageHeartbeatReply, Incarnation: replication.FoundingIncarnation, Term: 2, Round: round}
 }
 
-// newLifeMatches has the new n3 answer the first round and hold the log.
-func newLifeMatches(g *replication.Group, now time.Duration) {
-	Expect(g.Step(now, "n3", inLife(newN3.Life, answers(1)))).To(Succeed())
-	Expect(g.Step(now, "n3", inLife(newN3.Life, matched(2, 2)))).To(Succeed())
+// newIncarnationMatches has the new n3 answer the first round and hold the log.
+func newIncarnationMatches(g *replication.Group, now time.Duration) {
+	Expect(g.Step(now, "n3", inIncarnation(newN3.Incarnation, answers(1)))).To(Succeed())
+	Expect(g.Step(now, "n3", inIncarnation(newN3.Incarnation, matched(2, 2)))).To(Succeed())
 }
 
 func problemOf(err error) replication.GroupChangeProblem {
@@ -65,7 +65,7 @@
 var _ = Describe("a change of the group", func() {
 	It("waits for the leader's own barrier, and for the change before it", func() {
 		g := electedLeader()
-		newLifeMatches(g, tookAt)
+		newIncarnationMatches(g, tookAt)
 		Expect(problemOf(g.ProposeGroupChange(tookAt, remove))).To(Equal(replication.ProblemLeadershipNew))
 		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 		Expect(g.ProposeGroupChange(tookAt, remove)).To(Succeed())
@@ -83,7 +83,7 @@
 		g := settledLeader()
 		for _, spoil := range []func(*replication.GroupChange){
 			func(c *replication.GroupChange) { c.Voter.ID = "n9" },
-			func(c *replication.GroupChange) { c.Voter.Life = 2 },
+			func(c *replication.GroupChange) { c.Voter.Incarnation = 2 },
 			func(c *replication.GroupChange) { c.Successor = lostN3 },
 			func(c *replication.GroupChange) { c.Successor.ID = "n2" },
 			func(c *replication.GroupChange) { c.Kind = replication.ChangeAddVoter },
@@ -105,49 +105,49 @@
 		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 		Expect(problemOf(g.ProposeGroupChange(tookAt, remove))).To(Equal(replication.ProblemNotCaughtUp))
 		late := tookAt + electionTimeout
-		newLifeMatches(g, late)
+		newIncarnationMatches(g, late)
 		Expect(problemOf(g.ProposeGroupChange(late, remove))).To(Equal(replication.ProblemNoMajority))
 	})
 
-	It("counts neither a lost life nor a new one without a vote", func() {
+	It("counts neither a lost incarnation nor a new one without a vote", func() {
 		g := electedLeader()
-		newLifeMatches(g, tookAt)
-		Expect(g.Step(tookAt, "n3", inLife(lostN3.Life, matched(2, 2)))).To(Succeed())
+		newIncarnationMatches(g, tookAt)
+		Expect(g.Step(tookAt, "n3", inIncarnation(lostN3.Incarnation, matched(2, 2)))).To(Succeed())
 		Expect(g.Status().Commit).To(BeZero())
 	})
 
-	It("forgets what the lost life holds, also when that is told late", func() {
+	It("forgets what the lost incarnation holds, also when that is told late", func() {
 		g := electedLeader()
 		Expect(g.Step(tookAt, "n3", matched(2, 1))).To(Succeed())
 		Expect(g.Status().Followers[1].Match).To(Equal(uint64(1)))
 		later := tookAt + heartbeatEvery
 		g.Tick(later)
-		Expect(g.Step(later, "n3", inLife(newN3.Life, answers(2)))).To(Succeed())
+		Expect(g.Step(later, "n3", inIncarnation(newN3.Incarnation, answers(2)))).To(Succeed())
 		Expect(g.Status().Followers[1].Match).To(BeZero())
 		Expect(g.Step(later, "n3", matched(2, 2))).To(Succeed())
 		Expect(g.Step(later, "n3", answers(2))).To(Succeed())
 		Expect(g.Status().Followers[1].Match).To(BeZero())
-		Expect(g.Status().Followers[1].Life).To(Equal(newN3.Life))
+		Expect(g.Status().Followers[1].Incarnation).To(Equal(newN3.Incarnation))
 	})
 
-	It("takes a life for a later one only if it answers a round that began after the other was heard", func() {
+	It("takes an incarnation for a later one only if it answers a round that began after the other was heard", func() {
 		g := electedLeader()
 		Expect(g.Step(tookAt, "n3", matched(2, 1))).To(Succeed())
 		for _, late := range []replication.Message{answers(1), matched(2, 2)} {
-			Expect(g.Step(tookAt, "n3", inLife(newN3.Life, late))).To(Succeed())
-			Expect(g.Status().Followers[1].Life).To(Equal(lostN3.Life))
+			Expect(g.Step(tookAt, "n3", inIncarnation(newN3.Incarnation, late))).To(Succeed())
+			Expect(g.Status().Followers[1].Incarnation).To(Equal(lostN3.Incarnation))
 		}
 		later := tookAt + heartbeatEvery
 		g.Tick(later)
-		Expect(g.Step(later, "n3", inLife(newN3.Life, answers(2)))).To(Succeed())
-		Expect(g.Status().Followers[1].Life).To(Equal(newN3.Life))
+		Expect(g.Step(later, "n3", inIncarnation(newN3.Incarnation, answers(2)))).To(Succeed())
+		Expect(g.Status().Followers[1].Incarnation).To(Equal(newN3.Incarnation))
 	})
 
-	It("does not renew a promise of a term for another life", func() {
+	It("does not renew a promise of a term for another incarnation", func() {
 		g := newMember("n1", "n1", "n2", "n3")
-		request := replication.Message{Type: replication.MessagePromiseRequest, Life: lostN3.Life, Term: 4}
+		request := replication.Message{Type: replication.MessagePromiseRequest, Incarnation: lostN3.Incarnation, Term: 4}
 		Expect(g.Step(0, "n3", request)).To(Succeed())
-		Expect(g.Step(0, "n3", inLife(newN3.Life, request))).To(Succeed())
+		Expect(g.Step(0, "n3", inIncarnation(newN3.Incarnation, request))).To(Succeed())
 		messages := g.Ready().Messages
 		Expect(messages[0].Message.Reject).To(BeFalse())
 		Expect(messages[1].Message.Reject).To(BeTrue())
@@ -164,7 +164,7 @@
 		Expect(kept.Snapshot.Group).To(Equal(founded("n1", "n2", "n3")))
 
 		config := replication.Config{
-			Self: "n1", Life: replication.FoundingLife, Group: []member.ID{"n1", "n2", "n3"},
+			Self: "n1", Incarnation: replication.FoundingIncarnation, Group: []member.ID{"n1", "n2", "n3"},
 			HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
 		}
 		again, err := replication.New(config, kept, 0)
--- a/pkg/replication/cluster_test.go
+++ b/pkg/replication/cluster_test.go
@@ -22,18 +22,18 @@
 // node is one member with its disk. What the state machine has not been told
 // to be durable is lost in a crash.
 type node struct {
-	id      member.ID
-	group   *replication.Group
-	disk    replication.Restored
-	learner bool
-	life    int
+	id          member.ID
+	group       *replication.Group
+	disk        replication.Restored
+	learner     bool
+	incarnation int
 	// founder tells that the settings of the node name the founders.
 	founder bool
 	// known, left and gone are what gossip tells: the node has started once, it
 	// is about to stop, or it stopped for good and its disk with it.
 	known, left, gone bool
-	// diskLife numbers the disks that the node has had.
-	diskLife uint64
+	// diskIncarnation numbers the disks that the node has had.
+	diskIncarnation uint64
 	// lostAt is when the node lost a disk last.
 	lostAt time.Duration
 	// places is the newest group that the node was seen with on this disk.
@@ -124,9 +124,9 @@
 		return
 	}
 	n := &node{
-		id:       member.ID(strings.TrimLeft(marked, peerMark+laterMark)),
-		diskLife: replication.FoundingLife,
-		known:    !strings.HasPrefix(marked, laterMark),
+		id:              member.ID(strings.TrimLeft(marked, peerMark+laterMark)),
+		diskIncarnation: replication.FoundingIncarnation,
+		known:           !strings.HasPrefix(marked, laterMark),
 	}
 	n.founder = marked == string(n.id)
 	if n.founder {
--- a/pkg/replication/config.go
+++ b/pkg/replication/config.go
@@ -23,11 +23,11 @@
 type Config struct {
 	// Self is the member that runs this state machine.
 	Self member.ID
-	// Life names the durable state that Self is started with. It is
-	// FoundingLife on the disks that the group is founded with. A disk that
-	// took the place of a lost one has a life that differs from all before it,
-	// and that must be durable before New is called.
-	Life uint64
+	// Incarnation names the durable state that Self is started with. It is
+	// FoundingIncarnation on the disks that the group is founded with. A disk
+	// that took the place of a lost one has an incarnation that differs from
+	// all before it, and that must be durable before New is called.
+	Incarnation uint64
 	// Group holds the founding voters in the agreed order, the same on every
 	// founder. Earlier members are preferred as leaders. It is empty on a member
 	// that joins a group, and may be empty on any member whose log or snapshot
@@ -54,8 +54,8 @@
 	// followers that are a little late.
 	MaxLogEntries int
 	// Learner starts a member that never votes, and that is given no vote. A
-	// member whose durable state was lost needs only another Life: the leader
-	// gives it the vote back when that is safe.
+	// member whose durable state was lost needs only another Incarnation: the
+	// leader gives it the vote back when that is safe.
 	Learner bool
 }
 
@@ -79,8 +79,8 @@
 	if c.Self == "" {
 		return &ConfigError{Field: "Self", Message: "is empty: name the member"}
 	}
-	if c.Life == 0 {
-		return &ConfigError{Field: "Life", Message: "is zero: name the durable state, FoundingLife on a founder"}
+	if c.Incarnation == 0 {
+		return &ConfigError{Field: "Incarnation", Message: "is zero: name the durable state, FoundingIncarnation on a founder"}
 	}
 	if err := checkDistinct(c.Group); err != nil {
 		return err
@@ -123,9 +123,9 @@
 	Term uint64
 	// PromisedTo is the member that Term is promised to, or empty.
 	PromisedTo member.ID
-	// PromisedLife is the life of PromisedTo. In another life the member would
-	// be another candidate.
-	PromisedLife uint64
+	// PromisedIncarnation is the incarnation of PromisedTo. In another
+	// incarnation the member would be another candidate.
+	PromisedIncarnation uint64
 	// Commit is the highest index known to be committed when the state was
 	// written. It may lag behind without harm, as the leader tells it again.
 	Commit uint64
--- a/pkg/replication/durability_test.go
+++ b/pkg/replication/durability_test.go
@@ -12,7 +12,7 @@
 
 func newMember(self member.ID, group ...member.ID) *replication.Group {
 	g, err := replication.New(replication.Config{
-		Self: self, Life: replication.FoundingLife, Group: group, HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
+		Self: self, Incarnation: replication.FoundingIncarnation, Group: group, HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
 	}, replication.Restored{}, 0)
 	Expect(err).NotTo(HaveOccurred())
 	return g
@@ -21,7 +21,7 @@
 func founded(ids ...member.ID) []replication.Place {
 	var group []replication.Place
 	for _, id := range ids {
-		group = append(group, replication.Place{Voter: replication.Voter{ID: id, Life: replication.FoundingLife}})
+		group = append(group, replication.Place{Voter: replication.Voter{ID: id, Incarnation: replication.FoundingIncarnation}})
 	}
 	return group
 }
@@ -40,7 +40,7 @@
 	It("lets a member's own promise and entries count after Advance only", func() {
 		g := newMember("n1", "n1")
 		g.Tick(electionTimeout)
-		Expect(g.Ready().HardState).To(Equal(&replication.HardState{Term: 1, PromisedTo: "n1", PromisedLife: replication.FoundingLife}))
+		Expect(g.Ready().HardState).To(Equal(&replication.HardState{Term: 1, PromisedTo: "n1", PromisedIncarnation: replication.FoundingIncarnation}))
 		Expect(g.Status().Role).To(Equal(replication.RoleCandidate))
 		g.Advance()
 		Expect(g.Status().Role).To(Equal(replication.RoleLeader))
@@ -58,10 +58,10 @@
 		Expect(g.Step(0, "n2", replication.Message{Type: replication.MessagePromiseReply, Term: 4, Reject: true})).To(Succeed())
 		Expect(g.Ready().HardState).To(Equal(&replication.HardState{Term: 4}))
 		g.Advance()
-		request := replication.Message{Type: replication.MessagePromiseRequest, Term: 4, Life: 1}
+		request := replication.Message{Type: replication.MessagePromiseRequest, Term: 4, Incarnation: 1}
 		Expect(g.Step(0, "n3", request)).To(Succeed())
 		ready := g.Ready()
-		Expect(ready.HardState).To(Equal(&replication.HardState{Term: 4, PromisedTo: "n3", PromisedLife: 1}))
+		Expect(ready.HardState).To(Equal(&replication.HardState{Term: 4, PromisedTo: "n3", PromisedIncarnation: 1}))
 		Expect(ready.MustSync()).To(BeTrue())
 		Expect(ready.Messages).To(HaveLen(1))
 		Expect(ready.Messages[0].Message.Reject).To(BeFalse())
@@ -147,10 +147,10 @@
 	})
 
 	It("find settings and durable state that can't be right", func() {
-		good := replication.Config{Self: "n1", Life: replication.FoundingLife, Group: []member.ID{"n1", "n2"}, HeartbeatEvery: 1, ElectionTimeout: 3}
+		good := replication.Config{Self: "n1", Incarnation: replication.FoundingIncarnation, Group: []member.ID{"n1", "n2"}, HeartbeatEvery: 1, ElectionTimeout: 3}
 		for _, spoil := range []func(*replication.Config){
 			func(c *replication.Config) { c.Self = "" },
-			func(c *replication.Config) { c.Life = 0 },
+			func(c *replication.Config) { c.Incarnation = 0 },
 			func(c *replication.Config) { c.Group = []member.ID{"n1", ""} },
 			func(c *replication.Config) { c.MaxVoters = -1 },
 			func(c *replication.Config) { c.RemoveAfter = -1 },
--- a/pkg/replication/durable/encoding.go
+++ b/pkg/replication/durable/encoding.go
@@ -43,10 +43,10 @@
 		return nil
 	}
 	return &fb.HardStateT{
-		Term:         hard.Term,
-		PromisedTo:   string(hard.PromisedTo),
-		PromisedLife: hard.PromisedLife,
-		Commit:       hard.Commit,
+		Term:                hard.Term,
+		PromisedTo:          string(hard.PromisedTo),
+		PromisedIncarnation: hard.PromisedIncarnation,
+		Commit:              hard.Commit,
 	}
 }
 
@@ -65,7 +65,7 @@
 func packPlaces(group []replication.Place) []*fb.PlaceT {
 	packed := make([]*fb.PlaceT, len(group))
 	for i, place := range group {
-		packed[i] = &fb.PlaceT{Id: string(place.ID), Life: place.Life, Learner: place.Learner}
+		packed[i] = &fb.PlaceT{Id: string(place.ID), Incarnation: place.Incarnation, Learner: place.Learner}
 	}
 	return packed
 }
@@ -109,10 +109,10 @@
 		return nil
 	}
 	return &replication.HardState{
-		Term:         table.Term,
-		PromisedTo:   member.ID(table.PromisedTo),
-		PromisedLife: table.PromisedLife,
-		Commit:       table.Commit,
+		Term:                table.Term,
+		PromisedTo:          member.ID(table.PromisedTo),
+		PromisedIncarnation: table.PromisedIncarnation,
+		Commit:              table.Commit,
 	}
 }
 
@@ -135,7 +135,7 @@
 	group := make([]replication.Place, len(tables))
 	for i, table := range tables {
 		group[i] = replication.Place{
-			Voter:   replication.Voter{ID: member.ID(table.Id), Life: table.Life},
+			Voter:   replication.Voter{ID: member.ID(table.Id), Incarnation: table.Incarnation},
 			Learner: table.Learner,
 		}
 	}
--- a/pkg/replication/durable/fb/HardState.go
+++ b/pkg/replication/durable/fb/HardState.go
@@ -7,10 +7,10 @@
 )
 
 type HardStateT struct {
-	Term         uint64 `json:"term"`
-	PromisedTo   string `json:"promised_to"`
-	Commit       uint64 `json:"commit"`
-	PromisedLife uint64 `json:"promised_life"`
+	Term                uint64 `json:"term"`
+	PromisedTo          string `json:"promised_to"`
+	Commit              uint64 `json:"commit"`
+	PromisedIncarnation uint64 `json:"promised_incarnation"`
 }
 
 func (t *HardStateT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -22,7 +22,7 @@
 	HardStateAddTerm(builder, t.Term)
 	HardStateAddPromisedTo(builder, promisedToOffset)
 	HardStateAddCommit(builder, t.Commit)
-	HardStateAddPromisedLife(builder, t.PromisedLife)
+	HardStateAddPromisedIncarnation(builder, t.PromisedIncarnation)
 	return HardStateEnd(builder)
 }
 
@@ -30,7 +30,7 @@
 	t.Term = rcv.Term()
 	t.PromisedTo = string(rcv.PromisedTo())
 	t.Commit = rcv.Commit()
-	t.PromisedLife = rcv.PromisedLife()
+	t.PromisedIncarnation = rcv.PromisedIncarnation()
 }
 
 func (rcv *HardState) UnPack() *HardStateT {
@@ -101,7 +101,7 @@
 	return rcv._tab.MutateUint64Slot(8, n)
 }
 
-func (rcv *HardState) PromisedLife() uint64 {
+func (rcv *HardState) PromisedIncarnation() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -109,7 +109,7 @@
 	return 0
 }
 
-func (rcv *HardState) MutatePromisedLife(n uint64) bool {
+func (rcv *HardState) MutatePromisedIncarnation(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(10, n)
 }
 
@@ -125,8 +125,8 @@
 func HardStateAddCommit(builder *flatbuffers.Builder, commit uint64) {
 	builder.PrependUint64Slot(2, commit, 0)
 }
-func HardStateAddPromisedLife(builder *flatbuffers.Builder, promisedLife uint64) {
-	builder.PrependUint64Slot(3, promisedLife, 0)
+func HardStateAddPromisedIncarnation(builder *flatbuffers.Builder, promisedIncarnation uint64) {
+	builder.PrependUint64Slot(3, promisedIncarnation, 0)
 }
 func HardStateEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/pkg/replication/durable/log_test.go
+++ b/pkg/replication/durable/log_test.go
@@ -47,9 +47,9 @@
 		Index: index,
 		Term:  term,
 		Group: []replication.Place{
-			{Voter: replication.Voter{ID: "a", Life: 1}},
-			{Voter: replication.Voter{ID: "b", Life: 1700000000000}},
-			{Voter: replication.Voter{ID: "c", Life: 2}, Learner: true},
+			{Voter: replication.Voter{ID: "a", Incarnation: 1}},
+			{Voter: replication.Voter{ID: "b", Incarnation: 1700000000000}},
+			{Voter: replication.Voter{ID: "c", Incarnation: 2}, Learner: true},
 		},
 		Data: fmt.Appendf(nil, "state at %d", index),
 	}
@@ -118,7 +118,7 @@
 	_, restored, err := Open(disk, logName)
 	Expect(err).NotTo(HaveOccurred())
 	group, err := replication.New(replication.Config{
-		Self: "b", Life: replication.FoundingLife, Group: []member.ID{"a", "b", "c"},
+		Self: "b", Incarnation: replication.FoundingIncarnation, Group: []member.ID{"a", "b", "c"},
 		HeartbeatEvery: time.Second, ElectionTimeout: time.Minute,
 	}, restored, 0)
 	Expect(err).NotTo(HaveOccurred())
@@ -238,9 +238,9 @@
 	It("restores the group without a change whose entry was truncated", func() {
 		founding := snapshot(1, 2)
 		founding.Group = []replication.Place{
-			{Voter: replication.Voter{ID: "a", Life: 1}},
-			{Voter: replication.Voter{ID: "b", Life: 1}},
-			{Voter: replication.Voter{ID: "c", Life: 1}},
+			{Voter: replication.Voter{ID: "a", Incarnation: 1}},
+			{Voter: replication.Voter{ID: "b", Incarnation: 1}},
+			{Voter: replication.Voter{ID: "c", Incarnation: 1}},
 		}
 		command, err := json.Marshal(snapshot(1, 2).Group)
 		Expect(err).NotTo(HaveOccurred())
@@ -279,7 +279,7 @@
 		log, _, err := OpenWithLimit(disk, logName, smallLimit)
 		Expect(err).NotTo(HaveOccurred())
 		config := replication.Config{
-			Self: "a", Life: replication.FoundingLife, Group: []member.ID{"a"},
+			Self: "a", Incarnation: replication.FoundingIncarnation, Group: []member.ID{"a"},
 			HeartbeatEvery: time.Millisecond, ElectionTimeout: time.Second,
 		}
 		group, err := replication.New(config, replication.Restored{}, 0)
@@ -295,7 +295,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			again, err := replication.New(config, restored, 0)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(again.Status().Places).To(Equal([]replication.Place{{Voter: replication.Voter{ID: "a", Life: replication.FoundingLife}}}))
+			Expect(again.Status().Places).To(Equal([]replication.Place{{Voter: replication.Voter{ID: "a", Incarnation: replication.FoundingIncarnation}}}))
 			Expect(again.Status().Role).To(Equal(replication.RoleFollower))
 		}
 		expectFounders()
--- a/pkg/replication/elastic_test.go
+++ b/pkg/replication/elastic_test.go
@@ -65,7 +65,7 @@
 	s.started++
 	s.addNode(laterMark + "n" + strconv.Itoa(s.started))
 	n := s.nodes[len(s.nodes)-1]
-	n.diskLife = uint64(1 + s.random.IntN(100))
+	n.diskIncarnation = uint64(1 + s.random.IntN(100))
 	n.offset = time.Duration(s.random.Int64N(int64(time.Hour)))
 	s.start(n)
 }
@@ -177,7 +177,7 @@
 	return leader
 }
 
-// expectAllVote expects every node that is there to vote in the life of its
+// expectAllVote expects every node that is there to vote in the incarnation of its
 // disk, on all nodes and finally, and of those that are gone only what an odd
 // group keeps.
 func expectAllVote(c *cluster, seed uint64) {
@@ -313,7 +313,7 @@
 		Expect(c.leader().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4"}))
 		c.start(c.node("n3"))
 		c.advanceBy(10 * heartbeatEvery)
-		Expect(c.leader().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4", "n3"}), "in its old life")
+		Expect(c.leader().group.Status().Group).To(Equal([]member.ID{"n1", "n2", "n4", "n3"}), "in its old incarnation")
 	})
 
 	It("is formed anew by the voters of the newest known group", func() {
@@ -408,7 +408,7 @@
 			c.crash(n, true)
 		}
 		for _, n := range c.nodes {
-			n.life = 1
+			n.incarnation = 1
 			c.start(n)
 		}
 		c.advanceBy(time.Second)
--- a/pkg/replication/election.go
+++ b/pkg/replication/election.go
@@ -67,7 +67,7 @@
 func (g *Group) campaign(handover bool) {
 	g.rest(g.hard.Term+1, "")
 	g.hard.PromisedTo = g.cfg.Self
-	g.hard.PromisedLife = g.cfg.Life
+	g.hard.PromisedIncarnation = g.cfg.Incarnation
 	g.role = RoleCandidate
 	g.election.handover = handover
 	g.election.waitFrom = g.now
@@ -140,7 +140,7 @@
 		}
 		g.rest(m.Term, "")
 	}
-	if g.hard.PromisedTo == from && g.hard.PromisedLife == m.Life {
+	if g.hard.PromisedTo == from && g.hard.PromisedIncarnation == m.Incarnation {
 		return true
 	}
 	if g.hard.PromisedTo != "" || g.leader != "" {
@@ -150,7 +150,7 @@
 		return false
 	}
 	g.hard.PromisedTo = from
-	g.hard.PromisedLife = m.Life
+	g.hard.PromisedIncarnation = m.Incarnation
 	g.election.waitFrom = g.now
 	return true
 }
@@ -171,7 +171,7 @@
 	if g.role != RoleCandidate || m.Trial != g.election.trial {
 		return
 	}
-	voter := Voter{ID: from, Life: m.Life}
+	voter := Voter{ID: from, Incarnation: m.Incarnation}
 	if !g.places().votes(voter) {
 		// A promise counts only if nobody else can have been promised the term
 		// by the same voter and it knows all that this voter acknowledged.
--- a/pkg/replication/group.go
+++ b/pkg/replication/group.go
@@ -146,9 +146,9 @@
 	}
 }
 
-// self is this member in its present life.
+// self is this member in its present incarnation.
 func (g *Group) self() Voter {
-	return Voter{ID: g.cfg.Self, Life: g.cfg.Life}
+	return Voter{ID: g.cfg.Self, Incarnation: g.cfg.Incarnation}
 }
 
 // places returns the group that is in effect.
@@ -215,7 +215,7 @@
 	if term > g.hard.Term {
 		g.hard.Term = term
 		g.hard.PromisedTo = ""
-		g.hard.PromisedLife = 0
+		g.hard.PromisedIncarnation = 0
 	}
 	if g.role == RoleLeader {
 		g.election.waitFrom = g.now
@@ -240,6 +240,6 @@
 	if len(g.output.messages) >= maxQueuedMessages {
 		return
 	}
-	m.Life = g.cfg.Life
+	m.Incarnation = g.cfg.Incarnation
 	g.output.messages = append(g.output.messages, Outbound{To: to, Message: m})
 }
--- a/pkg/replication/lives_test.go
+++ b/pkg/replication/incarnations_test.go
@@ -13,15 +13,15 @@
 	config := c.config
 	config.Self = n.id
 	config.Learner = n.learner
-	config.Life = n.diskLife
-	if !n.founder || (c.forgetful && n.life%2 == 1 && n.diskKnowsGroup()) {
+	config.Incarnation = n.diskIncarnation
+	if !n.founder || (c.forgetful && n.incarnation%2 == 1 && n.diskKnowsGroup()) {
 		config.Group = nil
 	}
 	group, err := replication.New(config, n.disk, c.clock(n))
 	Expect(err).NotTo(HaveOccurred())
 	n.group = group
 	group.ExpectState()
-	n.life++
+	n.incarnation++
 	if n.known {
 		group.SetPeers(c.clock(n), c.peers())
 	} else {
@@ -47,17 +47,18 @@
 func (c *cluster) wipe(n *node) {
 	c.crash(n, false)
 	n.disk = replication.Restored{}
-	n.diskLife = nextLife(n.diskLife)
+	n.diskIncarnation = nextIncarnation(n.diskIncarnation)
 	n.learner = true
 }
 
-// nextLife never comes back to an earlier life, and orders them in no way.
-func nextLife(life uint64) uint64 {
+// nextIncarnation never comes back to an earlier incarnation, and orders them
+// in no way.
+func nextIncarnation(incarnation uint64) uint64 {
 	const multiplier, increment = 2862933555777941757, 3037000493
-	return life*multiplier + increment
+	return incarnation*multiplier + increment
 }
 
-// loseDisk ends the node; it starts again under a new life.
+// loseDisk ends the node; it starts again under a new incarnation.
 func (c *cluster) loseDisk(n *node) {
 	c.wipe(n)
 	n.learner = false
@@ -77,7 +78,7 @@
 }
 
 func (n *node) voter() replication.Voter {
-	return replication.Voter{ID: n.id, Life: n.diskLife}
+	return replication.Voter{ID: n.id, Incarnation: n.diskIncarnation}
 }
 
 // intactAfter tells whether each group that any node goes by keeps a majority
@@ -108,9 +109,9 @@
 // one that was paused.
 const heardLate = time.Second
 
-// maybeAdded counts the lives without a vote in the group that the node goes by,
-// which may be given one although they are lost, as the leader has not missed
-// them yet.
+// maybeAdded counts the incarnations without a vote in the group that the node
+// goes by, which may be given one although they are lost, as the leader has not
+// missed them yet.
 func (c *cluster) maybeAdded(n, loss *node) int {
 	added := 0
 	for _, lost := range c.nodes {
--- a/pkg/replication/leader.go
+++ b/pkg/replication/leader.go
@@ -75,13 +75,14 @@
 	return g.now < follower.lastContact+g.cfg.ElectionTimeout
 }
 
-// voterHeard tells whether the voter was heard in the life that has the vote.
+// voterHeard tells whether the voter was heard in the incarnation that has the
+// vote.
 func (g *Group) voterHeard(voter Voter) bool {
 	if voter == g.self() {
 		return true
 	}
 	follower := g.leadership.progress[voter.ID]
-	return follower != nil && follower.life == voter.Life && g.heard(follower)
+	return follower != nil && follower.incarnation == voter.Incarnation && g.heard(follower)
 }
 
 // broadcastAppend sends the news to all followers that can take it.
@@ -163,12 +164,12 @@
 	if follower == nil {
 		return nil
 	}
-	if m.Life != follower.life {
-		if !follower.isLaterLife(m) {
+	if m.Incarnation != follower.incarnation {
+		if !follower.isLaterIncarnation(m) {
 			// The durable state that vouched for this may be lost.
 			return nil
 		}
-		follower.beginLife(m.Life)
+		follower.beginIncarnation(m.Incarnation)
 	}
 	follower.lastContact = g.now
 	follower.contactRound = g.leadership.round
@@ -222,7 +223,7 @@
 		switch {
 		case voter == g.self():
 			values = append(values, own)
-		case follower != nil && follower.life == voter.Life:
+		case follower != nil && follower.incarnation == voter.Incarnation:
 			values = append(values, value(follower))
 		default:
 			values = append(values, 0)
--- a/pkg/replication/leadership_test.go
+++ b/pkg/replication/leadership_test.go
@@ -17,7 +17,7 @@
 // entry of term 1 and its own barrier, both durable here only.
 func electedLeader() *replication.Group {
 	g, err := replication.New(replication.Config{
-		Self: "n1", Life: replication.FoundingLife, Group: []member.ID{"n1", "n2", "n3"},
+		Self: "n1", Incarnation: replication.FoundingIncarnation, Group: []member.ID{"n1", "n2", "n3"},
 		HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
 		LeaseDuration: leaseDuration, LeaseMargin: leaseMargin,
 	}, replication.Restored{
@@ -26,7 +26,7 @@
 	}, 0)
 	Expect(err).NotTo(HaveOccurred())
 	g.Tick(tookAt)
-	granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Term: 2, Trial: true}
+	granted := replication.Message{Type: replication.MessagePromiseReply, Incarnation: 1, Term: 2, Trial: true}
 	Expect(g.Step(tookAt, "n2", granted)).To(Succeed())
 	settle(g)
 	granted.Trial = false
@@ -50,7 +50,7 @@
 }
 
 func matched(term, index uint64) replication.Message {
-	return replication.Message{Type: replication.MessageAppendReply, Life: 1, Term: term, Index: index}
+	return replication.Message{Type: replication.MessageAppendReply, Incarnation: 1, Term: term, Index: index}
 }
 
 // beatUntil answers every heartbeat at once until then.
@@ -64,14 +64,14 @@
 }
 
 func answerRound(g *replication.Group, now time.Duration, round uint64) {
-	reply := replication.Message{Type: replication.MessageHeartbeatReply, Life: 1, Term: 2, Round: round}
+	reply := replication.Message{Type: replication.MessageHeartbeatReply, Incarnation: 1, Term: 2, Round: round}
 	Expect(g.Step(now, "n2", reply)).To(Succeed())
 }
 
 var _ = Describe("trials", func() {
 	It("are won by grants of one asking only", func() {
 		g := newMember("n1", "n1", "n2", "n3", "n4", "n5")
-		granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Term: 1, Trial: true}
+		granted := replication.Message{Type: replication.MessagePromiseReply, Incarnation: 1, Term: 1, Trial: true}
 		g.Tick(electionTimeout)
 		Expect(g.Step(electionTimeout, "n2", granted)).To(Succeed())
 		g.Tick(electionTimeout + heartbeatEvery)
--- a/pkg/replication/message.go
+++ b/pkg/replication/message.go
@@ -67,9 +67,9 @@
 type Message struct {
 	Type MessageType
 	Term uint64
-	// Life is the life of the sender's durable state. What the sender promises
-	// or acknowledges counts for that life only.
-	Life uint64
+	// Incarnation is the incarnation of the sender's durable state. What the
+	// sender promises or acknowledges counts for that incarnation only.
+	Incarnation uint64
 	// Index is the entry before Entries, the sender's last entry, or the last
 	// matching entry, by type.
 	Index uint64
--- a/pkg/replication/peers.go
+++ b/pkg/replication/peers.go
@@ -67,8 +67,9 @@
 	return others
 }
 
-// trackOthers begins to track the members that the leader does not track yet. It
-// forgets none: a late message of a lost life must not count as that of a new one.
+// trackOthers begins to track the members that the leader does not track yet.
+// It forgets none: a late message of a lost incarnation must not count as that
+// of a new one.
 func (g *Group) trackOthers() {
 	for _, id := range g.others() {
 		if g.leadership.progress[id] != nil {
@@ -81,9 +82,9 @@
 		}
 	}
 	for _, voter := range g.log.groups.latest().voters {
-		if follower := g.leadership.progress[voter.ID]; follower != nil && follower.life == 0 {
-			// Until the member is heard in a later life.
-			follower.life = voter.Life
+		if follower := g.leadership.progress[voter.ID]; follower != nil && follower.incarnation == 0 {
+			// Until the member is heard in a later incarnation.
+			follower.incarnation = voter.Incarnation
 		}
 	}
 }
--- a/pkg/replication/place.go
+++ b/pkg/replication/place.go
@@ -9,17 +9,18 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
-// FoundingLife is the life of all members that a group is founded with.
-const FoundingLife = 1
+// FoundingIncarnation is the incarnation of all members that a group is founded
+// with.
+const FoundingIncarnation = 1
 
-// Voter is a member together with one life of its durable state. Promises and
-// acknowledgements are those of a life: a member that lost its disk goes on
-// under a new life, which knows nothing of them.
+// Voter is a member together with one incarnation of its durable state.
+// Promises and acknowledgements are those of an incarnation: a member that lost
+// its disk goes on under a new incarnation, which knows nothing of them.
 type Voter struct {
 	ID member.ID
-	// Life names the durable state among those that the member has had. It
+	// Incarnation names the durable state among those that the member has had. It
 	// never comes back.
-	Life uint64
+	Incarnation uint64
 }
 
 // Place is one place in the agreed order of a group. A new voter gets a place
@@ -38,7 +39,7 @@
 func foundingPlaces(group []member.ID) places {
 	founded := make(places, len(group))
 	for i, id := range group {
-		founded[i] = Place{Voter: Voter{ID: id, Life: FoundingLife}}
+		founded[i] = Place{Voter: Voter{ID: id, Incarnation: FoundingIncarnation}}
 	}
 	return founded
 }
@@ -54,7 +55,7 @@
 	return voters
 }
 
-// votes tells whether the member has a vote in that life.
+// votes tells whether the member has a vote in that incarnation.
 func (p places) votes(voter Voter) bool {
 	return slices.Contains(p, Place{Voter: voter})
 }
@@ -93,8 +94,8 @@
 	}
 	ids := make([]member.ID, 0, len(p))
 	for _, place := range p {
-		if place.Life == 0 {
-			return errors.New("a place of the group has no life")
+		if place.Incarnation == 0 {
+			return errors.New("a place of the group has no incarnation")
 		}
 		ids = append(ids, place.ID)
 	}
--- a/pkg/replication/progress.go
+++ b/pkg/replication/progress.go
@@ -36,9 +36,10 @@
 	ackedRound uint64
 	// contactRound is the newest round that had begun by then.
 	contactRound uint64
-	// life is the newest life in which the member was heard. match and
-	// ackedRound are those of this life, and count if it has a vote.
-	life uint64
+	// incarnation is the newest incarnation in which the member was heard.
+	// match and ackedRound are those of this incarnation, and count if it has a
+	// vote.
+	incarnation uint64
 	// learner tells that the member wants no vote.
 	learner bool
 }
@@ -61,18 +62,19 @@
 	p.next = index + 1
 }
 
-// isLaterLife tells whether the message proves that its life is later than the
-// one that the member was heard in: it answers a round, as heartbeat replies do,
-// which began after that one was heard, and the lives of a member follow each other. So the numbers of
-// lives need no order, and no late message of a lost life counts.
-func (p *progress) isLaterLife(m Message) bool {
-	return m.Round > p.contactRound && m.Life != 0
+// isLaterIncarnation tells whether the message proves that its incarnation is
+// later than the one that the member was heard in: it answers a round, as
+// heartbeat replies do, which began after that one was heard, and the
+// incarnations of a member follow each other. So the numbers of incarnations
+// need no order, and no late message of a lost incarnation counts.
+func (p *progress) isLaterIncarnation(m Message) bool {
+	return m.Round > p.contactRound && m.Incarnation != 0
 }
 
-// beginLife forgets what the member acknowledged with the durable state that
+// beginIncarnation forgets what the member acknowledged with the durable state that
 // it lost.
-func (p *progress) beginLife(life uint64) {
-	p.life = life
+func (p *progress) beginIncarnation(incarnation uint64) {
+	p.incarnation = incarnation
 	p.match = 0
 	p.ackedRound = 0
 	p.becomeProbe()
--- a/pkg/replication/random_test.go
+++ b/pkg/replication/random_test.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// expectRepaired expects every member to vote in the life of its disk, on all
-// members and finally.
+// expectRepaired expects every member to vote in the incarnation of its disk,
+// on all members and finally.
 func expectRepaired(c *cluster, seed uint64) {
 	var whole []replication.Place
 	for _, n := range c.nodes {
--- a/pkg/replication/ready.go
+++ b/pkg/replication/ready.go
@@ -56,7 +56,7 @@
 
 func (g *Group) promiseChanged() bool {
 	return g.hard.Term != g.output.persisted.Term || g.hard.PromisedTo != g.output.persisted.PromisedTo ||
-		g.hard.PromisedLife != g.output.persisted.PromisedLife
+		g.hard.PromisedIncarnation != g.output.persisted.PromisedIncarnation
 }
 
 // Ready hands out what there is to do. While a Ready is outstanding, it hands
@@ -129,7 +129,7 @@
 		if hard == nil || g.election.trial {
 			return
 		}
-		if hard.Term == g.hard.Term && hard.PromisedTo == g.cfg.Self && hard.PromisedLife == g.cfg.Life {
+		if hard.Term == g.hard.Term && hard.PromisedTo == g.cfg.Self && hard.PromisedIncarnation == g.cfg.Incarnation {
 			g.addPromise(g.self())
 		}
 	case RoleFollower, RoleLearner:
--- a/pkg/replication/reform.go
+++ b/pkg/replication/reform.go
@@ -9,11 +9,11 @@
 
 // A group that lost the durable state of a majority of its voters can elect
 // nobody any more. It is formed anew under a ballot, a term that is promised
-// not by a majority but by the present life of every place. Then each life that
-// may ever have voted either has promised the ballot, and takes no part in lower
-// terms, or is one that its member has replaced, and is gone for good. Since
-// each promise is granted only to a log that is up to date, the member that wins
-// the ballot holds all that survived.
+// not by a majority but by the present incarnation of every place. Then each
+// incarnation that may ever have voted either has promised the ballot, and
+// takes no part in lower terms, or is one that its member has replaced, and is
+// gone for good. Since each promise is granted only to a log that is up to
+// date, the member that wins the ballot holds all that survived.
 
 const (
 	// reformTimeouts is how many election timeouts pass without a leader before
@@ -110,10 +110,10 @@
 	return slices.Clone(g.log.slice(g.log.applied+1, g.log.lastIndex()))
 }
 
-// Reform forms the group anew, from the present lives of all places, under the
-// ballot that this member has won. State replaces that of the state machine
-// above; who knows the new group knows the state too, as its entry comes first.
-// It fails with a *BallotError.
+// Reform forms the group anew, from the present incarnations of all places,
+// under the ballot that this member has won. State replaces that of the state
+// machine above; who knows the new group knows the state too, as its entry
+// comes first. It fails with a *BallotError.
 func (g *Group) Reform(now time.Duration, ballot uint64, state []byte) error {
 	g.observe(now)
 	if !g.ballotWon() || g.reform.ballot != ballot {
@@ -131,7 +131,7 @@
 	return nil
 }
 
-// presentGroup gives every place to the life that has granted the ballot.
+// presentGroup gives every place to the incarnation that has granted the ballot.
 func (g *Group) presentGroup() places {
 	group := slices.Clone(g.places())
 	for _, voter := range g.reform.granted {
@@ -244,7 +244,7 @@
 	if !m.Trial && (!g.ownBallot() || m.Term != g.reform.ballot) {
 		return
 	}
-	g.addGrant(Voter{ID: from, Life: m.Life})
+	g.addGrant(Voter{ID: from, Incarnation: m.Incarnation})
 }
 
 // yieldBallot leaves it to a voter with a newer log to form the group anew: this
@@ -280,8 +280,8 @@
 	}
 }
 
-// majorityPresent tells whether the lives that granted are a majority of those
-// that vote.
+// majorityPresent tells whether the incarnations that granted are a majority of
+// those that vote.
 func (g *Group) majorityPresent() bool {
 	present := 0
 	for _, voter := range g.places().voters() {
@@ -298,7 +298,7 @@
 	ballot := g.nextBallot()
 	g.rest(ballot, "")
 	g.hard.PromisedTo = g.cfg.Self
-	g.hard.PromisedLife = g.cfg.Life
+	g.hard.PromisedIncarnation = g.cfg.Incarnation
 	g.election.waitFrom = g.now
 	g.reform.ballot = ballot
 	g.reform.lastBallot = ballot
@@ -330,7 +330,7 @@
 	if hard == nil || !g.ownBallot() || hard.Term != g.reform.ballot {
 		return
 	}
-	if hard.PromisedTo == g.cfg.Self && hard.PromisedLife == g.cfg.Life {
+	if hard.PromisedTo == g.cfg.Self && hard.PromisedIncarnation == g.cfg.Incarnation {
 		g.addGrant(g.self())
 	}
 }
--- a/pkg/replication/repair.go
+++ b/pkg/replication/repair.go
@@ -35,7 +35,7 @@
 // firstDue returns the change that is due first, or zero.
 func (g *Group) firstDue() GroupChange {
 	for _, due := range []func() (GroupChange, bool){
-		g.dueRefill, g.dueLifeRemoval, g.dueReduction, g.dueReplacement, g.dueGrowth, g.dueDrop,
+		g.dueRefill, g.dueIncarnationRemoval, g.dueReduction, g.dueReplacement, g.dueGrowth, g.dueDrop,
 	} {
 		change, found := due()
 		if !found {
@@ -87,7 +87,7 @@
 		return true
 	}
 	follower := g.leadership.progress[voter.ID]
-	return follower != nil && follower.life == voter.Life && follower.ackedRound >= round
+	return follower != nil && follower.incarnation == voter.Incarnation && follower.ackedRound >= round
 }
 
 // grows tells whether the change gives a vote to a member without a place.
@@ -106,7 +106,7 @@
 // dueRefill gives the vote back to a member that a place is kept for.
 func (g *Group) dueRefill() (change GroupChange, due bool) {
 	for _, place := range g.places() {
-		voter := g.presentLife(place)
+		voter := g.presentIncarnation(place)
 		if place.Learner && g.caughtUp(voter) {
 			return GroupChange{Kind: ChangeAddVoter, Voter: voter}, true
 		}
@@ -114,12 +114,12 @@
 	return GroupChange{}, false
 }
 
-// dueLifeRemoval removes a lost life whose member holds the log in a new one,
-// and keeps its place.
-func (g *Group) dueLifeRemoval() (change GroupChange, due bool) {
+// dueIncarnationRemoval removes a lost incarnation whose member holds the log
+// in a new one, and keeps its place.
+func (g *Group) dueIncarnationRemoval() (change GroupChange, due bool) {
 	for _, place := range g.places() {
-		successor := g.presentLife(place)
-		if !place.Learner && successor.Life != place.Life && g.caughtUp(successor) {
+		successor := g.presentIncarnation(place)
+		if !place.Learner && successor.Incarnation != place.Incarnation && g.caughtUp(successor) {
 			return GroupChange{Kind: ChangeRemoveVoter, Voter: place.Voter, Successor: successor}, true
 		}
 	}
@@ -175,7 +175,7 @@
 		if peer.Left || follower == nil || g.places().position(peer.ID) >= 0 {
 			continue
 		}
-		if voter := (Voter{ID: peer.ID, Life: follower.life}); g.caughtUp(voter) {
+		if voter := (Voter{ID: peer.ID, Incarnation: follower.incarnation}); g.caughtUp(voter) {
 			return voter, true
 		}
 	}
@@ -206,8 +206,8 @@
 	return GroupChange{}, false
 }
 
-// silent tells whether nothing was heard of the member, in any life, for long
-// enough to go on without it.
+// silent tells whether nothing was heard of the member, in any incarnation, for
+// long enough to go on without it.
 func (g *Group) silent(voter Voter) bool {
 	follower := g.leadership.progress[voter.ID]
 	if follower == nil || g.heard(follower) {
@@ -216,10 +216,11 @@
 	return g.hasLeft(voter.ID) || g.now >= follower.lastContact+g.cfg.RemoveAfter
 }
 
-// presentLife is the life in which the member of a place was last heard.
-func (g *Group) presentLife(place Place) Voter {
+// presentIncarnation is the incarnation in which the member of a place was last
+// heard.
+func (g *Group) presentIncarnation(place Place) Voter {
 	if follower := g.leadership.progress[place.ID]; follower != nil {
-		return Voter{ID: place.ID, Life: follower.life}
+		return Voter{ID: place.ID, Incarnation: follower.incarnation}
 	}
 	return place.Voter
 }
--- a/pkg/replication/repair_test.go
+++ b/pkg/replication/repair_test.go
@@ -16,7 +16,7 @@
 	g := newMember("n1", "n1", "n2", "n3")
 	g.Tick(electionTimeout)
 	for _, trial := range []bool{true, false} {
-		granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Term: 1, Trial: trial}
+		granted := replication.Message{Type: replication.MessagePromiseReply, Incarnation: 1, Term: 1, Trial: trial}
 		Expect(g.Step(electionTimeout, "n2", granted)).To(Succeed())
 		settle(g)
 	}
@@ -55,7 +55,7 @@
 		Expect(founder.Step(0, "n1", appendOf(1, 0, 0, 1, first...))).To(Succeed())
 		settle(founder)
 		again, err := replication.New(replication.Config{
-			Self: "n2", Life: replication.FoundingLife, HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
+			Self: "n2", Incarnation: replication.FoundingIncarnation, HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
 		}, founder.Checkpoint(), 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again.Status().Places).To(Equal(founded("n1", "n2", "n3")))
@@ -111,7 +111,7 @@
 				{Type: replication.MessageBallotRequest, Trial: true},
 				{Type: replication.MessageBallotRequest},
 			} {
-				m.Term, m.Life, m.Index, m.IndexTerm = 90, 5, 90, 90
+				m.Term, m.Incarnation, m.Index, m.IndexTerm = 90, 5, 90, 90
 				Expect(g.Step(0, "n9", m)).To(Succeed())
 			}
 			Expect(g.Status()).To(Equal(before))
@@ -138,7 +138,7 @@
 		g.SetPeers(0, []replication.Peer{{ID: "n4"}})
 		g.Tick(electionTimeout)
 		for _, id := range []member.ID{"n4", "n9"} {
-			granted := replication.Message{Type: replication.MessagePromiseReply, Life: 1, Term: 1, Trial: true}
+			granted := replication.Message{Type: replication.MessagePromiseReply, Incarnation: 1, Term: 1, Trial: true}
 			Expect(g.Step(electionTimeout, id, granted)).To(Succeed())
 		}
 		Expect(g.Status().Term).To(BeZero())
@@ -171,7 +171,7 @@
 		g := electedLeader()
 		Expect(g.Step(tookAt, "n2", matched(2, 2))).To(Succeed())
 		Expect(problemOf(g.ProposeGroupChange(tookAt, replication.GroupChange{
-			Kind: replication.ChangeAddVoter, Voter: replication.Voter{ID: "n4", Life: 1},
+			Kind: replication.ChangeAddVoter, Voter: replication.Voter{ID: "n4", Incarnation: 1},
 		}))).To(Equal(replication.ProblemNotCaughtUp))
 		g.SetPeers(tookAt, []replication.Peer{{ID: "n4"}})
 		later := tookAt + heartbeatEvery
@@ -179,7 +179,7 @@
 		settle(g)
 		Expect(g.Step(later, "n4", answers(2))).To(Succeed())
 		Expect(g.Step(later, "n4", matched(2, 2))).To(Succeed())
-		add := replication.GroupChange{Kind: replication.ChangeAddVoter, Voter: replication.Voter{ID: "n4", Life: 1}}
+		add := replication.GroupChange{Kind: replication.ChangeAddVoter, Voter: replication.Voter{ID: "n4", Incarnation: 1}}
 		drop := replication.GroupChange{Kind: replication.ChangeRemoveVoter, Voter: lostN3}
 		Expect(g.ProposeGroupChange(later, drop)).To(Succeed())
 		Expect(g.Status().Places).To(Equal(founded("n1", "n2")))
@@ -210,8 +210,8 @@
 
 var _ = Describe("a group that lost a majority", func() {
 	It("is not formed anew by a member of which a voter with a newer log knows better", func() {
-		grant := replication.Message{Type: replication.MessageBallotReply, Life: 8, Trial: true}
-		newer := replication.Message{Type: replication.MessageBallotReply, Life: 1, Trial: true, Reject: true, Index: 2, IndexTerm: 1}
+		grant := replication.Message{Type: replication.MessageBallotReply, Incarnation: 8, Trial: true}
+		newer := replication.Message{Type: replication.MessageBallotReply, Incarnation: 1, Trial: true, Reject: true, Index: 2, IndexTerm: 1}
 		for _, objected := range []bool{false, true} {
 			g := newMember("n3", "n1", "n2", "n3")
 			g.SetPeers(0, []replication.Peer{{ID: "n4"}})
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -14,8 +14,8 @@
 	// SnapshotIndex is the last index that the newest snapshot covers.
 	SnapshotIndex uint64
 	Role          Role
-	// Life is that of Self's durable state.
-	Life uint64
+	// Incarnation is that of Self's durable state.
+	Incarnation uint64
 	// Group holds the voters in the agreed order. It must not be changed, like
 	// Places.
 	Group []member.ID
@@ -39,24 +39,24 @@
 	Live bool
 	// Learner tells that the member has no vote.
 	Learner bool
-	// Life is that of the member's durable state when it was last heard.
-	Life uint64
+	// Incarnation is that of the member's durable state when it was last heard.
+	Incarnation uint64
 }
 
 // Status returns the present state.
 func (g *Group) Status() Status {
 	group := g.log.groups.latest()
 	status := Status{
-		Self:      g.cfg.Self,
-		Leader:    g.leader,
-		Term:      g.hard.Term,
-		Commit:    g.log.committed,
-		Applied:   g.log.applied,
-		LastIndex: g.log.lastIndex(),
-		Role:      g.role,
-		Life:      g.cfg.Life,
-		Group:     group.voterIDs,
-		Places:    group.places,
+		Self:        g.cfg.Self,
+		Leader:      g.leader,
+		Term:        g.hard.Term,
+		Commit:      g.log.committed,
+		Applied:     g.log.applied,
+		LastIndex:   g.log.lastIndex(),
+		Role:        g.role,
+		Incarnation: g.cfg.Incarnation,
+		Group:       group.voterIDs,
+		Places:      group.places,
 	}
 	status.ChangeIndex = group.index
 	if g.log.snapshot != nil {
@@ -68,11 +68,11 @@
 	for _, id := range g.others() {
 		follower := g.leadership.progress[id]
 		status.Followers = append(status.Followers, FollowerStatus{
-			ID:      id,
-			Match:   follower.match,
-			Live:    g.heard(follower),
-			Learner: !g.places().votes(Voter{ID: id, Life: follower.life}),
-			Life:    follower.life,
+			ID:          id,
+			Match:       follower.match,
+			Live:        g.heard(follower),
+			Learner:     !g.places().votes(Voter{ID: id, Incarnation: follower.incarnation}),
+			Incarnation: follower.incarnation,
 		})
 	}
 	return status
