Router: one sum of the active load, one caller's overlap in its place

ActiveRequests summed what activeLoad sums, and calls it now; overlapOf had the store as its one caller left, and stands there; the bytes of a kilobyte and of a megabyte stand together. No behaviour changes.

--- a/pkg/kvrouter/active.go
+++ b/pkg/kvrouter/active.go
@@ -12,9 +12,5 @@
 	if !present {
 		return 0
 	}
-	others := known.shared.sum.Requests
-	if known.load.reported {
-		others = max(others, known.load.others.times(fade(now-known.load.reportedAt, &r.options)).requests)
-	}
-	return known.load.own.present.requests + others
+	return r.activeLoad(now, known).requests
 }
--- a/pkg/kvrouter/timed.go
+++ b/pkg/kvrouter/timed.go
@@ -8,6 +8,11 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
 
+const (
+	bytesPerKilobyte = 1e3
+	bytesPerMegabyte = 1e6
+)
+
 const (
 	// coldSlowdown is how many times longer a cold replica is assumed to take.
 	coldSlowdown = 1.5
@@ -17,8 +22,7 @@
 	// memory in use: other requests may hold it already.
 	sharedMemory = 0.5
 	// outputMemory is the share of the most tokens out that a request uses.
-	outputMemory     = 0.5
-	bytesPerKilobyte = 1000
+	outputMemory = 0.5
 	// maxPaces bounds the models whose speed is learnt.
 	maxPaces = 64
 )
@@ -93,7 +97,7 @@
 	if spread := req.Settings.SpreadTime; spread > 0 {
 		terms.price += spread * preference(r.options.Name, candidate.Address, p.identity())
 	}
-	active := r.activeLoad(req, state)
+	active := r.activeLoad(req.Now, state)
 	r.addDelay(req, terms, active.requests)
 	terms.memory = requestMemory(req, float64(own.Tokens))
 	terms.over = r.over(req, state, terms, active)
@@ -180,16 +184,16 @@
 
 // activeLoad is the load of the replica: the own one, and what others told or
 // the replica reported.
-func (r *Router) activeLoad(req *Request, state *replicaState) load {
+func (r *Router) activeLoad(now time.Duration, state *replicaState) load {
 	total := state.load.own.present
 	others := load{requests: state.shared.sum.Requests, decodeTokens: state.shared.sum.DecodeTokens}
 	if state.load.reported {
-		reported := state.load.others.times(fade(req.Now-state.load.reportedAt, &r.options))
+		reported := state.load.others.times(fade(now-state.load.reportedAt, &r.options))
 		others.requests = max(others.requests, reported.requests)
 		others.decodeTokens = max(others.decodeTokens, reported.decodeTokens)
 	}
 	total = total.plus(others)
-	if used, known := state.memory.estimate(req.Now, &state.load, &r.options); known {
+	if used, known := state.memory.estimate(now, &state.load, &r.options); known {
 		total.decodeTokens = used
 	}
 	return total
@@ -217,17 +221,6 @@
 	return req.Settings.BusyThresholdBlocks > 0 && blocks >= req.Settings.BusyThresholdBlocks
 }
 
-// overlapOf returns what a holder keeps of the prompt, or will keep when the
-// requests before are done.
-func (p *prompt) overlapOf(holder prefixindex.Holder) prefixindex.Overlap {
-	overlap := p.overlaps.Of(holder)
-	pending := p.pending.Of(holder).Likely
-	if pending.Tokens > overlap.Likely.Tokens {
-		overlap.Likely = pending
-	}
-	return overlap
-}
-
 // preference is a number from 0 to 1 that each router draws for each replica
 // and prompt.
 func preference(router, address string, prompt prefixindex.ChainHash) float64 {
--- a/pkg/kvrouter/timedpull.go
+++ b/pkg/kvrouter/timedpull.go
@@ -150,8 +150,6 @@
 	return max(0, 1-waiting/room)
 }
 
-const bytesPerMegabyte = 1e6
-
 // moveTime estimates how long tokens take between two holders, without a wait.
 func (r *Router) moveTime(req *Request, source *pullSource, state *replicaState, candidate *Candidate, tokens float64) time.Duration {
 	rate := req.Engine.LinkBitsPerSecond
@@ -203,6 +201,8 @@
 	if room := req.Engine.StoreTokens; room > 0 && float64(req.promptTokens) > saveShare*room {
 		return false
 	}
-	kept := p.overlapOf(r.state(req.Now, req.Store).holder).Likely
-	return tokens >= leastPull && float64(kept.Tokens) < tokens
+	// What is on its way to the store counts as kept.
+	holder := r.state(req.Now, req.Store).holder
+	kept := max(p.overlaps.Of(holder).Likely.Tokens, p.pending.Of(holder).Likely.Tokens)
+	return tokens >= leastPull && float64(kept) < tokens
 }
