--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -42,29 +42,20 @@
 }
 
 // dispatched notes a request that was sent to a replica.
-func (s *sharing) dispatched(dispatch shared.Dispatch) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if len(s.dispatches) < maxHeldNews {
-		s.dispatches = append(s.dispatches, dispatch)
-	}
-}
+func (s *sharing) dispatched(dispatch shared.Dispatch) { hold(s, &s.dispatches, dispatch) }
 
 // reported notes a page of reports that this node has read.
-func (s *sharing) reported(report shared.Report) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if len(s.reports) < maxHeldNews {
-		s.reports = append(s.reports, report)
-	}
-}
+func (s *sharing) reported(report shared.Report) { hold(s, &s.reports, report) }
 
 // denied notes an incarnation that was found to be gone from its address.
-func (s *sharing) denied(denial shared.Denial) {
+func (s *sharing) denied(denial shared.Denial) { hold(s, &s.denials, denial) }
+
+// hold keeps a piece of news until it is taken; beyond maxHeldNews it is lost.
+func hold[T any](s *sharing, held *[]T, news T) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.denials) < maxHeldNews {
-		s.denials = append(s.denials, denial)
+	if len(*held) < maxHeldNews {
+		*held = append(*held, news)
 	}
 }
 
