--- a/internal/control/protocol/message.go
+++ b/internal/control/protocol/message.go
@@ -9,11 +9,11 @@
 
 // The messages between the control machines of two nodes.
 const (
-	// MessageOrder forwards an operator's order to the owner of a shard.
+	// MessageOrder forwards an operator's order to the leader of a shard.
 	MessageOrder MessageType = iota + 1
 	// MessageOrderReply answers a forwarded order.
 	MessageOrderReply
-	// MessageRegister asks the owner of the configuration shard to count the
+	// MessageRegister asks the leader of the configuration shard to count the
 	// sender among the nodes that an acknowledgement waits for.
 	MessageRegister
 	// MessageRegisterReply tells the revision that the sender must hold
@@ -25,11 +25,11 @@
 	// MessageAskConfirm asks for a MessageConfirm that the sender waits for.
 	MessageAskConfirm
 	// MessageWitnessRequest asks which state of a shard the receiver holds,
-	// since the shard's group lost the majority of its disks. Epoch is the
+	// since the shard's group lost the majority of its disks. Term is the
 	// ballot under which the group is to be formed anew.
 	MessageWitnessRequest
 	// MessageWitnessReply tells the revision that the sender holds, and the
-	// newest epoch that it had heard of before.
+	// newest term that it had heard of before.
 	MessageWitnessReply
 	// MessageList passes a reading of the platform's list on; its payload is that
 	// of a listing.Message.
@@ -37,7 +37,7 @@
 	// MessageListRequest asks for a newer reading; its payload is that of a
 	// listing.Message.
 	MessageListRequest
-	// MessageReadSource asks the owner of the configuration for the source
+	// MessageReadSource asks the leader of the configuration for the source
 	// document in force, as a quorum confirms it.
 	MessageReadSource
 	// MessageReadSourceReply answers a MessageReadSource.
@@ -65,11 +65,11 @@
 	// ridgeswitchv1.Source.
 	Payload   []byte
 	Revision  uint64
-	Owner     member.ID
+	Leader    member.ID
 	Accepted  bool
 	Revisions []ShardRevision
-	// Epoch is one of the shard's group that the sender knows of.
-	Epoch uint64
+	// Term is one of the shard's group that the sender knows of.
+	Term uint64
 }
 
 // Outbound is a message and the member it is for.
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -11,19 +11,19 @@
 )
 
 const (
-	// rolloutEvery is how often the owner of a shard looks for its next moves.
+	// rolloutEvery is how often the leader of a shard looks for its next moves.
 	rolloutEvery = 100 * time.Millisecond
 	// rowLifetime is for how long a row tells the version of a replica whose
 	// version the list shows. The list has caught up by then.
 	rowLifetime = 10 * time.Second
 )
 
-// rolloutState is what the owner of a service shard remembers of its roll-outs.
-// It may be lost: a new owner repeats a command under its own epoch.
+// rolloutState is what the leader of a service shard remembers of its roll-outs.
+// It may be lost: a new leader repeats a command under its own term.
 type rolloutState struct {
-	// epoch is the epoch of ownership that the rest belongs to, and since is
+	// term is the term of leadership that the rest belongs to, and since is
 	// when this node first acted in it.
-	epoch uint64
+	term  uint64
 	since time.Duration
 	// work is what goes on at each replica that a row keeps requests from.
 	work map[string]*replicaWork
@@ -34,9 +34,9 @@
 	nextForget time.Duration
 }
 
-func newRolloutState(epoch uint64, since time.Duration) rolloutState {
+func newRolloutState(term uint64, since time.Duration) rolloutState {
 	return rolloutState{
-		epoch:          epoch,
+		term:           term,
 		since:          since,
 		work:           map[string]*replicaWork{},
 		confirmedSince: map[string]time.Duration{},
@@ -55,7 +55,7 @@
 	}
 }
 
-// tickRollouts lets each shard that this node owns make its next moves.
+// tickRollouts lets each shard that this node leads make its next moves.
 func (m *Machine) tickRollouts() {
 	if m.now < m.nextRollout {
 		return
@@ -63,11 +63,11 @@
 	m.nextRollout = m.now + rolloutEvery
 	for _, id := range m.shardIDs {
 		hosted := m.shards[id]
-		if hosted == nil || !hosted.owned() {
+		if hosted == nil || !hosted.leads() {
 			continue
 		}
-		if epoch := hosted.group.Status().Epoch; epoch != hosted.rollout.epoch {
-			hosted.rollout = newRolloutState(epoch, m.now)
+		if term := hosted.group.Status().Term; term != hosted.rollout.term {
+			hosted.rollout = newRolloutState(term, m.now)
 		}
 		if m.now >= hosted.rollout.nextForget {
 			hosted.rollout.nextForget = m.now + m.config.Times.RetryEvery
@@ -281,7 +281,7 @@
 }
 
 // seemsDown tells whether a replica has not answered for long enough that
-// taking it out of service costs nothing. An owner that has only begun to ask
+// taking it out of service costs nothing. A leader that has only begun to ask
 // knows of none.
 func (m *Machine) seemsDown(rolling poolRollout, replica rolledReplica) bool {
 	if replica.WeightVersion != "" {
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -144,23 +144,23 @@
 		Expect(node.phases()["serving"]).To(Equal(poolSize - poolSize/2))
 	})
 
-	It("takes nothing out of service on an owner that has no reports yet", func() {
+	It("takes nothing out of service on a leader that has no reports yet", func() {
 		node.machine.backends.reports = map[string]ReplicaReport{}
 		hosted := node.machine.shards[1]
-		hosted.rollout = newRolloutState(hosted.rollout.epoch, node.now)
+		hosted.rollout = newRolloutState(hosted.rollout.term, node.now)
 		Expect(node.submit(nameWeights("v2")).GetConfirmed()).To(BeTrue())
 		node.run(time.Second)
 		Expect(node.phases()).To(Equal(map[string]int{"serving": poolSize}))
 	})
 
-	It("counts replicas that an earlier owner took out, before it has reports of its own", func() {
+	It("counts replicas that an earlier leader took out, before it has reports of its own", func() {
 		Expect(node.submit(nameWeights("v2")).GetConfirmed()).To(BeTrue())
 		node.report("v1")
 		node.run(time.Second)
 		serving := node.machine.shards[1].state.(*serviceShard).replicas()
 		node.machine.backends.reports = map[string]ReplicaReport{}
 		hosted := node.machine.shards[1]
-		hosted.rollout = newRolloutState(hosted.rollout.epoch, node.now)
+		hosted.rollout = newRolloutState(hosted.rollout.term, node.now)
 		for _, row := range serving {
 			if row.GetPhase() == controlpb.ReplicaPhase_SERVING {
 				node.perform(node.machine.SetReplicaReport(node.now, ReplicaReport{
--- a/internal/lab/sim/diskfaults.go
+++ b/internal/lab/sim/diskfaults.go
@@ -78,7 +78,7 @@
 			}
 			voters++
 			holder := w.nodeNamed(place.ID)
-			if holder != victim && !holder.gone && !holder.leaving && holder.storage.life == place.Life {
+			if holder != victim && !holder.gone && !holder.leaving && holder.storage.incarnation == place.Incarnation {
 				sound++
 			}
 		}
@@ -89,24 +89,24 @@
 	return true
 }
 
-// places returns the places of a shard as its owner of the newest epoch knows
+// places returns the places of a shard as its leader of the newest term knows
 // them.
 func (w *simulation) places(shard uint32) ([]replication.Place, bool) {
 	var newest []replication.Place
-	epoch := uint64(0)
+	term := uint64(0)
 	for _, one := range w.diskNodes() {
 		if !one.up {
 			continue
 		}
-		places, owns := one.machine.Places(shard)
-		if !owns {
+		places, leads := one.machine.Places(shard)
+		if !leads {
 			continue
 		}
-		if of := one.machine.Status().GetShards()[shard].GetEpoch(); of > epoch {
-			newest, epoch = places, of
+		if of := one.machine.Status().GetShards()[shard].GetTerm(); of > term {
+			newest, term = places, of
 		}
 	}
-	return newest, epoch > 0
+	return newest, term > 0
 }
 
 func (w *simulation) nodeNamed(id member.ID) *node {
@@ -149,7 +149,7 @@
 	victim.note("disk lost")
 	victim.stop()
 	victim.storage.disk.Lose()
-	victim.storage.life = w.newLife()
+	victim.storage.incarnation = w.newDiskIncarnation()
 	victim.storage.founders = nil
 	victim.clock.base = time.Second + w.upTo(maxUptime) - w.now
 	if elsewhere {
@@ -158,8 +158,8 @@
 	w.after(w.lasting(300*time.Millisecond, 2*time.Second), victim.start)
 }
 
-// newLife names a disk that is found empty.
-func (w *simulation) newLife() uint64 { return uint64(wallEpoch + w.now.Milliseconds()) }
+// newDiskIncarnation names a disk that is found empty.
+func (w *simulation) newDiskIncarnation() uint64 { return uint64(wallEpoch + w.now.Milliseconds()) }
 
 // move gives a node another address. Seeds that name the old one are dead.
 func (w *simulation) move(victim *node) {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -69,7 +69,7 @@
 			Node: "core-1", Zone: "a", HoldsState: true, ServedRevision: 12, Fences: 2, ServeRemainingMs: 750,
 			Members: []*ridgeswitchv1.MemberStatus{{State: "alive"}, {State: "alive"}, {State: "suspect"}},
 			Shards: []*ridgeswitchv1.ShardStatus{
-				{Shard: 0, Owner: "core-1", Epoch: 3, Commit: 9, Applied: 8, Revision: 12, BadEntries: 1},
+				{Shard: 0, Leader: "core-1", Term: 3, Commit: 9, Applied: 8, Revision: 12, BadEntries: 1},
 				{Shard: 1},
 			},
 		},
@@ -100,17 +100,17 @@
 			`ridgeswitch_node_fences_total 2`,
 			`ridgeswitch_members{state="alive"} 2`,
 			`ridgeswitch_members{state="fenced"} 0`,
-			`ridgeswitch_shard_owned{shard="0"} 1`,
+			`ridgeswitch_shard_leader{shard="0"} 1`,
 			`ridgeswitch_shard_commit_index{shard="0"} 9`,
 			`ridgeswitch_shard_applied_index{shard="0"} 8`,
 			`ridgeswitch_shard_bad_entries_total{shard="0"} 1`,
-			`ridgeswitch_shard_owner_known{shard="1"} 0`,
+			`ridgeswitch_shard_leader_known{shard="1"} 0`,
 			`ridgeswitch_transport_frames_total{direction="sent"} 1`,
 			`ridgeswitch_transport_dropped_frames_total{reason="queue_full"} 3`,
 			`ridgeswitch_index_parts{source="predicted"} 6`,
 			`ridgeswitch_index_bytes 7`,
 		))
-		Expect(lines).NotTo(ContainElement(HavePrefix(`ridgeswitch_shard_epoch{shard="1"}`)))
+		Expect(lines).NotTo(ContainElement(HavePrefix(`ridgeswitch_shard_term{shard="1"}`)))
 		Expect(names).To(And(HaveKey("process_cpu_seconds_total"), HaveKey("process_resident_memory_bytes")))
 	})
 
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -17,9 +17,9 @@
 		Incarnation: uint64(message.Incarnation),
 		Payload:     message.Payload,
 		Revision:    message.Revision,
-		Owner:       string(message.Owner),
+		Leader:      string(message.Leader),
 		Accepted:    message.Accepted,
-		Epoch:       message.Epoch,
+		Term:        message.Term,
 	}
 	for _, revision := range message.Revisions {
 		packed.Revisions = append(packed.Revisions, &fb.ShardRevisionT{
@@ -42,9 +42,9 @@
 		Incarnation: member.Incarnation(table.Incarnation()),
 		Payload:     r.bytes(table.PayloadBytes()),
 		Revision:    table.Revision(),
-		Owner:       member.ID(r.text(table.Owner())),
+		Leader:      member.ID(r.text(table.Leader())),
 		Accepted:    table.Accepted(),
-		Epoch:       table.Epoch(),
+		Term:        table.Term(),
 		Revisions:   r.shardRevisions(table),
 	}
 }
--- a/internal/wire/fb/Control.go
+++ b/internal/wire/fb/Control.go
@@ -13,10 +13,10 @@
 	Incarnation uint64            `json:"incarnation"`
 	Payload     []byte            `json:"payload"`
 	Revision    uint64            `json:"revision"`
-	Owner       string            `json:"owner"`
+	Leader      string            `json:"leader"`
 	Accepted    bool              `json:"accepted"`
 	Revisions   []*ShardRevisionT `json:"revisions"`
-	Epoch       uint64            `json:"epoch"`
+	Term        uint64            `json:"term"`
 }
 
 func (t *ControlT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -27,7 +27,7 @@
 	if t.Payload != nil {
 		payloadOffset = builder.CreateByteString(t.Payload)
 	}
-	ownerOffset := builder.CreateString(t.Owner)
+	leaderOffset := builder.CreateString(t.Leader)
 	revisionsOffset := flatbuffers.UOffsetT(0)
 	if t.Revisions != nil {
 		revisionsLength := len(t.Revisions)
@@ -48,10 +48,10 @@
 	ControlAddIncarnation(builder, t.Incarnation)
 	ControlAddPayload(builder, payloadOffset)
 	ControlAddRevision(builder, t.Revision)
-	ControlAddOwner(builder, ownerOffset)
+	ControlAddLeader(builder, leaderOffset)
 	ControlAddAccepted(builder, t.Accepted)
 	ControlAddRevisions(builder, revisionsOffset)
-	ControlAddEpoch(builder, t.Epoch)
+	ControlAddTerm(builder, t.Term)
 	return ControlEnd(builder)
 }
 
@@ -62,7 +62,7 @@
 	t.Incarnation = rcv.Incarnation()
 	t.Payload = rcv.PayloadBytes()
 	t.Revision = rcv.Revision()
-	t.Owner = string(rcv.Owner())
+	t.Leader = string(rcv.Leader())
 	t.Accepted = rcv.Accepted()
 	revisionsLength := rcv.RevisionsLength()
 	t.Revisions = make([]*ShardRevisionT, revisionsLength)
@@ -71,7 +71,7 @@
 		rcv.Revisions(&x, j)
 		t.Revisions[j] = x.UnPack()
 	}
-	t.Epoch = rcv.Epoch()
+	t.Term = rcv.Term()
 }
 
 func (rcv *Control) UnPack() *ControlT {
@@ -204,7 +204,7 @@
 	return rcv._tab.MutateUint64Slot(14, n)
 }
 
-func (rcv *Control) Owner() []byte {
+func (rcv *Control) Leader() []byte {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
 	if o != 0 {
 		return rcv._tab.ByteVector(o + rcv._tab.Pos)
@@ -244,7 +244,7 @@
 	return 0
 }
 
-func (rcv *Control) Epoch() uint64 {
+func (rcv *Control) Term() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -252,7 +252,7 @@
 	return 0
 }
 
-func (rcv *Control) MutateEpoch(n uint64) bool {
+func (rcv *Control) MutateTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(22, n)
 }
 
@@ -280,8 +280,8 @@
 func ControlAddRevision(builder *flatbuffers.Builder, revision uint64) {
 	builder.PrependUint64Slot(5, revision, 0)
 }
-func ControlAddOwner(builder *flatbuffers.Builder, owner flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(owner), 0)
+func ControlAddLeader(builder *flatbuffers.Builder, leader flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(leader), 0)
 }
 func ControlAddAccepted(builder *flatbuffers.Builder, accepted bool) {
 	builder.PrependBoolSlot(7, accepted, false)
@@ -292,8 +292,8 @@
 func ControlStartRevisionsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
-func ControlAddEpoch(builder *flatbuffers.Builder, epoch uint64) {
-	builder.PrependUint64Slot(9, epoch, 0)
+func ControlAddTerm(builder *flatbuffers.Builder, term uint64) {
+	builder.PrependUint64Slot(9, term, 0)
 }
 func ControlEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/internal/wire/fb/Replication.go
+++ b/internal/wire/fb/Replication.go
@@ -7,20 +7,20 @@
 )
 
 type ReplicationT struct {
-	Type       byte       `json:"type"`
-	Epoch      uint64     `json:"epoch"`
-	Index      uint64     `json:"index"`
-	IndexEpoch uint64     `json:"index_epoch"`
-	Commit     uint64     `json:"commit"`
-	Round      uint64     `json:"round"`
-	Trial      bool       `json:"trial"`
-	Handover   bool       `json:"handover"`
-	Learner    bool       `json:"learner"`
-	Reject     bool       `json:"reject"`
-	RejectHint uint64     `json:"reject_hint"`
-	Entries    []*EntryT  `json:"entries"`
-	Snapshot   *SnapshotT `json:"snapshot"`
-	Life       uint64     `json:"life"`
+	Type        byte       `json:"type"`
+	Term        uint64     `json:"term"`
+	Index       uint64     `json:"index"`
+	IndexTerm   uint64     `json:"index_term"`
+	Commit      uint64     `json:"commit"`
+	Round       uint64     `json:"round"`
+	Trial       bool       `json:"trial"`
+	Handover    bool       `json:"handover"`
+	Learner     bool       `json:"learner"`
+	Reject      bool       `json:"reject"`
+	RejectHint  uint64     `json:"reject_hint"`
+	Entries     []*EntryT  `json:"entries"`
+	Snapshot    *SnapshotT `json:"snapshot"`
+	Incarnation uint64     `json:"incarnation"`
 }
 
 func (t *ReplicationT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -43,9 +43,9 @@
 	snapshotOffset := t.Snapshot.Pack(builder)
 	ReplicationStart(builder)
 	ReplicationAddType(builder, t.Type)
-	ReplicationAddEpoch(builder, t.Epoch)
+	ReplicationAddTerm(builder, t.Term)
 	ReplicationAddIndex(builder, t.Index)
-	ReplicationAddIndexEpoch(builder, t.IndexEpoch)
+	ReplicationAddIndexTerm(builder, t.IndexTerm)
 	ReplicationAddCommit(builder, t.Commit)
 	ReplicationAddRound(builder, t.Round)
 	ReplicationAddTrial(builder, t.Trial)
@@ -55,15 +55,15 @@
 	ReplicationAddRejectHint(builder, t.RejectHint)
 	ReplicationAddEntries(builder, entriesOffset)
 	ReplicationAddSnapshot(builder, snapshotOffset)
-	ReplicationAddLife(builder, t.Life)
+	ReplicationAddIncarnation(builder, t.Incarnation)
 	return ReplicationEnd(builder)
 }
 
 func (rcv *Replication) UnPackTo(t *ReplicationT) {
 	t.Type = rcv.Type()
-	t.Epoch = rcv.Epoch()
+	t.Term = rcv.Term()
 	t.Index = rcv.Index()
-	t.IndexEpoch = rcv.IndexEpoch()
+	t.IndexTerm = rcv.IndexTerm()
 	t.Commit = rcv.Commit()
 	t.Round = rcv.Round()
 	t.Trial = rcv.Trial()
@@ -79,7 +79,7 @@
 		t.Entries[j] = x.UnPack()
 	}
 	t.Snapshot = rcv.Snapshot(nil).UnPack()
-	t.Life = rcv.Life()
+	t.Incarnation = rcv.Incarnation()
 }
 
 func (rcv *Replication) UnPack() *ReplicationT {
@@ -130,7 +130,7 @@
 	return rcv._tab.MutateByteSlot(4, n)
 }
 
-func (rcv *Replication) Epoch() uint64 {
+func (rcv *Replication) Term() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -138,7 +138,7 @@
 	return 0
 }
 
-func (rcv *Replication) MutateEpoch(n uint64) bool {
+func (rcv *Replication) MutateTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(6, n)
 }
 
@@ -154,7 +154,7 @@
 	return rcv._tab.MutateUint64Slot(8, n)
 }
 
-func (rcv *Replication) IndexEpoch() uint64 {
+func (rcv *Replication) IndexTerm() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -162,7 +162,7 @@
 	return 0
 }
 
-func (rcv *Replication) MutateIndexEpoch(n uint64) bool {
+func (rcv *Replication) MutateIndexTerm(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(10, n)
 }
 
@@ -283,7 +283,7 @@
 	return nil
 }
 
-func (rcv *Replication) Life() uint64 {
+func (rcv *Replication) Incarnation() uint64 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
@@ -291,7 +291,7 @@
 	return 0
 }
 
-func (rcv *Replication) MutateLife(n uint64) bool {
+func (rcv *Replication) MutateIncarnation(n uint64) bool {
 	return rcv._tab.MutateUint64Slot(30, n)
 }
 
@@ -301,14 +301,14 @@
 func ReplicationAddType(builder *flatbuffers.Builder, type_ byte) {
 	builder.PrependByteSlot(0, type_, 0)
 }
-func ReplicationAddEpoch(builder *flatbuffers.Builder, epoch uint64) {
-	builder.PrependUint64Slot(1, epoch, 0)
+func ReplicationAddTerm(builder *flatbuffers.Builder, term uint64) {
+	builder.PrependUint64Slot(1, term, 0)
 }
 func ReplicationAddIndex(builder *flatbuffers.Builder, index uint64) {
 	builder.PrependUint64Slot(2, index, 0)
 }
-func ReplicationAddIndexEpoch(builder *flatbuffers.Builder, indexEpoch uint64) {
-	builder.PrependUint64Slot(3, indexEpoch, 0)
+func ReplicationAddIndexTerm(builder *flatbuffers.Builder, indexTerm uint64) {
+	builder.PrependUint64Slot(3, indexTerm, 0)
 }
 func ReplicationAddCommit(builder *flatbuffers.Builder, commit uint64) {
 	builder.PrependUint64Slot(4, commit, 0)
@@ -340,8 +340,8 @@
 func ReplicationAddSnapshot(builder *flatbuffers.Builder, snapshot flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(12, flatbuffers.UOffsetT(snapshot), 0)
 }
-func ReplicationAddLife(builder *flatbuffers.Builder, life uint64) {
-	builder.PrependUint64Slot(13, life, 0)
+func ReplicationAddIncarnation(builder *flatbuffers.Builder, incarnation uint64) {
+	builder.PrependUint64Slot(13, incarnation, 0)
 }
 func ReplicationEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/pkg/replication/change.go
+++ b/pkg/replication/change.go
@@ -15,8 +15,8 @@
 	// Successor, or drops the place if there is none.
 	ChangeRemoveVoter GroupChangeKind = iota + 1
 	// ChangeAddVoter gives Voter the vote in the place that is kept for its
-	// member, or in a new place at the end. Voter may be in a later life than
-	// the one the place was kept for.
+	// member, or in a new place at the end. Voter may be in a later incarnation
+	// than the one the place was kept for.
 	ChangeAddVoter
 	// ChangeDropPlace gives the place up that is kept for Voter.
 	ChangeDropPlace
@@ -29,7 +29,7 @@
 	Kind  GroupChangeKind
 	Voter Voter
 	// Successor is who the place of a removed voter is kept for: the same
-	// member in a later life, another member that has no place, or nobody.
+	// member in a later incarnation, another member that has no place, or nobody.
 	Successor Voter
 }
 
@@ -40,16 +40,16 @@
 const (
 	// ProblemChangeUnderWay: an earlier change is not committed yet.
 	ProblemChangeUnderWay GroupChangeProblem = iota + 1
-	// ProblemOwnershipNew: the owner has committed nothing in its epoch yet.
-	ProblemOwnershipNew
+	// ProblemLeadershipNew: the leader has committed nothing in its term yet.
+	ProblemLeadershipNew
 	// ProblemNoSuchPlace: the group has no such voter, or no place kept.
 	ProblemNoSuchPlace
 	// ProblemNotCaughtUp: the member that is to get the vote lacks entries.
 	ProblemNotCaughtUp
 	// ProblemNoMajority: too few of the remaining voters are live.
 	ProblemNoMajority
-	// ProblemOwner: the voter to be removed is the owner.
-	ProblemOwner
+	// ProblemLeader: the voter to be removed is the leader.
+	ProblemLeader
 	// ProblemUnknownKind: the kind of the change is none of the defined ones.
 	ProblemUnknownKind
 )
@@ -59,16 +59,16 @@
 	switch p {
 	case ProblemChangeUnderWay:
 		return "an earlier change is not committed yet: try again when it is"
-	case ProblemOwnershipNew:
-		return "the owner has committed nothing in its epoch yet: try again in a moment"
+	case ProblemLeadershipNew:
+		return "the leader has committed nothing in its term yet: try again in a moment"
 	case ProblemNoSuchPlace:
 		return "the group has no such place: read its status and name a voter of it, or a member without a place"
 	case ProblemNotCaughtUp:
 		return "the member does not hold the log yet: start it, and try again when it has caught up"
 	case ProblemNoMajority:
 		return "too few of the remaining voters are live: start them first"
-	case ProblemOwner:
-		return "the voter is the owner: hand the ownership over first"
+	case ProblemLeader:
+		return "the voter is the leader: hand the leadership over first"
 	default:
 		return "the kind of the change is unknown: use one of the defined kinds"
 	}
@@ -82,14 +82,14 @@
 
 // Error names the voter, the problem and the remedy.
 func (e *GroupChangeError) Error() string {
-	return fmt.Sprintf("change of voter %s in life %d: %s", e.Change.Voter.ID, e.Change.Voter.Life, e.Problem.remedy())
+	return fmt.Sprintf("change of voter %s in incarnation %d: %s", e.Change.Voter.ID, e.Change.Voter.Incarnation, e.Problem.remedy())
 }
 
 // ProposeGroupChange appends a change of the voters. It takes effect at once,
-// and is undone if the entry is truncated in a later epoch; Status shows it as
-// committed when its index is. When a place is kept for a member, the owner
+// and is undone if the entry is truncated in a later term; Status shows it as
+// committed when its index is. When a place is kept for a member, the leader
 // adds that member by itself once it has caught up. It fails with a
-// *NotOwnerError or a *GroupChangeError.
+// *NotLeaderError or a *GroupChangeError.
 func (g *Group) ProposeGroupChange(now time.Duration, change GroupChange) error {
 	g.observe(now)
 	if err := g.acceptsWork(); err != nil {
@@ -106,9 +106,9 @@
 
 // afterChange returns the group after the change, or why it can't be made.
 func (g *Group) afterChange(change GroupChange) (places, GroupChangeProblem) {
-	if g.log.committed < g.ownership.barrier {
-		// A change that an earlier epoch left could be in effect elsewhere.
-		return nil, ProblemOwnershipNew
+	if g.log.committed < g.leadership.barrier {
+		// A change that an earlier term left could be in effect elsewhere.
+		return nil, ProblemLeadershipNew
 	}
 	if g.log.groups.latest().index > g.log.committed {
 		return nil, ProblemChangeUnderWay
@@ -131,7 +131,7 @@
 		return nil, ProblemNoSuchPlace
 	}
 	if change.Voter.ID == g.cfg.Self {
-		return nil, ProblemOwner
+		return nil, ProblemLeader
 	}
 	position := group.position(change.Voter.ID)
 	changed := group.without(position)
@@ -151,7 +151,7 @@
 func (g *Group) successorProblem(change GroupChange) GroupChangeProblem {
 	successor := change.Successor
 	if successor.ID == change.Voter.ID {
-		if successor.Life == change.Voter.Life {
+		if successor.Incarnation == change.Voter.Incarnation {
 			return ProblemNoSuchPlace
 		}
 	} else if g.places().position(successor.ID) >= 0 {
@@ -193,17 +193,17 @@
 	return group.without(position), 0
 }
 
-// caughtUp tells whether the member is live in that life, wants a vote, and
+// caughtUp tells whether the member is live in that incarnation, wants a vote, and
 // holds all that the log held when the last heartbeat round began.
 func (g *Group) caughtUp(voter Voter) bool {
-	follower := g.ownership.progress[voter.ID]
-	if follower == nil || follower.learner || follower.life != voter.Life {
+	follower := g.leadership.progress[voter.ID]
+	if follower == nil || follower.learner || follower.incarnation != voter.Incarnation {
 		return false
 	}
-	return g.heard(follower) && follower.match >= g.ownership.roundIndex
+	return g.heard(follower) && follower.match >= g.leadership.roundIndex
 }
 
-// majorityLive tells whether the voters that are heard, in the life that
+// majorityLive tells whether the voters that are heard, in the incarnation that
 // counts, are a majority of the group.
 func (g *Group) majorityLive(group places) bool {
 	live := 0
--- a/pkg/replication/cluster_test.go
+++ b/pkg/replication/cluster_test.go
@@ -22,18 +22,18 @@
 // node is one member with its disk. What the state machine has not been told
 // to be durable is lost in a crash.
 type node struct {
-	id      member.ID
-	group   *replication.Group
-	disk    replication.Restored
-	learner bool
-	life    int
+	id          member.ID
+	group       *replication.Group
+	disk        replication.Restored
+	learner     bool
+	incarnation int
 	// founder tells that the settings of the node name the founders.
 	founder bool
 	// known, left and gone are what gossip tells: the node has started once, it
 	// is about to stop, or it stopped for good and its disk with it.
 	known, left, gone bool
-	// diskLife numbers the disks that the node has had.
-	diskLife uint64
+	// diskIncarnation numbers the disks that the node has had.
+	diskIncarnation uint64
 	// lostAt is when the node lost a disk last.
 	lostAt time.Duration
 	// places is the newest group that the node was seen with on this disk.
@@ -64,9 +64,9 @@
 	faults  faults
 	cut     map[link]bool
 	packets []packet
-	// digests and owners are what the whole cluster has ever agreed on.
+	// digests and leaders are what the whole cluster has ever agreed on.
 	digests map[uint64]uint64
-	owners  map[uint64]replication.Voter
+	leaders map[uint64]replication.Voter
 	highest uint64
 	// wiped tells that a disk was lost whose member gets no vote again; in
 	// schedules with neverRepaired there is one such loss at most.
@@ -105,7 +105,7 @@
 		},
 		cut:     map[link]bool{},
 		digests: map[uint64]uint64{},
-		owners:  map[uint64]replication.Voter{},
+		leaders: map[uint64]replication.Voter{},
 	}
 	for _, id := range ids {
 		c.addNode(string(id))
@@ -124,9 +124,9 @@
 		return
 	}
 	n := &node{
-		id:       member.ID(strings.TrimLeft(marked, peerMark+laterMark)),
-		diskLife: replication.FoundingLife,
-		known:    !strings.HasPrefix(marked, laterMark),
+		id:              member.ID(strings.TrimLeft(marked, peerMark+laterMark)),
+		diskIncarnation: replication.FoundingIncarnation,
+		known:           !strings.HasPrefix(marked, laterMark),
 	}
 	n.founder = marked == string(n.id)
 	if n.founder {
--- a/pkg/replication/clustercheck_test.go
+++ b/pkg/replication/clustercheck_test.go
@@ -11,8 +11,8 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
 
-// check holds at every instant: an epoch has one owner ever, one member at
-// most may command, and learners never own.
+// check holds at every instant: a term has one leader ever, one member at
+// most may command, and learners never lead.
 func (c *cluster) check() {
 	var holders []member.ID
 	for _, n := range c.nodes {
@@ -20,14 +20,14 @@
 			continue
 		}
 		status := n.group.Status()
-		if status.Role == replication.RoleOwner {
+		if status.Role == replication.RoleLeader {
 			if n.learner {
-				Fail("a learner owns")
+				Fail("a learner leads")
 			}
-			if owner, known := c.owners[status.Epoch]; known && owner != n.voter() {
-				Expect(n.voter()).To(Equal(owner), "epoch %d has two owners", status.Epoch)
+			if leader, known := c.leaders[status.Term]; known && leader != n.voter() {
+				Expect(n.voter()).To(Equal(leader), "term %d has two leaders", status.Term)
 			}
-			c.owners[status.Epoch] = n.voter()
+			c.leaders[status.Term] = n.voter()
 		}
 		n.places = status.Places
 		if n.group.MayCommand(c.clock(n)) {
@@ -39,14 +39,14 @@
 	}
 }
 
-// cell draws a node: role, epoch, commit/last, and marks. A group that is not
+// cell draws a node: role, term, commit/last, and marks. A group that is not
 // the founding one shows as the number of voters @ the index of the change.
 func (c *cluster) cell(n *node) string {
 	if n.group == nil {
 		return "down"
 	}
 	status := n.group.Status()
-	cell := fmt.Sprintf("%s e%d %d/%d", status.Role, status.Epoch, status.Commit, status.LastIndex)
+	cell := fmt.Sprintf("%s t%d %d/%d", status.Role, status.Term, status.Commit, status.LastIndex)
 	if status.SnapshotIndex > 0 {
 		cell += fmt.Sprintf(" s%d", status.SnapshotIndex)
 	}
--- a/pkg/replication/config.go
+++ b/pkg/replication/config.go
@@ -8,7 +8,7 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
-// minHeartbeatsPerElection is how many heartbeats an owner must be able to
+// minHeartbeatsPerElection is how many heartbeats a leader must be able to
 // send within one ElectionTimeout, so that one lost heartbeat costs nothing.
 const minHeartbeatsPerElection = 2
 
@@ -23,13 +23,13 @@
 type Config struct {
 	// Self is the member that runs this state machine.
 	Self member.ID
-	// Life names the durable state that Self is started with. It is
-	// FoundingLife on the disks that the group is founded with. A disk that
-	// took the place of a lost one has a life that differs from all before it,
-	// and that must be durable before New is called.
-	Life uint64
+	// Incarnation names the durable state that Self is started with. It is
+	// FoundingIncarnation on the disks that the group is founded with. A disk
+	// that took the place of a lost one has an incarnation that differs from
+	// all before it, and that must be durable before New is called.
+	Incarnation uint64
 	// Group holds the founding voters in the agreed order, the same on every
-	// founder. Earlier members are preferred as owners. It is empty on a member
+	// founder. Earlier members are preferred as leaders. It is empty on a member
 	// that joins a group, and may be empty on any member whose log or snapshot
 	// is not: the present voters are those that the log tells of, and its first
 	// entry tells of the founders. A member that knows of no group is a learner.
@@ -41,10 +41,10 @@
 	// from a group with an even number of voters; zero stands for
 	// DefaultRemoveAfter.
 	RemoveAfter time.Duration
-	// HeartbeatEvery is the time between two heartbeats of an owner.
+	// HeartbeatEvery is the time between two heartbeats of a leader.
 	HeartbeatEvery time.Duration
-	// ElectionTimeout is how long a voter waits for an owner before the first
-	// live voter campaigns, and how long an owner stays without a majority.
+	// ElectionTimeout is how long a voter waits for a leader before the first
+	// live voter campaigns, and how long a leader stays without a majority.
 	ElectionTimeout time.Duration
 	// LeaseDuration is the length of the command lease; zero turns it off.
 	LeaseDuration time.Duration
@@ -54,8 +54,8 @@
 	// followers that are a little late.
 	MaxLogEntries int
 	// Learner starts a member that never votes, and that is given no vote. A
-	// member whose durable state was lost needs only another Life: the owner
-	// gives it the vote back when that is safe.
+	// member whose durable state was lost needs only another Incarnation: the
+	// leader gives it the vote back when that is safe.
 	Learner bool
 }
 
@@ -79,8 +79,8 @@
 	if c.Self == "" {
 		return &ConfigError{Field: "Self", Message: "is empty: name the member"}
 	}
-	if c.Life == 0 {
-		return &ConfigError{Field: "Life", Message: "is zero: name the durable state, FoundingLife on a founder"}
+	if c.Incarnation == 0 {
+		return &ConfigError{Field: "Incarnation", Message: "is zero: name the durable state, FoundingIncarnation on a founder"}
 	}
 	if err := checkDistinct(c.Group); err != nil {
 		return err
@@ -119,15 +119,15 @@
 
 // HardState is what a member must never forget.
 type HardState struct {
-	// Epoch is the highest epoch that the member has seen.
-	Epoch uint64
-	// PromisedTo is the member that Epoch is promised to, or empty.
+	// Term is the highest term that the member has seen.
+	Term uint64
+	// PromisedTo is the member that Term is promised to, or empty.
 	PromisedTo member.ID
-	// PromisedLife is the life of PromisedTo. In another life the member would
-	// be another candidate.
-	PromisedLife uint64
+	// PromisedIncarnation is the incarnation of PromisedTo. In another
+	// incarnation the member would be another candidate.
+	PromisedIncarnation uint64
 	// Commit is the highest index known to be committed when the state was
-	// written. It may lag behind without harm, as the owner tells it again.
+	// written. It may lag behind without harm, as the leader tells it again.
 	Commit uint64
 }
 
@@ -150,7 +150,7 @@
 	}
 	previous := Entry{}
 	if r.Snapshot != nil {
-		previous = Entry{Index: r.Snapshot.Index, Epoch: r.Snapshot.Epoch}
+		previous = Entry{Index: r.Snapshot.Index, Term: r.Snapshot.Term}
 	}
 	for _, entry := range r.Entries {
 		if entry.Index <= previous.Index {
@@ -162,8 +162,8 @@
 		if err := entry.check(); err != nil {
 			return &RestoredError{Message: err.Error()}
 		}
-		if entry.Epoch < previous.Epoch || entry.Epoch > r.Epoch {
-			return &RestoredError{Message: "the log's epochs are out of order: restore the member as a learner with an empty disk"}
+		if entry.Term < previous.Term || entry.Term > r.Term {
+			return &RestoredError{Message: "the log's terms are out of order: restore the member as a learner with an empty disk"}
 		}
 		previous = entry
 	}
--- a/pkg/replication/durable/encoding.go
+++ b/pkg/replication/durable/encoding.go
@@ -43,10 +43,10 @@
 		return nil
 	}
 	return &fb.HardStateT{
-		Epoch:        hard.Epoch,
-		PromisedTo:   string(hard.PromisedTo),
-		PromisedLife: hard.PromisedLife,
-		Commit:       hard.Commit,
+		Term:                hard.Term,
+		PromisedTo:          string(hard.PromisedTo),
+		PromisedIncarnation: hard.PromisedIncarnation,
+		Commit:              hard.Commit,
 	}
 }
 
@@ -56,7 +56,7 @@
 	}
 	return &fb.SnapshotT{
 		Index:  snapshot.Index,
-		Epoch:  snapshot.Epoch,
+		Term:   snapshot.Term,
 		Places: packPlaces(snapshot.Group),
 		Data:   snapshot.Data,
 	}
@@ -65,7 +65,7 @@
 func packPlaces(group []replication.Place) []*fb.PlaceT {
 	packed := make([]*fb.PlaceT, len(group))
 	for i, place := range group {
-		packed[i] = &fb.PlaceT{Id: string(place.ID), Life: place.Life, Learner: place.Learner}
+		packed[i] = &fb.PlaceT{Id: string(place.ID), Incarnation: place.Incarnation, Learner: place.Learner}
 	}
 	return packed
 }
@@ -75,7 +75,7 @@
 	for i, entry := range entries {
 		packed[i] = &fb.EntryT{
 			Index:   entry.Index,
-			Epoch:   entry.Epoch,
+			Term:    entry.Term,
 			Kind:    byte(entry.Kind),
 			Command: entry.Command,
 		}
@@ -109,10 +109,10 @@
 		return nil
 	}
 	return &replication.HardState{
-		Epoch:        table.Epoch,
-		PromisedTo:   member.ID(table.PromisedTo),
-		PromisedLife: table.PromisedLife,
-		Commit:       table.Commit,
+		Term:                table.Term,
+		PromisedTo:          member.ID(table.PromisedTo),
+		PromisedIncarnation: table.PromisedIncarnation,
+		Commit:              table.Commit,
 	}
 }
 
@@ -122,7 +122,7 @@
 	}
 	return &replication.Snapshot{
 		Index: table.Index,
-		Epoch: table.Epoch,
+		Term:  table.Term,
 		Group: unpackPlaces(table.Places),
 		Data:  bytes.Clone(table.Data),
 	}
@@ -135,7 +135,7 @@
 	group := make([]replication.Place, len(tables))
 	for i, table := range tables {
 		group[i] = replication.Place{
-			Voter:   replication.Voter{ID: member.ID(table.Id), Life: table.Life},
+			Voter:   replication.Voter{ID: member.ID(table.Id), Incarnation: table.Incarnation},
 			Learner: table.Learner,
 		}
 	}
@@ -150,7 +150,7 @@
 	for i, table := range tables {
 		entries[i] = replication.Entry{
 			Index:   table.Index,
-			Epoch:   table.Epoch,
+			Term:    table.Term,
 			Kind:    replication.EntryKind(table.Kind),
 			Command: bytes.Clone(table.Command),
 		}
--- a/pkg/replication/durable/log_test.go
+++ b/pkg/replication/durable/log_test.go
@@ -28,35 +28,35 @@
 	checkpoint bool
 }
 
-func hard(epoch uint64, promisedTo member.ID, commit uint64) *replication.HardState {
-	return &replication.HardState{Epoch: epoch, PromisedTo: promisedTo, Commit: commit}
+func hard(term uint64, promisedTo member.ID, commit uint64) *replication.HardState {
+	return &replication.HardState{Term: term, PromisedTo: promisedTo, Commit: commit}
 }
 
-// entries returns the entries first..last of one epoch.
-func entries(epoch, first, last uint64) []replication.Entry {
+// entries returns the entries first..last of one term.
+func entries(term, first, last uint64) []replication.Entry {
 	var made []replication.Entry
 	for index := first; index <= last; index++ {
-		command := fmt.Appendf(nil, "command %d of epoch %d", index, epoch)
-		made = append(made, replication.Entry{Index: index, Epoch: epoch, Kind: replication.EntryCommand, Command: command})
+		command := fmt.Appendf(nil, "command %d of term %d", index, term)
+		made = append(made, replication.Entry{Index: index, Term: term, Kind: replication.EntryCommand, Command: command})
 	}
 	return made
 }
 
-func snapshot(epoch, index uint64) *replication.Snapshot {
+func snapshot(term, index uint64) *replication.Snapshot {
 	return &replication.Snapshot{
 		Index: index,
-		Epoch: epoch,
+		Term:  term,
 		Group: []replication.Place{
-			{Voter: replication.Voter{ID: "a", Life: 1}},
-			{Voter: replication.Voter{ID: "b", Life: 1700000000000}},
-			{Voter: replication.Voter{ID: "c", Life: 2}, Learner: true},
+			{Voter: replication.Voter{ID: "a", Incarnation: 1}},
+			{Voter: replication.Voter{ID: "b", Incarnation: 1700000000000}},
+			{Voter: replication.Voter{ID: "c", Incarnation: 2}, Learner: true},
 		},
 		Data: fmt.Appendf(nil, "state at %d", index),
 	}
 }
 
 // script has promises, entries, conflicting suffixes, a snapshot from the
-// owner, a compaction, and enough bytes for checkpoints in between.
+// leader, a compaction, and enough bytes for checkpoints in between.
 var script = []operation{
 	{ready: replication.Ready{HardState: hard(1, "a", 0)}},
 	{ready: replication.Ready{HardState: hard(1, "a", 0), Entries: entries(1, 1, 3)}},
@@ -118,7 +118,7 @@
 	_, restored, err := Open(disk, logName)
 	Expect(err).NotTo(HaveOccurred())
 	group, err := replication.New(replication.Config{
-		Self: "b", Life: replication.FoundingLife, Group: []member.ID{"a", "b", "c"},
+		Self: "b", Incarnation: replication.FoundingIncarnation, Group: []member.ID{"a", "b", "c"},
 		HeartbeatEvery: time.Second, ElectionTimeout: time.Minute,
 	}, restored, 0)
 	Expect(err).NotTo(HaveOccurred())
@@ -169,8 +169,8 @@
 		disk := memdisk.New()
 		log, _, err := OpenWithLimit(disk, logName, smallLimit)
 		Expect(err).NotTo(HaveOccurred())
-		for epoch := uint64(1); epoch <= 200; epoch++ {
-			Expect(log.Save(replication.Ready{HardState: hard(epoch, "a", 0)})).To(Succeed())
+		for term := uint64(1); term <= 200; term++ {
+			Expect(log.Save(replication.Ready{HardState: hard(term, "a", 0)})).To(Succeed())
 			Expect(log.store.LogBytes()).To(BeNumerically("<", 2*smallLimit))
 		}
 		_, restored, err := Open(disk, logName)
@@ -204,8 +204,8 @@
 		Expect(log.Save(replication.Ready{Entries: entries(2, 2, 2)})).To(MatchError(twoslot.ErrDiskFull))
 		disk.SetFull(false)
 		// Enough for a checkpoint, which is written from memory.
-		for epoch := uint64(3); epoch < 30; epoch++ {
-			Expect(log.Save(replication.Ready{HardState: hard(epoch, "a", 0)})).To(Succeed())
+		for term := uint64(3); term < 30; term++ {
+			Expect(log.Save(replication.Ready{HardState: hard(term, "a", 0)})).To(Succeed())
 		}
 		_, restored, err := Open(disk, logName)
 		Expect(err).NotTo(HaveOccurred())
@@ -238,13 +238,13 @@
 	It("restores the group without a change whose entry was truncated", func() {
 		founding := snapshot(1, 2)
 		founding.Group = []replication.Place{
-			{Voter: replication.Voter{ID: "a", Life: 1}},
-			{Voter: replication.Voter{ID: "b", Life: 1}},
-			{Voter: replication.Voter{ID: "c", Life: 1}},
+			{Voter: replication.Voter{ID: "a", Incarnation: 1}},
+			{Voter: replication.Voter{ID: "b", Incarnation: 1}},
+			{Voter: replication.Voter{ID: "c", Incarnation: 1}},
 		}
 		command, err := json.Marshal(snapshot(1, 2).Group)
 		Expect(err).NotTo(HaveOccurred())
-		removal := replication.Entry{Index: 4, Epoch: 1, Kind: replication.EntryGroupChange, Command: command}
+		removal := replication.Entry{Index: 4, Term: 1, Kind: replication.EntryGroupChange, Command: command}
 
 		disk := memdisk.New()
 		log, _, err := Open(disk, logName)
@@ -271,7 +271,7 @@
 		Entry("entries behind a gap", replication.Ready{Entries: entries(6, 29, 30)}),
 		Entry("entries that the snapshot covers", replication.Ready{Entries: entries(6, 22, 30)}),
 		Entry("entries with a gap", replication.Ready{Entries: append(entries(6, 28, 28), entries(6, 30, 30)...)}),
-		Entry("an older epoch", replication.Ready{HardState: hard(5, "a", 24)}),
+		Entry("an older term", replication.Ready{HardState: hard(5, "a", 24)}),
 	)
 
 	It("restores the founders to a member that is not told of them", func() {
@@ -279,7 +279,7 @@
 		log, _, err := OpenWithLimit(disk, logName, smallLimit)
 		Expect(err).NotTo(HaveOccurred())
 		config := replication.Config{
-			Self: "a", Life: replication.FoundingLife, Group: []member.ID{"a"},
+			Self: "a", Incarnation: replication.FoundingIncarnation, Group: []member.ID{"a"},
 			HeartbeatEvery: time.Millisecond, ElectionTimeout: time.Second,
 		}
 		group, err := replication.New(config, replication.Restored{}, 0)
@@ -295,7 +295,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			again, err := replication.New(config, restored, 0)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(again.Status().Places).To(Equal([]replication.Place{{Voter: replication.Voter{ID: "a", Life: replication.FoundingLife}}}))
+			Expect(again.Status().Places).To(Equal([]replication.Place{{Voter: replication.Voter{ID: "a", Incarnation: replication.FoundingIncarnation}}}))
 			Expect(again.Status().Role).To(Equal(replication.RoleFollower))
 		}
 		expectFounders()
--- a/pkg/replication/election.go
+++ b/pkg/replication/election.go
@@ -23,7 +23,7 @@
 		if id == g.cfg.Self {
 			break
 		}
-		if id == g.election.lostOwner || slices.Contains(g.election.suspected, id) {
+		if id == g.election.lostLeader || slices.Contains(g.election.suspected, id) {
 			continue
 		}
 		rank++
@@ -44,36 +44,36 @@
 	g.startTrial()
 }
 
-// hearsLiveOwner tells whether an election would disturb a working owner.
-func (g *Group) hearsLiveOwner() bool {
-	if g.role == RoleOwner {
+// hearsLiveLeader tells whether an election would disturb a working leader.
+func (g *Group) hearsLiveLeader() bool {
+	if g.role == RoleLeader {
 		return true
 	}
-	return g.owner != "" && g.now < g.election.ownerContact+g.cfg.ElectionTimeout
+	return g.leader != "" && g.now < g.election.leaderContact+g.cfg.ElectionTimeout
 }
 
-// startTrial asks whether a campaign could be won, without raising any epoch.
-// It goes on until it is won or an owner is heard.
+// startTrial asks whether a campaign could be won, without raising any term.
+// It goes on until it is won or a leader is heard.
 func (g *Group) startTrial() {
-	g.rest(g.hard.Epoch, "")
+	g.rest(g.hard.Term, "")
 	g.role = RoleCandidate
 	g.election.trial = true
 	g.askForPromises()
 	g.countPromises()
 }
 
-// campaign raises the epoch and promises it to itself. The own promise counts
+// campaign raises the term and promises it to itself. The own promise counts
 // when it is durable.
 func (g *Group) campaign(handover bool) {
-	g.rest(g.hard.Epoch+1, "")
+	g.rest(g.hard.Term+1, "")
 	g.hard.PromisedTo = g.cfg.Self
-	g.hard.PromisedLife = g.cfg.Life
+	g.hard.PromisedIncarnation = g.cfg.Incarnation
 	g.role = RoleCandidate
 	g.election.handover = handover
 	g.election.waitFrom = g.now
 	// If this campaign fails, the members that campaign at the same time must
 	// not wait equally long again.
-	g.election.lostOwner = ""
+	g.election.lostLeader = ""
 	g.askForPromises()
 }
 
@@ -82,11 +82,11 @@
 func (g *Group) askForPromises() {
 	g.election.askedAt = g.now
 	g.election.rejected = nil
-	epoch := g.hard.Epoch
+	term := g.hard.Term
 	if g.election.trial {
-		epoch++
+		term++
 		// What was granted earlier may be untrue by now: a voter may hear an
-		// owner again.
+		// leader again.
 		g.election.granted = []Voter{g.self()}
 	}
 	for _, id := range g.log.groups.latest().voterIDs {
@@ -94,18 +94,18 @@
 			continue
 		}
 		g.send(id, Message{
-			Type:       MessagePromiseRequest,
-			Epoch:      epoch,
-			Index:      g.log.lastIndex(),
-			IndexEpoch: g.log.lastEpoch(),
-			Trial:      g.election.trial,
-			Handover:   g.election.handover,
+			Type:      MessagePromiseRequest,
+			Term:      term,
+			Index:     g.log.lastIndex(),
+			IndexTerm: g.log.lastTerm(),
+			Trial:     g.election.trial,
+			Handover:  g.election.handover,
 		})
 	}
 }
 
 func (g *Group) stepPromiseRequest(from member.ID, m Message) {
-	reply := Message{Type: MessagePromiseReply, Epoch: m.Epoch, Trial: m.Trial}
+	reply := Message{Type: MessagePromiseReply, Term: m.Term, Trial: m.Trial}
 	switch {
 	case g.cfg.Learner:
 		reply.Learner = true
@@ -116,41 +116,41 @@
 		reply.Reject = !g.promise(from, m)
 	}
 	if reply.Reject {
-		reply.Epoch = g.hard.Epoch
+		reply.Term = g.hard.Term
 	}
 	g.send(from, reply)
 }
 
 func (g *Group) wouldPromise(m Message) bool {
-	if m.Epoch <= g.hard.Epoch || g.hearsLiveOwner() {
+	if m.Term <= g.hard.Term || g.hearsLiveLeader() {
 		return false
 	}
-	return g.log.isUpToDate(m.Index, m.IndexEpoch)
+	return g.log.isUpToDate(m.Index, m.IndexTerm)
 }
 
-// promise grants an epoch to one member at most. The grant leaves in the Ready
+// promise grants a term to one member at most. The grant leaves in the Ready
 // that carries it as HardState, and so after it is durable.
 func (g *Group) promise(from member.ID, m Message) bool {
-	if m.Epoch < g.hard.Epoch {
+	if m.Term < g.hard.Term {
 		return false
 	}
-	if m.Epoch > g.hard.Epoch {
-		if g.hearsLiveOwner() && !m.Handover {
+	if m.Term > g.hard.Term {
+		if g.hearsLiveLeader() && !m.Handover {
 			return false
 		}
-		g.rest(m.Epoch, "")
+		g.rest(m.Term, "")
 	}
-	if g.hard.PromisedTo == from && g.hard.PromisedLife == m.Life {
+	if g.hard.PromisedTo == from && g.hard.PromisedIncarnation == m.Incarnation {
 		return true
 	}
-	if g.hard.PromisedTo != "" || g.owner != "" {
+	if g.hard.PromisedTo != "" || g.leader != "" {
 		return false
 	}
-	if !g.log.isUpToDate(m.Index, m.IndexEpoch) {
+	if !g.log.isUpToDate(m.Index, m.IndexTerm) {
 		return false
 	}
 	g.hard.PromisedTo = from
-	g.hard.PromisedLife = m.Life
+	g.hard.PromisedIncarnation = m.Incarnation
 	g.election.waitFrom = g.now
 	return true
 }
@@ -164,16 +164,16 @@
 	if !g.knows(from) {
 		return
 	}
-	if m.Reject && m.Epoch > g.hard.Epoch {
-		g.rest(m.Epoch, "")
+	if m.Reject && m.Term > g.hard.Term {
+		g.rest(m.Term, "")
 		return
 	}
 	if g.role != RoleCandidate || m.Trial != g.election.trial {
 		return
 	}
-	voter := Voter{ID: from, Life: m.Life}
+	voter := Voter{ID: from, Incarnation: m.Incarnation}
 	if !g.places().votes(voter) {
-		// A promise counts only if nobody else can have been promised the epoch
+		// A promise counts only if nobody else can have been promised the term
 		// by the same voter and it knows all that this voter acknowledged.
 		return
 	}
@@ -181,11 +181,11 @@
 		g.addRejection(voter)
 		return
 	}
-	wanted := g.hard.Epoch
+	wanted := g.hard.Term
 	if g.election.trial {
 		wanted++
 	}
-	if m.Epoch != wanted || m.Learner {
+	if m.Term != wanted || m.Learner {
 		return
 	}
 	g.addPromise(voter)
@@ -199,7 +199,7 @@
 }
 
 // addRejection gives a campaign up that a majority refuses. A trial goes on,
-// as its refusals pass when the voters miss the owner too.
+// as its refusals pass when the voters miss the leader too.
 func (g *Group) addRejection(from Voter) {
 	if g.election.trial || slices.Contains(g.election.granted, from) {
 		return
@@ -208,7 +208,7 @@
 		g.election.rejected = append(g.election.rejected, from)
 	}
 	if len(g.election.rejected) > len(g.places().voters())-g.quorum() {
-		g.rest(g.hard.Epoch, "")
+		g.rest(g.hard.Term, "")
 	}
 }
 
@@ -220,21 +220,21 @@
 		g.campaign(false)
 		return
 	}
-	g.takeOwnership()
+	g.takeLeadership()
 }
 
-// takeOwnership begins the epoch with a barrier entry: its commit commits all
-// entries that earlier epochs left. In an empty log that entry tells of the
+// takeLeadership begins the term with a barrier entry: its commit commits all
+// entries that earlier terms left. In an empty log that entry tells of the
 // founding voters, so that the log alone tells of the group from then on.
-func (g *Group) takeOwnership() {
-	g.rest(g.hard.Epoch, g.cfg.Self)
-	g.role = RoleOwner
-	g.election.lostOwner = ""
-	g.ownership.progress = make(map[member.ID]*progress)
+func (g *Group) takeLeadership() {
+	g.rest(g.hard.Term, g.cfg.Self)
+	g.role = RoleLeader
+	g.election.lostLeader = ""
+	g.leadership.progress = make(map[member.ID]*progress)
 	g.trackOthers()
-	g.ownership.holder = lease.NewHolder(g.cfg.leaseTiming())
-	g.ownership.successor = lease.NewSuccessor(g.cfg.leaseTiming(), g.now)
-	g.ownership.barrier = g.appendBarrier()
+	g.leadership.holder = lease.NewHolder(g.cfg.leaseTiming())
+	g.leadership.successor = lease.NewSuccessor(g.cfg.leaseTiming(), g.now)
+	g.leadership.barrier = g.appendBarrier()
 	g.startRound()
 }
 
--- a/pkg/replication/owner.go
+++ b/pkg/replication/leader.go
@@ -16,8 +16,8 @@
 )
 
 // Propose appends a command to the log and returns the index at which it will
-// be committed if this member stays the owner. What becomes of it shows in
-// Ready.Committed: the entry at that index, if it has the same epoch.
+// be committed if this member stays the leader. What becomes of it shows in
+// Ready.Committed: the entry at that index, if it has the same term.
 func (g *Group) Propose(now time.Duration, command []byte) (index uint64, err error) {
 	g.observe(now)
 	if err := g.acceptsWork(); err != nil {
@@ -30,42 +30,42 @@
 }
 
 func (g *Group) acceptsWork() error {
-	if g.role != RoleOwner {
-		return &NotOwnerError{Owner: g.owner}
+	if g.role != RoleLeader {
+		return &NotLeaderError{Leader: g.leader}
 	}
-	if g.ownership.handingTo != "" {
-		return &NotOwnerError{Owner: g.ownership.handingTo}
+	if g.leadership.handingTo != "" {
+		return &NotLeaderError{Leader: g.leadership.handingTo}
 	}
 	return nil
 }
 
-// appendOwn appends an entry of the own epoch. The followers are sent it with
+// appendOwn appends an entry of the own term. The followers are sent it with
 // the next Ready, together with others appended until then.
 func (g *Group) appendOwn(kind EntryKind, command []byte) uint64 {
 	entry := Entry{
 		Index:   g.log.lastIndex() + 1,
-		Epoch:   g.hard.Epoch,
+		Term:    g.hard.Term,
 		Kind:    kind,
 		Command: slices.Clone(command),
 	}
 	g.log.append(entry)
-	g.ownership.appendWanted = true
+	g.leadership.appendWanted = true
 	return entry.Index
 }
 
-func (g *Group) tickOwner() {
+func (g *Group) tickLeader() {
 	if !g.hearsQuorum() {
-		g.rest(g.hard.Epoch, "")
+		g.rest(g.hard.Term, "")
 		return
 	}
 	g.tickHandover()
-	if g.now >= g.ownership.heartbeatAt+g.cfg.HeartbeatEvery {
+	if g.now >= g.leadership.heartbeatAt+g.cfg.HeartbeatEvery {
 		g.startRound()
 	}
 }
 
 // hearsQuorum tells whether a majority, this member included, was heard within
-// ElectionTimeout. An owner without one steps down, as the others may have
+// ElectionTimeout. A leader without one steps down, as the others may have
 // elected another.
 func (g *Group) hearsQuorum() bool {
 	return g.majorityLive(g.places())
@@ -75,18 +75,19 @@
 	return g.now < follower.lastContact+g.cfg.ElectionTimeout
 }
 
-// voterHeard tells whether the voter was heard in the life that has the vote.
+// voterHeard tells whether the voter was heard in the incarnation that has the
+// vote.
 func (g *Group) voterHeard(voter Voter) bool {
 	if voter == g.self() {
 		return true
 	}
-	follower := g.ownership.progress[voter.ID]
-	return follower != nil && follower.life == voter.Life && g.heard(follower)
+	follower := g.leadership.progress[voter.ID]
+	return follower != nil && follower.incarnation == voter.Incarnation && g.heard(follower)
 }
 
 // broadcastAppend sends the news to all followers that can take it.
 func (g *Group) broadcastAppend() {
-	g.ownership.appendWanted = false
+	g.leadership.appendWanted = false
 	for _, id := range g.others() {
 		g.sendNews(id)
 	}
@@ -95,7 +96,7 @@
 // sendNews sends an append with all that may be under way, at least an empty
 // one that tells the commit index.
 func (g *Group) sendNews(to member.ID) {
-	follower := g.ownership.progress[to]
+	follower := g.leadership.progress[to]
 	if follower.full() {
 		return
 	}
@@ -106,21 +107,21 @@
 }
 
 func (g *Group) sendAppend(to member.ID) {
-	follower := g.ownership.progress[to]
+	follower := g.leadership.progress[to]
 	before := follower.next - 1
-	beforeEpoch, held := g.log.epochAt(before)
+	beforeTerm, held := g.log.termAt(before)
 	if !held {
 		g.sendSnapshot(to)
 		return
 	}
 	entries := g.log.after(follower.next, maxAppendBytes)
 	g.send(to, Message{
-		Type:       MessageAppend,
-		Epoch:      g.hard.Epoch,
-		Index:      before,
-		IndexEpoch: beforeEpoch,
-		Commit:     g.log.committed,
-		Entries:    entries,
+		Type:      MessageAppend,
+		Term:      g.hard.Term,
+		Index:     before,
+		IndexTerm: beforeTerm,
+		Commit:    g.log.committed,
+		Entries:   entries,
 	})
 	switch follower.state {
 	case progressReplicate:
@@ -135,43 +136,43 @@
 // been dropped from the log.
 func (g *Group) sendSnapshot(to member.ID) {
 	snapshot := g.log.snapshot
-	g.ownership.progress[to].becomeSnapshot(snapshot.Index, g.now)
+	g.leadership.progress[to].becomeSnapshot(snapshot.Index, g.now)
 	g.send(to, Message{
 		Type:     MessageSnapshot,
-		Epoch:    g.hard.Epoch,
+		Term:     g.hard.Term,
 		Index:    snapshot.Index,
 		Snapshot: snapshot,
 	})
 }
 
-// stepToOwner takes replies of followers in.
-func (g *Group) stepToOwner(from member.ID, m Message) error {
+// stepToLeader takes replies of followers in.
+func (g *Group) stepToLeader(from member.ID, m Message) error {
 	if !g.knows(from) {
 		return nil
 	}
-	if m.Epoch > g.hard.Epoch {
-		g.rest(m.Epoch, "")
+	if m.Term > g.hard.Term {
+		g.rest(m.Term, "")
 		return nil
 	}
-	if g.role != RoleOwner || m.Epoch < g.hard.Epoch {
+	if g.role != RoleLeader || m.Term < g.hard.Term {
 		return nil
 	}
 	if m.Type == MessageAppendReply && m.Index > g.log.lastIndex() {
-		return &MessageError{From: from, Type: m.Type, Message: "acknowledges entries that the owner never had: check that no two groups are mixed up"}
+		return &MessageError{From: from, Type: m.Type, Message: "acknowledges entries that the leader never had: check that no two groups are mixed up"}
 	}
-	follower := g.ownership.progress[from]
+	follower := g.leadership.progress[from]
 	if follower == nil {
 		return nil
 	}
-	if m.Life != follower.life {
-		if !follower.isLaterLife(m) {
+	if m.Incarnation != follower.incarnation {
+		if !follower.isLaterIncarnation(m) {
 			// The durable state that vouched for this may be lost.
 			return nil
 		}
-		follower.beginLife(m.Life)
+		follower.beginIncarnation(m.Incarnation)
 	}
 	follower.lastContact = g.now
-	follower.contactRound = g.ownership.round
+	follower.contactRound = g.leadership.round
 	follower.learner = m.Learner
 	if m.Type == MessageHeartbeatReply {
 		g.heartbeatAnswered(from, m)
@@ -182,9 +183,9 @@
 }
 
 func (g *Group) appendAnswered(from member.ID, m Message) {
-	follower := g.ownership.progress[from]
+	follower := g.leadership.progress[from]
 	if m.Reject {
-		hint, _ := g.log.conflictHint(m.RejectHint, m.IndexEpoch)
+		hint, _ := g.log.conflictHint(m.RejectHint, m.IndexTerm)
 		if follower.rejected(m.Index, hint) {
 			g.sendNews(from)
 		}
@@ -200,15 +201,15 @@
 }
 
 // maybeCommit commits what a majority of the voters holds durably, if the
-// newest such entry is of the own epoch. An entry of an earlier epoch could be
+// newest such entry is of the own term. An entry of an earlier term could be
 // overwritten yet, however many copies it has.
 func (g *Group) maybeCommit() {
 	index := g.quorumOf(g.log.durable, func(p *progress) uint64 { return p.match })
-	if epoch, held := g.log.epochAt(index); !held || epoch != g.hard.Epoch {
+	if term, held := g.log.termAt(index); !held || term != g.hard.Term {
 		return
 	}
 	if g.log.commitTo(index) {
-		g.ownership.appendWanted = true
+		g.leadership.appendWanted = true
 		g.releaseReads()
 		g.fillPlaces()
 	}
@@ -218,11 +219,11 @@
 func (g *Group) quorumOf(own uint64, value func(*progress) uint64) uint64 {
 	var values []uint64
 	for _, voter := range g.log.groups.latest().voters {
-		follower := g.ownership.progress[voter.ID]
+		follower := g.leadership.progress[voter.ID]
 		switch {
 		case voter == g.self():
 			values = append(values, own)
-		case follower != nil && follower.life == voter.Life:
+		case follower != nil && follower.incarnation == voter.Incarnation:
 			values = append(values, value(follower))
 		default:
 			values = append(values, 0)
--- a/pkg/replication/progress.go
+++ b/pkg/replication/progress.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// maxInFlight is how many entries the owner sends to a follower ahead of its
+// maxInFlight is how many entries the leader sends to a follower ahead of its
 // acknowledgements.
 const maxInFlight = 1024
 
-// progressState tells how the owner feeds a follower.
+// progressState tells how the leader feeds a follower.
 type progressState uint8
 
 const (
@@ -18,7 +18,7 @@
 	progressSnapshot
 )
 
-// progress is what an owner knows of a follower.
+// progress is what a leader knows of a follower.
 type progress struct {
 	state progressState
 	// match is the last index known to be durable there and the same as here.
@@ -30,15 +30,16 @@
 	// snapshotIndex and snapshotSentAt are valid in progressSnapshot.
 	snapshotIndex  uint64
 	snapshotSentAt time.Duration
-	// lastContact is when the member was last heard of in this epoch.
+	// lastContact is when the member was last heard of in this term.
 	lastContact time.Duration
 	// ackedRound is the newest heartbeat round that the member answered.
 	ackedRound uint64
 	// contactRound is the newest round that had begun by then.
 	contactRound uint64
-	// life is the newest life in which the member was heard. match and
-	// ackedRound are those of this life, and count if it has a vote.
-	life uint64
+	// incarnation is the newest incarnation in which the member was heard.
+	// match and ackedRound are those of this incarnation, and count if it has a
+	// vote.
+	incarnation uint64
 	// learner tells that the member wants no vote.
 	learner bool
 }
@@ -61,18 +62,19 @@
 	p.next = index + 1
 }
 
-// isLaterLife tells whether the message proves that its life is later than the
-// one that the member was heard in: it answers a round, as heartbeat replies do,
-// which began after that one was heard, and the lives of a member follow each other. So the numbers of
-// lives need no order, and no late message of a lost life counts.
-func (p *progress) isLaterLife(m Message) bool {
-	return m.Round > p.contactRound && m.Life != 0
+// isLaterIncarnation tells whether the message proves that its incarnation is
+// later than the one that the member was heard in: it answers a round, as
+// heartbeat replies do, which began after that one was heard, and the
+// incarnations of a member follow each other. So the numbers of incarnations
+// need no order, and no late message of a lost incarnation counts.
+func (p *progress) isLaterIncarnation(m Message) bool {
+	return m.Round > p.contactRound && m.Incarnation != 0
 }
 
-// beginLife forgets what the member acknowledged with the durable state that
+// beginIncarnation forgets what the member acknowledged with the durable state that
 // it lost.
-func (p *progress) beginLife(life uint64) {
-	p.life = life
+func (p *progress) beginIncarnation(incarnation uint64) {
+	p.incarnation = incarnation
 	p.match = 0
 	p.ackedRound = 0
 	p.becomeProbe()
@@ -97,7 +99,7 @@
 }
 
 // rejected takes in that the follower lacks the entry at index, and that the
-// logs may agree at hint. It is true if the owner must send again.
+// logs may agree at hint. It is true if the leader must send again.
 func (p *progress) rejected(index, hint uint64) bool {
 	if index <= p.match {
 		return false
--- a/pkg/replication/random_test.go
+++ b/pkg/replication/random_test.go
@@ -25,8 +25,8 @@
 )
 
 var _ = Describe("random schedules", func() {
-	It("keep one history, one owner an epoch and one lease holder, and end in agreement", func() {
-		var committed, epochs, reads, leases, lost, reformed int
+	It("keep one history, one leader a term and one lease holder, and end in agreement", func() {
+		var committed, terms, reads, leases, lost, reformed int
 		for seed := range uint64(*schedules) {
 			c := randomCluster(seed)
 			for range faultyTicks {
@@ -39,13 +39,13 @@
 			committed += int(c.highest)
 			lost += c.lost
 			reformed += c.reformed
-			epochs += len(c.owners)
+			terms += len(c.leaders)
 			for _, n := range c.nodes {
 				reads += n.answered
 			}
 		}
 		// The schedules would prove nothing if they never came to the point.
-		Expect(epochs).To(BeNumerically(">", 2**schedules))
+		Expect(terms).To(BeNumerically(">", 2**schedules))
 		Expect(committed).To(BeNumerically(">", 10**schedules))
 		Expect(reads).To(BeNumerically(">", *schedules))
 		Expect(leases).To(BeNumerically(">", *schedules))
@@ -148,8 +148,8 @@
 	}
 }
 
-// expectRepaired expects every member to vote in the life of its disk, on all
-// members and finally.
+// expectRepaired expects every member to vote in the incarnation of its disk,
+// on all members and finally.
 func expectRepaired(c *cluster, seed uint64) {
 	var whole []replication.Place
 	for _, n := range c.nodes {
@@ -163,19 +163,19 @@
 	}
 }
 
-// expectAgreement expects one owner, and all that anyone ever applied to be
+// expectAgreement expects one leader, and all that anyone ever applied to be
 // applied everywhere.
 func expectAgreement(c *cluster, seed uint64) {
-	owners := 0
+	leaders := 0
 	for _, n := range c.present() {
 		status := n.group.Status()
-		if status.Role == replication.RoleOwner {
-			owners++
+		if status.Role == replication.RoleLeader {
+			leaders++
 		}
 		Expect(status.Applied).To(Equal(c.highest), "seed %d: %s lags", seed, n.id)
 		Expect(n.applied).To(Equal(c.digests[c.highest]), "seed %d: %s differs", seed, n.id)
 	}
-	Expect(owners).To(Equal(1), "seed %d: owners", seed)
+	Expect(leaders).To(Equal(1), "seed %d: leaders", seed)
 	switch {
 	case c.elastic:
 		expectAllVote(c, seed)
--- a/pkg/replication/ready.go
+++ b/pkg/replication/ready.go
@@ -47,7 +47,7 @@
 	return g.promiseChanged() ||
 		g.output.snapshot != nil ||
 		len(g.output.messages) > 0 ||
-		g.ownership.appendWanted ||
+		g.leadership.appendWanted ||
 		g.log.durable < g.log.lastIndex() ||
 		g.log.applied < g.log.committed ||
 		len(g.reads.ready) > 0 ||
@@ -55,8 +55,8 @@
 }
 
 func (g *Group) promiseChanged() bool {
-	return g.hard.Epoch != g.output.persisted.Epoch || g.hard.PromisedTo != g.output.persisted.PromisedTo ||
-		g.hard.PromisedLife != g.output.persisted.PromisedLife
+	return g.hard.Term != g.output.persisted.Term || g.hard.PromisedTo != g.output.persisted.PromisedTo ||
+		g.hard.PromisedIncarnation != g.output.persisted.PromisedIncarnation
 }
 
 // Ready hands out what there is to do. While a Ready is outstanding, it hands
@@ -65,7 +65,7 @@
 	if g.output.outstanding != nil {
 		return Ready{}
 	}
-	if g.ownership.appendWanted {
+	if g.leadership.appendWanted {
 		g.broadcastAppend()
 	}
 	ready := Ready{
@@ -76,7 +76,7 @@
 		Reads:       g.reads.ready,
 		ReadsFailed: g.reads.failed,
 	}
-	// A commit index alone is not worth a sync: the owner tells it again.
+	// A commit index alone is not worth a sync: the leader tells it again.
 	if ready.MustSync() || g.promiseChanged() {
 		g.hard.Commit = g.log.committed
 		hard := g.hard
@@ -122,14 +122,14 @@
 func (g *Group) countOwnCopies(ready *Ready) {
 	g.countOwnBallot(ready)
 	switch g.role {
-	case RoleOwner:
+	case RoleLeader:
 		g.maybeCommit()
 	case RoleCandidate:
 		hard := ready.HardState
 		if hard == nil || g.election.trial {
 			return
 		}
-		if hard.Epoch == g.hard.Epoch && hard.PromisedTo == g.cfg.Self && hard.PromisedLife == g.cfg.Life {
+		if hard.Term == g.hard.Term && hard.PromisedTo == g.cfg.Self && hard.PromisedIncarnation == g.cfg.Incarnation {
 			g.addPromise(g.self())
 		}
 	case RoleFollower, RoleLearner:
--- a/pkg/replication/reform.go
+++ b/pkg/replication/reform.go
@@ -8,19 +8,19 @@
 )
 
 // A group that lost the durable state of a majority of its voters can elect
-// nobody any more. It is formed anew under a ballot, an epoch that is promised
-// not by a majority but by the present life of every place. Then each life that
-// may ever have voted either has promised the ballot, and takes no part in lower
-// epochs, or is one that its member has replaced, and is gone for good. Since
-// each promise is granted only to a log that is up to date, the member that wins
-// the ballot holds all that survived.
+// nobody any more. It is formed anew under a ballot, a term that is promised
+// not by a majority but by the present incarnation of every place. Then each
+// incarnation that may ever have voted either has promised the ballot, and
+// takes no part in lower terms, or is one that its member has replaced, and is
+// gone for good. Since each promise is granted only to a log that is up to
+// date, the member that wins the ballot holds all that survived.
 
 const (
-	// reformTimeouts is how many election timeouts pass without an owner before
+	// reformTimeouts is how many election timeouts pass without a leader before
 	// a member asks whether the group has to be formed anew, and how many a
 	// ballot may take.
 	reformTimeouts = 3
-	// ballotStep is how far a ballot lies above all epochs that are known, so
+	// ballotStep is how far a ballot lies above all terms that are known, so
 	// that it is above those too that only lost disks knew.
 	ballotStep = 1 << 16
 )
@@ -35,7 +35,7 @@
 	// retryAt is when the next attempt may begin.
 	retryAt time.Duration
 	granted []Voter
-	// floor is the highest epoch that was heard of.
+	// floor is the highest term that was heard of.
 	floor uint64
 	// lastBallot is the newest ballot that this process began.
 	lastBallot uint64
@@ -48,10 +48,10 @@
 // was not set up, and a lost one would be opened as if it were new.
 func (g *Group) ExpectState() { g.reform.stateExpected = true }
 
-// RaiseEpochFloor tells that an epoch was in use in this group. Ballots lie
+// RaiseTermFloor tells that a term was in use in this group. Ballots lie
 // above it.
-func (g *Group) RaiseEpochFloor(epoch uint64) {
-	g.reform.floor = max(g.reform.floor, epoch)
+func (g *Group) RaiseTermFloor(term uint64) {
+	g.reform.floor = max(g.reform.floor, term)
 }
 
 // Ballot returns the ballot under which all members of the group wait for Reform.
@@ -76,16 +76,16 @@
 	})
 }
 
-// ownBallot tells whether a ballot of this member is still the newest epoch.
+// ownBallot tells whether a ballot of this member is still the newest term.
 func (g *Group) ownBallot() bool {
-	return g.reform.ballot != 0 && g.reform.ballot == g.hard.Epoch && g.role != RoleOwner
+	return g.reform.ballot != 0 && g.reform.ballot == g.hard.Term && g.role != RoleLeader
 }
 
-// RaiseBallot begins another ballot above an epoch that was in use, if one that
+// RaiseBallot begins another ballot above a term that was in use, if one that
 // this member has won does not lie above it.
-func (g *Group) RaiseBallot(epoch uint64) {
-	g.RaiseEpochFloor(epoch)
-	if g.ballotWon() && g.reform.ballot <= epoch {
+func (g *Group) RaiseBallot(term uint64) {
+	g.RaiseTermFloor(term)
+	if g.ballotWon() && g.reform.ballot <= term {
 		g.reform.lastBallot = 0
 		g.startBallot()
 	}
@@ -98,10 +98,10 @@
 	g.reform.retryAt = g.now + g.cfg.HeartbeatEvery
 }
 
-// BarrierApplied tells whether this member owns the group and has applied all
-// that was there when it took the ownership.
+// BarrierApplied tells whether this member leads the group and has applied all
+// that was there when it took the leadership.
 func (g *Group) BarrierApplied() bool {
-	return g.role == RoleOwner && g.log.applied >= g.ownership.barrier
+	return g.role == RoleLeader && g.log.applied >= g.leadership.barrier
 }
 
 // Unapplied returns the entries that the state machine above has not applied,
@@ -110,10 +110,10 @@
 	return slices.Clone(g.log.slice(g.log.applied+1, g.log.lastIndex()))
 }
 
-// Reform forms the group anew, from the present lives of all places, under the
-// ballot that this member has won. State replaces that of the state machine
-// above; who knows the new group knows the state too, as its entry comes first.
-// It fails with a *BallotError.
+// Reform forms the group anew, from the present incarnations of all places,
+// under the ballot that this member has won. State replaces that of the state
+// machine above; who knows the new group knows the state too, as its entry
+// comes first. It fails with a *BallotError.
 func (g *Group) Reform(now time.Duration, ballot uint64, state []byte) error {
 	g.observe(now)
 	if !g.ballotWon() || g.reform.ballot != ballot {
@@ -125,13 +125,13 @@
 	}
 	g.appendOwn(EntryRestore, state)
 	g.appendOwn(EntryGroupChange, encodePlaces(group))
-	// A ballot forms one group only: the epoch may outlast this ownership.
+	// A ballot forms one group only: the term may outlast this leadership.
 	g.abandonBallot()
-	g.takeOwnership()
+	g.takeLeadership()
 	return nil
 }
 
-// presentGroup gives every place to the life that has granted the ballot.
+// presentGroup gives every place to the incarnation that has granted the ballot.
 func (g *Group) presentGroup() places {
 	group := slices.Clone(g.places())
 	for _, voter := range g.reform.granted {
@@ -142,7 +142,7 @@
 	return group
 }
 
-// tickReform asks, while no owner is heard, whether the group has to be formed
+// tickReform asks, while no leader is heard, whether the group has to be formed
 // anew. It is true while a ballot of this member is open, which leaves no room
 // for an election.
 func (g *Group) tickReform() bool {
@@ -164,7 +164,7 @@
 }
 
 func (g *Group) mayReform() bool {
-	if g.cfg.Learner || g.hearsLiveOwner() || g.places().position(g.cfg.Self) < 0 {
+	if g.cfg.Learner || g.hearsLiveLeader() || g.places().position(g.cfg.Self) < 0 {
 		return false
 	}
 	return g.reform.stateExpected || g.log.lastIndex() > 0
@@ -197,11 +197,11 @@
 			continue
 		}
 		g.send(id, Message{
-			Type:       MessageBallotRequest,
-			Epoch:      g.reform.ballot,
-			Index:      g.log.lastIndex(),
-			IndexEpoch: g.log.lastEpoch(),
-			Trial:      g.reform.ballot == 0,
+			Type:      MessageBallotRequest,
+			Term:      g.reform.ballot,
+			Index:     g.log.lastIndex(),
+			IndexTerm: g.log.lastTerm(),
+			Trial:     g.reform.ballot == 0,
 		})
 	}
 }
@@ -211,19 +211,19 @@
 }
 
 // stepBallotRequest promises a ballot to a log that is up to date, durably
-// before the answer leaves. The epoch of the answer is the highest one that was
+// before the answer leaves. The term of the answer is the highest one that was
 // seen here.
 func (g *Group) stepBallotRequest(from member.ID, m Message) {
-	granted := !g.cfg.Learner && g.log.isUpToDate(m.Index, m.IndexEpoch)
+	granted := !g.cfg.Learner && g.log.isUpToDate(m.Index, m.IndexTerm)
 	switch {
 	case m.Trial:
-		granted = granted && !g.hearsLiveOwner()
+		granted = granted && !g.hearsLiveLeader()
 	default:
 		granted = granted && g.promise(from, m)
 	}
-	reply := Message{Type: MessageBallotReply, Epoch: g.hard.Epoch, Trial: m.Trial, Reject: !granted}
+	reply := Message{Type: MessageBallotReply, Term: g.hard.Term, Trial: m.Trial, Reject: !granted}
 	if g.places().votes(g.self()) {
-		reply.Index, reply.IndexEpoch = g.log.lastIndex(), g.log.lastEpoch()
+		reply.Index, reply.IndexTerm = g.log.lastIndex(), g.log.lastTerm()
 	}
 	g.send(from, reply)
 }
@@ -232,19 +232,19 @@
 	if !g.knows(from) {
 		return
 	}
-	g.RaiseEpochFloor(m.Epoch)
-	if !g.log.isNewest(m.Index, m.IndexEpoch) {
+	g.RaiseTermFloor(m.Term)
+	if !g.log.isNewest(m.Index, m.IndexTerm) {
 		g.yieldBallot()
 		return
 	}
 	asking := m.Trial == (g.reform.ballot == 0) && len(g.reform.granted) > 0
-	if m.Reject || !asking || g.hearsLiveOwner() {
+	if m.Reject || !asking || g.hearsLiveLeader() {
 		return
 	}
-	if !m.Trial && (!g.ownBallot() || m.Epoch != g.reform.ballot) {
+	if !m.Trial && (!g.ownBallot() || m.Term != g.reform.ballot) {
 		return
 	}
-	g.addGrant(Voter{ID: from, Life: m.Life})
+	g.addGrant(Voter{ID: from, Incarnation: m.Incarnation})
 }
 
 // yieldBallot leaves it to a voter with a newer log to form the group anew: this
@@ -280,8 +280,8 @@
 	}
 }
 
-// majorityPresent tells whether the lives that granted are a majority of those
-// that vote.
+// majorityPresent tells whether the incarnations that granted are a majority of
+// those that vote.
 func (g *Group) majorityPresent() bool {
 	present := 0
 	for _, voter := range g.places().voters() {
@@ -298,7 +298,7 @@
 	ballot := g.nextBallot()
 	g.rest(ballot, "")
 	g.hard.PromisedTo = g.cfg.Self
-	g.hard.PromisedLife = g.cfg.Life
+	g.hard.PromisedIncarnation = g.cfg.Incarnation
 	g.election.waitFrom = g.now
 	g.reform.ballot = ballot
 	g.reform.lastBallot = ballot
@@ -310,7 +310,7 @@
 // nextBallot is above all that is known, and is one that no other place chooses:
 // of two ballots at a time one is higher, and wins.
 func (g *Group) nextBallot() uint64 {
-	newest := max(g.hard.Epoch, g.reform.floor)
+	newest := max(g.hard.Term, g.reform.floor)
 	ballot := newest + ballotStep
 	if newest == g.reform.lastBallot && newest > 0 {
 		// The own ballot came to nothing, and has made the step.
@@ -327,10 +327,10 @@
 // countOwnBallot lets this member's own promise count, as it is durable now.
 func (g *Group) countOwnBallot(ready *Ready) {
 	hard := ready.HardState
-	if hard == nil || !g.ownBallot() || hard.Epoch != g.reform.ballot {
+	if hard == nil || !g.ownBallot() || hard.Term != g.reform.ballot {
 		return
 	}
-	if hard.PromisedTo == g.cfg.Self && hard.PromisedLife == g.cfg.Life {
+	if hard.PromisedTo == g.cfg.Self && hard.PromisedIncarnation == g.cfg.Incarnation {
 		g.addGrant(g.self())
 	}
 }
--- a/pkg/replication/repair.go
+++ b/pkg/replication/repair.go
@@ -26,8 +26,8 @@
 
 // repairGroup looks, as a heartbeat round begins, for the change that is due.
 func (g *Group) repairGroup() {
-	if first := g.firstDue(); first != g.ownership.due.change {
-		g.ownership.due = dueChange{change: first, sinceRound: g.ownership.round}
+	if first := g.firstDue(); first != g.leadership.due.change {
+		g.leadership.due = dueChange{change: first, sinceRound: g.leadership.round}
 	}
 	g.makeDueChange()
 }
@@ -35,7 +35,7 @@
 // firstDue returns the change that is due first, or zero.
 func (g *Group) firstDue() GroupChange {
 	for _, due := range []func() (GroupChange, bool){
-		g.dueRefill, g.dueLifeRemoval, g.dueReduction, g.dueReplacement, g.dueGrowth, g.dueDrop,
+		g.dueRefill, g.dueIncarnationRemoval, g.dueReduction, g.dueReplacement, g.dueGrowth, g.dueDrop,
 	} {
 		change, found := due()
 		if !found {
@@ -51,11 +51,11 @@
 // makeDueChange proposes the change that is due once it has the answers that it
 // waits for.
 func (g *Group) makeDueChange() {
-	due := g.ownership.due
+	due := g.leadership.due
 	if due.change == (GroupChange{}) || !g.answeredSince(due) {
 		return
 	}
-	g.ownership.due = dueChange{}
+	g.leadership.due = dueChange{}
 	_ = g.ProposeGroupChange(g.now, due.change)
 }
 
@@ -86,8 +86,8 @@
 	if voter == g.self() {
 		return true
 	}
-	follower := g.ownership.progress[voter.ID]
-	return follower != nil && follower.life == voter.Life && follower.ackedRound >= round
+	follower := g.leadership.progress[voter.ID]
+	return follower != nil && follower.incarnation == voter.Incarnation && follower.ackedRound >= round
 }
 
 // grows tells whether the change gives a vote to a member without a place.
@@ -106,7 +106,7 @@
 // dueRefill gives the vote back to a member that a place is kept for.
 func (g *Group) dueRefill() (change GroupChange, due bool) {
 	for _, place := range g.places() {
-		voter := g.presentLife(place)
+		voter := g.presentIncarnation(place)
 		if place.Learner && g.caughtUp(voter) {
 			return GroupChange{Kind: ChangeAddVoter, Voter: voter}, true
 		}
@@ -114,12 +114,12 @@
 	return GroupChange{}, false
 }
 
-// dueLifeRemoval removes a lost life whose member holds the log in a new one,
-// and keeps its place.
-func (g *Group) dueLifeRemoval() (change GroupChange, due bool) {
+// dueIncarnationRemoval removes a lost incarnation whose member holds the log
+// in a new one, and keeps its place.
+func (g *Group) dueIncarnationRemoval() (change GroupChange, due bool) {
 	for _, place := range g.places() {
-		successor := g.presentLife(place)
-		if !place.Learner && successor.Life != place.Life && g.caughtUp(successor) {
+		successor := g.presentIncarnation(place)
+		if !place.Learner && successor.Incarnation != place.Incarnation && g.caughtUp(successor) {
 			return GroupChange{Kind: ChangeRemoveVoter, Voter: place.Voter, Successor: successor}, true
 		}
 	}
@@ -171,11 +171,11 @@
 // candidate is a peer without a place that has caught up.
 func (g *Group) candidate() (voter Voter, found bool) {
 	for _, peer := range g.peers {
-		follower := g.ownership.progress[peer.ID]
+		follower := g.leadership.progress[peer.ID]
 		if peer.Left || follower == nil || g.places().position(peer.ID) >= 0 {
 			continue
 		}
-		if voter := (Voter{ID: peer.ID, Life: follower.life}); g.caughtUp(voter) {
+		if voter := (Voter{ID: peer.ID, Incarnation: follower.incarnation}); g.caughtUp(voter) {
 			return voter, true
 		}
 	}
@@ -206,20 +206,21 @@
 	return GroupChange{}, false
 }
 
-// silent tells whether nothing was heard of the member, in any life, for long
-// enough to go on without it.
+// silent tells whether nothing was heard of the member, in any incarnation, for
+// long enough to go on without it.
 func (g *Group) silent(voter Voter) bool {
-	follower := g.ownership.progress[voter.ID]
+	follower := g.leadership.progress[voter.ID]
 	if follower == nil || g.heard(follower) {
 		return false
 	}
 	return g.hasLeft(voter.ID) || g.now >= follower.lastContact+g.cfg.RemoveAfter
 }
 
-// presentLife is the life in which the member of a place was last heard.
-func (g *Group) presentLife(place Place) Voter {
-	if follower := g.ownership.progress[place.ID]; follower != nil {
-		return Voter{ID: place.ID, Life: follower.life}
+// presentIncarnation is the incarnation in which the member of a place was last
+// heard.
+func (g *Group) presentIncarnation(place Place) Voter {
+	if follower := g.leadership.progress[place.ID]; follower != nil {
+		return Voter{ID: place.ID, Incarnation: follower.incarnation}
 	}
 	return place.Voter
 }
--- a/pkg/replication/status.go
+++ b/pkg/replication/status.go
@@ -5,17 +5,17 @@
 // Status is a view of a member at one instant.
 type Status struct {
 	Self member.ID
-	// Owner is the owner of Epoch as far as known, or empty.
-	Owner     member.ID
-	Epoch     uint64
+	// Leader is the leader of Term as far as known, or empty.
+	Leader    member.ID
+	Term      uint64
 	Commit    uint64
 	Applied   uint64
 	LastIndex uint64
 	// SnapshotIndex is the last index that the newest snapshot covers.
 	SnapshotIndex uint64
 	Role          Role
-	// Life is that of Self's durable state.
-	Life uint64
+	// Incarnation is that of Self's durable state.
+	Incarnation uint64
 	// Group holds the voters in the agreed order. It must not be changed, like
 	// Places.
 	Group []member.ID
@@ -25,12 +25,12 @@
 	// ChangeIndex is the index of the entry that began this group; the change
 	// is final when it is committed.
 	ChangeIndex uint64
-	// Followers is set on the owner only: the places in their order, then the
+	// Followers is set on the leader only: the places in their order, then the
 	// peers without one.
 	Followers []FollowerStatus
 }
 
-// FollowerStatus is what the owner knows of another member.
+// FollowerStatus is what the leader knows of another member.
 type FollowerStatus struct {
 	ID member.ID
 	// Match is the last index that is known to be durable there.
@@ -39,40 +39,40 @@
 	Live bool
 	// Learner tells that the member has no vote.
 	Learner bool
-	// Life is that of the member's durable state when it was last heard.
-	Life uint64
+	// Incarnation is that of the member's durable state when it was last heard.
+	Incarnation uint64
 }
 
 // Status returns the present state.
 func (g *Group) Status() Status {
 	group := g.log.groups.latest()
 	status := Status{
-		Self:      g.cfg.Self,
-		Owner:     g.owner,
-		Epoch:     g.hard.Epoch,
-		Commit:    g.log.committed,
-		Applied:   g.log.applied,
-		LastIndex: g.log.lastIndex(),
-		Role:      g.role,
-		Life:      g.cfg.Life,
-		Group:     group.voterIDs,
-		Places:    group.places,
+		Self:        g.cfg.Self,
+		Leader:      g.leader,
+		Term:        g.hard.Term,
+		Commit:      g.log.committed,
+		Applied:     g.log.applied,
+		LastIndex:   g.log.lastIndex(),
+		Role:        g.role,
+		Incarnation: g.cfg.Incarnation,
+		Group:       group.voterIDs,
+		Places:      group.places,
 	}
 	status.ChangeIndex = group.index
 	if g.log.snapshot != nil {
 		status.SnapshotIndex = g.log.snapshot.Index
 	}
-	if g.role != RoleOwner {
+	if g.role != RoleLeader {
 		return status
 	}
 	for _, id := range g.others() {
-		follower := g.ownership.progress[id]
+		follower := g.leadership.progress[id]
 		status.Followers = append(status.Followers, FollowerStatus{
-			ID:      id,
-			Match:   follower.match,
-			Live:    g.heard(follower),
-			Learner: !g.places().votes(Voter{ID: id, Life: follower.life}),
-			Life:    follower.life,
+			ID:          id,
+			Match:       follower.match,
+			Live:        g.heard(follower),
+			Learner:     !g.places().votes(Voter{ID: id, Incarnation: follower.incarnation}),
+			Incarnation: follower.incarnation,
 		})
 	}
 	return status
