Reads of the configuration are confirmed by a quorum, at any node

Cause: the product's own read (`get`, GET /v1/configuration) answered what the node serves by, so that a node that is cut off, frozen or fenced showed an older version than one acknowledged before. The document (GetSource, the platform's read) was read through the leader, with a quorum, and stays so.

Now a node asks the leader for the revision in force, which a quorum confirms, and answers by its own copy once that is as new; else it refuses with ErrNoQuorum or ErrBehind, which operators see as 503 `no_owner`. A reply is also taken only for a question of its kind. Flags of the command line may be switches.

Ruled out: sending the whole configuration with the reply (a large configuration on the leader for each read), and a read under the command lease (one more clock to trust, for a call that is rare).

Existing tests: fakes of the control interface have the new method; none is weakened.

--- a/internal/control/driverorders.go
+++ b/internal/control/driverorders.go
@@ -84,6 +84,21 @@
 	return reply.Source, nil
 }
 
+// ReadConfiguration reads the configuration in force, as a quorum of the nodes with
+// disks confirms it; read only. A node that can't be sure of the newest one returns
+// an error that wraps ErrNoQuorum or ErrBehind.
+func (d *Driver) ReadConfiguration(ctx context.Context) (*ridgeswitchv1.Configuration, error) {
+	answers := make(chan Reply, 1)
+	d.post(func(now time.Duration) Output {
+		return d.machine.ReadConfiguration(now, d.newTicket(answers))
+	})
+	reply, err := d.await(ctx, answers)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the configuration")
+	}
+	return reply.Configuration, nil
+}
+
 // deliver hands a reply to whoever waits for it.
 func (d *Driver) deliver(reply Reply) {
 	answers, found := d.waiting[reply.Ticket]
--- a/internal/control/driverstate.go
+++ b/internal/control/driverstate.go
@@ -22,7 +22,7 @@
 const stalledAfter = 5 * time.Second
 
 // Configuration returns the configuration in force on this node, or nil before
-// the first view.
+// the first view. It may be older than the newest one; see ReadConfiguration.
 func (d *Driver) Configuration() *ridgeswitchv1.Configuration {
 	view := d.view.Load()
 	if view == nil {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -281,6 +281,7 @@
 func (m *Machine) take() Output {
 	m.followLife()
 	m.publishView()
+	m.settleReads()
 	output := m.output
 	m.output = Output{}
 	return output
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -21,6 +21,10 @@
 	target   member.ID
 	nextAsk  time.Duration
 	deadline time.Duration
+	// confirmed tells that a quorum confirmed the revision wanted, for which a
+	// read of the configuration waits on this node.
+	confirmed bool
+	wanted    uint64
 }
 
 // waitingOrder is an accepted order at the owner, whose answer waits until
@@ -83,6 +87,7 @@
 		switch {
 		case m.now >= pending.deadline:
 			m.giveUp(pending)
+		case pending.confirmed:
 		case m.now >= pending.nextAsk:
 			m.askOwner(pending, m.nextOwnerGuess(ConfigurationShard, pending.target))
 		}
@@ -92,11 +97,14 @@
 
 // giveUp answers what nobody decided in time.
 func (m *Machine) giveUp(pending *pendingOrder) {
-	if pending.kind == protocol.MessageReadSource {
+	switch {
+	case pending.confirmed:
+		m.settle(pending, Reply{Err: ErrBehind})
+	case pending.kind == protocol.MessageOrder:
+		m.settle(pending, Reply{Answer: &controlpb.Answer{}})
+	default:
 		m.settle(pending, Reply{Err: ErrNoQuorum})
-		return
 	}
-	m.settle(pending, Reply{Answer: &controlpb.Answer{}})
 }
 
 // settle answers the operator and ends what is pending.
@@ -134,12 +142,8 @@
 
 // refuseOrder tells a node that this one does not own the shard.
 func (m *Machine) refuseOrder(from member.ID, message protocol.Message) {
-	reply := protocol.MessageOrderReply
-	if message.Type == protocol.MessageReadSource {
-		reply = protocol.MessageReadSourceReply
-	}
 	m.sendControl(from, protocol.Message{
-		Type:    reply,
+		Type:    replyTypes[message.Type],
 		Shard:   message.Shard,
 		Request: message.Request,
 		Owner:   m.knownOwner(message.Shard),
@@ -201,10 +205,17 @@
 	})
 }
 
+// replyTypes are the answers to what is asked of the owner of the configuration.
+var replyTypes = map[protocol.MessageType]protocol.MessageType{
+	protocol.MessageOrder:        protocol.MessageOrderReply,
+	protocol.MessageReadSource:   protocol.MessageReadSourceReply,
+	protocol.MessageReadRevision: protocol.MessageReadRevisionReply,
+}
+
 // receiveOrderReply handles the owner's answer, or a hint who owns the shard.
 func (m *Machine) receiveOrderReply(from member.ID, message protocol.Message) {
 	position := slices.IndexFunc(m.orders.pending, func(pending *pendingOrder) bool {
-		return pending.request == message.Request
+		return pending.request == message.Request && replyTypes[pending.kind] == message.Type
 	})
 	if position < 0 {
 		return
@@ -217,6 +228,11 @@
 		}
 		return
 	}
+	if message.Type == protocol.MessageReadRevisionReply {
+		m.lastOwners[message.Shard] = from
+		pending.confirmed, pending.wanted = true, message.Revision
+		return
+	}
 	reply, err := decodeReply(message)
 	if err != nil {
 		return
--- a/internal/control/output.go
+++ b/internal/control/output.go
@@ -28,10 +28,12 @@
 // Reply answers an order, or a read, that this node took.
 type Reply struct {
 	Ticket uint64
-	// Answer is set for an order, and Source for a read of the document.
-	Answer *controlpb.Answer
-	Source *ridgeswitchv1.Source
-	Err    error
+	// Answer is set for an order, Source for a read of the document, and
+	// Configuration for a read of the configuration; read only.
+	Answer        *controlpb.Answer
+	Source        *ridgeswitchv1.Source
+	Configuration *ridgeswitchv1.Configuration
+	Err           error
 }
 
 // Output is what a node has to do after an input.
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -90,9 +90,9 @@
 	switch message.Type {
 	case protocol.MessageOrder:
 		m.receiveOrder(from, message)
-	case protocol.MessageReadSource:
-		m.receiveReadSource(from, message)
-	case protocol.MessageOrderReply, protocol.MessageReadSourceReply:
+	case protocol.MessageReadSource, protocol.MessageReadRevision:
+		m.receiveRead(from, message)
+	case protocol.MessageOrderReply, protocol.MessageReadSourceReply, protocol.MessageReadRevisionReply:
 		m.receiveOrderReply(from, message)
 	case protocol.MessageRegister:
 		m.receiveRegister(from, message)
--- a/internal/control/protocol/message.go
+++ b/internal/control/protocol/message.go
@@ -42,6 +42,11 @@
 	MessageReadSource
 	// MessageReadSourceReply answers a MessageReadSource.
 	MessageReadSourceReply
+	// MessageReadRevision asks the owner of the configuration for its revision, as
+	// a quorum confirms it.
+	MessageReadRevision
+	// MessageReadRevisionReply answers a MessageReadRevision.
+	MessageReadRevisionReply
 )
 
 // ShardRevision is the newest revision of one shard that a node serves.
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,10 +17,16 @@
 // ErrNoQuorum is returned for a read that no quorum has confirmed in time.
 var ErrNoQuorum = errors.New("no quorum of the nodes with disks has confirmed the read in time; try again, at another node")
 
-// sourceRead is a node's read of the source document that waits for a quorum.
-type sourceRead struct {
+// ErrBehind is returned for a read whose revision a quorum has confirmed, while
+// the node has not received that revision.
+var ErrBehind = errors.New("the newest configuration has not reached this node in time; try again, at another node")
+
+// confirmedRead is what a node reads at the owner of the configuration, and that
+// waits for a quorum.
+type confirmedRead struct {
 	from    member.ID
 	request uint64
+	kind    protocol.MessageType
 }
 
 // ReadSource asks for the source document in force. The Reply carries the ticket
@@ -30,16 +37,36 @@
 	return m.take()
 }
 
-// receiveReadSource begins a read if this node owns the shard. The owner's own
-// copy may be outdated if another owner was elected, so that a quorum has to
-// confirm its ownership first.
-func (m *Machine) receiveReadSource(from member.ID, message protocol.Message) {
+// ReadConfiguration asks for the configuration in force. The owner tells its
+// revision, as a quorum confirms it, and the node answers by its own copy once
+// that is as new. The Reply carries the ticket and the configuration.
+func (m *Machine) ReadConfiguration(now time.Duration, ticket uint64) Output {
+	m.now = now
+	m.begin(&pendingOrder{ticket: ticket, kind: protocol.MessageReadRevision})
+	return m.take()
+}
+
+// settleReads answers the reads of the configuration for which this node's copy
+// is new enough.
+func (m *Machine) settleReads() {
+	held := m.held.configuration
+	for _, pending := range slices.Clone(m.orders.pending) {
+		if pending.confirmed && held.GetRevision() >= pending.wanted {
+			m.settle(pending, Reply{Configuration: held})
+		}
+	}
+}
+
+// receiveRead begins a read if this node owns the shard. The owner's own copy may
+// be outdated if another owner was elected, so that a quorum has to confirm its
+// ownership first.
+func (m *Machine) receiveRead(from member.ID, message protocol.Message) {
 	hosted := m.shards[message.Shard]
 	if hosted == nil || message.Shard != ConfigurationShard || !hosted.owned() {
 		m.refuseOrder(from, message)
 		return
 	}
-	wanted := sourceRead{from: from, request: message.Request}
+	wanted := confirmedRead{from: from, request: message.Request, kind: message.Type}
 	for _, open := range hosted.reads {
 		if open == wanted {
 			return
@@ -69,23 +96,27 @@
 	}
 }
 
-func (m *Machine) answerRead(hosted *shard, wanted sourceRead) {
+func (m *Machine) answerRead(hosted *shard, wanted confirmedRead) {
 	state, ok := hosted.state.(*configurationShard)
 	if !ok {
 		return
 	}
-	payload, err := proto.Marshal(state.Source())
-	if err != nil {
-		hosted.badEntries++
-		return
-	}
-	m.sendControl(wanted.from, protocol.Message{
-		Type:     protocol.MessageReadSourceReply,
+	answer := protocol.Message{
+		Type:     replyTypes[wanted.kind],
 		Shard:    hosted.id,
 		Request:  wanted.request,
 		Accepted: true,
-		Payload:  payload,
-	})
+		Revision: state.Revision(),
+	}
+	if wanted.kind == protocol.MessageReadSource {
+		payload, err := proto.Marshal(state.Source())
+		if err != nil {
+			hosted.badEntries++
+			return
+		}
+		answer.Payload = payload
+	}
+	m.sendControl(wanted.from, answer)
 }
 
 // decodeReply reads the owner's answer to an order or a read.
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -48,7 +48,7 @@
 	// proposals are this node's commands that wait to be applied.
 	proposals map[uint64]proposal
 	// reads are those that wait for a quorum, by their numbers in the group.
-	reads   map[uint64]sourceRead
+	reads   map[uint64]confirmedRead
 	rollout rolloutState
 	// witnessing is set while this node is to form the group anew.
 	witnessing *witnessing
@@ -84,7 +84,7 @@
 		learner:       config.Learner,
 		maxLogEntries: uint64(config.logEntries()),
 		proposals:     map[uint64]proposal{},
-		reads:         map[uint64]sourceRead{},
+		reads:         map[uint64]confirmedRead{},
 		rollout:       newRolloutState(0, now),
 	}
 	if restored.Snapshot != nil {
--- a/internal/edge/operator/control.go
+++ b/internal/edge/operator/control.go
@@ -15,9 +15,12 @@
 	// carries a Problem, such as an *UnavailableError, tells that the order was
 	// not taken; after any other error it may have been.
 	Submit(ctx context.Context, order *controlpb.Order) (*controlpb.Answer, error)
-	// Configuration is the configuration that the node serves; nil before the
-	// first one. It is read only.
+	// Configuration is the configuration that the node serves, which may be
+	// outdated; nil before the first one. It is read only.
 	Configuration() *ridgeswitchv1.Configuration
+	// ReadConfiguration reads the configuration in force, as a quorum confirms it.
+	// It is read only.
+	ReadConfiguration(ctx context.Context) (*ridgeswitchv1.Configuration, error)
 	// Source reads the source document of the configuration, as a quorum
 	// confirms it; nil if there is none.
 	Source(ctx context.Context) (*ridgeswitchv1.Source, error)
--- a/internal/edge/operator/resources.go
+++ b/internal/edge/operator/resources.go
@@ -61,7 +61,19 @@
 	return source, nil
 }
 
-func (c *configurations) get(context.Context, *ridgeswitchv1.GetConfigurationRequest) (*ridgeswitchv1.Configuration, error) {
+func (c *configurations) get(ctx context.Context, request *ridgeswitchv1.GetConfigurationRequest) (*ridgeswitchv1.Configuration, error) {
+	if request.GetLocal() {
+		return c.local()
+	}
+	configuration, err := c.control.ReadConfiguration(ctx)
+	if err != nil {
+		return nil, &UnavailableError{Kind: KindNoOwner, Message: err.Error()}
+	}
+	return configuration, nil
+}
+
+// local is what the node serves by, which may be outdated.
+func (c *configurations) local() (*ridgeswitchv1.Configuration, error) {
 	configuration := c.control.Configuration()
 	if configuration == nil {
 		return nil, &UnavailableError{
--- a/internal/edge/operator/server_test.go
+++ b/internal/edge/operator/server_test.go
@@ -101,6 +101,16 @@
 		Expect(call(n, "GET /v1/configuration/source", "").status).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	It("reads the configuration as a quorum confirms it, and only on demand what the node serves", func() {
+		n.submitError = errors.New("no quorum")
+		refused := call(n, "GET /v1/configuration", "")
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.body).To(ContainSubstring(`"kind":"no_owner"`))
+		Expect(call(n, "GET /v1/configuration?local=true", "").body).To(ContainSubstring(`"revision":"1"`))
+		n.submitError, n.machine = nil, nil
+		Expect(call(n, "GET /v1/configuration?local=true", "").status).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	It("stops reading a body that goes on without end", func() {
 		endless := &endlessReader{}
 		handler, err := operator.NewHandler(n, n)
--- a/internal/edge/operator/suite_test.go
+++ b/internal/edge/operator/suite_test.go
@@ -59,6 +59,13 @@
 	return n.machine.Configuration()
 }
 
+func (n *node) ReadConfiguration(context.Context) (*ridgeswitchv1.Configuration, error) {
+	if n.submitError != nil {
+		return nil, n.submitError
+	}
+	return n.Configuration(), nil
+}
+
 func (n *node) Source(context.Context) (*ridgeswitchv1.Source, error) {
 	n.Lock()
 	defer n.Unlock()
--- a/internal/lab/operator/operator_test.go
+++ b/internal/lab/operator/operator_test.go
@@ -130,6 +130,10 @@
 	return s.machine.Configuration()
 }
 
+func (s *state) ReadConfiguration(context.Context) (*ridgeswitchv1.Configuration, error) {
+	return s.Configuration(), nil
+}
+
 func (s *state) Weights(string) (*ridgeswitchv1.WeightsStatus, error) {
 	return &ridgeswitchv1.WeightsStatus{}, nil
 }
--- a/internal/lab/operator/orders.go
+++ b/internal/lab/operator/orders.go
@@ -141,7 +141,7 @@
 // Configuration reads the configuration that a node serves.
 func (recorder *Recorder) Configuration(ctx context.Context, target Target) (*ridgeswitchv1.Configuration, error) {
 	configuration := &ridgeswitchv1.Configuration{}
-	request := &ridgeswitchv1.GetConfigurationRequest{}
+	request := &ridgeswitchv1.GetConfigurationRequest{Local: true}
 	reply, err := recorder.client.Call(ctx, target.ControlAddress, "GetConfiguration", request, configuration)
 	if err != nil {
 		return nil, err
--- a/internal/operatorcli/commands_test.go
+++ b/internal/operatorcli/commands_test.go
@@ -35,6 +35,7 @@
 		Expect(ended.out + ended.err).To(ContainSubstring(fragment))
 	},
 		Entry("get", "get", 0, `"wall_epoch": "1"`),
+		Entry("get of what the node serves", "get --local", 0, `"wall_epoch": "1"`),
 		Entry("key add", "key add --tenant t --key k --sha256 "+strings.Repeat("a", 64), 0, "ACKNOWLEDGED"),
 		Entry("key add, digest of wrong form", "key add --tenant t --key k --sha256 x", operatorcli.ExitRefused, "invalid: key.sha256"),
 		Entry("key add without secret", "key add --tenant t --key k", operatorcli.ExitUsage, "either --secret or --sha256"),
--- a/internal/operatorcli/flags.go
+++ b/internal/operatorcli/flags.go
@@ -55,6 +55,10 @@
 func requestFlags(request protoreflect.MessageDescriptor) []cli.Flag {
 	var flags []cli.Flag
 	for _, field := range flagFields(request) {
+		if field.isSwitch() {
+			flags = append(flags, &cli.BoolFlag{Name: field.flag, Usage: field.usage()})
+			continue
+		}
 		flags = append(flags, &cli.StringFlag{Name: field.flag, Usage: field.usage()})
 		if field.isDigest() {
 			flags = append(flags, &cli.StringFlag{
@@ -88,6 +92,11 @@
 	return f.last().Kind() == protoreflect.BytesKind
 }
 
+// isSwitch tells whether the flag needs no value.
+func (f flagField) isSwitch() bool {
+	return f.last().Kind() == protoreflect.BoolKind
+}
+
 func (f flagField) isDigest() bool {
 	return f.last().Name() == digestField
 }
--- a/internal/operatorcli/request.go
+++ b/internal/operatorcli/request.go
@@ -47,6 +47,9 @@
 
 // fieldValue is the JSON value of one field, or nil when it is not given.
 func fieldValue(command *cli.Command, call schema.Call, field flagField, orderID string) (any, error) {
+	if field.isSwitch() {
+		return switchValue(command, field.flag), nil
+	}
 	text := command.String(field.flag)
 	switch {
 	case field.flag == flagOrderID:
@@ -66,6 +69,14 @@
 	}
 }
 
+// switchValue is true if a flag without a value is given, and nil otherwise.
+func switchValue(command *cli.Command, flag string) any {
+	if command.Bool(flag) {
+		return true
+	}
+	return nil
+}
+
 // fileValue is the JSON that a file holds.
 func fileValue(command *cli.Command, path string) (any, error) {
 	if path == "" {
--- a/internal/operatorcli/status.go
+++ b/internal/operatorcli/status.go
@@ -156,7 +156,7 @@
 // askWeights asks how far every pool's roll-out is.
 func (a *asker) askWeights(ctx context.Context) ([]*ridgeswitchv1.WeightsStatus, error) {
 	configuration := &ridgeswitchv1.Configuration{}
-	if _, err := a.ask(ctx, "GetConfiguration", &ridgeswitchv1.GetConfigurationRequest{}, configuration); err != nil {
+	if _, err := a.ask(ctx, "GetConfiguration", &ridgeswitchv1.GetConfigurationRequest{Local: true}, configuration); err != nil {
 		return nil, err
 	}
 	pools := configuration.GetPools()
--- a/internal/operatorcli/suite_test.go
+++ b/internal/operatorcli/suite_test.go
@@ -51,6 +51,10 @@
 
 func (c *cluster) Configuration() *ridgeswitchv1.Configuration { return c.machine.Configuration() }
 
+func (c *cluster) ReadConfiguration(context.Context) (*ridgeswitchv1.Configuration, error) {
+	return c.machine.Configuration(), nil
+}
+
 func (c *cluster) Weights(string) (*ridgeswitchv1.WeightsStatus, error) {
 	if c.weights != nil {
 		return c.weights, nil
