--- a/internal/dataplane/shared/adoption.go
+++ b/internal/dataplane/shared/adoption.go
@@ -88,6 +88,10 @@
 	return true
 }
 
+// Waiting tells whether an answer that has been asked for may still come, or goes
+// on.
+func (a *Adoption) Waiting(now time.Duration) bool { return !a.Over(now) && a.waits(now) }
+
 func (a *Adoption) begin(now time.Duration) {
 	if !a.begun {
 		a.begun = true
--- a/internal/dataplane/shared/adoption_test.go
+++ b/internal/dataplane/shared/adoption_test.go
@@ -45,9 +45,11 @@
 		nothingDue(900 * time.Millisecond)
 		Expect(adoption.Heard(900*time.Millisecond, shared.Answering, told("near", 2))).To(BeTrue())
 		nothingDue(1800 * time.Millisecond)
+		Expect(adoption.Waiting(1800 * time.Millisecond)).To(BeTrue())
 		Expect(adoption.Over(1800 * time.Millisecond)).To(BeFalse())
 		Expect(adoption.Heard(1800*time.Millisecond, shared.Answered, told("near", 0))).To(BeTrue())
 		Expect(adoption.Over(1800 * time.Millisecond)).To(BeTrue())
+		Expect(adoption.Waiting(1800 * time.Millisecond)).To(BeFalse())
 		nothingDue(4 * time.Second)
 	})
 
@@ -55,6 +57,7 @@
 		asks(0)
 		adoption.Heard(10*time.Millisecond, shared.Answered, told("near", 0))
 		Expect(adoption.Over(10 * time.Millisecond)).To(BeFalse())
+		Expect(adoption.Waiting(10 * time.Millisecond)).To(BeFalse())
 		Expect(asks(20 * time.Millisecond)).To(Equal(member.ID("far")))
 	})
 
--- a/internal/edge/operator/resources.go
+++ b/internal/edge/operator/resources.go
@@ -61,8 +61,24 @@
 	return source, nil
 }
 
-func (c *configurations) get(context.Context, *ridgeswitchv1.GetConfigurationRequest) (*ridgeswitchv1.Configuration, error) {
-	configuration := c.control.Configuration()
+func (c *configurations) get(ctx context.Context, request *ridgeswitchv1.GetConfigurationRequest) (*ridgeswitchv1.Configuration, error) {
+	if request.GetLocal() {
+		return c.local()
+	}
+	configuration, err := c.control.ReadConfiguration(ctx)
+	if err != nil {
+		return nil, &UnavailableError{Kind: KindNoLeader, Message: err.Error()}
+	}
+	return learnt(configuration)
+}
+
+// local is what the node serves by, which may be outdated.
+func (c *configurations) local() (*ridgeswitchv1.Configuration, error) {
+	return learnt(c.control.Configuration())
+}
+
+// learnt refuses a read before the first configuration.
+func learnt(configuration *ridgeswitchv1.Configuration) (*ridgeswitchv1.Configuration, error) {
 	if configuration == nil {
 		return nil, &UnavailableError{
 			Kind:    KindUnavailable,
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -13,8 +13,8 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
-// errAdopting is the reason why a node that has just started is not ready.
-var errAdopting = errors.New("the node is still learning from others what back ends keep; it is ready within seconds")
+// errLearning is the reason why a node that has just started is not ready.
+var errLearning = errors.New("the node is still learning from others what back ends keep; it is ready within seconds")
 
 // errDraining is the reason why a stopping node is not ready.
 var errDraining = errors.New("the node is draining; use another one")
@@ -61,8 +61,8 @@
 	if err := h.driver.Ready(); err != nil {
 		return err
 	}
-	if h.served != nil && !h.served.Adopted() {
-		return errAdopting
+	if h.served != nil && h.served.Learning() {
+		return errLearning
 	}
 	return nil
 }
