Attempts to connect between nodes are short until a peer has been silent for a second

Cause: a node that starts before the nodes with disks have power sends them an opening packet that nobody answers; the kernel sends it again after a second, and an attempt was allowed to take that long. In a trace of a power cut everywhere all eight nodes knew nobody until 1.02 to 1.06 s after their start. Change: 200 ms an attempt until the peer has been silent for a second.

--- /dev/null
+++ b/internal/transport/dial_test.go
@@ -0,0 +1,66 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Attempts to connect", func() {
+	silence := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	refusal := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+
+	It("are short until the peer has been silent for a while, and a refusal is no silence", func() {
+		options := Options{FirstDialTimeout: 400 * time.Millisecond, DialTimeout: time.Second}.withDefaults()
+		attempts := newConnecting(&options)
+		timeouts := []time.Duration{attempts.timeout}
+		for _, err := range []error{silence, refusal, silence, silence, silence} {
+			attempts.failed(err)
+			timeouts = append(timeouts, attempts.timeout)
+		}
+		const short, long = 400 * time.Millisecond, time.Second
+		Expect(timeouts).To(Equal([]time.Duration{short, short, short, short, long, long}))
+		attempts.succeeded()
+		attempts.failed(silence)
+		Expect(attempts.timeout).To(Equal(short))
+	})
+
+	It("pause longer after each failure, up to a bound", func() {
+		options := Options{MinBackoff: 20 * time.Millisecond, MaxBackoff: 50 * time.Millisecond}.withDefaults()
+		attempts := newConnecting(&options)
+		Expect([]time.Duration{attempts.failed(silence), attempts.failed(nil), attempts.failed(refusal)}).
+			To(Equal([]time.Duration{20 * time.Millisecond, 40 * time.Millisecond, 50 * time.Millisecond}))
+	})
+
+	It("reach a peer that was silent at first long before the kernel would try again", func() {
+		var mutex sync.Mutex
+		var given []time.Duration
+		second := start(secondHost, Options{})
+		first := start(firstHost, Options{FirstDialTimeout: time.Millisecond, DialTimeout: 2 * time.Millisecond})
+		real := first.dial
+		first.dial = func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			given = append(given, timeout)
+			if len(given) <= 3 {
+				return nil, silence
+			}
+			return real(ctx, address, patience)
+		}
+		first.Send(second.Address(), []byte("news"))
+		Expect(second.next()).To(Equal([]byte("news")))
+		mutex.Lock()
+		defer mutex.Unlock()
+		Expect(given).To(Equal([]time.Duration{time.Millisecond, time.Millisecond, 2 * time.Millisecond, 2 * time.Millisecond}))
+	})
+
+	It("do not take longer at first than they may", func() {
+		Expect(Options{DialTimeout: 100 * time.Millisecond}.withDefaults().FirstDialTimeout).To(Equal(100 * time.Millisecond))
+	})
+})
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -13,15 +13,16 @@
 
 // The values of Options that are not set.
 const (
-	DefaultMaxQueuedFrames = 4096
-	DefaultMaxQueuedBytes  = 32 << 20
-	DefaultMaxConnections  = 4096
-	DefaultDialTimeout     = time.Second
-	DefaultWriteTimeout    = 2 * time.Second
-	DefaultFrameTimeout    = 5 * time.Second
-	DefaultKeepAlive       = 2 * time.Second
-	DefaultMinBackoff      = 20 * time.Millisecond
-	DefaultMaxBackoff      = 500 * time.Millisecond
+	DefaultMaxQueuedFrames  = 4096
+	DefaultMaxQueuedBytes   = 32 << 20
+	DefaultMaxConnections   = 4096
+	DefaultFirstDialTimeout = 200 * time.Millisecond
+	DefaultDialTimeout      = time.Second
+	DefaultWriteTimeout     = 2 * time.Second
+	DefaultFrameTimeout     = 5 * time.Second
+	DefaultKeepAlive        = 2 * time.Second
+	DefaultMinBackoff       = 20 * time.Millisecond
+	DefaultMaxBackoff       = 500 * time.Millisecond
 )
 
 const keepAliveProbes = 3
@@ -33,7 +34,12 @@
 	MaxQueuedBytes  int
 	// MaxConnections bounds the connections that others opened to this node.
 	MaxConnections int
-	DialTimeout    time.Duration
+	// FirstDialTimeout is how long each of the first attempts to connect may take,
+	// and DialTimeout the time of each one after these have got no answer for
+	// DialTimeout: the kernel sends a lost opening packet again only after a
+	// second, and a peer that was down may be back before that.
+	FirstDialTimeout time.Duration
+	DialTimeout      time.Duration
 	// WriteTimeout is how long one write, of a few small frames or one large
 	// one, may take before the connection is closed, and how long bytes may
 	// stay without the peer's acknowledgement.
@@ -53,6 +59,7 @@
 	setDefault(&o.MaxQueuedBytes, DefaultMaxQueuedBytes)
 	setDefault(&o.MaxConnections, DefaultMaxConnections)
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.FirstDialTimeout, min(DefaultFirstDialTimeout, o.DialTimeout))
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.FrameTimeout, DefaultFrameTimeout)
 	setDefault(&o.KeepAlive, DefaultKeepAlive)
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -46,30 +46,23 @@
 // run connects when there is something to send, and again after each loss.
 func (p *peer) run() {
 	defer p.dropQueued()
-	backoff := p.transport.options.MinBackoff
-	for {
-		if !p.waitForFrames() {
-			return
-		}
-		connection, err := p.transport.dialer.DialContext(p.context, "tcp", p.address)
+	connecting := newConnecting(&p.transport.options)
+	for p.waitForFrames() {
+		connection, err := p.transport.dial(p.context, p.address, connecting.timeout)
 		if err != nil {
 			p.transport.counters.connectFailures.Add(1)
-			if !p.pause(backoff) {
-				return
+		} else {
+			p.transport.counters.connectionsOpened.Add(1)
+			if p.serve(connection) {
+				connecting.succeeded()
+				continue
 			}
-			backoff = min(2*backoff, p.transport.options.MaxBackoff)
-			continue
-		}
-		p.transport.counters.connectionsOpened.Add(1)
-		if p.serve(connection) {
-			backoff = p.transport.options.MinBackoff
-			continue
 		}
-		// A peer that accepts and takes nothing must not be dialled in a loop.
-		if !p.pause(backoff) {
+		// A peer that accepts and takes nothing must not be dialled in a loop
+		// either.
+		if !p.pause(connecting.failed(err)) {
 			return
 		}
-		backoff = min(2*backoff, p.transport.options.MaxBackoff)
 	}
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -25,7 +25,7 @@
 	options  Options
 	listener net.Listener
 	handler  Handler
-	dialer   *net.Dialer
+	dial     dialFunc
 	counters counters
 	context  context.Context
 	cancel   context.CancelFunc
@@ -50,7 +50,7 @@
 		options:  options,
 		listener: listener,
 		handler:  handler,
-		dialer:   newDialer(listener.Addr(), options),
+		dial:     dialWith(newDialer(listener.Addr(), options)),
 		context:  background,
 		cancel:   cancel,
 		peers:    map[string]*peer{},
