--- a/internal/lab/bench/reporting.go
+++ b/internal/lab/bench/reporting.go
@@ -56,7 +56,7 @@
 			s.deliver(now, from, delivery.Event)
 			continue
 		}
-		s.timers.add(delivery.At, func(now time.Duration) { s.deliver(now, from, delivery.Event) })
+		s.timers.Add(delivery.At, func(now time.Duration) { s.deliver(now, from, delivery.Event) })
 	}
 }
 
@@ -77,7 +77,7 @@
 	}
 	from.resyncing = true
 	s.tallies.resyncs++
-	s.timers.add(now+s.settings.ResyncDelay, func(now time.Duration) {
+	s.timers.Add(now+s.settings.ResyncDelay, func(now time.Duration) {
 		s.carry(now, from, from.keeper.Snapshot())
 	})
 }
@@ -102,5 +102,5 @@
 	for _, number := range s.reader.resyncWanted(now) {
 		s.resync(now, s.reporter(number))
 	}
-	s.timers.add(now+s.settings.ReportEvery, s.sendReports)
+	s.timers.Add(now+s.settings.ReportEvery, s.sendReports)
 }
--- a/internal/lab/bench/simulation.go
+++ b/internal/lab/bench/simulation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/emulator"
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/timers"
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/workload"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
@@ -37,7 +38,7 @@
 	machines   []*machine
 	// store is nil in a fleet without one.
 	store  *store
-	timers timers
+	timers timers.Queue
 	// open counts the requests that have not finished.
 	open    int
 	tallies tallies
@@ -72,11 +73,11 @@
 func (s *simulation) run(trace []workload.Request) {
 	for position := range trace {
 		request := &trace[position]
-		s.timers.add(request.At, func(now time.Duration) { s.arrive(now, request) })
+		s.timers.Add(request.At, func(now time.Duration) { s.arrive(now, request) })
 	}
 	s.open = len(trace)
 	if s.reader != nil {
-		s.timers.add(0, s.sendReports)
+		s.timers.Add(0, s.sendReports)
 	}
 	for s.open > 0 {
 		now, machine := s.next()
@@ -85,14 +86,14 @@
 			s.settle(now, machine)
 			continue
 		}
-		s.timers.runDue(now)
+		s.timers.RunDue(now)
 	}
 }
 
 // next returns the time of the next thing to happen, and the machine that it
 // happens to, if it is not a timer.
 func (s *simulation) next() (time.Duration, *machine) {
-	at, found := s.timers.next()
+	at, found := s.timers.Next()
 	var changing *machine
 	for _, machine := range s.machines {
 		change, ok := machine.model.NextChange()
@@ -109,7 +110,7 @@
 	if again > 0 {
 		s.tallies.deferred++
 		s.note(request, func(outcome *Outcome) { outcome.Deferred++ })
-		s.timers.add(now+again, func(now time.Duration) { s.arrive(now, request) })
+		s.timers.Add(now+again, func(now time.Duration) { s.arrive(now, request) })
 		return
 	}
 	machine := s.machines[placed.replica]
@@ -126,7 +127,7 @@
 		s.tallies.refused++
 		s.note(request, func(outcome *Outcome) { outcome.Refused++ })
 		s.policy.finished(now, &placed, false)
-		s.timers.add(now+submitAgainAfter, func(now time.Duration) { s.arrive(now, request) })
+		s.timers.Add(now+submitAgainAfter, func(now time.Duration) { s.arrive(now, request) })
 		return
 	}
 	machine.attempts[handle] = &attempt{request: request, placed: placed}
@@ -150,7 +151,7 @@
 	from.linkFree = end
 	to.linkFree = end
 	s.tallies.pulledTokens += tokens
-	s.timers.add(end, func(now time.Duration) {
+	s.timers.Add(end, func(now time.Duration) {
 		to.model.PullDone(now, handle, parts)
 		s.settle(now, to)
 	})
--- a/internal/lab/bench/store.go
+++ b/internal/lab/bench/store.go
@@ -66,7 +66,7 @@
 	}
 	took := s.settings.Links.TransferTime(from.zone, s.store.zone, uint64(tokens))
 	from.pushFree = max(now, from.pushFree) + took
-	s.timers.add(from.pushFree, func(now time.Duration) {
+	s.timers.Add(from.pushFree, func(now time.Duration) {
 		if part, kept := from.model.Part(hash); kept {
 			s.store.model.Put(part)
 			s.sendEvents(now, &s.store.reporter)
--- a/internal/lab/enginebench/feed.go
+++ b/internal/lab/enginebench/feed.go
@@ -46,13 +46,13 @@
 		position := kvrouter.Feed{Incarnation: 1, From: from, Next: holder.feed.sequence}
 		late := 80*time.Millisecond + time.Duration(s.random.ExpFloat64()*float64(50*time.Millisecond))
 		address := holder.address
-		s.timers.add(now+late, func(now time.Duration) {
+		s.timers.Add(now+late, func(now time.Duration) {
 			for _, node := range s.nodes {
 				node.changes(now, address, position, batch)
 			}
 		})
 	}
-	s.timers.add(now+batchEvery, s.sendChanges)
+	s.timers.Add(now+batchEvery, s.sendChanges)
 }
 
 // sendReports hands the load of the replicas to the routers.
@@ -66,20 +66,20 @@
 			Age:         reportAge,
 		}
 		address := replica.address
-		s.timers.add(now+reportAge, func(now time.Duration) {
+		s.timers.Add(now+reportAge, func(now time.Duration) {
 			for _, node := range s.nodes {
 				node.report(now, address, report)
 			}
 		})
 	}
-	s.timers.add(now+reportEvery, s.sendReports)
+	s.timers.Add(now+reportEvery, s.sendReports)
 }
 
 // share lets the routers tell each other of their load.
 func (s *simulation) share(now time.Duration) {
 	for from, node := range s.nodes {
 		loads := node.loads(now)
-		s.timers.add(now+shareDelay, func(now time.Duration) {
+		s.timers.Add(now+shareDelay, func(now time.Duration) {
 			for to, other := range s.nodes {
 				if to != from {
 					other.remoteLoads(now, from, loads)
@@ -87,5 +87,5 @@
 			}
 		})
 	}
-	s.timers.add(now+s.settings.ShareEvery, s.share)
+	s.timers.Add(now+s.settings.ShareEvery, s.share)
 }
--- a/internal/lab/enginebench/replica.go
+++ b/internal/lab/enginebench/replica.go
@@ -63,7 +63,7 @@
 	}
 	parts, tokens := r.missing(request)
 	if tokens == 0 {
-		r.sim.timers.add(now+time.Millisecond, func(now time.Duration) { r.enqueue(now, request) })
+		r.sim.timers.Add(now+time.Millisecond, func(now time.Duration) { r.enqueue(now, request) })
 		return
 	}
 	end, begun := r.sim.move(now, request.source, &r.holder, tokens)
@@ -72,7 +72,7 @@
 		return
 	}
 	r.sim.result.movedTokens += tokens
-	r.sim.timers.add(end, func(now time.Duration) {
+	r.sim.timers.Add(end, func(now time.Duration) {
 		r.store(parts)
 		r.enqueue(now, request)
 	})
@@ -150,7 +150,7 @@
 	took := r.engine.StepBase + r.engine.StepPerSlot*float64(len(r.active)) +
 		r.engine.ContextPerThousand*float64(context)/1000 +
 		float64(work)/r.engine.PrefillTokens + r.engine.PairsPerMillion*pairs/1e6
-	r.sim.timers.add(now+milliseconds(took*r.slow), func(now time.Duration) { r.stepped(now, read) })
+	r.sim.timers.Add(now+milliseconds(took*r.slow), func(now time.Duration) { r.stepped(now, read) })
 }
 
 // readSome reads the next piece of a prompt.
@@ -258,7 +258,7 @@
 		return
 	}
 	r.sim.result.movedTokens += tokens
-	r.sim.timers.add(end, func(time.Duration) {
+	r.sim.timers.Add(end, func(time.Duration) {
 		for _, part := range lacking {
 			if store.memory.reserve(int(part.Tokens)) && !store.memory.keep(part.ID, int(part.Tokens)) {
 				store.memory.release(int(part.Tokens))
--- a/internal/lab/enginebench/routernode.go
+++ b/internal/lab/enginebench/routernode.go
@@ -84,7 +84,7 @@
 		return
 	}
 	address, save := decision.Address, decision.Save
-	n.sim.timers.add(now+n.sim.settings.ShareEvery, func(now time.Duration) {
+	n.sim.timers.Add(now+n.sim.settings.ShareEvery, func(now time.Duration) {
 		for number, other := range n.sim.nodes {
 			if number == n.number {
 				continue
--- a/internal/lab/enginebench/simulation.go
+++ b/internal/lab/enginebench/simulation.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/timers"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
 )
 
@@ -32,7 +33,7 @@
 type simulation struct {
 	settings Settings
 	random   *rand.Rand
-	timers   timers
+	timers   timers.Queue
 	replicas []*replica
 	store    *holder
 	holders  []*holder
@@ -53,14 +54,14 @@
 	s.build()
 	arrivals := workload(&settings.Profile, settings.Load, settings.Duration, settings.Seed)
 	for _, arrival := range arrivals {
-		s.timers.add(arrival.at, func(now time.Duration) { s.arrive(now, arrival, 0) })
+		s.timers.Add(arrival.at, func(now time.Duration) { s.arrive(now, arrival, 0) })
 	}
-	s.timers.add(0, s.sendChanges)
-	s.timers.add(0, s.sendReports)
+	s.timers.Add(0, s.sendChanges)
+	s.timers.Add(0, s.sendReports)
 	if settings.ShareEvery > 0 {
-		s.timers.add(0, s.share)
+		s.timers.Add(0, s.share)
 	}
-	s.timers.run(settings.Duration + 20*time.Second)
+	s.timers.Run(settings.Duration + 20*time.Second)
 	s.result.summarize(arrivals, &settings.Profile)
 	return s.result
 }
@@ -99,7 +100,7 @@
 	if again > 0 {
 		s.result.refused++
 		if attempt < 1 && now+again < arrival.at+arrival.class.Deadline {
-			s.timers.add(now+again, func(now time.Duration) { s.arrive(now, arrival, attempt+1) })
+			s.timers.Add(now+again, func(now time.Duration) { s.arrive(now, arrival, attempt+1) })
 		}
 		return
 	}
@@ -109,11 +110,11 @@
 		arrival: arrival, priority: placed.priority, source: placed.source, save: placed.save,
 		first: func(at time.Duration) {
 			outcome.first = at - arrival.at
-			s.timers.add(at, func(now time.Duration) { node.first(now, &placed) })
+			s.timers.Add(at, func(now time.Duration) { node.first(now, &placed) })
 		},
 		done: func(at time.Duration) {
 			outcome.done = true
-			s.timers.add(at, func(now time.Duration) { node.done(now, &placed) })
+			s.timers.Add(at, func(now time.Duration) { node.done(now, &placed) })
 		},
 	}
 	s.hold(now, placed.awaited, func(now time.Duration) {
@@ -130,7 +131,7 @@
 		send(now)
 		return
 	}
-	s.timers.add(now+holdStep, func(now time.Duration) { s.hold(now, awaited, send) })
+	s.timers.Add(now+holdStep, func(now time.Duration) { s.hold(now, awaited, send) })
 }
 
 func (s *simulation) zoneOf(node int) int { return node % s.settings.Profile.Zones }
