--- a/pkg/config/dynamic/errors.go
+++ b/pkg/config/dynamic/errors.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/faults"
 )
 
 // Kind is the stable name of what is wrong with an order or a configuration.
@@ -58,12 +59,7 @@
 }
 
 // Error describes the fault with the path of its field.
-func (e *Error) Error() string {
-	if e.Field == "" {
-		return e.Message
-	}
-	return e.Field + ": " + e.Message
-}
+func (e *Error) Error() string { return faults.Text(e.Field, e.Message) }
 
 // Problem is the fault as operators get it.
 func (e *Error) Problem() *ridgeswitchv1.Problem {
@@ -79,22 +75,10 @@
 type Errors []*Error
 
 // Error lists the faults, one a line.
-func (list Errors) Error() string {
-	lines := make([]string, 0, len(list))
-	for _, fault := range list {
-		lines = append(lines, fault.Error())
-	}
-	return strings.Join(lines, "\n")
-}
+func (list Errors) Error() string { return faults.Lines(list) }
 
 // Unwrap gives errors.As and errors.Is access to the single faults.
-func (list Errors) Unwrap() []error {
-	faults := make([]error, 0, len(list))
-	for _, fault := range list {
-		faults = append(faults, fault)
-	}
-	return faults
-}
+func (list Errors) Unwrap() []error { return faults.Single(list) }
 
 // Problem carries the kind and field of the first fault and a message that
 // lists all of them.
--- /dev/null
+++ b/pkg/config/faults/faults.go
@@ -0,0 +1,32 @@
+// Package faults holds what the lists of faults of settings and of a
+// configuration have in common.
+package faults
+
+import "strings"
+
+// Text is a fault as a line: the path of its field, if it has one, and what is
+// wrong.
+func Text(field, message string) string {
+	if field == "" {
+		return message
+	}
+	return field + ": " + message
+}
+
+// Lines lists faults, one a line.
+func Lines[E error](list []E) string {
+	lines := make([]string, 0, len(list))
+	for _, fault := range list {
+		lines = append(lines, fault.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Single returns the faults as single errors, for errors.Is and errors.As.
+func Single[E error](list []E) []error {
+	single := make([]error, 0, len(list))
+	for _, fault := range list {
+		single = append(single, fault)
+	}
+	return single
+}
--- /dev/null
+++ b/pkg/config/faults/faults_test.go
@@ -0,0 +1,34 @@
+package faults_test
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/faults"
+)
+
+func TestFaults(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Faults")
+}
+
+type fault struct{ field string }
+
+func (f *fault) Error() string { return faults.Text(f.field, "is wrong") }
+
+var _ = Describe("A list of faults", func() {
+	list := []*fault{{field: "seeds[1]"}, {}}
+
+	It("is told one a line, with the field where one is meant", func() {
+		Expect(faults.Lines(list)).To(Equal("seeds[1]: is wrong\nis wrong"))
+	})
+
+	It("gives access to the single faults", func() {
+		var first *fault
+		Expect(errors.As(errors.Join(faults.Single(list)...), &first)).To(BeTrue())
+		Expect(first).To(BeIdenticalTo(list[0]))
+	})
+})
--- a/pkg/config/static/errors.go
+++ b/pkg/config/static/errors.go
@@ -1,6 +1,6 @@
 package static
 
-import "strings"
+import "github.com/ridgeswitch/ridgeswitch/pkg/config/faults"
 
 // Kind is the stable name of what is wrong with a setting.
 type Kind string
@@ -35,30 +35,13 @@
 }
 
 // Error describes the fault with the name of the setting.
-func (e *Error) Error() string {
-	if e.Field == "" {
-		return e.Message
-	}
-	return e.Field + ": " + e.Message
-}
+func (e *Error) Error() string { return faults.Text(e.Field, e.Message) }
 
 // Errors are all faults found while a settings file was read.
 type Errors []*Error
 
 // Error lists the faults, one a line.
-func (list Errors) Error() string {
-	lines := make([]string, 0, len(list))
-	for _, fault := range list {
-		lines = append(lines, fault.Error())
-	}
-	return strings.Join(lines, "\n")
-}
+func (list Errors) Error() string { return faults.Lines(list) }
 
 // Unwrap gives errors.As access to the single faults.
-func (list Errors) Unwrap() []error {
-	faults := make([]error, 0, len(list))
-	for _, fault := range list {
-		faults = append(faults, fault)
-	}
-	return faults
-}
+func (list Errors) Unwrap() []error { return faults.Single(list) }
