Data plane: the product's own edges keep to max_connections

The transport's dialer counts them now, by the same bound.

The spec in internal/dataplane failed before (a third request reached the replica and waited); the specs of the bound now hold for both clients. Run: go test of internal/dataplane and internal/edge/..., passed.

--- a/internal/dataplane/connections_test.go
+++ b/internal/dataplane/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -51,6 +52,34 @@
 		Expect([]int{limit("web:1"), limit("elsewhere:1")}).To(Equal([]int{0, 0}))
 	})
 
+	It("are bounded by the node's own protocol as well", func() {
+		arrived, proceed := make(chan struct{}, 3), make(chan struct{})
+		stand := newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			arrived <- struct{}{}
+			<-proceed
+			answering("ok")(writer, request)
+		})
+		f := newFixture(stand.address())
+		f.source.View().Pools["pool"].Config.Backends = &ridgeswitchv1.BackendLimits{MaxConnections: 2}
+		release := sync.OnceFunc(func() { close(proceed) })
+		DeferCleanup(release)
+		results := make(chan outcome, 2)
+		for range cap(results) {
+			go func() { results <- f.generate() }()
+			<-arrived
+		}
+		got := f.generate(header{"Repeatable", "true"})
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.problem.Kind).To(Or(Equal(caller.KindBackendsBusy), Equal(caller.KindNoBackend)))
+		Expect(got.problem.MayHaveRun).To(BeFalse())
+		release()
+		for range cap(results) {
+			Expect((<-results).status).To(Equal(http.StatusOK))
+		}
+		Expect(stand.requests()).To(HaveLen(2))
+		Expect(f.server.Stats()[0].Suspected).To(BeZero())
+	})
+
 	It("are no fault of the back end when they are spent", func() {
 		spent := &backends{wrong: func(context.Context) (dataplane.Answer, error) {
 			return nil, outbound.NotSent(&outbound.ConnectionsSpentError{Address: "only:1", Limit: 2})
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -77,6 +77,7 @@
 		sharing:      newSharing(),
 		seed:         rand.Uint64(),
 	}
+	sender.LimitConnections(server.ConnectionLimit)
 	server.feedsCtx, server.stopFeeds = context.WithCancel(context.Background())
 	server.feeds = newFeeds(server)
 	server.readers = newReportReaders(server)
--- a/internal/edge/outbound/client.go
+++ b/internal/edge/outbound/client.go
@@ -44,6 +44,7 @@
 type Client struct {
 	service   httpc.Service
 	transport *http.Transport
+	open      *openConnections
 }
 
 // Error says that a request got no answer.
@@ -86,15 +87,16 @@
 	// httpc registers a breaker and writes a log line for every request.
 	breaker.NoBreakerFor(options.Name)
 	logx.SetLevel(logx.SevereLevel)
-	transport := newTransport(options)
+	open := newOpenConnections()
+	transport := newTransport(options, open)
 	client := &http.Client{Transport: transport, CheckRedirect: keepRedirect}
-	return &Client{service: httpc.NewServiceWithClient(options.Name, client), transport: transport}
+	return &Client{service: httpc.NewServiceWithClient(options.Name, client), transport: transport, open: open}
 }
 
 // newTransport returns a transport that changes nothing in what passes.
-func newTransport(options Options) *http.Transport {
+func newTransport(options Options, open *openConnections) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer(options.DialTimeout),
+		DialContext:            dialer(options.DialTimeout, open),
 		DisableCompression:     true,
 		IdleConnTimeout:        options.IdleTimeout,
 		MaxIdleConnsPerHost:    options.IdlePerAddress,
@@ -132,6 +134,11 @@
 	return c.Send(request, nil)
 }
 
+// LimitConnections bounds the connections to each back end by what limit returns
+// for its address, 0 for any number. A request that finds all of them in use is not
+// sent; the cause of its error is a *ConnectionsSpentError.
+func (c *Client) LimitConnections(limit func(address string) int) { c.open.setLimit(limit) }
+
 // CloseIdle closes the connections that carry no request.
 func (c *Client) CloseIdle() {
 	c.transport.CloseIdleConnections()
--- a/internal/edge/outbound/connection.go
+++ b/internal/edge/outbound/connection.go
@@ -19,6 +19,14 @@
 	mutex  sync.Mutex
 	writes uint64
 	sealed bool
+	// closed counts the connection out, once.
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
 }
 
 // Write counts the call before any byte can leave.
@@ -58,14 +66,19 @@
 	return writes
 }
 
-// dialer returns the transport's dial function.
-func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+// dialer returns the transport's dial function, which opens no more connections
+// to an address than there may be.
+func dialer(timeout time.Duration, open *openConnections) func(ctx context.Context, network, address string) (net.Conn, error) {
 	plain := &net.Dialer{Timeout: timeout, KeepAlive: keepAlivePeriod}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := open.reserve(address); err != nil {
+			return nil, err
+		}
 		connection, err := plain.DialContext(ctx, network, address)
 		if err != nil {
+			open.release(address)
 			return nil, err
 		}
-		return &countedConn{Conn: connection}, nil
+		return &countedConn{Conn: connection, closed: sync.OnceFunc(func() { open.release(address) })}, nil
 	}
 }
--- a/internal/edge/outbound/open_test.go
+++ b/internal/edge/outbound/open_test.go
@@ -1,6 +1,7 @@
 package outbound_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 
@@ -11,11 +12,34 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
+// boundedSender sends requests over a bounded number of connections.
+type boundedSender interface {
+	Send(request *http.Request, body []byte) (*http.Response, error)
+	LimitConnections(limit func(address string) int)
+	CloseIdle()
+}
+
 var _ = Describe("Direct with a bound on connections", func() {
-	var client *outbound.Direct
+	boundOnConnections(func() boundedSender { return outbound.NewDirect(outbound.DirectOptions{}) }, closeAnswer)
+})
+
+var _ = Describe("Client with a bound on connections", func() {
+	// Its connection is free again once the answer was read to its end.
+	boundOnConnections(func() boundedSender { return outbound.New(outbound.Options{Name: "bounded"}) }, func(answer *http.Response) {
+		_, err := io.Copy(io.Discard, answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		closeAnswer(answer)
+	})
+})
+
+func closeAnswer(answer *http.Response) { Expect(answer.Body.Close()).To(Succeed()) }
+
+// boundOnConnections specifies what every client keeps to.
+func boundOnConnections(newClient func() boundedSender, finish func(answer *http.Response)) {
+	var client boundedSender
 
 	BeforeEach(func() {
-		client = outbound.NewDirect(outbound.DirectOptions{})
+		client = newClient()
 		DeferCleanup(client.CloseIdle)
 	})
 
@@ -51,17 +75,17 @@
 		Expect(server.accepted.Load()).To(Equal(int32(2)))
 
 		By("using one again that has become free, and opening one for another that was closed")
-		Expect(first.Body.Close()).To(Succeed())
+		finish(first)
 		third, err := begin(address)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(second.Body.Close()).To(Succeed())
+		finish(second)
 		client.CloseIdle()
 		fourth, err := begin(address)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = begin(address)
 		Expect(boundOf(err)).To(Equal(2))
-		Expect(third.Body.Close()).To(Succeed())
-		Expect(fourth.Body.Close()).To(Succeed())
+		finish(third)
+		finish(fourth)
 	})
 
 	It("counts each back end by itself, and one without a bound not at all", func() {
@@ -103,4 +127,4 @@
 			}
 		}
 	})
-})
+}
