--- /dev/null
+++ b/internal/dataplane/callerlimits_test.go
@@ -0,0 +1,47 @@
+package dataplane_test
+
+import (
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+)
+
+var _ = Describe("The bounds of callers", func() {
+	const bound = 4096
+
+	// limited starts a node whose configuration bounds what callers send.
+	limited := func(limits *ridgeswitchv1.CallerLimits) (*fixture, *replicaStandIn) {
+		stand := newReplica(answering("ok"))
+		f := newFixture(stand.address())
+		f.source.View().Configuration = &ridgeswitchv1.Configuration{CallerLimits: limits}
+		return f, stand
+	}
+	filler := func(bytes int) header { return header{"X-Filler", strings.Repeat("x", bytes)} }
+
+	It("refuse a header beyond that of the configuration, and nothing is sent", func() {
+		f, stand := limited(&ridgeswitchv1.CallerLimits{MaxHeaderBytes: bound})
+		got := f.generate(filler(bound))
+		Expect(got.status).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		Expect(got.problem.Kind).To(Equal(caller.KindHeaderTooLarge))
+		Expect(got.problem.MayHaveRun).To(BeFalse())
+		Expect(stand.requests()).To(BeEmpty())
+		Expect(f.generate(filler(bound / 2)).status).To(Equal(http.StatusOK))
+	})
+
+	It("leave headers to the listener without a bound in the configuration", func() {
+		f, _ := limited(nil)
+		Expect(f.generate(filler(bound)).status).To(Equal(http.StatusOK))
+	})
+
+	It("refuse a body beyond that of the configuration", func() {
+		f, stand := limited(&ridgeswitchv1.CallerLimits{MaxBodyBytes: uint64(len(defaultBody)) - 1})
+		got := f.generate()
+		Expect(got.problem.Kind).To(Equal(caller.KindBodyTooLarge))
+		Expect(stand.requests()).To(BeEmpty())
+	})
+})
--- a/internal/dataplane/chain.go
+++ b/internal/dataplane/chain.go
@@ -29,6 +29,7 @@
 	steps := chain{
 		&requestNamer{identities: s.identities},
 		&servingCheck{source: s.options.Source},
+		headerBound{},
 		&tenantIdentifier{},
 		&routeFinder{destinations: s.destinations, draw: rand.Uint64},
 		&headerReader{},
--- a/internal/edge/caller/problem.go
+++ b/internal/edge/caller/problem.go
@@ -14,6 +14,7 @@
 // The kinds of errors that callers meet.
 const (
 	KindBadRequest          Kind = "bad_request"
+	KindHeaderTooLarge      Kind = "header_too_large"
 	KindBodyTooLarge        Kind = "body_too_large"
 	KindNotServing          Kind = "not_serving"
 	KindUnauthorized        Kind = "unauthorized"
@@ -38,6 +39,7 @@
 // statusByKind maps each kind to its HTTP status.
 var statusByKind = map[Kind]int{
 	KindBadRequest:          http.StatusBadRequest,
+	KindHeaderTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
 	KindBodyTooLarge:        http.StatusRequestEntityTooLarge,
 	KindNotServing:          http.StatusServiceUnavailable,
 	KindUnauthorized:        http.StatusUnauthorized,
--- a/internal/edge/caller/request_test.go
+++ b/internal/edge/caller/request_test.go
@@ -109,7 +109,7 @@
 
 	It("has a status of its own for every kind", func() {
 		for _, kind := range []caller.Kind{
-			caller.KindBadRequest, caller.KindBodyTooLarge, caller.KindNotServing, caller.KindUnauthorized, caller.KindUnknownHost,
+			caller.KindBadRequest, caller.KindHeaderTooLarge, caller.KindBodyTooLarge, caller.KindNotServing, caller.KindUnauthorized, caller.KindUnknownHost,
 			caller.KindModelMismatch, caller.KindDuplicateRequest, caller.KindRateLimited, caller.KindQueueFull,
 			caller.KindQueueTimeout, caller.KindDeadlineUnreachable, caller.KindClaimUndecided, caller.KindNoBackend, caller.KindBackendsBusy, caller.KindBackendRefused,
 			caller.KindRetryBudgetSpent, caller.KindDeadlineExceeded, caller.KindOutcomeUnknown, caller.KindAnswerCut,
