--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,8 @@
 // listens for other nodes at once, and for callers and operators when Run is
 // called.
 func New(settings *static.Settings, edges Edges, log *logrus.Entry) (*Node, error) {
-	node := &Node{settings: settings, edges: edges.withDefaults(settings.PlatformAddress), log: log, health: &health{}, seeds: settings.Seeds}
+	node := &Node{settings: settings, log: log, health: &health{}, seeds: settings.Seeds}
+	node.edges = edges.withDefaults(settings.PlatformAddress, node.view)
 	if err := node.build(); err != nil {
 		node.close()
 		return nil, err
--- a/internal/node/ownedges.go
+++ b/internal/node/ownedges.go
@@ -6,21 +6,23 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/clock"
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/platform"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
 // errTooManyCalls tells that a control call was not made.
 var errTooManyCalls = errors.New("too many control calls to replicas are under way")
 
 // withDefaults fills in the product's own protocols with the platform and with
-// replicas.
-func (e Edges) withDefaults(platformAddress string) Edges {
+// replicas. The view is that of the node, or nil as long as it has none.
+func (e Edges) withDefaults(platformAddress string, view func() *routing.View) Edges {
 	sender := outbound.New(outbound.Options{Name: "control"})
 	if e.Lists == nil {
-		e.Lists = &ownLists{client: platform.NewClient(sender, platformAddress)}
+		e.Lists = &ownLists{client: platform.NewClient(sender, platformAddress), starts: starts{view: view}}
 	}
 	if e.Replicas == nil {
 		e.Replicas = &ownReplicas{client: replica.NewCommandClient(sender)}
@@ -28,9 +30,11 @@
 	return e
 }
 
-// ownLists reads the platform's list by the product's own protocol.
+// ownLists reads the platform's list by the product's own protocol. One reading
+// runs at a time.
 type ownLists struct {
 	client *platform.Client
+	starts starts
 }
 
 // Read implements ListReader.
@@ -39,7 +43,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return lo.Map(list.Services, listedService), nil
+	services := lo.Map(list.Services, listedService)
+	l.starts.mark(clock.SinceBoot(), services)
+	return services, nil
 }
 
 func listedService(service platform.Service, _ int) control.ListedService {
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -23,6 +23,14 @@
 // View implements routing.Source.
 func (s *lateSource) View() *routing.View { return s.driver.View() }
 
+// view is the node's view, or nil while it has none.
+func (n *Node) view() *routing.View {
+	if n.driver == nil {
+		return nil
+	}
+	return n.driver.View()
+}
+
 // peers returns the live nodes that serve callers.
 func (s *lateSource) peers() []member.Info { return s.driver.Peers() }
 
--- /dev/null
+++ b/internal/node/starts_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+)
+
+var _ = Describe("Starts of listed back ends", func() {
+	const (
+		hour = time.Hour
+		cold = 30 * time.Second
+	)
+	var view *routing.View
+	var seen *starts
+
+	// remaining reads a list of a service's addresses.
+	remaining := func(now time.Duration, service string, addresses ...string) []time.Duration {
+		services := []control.ListedService{{Name: service, Replicas: lo.Map(addresses, func(address string, _ int) control.ListedReplica {
+			return control.ListedReplica{Address: address}
+		})}}
+		seen.mark(now, services)
+		return lo.Map(services[0].Replicas, func(replica control.ListedReplica, _ int) time.Duration { return replica.ColdRemaining })
+	}
+
+	BeforeEach(func() {
+		limits := &ridgeswitchv1.BackendLimits{ColdStartMs: uint32(cold.Milliseconds())}
+		view = &routing.View{
+			Pools:       map[string]*routing.Pool{"pool": {Config: &ridgeswitchv1.Pool{Service: "model", Backends: limits}}},
+			WebServices: map[string]*routing.WebService{"web": {Config: &ridgeswitchv1.WebService{Service: "pages", Backends: limits}}},
+		}
+		seen = &starts{view: func() *routing.View { return view }}
+	})
+
+	DescribeTable("are cold from when they appear, for as long as the configuration says", func(service string) {
+		Expect(remaining(hour, service, "a:1")).To(Equal([]time.Duration{0}), "the first reading tells no start")
+		Expect(remaining(hour+time.Second, service, "a:1", "b:1")).To(Equal([]time.Duration{0, cold}))
+		Expect(remaining(hour+11*time.Second, service, "b:1", "a:1")).To(Equal([]time.Duration{cold - 10*time.Second, 0}))
+		Expect(remaining(hour+2*cold, service, "b:1")).To(Equal([]time.Duration{0}))
+		Expect(remaining(hour+3*cold, service, "a:1", "b:1")).To(Equal([]time.Duration{cold, 0}), "a came back")
+	},
+		Entry("in a pool", "model"),
+		Entry("in a web service", "pages"),
+	)
+
+	It("are warm without such a time, and as long as the node has no view", func() {
+		Expect(remaining(hour, "other", "a:1")).To(Equal([]time.Duration{0}))
+		Expect(remaining(hour, "other", "b:1")).To(Equal([]time.Duration{0}))
+		view = nil
+		Expect(remaining(hour, "model", "c:1")).To(Equal([]time.Duration{0}))
+	})
+
+	It("are marked in what is read by the product's own protocol", func() {
+		lists := []string{
+			`{"services":[{"name":"model","replicas":[{"address":"a:1","state":"running"}]}]}`,
+			`{"services":[{"name":"model","replicas":[{"address":"a:1","state":"running"},{"address":"b:1","state":"running"}]}]}`,
+		}
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(writer, lists[0])
+			lists = lists[1:]
+		}))
+		DeferCleanup(server.Close)
+		reader := Edges{}.withDefaults(server.Listener.Addr().String(), func() *routing.View { return view }).Lists
+		_, err := reader.Read(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		read, err := reader.Read(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read[0].Replicas[0].ColdRemaining).To(BeZero())
+		Expect(read[0].Replicas[1].ColdRemaining).To(Equal(cold))
+	})
+})
