Lab: demo and experiment run their fleet by one piece

Both made the folder, built the binary, read the deployment and printed the summary by themselves. runFleet does it; what is run differs.

There is no test of the commands; no plan of faults was run.

--- a/cmd/ridgeswitch-lab/experiment.go
+++ b/cmd/ridgeswitch-lab/experiment.go
@@ -2,17 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/lab/fleet"
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/plans"
 )
 
@@ -49,27 +43,17 @@
 	if err != nil {
 		return err
 	}
-	folder, cleanUp, err := demoFolder(command.String("folder"))
-	if err != nil {
-		return err
-	}
-	defer cleanUp()
-	binary, err := nodeBinary(ctx, command.String("binary"), folder)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, command.Duration("duration")+experimentTimeout)
-	defer cancel()
-	summary, err := experiment(ctx, command, plan, folder, binary)
-	if err != nil {
-		return err
-	}
-	line, err := json.Marshal(summary)
-	if err != nil {
-		return errors.Wrap(err, "encode the summary")
-	}
-	fmt.Println(string(line))
-	return summary.Err()
+	return runFleet(ctx, command, command.Duration("duration")+experimentTimeout, func(ctx context.Context, run fleetRun) (summary, error) {
+		return plans.Experiment(ctx, plans.Options{
+			Deployment: run.deployment,
+			Plan:       plan,
+			Seed:       run.options.Seed,
+			Duration:   command.Duration("duration"),
+			ModelRate:  command.Float64("rate"),
+			Fleet:      run.options,
+			Log:        run.log,
+		})
+	})
 }
 
 func printPlans() {
@@ -77,25 +61,3 @@
 		fmt.Printf("%-16s %s\n", plan.Name, plan.Summary)
 	}
 }
-
-func experiment(ctx context.Context, command *cli.Command, plan plans.Plan, folder, binary string) (*plans.Summary, error) {
-	deployment, err := fleet.LoadDeployment(filepath.Join(command.String("deploy-folder"), command.String("deployment")))
-	if err != nil {
-		return nil, err
-	}
-	lab, err := os.Executable()
-	if err != nil {
-		return nil, errors.Wrap(err, "find the lab's own binary")
-	}
-	seed := command.Uint64("seed")
-	return plans.Experiment(ctx, plans.Options{
-		Deployment: deployment,
-		Plan:       plan,
-		Seed:       seed,
-		Duration:   command.Duration("duration"),
-		ModelRate:  command.Float64("rate"),
-		Fleet: fleet.Options{NodeBinary: binary, LabBinary: lab, Folder: folder,
-			TimeScale: command.Float64("time-scale"), Seed: seed},
-		Log: logrus.NewEntry(demoLog()),
-	})
-}
