Platform: the status and the product's other questions are answered there too

Cause: ridgeswitch status got 404 from a node run by the platform's program, since its operator protocol took the whole control address. An operator saw the readiness check and the log alone.

Change: a node with another operator protocol answers the own questions beside it: GET below /v1/ (status, weights, configuration), the health checks and the metrics. The platform uses none of these paths. Own orders stay out: the next document would undo them. The status table says SHARDS_LED.

--- /dev/null
+++ b/internal/edge/operator/questions.go
@@ -0,0 +1,34 @@
+package operator
+
+import (
+	"net/http"
+	"strings"
+)
+
+// schemaPaths is how the paths of the calls of the schema begin.
+const schemaPaths = "/v1/"
+
+// WithQuestions returns a handler of another operator protocol with the product's own
+// questions beside it: the calls that change nothing, the health checks and the
+// metrics. Changes are the other protocol's alone, which knows what they are made from.
+func WithQuestions(other, own http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if isQuestion(request) {
+			own.ServeHTTP(writer, request)
+			return
+		}
+		other.ServeHTTP(writer, request)
+	})
+}
+
+func isQuestion(request *http.Request) bool {
+	if request.Method != http.MethodGet {
+		return false
+	}
+	switch path := request.URL.Path; path {
+	case PathReady, PathLive, PathMetrics:
+		return true
+	default:
+		return strings.HasPrefix(path, schemaPaths)
+	}
+}
--- a/internal/node/edges.go
+++ b/internal/node/edges.go
@@ -40,7 +40,8 @@
 	// ReplicasFinishFirst is that of control.Config.
 	ReplicasFinishFirst bool
 	// Operator returns what serves operators, and whoever asks for the node's
-	// health.
+	// health. The node's own questions are answered beside it, see
+	// operator.WithQuestions.
 	Operator func(node *Node) http.Handler
 	// ReadyAddress is a further IP and port at which Operator's handler is
 	// served; empty for none.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,16 +169,18 @@
 	return nil
 }
 
-// operatorHandler returns what serves operators.
+// operatorHandler returns what serves operators. Beside another operator protocol, the
+// product's own questions are answered.
 func (n *Node) operatorHandler() (http.Handler, error) {
-	if n.edges.Operator != nil {
-		return n.edges.Operator(n), nil
-	}
 	served, err := metrics.NewHandler(n.driver, n.dataplane, n.transport)
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewHandler(n.driver, n.health, operator.WithMetrics(served))
+	own, err := operator.NewHandler(n.driver, n.health, operator.WithMetrics(served))
+	if err != nil || n.edges.Operator == nil {
+		return own, err
+	}
+	return operator.WithQuestions(n.edges.Operator(n), own), nil
 }
 
 // buildDriver connects the control machine to the network, the disk and the
--- a/internal/operatorcli/survey.go
+++ b/internal/operatorcli/survey.go
@@ -57,7 +57,7 @@
 
 // writeNodes writes what each node said of itself.
 func (s *survey) writeNodes(writer io.Writer) {
-	_, _ = fmt.Fprintln(writer, "nodes\nNODE\tCONTROL_ADDRESS\tFENCED\tFENCES\tSERVED_REVISION\tSHARDS_OWNED")
+	_, _ = fmt.Fprintln(writer, "nodes\nNODE\tCONTROL_ADDRESS\tFENCED\tFENCES\tSERVED_REVISION\tSHARDS_LED")
 	for _, given := range s.answers {
 		member := given.member
 		if given.err != nil {
