--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -78,6 +78,7 @@
 		sharing:      newSharing(),
 		seed:         rand.Uint64(),
 	}
+	sender.LimitConnections(server.ConnectionLimit)
 	server.feedsCtx, server.stopFeeds = context.WithCancel(context.Background())
 	server.adopting = newAdopting(options, server.router)
 	server.feeds = newFeeds(server)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,8 @@
 // listens for other nodes at once, and for callers and operators when Run is
 // called.
 func New(settings *static.Settings, edges Edges, log *logrus.Entry) (*Node, error) {
-	node := &Node{settings: settings, edges: edges.withDefaults(settings.PlatformAddress), log: log, health: &health{}, seeds: settings.Seeds}
+	node := &Node{settings: settings, log: log, health: &health{}, seeds: settings.Seeds}
+	node.edges = edges.withDefaults(settings.PlatformAddress, node.view)
 	if err := node.build(); err != nil {
 		node.close()
 		return nil, err
@@ -169,16 +170,18 @@
 	return nil
 }
 
-// operatorHandler returns what serves operators.
+// operatorHandler returns what serves operators. Beside another operator protocol, the
+// product's own questions are answered.
 func (n *Node) operatorHandler() (http.Handler, error) {
-	if n.edges.Operator != nil {
-		return n.edges.Operator(n), nil
-	}
 	served, err := metrics.NewHandler(n.driver, n.dataplane, n.transport)
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewHandler(n.driver, n.health, operator.WithMetrics(served))
+	own, err := operator.NewHandler(n.driver, n.health, operator.WithMetrics(served))
+	if err != nil || n.edges.Operator == nil {
+		return own, err
+	}
+	return operator.WithQuestions(n.edges.Operator(n), own), nil
 }
 
 // buildDriver connects the control machine to the network, the disk and the
