What may run again is not held up by an earlier submission of it

Cause: the register of duplicates took an answer that was written whole for one that the caller has got, and a request as running until the node had noticed the broken connection. A caller that took a stream up under its identity was refused as a duplicate in both cases.

The register now holds, for each name, whether its submissions may run again, and refuses if either the earlier ones or the new one may not. So nothing that may run once alone runs twice, also if the submissions say different things. That is stricter in one case: a repeatable request that was lost after it might have run was forgotten, and could then run under an identity said to run once.

Ruled out: noticing broken connections sooner. What was written before the break can't be known by any means of this end.

The calls of the register's own specs got the new argument, with the strict value; their expectations are unchanged.

--- a/internal/dataplane/duplicates.go
+++ b/internal/dataplane/duplicates.go
@@ -19,14 +19,26 @@
 	at   time.Duration
 }
 
+// knownRequest is what the register knows under one name.
+type knownRequest struct {
+	// repeatable tells that all submissions under the name may run again.
+	repeatable bool
+	// running and finished count the submissions that hold the name.
+	running, finished int
+}
+
 // duplicateRegister remembers the requests that are running and those that
 // ended lately and may have run. Running ones are bounded by the tenants'
 // limits, finished ones by number and age.
+//
+// That an answer was written whole says nothing of what the caller got, and a
+// caller may be gone long before the node notices. So what may run again is
+// never held up by an earlier submission of it.
 type duplicateRegister struct {
 	mutex       sync.Mutex
 	limit       int
 	rememberFor time.Duration
-	known       map[requestName]bool
+	known       map[requestName]knownRequest
 	// finished is a ring of at most limit entries, the oldest at first.
 	finished []finishedRequest
 	first    int
@@ -38,28 +50,34 @@
 	return &duplicateRegister{
 		limit:       limit,
 		rememberFor: rememberFor,
-		known:       make(map[requestName]bool),
+		known:       make(map[requestName]knownRequest),
 		finished:    make([]finishedRequest, limit),
 	}
 }
 
-// begin enters a request. It returns false if the request is known already.
-func (r *duplicateRegister) begin(now time.Duration, name requestName) bool {
+// begin enters a request. It returns false if the request is known already and
+// either submission may not run again.
+func (r *duplicateRegister) begin(now time.Duration, name requestName, repeatable bool) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.expire(now)
-	if r.known[name] {
+	entry, known := r.known[name]
+	if known && !(entry.repeatable && repeatable) {
 		return false
 	}
-	r.known[name] = true
+	entry.repeatable = repeatable
+	entry.running++
+	r.known[name] = entry
 	return true
 }
 
-// forget removes a running request that the caller may send again.
+// forget removes a running request that has not run.
 func (r *duplicateRegister) forget(name requestName) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	delete(r.known, name)
+	entry := r.known[name]
+	entry.running--
+	r.keep(name, entry)
 }
 
 // finish remembers a running request as one that has ended.
@@ -71,6 +89,19 @@
 	}
 	r.finished[(r.first+r.count)%r.limit] = finishedRequest{name: name, at: now}
 	r.count++
+	entry := r.known[name]
+	entry.running--
+	entry.finished++
+	r.known[name] = entry
+}
+
+// keep replaces what is known under a name, as long as a submission holds it.
+func (r *duplicateRegister) keep(name requestName, entry knownRequest) {
+	if entry.running == 0 && entry.finished == 0 {
+		delete(r.known, name)
+		return
+	}
+	r.known[name] = entry
 }
 
 // expire drops the finished requests that are old enough.
@@ -82,13 +113,17 @@
 
 // dropOldest drops the oldest finished request.
 func (r *duplicateRegister) dropOldest() {
-	delete(r.known, r.finished[r.first].name)
+	name := r.finished[r.first].name
+	entry := r.known[name]
+	entry.finished--
+	r.keep(name, entry)
 	r.finished[r.first] = finishedRequest{}
 	r.first = (r.first + 1) % r.limit
 	r.count--
 }
 
-// duplicateCheck refuses a request that this node is running or has run.
+// duplicateCheck refuses a request that this node is running or has run, unless
+// it may run again.
 type duplicateCheck struct {
 	register *duplicateRegister
 	clock    func() time.Duration
@@ -103,7 +138,7 @@
 		return
 	}
 	name := requestName{tenant: e.tenant.Name, id: e.described.ID}
-	if !c.register.begin(c.clock(), name) {
+	if !c.register.begin(c.clock(), name, e.described.Repeatable) {
 		problem := caller.NewProblem(caller.KindDuplicateRequest,
 			"a request with this %s is running or has ended on this node: send a new one under a new identity", caller.HeaderRequestID)
 		problem.MayHaveRun = true
@@ -111,7 +146,7 @@
 		return
 	}
 	defer func() {
-		if e.certainlyNotRun || e.notRunHere || e.failed && e.described.Repeatable {
+		if e.certainlyNotRun || e.notRunHere {
 			c.register.forget(name)
 			return
 		}
--- a/internal/dataplane/feed_internal_test.go
+++ b/internal/dataplane/feed_internal_test.go
@@ -243,14 +243,32 @@
 		register := newDuplicateRegister(2, time.Minute)
 		names := []requestName{{"t", "a"}, {"t", "b"}, {"t", "c"}}
 		for _, name := range names {
-			Expect(register.begin(0, name)).To(BeTrue())
+			Expect(register.begin(0, name, false)).To(BeTrue())
 			register.finish(0, name)
 		}
 		Expect(register.known).To(HaveLen(2))
-		Expect(register.begin(0, names[2])).To(BeFalse())
-		Expect(register.begin(0, names[0])).To(BeTrue(), "the oldest made room")
-		Expect(register.begin(time.Minute, names[2])).To(BeTrue(), "it is old enough")
-		Expect(register.begin(time.Minute, names[0])).To(BeFalse(), "it is running, however old")
+		Expect(register.begin(0, names[2], false)).To(BeFalse())
+		Expect(register.begin(0, names[0], false)).To(BeTrue(), "the oldest made room")
+		Expect(register.begin(time.Minute, names[2], false)).To(BeTrue(), "it is old enough")
+		Expect(register.begin(time.Minute, names[0], false)).To(BeFalse(), "it is running, however old")
+	})
+
+	It("holds a name for each submission that may run again, and none beside one that may not", func() {
+		register := newDuplicateRegister(2, time.Minute)
+		name := requestName{"t", "a"}
+		Expect(register.begin(0, name, true)).To(BeTrue())
+		Expect(register.begin(0, name, true)).To(BeTrue())
+		register.forget(name)
+		Expect(register.begin(0, name, false)).To(BeFalse(), "the other one is running")
+		register.finish(0, name)
+		Expect(register.begin(0, name, false)).To(BeFalse(), "the other one has run")
+		Expect(register.begin(time.Second, name, true)).To(BeTrue())
+		register.finish(time.Second, name)
+		Expect(register.begin(time.Minute, name, false)).To(BeFalse(), "the later one has run lately")
+		Expect(register.begin(time.Minute+time.Second, name, false)).To(BeTrue(), "both are old enough")
+		Expect(register.begin(time.Minute+time.Second, name, true)).To(BeFalse(), "one that may not run again is running")
+		register.forget(name)
+		Expect(register.known).To(BeEmpty())
 	})
 
 	It("never forgets a running request, under concurrent use", func() {
@@ -263,8 +281,8 @@
 				defer wait.Done()
 				for round := range 200 {
 					name := requestName{tenant: strconv.Itoa(worker), id: strconv.Itoa(round)}
-					Expect(register.begin(0, name)).To(BeTrue())
-					Expect(register.begin(0, name)).To(BeFalse())
+					Expect(register.begin(0, name, false)).To(BeTrue())
+					Expect(register.begin(0, name, false)).To(BeFalse())
 					register.finish(0, name)
 				}
 			}()
--- a/internal/dataplane/recheck_test.go
+++ b/internal/dataplane/recheck_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 )
@@ -112,4 +114,78 @@
 		Expect(f.generate(named).problem.Kind).To(Equal(caller.KindDuplicateRequest))
 		Expect(stand.requests()).To(HaveLen(1))
 	})
+
+	repeatable, once := header{"Repeatable", "true"}, header{"Repeatable", "false"}
+
+	DescribeTable("after it was answered, of which the caller may have got nothing", func(first, second header, taken bool) {
+		stand := newReplica(answering("ok"))
+		f := newFixture(stand.address())
+		Expect(f.generate(named, first).status).To(Equal(http.StatusOK))
+		again := f.generate(named, second)
+		if taken {
+			Expect(again.status).To(Equal(http.StatusOK))
+			Expect(stand.requests()).To(HaveLen(2))
+			return
+		}
+		Expect(again.problem.Kind).To(Equal(caller.KindDuplicateRequest))
+		Expect(stand.requests()).To(HaveLen(1))
+	},
+		Entry("is taken again if it may run twice", repeatable, repeatable, true),
+		Entry("is refused if the first may not", once, repeatable, false),
+		Entry("is refused if the second may not", repeatable, once, false),
+	)
+
+	DescribeTable("while the first runs, whose caller may have gone unnoticed", func(first, second header, taken bool) {
+		arrived, proceed := make(chan struct{}, 2), make(chan struct{})
+		stand := newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			arrived <- struct{}{}
+			<-proceed
+			answering("ok")(writer, request)
+		})
+		f := newFixture(stand.address())
+		release := sync.OnceFunc(func() { close(proceed) })
+		DeferCleanup(release)
+		answers := make(chan outcome, 2)
+		go func() { answers <- f.generate(named, first) }()
+		Eventually(arrived).WithTimeout(patience).Should(Receive())
+		go func() { answers <- f.generate(named, second) }()
+		if taken {
+			Eventually(arrived).WithTimeout(patience).Should(Receive())
+		} else {
+			var refused outcome
+			Eventually(answers).WithTimeout(patience).Should(Receive(&refused))
+			Expect(refused.problem.Kind).To(Equal(caller.KindDuplicateRequest))
+			Expect(stand.requests()).To(HaveLen(1))
+		}
+		release()
+		var answered outcome
+		Eventually(answers).WithTimeout(patience).Should(Receive(&answered))
+		Expect(answered.status).To(Equal(http.StatusOK))
+	},
+		Entry("is taken if it may run twice", repeatable, repeatable, true),
+		Entry("is refused if the first may not", once, repeatable, false),
+		Entry("is refused if the second may not", repeatable, once, false),
+	)
+
+	It("is refused where it may not run twice after it was lost where it might have", func() {
+		stand := newReplica(dying())
+		f := newFixture(stand.address())
+		Expect(f.generate(named, repeatable).problem.MayHaveRun).To(BeTrue())
+		Expect(f.generate(named, once).problem.Kind).To(Equal(caller.KindDuplicateRequest))
+		Expect(stand.requests()).To(HaveLen(1))
+	})
+
+	DescribeTable("of a stream that was written whole, and is taken up behind an event", func(resumable bool, runs int) {
+		stand := newReplica(streaming("a", "b", replica.StreamEnd))
+		f := newFixture(stand.address())
+		f.route = &ridgeswitchv1.Route{Kind: ridgeswitchv1.RequestKind_STREAMING, Resumable: resumable}
+		f.publish()
+		Expect(f.generate(named).err).NotTo(HaveOccurred())
+		again := f.generate(named, header{"Last-Event-Id", "1"})
+		Expect(stand.requests()).To(HaveLen(runs))
+		Expect(again.status == http.StatusOK).To(Equal(runs == 2))
+	},
+		Entry("runs again if it may be taken up", true, 2),
+		Entry("does not if it may not", false, 1),
+	)
 })
