Specs of a route's own time fail one by one, and none hangs

With the time ignored, the spec of the wait for a place never let its earlier request go, so that the run hung. It now does so however it ends, and the destination's own bound of 2 s ends what the route's time should have ended. No expectation is changed.

--- a/internal/dataplane/routetimeout_test.go
+++ b/internal/dataplane/routetimeout_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,10 +16,13 @@
 
 var _ = Describe("The time that a route gives a request", func() {
 	const (
-		// given is far less than the destination's own bound.
+		// given is the route's time.
 		given = 300 * time.Millisecond
 		// grace is how long after it the answer may end.
 		grace = 500 * time.Millisecond
+		// ownBound is the destination's own, in milliseconds: a node that ignores
+		// the route's time ends the request then, and the specs don't hang.
+		ownBound = 2000
 	)
 
 	// stuck never goes on after the beginning of its answer.
@@ -39,6 +43,7 @@
 	DescribeTable("ends it in time, whatever keeps it", func(script http.HandlerFunc, streamed, resumable bool) {
 		stand, other := newReplica(script), newReplica(script)
 		f := newFixture(stand.address(), other.address())
+		f.timeout = ownBound
 		f.route = &ridgeswitchv1.Route{TimeoutMs: uint32(given.Milliseconds()), Resumable: resumable}
 		f.publish()
 		began := time.Now()
@@ -75,20 +80,25 @@
 			answering("ok")(writer, request)
 		})
 		f := newFixture(stand.address())
+		release := sync.OnceFunc(func() { close(proceed) })
+		DeferCleanup(release)
 		f.limits = &ridgeswitchv1.Limits{ConcurrentRequests: 1, QueuedRequests: 1, QueueTimeoutMs: 60000}
 		f.publish()
-		first := make(chan outcome)
+		first := make(chan outcome, 1)
 		go func() { first <- f.generate() }()
 		Eventually(arrived).WithTimeout(patience).Should(BeClosed())
 		f.route = &ridgeswitchv1.Route{TimeoutMs: uint32(given.Milliseconds())}
+		f.timeout = ownBound
 		f.publish()
 		began := time.Now()
 		got := f.generate()
 		Expect(time.Since(began)).To(BeNumerically("<", given+grace))
 		Expect(got.status).To(BeNumerically(">=", http.StatusBadRequest))
 		Expect(got.problem.MayHaveRun).To(BeFalse())
-		close(proceed)
-		Expect((<-first).status).To(Equal(http.StatusOK), "the earlier one has its own time")
+		release()
+		var earlier outcome
+		Eventually(first).WithTimeout(patience).Should(Receive(&earlier))
+		Expect(earlier.status).To(Equal(http.StatusOK), "the earlier one has its own time")
 		Expect(stand.requests()).To(HaveLen(1))
 	})
 })
