A node without a configuration refuses for now, whatever else it knows

Cause: a node took its view for a configuration. A view is made as soon as anything is known, so after an evacuation that came before the first configuration, all requests were answered 404 or 401, which callers take as final; those are for the configuration to say.

routing.View.Configured tells whether the operator has set one; without, the chain refuses with not_serving and a time to come back, before keys and routes are looked at. A configuration of no routes that was set still answers 404.

--- a/internal/dataplane/generate_test.go
+++ b/internal/dataplane/generate_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
@@ -89,6 +90,30 @@
 		Expect(got.header.Get("Retry-After")).To(Equal("1"))
 	})
 
+	DescribeTable("to a node that has no configuration is refused for now, whatever it is", func(view *routing.View) {
+		f := newFixture(newReplica(answering("ok")).address())
+		f.source.view.Store(view)
+		for _, key := range []string{courtKey, "no key"} {
+			got := f.generate(header{"Authorization", "Bearer " + key})
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(got.problem.Kind).To(Equal(caller.KindNotServing))
+			Expect(got.header.Get("Retry-After")).To(Equal("1"))
+		}
+		Expect(f.send(http.MethodGet, "gone.example", "/").status).To(Equal(http.StatusServiceUnavailable))
+	},
+		Entry("and no state at all", nil),
+		Entry("but knows the back ends", &routing.View{}),
+		Entry("but knows what is evacuated", &routing.View{Revision: 3, Configuration: &ridgeswitchv1.Configuration{
+			Revision: 3, Evacuations: []*ridgeswitchv1.ZoneEvacuation{{Zone: "south"}},
+		}}),
+	)
+
+	It("is refused for good where the configuration has no routes", func() {
+		f := newFixture()
+		f.source.view.Store(&routing.View{Configuration: &ridgeswitchv1.Configuration{Source: &ridgeswitchv1.SourceVersion{Version: 7}}})
+		Expect(f.generate().status).To(Equal(http.StatusNotFound))
+	})
+
 	It("is refused when its key is revoked while it waits", func() {
 		stand := newReplica(answering("ok"))
 		f := newFixture(stand.address())
--- a/internal/dataplane/serving.go
+++ b/internal/dataplane/serving.go
@@ -18,6 +18,9 @@
 // handle implements handler.
 func (c *servingCheck) handle(e *exchange, next func()) {
 	view, problem := servingView(c.source)
+	if problem == nil && !view.Configured() {
+		problem = unconfiguredProblem()
+	}
 	if problem != nil {
 		e.refuse(problem)
 		return
@@ -34,8 +37,13 @@
 	}
 	view := source.View()
 	if view == nil {
-		return nil, caller.NewProblem(caller.KindNotServing,
-			"this node has no configuration yet: send the request to another node or try again").After(notServingRetry)
+		return nil, unconfiguredProblem()
 	}
 	return view, nil
 }
+
+// unconfiguredProblem is the refusal of a node that can't know what is allowed.
+func unconfiguredProblem() *caller.Problem {
+	return caller.NewProblem(caller.KindNotServing,
+		"this node has no configuration yet: send the request to another node or try again").After(notServingRetry)
+}
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -81,6 +81,13 @@
 	priorities priorities
 }
 
+// Configured tells whether the view holds a configuration of the operator. One
+// that knows of evacuations or back ends alone does not say which requests are
+// allowed.
+func (v *View) Configured() bool {
+	return v != nil && (len(v.Hosts) > 0 || v.Configuration.GetSource() != nil)
+}
+
 // Source is how traffic reaches control state.
 type Source interface {
 	// View returns the newest view, or nil before the first one.
