A node lists what back ends keep after a start or a gap, and waits for it

Cause: a reader followed a back end from the oldest change that it still had, which goes back some hundred parts; a node that started alone was told changes from the middle on, and never of what had been kept before; what a gap hid stayed a guess.

Change: the reader lists everything at first and after each loss, and tells the list; who is not told within 1.5 s lists by itself, ten a second; nodes settle in 0.2 s, as a list told twice costs little; a node that has just started holds prompts back until it knows three quarters of the replicas, for a second at most.

Tests: "What a back end keeps", "listings", "warmUp" and "A node that has just started"; the first and the last were seen to fail with the change taken out.

--- a/internal/dataplane/dispatch.go
+++ b/internal/dataplane/dispatch.go
@@ -91,6 +91,7 @@
 		MaxAttempts: e.maxAttempts(d.server.options.MaxAttempts),
 		MaxUnsent:   d.server.options.MaxUnsent,
 	})
+	d.server.holdPrompt(w)
 	for {
 		w.noticeEnd()
 		move := w.ledger.Next()
--- /dev/null
+++ b/internal/dataplane/listing_internal_test.go
@@ -0,0 +1,186 @@
+package dataplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// scriptedReports plays a back end that remembers its newest change only.
+type scriptedReports struct {
+	mutex sync.Mutex
+	// lose makes the next page tell of a gap.
+	lose   bool
+	refuse error
+	listed []string
+}
+
+func (s *scriptedReports) Read(_ context.Context, _ string, since uint64, _ time.Duration) (ReportPage, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	page := ReportPage{Incarnation: 7, Next: since + 1, Lost: s.lose || since == 0, Changes: []PartChange{
+		{Sequence: since + 1, CacheSalt: "salt", Model: "model", ID: "newest", Tokens: 100},
+	}}
+	s.lose = false
+	return page, nil
+}
+
+func (s *scriptedReports) List(_ context.Context, address string) (ReportPage, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listed = append(s.listed, address)
+	if s.refuse != nil {
+		return ReportPage{}, s.refuse
+	}
+	return ReportPage{Incarnation: 7, Next: 41, Changes: []PartChange{
+		{CacheSalt: "salt", Model: "model", ID: "oldest", Tokens: 4000},
+		{CacheSalt: "salt", Model: "model", ID: "newest", Tokens: 100},
+	}}, nil
+}
+
+// lists returns what was listed since the last call.
+func (s *scriptedReports) lists() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	listed := s.listed
+	s.listed = nil
+	return listed
+}
+
+// fixedView is control state that does not change.
+type fixedView struct{ view *routing.View }
+
+func (f fixedView) View() *routing.View { return f.view }
+func (f fixedView) Serving() error      { return nil }
+
+// reportingNode is a node before one replica, without sockets.
+type reportingNode struct {
+	server  *Server
+	reports *scriptedReports
+	now     time.Duration
+}
+
+func newReportingNode() *reportingNode {
+	n := &reportingNode{reports: &scriptedReports{}, now: time.Hour}
+	pool := &routing.Pool{Replicas: []routing.Replica{{Address: "replica", Zone: "a"}}}
+	server, err := New(Options{
+		Node: "node", Member: "node", Zone: "a", Address: "127.0.0.1:0",
+		Source: fixedView{&routing.View{Pools: map[string]*routing.Pool{"pool": pool}}},
+		Clock:  func() time.Duration { return n.now },
+		Peers:  func() []member.Info { return []member.Info{{ID: "node", Zone: "a"}} },
+		Edges:  Edges{Reports: n.reports},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	n.server = server
+	DeferCleanup(server.Stop)
+	return n
+}
+
+// read reads once as the back end's reader does.
+func (n *reportingNode) read() {
+	Expect(n.server.readers.readOnce(context.Background(), "replica")).To(Succeed())
+}
+
+// keeps tells what the router believes that the replica keeps of a part.
+func (n *reportingNode) keeps(part string) uint32 {
+	parts := []prefixindex.Part{{ID: part, Tokens: 4000}}
+	decision, err := n.server.router.Select(kvrouter.Request{
+		Now: n.now, Model: "model", Parts: parts, Naming: kvrouter.Named,
+		SaltFor: func(string) string { return "salt" }, Settings: kvrouter.DefaultSettings(),
+	}, []kvrouter.Candidate{{Address: "replica", Zone: "a"}})
+	Expect(err).NotTo(HaveOccurred())
+	decision.Reservation.Cancelled(n.now)
+	return decision.OverlapTokens
+}
+
+var _ = Describe("What a back end keeps", func() {
+	var n *reportingNode
+	BeforeEach(func() { n = newReportingNode() })
+
+	It("is listed by its reader at first, and told to the others as a whole", func() {
+		n.read()
+		Expect(n.keeps("oldest")).To(Equal(uint32(4000)), "its history does not go back so far")
+		reports := n.server.News().Reports
+		Expect(reports).To(HaveLen(1))
+		Expect(reports[0].Whole).To(BeTrue())
+		Expect(reports[0].Feed.Next).To(Equal(uint64(41)))
+		Expect(reports[0].Changes).To(HaveLen(2))
+	})
+
+	It("is followed from the list on", func() {
+		n.read()
+		n.read()
+		Expect(n.reports.lists()).To(HaveLen(1))
+		Expect(n.server.News().Reports[1].Feed.From).To(Equal(uint64(41)))
+	})
+
+	It("is listed once more after a gap, but not at once again", func() {
+		n.read()
+		n.reports.lose = true
+		n.read()
+		n.now += listAgainAfter
+		n.read()
+		Expect(n.reports.lists()).To(HaveLen(2))
+		n.reports.lose = true
+		n.read()
+		n.now += listAgainAfter - 1
+		n.read()
+		Expect(n.reports.lists()).To(BeEmpty())
+	})
+
+	It("is followed by its changes while it can not be listed", func() {
+		n.reports.refuse = context.DeadlineExceeded
+		n.read()
+		Expect(n.keeps("newest")).To(Equal(uint32(100)))
+	})
+
+	It("is listed by a node that its reader does not tell in time", func() {
+		view := n.server.options.Source.View()
+		look := func() {
+			n.server.readers.catchUp(context.Background(), view, nil)
+		}
+		look()
+		n.now += heardWithin - 1
+		look()
+		Expect(n.reports.lists()).To(BeEmpty())
+		n.now++
+		look()
+		Eventually(func() uint32 { return n.keeps("oldest") }).Should(Equal(uint32(4000)))
+		Expect(n.server.News().Reports).To(BeEmpty(), "the others have their reader to tell them")
+	})
+})
+
+var _ = Describe("listings", func() {
+	It("begins a few lists at one look, and the others at the next ones", func() {
+		l := newListings()
+		missing := []string{"a", "b", "c"}
+		Expect(l.overdue(0, missing)).To(BeEmpty())
+		Expect(l.overdue(heardWithin, missing)).To(Equal([]string{"a", "b"}))
+		Expect(l.overdue(heardWithin+1, missing)).To(Equal([]string{"c"}))
+		Expect(l.overdue(heardWithin+2, missing)).To(BeEmpty(), "those that were asked have time to answer")
+	})
+
+	It("counts the time anew for one that was known meanwhile", func() {
+		l := newListings()
+		l.overdue(0, []string{"a"})
+		l.overdue(heardWithin/2, nil)
+		l.overdue(heardWithin/2+1, []string{"a"})
+		Expect(l.overdue(heardWithin, []string{"a"})).To(BeEmpty())
+	})
+
+	It("forgets what is not listed any more", func() {
+		l := newListings()
+		Expect(l.take(0, "a")).To(BeTrue())
+		Expect(l.take(1, "a")).To(BeFalse())
+		l.retain(nil)
+		Expect(l.take(1, "a")).To(BeTrue())
+	})
+})
--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -41,6 +41,7 @@
 	seen *routing.View
 	// settling belongs to Serve as well.
 	settling settling
+	listings *listings
 
 	mutex   sync.Mutex
 	running map[string]context.CancelFunc
@@ -49,9 +50,10 @@
 // newReportReaders returns readers that run once Serve does.
 func newReportReaders(server *Server) *reportReaders {
 	return &reportReaders{
-		server:  server,
-		reader:  server.options.Edges.Reports,
-		running: make(map[string]context.CancelFunc),
+		server:   server,
+		reader:   server.options.Edges.Reports,
+		running:  make(map[string]context.CancelFunc),
+		listings: newListings(),
 	}
 }
 
@@ -65,6 +67,7 @@
 		if view := r.server.options.Source.View(); view != nil {
 			r.follow(ctx, view)
 			r.forgetUnlisted(view)
+			r.server.lookWarm()
 		}
 		select {
 		case <-ctx.Done():
@@ -76,9 +79,12 @@
 
 // follow reads what this node is the reader of, once it knows the other nodes.
 func (r *reportReaders) follow(ctx context.Context, view *routing.View) {
-	if r.settling.settled(r.server.options.Clock(), r.server.options.Peers()) {
-		r.reconcile(ctx, r.owned(view))
+	if !r.settling.settled(r.server.options.Clock(), r.server.options.Peers()) {
+		return
 	}
+	owned := r.owned(view)
+	r.reconcile(ctx, owned)
+	r.catchUp(ctx, view, owned)
 }
 
 // String implements fmt.Stringer for the supervisor's messages.
@@ -93,6 +99,7 @@
 	}
 	r.seen = view
 	listed := reportingBackends(view)
+	r.listings.retain(listed)
 	for _, address := range r.server.router.Addresses() {
 		if _, stays := listed[address]; !stays {
 			r.server.router.Forget(address)
@@ -194,9 +201,20 @@
 	}
 }
 
-// readOnce reads a page from where this node stands, takes it in, and tells the
-// others.
+// readOnce takes in what is new at a back end, and tells the others: everything
+// that it keeps when that is not known, and otherwise a page from where this node
+// stands.
 func (r *reportReaders) readOnce(ctx context.Context, address string) error {
+	if !r.server.router.PartsWhole(address) && r.listings.take(r.server.options.Clock(), address) {
+		if r.list(ctx, address, true) == nil {
+			return nil
+		}
+	}
+	return r.readPage(ctx, address)
+}
+
+// readPage reads a page from where this node stands.
+func (r *reportReaders) readPage(ctx context.Context, address string) error {
 	epoch, since, known := r.server.router.PartsPosition(address)
 	bounded, cancel := context.WithTimeout(ctx, readWait+readPatience)
 	defer cancel()
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -33,6 +33,7 @@
 	feeds        *feeds
 	sharing      *sharing
 	readers      *reportReaders
+	warmUp       *warmUp
 	chain        chain
 	listener     *listener
 	// recorder is nil without a recording.
@@ -75,6 +76,7 @@
 		outdated:     newOutdated(),
 		cold:         newColdBounds(options.Member),
 		sharing:      newSharing(),
+		warmUp:       newWarmUp(),
 		seed:         rand.Uint64(),
 	}
 	server.feedsCtx, server.stopFeeds = context.WithCancel(context.Background())
--- a/internal/dataplane/settling.go
+++ b/internal/dataplane/settling.go
@@ -12,7 +12,7 @@
 const (
 	// settleFor is how long the live nodes stay the same until a node that has
 	// started believes that it knows them.
-	settleFor = time.Second
+	settleFor = 200 * time.Millisecond
 	// longestSettling ends that wait in any case.
 	longestSettling = 5 * time.Second
 )
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -144,6 +144,7 @@
 			Removed:  change.Removed,
 		}
 	})
+	defer s.lookWarm()
 	if report.Whole {
 		return s.router.PartsListed(now, report.Address, report.Feed.Incarnation, report.Feed.Next, changes)
 	}
--- /dev/null
+++ b/internal/dataplane/warmup_test.go
@@ -0,0 +1,46 @@
+package dataplane_test
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+)
+
+// silentReports are replicas that this node does not read.
+type silentReports struct{}
+
+func (silentReports) Read(ctx context.Context, _ string, _ uint64, _ time.Duration) (dataplane.ReportPage, error) {
+	<-ctx.Done()
+	return dataplane.ReportPage{}, ctx.Err()
+}
+
+func (silentReports) List(ctx context.Context, _ string) (dataplane.ReportPage, error) {
+	<-ctx.Done()
+	return dataplane.ReportPage{}, ctx.Err()
+}
+
+var _ = Describe("A node that has just started", func() {
+	It("sends no prompt until it has heard what the replicas keep", func() {
+		stand := newReplica(answering("done"))
+		f := newFixtureWith(func(options *dataplane.Options) { options.Edges.Reports = silentReports{} }, stand.address())
+		f.timeout = 50
+		f.publish()
+		Expect(f.generate().status).NotTo(Equal(http.StatusOK))
+		Expect(stand.requests()).To(BeEmpty())
+
+		f.server.TakeNews(shared.News{Node: "other", Reports: []shared.Report{
+			{Address: stand.address(), Feed: kvrouter.Feed{Incarnation: 1, Next: 1}, Whole: true},
+		}})
+		f.timeout = 10000
+		f.publish()
+		Expect(f.generate().status).To(Equal(http.StatusOK))
+		Expect(stand.requests()).To(HaveLen(1))
+	})
+})
--- a/pkg/kvrouter/parts.go
+++ b/pkg/kvrouter/parts.go
@@ -78,6 +78,15 @@
 	return state.feed.partsPosition()
 }
 
+// PartsWhole tells whether all that a holder keeps is known: it was followed from
+// its beginning or from a list on, without a gap.
+func (r *Router) PartsWhole(address string) bool {
+	r.mutex.Lock()
+	state, present := r.replicas[address]
+	r.mutex.Unlock()
+	return present && state.feed.partsWhole()
+}
+
 // Observe takes in that another router has sent a request to a replica, which
 // therefore probably keeps the parts soon. A request that saves parts to a store
 // is observed for the store as well.
--- a/pkg/kvrouter/partsfeed.go
+++ b/pkg/kvrouter/partsfeed.go
@@ -179,3 +179,9 @@
 	defer f.mutex.Unlock()
 	return f.incarnation, f.parts.position, f.parts.seen
 }
+
+func (f *feed) partsWhole() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.parts.seen && !f.lost
+}
