--- a/pkg/kvrouter/pace.go
+++ b/pkg/kvrouter/pace.go
@@ -19,20 +19,11 @@
 	leastPerToken = 0.001
 	mostPerToken  = 0.5
 
-	// lateSlowness is lateWeight for the speed of one replica, and outlying how many
-	// times the known slowness an observation counts for at most. Of the prompts
-	// that are long enough to count, few are late for another reason than the
-	// replica's speed.
-	lateSlowness = 0.4
-	outlying     = 1.5
-	// certainTokens are the tokens from which on a prompt's time tells of the
-	// replica's speed and hardly of anything else.
-	certainTokens = 2048
 	// slownessMemory is the factor by which earlier observations of a replica
 	// shrink with each new one, and slownessPrior the weight of the assumption
 	// that it is like its pool.
 	slownessMemory  = 0.9
-	slownessPrior   = 1.0
+	slownessPrior   = 2.0
 	leastSlowness   = 0.3
 	mostSlowness    = 8.0
 	mostObserved    = 3.0
@@ -107,10 +98,9 @@
 // observe takes in a ratio of observed to expected time.
 func (s *slowness) observe(now time.Duration, ratio, weight float64) {
 	s.fade(now)
-	known := s.factor()
-	ratio = min(max(ratio, leastSlowness), mostObserved, outlying*known)
-	if ratio > known {
-		weight *= lateSlowness
+	ratio = min(max(ratio, leastSlowness), mostObserved)
+	if ratio > s.factor() {
+		weight *= lateWeight
 	}
 	s.sum = s.sum*slownessMemory + ratio*weight
 	s.weight = s.weight*slownessMemory + weight
--- a/pkg/kvrouter/timedselect.go
+++ b/pkg/kvrouter/timedselect.go
@@ -134,7 +134,7 @@
 		return
 	}
 	read := max(took-pull, 1)
-	certainty := (r.computeTokens + 1) / (work + 1) * min(1, r.computeTokens/certainTokens)
+	certainty := (r.computeTokens + 1) / (work + 1)
 	ratio := read / max(usual, 1)
 	if r.backlogTokens <= r.computeTokens/4 {
 		r.pace.learn(work, read)
