--- a/internal/dataplane/adopting.go
+++ b/internal/dataplane/adopting.go
@@ -103,4 +103,5 @@
 		}
 		s.adopting.answered(now, batch.Stage, news)
 	}
+	s.lookWarm()
 }
--- a/internal/dataplane/adopting_internal_test.go
+++ b/internal/dataplane/adopting_internal_test.go
@@ -111,24 +111,24 @@
 		}
 	})
 
-	It("is asked for before this node reads any report itself", func() {
-		newNode("old")
+	It("is waited for before this node reads any report itself", func() {
+		newNode("silent")
 		started := newNode("started")
+		started.readers.reader = unreadable{}
 		view := &routing.View{Pools: map[string]*routing.Pool{"pool": {Replicas: []routing.Replica{{Address: backend, Zone: "a"}}}}}
+		live = []member.Info{live[1], {ID: live[0].ID, Zone: "b", TrafficAddress: "served"}}
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		live = live[1:]
-		live = append(live, member.Info{ID: "silent", Zone: "b"})
 		started.readers.follow(ctx, view)
-		now = 2 * time.Second
+		now = settleFor
+		Expect(started.Adopt(live)).To(HaveLen(1))
+		Expect(started.Learning()).To(BeTrue())
 		started.readers.follow(ctx, view)
 		Expect(started.readers.running).To(BeEmpty())
-		now = 5 * time.Second
-		started.readers.reader = unreadable{}
+		now += time.Second
 		started.readers.follow(ctx, view)
 		Expect(started.readers.running).To(HaveKey(backend))
 	})
-
 })
 
 // unreadable is a reader of reports that gets none.
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -34,6 +34,7 @@
 	sharing      *sharing
 	adopting     *adopting
 	readers      *reportReaders
+	warmUp       *warmUp
 	chain        chain
 	listener     *listener
 	// recorder is nil without a recording.
@@ -76,6 +77,7 @@
 		outdated:     newOutdated(),
 		cold:         newColdBounds(options.Member),
 		sharing:      newSharing(),
+		warmUp:       newWarmUp(),
 		seed:         rand.Uint64(),
 	}
 	sender.LimitConnections(server.ConnectionLimit)
--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -127,6 +127,7 @@
 
 // takeReport brings a page of reports into the index.
 func (s *Server) takeReport(now time.Duration, report shared.Report) kvrouter.FeedStatus {
+	defer s.lookWarm()
 	changes := partChanges(report.Changes)
 	if report.Whole {
 		return s.router.PartsListed(now, report.Address, report.Feed.Incarnation, report.Feed.Next, changes)
