Simulator: reads at any node, the core in halves, late replicas, evacuations under cuts

Points of control that had no cause or no breakage so far:

- Operators read the configuration and the document at random nodes throughout each run; none may show less than was acknowledged, or shown, before it was asked for.
Breakage reads-own-view.
- Fault core-split: the nodes with disks in two halves that all others reach, with races and reads across the cut.
Specs for cut-off nodes, and for an even core without a majority.
The breakage no-compare-and-set now drops the base of documents too, which only fail-open runs have.
- Fault two-machines-replaced, and breakage append-claimed: machines that came later claim to hold what they do not.
- Specs: a replica that joins late, comes back with older weights, or whose commands are refused or lost; evacuations under four cuts, all processes lost at the acknowledgement.
Each with a run in which the check fails.
- Commands are told apart by the machine that sent them, not by the holder named.

None is weakened.

--- a/internal/lab/sim/breaks.go
+++ b/internal/lab/sim/breaks.go
@@ -56,6 +56,11 @@
 	BreakNoCommandGap Break = "no-command-gap"
 	// BreakVersionIgnored has replicas run requests that expect other weights.
 	BreakVersionIgnored Break = "version-ignored"
+	// BreakReadsOwnView answers reads of the configuration by what the node holds.
+	BreakReadsOwnView Break = "reads-own-view"
+	// BreakAppendClaimed has machines that came later claim to hold every entry that
+	// their leader has sent to anybody.
+	BreakAppendClaimed Break = "append-claimed"
 )
 
 // Breaks lists what can be switched off.
@@ -78,6 +83,8 @@
 		BreakTokenReused,
 		BreakNoCommandGap,
 		BreakVersionIgnored,
+		BreakReadsOwnView,
+		BreakAppendClaimed,
 	}
 }
 
--- a/internal/lab/sim/campaign.go
+++ b/internal/lab/sim/campaign.go
@@ -168,6 +168,8 @@
 	c.Refusals += other.Refusals
 	c.ListReadings += other.ListReadings
 	c.Reports += other.Reports
+	c.Reads += other.Reads
+	c.ReadsRefused += other.ReadsRefused
 	c.Undecided += other.Undecided
 	c.StaleCommands += other.StaleCommands
 	for kind, count := range other.Faults {
--- a/internal/lab/sim/campaign_test.go
+++ b/internal/lab/sim/campaign_test.go
@@ -19,27 +19,31 @@
 	faults      []string
 	// finishFirst hunts among replicas that finish their requests first.
 	finishFirst bool
+	// failOpen hunts among nodes that find each other through seeds.
+	failOpen bool
 }
 
 // hunts has one for every mechanism.
 var hunts = map[Break]hunt{
-	BreakAckBeforeSync:           {1, 20, []string{"power-lost-after-ack"}, false},
-	BreakAckBeforeConfirm:        {1, 20, nil, false},
-	BreakEmptyDiskVotes:          {1, 40, []string{"disk-lost-after-ack"}, false},
-	BreakStaleConfigAfterRestart: {1, 20, nil, false},
-	BreakLeaseIgnoresSuspend:     {1, 20, []string{"freeze", "freeze-owner"}, false},
-	BreakNoEpochCheck:            {1, 20, []string{"stuck-commands", "freeze-owner", "weights-overtaken"}, false},
-	BreakNoOrderDedup:            {1, 20, nil, false},
-	BreakNoCompareAndSet:         {1, 20, nil, false},
-	BreakRelayAcceptsOlder:       {1, 20, []string{"message-storm", "config-storm"}, false},
-	BreakFenceIgnored:            {1, 20, []string{"freeze", "node-cut"}, false},
-	BreakDrainIgnoresRunning:     {1, 20, []string{"weights-overtaken"}, false},
-	BreakCommandAfterDeadline:    {1, 40, []string{"freeze-at-command"}, false},
-	BreakNoWitnessFloor:          {1, 20, []string{"majority-disk-loss"}, false},
-	BreakReaderNeverReplaced:     {1, 20, []string{"reader-crash"}, true},
-	BreakTokenReused:             {1, 40, []string{"freeze-owner", "weights-overtaken"}, true},
-	BreakNoCommandGap:            {1, 60, []string{"freeze-owner", "weights-overtaken"}, true},
-	BreakVersionIgnored:          {1, 20, nil, true},
+	BreakAckBeforeSync:           {1, 20, []string{"power-lost-after-ack"}, false, false},
+	BreakAckBeforeConfirm:        {1, 20, nil, false, false},
+	BreakEmptyDiskVotes:          {1, 40, []string{"disk-lost-after-ack"}, false, false},
+	BreakStaleConfigAfterRestart: {1, 20, nil, false, false},
+	BreakLeaseIgnoresSuspend:     {1, 20, []string{"freeze", "freeze-owner"}, false, false},
+	BreakNoEpochCheck:            {1, 20, []string{"stuck-commands", "freeze-owner", "weights-overtaken"}, false, false},
+	BreakNoOrderDedup:            {1, 20, nil, false, false},
+	BreakNoCompareAndSet:         {1, 20, nil, false, false},
+	BreakRelayAcceptsOlder:       {1, 20, []string{"message-storm", "config-storm"}, false, false},
+	BreakFenceIgnored:            {1, 20, []string{"freeze", "node-cut"}, false, false},
+	BreakDrainIgnoresRunning:     {1, 20, []string{"weights-overtaken"}, false, false},
+	BreakCommandAfterDeadline:    {1, 40, []string{"freeze-at-command"}, false, false},
+	BreakNoWitnessFloor:          {1, 20, []string{"majority-disk-loss"}, false, false},
+	BreakReaderNeverReplaced:     {1, 20, []string{"reader-crash"}, true, false},
+	BreakTokenReused:             {1, 40, []string{"freeze-owner", "weights-overtaken"}, true, false},
+	BreakNoCommandGap:            {1, 60, []string{"freeze-owner", "weights-overtaken"}, true, false},
+	BreakVersionIgnored:          {1, 20, nil, true, false},
+	BreakReadsOwnView:            {1, 20, []string{"node-cut", "core-split"}, false, false},
+	BreakAppendClaimed:           {1, 20, []string{"two-machines-replaced"}, false, true},
 }
 
 var _ = Describe("A campaign", func() {
@@ -87,6 +91,7 @@
 				StopAfter: 1,
 
 				FinishFirst: hunt.finishFirst,
+				FailOpen:    hunt.failOpen,
 			}.Run()
 			Expect(summary.Failures).NotTo(BeEmpty())
 		})
--- a/internal/lab/sim/checks.go
+++ b/internal/lab/sim/checks.go
@@ -30,6 +30,8 @@
 	// acknowledged is the highest revision that an operator knows to be in
 	// force.
 	acknowledged uint64
+	// shown is the highest revision that a confirmed read has shown.
+	shown uint64
 	// contents are the digests of the configurations by revision.
 	contents map[uint64]uint64
 	// checksums are those of the relayed states.
--- /dev/null
+++ b/internal/lab/sim/control_test.go
@@ -0,0 +1,195 @@
+package sim
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+)
+
+// latestWeights is the calm within which no replica keeps an older version, from
+// the naming and from its start.
+const latestWeights = finishFirstBound * 3 / 2
+
+// stragglers names weights, and has a replica join late, one come back with the old
+// version after the roll-out, and one that does not do what it is told at first.
+func stragglers(world *simulation, deaf int) {
+	world.startWithin(startBound)
+	ofPool := lo.Filter(world.platform.entries(), func(entry *listedReplica, _ int) bool { return entry.replica.pool == poolNames[0] })
+	late, returns, deafOne := ofPool[0], ofPool[1].replica, ofPool[2].replica
+	old := late.replica.version
+	deafOne.deaf = deaf
+	world.at(2*second, func() { world.platform.change(func() { late.removed = true }) })
+	world.at(7*second, func() {
+		named := world.nameWeights(0, poolNames[0])
+		world.expectAcknowledged(named, openAcknowledge)
+		stray := 16*second + world.upTo(second)
+		world.at(stray, func() {
+			world.platform.change(func() { late.removed = false })
+			returns.crash()
+			returns.restart(old)
+		})
+		world.at(stray+latestWeights, func() { world.checkNoneOlder(poolNames[0], named.change.WeightVersion) })
+	})
+}
+
+// checkNoneOlder holds that no replica of a pool runs an older version.
+func (w *simulation) checkNoneOlder(pool, version string) {
+	wanted, err := strconv.Atoi(version)
+	Expect(err).NotTo(HaveOccurred())
+	for _, entry := range w.platform.entries() {
+		running, err := strconv.Atoi(entry.replica.version)
+		if entry.replica.pool == pool && (err != nil || running < wanted) {
+			w.violate("none_older", "%s runs %q though %s was named", entry.replica.address, entry.replica.version, version)
+		}
+	}
+}
+
+// names are the names of the invariants that did not hold.
+func names(world *simulation) []checker.Name {
+	return lo.Map(world.checks.violations, func(one Violation, _ int) checker.Name { return one.Invariant })
+}
+
+var _ = Describe("Weights that were named", func() {
+	for _, failOpen := range []bool{false, true} {
+		It("reach a replica that joins late, one that comes back with older ones, and one whose commands are refused or lost"+lo.Ternary(failOpen, ", where nodes fail open", ""), func() {
+			for seed := uint64(1); seed <= 6; seed++ {
+				world := playWith(Settings{Seed: seed, Virtual: DefaultVirtual, FinishFirst: true, FailOpen: failOpen},
+					func(world *simulation) { stragglers(world, 4) })
+				Expect(world.checks.violations).To(BeEmpty(), "seed %d", seed)
+			}
+		})
+	}
+
+	It("are seen not to reach a replica that no command reaches", func() {
+		world := playWith(Settings{Seed: 1, Virtual: DefaultVirtual, FinishFirst: true, FailOpen: true},
+			func(world *simulation) { stragglers(world, math.MaxInt) })
+		Expect(names(world)).To(ContainElement(checker.Name("none_older")))
+	})
+})
+
+// evacuateUnder evacuates a zone during a cut and ends all nodes, as when the power
+// fails, as soon as the evacuation is acknowledged.
+func evacuateUnder(world *simulation, cut func(*simulation)) {
+	world.startWithin(startBound)
+	world.at(7*second, func() {
+		cut(world)
+		world.after(world.upTo(2*second), func() {
+			zone := world.nodes[0].info.Zone
+			order := world.evacuate(0, zone)
+			world.place(order)
+			world.awaitEvacuation(order, func() {
+				for _, one := range world.nodes {
+					world.restartAfter(one, world.upTo(second))
+				}
+				for _, one := range world.diskNodes() {
+					one.storage.slow = 0
+				}
+				world.after(RecoveryBound, func() { world.checkEvacuated(zone) })
+			})
+		})
+	})
+}
+
+// awaitEvacuation goes on once an evacuation is acknowledged, during the cut or after.
+func (w *simulation) awaitEvacuation(order *operatorOrder, then func()) {
+	const step = time.Millisecond
+	if order.settled && order.outcome == checker.OutcomeAcknowledged {
+		then()
+		return
+	}
+	if w.calm() {
+		w.violate("acknowledged", "the evacuation was never acknowledged")
+		return
+	}
+	w.after(step, func() { w.awaitEvacuation(order, then) })
+}
+
+// checkEvacuated holds that every node knows that a zone is evacuated.
+func (w *simulation) checkEvacuated(zone string) {
+	for _, one := range w.nodes {
+		if one.view == nil || len(one.view.Configuration.GetEvacuations()) != 1 || one.view.Configuration.GetEvacuations()[0].GetZone() != zone {
+			w.violate("evacuation_kept", "%s does not evacuate %s", one.info.ID, zone)
+		}
+	}
+}
+
+var _ = Describe("An evacuation", func() {
+	cuts := []struct {
+		name string
+		cut  func(*simulation)
+	}{
+		{"the core is cut in two halves", func(world *simulation) {
+			disks := world.diskNodes()
+			world.cutFor(disks[:len(disks)/2], disks[len(disks)/2:], true)
+		}},
+		{"the leader is cut off", func(world *simulation) {
+			world.cutFor([]*node{world.ownerOfConfiguration()}, world.nodes, true)
+		}},
+		{"a zone is cut off", (*simulation).cutZone},
+		{"no message of a node with a disk arrives", func(world *simulation) {
+			world.cutFor([]*node{pick(world, world.diskNodes())}, world.nodes, false)
+		}},
+	}
+	for _, one := range cuts {
+		It("that is acknowledged while "+one.name+" outlasts a loss of all processes", func() {
+			playAll(func(world *simulation) { evacuateUnder(world, one.cut) })
+		})
+	}
+
+	It("is seen to be lost when it is acknowledged before it is synced", func() {
+		world := playOpenWithout(BreakAckBeforeSync, 1, func(world *simulation) {
+			evacuateUnder(world, func(world *simulation) {
+				cuts[0].cut(world)
+				for _, one := range world.diskNodes() {
+					one.storage.slow = 5 * second
+				}
+			})
+		})
+		// Nodes in touch admit by a revision from before it.
+		Expect(names(world)).To(ContainElement(checker.Name("in_force")))
+	})
+})
+
+var _ = Describe("Two machines", func() {
+	It("are replaced within the time in which the first one's successor gets its vote", func() {
+		playAll(func(world *simulation) {
+			world.startWithin(startBound)
+			for round := range 2 {
+				world.at(7*second+time.Duration(round)*world.planned(voteBound), func() { world.replaceWhenSound() })
+			}
+			world.at(20*second, func() {
+				if !world.whole() {
+					world.violate("whole", "some node with a disk has no vote")
+				}
+				world.expectAcknowledged(world.addKey(0), openAcknowledge)
+			})
+		})
+	})
+})
+
+// replaceWhenSound replaces a machine as soon as a majority of the voters stays sound
+// without it, by one that must get its vote in time.
+func (w *simulation) replaceWhenSound() {
+	const step = 10 * time.Millisecond
+	victims := lo.Filter(w.exchangeable(), func(one *node, _ int) bool { return w.votes(one) })
+	if len(victims) == 0 {
+		w.after(step, w.replaceWhenSound)
+		return
+	}
+	victim := pick(w, victims)
+	w.removeMachine(victim)
+	added := w.addMachine(victim.info.Zone)
+	added.start()
+	w.after(voteBound, func() {
+		// It may have been the next one to go.
+		if !added.gone && !w.votes(added) {
+			w.violate("vote_in_time", "%s has no vote %v after its start", added.info.ID, voteBound)
+		}
+	})
+}
--- a/internal/lab/sim/failopen_test.go
+++ b/internal/lab/sim/failopen_test.go
@@ -10,16 +10,23 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
 )
 
-// syncBound is how long a new machine may take to get a vote.
-const syncBound = 4 * time.Second
-
 // promptAcknowledge bounds an acknowledgement that waits for live nodes alone.
 const promptAcknowledge = 300 * time.Millisecond
 
 // playOpen runs a deployment that finds itself through seeds, without random
 // faults and orders.
 func playOpen(seed uint64, script func(*simulation)) *simulation {
-	world := newSimulation(Settings{Seed: seed, Virtual: DefaultVirtual, FailOpen: true})
+	return playOpenWithout(BreakNone, seed, script)
+}
+
+// playOpenWithout is playOpen with a mechanism switched off.
+func playOpenWithout(mechanism Break, seed uint64, script func(*simulation)) *simulation {
+	return playWith(Settings{Seed: seed, Virtual: DefaultVirtual, FailOpen: true, Break: mechanism}, script)
+}
+
+// playWith runs a deployment of given settings.
+func playWith(settings Settings, script func(*simulation)) *simulation {
+	world := newSimulation(settings)
 	world.build()
 	world.scheduleTouch()
 	world.at(firstOrderAt, func() { world.place(world.applyFirst()) })
@@ -119,7 +126,7 @@
 		playAll(func(world *simulation) {
 			world.startWithin(startBound)
 			world.at(7*second, func() { world.replaceMachineAt(world.nodes[world.random.IntN(maxSeeds)], false) })
-			world.at(7*second+2*second+syncBound, func() {
+			world.at(7*second+2*second+voteBound, func() {
 				if !world.whole() {
 					world.violate("vote_regained", "a founder has no vote in its new life")
 				}
@@ -139,12 +146,12 @@
 						added = world.addMachine(victim.info.Zone)
 					} else {
 						added = world.addMachine(victim.info.Zone)
-						world.after(syncBound, func() { world.leaveThen(victim, func() { world.removeMachine(victim) }) })
+						world.after(voteBound, func() { world.leaveThen(victim, func() { world.removeMachine(victim) }) })
 					}
 					added.start()
-					world.after(syncBound, func() {
+					world.after(voteBound, func() {
 						if !world.votes(added) {
-							world.violate("vote_in_time", "%s has no vote %v after its start", added.info.ID, syncBound)
+							world.violate("vote_in_time", "%s has no vote %v after its start", added.info.ID, voteBound)
 						}
 					})
 				})
--- a/internal/lab/sim/finishfirst.go
+++ b/internal/lab/sim/finishfirst.go
@@ -143,7 +143,8 @@
 // twice in the calm.
 func (c *checks) commandArrived(target *replica, holder *node, command control.Command) {
 	last := c.arrivedCommands[target]
-	present := arrivedCommand{target.incarnation, command.Holder, command.Token, command.WeightVersion, c.world.now}
+	// A holder is one machine, whatever name its commands bear.
+	present := arrivedCommand{target.incarnation, string(holder.info.ID), command.Token, command.WeightVersion, c.world.now}
 	c.arrivedCommands[target] = present
 	if command.Holder != string(holder.info.ID) {
 		c.world.violate("command_holder", "%s commands %s as %s", holder.info.ID, target.address, command.Holder)
@@ -154,10 +155,10 @@
 	switch {
 	case command.Token < last.token:
 		c.world.violate("tokens_never_fall", "%s got token %x of %s after %x of %s", target.address, command.Token, command.Holder, last.token, last.holder)
-	case command.Token == last.token && command.Holder != last.holder:
-		c.world.violate("token_of_one_holder", "%s got token %x of %s and of %s", target.address, command.Token, last.holder, command.Holder)
-	case command.Holder != last.holder && c.world.now-last.at < commandGapBound:
-		c.world.violate("holders_keep_apart", "%s commands %s %v after %s did", command.Holder, target.address, c.world.now-last.at, last.holder)
+	case command.Token == last.token && present.holder != last.holder:
+		c.world.violate("token_of_one_holder", "%s got token %x of %s and of %s", target.address, command.Token, last.holder, present.holder)
+	case present.holder != last.holder && c.world.now-last.at < commandGapBound:
+		c.world.violate("holders_keep_apart", "%s commands %s %v after %s did", present.holder, target.address, c.world.now-last.at, last.holder)
 	case command.WeightVersion == last.version && c.world.now > c.world.settings.calmFrom()+ServiceBackBound:
 		c.world.violate("commanded_in_vain", "%s commands %s to load %s again", command.Holder, target.address, command.WeightVersion)
 	}
--- a/internal/lab/sim/majorityloss.go
+++ b/internal/lab/sim/majorityloss.go
@@ -23,6 +23,8 @@
 	const patience = 8 * time.Second
 	w.whenSound(patience, func() {
 		w.majorityLost = true
+		// What was shown and never acknowledged may go with the disks.
+		w.checks.shown = 0
 		if w.chance(0.5) {
 			w.loseDisksOf(w.random.Perm(len(w.group))[:w.lossSize()])
 			return
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -61,6 +61,7 @@
 		return
 	}
 	n.sent++
+	from.noteAppended(send.Envelope)
 	n.world.checks.relayed(send.Envelope.Relay)
 	frame := wire.Encode(send.Envelope)
 	n.carry(from, to, frame)
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -57,6 +57,8 @@
 	// reads are told what is read.
 	reads      map[uint64]func(control.Reply)
 	nextTicket uint64
+	// appended is how far the entries of each shard reach that this life has sent.
+	appended map[uint32]uint64
 	// views are the views of this life by revision.
 	views map[uint64]*routing.View
 	// staleView is the last view of the former life.
@@ -110,6 +112,7 @@
 	n.tickets = map[uint64]*submission{}
 	n.reads = map[uint64]func(control.Reply){}
 	n.views = map[uint64]*routing.View{}
+	n.appended = map[uint32]uint64{}
 	n.note("start")
 	n.scheduleAll()
 }
--- a/internal/lab/sim/openmode.go
+++ b/internal/lab/sim/openmode.go
@@ -25,6 +25,8 @@
 	// RecoveryBound is how long a deployment may take to serve again after all its
 	// nodes went down at once.
 	RecoveryBound = 12 * time.Second
+	// voteBound is how long a new machine may take to get a vote.
+	voteBound = 4 * time.Second
 	// maxReplacements bounds the machines that a run adds.
 	maxReplacements = 12
 )
@@ -92,6 +94,12 @@
 	return added
 }
 
+// cameLater tells whether a machine was added during the run.
+func (w *simulation) cameLater(id member.ID) bool {
+	first := len(w.network.blocked) - maxReplacements
+	return lo.ContainsBy(w.all[first:], func(one *node) bool { return one.info.ID == id })
+}
+
 // removeMachine takes a machine away for good.
 func (w *simulation) removeMachine(victim *node) {
 	victim.stop()
@@ -166,6 +174,13 @@
 	}
 }
 
+// replaceTwo loses two machines within the time in which the first one's successor
+// gets its vote, as far as a majority of the voters stays sound.
+func (w *simulation) replaceTwo() {
+	w.replaceUnplanned()
+	w.after(w.upTo(min(voteBound, w.settings.calmFrom()-w.now)), w.replaceUnplanned)
+}
+
 // replacePlanned adds a machine, and takes another one away once the new one has
 // a vote.
 func (w *simulation) replacePlanned() {
@@ -250,5 +265,5 @@
 // kindsOfSeeds those of deployments that find themselves through seeds.
 var (
 	kindsOfGroups = []string{"majority-disk-loss"}
-	kindsOfSeeds  = []string{"machine-replaced", "machine-replaced-planned", "seeds-moved", "relay-parent-lost"}
+	kindsOfSeeds  = []string{"machine-replaced", "machine-replaced-planned", "two-machines-replaced", "seeds-moved", "relay-parent-lost"}
 )
--- a/internal/lab/sim/operators.go
+++ b/internal/lab/sim/operators.go
@@ -142,6 +142,14 @@
 	})
 }
 
+// placeAt begins an order at one node.
+func (w *simulation) placeAt(target *node, order *operatorOrder) {
+	order.firstSent = w.now
+	w.operators.orders = append(w.operators.orders, order)
+	w.counts.Orders++
+	w.submitTo(target, order)
+}
+
 // take gives a submission to the node's control machine.
 func (n *node) take(sent *submission) {
 	n.nextTicket++
@@ -164,6 +172,9 @@
 	if w.broken(BreakNoCompareAndSet) && content.GetApply() == nil {
 		content.BaseRevision = 0
 	}
+	if source := content.GetApplyDocument().GetSource(); w.broken(BreakNoCompareAndSet) && source != nil {
+		source.BaseVersion = sent.node.machine.Configuration().GetSource().GetVersion()
+	}
 	return content
 }
 
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -52,12 +52,25 @@
 	strayed   bool
 	strayedAt time.Duration
 
+	// deaf is how many of the commands to come have no effect. Every other one of
+	// them is lost, and the rest are answered as if another were under way.
+	deaf int
+
 	// measureEvery is how old the numbers in its report may be.
 	measureEvery time.Duration
 	measured     control.ReplicaReport
 	measuredAt   time.Duration
 }
 
+// hear takes a command unless the replica is deaf, and tells whether it answers.
+func (r *replica) hear(holder *node, command control.Command) (outcome control.CommandOutcome, answers bool) {
+	if r.deaf == 0 {
+		return r.take(holder, command), true
+	}
+	r.deaf--
+	return control.CommandBusy, r.deaf%2 == 0
+}
+
 // take handles a command.
 func (r *replica) take(holder *node, command control.Command) control.CommandOutcome {
 	if r.world.settings.FinishFirst {
@@ -176,7 +189,10 @@
 		if !target.up || target.incarnation != incarnation {
 			return
 		}
-		outcome := target.take(n, command)
+		outcome, answers := target.hear(n, command)
+		if !answers {
+			return
+		}
 		n.world.after(minLatency+n.world.upTo(replicaLatency), func() {
 			if !answered {
 				answered = true
--- a/internal/lab/sim/scenario_test.go
+++ b/internal/lab/sim/scenario_test.go
@@ -169,10 +169,3 @@
 		}
 	})
 })
-
-// placeAt begins an order with a submission to a given node.
-func (w *simulation) placeAt(target *node, order *operatorOrder) {
-	order.firstSent = w.now
-	w.operators.orders = append(w.operators.orders, order)
-	w.submitTo(target, order)
-}
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -11,6 +11,7 @@
 const (
 	planStream uint64 = iota + 1
 	runStream
+	readStream
 )
 
 // simulation is one run.
@@ -19,8 +20,10 @@
 	// plan decides the deployment and its faults; random decides all else.
 	plan   *rand.Rand
 	random *rand.Rand
-	now    time.Duration
-	events eventQueue
+	// readPlan decides who reads when.
+	readPlan *rand.Rand
+	now      time.Duration
+	events   eventQueue
 
 	// nodes are those that there are; all holds those taken away too.
 	nodes         []*node
@@ -69,6 +72,10 @@
 	// replicas' reports.
 	ListReadings uint64 `json:"list_readings"`
 	Reports      uint64 `json:"reports"`
+	// Reads counts what operators asked for, and ReadsRefused what nodes were not
+	// sure of.
+	Reads        uint64 `json:"reads"`
+	ReadsRefused uint64 `json:"reads_refused"`
 	// Undecided counts the histories of orders that were too hard to judge.
 	Undecided     uint64            `json:"histories_undecided"`
 	StaleCommands uint64            `json:"stale_commands_refused"`
@@ -95,6 +102,7 @@
 	world.scheduleFaults()
 	world.scheduleTouch()
 	world.scheduleOperators()
+	world.scheduleReads()
 	world.scheduleCalm()
 	world.loop()
 	world.checks.finish()
@@ -106,6 +114,7 @@
 		settings:      settings,
 		plan:          rand.New(rand.NewPCG(settings.Seed, planStream)),
 		random:        rand.New(rand.NewPCG(settings.Seed, runStream)),
+		readPlan:      rand.New(rand.NewPCG(settings.Seed, readStream)),
 		byAddress:     map[string]*node{},
 		groupZones:    map[member.ID]string{},
 		serviceShards: simulatedShards,
--- /dev/null
+++ b/internal/lab/sim/split.go
@@ -0,0 +1,47 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// splitRaces is the number of pairs of changes that race during one split.
+const splitRaces = 3
+
+// splitCore cuts the nodes with disks in two halves, while all other nodes and the
+// operators reach both, and has operators race across the cut.
+func (w *simulation) splitCore() {
+	disks := w.diskNodes()
+	w.random.Shuffle(len(disks), func(i, j int) { disks[i], disks[j] = disks[j], disks[i] })
+	one, other := disks[:len(disks)/2], disks[len(disks)/2:]
+	w.cutFor(one, other, true)
+	for range splitRaces {
+		w.after(w.upTo(4*time.Second), func() { w.raceAcross(one, other) })
+	}
+}
+
+// raceAcross places two changes on the same base, one on each side of a cut, and
+// reads on both sides.
+func (w *simulation) raceAcross(sides ...[]*node) {
+	if w.calm() {
+		return
+	}
+	base, read := w.readRevision(), w.readConfiguration()
+	for _, side := range sides {
+		running := lo.Filter(side, func(one *node, _ int) bool { return one.up })
+		if len(running) == 0 {
+			continue
+		}
+		order := w.randomChange(base)
+		if w.settings.FailOpen {
+			order = w.changedDocument(read)
+		}
+		target := pick(w, running)
+		w.placeAt(target, order)
+		w.after(w.upTo(time.Second), func() {
+			w.readConfigurationAt(target)
+			w.readDocumentAt(target)
+		})
+	}
+}
--- a/internal/lab/sim/spoil.go
+++ b/internal/lab/sim/spoil.go
@@ -7,6 +7,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
 	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
 
 // aheadBy is how far beyond its own revisions a node confirms when that is
@@ -22,6 +23,8 @@
 		n.goBack(envelope.Relay)
 	case BreakNoWitnessFloor:
 		n.ignoreWitnesses(envelope)
+	case BreakAppendClaimed:
+		n.claimAppended(envelope)
 	default:
 	}
 }
@@ -50,6 +53,26 @@
 	}
 }
 
+// noteAppended remembers how far the entries reach that a leader has sent.
+func (n *node) noteAppended(envelope wire.Envelope) {
+	message := envelope.Replication
+	if message == nil || message.Type != replication.MessageAppend {
+		return
+	}
+	n.appended[envelope.Shard] = max(n.appended[envelope.Shard], message.Index+uint64(len(message.Entries)))
+}
+
+// claimAppended makes the reply of a machine that came later claim all that this
+// leader has sent.
+func (n *node) claimAppended(envelope *wire.Envelope) {
+	message := envelope.Replication
+	if message == nil || message.Type != replication.MessageAppendReply || !n.world.cameLater(envelope.From) {
+		return
+	}
+	message.Reject = false
+	message.Index = max(message.Index, n.appended[envelope.Shard])
+}
+
 // ignoreWitnesses keeps the state of witnesses from a node with a disk while the
 // groups are to be formed anew.
 func (n *node) ignoreWitnesses(envelope *wire.Envelope) {
