Simulator: nothing is owed while a majority of the voters can't write

Cause: one of three disks was lost while another node was frozen, so that its vote could not be given to its successor. The frozen node woke to a slow disk, and 4.3 s later its disk was full: of three voters one was able to write, for 3.7 s. The observer took that for calm, since it asked whether voters run and are connected and have kept their disks, not whether they can write.

Ruled out: a fault of the product. The leader was elected 2.4 s after the wake, with both disks at 0.55 s a write, and acknowledged what was open; the change of the vote waited for the slow disk when that became full. With room the group went on at once.

The check was wrong, not too strict: no protocol commits without a majority that writes. It still owes acknowledgements with one bad disk of three ("acknowledges in time while a node ... has a bad disk"). The new spec fails without the change, and holds that the acknowledgement is owed again as soon as there is room.

--- a/internal/lab/sim/failopen_test.go
+++ b/internal/lab/sim/failopen_test.go
@@ -262,6 +262,36 @@
 		}
 	})
 
+	It("owes no acknowledgement while a disk is lost and another one is full, and gives it once the second one has room", func() {
+		for seed := uint64(1); seed <= 6; seed++ {
+			var open []*operatorOrder
+			world := playOpen(seed, func(world *simulation) {
+				world.startWithin(startBound)
+				world.at(7*second, func() {
+					if len(world.diskNodes()) > 3 {
+						return
+					}
+					followers := lo.Without(world.diskNodes(), world.ownerOfConfiguration())
+					world.replaceMachineAt(followers[0], false)
+					followers[1].storage.disk.SetFull(true)
+					followers[1].storage.full = true
+					world.at(11*second, func() {
+						order := world.addKey(0)
+						open = append(open, order)
+						world.place(order)
+					})
+					world.at(16*second, func() {
+						Expect(open[0].settled).To(BeFalse(), "a majority of the voters can't write")
+						followers[1].storage.disk.SetFull(false)
+						followers[1].storage.full = false
+						world.checkAcknowledged(open[0], openAcknowledge)
+					})
+				})
+			})
+			Expect(world.checks.violations).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
 	It("waits for no node that died shortly before all others started anew", func() {
 		playAll(func(world *simulation) {
 			world.startWithin(startBound)
--- a/internal/lab/sim/touch.go
+++ b/internal/lab/sim/touch.go
@@ -83,8 +83,8 @@
 }
 
 // votersAmong tells whether the majority of the voters of each shard, as its owner
-// knew them last, is among some nodes and has kept its disks. Otherwise more was
-// lost at once than a deployment bears.
+// knew them last, is among some nodes, has kept its disks, and can write to them.
+// Otherwise more was lost at once than a deployment bears.
 func (w *simulation) votersAmong(core []*node) bool {
 	if w.touch.voters == nil {
 		w.touch.voters = map[uint32][]replication.Voter{}
@@ -95,7 +95,9 @@
 		}
 		voters := w.touch.voters[shard]
 		sound := lo.CountBy(voters, func(voter replication.Voter) bool {
-			return lo.ContainsBy(core, func(one *node) bool { return one.info.ID == voter.ID && one.storage.life == voter.Life })
+			return lo.ContainsBy(core, func(one *node) bool {
+				return one.info.ID == voter.ID && one.storage.life == voter.Life && !one.storage.full
+			})
 		})
 		if len(voters) > 0 && 2*sound <= len(voters) {
 			return false
