--- /dev/null
+++ b/internal/dataplane/kept_test.go
@@ -0,0 +1,83 @@
+package dataplane_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Connections that callers keep", func() {
+	// hammer sends requests on one connection, each after the answer to the one
+	// before, until the connection ends. It returns the identity of the one that
+	// was not answered, if there is one.
+	hammer := func(address, name string, answered func()) string {
+		connection, err := net.DialTimeout("tcp", address, patience)
+		if err != nil {
+			return name
+		}
+		defer func() { _ = connection.Close() }()
+		_ = connection.SetDeadline(time.Now().Add(patience))
+		reader := bufio.NewReader(connection)
+		for number := 0; ; number++ {
+			id := fmt.Sprintf("%s-%d", name, number)
+			_, _ = io.WriteString(connection, promptHead("Request-Id: "+id, "Content-Length: 0"))
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return id
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+				return id
+			}
+			answered()
+			if response.Close {
+				return ""
+			}
+		}
+	}
+
+	It("end without an answer to nothing that was passed on, when the node stops", func() {
+		const rounds, connections = 10, 32
+		for range rounds {
+			stand := newReplica(answering("ok"))
+			f := newFixture(stand.address())
+			ended := make(chan error, 1)
+			go func() { ended <- f.server.Start() }()
+			<-f.server.Listening()
+			var wait, warm sync.WaitGroup
+			warm.Add(connections)
+			lost := make(chan string, connections)
+			for at := range connections {
+				wait.Add(1)
+				go func() {
+					defer wait.Done()
+					first := sync.OnceFunc(warm.Done)
+					unanswered := hammer(f.server.Address(), fmt.Sprint(at), first)
+					first()
+					lost <- unanswered
+				}()
+			}
+			warm.Wait()
+			Expect(f.server.Drain(context.Background())).To(Succeed())
+			Expect(<-ended).NotTo(HaveOccurred())
+			wait.Wait()
+			close(lost)
+			passedOn := map[string]bool{}
+			for _, request := range stand.requests() {
+				passedOn[request.Header.Get("Request-Id")] = true
+			}
+			for id := range lost {
+				if id != "" {
+					Expect(passedOn).NotTo(HaveKey(id))
+				}
+			}
+		}
+	})
+})
