A late copy of a refused order is refused again

Cause: a node that forwards an order asks the owner again each 0.3 s, under the same number. In a storm of messages order o43 was refused at revision 22 (the key it revokes was not there yet), and its second copy arrived at the same owner 0.5 s later, when the key was there: it was taken as revision 32, after the operator had been told that it was refused. An owner joined copies of what it was working on, and of what it had accepted, but judged copies of what it had refused anew.

Now the owner keeps its refusals by node and number for three time-outs of an order, 4096 at most, and answers a copy with the first refusal. A new submission has a new number, so that the identity may be used again as before.

Specs: "is not taken from a copy of the same question that comes late" failed before.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -41,9 +41,11 @@
 type orderBook struct {
 	pending []*pendingOrder
 	waiting []waitingOrder
+	// refusals are those that this node has answered as the owner.
+	refusals refusals
 }
 
-func newOrderBook() orderBook { return orderBook{} }
+func newOrderBook() orderBook { return orderBook{refusals: newRefusals()} }
 
 // submitOrder takes an operator's order and asks the owner.
 func (m *Machine) submitOrder(ticket uint64, order *controlpb.Order) {
@@ -93,6 +95,7 @@
 		}
 	}
 	m.answerWaiting()
+	m.orders.refusals.forget(m.now)
 }
 
 // giveUp answers what nobody decided in time.
@@ -126,6 +129,10 @@
 	if m.orderInProgress(hosted, from, message.Request) {
 		return
 	}
+	if refusal := m.orders.refusals.answer(question{from: from, request: message.Request}); refusal != nil {
+		m.replyToOrder(waitingOrder{from: from, request: message.Request, answer: refusal}, false)
+		return
+	}
 	m.propose(hosted, message.Payload, proposal{from: from, request: message.Request, message: message})
 }
 
@@ -161,6 +168,8 @@
 		deadline: m.now + m.config.Times.AcknowledgeTimeout,
 	}
 	if answer.GetProblem() != nil {
+		refused := question{from: open.from, request: open.request}
+		m.orders.refusals.keep(refused, answer, m.now+refusalLife*m.config.Times.OrderTimeout)
 		m.replyToOrder(waiting, false)
 		return
 	}
