--- a/internal/edge/operator/resources.go
+++ b/internal/edge/operator/resources.go
@@ -63,18 +63,17 @@
 
 func (c *configurations) get(ctx context.Context, request *ridgeswitchv1.GetConfigurationRequest) (*ridgeswitchv1.Configuration, error) {
 	if request.GetLocal() {
-		return c.local()
+		return learnt(c.control.Configuration())
 	}
 	configuration, err := c.control.ReadConfiguration(ctx)
 	if err != nil {
 		return nil, &UnavailableError{Kind: KindNoOwner, Message: err.Error()}
 	}
-	return configuration, nil
+	return learnt(configuration)
 }
 
-// local is what the node serves by, which may be outdated.
-func (c *configurations) local() (*ridgeswitchv1.Configuration, error) {
-	configuration := c.control.Configuration()
+// learnt refuses to answer with no configuration at all.
+func learnt(configuration *ridgeswitchv1.Configuration) (*ridgeswitchv1.Configuration, error) {
 	if configuration == nil {
 		return nil, &UnavailableError{
 			Kind:    KindUnavailable,
