--- a/internal/edge/operator/resources.go
+++ b/internal/edge/operator/resources.go
@@ -63,7 +63,7 @@
 
 func (c *configurations) get(ctx context.Context, request *ridgeswitchv1.GetConfigurationRequest) (*ridgeswitchv1.Configuration, error) {
 	if request.GetLocal() {
-		return c.local()
+		return learnt(c.control.Configuration())
 	}
 	configuration, err := c.control.ReadConfiguration(ctx)
 	if err != nil {
@@ -72,11 +72,6 @@
 	return learnt(configuration)
 }
 
-// local is what the node serves by, which may be outdated.
-func (c *configurations) local() (*ridgeswitchv1.Configuration, error) {
-	return learnt(c.control.Configuration())
-}
-
 // learnt refuses a read before the first configuration.
 func learnt(configuration *ridgeswitchv1.Configuration) (*ridgeswitchv1.Configuration, error) {
 	if configuration == nil {
