A caller that leaves while its request waits for a place is noticed

Cause: the body was read after the wait. The HTTP server watches a connection for the caller's leave only once the body was read whole, so a request with a body kept its place in the queue after its caller had gone, and was sent on when a place came free.

The body is now read beside the wait, by a goroutine of its own for requests that wait alone. Bodies in memory stay bounded by places and queues. A body that cannot be taken ends the wait at once.

Ruled out: reading before admission, since bodies of requests that are refused would then take memory without a bound of the tenant's.

--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -26,19 +26,66 @@
 
 // handle implements handler.
 func (r *bodyReader) handle(e *exchange, next func()) {
-	if e.request.Body == nil || e.request.Body == http.NoBody {
+	if !e.hasBody() {
 		next()
 		return
 	}
-	body, err := r.read(e)
-	if err != nil {
-		e.refuse(bodyProblem(e, err))
+	if e.pending == nil {
+		e.pending = newPendingBody()
+		r.finish(e)
+	}
+	<-e.pending.ended
+	if e.pending.problem != nil {
+		e.refuse(e.pending.problem)
 		return
 	}
-	e.body, e.bodyRead = body, true
+	e.body, e.bodyRead = e.pending.body, true
 	next()
 }
 
+// hasBody tells whether the caller sends a body.
+func (e *exchange) hasBody() bool {
+	return e.request.Body != nil && e.request.Body != http.NoBody
+}
+
+// pendingBody is a body that is being read. Only of one that was read whole does
+// the server notice that the caller leaves.
+type pendingBody struct {
+	// ended is closed when nothing more is read. What was read, or why it could
+	// not be, stays as it is from then on.
+	ended   chan struct{}
+	body    []byte
+	problem *caller.Problem
+}
+
+// newPendingBody returns one of which nothing has been read.
+func newPendingBody() *pendingBody {
+	return &pendingBody{ended: make(chan struct{})}
+}
+
+// bodyFault is why the body could not be read, if that is known already.
+func (e *exchange) bodyFault() *caller.Problem {
+	if e.pending == nil {
+		return nil
+	}
+	select {
+	case <-e.pending.ended:
+		return e.pending.problem
+	default:
+		return nil
+	}
+}
+
+// finish reads the pending body to its end.
+func (r *bodyReader) finish(e *exchange) {
+	defer close(e.pending.ended)
+	body, err := r.read(e)
+	if err != nil {
+		e.pending.problem = bodyProblem(e, err)
+	}
+	e.pending.body = body
+}
+
 // read reads the body within the request's deadline. The read deadline is taken
 // back after a whole body alone: the server watches the connection for the
 // caller's leave from then on. After a part it stays, because the server tries
@@ -60,7 +107,7 @@
 // rest of the body. What was read whole is left alone, since the server watches
 // that connection for the caller's leave.
 func (e *exchange) boundUnreadBody() {
-	if e.bodyRead || e.request.Body == nil || e.request.Body == http.NoBody {
+	if e.bodyRead || !e.hasBody() {
 		return
 	}
 	until := time.Now().Add(unreadBodyGrace)
@@ -68,6 +115,9 @@
 		until = deadline
 	}
 	_ = http.NewResponseController(e.writer).SetReadDeadline(until)
+	if e.pending != nil {
+		<-e.pending.ended
+	}
 }
 
 // limit is the bound of the configuration, or the node's own.
--- a/internal/dataplane/chain.go
+++ b/internal/dataplane/chain.go
@@ -35,10 +35,11 @@
 	if s.recorder != nil {
 		steps = append(steps, &requestRecorder{recorder: s.recorder, clock: s.options.Clock, started: s.options.Clock()})
 	}
+	bodies := &bodyReader{maxBytes: s.options.MaxBodyBytes}
 	steps = append(steps,
 		&deadlineSetter{fallback: s.options.RequestTimeout},
-		&tenantLimiter{limiter: s.limiter, clock: s.options.Clock},
-		&bodyReader{maxBytes: s.options.MaxBodyBytes},
+		&tenantLimiter{limiter: s.limiter, bodies: bodies, clock: s.options.Clock},
+		bodies,
 		&duplicateCheck{register: s.duplicates, clock: s.options.Clock},
 	)
 	if s.options.Claims != nil {
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -29,6 +29,8 @@
 	described   caller.Request
 	requestID   string
 	body        []byte
+	// pending is the reading of the body; nil before it begins.
+	pending *pendingBody
 	// bodyRead tells that body is all that the caller sends.
 	bodyRead bool
 	// counters count the outcomes of the destination; nil before routing.
--- /dev/null
+++ b/internal/dataplane/leaving_test.go
@@ -0,0 +1,74 @@
+package dataplane_test
+
+import (
+	"net/http"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+)
+
+var _ = Describe("A caller that leaves while its request waits for a place", func() {
+	DescribeTable("gives its place in the queue up, and nothing is sent for it", func(body string) {
+		arrived, proceed := make(chan struct{}, 4), make(chan struct{})
+		stand := newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			arrived <- struct{}{}
+			<-proceed
+			answering("ok")(writer, request)
+		})
+		f := newFixture(stand.address())
+		release := sync.OnceFunc(func() { close(proceed) })
+		DeferCleanup(release)
+		f.limits = &ridgeswitchv1.Limits{ConcurrentRequests: 1, QueuedRequests: 1, QueueTimeoutMs: 60000}
+		f.publish()
+		first := make(chan outcome, 1)
+		go func() { first <- f.generate() }()
+		Eventually(arrived).WithTimeout(patience).Should(Receive())
+
+		connection := f.connect()
+		connection.write(promptHead("Request-Id: left", "Content-Length: 10") + body)
+		Eventually(f.server.Waiting).WithTimeout(patience).Should(Equal(1))
+		Expect(connection.Close()).To(Succeed())
+		Eventually(f.server.Waiting).WithTimeout(patience / 2).Should(BeZero())
+		release()
+		var answered outcome
+		Eventually(first).WithTimeout(patience).Should(Receive(&answered))
+		Expect(answered.status).To(Equal(http.StatusOK))
+		Expect(f.generate().status).To(Equal(http.StatusOK))
+		for _, request := range stand.requests() {
+			Expect(request.Header.Get("Request-Id")).NotTo(Equal("left"))
+		}
+	},
+		Entry("with its whole body sent", "the prompt"),
+		Entry("with a part of its body sent", "the"),
+	)
+
+	It("is told of a body that is too large, before there is a place", func() {
+		arrived, proceed := make(chan struct{}, 2), make(chan struct{})
+		stand := newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			arrived <- struct{}{}
+			<-proceed
+			answering("ok")(writer, request)
+		})
+		f := newFixtureWith(func(options *dataplane.Options) { options.MaxBodyBytes = 16 }, stand.address())
+		release := sync.OnceFunc(func() { close(proceed) })
+		DeferCleanup(release)
+		f.limits = &ridgeswitchv1.Limits{ConcurrentRequests: 1, QueuedRequests: 1, QueueTimeoutMs: 60000}
+		f.publish()
+		first := make(chan outcome, 1)
+		go func() { first <- f.generate() }()
+		Eventually(arrived).WithTimeout(patience).Should(Receive())
+		connection := f.connect()
+		connection.write(promptHead("Content-Length: 17") + "the prompt is lon")
+		response, _ := connection.answer()
+		Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(f.server.Waiting()).To(BeZero())
+		release()
+		var answered outcome
+		Eventually(first).WithTimeout(patience).Should(Receive(&answered))
+		Expect(answered.status).To(Equal(http.StatusOK))
+	})
+})
--- a/internal/dataplane/limiter.go
+++ b/internal/dataplane/limiter.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -29,14 +30,16 @@
 }
 
 // acquire admits a request, waiting in the tenant's queue if need be, or says
-// why not. The ticket of an admitted request is to be released.
-func (l *limiter) acquire(ctx context.Context, arrival admission.Arrival) (admission.Ticket, *caller.Problem) {
+// why not. The ticket of an admitted request is to be released. A request that
+// waits calls waiting first, and gives up when the channel that it returns is
+// closed.
+func (l *limiter) acquire(ctx context.Context, arrival admission.Arrival, waiting func() <-chan struct{}) (admission.Ticket, *caller.Problem) {
 	decision, granted := l.arrive(arrival)
 	switch decision.Outcome {
 	case admission.Admitted:
 		return decision.Ticket, nil
 	case admission.Queued:
-		return decision.Ticket, l.wait(ctx, arrival.Tenant, decision, granted)
+		return decision.Ticket, l.wait(ctx, arrival.Tenant, decision, granted, waiting())
 	default:
 		return 0, refusedArrival(arrival.Tenant, decision)
 	}
@@ -74,7 +77,7 @@
 }
 
 // wait blocks until a queued request is granted or has waited long enough.
-func (l *limiter) wait(ctx context.Context, tenant string, decision admission.Decision, granted chan struct{}) *caller.Problem {
+func (l *limiter) wait(ctx context.Context, tenant string, decision admission.Decision, granted chan struct{}, pointless <-chan struct{}) *caller.Problem {
 	timer := time.NewTimer(max(decision.Until-l.clock(), 0))
 	defer timer.Stop()
 	select {
@@ -82,6 +85,7 @@
 		return nil
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-pointless:
 	}
 	if l.abandon(tenant, decision.Ticket) {
 		return queueProblem(ctx, tenant)
@@ -155,20 +159,38 @@
 // the node's.
 type tenantLimiter struct {
 	limiter *limiter
+	bodies  *bodyReader
 	clock   func() time.Duration
 }
 
 // handle implements handler.
 func (t *tenantLimiter) handle(e *exchange, next func()) {
-	ticket, problem := t.limiter.acquire(e.ctx, t.arrival(e))
+	ticket, problem := t.limiter.acquire(e.ctx, t.arrival(e), func() <-chan struct{} { return t.readMeanwhile(e) })
 	if problem != nil {
-		e.refuse(problem)
+		e.refuse(cmp.Or(e.bodyFault(), problem))
 		return
 	}
 	defer t.limiter.release(ticket)
 	next()
 }
 
+// readMeanwhile reads the body of a request that waits. The channel is closed when
+// that fails: the caller has left, or what it sends cannot be taken.
+func (t *tenantLimiter) readMeanwhile(e *exchange) <-chan struct{} {
+	if !e.hasBody() {
+		return nil
+	}
+	failed := make(chan struct{})
+	e.pending = newPendingBody()
+	go func() {
+		t.bodies.finish(e)
+		if e.pending.problem != nil {
+			close(failed)
+		}
+	}()
+	return failed
+}
+
 // arrival describes a request to admission.
 func (t *tenantLimiter) arrival(e *exchange) admission.Arrival {
 	arrival := admission.Arrival{Tenant: publicTenant}
--- a/internal/dataplane/unsent_test.go
+++ b/internal/dataplane/unsent_test.go
@@ -27,7 +27,7 @@
 func (f *fixture) connect() *callerConnection {
 	connection, err := net.DialTimeout("tcp", f.front.Listener.Addr().String(), patience)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(connection.Close)
+	DeferCleanup(func() { _ = connection.Close() })
 	Expect(connection.SetDeadline(time.Now().Add(patience))).To(Succeed())
 	return &callerConnection{Conn: connection, reader: bufio.NewReader(connection)}
 }
