--- a/internal/dataplane/chain.go
+++ b/internal/dataplane/chain.go
@@ -1,7 +1,6 @@
 package dataplane
 
 import (
-	"math/rand/v2"
 	"net/http"
 )
 
@@ -31,16 +30,17 @@
 		&servingCheck{source: s.options.Source},
 		headerBound{},
 		&tenantIdentifier{},
-		&routeFinder{destinations: s.destinations, draw: rand.Uint64},
+		&routeFinder{destinations: s.destinations, draws: newShareDraws()},
 		&headerReader{},
 	}
 	if s.recorder != nil {
 		steps = append(steps, &requestRecorder{recorder: s.recorder, clock: s.options.Clock, started: s.options.Clock()})
 	}
+	bodies := &bodyReader{maxBytes: s.options.MaxBodyBytes}
 	steps = append(steps,
 		&deadlineSetter{fallback: s.options.RequestTimeout},
-		&tenantLimiter{limiter: s.limiter, clock: s.options.Clock},
-		&bodyReader{maxBytes: s.options.MaxBodyBytes},
+		&tenantLimiter{limiter: s.limiter, bodies: bodies, clock: s.options.Clock},
+		bodies,
 		&duplicateCheck{register: s.duplicates, clock: s.options.Clock},
 	)
 	if s.options.Claims != nil {
