A link counts as slow after two late pulls in a row

Cause: one first event that came 150 ms later than expected after a pull made both ends' links count as slow, up to 200 times, for some twenty seconds.

Tried before, and not kept: blame only beyond four times the mean lateness of prompts that pulled nothing.

Change: two late pulls in a row over a link, with none in time between them.

Test: "whose link turns slow", seen to fail with one late pull in place of two. It takes the place of "notices links that turn slow, and tries them again later", which asked for blame after one; it checks the same return of trust, that the pull was not merely replaced by a wait, and that pulls in time between clear the suspicion.

--- a/pkg/kvrouter/timed_test.go
+++ b/pkg/kvrouter/timed_test.go
@@ -237,20 +237,49 @@
 		}
 	})
 
-	It("notices links that turn slow, and tries them again later", func() {
-		now := late
-		decision := f.choose(now, longPrompt(9))
-		Expect(decision.Pull).NotTo(BeNil())
-		decision.Reservation.FirstToken(now + 3*time.Second)
-		decision.Reservation.Finish(now+3*time.Second, true)
-		now += 3 * time.Second
-		f.router.PartsListed(now, "a", epoch, 1, nil)
-		f.hasBacklog(now, "b", 0, 40_000)
-		Expect(f.choose(now, longPrompt(9)).Pull).To(BeNil())
-		now += time.Minute
-		f.router.PartsListed(now, "a", epoch, 2, nil)
-		f.hasBacklog(now, "b", 0, 40_000)
-		Expect(f.choose(now, longPrompt(9)).Pull).NotTo(BeNil())
+	Describe("whose link turns slow", func() {
+		var (
+			now      time.Duration
+			sequence uint64
+		)
+		// drops has a replica report that it keeps none of the prompt any more.
+		drops := func(address string) {
+			var changes []kvrouter.PartChange
+			for part := range 9 {
+				changes = append(changes, held(sequence+1, part, 0))
+			}
+			f.router.PartsReported(now, address, kvrouter.Feed{Incarnation: epoch, From: sequence, Next: sequence + 1}, changes)
+			sequence++
+		}
+		// pulls has the prompt begin some time after it is sent, and tells whether it
+		// pulled.
+		pulls := func(after time.Duration) bool {
+			drops("a")
+			f.hasBacklog(now, "b", 0, 40_000)
+			decision := f.choose(now, longPrompt(9))
+			Expect(decision.Address).To(Equal("a"))
+			Expect(decision.Awaited).To(BeNil())
+			now += after
+			decision.Reservation.FirstToken(now)
+			decision.Reservation.Finish(now, true)
+			return decision.Pull != nil
+		}
+		BeforeEach(func() { now, sequence = late, 0 })
+
+		It("notices that by two late pulls in a row, and tries it again later", func() {
+			Expect(pulls(3 * time.Second)).To(BeTrue())
+			Expect(pulls(3*time.Second)).To(BeTrue(), "a single one may have been late for another reason")
+			Expect(pulls(time.Second)).To(BeFalse())
+			now += time.Minute
+			Expect(pulls(time.Second)).To(BeTrue())
+		})
+
+		It("does not blame it for late pulls with others in time between them", func() {
+			for range 4 {
+				Expect(pulls(3 * time.Second)).To(BeTrue())
+				Expect(pulls(20 * time.Millisecond)).To(BeTrue())
+			}
+		})
 	})
 
 	It("saves shared parts that the store lacks, once", func() {
--- a/pkg/kvrouter/timedpull.go
+++ b/pkg/kvrouter/timedpull.go
@@ -27,6 +27,9 @@
 	// linkSlowHalving is how fast the memory of a slow link ends.
 	linkSlowHalving = 4 * time.Second
 	mostLinkSlow    = 200.0
+	// lateMoves is how many moves in a row have to be late until their link counts
+	// as slow.
+	lateMoves = 2
 	// saveShare is the largest share of the store that one prompt may take.
 	saveShare = 0.125
 )
@@ -38,6 +41,8 @@
 	// slow is how many times longer moves take than they should, at slowAt.
 	slow   float64
 	slowAt time.Duration
+	// late counts the moves in a row that came far too late.
+	late int
 }
 
 // factor returns how many times longer moves take now.
@@ -49,12 +54,36 @@
 	return max(1, m.slow*math.Exp2(-halvings))
 }
 
-// observe takes in how many times longer a move took.
-func (m *moves) observe(now time.Duration, ratio float64) {
+// inTime takes in a move that took about as long as expected.
+func (m *moves) inTime() { m.late = 0 }
+
+// tooLate takes in a move that may have taken so many times longer: its request was
+// late, for that reason or because of a queue that this router did not know of. Only
+// several in a row tell of the link.
+func (m *moves) tooLate(now time.Duration, ratio float64) {
+	m.late++
+	if m.late < lateMoves {
+		return
+	}
 	m.slow = min(max(ratio, m.factor(now)), mostLinkSlow)
 	m.slowAt = now
 }
 
+// judgeLinks takes in how much later than expected, in milliseconds, a request began
+// whose pull should have taken a time, and tells whether that is far too late.
+func (r *Reservation) judgeLinks(now time.Duration, pull, excess float64) (tooLate bool) {
+	source, target := &r.pull.source.state.moves, &r.state.moves
+	if excess <= max(linkSlowLeast, 2*pull) {
+		source.inTime()
+		target.inTime()
+		return false
+	}
+	ratio := (excess + pull) / max(pull, 1)
+	source.tooLate(now, ratio)
+	target.tooLate(now, ratio)
+	return true
+}
+
 // addTimedSource adds a holder that keeps the beginning of the prompt, or has
 // probably read it. A miss costs little.
 func (p *prompt) addTimedSource(state *replicaState, zone, region string, isStore bool) {
--- a/pkg/kvrouter/timedselect.go
+++ b/pkg/kvrouter/timedselect.go
@@ -127,10 +127,7 @@
 	work := r.backlogTokens + r.computeTokens
 	usual := r.pace.expected(work)
 	excess := took - r.state.slowness.factor()*usual - pull
-	if r.pulls && excess > max(linkSlowLeast, 2*pull) {
-		ratio := (excess + pull) / max(pull, 1)
-		r.pull.source.state.moves.observe(now, ratio)
-		r.state.moves.observe(now, ratio)
+	if r.pulls && r.judgeLinks(now, pull, excess) {
 		return
 	}
 	read := max(took-pull, 1)
