--- a/pkg/kvrouter/pace.go
+++ b/pkg/kvrouter/pace.go
@@ -12,11 +12,6 @@
 	// Most of those waited behind work that this router did not know of, so that
 	// the early ones tell more of the replica's speed.
 	lateWeight = 0.1
-	// firstObservations of a pool weigh firstLateWeight when late, up to
-	// firstLateMost times the expected time: what is assumed may be too short.
-	firstObservations = 12
-	firstLateWeight   = 0.5
-	firstLateMost     = 1.5
 	// shortTokens and longTokens are the prompts at which they are assumed.
 	shortTokens = 1000
 	longTokens  = 8000
@@ -40,8 +35,6 @@
 // observations fade.
 type pace struct {
 	count, sumX, sumY, sumXX, sumXY float64
-	// learnt counts the observations.
-	learnt int
 	// fixed and perToken are in milliseconds.
 	fixed, perToken float64
 }
@@ -65,14 +58,9 @@
 	p.sumXX *= paceMemory
 	p.sumXY *= paceMemory
 	weight := 1.0
-	if expected := p.expected(tokens); took > expected {
+	if took > p.expected(tokens) {
 		weight = lateWeight
-		if p.learnt < firstObservations {
-			weight = firstLateWeight
-			took = min(took, firstLateMost*expected)
-		}
 	}
-	p.learnt++
 	p.add(weight, tokens, took)
 	p.solve()
 }
