Back ends are listed by their readers alone

Change: only the reader of a back end lists it, at first and after a loss, and tells the others. A node that has missed something keeps it as a guess, as before; one that has started adopts.

--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -84,9 +84,7 @@
 	if !settled || r.server.Learning() {
 		return
 	}
-	owned := r.owned(view)
-	r.reconcile(ctx, owned)
-	r.catchUp(ctx, view, owned)
+	r.reconcile(ctx, r.owned(view))
 }
 
 // String implements fmt.Stringer for the supervisor's messages.
@@ -208,7 +206,7 @@
 // stands.
 func (r *reportReaders) readOnce(ctx context.Context, address string) error {
 	if !r.server.router.PartsWhole(address) && r.listings.take(r.server.options.Clock(), address) {
-		if r.list(ctx, address, true) == nil {
+		if r.list(ctx, address) == nil {
 			return nil
 		}
 	}
