--- a/cmd/ridgeswitch/node.go
+++ b/cmd/ridgeswitch/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -70,6 +71,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(settings.HeapGrowthPercent)
 	ring := logring.New(settings.LogRing, os.Stderr)
 	defer dumpOnPanic(ring)
 	logger := ring.Logger(level)
--- a/internal/dataplane/duplicates.go
+++ b/internal/dataplane/duplicates.go
@@ -39,19 +39,23 @@
 	limit       int
 	rememberFor time.Duration
 	known       map[requestName]knownRequest
-	// finished is a ring of at most limit entries, the oldest at first.
+	// finished is a ring, the oldest entry at first. It grows with what it holds, up
+	// to limit entries.
 	finished []finishedRequest
 	first    int
 	count    int
 }
 
+// leastFinished is the size of the ring of finished requests at first.
+const leastFinished = 64
+
 // newDuplicateRegister returns a register that has seen no request.
 func newDuplicateRegister(limit int, rememberFor time.Duration) *duplicateRegister {
 	return &duplicateRegister{
 		limit:       limit,
 		rememberFor: rememberFor,
 		known:       make(map[requestName]knownRequest),
-		finished:    make([]finishedRequest, limit),
+		finished:    make([]finishedRequest, min(limit, leastFinished)),
 	}
 }
 
@@ -87,7 +91,10 @@
 	if r.count == r.limit {
 		r.dropOldest()
 	}
-	r.finished[(r.first+r.count)%r.limit] = finishedRequest{name: name, at: now}
+	if r.count == len(r.finished) {
+		r.grow()
+	}
+	r.finished[(r.first+r.count)%len(r.finished)] = finishedRequest{name: name, at: now}
 	r.count++
 	entry := r.known[name]
 	entry.running--
@@ -95,6 +102,14 @@
 	r.known[name] = entry
 }
 
+// grow makes room for more finished requests.
+func (r *duplicateRegister) grow() {
+	grown := make([]finishedRequest, min(r.limit, 2*len(r.finished)))
+	copied := copy(grown, r.finished[r.first:])
+	copy(grown[copied:], r.finished[:r.first])
+	r.finished, r.first = grown, 0
+}
+
 // keep replaces what is known under a name, as long as a submission holds it.
 func (r *duplicateRegister) keep(name requestName, entry knownRequest) {
 	if entry.running == 0 && entry.finished == 0 {
@@ -118,7 +133,7 @@
 	entry.finished--
 	r.keep(name, entry)
 	r.finished[r.first] = finishedRequest{}
-	r.first = (r.first + 1) % r.limit
+	r.first = (r.first + 1) % len(r.finished)
 	r.count--
 }
 
--- a/internal/dataplane/feed_internal_test.go
+++ b/internal/dataplane/feed_internal_test.go
@@ -271,6 +271,25 @@
 		Expect(register.known).To(BeEmpty())
 	})
 
+	It("takes memory for what it holds only, and keeps the order of age while it grows", func() {
+		const limit, submitted = 1 << 16, 3 * leastFinished
+		register := newDuplicateRegister(limit, time.Minute)
+		Expect(register.finished).To(HaveLen(leastFinished))
+		name := func(number int) requestName { return requestName{tenant: "t", id: strconv.Itoa(number)} }
+		for number := range submitted {
+			at := time.Duration(number) * time.Second / 2
+			Expect(register.begin(at, name(number), false)).To(BeTrue())
+			register.finish(at, name(number))
+		}
+		// The first of them are older than a minute, so that the ring has wrapped.
+		newest := time.Duration(submitted-1) * time.Second / 2
+		for number := range submitted {
+			old := newest-time.Duration(number)*time.Second/2 >= time.Minute
+			Expect(register.known[name(number)].finished == 0).To(Equal(old), "request %d", number)
+		}
+		Expect(len(register.finished)).To(BeNumerically("<=", 4*leastFinished))
+	})
+
 	It("never forgets a running request, under concurrent use", func() {
 		register := newDuplicateRegister(8, time.Minute)
 		var wait sync.WaitGroup
--- a/internal/dataplane/readers.go
+++ b/internal/dataplane/readers.go
@@ -42,6 +42,9 @@
 	// settling belongs to Serve as well.
 	settling settling
 	listings *listings
+	// assigned is what this node reads by the view and the live nodes that owned
+	// looked at last. It belongs to Serve.
+	assigned assignment
 
 	mutex   sync.Mutex
 	running map[string]context.CancelFunc
@@ -108,9 +111,30 @@
 	}
 }
 
+// assignment is which back ends a node reads under a view and live nodes.
+type assignment struct {
+	view  *routing.View
+	peers []member.Info
+	owned map[string]bool
+}
+
+// holds tells whether the assignment was made for a view and live nodes.
+func (a *assignment) holds(view *routing.View, peers []member.Info) bool {
+	same := func(one, other member.Info) bool { return one.ID == other.ID && one.Zone == other.Zone }
+	return a.owned != nil && a.view == view && slices.EqualFunc(a.peers, peers, same)
+}
+
 // owned returns the addresses that this node reads.
 func (r *reportReaders) owned(view *routing.View) map[string]bool {
 	peers := r.server.options.Peers()
+	if !r.assigned.holds(view, peers) {
+		r.assigned = assignment{view: view, peers: slices.Clone(peers), owned: r.assign(view, peers)}
+	}
+	return r.assigned.owned
+}
+
+// assign works out the addresses that this node reads.
+func (r *reportReaders) assign(view *routing.View, peers []member.Info) map[string]bool {
 	owned := make(map[string]bool)
 	for address, zone := range reportingBackends(view) {
 		if readerOf(address, zone, peers) == r.server.options.Member {
@@ -137,19 +161,27 @@
 // readerOf returns the node that reads a back end: of the nodes in its zone, or
 // of all if there is none, the one that weighs highest for it.
 func readerOf(address, zone string, peers []member.Info) member.ID {
-	candidates := lo.Filter(peers, func(peer member.Info, _ int) bool { return peer.Zone == zone })
-	if len(candidates) == 0 {
-		candidates = peers
-	}
-	if len(candidates) == 0 {
-		return ""
-	}
-	return slices.MaxFunc(candidates, func(a, b member.Info) int {
-		return cmp.Or(
-			cmp.Compare(readerWeight(address, a.ID), readerWeight(address, b.ID)),
-			cmp.Compare(a.ID, b.ID),
-		)
-	}).ID
+	near, nearFound := heaviest(address, peers, func(peer member.Info) bool { return peer.Zone == zone })
+	if nearFound {
+		return near
+	}
+	anywhere, _ := heaviest(address, peers, func(member.Info) bool { return true })
+	return anywhere
+}
+
+// heaviest returns the node that weighs most for a back end, among those admitted.
+func heaviest(address string, peers []member.Info, admitted func(member.Info) bool) (best member.ID, found bool) {
+	most := uint64(0)
+	for _, peer := range peers {
+		if !admitted(peer) {
+			continue
+		}
+		weight := readerWeight(address, peer.ID)
+		if !found || cmp.Or(cmp.Compare(weight, most), cmp.Compare(peer.ID, best)) > 0 {
+			best, most, found = peer.ID, weight, true
+		}
+	}
+	return best, found
 }
 
 // readerWeight is the rendezvous weight of a node for a back end.
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -11,7 +11,10 @@
 )
 
 const (
-	readBufferBytes = 32 << 10
+	// readBufferBytes is the buffer of each connection that another node opened, of
+	// which there are as many as nodes. Most frames are smaller, and of larger ones
+	// what the buffer lacks is read past it.
+	readBufferBytes = 4 << 10
 	// trustedBytes is how much is set aside for a frame on the word of its
 	// length alone; larger ones grow as their bytes arrive.
 	trustedBytes = 64 << 10
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -276,3 +276,19 @@
 		Expect(receiver.Stats().ConnectionsRefused).To(Equal(uint64(1)))
 	})
 })
+
+var _ = Describe("A connection that another node opened", func() {
+	It("has a small buffer, however many there are, and brings frames larger than it whole", func() {
+		Expect(readBufferBytes).To(BeNumerically("<=", 4<<10))
+		receiver := start(secondHost, Options{})
+		sender := start(firstHost, Options{})
+		frames := [][]byte{make([]byte, 3), make([]byte, readBufferBytes-1), make([]byte, 3*readBufferBytes), make([]byte, 7)}
+		for number, frame := range frames {
+			frame[0], frame[len(frame)-1] = byte(number+1), byte(number+11)
+			sender.Send(receiver.Address(), frame)
+		}
+		for _, frame := range frames {
+			Expect(receiver.next()).To(Equal(frame))
+		}
+	})
+})
--- a/pkg/config/static/bounds.go
+++ b/pkg/config/static/bounds.go
@@ -42,6 +42,9 @@
 	// DefaultEjectedPercent is the largest share of a destination's back ends that
 	// is left out so, in hundredths.
 	DefaultEjectedPercent = 50
+	// DefaultHeapGrowthPercent is the growth of the heap until garbage is collected;
+	// it is the language runtime's own.
+	DefaultHeapGrowthPercent = 100
 	// DefaultLogRing is the number of log entries kept in memory.
 	DefaultLogRing = 4096
 	// DefaultDeployment is the name of a deployment that needs none.
@@ -77,6 +80,10 @@
 	// MaxHeartbeatEvery leaves several heartbeats in the second after which a
 	// silent node stops serving.
 	MaxHeartbeatEvery = 250 * time.Millisecond
+	// MinHeapGrowthPercent keeps the collector from running all the time.
+	MinHeapGrowthPercent = 10
+	// MaxHeapGrowthPercent bounds the growth of the heap.
+	MaxHeapGrowthPercent = 1000
 	// MinPlatformPollEvery keeps the platform from being flooded.
 	MinPlatformPollEvery = 50 * time.Millisecond
 	// MaxPlatformPollEvery keeps draining replicas from being used for long.
--- a/pkg/config/static/check.go
+++ b/pkg/config/static/check.go
@@ -150,6 +150,7 @@
 func (c *checker) numbers(s *Settings) {
 	c.between("service_shards", s.ServiceShards, 1, MaxServiceShards)
 	c.between("log_ring", s.LogRing, 1, MaxLogRing)
+	c.between("heap_growth_percent", s.HeapGrowthPercent, MinHeapGrowthPercent, MaxHeapGrowthPercent)
 	c.duration("contact_ms", s.ContactMS, MinContact, MaxContact)
 	c.duration("acknowledge_ms", s.AcknowledgeMS, MinAcknowledge, MaxAcknowledge)
 	c.duration("tick_every_ms", s.TickEveryMS, MinTickEvery, MaxTickEvery)
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -101,6 +101,10 @@
 	// DrainTimeoutMS bounds the time to finish requests after SIGTERM, in
 	// milliseconds.
 	DrainTimeoutMS int `yaml:"drain_timeout_ms" usage:"time to finish requests after SIGTERM"`
+	// HeapGrowthPercent is how far the heap may grow beyond what is in use before
+	// garbage is collected, in hundredths. A smaller one takes less memory and more
+	// processor time.
+	HeapGrowthPercent int `yaml:"heap_growth_percent" usage:"growth of the heap beyond what is in use until garbage is collected, in hundredths"`
 	// RecordFile is where the node records the requests that it serves, without
 	// prompts and keys; empty for no recording. See docs/REPLAY.md.
 	RecordFile string `yaml:"record_file" usage:"file to record served requests in, without prompts and keys"`
@@ -217,6 +221,7 @@
 	setDefault(&s.EjectionMS, int(DefaultEjection.Milliseconds()))
 	setDefault(&s.EjectedPercent, DefaultEjectedPercent)
 	setDefault(&s.DrainTimeoutMS, int(DefaultDrainTimeout.Milliseconds()))
+	setDefault(&s.HeapGrowthPercent, DefaultHeapGrowthPercent)
 	setDefault(&s.LogRing, DefaultLogRing)
 	setDefault(&s.LogLevel, DefaultLogLevel)
 	setDefault(&s.Deployment, DefaultDeployment)
--- a/pkg/config/static/suite_test.go
+++ b/pkg/config/static/suite_test.go
@@ -115,8 +115,8 @@
 		Entry("folder outside group", func(s *static.Settings) { s.Node = "front-1" }, "inconsistent data_folder"),
 		Entry("numbers out of range", func(s *static.Settings) {
 			s.ServiceShards, s.LogRing, s.DrainTimeoutMS, s.HeartbeatEveryMS, s.PlatformPollEveryMS = -1, -1, -1, 251, 1001
-			s.CommandGapMS, s.WeightsDeadlineMS = 60_001, -1
-		}, "out_of_range service_shards", "out_of_range log_ring", "out_of_range drain_timeout_ms", "out_of_range heartbeat_every_ms", "out_of_range platform_poll_every_ms",
+			s.CommandGapMS, s.WeightsDeadlineMS, s.HeapGrowthPercent = 60_001, -1, 9
+		}, "out_of_range service_shards", "out_of_range log_ring", "out_of_range heap_growth_percent", "out_of_range drain_timeout_ms", "out_of_range heartbeat_every_ms", "out_of_range platform_poll_every_ms",
 			"out_of_range command_gap_ms", "out_of_range weights_deadline_ms"),
 		Entry("log level", func(s *static.Settings) { s.LogLevel = "loud" }, "invalid log_level"),
 		Entry("platform address", func(s *static.Settings) { s.PlatformAddress = "" }, "missing platform_address"),
