Bench of engines: a wide fleet, and why shared parts are read again

A third fleet has the shape of the newest deployment: 90 replicas that read quickly, links on which a part takes longer to move than to be read, 60 nodes. Shared tokens that are read again within 10 s are divided by reason.

--- a/internal/lab/enginebench/policy.go
+++ b/internal/lab/enginebench/policy.go
@@ -41,6 +41,8 @@
 	source      *holder
 	save        bool
 	reservation *kvrouter.Reservation
+	// believed are the leading tokens that the replica is taken to keep.
+	believed int
 	// awaited is what the request is held back for, or nil.
 	awaited *kvrouter.Awaited
 }
--- a/internal/lab/enginebench/profile.go
+++ b/internal/lab/enginebench/profile.go
@@ -73,17 +73,36 @@
 	return []SharedPart{{Things: things, Skew: 0.3, Tokens: 13300, Spread: 0.7, Most: 39900}}
 }
 
-func twoParts() []SharedPart {
+func twoParts(things int) []SharedPart {
 	return []SharedPart{
 		{Things: 4, Tokens: 2520, Spread: 0.4, Most: 6290},
-		{Things: 66, Skew: 0.3, Tokens: 3780, Spread: 0.7, Most: 11300},
+		{Things: things, Skew: 0.3, Tokens: 3780, Spread: 0.7, Most: 11300},
 	}
 }
 
-func shortParts() []SharedPart {
+func shortParts(groups, things int) []SharedPart {
 	return []SharedPart{
-		{Things: 40, Tokens: 210, Spread: 0.4, Most: 524},
-		{Things: 155, Skew: 0.3, Tokens: 140, Spread: 0.7, Most: 419},
+		{Things: groups, Tokens: 210, Spread: 0.4, Most: 524},
+		{Things: things, Skew: 0.3, Tokens: 140, Spread: 0.7, Most: 419},
+	}
+}
+
+// wideProfile is a fleet of many replicas that read quickly, with links on which a
+// part takes longer than to be read, few slots and large parts.
+func wideProfile() Profile {
+	return Profile{
+		Name: "wide", Replicas: 90, Zones: 5, Nodes: 60, Slowness: []float64{1},
+		Engine: Engine{
+			Slots: 48, MemoryTokens: 168_384, StepBase: 3.29, ContextPerThousand: 0.0262,
+			PrefillTokens: 93, PairsPerMillion: 0.442, First: 80,
+			Stride: 8, Chunk: 2048, BytesPerToken: 131072, LinkBits: 69e9, StoreBits: 670e9,
+			StoreTokens: 4_047_750, MoveSetup: 4,
+		},
+		Classes: []Class{
+			{Name: "long", PerSecond: 70, Shared: shared13(428), Own: 3720, OwnSpread: 1.1, OwnMost: 53200, Out: 15, OutSpread: 1.4, Aim: 800 * time.Millisecond, Deadline: 8 * time.Second, Worth: 2, LateWorth: 0.6, Priority: 1},
+			{Name: "middle", PerSecond: 63, Shared: twoParts(587), Own: 2890, OwnSpread: 1, OwnMost: 39600, Out: 7, OutSpread: 1.4, Aim: 600 * time.Millisecond, Deadline: 4 * time.Second, Worth: 3, LateWorth: 0.9, Priority: 0},
+			{Name: "short", PerSecond: 131, Shared: shortParts(16, 1220), Own: 1110, OwnSpread: 1, OwnMost: 3790, Out: 22, OutSpread: 0.9, Aim: 500 * time.Millisecond, Deadline: 8 * time.Second, Worth: 1, LateWorth: 0.3, Priority: 2},
+		},
 	}
 }
 
@@ -101,17 +120,18 @@
 			Name: "large", Engine: large, Replicas: 18, Zones: 4, Nodes: 9, Slowness: []float64{1, 1, 1.3},
 			Classes: []Class{
 				{Name: "long", PerSecond: 18.9, Shared: shared13(94), Own: 3720, OwnSpread: 1.1, OwnMost: 53200, Out: 40, OutSpread: 1.4, Aim: time.Second, Deadline: 12 * time.Second, Worth: 3, LateWorth: 0.9, Priority: 0},
-				{Name: "middle", PerSecond: 15.3, Shared: twoParts(), Own: 2890, OwnSpread: 1, OwnMost: 39600, Out: 17, OutSpread: 1.4, Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Worth: 2, LateWorth: 0.6, Priority: 1},
-				{Name: "short", PerSecond: 20.5, Shared: shortParts(), Own: 1110, OwnSpread: 1, OwnMost: 3790, Out: 57, OutSpread: 0.9, Aim: 2 * time.Second, Deadline: 15 * time.Second, Worth: 1, LateWorth: 0.3, Priority: 2},
+				{Name: "middle", PerSecond: 15.3, Shared: twoParts(66), Own: 2890, OwnSpread: 1, OwnMost: 39600, Out: 17, OutSpread: 1.4, Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Worth: 2, LateWorth: 0.6, Priority: 1},
+				{Name: "short", PerSecond: 20.5, Shared: shortParts(40, 155), Own: 1110, OwnSpread: 1, OwnMost: 3790, Out: 57, OutSpread: 0.9, Aim: 2 * time.Second, Deadline: 15 * time.Second, Worth: 1, LateWorth: 0.3, Priority: 2},
 			},
 		},
 		{
 			Name: "small", Engine: harborEngine(), Replicas: 18, Zones: 3, Nodes: 8, Slowness: []float64{1, 1, 1.3},
 			Classes: []Class{
 				{Name: "long", PerSecond: 13.3, Shared: shared13(94), Own: 3720, OwnSpread: 1.1, OwnMost: 53200, Out: 24, OutSpread: 1.4, Aim: time.Second, Deadline: 10 * time.Second, Worth: 2, LateWorth: 0.6, Priority: 1},
-				{Name: "middle", PerSecond: 9.4, Shared: twoParts(), Own: 2890, OwnSpread: 1, OwnMost: 39600, Out: 10, OutSpread: 1.4, Aim: 800 * time.Millisecond, Deadline: 5 * time.Second, Worth: 3, LateWorth: 0.9, Priority: 0},
-				{Name: "short", PerSecond: 14.7, Shared: shortParts(), Own: 1110, OwnSpread: 1, OwnMost: 3790, Out: 34, OutSpread: 0.9, Aim: 600 * time.Millisecond, Deadline: 10 * time.Second, Worth: 1, LateWorth: 0.3, Priority: 2},
+				{Name: "middle", PerSecond: 9.4, Shared: twoParts(66), Own: 2890, OwnSpread: 1, OwnMost: 39600, Out: 10, OutSpread: 1.4, Aim: 800 * time.Millisecond, Deadline: 5 * time.Second, Worth: 3, LateWorth: 0.9, Priority: 0},
+				{Name: "short", PerSecond: 14.7, Shared: shortParts(40, 155), Own: 1110, OwnSpread: 1, OwnMost: 3790, Out: 34, OutSpread: 0.9, Aim: 600 * time.Millisecond, Deadline: 10 * time.Second, Worth: 1, LateWorth: 0.3, Priority: 2},
 			},
 		},
+		wideProfile(),
 	}
 }
--- a/internal/lab/enginebench/replica.go
+++ b/internal/lab/enginebench/replica.go
@@ -23,8 +23,10 @@
 	// source is where it pulls from first, and save whether it saves.
 	source *holder
 	save   bool
-	first  func(now time.Duration)
-	done   func(now time.Duration)
+	// believed are the leading tokens that the router took the replica to keep.
+	believed int
+	first    func(now time.Duration)
+	done     func(now time.Duration)
 	// firstTold and wasted tell of the first event, and of tokens read twice
 	// because of preemption.
 	firstTold bool
@@ -137,7 +139,7 @@
 		}
 		work += r.readSome(request, &budget, read, &pairs)
 	}
-	for len(r.waiting) > 0 && budget > 0 && len(r.active) < r.engine.Slots && r.admit(r.waiting[0]) {
+	for len(r.waiting) > 0 && budget > 0 && len(r.active) < r.engine.Slots && r.admit(now, r.waiting[0]) {
 		request := r.waiting[0]
 		r.waiting = r.waiting[1:]
 		r.active = append(r.active, request)
@@ -164,7 +166,7 @@
 }
 
 // admit makes room for a request and finds what is kept of its prompt.
-func (r *replica) admit(request *run) bool {
+func (r *replica) admit(now time.Duration, request *run) bool {
 	kept, whole := r.memory.leading(request.arrival.parts)
 	prompt := request.arrival.promptTokens()
 	kept = min(kept, prompt-1)
@@ -190,7 +192,7 @@
 	request.read += request.unread
 	request.running = true
 	r.sim.result.readTokens += request.unread
-	r.sim.countReread(request, kept)
+	r.sim.countReread(now, request, kept)
 	return true
 }
 
--- /dev/null
+++ b/internal/lab/enginebench/reread.go
@@ -0,0 +1,64 @@
+package enginebench
+
+import (
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
+)
+
+// rereadWithin is how long after its last use reading a shared part again counts.
+const rereadWithin = 10 * time.Second
+
+// Reread is why shared tokens were read although a replica had read them before.
+type Reread string
+
+// The reasons.
+const (
+	// RereadGone means that nobody kept the part any more.
+	RereadGone Reread = "gone"
+	// RereadBelieved means that the router took the chosen replica to keep it.
+	RereadBelieved Reread = "believed"
+	// RereadPulled means that it was to be pulled, and did not come or was gone
+	// again.
+	RereadPulled Reread = "pulled"
+	// RereadChosen means that another replica, or the store, kept it and that the
+	// router chose to have it read.
+	RereadChosen Reread = "chosen"
+)
+
+// Rereads returns the reasons in the order of the tables.
+func Rereads() []Reread { return []Reread{RereadGone, RereadBelieved, RereadPulled, RereadChosen} }
+
+// countReread counts the shared tokens that a request has to read although some
+// replica had read them before, by reason.
+func (s *simulation) countReread(now time.Duration, request *run, kept int) {
+	parts := request.arrival.parts
+	position := 0
+	for _, part := range parts[:len(parts)-1] {
+		position += int(part.Tokens)
+		used, known := s.lastUse[part.ID]
+		s.lastUse[part.ID] = now
+		if !known || now-used > rereadWithin || position <= kept {
+			continue
+		}
+		tokens := min(int(part.Tokens), position-kept)
+		s.result.rereadTokens += tokens
+		s.result.rereads[s.reasonOf(request, part, position)] += tokens
+	}
+}
+
+// reasonOf tells why a part that ends at a position of the prompt is read again.
+func (s *simulation) reasonOf(request *run, part prefixindex.Part, position int) Reread {
+	switch {
+	case request.believed >= position:
+		return RereadBelieved
+	case request.source != nil:
+		return RereadPulled
+	}
+	for _, holder := range s.holders {
+		if element, present := holder.memory.parts[part.ID]; present && element.Value.(*keptPart).kept >= int(part.Tokens) {
+			return RereadChosen
+		}
+	}
+	return RereadGone
+}
--- a/internal/lab/enginebench/result.go
+++ b/internal/lab/enginebench/result.go
@@ -22,6 +22,7 @@
 	movedTokens  int
 	readTokens   int
 	rereadTokens int
+	rereads      map[Reread]int
 	refused      int
 	preempted    int
 
@@ -34,8 +35,10 @@
 	CrossZone float64
 	// MovedTokens, ReadTokens and RereadTokens count tokens per request.
 	MovedTokens, ReadTokens, RereadTokens float64
-	Refused, Preempted                    int
-	TTFT50, TTFT95, TTFT99                time.Duration
+	// Rereads divides RereadTokens by reason.
+	Rereads                map[Reread]float64
+	Refused, Preempted     int
+	TTFT50, TTFT95, TTFT99 time.Duration
 }
 
 // ClassResult is the share of the worth of one kind that was earned.
@@ -129,6 +132,7 @@
 	r.MovedTokens = float64(r.movedTokens) / count
 	r.ReadTokens = float64(r.readTokens) / count
 	r.RereadTokens = float64(r.rereadTokens) / count
+	r.Rereads = lo.MapValues(r.rereads, func(tokens int, _ Reread) float64 { return float64(tokens) / count })
 	r.Refused, r.Preempted = r.refused, r.preempted
 	var times []time.Duration
 	for _, outcome := range r.outcomes {
--- a/internal/lab/enginebench/routernode.go
+++ b/internal/lab/enginebench/routernode.go
@@ -18,7 +18,7 @@
 }
 
 // nodeNames name the routers to each other.
-var nodeNames = lo.Times(100, func(number int) string { return fmt.Sprint("node-", number) })
+var nodeNames = lo.Times(2000, func(number int) string { return fmt.Sprint("node-", number) })
 
 // routerNode is the router of the nodes.
 type routerNode struct {
@@ -69,7 +69,7 @@
 	}
 	placed := placement{
 		replica: n.numbers[decision.Address], priority: arrival.class.Priority, save: decision.Save, reservation: decision.Reservation,
-		awaited: decision.Awaited,
+		awaited: decision.Awaited, believed: int(decision.OverlapTokens),
 	}
 	if decision.Pull != nil {
 		placed.source = n.holder(decision.Pull.Source)
--- a/internal/lab/enginebench/simulation.go
+++ b/internal/lab/enginebench/simulation.go
@@ -39,8 +39,8 @@
 	holders  []*holder
 	nodes    []node
 	result   *Result
-	// everRead are the shared parts that some replica has read.
-	everRead map[string]bool
+	// lastUse is when a shared part was used last.
+	lastUse map[string]time.Duration
 }
 
 // Run plays one run.
@@ -48,8 +48,8 @@
 	s := &simulation{
 		settings: settings,
 		random:   rand.New(rand.NewPCG(settings.Seed, 3)),
-		result:   &Result{},
-		everRead: map[string]bool{},
+		result:   &Result{rereads: map[Reread]int{}},
+		lastUse:  map[string]time.Duration{},
 	}
 	s.build()
 	arrivals := workload(&settings.Profile, settings.Load, settings.Duration, settings.Seed)
@@ -107,7 +107,7 @@
 	outcome := &outcome{arrival: arrival, crossZone: s.replicas[placed.replica].zone != s.zoneOf(arrival.node)}
 	s.result.outcomes = append(s.result.outcomes, outcome)
 	request := &run{
-		arrival: arrival, priority: placed.priority, source: placed.source, save: placed.save,
+		arrival: arrival, priority: placed.priority, source: placed.source, save: placed.save, believed: placed.believed,
 		first: func(at time.Duration) {
 			outcome.first = at - arrival.at
 			s.timers.Add(at, func(now time.Duration) { node.first(now, &placed) })
@@ -163,20 +163,3 @@
 	}
 	return from
 }
-
-// countReread counts the shared tokens that are read although some replica had
-// read them before.
-func (s *simulation) countReread(request *run, kept int) {
-	position := 0
-	parts := request.arrival.parts
-	for _, part := range parts[:len(parts)-1] {
-		position += int(part.Tokens)
-		if position <= kept {
-			continue
-		}
-		if s.everRead[part.ID] {
-			s.result.rereadTokens += min(int(part.Tokens), position-kept)
-		}
-		s.everRead[part.ID] = true
-	}
-}
--- a/internal/lab/enginebench/table.go
+++ b/internal/lab/enginebench/table.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Row is a line of the comparison: one way to route, under one load of one
@@ -103,6 +105,10 @@
 	r.TTFT99 += other.TTFT99 / time.Duration(seeds)
 	if r.ByClass == nil {
 		r.ByClass = map[string]ClassResult{}
+		r.Rereads = map[Reread]float64{}
+	}
+	for reason, tokens := range other.Rereads {
+		r.Rereads[reason] += part * tokens
 	}
 	for name, class := range other.ByClass {
 		sum := r.ByClass[name]
@@ -117,8 +123,8 @@
 // Table returns rows as a Markdown table.
 func Table(rows []Row) string {
 	var table strings.Builder
-	table.WriteString("| Fleet | Load | Policy | Credit | Worst kind | Long: in time / largest tenth | Middle | Short | TTFT p50 / p95 / p99, ms | Read | Read again | Moved | Other zone | Refused | Preempted |\n")
-	table.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	table.WriteString("| Fleet | Load | Policy | Credit | Worst kind | Long: in time / largest tenth | Middle | Short | TTFT p50 / p95 / p99, ms | Read | Read again | gone / believed / pulled / chosen | Moved | Other zone | Refused | Preempted |\n")
+	table.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, row := range rows {
 		result := &row.Result
 		fmt.Fprintf(&table, "| %s | %g | %s | %.3f | %.3f |", row.Fleet, row.Load, row.Name, result.Credit, result.Worst)
@@ -126,9 +132,10 @@
 			class := result.ByClass[name]
 			fmt.Fprintf(&table, " %.3f / %.3f |", class.InTime, class.LargestTenth)
 		}
-		fmt.Fprintf(&table, " %d / %d / %d | %.0f | %.0f | %.0f | %.2f | %d | %d |\n",
+		reasons := lo.Map(Rereads(), func(reason Reread, _ int) string { return fmt.Sprintf("%.0f", result.Rereads[reason]) })
+		fmt.Fprintf(&table, " %d / %d / %d | %.0f | %.0f | %s | %.0f | %.2f | %d | %d |\n",
 			result.TTFT50.Milliseconds(), result.TTFT95.Milliseconds(), result.TTFT99.Milliseconds(),
-			result.ReadTokens, result.RereadTokens, result.MovedTokens, result.CrossZone, result.Refused, result.Preempted)
+			result.ReadTokens, result.RereadTokens, strings.Join(reasons, " / "), result.MovedTokens, result.CrossZone, result.Refused, result.Preempted)
 	}
 	return table.String()
 }
