--- a/internal/control/commands_test.go
+++ b/internal/control/commands_test.go
@@ -318,6 +318,51 @@
 	})
 })
 
+var _ = Describe("replicas that a new leader is to move", func() {
+	It("stay in service until it may command them, and the wait does not count as theirs", func() {
+		pool := newModelPool(3, 3, 3, time.Second)
+		machine := pool.node.machine
+		hosted, service := machine.shards[1], machine.shards[1].state.(*serviceShard)
+		name := nameWeights("2")
+		pool.node.ticket++
+		pool.take(machine.Submit(pool.node.now, pool.node.ticket, name))
+		begun := pool.node.now
+		hosted.rollout = newRolloutState(2, begun)
+		for commanded := false; !commanded; pool.node.now += DefaultTickEvery {
+			// The machine itself would take the node for the leader of the first term.
+			machine.nextRollout = pool.node.now + time.Hour
+			pool.take(machine.Tick(pool.node.now))
+			machine.rollOutShard(hosted, service)
+			pool.take(machine.take())
+			serving := pool.node.phases()["serving"]
+			commanded = pool.commands > 0
+			if !machine.mayCommand(hosted) {
+				Expect(serving).To(Equal(3), "after %v", pool.node.now-begun)
+			}
+			Expect(pool.node.now-begun).To(BeNumerically("<", 10*time.Second))
+		}
+		wait := DefaultLeaseDuration + DefaultLeaseMargin + DefaultCommandGap
+		Expect(pool.node.now - begun).To(BeNumerically(">=", wait))
+		Expect(machine.commandsFrom(hosted)).To(Equal(begun + wait))
+	})
+})
+
+var _ = Describe("the pace of a roll-out", func() {
+	It("begins with a part of the pool until it is measured how long a replica is out", func() {
+		const replicas, length = 90, 7 * time.Second
+		paced := &pace{quick: true, length: length, measured: map[int]time.Duration{}}
+		Expect(paced.allowed(100*time.Millisecond, replicas, replicas)).To(Equal(replicas / shareUnmeasured))
+		paced.learn(replicas/shareUnmeasured, 900*time.Millisecond)
+		Expect(paced.allowed(time.Second, replicas, replicas)).To(BeNumerically("<", replicas/shareUnmeasured))
+	})
+
+	It("does not wait for the measurement for long", func() {
+		const replicas, length = 90, 7 * time.Second
+		paced := &pace{quick: true, length: length, measured: map[int]time.Duration{}}
+		Expect(paced.allowed(length/measuringShare, replicas, replicas)).To(BeNumerically(">", replicas/shareUnmeasured))
+	})
+})
+
 var _ = Describe("versions", func() {
 	DescribeTable("are compared as numbers where they are", func(running, named string, reached bool) {
 		Expect(versionReached(running, named)).To(Equal(reached))
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -199,8 +199,12 @@
 }
 
 // chooseNext returns the replicas to take out of service now: as many as the pace
-// allows, from the zones that miss the fewest, the least busy first.
+// allows, from the zones that miss the fewest, the least busy first. Replicas that
+// need not be drained stay in service until this leader may command them.
 func (m *Machine) chooseNext(rolling poolRollout, moved map[string]struct{}) []rolledReplica {
+	if m.config.ReplicasFinishFirst && !m.mayCommand(rolling.hosted) {
+		return nil
+	}
 	evacuated := evacuatedZones(m.held.configuration)
 	candidates := slices.DeleteFunc(slices.Clone(rolling.replicas), func(replica rolledReplica) bool {
 		_, done := moved[replica.Address]
--- a/internal/control/rolloutpace.go
+++ b/internal/control/rolloutpace.go
@@ -24,6 +24,12 @@
 	// leastAtOnce is how many replicas may be out at once in any case, if that is
 	// no more than a third.
 	leastAtOnce = 3
+	// shareUnmeasured of a pool, one in so many, is taken out at first, to measure how
+	// long that takes.
+	shareUnmeasured = 5
+	// measuringShare of its time, one in so many, is what a roll-out may take to
+	// measure.
+	measuringShare = 6
 	// shareAtOnce of a pool, one in so many, may be out at once as a rule, and
 	// shareInHaste when time presses.
 	shareAtOnce  = 3
@@ -126,6 +132,9 @@
 		return pool
 	}
 	usual := max(1, pool/shareAtOnce)
+	if p.quick && len(p.measured) == 0 && now < p.since+p.length/measuringShare {
+		return min(usual, max(leastAtOnce, pool/shareUnmeasured))
+	}
 	for level := min(leastAtOnce, usual); level <= usual; level++ {
 		if p.inTime(now, left, level) {
 			return level
