--- a/internal/control/rolloutpace.go
+++ b/internal/control/rolloutpace.go
@@ -24,12 +24,6 @@
 	// leastAtOnce is how many replicas may be out at once in any case, if that is
 	// no more than a third.
 	leastAtOnce = 3
-	// shareUnmeasured of a pool, one in so many, is taken out at first, to measure how
-	// long that takes.
-	shareUnmeasured = 5
-	// measuringShare of its time, one in so many, is what a roll-out may take to
-	// measure.
-	measuringShare = 6
 	// shareAtOnce of a pool, one in so many, may be out at once as a rule, and
 	// shareInHaste when time presses.
 	shareAtOnce  = 3
@@ -127,14 +121,15 @@
 // allowed is how many replicas of a pool may be out at once, when as much is left
 // to do as so many take. It is the fewest with which the roll-out ends in time, as
 // more at once load more slowly, and no more than a third as long as that is enough.
-func (p *pace) allowed(now time.Duration, left, pool int) int {
-	if p.late(now) {
+// All may be out when time is over and nodes have given up those that are left.
+func (p *pace) allowed(now time.Duration, left, pool int, givenUp bool) int {
+	switch {
+	case p.late(now) && givenUp:
 		return pool
+	case p.late(now):
+		return max(1, pool/shareInHaste)
 	}
 	usual := max(1, pool/shareAtOnce)
-	if p.quick && len(p.measured) == 0 && now < p.since+p.length/measuringShare {
-		return min(usual, max(leastAtOnce, pool/shareUnmeasured))
-	}
 	for level := min(leastAtOnce, usual); level <= usual; level++ {
 		if p.inTime(now, left, level) {
 			return level
--- a/internal/lab/sim/campaign_test.go
+++ b/internal/lab/sim/campaign_test.go
@@ -71,6 +71,31 @@
 		}
 	})
 
+	DescribeTable("notices what loses an acknowledged order when disks are lost as the power of all others fails",
+		func(mechanism Break, failOpen bool) {
+			summary := Campaign{
+				First: 1, Last: 200, Virtual: DefaultVirtual, Break: mechanism, FailOpen: failOpen,
+				Faults: []string{"disks-lost-in-power-cut"}, Jobs: testJobs, StopAfter: 1,
+			}.Run()
+			Expect(summary.Failures).NotTo(BeEmpty())
+			Expect(summary.Faults["disks-lost-with-power-off"]).To(BeNumerically(">", 0))
+		},
+		Entry("writes acknowledged before they are durable", BreakAckBeforeSync, false),
+		Entry("writes acknowledged before they are durable, nodes that find each other through seeds", BreakAckBeforeSync, true),
+		Entry("a lost disk that votes", BreakEmptyDiskVotes, false),
+	)
+
+	It("finds nothing when disks are lost as the power of all others fails, again and again", func() {
+		for _, failOpen := range []bool{false, true} {
+			summary := Campaign{
+				First: 7001, Last: 7020, Virtual: DefaultVirtual, FailOpen: failOpen,
+				Faults: []string{"disks-lost-in-power-cut"}, Jobs: testJobs,
+			}.Run()
+			Expect(summary.Failures).To(BeEmpty())
+			Expect(summary.Faults["disks-lost-with-power-off"]).To(BeNumerically(">", 20))
+		}
+	})
+
 	It("has a hunt for every mechanism", func() {
 		Expect(lo.Keys(hunts)).To(ConsistOf(Breaks()))
 		for _, hunt := range hunts {
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -26,6 +26,7 @@
 	{"disk-lost", 2, (*simulation).loseDisk},
 	{"disk-lost-twice", 3, (*simulation).loseDiskTwice},
 	{"disk-lost-after-ack", 3, (*simulation).loseDiskAfterAck},
+	{"disks-lost-in-power-cut", 3, (*simulation).loseDisksAsPowerFails},
 	{"majority-disk-loss", 3, (*simulation).loseMajority},
 	{"slow-disk", 3, (*simulation).slowDisk},
 	{"full-disk", 2, (*simulation).fullDisk},
