--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -221,21 +221,14 @@
 // window, and an earlier holder's last command is as old as two holders must be
 // apart.
 func (m *Machine) mayCommand(hosted *shard) bool {
-	if m.now < m.commandsFrom(hosted) {
+	times := m.config.Times
+	first := hosted.rollout.since + times.LeaseDuration + times.LeaseMargin + times.CommandGap
+	if hosted.rollout.term > 1 && m.now < first {
 		return false
 	}
 	return hosted.group.MayCommand(m.now) && hosted.group.MayCommand(m.now+commandWindow)
 }
 
-// commandsFrom is from when on no command of an earlier holder can be too near.
-func (m *Machine) commandsFrom(hosted *shard) time.Duration {
-	if hosted.rollout.term <= 1 {
-		return 0
-	}
-	times := m.config.Times
-	return hosted.rollout.since + times.LeaseDuration + times.LeaseMargin + times.CommandGap
-}
-
 // commandToken orders all commands that a replica ever gets: first by the term
 // of the leadership, then by the revision at which the ordered phase was entered.
 // So a replica also refuses a late command of the same leader for a version that
--- a/internal/control/commands_test.go
+++ b/internal/control/commands_test.go
@@ -289,27 +289,6 @@
 		Expect(pool.node.phases()).To(Equal(map[string]int{"serving": 4}))
 	})
 
-	It("takes cold replicas out first, and as many fewer of the others", func() {
-		const replicas, cold = 18, 5
-		pool := newModelPool(replicas, 3, 3, 1500*time.Millisecond)
-		for _, one := range pool.replicas[:cold] {
-			one.listed.ColdRemaining = time.Minute
-		}
-		pool.take(pool.list())
-		name(pool, "2")
-		for pool.commands == 0 {
-			pool.run(DefaultTickEvery)
-		}
-		pool.run(200 * time.Millisecond)
-		for number, one := range pool.replicas {
-			if number < cold {
-				Expect(one.commands).To(HaveLen(1), "cold replica %d", number)
-			}
-		}
-		Expect(pool.mostOut).To(BeNumerically("<=", replicas/shareAtOnce))
-		Expect(pool.everywhereAfter("2")).To(BeNumerically("<", 12*time.Second))
-	})
-
 	It("keeps the replicas of every zone from being out at once", func() {
 		pool := newModelPool(18, 9, 3, 1100*time.Millisecond)
 		name(pool, "2")
@@ -339,35 +318,6 @@
 	})
 })
 
-var _ = Describe("replicas that a new leader is to move", func() {
-	It("stay in service until it may command them, and the wait does not count as theirs", func() {
-		pool := newModelPool(3, 3, 3, time.Second)
-		machine := pool.node.machine
-		hosted, service := machine.shards[1], machine.shards[1].state.(*serviceShard)
-		name := nameWeights("2")
-		pool.node.ticket++
-		pool.take(machine.Submit(pool.node.now, pool.node.ticket, name))
-		begun := pool.node.now
-		hosted.rollout = newRolloutState(2, begun)
-		for commanded := false; !commanded; pool.node.now += DefaultTickEvery {
-			// The machine itself would take the node for the leader of the first term.
-			machine.nextRollout = pool.node.now + time.Hour
-			pool.take(machine.Tick(pool.node.now))
-			machine.rollOutShard(hosted, service)
-			pool.take(machine.take())
-			serving := pool.node.phases()["serving"]
-			commanded = pool.commands > 0
-			if !machine.mayCommand(hosted) {
-				Expect(serving).To(Equal(3), "after %v", pool.node.now-begun)
-			}
-			Expect(pool.node.now - begun).To(BeNumerically("<", 10*time.Second))
-		}
-		wait := DefaultLeaseDuration + DefaultLeaseMargin + DefaultCommandGap
-		Expect(pool.node.now - begun).To(BeNumerically(">=", wait))
-		Expect(machine.commandsFrom(hosted)).To(Equal(begun + wait))
-	})
-})
-
 var _ = Describe("versions", func() {
 	DescribeTable("are compared as numbers where they are", func(running, named string, reached bool) {
 		Expect(versionReached(running, named)).To(Equal(reached))
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -158,9 +158,6 @@
 // out tells whether a row keeps requests from the replica.
 func (r rolledReplica) out() bool { return movedByRollout(r.row, r.Replica) }
 
-// cold tells whether the list shows the replica cold.
-func (r rolledReplica) cold(now time.Duration) bool { return r.ColdUntil > now }
-
 func (r poolRollout) target() string { return r.pool.GetWeightVersion() }
 
 // rollOutPool gathers the changes of one pool's replicas.
@@ -202,13 +199,8 @@
 }
 
 // chooseNext returns the replicas to take out of service now: as many as the pace
-// allows, from the zones that miss the fewest, the least busy first. Replicas that
-// need not be drained stay in service until this leader may command them. The cold
-// ones come first, and count as out already.
+// allows, from the zones that miss the fewest, the least busy first.
 func (m *Machine) chooseNext(rolling poolRollout, moved map[string]struct{}) []rolledReplica {
-	if m.config.ReplicasFinishFirst && !m.mayCommand(rolling.hosted) {
-		return nil
-	}
 	evacuated := evacuatedZones(m.held.configuration)
 	candidates := slices.DeleteFunc(slices.Clone(rolling.replicas), func(replica rolledReplica) bool {
 		_, done := moved[replica.Address]
@@ -217,20 +209,15 @@
 	zones := m.countZones(rolling)
 	free := m.freeForRollout(rolling, len(candidates))
 	var chosen []rolledReplica
-	for len(candidates) > 0 {
+	for free > 0 && len(candidates) > 0 {
 		slices.SortStableFunc(candidates, func(a, b rolledReplica) int {
 			return cmp.Or(
-				compareCold(m.now, a, b),
 				compareEvacuated(evacuated, a.Zone, b.Zone),
 				cmp.Compare(zones[a.Zone].out, zones[b.Zone].out),
 				cmp.Compare(m.backends.reports[a.Address].ActiveRequests, m.backends.reports[b.Address].ActiveRequests),
 			)
 		})
 		next := candidates[0]
-		cold := next.cold(m.now)
-		if free <= 0 && !cold {
-			break
-		}
 		candidates = candidates[1:]
 		zone := zones[next.Zone]
 		if !evacuated.has(next.Zone) && zone.serving <= 1 && zone.serving+zone.out > 1 && !rolling.pace.late(m.now) {
@@ -238,9 +225,7 @@
 		}
 		zone.serving--
 		zone.out++
-		if !cold {
-			free--
-		}
+		free--
 		chosen = append(chosen, next)
 	}
 	return chosen
@@ -258,19 +243,6 @@
 	}
 }
 
-// compareCold orders replicas that are cold first: they keep nothing, and get few
-// requests.
-func compareCold(now time.Duration, a, b rolledReplica) int {
-	switch {
-	case a.cold(now) == b.cold(now):
-		return 0
-	case a.cold(now):
-		return -1
-	default:
-		return 1
-	}
-}
-
 // zoneCount is how many replicas of a pool serve in a zone, and how many are out.
 type zoneCount struct {
 	serving, out int
@@ -295,34 +267,17 @@
 }
 
 // freeForRollout is how many more replicas may be taken out of service. Those that
-// do not answer count for nothing: they serve nobody. Those that are cold serve next
-// to nobody: they count as out from the beginning.
+// do not answer count for nothing: they serve nobody.
 func (m *Machine) freeForRollout(rolling poolRollout, candidates int) int {
-	loading, cold := 0, 0
+	out := 0
 	for _, replica := range rolling.replicas {
-		switch {
-		case m.seemsDown(rolling, replica):
-		case replica.out():
-			loading++
-		case replica.cold(m.now):
-			cold++
-		}
-	}
-	// Those that are loading are half through on average.
-	left := candidates + (loading+1)/2
-	return rolling.pace.allowed(m.now, left, len(rolling.replicas), rolling.reachedEnough()) - loading - cold
-}
-
-// reachedEnough tells whether so many replicas serve with the named version that
-// nodes may do without the others.
-func (r poolRollout) reachedEnough() bool {
-	reached := 0
-	for _, replica := range r.replicas {
-		if !replica.out() && versionReached(runningVersion(replica.row, replica.Replica), r.target()) {
-			reached++
+		if replica.out() && !m.seemsDown(rolling, replica) {
+			out++
 		}
 	}
-	return enoughReached(reached, len(r.replicas))
+	// Those that are out are half through on average.
+	left := candidates + (out+1)/2
+	return rolling.pace.allowed(m.now, left, len(rolling.replicas)) - out
 }
 
 // seemsDown tells whether a replica has not answered for long enough that
--- a/internal/control/rolloutpace.go
+++ b/internal/control/rolloutpace.go
@@ -121,13 +121,9 @@
 // allowed is how many replicas of a pool may be out at once, when as much is left
 // to do as so many take. It is the fewest with which the roll-out ends in time, as
 // more at once load more slowly, and no more than a third as long as that is enough.
-// All may be out when time is over and nodes have given up those that are left.
-func (p *pace) allowed(now time.Duration, left, pool int, givenUp bool) int {
-	switch {
-	case p.late(now) && givenUp:
+func (p *pace) allowed(now time.Duration, left, pool int) int {
+	if p.late(now) {
 		return pool
-	case p.late(now):
-		return max(1, pool/shareInHaste)
 	}
 	usual := max(1, pool/shareAtOnce)
 	for level := min(leastAtOnce, usual); level <= usual; level++ {
--- a/internal/control/weightsdeadline.go
+++ b/internal/control/weightsdeadline.go
@@ -57,7 +57,7 @@
 			reached++
 		}
 	}
-	if !enoughReached(reached, len(pool.Replicas)) {
+	if reached*reachedShare < len(pool.Replicas) || reached == 0 {
 		return
 	}
 	for position := range pool.Replicas {
@@ -65,9 +65,3 @@
 		replica.Admitting = replica.Admitting && versionReached(replica.WeightVersion, version)
 	}
 }
-
-// enoughReached tells whether so many of a pool's replicas run the named version that
-// the others are not needed.
-func enoughReached(reached, pool int) bool {
-	return reached > 0 && reached*reachedShare >= pool
-}
