--- a/cmd/ridgeswitch-lab/hollow.go
+++ b/cmd/ridgeswitch-lab/hollow.go
@@ -35,10 +35,56 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the changes and of the index", Value: 1},
 			&cli.StringFlag{Name: "cpu-profile", Usage: "file for a processor profile, in which the label role tells core from front nodes"},
 		},
-		Action: runHollow,
+		Action:   runHollow,
+		Commands: []*cli.Command{hollowStartCommand()},
 	}
 }
 
+func hollowStartCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "start",
+		Usage: "start all nodes at once on the virtual clock, and print what that takes, one JSON object a size",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "sizes", Usage: "numbers of nodes", Value: []int{30, 100, 300}},
+			&cli.IntFlag{Name: "core", Usage: "how many of them hold control state", Value: 9},
+			&cli.IntFlag{Name: "zones", Usage: "number of zones", Value: 6},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the starts and of the network", Value: 1},
+			&cli.StringFlag{Name: "cpu-profile", Usage: "file for a processor profile"},
+		},
+		Action: runHollowStart,
+	}
+}
+
+// runHollowStart prints a line for each size.
+func runHollowStart(ctx context.Context, command *cli.Command) error {
+	endProfile, err := startProfile(command.String("cpu-profile"))
+	if err != nil {
+		return err
+	}
+	defer endProfile()
+	for _, nodes := range command.IntSlice("sizes") {
+		figures, err := hollow.MeasureStart(ctx, hollow.Settings{
+			Nodes:      nodes,
+			Core:       command.Int("core"),
+			Zones:      command.Int("zones"),
+			Replicas:   1,
+			Tenants:    1,
+			Duration:   time.Second,
+			Stretch:    1,
+			StartEvery: time.Millisecond,
+			Sockets:    hollow.SharedSockets,
+			Seed:       command.Uint64("seed"),
+		})
+		if err != nil {
+			return err
+		}
+		if err := json.NewEncoder(command.Root().Writer).Encode(figures); err != nil {
+			return errors.Wrap(err, "write the figures")
+		}
+	}
+	return nil
+}
+
 // runHollow prints the result as the last line.
 func runHollow(ctx context.Context, command *cli.Command) error {
 	endProfile, err := startProfile(command.String("cpu-profile"))
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -78,6 +78,9 @@
 	confirmRepeat = 8
 	// relayFanOut bounds the children of a node in the relay tree.
 	relayFanOut = 4
+	// smallTable is the number of members up to which a change of the table is passed on
+	// at each message.
+	smallTable = 64
 	// monitorCount is the number of monitors that a node chooses.
 	monitorCount = 3
 	// seededMaxVoters bounds the voters of a group that follows the membership:
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -53,7 +53,9 @@
 	// tableDigest, membersDigest and addresses follow the table of members.
 	tableDigest   uint64
 	membersDigest uint64
-	addresses     map[member.ID]string
+	// membersRefreshed is when the table was last looked at.
+	membersRefreshed time.Duration
+	addresses        map[member.ID]string
 	// diskNodes are the live nodes with disks, sorted.
 	diskNodes []member.ID
 }
@@ -141,6 +143,7 @@
 	m.now = now
 	m.sendMembership(m.members.Tick(now))
 	m.refreshMembers()
+	m.membersRefreshed = now
 	for _, id := range m.shardIDs {
 		if hosted := m.shards[id]; hosted != nil {
 			hosted.group.Tick(now)
@@ -167,7 +170,7 @@
 	switch {
 	case envelope.Membership != nil:
 		m.sendMembership(m.members.Step(now, *envelope.Membership))
-		m.refreshMembers()
+		m.refreshMembersSoon()
 	case envelope.Replication != nil:
 		m.receiveReplication(envelope)
 	case envelope.Relay != nil:
@@ -249,6 +252,16 @@
 	return m.take()
 }
 
+// refreshMembersSoon passes on who is alive at once, unless the table is large and that
+// was done a moment ago: while many nodes start, nearly every message changes the table.
+func (m *Machine) refreshMembersSoon() {
+	if m.members.Size() > smallTable && m.now-m.membersRefreshed < DefaultTickEvery {
+		return
+	}
+	m.refreshMembers()
+	m.membersRefreshed = m.now
+}
+
 // refreshMembers passes on who is alive when that has changed.
 func (m *Machine) refreshMembers() {
 	if m.members.Digest() == m.tableDigest {
@@ -294,5 +307,13 @@
 	return m.take()
 }
 
+// TableDigest summarises the table of members: nodes that hold the same records have
+// the same.
+func (m *Machine) TableDigest() uint64 { return m.members.Digest() }
+
+// Members returns the records of the table of members; read only, and until the next
+// input.
+func (m *Machine) Members() []membership.Record { return m.members.Records() }
+
 // Now returns the time of the last input.
 func (m *Machine) Now() time.Duration { return m.now }
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -66,7 +66,11 @@
 		},
 		Entry("probe", wire.Envelope{Membership: &membership.Message{Type: membership.MessageGossip}}, kindProbe),
 		Entry("news", wire.Envelope{Membership: &membership.Message{Type: membership.MessageGossip, Records: make([]membership.Record, 1)}}, kindNews),
-		Entry("whole table", wire.Envelope{Membership: &membership.Message{Type: membership.MessageGossip, Full: true}}, kindWholeTable),
+		Entry("digests by range", wire.Envelope{Membership: &membership.Message{Type: membership.MessageGossip, Buckets: make([]uint32, 64)}}, kindBuckets),
+		Entry("summary", wire.Envelope{Membership: &membership.Message{Type: membership.MessageGossip, Covered: 1}}, kindSummary),
+		Entry("records and wishes", wire.Envelope{Membership: &membership.Message{
+			Type: membership.MessageGossip, Records: make([]membership.Record, 1), Wanted: []uint32{7},
+		}}, kindMissing),
 		Entry("digest", wire.Envelope{Relay: &relaytree.Message{Type: relaytree.MessageDigest}}, kindRelayDigest),
 	)
 
--- a/internal/lab/hollow/kind.go
+++ b/internal/lab/hollow/kind.go
@@ -19,7 +19,9 @@
 	kindMemberHeartbeatReply
 	kindProbe
 	kindNews
-	kindWholeTable
+	kindBuckets
+	kindSummary
+	kindMissing
 	kindRelayUpdate
 	kindRelayDigest
 	kindRelayAcknowledge
@@ -44,7 +46,9 @@
 	kindMemberHeartbeatReply: "membership heartbeat reply",
 	kindProbe:                "membership probe",
 	kindNews:                 "membership news",
-	kindWholeTable:           "membership whole table",
+	kindBuckets:              "membership digests by range",
+	kindSummary:              "membership summary",
+	kindMissing:              "membership records and wishes",
 	kindRelayUpdate:          "relay update",
 	kindRelayDigest:          "relay digest",
 	kindRelayAcknowledge:     "relay acknowledge",
@@ -99,9 +103,13 @@
 
 func gossipKind(message *fb.Membership) kind {
 	switch {
-	case message.Full():
-		return kindWholeTable
-	case message.RecordsLength() == 0:
+	case message.BucketsLength() > 0:
+		return kindBuckets
+	case message.Covered() != 0:
+		return kindSummary
+	case message.WantedLength() > 0:
+		return kindMissing
+	case message.RowsLength() == 0:
 		return kindProbe
 	default:
 		return kindNews
--- a/internal/lab/hollow/settings.go
+++ b/internal/lab/hollow/settings.go
@@ -52,6 +52,9 @@
 	// Virtual runs all nodes on one goroutine and a virtual clock, so that a
 	// machine that is too slow or too busy does not disturb them.
 	Virtual bool
+	// Together starts all nodes at once, without a configured group: they find
+	// each other through seeds and fail open.
+	Together bool
 	// ChangeEvery is the time between two changes of the configuration; 0
 	// means none.
 	ChangeEvery time.Duration
--- a/internal/lab/hollow/topology.go
+++ b/internal/lab/hollow/topology.go
@@ -44,8 +44,12 @@
 // info describes a node to the others.
 func (t *topology) info(number int, life member.Incarnation) member.Info {
 	host := t.settings.hostOf(number)
+	id := member.ID(nodeName(number))
+	if t.settings.Together {
+		id = member.ID(t.addresses[number])
+	}
 	return member.Info{
-		ID:             member.ID(nodeName(number)),
+		ID:             id,
 		Address:        t.addresses[number],
 		TrafficAddress: host + ":7200",
 		ControlAddress: host + ":7300",
@@ -57,6 +61,9 @@
 
 // controlConfig is the configuration of a node's control machine.
 func (t *topology) controlConfig(number int, life member.Incarnation) control.Config {
+	if t.settings.Together {
+		return t.togetherConfig(number, life)
+	}
 	seeds := min(seedCount, t.settings.Core)
 	return control.Config{
 		Self:          t.info(number, life),
--- a/internal/lab/hollow/traffic.go
+++ b/internal/lab/hollow/traffic.go
@@ -23,7 +23,8 @@
 
 // meter counts the messages of one node by kind.
 type meter struct {
-	sent, received [kindCount]struct {
+	// across is the part of sent that goes to other zones.
+	sent, across, received [kindCount]struct {
 		messages, bytes atomic.Uint64
 	}
 }
@@ -33,6 +34,11 @@
 	m.sent[of].bytes.Add(uint64(lengthBytes + len(frame)))
 }
 
+func (m *meter) noteAcross(of kind, frame []byte) {
+	m.across[of].messages.Add(1)
+	m.across[of].bytes.Add(uint64(lengthBytes + len(frame)))
+}
+
 func (m *meter) noteReceived(of kind, frame []byte) {
 	m.received[of].messages.Add(1)
 	m.received[of].bytes.Add(uint64(lengthBytes + len(frame)))
@@ -40,13 +46,14 @@
 
 // reading is what one node's meter showed at an instant.
 type reading struct {
-	sent, received [kindCount]count
+	sent, across, received [kindCount]count
 }
 
 func (m *meter) read() reading {
 	var now reading
 	for of := range kindCount {
 		now.sent[of] = count{messages: m.sent[of].messages.Load(), bytes: m.sent[of].bytes.Load()}
+		now.across[of] = count{messages: m.across[of].messages.Load(), bytes: m.across[of].bytes.Load()}
 		now.received[of] = count{messages: m.received[of].messages.Load(), bytes: m.received[of].bytes.Load()}
 	}
 	return now
@@ -55,6 +62,7 @@
 func (r reading) plus(other reading) reading {
 	for of := range kindCount {
 		r.sent[of] = r.sent[of].plus(other.sent[of])
+		r.across[of] = r.across[of].plus(other.across[of])
 		r.received[of] = r.received[of].plus(other.received[of])
 	}
 	return r
@@ -63,6 +71,7 @@
 func (r reading) minus(earlier reading) reading {
 	for of := range kindCount {
 		r.sent[of] = r.sent[of].minus(earlier.sent[of])
+		r.across[of] = r.across[of].minus(earlier.across[of])
 		r.received[of] = r.received[of].minus(earlier.received[of])
 	}
 	return r
--- a/internal/lab/hollow/virtualnode.go
+++ b/internal/lab/hollow/virtualnode.go
@@ -159,6 +159,9 @@
 	send.Envelope.Deployment = deployment
 	frame := wire.Encode(send.Envelope)
 	n.meter.noteSent(kindOf(frame), frame)
+	if n.fleet.settings.zoneOf(n.number) != n.fleet.settings.zoneOf(target) {
+		n.meter.noteAcross(kindOf(frame), frame)
+	}
 	n.fleet.carry(now, target, frame)
 }
 
--- a/internal/wire/fb/Membership.go
+++ b/internal/wire/fb/Membership.go
@@ -7,17 +7,22 @@
 )
 
 type MembershipT struct {
-	Type              byte       `json:"type"`
-	Sequence          uint64     `json:"sequence"`
-	Incarnation       uint64     `json:"incarnation"`
-	From              *InfoT     `json:"from"`
-	MonitorSetVersion uint64     `json:"monitor_set_version"`
-	Monitors          []string   `json:"monitors"`
-	Digest            uint64     `json:"digest"`
-	Full              bool       `json:"full"`
-	Records           []*RecordT `json:"records"`
-	Boot              uint64     `json:"boot"`
-	SilencedVersion   uint64     `json:"silenced_version"`
+	Type              byte             `json:"type"`
+	Sequence          uint64           `json:"sequence"`
+	Incarnation       uint64           `json:"incarnation"`
+	From              *InfoT           `json:"from"`
+	MonitorSetVersion uint64           `json:"monitor_set_version"`
+	Digest            uint64           `json:"digest"`
+	Boot              uint64           `json:"boot"`
+	SilencedVersion   uint64           `json:"silenced_version"`
+	Texts             []string         `json:"texts"`
+	Rows              []*MemberRowT    `json:"rows"`
+	Buckets           []uint32         `json:"buckets"`
+	Covered           uint64           `json:"covered"`
+	Summary           []*MemberDigestT `json:"summary"`
+	Wanted            []uint32         `json:"wanted"`
+	Held              bool             `json:"held"`
+	Settled           bool             `json:"settled"`
 }
 
 func (t *MembershipT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -25,31 +30,58 @@
 		return 0
 	}
 	fromOffset := t.From.Pack(builder)
-	monitorsOffset := flatbuffers.UOffsetT(0)
-	if t.Monitors != nil {
-		monitorsLength := len(t.Monitors)
-		monitorsOffsets := make([]flatbuffers.UOffsetT, monitorsLength)
-		for j := 0; j < monitorsLength; j++ {
-			monitorsOffsets[j] = builder.CreateString(t.Monitors[j])
+	textsOffset := flatbuffers.UOffsetT(0)
+	if t.Texts != nil {
+		textsLength := len(t.Texts)
+		textsOffsets := make([]flatbuffers.UOffsetT, textsLength)
+		for j := 0; j < textsLength; j++ {
+			textsOffsets[j] = builder.CreateString(t.Texts[j])
 		}
-		MembershipStartMonitorsVector(builder, monitorsLength)
-		for j := monitorsLength - 1; j >= 0; j-- {
-			builder.PrependUOffsetT(monitorsOffsets[j])
+		MembershipStartTextsVector(builder, textsLength)
+		for j := textsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(textsOffsets[j])
 		}
-		monitorsOffset = builder.EndVector(monitorsLength)
-	}
-	recordsOffset := flatbuffers.UOffsetT(0)
-	if t.Records != nil {
-		recordsLength := len(t.Records)
-		recordsOffsets := make([]flatbuffers.UOffsetT, recordsLength)
-		for j := 0; j < recordsLength; j++ {
-			recordsOffsets[j] = t.Records[j].Pack(builder)
+		textsOffset = builder.EndVector(textsLength)
+	}
+	rowsOffset := flatbuffers.UOffsetT(0)
+	if t.Rows != nil {
+		rowsLength := len(t.Rows)
+		rowsOffsets := make([]flatbuffers.UOffsetT, rowsLength)
+		for j := 0; j < rowsLength; j++ {
+			rowsOffsets[j] = t.Rows[j].Pack(builder)
+		}
+		MembershipStartRowsVector(builder, rowsLength)
+		for j := rowsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(rowsOffsets[j])
 		}
-		MembershipStartRecordsVector(builder, recordsLength)
-		for j := recordsLength - 1; j >= 0; j-- {
-			builder.PrependUOffsetT(recordsOffsets[j])
+		rowsOffset = builder.EndVector(rowsLength)
+	}
+	bucketsOffset := flatbuffers.UOffsetT(0)
+	if t.Buckets != nil {
+		bucketsLength := len(t.Buckets)
+		MembershipStartBucketsVector(builder, bucketsLength)
+		for j := bucketsLength - 1; j >= 0; j-- {
+			builder.PrependUint32(t.Buckets[j])
+		}
+		bucketsOffset = builder.EndVector(bucketsLength)
+	}
+	summaryOffset := flatbuffers.UOffsetT(0)
+	if t.Summary != nil {
+		summaryLength := len(t.Summary)
+		MembershipStartSummaryVector(builder, summaryLength)
+		for j := summaryLength - 1; j >= 0; j-- {
+			t.Summary[j].Pack(builder)
 		}
-		recordsOffset = builder.EndVector(recordsLength)
+		summaryOffset = builder.EndVector(summaryLength)
+	}
+	wantedOffset := flatbuffers.UOffsetT(0)
+	if t.Wanted != nil {
+		wantedLength := len(t.Wanted)
+		MembershipStartWantedVector(builder, wantedLength)
+		for j := wantedLength - 1; j >= 0; j-- {
+			builder.PrependUint32(t.Wanted[j])
+		}
+		wantedOffset = builder.EndVector(wantedLength)
 	}
 	MembershipStart(builder)
 	MembershipAddType(builder, t.Type)
@@ -57,12 +89,17 @@
 	MembershipAddIncarnation(builder, t.Incarnation)
 	MembershipAddFrom(builder, fromOffset)
 	MembershipAddMonitorSetVersion(builder, t.MonitorSetVersion)
-	MembershipAddMonitors(builder, monitorsOffset)
 	MembershipAddDigest(builder, t.Digest)
-	MembershipAddFull(builder, t.Full)
-	MembershipAddRecords(builder, recordsOffset)
 	MembershipAddBoot(builder, t.Boot)
 	MembershipAddSilencedVersion(builder, t.SilencedVersion)
+	MembershipAddTexts(builder, textsOffset)
+	MembershipAddRows(builder, rowsOffset)
+	MembershipAddBuckets(builder, bucketsOffset)
+	MembershipAddCovered(builder, t.Covered)
+	MembershipAddSummary(builder, summaryOffset)
+	MembershipAddWanted(builder, wantedOffset)
+	MembershipAddHeld(builder, t.Held)
+	MembershipAddSettled(builder, t.Settled)
 	return MembershipEnd(builder)
 }
 
@@ -72,22 +109,41 @@
 	t.Incarnation = rcv.Incarnation()
 	t.From = rcv.From(nil).UnPack()
 	t.MonitorSetVersion = rcv.MonitorSetVersion()
-	monitorsLength := rcv.MonitorsLength()
-	t.Monitors = make([]string, monitorsLength)
-	for j := 0; j < monitorsLength; j++ {
-		t.Monitors[j] = string(rcv.Monitors(j))
-	}
 	t.Digest = rcv.Digest()
-	t.Full = rcv.Full()
-	recordsLength := rcv.RecordsLength()
-	t.Records = make([]*RecordT, recordsLength)
-	for j := 0; j < recordsLength; j++ {
-		x := Record{}
-		rcv.Records(&x, j)
-		t.Records[j] = x.UnPack()
-	}
 	t.Boot = rcv.Boot()
 	t.SilencedVersion = rcv.SilencedVersion()
+	textsLength := rcv.TextsLength()
+	t.Texts = make([]string, textsLength)
+	for j := 0; j < textsLength; j++ {
+		t.Texts[j] = string(rcv.Texts(j))
+	}
+	rowsLength := rcv.RowsLength()
+	t.Rows = make([]*MemberRowT, rowsLength)
+	for j := 0; j < rowsLength; j++ {
+		x := MemberRow{}
+		rcv.Rows(&x, j)
+		t.Rows[j] = x.UnPack()
+	}
+	bucketsLength := rcv.BucketsLength()
+	t.Buckets = make([]uint32, bucketsLength)
+	for j := 0; j < bucketsLength; j++ {
+		t.Buckets[j] = rcv.Buckets(j)
+	}
+	t.Covered = rcv.Covered()
+	summaryLength := rcv.SummaryLength()
+	t.Summary = make([]*MemberDigestT, summaryLength)
+	for j := 0; j < summaryLength; j++ {
+		x := MemberDigest{}
+		rcv.Summary(&x, j)
+		t.Summary[j] = x.UnPack()
+	}
+	wantedLength := rcv.WantedLength()
+	t.Wanted = make([]uint32, wantedLength)
+	for j := 0; j < wantedLength; j++ {
+		t.Wanted[j] = rcv.Wanted(j)
+	}
+	t.Held = rcv.Held()
+	t.Settled = rcv.Settled()
 }
 
 func (rcv *Membership) UnPack() *MembershipT {
@@ -187,49 +243,61 @@
 	return rcv._tab.MutateUint64Slot(12, n)
 }
 
-func (rcv *Membership) Monitors(j int) []byte {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+func (rcv *Membership) Digest() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
 	if o != 0 {
-		a := rcv._tab.Vector(o)
-		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
-	return nil
+	return 0
 }
 
-func (rcv *Membership) MonitorsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+func (rcv *Membership) MutateDigest(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(16, n)
+}
+
+func (rcv *Membership) Boot() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
 	if o != 0 {
-		return rcv._tab.VectorLen(o)
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
 	return 0
 }
 
-func (rcv *Membership) Digest() uint64 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+func (rcv *Membership) MutateBoot(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(22, n)
+}
+
+func (rcv *Membership) SilencedVersion() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
 	return 0
 }
 
-func (rcv *Membership) MutateDigest(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(16, n)
+func (rcv *Membership) MutateSilencedVersion(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(24, n)
 }
 
-func (rcv *Membership) Full() bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+func (rcv *Membership) Texts(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
 	if o != 0 {
-		return rcv._tab.GetBool(o + rcv._tab.Pos)
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
 	}
-	return false
+	return nil
 }
 
-func (rcv *Membership) MutateFull(n bool) bool {
-	return rcv._tab.MutateBoolSlot(18, n)
+func (rcv *Membership) TextsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
 }
 
-func (rcv *Membership) Records(obj *Record, j int) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+func (rcv *Membership) Rows(obj *MemberRow, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
 	if o != 0 {
 		x := rcv._tab.Vector(o)
 		x += flatbuffers.UOffsetT(j) * 4
@@ -240,40 +308,123 @@
 	return false
 }
 
-func (rcv *Membership) RecordsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+func (rcv *Membership) RowsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
 	}
 	return 0
 }
 
-func (rcv *Membership) Boot() uint64 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+func (rcv *Membership) Buckets(j int) uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
 	if o != 0 {
-		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetUint32(a + flatbuffers.UOffsetT(j*4))
 	}
 	return 0
 }
 
-func (rcv *Membership) MutateBoot(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(22, n)
+func (rcv *Membership) BucketsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
 }
 
-func (rcv *Membership) SilencedVersion() uint64 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+func (rcv *Membership) MutateBuckets(j int, n uint32) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateUint32(a+flatbuffers.UOffsetT(j*4), n)
+	}
+	return false
+}
+
+func (rcv *Membership) Covered() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
 	return 0
 }
 
-func (rcv *Membership) MutateSilencedVersion(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(24, n)
+func (rcv *Membership) MutateCovered(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(32, n)
+}
+
+func (rcv *Membership) Summary(obj *MemberDigest, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 8
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Membership) SummaryLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Membership) Wanted(j int) uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetUint32(a + flatbuffers.UOffsetT(j*4))
+	}
+	return 0
+}
+
+func (rcv *Membership) WantedLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Membership) MutateWanted(j int, n uint32) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateUint32(a+flatbuffers.UOffsetT(j*4), n)
+	}
+	return false
+}
+
+func (rcv *Membership) Held() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Membership) MutateHeld(n bool) bool {
+	return rcv._tab.MutateBoolSlot(38, n)
+}
+
+func (rcv *Membership) Settled() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(40))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Membership) MutateSettled(n bool) bool {
+	return rcv._tab.MutateBoolSlot(40, n)
 }
 
 func MembershipStart(builder *flatbuffers.Builder) {
-	builder.StartObject(11)
+	builder.StartObject(19)
 }
 func MembershipAddType(builder *flatbuffers.Builder, type_ byte) {
 	builder.PrependByteSlot(0, type_, 0)
@@ -290,29 +441,53 @@
 func MembershipAddMonitorSetVersion(builder *flatbuffers.Builder, monitorSetVersion uint64) {
 	builder.PrependUint64Slot(4, monitorSetVersion, 0)
 }
-func MembershipAddMonitors(builder *flatbuffers.Builder, monitors flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(monitors), 0)
+func MembershipAddDigest(builder *flatbuffers.Builder, digest uint64) {
+	builder.PrependUint64Slot(6, digest, 0)
+}
+func MembershipAddBoot(builder *flatbuffers.Builder, boot uint64) {
+	builder.PrependUint64Slot(9, boot, 0)
 }
-func MembershipStartMonitorsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+func MembershipAddSilencedVersion(builder *flatbuffers.Builder, silencedVersion uint64) {
+	builder.PrependUint64Slot(10, silencedVersion, 0)
+}
+func MembershipAddTexts(builder *flatbuffers.Builder, texts flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(texts), 0)
+}
+func MembershipStartTextsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
-func MembershipAddDigest(builder *flatbuffers.Builder, digest uint64) {
-	builder.PrependUint64Slot(6, digest, 0)
+func MembershipAddRows(builder *flatbuffers.Builder, rows flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(12, flatbuffers.UOffsetT(rows), 0)
 }
-func MembershipAddFull(builder *flatbuffers.Builder, full bool) {
-	builder.PrependBoolSlot(7, full, false)
+func MembershipStartRowsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
 }
-func MembershipAddRecords(builder *flatbuffers.Builder, records flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(8, flatbuffers.UOffsetT(records), 0)
+func MembershipAddBuckets(builder *flatbuffers.Builder, buckets flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(13, flatbuffers.UOffsetT(buckets), 0)
 }
-func MembershipStartRecordsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+func MembershipStartBucketsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
-func MembershipAddBoot(builder *flatbuffers.Builder, boot uint64) {
-	builder.PrependUint64Slot(9, boot, 0)
+func MembershipAddCovered(builder *flatbuffers.Builder, covered uint64) {
+	builder.PrependUint64Slot(14, covered, 0)
 }
-func MembershipAddSilencedVersion(builder *flatbuffers.Builder, silencedVersion uint64) {
-	builder.PrependUint64Slot(10, silencedVersion, 0)
+func MembershipAddSummary(builder *flatbuffers.Builder, summary flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(15, flatbuffers.UOffsetT(summary), 0)
+}
+func MembershipStartSummaryVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(8, numElems, 4)
+}
+func MembershipAddWanted(builder *flatbuffers.Builder, wanted flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(16, flatbuffers.UOffsetT(wanted), 0)
+}
+func MembershipStartWantedVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MembershipAddHeld(builder *flatbuffers.Builder, held bool) {
+	builder.PrependBoolSlot(17, held, false)
+}
+func MembershipAddSettled(builder *flatbuffers.Builder, settled bool) {
+	builder.PrependBoolSlot(18, settled, false)
 }
 func MembershipEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- /dev/null
+++ b/internal/wire/memberrows.go
@@ -0,0 +1,234 @@
+package wire
+
+import (
+	"math"
+	"net"
+	"strconv"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+)
+
+// Records of members travel as rows that share their texts: a whole table names each
+// member in a few rows, and most addresses of a member differ in the port alone.
+
+// mostTexts is how many texts the rows of one message may name: their indexes are
+// uint16, and 0 stands for no text. Rows beyond it are left out; the table of members
+// is repaired by digests.
+const mostTexts = math.MaxUint16
+
+// rowPacker packs the rows of one message.
+type rowPacker struct {
+	table *textTable
+}
+
+// packRows returns the rows of records and their texts.
+func packRows(records []membership.Record) ([]*fb.MemberRowT, []string) {
+	if len(records) == 0 {
+		return nil, nil
+	}
+	packer := rowPacker{table: newTextTable()}
+	rows := make([]*fb.MemberRowT, 0, len(records))
+	for _, record := range records {
+		if len(packer.table.texts)+textsOf(record) > mostTexts {
+			break
+		}
+		rows = append(rows, packer.row(record))
+	}
+	return rows, packer.table.texts
+}
+
+// textsOf is the largest number of texts that a record adds.
+func textsOf(record membership.Record) int {
+	return infoStrings + len(record.Monitors) + len(record.Silences)
+}
+
+// text returns the index of a text, 0 for none.
+func (p rowPacker) text(text string) uint16 {
+	if text == "" {
+		return 0
+	}
+	return uint16(p.table.index(text)) + 1
+}
+
+func (p rowPacker) row(record membership.Record) *fb.MemberRowT {
+	info := record.Info
+	row := &fb.MemberRowT{
+		Incarnation:       uint64(info.Incarnation),
+		Version:           record.Version,
+		MonitorSetVersion: record.MonitorSetVersion,
+		Id:                p.text(string(info.ID)),
+		Address:           p.text(info.Address),
+		Zone:              p.text(info.Zone),
+		State:             byte(record.State),
+		HoldsState:        info.HoldsState,
+	}
+	row.TrafficPort, row.TrafficAddress = p.port(info.TrafficAddress, info.Address)
+	row.ControlPort, row.ControlAddress = p.port(info.ControlAddress, info.Address)
+	for _, monitor := range record.Monitors {
+		row.Monitors = append(row.Monitors, p.text(string(monitor)))
+	}
+	row.Boots, row.FarBoots = packBoots(record.MonitorBoots, info.Incarnation)
+	for _, silence := range record.Silences {
+		row.Silences = append(row.Silences, &fb.SilenceRowT{
+			Monitor:           p.text(string(silence.Monitor)),
+			Incarnation:       uint64(silence.Incarnation),
+			MonitorSetVersion: silence.MonitorSetVersion,
+			MonitorBoot:       uint64(silence.MonitorBoot),
+		})
+	}
+	return row
+}
+
+// port returns the port of an address whose host is that of base, or else the index
+// of the whole address.
+func (p rowPacker) port(address, base string) (port, whole uint16) {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0, p.text(address)
+	}
+	number, err := strconv.ParseUint(text, 10, 16)
+	baseHost, _, baseErr := net.SplitHostPort(base)
+	// Only a port that is spelt the usual way is found again.
+	same := err == nil && baseErr == nil && number > 0 && host == baseHost
+	if !same || joinPort(base, uint16(number)) != address {
+		return 0, p.text(address)
+	}
+	return uint16(number), 0
+}
+
+// joinPort is an address on the host of base.
+func joinPort(base string, port uint16) string {
+	host, _, err := net.SplitHostPort(base)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.FormatUint(uint64(port), 10))
+}
+
+// packBoots returns processes as differences from an incarnation, or as they are if
+// one of these is too large.
+func packBoots(boots []member.Incarnation, from member.Incarnation) (near []int32, far []uint64) {
+	for _, boot := range boots {
+		difference := int64(boot - from)
+		if difference < math.MinInt32 || difference > math.MaxInt32 {
+			return nil, packIncarnations(boots)
+		}
+		near = append(near, int32(difference))
+	}
+	return near, nil
+}
+
+// rowReader reads the rows of one message.
+type rowReader struct {
+	*reader
+	texts []string
+}
+
+func (r *reader) records(table *fb.Membership) []membership.Record {
+	texts := r.texts(table.TextsLength(), table.Texts)
+	length := r.elements(table.RowsLength(), leastTableBytes)
+	if length == 0 {
+		return nil
+	}
+	rows := rowReader{reader: r, texts: texts}
+	records := make([]membership.Record, length)
+	var stored fb.MemberRow
+	for i := range records {
+		table.Rows(&stored, i)
+		records[i] = rows.record(&stored)
+	}
+	return records
+}
+
+// shared returns a text by its index. Rows share its memory.
+func (r rowReader) shared(index uint16) string {
+	if index == 0 {
+		return ""
+	}
+	if int(index) > len(r.texts) {
+		r.exhausted = true
+		return ""
+	}
+	return r.texts[index-1]
+}
+
+func (r rowReader) record(row *fb.MemberRow) membership.Record {
+	address := r.shared(row.Address())
+	return membership.Record{
+		Info: member.Info{
+			ID:             member.ID(r.shared(row.Id())),
+			Address:        address,
+			TrafficAddress: r.address(row.TrafficPort(), row.TrafficAddress(), address),
+			ControlAddress: r.address(row.ControlPort(), row.ControlAddress(), address),
+			Zone:           r.shared(row.Zone()),
+			HoldsState:     row.HoldsState(),
+			Incarnation:    member.Incarnation(row.Incarnation()),
+		},
+		State:             membership.State(row.State()),
+		MonitorSetVersion: row.MonitorSetVersion(),
+		Monitors:          r.monitors(row),
+		MonitorBoots:      r.boots(row),
+		Silences:          r.silences(row),
+		Version:           row.Version(),
+	}
+}
+
+// address is the other direction of rowPacker.port. A joined address is a copy of its
+// own, unlike other texts.
+func (r rowReader) address(port, whole uint16, base string) string {
+	if port == 0 {
+		return r.shared(whole)
+	}
+	if !r.take(len(base)) {
+		return ""
+	}
+	return joinPort(base, port)
+}
+
+func (r rowReader) monitors(row *fb.MemberRow) []member.ID {
+	length := r.elements(row.MonitorsLength(), textIndexBytes)
+	if length == 0 {
+		return nil
+	}
+	monitors := make([]member.ID, length)
+	for i := range monitors {
+		monitors[i] = member.ID(r.shared(row.Monitors(i)))
+	}
+	return monitors
+}
+
+func (r rowReader) boots(row *fb.MemberRow) []member.Incarnation {
+	if row.FarBootsLength() > 0 {
+		return r.incarnations(row.FarBootsLength(), row.FarBoots)
+	}
+	length := r.elements(row.BootsLength(), bootBytes)
+	if length == 0 {
+		return nil
+	}
+	boots := make([]member.Incarnation, length)
+	for i := range boots {
+		boots[i] = member.Incarnation(row.Incarnation() + uint64(int64(row.Boots(i))))
+	}
+	return boots
+}
+
+func (r rowReader) silences(row *fb.MemberRow) []membership.Silence {
+	length := r.elements(row.SilencesLength(), leastTableBytes)
+	if length == 0 {
+		return nil
+	}
+	silences := make([]membership.Silence, length)
+	var stored fb.SilenceRow
+	for i := range silences {
+		row.Silences(&stored, i)
+		silences[i] = membership.Silence{
+			Monitor:           member.ID(r.shared(stored.Monitor())),
+			Incarnation:       member.Incarnation(stored.Incarnation()),
+			MonitorSetVersion: stored.MonitorSetVersion(),
+			MonitorBoot:       member.Incarnation(stored.MonitorBoot()),
+		}
+	}
+	return silences
+}
--- a/internal/wire/membership.go
+++ b/internal/wire/membership.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	flatbuffers "github.com/google/flatbuffers/go"
+
 	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
@@ -16,21 +18,38 @@
 	if message.From != (member.Info{ID: sender}) {
 		from = packInfo(message.From)
 	}
+	rows, texts := packRows(message.Records)
 	return &fb.MembershipT{
 		Type:              byte(message.Type),
 		Sequence:          message.Sequence,
 		Incarnation:       uint64(message.Incarnation),
 		From:              from,
 		MonitorSetVersion: message.MonitorSetVersion,
-		Monitors:          packMemberIDs(message.Monitors),
 		Digest:            message.Digest,
-		Full:              message.Full,
-		Records:           packRecords(message.Records),
 		Boot:              uint64(message.Boot),
 		SilencedVersion:   message.SilencedVersion,
+		Texts:             texts,
+		Rows:              rows,
+		Buckets:           message.Buckets,
+		Covered:           message.Covered,
+		Summary:           packSummary(message.Summary),
+		Wanted:            message.Wanted,
+		Held:              message.Held,
+		Settled:           message.Settled,
 	}
 }
 
+func packSummary(summary []membership.RecordDigest) []*fb.MemberDigestT {
+	if len(summary) == 0 {
+		return nil
+	}
+	packed := make([]*fb.MemberDigestT, len(summary))
+	for i, one := range summary {
+		packed[i] = &fb.MemberDigestT{Member: one.Member, Digest: one.Digest}
+	}
+	return packed
+}
+
 func packInfo(info member.Info) *fb.InfoT {
 	return &fb.InfoT{
 		Id:             string(info.ID),
@@ -43,41 +62,6 @@
 	}
 }
 
-func packRecords(records []membership.Record) []*fb.RecordT {
-	if len(records) == 0 {
-		return nil
-	}
-	packed := make([]*fb.RecordT, len(records))
-	for i, record := range records {
-		packed[i] = &fb.RecordT{
-			Info:              packInfo(record.Info),
-			State:             byte(record.State),
-			MonitorSetVersion: record.MonitorSetVersion,
-			Monitors:          packMemberIDs(record.Monitors),
-			Silences:          packSilences(record.Silences),
-			Version:           record.Version,
-			MonitorBoots:      packIncarnations(record.MonitorBoots),
-		}
-	}
-	return packed
-}
-
-func packSilences(silences []membership.Silence) []*fb.SilenceT {
-	if len(silences) == 0 {
-		return nil
-	}
-	packed := make([]*fb.SilenceT, len(silences))
-	for i, silence := range silences {
-		packed[i] = &fb.SilenceT{
-			Monitor:           string(silence.Monitor),
-			Incarnation:       uint64(silence.Incarnation),
-			MonitorSetVersion: silence.MonitorSetVersion,
-			MonitorBoot:       uint64(silence.MonitorBoot),
-		}
-	}
-	return packed
-}
-
 func (r *reader) membership(table *fb.Membership, sender member.ID) *membership.Message {
 	if table == nil {
 		return nil
@@ -92,15 +76,46 @@
 		Incarnation:       member.Incarnation(table.Incarnation()),
 		From:              from,
 		MonitorSetVersion: table.MonitorSetVersion(),
-		Monitors:          r.memberIDs(table.MonitorsLength(), table.Monitors),
 		Digest:            table.Digest(),
-		Full:              table.Full(),
 		Records:           r.records(table),
 		Boot:              member.Incarnation(table.Boot()),
 		SilencedVersion:   table.SilencedVersion(),
+		Buckets:           r.numbers(table.BucketsLength(), table.Buckets),
+		Covered:           table.Covered(),
+		Summary:           r.summary(table),
+		Wanted:            r.numbers(table.WantedLength(), table.Wanted),
+		Held:              table.Held(),
+		Settled:           table.Settled(),
 	}
 }
 
+func (r *reader) summary(table *fb.Membership) []membership.RecordDigest {
+	length := r.elements(table.SummaryLength(), memberDigestBytes)
+	if length == 0 {
+		return nil
+	}
+	summary := make([]membership.RecordDigest, length)
+	var stored fb.MemberDigest
+	for i := range summary {
+		table.Summary(&stored, i)
+		summary[i] = membership.RecordDigest{Member: stored.Member(), Digest: stored.Digest()}
+	}
+	return summary
+}
+
+// numbers copies a vector of numbers.
+func (r *reader) numbers(length int, at func(int) uint32) []uint32 {
+	length = r.elements(length, flatbuffers.SizeUint32)
+	if length == 0 {
+		return nil
+	}
+	numbers := make([]uint32, length)
+	for i := range numbers {
+		numbers[i] = at(i)
+	}
+	return numbers
+}
+
 func (r *reader) info(table *fb.Info) member.Info {
 	if table == nil {
 		return member.Info{}
@@ -115,44 +130,3 @@
 		Incarnation:    member.Incarnation(table.Incarnation()),
 	}
 }
-
-func (r *reader) records(table *fb.Membership) []membership.Record {
-	length := r.elements(table.RecordsLength(), leastRecordBytes)
-	if length == 0 {
-		return nil
-	}
-	records := make([]membership.Record, length)
-	var stored fb.Record
-	for i := range records {
-		table.Records(&stored, i)
-		records[i] = membership.Record{
-			Info:              r.info(stored.Info(nil)),
-			State:             membership.State(stored.State()),
-			MonitorSetVersion: stored.MonitorSetVersion(),
-			Monitors:          r.memberIDs(stored.MonitorsLength(), stored.Monitors),
-			Silences:          r.silences(&stored),
-			Version:           stored.Version(),
-			MonitorBoots:      r.incarnations(stored.MonitorBootsLength(), stored.MonitorBoots),
-		}
-	}
-	return records
-}
-
-func (r *reader) silences(table *fb.Record) []membership.Silence {
-	length := r.elements(table.SilencesLength(), leastSilenceBytes)
-	if length == 0 {
-		return nil
-	}
-	silences := make([]membership.Silence, length)
-	var stored fb.Silence
-	for i := range silences {
-		table.Silences(&stored, i)
-		silences[i] = membership.Silence{
-			Monitor:           member.ID(r.text(stored.Monitor())),
-			Incarnation:       member.Incarnation(stored.Incarnation()),
-			MonitorSetVersion: stored.MonitorSetVersion(),
-			MonitorBoot:       member.Incarnation(stored.MonitorBoot()),
-		}
-	}
-	return silences
-}
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -14,11 +14,14 @@
 	leastStringBytes  = offsetBytes + flatbuffers.SizeUOffsetT // length
 	leastTableBytes   = offsetBytes + flatbuffers.SizeSOffsetT // vtable
 	leastSectionBytes = leastTableBytes + leastStringBytes     // name
-	leastSilenceBytes = leastTableBytes + leastStringBytes     // monitor
-	infoStrings       = 5
-	leastRecordBytes  = 2*leastTableBytes + infoStrings*leastStringBytes // info
+	memberDigestBytes = 2 * flatbuffers.SizeUint32
+	textIndexBytes    = flatbuffers.SizeUint16
+	bootBytes         = flatbuffers.SizeInt32
 )
 
+// infoStrings is how many texts the description of a member has.
+const infoStrings = 5
+
 // reader copies values out of a frame. Builders store each value once, so the
 // values of an honest frame together are no larger than the frame. A hostile
 // one can point many times at the same bytes; the budget ends that.
@@ -64,19 +67,6 @@
 	return append(make([]byte, 0, len(stored)), stored...)
 }
 
-// memberIDs copies a vector of strings.
-func (r *reader) memberIDs(length int, at func(int) []byte) []member.ID {
-	length = r.elements(length, leastStringBytes)
-	if length == 0 {
-		return nil
-	}
-	ids := make([]member.ID, length)
-	for i := range ids {
-		ids[i] = member.ID(r.text(at(i)))
-	}
-	return ids
-}
-
 // texts copies a vector of strings.
 func (r *reader) texts(length int, at func(int) []byte) []string {
 	length = r.elements(length, leastStringBytes)
@@ -90,18 +80,6 @@
 	return texts
 }
 
-// packMemberIDs is the other direction of memberIDs.
-func packMemberIDs(ids []member.ID) []string {
-	if len(ids) == 0 {
-		return nil
-	}
-	packed := make([]string, len(ids))
-	for i, id := range ids {
-		packed[i] = string(id)
-	}
-	return packed
-}
-
 // incarnations copies a vector of incarnations.
 func (r *reader) incarnations(length int, at func(int) uint64) []member.Incarnation {
 	length = r.elements(length, incarnationBytes)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -158,13 +158,13 @@
 		const members, memberBytes = 10_000, 1 << 20
 		builder := flatbuffers.NewBuilder(0)
 		large := builder.CreateByteString(make([]byte, memberBytes))
-		fb.MembershipStartMonitorsVector(builder, members)
+		fb.MembershipStartTextsVector(builder, members)
 		for range members {
 			builder.PrependUOffsetT(large)
 		}
-		monitors := builder.EndVector(members)
+		texts := builder.EndVector(members)
 		fb.MembershipStart(builder)
-		fb.MembershipAddMonitors(builder, monitors)
+		fb.MembershipAddTexts(builder, texts)
 		message := fb.MembershipEnd(builder)
 		fb.EnvelopeStart(builder)
 		fb.EnvelopeAddMembership(builder, message)
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -20,8 +20,15 @@
 const Never = time.Duration(math.MaxInt64)
 
 const (
-	// gossipFanOut is how many members each holder of news passes it to.
-	gossipFanOut = 4
+	// zoneFanOut is how many members of its own zone each holder of news passes it to.
+	zoneFanOut = 3
+	// crossFanOut is how many members of other zones the one whose news it is passes it
+	// to, and crossings about how many others do so for each zone.
+	crossFanOut = 2
+	crossings   = 4
+	// bulkNews is how many records of others may change at once for each change to be
+	// passed on; more are left to exchanges.
+	bulkNews = 16
 	// leastHeartbeatsInFence heartbeats must fit into FenceAfter, so that one may
 	// be lost before others are tried, and there is time to change to them.
 	leastHeartbeatsInFence = 4
@@ -78,6 +85,23 @@
 	return value
 }
 
+// settleAfter is how long the table must be without a new member before the node
+// chooses monitors by it.
+func (c Config) settleAfter() time.Duration {
+	return c.HeartbeatEvery / 2
+}
+
+// joinHold is how long after its own start a node expects others to start, and half
+// of the longest time for which it keeps them waiting for its table.
+func (c Config) joinHold() time.Duration {
+	return 2 * c.HeartbeatEvery
+}
+
+// choosePatience is how long a life without monitors waits for the table to settle.
+func (c Config) choosePatience() time.Duration {
+	return 2 * c.FenceAfter
+}
+
 // unresponsiveAfter is how long a node may leave heartbeats unanswered before
 // others are preferred as monitors. It leaves half of FenceAfter to change.
 func (c Config) unresponsiveAfter() time.Duration {
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -1,29 +1,12 @@
 package membership
 
 import (
-	"maps"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
-// A node starts a whole exchange at most exchangesPerHeartbeat times in
-// HeartbeatEvery, and less often the more it would send.
-const (
-	exchangesPerHeartbeat = 4
-	exchangePerRecord     = time.Millisecond
-)
-
-// News goes out newsPerHeartbeat times in HeartbeatEvery at most, newsBatch
-// records at a time, so that a fleet that starts or loses much at once sends few
-// messages of many records.
-const (
-	newsPerHeartbeat = 4
-	newsBatch        = 128
-)
-
 // A process that outlives an earlier one skips outliveStep incarnations, and up
 // to outliveSpread more, drawn by its own start.
 const (
@@ -62,6 +45,9 @@
 		m.insert(mergeRecords(record, record))
 		return
 	}
+	if len(record.Silences) == 0 && compareOwnerPart(record, e.record) <= 0 {
+		return
+	}
 	merged := mergeRecords(e.record, record)
 	if equalRecords(merged, e.record) {
 		return
@@ -70,8 +56,8 @@
 	if merged.Info.Incarnation != e.record.Info.Incarnation || leftRank(merged) != leftRank(e.record) {
 		e.lifeSince = m.now
 	}
-	m.digest += recordDigest(merged) - recordDigest(e.record)
 	e.record = merged
+	m.account(e)
 	e.over = e.over && merged.certainlyFenced()
 	m.file(id, e)
 	m.news[id] = true
@@ -80,21 +66,22 @@
 
 func (m *Machine) insert(record Record) {
 	id := record.Info.ID
-	e := &entry{record: record, watch: watch{heard: m.now}, lifeSince: m.now}
+	e := &entry{record: record, key: memberKey(id), watch: watch{heard: m.now}, lifeSince: m.now}
 	m.table[id] = e
+	m.account(e)
 	m.file(id, e)
 	at, _ := slices.BinarySearch(m.order, id)
 	m.order = slices.Insert(m.order, at, id)
 	if id != m.config.Self.ID {
 		m.ring.insert(id)
 	}
-	m.digest += recordDigest(record)
 	m.news[id] = true
 	m.changed = m.now
+	m.grown = m.now
 }
 
 func (m *Machine) remove(id member.ID) {
-	m.digest -= recordDigest(m.table[id].record)
+	m.unaccount(m.table[id])
 	delete(m.table, id)
 	m.unfile(id)
 	at, _ := slices.BinarySearch(m.order, id)
@@ -135,54 +122,6 @@
 	}
 }
 
-// onGossip answers a probe or a whole exchange.
-func (m *Machine) onGossip(msg Message) {
-	switch {
-	case msg.Full:
-		missing := m.newerThan(msg.Records)
-		if len(missing) > 0 {
-			m.reply(msg, Message{Type: MessageGossip, Records: missing})
-		}
-	case len(msg.Records) == 0:
-		m.exchangeIfDifferent(msg)
-	}
-}
-
-// exchangeIfDifferent sends the whole table and asks for what the sender of
-// msg knows beyond it. While news comes in, a difference is most likely news on
-// its way, so that a table that changes all the time is exchanged less often.
-func (m *Machine) exchangeIfDifferent(msg Message) {
-	if msg.Digest == m.digest || m.now < m.nextExchange {
-		return
-	}
-	if m.now-m.changed < m.config.HeartbeatEvery/2 && m.now < m.nextExchange+m.config.FenceAfter {
-		return
-	}
-	m.nextExchange = m.now + m.exchangeEvery()
-	m.reply(msg, Message{Type: MessageGossip, Full: true, Records: m.Members()})
-}
-
-func (m *Machine) exchangeEvery() time.Duration {
-	return m.config.HeartbeatEvery/exchangesPerHeartbeat + time.Duration(len(m.order))*exchangePerRecord
-}
-
-// newerThan returns the records that would change the given table.
-func (m *Machine) newerThan(theirs []Record) []Record {
-	held := map[member.ID]Record{}
-	for _, record := range theirs {
-		held[record.Info.ID] = record
-	}
-	var newer []Record
-	for _, id := range m.order {
-		mine := m.table[id].record
-		their, known := held[id]
-		if !known || !equalRecords(mergeRecords(their, mine), their) {
-			newer = append(newer, mine.clone())
-		}
-	}
-	return newer
-}
-
 // probe sends a digest to any member, to one in turn of those whose life is over,
 // and asks a seed on which no live member listens: so that two halves of a split,
 // or members that all began anew at once, are found again.
@@ -225,58 +164,6 @@
 	return ""
 }
 
-// flush sends the news to some members, unless some went out a moment ago, and
-// returns all that is to be sent.
-func (m *Machine) flush() []Outbound {
-	if len(m.news) > 0 && (m.now >= m.nextNews || m.life.left) {
-		m.spreadNews()
-	}
-	outbox := m.outbox
-	m.outbox = nil
-	return outbox
-}
-
-func (m *Machine) spreadNews() {
-	m.nextNews = m.now + m.config.HeartbeatEvery/newsPerHeartbeat
-	var records []Record
-	for _, id := range m.takeNews() {
-		records = append(records, m.table[id].record.clone())
-	}
-	receivers := m.liveOthers()
-	m.random.Shuffle(len(receivers), func(i, j int) {
-		receivers[i], receivers[j] = receivers[j], receivers[i]
-	})
-	for _, id := range receivers[:min(gossipFanOut, len(receivers))] {
-		m.send(id, Message{Type: MessageGossip, Records: records})
-	}
-}
-
-// takeNews returns the members whose records are to be sent now, this node's own
-// before all others, and leaves those beyond a batch for later.
-func (m *Machine) takeNews() []member.ID {
-	ids := slices.Sorted(maps.Keys(m.news))
-	ids = slices.DeleteFunc(ids, func(id member.ID) bool { return m.table[id] == nil })
-	if len(ids) <= newsBatch {
-		clear(m.news)
-		return ids
-	}
-	m.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	if self := slices.Index(ids, m.config.Self.ID); self >= newsBatch {
-		ids[0], ids[self] = ids[self], ids[0]
-	}
-	ids = ids[:newsBatch]
-	for _, id := range ids {
-		delete(m.news, id)
-	}
-	return ids
-}
-
-func (m *Machine) liveOthers() []member.ID {
-	return slices.DeleteFunc(slices.Clone(m.order), func(id member.ID) bool {
-		return id == m.config.Self.ID || m.table[id].record.certainlyFenced()
-	})
-}
-
 // send addresses msg to a member of the table.
 func (m *Machine) send(id member.ID, msg Message) {
 	e, known := m.table[id]
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -51,7 +51,6 @@
 		Type:              MessageHeartbeat,
 		Sequence:          m.sequence,
 		MonitorSetVersion: record.MonitorSetVersion,
-		Monitors:          record.Monitors,
 		Records:           []Record{record},
 	}
 }
@@ -108,12 +107,13 @@
 		MonitorSetVersion: e.record.MonitorSetVersion,
 		SilencedVersion:   e.watch.silencedVersion,
 	})
-	m.exchangeIfDifferent(msg)
+	m.compareDigest(msg)
 }
 
 // onHeartbeatReply counts the acknowledgement by the time at which the
 // heartbeat was sent.
 func (m *Machine) onHeartbeatReply(msg Message) {
+	m.compareDigest(msg)
 	sentAt, found := m.sentAt(msg.Sequence)
 	p, known := m.peers[msg.From.ID]
 	if !found || !known || msg.Incarnation != m.life.incarnation {
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
 // foreignSeeds are the seeds that aren't this node's own address.
@@ -24,8 +26,8 @@
 	return unknown
 }
 
-// join asks all seeds in each heartbeat interval until one answers. A node whose
-// seeds stay silent takes itself to be alone, and goes on asking.
+// join asks one seed after the other until one answers. A node whose seeds stay
+// silent takes itself to be alone, and goes on asking.
 func (m *Machine) join() {
 	if m.joined || m.now < m.nextJoin {
 		return
@@ -34,11 +36,73 @@
 	if m.now-m.startedAt >= m.joinPatience() {
 		m.noteJoined()
 	}
-	for _, seed := range m.foreignSeeds() {
-		m.askSeed(seed)
+	seeds := m.foreignSeeds()
+	m.askSeed(seeds[m.joinTurn%len(seeds)])
+	m.joinTurn++
+}
+
+// onJoin answers with the table. While many nodes start, it soon holds more, so that
+// the answer waits. Settled tells whether it did before this node joined.
+func (m *Machine) onJoin(msg Message, settled bool) {
+	if settled && m.longStarted() {
+		m.reply(msg, m.wholeTable())
+		return
+	}
+	m.reply(msg, Message{Type: MessageJoinReply, Held: true})
+	if len(m.heldJoins) == 0 {
+		m.heldSince = m.now
+	}
+	known := slices.ContainsFunc(m.heldJoins, func(held member.Info) bool { return held.ID == msg.From.ID })
+	if !known {
+		m.heldJoins = append(m.heldJoins, msg.From)
+	}
+}
+
+// longStarted tells whether nodes that started together with this one have had the
+// time to join.
+func (m *Machine) longStarted() bool {
+	return m.now-m.startedAt >= m.config.joinHold()
+}
+
+// releaseJoins answers the joins that wait once the table has settled, or has kept
+// them waiting for long enough.
+func (m *Machine) releaseJoins() {
+	if len(m.heldJoins) == 0 {
+		return
+	}
+	ready := m.longStarted() && m.settled()
+	if !ready && m.now-m.heldSince < 2*m.config.joinHold() {
+		return
+	}
+	answer := m.wholeTable()
+	for _, joining := range m.heldJoins {
+		m.outbox = append(m.outbox, Outbound{To: joining.ID, Address: joining.Address, Message: m.signed(answer)})
+	}
+	m.heldJoins = nil
+}
+
+func (m *Machine) wholeTable() Message {
+	return Message{Type: MessageJoinReply, Records: m.Members(), Settled: m.settled()}
+}
+
+// onJoinReply ends the search for seeds, or waits for the one that holds its answer.
+func (m *Machine) onJoinReply(msg Message) {
+	if msg.Held {
+		m.nextJoin = max(m.nextJoin, m.now+2*m.config.joinHold()+m.config.HeartbeatEvery)
+		return
+	}
+	m.noteJoined()
+	if msg.Settled {
+		m.grown = m.now - m.config.settleAfter()
 	}
 }
 
+// settled tells whether no member has been new to the table lately, so that the
+// neighbours on the ring are likely to stay.
+func (m *Machine) settled() bool {
+	return m.now-m.grown >= m.config.settleAfter()
+}
+
 // noteJoined lets the search for monitors begin.
 func (m *Machine) noteJoined() {
 	if !m.joined {
@@ -62,10 +126,20 @@
 	return m.flush()
 }
 
+// askSeed asks for the table, or shows a digest of the own one if that may hold much
+// of it.
 func (m *Machine) askSeed(address string) {
-	m.outbox = append(m.outbox, Outbound{
-		Address: address,
-		Message: m.signed(Message{Type: MessageJoin, Records: []Record{m.selfRecord().clone()}}),
+	message := Message{Type: MessageGossip}
+	if !m.joined || m.isAlone() {
+		message = Message{Type: MessageJoin, Records: []Record{m.selfRecord().clone()}}
+	}
+	m.outbox = append(m.outbox, Outbound{Address: address, Message: m.signed(message)})
+}
+
+// isAlone tells whether this node knows of no other member that may live.
+func (m *Machine) isAlone() bool {
+	return !slices.ContainsFunc(m.order, func(id member.ID) bool {
+		return id != m.config.Self.ID && !m.table[id].record.certainlyFenced()
 	})
 }
 
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -18,11 +18,15 @@
 	now           time.Duration
 	lastTick      time.Duration
 	nextHeartbeat time.Duration
-	nextExchange  time.Duration
 	nextNews      time.Duration
-	// changed is when the table last changed.
-	changed     time.Duration
-	nextJoin    time.Duration
+	// changed is when the table last changed, and grown when it last got a member.
+	changed  time.Duration
+	grown    time.Duration
+	nextJoin time.Duration
+	// joinTurn chooses the seed that is asked next, and heldJoins wait for the table.
+	joinTurn    int
+	heldJoins   []member.Info
+	heldSince   time.Duration
 	nextOutlive time.Duration
 	rounds      uint64
 	joined      bool
@@ -38,11 +42,19 @@
 	fenced  idSet
 	// fencedTurn is the position of the last fenced member that was probed.
 	fencedTurn int
-	// digest summarises the table.
-	digest uint64
+	// digest summarises the table, and buckets do by ranges of members.
+	digest   uint64
+	buckets  [bucketCount]uint64
+	exchange exchange
 	// ended keeps the newest life of each forgotten member, which is over.
 	ended map[member.ID]member.Incarnation
 	news  map[member.ID]bool
+	// bulkUntil is until when so many records change that news of them isn't passed on
+	// one by one.
+	bulkUntil time.Duration
+	// changes counts the records of others that changed since changesSince.
+	changes      int
+	changesSince time.Duration
 
 	life       life
 	fenceCount uint64
@@ -56,6 +68,9 @@
 // entry is a row of the table with what this node adds to it.
 type entry struct {
 	record Record
+	// key and digest stand for the member and its record in summaries.
+	key    uint32
+	digest uint64
 	watch  watch
 	// overSince is when this node first saw that the life is over.
 	overSince time.Duration
@@ -85,7 +100,12 @@
 		peers:         map[member.ID]*peer{},
 	}
 	m.joined = len(m.foreignSeeds()) == 0
+	m.joinTurn = int(ringPosition(cfg.Self.ID) % (1 << 16))
 	m.beginLife(cfg.Self.Incarnation)
+	if m.joined {
+		// Nobody else is expected.
+		m.grown = now - cfg.settleAfter()
+	}
 	m.maintainMonitors()
 	return m
 }
@@ -98,12 +118,14 @@
 	}
 	m.lastTick = m.now
 	m.join()
+	m.releaseJoins()
 	m.reportSilences()
 	m.forget()
 	m.maintainMonitors()
 	if m.now >= m.nextHeartbeat {
 		m.heartbeat()
 	}
+	m.startExchange()
 	return m.flush()
 }
 
@@ -113,12 +135,13 @@
 	if msg.From.ID == m.config.Self.ID || msg.From.ID == "" {
 		return m.flush()
 	}
+	settled := m.settled()
 	m.mergeAll(msg)
 	switch msg.Type {
 	case MessageJoin:
-		m.reply(msg, Message{Type: MessageJoinReply, Records: m.Members()})
+		m.onJoin(msg, settled)
 	case MessageJoinReply:
-		m.noteJoined()
+		m.onJoinReply(msg)
 	case MessageHeartbeat:
 		m.onHeartbeat(msg)
 	case MessageHeartbeatReply:
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -74,26 +74,52 @@
 	Incarnation member.Incarnation
 	// Boot is the incarnation with which the sender's process started.
 	Boot member.Incarnation
-	// From describes the sender, so that a receiver can answer a stranger. Replies
-	// to heartbeats, and heartbeats without a row, hold the ID alone.
+	// From describes the sender, so that a receiver can answer a stranger. It holds the
+	// ID alone where the receiver knows the sender, see isBrief.
 	From              member.Info
 	MonitorSetVersion uint64
-	Monitors          []member.ID
 	// SilencedVersion is, in a heartbeat reply, the newest monitor set version
 	// of the heartbeat's incarnation that the sender reported silent; 0 if none.
 	SilencedVersion uint64
 	// Digest summarises the sender's table.
-	Digest uint64
-	// Full asks the receiver to answer with its whole table.
-	Full    bool
+	Digest  uint64
 	Records []Record
+
+	// Buckets are the digests of the sender's table by range of members, which ask the
+	// receiver for a summary of those that differ.
+	Buckets []uint32
+	// Covered has a bit for each range that Summary, which may be empty, covers.
+	Covered uint64
+	Summary []RecordDigest
+	// Wanted are the members of whom the sender asks for records.
+	Wanted []uint32
+
+	// Held tells, in a reply to a join, that the table will follow.
+	Held bool
+	// Settled tells, with a whole table, that no member has been new to it lately.
+	Settled bool
+}
+
+// RecordDigest stands for one record in a summary of a table.
+type RecordDigest struct {
+	// Member is a hash of the member's ID, and Digest one of its record.
+	Member uint32
+	Digest uint32
 }
 
-// isBrief tells whether the receiver knows the sender already, so that From
-// needs no more than the ID: it replied to a heartbeat that brought the row, or
-// was sent a heartbeat itself.
+// isBrief tells whether the receiver knows the sender already, or finds it among the
+// records, so that From needs no more than the ID.
 func (m Message) isBrief() bool {
-	return m.Type == MessageHeartbeatReply || m.Type == MessageHeartbeat && len(m.Records) == 0
+	switch m.Type {
+	case MessageHeartbeat, MessageHeartbeatReply:
+		return true
+	case MessageJoin:
+		return false
+	case MessageJoinReply:
+		return !m.Held
+	default:
+		return len(m.Records) > 0 && len(m.Wanted) == 0
+	}
 }
 
 // Outbound is a message and where it goes: to a node that listens on Address.
--- a/pkg/membership/monitors.go
+++ b/pkg/membership/monitors.go
@@ -68,6 +68,9 @@
 	if m.selfRecord().certainlyFenced() {
 		m.nextLife(m.life.incarnation + 1)
 	}
+	if m.mayWaitToChoose() {
+		return
+	}
 	wanted := m.wantedMonitors()
 	m.target(wanted)
 	ready := m.allAnswer(wanted)
@@ -86,6 +89,37 @@
 	}
 }
 
+// mayWaitToChoose tells whether the choice of monitors had better wait until no more
+// members are new to the table: each of them may take another's place on the ring, and
+// each new set is news to all. A set that may not hold is replaced at once.
+func (m *Machine) mayWaitToChoose() bool {
+	if m.settled() {
+		return false
+	}
+	if len(m.life.sets) == 0 {
+		return m.now-m.life.beganAt < m.config.choosePatience()
+	}
+	return !m.Fenced(m.now) && m.holdsGood(m.newestSet())
+}
+
+// holdsGood tells whether all monitors of a set answer and count.
+func (m *Machine) holdsGood(set *monitorSet) bool {
+	for i, id := range set.monitors {
+		e, known := m.table[id]
+		if !known || e.record.certainlyFenced() || !m.responsive(&e.record) || m.lostPromise(set, i) {
+			return false
+		}
+	}
+	return !m.selfRecord().doubted()
+}
+
+// lostPromise tells whether acknowledgements of a set's monitor no longer count: it
+// runs as another process, or reported the set silent.
+func (m *Machine) lostPromise(set *monitorSet, position int) bool {
+	p := m.peers[set.monitors[position]]
+	return p.boot != set.boots[position] || p.silencedVersion >= set.version
+}
+
 // wantedMonitors chooses among the members that answer, and takes others only
 // if there are too few: a node that nobody answers must stay fenced.
 func (m *Machine) wantedMonitors() []member.ID {
@@ -182,9 +216,8 @@
 	if !slices.Equal(set.monitors, wanted) {
 		return true
 	}
-	for i, id := range set.monitors {
-		p := m.peers[id]
-		if p.boot != set.boots[i] || p.silencedVersion >= set.version {
+	for position := range set.monitors {
+		if m.lostPromise(set, position) {
 			return true
 		}
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -28,6 +28,9 @@
 	return records
 }
 
+// Size is the number of members in the table, this node included.
+func (m *Machine) Size() int { return len(m.order) }
+
 // Digest summarises the table: it changes whenever a record does. It spares
 // callers that follow the table a copy of it.
 func (m *Machine) Digest() uint64 {
