Traffic news: endpoints by number, loads told when requests come, answer or end

Addresses travelled as texts of 24 to 28 bytes in each frame, each load as a table, and a load was told again each 50 ms while a prompt was read, which others expect by themselves (18,255 loads for 4,315 dispatches).

--- a/internal/dataplane/sharing.go
+++ b/internal/dataplane/sharing.go
@@ -74,11 +74,12 @@
 }
 
 // worthTelling tells whether the others believe another load, or would cease to
-// believe this one. The lock is held.
+// believe this one. That a prompt is read further, and that an answer grows, they
+// expect by themselves. The lock is held.
 func (s *sharing) worthTelling(now time.Duration, load kvrouter.AddressLoad) bool {
 	told, known := s.told[load.Address]
 	idle := load.SharedLoad.Requests == 0
-	if known && told.load == load.SharedLoad && (idle || now-told.at < loadRefresh) {
+	if known && sameWork(told.load, load.SharedLoad) && (idle || now-told.at < loadRefresh) {
 		return false
 	}
 	if idle {
@@ -89,6 +90,15 @@
 	return true
 }
 
+// sameWork tells whether two loads of one replica are the same requests, of which none
+// has come, ended, or begun to answer between them.
+func sameWork(told, present kvrouter.SharedLoad) bool {
+	reads := func(load kvrouter.SharedLoad) bool {
+		return lo.SomeBy(load.PrefillTokens[:], func(tokens float64) bool { return tokens > 0 })
+	}
+	return told.Requests == present.Requests && reads(told) == reads(present)
+}
+
 // News returns what this node has to tell the others of its traffic since the
 // last call.
 func (s *Server) News() shared.News {
--- a/internal/wire/fb/Traffic.go
+++ b/internal/wire/fb/Traffic.go
@@ -7,9 +7,10 @@
 )
 
 type TrafficT struct {
-	Stage byte            `json:"stage"`
-	Texts []string        `json:"texts"`
-	News  []*TrafficNewsT `json:"news"`
+	Stage     byte            `json:"stage"`
+	Texts     []string        `json:"texts"`
+	News      []*TrafficNewsT `json:"news"`
+	Endpoints []uint64        `json:"endpoints"`
 }
 
 func (t *TrafficT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -42,10 +43,20 @@
 		}
 		newsOffset = builder.EndVector(newsLength)
 	}
+	endpointsOffset := flatbuffers.UOffsetT(0)
+	if t.Endpoints != nil {
+		endpointsLength := len(t.Endpoints)
+		TrafficStartEndpointsVector(builder, endpointsLength)
+		for j := endpointsLength - 1; j >= 0; j-- {
+			builder.PrependUint64(t.Endpoints[j])
+		}
+		endpointsOffset = builder.EndVector(endpointsLength)
+	}
 	TrafficStart(builder)
 	TrafficAddStage(builder, t.Stage)
 	TrafficAddTexts(builder, textsOffset)
 	TrafficAddNews(builder, newsOffset)
+	TrafficAddEndpoints(builder, endpointsOffset)
 	return TrafficEnd(builder)
 }
 
@@ -63,6 +74,11 @@
 		rcv.News(&x, j)
 		t.News[j] = x.UnPack()
 	}
+	endpointsLength := rcv.EndpointsLength()
+	t.Endpoints = make([]uint64, endpointsLength)
+	for j := 0; j < endpointsLength; j++ {
+		t.Endpoints[j] = rcv.Endpoints(j)
+	}
 }
 
 func (rcv *Traffic) UnPack() *TrafficT {
@@ -150,8 +166,34 @@
 	return 0
 }
 
+func (rcv *Traffic) Endpoints(j int) uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetUint64(a + flatbuffers.UOffsetT(j*8))
+	}
+	return 0
+}
+
+func (rcv *Traffic) EndpointsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Traffic) MutateEndpoints(j int, n uint64) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateUint64(a+flatbuffers.UOffsetT(j*8), n)
+	}
+	return false
+}
+
 func TrafficStart(builder *flatbuffers.Builder) {
-	builder.StartObject(3)
+	builder.StartObject(4)
 }
 func TrafficAddStage(builder *flatbuffers.Builder, stage byte) {
 	builder.PrependByteSlot(0, stage, 0)
@@ -168,6 +210,12 @@
 func TrafficStartNewsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func TrafficAddEndpoints(builder *flatbuffers.Builder, endpoints flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(3, flatbuffers.UOffsetT(endpoints), 0)
+}
+func TrafficStartEndpointsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(8, numElems, 8)
+}
 func TrafficEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/wire/fb/TrafficLoad.go
+++ b/internal/wire/fb/TrafficLoad.go
@@ -7,40 +7,23 @@
 )
 
 type TrafficLoadT struct {
-	Address       uint32    `json:"address"`
-	PrefillTokens []float32 `json:"prefill_tokens"`
-	DecodeTokens  float32   `json:"decode_tokens"`
-	Requests      float32   `json:"requests"`
+	Address       uint32  `json:"address"`
+	Priority      uint32  `json:"priority"`
+	PrefillTokens float32 `json:"prefill_tokens"`
+	DecodeTokens  float32 `json:"decode_tokens"`
+	Requests      float32 `json:"requests"`
 }
 
 func (t *TrafficLoadT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	if t == nil {
 		return 0
 	}
-	prefillTokensOffset := flatbuffers.UOffsetT(0)
-	if t.PrefillTokens != nil {
-		prefillTokensLength := len(t.PrefillTokens)
-		TrafficLoadStartPrefillTokensVector(builder, prefillTokensLength)
-		for j := prefillTokensLength - 1; j >= 0; j-- {
-			builder.PrependFloat32(t.PrefillTokens[j])
-		}
-		prefillTokensOffset = builder.EndVector(prefillTokensLength)
-	}
-	TrafficLoadStart(builder)
-	TrafficLoadAddAddress(builder, t.Address)
-	TrafficLoadAddPrefillTokens(builder, prefillTokensOffset)
-	TrafficLoadAddDecodeTokens(builder, t.DecodeTokens)
-	TrafficLoadAddRequests(builder, t.Requests)
-	return TrafficLoadEnd(builder)
+	return CreateTrafficLoad(builder, t.Address, t.Priority, t.PrefillTokens, t.DecodeTokens, t.Requests)
 }
-
 func (rcv *TrafficLoad) UnPackTo(t *TrafficLoadT) {
 	t.Address = rcv.Address()
-	prefillTokensLength := rcv.PrefillTokensLength()
-	t.PrefillTokens = make([]float32, prefillTokensLength)
-	for j := 0; j < prefillTokensLength; j++ {
-		t.PrefillTokens[j] = rcv.PrefillTokens(j)
-	}
+	t.Priority = rcv.Priority()
+	t.PrefillTokens = rcv.PrefillTokens()
 	t.DecodeTokens = rcv.DecodeTokens()
 	t.Requests = rcv.Requests()
 }
@@ -55,21 +38,7 @@
 }
 
 type TrafficLoad struct {
-	_tab flatbuffers.Table
-}
-
-func GetRootAsTrafficLoad(buf []byte, offset flatbuffers.UOffsetT) *TrafficLoad {
-	n := flatbuffers.GetUOffsetT(buf[offset:])
-	x := &TrafficLoad{}
-	x.Init(buf, n+offset)
-	return x
-}
-
-func GetSizePrefixedRootAsTrafficLoad(buf []byte, offset flatbuffers.UOffsetT) *TrafficLoad {
-	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
-	x := &TrafficLoad{}
-	x.Init(buf, n+offset+flatbuffers.SizeUint32)
-	return x
+	_tab flatbuffers.Struct
 }
 
 func (rcv *TrafficLoad) Init(buf []byte, i flatbuffers.UOffsetT) {
@@ -78,89 +47,50 @@
 }
 
 func (rcv *TrafficLoad) Table() flatbuffers.Table {
-	return rcv._tab
+	return rcv._tab.Table
 }
 
 func (rcv *TrafficLoad) Address() uint32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
-	if o != 0 {
-		return rcv._tab.GetUint32(o + rcv._tab.Pos)
-	}
-	return 0
+	return rcv._tab.GetUint32(rcv._tab.Pos + flatbuffers.UOffsetT(0))
 }
-
 func (rcv *TrafficLoad) MutateAddress(n uint32) bool {
-	return rcv._tab.MutateUint32Slot(4, n)
+	return rcv._tab.MutateUint32(rcv._tab.Pos+flatbuffers.UOffsetT(0), n)
 }
 
-func (rcv *TrafficLoad) PrefillTokens(j int) float32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
-	if o != 0 {
-		a := rcv._tab.Vector(o)
-		return rcv._tab.GetFloat32(a + flatbuffers.UOffsetT(j*4))
-	}
-	return 0
+func (rcv *TrafficLoad) Priority() uint32 {
+	return rcv._tab.GetUint32(rcv._tab.Pos + flatbuffers.UOffsetT(4))
 }
-
-func (rcv *TrafficLoad) PrefillTokensLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
-	if o != 0 {
-		return rcv._tab.VectorLen(o)
-	}
-	return 0
+func (rcv *TrafficLoad) MutatePriority(n uint32) bool {
+	return rcv._tab.MutateUint32(rcv._tab.Pos+flatbuffers.UOffsetT(4), n)
 }
 
-func (rcv *TrafficLoad) MutatePrefillTokens(j int, n float32) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
-	if o != 0 {
-		a := rcv._tab.Vector(o)
-		return rcv._tab.MutateFloat32(a+flatbuffers.UOffsetT(j*4), n)
-	}
-	return false
+func (rcv *TrafficLoad) PrefillTokens() float32 {
+	return rcv._tab.GetFloat32(rcv._tab.Pos + flatbuffers.UOffsetT(8))
+}
+func (rcv *TrafficLoad) MutatePrefillTokens(n float32) bool {
+	return rcv._tab.MutateFloat32(rcv._tab.Pos+flatbuffers.UOffsetT(8), n)
 }
 
 func (rcv *TrafficLoad) DecodeTokens() float32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
-	if o != 0 {
-		return rcv._tab.GetFloat32(o + rcv._tab.Pos)
-	}
-	return 0.0
+	return rcv._tab.GetFloat32(rcv._tab.Pos + flatbuffers.UOffsetT(12))
 }
-
 func (rcv *TrafficLoad) MutateDecodeTokens(n float32) bool {
-	return rcv._tab.MutateFloat32Slot(8, n)
+	return rcv._tab.MutateFloat32(rcv._tab.Pos+flatbuffers.UOffsetT(12), n)
 }
 
 func (rcv *TrafficLoad) Requests() float32 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
-	if o != 0 {
-		return rcv._tab.GetFloat32(o + rcv._tab.Pos)
-	}
-	return 0.0
+	return rcv._tab.GetFloat32(rcv._tab.Pos + flatbuffers.UOffsetT(16))
 }
-
 func (rcv *TrafficLoad) MutateRequests(n float32) bool {
-	return rcv._tab.MutateFloat32Slot(10, n)
+	return rcv._tab.MutateFloat32(rcv._tab.Pos+flatbuffers.UOffsetT(16), n)
 }
 
-func TrafficLoadStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
-}
-func TrafficLoadAddAddress(builder *flatbuffers.Builder, address uint32) {
-	builder.PrependUint32Slot(0, address, 0)
-}
-func TrafficLoadAddPrefillTokens(builder *flatbuffers.Builder, prefillTokens flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(prefillTokens), 0)
-}
-func TrafficLoadStartPrefillTokensVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(4, numElems, 4)
-}
-func TrafficLoadAddDecodeTokens(builder *flatbuffers.Builder, decodeTokens float32) {
-	builder.PrependFloat32Slot(2, decodeTokens, 0.0)
-}
-func TrafficLoadAddRequests(builder *flatbuffers.Builder, requests float32) {
-	builder.PrependFloat32Slot(3, requests, 0.0)
-}
-func TrafficLoadEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
-	return builder.EndObject()
+func CreateTrafficLoad(builder *flatbuffers.Builder, address uint32, priority uint32, prefillTokens float32, decodeTokens float32, requests float32) flatbuffers.UOffsetT {
+	builder.Prep(4, 20)
+	builder.PrependFloat32(requests)
+	builder.PrependFloat32(decodeTokens)
+	builder.PrependFloat32(prefillTokens)
+	builder.PrependUint32(priority)
+	builder.PrependUint32(address)
+	return builder.Offset()
 }
--- a/internal/wire/fb/TrafficNews.go
+++ b/internal/wire/fb/TrafficNews.go
@@ -22,13 +22,9 @@
 	loadsOffset := flatbuffers.UOffsetT(0)
 	if t.Loads != nil {
 		loadsLength := len(t.Loads)
-		loadsOffsets := make([]flatbuffers.UOffsetT, loadsLength)
-		for j := 0; j < loadsLength; j++ {
-			loadsOffsets[j] = t.Loads[j].Pack(builder)
-		}
 		TrafficNewsStartLoadsVector(builder, loadsLength)
 		for j := loadsLength - 1; j >= 0; j-- {
-			builder.PrependUOffsetT(loadsOffsets[j])
+			t.Loads[j].Pack(builder)
 		}
 		loadsOffset = builder.EndVector(loadsLength)
 	}
@@ -185,8 +181,7 @@
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
 	if o != 0 {
 		x := rcv._tab.Vector(o)
-		x += flatbuffers.UOffsetT(j) * 4
-		x = rcv._tab.Indirect(x)
+		x += flatbuffers.UOffsetT(j) * 20
 		obj.Init(rcv._tab.Bytes, x)
 		return true
 	}
@@ -291,7 +286,7 @@
 	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(loads), 0)
 }
 func TrafficNewsStartLoadsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(4, numElems, 4)
+	return builder.StartVector(20, numElems, 4)
 }
 func TrafficNewsAddDispatches(builder *flatbuffers.Builder, dispatches flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(dispatches), 0)
--- /dev/null
+++ b/internal/wire/names.go
@@ -0,0 +1,158 @@
+package wire
+
+import (
+	"net/netip"
+	"sync"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
+	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
+)
+
+// textTable gives each text of a message an index.
+type textTable struct {
+	indexes map[string]uint32
+	texts   []string
+}
+
+func newTextTable() *textTable {
+	return &textTable{indexes: map[string]uint32{}}
+}
+
+// index returns the index of a text, which is new if it was not met before.
+func (t *textTable) index(text string) uint32 {
+	known, found := t.indexes[text]
+	if found {
+		return known
+	}
+	added := uint32(len(t.texts))
+	t.indexes[text] = added
+	t.texts = append(t.texts, text)
+	return added
+}
+
+// nameTable gives each name of a Traffic message an index. Most names are IPv4
+// addresses with ports, which take 8 bytes as endpoints, and three times as much as
+// texts.
+type nameTable struct {
+	indexes   map[string]uint32
+	endpoints []uint64
+	texts     *textTable
+}
+
+// newNameTable gathers the endpoints first, since indexes of texts follow them.
+func newNameTable(batch *shared.Batch) *nameTable {
+	table := &nameTable{indexes: map[string]uint32{}, texts: newTextTable()}
+	for i := range batch.News {
+		table.gather(&batch.News[i])
+	}
+	return table
+}
+
+func (t *nameTable) gather(news *shared.News) {
+	t.note(string(news.Node))
+	for i := range news.Loads {
+		t.note(news.Loads[i].Address)
+	}
+	for i := range news.Dispatches {
+		t.note(news.Dispatches[i].Address)
+	}
+	for i := range news.Reports {
+		t.note(news.Reports[i].Address)
+	}
+	for i := range news.Denials {
+		t.note(news.Denials[i].Address)
+	}
+	for i := range news.Outcomes {
+		t.note(news.Outcomes[i].Address)
+	}
+}
+
+// note makes a name an endpoint if it can be one.
+func (t *nameTable) note(name string) {
+	if _, known := t.indexes[name]; known {
+		return
+	}
+	endpoint, fits := endpointOf(name)
+	if !fits {
+		return
+	}
+	t.indexes[name] = uint32(len(t.endpoints))
+	t.endpoints = append(t.endpoints, endpoint)
+}
+
+// index returns the index of a name.
+func (t *nameTable) index(name string) uint32 {
+	if known, found := t.indexes[name]; found {
+		return known
+	}
+	return uint32(len(t.endpoints)) + t.texts.index(name)
+}
+
+const portBits = 16
+
+// endpointOf returns a name as an endpoint, if the name is found again from it.
+func endpointOf(name string) (endpoint uint64, fits bool) {
+	parsed, err := netip.ParseAddrPort(name)
+	if err != nil || !parsed.Addr().Is4() || parsed.String() != name {
+		return 0, false
+	}
+	host := parsed.Addr().As4()
+	for _, part := range host {
+		endpoint = endpoint<<8 | uint64(part)
+	}
+	return endpoint<<portBits | uint64(parsed.Port()), true
+}
+
+// mostEndpointNames bounds the names of endpoints that are kept.
+const mostEndpointNames = 16384
+
+// endpointNames keeps the names of endpoints that were met, so that the news of many
+// nodes doesn't cost a new text each time.
+var endpointNames = struct {
+	sync.RWMutex
+	names map[uint64]string
+}{names: map[uint64]string{}}
+
+// endpointName is the other direction of endpointOf.
+func endpointName(endpoint uint64) string {
+	endpointNames.RLock()
+	name, known := endpointNames.names[endpoint]
+	endpointNames.RUnlock()
+	if known {
+		return name
+	}
+	host := endpoint >> portBits
+	address := netip.AddrFrom4([4]byte{byte(host >> 24), byte(host >> 16), byte(host >> 8), byte(host)})
+	name = netip.AddrPortFrom(address, uint16(endpoint)).String()
+	endpointNames.Lock()
+	defer endpointNames.Unlock()
+	if len(endpointNames.names) >= mostEndpointNames {
+		clear(endpointNames.names)
+	}
+	endpointNames.names[endpoint] = name
+	return name
+}
+
+// names are those of a message that was received.
+type names []string
+
+// at returns a name, or "" for an index that the message does not have.
+func (n names) at(index uint32) string {
+	if int64(index) >= int64(len(n)) {
+		return ""
+	}
+	return n[index]
+}
+
+func (r *reader) names(table *fb.Traffic) names {
+	endpoints := r.elements(table.EndpointsLength(), endpointBytes)
+	texts := r.elements(table.TextsLength(), leastStringBytes)
+	named := make(names, 0, endpoints+texts)
+	for i := range endpoints {
+		named = append(named, endpointName(table.Endpoints(i)))
+	}
+	for i := range texts {
+		named = append(named, r.text(table.Texts(i)))
+	}
+	return named
+}
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -16,6 +16,7 @@
 	leastSectionBytes = leastTableBytes + leastStringBytes     // name
 	memberDigestBytes = 2 * flatbuffers.SizeUint32
 	textIndexBytes    = flatbuffers.SizeUint16
+	endpointBytes     = flatbuffers.SizeUint64
 	bootBytes         = flatbuffers.SizeInt32
 )
 
--- a/internal/wire/traffic.go
+++ b/internal/wire/traffic.go
@@ -13,47 +13,27 @@
 const (
 	partChangeBytes = 24
 	partLinkBytes   = 16
+	// A load of several priorities takes an entry for each.
+	trafficLoadBytes = 20
 )
 
-// textTable gives each text of a message an index.
-type textTable struct {
-	indexes map[string]uint32
-	texts   []string
-}
-
-func newTextTable() *textTable {
-	return &textTable{indexes: map[string]uint32{}}
-}
-
-// index returns the index of a text, which is new if it was not met before.
-func (t *textTable) index(text string) uint32 {
-	known, found := t.indexes[text]
-	if found {
-		return known
-	}
-	added := uint32(len(t.texts))
-	t.indexes[text] = added
-	t.texts = append(t.texts, text)
-	return added
-}
-
 func packTraffic(batch *shared.Batch) *fb.TrafficT {
 	if batch == nil {
 		return nil
 	}
-	table := newTextTable()
-	packed := &fb.TrafficT{Stage: byte(batch.Stage)}
+	table := newNameTable(batch)
+	packed := &fb.TrafficT{Stage: byte(batch.Stage), Endpoints: table.endpoints}
 	for _, news := range batch.News {
 		packed.News = append(packed.News, packNews(table, news))
 	}
-	packed.Texts = table.texts
+	packed.Texts = table.texts.texts
 	return packed
 }
 
-func packNews(table *textTable, news shared.News) *fb.TrafficNewsT {
+func packNews(table *nameTable, news shared.News) *fb.TrafficNewsT {
 	packed := &fb.TrafficNewsT{Node: table.index(string(news.Node))}
 	for _, load := range news.Loads {
-		packed.Loads = append(packed.Loads, packLoad(table, load))
+		packed.Loads = append(packed.Loads, packLoads(table, load)...)
 	}
 	for _, dispatch := range news.Dispatches {
 		packed.Dispatches = append(packed.Dispatches, packDispatch(table, dispatch))
@@ -77,25 +57,31 @@
 	return packed
 }
 
-func packLoad(table *textTable, load kvrouter.AddressLoad) *fb.TrafficLoadT {
-	packed := &fb.TrafficLoadT{
+// packLoads returns an entry for each priority that has tokens to read, the first of
+// which holds the rest of the load.
+func packLoads(table *nameTable, load kvrouter.AddressLoad) []*fb.TrafficLoadT {
+	first := &fb.TrafficLoadT{
 		Address:      table.index(load.Address),
 		DecodeTokens: float32(load.DecodeTokens),
 		Requests:     float32(load.Requests),
 	}
+	packed := []*fb.TrafficLoadT{first}
 	for priority, tokens := range load.PrefillTokens {
-		if tokens == 0 {
+		entry := first
+		switch {
+		case tokens == 0:
 			continue
+		case first.PrefillTokens != 0:
+			entry = &fb.TrafficLoadT{Address: first.Address}
+			packed = append(packed, entry)
 		}
-		for len(packed.PrefillTokens) <= priority {
-			packed.PrefillTokens = append(packed.PrefillTokens, 0)
-		}
-		packed.PrefillTokens[priority] = float32(tokens)
+		entry.Priority = uint32(priority)
+		entry.PrefillTokens = float32(tokens)
 	}
 	return packed
 }
 
-func packDispatch(table *textTable, dispatch shared.Dispatch) *fb.TrafficDispatchT {
+func packDispatch(table *nameTable, dispatch shared.Dispatch) *fb.TrafficDispatchT {
 	packed := &fb.TrafficDispatchT{Address: table.index(dispatch.Address)}
 	for _, link := range dispatch.Links {
 		packed.Links = append(packed.Links, &fb.PartLinkT{Name: uint64(link.Hash), Tokens: link.Tokens})
@@ -103,7 +89,7 @@
 	return packed
 }
 
-func packReport(table *textTable, report shared.Report) *fb.TrafficReportT {
+func packReport(table *nameTable, report shared.Report) *fb.TrafficReportT {
 	packed := &fb.TrafficReportT{
 		Address:     table.index(report.Address),
 		Incarnation: report.Feed.Incarnation,
@@ -123,25 +109,11 @@
 	return packed
 }
 
-// texts is the text table of a message that was received.
-type texts []string
-
-// at returns a text, or "" for an index that the message does not have.
-func (t texts) at(index uint32) string {
-	if int64(index) >= int64(len(t)) {
-		return ""
-	}
-	return t[index]
-}
-
 func (r *reader) traffic(table *fb.Traffic) *shared.Batch {
 	if table == nil {
 		return nil
 	}
-	named := make(texts, r.elements(table.TextsLength(), leastStringBytes))
-	for i := range named {
-		named[i] = r.text(table.Texts(i))
-	}
+	named := r.names(table)
 	batch := &shared.Batch{Stage: shared.Stage(table.Stage())}
 	batch.News = make([]shared.News, r.elements(table.NewsLength(), leastTableBytes))
 	var stored fb.TrafficNews
@@ -159,22 +131,29 @@
 	return batch
 }
 
-func (r *reader) trafficLoads(table *fb.TrafficNews, named texts) []kvrouter.AddressLoad {
-	loads := make([]kvrouter.AddressLoad, r.elements(table.LoadsLength(), leastTableBytes))
+// trafficLoads joins the entries of one replica, which follow each other.
+func (r *reader) trafficLoads(table *fb.TrafficNews, named names) []kvrouter.AddressLoad {
+	length := r.elements(table.LoadsLength(), trafficLoadBytes)
+	loads := make([]kvrouter.AddressLoad, 0, length)
 	var stored fb.TrafficLoad
-	for i := range loads {
+	last := uint32(0)
+	for i := range length {
 		table.Loads(&stored, i)
-		loads[i].Address = named.at(stored.Address())
-		loads[i].DecodeTokens = float64(stored.DecodeTokens())
-		loads[i].Requests = float64(stored.Requests())
-		for priority := range min(stored.PrefillTokensLength(), kvrouter.Priorities) {
-			loads[i].PrefillTokens[priority] = float64(stored.PrefillTokens(priority))
+		if address := stored.Address(); i == 0 || address != last {
+			last = address
+			loads = append(loads, kvrouter.AddressLoad{Address: named.at(address)})
+		}
+		load := &loads[len(loads)-1]
+		load.DecodeTokens += float64(stored.DecodeTokens())
+		load.Requests += float64(stored.Requests())
+		if priority := stored.Priority(); priority < kvrouter.Priorities {
+			load.PrefillTokens[priority] += float64(stored.PrefillTokens())
 		}
 	}
 	return loads
 }
 
-func (r *reader) trafficDispatches(table *fb.TrafficNews, named texts) []shared.Dispatch {
+func (r *reader) trafficDispatches(table *fb.TrafficNews, named names) []shared.Dispatch {
 	dispatches := make([]shared.Dispatch, r.elements(table.DispatchesLength(), leastTableBytes))
 	var stored fb.TrafficDispatch
 	for i := range dispatches {
@@ -197,7 +176,7 @@
 	return links
 }
 
-func (r *reader) trafficReports(table *fb.TrafficNews, named texts) []shared.Report {
+func (r *reader) trafficReports(table *fb.TrafficNews, named names) []shared.Report {
 	reports := make([]shared.Report, r.elements(table.ReportsLength(), leastTableBytes))
 	var stored fb.TrafficReport
 	for i := range reports {
@@ -232,7 +211,7 @@
 	return changes
 }
 
-func (r *reader) trafficDenials(table *fb.TrafficNews, named texts) []shared.Denial {
+func (r *reader) trafficDenials(table *fb.TrafficNews, named names) []shared.Denial {
 	denials := make([]shared.Denial, r.elements(table.DenialsLength(), leastTableBytes))
 	var stored fb.TrafficDenial
 	for i := range denials {
@@ -242,7 +221,7 @@
 	return denials
 }
 
-func (r *reader) trafficOutcomes(table *fb.TrafficNews, named texts) []outlier.Report {
+func (r *reader) trafficOutcomes(table *fb.TrafficNews, named names) []outlier.Report {
 	outcomes := make([]outlier.Report, r.elements(table.OutcomesLength(), leastTableBytes))
 	var stored fb.TrafficOutcomes
 	for i := range outcomes {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,8 +10,12 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/protocol"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/shared"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire/fb"
+	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
+	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
 	"github.com/ridgeswitch/ridgeswitch/pkg/relaytree"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
@@ -109,6 +113,27 @@
 		Expect(Decode(Encode(envelope))).To(Equal(envelope))
 	})
 
+	It("name IPv4 endpoints by number, and what is spelt otherwise by text", func() {
+		names := []string{"10.4.64.49:8782", "255.255.255.255:65535", "0.0.0.0:0", "010.4.64.49:8782", "10.4.64.49", "[::1]:80", "node-1", ""}
+		batch := &shared.Batch{Stage: shared.Crossing}
+		for _, name := range names {
+			load := kvrouter.AddressLoad{Address: name}
+			load.Requests = 2
+			load.PrefillTokens[0], load.PrefillTokens[1] = 100, 30
+			batch.News = append(batch.News, shared.News{
+				Node:       member.ID(name),
+				Loads:      []kvrouter.AddressLoad{load},
+				Dispatches: []shared.Dispatch{},
+				Reports:    []shared.Report{},
+				Denials:    []shared.Denial{},
+				Outcomes:   []outlier.Report{},
+			})
+		}
+		envelope := Envelope{Traffic: batch}
+		Expect(Decode(Encode(envelope))).To(Equal(envelope))
+		Expect(fb.GetRootAsEnvelope(Encode(envelope), 0).Traffic(nil).EndpointsLength()).To(Equal(3))
+	})
+
 	It("carry many records", func() {
 		message := &membership.Message{Records: make([]membership.Record, 2000)}
 		Expect(Decode(Encode(Envelope{Membership: message}))).To(Equal(Envelope{Membership: message}))
