--- a/internal/lab/hollow/start.go
+++ b/internal/lab/hollow/start.go
@@ -43,7 +43,9 @@
 	ProcessorSeconds float64 `json:"processor_seconds"`
 	// Frames, Megabytes and MegabytesAcross count what was sent until then, the
 	// latter to other zones alone.
-	Frames          uint64      `json:"frames"`
+	Frames uint64 `json:"frames"`
+	// FramesRefused are those that their receivers could not read.
+	FramesRefused   uint64      `json:"frames_refused"`
 	Megabytes       float64     `json:"megabytes"`
 	MegabytesAcross float64     `json:"megabytes_across"`
 	Kinds           []StartKind `json:"kinds"`
@@ -110,6 +112,7 @@
 }
 
 func (f *StartFigures) count(fleet *virtualFleet) {
+	f.FramesRefused = fleet.badFrames
 	var all reading
 	for _, one := range fleet.nodes {
 		all = all.plus(one.meter.read())
--- a/internal/lab/hollow/start_test.go
+++ b/internal/lab/hollow/start_test.go
@@ -24,6 +24,7 @@
 		for _, nodes := range []int{30, 100, 200} {
 			figures := startOf(nodes)
 			Expect(figures.Agreed).To(BeTrue())
+			Expect(figures.FramesRefused).To(BeZero())
 			Expect(figures.AgreedSeconds).To(BeNumerically("<", 3.0))
 			perNode := figures.Megabytes * bytesPerMegabyte / float64(nodes)
 			const otherBytes = 30_000
--- a/internal/wire/memberrows.go
+++ b/internal/wire/memberrows.go
@@ -91,7 +91,7 @@
 	number, err := strconv.ParseUint(text, 10, 16)
 	baseHost, _, baseErr := net.SplitHostPort(base)
 	// Only a port that is spelt the usual way is found again.
-	same := err == nil && baseErr == nil && number > 0 && host == baseHost
+	same := err == nil && baseErr == nil && number > 0 && host == baseHost && len(base) <= longestBase
 	if !same || joinPort(base, uint16(number)) != address {
 		return 0, p.text(address)
 	}
@@ -175,13 +175,18 @@
 	}
 }
 
+// longestBase is the longest address that a port is joined to; no IP address with a
+// zone and a port is longer.
+const longestBase = 64
+
 // address is the other direction of rowPacker.port. A joined address is a copy of its
-// own, unlike other texts.
+// own, unlike other texts, so that it is bounded.
 func (r rowReader) address(port, whole uint16, base string) string {
 	if port == 0 {
 		return r.shared(whole)
 	}
-	if !r.take(len(base)) {
+	if len(base) > longestBase || !r.take(leastTableBytes) {
+		r.exhausted = true
 		return ""
 	}
 	return joinPort(base, port)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -134,6 +134,36 @@
 		Expect(fb.GetRootAsEnvelope(Encode(envelope), 0).Traffic(nil).EndpointsLength()).To(Equal(3))
 	})
 
+	It("carry the table of a large deployment", func() {
+		message := &membership.Message{}
+		for number := range 4000 {
+			host := fmt.Sprintf("10.%d.%d.7", number/250, number%250)
+			message.Records = append(message.Records, membership.Record{
+				Info: member.Info{
+					ID: member.ID(host + ":7340"), Address: host + ":7340", TrafficAddress: host + ":8782",
+					ControlAddress: host + ":8789", Zone: "zone", Incarnation: 1_700_000_000_000,
+				},
+				State:   membership.StateAlive,
+				Version: 1,
+			})
+		}
+		frame := Encode(Envelope{Membership: message})
+		Expect(Decode(frame)).To(Equal(Envelope{Membership: message}))
+		Expect(len(frame) / len(message.Records)).To(BeNumerically("<", 80))
+		for position := range message.Records {
+			record := &message.Records[position]
+			record.MonitorSetVersion = 3
+			for distance := 1; distance <= 3; distance++ {
+				monitor := message.Records[(position+distance)%len(message.Records)].Info
+				record.Monitors = append(record.Monitors, monitor.ID)
+				record.MonitorBoots = append(record.MonitorBoots, monitor.Incarnation+member.Incarnation(distance))
+			}
+		}
+		frame = Encode(Envelope{Membership: message})
+		Expect(Decode(frame)).To(Equal(Envelope{Membership: message}))
+		Expect(len(frame) / len(message.Records)).To(BeNumerically("<", 120))
+	})
+
 	It("carry many records", func() {
 		message := &membership.Message{Records: make([]membership.Record, 2000)}
 		Expect(Decode(Encode(Envelope{Membership: message}))).To(Equal(Envelope{Membership: message}))
