--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -5,11 +5,13 @@
 //
 // A node joins through its seeds and from then on needs none. Records are
 // ordered by incarnation, version and state, and spread in three ways: each
-// holder of news passes it to a few members at once, heartbeats carry a digest
-// of the table whose mismatch leads to an exchange, and now and then a digest
-// goes to any member, or a join to any seed that is not in the table, so that
-// two halves of a split meet again. News waits while some went out a moment ago,
-// and an exchange waits while news comes in, so that a burst costs few messages.
+// holder of news passes it to a few members at once, mostly of its own zone;
+// heartbeats and their replies carry a digest of the table whose mismatch leads to
+// an exchange of the records that differ; and now and then a digest goes to any
+// member, to one that is certainly fenced, or to a seed on which no live member
+// listens, so that two halves of a split meet again. A seed that started a moment
+// ago, or whose table still grows, answers a join when it has settled, and monitors
+// are chosen when the table has, so that a start of many costs few messages.
 //
 // Each node declares a set of monitors, its successors on a ring of hashes
 // spread over the zones, and sends them heartbeats. They hold its row until the
