--- /dev/null
+++ b/internal/node/heapgrowth.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+)
+
+const (
+	// heapGrowthEvery is how often the growth of the heap follows the fleet.
+	heapGrowthEvery = 2 * time.Second
+	// smallFleet is the number of live nodes up to which the setting holds as it is.
+	smallFleet = 80
+	// nodesPerPercent is how many nodes beyond that let the heap grow by one percent
+	// more, and mostExtraGrowth bounds it.
+	nodesPerPercent = 2
+	mostExtraGrowth = 120
+)
+
+// heapGrowth lets the heap grow further where there are many nodes. What they tell of
+// their traffic is decoded and dropped again at each of them, so that garbage grows
+// with the fleet, and with it the processor time of collections, while what is kept
+// grows little.
+type heapGrowth struct {
+	percent int
+	driver  *control.Driver
+}
+
+// Serve implements suture.Service.
+func (h *heapGrowth) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(heapGrowthEvery)
+	defer ticker.Stop()
+	set := 0
+	for {
+		if wanted := growthFor(h.percent, len(h.driver.LiveNodes())); wanted != set {
+			debug.SetGCPercent(wanted)
+			set = wanted
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// String implements fmt.Stringer for the supervisor's messages.
+func (h *heapGrowth) String() string { return "growth of the heap" }
+
+// growthFor is the growth of the heap, in percent, among so many live nodes.
+func growthFor(percent, nodes int) int {
+	return percent + min(max(nodes-smallFleet, 0)/nodesPerPercent, mostExtraGrowth)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,6 +245,7 @@
 func (n *Node) supervise(ctx context.Context) <-chan struct{} {
 	supervisor := suture.New("node "+n.settings.Node, suture.Spec{EventHook: n.logEvent})
 	supervisor.Add(&controlService{driver: n.driver})
+	supervisor.Add(&heapGrowth{percent: n.settings.HeapGrowthPercent, driver: n.driver})
 	if n.storage.disk != nil && n.settings.Seeded() {
 		supervisor.Add(&addressService{storage: n.storage, driver: n.driver, log: n.log})
 	}
--- a/pkg/kvrouter/shared.go
+++ b/pkg/kvrouter/shared.go
@@ -158,12 +158,11 @@
 	r.advance(now)
 	var loads []AddressLoad
 	for address, known := range r.replicas {
-		own := known.ownLoad(now)
-		idle := own.idle()
-		if idle && !known.toldLoad {
+		if known.load.own.present.requests == 0 && !known.toldLoad {
 			continue
 		}
-		known.toldLoad = !idle
+		own := known.ownLoad(now)
+		known.toldLoad = !own.idle()
 		loads = append(loads, AddressLoad{Address: address, SharedLoad: own})
 	}
 	slices.SortFunc(loads, func(a, b AddressLoad) int { return cmp.Compare(a.Address, b.Address) })
