--- a/pkg/prefixindex/predictions.go
+++ b/pkg/prefixindex/predictions.go
@@ -74,7 +74,7 @@
 		return
 	}
 	p.expires[key] = expiry
-	heap.Push(&p.queue, queuedExpiry{prediction: key, at: expiry})
+	p.queue.add(queuedExpiry{prediction: key, at: expiry})
 	p.parts.put(key.holder, key.hash)
 }
 
@@ -143,7 +143,7 @@
 // popFirst takes the earliest expiry, and forgets its prediction unless that
 // was renewed since.
 func (p *predictions) popFirst() {
-	first := heap.Pop(&p.queue).(queuedExpiry)
+	first := p.queue.takeFirst()
 	if p.expires[first.prediction] == first.at {
 		p.forget(first.prediction)
 	}
@@ -195,13 +195,25 @@
 func (q expiryQueue) Less(i, j int) bool { return q[i].at < q[j].at }
 func (q expiryQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
 
-// Push appends an element of type queuedExpiry.
-func (q *expiryQueue) Push(queued any) { *q = append(*q, queued.(queuedExpiry)) }
+// add puts an element into its place, and takeFirst takes the earliest. Unlike
+// heap.Push and heap.Pop they make no garbage.
+func (q *expiryQueue) add(queued queuedExpiry) {
+	*q = append(*q, queued)
+	heap.Fix(q, len(*q)-1)
+}
 
-// Pop takes the last element.
-func (q *expiryQueue) Pop() any {
-	last := len(*q) - 1
-	queued := (*q)[last]
+func (q *expiryQueue) takeFirst() queuedExpiry {
+	first, last := (*q)[0], len(*q)-1
+	(*q)[0] = (*q)[last]
 	*q = (*q)[:last]
-	return queued
+	if last > 0 {
+		heap.Fix(q, 0)
+	}
+	return first
 }
+
+// Push and Pop are there for heap.Interface alone.
+func (q *expiryQueue) Push(queued any) { q.add(queued.(queuedExpiry)) }
+
+// Pop takes the earliest element.
+func (q *expiryQueue) Pop() any { return q.takeFirst() }
