control, metrics: tell how far a roll-out of weights has come on each node

Callers saw requests on older weights after the bound (users' incident), and nothing in logs or metrics could say which of the two mechanisms had failed.

Now each node tells, for each pool with named weights: for how long it has counted the version as named, whether the deadline passed, how many replicas are outdated and how many of these get requests (NodeStatus.rollouts, four gauges, log lines when a roll-out begins, is overdue, ends). Core nodes log when they begin and cease to lead a shard, and accepted commands as well as failed ones. No decision changes.

The table of the status command has one section more; its spec now holds a roll-out, so that the section is compared too.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -86,6 +86,8 @@
 	// loggedFences and loggedBadEntries are what logIncidents saw last.
 	loggedFences     uint64
 	loggedBadEntries uint64
+	// controlLog belongs to the control goroutine.
+	controlLog *controlLog
 }
 
 // New returns a driver that is not running yet.
@@ -99,6 +101,8 @@
 		writers:   map[uint32]*shardWriter{},
 		frames:    frameSender{deployment: options.Deployment, self: machine.Self(), sender: options.Sender},
 		replies:   replies{channels: map[uint64]chan control.Reply{}},
+
+		controlLog: newControlLog(options.Log),
 	}
 	for id, storage := range options.Storage {
 		driver.writers[id] = &shardWriter{
@@ -128,6 +132,7 @@
 		case <-ticker.C:
 			d.perform(d.machine.Tick(d.options.Clock()))
 			d.logIncidents()
+			d.controlLog.follow(d.machine)
 		case input := <-d.inputs:
 			d.perform(input(d.options.Clock()))
 		}
--- /dev/null
+++ b/internal/control/driver/rollout_log.go
@@ -0,0 +1,65 @@
+package driver
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/view"
+)
+
+// controlLog writes log lines when this node begins or ceases to lead a shard, and when a
+// roll-out of weights begins, ends or becomes overdue. It belongs to the control goroutine.
+type controlLog struct {
+	log *logrus.Entry
+	// ledTerms holds the term of each shard that the node led at the last call.
+	ledTerms map[uint32]uint64
+	// rollouts holds the progress of each pool at the last call.
+	rollouts map[string]view.RolloutProgress
+}
+
+func newControlLog(log *logrus.Entry) *controlLog {
+	return &controlLog{log: log, ledTerms: map[uint32]uint64{}, rollouts: map[string]view.RolloutProgress{}}
+}
+
+// follow logs what has changed since the last call.
+func (c *controlLog) follow(machine *control.Machine) {
+	c.followLeaderships(machine.LedTerms())
+	for _, progress := range machine.Rollouts() {
+		c.followRollout(machine, progress)
+	}
+}
+
+func (c *controlLog) followLeaderships(led map[uint32]uint64) {
+	for shard, term := range led {
+		if c.ledTerms[shard] != term {
+			c.log.WithField("shard", shard).WithField("term", term).Info("leads a shard")
+		}
+	}
+	for shard, term := range c.ledTerms {
+		if _, leads := led[shard]; !leads {
+			c.log.WithField("shard", shard).WithField("term", term).Info("leads a shard no more")
+		}
+	}
+	c.ledTerms = led
+}
+
+func (c *controlLog) followRollout(machine *control.Machine, progress view.RolloutProgress) {
+	before, known := c.rollouts[progress.Pool]
+	c.rollouts[progress.Pool] = progress
+	log := c.log.WithFields(logrus.Fields{
+		"pool":               progress.Pool,
+		"weight_version":     progress.Version,
+		"named_for_ms":       (machine.Now() - progress.NamedAt).Milliseconds(),
+		"replicas":           progress.Replicas,
+		"outdated":           progress.Outdated,
+		"outdated_admitting": progress.OutdatedAdmitting,
+	})
+	switch {
+	case progress.Overdue && !before.Overdue && progress.Outdated > 0:
+		log.Warn("replicas do not run the named weights although the deadline has passed; check whether the replicas respond to commands")
+	case !known || before.Version != progress.Version:
+		log.Info("weights were named")
+	case progress.Outdated == 0 && before.Outdated > 0:
+		log.Info("all replicas run the named weights")
+	}
+}
--- /dev/null
+++ b/internal/control/driver/rollout_log_test.go
@@ -0,0 +1,58 @@
+package driver
+
+import (
+	"bytes"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/view"
+)
+
+var _ = Describe("The log of control", func() {
+	var written *bytes.Buffer
+	var log *controlLog
+
+	BeforeEach(func() {
+		written = &bytes.Buffer{}
+		logger := logrus.New()
+		logger.SetOutput(written)
+		logger.SetFormatter(&logrus.JSONFormatter{})
+		log = newControlLog(logrus.NewEntry(logger))
+	})
+
+	It("tells when a roll-out begins, becomes overdue and ends, once each", func() {
+		machine := newSoloMachine(nil)
+		progress := view.RolloutProgress{Pool: "chat", Version: "2", Replicas: 4, Outdated: 4, OutdatedAdmitting: 4}
+		for range 2 {
+			log.followRollout(machine, progress)
+		}
+		Expect(written.String()).To(ContainSubstring(`"msg":"weights were named"`))
+		Expect(bytes.Count(written.Bytes(), []byte("\n"))).To(Equal(1))
+		progress.Overdue = true
+		for range 2 {
+			log.followRollout(machine, progress)
+		}
+		Expect(written.String()).To(ContainSubstring(`"outdated_admitting":4`))
+		Expect(bytes.Count(written.Bytes(), []byte("\n"))).To(Equal(2))
+		progress.Outdated = 0
+		for range 2 {
+			log.followRollout(machine, progress)
+		}
+		Expect(written.String()).To(ContainSubstring("all replicas run the named weights"))
+		Expect(bytes.Count(written.Bytes(), []byte("\n"))).To(Equal(3))
+	})
+
+	It("tells of the shards that the node leads", func() {
+		machine := newSoloMachine(nil)
+		run(machine, 3*time.Second)
+		log.follow(machine)
+		log.follow(machine)
+		Expect(written.String()).To(ContainSubstring("leads a shard"))
+		Expect(bytes.Count(written.Bytes(), []byte("leads a shard\""))).To(Equal(len(machine.LedTerms())))
+		log.followLeaderships(nil)
+		Expect(written.String()).To(ContainSubstring("leads a shard no more"))
+	})
+})
--- a/internal/control/queries.go
+++ b/internal/control/queries.go
@@ -6,6 +6,7 @@
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/view"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
@@ -63,6 +64,21 @@
 	return m.states.received.Configuration()
 }
 
+// Rollouts returns how far the weights that were named for pools have come, by the newest
+// view; read only, and until the next input.
+func (m *Machine) Rollouts() []view.RolloutProgress { return m.views.builder.Rollouts() }
+
+// LedTerms returns the terms of the shards that this node leads.
+func (m *Machine) LedTerms() map[uint32]uint64 {
+	led := map[uint32]uint64{}
+	for shard := range m.shards.all() {
+		if shard.IsLeader() {
+			led[shard.ID()] = shard.Term()
+		}
+	}
+	return led
+}
+
 // ReadsEndpoints reports whether this node reads the platform's list for the others.
 func (m *Machine) ReadsEndpoints() bool { return m.endpoints.machine.Reads() }
 
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -10,6 +10,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/rollout"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/view"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
 )
@@ -40,9 +41,24 @@
 	for _, id := range m.shards.ids {
 		status.Shards = append(status.Shards, m.shardStatus(id))
 	}
+	for _, progress := range m.Rollouts() {
+		status.Rollouts = append(status.Rollouts, rolloutStatus(now, progress))
+	}
 	return status
 }
 
+func rolloutStatus(now time.Duration, progress view.RolloutProgress) *ridgeswitchv1.RolloutStatus {
+	return &ridgeswitchv1.RolloutStatus{
+		Pool:              progress.Pool,
+		WeightVersion:     progress.Version,
+		NamedForMs:        (now - progress.NamedAt).Milliseconds(),
+		Overdue:           progress.Overdue,
+		Replicas:          uint32(progress.Replicas),
+		Outdated:          uint32(progress.Outdated),
+		OutdatedAdmitting: uint32(progress.OutdatedAdmitting),
+	}
+}
+
 func (m *Machine) shardStatus(id uint32) *ridgeswitchv1.ShardStatus {
 	status := &ridgeswitchv1.ShardStatus{
 		Shard:    id,
--- a/internal/control/view/builder.go
+++ b/internal/control/view/builder.go
@@ -37,6 +37,8 @@
 type Builder struct {
 	config  Config
 	targets map[string]weightsTarget
+	// rollouts are those of the newest view.
+	rollouts []RolloutProgress
 }
 
 // NewBuilder returns a builder that has seen no configuration.
@@ -47,6 +49,7 @@
 // Build joins configuration, service shards and the platform's list.
 func (b *Builder) Build(now time.Duration, inputs Inputs) *routing.View {
 	configuration := inputs.Received.Configuration()
+	b.rollouts = nil
 	view := &routing.View{
 		Revision:      configuration.GetRevision(),
 		Configuration: configuration,
@@ -128,9 +131,12 @@
 		excluded := endpoint.Draining || rollout.OutOfService(row, endpoint) || evacuated.Has(endpoint.Zone)
 		entry.Replicas = append(entry.Replicas, replica(endpoint, version, registered && versionKnown && !excluded))
 	}
-	if target := b.followTarget(now, pool); b.overdue(now, target) {
+	target := b.followTarget(now, pool)
+	overdue := b.overdue(now, target)
+	if overdue {
 		excludeOutdated(entry, target.version)
 	}
+	b.recordProgress(entry, target, overdue)
 	return entry
 }
 
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -13,8 +13,12 @@
 // memberStates are the states of a member, each of which always has a series.
 var memberStates = []string{"alive", "suspect", "fenced", "left", "unknown"}
 
-// shardLabel holds the number of a shard.
-const shardLabel = "shard"
+const (
+	// shardLabel holds the number of a shard.
+	shardLabel = "shard"
+	// poolLabel holds the name of a pool.
+	poolLabel = "pool"
+)
 
 // controlCollector reads a node's view of the deployment.
 type controlCollector struct {
@@ -28,6 +32,8 @@
 	shardLed, shardLeaderKnown, shardRevision metric
 	shardTerm, shardCommit, shardApplied      metric
 	shardBadEntries                           metric
+
+	weightsNamedFor, weightsOverdue, weightsOutdated, weightsOutdatedAdmitting metric
 }
 
 func newControlCollector(control Control) *controlCollector {
@@ -45,6 +51,10 @@
 	c.shardCommit = c.gauge("shard", "commit_index", "Newest entry of the shard that is known to be decided, on nodes that hold it.", shardLabel)
 	c.shardApplied = c.gauge("shard", "applied_index", "Newest entry of the shard that is carried out, on nodes that hold it.", shardLabel)
 	c.shardBadEntries = c.counter("shard", "bad_entries_total", "Entries that this node could not read or write; each is a fault of the software.", shardLabel)
+	c.weightsNamedFor = c.gauge("weights", "named_for_seconds", "Time for which this node has counted the named weight version of the pool as named.", poolLabel)
+	c.weightsOverdue = c.gauge("weights", "overdue", "1 if the deadline of the named weight version has passed on this node.", poolLabel)
+	c.weightsOutdated = c.gauge("weights", "outdated_replicas", "Replicas of the pool that do not run the named weight version.", poolLabel)
+	c.weightsOutdatedAdmitting = c.gauge("weights", "outdated_admitting_replicas", "Replicas of the pool that do not run the named weight version and get requests from this node.", poolLabel)
 	return c
 }
 
@@ -60,6 +70,17 @@
 	for _, shard := range status.GetShards() {
 		c.collectShard(into, shard, status.GetNode())
 	}
+	for _, rollout := range status.GetRollouts()[:min(len(status.GetRollouts()), MaxDestinations)] {
+		c.collectRollout(into, rollout)
+	}
+}
+
+func (c *controlCollector) collectRollout(into chan<- prometheus.Metric, rollout *ridgeswitchv1.RolloutStatus) {
+	pool := rollout.GetPool()
+	c.weightsNamedFor.send(into, (time.Duration(rollout.GetNamedForMs()) * time.Millisecond).Seconds(), pool)
+	c.weightsOverdue.send(into, boolValue(rollout.GetOverdue()), pool)
+	c.weightsOutdated.send(into, float64(rollout.GetOutdated()), pool)
+	c.weightsOutdatedAdmitting.send(into, float64(rollout.GetOutdatedAdmitting()), pool)
 }
 
 func (c *controlCollector) collectMembers(into chan<- prometheus.Metric, status *ridgeswitchv1.NodeStatus) {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -78,6 +78,9 @@
 				{Shard: 0, Leader: "core-1", Term: 3, Commit: 9, Applied: 8, Revision: 12, BadEntries: 1},
 				{Shard: 1},
 			},
+			Rollouts: []*ridgeswitchv1.RolloutStatus{{
+				Pool: "demo", WeightVersion: "2", NamedForMs: 1500, Overdue: true, Replicas: 9, Outdated: 4, OutdatedAdmitting: 3,
+			}},
 		},
 		destinations: []dataplane.DestinationStats{{
 			Name: "demo", FirstAttempts: 10, Retries: 1, Truncated: 2,
@@ -111,6 +114,10 @@
 			`ridgeswitch_shard_applied_index{shard="0"} 8`,
 			`ridgeswitch_shard_bad_entries_total{shard="0"} 1`,
 			`ridgeswitch_shard_leader_known{shard="1"} 0`,
+			`ridgeswitch_weights_named_for_seconds{pool="demo"} 1.5`,
+			`ridgeswitch_weights_overdue{pool="demo"} 1`,
+			`ridgeswitch_weights_outdated_replicas{pool="demo"} 4`,
+			`ridgeswitch_weights_outdated_admitting_replicas{pool="demo"} 3`,
 			`ridgeswitch_transport_frames_total{direction="sent"} 1`,
 			`ridgeswitch_messages_sent_total{kind="membership probe",zone="other"} 3`,
 			`ridgeswitch_messages_sent_bytes_total{kind="membership probe",zone="other"} 450`,
--- a/internal/node/commander.go
+++ b/internal/node/commander.go
@@ -60,10 +60,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	outcome, err := c.replicas.LoadWeights(ctx, command)
+	log := c.log.WithField("replica", command.Address).WithField("weight_version", command.WeightVersion).
+		WithField("outcome", outcome.String())
 	if err != nil {
-		c.log.WithError(err).WithField("replica", command.Address).WithField("outcome", outcome.String()).
-			Warn("a weights command was not accepted; it is repeated while this node commands the replica")
+		log.WithError(err).Warn("a weights command was not accepted; it is repeated while this node commands the replica")
+		return outcome
 	}
+	log.Info("a weights command was accepted")
 	return outcome
 }
 
--- a/internal/operatorcli/commands_test.go
+++ b/internal/operatorcli/commands_test.go
@@ -141,6 +141,10 @@
 shards
 SHARD  LEADER  TERM  REVISION  GROUP          COMMIT  APPLIED  BAD_ENTRIES
 3      core-1  0     0         core-1,core-2  0       0        0
+
+rollouts
+POOL  WEIGHT_VERSION  NAMED_FOR_MS  OVERDUE  REPLICAS  OUTDATED  OUTDATED_ADMITTING
+p     2               1500          true     9         4         3
 `, "\n")))
 	})
 
--- a/internal/operatorcli/suite_test.go
+++ b/internal/operatorcli/suite_test.go
@@ -70,6 +70,9 @@
 		Node:    "front-1",
 		Members: []*ridgeswitchv1.MemberStatus{{Node: "core-1", Zone: "a", State: "alive"}},
 		Shards:  []*ridgeswitchv1.ShardStatus{{Shard: 3, Leader: "core-1", Group: []string{"core-1", "core-2"}}},
+		Rollouts: []*ridgeswitchv1.RolloutStatus{{
+			Pool: "p", WeightVersion: "2", NamedForMs: 1500, Overdue: true, Replicas: 9, Outdated: 4, OutdatedAdmitting: 3,
+		}},
 	}
 }
 
