--- a/internal/lab/sim/checks.go
+++ b/internal/lab/sim/checks.go
@@ -16,18 +16,17 @@
 
 func newChecks(w *simulation) *checks {
 	revisions := newRevisionChecks(w.environment, w.connectivity)
+	requests := newRequestChecks(w.environment, w.platform, w.connectivity)
 	return &checks{
 		env:            w.environment,
 		machines:       w.machines,
 		revisionChecks: revisions,
 		orderChecks: &orderChecks{
-			env: w.environment, connectivity: w.connectivity, operators: w.operators, revisions: revisions,
+			env: w.environment, connectivity: w.connectivity, operators: w.operators, revisions: revisions, requests: requests,
 			documents: map[uint64]string{},
 		},
 		commandChecks: newCommandChecks(w.environment),
-		requestChecks: &requestChecks{
-			env: w.environment, platform: w.platform, acknowledgedWeights: map[string]acknowledgedWeights{},
-		},
+		requestChecks: requests,
 	}
 }
 
--- a/internal/lab/sim/connectivity.go
+++ b/internal/lab/sim/connectivity.go
@@ -24,6 +24,7 @@
 	env      *environment
 	machines *machines
 	network  *network
+	backends *backendCalls
 	groups   *shardGroups
 	// outOfContactAt is when each node was last seen out of contact with the core.
 	outOfContactAt map[*node]time.Duration
@@ -32,6 +33,8 @@
 	coreDisturbedAt time.Duration
 	// disturbedAt is when any node or link was last disturbed.
 	disturbedAt time.Duration
+	// calm are the spans in which the core was stable and no link was disturbed.
+	calm calmSpans
 	// voters are the voters of each shard as its leader last knew them.
 	voters map[uint32][]replication.Voter
 	// acknowledged are the acknowledged revisions in the order of time.
@@ -45,11 +48,12 @@
 	revision uint64
 }
 
-func newConnectivity(env *environment, machines *machines, network *network, groups *shardGroups) *connectivity {
+func newConnectivity(env *environment, machines *machines, network *network, backends *backendCalls, groups *shardGroups) *connectivity {
 	return &connectivity{
 		env:            env,
 		machines:       machines,
 		network:        network,
+		backends:       backends,
 		groups:         groups,
 		outOfContactAt: map[*node]time.Duration{},
 		voters:         map[uint32][]replication.Voter{},
@@ -102,9 +106,11 @@
 		c.coreDisturbedAt = now
 		c.disturbedAt = now
 	}
-	if storming || !lo.EveryBy(nodes, func(observed *node) bool { return c.network.connected(observed, nodes) }) {
+	linked := !storming && lo.EveryBy(nodes, func(observed *node) bool { return c.network.connected(observed, nodes) })
+	if !linked {
 		c.disturbedAt = now
 	}
+	c.calm.record(now, linked && c.backends.delays == 0 && now-c.coreDisturbedAt >= failOpenContact)
 	for _, observed := range nodes {
 		running := observed.up && !observed.frozen
 		if !running || storming || !c.network.connected(observed, core) || observed.storage != nil && observed.storage.faulty() {
--- a/internal/lab/sim/order_checks.go
+++ b/internal/lab/sim/order_checks.go
@@ -13,6 +13,7 @@
 	connectivity *connectivity
 	operators    *operators
 	revisions    *revisionChecks
+	requests     *requestChecks
 	// documents are the acknowledged documents by the version that they replace.
 	documents map[uint64]string
 }
@@ -29,6 +30,9 @@
 		return
 	}
 	c.revisions.recordAcknowledged(record)
+	if record.Change.Kind == checker.ChangeWeights {
+		c.requests.weightsAcknowledged(record.Change)
+	}
 	c.documentAcknowledged(sent.order)
 }
 
--- a/internal/lab/sim/orders.go
+++ b/internal/lab/sim/orders.go
@@ -145,8 +145,12 @@
 	return newOrder(content, err, checker.Change{Kind: checker.ChangeRevoke, Tenant: key.tenant, Key: key.name})
 }
 
-// nameWeights names a version that no order named before.
+// nameWeights names a version that no order named before. On a platform, versions only
+// rise: an order that is overtaken by one for a newer version takes nothing back.
 func (o *orderFactory) nameWeights(base uint64, pool string) *operatorOrder {
+	if o.env.settings.FinishFirst && o.env.settings.FailOpen {
+		return o.raiseWeights(pool)
+	}
 	header := o.newOrderHeader(base)
 	version := "w" + header.GetOrderId()
 	if o.env.settings.FinishFirst {
@@ -156,6 +160,15 @@
 	return newOrder(content, err, checker.Change{Kind: checker.ChangeWeights, Pool: pool, WeightVersion: version})
 }
 
+func (o *orderFactory) raiseWeights(pool string) *operatorOrder {
+	id := o.newOrderHeader(0).GetOrderId()
+	version := uint64(1 + o.nameCount)
+	content, err := dynamic.RaiseWeightsOrder(id, pool, version)
+	order := newOrder(content, err, checker.Change{Kind: checker.ChangeWeights, Pool: pool, WeightVersion: fmt.Sprint(version)})
+	order.mayBeNoOp = true
+	return order
+}
+
 // evacuate gives a unique reason, so that each order changes something.
 func (o *orderFactory) evacuate(base uint64, zone string) *operatorOrder {
 	header := o.newOrderHeader(base)
--- a/internal/lab/sim/recovery_checks.go
+++ b/internal/lab/sim/recovery_checks.go
@@ -156,7 +156,6 @@
 	c.verifyOrder(order)
 	c.env.after(AcknowledgeBound, func() {
 		if order.finished {
-			c.checks.weightsAcknowledged(pool, order.change.WeightVersion, order.finishedAt)
 			c.env.at(order.finishedAt+c.env.settings.weightsBound(), func() { c.checkWeights(pool, order.change.WeightVersion) })
 		}
 	})
--- a/internal/lab/sim/request_checks.go
+++ b/internal/lab/sim/request_checks.go
@@ -12,28 +12,35 @@
 	// unorderedWeightsGrace is how long nodes may be unaware that a replica came
 	// back with weights that no command named.
 	unorderedWeightsGrace = 5 * time.Second
-	// finishFirstBound is the time without faults within which no request begins
-	// on weights older than those that were named, where replicas finish their
-	// requests first.
+	// finishFirstBound is the time of calm after which no request begins on weights older
+	// than those that were acknowledged, where replicas finish their requests first.
 	finishFirstBound = 12 * time.Second
+	// finishFirstTotalBound is the same for several spans of calm together.
+	finishFirstTotalBound = 17 * time.Second
 )
 
 // requestChecks check which replicas requests reach, and on which weights they run.
 type requestChecks struct {
-	env      *environment
-	platform *platform
-	// acknowledgedWeights are the weights of each pool that were acknowledged in
-	// the recovery phase, where replicas finish their requests first.
-	acknowledgedWeights map[string]acknowledgedWeights
+	env          *environment
+	platform     *platform
+	connectivity *connectivity
+	// acknowledgedWeights are the weights of each pool that were acknowledged, where
+	// replicas finish their requests first.
+	acknowledgedWeights map[string][]acknowledgedWeights
 }
 
-// acknowledgedWeights is a weight version that was acknowledged in the recovery
-// phase.
+// acknowledgedWeights is a weight version that was acknowledged.
 type acknowledgedWeights struct {
 	version int
 	at      time.Duration
 }
 
+func newRequestChecks(env *environment, platform *platform, connectivity *connectivity) *requestChecks {
+	return &requestChecks{
+		env: env, platform: platform, connectivity: connectivity, acknowledgedWeights: map[string][]acknowledgedWeights{},
+	}
+}
+
 // requestSent checks that a draining replica gets no request after the bound.
 func (c *requestChecks) requestSent(sent *request) {
 	if c.env.settings.FailOpen {
@@ -73,28 +80,42 @@
 	}
 }
 
-// requestStarted checks that no request begins while weights are being loaded, or
-// on weights older than those that were named in the recovery phase and
-// acknowledged longer ago than the bound.
+// requestStarted checks that no request begins while weights are being loaded, or on
+// weights older than others that were acknowledged, once their bound has passed.
 func (c *requestChecks) requestStarted(started *request) {
 	if started.replica.loading {
 		c.env.violate("weights_under_requests", "a request of %s began on %s, which loads weights %s",
 			started.node.info.ID, started.replica.address, started.replica.target)
 	}
-	acknowledged, known := c.acknowledgedWeights[started.replica.pool]
-	if !known || c.env.now <= acknowledged.at+finishFirstBound {
+	running, err := strconv.Atoi(started.replica.version)
+	if err != nil {
 		return
 	}
-	running, err := strconv.Atoi(started.replica.version)
-	if err == nil && running < acknowledged.version {
-		c.env.violate("older_weights", "a request of %s began on weights %d of %s, %v after %d was acknowledged",
-			started.node.info.ID, running, started.replica.address, c.env.now-acknowledged.at, acknowledged.version)
+	for _, acknowledged := range c.acknowledgedWeights[started.replica.pool] {
+		if running < acknowledged.version && c.boundPassed(started.node, acknowledged.at) {
+			c.env.violate("older_weights", "a request of %s began on weights %d of %s, %v after %d was acknowledged",
+				started.node.info.ID, running, started.replica.address, c.env.now-acknowledged.at, acknowledged.version)
+			return
+		}
+	}
+}
+
+// boundPassed reports whether a node may send no request to weights that are older than
+// those acknowledged at an instant. Where nodes fail open that holds for nodes in contact,
+// and after enough calm; elsewhere it is asked for the recovery phase alone, which has no
+// faults.
+func (c *requestChecks) boundPassed(sender *node, acknowledgedAt time.Duration) bool {
+	if !c.env.settings.FailOpen {
+		return acknowledgedAt >= c.env.settings.recoveryPhaseStart() && c.env.now > acknowledgedAt+finishFirstBound
 	}
+	calm := c.connectivity.calm
+	passed := calm.current(acknowledgedAt) > finishFirstBound || calm.total(acknowledgedAt) > finishFirstTotalBound
+	return passed && c.connectivity.inContact(sender)
 }
 
-// weightsAcknowledged records an acknowledgement in the recovery phase.
-func (c *requestChecks) weightsAcknowledged(pool, version string, at time.Duration) {
-	if number, err := strconv.Atoi(version); err == nil {
-		c.acknowledgedWeights[pool] = acknowledgedWeights{version: number, at: at}
+// weightsAcknowledged records an acknowledgement that an operator learned of now.
+func (c *requestChecks) weightsAcknowledged(change checker.Change) {
+	if version, err := strconv.Atoi(change.WeightVersion); err == nil {
+		c.acknowledgedWeights[change.Pool] = append(c.acknowledgedWeights[change.Pool], acknowledgedWeights{version: version, at: c.env.now})
 	}
 }
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -95,7 +95,7 @@
 	world.groups = &shardGroups{env: env, machines: world.machines, serviceShards: simulatedShards}
 	world.network = &network{env: env, machines: world.machines}
 	world.backends = &backendCalls{env: env, network: world.network, platform: world.platform}
-	world.connectivity = newConnectivity(env, world.machines, world.network, world.groups)
+	world.connectivity = newConnectivity(env, world.machines, world.network, world.backends, world.groups)
 	world.operators = &operators{orderFactory: &orderFactory{env: env, machines: world.machines, keys: world.keys}}
 	world.checks = newChecks(world)
 	world.reads = &operatorReads{env: env, machines: world.machines, operators: world.operators, checks: world.checks}
