sim: fail-open deployments run with the deadline of weights and the command gap

The times of fail-open deployments replaced those that the settings had set before, so that these runs had no deadline of weights at all, and the breakage no-command-gap no effect. Found when the trace of a spec showed no deadline.

--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -137,6 +137,9 @@
 // and its data folder.
 func (n *node) controlConfig() control.Config {
 	times := control.DefaultTimes()
+	if n.env.settings.FailOpen {
+		times = control.FailOpenTimes(failOpenContact, failOpenAcknowledge)
+	}
 	times.WeightsDeadline = n.env.settings.weightsDeadline()
 	if n.env.broken(BreakNoCommandGap) {
 		times.CommandGap = 0
@@ -166,7 +169,6 @@
 	config.FailOpen = true
 	config.Group = nil
 	config.GroupZones = nil
-	config.Times = control.FailOpenTimes(failOpenContact, failOpenAcknowledge)
 	if n.tickEvery == slowTick {
 		config.Times.HeartbeatEvery = slowHeartbeat
 	}
