control: the deadline of each weight version is counted once for the fleet

Cause: the time of a roll-out and the deadline of nodes were counted by each process from when it first saw the version in force. A version that was named before the last one was everywhere began both anew, a new leader had a whole roll-out time again, and a node that started the whole deadline; the deadline was waived below a quarter of the pool, so that nothing held a roll-out whose leaders changed.

Change: namedweights.Tracker keeps each named version with a time of its own. The leader of the service's shard replicates the ages of versions (field of SetReplicas and of ServiceState, written once a second until the deadline); new leaders and nodes that start count on from them. Once the replicated age has reached the deadline, outdated replicas get nothing, whatever the rest of the pool runs. The roll-out takes the replicas with the earliest deadline first.

--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -34,7 +34,8 @@
 //	roll-outs, commands, replicas' reports    rollout.Machine
 //	the platform's list                       localEndpoints: listing.Machine
 //	the list as the node uses it              localEndpoints: backends, endpointFreshness
-//	deadlines of named weights                viewRefresher: view.Builder
+//	versions of weights and since when        view.Builder: namedweights.Tracker
+//	ages of weights that are replicated       shards.Shard: shardstate.Service
 //	whether the view is stale                 viewRefresher
 //
 // Few of these machines know another: leaders.Directory and shardstate.Received are shared
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -59,7 +59,11 @@
 	var pools []rollout.Pool
 	for _, pool := range configuration.GetPools() {
 		if shardstate.ShardOfService(pool.GetService(), m.config.ServiceShards) == shard.ID() {
-			pools = append(pools, rollout.Pool{Config: pool, Endpoints: m.endpoints.inUse.services[pool.GetService()]})
+			pools = append(pools, rollout.Pool{
+				Config:    pool,
+				Endpoints: m.endpoints.inUse.services[pool.GetService()],
+				Named:     m.views.builder.NamedWeights(pool.GetName()),
+			})
 		}
 	}
 	led := ledServiceShard{hostedShard: shard, state: service}
--- a/internal/control/rollout/advance.go
+++ b/internal/control/rollout/advance.go
@@ -6,6 +6,7 @@
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
 )
 
@@ -18,7 +19,9 @@
 	state   *shardState
 	reports *replicaReports
 	pool    *ridgeswitchv1.Pool
-	pace    *pace
+	// named are the versions that were named for the pool, in that order.
+	named []namedweights.Version
+	pace  *pace
 	// evacuated are the zones to whose replicas no request goes.
 	evacuated shardstate.ZoneSet
 	// replicas are the pool's, but for those whose row is about another incarnation.
--- a/internal/control/rollout/commands.go
+++ b/internal/control/rollout/commands.go
@@ -119,7 +119,7 @@
 		progress.accepted = true
 		progress.reportValidFrom = p.now
 	}
-	measuredFrom := p.pace.since
+	measuredFrom := p.pace.targetSince
 	if progress.accepted {
 		measuredFrom = progress.reportValidFrom
 	}
--- /dev/null
+++ b/internal/control/rollout/deadlines_test.go
@@ -0,0 +1,75 @@
+package rollout
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
+)
+
+var _ = Describe("The ages of weights on a leader", func() {
+	const deadline = 10 * time.Second
+
+	var ages *weightsAges
+	chat := &ridgeswitchv1.Pool{Name: "chat"}
+
+	BeforeEach(func() { ages = newWeightsAges() })
+
+	replicated := func(now time.Duration, versions ...namedweights.Version) []*controlpb.WeightsAge {
+		ages.follow(now, "chat", versions)
+		return ages.toReplicate(now, []Pool{{Config: chat, Named: versions}}, deadline)
+	}
+
+	It("go on from the earlier leader's, with a short time without a leader", func() {
+		version := namedweights.Version{Name: "2", Since: 0, ReplicatedAge: 5 * time.Second}
+		ages.follow(7*time.Second, "chat", []namedweights.Version{version})
+		Expect(ages.since("chat", version)).To(BeZero())
+	})
+
+	It("do not count a long time without a leader", func() {
+		version := namedweights.Version{Name: "2", Since: 0, ReplicatedAge: 5 * time.Second}
+		ages.follow(30*time.Second, "chat", []namedweights.Version{version})
+		Expect(30*time.Second - ages.since("chat", version)).To(Equal(5*time.Second + maxLeaderGap))
+		version.ReplicatedAge = 9 * time.Second
+		ages.follow(31*time.Second, "chat", []namedweights.Version{version})
+		Expect(31*time.Second - ages.since("chat", version)).To(Equal(6*time.Second + maxLeaderGap))
+	})
+
+	It("are replicated once in an interval, and when the deadline passes, but not after that", func() {
+		version := namedweights.Version{Name: "2", Since: time.Second}
+		Expect(replicated(time.Second+ageInterval-time.Millisecond, version)).To(BeNil())
+		Expect(replicated(time.Second+ageInterval, version)).To(HaveLen(1))
+		version.ReplicatedAge = deadline - 100*time.Millisecond
+		Expect(replicated(time.Second+deadline-time.Millisecond, version)).To(BeNil())
+		Expect(replicated(time.Second+deadline, version)[0].GetAgeMs()).To(BeEquivalentTo(deadline.Milliseconds()))
+		version.ReplicatedAge = deadline
+		Expect(replicated(time.Hour, version)).To(BeNil())
+	})
+
+	It("are replicated of all versions that no later one makes needless", func() {
+		versions := []namedweights.Version{{Name: "2", Since: 0}, {Name: "3", Since: 2 * time.Second}, {Name: "4", Since: 9 * time.Second}}
+		ages.follow(0, "chat", versions)
+		var names []string
+		for _, age := range replicated(13*time.Second, versions...) {
+			names = append(names, age.GetWeightVersion())
+		}
+		Expect(names).To(Equal([]string{"3", "4"}))
+	})
+
+	It("tell which version a replica has to reach first", func() {
+		versions := []namedweights.Version{{Name: "2", Since: time.Second}, {Name: "3", Since: 2 * time.Second}}
+		ages.follow(3*time.Second, "chat", versions)
+		since, found := ages.firstUnreached("chat", "1", versions)
+		Expect(found).To(BeTrue())
+		Expect(since).To(Equal(time.Second))
+		since, found = ages.firstUnreached("chat", "2", versions)
+		Expect(found).To(BeTrue())
+		Expect(since).To(Equal(2 * time.Second))
+		_, found = ages.firstUnreached("chat", "3", versions)
+		Expect(found).To(BeFalse())
+	})
+})
--- a/internal/control/rollout/doc.go
+++ b/internal/control/rollout/doc.go
@@ -12,6 +12,10 @@
 // reports of replicas and the requests for them. A new leader gathers that anew and
 // repeats commands under its own term. poolRollout decides the next moves of one pool.
 //
+// The roll-out of each version has a time of its own, which weightsAges counts: from the
+// ages that earlier leaders replicated, so that another leader has no more time than the one
+// before. Advance has the ages replicated until the deadline of nodes has passed.
+//
 // Commands carry a token of term and revision, and two leaders' commands to one replica
 // are CommandGap apart, so that replicas which check no tokens are safe as well.
 //
--- a/internal/control/rollout/machine.go
+++ b/internal/control/rollout/machine.go
@@ -6,6 +6,7 @@
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
@@ -51,6 +52,8 @@
 type Pool struct {
 	Config    *ridgeswitchv1.Pool
 	Endpoints []listing.Replica
+	// Named are the versions that were named for the pool, in that order; read only.
+	Named []namedweights.Version
 }
 
 // Machine rolls out weights in the service shards that a node leads. It owns what the
@@ -124,14 +127,15 @@
 }
 
 // Advance moves the replicas of a shard's pools towards the versions that the
-// configuration names, and returns the rows that change, or nil if none does. The
-// node must have applied everything in the shard's log, so that no change is made
+// configuration names, and returns the rows that change and the ages of weights that are to
+// be replicated, or nil if there is nothing of that. The node must have applied everything in the shard's log, so that no change is made
 // from rows that another change is about to replace.
 func (m *Machine) Advance(now time.Duration, shard Shard, pools []Pool, evacuated shardstate.ZoneSet) *controlpb.SetReplicas {
 	state := m.shards[shard.ID()]
 	change := &controlpb.SetReplicas{}
 	endpoints := map[string]listing.Replica{}
 	for _, pool := range pools {
+		state.ages.follow(now, pool.Config.GetName(), pool.Named)
 		for _, replica := range pool.Endpoints {
 			endpoints[replica.Address] = replica
 		}
@@ -142,6 +146,7 @@
 			state:     state,
 			reports:   m.reports,
 			pool:      pool.Config,
+			named:     pool.Named,
 			pace:      state.paceFor(pool.Config, now, m.config),
 			evacuated: evacuated,
 		}
@@ -151,7 +156,8 @@
 	}
 	state.pruneProgress(shard.Rows())
 	change.Removed = state.obsoleteRows(now, shard.Rows(), endpoints)
-	if len(change.Replicas) == 0 && len(change.Removed) == 0 {
+	change.WeightsAges = state.ages.toReplicate(now, pools, m.config.WeightsDeadline)
+	if len(change.Replicas) == 0 && len(change.Removed) == 0 && len(change.WeightsAges) == 0 {
 		return nil
 	}
 	return change
--- a/internal/control/rollout/pace.go
+++ b/internal/control/rollout/pace.go
@@ -33,9 +33,9 @@
 
 // pace decides how many replicas of a pool are out of service at once.
 type pace struct {
-	// target is the named version, and since when this leader first saw it.
-	target string
-	since  time.Duration
+	// target is the named version, and targetSince when this leader first saw it.
+	target      string
+	targetSince time.Duration
 	// withoutDrain means that replicas need not be drained.
 	withoutDrain bool
 	// duration is the time in which the roll-out is to reach every replica.
@@ -54,7 +54,7 @@
 		current = &pace{
 			outDurations:  map[int]time.Duration{},
 			loadDurations: map[int]time.Duration{},
-			since:         now,
+			targetSince:   now,
 			target:        pool.GetWeightVersion(),
 			withoutDrain:  config.ReplicasFinishFirst,
 			duration:      config.rolloutDuration(),
@@ -63,7 +63,7 @@
 	}
 	if current.target != pool.GetWeightVersion() {
 		current.target = pool.GetWeightVersion()
-		current.since = now
+		current.targetSince = now
 	}
 	return current
 }
@@ -127,33 +127,27 @@
 
 func distance(a, b int) int { return max(a-b, b-a) }
 
-// deadline is when the roll-out is to be over.
-func (p *pace) deadline() time.Duration { return p.since + p.duration }
-
 // overdue reports whether only the bound that operators count on matters any more.
 // Where replicas are drained first they are never taken out all at once, as that would
 // last as long as their requests run.
-func (p *pace) overdue(now time.Duration) bool {
-	return p.withoutDrain && now >= p.deadline()+overdueAfter
+func (p *pace) overdue(now, deadline time.Duration) bool {
+	return p.withoutDrain && now >= deadline+overdueAfter
 }
 
 // allowed returns how many replicas of a pool may be out of service at once while the
-// work of left replicas remains. It is the fewest with which the roll-out ends in time,
-// as replicas that load at the same time slow each other down, and no more than
+// work of left replicas remains, which is to be done by the deadline. It is the fewest with
+// which it is, as replicas that load at the same time slow each other down, and no more than
 // usualPoolDivisor allows as long as that is enough.
-func (p *pace) allowed(now time.Duration, left, pool int) int {
-	if p.overdue(now) {
-		return pool
-	}
+func (p *pace) allowed(now, deadline time.Duration, left, pool int) int {
 	usual := max(1, pool/usualPoolDivisor)
 	for level := min(minOutOfService, usual); level <= usual; level++ {
-		if p.inTime(now, left, level) {
+		if p.inTime(now, deadline, left, level) {
 			return level
 		}
 	}
 	limit := max(1, pool/urgentPoolDivisor)
 	for level := usual + 1; level < limit; level++ {
-		if p.inTime(now, left, level) {
+		if p.inTime(now, deadline, left, level) {
 			return level
 		}
 	}
@@ -162,6 +156,6 @@
 
 // inTime reports whether the remaining replicas are done before the deadline if level of
 // them are out of service at once.
-func (p *pace) inTime(now time.Duration, left, level int) bool {
-	return time.Duration(left)*p.expectedOut(level)/time.Duration(level) <= p.deadline()-now
+func (p *pace) inTime(now, deadline time.Duration, left, level int) bool {
+	return time.Duration(left)*p.expectedOut(level)/time.Duration(level) <= deadline-now
 }
--- a/internal/control/rollout/rows.go
+++ b/internal/control/rollout/rows.go
@@ -46,7 +46,7 @@
 		_, fresh := p.reports.fresh(p.now, replica.Address)
 		return fresh
 	}
-	if _, known := p.reports.since(replica.Replica, p.pace.since); !known {
+	if _, known := p.reports.since(replica.Replica, p.pace.targetSince); !known {
 		p.reports.request(p.now, replica.Replica)
 		return false
 	}
--- a/internal/control/rollout/selection.go
+++ b/internal/control/rollout/selection.go
@@ -3,39 +3,81 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
 )
 
-// selectForUpdate returns the replicas to take out of service now: as many as the pace
-// allows, from the zones with the fewest out of service, the least busy first. The last
-// serving replica of a zone stays until the roll-out is overdue.
+// candidate is a replica that is to be updated.
+type candidate struct {
+	poolReplica
+	// deadline is when it is to have reached the oldest named version that it has not.
+	deadline time.Duration
+}
+
+// selectForUpdate returns the replicas to take out of service now: all that are overdue, and
+// of the others as many as the pace allows.
 func (p *poolRollout) selectForUpdate(moved map[string]struct{}) []poolReplica {
-	candidates := slices.DeleteFunc(slices.Clone(p.replicas), func(replica poolReplica) bool {
-		_, done := moved[replica.Address]
-		return done || !p.needsUpdate(replica)
-	})
+	candidates := p.candidates(moved)
 	zones := p.countZones()
-	free := p.rolloutCapacity(len(candidates))
 	var selected []poolReplica
-	for free > 0 && len(candidates) > 0 {
-		slices.SortStableFunc(candidates, func(a, b poolReplica) int {
+	pending := slices.DeleteFunc(candidates, func(next candidate) bool {
+		if !p.pace.overdue(p.now, next.deadline) {
+			return false
+		}
+		selected = append(selected, next.poolReplica)
+		zones[next.Zone].takeOut()
+		return true
+	})
+	return append(selected, p.selectPending(pending, zones, len(selected))...)
+}
+
+// candidates returns the replicas that are to be updated and do not move otherwise.
+func (p *poolRollout) candidates(moved map[string]struct{}) []candidate {
+	var candidates []candidate
+	for _, replica := range p.replicas {
+		if _, done := moved[replica.Address]; !done && p.needsUpdate(replica) {
+			candidates = append(candidates, candidate{poolReplica: replica, deadline: p.deadlineOf(replica)})
+		}
+	}
+	return candidates
+}
+
+// deadlineOf is when a replica is to have reached the oldest named version that it has not:
+// one that is named later gives no more time.
+func (p *poolRollout) deadlineOf(replica poolReplica) time.Duration {
+	running := RunningVersion(replica.row, replica.Replica)
+	since, found := p.state.ages.firstUnreached(p.pool.GetName(), running, p.named)
+	if !found {
+		since = p.pace.targetSince
+	}
+	return since + p.pace.duration
+}
+
+// selectPending returns as many replicas as the pace allows beside those that are selected
+// already: those with the earliest deadline, from the zones with the fewest out of service,
+// the least busy first. The last serving replica of a zone stays.
+func (p *poolRollout) selectPending(pending []candidate, zones map[string]*zoneCount, taken int) []poolReplica {
+	free := p.rolloutCapacity(pending, taken)
+	var selected []poolReplica
+	for free > 0 && len(pending) > 0 {
+		slices.SortStableFunc(pending, func(a, b candidate) int {
 			return cmp.Or(
 				compareEvacuated(p.evacuated, a.Zone, b.Zone),
+				cmp.Compare(a.deadline, b.deadline),
 				cmp.Compare(zones[a.Zone].out, zones[b.Zone].out),
 				cmp.Compare(p.reports.newest[a.Address].ActiveRequests, p.reports.newest[b.Address].ActiveRequests),
 			)
 		})
-		next := candidates[0]
-		candidates = candidates[1:]
+		next := pending[0]
+		pending = pending[1:]
 		zone := zones[next.Zone]
-		if !p.evacuated.Has(next.Zone) && zone.serving <= 1 && zone.serving+zone.out > 1 && !p.pace.overdue(p.now) {
+		if !p.evacuated.Has(next.Zone) && zone.serving <= 1 && zone.serving+zone.out > 1 {
 			continue
 		}
-		zone.serving--
-		zone.out++
+		zone.takeOut()
 		free--
-		selected = append(selected, next)
+		selected = append(selected, next.poolReplica)
 	}
 	return selected
 }
@@ -57,6 +99,12 @@
 	serving, out int
 }
 
+// takeOut counts a serving replica as out of service.
+func (z *zoneCount) takeOut() {
+	z.serving--
+	z.out++
+}
+
 func (p *poolRollout) countZones() map[string]*zoneCount {
 	zones := map[string]*zoneCount{}
 	for _, replica := range p.replicas {
@@ -75,18 +123,28 @@
 	return zones
 }
 
-// rolloutCapacity returns how many more replicas may be taken out of service. Those that
-// do not respond don't count: they serve nobody.
-func (p *poolRollout) rolloutCapacity(candidates int) int {
-	out := 0
+// rolloutCapacity returns how many more replicas may be taken out of service, so that all are
+// done by their deadlines, while taken ones are being taken out. Those that do not respond
+// don't count: they serve nobody.
+func (p *poolRollout) rolloutCapacity(pending []candidate, taken int) int {
+	out := taken
 	for _, replica := range p.replicas {
 		if replica.outOfService() && !p.seemsUnavailable(replica) {
 			out++
 		}
 	}
-	// Those that are out are half through on average.
-	left := candidates + (out+1)/2
-	return p.pace.allowed(p.now, left, len(p.replicas)) - out
+	allowed := 0
+	for _, next := range pending {
+		// Those that are out are half through on average.
+		left := (out + 1) / 2
+		for _, other := range pending {
+			if other.deadline <= next.deadline {
+				left++
+			}
+		}
+		allowed = max(allowed, p.pace.allowed(p.now, next.deadline, left, len(p.replicas)))
+	}
+	return allowed - out
 }
 
 // seemsUnavailable reports whether a replica has not responded for so long that taking it
--- a/internal/control/rollout/state.go
+++ b/internal/control/rollout/state.go
@@ -25,6 +25,7 @@
 	servingSince map[string]time.Duration
 	// paces belong to the pools.
 	paces map[string]*pace
+	ages  *weightsAges
 }
 
 func newShardState(term uint64, since time.Duration) *shardState {
@@ -34,6 +35,7 @@
 		progress:     map[string]*replicaProgress{},
 		servingSince: map[string]time.Duration{},
 		paces:        map[string]*pace{},
+		ages:         newWeightsAges(),
 	}
 }
 
--- a/internal/control/rollout/versions.go
+++ b/internal/control/rollout/versions.go
@@ -3,8 +3,11 @@
 import (
 	"strconv"
 
+	"github.com/samber/lo"
+
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
 )
 
 // Weight versions are labels. Those that are whole numbers are compared as such, so
@@ -23,6 +26,14 @@
 	return numericallyNewer(running, named)
 }
 
+// VersionReachedAnyOf reports whether a replica that runs one version has reached the first
+// of some versions, which are in the order of their naming: it need not load that one, or it
+// runs one that was named later.
+func VersionReachedAnyOf(running string, named []namedweights.Version) bool {
+	return VersionReached(running, named[0].Name) ||
+		lo.ContainsBy(named, func(version namedweights.Version) bool { return version.Name == running })
+}
+
 // numericallyNewer reports whether both are numbers and the first is greater.
 func numericallyNewer(version, than string) bool {
 	a, errA := strconv.ParseUint(version, 10, 64)
--- a/internal/control/shardstate/service.go
+++ b/internal/control/shardstate/service.go
@@ -56,7 +56,8 @@
 	})
 }
 
-// setReplicas replaces the rows of some replicas under a new revision.
+// setReplicas replaces the rows of some replicas, and the ages of weights, under a new
+// revision.
 func (s *Service) setReplicas(change *controlpb.SetReplicas) {
 	s.state.Revision++
 	replaced := map[string]struct{}{}
@@ -75,6 +76,9 @@
 		row.PhaseRevision = s.state.Revision
 		s.state.Replicas = append(s.state.Replicas, row)
 	}
+	if len(change.GetWeightsAges()) > 0 {
+		s.state.WeightsAges = proto.CloneOf(change).WeightsAges
+	}
 	slices.SortFunc(s.state.Replicas, func(a, b *controlpb.ReplicaState) int {
 		return cmp.Compare(a.GetAddress(), b.GetAddress())
 	})
@@ -97,7 +101,11 @@
 }
 
 func (s *Service) relayed() *controlpb.ServiceState {
-	return &controlpb.ServiceState{Revision: s.state.GetRevision(), Replicas: s.state.GetReplicas()}
+	return &controlpb.ServiceState{
+		Revision:    s.state.GetRevision(),
+		Replicas:    s.state.GetReplicas(),
+		WeightsAges: s.state.GetWeightsAges(),
+	}
 }
 
 // Equals reports whether a relayed state is that of this one.
--- a/internal/control/view/builder.go
+++ b/internal/control/view/builder.go
@@ -5,6 +5,7 @@
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/rollout"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
@@ -32,24 +33,28 @@
 	Registered func(shardID uint32) bool
 }
 
-// Builder makes views. It owns the versions that were named for pools, and since when
-// this node has known them.
+// Builder makes views. It owns for how long the weight versions of pools have been named.
 type Builder struct {
 	config  Config
-	targets map[string]weightsTarget
+	weights *namedweights.Tracker
 	// rollouts are those of the newest view.
 	rollouts []RolloutProgress
 }
 
 // NewBuilder returns a builder that has seen no configuration.
 func NewBuilder(config Config) *Builder {
-	return &Builder{config: config, targets: map[string]weightsTarget{}}
+	return &Builder{config: config, weights: namedweights.New(config.WeightsDeadline)}
 }
 
+// NamedWeights returns the versions that were named for a pool, as of the newest view; read
+// only.
+func (b *Builder) NamedWeights(pool string) []namedweights.Version { return b.weights.Versions(pool) }
+
 // Build joins configuration, service shards and the platform's list.
 func (b *Builder) Build(now time.Duration, inputs Inputs) *routing.View {
 	configuration := inputs.Received.Configuration()
 	b.rollouts = nil
+	b.weights.Retain(configuration.GetPools())
 	view := &routing.View{
 		Revision:      configuration.GetRevision(),
 		Configuration: configuration,
@@ -122,7 +127,8 @@
 func (b *Builder) pool(now time.Duration, inputs Inputs, pool *ridgeswitchv1.Pool, evacuated shardstate.ZoneSet) *routing.Pool {
 	shardID := shardstate.ShardOfService(pool.GetService(), b.config.ServiceShards)
 	registered := b.config.ReplicasFinishFirst || inputs.Registered(shardID)
-	rows := inputs.Received.Service(shardID).GetReplicas()
+	service := inputs.Received.Service(shardID)
+	rows := service.GetReplicas()
 	entry := &routing.Pool{Config: pool, Store: findStore(inputs.Received.Configuration(), pool.GetStore())}
 	for _, endpoint := range inputs.Endpoints[pool.GetService()] {
 		row := shardstate.FindReplica(rows, endpoint.Address)
@@ -131,12 +137,10 @@
 		excluded := endpoint.Draining || rollout.OutOfService(row, endpoint) || evacuated.Has(endpoint.Zone)
 		entry.Replicas = append(entry.Replicas, replica(endpoint, version, registered && versionKnown && !excluded))
 	}
-	target := b.followTarget(now, pool)
-	overdue := b.overdue(now, target)
-	if overdue {
-		excludeOutdated(entry, target.version)
-	}
-	b.recordProgress(entry, target, overdue)
+	b.weights.Follow(now, pool, service.GetWeightsAges())
+	versions := b.weights.Versions(pool.GetName())
+	overdue := b.excludeOutdated(now, entry, versions)
+	b.recordProgress(entry, versions, overdue)
 	return entry
 }
 
--- a/internal/control/view/rollout_progress.go
+++ b/internal/control/view/rollout_progress.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/rollout"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
@@ -14,7 +17,7 @@
 	Version string
 	// NamedAt is since when this node has counted the version as named.
 	NamedAt time.Duration
-	// Overdue means that the deadline of the version has passed.
+	// Overdue means that the deadline of the version, or of one before it, has passed.
 	Overdue bool
 	// Replicas counts those of the pool, Outdated those that don't run the version, and
 	// OutdatedAdmitting those of them that get requests.
@@ -28,19 +31,20 @@
 func (b *Builder) Rollouts() []RolloutProgress { return b.rollouts }
 
 // recordProgress records the progress of a pool in the view that is being built.
-func (b *Builder) recordProgress(pool *routing.Pool, target weightsTarget, overdue bool) {
-	if target.version == "" {
+func (b *Builder) recordProgress(pool *routing.Pool, versions []namedweights.Version, overdue bool) {
+	target, found := lo.Last(versions)
+	if !found {
 		return
 	}
 	progress := RolloutProgress{
 		Pool:     pool.Config.GetName(),
-		Version:  target.version,
-		NamedAt:  target.since,
+		Version:  target.Name,
+		NamedAt:  target.Since,
 		Overdue:  overdue,
 		Replicas: len(pool.Replicas),
 	}
 	for _, replica := range pool.Replicas {
-		if rollout.VersionReached(replica.WeightVersion, target.version) {
+		if rollout.VersionReached(replica.WeightVersion, target.Name) {
 			continue
 		}
 		progress.Outdated++
--- a/internal/control/view/rollout_progress_test.go
+++ b/internal/control/view/rollout_progress_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
@@ -27,7 +28,7 @@
 				{WeightVersion: "1"},
 				{WeightVersion: "3", Admitting: true},
 			},
-		}, weightsTarget{version: "2", since: time.Second}, true)
+		}, []namedweights.Version{{Name: "2", Since: time.Second}}, true)
 		Expect(builder.Rollouts()).To(Equal([]RolloutProgress{{
 			Pool: "chat", Version: "2", NamedAt: time.Second, Overdue: true, Replicas: 4, Outdated: 2, OutdatedAdmitting: 1,
 		}}))
@@ -35,7 +36,7 @@
 
 	It("has nothing of a pool without named weights", func() {
 		builder := NewBuilder(Config{})
-		builder.recordProgress(&routing.Pool{Config: &ridgeswitchv1.Pool{Name: "chat"}}, weightsTarget{}, false)
+		builder.recordProgress(&routing.Pool{Config: &ridgeswitchv1.Pool{Name: "chat"}}, nil, false)
 		Expect(builder.Rollouts()).To(BeEmpty())
 	})
 })
--- a/internal/control/view/weights_deadline.go
+++ b/internal/control/view/weights_deadline.go
@@ -3,68 +3,62 @@
 import (
 	"time"
 
-	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/rollout"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
-// requiredPoolDivisor is the share of a pool, one in so many replicas, that must run the
-// named version before a node gives up the replicas that do not.
+// requiredPoolDivisor is the share of a pool, one in so many replicas, that must run a named
+// version before a node gives up the replicas that do not by its own clock alone.
 const requiredPoolDivisor = 4
 
-// weightsTarget is the version that the configuration names for a pool, and since
-// when this node has known it.
-type weightsTarget struct {
-	version string
-	since   time.Duration
-}
-
-// followTarget follows the versions that the configuration names.
-func (b *Builder) followTarget(now time.Duration, pool *ridgeswitchv1.Pool) weightsTarget {
-	known, found := b.targets[pool.GetName()]
-	if !found || known.version != pool.GetWeightVersion() {
-		known = weightsTarget{version: pool.GetWeightVersion(), since: now}
-		b.targets[pool.GetName()] = known
-	}
-	return known
-}
-
-// overdue reports whether replicas that do not run a named version are to be given up:
-// the time within which operators count on it is about to end.
-func (b *Builder) overdue(now time.Duration, target weightsTarget) bool {
-	deadline := b.config.WeightsDeadline
-	return deadline > 0 && now >= target.since+deadline
-}
-
-// DeadlinePassed reports whether the time of a named version ended between two instants,
+// DeadlinePassed reports whether the deadline of a named version lies between two instants,
 // so that the view is to be built anew.
 func (b *Builder) DeadlinePassed(before, now time.Duration) bool {
+	return b.weights.DeadlinePassed(before, now)
+}
+
+// excludeOutdated keeps requests from replicas that do not run named weights although the
+// deadline has passed. It returns whether there is such a version.
+//
+// If the leader of the shard has replicated that, control has worked for all that time, and
+// nothing excuses an outdated replica. By the clock of this node alone there may have been
+// nobody to command the replicas: they are given up once enough others run the version.
+func (b *Builder) excludeOutdated(now time.Duration, pool *routing.Pool, versions []namedweights.Version) (overdue bool) {
 	deadline := b.config.WeightsDeadline
 	if deadline <= 0 {
 		return false
 	}
-	for _, target := range b.targets {
-		if before < target.since+deadline && now >= target.since+deadline {
-			return true
+	for position := range versions {
+		required := versions[position:]
+		replicated := required[0].ReplicatedAge >= deadline
+		if !replicated && required[0].Age(now) < deadline {
+			continue
+		}
+		overdue = true
+		if replicated || enoughReached(pool, required) {
+			excludeBefore(pool, required)
 		}
 	}
-	return false
+	return overdue
 }
 
-// excludeOutdated keeps requests from replicas that do not run the named weights
-// although their time is over, once enough others do.
-func excludeOutdated(pool *routing.Pool, version string) {
+// enoughReached reports whether enough replicas of a pool run the first of some versions, or
+// a later one.
+func enoughReached(pool *routing.Pool, required []namedweights.Version) bool {
 	reached := 0
 	for _, replica := range pool.Replicas {
-		if replica.Admitting && rollout.VersionReached(replica.WeightVersion, version) {
+		if replica.Admitting && rollout.VersionReachedAnyOf(replica.WeightVersion, required) {
 			reached++
 		}
 	}
-	if reached*requiredPoolDivisor < len(pool.Replicas) || reached == 0 {
-		return
-	}
+	return reached > 0 && reached*requiredPoolDivisor >= len(pool.Replicas)
+}
+
+// excludeBefore keeps requests from replicas that run none of some versions.
+func excludeBefore(pool *routing.Pool, required []namedweights.Version) {
 	for position := range pool.Replicas {
 		replica := &pool.Replicas[position]
-		replica.Admitting = replica.Admitting && rollout.VersionReached(replica.WeightVersion, version)
+		replica.Admitting = replica.Admitting && rollout.VersionReachedAnyOf(replica.WeightVersion, required)
 	}
 }
