rollout: a replica is admitted with what it has loaded, though more was named since

Callers would have been refused: once each version's deadline is kept, versions named in a row kept whole pools out of service, since a loading replica went on to the newest version without taking a request in between.

Cause: a row in LOADING took over each newer version, also while the replica carried out the command of the one before. Now it does so until the command is sent; the replica is admitted with what it has loaded, and is taken out again when its turn comes, those with the earliest deadline first. Replicas that nodes drain are moved as before.

--- a/internal/control/rollout/rows.go
+++ b/internal/control/rollout/rows.go
@@ -93,7 +93,9 @@
 }
 
 // advanceLoading admits the replica once it confirms the version, and otherwise
-// orders it to load. A newer named version replaces an unfinished one.
+// orders it to load. A newer named version replaces an unfinished one; where replicas need
+// not be drained, it does so only until the command is sent. Such a replica is admitted with
+// what it has loaded, so that versions that are named in a row do not keep it out of service.
 func (p *poolRollout) advanceLoading(replica poolReplica) *controlpb.ReplicaState {
 	progress := p.state.progressOf(replica.row, p.now)
 	if !p.config.ReplicasFinishFirst {
@@ -101,7 +103,7 @@
 	}
 	report, known := p.reports.since(replica.Replica, p.state.since)
 	_, fresh := p.reports.fresh(p.now, replica.Address)
-	if known && fresh && VersionReached(report.WeightVersion, p.target()) {
+	if known && fresh && VersionReached(report.WeightVersion, p.admittedFrom(replica)) {
 		p.pace.measure(progress.outOfService, p.now-progress.since, p.now-max(progress.since, progress.sentAt))
 		return p.rowOf(replica, controlpb.ReplicaPhase_SERVING, report.WeightVersion, report)
 	}
@@ -109,6 +111,9 @@
 		return p.rowOf(replica, controlpb.ReplicaPhase_SERVING, replica.WeightVersion, report)
 	}
 	if replica.row.GetWeightVersion() != p.target() && p.target() != "" {
+		if p.loadUnderWay(replica, progress) {
+			return nil
+		}
 		return withPhase(replica.row, controlpb.ReplicaPhase_LOADING, p.target())
 	}
 	if progress.fenced {
@@ -119,6 +124,21 @@
 	return nil
 }
 
+// admittedFrom is the version from which on a loading replica is admitted.
+func (p *poolRollout) admittedFrom(replica poolReplica) string {
+	if p.config.ReplicasFinishFirst {
+		return replica.row.GetWeightVersion()
+	}
+	return p.target()
+}
+
+// loadUnderWay reports whether a replica that need not be drained has got the command of its
+// row, and may still carry it out.
+func (p *poolRollout) loadUnderWay(replica poolReplica, progress *replicaProgress) bool {
+	commanded := progress.inFlight || progress.accepted
+	return p.config.ReplicasFinishFirst && commanded && !p.readyForCommand(replica, progress)
+}
+
 // withPhase copies a row into another phase.
 func withPhase(row *controlpb.ReplicaState, phase controlpb.ReplicaPhase, version string) *controlpb.ReplicaState {
 	return &controlpb.ReplicaState{
--- a/internal/lab/sim/weights_bound_test.go
+++ b/internal/lab/sim/weights_bound_test.go
@@ -77,6 +77,24 @@
 		})
 	})
 
+	It("although versions are named in a row for long, and the pool goes on admitting requests", func() {
+		const instants = 100
+		playWeights(DefaultVirtual, func(world *simulation) {
+			world.repeat(8*second, 30*second, 1500*time.Millisecond, world.nameWeightsOfChat)
+			admitting := 0
+			world.repeat(20*second, 30*second, 10*second/instants, func() {
+				if admits(world.router().view, poolNames[0]) {
+					admitting++
+				}
+			})
+			world.at(30*second, func() {
+				if admitting < instants {
+					world.violate("admits", "the pool admitted requests at %d of %d instants", admitting, instants)
+				}
+			})
+		})
+	})
+
 	DescribeTable("under random faults",
 		func(seed uint64) {
 			summary := Campaign{
