--- a/cmd/ridgeswitch-lab/sim.go
+++ b/cmd/ridgeswitch-lab/sim.go
@@ -124,6 +124,9 @@
 	if campaign.FailOpen {
 		_, _ = fmt.Fprint(writer, " --fail-open")
 	}
+	if campaign.FinishFirst {
+		_, _ = fmt.Fprint(writer, " --finish-first")
+	}
 	if campaign.Break != sim.BreakNone {
 		_, _ = fmt.Fprintf(writer, " --break %s", campaign.Break)
 	}
