--- a/internal/lab/sim/order_checks.go
+++ b/internal/lab/sim/order_checks.go
@@ -31,7 +31,7 @@
 	}
 	c.revisions.recordAcknowledged(record)
 	if record.Change.Kind == checker.ChangeWeights {
-		c.requests.weightsAcknowledged(record.Change)
+		c.requests.weightsAcknowledged(record.Change, record.Revision)
 	}
 	c.documentAcknowledged(sent.order)
 }
