rollout: a new leader need not wait for replicas that nobody has commanded lately

Change: a replica without a row when the leadership began was commanded by no earlier leader for the 10 s that rows are kept, so that it may be commanded as soon as the lease holds; where two leaders must be apart for longer than rows are kept, every replica waits as before. A replica that has to wait is taken out of service only when it can be commanded.

--- a/internal/control/rollout/commands.go
+++ b/internal/control/rollout/commands.go
@@ -83,7 +83,7 @@
 	if p.now < progress.nextCommand || !p.readyForCommand(replica, progress) {
 		return
 	}
-	if !p.state.commandLeaseValid(p.now, p.config, p.shard) {
+	if !p.mayCommand(replica.Address) {
 		return
 	}
 	report, known := p.reports.newest[replica.Address]
@@ -136,14 +136,40 @@
 	return p.now >= progress.since+confirmationTimeout || p.shard.ConfirmedEverywhere(replica.row.GetPhaseRevision())
 }
 
+// mayCommand reports whether this node's right to command a replica is certain for the whole
+// time of a command. One that no earlier leader can have commanded lately need not wait.
+func (p *poolRollout) mayCommand(address string) bool {
+	if p.state.commandedBefore(address, p.config) {
+		return p.state.commandLeaseValid(p.now, p.config, p.shard)
+	}
+	return holdsCommandLease(p.now, p.shard)
+}
+
+// commandedBefore reports whether an earlier leader may have commanded a replica lately. A
+// row is kept for rowRetention after the last command at least.
+func (s *shardState) commandedBefore(address string, config Config) bool {
+	_, moved := s.movedBefore[address]
+	return moved || config.LeaseDuration+config.LeaseMargin+config.CommandGap >= rowRetention
+}
+
 // commandLeaseValid reports whether this node's right to command is certain for the whole
 // time of a command, and the last command of an earlier leader is as old as the commands
-// of two leaders must be apart. In the first term there was no earlier leader.
+// of two leaders must be apart.
 func (s *shardState) commandLeaseValid(now time.Duration, config Config, shard Shard) bool {
-	earliest := s.since + config.LeaseDuration + config.LeaseMargin + config.CommandGap
-	if s.term > 1 && now < earliest {
-		return false
+	return now >= s.commandGapEnd(config) && holdsCommandLease(now, shard)
+}
+
+// commandGapEnd is when the last command of an earlier leader is as old as the commands of
+// two leaders must be apart. In the first term there was no earlier leader.
+func (s *shardState) commandGapEnd(config Config) time.Duration {
+	if s.term <= 1 {
+		return s.since
 	}
+	return s.since + config.LeaseDuration + config.LeaseMargin + config.CommandGap
+}
+
+// holdsCommandLease reports whether this node's lease lasts for the whole time of a command.
+func holdsCommandLease(now time.Duration, shard Shard) bool {
 	return shard.HasCommandLease(now) && shard.HasCommandLease(now+commandTimeout)
 }
 
--- a/internal/control/rollout/commands_test.go
+++ b/internal/control/rollout/commands_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 )
 
 // leasedShard is a service shard without rows, the right to command in which lasts
@@ -49,6 +50,37 @@
 		Expect(mayCommandAt(leading(1), leasedShard{term: 1, until: time.Hour}, began)).To(BeTrue())
 	})
 
+	It("need not wait for a replica that no earlier leader has moved lately", func() {
+		shard := leasedShard{term: 2, until: time.Hour}
+		may := func(address string, config Config) bool {
+			machine := New(config, []uint32{1}, 0)
+			machine.Lead(began, 1, 2)
+			machine.shards[1].recordMoved([]*controlpb.ReplicaState{{Address: "moved"}})
+			machine.shards[1].recordMoved([]*controlpb.ReplicaState{{Address: "other"}})
+			rolling := &poolRollout{config: config, now: began, shard: shard, state: machine.shards[1]}
+			return rolling.mayCommand(address)
+		}
+		Expect(may("moved", config)).To(BeFalse())
+		Expect(may("other", config)).To(BeTrue())
+		long := config
+		long.CommandGap = rowRetention
+		Expect(may("other", long)).To(BeFalse())
+	})
+
+	It("takes nothing out of service that it may not command soon", func() {
+		finishFirst := config
+		finishFirst.ReplicasFinishFirst = true
+		machine := leading(2)
+		machine.shards[1].recordMoved([]*controlpb.ReplicaState{{Address: "moved"}})
+		soon := func(address string, now time.Duration) bool {
+			rolling := &poolRollout{config: finishFirst, now: now, state: machine.shards[1]}
+			return rolling.commandableSoon(poolReplica{Replica: listing.Replica{Address: address}})
+		}
+		Expect(soon("moved", began+gap-confirmationTimeout-time.Millisecond)).To(BeFalse())
+		Expect(soon("moved", began+gap-confirmationTimeout)).To(BeTrue())
+		Expect(soon("other", began)).To(BeTrue())
+	})
+
 	It("commands nothing unless its lease lasts for the whole time of a command", func() {
 		machine := leading(1)
 		Expect(mayCommandAt(machine, leasedShard{term: 1, until: began + commandTimeout}, began)).To(BeFalse())
--- a/internal/control/rollout/machine.go
+++ b/internal/control/rollout/machine.go
@@ -132,6 +132,7 @@
 // from rows that another change is about to replace.
 func (m *Machine) Advance(now time.Duration, shard Shard, pools []Pool, evacuated shardstate.ZoneSet) *controlpb.SetReplicas {
 	state := m.shards[shard.ID()]
+	state.recordMoved(shard.Rows())
 	change := &controlpb.SetReplicas{}
 	endpoints := map[string]listing.Replica{}
 	for _, pool := range pools {
--- a/internal/control/rollout/selection.go
+++ b/internal/control/rollout/selection.go
@@ -36,13 +36,20 @@
 func (p *poolRollout) candidates(moved map[string]struct{}) []candidate {
 	var candidates []candidate
 	for _, replica := range p.replicas {
-		if _, done := moved[replica.Address]; !done && p.needsUpdate(replica) {
+		if _, done := moved[replica.Address]; !done && p.commandableSoon(replica) && p.needsUpdate(replica) {
 			candidates = append(candidates, candidate{poolReplica: replica, deadline: p.deadlineOf(replica)})
 		}
 	}
 	return candidates
 }
 
+// commandableSoon reports whether a replica can be commanded about when it is out of service.
+// A leader that still has to wait would only keep it from serving.
+func (p *poolRollout) commandableSoon(replica poolReplica) bool {
+	waits := p.config.ReplicasFinishFirst && p.state.commandedBefore(replica.Address, p.config)
+	return !waits || p.now+confirmationTimeout >= p.state.commandGapEnd(p.config)
+}
+
 // deadlineOf is when a replica is to have reached the oldest named version that it has not:
 // one that is named later gives no more time.
 func (p *poolRollout) deadlineOf(replica poolReplica) time.Duration {
--- a/internal/control/rollout/state.go
+++ b/internal/control/rollout/state.go
@@ -19,6 +19,9 @@
 	// when this node first acted in it.
 	term  uint64
 	since time.Duration
+	// movedBefore are the addresses that had a row when this leadership began; nil until
+	// these are known.
+	movedBefore map[string]struct{}
 	// progress is that of each replica that a row keeps requests from.
 	progress map[string]*replicaProgress
 	// servingSince is when the row of each serving replica was first seen.
@@ -122,6 +125,17 @@
 	}
 }
 
+// recordMoved records the rows that earlier leaders have left, once.
+func (s *shardState) recordMoved(rows []*controlpb.ReplicaState) {
+	if s.movedBefore != nil {
+		return
+	}
+	s.movedBefore = make(map[string]struct{}, len(rows))
+	for _, row := range rows {
+		s.movedBefore[row.GetAddress()] = struct{}{}
+	}
+}
+
 // obsoleteRows lists the addresses of rows that are no longer needed: those of replicas
 // that left the list or came back as another incarnation, and those that the list has
 // caught up with.
