rollout, driver: less work for each look at a roll-out

At 320 replicas the pace was worked out once for each candidate, and log fields were made for each pool at each tick. Now the pace is worked out once for each deadline, and the log looks for changes every 200 ms.

--- a/internal/control/driver/rollout_log.go
+++ b/internal/control/driver/rollout_log.go
@@ -1,16 +1,23 @@
 package driver
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/view"
 )
 
+// logInterval is how often the log looks for changes.
+const logInterval = 200 * time.Millisecond
+
 // controlLog writes log lines when this node begins or ceases to lead a shard, and when a
 // roll-out of weights begins, ends or becomes overdue. It belongs to the control goroutine.
 type controlLog struct {
 	log *logrus.Entry
+	// nextLook is when changes are looked for again.
+	nextLook time.Duration
 	// ledTerms holds the term of each shard that the node led at the last call.
 	ledTerms map[uint32]uint64
 	// rollouts holds the progress of each pool at the last call.
@@ -21,8 +28,12 @@
 	return &controlLog{log: log, ledTerms: map[uint32]uint64{}, rollouts: map[string]view.RolloutProgress{}}
 }
 
-// follow logs what has changed since the last call.
+// follow logs what has changed since it last looked, at most once in logInterval.
 func (c *controlLog) follow(machine *control.Machine) {
+	if machine.Now() < c.nextLook {
+		return
+	}
+	c.nextLook = machine.Now() + logInterval
 	c.followLeaderships(machine.LedTerms())
 	for _, progress := range machine.Rollouts() {
 		c.followRollout(machine, progress)
@@ -45,6 +56,9 @@
 
 func (c *controlLog) followRollout(machine *control.Machine, progress view.RolloutProgress) {
 	before, known := c.rollouts[progress.Pool]
+	if known && before == progress {
+		return
+	}
 	c.rollouts[progress.Pool] = progress
 	log := c.log.WithFields(logrus.Fields{
 		"pool":               progress.Pool,
--- a/internal/control/rollout/selection.go
+++ b/internal/control/rollout/selection.go
@@ -140,16 +140,16 @@
 			out++
 		}
 	}
+	// Those that are out are half through on average.
+	left := (out + 1) / 2
 	allowed := 0
-	for _, next := range pending {
-		// Those that are out are half through on average.
-		left := (out + 1) / 2
-		for _, other := range pending {
-			if other.deadline <= next.deadline {
-				left++
-			}
+	byDeadline := slices.SortedFunc(slices.Values(pending), func(a, b candidate) int { return cmp.Compare(a.deadline, b.deadline) })
+	for position, next := range byDeadline {
+		left++
+		isLast := position == len(byDeadline)-1 || byDeadline[position+1].deadline > next.deadline
+		if isLast {
+			allowed = max(allowed, p.pace.allowed(p.now, next.deadline, left, len(p.replicas)))
 		}
-		allowed = max(allowed, p.pace.allowed(p.now, next.deadline, left, len(p.replicas)))
 	}
 	return allowed - out
 }
