sim: a breakage for older_weights, and leaders that move without a fault

The rule had no breakage. no-weights-deadline runs nodes without their deadline; the new kind leadership-moved, drawn by name alone, hands a roll-out's leadership over every 3 s and records no disturbance.

--- a/internal/lab/sim/breaks.go
+++ b/internal/lab/sim/breaks.go
@@ -65,6 +65,8 @@
 	// BreakNoProbes loses the digests and the questions to seeds by which halves of a
 	// split membership find each other again.
 	BreakNoProbes Break = "no-probes"
+	// BreakNoWeightsDeadline runs nodes without a deadline of weights.
+	BreakNoWeightsDeadline Break = "no-weights-deadline"
 )
 
 // Breaks returns all mechanisms that can be switched off.
@@ -90,6 +92,7 @@
 		BreakReadsOwnView,
 		BreakAppendClaimed,
 		BreakNoProbes,
+		BreakNoWeightsDeadline,
 	}
 }
 
--- a/internal/lab/sim/campaign_test.go
+++ b/internal/lab/sim/campaign_test.go
@@ -45,6 +45,7 @@
 	BreakReadsOwnView:            {1, 20, []string{"node-cut", "core-split"}, false, false},
 	BreakAppendClaimed:           {1, 20, []string{"two-machines-replaced"}, false, true},
 	BreakNoProbes:                {1, 20, []string{"power-lost-after-ack"}, false, true},
+	BreakNoWeightsDeadline:       {1, 60, []string{"leadership-moved"}, true, true},
 }
 
 var _ = Describe("A campaign", func() {
--- a/internal/lab/sim/doc.go
+++ b/internal/lab/sim/doc.go
@@ -37,6 +37,7 @@
 //	names that orders use up                              orderFactory
 //	whether the disks of a majority are lost              majorityLoss
 //	when each node and the core were last disturbed       connectivity
+//	spans without a disturbance of the core or a link     connectivity: calmSpans
 //	what is needed to judge                               revisionChecks, orderChecks, commandChecks, requestChecks
 //
 // shardGroups, operatorReads, recoveryChecks and the faults have no state of their
@@ -62,6 +63,7 @@
 //	holders_keep_apart     command_checks.go     no-command-gap (r)
 //	in_force               revision_checks.go    ack-before-sync (f), in control_test.go
 //	linearizable           history.go            ack-before-sync, empty-disk-votes, no-order-dedup
+//	older_weights          request_checks.go     no-weights-deadline (f, r)
 //	one_content            revision_checks.go    no-witness-floor
 //	one_document_per_base  order_checks.go       no-compare-and-set (f)
 //	one_order_per_base     checks.go (shared)    no-compare-and-set
@@ -78,7 +80,7 @@
 //
 // No breakage here is known to violate acknowledged_lost, answer_of_order,
 // commanded_in_vain, durable_write, evacuated_zone, frame, invalid_refused,
-// older_weights, restart, service_back or spread_in_calm. The rules marked as shared
+// restart, service_back or spread_in_calm. The rules marked as shared
 // and invalid_refused are those of internal/lab/checker, whose specs break each with
 // records made for it.
 //
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -115,6 +115,11 @@
 	{"platform-down", 2, func(f *faultInjector) { f.endpoints.stopPlatform() }},
 }
 
+// namedFaultKinds are drawn by name only.
+var namedFaultKinds = []faultKind{
+	{"leadership-moved", 4, func(f *faultInjector) { f.processes.moveLeadership() }},
+}
+
 // Where and when a kind may be drawn.
 var (
 	// configuredGroupFaults are the faults of deployments whose group is named, and
@@ -164,14 +169,17 @@
 
 // selectedFaultKinds returns the kinds of the given names, or the default ones.
 func selectedFaultKinds(names []string, finishFirst bool) []faultKind {
-	all := faultKinds
-	if finishFirst || len(names) > 0 {
-		all = slices.Concat(faultKinds, endpointFaultKinds)
-	}
-	if len(names) == 0 {
-		return all
+	switch {
+	case len(names) == 0 && finishFirst:
+		return slices.Concat(faultKinds, endpointFaultKinds)
+	case len(names) == 0:
+		return faultKinds
 	}
-	return lo.Filter(all, func(kind faultKind, _ int) bool { return lo.Contains(names, kind.name) })
+	return lo.Filter(allFaultKinds(), func(kind faultKind, _ int) bool { return lo.Contains(names, kind.name) })
+}
+
+func allFaultKinds() []faultKind {
+	return slices.Concat(faultKinds, endpointFaultKinds, namedFaultKinds)
 }
 
 // weightedKind returns the kind to which a draw from the sum of all weights
@@ -187,7 +195,7 @@
 
 // FaultNames returns the names of all kinds of faults.
 func FaultNames() []string {
-	return lo.Map(slices.Concat(faultKinds, endpointFaultKinds), func(kind faultKind, _ int) string { return kind.name })
+	return lo.Map(allFaultKinds(), func(kind faultKind, _ int) string { return kind.name })
 }
 
 // UnknownFaultError reports that no kind of fault has the given name.
--- a/internal/lab/sim/machine_faults.go
+++ b/internal/lab/sim/machine_faults.go
@@ -77,6 +77,21 @@
 	f.orders.issue(f.orders.nameWeights(0, pick(f.env.randomness, poolNames)))
 }
 
+// moveLeadership has the leaders of a roll-out hand it over again and again, as after
+// hiccups that nobody outside notices: no disturbance is recorded.
+func (f *machineFaults) moveLeadership() {
+	const moves, period = 5, 3 * time.Second
+	pool := pick(f.env.randomness, poolNames)
+	f.orders.issue(f.orders.nameWeights(0, pool))
+	for move := range moves {
+		f.env.after(time.Duration(move)*period, func() {
+			if leader := f.groups.leaderOf(pool); leader != nil && !f.env.inRecoveryPhase() {
+				leader.post(leader.process, leader.machine.TransferLeadership)
+			}
+		})
+	}
+}
+
 // jumpClock moves a node's wall clock and restarts the node.
 func (f *machineFaults) jumpClock() {
 	const furthest = 2 * time.Hour
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -141,6 +141,9 @@
 		times = control.FailOpenTimes(failOpenContact, failOpenAcknowledge)
 	}
 	times.WeightsDeadline = n.env.settings.weightsDeadline()
+	if n.env.broken(BreakNoWeightsDeadline) {
+		times.WeightsDeadline = 0
+	}
 	if n.env.broken(BreakNoCommandGap) {
 		times.CommandGap = 0
 	}
--- a/internal/lab/sim/shard_groups.go
+++ b/internal/lab/sim/shard_groups.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/samber/lo"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
 
@@ -46,6 +47,17 @@
 	return nil
 }
 
+// leaderOf returns the node that leads the shard of a pool's service, or nil.
+func (g *shardGroups) leaderOf(pool string) *node {
+	shard := shardstate.ShardOfService(pool, g.serviceShards)
+	for _, one := range g.machines.withDisks() {
+		if _, leads := one.machine.GroupSlots(shard); one.up && leads {
+			return one
+		}
+	}
+	return nil
+}
+
 // everyMemberIsVoter reports whether the leader of every shard knows all members
 // as voters in the present incarnations of their disks.
 func (g *shardGroups) everyMemberIsVoter() bool {
--- a/internal/lab/sim/weights_bound_test.go
+++ b/internal/lab/sim/weights_bound_test.go
@@ -6,8 +6,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/samber/lo"
-
-	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
 )
 
 // playWeights plays a script, with several seeds, in fail-open deployments whose replicas
@@ -28,12 +26,8 @@
 // moveLeaderOfChat has the leader of the pool's shard hand it over, as after a hiccup that
 // nobody outside notices.
 func (w *simulation) moveLeaderOfChat() {
-	shard := shardstate.ShardOfService(poolNames[0], w.groups.serviceShards)
-	for _, one := range w.machines.withDisks() {
-		if _, leads := one.machine.GroupSlots(shard); one.up && leads {
-			one.post(one.process, one.machine.TransferLeadership)
-			return
-		}
+	if leader := w.groups.leaderOf(poolNames[0]); leader != nil {
+		leader.post(leader.process, leader.machine.TransferLeadership)
 	}
 }
 
