--- a/pkg/membership/prober.go
+++ b/pkg/membership/prober.go
@@ -32,7 +32,7 @@
 		p.outbox.send(id, Message{Type: MessageGossip})
 	}
 	// A fenced member that starts again may know nobody but others that did so
-	// together with it, and one that left may come back after the last of its seeds was lost.
+	// together with it.
 	if id := p.nextFenced(); id != "" {
 		p.outbox.send(id, Message{Type: MessageGossip})
 	}
@@ -41,13 +41,14 @@
 	}
 }
 
-// nextFenced returns the other members that are certainly fenced, those that left among
-// them, one with each call, or "" if there is none.
+// nextFenced returns the other members that are certainly fenced and haven't left, one
+// with each call, or "" if there is none.
 func (p *prober) nextFenced() member.ID {
 	fenced := p.table.fenced
 	for range fenced {
 		p.fencedProbes++
-		if id := fenced[p.fencedProbes%len(fenced)]; id != p.table.self {
+		id := fenced[p.fencedProbes%len(fenced)]
+		if id != p.table.self && p.table.entries[id].record.State != StateLeft {
 			return id
 		}
 	}
