--- a/internal/lab/sim/request_checks.go
+++ b/internal/lab/sim/request_checks.go
@@ -105,12 +105,15 @@
 }
 
 // boundPassed reports whether a node may send no request to weights that are older than
-// those acknowledged at an instant. Where nodes fail open that holds for nodes in contact,
-// and after enough calm; elsewhere it is asked for the recovery phase alone, which has no
-// faults, from when service must be back.
+// those acknowledged at an instant. Once service must be back in the recovery phase, which
+// has no faults, nothing excuses it. Before that, it is asked where nodes fail open, of nodes
+// in contact and after enough calm.
 func (c *requestChecks) boundPassed(sender *node, acknowledgedAt time.Duration) bool {
+	if acknowledgedAt >= c.env.settings.recoveryPhaseStart()+ServiceBackBound && c.env.now > acknowledgedAt+finishFirstBound {
+		return true
+	}
 	if !c.env.settings.FailOpen {
-		return acknowledgedAt >= c.env.settings.recoveryPhaseStart()+ServiceBackBound && c.env.now > acknowledgedAt+finishFirstBound
+		return false
 	}
 	calm := c.connectivity.calm
 	passed := calm.current(acknowledgedAt) > finishFirstBound || calm.total(acknowledgedAt) > finishFirstTotalBound
