--- a/internal/lab/sim/fail_open_test.go
+++ b/internal/lab/sim/fail_open_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/samber/lo"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
 )
 
@@ -57,12 +58,7 @@
 
 // leaderOfConfiguration is the node that leads the configuration, or nil.
 func (w *simulation) leaderOfConfiguration() *node {
-	for _, one := range w.machines.withDisks() {
-		if _, leads := one.machine.GroupSlots(0); one.up && leads {
-			return one
-		}
-	}
-	return nil
+	return w.groups.leaderOfShard(shardstate.ConfigurationShard)
 }
 
 // expectAcknowledged issues an order that must be acknowledged within
--- a/internal/lab/sim/shard_groups.go
+++ b/internal/lab/sim/shard_groups.go
@@ -49,7 +49,11 @@
 
 // leaderOf returns the node that leads the shard of a pool's service, or nil.
 func (g *shardGroups) leaderOf(pool string) *node {
-	shard := shardstate.ShardOfService(pool, g.serviceShards)
+	return g.leaderOfShard(shardstate.ShardOfService(pool, g.serviceShards))
+}
+
+// leaderOfShard returns a running node that leads a shard, or nil.
+func (g *shardGroups) leaderOfShard(shard uint32) *node {
 	for _, one := range g.machines.withDisks() {
 		if _, leads := one.machine.GroupSlots(shard); one.up && leads {
 			return one
