--- a/internal/control/driver/control_log.go
+++ b/internal/control/driver/control_log.go
@@ -1,6 +1,8 @@
 package driver
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,6 +40,17 @@
 	for _, progress := range machine.Rollouts() {
 		c.followRollout(machine, progress)
 	}
+	c.forgetAbsent(machine.Rollouts())
+}
+
+// forgetAbsent drops the progress of pools without a roll-out.
+func (c *controlLog) forgetAbsent(rollouts []view.RolloutProgress) {
+	if len(c.rollouts) == len(rollouts) {
+		return
+	}
+	maps.DeleteFunc(c.rollouts, func(pool string, _ view.RolloutProgress) bool {
+		return !slices.ContainsFunc(rollouts, func(progress view.RolloutProgress) bool { return progress.Pool == pool })
+	})
 }
 
 func (c *controlLog) followLeaderships(led map[uint32]uint64) {
--- a/internal/control/driver/control_log_test.go
+++ b/internal/control/driver/control_log_test.go
@@ -45,6 +45,14 @@
 		Expect(bytes.Count(written.Bytes(), []byte("\n"))).To(Equal(3))
 	})
 
+	It("forgets pools that are gone", func() {
+		log.followRollout(newSoloMachine(nil), view.RolloutProgress{Pool: "chat", Version: "2"})
+		log.followRollout(newSoloMachine(nil), view.RolloutProgress{Pool: "code", Version: "2"})
+		log.forgetAbsent([]view.RolloutProgress{{Pool: "code"}})
+		Expect(log.rollouts).To(HaveLen(1))
+		Expect(log.rollouts).To(HaveKey("code"))
+	})
+
 	It("tells of the shards that the node leads", func() {
 		machine := newSoloMachine(nil)
 		run(machine, 3*time.Second)
