--- a/review/fleet/replica.go
+++ b/review/fleet/replica.go
@@ -20,25 +20,33 @@
 	ID      string
 	Replica string
 	Zone    string
+	Tenant  string
+	// UsedOf are the tenants whose requests made the parts that this one used.
+	UsedOf  []string
 	Version uint64
 	At      time.Time
 }
 
 // Replica is a stand-in of a model replica, or of a web service if Model is empty. It answers
-// as the pages say that a sound one does, unless Answer is set.
+// as the pages say that a sound one does.
 type Replica struct {
 	ID, Service, Zone, Model string
-	// Answer, if set, writes the whole answer to a request that runs. It returns whether the
-	// connection goes on.
-	Answer func(connection net.Conn, request *http.Request, id string) bool
-
-	listener net.Listener
-	record   *Record
-	mutex    sync.Mutex
-	version  uint64
-	sequence uint64
-	arrivals []Arrival
-	open     map[net.Conn]bool
+	listener                 net.Listener
+	record                   *Record
+	mutex                    sync.Mutex
+	version                  uint64
+	sequence                 uint64
+	arrivals                 []Arrival
+	open                     map[net.Conn]bool
+	// cached are the parts that the replica keeps, by salt and ID, and changes their events.
+	cached  map[[2]string]part
+	changes []string
+	held    []string
+}
+
+// part is a kept part of a prompt.
+type part struct {
+	maker string
 }
 
 // NewReplica starts a replica on a free port of the loopback.
@@ -47,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{ID: id, Service: service, Zone: zone, Model: model, listener: listener, record: record, version: 1, open: map[net.Conn]bool{}}
+	r := &Replica{ID: id, Service: service, Zone: zone, Model: model, listener: listener, record: record, version: 1, open: map[net.Conn]bool{}, cached: map[[2]string]part{}}
 	go r.accept()
 	return r, nil
 }
@@ -114,15 +122,54 @@
 	case "/ridgeswitch/order":
 		return r.order(connection, request, body)
 	case "/ridgeswitch/kv-events":
-		wait, _ := strconv.Atoi(request.Header.Get("Wait-Ms"))
-		time.Sleep(time.Duration(min(max(wait, 0), 1000)) * time.Millisecond)
-		return write(connection, 200, nil, `{"bootEpoch":7,"nextPageToken":0,"lost":false,"events":[]}`)
+		return write(connection, 200, nil, r.events(request))
 	case "/ridgeswitch/kv-list":
-		return write(connection, 200, nil, `{"bootEpoch":7,"nextPageToken":0,"held":[]}`)
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		return write(connection, 200, nil, fmt.Sprintf(`{"bootEpoch":7,"nextPageToken":%d,"held":[%s]}`, len(r.changes), strings.Join(r.held, ",")))
 	}
 	return r.run(connection, request)
 }
 
+// events answers a reader of what the replica keeps, after a wait if there is nothing new.
+func (r *Replica) events(request *http.Request) string {
+	since, _ := strconv.Atoi(request.URL.Query().Get("since"))
+	wait, _ := strconv.Atoi(request.Header.Get("Wait-Ms"))
+	until := time.Now().Add(time.Duration(min(max(wait, 0), 1000)) * time.Millisecond)
+	for {
+		r.mutex.Lock()
+		changes := r.changes[min(max(since, 0), len(r.changes)):]
+		text := fmt.Sprintf(`{"bootEpoch":7,"nextPageToken":%d,"lost":false,"events":[%s]}`, len(r.changes), strings.Join(changes, ","))
+		r.mutex.Unlock()
+		if len(changes) > 0 || !time.Now().Before(until) {
+			return text
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// read reads the prompt of a request: it uses the parts that are kept under the request's salt
+// from the first one on, and keeps the others. It returns the tenants whose requests made the
+// parts that were used. The mutex is held.
+func (r *Replica) read(request *http.Request) []string {
+	salt, tenant := request.Header.Get("X-Ridgeswitch-Cache-Salt"), request.Header.Get("X-Ridgeswitch-Tenant-Id")
+	var usedOf []string
+	reuses := true
+	for field := range strings.SplitSeq(request.Header.Get("X-Ridgeswitch-Prefix-Hash"), ",") {
+		id, tokens, _ := strings.Cut(field, ":")
+		kept, found := r.cached[[2]string{salt, id}]
+		if reuses = reuses && found; reuses {
+			usedOf = append(usedOf, kept.maker)
+		}
+		if !found {
+			r.cached[[2]string{salt, id}] = part{maker: tenant}
+			r.changes = append(r.changes, fmt.Sprintf(`[%d,"+",%q,%q,%s,%q]`, len(r.changes)+1, salt, id, tokens, r.Model))
+			r.held = append(r.held, fmt.Sprintf(`[%q,%q,%s,%q]`, salt, id, tokens, r.Model))
+		}
+	}
+	return usedOf
+}
+
 func (r *Replica) report() string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -167,13 +214,17 @@
 	if id == "" {
 		return write(connection, 400, map[string]string{"X-Ridgeswitch-Not-Executed": "1"}, "")
 	}
+	tenant := request.Header.Get("X-Ridgeswitch-Tenant-Id")
 	r.mutex.Lock()
-	r.arrivals = append(r.arrivals, Arrival{ID: id, Replica: r.ID, Zone: r.Zone, Version: r.version, At: time.Now()})
-	r.mutex.Unlock()
-	r.record.Printf("run at %s (%s, version %s): request %s", r.ID, r.Zone, running, id)
-	if r.Answer != nil {
-		return r.Answer(connection, request, id)
+	var usedOf []string
+	if r.Model != "" {
+		usedOf = r.read(request)
 	}
+	r.arrivals = append(r.arrivals, Arrival{
+		ID: id, Replica: r.ID, Zone: r.Zone, Tenant: tenant, UsedOf: usedOf, Version: r.version, At: time.Now(),
+	})
+	r.mutex.Unlock()
+	r.record.Printf("run at %s (%s, version %s): request %s of %s uses parts made by %v", r.ID, r.Zone, running, id, tenant, usedOf)
 	header["X-Ridgeswitch-Response-Signature"] = Signature(id)
 	return write(connection, 200, header, "answer to "+id)
 }
