config, platform: a late copy of an evacuation order undoes nothing

The platform's operator gives an evacuation neither an identity nor a base, and goes on to another node after a second. Each copy that a node read was an order of its own. A copy read late (its node stood still), or forwarded late (its node was cut off from the leader), was applied as a new order and undid the acknowledged one.

The order then holds on the condition that the evacuation of the zone has not begun or ended since (SetEvacuation.unchanged_since); the replicated state remembers when each zone last changed, for 256 zones. Configurations name the version that they build on, and weights only rise: they needed nothing.

--- a/pkg/config/dynamic/bounds.go
+++ b/pkg/config/dynamic/bounds.go
@@ -27,6 +27,9 @@
 	MaxRoutes = 20000
 	// MaxEvacuations bounds the evacuated zones of a configuration.
 	MaxEvacuations = 64
+	// MaxEvacuationChanges bounds the zones of which it is remembered when their
+	// evacuation last began or ended.
+	MaxEvacuationChanges = 4 * MaxEvacuations
 
 	// MaxNameBytes bounds names, order identities and weight versions.
 	MaxNameBytes = 128
--- a/pkg/config/dynamic/errors.go
+++ b/pkg/config/dynamic/errors.go
@@ -40,6 +40,9 @@
 	// KindBaseRevisionStale marks an order that is based on another revision
 	// than the one in force.
 	KindBaseRevisionStale Kind = "base_revision_stale"
+	// KindEvacuationChanged marks an order for a zone whose evacuation has begun or
+	// ended after the revision that the order builds on.
+	KindEvacuationChanged Kind = "evacuation_changed"
 	// KindSourceVersionNotAbove marks a document whose version is not above the
 	// one in force.
 	KindSourceVersionNotAbove Kind = "source_version_not_above"
--- a/pkg/config/dynamic/machine.go
+++ b/pkg/config/dynamic/machine.go
@@ -17,6 +17,8 @@
 	configuration *ridgeswitchv1.Configuration
 	answers       *answerLog
 	nodes         *registry
+	// evacuationChanges knows when evacuations last began or ended.
+	evacuationChanges *evacuationChanges
 	// source is the document that the configuration was made from, or nil. It is
 	// replaced and never changed.
 	source *ridgeswitchv1.Source
@@ -33,7 +35,10 @@
 		configuration: configuration,
 		answers:       newAnswerLog(state.GetAnswers()),
 		nodes:         newRegistry(state.GetNodes()),
-		source:        proto.CloneOf(state.GetSource()),
+
+		evacuationChanges: newEvacuationChanges(state.GetEvacuationChanges()),
+
+		source: proto.CloneOf(state.GetSource()),
 	}
 }
 
@@ -59,6 +64,8 @@
 		Answers:       m.answers.all(),
 		Nodes:         m.nodes.nodes(),
 		Source:        proto.CloneOf(m.source),
+
+		EvacuationChanges: m.evacuationChanges.all(),
 	}
 }
 
@@ -119,6 +126,9 @@
 	if err := m.checkBase(order); err != nil {
 		return m.refuse(order, err)
 	}
+	if err := m.evacuationChanges.check(order.GetSetEvacuation(), m.Revision()); err != nil {
+		return m.refuse(order, err)
+	}
 	next, err := configurationAfter(m.configuration, order)
 	if err != nil {
 		return m.refuse(order, err)
@@ -182,6 +192,7 @@
 	}
 	next.Revision++
 	assignEpochs(m.configuration, next)
+	m.evacuationChanges.record(m.configuration, next)
 	m.configuration = next
 }
 
--- a/pkg/config/dynamic/single_change.go
+++ b/pkg/config/dynamic/single_change.go
@@ -8,15 +8,23 @@
 )
 
 // EvacuationOrder orders that a zone be evacuated, or that its evacuation end.
-// An order under another identity for what is in force already is accepted and
-// changes nothing, so that a caller without identities of its own may resend
-// under new ones.
+// Each copy of it under another identity is an order of its own, which takes effect
+// whenever it comes: see ConditionalEvacuationOrder.
 func EvacuationOrder(orderID, zone string, evacuated bool, reason string) (*controlpb.Order, error) {
 	return evacuationOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, zone, evacuated, reason)
 }
 
-// NameWeightsOrder orders that every replica of a pool run a weight version. Like
-// EvacuationOrder, it may be repeated under new identities.
+// ConditionalEvacuationOrder is EvacuationOrder on the condition that the evacuation of the
+// zone has neither begun nor ended after a revision; otherwise the order is refused with
+// KindEvacuationChanged. A caller without identities of its own may resend it under new
+// ones: no copy undoes an order that was accepted after that revision, however late it comes.
+func ConditionalEvacuationOrder(orderID, zone string, evacuated bool, unchangedSince uint64) (*controlpb.Order, error) {
+	change := &controlpb.SetEvacuation{Zone: zone, Evacuated: evacuated, UnchangedSince: &unchangedSince}
+	return setEvacuationOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, change)
+}
+
+// NameWeightsOrder orders that every replica of a pool run a weight version. An order
+// under another identity for what is in force already is accepted and changes nothing.
 func NameWeightsOrder(orderID, pool, weightVersion string) (*controlpb.Order, error) {
 	return nameWeightsOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, pool, weightVersion)
 }
@@ -41,7 +49,10 @@
 }
 
 func evacuationOrder(header *ridgeswitchv1.OrderHeader, zone string, evacuated bool, reason string) (*controlpb.Order, error) {
-	change := &controlpb.SetEvacuation{Zone: zone, Evacuated: evacuated, Reason: reason}
+	return setEvacuationOrder(header, &controlpb.SetEvacuation{Zone: zone, Evacuated: evacuated, Reason: reason})
+}
+
+func setEvacuationOrder(header *ridgeswitchv1.OrderHeader, change *controlpb.SetEvacuation) (*controlpb.Order, error) {
 	return newOrder(header, &controlpb.Order{Change: &controlpb.Order_SetEvacuation{SetEvacuation: change}})
 }
 
