sim: calls of evacuations that a node reads late, or hands on late

It now also has an operator without identities, as the platform's is (evacuationCalls): it follows a redirect to the revision in force, goes on to another node after a second, and leaves its old calls behind. The fault evacuation-retaken, drawn by name, has such a call come to a node that stands still before it has read the call, or is cut off once it has. The rule evacuation_undone judges every view that any node puts in force.

Beside it: the kind evacuation_changed has a status in the product's own interface.

--- a/internal/edge/operator/rejection.go
+++ b/internal/edge/operator/rejection.go
@@ -72,6 +72,7 @@
 	dynamic.KindOrderIDConflict:       http.StatusConflict,
 	dynamic.KindBaseRevisionStale:     http.StatusConflict,
 	dynamic.KindSourceVersionNotAbove: http.StatusConflict,
+	dynamic.KindEvacuationChanged:     http.StatusConflict,
 	KindNoSuchCall:                    http.StatusNotFound,
 	KindMethodNotAllowed:              http.StatusMethodNotAllowed,
 	KindUnavailable:                   http.StatusServiceUnavailable,
--- a/internal/lab/sim/breaks.go
+++ b/internal/lab/sim/breaks.go
@@ -67,6 +67,9 @@
 	BreakNoProbes Break = "no-probes"
 	// BreakNoWeightsDeadline runs nodes without a deadline of weights.
 	BreakNoWeightsDeadline Break = "no-weights-deadline"
+	// BreakUnconditionalEvacuations has nodes carry out each call of an evacuation that
+	// they read, however late.
+	BreakUnconditionalEvacuations Break = "unconditional-evacuations"
 )
 
 // Breaks returns all mechanisms that can be switched off.
@@ -93,6 +96,7 @@
 		BreakAppendClaimed,
 		BreakNoProbes,
 		BreakNoWeightsDeadline,
+		BreakUnconditionalEvacuations,
 	}
 }
 
--- a/internal/lab/sim/campaign_test.go
+++ b/internal/lab/sim/campaign_test.go
@@ -46,6 +46,8 @@
 	BreakAppendClaimed:           {1, 20, []string{"two-machines-replaced"}, false, true},
 	BreakNoProbes:                {1, 20, []string{"power-lost-after-ack"}, false, true},
 	BreakNoWeightsDeadline:       {1, 60, []string{"leadership-moved"}, true, true},
+
+	BreakUnconditionalEvacuations: {1, 20, []string{"evacuation-retaken"}, true, true},
 }
 
 var _ = Describe("A campaign", func() {
@@ -98,6 +100,19 @@
 		}
 	})
 
+	// Guards against calls that a node reads late, or hands on late, and that undo an order
+	// which was acknowledged since (review/3).
+	It("finds nothing when calls of evacuations come late, again and again", func() {
+		for _, failOpen := range []bool{false, true} {
+			summary := Campaign{
+				First: 8001, Last: 8010, Virtual: DefaultVirtual, FailOpen: failOpen, FinishFirst: failOpen,
+				Faults: []string{"evacuation-retaken", "freeze", "core-split", "config-storm"}, Jobs: testJobs,
+			}.Run()
+			Expect(summary.Failures).To(BeEmpty())
+			Expect(summary.Faults["evacuation-retaken"]).To(BeNumerically(">", 10))
+		}
+	})
+
 	It("has a hunt for every mechanism", func() {
 		Expect(lo.Keys(hunts)).To(ConsistOf(Breaks()))
 		for _, hunt := range hunts {
--- a/internal/lab/sim/checks.go
+++ b/internal/lab/sim/checks.go
@@ -1,6 +1,9 @@
 package sim
 
-import "github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+import (
+	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
+	"github.com/ridgeswitch/ridgeswitch/internal/routing"
+)
 
 // checks watch a run. Most invariants are checked at the event that could break
 // them; those that need the complete run are checked in finish. Each part owns what
@@ -12,6 +15,7 @@
 	*orderChecks
 	*commandChecks
 	*requestChecks
+	*evacuationChecks
 }
 
 func newChecks(w *simulation) *checks {
@@ -27,9 +31,17 @@
 		},
 		commandChecks: newCommandChecks(w.environment),
 		requestChecks: requests,
+
+		evacuationChecks: newEvacuationChecks(w.environment),
 	}
 }
 
+// viewPublished checks a view that a node puts in force for traffic.
+func (c *checks) viewPublished(n *node, view *routing.View) {
+	c.revisionChecks.viewPublished(n, view)
+	c.checkEvacuationsStand(n, view)
+}
+
 // finish checks the invariants that need the complete run.
 func (c *checks) finish() {
 	c.applyRules()
--- a/internal/lab/sim/doc.go
+++ b/internal/lab/sim/doc.go
@@ -28,6 +28,7 @@
 //	disk, logs, writes that are not durable yet           storage
 //	requests in flight of a node                          traffic
 //	an operator's calls without a reply                   operatorCalls
+//	an evacuation by calls without an identity            evacuationCall
 //	partitions, storms                                    network
 //	delays of calls to back ends                          backendCalls
 //	endpoint list, its lag and outages                    platform
@@ -38,7 +39,8 @@
 //	whether the disks of a majority are lost              majorityLoss
 //	when each node and the core were last disturbed       connectivity
 //	spans without a disturbance of the core or a link     connectivity: calmSpans
-//	what is needed to judge                               revisionChecks, orderChecks, commandChecks, requestChecks
+//	what is needed to judge                               revisionChecks, orderChecks, commandChecks, requestChecks,
+//	                                                      evacuationChecks
 //
 // shardGroups, operatorReads, recoveryChecks and the faults have no state of their
 // own. Faults are grouped by what they break: machineFaults, replacementFaults,
@@ -59,6 +61,7 @@
 //	command_holder         command_checks.go     token-reused (r)
 //	document_kept          recovery_checks.go    append-claimed (f), no-compare-and-set (f)
 //	draining_replica       request_checks.go     reader-never-replaced (r)
+//	evacuation_undone      evacuation_checks.go  unconditional-evacuations
 //	epochs_never_back      command_checks.go     no-epoch-check
 //	holders_keep_apart     command_checks.go     no-command-gap (r)
 //	in_force               revision_checks.go    ack-before-sync (f), in control_test.go
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -56,7 +56,7 @@
 	f.endpoints = &endpointFaults{
 		env: f.env, machines: w.machines, platform: w.platform, backends: f.replicas, network: f.network,
 	}
-	f.orders = &orderFaults{env: f.env, operators: w.operators}
+	f.orders = &orderFaults{env: f.env, machines: w.machines, operators: w.operators, calls: w.evacuations, network: f.network}
 	return f
 }
 
@@ -118,6 +118,7 @@
 // namedFaultKinds are drawn by name only.
 var namedFaultKinds = []faultKind{
 	{"leadership-moved", 4, func(f *faultInjector) { f.processes.moveLeadership() }},
+	{"evacuation-retaken", 4, func(f *faultInjector) { f.orders.retakeEvacuation() }},
 }
 
 // Where and when a kind may be drawn.
--- a/internal/lab/sim/network_faults.go
+++ b/internal/lab/sim/network_faults.go
@@ -47,11 +47,21 @@
 // partitionFor blocks the links from one side to the other, and back if both is
 // set, for a random time.
 func (f *networkFaults) partitionFor(from, to []*node, both bool) {
+	f.block(from, to, both, f.env.faultDuration(300*time.Millisecond, 8*time.Second))
+}
+
+// isolateFor separates a node from all others for a given time.
+func (f *networkFaults) isolateFor(victim *node, length time.Duration) {
+	f.block([]*node{victim}, f.machines.nodes, true, length)
+}
+
+// block blocks the links from one side to the other, and back if both is set.
+func (f *networkFaults) block(from, to []*node, both bool, length time.Duration) {
 	f.network.changeBlocked(from, to, 1)
 	if both {
 		f.network.changeBlocked(to, from, 1)
 	}
-	f.env.after(f.env.faultDuration(300*time.Millisecond, 8*time.Second), func() {
+	f.env.after(length, func() {
 		f.network.changeBlocked(from, to, -1)
 		if both {
 			f.network.changeBlocked(to, from, -1)
--- a/internal/lab/sim/simulation.go
+++ b/internal/lab/sim/simulation.go
@@ -16,7 +16,9 @@
 
 	operators *operators
 	reads     *operatorReads
-	faults    *faultInjector
+	// evacuations are the calls of an operator whose orders have no identities.
+	evacuations *evacuationCalls
+	faults      *faultInjector
 	// majorityLoss is set by the faults, which must not take more then.
 	majorityLoss *majorityLoss
 
@@ -99,6 +101,7 @@
 	world.operators = &operators{orderFactory: &orderFactory{env: env, machines: world.machines, keys: world.keys}}
 	world.checks = newChecks(world)
 	world.reads = &operatorReads{env: env, machines: world.machines, operators: world.operators, checks: world.checks}
+	world.evacuations = &evacuationCalls{env: env, machines: world.machines, operators: world.operators, checks: world.checks}
 	world.recovery = &recoveryChecks{
 		env: env, machines: world.machines, platform: world.platform, operators: world.operators, checks: world.checks,
 	}
