control: a node that starts serves by no disk that a leader has not confirmed

All processes were killed and came back, one core machine later than the others. For up to a second requests of the isolated tenant used memory that another tenant had made.

Where nodes fail open, a node published what its disk kept of every shard at its first tick (publishRestored), and fronts served by that before a leader was elected. A disk alone doesn't know what was acknowledged: the commit index is written only with the next entry, so that the state applied at the start lacks the last change on every machine, and the disk of a machine that was slow or cut off may lack more.

Change. publishRestored is gone, for all shards: a state comes from a leader that has applied the barrier of its term, or from nodes that go on serving.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -69,7 +69,6 @@
 		m.refreshMembers()
 		for shard := range m.shards.all() {
 			shard.Tick(now)
-			m.states.publishRestored(shard.Shard)
 		}
 		m.states.followLeaders()
 		m.states.tick(now)
--- a/internal/control/state_relay.go
+++ b/internal/control/state_relay.go
@@ -11,8 +11,7 @@
 )
 
 // stateRelay brings the newest state of each shard to all nodes. It owns this node's part
-// of the relay tree, the states that the tree brought, by which the node serves, and which
-// states of the node's own disk it has published.
+// of the relay tree, and the states that the tree brought, by which the node serves.
 type stateRelay struct {
 	config   Config
 	shardIDs []uint32
@@ -22,8 +21,6 @@
 
 	tree     *relaytree.Machine
 	received *shardstate.Received
-	// restored are the shards whose state from the disk has been published.
-	restored map[uint32]bool
 }
 
 func newStateRelay(config Config, outbox *outbox, directory *leaders.Directory, views *viewRefresher) *stateRelay {
@@ -39,7 +36,6 @@
 			DigestEvery: config.Times.DigestEvery,
 		}),
 		received: shardstate.NewReceived(),
-		restored: map[uint32]bool{},
 	}
 }
 
@@ -88,20 +84,6 @@
 	}
 }
 
-// publishRestored has a node that serves while partitioned serve by what its disk kept of a
-// shard, once after the start, so that it need not wait for a quorum. A copy whose disk kept
-// nothing does so with the first state that is committed here before the tree brings it.
-// Other nodes wait for their registration anyway.
-func (r *stateRelay) publishRestored(shard *shards.Shard) {
-	if !r.config.FailOpen || r.restored[shard.ID()] || !r.behind(shard) {
-		return
-	}
-	r.restored[shard.ID()] = true
-	if sections, ok := encodeSections(shard); ok {
-		r.publish(shard, sections)
-	}
-}
-
 // behind reports whether the relay tree has an older state of a shard than its copy here.
 func (r *stateRelay) behind(shard *shards.Shard) bool {
 	return shard.Revision() > r.tree.Revision(relaytree.Topic(shard.ID()))
--- a/internal/lab/sim/breaks.go
+++ b/internal/lab/sim/breaks.go
@@ -67,6 +67,9 @@
 	BreakNoProbes Break = "no-probes"
 	// BreakNoWeightsDeadline runs nodes without a deadline of weights.
 	BreakNoWeightsDeadline Break = "no-weights-deadline"
+	// BreakOldDiskServed lets a restarted node admit under the revision before the newest
+	// one of its former process, as by a disk whose commit index lags by one entry.
+	BreakOldDiskServed Break = "old-disk-served"
 	// BreakUnconditionalEvacuations has nodes carry out each call of an evacuation that
 	// they read, however late.
 	BreakUnconditionalEvacuations Break = "unconditional-evacuations"
@@ -96,6 +99,7 @@
 		BreakAppendClaimed,
 		BreakNoProbes,
 		BreakNoWeightsDeadline,
+		BreakOldDiskServed,
 		BreakUnconditionalEvacuations,
 	}
 }
--- a/internal/lab/sim/campaign_test.go
+++ b/internal/lab/sim/campaign_test.go
@@ -47,6 +47,7 @@
 	BreakNoProbes:                {1, 20, []string{"power-lost-after-ack"}, false, true},
 	BreakNoWeightsDeadline:       {1, 60, []string{"leadership-moved"}, true, true},
 
+	BreakOldDiskServed:            {1, 20, []string{"all-killed"}, true, true},
 	BreakUnconditionalEvacuations: {1, 20, []string{"evacuation-retaken"}, true, true},
 }
 
@@ -113,6 +114,17 @@
 		}
 	})
 
+	// Guards against nodes that serve by what their own disk kept, which lacks the last
+	// acknowledged change, before a leader has confirmed it (review/2).
+	It("finds nothing when all processes are killed and one node comes back later, judged from the first request", func() {
+		summary := Campaign{
+			First: 9001, Last: 9020, Virtual: DefaultVirtual, FailOpen: true, FinishFirst: true,
+			Faults: []string{"all-killed", "config-storm"}, Jobs: testJobs,
+		}.Run()
+		Expect(summary.Failures).To(BeEmpty())
+		Expect(summary.Faults["all-killed"]).To(BeNumerically(">", 20))
+	})
+
 	It("has a hunt for every mechanism", func() {
 		Expect(lo.Keys(hunts)).To(ConsistOf(Breaks()))
 		for _, hunt := range hunts {
--- a/internal/lab/sim/doc.go
+++ b/internal/lab/sim/doc.go
@@ -66,6 +66,7 @@
 //	holders_keep_apart     command_checks.go     no-command-gap (r)
 //	in_force               revision_checks.go    ack-before-sync (f), in control_test.go
 //	linearizable           history.go            ack-before-sync, empty-disk-votes, no-order-dedup
+//	older_after_outage     revision_checks.go    old-disk-served (f)
 //	older_weights          request_checks.go     no-weights-deadline (f, r)
 //	one_content            revision_checks.go    no-witness-floor
 //	one_document_per_base  order_checks.go       no-compare-and-set (f)
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -118,6 +118,7 @@
 // namedFaultKinds are drawn by name only.
 var namedFaultKinds = []faultKind{
 	{"leadership-moved", 4, func(f *faultInjector) { f.processes.moveLeadership() }},
+	{"all-killed", 4, func(f *faultInjector) { f.processes.killAll() }},
 	{"evacuation-retaken", 4, func(f *faultInjector) { f.orders.retakeEvacuation() }},
 }
 
--- a/internal/lab/sim/machine_faults.go
+++ b/internal/lab/sim/machine_faults.go
@@ -36,6 +36,24 @@
 	}
 }
 
+// killAll ends all processes as soon as an order is acknowledged. They are back at once,
+// but for one node with a disk, which comes later.
+func (f *machineFaults) killAll() {
+	const down = 100 * time.Millisecond
+	kill := func() {
+		last := pick(f.env.randomness, f.machines.withDisks())
+		for _, one := range f.machines.nodes {
+			if one != last {
+				one.restartAfter(f.env.upTo(down))
+			}
+		}
+		last.restartAfter(down + f.env.faultDuration(200*time.Millisecond, 2*time.Second))
+	}
+	order := f.orders.addKey(0)
+	f.orders.issue(order)
+	f.orders.whenAcknowledged(order, kill, kill)
+}
+
 // rollingRestart shuts the nodes down gracefully and starts them again, one after
 // the other.
 func (f *machineFaults) rollingRestart() {
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -255,12 +255,16 @@
 	n.process++
 	n.backlog = nil
 	n.traffic.staleView = n.view
+	if n.env.broken(BreakOldDiskServed) {
+		n.traffic.staleView = n.traffic.previousView
+	}
 	n.view = nil
 	n.serveUntil = 0
 	if n.storage != nil {
 		n.storage.crash()
 	}
 	n.calls.abandon()
+	n.checks.processEnded(n.machines.nodes)
 }
 
 // saveAddresses keeps in the data folder where other core nodes listen.
@@ -376,6 +380,7 @@
 func (n *node) publish(view *routing.View) {
 	if n.view == nil || n.view.Revision != view.Revision {
 		n.logf("r%d", view.Revision)
+		n.traffic.previousView = n.view
 	}
 	n.view = view
 	n.views[view.Revision] = view
--- a/internal/lab/sim/revision_checks.go
+++ b/internal/lab/sim/revision_checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/lab/checker"
@@ -16,6 +17,9 @@
 
 	// acknowledged is the highest revision that an operator knows to be in force.
 	acknowledged uint64
+	// acknowledgedBeforeOutage is what was acknowledged when no process ran for the last
+	// time. Since then, what nodes serve comes from disks.
+	acknowledgedBeforeOutage uint64
 	// shownRevision is the highest revision that a confirmed read has returned.
 	shownRevision uint64
 	// contents are the digests of the configurations by revision, and checksums
@@ -108,8 +112,12 @@
 }
 
 // admittedFailOpen checks an admission in a fail-open deployment: a node in contact
-// serves what was acknowledged, and no process returns to an older revision.
+// serves what was acknowledged, no process returns to an older revision, and none serves an
+// older one than was acknowledged before all processes ended, from its first request on.
 func (c *revisionChecks) admittedFailOpen(n *node, revision uint64) {
+	if revision < c.acknowledgedBeforeOutage {
+		c.env.violate("older_after_outage", "%s admitted under revision %d although %d was acknowledged before all processes ended", n.info.ID, revision, c.acknowledgedBeforeOutage)
+	}
 	if required := c.connectivity.requiredRevision(); revision < required && c.connectivity.inContact(n) {
 		c.env.violate("in_force", "%s admitted under revision %d although %d was acknowledged %v ago, and it is in touch", n.info.ID, revision, required, inForceBound)
 	}
@@ -141,6 +149,13 @@
 	}
 }
 
+// processEnded records what was acknowledged when the last process ends.
+func (c *revisionChecks) processEnded(nodes []*node) {
+	if lo.NoneBy(nodes, func(one *node) bool { return one.up }) {
+		c.acknowledgedBeforeOutage = c.acknowledged
+	}
+}
+
 // checkNothingLost checks that at the end every node has what was acknowledged.
 func (c *revisionChecks) checkNothingLost(nodes []*node) {
 	for _, one := range nodes {
--- a/internal/lab/sim/traffic.go
+++ b/internal/lab/sim/traffic.go
@@ -40,6 +40,8 @@
 	inFlight map[string]int
 	// staleView is the last view of the former process.
 	staleView *routing.View
+	// previousView is of the revision before the one in force.
+	previousView *routing.View
 }
 
 // reset begins the traffic of a new process.
@@ -78,7 +80,7 @@
 		return n.view
 	case n.env.broken(BreakFenceIgnored) && n.view != nil && n.serveUntil > 0:
 		return n.view
-	case n.env.broken(BreakStaleConfigAfterRestart):
+	case n.env.broken(BreakStaleConfigAfterRestart), n.env.broken(BreakOldDiskServed):
 		return t.staleView
 	}
 	return nil
