--- a/internal/edge/outbound/exchange.go
+++ b/internal/edge/outbound/exchange.go
@@ -115,15 +115,16 @@
 // that cannot be done.
 func discardResponse(response *http.Response) bool {
 	defer func() { _ = response.Body.Close() }()
-	if !delimited(response) {
+	if !Delimited(response) {
 		return false
 	}
 	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes))
 	return err == nil && count < maxSurplusBytes
 }
 
-// delimited reports whether the end of a response is marked in it.
-func delimited(response *http.Response) bool {
+// Delimited reports whether the end of a response is marked in it, by a length or by chunks.
+// That of another one is the end of its connection.
+func Delimited(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
@@ -189,7 +190,7 @@
 // reusable reports whether the connection is as it was before the request. What
 // follows a response belongs to no request.
 func (e *exchange) reusable() bool {
-	return e.writeComplete() && !e.surplus && !e.response.Close && delimited(e.response) && e.connection.reader.Buffered() == 0
+	return e.writeComplete() && !e.surplus && !e.response.Close && Delimited(e.response) && e.connection.reader.Buffered() == 0
 }
 
 // writeComplete reports whether the complete request has been written by now.
