twoslot: a durable checkpoint frees the generation before it

Cause, first part: a store kept the checkpoint and log of the generation before the present one in full, until the next checkpoint but one replaced them. A shard took two checkpoints and two logs at rest, and a third checkpoint while that was written. Nothing freed them on a full disk, nor at a start.

Change: once a checkpoint is durable and its log started, the former slot is truncated to nothing and the former log to its header, which remains the proof that no later generation was started. Opening a store does the same for what a crash or an earlier release left. Disk gets Truncate.

Evidence: the new specs of pkg/twoslot fail without reclaim (no DiskBytes to compare; the files hold both generations).

--- a/internal/disk/disk_test.go
+++ b/internal/disk/disk_test.go
@@ -115,6 +115,15 @@
 		}
 	})
 
+	It("shortens a file in place, and reports one that is not there", func() {
+		Expect(opened.WriteFile("state", []byte("former"))).To(Succeed())
+		Expect(opened.Truncate("state", 4)).To(Succeed())
+		Expect(opened.Append("state", []byte("."))).To(Succeed())
+		Expect(opened.ReadFile("state")).To(Equal([]byte("form.")))
+		Expect(opened.Truncate("none", 0)).To(MatchError(fs.ErrNotExist))
+		Expect(opened.Truncate("../state", 0)).To(MatchError(&NameError{Name: "../state"}))
+	})
+
 	It("reports a full disk and leaves the file as it was", func() {
 		// Linux answers writes to /dev/full that the disk is full; a link to
 		// it as the temporary file makes the whole path fail for real.
--- a/internal/disk/write.go
+++ b/internal/disk/write.go
@@ -77,6 +77,30 @@
 	return errors.Wrapf(d.directory.Sync(), "disk: cannot sync the data folder after creating %s", name)
 }
 
+// Truncate shortens a file that is longer than size bytes.
+func (d *Disk) Truncate(name string, size int) error {
+	path, err := d.path(name)
+	if err != nil {
+		return err
+	}
+	opened, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+	if err != nil {
+		return errors.Wrapf(err, "disk: cannot truncate %s", name)
+	}
+	if err := truncateAndSync(opened, int64(size)); err != nil {
+		_ = opened.Close()
+		return writeError(name, err)
+	}
+	return errors.Wrapf(opened.Close(), "disk: cannot close %s", name)
+}
+
+func truncateAndSync(opened file, size int64) error {
+	if err := opened.Truncate(size); err != nil {
+		return err
+	}
+	return opened.Sync()
+}
+
 // openAppend opens a file to append to, and creates it if there is none.
 func openAppend(path string) (opened *os.File, created bool, err error) {
 	opened, err = os.OpenFile(path, os.O_APPEND|os.O_WRONLY, fileMode)
@@ -96,12 +120,9 @@
 		return errors.Wrapf(opened.Close(), "disk: cannot close %s", name)
 	}
 	defer func() { _ = opened.Close() }()
-	if truncateErr := opened.Truncate(size); truncateErr != nil {
+	if truncateErr := truncateAndSync(opened, size); truncateErr != nil {
 		return errors.Wrapf(truncateErr, "disk: cannot take back a failed write to %s (%v)", name, err)
 	}
-	if syncErr := opened.Sync(); syncErr != nil {
-		return errors.Wrapf(syncErr, "disk: cannot take back a failed write to %s (%v)", name, err)
-	}
 	return writeError(name, err)
 }
 
--- a/internal/lab/plans/votes.go
+++ b/internal/lab/plans/votes.go
@@ -133,3 +133,6 @@
 
 // Append implements twoslot.Disk.
 func (disk readOnlyDisk) Append(string, []byte) error { return errReadOnly }
+
+// Truncate implements twoslot.Disk.
+func (disk readOnlyDisk) Truncate(string, int) error { return errReadOnly }
--- a/pkg/twoslot/disk.go
+++ b/pkg/twoslot/disk.go
@@ -13,4 +13,8 @@
 	// Append appends to a file, which it creates if there is none. Durability and a full
 	// disk are as with WriteFile.
 	Append(name string, data []byte) error
+	// Truncate shortens a file that is longer than size bytes. The shorter file is durable
+	// when it returns nil; a crash within it leaves the former file or the shorter one. A
+	// full disk is as with WriteFile.
+	Truncate(name string, size int) error
 }
--- a/pkg/twoslot/doc.go
+++ b/pkg/twoslot/doc.go
@@ -8,8 +8,9 @@
 //
 // A checkpoint writes the next generation's payload into the slot that does not
 // contain the present one, then starts that generation's log. The present slot and
-// log stay intact until the next slot is durable, so a crash at any byte leaves one
-// generation intact.
+// log stay intact until the next slot is durable and its log started, so a crash at any
+// byte leaves one generation intact. Then they are truncated to the header of the log: the
+// files hold one generation, and two only while a checkpoint is written.
 //
 // The log of a generation is started, with a header, only after its slot is durable. (The
 // file of log 1 exists from the start, but empty, which proves nothing.) A started log
--- a/pkg/twoslot/image.go
+++ b/pkg/twoslot/image.go
@@ -32,6 +32,8 @@
 type slotFile struct {
 	state fileState
 	slot  slot
+	// bytes is the size of the file.
+	bytes int
 }
 
 // logFile is a log file as it was read; its generation is valid if the file is intact.
@@ -78,9 +80,9 @@
 	}
 	parsed, ok := parseSlot(data)
 	if !ok || parsed.generation%2 != parity || parsed.generation == 0 {
-		return slotFile{state: fileUnreadable}
+		return slotFile{state: fileUnreadable, bytes: len(data)}
 	}
-	return slotFile{state: fileIntact, slot: parsed}
+	return slotFile{state: fileIntact, slot: parsed, bytes: len(data)}
 }
 
 // classifyLog parses the header of a log file. Its frames are parsed only once the
@@ -144,6 +146,20 @@
 	return previous.state == fileIntact && previous.generation == generation-1
 }
 
+// superseded returns what the files of the generation before the given one take. An
+// unreadable slot there is what a crash left of the next checkpoint.
+func (f *image) superseded(generation uint64) superseded {
+	if generation == 0 {
+		return superseded{}
+	}
+	log := f.logs[(generation+1)%2]
+	return superseded{
+		logStarted: log.state == fileIntact && log.generation == generation-1,
+		logBytes:   len(log.data),
+		slotBytes:  f.slots[(generation+1)%2].bytes,
+	}
+}
+
 // logEndKind tells what a crash left of the log of the newest generation.
 type logEndKind uint8
 
--- a/pkg/twoslot/memdisk/memdisk.go
+++ b/pkg/twoslot/memdisk/memdisk.go
@@ -45,6 +45,8 @@
 	Delay      time.Duration
 	// Refused counts the writes that did not fit.
 	Refused int
+	// PeakBytes is the most that the files took, with the file that was being replaced.
+	PeakBytes int
 }
 
 // New returns an empty disk.
@@ -67,7 +69,8 @@
 	return slices.Clone(data), nil
 }
 
-// WriteFile replaces a file.
+// WriteFile replaces a file. The former one takes its space until the new one is complete,
+// as in a data folder, where it is renamed into place.
 func (d *Disk) WriteFile(name string, data []byte) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -81,18 +84,49 @@
 	return d.write(name, d.files[name], data)
 }
 
+// Truncate shortens a file. A crash at its only position leaves the shorter file, or, with
+// TearLost, the former one.
+func (d *Disk) Truncate(name string, size int) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.crashed {
+		return ErrCrashed
+	}
+	data, ok := d.files[name]
+	if !ok || size > len(data) {
+		return &fs.PathError{Op: "truncate", Path: name, Err: fs.ErrInvalid}
+	}
+	if d.full {
+		d.stats.Refused++
+		return &twoslot.Error{Kind: twoslot.KindDiskFull, Name: name}
+	}
+	d.stats.Writes++
+	shortened := slices.Clone(data[:size])
+	if _, ok := d.crashWithin(0); ok {
+		d.crashed = true
+		if d.crash.Tear != TearLost {
+			d.files[name] = shortened
+		}
+		return ErrCrashed
+	}
+	d.stats.Positions++
+	d.files[name] = shortened
+	return nil
+}
+
 // write leaves prefix followed by data in the file. The bytes of a file are never
 // changed in place, only appended to.
 func (d *Disk) write(name string, prefix, data []byte) error {
 	if d.crashed {
 		return ErrCrashed
 	}
-	growth := len(prefix) + len(data) - len(d.files[name])
-	if d.full || (d.capacity > 0 && d.used()+growth > d.capacity) {
+	needed := d.used() + len(data)
+	if d.full || (d.capacity > 0 && needed > d.capacity) {
 		d.stats.Refused++
 		return &twoslot.Error{Kind: twoslot.KindDiskFull, Name: name}
 	}
 	d.stats.Writes++
+	d.stats.PeakBytes = max(d.stats.PeakBytes, needed)
 	if d.delay > 0 {
 		d.stats.SlowWrites++
 		d.stats.Delay += d.delay
@@ -116,6 +150,13 @@
 	return total
 }
 
+// Used returns the bytes of all files.
+func (d *Disk) Used() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.used()
+}
+
 // Stats returns the counts so far.
 func (d *Disk) Stats() Stats {
 	d.mutex.Lock()
--- a/pkg/twoslot/open.go
+++ b/pkg/twoslot/open.go
@@ -32,6 +32,8 @@
 		generation: newest.generation,
 		logStarted: logEnd != logNotStarted,
 		logBytes:   len(files.logs[newest.generation%2].data),
+		slotBytes:  files.slots[newest.generation%2].bytes,
+		superseded: files.superseded(newest.generation),
 	}
 	if err := store.createLogs(files); err != nil {
 		return nil, Contents{}, err
@@ -76,7 +78,7 @@
 		s.salvaged = &contents
 		return ignoreDiskFull(s.rewriteSalvaged())
 	default:
-		return nil
+		return s.reclaim()
 	}
 }
 
--- a/pkg/twoslot/store.go
+++ b/pkg/twoslot/store.go
@@ -13,8 +13,11 @@
 	generation uint64
 	// logStarted tells whether the log of the generation has its header.
 	logStarted bool
-	// logBytes is the size of that log in bytes.
-	logBytes int
+	// logBytes is the size of that log in bytes, and slotBytes that of the slot.
+	logBytes  int
+	slotBytes int
+	// superseded is what the generation before still takes of the disk.
+	superseded superseded
 	// salvaged is what was read before a torn tail, until a generation without that tail
 	// is durable; nil otherwise.
 	salvaged *Contents
@@ -56,11 +59,25 @@
 	return s.advance(payload, nil)
 }
 
+// superseded is the size of the files of a generation that a newer one has replaced.
+type superseded struct {
+	// logStarted tells whether the log has the header of that generation, which proves
+	// that no generation after the newer one was started.
+	logStarted bool
+	logBytes   int
+	slotBytes  int
+}
+
 // LogBytes returns the size in bytes of the log after the newest checkpoint.
 func (s *Store) LogBytes() int {
 	return s.logBytes
 }
 
+// DiskBytes returns how much of the disk the files of the store take, in bytes.
+func (s *Store) DiskBytes() int {
+	return s.slotBytes + s.logBytes + s.superseded.slotBytes + s.superseded.logBytes
+}
+
 // advance writes the next generation into the slot of the one before the present, and
 // starts its log.
 func (s *Store) advance(payload []byte, records [][]byte) error {
@@ -71,13 +88,16 @@
 		return &Error{Kind: KindTooLarge, Name: s.name}
 	}
 	next := s.generation + 1
-	if err := s.disk.WriteFile(slotName(s.name, next), encodeSlot(next, payload, records)); err != nil {
+	slot := encodeSlot(next, payload, records)
+	if err := s.disk.WriteFile(slotName(s.name, next), slot); err != nil {
 		return s.writeError(err)
 	}
+	s.superseded = superseded{logStarted: s.logStarted, logBytes: s.logBytes, slotBytes: s.slotBytes}
 	s.generation = next
 	s.salvaged = nil
 	s.logStarted = false
 	s.logBytes = 0
+	s.slotBytes = len(slot)
 	// The slot is durable, which is what the caller needs: when only the log does not
 	// fit, the next Append starts it or returns that the disk is full.
 	return ignoreDiskFull(s.startLog(logHeader(next)))
@@ -99,6 +119,31 @@
 	}
 	s.logStarted = true
 	s.logBytes = len(content)
+	return s.reclaim()
+}
+
+// reclaim frees what the generation before takes of the disk, but for the header of its
+// log. The present slot is durable and its log started, so that the former state is never
+// read again; the header is left as the proof that no later generation was started
+// (image.nextNeverStarted). Where it doesn't stand, the slot is that proof and stays. On a
+// disk that refuses to free space the files stay until the next checkpoint.
+func (s *Store) reclaim() error {
+	if !s.logStarted || !s.superseded.logStarted {
+		return nil
+	}
+	former := s.generation + 1 // The files of the generation before have its parity.
+	if s.superseded.logBytes > headerBytes {
+		if err := s.disk.Truncate(logName(s.name, former), headerBytes); err != nil {
+			return ignoreDiskFull(s.writeError(err))
+		}
+		s.superseded.logBytes = headerBytes
+	}
+	if s.superseded.slotBytes > 0 {
+		if err := s.disk.Truncate(slotName(s.name, former), 0); err != nil {
+			return ignoreDiskFull(s.writeError(err))
+		}
+		s.superseded.slotBytes = 0
+	}
 	return nil
 }
 
--- a/pkg/twoslot/store_test.go
+++ b/pkg/twoslot/store_test.go
@@ -46,6 +46,40 @@
 		Expect(store.LogBytes()).To(Equal(empty))
 	})
 
+	// Guards against a disk that holds two generations of large state at rest (issue 37).
+	It("takes the space of one generation, and of two while a checkpoint is written", func() {
+		const payloadBytes, logBytes, overheadBytes = 1000, 700, 300
+		disk := memdisk.New()
+		for range 4 {
+			store, _, err := twoslot.Open(disk, storeName)
+			Expect(err).NotTo(HaveOccurred())
+			for range 3 {
+				Expect(store.Append(make([]byte, logBytes))).To(Succeed())
+				Expect(store.Checkpoint(make([]byte, payloadBytes))).To(Succeed())
+				Expect(store.DiskBytes()).To(BeNumerically("<", payloadBytes+overheadBytes))
+				Expect(disk.Used()).To(Equal(store.DiskBytes()))
+			}
+		}
+		Expect(disk.Stats().PeakBytes).To(BeNumerically("<", 2*payloadBytes+logBytes+overheadBytes))
+	})
+
+	It("frees at its opening what a crash or an earlier release left of the generation before", func() {
+		const largeBytes = 5000
+		disk := memdisk.New()
+		store, _, err := twoslot.Open(disk, storeName)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Append(make([]byte, largeBytes))).To(Succeed())
+		former, err := disk.ReadFile(storeName + ".log0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Checkpoint([]byte("payload"))).To(Succeed())
+		Expect(disk.WriteFile(storeName+".log0", former)).To(Succeed())
+		store, contents, err := twoslot.Open(disk, storeName)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contents).To(Equal(twoslot.Contents{Payload: []byte("payload")}))
+		Expect(disk.Used()).To(BeNumerically("<", largeBytes))
+		Expect(store.DiskBytes()).To(Equal(disk.Used()))
+	})
+
 	It("is unchanged by a full disk, at any capacity, and goes on once there is room", func() {
 		const mostBytes = 600
 		refused := 0
