control: the log of a shard is bounded in bytes, by what the machine gives

Cause, second part: a shard compacted its log when 1,024 entries had been applied, whatever their size, and kept as many for members that lag behind. The bound of the durable log grew with its checkpoint, which held the same entries, without end.

Change: storagelimit derives from the disk and the memory of the machine the largest command, the applied log in memory, and the log behind a checkpoint. Shards compact by bytes as well as by entries, groups keep entries for others within the same bytes, and the durable log has an upper bound.

The specs of the log, the durable log and the limits fail without the bounds.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/listing"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/storagelimit"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 )
@@ -191,6 +192,9 @@
 	// MaxLogEntries is how many applied entries a shard keeps for members that lag
 	// behind; 0 means the default.
 	MaxLogEntries int
+	// Limits bound the state and the log of a shard in bytes; the zero value stands for
+	// those of a machine that gives more than they need.
+	Limits storagelimit.Limits
 }
 
 // diskIncarnation returns DiskIncarnation, or what zero stands for.
@@ -205,6 +209,14 @@
 	}
 }
 
+// limits is Limits or its default.
+func (c Config) limits() storagelimit.Limits {
+	if c.Limits == (storagelimit.Limits{}) {
+		return storagelimit.For(storagelimit.Machine{})
+	}
+	return c.Limits
+}
+
 // logEntries is MaxLogEntries or its default.
 func (c Config) logEntries() int {
 	if c.MaxLogEntries <= 0 {
--- a/internal/control/hosted_shards.go
+++ b/internal/control/hosted_shards.go
@@ -41,6 +41,7 @@
 			LeaseDuration:   config.Times.LeaseDuration,
 			LeaseMargin:     config.Times.LeaseMargin,
 			MaxLogEntries:   config.logEntries(),
+			MaxLogBytes:     config.limits().Log,
 			Learner:         config.Learner,
 			Incarnation:     config.diskIncarnation(),
 		}, restored[id], s.clock.now)
--- a/internal/control/shards/ready.go
+++ b/internal/control/shards/ready.go
@@ -75,6 +75,7 @@
 // apply applies one committed entry.
 func (s *Shard) apply(entry replication.Entry) {
 	s.applied = entry.Index
+	s.appliedBytes += len(entry.Command)
 	switch entry.Kind {
 	case replication.EntryRestore:
 		s.replaceState(&replication.Snapshot{Index: entry.Index, Data: entry.Command})
@@ -103,9 +104,17 @@
 	}
 }
 
+// isLong reports whether the applied log has become long, by its entries or their bytes.
+func (s *Shard) isLong() bool {
+	if s.applied == s.compacted {
+		return false
+	}
+	return s.applied-s.compacted >= s.maxLogEntries || (s.maxLogBytes > 0 && s.appliedBytes >= s.maxLogBytes)
+}
+
 // compactWhenLong replaces the applied log by a snapshot once it is long.
 func (s *Shard) compactWhenLong() {
-	if s.applied-s.compacted < s.maxLogEntries {
+	if !s.isLong() {
 		return
 	}
 	data, err := s.state.Snapshot()
@@ -118,5 +127,6 @@
 		return
 	}
 	s.compacted = s.applied
+	s.appliedBytes = 0
 	s.checkpointDue = true
 }
--- a/internal/control/shards/shard.go
+++ b/internal/control/shards/shard.go
@@ -45,8 +45,12 @@
 	// compacted is the index of the last snapshot or restored state; the length of the
 	// applied log is counted from it.
 	compacted uint64
-	// maxLogEntries is how long the applied log may become.
+	// appliedBytes is the size of the commands applied since then.
+	appliedBytes int
+	// maxLogEntries and maxLogBytes are how long the applied log may become; zero bytes
+	// are no bound.
 	maxLogEntries uint64
+	maxLogBytes   int
 	// writing means that a write is outstanding: a checkpoint if checkpointing,
 	// else what outstanding holds.
 	writing       bool
@@ -71,6 +75,7 @@
 		group:         group,
 		state:         shardstate.New(id),
 		maxLogEntries: uint64(config.MaxLogEntries),
+		maxLogBytes:   config.MaxLogBytes,
 		proposals:     map[uint64]Proposal{},
 	}
 	if restored.Snapshot != nil {
@@ -90,6 +95,7 @@
 	s.state = state
 	s.applied = snapshot.Index
 	s.compacted = snapshot.Index
+	s.appliedBytes = 0
 	return nil
 }
 
--- /dev/null
+++ b/internal/control/storagelimit/limits_test.go
@@ -0,0 +1,49 @@
+package storagelimit_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/storagelimit"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
+)
+
+func TestStorageLimit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "storagelimit")
+}
+
+const mebibyte = 1 << 20
+
+var _ = Describe("Limits", func() {
+	// peakBytes is what the disk holds while a checkpoint is written: the former one, its
+	// log up to its bound with the entry that took it there, and the new one. A checkpoint
+	// holds the state and a command that is not applied.
+	peakBytes := func(limits storagelimit.Limits) int {
+		checkpoint := 2 * limits.Command
+		return checkpoint + limits.CheckpointLog + limits.Command + checkpoint
+	}
+
+	DescribeTable("leave room on the disk while a checkpoint is written", func(diskMebibytes int64) {
+		machine := storagelimit.Machine{DiskBytes: diskMebibytes * mebibyte}
+		Expect(peakBytes(storagelimit.For(machine))).To(BeNumerically("<", machine.DiskBytes*9/10))
+	},
+		Entry(nil, int64(8)), Entry(nil, int64(32)), Entry(nil, int64(64)), Entry(nil, int64(128)), Entry(nil, int64(1024)),
+	)
+
+	It("take the largest document and configuration where a machine gives enough, or is not known", func() {
+		const largest = dynamic.MaxSourceBytes + dynamic.MaxConfigurationBytes
+		Expect(storagelimit.For(storagelimit.Machine{}).Command).To(BeNumerically(">", largest))
+		Expect(storagelimit.For(storagelimit.Machine{DiskBytes: 1 << 40, MemoryBytes: 1 << 40}).Command).To(BeNumerically(">", largest))
+	})
+
+	It("are those of what the machine gives least of", func() {
+		disk := storagelimit.For(storagelimit.Machine{DiskBytes: 64 * mebibyte, MemoryBytes: 1 << 40})
+		memory := storagelimit.For(storagelimit.Machine{DiskBytes: 1 << 40, MemoryBytes: 96 * mebibyte})
+		Expect(disk.Command).To(Equal(64 * mebibyte / 10))
+		Expect(memory.Command).To(Equal(4 * mebibyte))
+		Expect(memory.Log).To(BeNumerically("<=", memory.Command))
+	})
+})
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -78,6 +78,15 @@
 	return os.ReadFile(path)
 }
 
+// CapacityBytes returns the size of the file system that holds the folder.
+func (d *Disk) CapacityBytes() (int64, error) {
+	var status unix.Statfs_t
+	if err := unix.Statfs(d.folder, &status); err != nil {
+		return 0, errors.Wrapf(err, "disk: cannot tell the size of the file system of %s", d.folder)
+	}
+	return int64(status.Blocks) * status.Bsize, nil
+}
+
 // Empty reports whether the folder holds no file but the disk's own.
 func (d *Disk) Empty() (bool, error) {
 	entries, err := os.ReadDir(d.folder)
--- a/internal/lab/sim/storage.go
+++ b/internal/lab/sim/storage.go
@@ -85,7 +85,7 @@
 	s.logs = map[uint32]*durable.Log{}
 	restored := map[uint32]replication.Restored{}
 	for shard := uint32(0); shard <= serviceShards; shard++ {
-		log, state, err := durable.OpenWithLimit(s.disk, fmt.Sprintf("shard-%03d", shard), maxLogBytes)
+		log, state, err := durable.OpenWithLimits(s.disk, fmt.Sprintf("shard-%03d", shard), durable.Limits{MinLogBytes: maxLogBytes})
 		if err != nil {
 			return nil, errors.Wrapf(err, "open shard %d", shard)
 		}
--- a/internal/node/control_config.go
+++ b/internal/node/control_config.go
@@ -29,6 +29,7 @@
 		ServiceShards:   uint32(settings.ServiceShards),
 		DiskIncarnation: stored.incarnation,
 		Times:           control.DefaultTimes(),
+		Limits:          stored.limits,
 	}
 	if settings.FailOpen {
 		config.Times = control.FailOpenTimes(settings.Contact(), settings.Acknowledge())
--- a/internal/node/storage.go
+++ b/internal/node/storage.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/driver"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/storagelimit"
 	"github.com/ridgeswitch/ridgeswitch/internal/disk"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
@@ -29,11 +30,17 @@
 	// founders are the founding voters, if the node is one of them and the groups
 	// were formed through seeds.
 	founders []string
+	// limits follow from what the machine gives.
+	limits storagelimit.Limits
 }
 
 // openStorage opens the data folder, if the settings name one.
 func openStorage(settings *static.Settings) (*storage, error) {
-	opened := &storage{logs: map[uint32]*durable.Log{}, restored: map[uint32]replication.Restored{}}
+	opened := &storage{
+		logs:     map[uint32]*durable.Log{},
+		restored: map[uint32]replication.Restored{},
+		limits:   storagelimit.For(storagelimit.Machine{MemoryBytes: settings.MemoryBytes()}),
+	}
 	if !settings.HasDisk() {
 		return opened, nil
 	}
@@ -42,6 +49,7 @@
 		return nil, err
 	}
 	opened.disk = folder
+	opened.limits = storagelimit.For(machineOf(settings, folder))
 	if err := opened.read(settings); err != nil {
 		opened.close()
 		return nil, err
@@ -49,6 +57,20 @@
 	return opened, nil
 }
 
+// machineOf returns what the machine gives to control: the settings tell it, or else the
+// file system of the data folder tells its size.
+func machineOf(settings *static.Settings, folder *disk.Disk) storagelimit.Machine {
+	machine := storagelimit.Machine{DiskBytes: settings.DiskBytes(), MemoryBytes: settings.MemoryBytes()}
+	if machine.DiskBytes > 0 {
+		return machine
+	}
+	// A file system that doesn't tell its size sets no bound.
+	if capacity, err := folder.CapacityBytes(); err == nil {
+		machine.DiskBytes = capacity
+	}
+	return machine
+}
+
 // read reads the identity of the folder, or creates one, and opens all shards.
 func (s *storage) read(settings *static.Settings) error {
 	stored, initialised, err := readIdentity(s.disk, settings)
@@ -84,7 +106,10 @@
 // openShard opens the durable log of a shard. It writes a first checkpoint if there is
 // none, so that a loss of the files is noticed at a later start.
 func (s *storage) openShard(shard uint32) error {
-	log, restored, err := durable.Open(s.disk, shardName(shard))
+	log, restored, err := durable.OpenWithLimits(s.disk, shardName(shard), durable.Limits{
+		MinLogBytes: durable.DefaultMinLogBytes,
+		MaxLogBytes: s.limits.CheckpointLog,
+	})
 	if err != nil {
 		return err
 	}
--- a/pkg/config/static/accessors.go
+++ b/pkg/config/static/accessors.go
@@ -58,6 +58,12 @@
 // CommandGap is how far apart the commands of two nodes to one replica are.
 func (s *Settings) CommandGap() time.Duration { return milliseconds(s.CommandGapMS) }
 
+// DiskBytes is the disk that the data folder may take, or 0 if the settings do not tell it.
+func (s *Settings) DiskBytes() int64 { return mebibytes(s.DiskMB) }
+
+// MemoryBytes is the memory that the node may take, or 0 if the settings do not tell it.
+func (s *Settings) MemoryBytes() int64 { return mebibytes(s.MemoryMB) }
+
 // WeightsDeadline is the time after which replicas without the named weights get no
 // requests; 0 means never.
 func (s *Settings) WeightsDeadline() time.Duration { return milliseconds(s.WeightsDeadlineMS) }
@@ -74,3 +80,5 @@
 func milliseconds(number int) time.Duration {
 	return time.Duration(number) * time.Millisecond
 }
+
+func mebibytes(count int) int64 { return int64(count) << 20 }
--- a/pkg/config/static/bounds.go
+++ b/pkg/config/static/bounds.go
@@ -41,6 +41,8 @@
 	MaxPlatformPollEvery = time.Second
 	// MaxCommandGap bounds how long a new leader waits before it commands replicas.
 	MaxCommandGap = time.Minute
+	// MaxMachineMB bounds the disk and the memory of a machine.
+	MaxMachineMB = 1 << 30
 	// MaxWeightsDeadline bounds the deadline of a weights roll-out.
 	MaxWeightsDeadline = time.Hour
 	// MaxRetryPercent bounds the retry budget.
--- a/pkg/config/static/check.go
+++ b/pkg/config/static/check.go
@@ -158,6 +158,8 @@
 func (c *checker) numbers(s *Settings) {
 	c.between("service_shards", s.ServiceShards, 1, MaxServiceShards)
 	c.between("log_ring", s.LogRing, 1, MaxLogRing)
+	c.between("disk_mb", s.DiskMB, 0, MaxMachineMB)
+	c.between("memory_mb", s.MemoryMB, 0, MaxMachineMB)
 	c.between("heap_growth_percent", s.HeapGrowthPercent, MinHeapGrowthPercent, MaxHeapGrowthPercent)
 	c.duration("contact_ms", s.ContactMS, MinContact, MaxContact)
 	c.duration("acknowledge_ms", s.AcknowledgeMS, MinAcknowledge, MaxAcknowledge)
--- a/pkg/config/static/flags.go
+++ b/pkg/config/static/flags.go
@@ -64,7 +64,7 @@
 
 // flagFor builds the flag of one field by the field's type and tags.
 func flagFor(field reflect.StructField) cli.Flag {
-	name := flagName(field.Tag.Get("yaml"))
+	name := flagName(settingName(field))
 	usage := field.Tag.Get("usage")
 	switch field.Type.Kind() {
 	case reflect.Bool:
--- a/pkg/config/static/load.go
+++ b/pkg/config/static/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"strings"
 
 	"github.com/samber/lo"
 	"go.yaml.in/yaml/v3"
@@ -91,12 +92,18 @@
 	value := reflect.ValueOf(s).Elem()
 	fields := make(map[string]any, value.NumField())
 	for i := range value.NumField() {
-		name := value.Type().Field(i).Tag.Get("yaml")
+		name := settingName(value.Type().Field(i))
 		fields[name] = value.Field(i).Addr().Interface()
 	}
 	return fields
 }
 
+// settingName returns the name of a field in the file.
+func settingName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return name
+}
+
 // readField decodes the value of one pair into the field of that name.
 func readField(fields map[string]any, name string, value *yaml.Node) *Error {
 	field, known := fields[name]
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -100,6 +100,11 @@
 	// garbage is collected, in hundredths of what is in use. A smaller one takes less
 	// memory and more processor time.
 	HeapGrowthPercent int `yaml:"heap_growth_percent" usage:"growth of the heap beyond what is in use until garbage is collected, in hundredths"`
+	// DiskMB and MemoryMB are what the machine gives to the node, in mebibytes. Control
+	// state and its log are bounded by them. Without DiskMB the capacity of the file
+	// system of DataFolder holds, and without MemoryMB no bound.
+	DiskMB   int `yaml:"disk_mb,omitempty" usage:"disk that the data folder may take, in MiB"`
+	MemoryMB int `yaml:"memory_mb,omitempty" usage:"memory that the node may take, in MiB"`
 	// RecordFile is where the node records the requests that it serves, without
 	// prompts and keys; empty for no recording. See docs/REPLAY.md.
 	RecordFile string `yaml:"record_file" usage:"file to record served requests in, without prompts and keys"`
--- a/pkg/replication/config.go
+++ b/pkg/replication/config.go
@@ -52,6 +52,9 @@
 	// MaxLogEntries is how many of the entries that the snapshot covers are kept,
 	// for followers that are a little behind.
 	MaxLogEntries int
+	// MaxLogBytes bounds the commands of these entries together, in bytes; zero is no
+	// bound.
+	MaxLogBytes int
 	// Learner starts a member that never votes, and that is given no vote. A member
 	// whose durable state was lost needs only another Incarnation: the leader gives
 	// it the vote back when that is safe.
@@ -99,6 +102,9 @@
 	if c.MaxLogEntries < 0 {
 		return &ConfigError{Field: "MaxLogEntries", Message: "must not be negative"}
 	}
+	if c.MaxLogBytes < 0 {
+		return &ConfigError{Field: "MaxLogBytes", Message: "must not be negative"}
+	}
 	if err := c.leaseTiming().Check(); err != nil {
 		return &ConfigError{Field: "LeaseDuration", Message: err.Error()}
 	}
--- a/pkg/replication/durable/golden_test.go
+++ b/pkg/replication/durable/golden_test.go
@@ -31,7 +31,7 @@
 	It("are written to the last byte by the same saves, and restore the same state", func() {
 		disk := memdisk.New()
 		_, expected := runScript(disk)
-		log, _, err := OpenWithLimit(disk, logName, smallLimit)
+		log, _, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: smallLimit})
 		Expect(err).NotTo(HaveOccurred())
 		for _, ready := range []replication.Ready{
 			{HardState: &replication.HardState{Term: 6, VotedFor: "a", VotedForIncarnation: 1 << 60, Commit: 27}, Entries: everyKind[:2]},
--- a/pkg/replication/durable/log.go
+++ b/pkg/replication/durable/log.go
@@ -3,14 +3,15 @@
 import (
 	"errors"
 	"slices"
+	"sync/atomic"
 
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
 )
 
-// DefaultMaxLogBytes is the size in bytes of the records after a checkpoint at which
+// DefaultMinLogBytes is the size in bytes of the records after a small checkpoint at which
 // Save writes the next checkpoint.
-const DefaultMaxLogBytes = 4 << 20
+const DefaultMinLogBytes = 4 << 20
 
 // checkpointRatio is how many times as large as a checkpoint the records after it may
 // become, so that a large state isn't written all the time.
@@ -20,21 +21,32 @@
 type Log struct {
 	store *twoslot.Store
 	// state is what is durable.
-	state       replication.Restored
-	maxLogBytes int
+	state  replication.Restored
+	limits Limits
 	// checkpointAt is the size of the records in bytes at which Save writes a
 	// checkpoint.
 	checkpointAt int
+	// diskBytes is what DiskBytes returns.
+	diskBytes atomic.Int64
+}
+
+// Limits bound the records after a checkpoint, in bytes. A Save that takes them to the bound
+// writes the next checkpoint.
+type Limits struct {
+	// MinLogBytes is the bound for small states; it grows with the checkpoint.
+	MinLogBytes int
+	// MaxLogBytes bounds it for large states; zero is no bound.
+	MaxLogBytes int
 }
 
 // Open reads the state of that name from the disk. The state is empty if the disk has
 // none. Damaged state is an error that matches twoslot.ErrCorrupt.
 func Open(disk twoslot.Disk, name string) (*Log, replication.Restored, error) {
-	return OpenWithLimit(disk, name, DefaultMaxLogBytes)
+	return OpenWithLimits(disk, name, Limits{MinLogBytes: DefaultMinLogBytes})
 }
 
-// OpenWithLimit is Open with a bound on the bytes of the records after a checkpoint.
-func OpenWithLimit(disk twoslot.Disk, name string, maxLogBytes int) (*Log, replication.Restored, error) {
+// OpenWithLimits is Open with bounds on the bytes of the records after a checkpoint.
+func OpenWithLimits(disk twoslot.Disk, name string, limits Limits) (*Log, replication.Restored, error) {
 	store, contents, err := twoslot.Open(disk, name)
 	if err != nil {
 		return nil, replication.Restored{}, err
@@ -43,8 +55,9 @@
 	if err != nil {
 		return nil, replication.Restored{}, err
 	}
-	log := &Log{store: store, state: state, maxLogBytes: maxLogBytes}
+	log := &Log{store: store, state: state, limits: limits}
 	log.scheduleCheckpoint(len(contents.Payload))
+	log.measure()
 	restored := state
 	restored.Entries = slices.Clone(state.Entries)
 	return log, restored, nil
@@ -71,6 +84,7 @@
 		return err
 	}
 	l.state = next
+	l.measure()
 	return l.checkpointIfLarge()
 }
 
@@ -84,6 +98,10 @@
 	return l.writeCheckpoint(next)
 }
 
+// DiskBytes returns how much of the disk the state takes, in bytes. Unlike the other
+// methods it may be called concurrently.
+func (l *Log) DiskBytes() int64 { return l.diskBytes.Load() }
+
 func (l *Log) writeCheckpoint(next replication.Restored) error {
 	payload := encode(next)
 	if err := l.store.Checkpoint(payload); err != nil {
@@ -91,9 +109,12 @@
 	}
 	l.state = next
 	l.scheduleCheckpoint(len(payload))
+	l.measure()
 	return nil
 }
 
+func (l *Log) measure() { l.diskBytes.Store(int64(l.store.DiskBytes())) }
+
 // checkpointIfLarge bounds the log. What was saved is durable already, so a disk that
 // is too full for the checkpoint only delays it.
 func (l *Log) checkpointIfLarge() error {
@@ -102,12 +123,15 @@
 	}
 	err := l.writeCheckpoint(l.state)
 	if errors.Is(err, twoslot.ErrDiskFull) {
-		l.checkpointAt = l.store.LogBytes() + l.maxLogBytes
+		l.checkpointAt = l.store.LogBytes() + l.limits.MinLogBytes
 		return nil
 	}
 	return err
 }
 
 func (l *Log) scheduleCheckpoint(checkpointBytes int) {
-	l.checkpointAt = max(l.maxLogBytes, checkpointRatio*checkpointBytes)
+	l.checkpointAt = max(l.limits.MinLogBytes, checkpointRatio*checkpointBytes)
+	if l.limits.MaxLogBytes > 0 {
+		l.checkpointAt = min(l.checkpointAt, l.limits.MaxLogBytes)
+	}
 }
--- a/pkg/replication/durable/log_test.go
+++ b/pkg/replication/durable/log_test.go
@@ -99,7 +99,7 @@
 // runScript runs operations until one fails. It returns the state that was
 // acknowledged, and that with the operation in progress.
 func runScript(disk *memdisk.Disk) (acknowledged, underWay replication.Restored) {
-	log, _, err := OpenWithLimit(disk, logName, smallLimit)
+	log, _, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: smallLimit})
 	if err != nil {
 		return replication.Restored{}, replication.Restored{}
 	}
@@ -130,7 +130,7 @@
 		disk := memdisk.New()
 		var want replication.Restored
 		for i, next := range script {
-			log, restored, err := OpenWithLimit(disk, logName, smallLimit)
+			log, restored, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: smallLimit})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(restored).To(Equal(want), "operation %d", i)
 			Expect(next.run(log)).To(Succeed())
@@ -167,7 +167,7 @@
 
 	It("writes checkpoints by itself so that its records stay bounded", func() {
 		disk := memdisk.New()
-		log, _, err := OpenWithLimit(disk, logName, smallLimit)
+		log, _, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: smallLimit})
 		Expect(err).NotTo(HaveOccurred())
 		for term := uint64(1); term <= 200; term++ {
 			Expect(log.Save(replication.Ready{HardState: hard(term, "a", 0)})).To(Succeed())
@@ -180,7 +180,7 @@
 
 	It("is unchanged by a full disk, and saves the same Ready once there is room", func() {
 		disk := memdisk.New()
-		log, _, err := OpenWithLimit(disk, logName, smallLimit)
+		log, _, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: smallLimit})
 		Expect(err).NotTo(HaveOccurred())
 		var want replication.Restored
 		for _, next := range script {
@@ -197,7 +197,7 @@
 
 	It("keeps entries that a rejected save would have replaced", func() {
 		disk := memdisk.New()
-		log, _, err := OpenWithLimit(disk, logName, 1)
+		log, _, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: 1})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(log.Save(replication.Ready{Entries: entries(1, 1, 3)})).To(Succeed())
 		disk.SetFull(true)
@@ -214,7 +214,7 @@
 
 	It("acknowledges a save whose checkpoint does not fit", func() {
 		disk := memdisk.New()
-		log, _, err := OpenWithLimit(disk, logName, 1)
+		log, _, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: 1})
 		Expect(err).NotTo(HaveOccurred())
 		const roomForTheRecordOnly = 300
 		disk.SetCapacity(roomForTheRecordOnly)
@@ -225,6 +225,23 @@
 		Expect(restored.Entries).To(Equal(entries(1, 1, 1)))
 	})
 
+	// Guards against a log that grows with its checkpoint beyond the disk (issue 37).
+	It("bounds the log behind a large checkpoint", func() {
+		const maxLogBytes = 4000
+		disk := memdisk.New()
+		log, _, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: smallLimit, MaxLogBytes: maxLogBytes})
+		Expect(err).NotTo(HaveOccurred())
+		large := snapshot(1, 1)
+		large.Data = make([]byte, 3*maxLogBytes)
+		Expect(log.Checkpoint(*hard(1, "a", 1), large, nil)).To(Succeed())
+		checkpointBytes := log.DiskBytes()
+		for term := uint64(2); term < 200; term++ {
+			Expect(log.Save(replication.Ready{HardState: hard(term, "a", 1), Entries: entries(term, 2, 2)})).To(Succeed())
+			Expect(log.DiskBytes()).To(BeNumerically("<", checkpointBytes+maxLogBytes+smallLimit))
+			Expect(log.DiskBytes()).To(BeEquivalentTo(disk.Used()))
+		}
+	})
+
 	It("hands out entries that later saves do not change", func() {
 		disk := memdisk.New()
 		runScript(disk)
@@ -276,7 +293,7 @@
 
 	It("restores the founders to a member that is not told of them", func() {
 		disk := memdisk.New()
-		log, _, err := OpenWithLimit(disk, logName, smallLimit)
+		log, _, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: smallLimit})
 		Expect(err).NotTo(HaveOccurred())
 		config := replication.Config{
 			Self: "a", Incarnation: replication.FoundingIncarnation, Founders: []member.ID{"a"},
@@ -291,7 +308,7 @@
 		}
 		config.Founders = nil
 		expectFounders := func() {
-			_, restored, err := OpenWithLimit(disk, logName, smallLimit)
+			_, restored, err := OpenWithLimits(disk, logName, Limits{MinLogBytes: smallLimit})
 			Expect(err).NotTo(HaveOccurred())
 			again, err := replication.New(config, restored, 0)
 			Expect(err).NotTo(HaveOccurred())
--- a/pkg/replication/log.go
+++ b/pkg/replication/log.go
@@ -212,17 +212,37 @@
 	l.groups = groupHistory{newGroupState(snapshot.Index, snapshot.Slots)}
 }
 
-// compact makes the snapshot the newest one, and keeps up to trailing of the entries
-// that it covers.
-func (l *replicaLog) compact(snapshot *Snapshot, trailing uint64) {
+// compact makes the snapshot the newest one, and keeps of the entries that it covers the
+// newest: up to maxEntries of them, with commands of up to maxBytes together, or of any size
+// if that is zero.
+func (l *replicaLog) compact(snapshot *Snapshot, maxEntries uint64, maxBytes int) {
 	l.snapshot = snapshot
 	l.groups = l.groups.compacted(snapshot.Index)
-	if snapshot.Index <= l.offset+trailing {
+	offset := l.offset
+	if snapshot.Index > offset+maxEntries {
+		offset = snapshot.Index - maxEntries
+	}
+	if maxBytes > 0 {
+		offset = l.offsetWithin(offset, snapshot.Index, maxBytes)
+	}
+	if offset == l.offset {
 		return
 	}
-	offset := snapshot.Index - trailing
 	term, _ := l.termAt(offset)
 	l.entries = slices.Clone(l.entries[offset-l.offset:])
 	l.offset = offset
 	l.offsetTerm = term
 }
+
+// offsetWithin returns the lowest offset, from first on, with commands of up to maxBytes
+// together between it and last.
+func (l *replicaLog) offsetWithin(first, last uint64, maxBytes int) uint64 {
+	size := 0
+	for offset := last; offset > first; offset-- {
+		size += len(l.entries[offset-l.offset-1].Command)
+		if size > maxBytes {
+			return offset
+		}
+	}
+	return first
+}
--- a/pkg/replication/snapshot.go
+++ b/pkg/replication/snapshot.go
@@ -13,8 +13,9 @@
 }
 
 // Compact makes the application's state after index the newest snapshot and drops
-// the entries before it but for MaxLogEntries. The index must be applied (Advance
-// was called) and newer than the last snapshot. It fails with a *CompactError.
+// the entries before it but for MaxLogEntries and MaxLogBytes. The index must be applied
+// (Advance was called) and newer than the last snapshot. The data must not be changed
+// afterwards. It fails with a *CompactError.
 func (g *Group) Compact(index uint64, data []byte) error {
 	if index > g.log.applied {
 		return &CompactError{Index: index, Message: "is not applied yet: call Advance first"}
@@ -34,9 +35,9 @@
 		Index: index,
 		Term:  term,
 		Slots: group,
-		Data:  slices.Clone(data),
+		Data:  data,
 	}
-	g.log.compact(snapshot, uint64(g.cfg.MaxLogEntries))
+	g.log.compact(snapshot, uint64(g.cfg.MaxLogEntries), g.cfg.MaxLogBytes)
 	return nil
 }
 
