requests: a refused or repeated configuration leaves nothing in the log

Cause: every change entered the replicated log, and was judged only once it was committed, everywhere. So did a change that the operator sent again after a lost acknowledgement.

Change: the leader judges a change with a whole configuration before it is proposed. They wait for each other, so that the state in which one is judged is the one in which it would be applied. A refusal, and the answer to a resend, is sent once a read has confirmed the leadership: a leader that was replaced may know an older state. What waits is bounded in number and bytes. A command that the machines have no room for is refused as oversize, with both sizes, before it enters the log; a resend of one that is in force is not.

A request with a large payload is repeated after 0.3, 0.6, then each 1.2 s, in place of each 0.3 s: most replies take about that long, and each copy went to a node that does not lead, and from there on to the leader.

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -73,6 +73,7 @@
 		AcknowledgeTimeout:          times.AcknowledgeTimeout,
 		RequestTimeout:              times.RequestTimeout,
 		AcknowledgeUnconfirmedAfter: config.acknowledgeUnconfirmedAfter(),
+		MaxCommandBytes:             config.limits().Command,
 	}, m.outbox, m.leaders)
 	m.recovery = recovery.New(recovery.Config{
 		Self:          config.Self.ID,
--- a/internal/control/hosted_shard.go
+++ b/internal/control/hosted_shard.go
@@ -47,6 +47,18 @@
 	})
 }
 
+// PreviewChange returns the answer to an order that needs no entry in the log, or nil.
+func (s hostedShard) PreviewChange(order *controlpb.Order) *controlpb.Answer {
+	configuration, ok := s.State().(*shardstate.Configuration)
+	if !ok {
+		return nil
+	}
+	return configuration.Preview(order)
+}
+
+// BarrierApplied reports whether the state holds all that earlier leaders committed.
+func (s hostedShard) BarrierApplied() bool { return s.Group().BarrierApplied() }
+
 // ProposeChange appends a change to the log.
 func (s hostedShard) ProposeChange(from member.ID, message protocol.Message) {
 	s.Propose(s.now, message.Payload, shards.Proposal{From: from, Message: message})
--- a/internal/control/requests/client.go
+++ b/internal/control/requests/client.go
@@ -15,6 +15,13 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 )
 
+const (
+	// largePayloadBytes is the size from which on a payload is sent again less often, and
+	// maxRetryDoublings how many times the pause before that doubles at the most.
+	largePayloadBytes = 64 << 10
+	maxRetryDoublings = 2
+)
+
 // ErrNoQuorum is returned for a read that no quorum has confirmed in time.
 var ErrNoQuorum = errors.New("no quorum of the nodes with disks has confirmed the read in time; try again, at another node")
 
@@ -41,6 +48,7 @@
 	kind        protocol.MessageType
 	payload     []byte
 	target      member.ID
+	attempts    int
 	nextAttempt time.Duration
 	deadline    time.Duration
 	// revisionConfirmed means that a quorum confirmed minRevision, for which a read of the
@@ -109,7 +117,7 @@
 // send sends a pending request to a node that may lead the configuration.
 func (c *Client) send(pending *pendingRequest, target member.ID) {
 	pending.target = target
-	pending.nextAttempt = c.now + c.config.RetryEvery
+	pending.nextAttempt = c.now + c.retryDelay(pending)
 	if target == "" {
 		return
 	}
@@ -121,6 +129,15 @@
 	})
 }
 
+// retryDelay returns how long a request waits for its reply before it is sent again. For one
+// with a large payload it doubles: most often the reply takes longer, and nothing is lost.
+func (c *Client) retryDelay(pending *pendingRequest) time.Duration {
+	if len(pending.payload) < largePayloadBytes {
+		return c.config.RetryEvery
+	}
+	return c.config.RetryEvery << min(pending.attempts, maxRetryDoublings)
+}
+
 // Tick sends requests without a reply again, and ends those that have timed out.
 func (c *Client) Tick(now time.Duration) {
 	c.now = now
@@ -130,6 +147,7 @@
 			c.timeOut(pending)
 		case pending.revisionConfirmed:
 		case now >= pending.nextAttempt:
+			pending.attempts++
 			c.send(pending, c.leaders.Next(shardstate.ConfigurationShard, pending.target))
 		}
 	}
--- a/internal/control/requests/leader.go
+++ b/internal/control/requests/leader.go
@@ -29,6 +29,14 @@
 	ChangeProposed(from member.ID, request uint64) bool
 	// ProposeChange appends a change to the log; Leader.Applied takes its outcome.
 	ProposeChange(from member.ID, message protocol.Message)
+	// PreviewChange returns the answer to an order that needs no entry in the log, or nil.
+	PreviewChange(order *controlpb.Order) *controlpb.Answer
+	// Revision returns the revision in force.
+	Revision() uint64
+	// BarrierApplied reports whether the state holds all that earlier leaders committed.
+	BarrierApplied() bool
+	// Process carries out what a requested read leads to.
+	Process()
 	// ConfirmedEverywhere reports whether no node can serve a revision below the given
 	// one any more.
 	ConfirmedEverywhere(revision uint64) bool
@@ -62,6 +70,8 @@
 	AcknowledgeUnconfirmedAfter time.Duration
 	// RequestTimeout is how long nodes wait for the reply to a request.
 	RequestTimeout time.Duration
+	// MaxCommandBytes is the largest command that may enter the log.
+	MaxCommandBytes int
 }
 
 // Leader answers requests at the node that leads the configuration.
@@ -73,6 +83,10 @@
 	rejections     rejections
 	// reads are those that wait for a quorum, by their numbers in the replica group.
 	reads map[uint64]pendingRead
+	// changes are those that carry a whole configuration.
+	changes configurationChanges
+	// now is the time of the last tick.
+	now time.Duration
 }
 
 // NewLeader returns the leader's side of a node that has answered nothing.
@@ -83,6 +97,7 @@
 		leaders:    directory,
 		rejections: newRejections(),
 		reads:      map[uint64]pendingRead{},
+		changes:    configurationChanges{maxCommandBytes: config.MaxCommandBytes},
 	}
 }
 
@@ -95,7 +110,7 @@
 	}
 	request := requestKey{from: from, request: message.Request}
 	waiting := func(change unacknowledgedChange) bool { return change.requestKey == request }
-	if shard.ChangeProposed(from, message.Request) || slices.ContainsFunc(l.unacknowledged, waiting) {
+	if shard.ChangeProposed(from, message.Request) || slices.ContainsFunc(l.unacknowledged, waiting) || l.changes.find(request) != nil {
 		// It is being worked on; a repeated message must not fill the log.
 		return
 	}
@@ -103,6 +118,10 @@
 		l.reply(request, rejection, false)
 		return
 	}
+	if order := wholeConfiguration(message.Payload); order != nil {
+		l.enqueue(shard, from, message, order)
+		return
+	}
 	shard.ProposeChange(from, message)
 }
 
@@ -116,20 +135,25 @@
 	})
 }
 
-// Applied takes the outcome of a change that this node proposed. A rejected one is
-// answered at once; an accepted one waits until it is confirmed.
+// Applied takes the outcome of a change that this node proposed.
 func (l *Leader) Applied(now time.Duration, from member.ID, request uint64, answer *controlpb.Answer) {
-	key := requestKey{from: from, request: request}
+	l.now = now
+	l.conclude(requestKey{from: from, request: request}, answer)
+}
+
+// conclude takes the outcome of a change. A rejected one is answered at once; an accepted
+// one waits until it is confirmed.
+func (l *Leader) conclude(request requestKey, answer *controlpb.Answer) {
 	if answer.GetProblem() != nil {
-		l.rejections.remember(key, answer, now+rejectionRetention*l.config.RequestTimeout)
-		l.reply(key, answer, false)
+		l.rejections.remember(request, answer, l.now+rejectionRetention*l.config.RequestTimeout)
+		l.reply(request, answer, false)
 		return
 	}
 	l.unacknowledged = append(l.unacknowledged, unacknowledgedChange{
-		requestKey: key,
+		requestKey: request,
 		answer:     answer,
-		since:      now,
-		deadline:   now + l.config.AcknowledgeTimeout,
+		since:      l.now,
+		deadline:   l.now + l.config.AcknowledgeTimeout,
 	})
 }
 
@@ -137,6 +161,9 @@
 // those that were not confirmed in time. The shard is nil if this node does not host it, so
 // that no change waits here.
 func (l *Leader) Tick(now time.Duration, shard Shard) {
+	l.now = now
+	l.changes.expire(now)
+	l.Advance(shard)
 	var unacknowledged []unacknowledgedChange
 	unconfirmedAfter := l.config.AcknowledgeUnconfirmedAfter
 	for _, change := range l.unacknowledged {
@@ -198,9 +225,10 @@
 }
 
 // FinishReads answers the reads that a quorum has confirmed. Who asked for one that
-// failed asks again. An error means that a reply could not be encoded.
+// failed asks again. Changes whose leadership it confirms are left to Advance. An error means that a reply could not be encoded.
 func (l *Leader) FinishReads(state *shardstate.Configuration, ready replication.Ready) error {
 	for _, id := range ready.ReadsFailed {
+		l.changes.readFinished(l.reads[id].requestKey, false)
 		delete(l.reads, id)
 	}
 	var failed error
@@ -210,6 +238,10 @@
 		if !open {
 			continue
 		}
+		if requested.kind == protocol.MessageChange {
+			l.changes.readFinished(requested.requestKey, true)
+			continue
+		}
 		if err := l.replyToRead(state, requested); err != nil {
 			failed = err
 		}
--- a/internal/control/requests/requests_test.go
+++ b/internal/control/requests/requests_test.go
@@ -39,8 +39,17 @@
 	leads     bool
 	confirmed bool
 	proposed  int
+	// preview is the answer to an order that needs no entry in the log.
+	preview *controlpb.Answer
+	// behind means that entries of an earlier leader are not applied.
+	behind bool
 }
 
+func (s *testShard) PreviewChange(*controlpb.Order) *controlpb.Answer { return s.preview }
+func (s *testShard) Revision() uint64                                 { return 7 }
+func (s *testShard) BarrierApplied() bool                             { return !s.behind }
+func (s *testShard) Process()                                         {}
+
 func (s *testShard) IsLeader() bool                            { return s.leads }
 func (s *testShard) ChangeProposed(member.ID, uint64) bool     { return s.proposed > 0 }
 func (s *testShard) ProposeChange(member.ID, protocol.Message) { s.proposed++ }
--- a/internal/control/shard_host.go
+++ b/internal/control/shard_host.go
@@ -72,4 +72,9 @@
 }
 
 // Committed implements shards.Host.
-func (h *shardHost) Committed(shard *shards.Shard) { h.states.publishCommitted(shard) }
+func (h *shardHost) Committed(shard *shards.Shard) {
+	h.states.publishCommitted(shard)
+	if shard.ID() == ConfigurationShard {
+		h.leaderRequests.Advance(h.shards.bind(shard))
+	}
+}
--- a/pkg/config/dynamic/answers.go
+++ b/pkg/config/dynamic/answers.go
@@ -1,7 +1,6 @@
 package dynamic
 
 import (
-	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
@@ -41,13 +40,6 @@
 	return cloneAnswer(answer)
 }
 
-// all returns copies of all answers, oldest first.
-func (l *answerLog) all() []*controlpb.Answer {
-	return lo.Map(l.oldestFirst, func(answer *controlpb.Answer, _ int) *controlpb.Answer {
-		return cloneAnswer(answer)
-	})
-}
-
 // AcceptedAnswers are the remembered answers, oldest first. They are shared: no
 // one may write to them.
 func (m *Machine) AcceptedAnswers() []*controlpb.Answer {
--- a/pkg/config/dynamic/document.go
+++ b/pkg/config/dynamic/document.go
@@ -60,6 +60,21 @@
 	return check.faults.orNil()
 }
 
+// OversizeAnswer returns the refusal of an order that takes more than a machine has room for.
+func OversizeAnswer(order *controlpb.Order, revision uint64, bytes, maxBytes int) *controlpb.Answer {
+	fault := &Error{
+		Kind:    KindOversize,
+		Field:   "configuration",
+		Message: fmt.Sprintf("takes %d bytes with its document, and the machines have room for %d; reduce it, or give the nodes with disks more disk and memory", bytes, maxBytes),
+	}
+	return &controlpb.Answer{
+		OrderId:  order.GetOrderId(),
+		Digest:   order.GetDigest(),
+		Revision: revision,
+		Problem:  problemOf(fault, revision),
+	}
+}
+
 // documentOrderID is equal for equal documents under equal versions, and for no
 // others.
 func documentOrderID(source *ridgeswitchv1.Source) string {
--- a/pkg/config/dynamic/machine.go
+++ b/pkg/config/dynamic/machine.go
@@ -53,17 +53,22 @@
 
 // Snapshot encodes the state. Equal states give equal bytes.
 func (m *Machine) Snapshot() ([]byte, error) {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.State())
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.sharedState())
 	return data, errors.Wrap(err, "encode the configuration snapshot")
 }
 
 // State is a deep copy of the whole state.
 func (m *Machine) State() *controlpb.ConfigurationState {
+	return proto.CloneOf(m.sharedState())
+}
+
+// sharedState is the whole state, to read only: it is the machine's own.
+func (m *Machine) sharedState() *controlpb.ConfigurationState {
 	return &controlpb.ConfigurationState{
-		Configuration: proto.Clone(m.configuration).(*ridgeswitchv1.Configuration),
-		Answers:       m.answers.all(),
+		Configuration: m.configuration,
+		Answers:       m.answers.oldestFirst,
 		Nodes:         m.nodes.nodes(),
-		Source:        proto.CloneOf(m.source),
+		Source:        m.source,
 
 		EvacuationChanges: m.evacuationChanges.all(),
 	}
@@ -111,42 +116,67 @@
 	}
 }
 
+// Preview returns the answer that an order would get now if it needs no entry in the log:
+// a refusal, or the answer to a resend. It returns nil for an order that would be carried
+// out, which Apply then does if the state is still the same.
+func (m *Machine) Preview(order *controlpb.Order) *controlpb.Answer {
+	next, answer := m.decide(order)
+	if next == nil && answer == nil {
+		// The document is in force, though its answer is not remembered any more.
+		return m.accepted(order)
+	}
+	return answer
+}
+
 // applyOrder answers an order: an invalid one is refused, a resend gets the first answer,
 // and a change that passes all checks is put in force.
 func (m *Machine) applyOrder(order *controlpb.Order) *controlpb.Answer {
+	next, answer := m.decide(order)
+	if answer != nil {
+		return answer
+	}
+	if next != nil {
+		m.adopt(next)
+		m.adoptSource(order)
+	}
+	answer = m.accepted(order)
+	m.answers.add(answer)
+	return cloneAnswer(answer)
+}
+
+// decide checks an order, and changes nothing. It returns the answer to one that is refused,
+// or that was accepted before, or else the configuration that the order leads to: nil if
+// that is the one in force.
+func (m *Machine) decide(order *controlpb.Order) (*ridgeswitchv1.Configuration, *controlpb.Answer) {
 	if err := checkOrderID(order.GetOrderId()); err != nil {
-		return m.refuse(order, err)
+		return nil, m.refuse(order, err)
 	}
 	if first := m.answers.find(order.GetOrderId()); first != nil {
-		return m.repeat(order, first)
+		return nil, m.repeat(order, first)
 	}
 	if m.sourceInForce(order.GetApplyDocument()) {
-		return m.accept(order)
+		return nil, nil
 	}
 	if err := m.checkBase(order); err != nil {
-		return m.refuse(order, err)
+		return nil, m.refuse(order, err)
 	}
 	if err := m.evacuationChanges.check(order.GetSetEvacuation(), m.Revision()); err != nil {
-		return m.refuse(order, err)
+		return nil, m.refuse(order, err)
 	}
 	next, err := configurationAfter(m.configuration, order)
 	if err != nil {
-		return m.refuse(order, err)
+		return nil, m.refuse(order, err)
 	}
-	m.adopt(next)
-	m.adoptSource(order)
-	return m.accept(order)
+	return next, nil
 }
 
-// accept returns the answer to an order that is in force, and remembers it.
-func (m *Machine) accept(order *controlpb.Order) *controlpb.Answer {
-	answer := &controlpb.Answer{
+// accepted returns the answer to an order that is in force.
+func (m *Machine) accepted(order *controlpb.Order) *controlpb.Answer {
+	return &controlpb.Answer{
 		OrderId:  order.GetOrderId(),
 		Digest:   bytes.Clone(order.GetDigest()),
 		Revision: m.Revision(),
 	}
-	m.answers.add(answer)
-	return proto.Clone(answer).(*controlpb.Answer)
 }
 
 // repeat returns the answer to an order whose identity was accepted before: the first
