replication: what is in flight to a member is bounded in bytes, and sent again only if lost

Cause: a leader bounded what is in flight to a member by its entries, 1,024 of them, and not by their bytes; the member holds all of it in memory and writes it at once. For the largest documents that is 14 GB.

Change: progress keeps the appends in flight with their sizes (inFlightAppends); MaxLogBytes bounds them.

--- a/pkg/replication/leadership.go
+++ b/pkg/replication/leadership.go
@@ -34,6 +34,7 @@
 		replicator:  logReplicator{memberState: state, followers: newTracker(state.self(), state.cfg.ElectionTimeout)},
 		lease:       newCommandLease(state.cfg.leaseTiming(), state.now),
 	}
+	l.replicator.heartbeats = &l.heartbeats
 	l.transfer = leadershipTransfer{memberState: state, followers: &l.replicator.followers}
 	l.trackMembers()
 	if l.log.lastIndex() == 0 {
@@ -152,7 +153,7 @@
 	}
 	l.confirmHeartbeats()
 	l.proposeDueChange()
-	l.replicator.resendLost(from, follower, m.Commit)
+	l.replicator.resendLost(from, follower, m)
 	l.transfer.repeat(from)
 }
 
--- a/pkg/replication/log_replicator.go
+++ b/pkg/replication/log_replicator.go
@@ -6,11 +6,17 @@
 // alone.
 const maxAppendBytes = 1 << 20
 
+// largeAppendBytes is the size of commands in flight from which on they are sent again only
+// if they were lost for certain.
+const largeAppendBytes = 64 << 10
+
 // logReplicator brings the leader's log to the followers, and commits what a majority
 // of the voters has. It owns which members are tracked and their progress.
 type logReplicator struct {
 	*memberState
 	followers tracker
+	// heartbeats are those of the leadership, which sends them on the same connections.
+	heartbeats *heartbeats
 	// appendPending tells that followers have yet to be sent new entries or a new
 	// commit index.
 	appendPending bool
@@ -31,6 +37,7 @@
 		next:             r.log.lastIndex() + 1,
 		lastContact:      r.now,
 		contactHeartbeat: heartbeat,
+		maxInFlightBytes: r.cfg.MaxLogBytes,
 	})
 	r.followers.assumeIncarnations(r.log.groups.latest().voters)
 }
@@ -60,16 +67,21 @@
 	}
 }
 
-// resendLost sends again what may have been lost on the way to a follower that is
-// behind. Commit is the follower's commit index.
-func (r *logReplicator) resendLost(to member.ID, follower *progress, commit uint64) {
+// resendLost sends again what may have been lost on the way to a follower that is behind, as
+// its reply to a heartbeat shows. What is large is sent again only if it was lost, however
+// long it takes on its way.
+func (r *logReplicator) resendLost(to member.ID, follower *progress, reply Message) {
+	lost := follower.lostBefore(reply.HeartbeatNumber)
 	if follower.state == progressSnapshot {
-		if r.now >= follower.snapshotSentAt+r.cfg.ElectionTimeout {
+		if lost && r.now >= follower.snapshotSentAt+r.cfg.ElectionTimeout {
 			r.sendSnapshot(to, follower)
 		}
 		return
 	}
-	if follower.match >= r.log.lastIndex() && commit >= r.log.committed {
+	if follower.match >= r.log.lastIndex() && reply.Commit >= r.log.committed {
+		return
+	}
+	if !lost && follower.inFlight.bytes >= largeAppendBytes {
 		return
 	}
 	follower.probing = false
@@ -111,14 +123,14 @@
 		Commit:    r.log.committed,
 		Entries:   entries,
 	})
-	follower.sent(len(entries))
+	follower.sent(entries, r.heartbeats.number)
 }
 
 // sendSnapshot sends the newest snapshot. There is one whenever entries have been
 // dropped from the log.
 func (r *logReplicator) sendSnapshot(to member.ID, follower *progress) {
 	snapshot := r.log.snapshot
-	follower.becomeSnapshot(snapshot.Index, r.now)
+	follower.becomeSnapshot(snapshot.Index, r.now, r.heartbeats.number)
 	r.send(to, Message{
 		Type:     MessageSnapshot,
 		Term:     r.hard.Term,
--- a/pkg/replication/progress.go
+++ b/pkg/replication/progress.go
@@ -30,6 +30,13 @@
 	// snapshotIndex and snapshotSentAt are valid in progressSnapshot.
 	snapshotIndex  uint64
 	snapshotSentAt time.Duration
+	// inFlight are the appends that were sent and are not acknowledged: in
+	// progressReplicate of up to about maxInFlightBytes together, where zero is no bound.
+	inFlight         inFlightAppends
+	maxInFlightBytes int
+	// sentHeartbeat is the newest heartbeat that had been sent before the last append or
+	// snapshot.
+	sentHeartbeat uint64
 	// lastContact is when the member was last heard in this term.
 	lastContact time.Duration
 	// ackedHeartbeat is the newest heartbeat that the member acknowledged.
@@ -47,18 +54,29 @@
 	p.state = progressProbe
 	p.next = p.match + 1
 	p.probing = false
+	p.inFlight = inFlightAppends{}
 }
 
 func (p *progress) becomeReplicate() {
 	p.state = progressReplicate
 	p.next = p.match + 1
+	p.inFlight = inFlightAppends{}
 }
 
-func (p *progress) becomeSnapshot(index uint64, now time.Duration) {
+func (p *progress) becomeSnapshot(index uint64, now time.Duration, heartbeat uint64) {
 	p.state = progressSnapshot
 	p.snapshotIndex = index
 	p.snapshotSentAt = now
 	p.next = index + 1
+	p.sentHeartbeat = heartbeat
+	p.inFlight = inFlightAppends{}
+}
+
+// lostBefore tells whether the last append or snapshot was lost, as the follower has
+// acknowledged that heartbeat and not what was sent before it: a connection keeps the
+// order, and a follower acknowledges in it.
+func (p *progress) lostBefore(heartbeat uint64) bool {
+	return heartbeat > p.sentHeartbeat
 }
 
 // isLaterIncarnation tells whether the message proves that its incarnation is later
@@ -93,6 +111,7 @@
 	advanced := index > p.match
 	p.match = max(p.match, index)
 	p.next = max(p.next, p.match+1)
+	p.inFlight.acknowledged(p.match)
 	switch p.state {
 	case progressProbe:
 		p.becomeReplicate()
@@ -127,11 +146,18 @@
 	return true
 }
 
-// sent records that an append with a number of entries was sent.
-func (p *progress) sent(entries int) {
+// sent records that an append was sent after that heartbeat.
+func (p *progress) sent(entries []Entry, heartbeat uint64) {
+	if len(entries) > 0 {
+		p.sentHeartbeat = heartbeat
+	}
+	if p.state == progressProbe {
+		p.inFlight = inFlightAppends{}
+	}
+	p.inFlight.add(entries)
 	switch p.state {
 	case progressReplicate:
-		p.next += uint64(entries)
+		p.next += uint64(len(entries))
 	case progressProbe:
 		p.probing = true
 	case progressSnapshot:
@@ -144,7 +170,8 @@
 	case progressProbe:
 		return p.probing
 	case progressReplicate:
-		return p.next > p.match+maxInFlight
+		tooManyBytes := p.maxInFlightBytes > 0 && p.inFlight.bytes >= p.maxInFlightBytes
+		return tooManyBytes || p.next > p.match+maxInFlight
 	default:
 		return true
 	}
--- a/pkg/replication/tracker_test.go
+++ b/pkg/replication/tracker_test.go
@@ -55,13 +55,13 @@
 var _ = ginkgo.Describe("The progress of a follower", func() {
 	ginkgo.It("goes from probing to replicating with an acknowledgement, and back with a rejection", func() {
 		follower := progress{next: 10}
-		follower.sent(3)
+		follower.sent(make([]Entry, 3), 1)
 		Expect(follower.full()).To(BeTrue(), "one append at a time")
 		Expect(follower.rejected(9, 4)).To(BeTrue())
 		Expect(follower.next).To(Equal(uint64(5)))
 		Expect(follower.acknowledged(6)).To(BeTrue())
 		Expect(follower.state).To(Equal(progressReplicate))
-		follower.sent(3)
+		follower.sent(make([]Entry, 3), 1)
 		Expect(follower.next).To(Equal(uint64(10)))
 		Expect(follower.rejected(6, 2)).To(BeFalse(), "it is known to have that entry")
 		Expect(follower.rejected(9, 8)).To(BeTrue())
@@ -70,7 +70,7 @@
 
 	ginkgo.It("waits for a snapshot until it is installed", func() {
 		follower := progress{next: 1}
-		follower.becomeSnapshot(20, time.Second)
+		follower.becomeSnapshot(20, time.Second, 1)
 		Expect(follower.full()).To(BeTrue())
 		Expect(follower.rejected(19, 0)).To(BeFalse())
 		follower.acknowledged(5)
