sim: disks of bounded size, documents that outgrow them, and a breakage

Each simulated disk has a mebibyte, and nodes derive their limits from it. The rule disk_outgrown holds in every run: no write is refused for lack of space but by a fault that fills the disk. The fault large-documents, drawn by name, lets operators apply documents that together take a multiple of a disk, two on each base. The breakage disk-size-unknown runs nodes that are not told the size of their disks.

--- a/internal/lab/sim/breaks.go
+++ b/internal/lab/sim/breaks.go
@@ -73,6 +73,8 @@
 	// BreakUnconditionalEvacuations has nodes carry out each call of an evacuation that
 	// they read, however late.
 	BreakUnconditionalEvacuations Break = "unconditional-evacuations"
+	// BreakDiskSizeUnknown runs nodes that are not told how large their disks are.
+	BreakDiskSizeUnknown Break = "disk-size-unknown"
 )
 
 // Breaks returns all mechanisms that can be switched off.
@@ -101,6 +103,7 @@
 		BreakNoWeightsDeadline,
 		BreakOldDiskServed,
 		BreakUnconditionalEvacuations,
+		BreakDiskSizeUnknown,
 	}
 }
 
--- a/internal/lab/sim/campaign_test.go
+++ b/internal/lab/sim/campaign_test.go
@@ -49,6 +49,7 @@
 
 	BreakOldDiskServed:            {1, 20, []string{"all-killed"}, true, true},
 	BreakUnconditionalEvacuations: {1, 20, []string{"evacuation-retaken"}, true, true},
+	BreakDiskSizeUnknown:          {1, 20, []string{"large-documents"}, false, true},
 }
 
 var _ = Describe("A campaign", func() {
@@ -125,6 +126,21 @@
 		Expect(summary.Faults["all-killed"]).To(BeNumerically(">", 20))
 	})
 
+	// Guards against a log that outgrows the disk, with and without faults of disks and of
+	// the core meanwhile (issue 37, review/1).
+	It("finds nothing when large documents are applied and refused that outgrow a disk many times", func() {
+		for first, faults := range map[uint64][]string{
+			10001: {"large-documents"},
+			10101: {"large-documents", "full-disk", "disk-lost", "power-lost-after-ack", "core-split", "crash-many"},
+		} {
+			summary := Campaign{
+				First: first, Last: first + 9, Virtual: DefaultVirtual, FailOpen: true, Faults: faults, Jobs: testJobs,
+			}.Run()
+			Expect(summary.Failures).To(BeEmpty())
+			Expect(summary.Faults["large-documents"]).To(BeNumerically(">", 5))
+		}
+	})
+
 	It("has a hunt for every mechanism", func() {
 		Expect(lo.Keys(hunts)).To(ConsistOf(Breaks()))
 		for _, hunt := range hunts {
--- a/internal/lab/sim/doc.go
+++ b/internal/lab/sim/doc.go
@@ -59,6 +59,7 @@
 //	admitted_after_ack     revision_checks.go    ack-before-confirm, stale-config-after-restart, fence-ignored
 //	command_holder         checks.go (shared)    command-after-deadline
 //	command_holder         command_checks.go     token-reused (r)
+//	disk_outgrown          storage.go            disk-size-unknown (f)
 //	document_kept          recovery_checks.go    append-claimed (f), no-compare-and-set (f)
 //	draining_replica       request_checks.go     reader-never-replaced (r)
 //	evacuation_undone      evacuation_checks.go  unconditional-evacuations
--- a/internal/lab/sim/documents.go
+++ b/internal/lab/sim/documents.go
@@ -11,15 +11,23 @@
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
 )
 
+// largeDocumentBytes is the size of large documents: most of the largest command.
+const largeDocumentBytes = diskBytes / 14
+
 // documentOrder applies a configuration as a document under the operator's
 // version, in uneven steps above the version that it replaces.
 func (o *orderFactory) documentOrder(configuration *ridgeswitchv1.Configuration, base uint64) *operatorOrder {
+	return o.paddedDocumentOrder(configuration, base, 0)
+}
+
+// paddedDocumentOrder is documentOrder with a document that is padded to a size.
+func (o *orderFactory) paddedDocumentOrder(configuration *ridgeswitchv1.Configuration, base uint64, bytes int) *operatorOrder {
 	configuration.Evacuations = nil
 	o.nameCount++
 	source := &ridgeswitchv1.Source{
 		Version:     base + 1 + o.env.random.Uint64N(3),
 		BaseVersion: base,
-		Document:    fmt.Appendf(nil, "document %d", o.nameCount),
+		Document:    fmt.Appendf(nil, "document %-*d", bytes, o.nameCount),
 	}
 	content, err := dynamic.DocumentOrder(configuration, source)
 	return newOrder(content, err, checker.Change{Kind: checker.ChangeApply})
@@ -28,6 +36,17 @@
 // changedDocumentOrder changes the document that an operator has read, and
 // applies the result as its successor.
 func (o *orderFactory) changedDocumentOrder(read *ridgeswitchv1.Configuration) *operatorOrder {
+	return o.documentOrder(o.withAnotherRoute(read), read.GetSource().GetVersion())
+}
+
+// largeDocumentOrder is changedDocumentOrder with a large document.
+func (o *orderFactory) largeDocumentOrder(read *ridgeswitchv1.Configuration) *operatorOrder {
+	return o.paddedDocumentOrder(o.withAnotherRoute(read), read.GetSource().GetVersion(), largeDocumentBytes)
+}
+
+// withAnotherRoute returns a copy of a configuration with a further route, if it has the
+// service for that.
+func (o *orderFactory) withAnotherRoute(read *ridgeswitchv1.Configuration) *ridgeswitchv1.Configuration {
 	read = proto.CloneOf(read)
 	if len(read.GetWebServices()) > 0 {
 		read.Routes = append(read.Routes, &ridgeswitchv1.Route{
@@ -35,7 +54,7 @@
 			Destination: &ridgeswitchv1.Route_WebService{WebService: webService},
 		})
 	}
-	return o.documentOrder(read, read.GetSource().GetVersion())
+	return read
 }
 
 // raceDocuments lets operators apply successors of the same document.
@@ -46,6 +65,14 @@
 	}
 }
 
+// raceLargeDocuments lets two operators apply large successors of the same document.
+func (o *operators) raceLargeDocuments() {
+	read := o.readConfiguration()
+	for range 2 {
+		o.issue(o.largeDocumentOrder(read))
+	}
+}
+
 // newestDocument returns the acknowledged document with the highest version.
 func (o *operators) newestDocument() *ridgeswitchv1.Source {
 	var newest *ridgeswitchv1.Source
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -120,6 +120,7 @@
 	{"leadership-moved", 4, func(f *faultInjector) { f.processes.moveLeadership() }},
 	{"all-killed", 4, func(f *faultInjector) { f.processes.killAll() }},
 	{"evacuation-retaken", 4, func(f *faultInjector) { f.orders.retakeEvacuation() }},
+	{"large-documents", 4, func(f *faultInjector) { f.orders.applyLargeDocuments() }},
 }
 
 // Where and when a kind may be drawn.
@@ -127,7 +128,7 @@
 	// configuredGroupFaults are the faults of deployments whose group is named, and
 	// seededGroupFaults those of deployments that find themselves through seeds.
 	configuredGroupFaults = []string{"majority-disk-loss"}
-	seededGroupFaults     = []string{"machine-replaced", "machine-replaced-planned", "two-machines-replaced", "seeds-moved", "relay-parent-lost"}
+	seededGroupFaults     = []string{"machine-replaced", "machine-replaced-planned", "two-machines-replaced", "seeds-moved", "relay-parent-lost", "large-documents"}
 	// faultsDuringMajorityLoss are the faults that may begin while the disks of a
 	// majority are lost. The others might take away the last node that holds what
 	// was acknowledged, after which nobody could bring it back.
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -156,6 +156,7 @@
 		DiskIncarnation: n.diskIncarnation(),
 		Times:           times,
 		MaxLogEntries:   maxLogEntries,
+		Limits:          n.env.diskLimits(),
 
 		ReplicasFinishFirst: n.env.settings.FinishFirst,
 	}
--- a/internal/lab/sim/order_faults.go
+++ b/internal/lab/sim/order_faults.go
@@ -34,6 +34,20 @@
 	})
 }
 
+// applyLargeDocuments has operators apply large documents, two on each base: together they
+// take a multiple of a disk, accepted or refused.
+func (f *orderFaults) applyLargeDocuments() {
+	const races = 30
+	const span = 9 * time.Second
+	for range races {
+		f.env.after(f.env.upTo(span), func() {
+			if !f.env.inRecoveryPhase() {
+				f.operators.raceLargeDocuments()
+			}
+		})
+	}
+}
+
 // configStorm issues many orders within a second.
 func (f *orderFaults) configStorm() {
 	const orders = 25
--- a/internal/lab/sim/storage.go
+++ b/internal/lab/sim/storage.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/storagelimit"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
 	"github.com/ridgeswitch/ridgeswitch/pkg/replication/durable"
@@ -17,6 +18,9 @@
 const (
 	// maxLogBytes is small, so that checkpoints are written often.
 	maxLogBytes = 8 << 10
+	// diskBytes is the size of a disk: it holds a log of many small commands, or of few
+	// large ones.
+	diskBytes = 1 << 20
 	// minSync and syncSpread bound how long a write takes on a sound disk.
 	minSync    = 300 * time.Microsecond
 	syncSpread = 6 * time.Millisecond
@@ -26,6 +30,16 @@
 	maxTornBytes = 512
 )
 
+// diskLimits returns the limits of control state that a node derives from its disk. They
+// are in the ratios of package storagelimit, whose smallest ones are for larger disks.
+func (e *environment) diskLimits() storagelimit.Limits {
+	const commandBytes, logBytes = diskBytes / 10, diskBytes / 5
+	if e.broken(BreakDiskSizeUnknown) {
+		return storagelimit.For(storagelimit.Machine{})
+	}
+	return storagelimit.Limits{Command: commandBytes, Log: commandBytes, CheckpointLog: logBytes, Disk: diskBytes}
+}
+
 // storage is the disk of a node and the logs on it. A write becomes durable when
 // its time has passed; a crash before that loses or tears it.
 type storage struct {
@@ -55,10 +69,12 @@
 }
 
 func newStorage(owner *node) *storage {
+	disk := memdisk.New()
+	disk.SetCapacity(diskBytes)
 	return &storage{
 		node:        owner,
 		env:         owner.env,
-		disk:        memdisk.New(),
+		disk:        disk,
 		incarnation: replication.FoundingIncarnation,
 		busyUntil:   map[uint32]time.Duration{},
 	}
@@ -85,7 +101,10 @@
 	s.logs = map[uint32]*durable.Log{}
 	restored := map[uint32]replication.Restored{}
 	for shard := uint32(0); shard <= serviceShards; shard++ {
-		log, state, err := durable.OpenWithLimits(s.disk, fmt.Sprintf("shard-%03d", shard), durable.Limits{MinLogBytes: maxLogBytes})
+		log, state, err := durable.OpenWithLimits(s.disk, fmt.Sprintf("shard-%03d", shard), durable.Limits{
+			MinLogBytes: maxLogBytes,
+			MaxLogBytes: s.env.diskLimits().CheckpointLog,
+		})
 		if err != nil {
 			return nil, errors.Wrapf(err, "open shard %d", shard)
 		}
@@ -166,6 +185,10 @@
 	err := s.write(pending.save)
 	switch {
 	case errors.Is(err, twoslot.ErrDiskFull):
+		if !s.full {
+			s.env.violate("disk_outgrown", "%s has no room for a write of shard %d: its disk of %d bytes holds %d",
+				s.node.info.ID, pending.save.Shard, diskBytes, s.disk.Used())
+		}
 		s.env.after(saveRetryEvery, func() { s.sync(process, pending) })
 		return
 	case err != nil && s.env.broken(BreakAckBeforeSync):
