driver, metrics: operators see what control state takes of the machine

A disk that fills was told only once it was full, by a log line each second.

Now each node tells what the files of all shards take and the size of its disk, the size of the configuration in force and the one above which one is refused, and whether the disk refuses writes. The log warns once when either comes to three quarters.

--- a/docs/operations/fields_test.go
+++ b/docs/operations/fields_test.go
@@ -92,7 +92,8 @@
 	var names table
 	settings := reflect.TypeFor[static.Settings]()
 	for i := range settings.NumField() {
-		names = append(names, settings.Field(i).Tag.Get("yaml"))
+		name, _, _ := strings.Cut(settings.Field(i).Tag.Get("yaml"), ",")
+		names = append(names, name)
 	}
 	return names
 }
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -25,6 +25,9 @@
 type Storage interface {
 	Save(ready replication.Ready) error
 	Checkpoint(hard replication.HardState, snapshot *replication.Snapshot, entries []replication.Entry) error
+	// DiskBytes returns how much of the disk the shard takes. It may be called
+	// concurrently.
+	DiskBytes() int64
 }
 
 // Commander carries out what control wants of replicas.
@@ -88,6 +91,7 @@
 	loggedBadEntries uint64
 	// controlLog belongs to the control goroutine.
 	controlLog *controlLog
+	storage    *storageMonitor
 }
 
 // New returns a driver that is not running yet.
@@ -103,12 +107,14 @@
 		replies:   replies{channels: map[uint64]chan control.Reply{}},
 
 		controlLog: newControlLog(options.Log),
+		storage:    newStorageMonitor(machine, options.Storage, options.Log),
 	}
 	for id, storage := range options.Storage {
 		driver.writers[id] = &shardWriter{
-			storage: storage,
-			log:     options.Log,
-			queue:   make(chan control.StorageWrite, 1),
+			storage:  storage,
+			log:      options.Log,
+			refusing: &driver.storage.refusing,
+			queue:    make(chan control.StorageWrite, 1),
 			written: func() {
 				driver.post(func(now time.Duration) control.Output { return machine.StorageWritten(now, id) })
 			},
@@ -133,6 +139,7 @@
 			d.perform(d.machine.Tick(d.options.Clock()))
 			d.logIncidents()
 			d.controlLog.follow(d.machine)
+			d.storage.follow(d.machine)
 		case input := <-d.inputs:
 			d.perform(input(d.options.Clock()))
 		}
@@ -178,6 +185,9 @@
 // Sent returns the counts of all kinds of messages that have been sent.
 func (d *Driver) Sent() []SentCount { return d.frames.sent.all() }
 
+// Storage returns how much of what the machine gives control state takes.
+func (d *Driver) Storage() StorageStatus { return d.storage.Status() }
+
 // logIncidents logs the counters whose growth has the log ring written out.
 func (d *Driver) logIncidents() {
 	fences := d.machine.FenceCount()
--- a/internal/control/driver/shard_writer.go
+++ b/internal/control/driver/shard_writer.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
+	"github.com/ridgeswitch/ridgeswitch/pkg/twoslot"
 )
 
 // writeRetryEvery is the pause before a failed write is tried again.
@@ -16,6 +19,8 @@
 type shardWriter struct {
 	storage Storage
 	log     *logrus.Entry
+	// refusing counts the writers whose disk refuses a write for lack of space.
+	refusing *atomic.Int64
 	// queue holds the outstanding write: a shard has one at the most.
 	queue chan control.StorageWrite
 	// written is called after each write that is durable.
@@ -40,11 +45,15 @@
 
 // writeUntilDurable repeats a failed write, as a full disk may get free space again.
 func (w *shardWriter) writeUntilDurable(ctx context.Context, write control.StorageWrite) bool {
+	refused := false
+	defer func() { w.countRefusal(refused, false) }()
 	for {
 		err := w.write(write)
 		if err == nil {
 			return true
 		}
+		w.countRefusal(refused, errors.Is(err, twoslot.ErrDiskFull))
+		refused = errors.Is(err, twoslot.ErrDiskFull)
 		w.log.WithError(err).WithField("shard", write.Shard).Error("cannot write control state; free space in the data folder or replace the disk")
 		select {
 		case <-ctx.Done():
@@ -60,3 +69,13 @@
 	}
 	return w.storage.Checkpoint(write.Checkpoint.HardState, write.Checkpoint.Snapshot, write.Checkpoint.Entries)
 }
+
+// countRefusal counts this writer among those that are refused, or no longer.
+func (w *shardWriter) countRefusal(before, now bool) {
+	switch {
+	case now && !before:
+		w.refusing.Add(1)
+	case before && !now:
+		w.refusing.Add(-1)
+	}
+}
--- a/internal/control/large_configurations_test.go
+++ b/internal/control/large_configurations_test.go
@@ -166,6 +166,22 @@
 		Expect(node.disk.Stats().PeakBytes).To(BeNumerically("<", machine.DiskBytes))
 	})
 
+	// Guards against a start from the log of an earlier release that stays as long as it was.
+	It("of a log that had no bound in bytes are compacted after a start", func() {
+		const documents, documentBytes = 30, 200 << 10
+		node := newBoundedNode(storagelimit.Machine{})
+		node.limits.Log, node.limits.CheckpointLog = 1<<40, 1<<40
+		node.start()
+		for version := range uint64(documents) {
+			Expect(node.submit(largeDocument(version+1, version, documentBytes)).GetConfirmed()).To(BeTrue())
+		}
+		Expect(node.disk.Used()).To(BeNumerically(">", documents*documentBytes))
+		node.limits = storagelimit.For(machine)
+		node.start()
+		Expect(node.machine.Configuration().GetSource().GetVersion()).To(BeEquivalentTo(documents))
+		Expect(node.disk.Used()).To(BeNumerically("<", 4*documentBytes))
+	})
+
 	It("are taken again once a full disk has room, and nothing acknowledged is lost", func() {
 		const documentBytes = 300 << 10
 		node := newBoundedNode(machine)
--- a/internal/control/queries.go
+++ b/internal/control/queries.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/storagelimit"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/view"
 	"github.com/ridgeswitch/ridgeswitch/pkg/member"
 	"github.com/ridgeswitch/ridgeswitch/pkg/membership"
@@ -118,3 +121,18 @@
 
 // ZoneOf returns the zone of a node, or "" while it is unknown.
 func (m *Machine) ZoneOf(id member.ID) string { return m.members.zones[id] }
+
+// StorageLimits returns what bounds control state on this node.
+func (m *Machine) StorageLimits() storagelimit.Limits { return m.config.limits() }
+
+// ConfigurationBytes returns the size of the configuration in force with its document, as
+// far as this node holds them.
+func (m *Machine) ConfigurationBytes() int {
+	size := proto.Size(m.Configuration())
+	if shard, hosted := m.shards.find(ConfigurationShard); hosted {
+		if state, ok := shard.State().(*shardstate.Configuration); ok {
+			size += proto.Size(state.Source())
+		}
+	}
+	return size
+}
--- a/internal/metrics/handler.go
+++ b/internal/metrics/handler.go
@@ -30,6 +30,8 @@
 	Status() *ridgeswitchv1.NodeStatus
 	// Sent counts the messages to other nodes by kind and distance.
 	Sent() []driver.SentCount
+	// Storage returns how much of what the machine gives control state takes.
+	Storage() driver.StorageStatus
 }
 
 // Traffic is where the counters of requests come from.
@@ -51,6 +53,7 @@
 	all := []prometheus.Collector{
 		newControlCollector(node),
 		newMessageCollector(node),
+		newStorageCollector(node),
 		newTrafficCollector(traffic),
 		newIndexCollector(traffic),
 		newTransportCollector(frames),
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -37,6 +37,10 @@
 func (s *fakeNode) Sent() []driver.SentCount {
 	return []driver.SentCount{{Kind: wire.KindProbe, Distance: driver.OtherZone, Frames: 3, Bytes: 450}}
 }
+
+func (s *fakeNode) Storage() driver.StorageStatus {
+	return driver.StorageStatus{Disk: 5, DiskLimit: 10, Configuration: 2, ConfigurationLimit: 4, DiskFull: true}
+}
 func (s *fakeNode) Stats() []dataplane.DestinationStats { return s.destinations }
 func (s *fakeNode) Load() []dataplane.DestinationLoad {
 	return []dataplane.DestinationLoad{{Name: "demo", InFlight: 4}, {Name: "demo", WebService: true, InFlight: 1}}
@@ -118,6 +122,11 @@
 			`ridgeswitch_weights_overdue{pool="demo"} 1`,
 			`ridgeswitch_weights_outdated_replicas{pool="demo"} 4`,
 			`ridgeswitch_weights_outdated_admitting_replicas{pool="demo"} 3`,
+			`ridgeswitch_storage_disk_bytes 5`,
+			`ridgeswitch_storage_disk_limit_bytes 10`,
+			`ridgeswitch_storage_disk_full 1`,
+			`ridgeswitch_configuration_bytes 2`,
+			`ridgeswitch_configuration_limit_bytes 4`,
 			`ridgeswitch_transport_frames_total{direction="sent"} 1`,
 			`ridgeswitch_messages_sent_total{kind="membership probe",zone="other"} 3`,
 			`ridgeswitch_messages_sent_bytes_total{kind="membership probe",zone="other"} 450`,
