--- a/pkg/twoslot/memdisk/faults.go
+++ b/pkg/twoslot/memdisk/faults.go
@@ -56,6 +56,13 @@
 	d.full = full
 }
 
+// Full reports whether SetFull makes every write fail.
+func (d *Disk) Full() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.full
+}
+
 // SetCapacity bounds the bytes of all files; 0 means no bound.
 func (d *Disk) SetCapacity(bytes int) {
 	d.mutex.Lock()
