--- a/internal/control/hosted_shard.go
+++ b/internal/control/hosted_shard.go
@@ -59,9 +59,12 @@
 // BarrierApplied reports whether the state holds all that earlier leaders committed.
 func (s hostedShard) BarrierApplied() bool { return s.Group().BarrierApplied() }
 
-// ProposeChange appends a change to the log.
+// ProposeChange appends a change to the log. The proposal is without its payload, which may
+// be large.
 func (s hostedShard) ProposeChange(from member.ID, message protocol.Message) {
-	s.Propose(s.now, message.Payload, shards.Proposal{From: from, Message: message})
+	payload := message.Payload
+	message.Payload = nil
+	s.Propose(s.now, payload, shards.Proposal{From: from, Message: message})
 }
 
 // RegistrationProposed reports whether the registration of an incarnation waits to be
--- a/internal/control/shards/shard.go
+++ b/internal/control/shards/shard.go
@@ -1,6 +1,7 @@
 package shards
 
 import (
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -96,6 +97,8 @@
 	s.applied = snapshot.Index
 	s.compacted = snapshot.Index
 	s.appliedBytes = 0
+	// The entries up to there are not applied one by one any more.
+	maps.DeleteFunc(s.proposals, func(index uint64, _ Proposal) bool { return index <= snapshot.Index })
 	return nil
 }
 
--- /dev/null
+++ b/internal/control/shards/shard_test.go
@@ -0,0 +1,45 @@
+package shards
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
+	"github.com/ridgeswitch/ridgeswitch/internal/control/shardstate"
+	"github.com/ridgeswitch/ridgeswitch/pkg/member"
+	"github.com/ridgeswitch/ridgeswitch/pkg/replication"
+)
+
+func TestShards(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "shards")
+}
+
+// silentHost carries out nothing.
+type silentHost struct{}
+
+func (silentHost) SendReplication(member.ID, uint32, replication.Message)           {}
+func (silentHost) Write(Write)                                                      {}
+func (silentHost) Applied(*Shard, *controlpb.Command, *controlpb.Answer, *Proposal) {}
+func (silentHost) ReadsFinished(*Shard, replication.Ready)                          {}
+func (silentHost) Committed(*Shard)                                                 {}
+
+var _ = Describe("A shard", func() {
+	// Guards against proposals of a lost leadership that are kept for good (issue 37).
+	It("keeps no proposal whose entry a snapshot covers", func() {
+		shard, err := New(shardstate.ConfigurationShard, silentHost{}, replication.Config{
+			Self: "a", Incarnation: replication.FoundingIncarnation, Founders: []member.ID{"a", "b", "c"},
+			HeartbeatEvery: time.Second, ElectionTimeout: 3 * time.Second,
+		}, replication.Restored{}, 0)
+		Expect(err).NotTo(HaveOccurred())
+		for index := range uint64(9) {
+			shard.proposals[index+1] = Proposal{From: "n"}
+		}
+		shard.replaceState(&replication.Snapshot{Index: 7})
+		Expect(shard.proposals).To(HaveLen(2))
+		Expect(shard.proposals).To(And(HaveKey(uint64(8)), HaveKey(uint64(9))))
+	})
+})
--- a/internal/control/storagelimit/limits.go
+++ b/internal/control/storagelimit/limits.go
@@ -4,11 +4,13 @@
 
 const (
 	// diskPerCommand and memoryPerCommand are how many times the largest command fits the
-	// disk and the memory of a machine. While a checkpoint is written the disk holds the
-	// former one, its log and the new one. Memory holds the state as objects, in sections
-	// and as a snapshot, the log, and frames for each member of the group.
+	// disk of a machine, and its memory beyond what a node takes without configuration.
+	// While a checkpoint is written the disk holds the former one, its log and the new one.
+	// Memory holds the state as objects, in sections and as a snapshot, the log, and frames
+	// for each member of the group.
 	diskPerCommand   = 10
-	memoryPerCommand = 24
+	memoryPerCommand = 20
+	nodeMemoryBytes  = 64 << 20
 	// diskPerLog is the share of the disk that the log behind a checkpoint may take before
 	// the next checkpoint, whatever it holds.
 	diskPerLog = 5
@@ -43,7 +45,7 @@
 
 // For returns the limits that follow from a machine.
 func For(machine Machine) Limits {
-	command := min(part(machine.DiskBytes, diskPerCommand), part(machine.MemoryBytes, memoryPerCommand), maxCommandBytes)
+	command := min(part(machine.DiskBytes, diskPerCommand), memoryForCommand(machine.MemoryBytes), maxCommandBytes)
 	command = max(command, minCommandBytes)
 	return Limits{
 		Command:       int(command),
@@ -53,6 +55,14 @@
 	}
 }
 
+// memoryForCommand returns the largest command that the memory of a machine has room for.
+func memoryForCommand(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		return math.MaxInt64
+	}
+	return max(memoryBytes-nodeMemoryBytes, 0) / memoryPerCommand
+}
+
 // part returns a share of what a machine gives, or no bound where that is not known.
 func part(bytes int64, parts int64) int64 {
 	if bytes <= 0 {
