--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -25,6 +25,7 @@
 //	which node leads a shard                  leaders.Directory
 //	requests of operators without a reply     requests.Client
 //	changes without acknowledgement, reads    requests.Leader
+//	whole configurations that wait            requests.Leader
 //	this node's registrations                 localRegistration: registration.Client
 //	challenges of nodes that register         registration.Registrar
 //	revisions that this node serves           localConfirmations: confirmation.Local
--- a/internal/control/requests/doc.go
+++ b/internal/control/requests/doc.go
@@ -8,6 +8,10 @@
 // rejections that late copies of a request are to get again, and the reads that wait
 // for a quorum.
 //
+// A change that carries a whole configuration is large. The leader judges it before it is
+// proposed: configurationChanges holds those that wait for the one before them, so that what
+// is refused, or was accepted before, is answered without an entry in the log.
+//
 // A change is acknowledged only when no node can serve an older revision any more; one
 // that is not confirmed in time is answered as pending, since it may still take effect.
 // A request keeps its number when it is repeated, so that one leader works on it once. If
