--- a/review/.standins-2/main.go
+++ b/review/.standins-2/main.go
@@ -11,6 +11,7 @@
 
 var cases = map[string]func(trouble bool) bool{
 	"version": versionCase,
+	"memory":  memoryCase,
 	"revoke":  revokeCase,
 }
 
