Build the stand-ins of the second review by the local toolchain alone

Cause: a setting of the caller could send the build to another module mode. Change: review/build-2.sh sets the same variables as review/build.sh.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.standins-2"
 mkdir -p ../../target/review-2
-go build -o ../../target/review-2/standins .
+GOTOOLCHAIN=local GOFLAGS= GOWORK=off go build -o ../../target/review-2/standins .
