dispatch, control: logs tell a request that waited from one that was sent late

A node now warns when the output of an attempt begins on weights whose deadline has passed, with the time since it was sent (at most once a second), and the lines on roll-outs give the replicated age. The view carries the deadline of each outdated replica for that. No change of behaviour.

--- a/internal/control/driver/control_log.go
+++ b/internal/control/driver/control_log.go
@@ -77,6 +77,7 @@
 		"pool":               progress.Pool,
 		"weight_version":     progress.Version,
 		"named_for_ms":       (machine.Now() - progress.NamedAt).Milliseconds(),
+		"replicated_age_ms":  progress.ReplicatedAge.Milliseconds(),
 		"replicas":           progress.Replicas,
 		"outdated":           progress.Outdated,
 		"outdated_admitting": progress.OutdatedAdmitting,
--- a/internal/control/driver/control_log_test.go
+++ b/internal/control/driver/control_log_test.go
@@ -31,11 +31,12 @@
 		}
 		Expect(output.String()).To(ContainSubstring(`"msg":"weights were named"`))
 		Expect(bytes.Count(output.Bytes(), []byte("\n"))).To(Equal(1))
-		progress.Overdue = true
+		progress.Overdue, progress.ReplicatedAge = true, 13500*time.Millisecond
 		for range 2 {
 			log.logRollout(machine, progress)
 		}
 		Expect(output.String()).To(ContainSubstring(`"outdated_admitting":4`))
+		Expect(output.String()).To(ContainSubstring(`"replicated_age_ms":13500`))
 		Expect(bytes.Count(output.Bytes(), []byte("\n"))).To(Equal(2))
 		progress.Outdated = 0
 		for range 2 {
--- a/internal/control/view/rollout_progress.go
+++ b/internal/control/view/rollout_progress.go
@@ -17,6 +17,8 @@
 	Version string
 	// NamedAt is the time, on this node's clock, from which the age of the version counts.
 	NamedAt time.Duration
+	// ReplicatedAge is the greatest age of the version that a leader has replicated.
+	ReplicatedAge time.Duration
 	// Overdue means that the deadline of the version, or of an earlier one, has passed.
 	Overdue bool
 	// Replicas is the number of replicas of the pool, Outdated the number of those that have
@@ -43,6 +45,8 @@
 		NamedAt:  target.Since,
 		Overdue:  overdue,
 		Replicas: len(pool.Replicas),
+
+		ReplicatedAge: target.ReplicatedAge,
 	}
 	for _, replica := range pool.Replicas {
 		if rollout.VersionReached(replica.WeightVersion, target.Name) {
--- a/internal/control/view/weights_deadline.go
+++ b/internal/control/view/weights_deadline.go
@@ -19,6 +19,21 @@
 	return b.weights.DeadlinePassed(before, now)
 }
 
+// setWeightsDeadlines sets the deadlines of the replicas that lack a named version.
+func (b *Builder) setWeightsDeadlines(pool *routing.Pool, versions []namedweights.Version) {
+	deadline := b.config.WeightsDeadline
+	if deadline <= 0 {
+		return
+	}
+	for position := range pool.Replicas {
+		replica := &pool.Replicas[position]
+		if lacking, found := rollout.OldestLacking(replica.WeightVersion, versions); found {
+			replica.Outdated = true
+			replica.WeightsDeadline = lacking.Since + deadline
+		}
+	}
+}
+
 // excludeOutdated stops admitting requests to the replicas that have not reached a named
 // version by its deadline. It returns whether the deadline of a version has passed.
 //
--- a/internal/dataplane/chain.go
+++ b/internal/dataplane/chain.go
@@ -65,6 +65,7 @@
 // start-up gate delays prompts until the cached chunks of most replicas are known.
 func (s *Server) newDispatcher() *dispatch.Dispatcher {
 	options := dispatch.Options{
+		Log:           s.options.Log,
 		Source:        s.options.Source,
 		Clock:         s.options.Clock,
 		Zone:          s.options.Zone,
--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/edges"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/exchange"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/gossip"
@@ -31,6 +33,8 @@
 // Options configure a Dispatcher. All but StartupGate are required; MaxUnsent and BackendRetry
 // may be 0.
 type Options struct {
+	// Log receives messages for operators, but none per request.
+	Log *logrus.Entry
 	// Source provides the newest view of control state.
 	Source routing.Source
 	// Clock returns the time elapsed on a clock that counts suspended time.
@@ -219,7 +223,7 @@
 		if err != nil && !isCompleteEnd(err) {
 			return err
 		}
-		chosen.firstOutput()
+		chosen.firstOutput(r)
 		r.health.Responded(d.options.Clock(), received.Status())
 		return d.relay(r, attempt, received, data, err)
 	}
--- a/internal/dataplane/dispatch/pool_selector.go
+++ b/internal/dataplane/dispatch/pool_selector.go
@@ -18,7 +18,8 @@
 
 // poolSelector selects replicas for the requests to pools.
 type poolSelector struct {
-	options *Options
+	options    *Options
+	lateStarts *lateStarts
 	// randomSources counts the sources of random numbers. The count is the stream number of
 	// the next source; all sources share the seed.
 	randomSources atomic.Uint64
@@ -27,7 +28,7 @@
 
 // newPoolSelector returns the selector for all pools.
 func newPoolSelector(options *Options) *poolSelector {
-	return &poolSelector{options: options, seed: rand.Uint64()}
+	return &poolSelector{options: options, lateStarts: &lateStarts{log: options.Log}, seed: rand.Uint64()}
 }
 
 // selectTarget implements selector. Replicas that failed recently are avoided as long as other
--- a/internal/dataplane/dispatch/replica_target.go
+++ b/internal/dataplane/dispatch/replica_target.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/edges"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
@@ -28,6 +30,8 @@
 	slots int
 	// targetVersion is the weight version that the configuration sets for the pool.
 	targetVersion string
+	// sentAt is when the attempt was sent.
+	sentAt time.Duration
 }
 
 // address implements target.
@@ -80,6 +84,7 @@
 func (t *replicaTarget) send(ctx context.Context, r *pendingRequest, attempt int) (edges.Response, error) {
 	described := t.attempt(r, attempt)
 	t.selector.announceDispatch(described)
+	t.sentAt = t.selector.options.Clock()
 	received, err := t.selector.options.Replicas.Send(ctx, described)
 	if err != nil {
 		return nil, err
@@ -163,8 +168,24 @@
 func (t *replicaTarget) expectedDelay() time.Duration { return t.decision.ExpectedDelay }
 
 // firstOutput implements target.
-func (t *replicaTarget) firstOutput() {
-	t.decision.Reservation.FirstToken(t.selector.options.Clock())
+func (t *replicaTarget) firstOutput(r *pendingRequest) {
+	now := t.selector.options.Clock()
+	t.decision.Reservation.FirstToken(now)
+	if current, found := t.newestReplica(r); found {
+		t.selector.lateStarts.began(now, t.sentAt, current)
+	}
+}
+
+// newestReplica returns the replica in the newest view. It returns false if that view does not
+// contain the replica with the weight version of the attempt.
+func (t *replicaTarget) newestReplica(r *pendingRequest) (routing.Replica, bool) {
+	pool := t.selector.newestPool(r)
+	if pool == nil {
+		return routing.Replica{}, false
+	}
+	return lo.Find(pool.Replicas, func(candidate routing.Replica) bool {
+		return candidate.Address == t.decision.Address && candidate.WeightVersion == t.decision.WeightVersion
+	})
 }
 
 // finish implements target.
--- a/internal/dataplane/dispatch/selector.go
+++ b/internal/dataplane/dispatch/selector.go
@@ -45,7 +45,7 @@
 	// firstOutput records that the output of a streamed response has started. It is not
 	// called for other responses: their output starts at an unknown time, since the header
 	// may arrive at any time before the end.
-	firstOutput()
+	firstOutput(r *pendingRequest)
 	// finish ends the attempt, sent or not. It must be called once for every target.
 	finish(completed bool)
 }
--- a/internal/dataplane/dispatch/web_selector.go
+++ b/internal/dataplane/dispatch/web_selector.go
@@ -156,8 +156,8 @@
 // expectedDelay implements target.
 func (t *webTarget) expectedDelay() time.Duration { return 0 }
 
-// firstOutput implements target.
-func (t *webTarget) firstOutput() {}
+// firstOutput implements target. Web services have no weights.
+func (t *webTarget) firstOutput(*pendingRequest) {}
 
 // finish implements target.
 func (t *webTarget) finish(bool) {}
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -52,6 +52,11 @@
 	// it must not be draining for the platform or a roll-out, and its zone must not be
 	// evacuated. For a replica of a pool, package control/view sets further conditions.
 	Admitting bool
+	// Outdated reports whether the replica of a pool lacks a named weight version that has a
+	// deadline. WeightsDeadline is then when the deadline of the oldest of these versions
+	// passes, on the node's clock.
+	Outdated        bool
+	WeightsDeadline time.Duration
 }
 
 // Pool is a pool with its current replicas, including those that are not admitting.
