--- a/cmd/ridgeswitch/node.go
+++ b/cmd/ridgeswitch/node.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -77,10 +75,10 @@
 	}
 	debug.SetGCPercent(settings.HeapGrowthPercent)
 	ring := logring.New(settings.LogRing, os.Stderr)
-	defer dumpOnPanic(ring)
+	defer logring.DumpOnPanic(ring)
 	logger := ring.Logger(level)
 	logring.UseForFramework(logger)
-	defer dumpOnSignal(ring)()
+	defer logring.DumpOnSignal(ring)()
 	// The HTTP framework ends the process a fixed time after SIGTERM. The node needs its
 	// drain time-out before that.
 	proc.SetTimeToForceQuit(settings.DrainTimeout() + forceQuitMargin)
@@ -95,31 +93,3 @@
 	})
 	return running.Run(ctx)
 }
-
-// dumpOnPanic is to be deferred: if its goroutine panics, it dumps the log ring and panics
-// again with the same cause. A panic of another goroutine ends the process without a dump.
-func dumpOnPanic(ring *logring.Ring) {
-	if cause := recover(); cause != nil {
-		_ = ring.Dump()
-		panic(cause)
-	}
-}
-
-// dumpOnSignal dumps the log ring on every SIGUSR1. The returned function stops this and ends
-// the goroutine.
-func dumpOnSignal(ring *logring.Ring) func() {
-	// By default the HTTP framework writes goroutine dumps and profiles to the temporary
-	// folder on these signals.
-	signal.Reset(syscall.SIGUSR1, syscall.SIGUSR2)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1)
-	go func() {
-		for range signals {
-			_ = ring.Dump()
-		}
-	}()
-	return func() {
-		signal.Stop(signals)
-		close(signals)
-	}
-}
--- a/internal/dataplane/dispatch/late_starts.go
+++ b/internal/dataplane/dispatch/late_starts.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/logring"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 )
 
@@ -37,7 +38,7 @@
 		l.suppressed++
 		return
 	}
-	l.log.WithFields(logrus.Fields{
+	logring.Incident(l.log, logring.OutdatedWeights).WithFields(logrus.Fields{
 		"backend":        replica.Address,
 		"weight_version": replica.WeightVersion,
 		"began_after_ms": (now - replica.WeightsDeadline).Milliseconds(),
--- a/internal/logring/incident.go
+++ b/internal/logring/incident.go
@@ -14,6 +14,8 @@
 const (
 	// Fence marks that the node has fenced itself.
 	Fence IncidentKind = "fence"
+	// OutdatedWeights marks that a request began on weights whose deadline has passed.
+	OutdatedWeights IncidentKind = "outdated_weights"
 	// Invariant marks that an invariant of the software was violated.
 	Invariant IncidentKind = "invariant"
 )
