dispatch, view: the deadline of weights ends by the node's clock, not by the next view

A view said that a replica admits, and held no time at which that ends; until control built the next one, a node went on sending. A node that was suspended over the deadline sends by the old view when it resumes.

In the logs of the failing soak a few attempts were sent up to 0.1 s after the deadline (began_after_ms greater than waited_ms). The view now carries the deadline of each outdated replica, and the dispatcher compares it with the clock where it selects a replica and where it checks it for the last time. Waived deadlines are NoDeadline.

--- a/internal/control/rollout/deadlines.go
+++ b/internal/control/rollout/deadlines.go
@@ -50,11 +50,12 @@
 // firstUnreached returns the time from which the age of the oldest version counts that a
 // replica has not reached; false if the replica has reached all versions.
 func (a *weightsAges) firstUnreached(pool, running string, versions []namedweights.Version) (time.Duration, bool) {
-	version, found := OldestLacking(running, versions)
-	if !found {
-		return 0, false
+	for position, version := range versions {
+		if !VersionReachedAnyOf(running, versions[position:]) {
+			return a.since(pool, version), true
+		}
 	}
-	return a.since(pool, version), true
+	return 0, false
 }
 
 // toReplicate returns the ages of the versions of pools, or nil if none of them has to be
--- a/internal/control/rollout/versions.go
+++ b/internal/control/rollout/versions.go
@@ -34,17 +34,6 @@
 		lo.ContainsBy(named, func(version namedweights.Version) bool { return version.Name == running })
 }
 
-// OldestLacking returns the oldest of some versions, which are in the order in which they were
-// named, that a replica which runs one version has not reached; false if it has reached all.
-func OldestLacking(running string, named []namedweights.Version) (namedweights.Version, bool) {
-	for position, version := range named {
-		if !VersionReachedAnyOf(running, named[position:]) {
-			return version, true
-		}
-	}
-	return namedweights.Version{}, false
-}
-
 // numericallyNewer reports whether both versions are numbers and the first one is greater.
 func numericallyNewer(version, than string) bool {
 	a, errA := strconv.ParseUint(version, 10, 64)
--- a/internal/control/view/builder.go
+++ b/internal/control/view/builder.go
@@ -139,7 +139,6 @@
 	}
 	b.weights.Update(now, pool, service.GetWeightsAges())
 	versions := b.weights.Versions(pool.GetName())
-	b.setWeightsDeadlines(entry, versions)
 	overdue := b.excludeOutdated(now, entry, versions)
 	b.recordProgress(entry, versions, overdue)
 	return entry
--- a/internal/control/view/weights_deadline.go
+++ b/internal/control/view/weights_deadline.go
@@ -19,45 +19,55 @@
 	return b.weights.DeadlinePassed(before, now)
 }
 
-// setWeightsDeadlines sets the deadlines of the replicas that lack a named version.
-func (b *Builder) setWeightsDeadlines(pool *routing.Pool, versions []namedweights.Version) {
+// excludeOutdated sets the deadlines of the replicas that have not reached a named version, and
+// stops admitting requests to those whose deadline has passed. It returns whether the deadline
+// of a version has passed, waived or not.
+func (b *Builder) excludeOutdated(now time.Duration, pool *routing.Pool, versions []namedweights.Version) (overdue bool) {
 	deadline := b.config.WeightsDeadline
 	if deadline <= 0 {
-		return
+		return false
+	}
+	deadlines := make([]time.Duration, len(versions))
+	for position, version := range versions {
+		overdue = overdue || version.Age(now) >= deadline
+		deadlines[position] = b.deadlineOf(now, pool, versions[position:])
 	}
 	for position := range pool.Replicas {
-		replica := &pool.Replicas[position]
-		if lacking, found := rollout.OldestLacking(replica.WeightVersion, versions); found {
-			replica.Outdated = true
-			replica.WeightsDeadline = lacking.Since + deadline
-		}
+		excludeAfterDeadline(now, &pool.Replicas[position], versions, deadlines)
 	}
+	return overdue
 }
 
-// excludeOutdated stops admitting requests to the replicas that have not reached a named
-// version by its deadline. It returns whether the deadline of a version has passed.
+// deadlineOf returns the deadline of the first of some versions, or routing.NoDeadline if it is
+// waived.
 //
 // If the leader of the shard has replicated an age beyond the deadline, leaders were able to
-// command the replicas for all that time, and every outdated replica is excluded. If the
-// deadline has passed only by the clock of this node, there may have been no leader to
-// command the replicas: they are excluded once enough others have reached the version.
-func (b *Builder) excludeOutdated(now time.Duration, pool *routing.Pool, versions []namedweights.Version) (overdue bool) {
+// command the replicas for all that time, and the deadline holds. If it has passed only by the
+// clock of this node, there may have been no leader to command the replicas: the deadline is
+// waived until enough replicas have reached the version.
+func (b *Builder) deadlineOf(now time.Duration, pool *routing.Pool, required []namedweights.Version) time.Duration {
 	deadline := b.config.WeightsDeadline
-	if deadline <= 0 {
-		return false
+	version := required[0]
+	passed := version.Age(now) >= deadline
+	if passed && version.ReplicatedAge < deadline && !enoughReached(pool, required) {
+		return routing.NoDeadline
 	}
-	for position := range versions {
-		required := versions[position:]
-		replicated := required[0].ReplicatedAge >= deadline
-		if !replicated && required[0].Age(now) < deadline {
+	return version.Since + deadline
+}
+
+// excludeAfterDeadline sets the deadline of a replica that has not reached all versions, and
+// stops admitting requests to it if the deadline has passed.
+func excludeAfterDeadline(now time.Duration, replica *routing.Replica, versions []namedweights.Version, deadlines []time.Duration) {
+	for position, deadline := range deadlines {
+		if rollout.VersionReachedAnyOf(replica.WeightVersion, versions[position:]) {
 			continue
 		}
-		overdue = true
-		if replicated || enoughReached(pool, required) {
-			excludeBefore(pool, required)
+		if !replica.Outdated {
+			replica.Outdated, replica.WeightsDeadline = true, routing.NoDeadline
 		}
+		replica.WeightsDeadline = min(replica.WeightsDeadline, deadline)
 	}
-	return overdue
+	replica.Admitting = replica.AdmitsAt(now)
 }
 
 // enoughReached reports whether enough replicas of a pool admit requests and have reached the
@@ -71,12 +81,3 @@
 	}
 	return reached > 0 && reached*requiredPoolDivisor >= len(pool.Replicas)
 }
-
-// excludeBefore stops admitting requests to the replicas that have not reached the first of
-// some versions, and run none that was named later.
-func excludeBefore(pool *routing.Pool, required []namedweights.Version) {
-	for position := range pool.Replicas {
-		replica := &pool.Replicas[position]
-		replica.Admitting = replica.Admitting && rollout.VersionReachedAnyOf(replica.WeightVersion, required)
-	}
-}
--- a/internal/control/view/weights_deadline_test.go
+++ b/internal/control/view/weights_deadline_test.go
@@ -56,14 +56,21 @@
 	It("is that of the oldest version that a replica lacks, before and after it has passed", func() {
 		pool := poolOf("1", "2", "3")
 		builder := NewBuilder(Config{WeightsDeadline: deadline})
-		builder.setWeightsDeadlines(pool, []namedweights.Version{{Name: "2", Since: passed}, {Name: "3", Since: pending}})
+		builder.excludeOutdated(now, pool, []namedweights.Version{{Name: "2", Since: passed}, {Name: "3", Since: pending}})
 		Expect(pool.Replicas).To(Equal([]routing.Replica{
-			{WeightVersion: "1", Admitting: true, Outdated: true, WeightsDeadline: passed + deadline},
+			{WeightVersion: "1", Outdated: true, WeightsDeadline: passed + deadline},
 			{WeightVersion: "2", Admitting: true, Outdated: true, WeightsDeadline: pending + deadline},
 			{WeightVersion: "3", Admitting: true},
 		}))
 	})
 
+	It("is not set where it is waived", func() {
+		pool := poolOf("1", "1")
+		NewBuilder(Config{WeightsDeadline: deadline}).excludeOutdated(now, pool, []namedweights.Version{{Name: "2", Since: passed}})
+		Expect(pool.Replicas[0].WeightsDeadline).To(Equal(routing.NoDeadline))
+		Expect(pool.Replicas[0].AdmitsAt(now + time.Hour)).To(BeTrue())
+	})
+
 	It("excludes nothing if it is not configured", func() {
 		pool := poolOf("1", "2")
 		Expect(NewBuilder(Config{}).excludeOutdated(now, pool, []namedweights.Version{{Name: "2"}})).To(BeFalse())
--- a/internal/dataplane/dispatch/pool_selector.go
+++ b/internal/dataplane/dispatch/pool_selector.go
@@ -91,7 +91,7 @@
 	candidates := make([]kvrouter.Candidate, 0, len(pool.Replicas))
 	for _, replica := range pool.Replicas {
 		confirmed := replica.WeightVersion != ""
-		if replica.Admitting && confirmed && !s.options.Quarantine.Contains(replica.Address, replica.WeightVersion) &&
+		if replica.AdmitsAt(now) && confirmed && !s.options.Quarantine.Contains(replica.Address, replica.WeightVersion) &&
 			!s.options.StaleBackends.Contains(now, replica) {
 			candidates = append(candidates, kvrouter.Candidate{
 				Address:        replica.Address,
@@ -121,16 +121,16 @@
 // mayUse reports whether requests for a weight version may be sent to a replica. Only then may
 // other replicas pull chunks of that version from it.
 func (s *poolSelector) mayUse(pool *routing.Pool, address, weightVersion string) bool {
-	found, admits := findAdmitting(pool, address, weightVersion)
-	return admits && !s.options.Quarantine.Contains(address, weightVersion) &&
-		!s.options.StaleBackends.Contains(s.options.Clock(), found)
+	now := s.options.Clock()
+	found, listed := findReplica(pool, address, weightVersion)
+	return listed && found.AdmitsAt(now) && !s.options.Quarantine.Contains(address, weightVersion) &&
+		!s.options.StaleBackends.Contains(now, found)
 }
 
-// findAdmitting returns the pool's replica at an address, if the replica admits requests and
-// has the weight version.
-func findAdmitting(pool *routing.Pool, address, weightVersion string) (routing.Replica, bool) {
+// findReplica returns the pool's replica at an address, if it has the weight version.
+func findReplica(pool *routing.Pool, address, weightVersion string) (routing.Replica, bool) {
 	return lo.Find(pool.Replicas, func(candidate routing.Replica) bool {
-		return candidate.Address == address && candidate.Admitting && candidate.WeightVersion == weightVersion
+		return candidate.Address == address && candidate.WeightVersion == weightVersion
 	})
 }
 
--- a/internal/dataplane/dispatch/replica_target.go
+++ b/internal/dataplane/dispatch/replica_target.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/samber/lo"
-
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/edges"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
@@ -183,9 +181,7 @@
 	if pool == nil {
 		return routing.Replica{}, false
 	}
-	return lo.Find(pool.Replicas, func(candidate routing.Replica) bool {
-		return candidate.Address == t.decision.Address && candidate.WeightVersion == t.decision.WeightVersion
-	})
+	return findReplica(pool, t.decision.Address, t.decision.WeightVersion)
 }
 
 // finish implements target.
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
@@ -53,12 +54,22 @@
 	// evacuated. For a replica of a pool, package control/view sets further conditions.
 	Admitting bool
 	// Outdated reports whether the replica of a pool lacks a named weight version that has a
-	// deadline. WeightsDeadline is then when the deadline of the oldest of these versions
-	// passes, on the node's clock.
+	// deadline. WeightsDeadline is then when the first of their deadlines passes, on the
+	// node's clock; NoDeadline if all of them are waived.
 	Outdated        bool
 	WeightsDeadline time.Duration
 }
 
+// NoDeadline is a WeightsDeadline that never passes.
+const NoDeadline = time.Duration(math.MaxInt64)
+
+// AdmitsAt reports whether new requests may be sent to the replica at a time. The deadline of
+// its weights passes without a newer view, so that a node which was suspended sends nothing
+// by an old one.
+func (r Replica) AdmitsAt(now time.Duration) bool {
+	return r.Admitting && (!r.Outdated || now < r.WeightsDeadline)
+}
+
 // Pool is a pool with its current replicas, including those that are not admitting.
 type Pool struct {
 	// Config is the configured pool; read-only.
