dispatch: what waits at a replica with outdated weights begins in time, or not at all

Cause: the deadline of weights bounded when a request is sent, while a request begins with its first output. A request may wait at its replica for half of its time; a replica that takes no command begins it whenever its turn comes. Class of fault: a bound on an effect that is enforced on its cause.

Change: an attempt on an outdated replica gets no more time than until 1.6 s after the deadline, so that the replica drops it from its queue; a node withdraws attempts without output by then, and does not count that against the replica.

The spec of roll-outs in time has the deadline that package platform now sets; its bounds are as before.

--- a/internal/control/rollout/pace.go
+++ b/internal/control/rollout/pace.go
@@ -16,7 +16,7 @@
 	// weightsDeadlineMargin is how long before Config.WeightsDeadline a roll-out is to
 	// end. Once that deadline has passed, nodes stop sending requests to replicas that do
 	// not run the version.
-	weightsDeadlineMargin = 1500 * time.Millisecond
+	weightsDeadlineMargin = time.Second
 	// replicaRolloutTime is the assumed time that a replica needs to finish its
 	// requests, load the weights and report them. replicaRolloutTimeWithoutDrain is that
 	// time for replicas that need not be drained. Both apply only until a time has been
--- a/internal/control/rollout_commands_test.go
+++ b/internal/control/rollout_commands_test.go
@@ -51,12 +51,12 @@
 }
 
 // newModelPoolWithDeadline does the same as newModelPool, with a bound on the time of a
-// roll-out. The deadline of weights is 1.5 s shorter than the bound.
+// roll-out. The deadline of weights is 2 s shorter than the bound, as in package platform.
 func newModelPoolWithDeadline(bound time.Duration, replicas, zones, fullSpeedLoads int, load time.Duration) *modelPool {
 	pool := &modelPool{loadTime: load, fullSpeedLoads: fullSpeedLoads}
 	pool.node = newSoloNodeWith(func(config *Config) {
 		config.ReplicasFinishFirst = true
-		config.Times.WeightsDeadline = bound - 1500*time.Millisecond
+		config.Times.WeightsDeadline = bound - 2*time.Second
 	})
 	for number := range replicas {
 		pool.replicas = append(pool.replicas, &modelReplica{
--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -77,7 +77,7 @@
 type Dispatcher struct {
 	options     Options
 	inFlight    *inFlight
-	pools       selector
+	pools       *poolSelector
 	webServices selector
 }
 
@@ -94,6 +94,15 @@
 	return d.inFlight.count(address)
 }
 
+// WaitingAttempts returns how many attempts on replicas have no output yet.
+func (d *Dispatcher) WaitingAttempts() int { return d.pools.waiting.count() }
+
+// WithdrawOutdated withdraws the attempts whose output has not begun from the replicas on whose
+// weights no request may begin any more.
+func (d *Dispatcher) WithdrawOutdated(view *routing.View) {
+	d.pools.waiting.withdraw(d.options.Clock(), view)
+}
+
 // Handle implements exchange.Handler.
 func (d *Dispatcher) Handle(e *exchange.Exchange, _ func()) {
 	r := &pendingRequest{Exchange: e}
@@ -196,6 +205,7 @@
 	defer r.health.End()
 	received, err := chosen.send(r.Context, r, attempt)
 	if err != nil {
+		r.withdrawn = chosen.withdrawn()
 		d.recordFailure(r, chosen, attempt, err)
 		return false
 	}
@@ -203,6 +213,7 @@
 	d.options.Health.RecordResponse(chosen.address())
 	r.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
 	if err := d.receive(r, chosen, attempt, received); err != nil {
+		r.withdrawn = chosen.withdrawn()
 		d.recordLoss(r, attempt, err)
 		return false
 	}
--- a/internal/dataplane/dispatch/doc.go
+++ b/internal/dataplane/dispatch/doc.go
@@ -15,6 +15,9 @@
 //	                   for an attempt
 //	outcome.go         the handling of the outcome of an attempt, and the final response
 //	relay.go           the relaying of responses to the caller
+//	waiting_attempts.go the attempts whose output has not begun, and their withdrawal from
+//	                   replicas with outdated weights
+//	late_starts.go     messages on requests that begin on outdated weights
 //	in_flight.go       the number of running attempts on each back end
 //
 // The order of the steps in Dispatcher.choose is an invariant: an attempt is counted as in
--- a/internal/dataplane/dispatch/outcome.go
+++ b/internal/dataplane/dispatch/outcome.go
@@ -98,7 +98,7 @@
 // countUnlessCancelled counts an outcome against the back end of an attempt, unless this
 // node has cancelled the attempt.
 func (d *Dispatcher) countUnlessCancelled(r *pendingRequest, outcome outlier.Outcome) {
-	if r.Context.Err() == nil {
+	if r.Context.Err() == nil && !r.withdrawn {
 		r.health.Failed(d.options.Clock(), outcome)
 	}
 }
--- a/internal/dataplane/dispatch/pending_request.go
+++ b/internal/dataplane/dispatch/pending_request.go
@@ -28,6 +28,8 @@
 	lastError *caller.Error
 	// health observes the last attempt for the health of its back end.
 	health *health.Attempt
+	// withdrawn reports whether this node has withdrawn the last attempt.
+	withdrawn bool
 	// buffered is the response that the tracker's Relay action writes.
 	buffered *bufferedResponse
 	// relaying reports whether the header of a response that is relayed as it arrives has
--- a/internal/dataplane/dispatch/pool_selector.go
+++ b/internal/dataplane/dispatch/pool_selector.go
@@ -20,6 +20,7 @@
 type poolSelector struct {
 	options    *Options
 	lateStarts *lateStarts
+	waiting    *waitingAttempts
 	// randomSources counts the sources of random numbers. The count is the stream number of
 	// the next source; all sources share the seed.
 	randomSources atomic.Uint64
@@ -28,7 +29,12 @@
 
 // newPoolSelector returns the selector for all pools.
 func newPoolSelector(options *Options) *poolSelector {
-	return &poolSelector{options: options, lateStarts: &lateStarts{log: options.Log}, seed: rand.Uint64()}
+	return &poolSelector{
+		options:    options,
+		lateStarts: &lateStarts{log: options.Log},
+		waiting:    newWaitingAttempts(),
+		seed:       rand.Uint64(),
+	}
 }
 
 // selectTarget implements selector. Replicas that failed recently are avoided as long as other
--- a/internal/dataplane/dispatch/replica_target.go
+++ b/internal/dataplane/dispatch/replica_target.go
@@ -28,8 +28,10 @@
 	slots int
 	// targetVersion is the weight version that the configuration sets for the pool.
 	targetVersion string
-	// sentAt is when the attempt was sent.
-	sentAt time.Duration
+	// sentAt is when the attempt was sent. waiting is the attempt in the selector's
+	// waitingAttempts; nil before it is sent.
+	sentAt  time.Duration
+	waiting *waitingAttempt
 }
 
 // address implements target.
@@ -83,10 +85,14 @@
 	described := t.attempt(r, attempt)
 	t.selector.announceDispatch(described)
 	t.sentAt = t.selector.options.Clock()
+	ctx, t.waiting = t.selector.waiting.begin(ctx, t.decision.Address, t.decision.WeightVersion)
 	received, err := t.selector.options.Replicas.Send(ctx, described)
 	if err != nil {
 		return nil, err
 	}
+	if !received.Streamed() {
+		t.selector.waiting.outputBegan(t.waiting)
+	}
 	if err := t.checkVersion(received); err != nil {
 		received.Close()
 		return nil, err
@@ -106,12 +112,35 @@
 		Pull:          t.pull(r),
 	}
 	described.Instance = t.decision.Instance
+	described.Remaining = t.limitRemaining(r, described.Remaining)
 	if t.decision.Save {
 		described.Generation.SaveTo = r.Destination.Pool.Store.GetAddress()
 	}
 	return described
 }
 
+// limitRemaining limits the time of an attempt so that the replica drops it from its queue when
+// requests may no longer begin on the replica's weights, even if this node is suspended then.
+// 0 means no limit.
+func (t *replicaTarget) limitRemaining(r *pendingRequest, remaining time.Duration) time.Duration {
+	current, found := t.newestReplica(r)
+	if !found {
+		return remaining
+	}
+	limit, limited := current.LatestStart()
+	if !limited {
+		return remaining
+	}
+	left := max(limit-t.selector.options.Clock(), time.Millisecond)
+	if remaining <= 0 {
+		return left
+	}
+	return min(remaining, left)
+}
+
+// withdrawn implements target.
+func (t *replicaTarget) withdrawn() bool { return t.waiting != nil && t.waiting.withdrawn.Load() }
+
 // pull returns the planned pull if its source is the pool's store or a replica of the same
 // weight version that may still be used. Otherwise, or if no pull is planned, it returns nil.
 func (t *replicaTarget) pull(r *pendingRequest) *edges.Pull {
@@ -168,6 +197,7 @@
 // firstOutput implements target.
 func (t *replicaTarget) firstOutput(r *pendingRequest) {
 	now := t.selector.options.Clock()
+	t.selector.waiting.outputBegan(t.waiting)
 	t.decision.Reservation.FirstToken(now)
 	if current, found := t.newestReplica(r); found {
 		t.selector.lateStarts.began(now, t.sentAt, current)
@@ -186,5 +216,8 @@
 
 // finish implements target.
 func (t *replicaTarget) finish(completed bool) {
+	if t.waiting != nil {
+		t.selector.waiting.end(t.waiting)
+	}
 	t.decision.Reservation.Finish(t.selector.options.Clock(), completed)
 }
--- a/internal/dataplane/dispatch/selector.go
+++ b/internal/dataplane/dispatch/selector.go
@@ -42,6 +42,9 @@
 	hasSpareCapacity() bool
 	// expectedDelay returns the expected time to the first output; 0 if unknown.
 	expectedDelay() time.Duration
+	// withdrawn reports whether this node has withdrawn the attempt, because requests may
+	// no longer begin on the back end.
+	withdrawn() bool
 	// firstOutput records that the output of a streamed response has started. It is not
 	// called for other responses: their output starts at an unknown time, since the header
 	// may arrive at any time before the end.
--- a/internal/dataplane/dispatch/web_selector.go
+++ b/internal/dataplane/dispatch/web_selector.go
@@ -156,6 +156,9 @@
 // expectedDelay implements target.
 func (t *webTarget) expectedDelay() time.Duration { return 0 }
 
+// withdrawn implements target.
+func (t *webTarget) withdrawn() bool { return false }
+
 // firstOutput implements target. Web services have no weights.
 func (t *webTarget) firstOutput(*pendingRequest) {}
 
--- a/internal/dataplane/view_reconciler.go
+++ b/internal/dataplane/view_reconciler.go
@@ -21,7 +21,10 @@
 	ticker := time.NewTicker(r.server.options.ViewInterval)
 	defer ticker.Stop()
 	for {
-		r.reconcile(r.server.options.Source.View())
+		if view := r.server.options.Source.View(); view != nil {
+			r.reconcile(view)
+			r.server.dispatcher.WithdrawOutdated(view)
+		}
 		r.server.slowStart.SetNodes(r.server.options.Clock(), r.server.options.Peers())
 		r.server.feeds.ResyncAfterGaps()
 		select {
@@ -38,7 +41,7 @@
 // reconcile starts and stops feeds, and forgets tenants and back ends that a new view does
 // not list.
 func (r *viewReconciler) reconcile(view *routing.View) {
-	if view == nil || view == r.last {
+	if view == r.last {
 		return
 	}
 	r.last = view
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -60,6 +60,10 @@
 	WeightsDeadline time.Duration
 }
 
+// startMargin is how long after the deadline of its replica's weights a request may begin that was
+// sent before it.
+const startMargin = 1600 * time.Millisecond
+
 // NoDeadline is a WeightsDeadline that never passes.
 const NoDeadline = time.Duration(math.MaxInt64)
 
@@ -70,6 +74,15 @@
 	return r.Admitting && (!r.Outdated || now < r.WeightsDeadline)
 }
 
+// LatestStart returns until when a request that was sent to the replica may begin; false if its
+// weights do not limit that.
+func (r Replica) LatestStart() (time.Duration, bool) {
+	if !r.Outdated || r.WeightsDeadline == NoDeadline {
+		return 0, false
+	}
+	return r.WeightsDeadline + startMargin, true
+}
+
 // Pool is a pool with its current replicas, including those that are not admitting.
 type Pool struct {
 	// Config is the configured pool; read-only.
