control: each version whose deadline passes is logged, not only the first one

In the soak, logs had no line on the deadline of a second version: the roll-out stayed overdue because of the first one, which remains in the list of named versions. Progress now names the last version whose deadline has passed, and the line comes when that changes. The spec "logs each version whose deadline has passed, although an earlier one is overdue already" gave one line before.

--- a/internal/control/driver/control_log.go
+++ b/internal/control/driver/control_log.go
@@ -83,7 +83,7 @@
 		"outdated_admitting": progress.OutdatedAdmitting,
 	})
 	switch {
-	case progress.Overdue && !before.Overdue && progress.Outdated > 0:
+	case progress.OverdueVersion != before.OverdueVersion && progress.Overdue && progress.Outdated > 0:
 		log.Warn("replicas do not run the named weights although the deadline has passed; check whether the replicas respond to commands")
 	case !known || before.Version != progress.Version:
 		log.Info("weights were named")
--- a/internal/control/driver/control_log_test.go
+++ b/internal/control/driver/control_log_test.go
@@ -31,7 +31,7 @@
 		}
 		Expect(output.String()).To(ContainSubstring(`"msg":"weights were named"`))
 		Expect(bytes.Count(output.Bytes(), []byte("\n"))).To(Equal(1))
-		progress.Overdue, progress.ReplicatedAge = true, 13500*time.Millisecond
+		progress.Overdue, progress.OverdueVersion, progress.ReplicatedAge = true, "2", 13500*time.Millisecond
 		for range 2 {
 			log.logRollout(machine, progress)
 		}
@@ -46,6 +46,16 @@
 		Expect(bytes.Count(output.Bytes(), []byte("\n"))).To(Equal(3))
 	})
 
+	It("logs each version whose deadline has passed, although an earlier one is overdue already", func() {
+		machine := newSoloMachine(nil)
+		progress := view.RolloutProgress{Pool: "chat", Version: "3", Replicas: 4, Outdated: 2, Overdue: true}
+		for _, version := range []string{"2", "3"} {
+			progress.OverdueVersion = version
+			log.logRollout(machine, progress)
+		}
+		Expect(bytes.Count(output.Bytes(), []byte("although the deadline has passed"))).To(Equal(2))
+	})
+
 	It("removes the progress of pools without a roll-out", func() {
 		log.logRollout(newSoloMachine(nil), view.RolloutProgress{Pool: "chat", Version: "2"})
 		log.logRollout(newSoloMachine(nil), view.RolloutProgress{Pool: "code", Version: "2"})
--- a/internal/control/view/builder.go
+++ b/internal/control/view/builder.go
@@ -139,8 +139,8 @@
 	}
 	b.weights.Update(now, pool, service.GetWeightsAges())
 	versions := b.weights.Versions(pool.GetName())
-	overdue := b.excludeOutdated(now, entry, versions)
-	b.recordProgress(entry, versions, overdue)
+	b.excludeOutdated(now, entry, versions)
+	b.recordProgress(now, entry, versions)
 	return entry
 }
 
--- a/internal/control/view/rollout_progress.go
+++ b/internal/control/view/rollout_progress.go
@@ -20,7 +20,9 @@
 	// ReplicatedAge is the greatest age of the version that a leader has replicated.
 	ReplicatedAge time.Duration
 	// Overdue means that the deadline of the version, or of an earlier one, has passed.
-	Overdue bool
+	// OverdueVersion is the last one of them.
+	Overdue        bool
+	OverdueVersion string
 	// Replicas is the number of replicas of the pool, Outdated the number of those that have
 	// not reached the version, and OutdatedAdmitting the number of outdated ones that get
 	// requests.
@@ -34,7 +36,7 @@
 func (b *Builder) Rollouts() []RolloutProgress { return b.rollouts }
 
 // recordProgress records the progress of a pool in the view that is being built.
-func (b *Builder) recordProgress(pool *routing.Pool, versions []namedweights.Version, overdue bool) {
+func (b *Builder) recordProgress(now time.Duration, pool *routing.Pool, versions []namedweights.Version) {
 	target, found := lo.Last(versions)
 	if !found {
 		return
@@ -43,11 +45,15 @@
 		Pool:     pool.Config.GetName(),
 		Version:  target.Name,
 		NamedAt:  target.Since,
-		Overdue:  overdue,
 		Replicas: len(pool.Replicas),
 
 		ReplicatedAge: target.ReplicatedAge,
 	}
+	for _, version := range versions {
+		if b.overdue(now, version) {
+			progress.Overdue, progress.OverdueVersion = true, version.Name
+		}
+	}
 	for _, replica := range pool.Replicas {
 		if rollout.VersionReached(replica.WeightVersion, target.Name) {
 			continue
--- a/internal/control/view/rollout_progress_test.go
+++ b/internal/control/view/rollout_progress_test.go
@@ -19,8 +19,8 @@
 
 var _ = Describe("The progress of a roll-out", func() {
 	It("counts the replicas that have not reached the named version, and those of them that get requests", func() {
-		builder := NewBuilder(Config{})
-		builder.recordProgress(&routing.Pool{
+		builder := NewBuilder(Config{WeightsDeadline: time.Second})
+		builder.recordProgress(2*time.Second, &routing.Pool{
 			Config: &ridgeswitchv1.Pool{Name: "chat"},
 			Replicas: []routing.Replica{
 				{WeightVersion: "2", Admitting: true},
@@ -28,15 +28,15 @@
 				{WeightVersion: "1"},
 				{WeightVersion: "3", Admitting: true},
 			},
-		}, []namedweights.Version{{Name: "2", Since: time.Second}}, true)
+		}, []namedweights.Version{{Name: "2", Since: time.Second}})
 		Expect(builder.Rollouts()).To(Equal([]RolloutProgress{{
-			Pool: "chat", Version: "2", NamedAt: time.Second, Overdue: true, Replicas: 4, Outdated: 2, OutdatedAdmitting: 1,
+			Pool: "chat", Version: "2", NamedAt: time.Second, Overdue: true, OverdueVersion: "2", Replicas: 4, Outdated: 2, OutdatedAdmitting: 1,
 		}}))
 	})
 
 	It("contains no pool without named weights", func() {
 		builder := NewBuilder(Config{})
-		builder.recordProgress(&routing.Pool{Config: &ridgeswitchv1.Pool{Name: "chat"}}, nil, false)
+		builder.recordProgress(0, &routing.Pool{Config: &ridgeswitchv1.Pool{Name: "chat"}}, nil)
 		Expect(builder.Rollouts()).To(BeEmpty())
 	})
 })
--- a/internal/control/view/weights_deadline.go
+++ b/internal/control/view/weights_deadline.go
@@ -20,22 +20,23 @@
 }
 
 // excludeOutdated sets the deadlines of the replicas that have not reached a named version, and
-// stops admitting requests to those whose deadline has passed. It returns whether the deadline
-// of a version has passed, waived or not.
-func (b *Builder) excludeOutdated(now time.Duration, pool *routing.Pool, versions []namedweights.Version) (overdue bool) {
-	deadline := b.config.WeightsDeadline
-	if deadline <= 0 {
-		return false
+// stops admitting requests to those whose deadline has passed.
+func (b *Builder) excludeOutdated(now time.Duration, pool *routing.Pool, versions []namedweights.Version) {
+	if b.config.WeightsDeadline <= 0 {
+		return
 	}
 	deadlines := make([]time.Duration, len(versions))
-	for position, version := range versions {
-		overdue = overdue || version.Age(now) >= deadline
+	for position := range versions {
 		deadlines[position] = b.deadlineOf(now, pool, versions[position:])
 	}
 	for position := range pool.Replicas {
 		excludeAfterDeadline(now, &pool.Replicas[position], versions, deadlines)
 	}
-	return overdue
+}
+
+// overdue reports whether the deadline of a version has passed, waived or not.
+func (b *Builder) overdue(now time.Duration, version namedweights.Version) bool {
+	return b.config.WeightsDeadline > 0 && version.Age(now) >= b.config.WeightsDeadline
 }
 
 // deadlineOf returns the deadline of the first of some versions, or routing.NoDeadline if it is
@@ -48,8 +49,7 @@
 func (b *Builder) deadlineOf(now time.Duration, pool *routing.Pool, required []namedweights.Version) time.Duration {
 	deadline := b.config.WeightsDeadline
 	version := required[0]
-	passed := version.Age(now) >= deadline
-	if passed && version.ReplicatedAge < deadline && !enoughReached(pool, required) {
+	if b.overdue(now, version) && version.ReplicatedAge < deadline && !enoughReached(pool, required) {
 		return routing.NoDeadline
 	}
 	return version.Since + deadline
--- a/internal/control/view/weights_deadline_test.go
+++ b/internal/control/view/weights_deadline_test.go
@@ -32,7 +32,8 @@
 	DescribeTable("excludes outdated replicas",
 		func(pool *routing.Pool, versions []namedweights.Version, overdue bool, expected []string) {
 			builder := NewBuilder(Config{WeightsDeadline: deadline})
-			Expect(builder.excludeOutdated(now, pool, versions)).To(Equal(overdue))
+			builder.excludeOutdated(now, pool, versions)
+			Expect(lo.SomeBy(versions, func(version namedweights.Version) bool { return builder.overdue(now, version) })).To(Equal(overdue))
 			Expect(admitting(pool)).To(Equal(expected))
 		},
 		Entry("only after it has passed",
@@ -73,7 +74,9 @@
 
 	It("excludes nothing if it is not configured", func() {
 		pool := poolOf("1", "2")
-		Expect(NewBuilder(Config{}).excludeOutdated(now, pool, []namedweights.Version{{Name: "2"}})).To(BeFalse())
+		builder := NewBuilder(Config{})
+		builder.excludeOutdated(now, pool, []namedweights.Version{{Name: "2"}})
+		Expect(builder.overdue(now, namedweights.Version{Name: "2"})).To(BeFalse())
 		Expect(admitting(pool)).To(HaveLen(2))
 	})
 })
