view, namedweights: a leader that falls silent just before the deadline does not waive it

Where less than a quarter of a pool had the version, a node waived the deadline until a leader had replicated it, though the leader had replicated nearly all of the time: a new leader would count its gap (up to 3 s), nodes counted none. Class: one rule for the same time, applied on one side only.

Change: nodes count up to MaxLeaderGap after the last replicated age as well.

--- a/internal/control/namedweights/tracker.go
+++ b/internal/control/namedweights/tracker.go
@@ -10,6 +10,11 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control/controlpb"
 )
 
+// MaxLeaderGap is how much of the time without a leader counts at most towards the age of a
+// version. It includes the time whose ages the earlier leader had not replicated. A longer time
+// without a leader means a failure during which the replicas could not be commanded.
+const MaxLeaderGap = 3 * time.Second
+
 // maxVersions is the maximum number of versions that are kept for a pool.
 const maxVersions = 16
 
@@ -22,11 +27,21 @@
 	// ReplicatedAge is the greatest age of the version that a leader of the pool's shard
 	// has replicated, as far as this node knows; 0 if none.
 	ReplicatedAge time.Duration
+	// ReplicatedAt is when this node adopted ReplicatedAge.
+	ReplicatedAt time.Duration
 }
 
 // Age returns how long ago the version was named, as far as this node knows.
 func (v Version) Age(now time.Duration) time.Duration { return now - v.Since }
 
+// Reaches returns when the version reaches an age by the ages that leaders replicate, if no leader
+// replicates a greater one until then. It returns false if that takes longer than MaxLeaderGap
+// from the last one.
+func (v Version) Reaches(age time.Duration) (time.Duration, bool) {
+	missing := age - v.ReplicatedAge
+	return v.ReplicatedAt + missing, v.ReplicatedAge > 0 && missing <= MaxLeaderGap
+}
+
 // Tracker keeps the versions that were named for pools.
 type Tracker struct {
 	// deadline is how long after a version was named nodes stop sending requests to
@@ -128,7 +143,9 @@
 	}
 	age := time.Duration(replicated.GetAgeMs()) * time.Millisecond
 	version.Since = min(version.Since, now-age)
-	version.ReplicatedAge = max(version.ReplicatedAge, age)
+	if age > version.ReplicatedAge {
+		version.ReplicatedAge, version.ReplicatedAt = age, now
+	}
 	return version
 }
 
@@ -158,7 +175,9 @@
 		}
 		successor := &versions[merged+1]
 		successor.Since = min(successor.Since, versions[merged].Since)
-		successor.ReplicatedAge = max(successor.ReplicatedAge, versions[merged].ReplicatedAge)
+		if merged := versions[merged]; merged.ReplicatedAge > successor.ReplicatedAge {
+			successor.ReplicatedAge, successor.ReplicatedAt = merged.ReplicatedAge, merged.ReplicatedAt
+		}
 		versions = slices.Delete(versions, merged, merged+1)
 	}
 	return versions
--- a/internal/control/rollout/deadlines.go
+++ b/internal/control/rollout/deadlines.go
@@ -7,15 +7,8 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control/namedweights"
 )
 
-const (
-	// ageInterval is how often the leader replicates the ages of weights.
-	ageInterval = time.Second
-	// maxLeaderGap is how much of the time without a leader counts at most towards the
-	// age of a version. It includes the time whose ages the earlier leader had not
-	// replicated. A longer time without a leader means a failure during which the
-	// replicas could not be commanded.
-	maxLeaderGap = 3 * time.Second
-)
+// ageInterval is how often the leader replicates the ages of weights.
+const ageInterval = time.Second
 
 // weightsAges computes the ages of the versions of a shard's pools on the leader. A new one
 // is created for each term of leadership.
@@ -35,7 +28,7 @@
 	for _, version := range versions {
 		uncounted, known := a.uncounted[pool][version.Name]
 		if !known {
-			uncounted = max(0, version.Age(now)-version.ReplicatedAge-maxLeaderGap)
+			uncounted = max(0, version.Age(now)-version.ReplicatedAge-namedweights.MaxLeaderGap)
 		}
 		next[version.Name] = uncounted
 	}
--- a/internal/control/rollout/deadlines_test.go
+++ b/internal/control/rollout/deadlines_test.go
@@ -30,13 +30,13 @@
 		Expect(ages.since("chat", version)).To(BeZero())
 	})
 
-	It("include at most maxLeaderGap of a long time without a leader", func() {
+	It("include at most MaxLeaderGap of a long time without a leader", func() {
 		version := namedweights.Version{Name: "2", Since: 0, ReplicatedAge: 5 * time.Second}
 		ages.update(30*time.Second, "chat", []namedweights.Version{version})
-		Expect(30*time.Second - ages.since("chat", version)).To(Equal(5*time.Second + maxLeaderGap))
+		Expect(30*time.Second - ages.since("chat", version)).To(Equal(5*time.Second + namedweights.MaxLeaderGap))
 		version.ReplicatedAge = 9 * time.Second
 		ages.update(31*time.Second, "chat", []namedweights.Version{version})
-		Expect(31*time.Second - ages.since("chat", version)).To(Equal(6*time.Second + maxLeaderGap))
+		Expect(31*time.Second - ages.since("chat", version)).To(Equal(6*time.Second + namedweights.MaxLeaderGap))
 	})
 
 	It("are replicated every ageInterval and when the deadline passes, but not after that", func() {
