outbound, dispatch: a request whose start is limited is sent at once or not at all

Change: the client compares the clock with a time in the context right before the first byte (WithSendBy); an attempt on an outdated replica has 0.3 s from the decision.

The spec "sends nothing after the time that WithSendBy has set, but waits longer for a response" covers the client.

--- a/internal/dataplane/dispatch/outcome.go
+++ b/internal/dataplane/dispatch/outcome.go
@@ -57,7 +57,7 @@
 }
 
 // recordUnsent returns the error for an attempt that was not sent. It counts the failure
-// against the back end, unless the cause is this node's own limit of connections.
+// against the back end, unless the cause is this node: its limit of connections, or its delay.
 func (d *Dispatcher) recordUnsent(r *pendingRequest, unsent *outbound.Error) *caller.Error {
 	wait := d.options.BackendRetry
 	var atLimit *outbound.ConnectionLimitError
@@ -65,6 +65,10 @@
 		return caller.NewError(caller.KindBackendsBusy,
 			"the back end has as many connections as it may have: send the request again").WithRetryAfter(wait)
 	}
+	if errors.Is(unsent, outbound.ErrTooLate) {
+		return caller.NewError(caller.KindNoBackend,
+			"this node could not send the request in time: send it again").WithRetryAfter(wait)
+	}
 	d.countUnlessCancelled(r, outlier.Unreached)
 	return caller.NewError(caller.KindNoBackend,
 		"the back end could not be reached: send the request again").WithRetryAfter(wait)
--- a/internal/dataplane/dispatch/replica_target.go
+++ b/internal/dataplane/dispatch/replica_target.go
@@ -16,6 +16,10 @@
 // is assumed to have free slots.
 const spareCapacityFraction = 0.5
 
+// maxSendDelay bounds the time from the decision to send an attempt whose start is limited until
+// it is sent. The replica counts the time of the attempt from its arrival.
+const maxSendDelay = 300 * time.Millisecond
+
 // replicaTarget is a replica selected for one attempt.
 type replicaTarget struct {
 	selector *poolSelector
@@ -83,6 +87,10 @@
 // send implements target.
 func (t *replicaTarget) send(ctx context.Context, r *pendingRequest, attempt int) (edges.Response, error) {
 	described := t.attempt(r, attempt)
+	if remaining, limited := t.latestStart(r); limited {
+		described.Remaining = lesser(described.Remaining, remaining)
+		ctx = outbound.WithSendBy(ctx, time.Now().Add(maxSendDelay))
+	}
 	t.selector.announceDispatch(described)
 	t.sentAt = t.selector.options.Clock()
 	ctx, t.waiting = t.selector.waiting.begin(ctx, t.decision.Address, t.decision.WeightVersion)
@@ -112,30 +120,30 @@
 		Pull:          t.pull(r),
 	}
 	described.Instance = t.decision.Instance
-	described.Remaining = t.limitRemaining(r, described.Remaining)
 	if t.decision.Save {
 		described.Generation.SaveTo = r.Destination.Pool.Store.GetAddress()
 	}
 	return described
 }
 
-// limitRemaining limits the time of an attempt so that the replica drops it from its queue when
-// requests may no longer begin on the replica's weights, even if this node is suspended then.
-// 0 means no limit.
-func (t *replicaTarget) limitRemaining(r *pendingRequest, remaining time.Duration) time.Duration {
+// latestStart returns for how long requests may still begin on the replica; false if its weights
+// do not limit that. An attempt gets no more time, so that the replica drops it from its queue
+// then, even if this node is suspended.
+func (t *replicaTarget) latestStart(r *pendingRequest) (time.Duration, bool) {
 	current, found := t.newestReplica(r)
 	if !found {
-		return remaining
+		return 0, false
 	}
 	limit, limited := current.LatestStart()
-	if !limited {
-		return remaining
-	}
-	left := max(limit-t.selector.options.Clock(), time.Millisecond)
+	return max(limit-t.selector.options.Clock(), time.Millisecond), limited
+}
+
+// lesser returns the lesser of the time of an attempt, where 0 means no limit, and a limit.
+func lesser(remaining, limit time.Duration) time.Duration {
 	if remaining <= 0 {
-		return left
+		return limit
 	}
-	return min(remaining, left)
+	return min(remaining, limit)
 }
 
 // withdrawn implements target.
--- a/internal/edge/outbound/direct.go
+++ b/internal/edge/outbound/direct.go
@@ -104,6 +104,10 @@
 	if err != nil {
 		return nil, NotSent(err)
 	}
+	if err := checkSendBy(ctx); err != nil {
+		connection.close()
+		return nil, NotSent(err)
+	}
 	sent := &exchange{connection: connection, request: request, options: &d.options, idle: d.idle}
 	sent.stop = context.AfterFunc(ctx, connection.close)
 	response, err := sent.run(body)
--- a/internal/edge/outbound/direct_test.go
+++ b/internal/edge/outbound/direct_test.go
@@ -46,6 +46,28 @@
 
 	sendsOnce(func() clientUnderTest { return client })
 
+	It("sends nothing after the time that WithSendBy has set, but waits longer for a response", func() {
+		server := serveScript(func(_ int, connection *scriptedConnection) {
+			connection.next()
+			time.Sleep(50 * time.Millisecond)
+			connection.write("%s", fullResponse)
+		})
+		sendBy := func(at time.Time) error {
+			request := newRequest(http.MethodPost, server.listener.Addr().String())
+			response, err := client.Send(request.WithContext(outbound.WithSendBy(request.Context(), at)), nil)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			return err
+		}
+		Expect(sendBy(time.Now().Add(30 * time.Millisecond))).To(Succeed())
+		err := sendBy(time.Now().Add(-time.Millisecond))
+		Expect(err).To(MatchError(outbound.ErrTooLate))
+		var unsent *outbound.Error
+		Expect(errors.As(err, &unsent)).To(BeTrue())
+		Expect(unsent.MayHaveBeenSent).To(BeFalse())
+	})
+
 	It("writes method, path, query, host, headers and body as given", func() {
 		received := make(chan *http.Request, 1)
 		server := serveScript(func(_ int, connection *scriptedConnection) {
