node: a paused leader sends no command after its lease

The client now checks the time right before the first byte. The spec "sends no command after its deadline, although the process was paused since the last check" failed before (the command was accepted).

--- a/internal/node/commander.go
+++ b/internal/node/commander.go
@@ -10,6 +10,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/clock"
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/driver"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
 const (
@@ -46,9 +47,10 @@
 	go func() { c.driver.CommandDone(command, c.send(command)) }()
 }
 
-// send sends a command and returns its outcome. Immediately before sending, it checks the
-// command lease (command.Deadline) again, on the clock that includes suspended time. The
-// call is cancelled when the lease ends.
+// send sends a command and returns its outcome. Before sending, it checks the command lease
+// (command.Deadline) again, on the clock that includes suspended time. The call is cancelled when
+// the lease ends. The client checks that time once more right before the first byte, since the
+// timer of a process that was paused may be late.
 func (c *commander) send(command control.Command) control.CommandOutcome {
 	if !c.acquireSlot() {
 		return control.CommandNotSent
@@ -60,6 +62,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
+	ctx = outbound.WithSendBy(ctx, time.Now().Add(remaining))
 	outcome, err := c.replicas.LoadWeights(ctx, command)
 	log := c.log.WithField("replica", command.Address).WithField("weight_version", command.WeightVersion).
 		WithField("outcome", outcome.String())
