view, namedweights: a node's own clock counts once leaders have replicated nearly all of the time

The change before let a node count on from the last replicated age.

Once leaders have replicated all but MaxLeaderGap, the deadline now holds by the node's own clock, which knows no gap. That is less state as well: the instant of the last age is not kept any more.

--- a/internal/control/namedweights/tracker.go
+++ b/internal/control/namedweights/tracker.go
@@ -27,19 +27,14 @@
 	// ReplicatedAge is the greatest age of the version that a leader of the pool's shard
 	// has replicated, as far as this node knows; 0 if none.
 	ReplicatedAge time.Duration
-	// ReplicatedAt is when this node adopted ReplicatedAge.
-	ReplicatedAt time.Duration
 }
 
 // Age returns how long ago the version was named, as far as this node knows.
 func (v Version) Age(now time.Duration) time.Duration { return now - v.Since }
 
-// Reaches returns when the version reaches an age by the ages that leaders replicate, if no leader
-// replicates a greater one until then. It returns false if that takes longer than MaxLeaderGap
-// from the last one.
-func (v Version) Reaches(age time.Duration) (time.Duration, bool) {
-	missing := age - v.ReplicatedAge
-	return v.ReplicatedAt + missing, v.ReplicatedAge > 0 && missing <= MaxLeaderGap
+// ReplicatedUpTo reports whether leaders have replicated an age, or all of it but MaxLeaderGap.
+func (v Version) ReplicatedUpTo(age time.Duration) bool {
+	return v.ReplicatedAge > 0 && age-v.ReplicatedAge <= MaxLeaderGap
 }
 
 // Tracker keeps the versions that were named for pools.
@@ -65,7 +60,7 @@
 	name := pool.GetName()
 	versions := t.pools[name]
 	if named := pool.GetWeightVersion(); named != "" {
-		versions = appendNamed(versions, named, now)
+		versions = appendNamed(versions, Version{Name: named, Since: now})
 	}
 	versions = adoptAges(versions, now, lo.Filter(ages, func(age *controlpb.WeightsAge, _ int) bool { return age.GetPool() == name }))
 	versions = WithoutSuperseded(versions, t.deadline, func(version Version) time.Duration { return version.ReplicatedAge })
@@ -101,12 +96,12 @@
 // appendNamed appends the version that the configuration names, unless it is the last one
 // already. A version that is named again after other versions moves to the end and starts
 // with age 0.
-func appendNamed(versions []Version, named string, now time.Duration) []Version {
-	if last, found := lo.Last(versions); found && last.Name == named {
+func appendNamed(versions []Version, named Version) []Version {
+	if last, found := lo.Last(versions); found && last.Name == named.Name {
 		return versions
 	}
-	others := lo.Reject(versions, func(version Version, _ int) bool { return version.Name == named })
-	return append(others, Version{Name: named, Since: now})
+	others := lo.Reject(versions, func(version Version, _ int) bool { return version.Name == named.Name })
+	return append(others, named)
 }
 
 // adoptAges updates versions from the replicated ages, which may include versions from before
@@ -144,7 +139,7 @@
 	age := time.Duration(replicated.GetAgeMs()) * time.Millisecond
 	version.Since = min(version.Since, now-age)
 	if age > version.ReplicatedAge {
-		version.ReplicatedAge, version.ReplicatedAt = age, now
+		version.ReplicatedAge = age
 	}
 	return version
 }
@@ -175,9 +170,7 @@
 		}
 		successor := &versions[merged+1]
 		successor.Since = min(successor.Since, versions[merged].Since)
-		if merged := versions[merged]; merged.ReplicatedAge > successor.ReplicatedAge {
-			successor.ReplicatedAge, successor.ReplicatedAt = merged.ReplicatedAge, merged.ReplicatedAt
-		}
+		successor.ReplicatedAge = max(successor.ReplicatedAge, versions[merged].ReplicatedAge)
 		versions = slices.Delete(versions, merged, merged+1)
 	}
 	return versions
--- a/internal/control/namedweights/tracker_test.go
+++ b/internal/control/namedweights/tracker_test.go
@@ -52,23 +52,19 @@
 	It("continues from the replicated ages after a start, including those of earlier versions", func() {
 		tracker.Update(time.Second, pool("3"), []*controlpb.WeightsAge{age("2", 8*time.Second), age("3", 3*time.Second)})
 		Expect(tracker.Versions(chat)).To(Equal([]Version{
-			{Name: "2", Since: -7 * time.Second, ReplicatedAge: 8 * time.Second, ReplicatedAt: time.Second},
-			{Name: "3", Since: -2 * time.Second, ReplicatedAge: 3 * time.Second, ReplicatedAt: time.Second},
+			{Name: "2", Since: -7 * time.Second, ReplicatedAge: 8 * time.Second},
+			{Name: "3", Since: -2 * time.Second, ReplicatedAge: 3 * time.Second},
 		}))
 		// The same replicated ages do not make a version younger when they are read later.
 		tracker.Update(5*time.Second, pool("3"), []*controlpb.WeightsAge{age("2", 8*time.Second), age("3", 3*time.Second)})
 		Expect(tracker.Versions(chat)[0].Since).To(Equal(-7 * time.Second))
 	})
 
-	It("reaches an age by itself only shortly after the last replicated one", func() {
-		version := Version{Name: "2", ReplicatedAge: 8 * time.Second, ReplicatedAt: time.Second}
-		at, certain := version.Reaches(deadline)
-		Expect(at).To(Equal(3 * time.Second))
-		Expect(certain).To(BeTrue())
-		_, certain = version.Reaches(8*time.Second + MaxLeaderGap + 1)
-		Expect(certain).To(BeFalse())
-		_, certain = Version{Name: "2"}.Reaches(time.Second)
-		Expect(certain).To(BeFalse())
+	It("counts an age as replicated if at most MaxLeaderGap is missing", func() {
+		version := Version{Name: "2", ReplicatedAge: 8 * time.Second}
+		Expect(version.ReplicatedUpTo(8*time.Second + MaxLeaderGap)).To(BeTrue())
+		Expect(version.ReplicatedUpTo(8*time.Second + MaxLeaderGap + 1)).To(BeFalse())
+		Expect(Version{Name: "2"}.ReplicatedUpTo(time.Second)).To(BeFalse())
 	})
 
 	It("drops the versions that one whose deadline has passed supersedes, and does not append them again", func() {
--- a/internal/control/view/weights_deadline.go
+++ b/internal/control/view/weights_deadline.go
@@ -42,19 +42,14 @@
 // deadlineOf returns the deadline of the first of some versions, or routing.NoDeadline if it is
 // waived.
 //
-// The deadline holds once leaders have replicated an age beyond it, since they were able to
-// command the replicas for all that time. A leader that falls silent before that does not waive
-// it: as for a new leader, up to namedweights.MaxLeaderGap counts. If the deadline has passed by
-// the clock of this node alone, there may have been no leader to command the replicas: it is
-// waived until enough replicas have reached the version.
+// The deadline holds once leaders have replicated nearly all of its time, since they were able to
+// command the replicas. Otherwise there may have been no leader to do that: once the deadline has
+// passed by the clock of this node, it is waived until enough replicas have reached the version.
 func (b *Builder) deadlineOf(now time.Duration, pool *routing.Pool, required []namedweights.Version) time.Duration {
-	deadline := b.config.WeightsDeadline
 	version := required[0]
-	if !b.overdue(now, version) || version.ReplicatedAge >= deadline || enoughReached(pool, required) {
-		return version.Since + deadline
-	}
-	if reached, certain := version.Reaches(deadline); certain {
-		return reached
+	passes := version.Since + b.config.WeightsDeadline
+	if now < passes || version.ReplicatedUpTo(b.config.WeightsDeadline) || enoughReached(pool, required) {
+		return passes
 	}
 	return routing.NoDeadline
 }
--- a/internal/control/view/weights_deadline_test.go
+++ b/internal/control/view/weights_deadline_test.go
@@ -44,10 +44,10 @@
 			poolOf("1", "2", "1", "1", "1"), []namedweights.Version{{Name: "2", Since: passed}}, true, []string{"1", "2", "1", "1", "1"}),
 		Entry("whatever the rest of the pool runs, if the leader has replicated that it passed",
 			poolOf("1", "1"), []namedweights.Version{{Name: "2", Since: passed, ReplicatedAge: deadline}}, true, []string{}),
-		Entry("whatever the rest of the pool runs, if the leader has been silent for a short time and the age is reached by now",
-			poolOf("1", "1"), []namedweights.Version{{Name: "2", Since: passed, ReplicatedAge: deadline - time.Second, ReplicatedAt: now - time.Second}}, true, []string{}),
-		Entry("not if the leader was silent for longer than MaxLeaderGap when the deadline passed",
-			poolOf("1", "1"), []namedweights.Version{{Name: "2", Since: passed, ReplicatedAge: deadline - 4*time.Second, ReplicatedAt: now - 4*time.Second}}, true, []string{"1", "1"}),
+		Entry("whatever the rest of the pool runs, if the leader has replicated all but MaxLeaderGap",
+			poolOf("1", "1"), []namedweights.Version{{Name: "2", Since: passed, ReplicatedAge: deadline - namedweights.MaxLeaderGap}}, true, []string{}),
+		Entry("not if the leader has replicated less",
+			poolOf("1", "1"), []namedweights.Version{{Name: "2", Since: passed, ReplicatedAge: deadline - namedweights.MaxLeaderGap - 1}}, true, []string{"1", "1"}),
 		Entry("for each version separately, even if another one was named since",
 			poolOf("1", "2", "3"),
 			[]namedweights.Version{{Name: "2", Since: passed, ReplicatedAge: deadline}, {Name: "3", Since: pending}},
@@ -69,15 +69,6 @@
 		}))
 	})
 
-	It("passes without a newer view where the leader has been silent for a short time", func() {
-		pool := poolOf("1", "1")
-		NewBuilder(Config{WeightsDeadline: deadline}).excludeOutdated(now, pool, []namedweights.Version{
-			{Name: "2", Since: passed, ReplicatedAge: deadline - time.Second, ReplicatedAt: now - time.Millisecond},
-		})
-		Expect(pool.Replicas[0].AdmitsAt(now)).To(BeTrue())
-		Expect(pool.Replicas[0].AdmitsAt(now + time.Second)).To(BeFalse())
-	})
-
 	It("is not set where it is waived", func() {
 		pool := poolOf("1", "1")
 		NewBuilder(Config{WeightsDeadline: deadline}).excludeOutdated(now, pool, []namedweights.Version{{Name: "2", Since: passed}})
