namedweights: a node that starts in a roll-out does not take its versions for younger than they are

Ages are replicated once a second, and less often while leaders change; a process that starts counts from the last one, as if it were new.

Change: until a process sees a leader replicate a greater age, it takes such a version for up to MaxLeaderGap older. Versions that it sees named are not concerned.

--- a/internal/control/namedweights/tracker.go
+++ b/internal/control/namedweights/tracker.go
@@ -27,11 +27,23 @@
 	// ReplicatedAge is the greatest age of the version that a leader of the pool's shard
 	// has replicated, as far as this node knows; 0 if none.
 	ReplicatedAge time.Duration
+	// Uncertain means that the version was named before this process knew the pool, and that
+	// no leader has replicated a greater age than the first one that the process has read. The
+	// version may then have been named up to MaxLeaderGap earlier than known.
+	Uncertain bool
 }
 
 // Age returns how long ago the version was named, as far as this node knows.
 func (v Version) Age(now time.Duration) time.Duration { return now - v.Since }
 
+// EarliestSince returns when the version was named at the earliest.
+func (v Version) EarliestSince() time.Duration {
+	if v.Uncertain {
+		return v.Since - MaxLeaderGap
+	}
+	return v.Since
+}
+
 // ReplicatedUpTo reports whether leaders have replicated an age, or all of it but MaxLeaderGap.
 func (v Version) ReplicatedUpTo(age time.Duration) bool {
 	return v.ReplicatedAge > 0 && age-v.ReplicatedAge <= MaxLeaderGap
@@ -58,9 +70,9 @@
 // ages that the leader of the pool's shard has replicated.
 func (t *Tracker) Update(now time.Duration, pool *ridgeswitchv1.Pool, ages []*controlpb.WeightsAge) {
 	name := pool.GetName()
-	versions := t.pools[name]
+	versions, known := t.pools[name]
 	if named := pool.GetWeightVersion(); named != "" {
-		versions = appendNamed(versions, Version{Name: named, Since: now})
+		versions = appendNamed(versions, Version{Name: named, Since: now, Uncertain: !known})
 	}
 	versions = adoptAges(versions, now, lo.Filter(ages, func(age *controlpb.WeightsAge, _ int) bool { return age.GetPool() == name }))
 	versions = WithoutSuperseded(versions, t.deadline, func(version Version) time.Duration { return version.ReplicatedAge })
@@ -134,11 +146,12 @@
 func adoptAge(versions []Version, now time.Duration, replicated *controlpb.WeightsAge) Version {
 	version, known := lo.Find(versions, func(version Version) bool { return version.Name == replicated.GetWeightVersion() })
 	if !known {
-		version = Version{Name: replicated.GetWeightVersion(), Since: now}
+		version = Version{Name: replicated.GetWeightVersion(), Since: now, Uncertain: true}
 	}
 	age := time.Duration(replicated.GetAgeMs()) * time.Millisecond
 	version.Since = min(version.Since, now-age)
 	if age > version.ReplicatedAge {
+		version.Uncertain = version.Uncertain && version.ReplicatedAge == 0
 		version.ReplicatedAge = age
 	}
 	return version
@@ -170,6 +183,7 @@
 		}
 		successor := &versions[merged+1]
 		successor.Since = min(successor.Since, versions[merged].Since)
+		successor.Uncertain = successor.Uncertain || versions[merged].Uncertain
 		successor.ReplicatedAge = max(successor.ReplicatedAge, versions[merged].ReplicatedAge)
 		versions = slices.Delete(versions, merged, merged+1)
 	}
--- a/internal/control/namedweights/tracker_test.go
+++ b/internal/control/namedweights/tracker_test.go
@@ -43,7 +43,7 @@
 	It("keeps the time and deadline of a version when another one is named", func() {
 		tracker.Update(time.Second, pool("2"), nil)
 		tracker.Update(4*time.Second, pool("3"), nil)
-		Expect(tracker.Versions(chat)).To(Equal([]Version{{Name: "2", Since: time.Second}, {Name: "3", Since: 4 * time.Second}}))
+		Expect(tracker.Versions(chat)).To(Equal([]Version{{Name: "2", Since: time.Second, Uncertain: true}, {Name: "3", Since: 4 * time.Second}}))
 		Expect(tracker.DeadlinePassed(10*time.Second, 11*time.Second)).To(BeTrue())
 		Expect(tracker.DeadlinePassed(11*time.Second, 13*time.Second)).To(BeFalse())
 		Expect(tracker.DeadlinePassed(13*time.Second, 14*time.Second)).To(BeTrue())
@@ -52,8 +52,8 @@
 	It("continues from the replicated ages after a start, including those of earlier versions", func() {
 		tracker.Update(time.Second, pool("3"), []*controlpb.WeightsAge{age("2", 8*time.Second), age("3", 3*time.Second)})
 		Expect(tracker.Versions(chat)).To(Equal([]Version{
-			{Name: "2", Since: -7 * time.Second, ReplicatedAge: 8 * time.Second},
-			{Name: "3", Since: -2 * time.Second, ReplicatedAge: 3 * time.Second},
+			{Name: "2", Since: -7 * time.Second, ReplicatedAge: 8 * time.Second, Uncertain: true},
+			{Name: "3", Since: -2 * time.Second, ReplicatedAge: 3 * time.Second, Uncertain: true},
 		}))
 		// The same replicated ages do not make a version younger when they are read later.
 		tracker.Update(5*time.Second, pool("3"), []*controlpb.WeightsAge{age("2", 8*time.Second), age("3", 3*time.Second)})
@@ -67,6 +67,21 @@
 		Expect(Version{Name: "2"}.ReplicatedUpTo(time.Second)).To(BeFalse())
 	})
 
+	// Guards against nodes that start while a roll-out is under way and count its age from too late.
+	It("takes a version that was named before the process started for older, until the leader replicates a greater age", func() {
+		tracker.Update(time.Second, pool("2"), nil)
+		tracker.Update(2*time.Second, pool("2"), []*controlpb.WeightsAge{age("2", 5*time.Second)})
+		Expect(tracker.Versions(chat)[0].EarliestSince()).To(Equal(-3*time.Second - MaxLeaderGap))
+		tracker.Update(2500*time.Millisecond, pool("2"), []*controlpb.WeightsAge{age("2", 6*time.Second)})
+		Expect(tracker.Versions(chat)[0].EarliestSince()).To(Equal(-3500 * time.Millisecond))
+	})
+
+	It("knows when a version was named that it sees named", func() {
+		tracker.Update(0, pool(""), nil)
+		tracker.Update(time.Second, pool("2"), nil)
+		Expect(tracker.Versions(chat)[0].EarliestSince()).To(Equal(time.Second))
+	})
+
 	It("drops the versions that one whose deadline has passed supersedes, and does not append them again", func() {
 		tracker.Update(0, pool("2"), nil)
 		tracker.Update(time.Second, pool("3"), nil)
--- a/internal/control/view/weights_deadline.go
+++ b/internal/control/view/weights_deadline.go
@@ -47,7 +47,7 @@
 // passed by the clock of this node, it is waived until enough replicas have reached the version.
 func (b *Builder) deadlineOf(now time.Duration, pool *routing.Pool, required []namedweights.Version) time.Duration {
 	version := required[0]
-	passes := version.Since + b.config.WeightsDeadline
+	passes := version.EarliestSince() + b.config.WeightsDeadline
 	if now < passes || version.ReplicatedUpTo(b.config.WeightsDeadline) || enoughReached(pool, required) {
 		return passes
 	}
--- a/internal/control/view/weights_deadline_test.go
+++ b/internal/control/view/weights_deadline_test.go
@@ -69,6 +69,12 @@
 		}))
 	})
 
+	It("is earlier on a node that does not know how old the version was when it started", func() {
+		pool := poolOf("1")
+		NewBuilder(Config{WeightsDeadline: deadline}).excludeOutdated(now, pool, []namedweights.Version{{Name: "2", Since: now, Uncertain: true}})
+		Expect(pool.Replicas[0].WeightsDeadline).To(Equal(now + deadline - namedweights.MaxLeaderGap))
+	})
+
 	It("is not set where it is waived", func() {
 		pool := poolOf("1", "1")
 		NewBuilder(Config{WeightsDeadline: deadline}).excludeOutdated(now, pool, []namedweights.Version{{Name: "2", Since: passed}})
