--- a/internal/control/namedweights/doc.go
+++ b/internal/control/namedweights/doc.go
@@ -8,10 +8,10 @@
 //
 // A process knows a version only since the process started. The leader therefore replicates
 // the age of each version (controlpb.WeightsAge) until the deadline of the version has
-// passed. A starting node and a new leader continue from the replicated age. A starting node does
-// not know how long ago that was replicated, until it sees the leader replicate a greater one. The replicated
-// age never decreases, and Tracker retains the age that it has adopted for a version as long
-// as it keeps the version.
+// passed. A starting node and a new leader continue from the replicated age. A starting node
+// does not know how long ago that was replicated, until it sees the leader replicate a greater
+// one. The replicated age never decreases, and Tracker retains the age that it has adopted for
+// a version as long as it keeps the version.
 //
 // Tracker does no I/O, reads no clock and is not safe for concurrent use.
 package namedweights
--- a/internal/control/view/rollout_progress.go
+++ b/internal/control/view/rollout_progress.go
@@ -42,12 +42,11 @@
 		return
 	}
 	progress := RolloutProgress{
-		Pool:     pool.Config.GetName(),
-		Version:  target.Name,
-		NamedAt:  target.Since,
-		Replicas: len(pool.Replicas),
-
+		Pool:          pool.Config.GetName(),
+		Version:       target.Name,
+		NamedAt:       target.Since,
 		ReplicatedAge: target.ReplicatedAge,
+		Replicas:      len(pool.Replicas),
 	}
 	for _, version := range versions {
 		if b.overdue(now, version) {
