eventstream, platform, dispatch: responses that violate their protocol are counted and logged

A node looked at no event and logged no invalid response, so that its logs could not tell bytes within a stream from bytes behind one, or from those of another response.

The metric ridgeswitch_invalid_answers_total counts by the kind of the fault.

--- a/internal/dataplane/destinations/destinations.go
+++ b/internal/dataplane/destinations/destinations.go
@@ -27,6 +27,7 @@
 	mutex    sync.Mutex
 	stats    Stats
 	refusals map[caller.Kind]uint64
+	invalid  map[string]uint64
 }
 
 // Set holds the state of every destination to which requests have been routed. States are
@@ -55,6 +56,7 @@
 			budget:   retrybudget.New(s.budget),
 			stats:    Stats{Name: key.name, WebService: key.webService},
 			refusals: make(map[caller.Kind]uint64),
+			invalid:  make(map[string]uint64),
 		}
 		s.states[key] = state
 	}
@@ -132,6 +134,13 @@
 	s.stats.Truncated++
 }
 
+// CountInvalid counts a response that must not be relayed, by its kind.
+func (s *State) CountInvalid(kind string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.invalid[kind]++
+}
+
 // CountAbandoned counts a request whose caller disconnected.
 func (s *State) CountAbandoned() {
 	s.mutex.Lock()
@@ -148,5 +157,9 @@
 		copied.Refusals = append(copied.Refusals, RefusalCount{Kind: kind, Count: count})
 	}
 	sort.Slice(copied.Refusals, func(i, j int) bool { return copied.Refusals[i].Kind < copied.Refusals[j].Kind })
+	for kind, count := range s.invalid {
+		copied.Invalid = append(copied.Invalid, InvalidCount{Kind: kind, Count: count})
+	}
+	sort.Slice(copied.Invalid, func(i, j int) bool { return copied.Invalid[i].Kind < copied.Invalid[j].Kind })
 	return copied
 }
--- a/internal/dataplane/destinations/stats.go
+++ b/internal/dataplane/destinations/stats.go
@@ -14,6 +14,12 @@
 	Count uint64
 }
 
+// InvalidCount counts the invalid responses of one kind.
+type InvalidCount struct {
+	Kind  string
+	Count uint64
+}
+
 // Stats counts the requests of a pool or a web service on this node by their
 // outcomes.
 type Stats struct {
@@ -35,6 +41,8 @@
 	Abandoned uint64
 	// Refusals are sorted by kind.
 	Refusals []RefusalCount
+	// Invalid are the responses that violated the protocol of their back end, sorted by kind.
+	Invalid []InvalidCount
 	// Ejected and Suspected count the back ends that currently get almost no requests:
 	// Ejected those that failed too large a fraction of their requests, and Suspected those
 	// that could not be reached.
--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -76,6 +76,7 @@
 // attempts.Tracker asks for, and responds to the caller.
 type Dispatcher struct {
 	options     Options
+	invalid     *invalidResponses
 	inFlight    *inFlight
 	pools       *poolSelector
 	webServices selector
@@ -83,7 +84,7 @@
 
 // New returns a dispatcher without attempts.
 func New(options Options) *Dispatcher {
-	d := &Dispatcher{options: options, inFlight: newInFlight()}
+	d := &Dispatcher{options: options, invalid: &invalidResponses{log: options.Log}, inFlight: newInFlight()}
 	d.pools = newPoolSelector(&d.options)
 	d.webServices = newWebSelector(&d.options, d.inFlight)
 	return d
@@ -212,7 +213,9 @@
 	defer received.Close()
 	d.options.Health.RecordResponse(chosen.address())
 	r.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
-	if err := d.receive(r, chosen, attempt, received); err != nil {
+	err = d.receive(r, chosen, attempt, received)
+	d.recordViolation(r, attempt, received)
+	if err != nil {
 		r.withdrawn = chosen.withdrawn()
 		d.recordLoss(r, attempt, err)
 		return false
@@ -227,7 +230,7 @@
 // with status 200.
 func (d *Dispatcher) receive(r *pendingRequest, chosen target, attempt int, received edges.Response) error {
 	if r.relaying && (!received.Streamed() || received.Status() != http.StatusOK) {
-		return &outbound.InvalidResponseError{Reason: fmt.Sprintf("the stream was not taken up: the back end answered with status %d", received.Status())}
+		return &outbound.InvalidResponseError{Kind: outbound.Malformed, Reason: fmt.Sprintf("the stream was not taken up: the back end answered with status %d", received.Status())}
 	}
 	if received.Streamed() {
 		data, err := received.Next()
--- a/internal/dataplane/dispatch/outcome.go
+++ b/internal/dataplane/dispatch/outcome.go
@@ -80,6 +80,10 @@
 	var failed *outbound.FailedResponseError
 	var disconnected *callerDisconnectedError
 	var mismatch *versionMismatchError
+	var invalid *outbound.InvalidResponseError
+	if errors.As(err, &invalid) && r.Context.Err() == nil && !r.withdrawn {
+		d.recordInvalid(r, attempt, invalid)
+	}
 	switch {
 	case errors.As(err, &disconnected):
 		r.apply(attempts.Event{Kind: attempts.CallerDisconnected})
--- a/internal/dataplane/embedding.go
+++ b/internal/dataplane/embedding.go
@@ -35,4 +35,6 @@
 	RefusalCount = destinations.RefusalCount
 	// OutcomeCount counts the attempts of one outcome.
 	OutcomeCount = destinations.OutcomeCount
+	// InvalidCount counts the invalid responses of one kind.
+	InvalidCount = destinations.InvalidCount
 )
--- /dev/null
+++ b/internal/edge/eventstream/reader.go
@@ -0,0 +1,163 @@
+package eventstream
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// bufferBytes is the base size of a reader's buffer.
+const bufferBytes = 8 << 10
+
+// Reader splits a stream into events. Use NewReader to create one.
+type Reader struct {
+	source io.Reader
+	// maxBytes bounds one event.
+	maxBytes int
+	// buffer holds the bytes that have been read, from the beginning of the next event on. In
+	// the first `searched` of them, no event ends.
+	buffer   []byte
+	searched int
+	// storage is the memory that buffer is part of.
+	storage []byte
+	// returned is the length of the event that Next returned last; the next call drops it.
+	returned int
+	fields   []Field
+	// readError is the error of the source, returned once the buffer holds no complete event.
+	readError error
+}
+
+// TooLongError reports an event that is longer than the reader accepts.
+type TooLongError struct {
+	MaxBytes int
+}
+
+// Error implements error.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("an event has more than %d bytes", e.MaxBytes)
+}
+
+// NewReader returns a reader of the events of a stream, each of at most maxBytes bytes.
+func NewReader(source io.Reader, maxBytes int) *Reader {
+	return &Reader{source: source, maxBytes: maxBytes}
+}
+
+// Next returns the next event that has a field. It drops blank lines and events that consist of
+// comments, since these carry nothing. The event is valid until the next call.
+//
+// At the end of the source the error is a bare io.EOF, or io.ErrUnexpectedEOF if the source ended
+// within an event. Other errors are *FormatError, *TooLongError and those of the source. After an
+// error, the stream cannot be read any further.
+func (r *Reader) Next() (Event, error) {
+	for {
+		event, found, err := r.NextBuffered()
+		if found || err != nil {
+			return event, err
+		}
+		if r.readError != nil {
+			return Event{}, r.endError()
+		}
+		if len(r.buffer) > r.maxBytes {
+			return Event{}, &TooLongError{MaxBytes: r.maxBytes}
+		}
+		r.readError = r.fill()
+	}
+}
+
+// NextBuffered is Next without reading from the source: it returns false if no event has been read
+// completely.
+func (r *Reader) NextBuffered() (Event, bool, error) {
+	r.discard(r.returned)
+	r.returned = 0
+	for {
+		r.discardBlankLines()
+		end := r.endOfEvent()
+		if end == 0 {
+			return Event{}, false, nil
+		}
+		event, err := parse(r.buffer[:end], r.fields[:0])
+		if err != nil {
+			return Event{}, false, err
+		}
+		r.fields = event.Fields[:0]
+		if len(event.Fields) > 0 {
+			r.returned = end
+			return event, true, nil
+		}
+		r.discard(end)
+	}
+}
+
+// discardBlankLines drops blank lines before an event.
+func (r *Reader) discardBlankLines() {
+	for {
+		switch {
+		case bytes.HasPrefix(r.buffer, []byte("\n")):
+			r.discard(len("\n"))
+		case bytes.HasPrefix(r.buffer, []byte("\r\n")):
+			r.discard(len("\r\n"))
+		default:
+			return
+		}
+	}
+}
+
+// endOfEvent returns the position after the first blank line, or 0 if the buffer holds none.
+func (r *Reader) endOfEvent() int {
+	for {
+		at := bytes.IndexByte(r.buffer[r.searched:], '\n')
+		if at < 0 {
+			r.searched = len(r.buffer)
+			return 0
+		}
+		lineEnd := r.searched + at
+		rest := r.buffer[lineEnd+1:]
+		switch {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return lineEnd + len("\n\n")
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return lineEnd + len("\n\r\n")
+		case len(rest) == 0 || len(rest) == 1 && rest[0] == '\r':
+			// The next line may turn out to be blank.
+			r.searched = lineEnd
+			return 0
+		}
+		r.searched = lineEnd + 1
+	}
+}
+
+// discard drops the first bytes of the buffer.
+func (r *Reader) discard(count int) {
+	if count == 0 {
+		return
+	}
+	r.buffer = r.buffer[count:]
+	r.searched = 0
+}
+
+// fill reads from the source once.
+func (r *Reader) fill() error {
+	if len(r.buffer) == 0 {
+		r.buffer = r.storage[:0]
+	}
+	if cap(r.buffer)-len(r.buffer) < bufferBytes/2 {
+		r.storage = make([]byte, 2*len(r.buffer)+bufferBytes)
+		r.buffer = r.storage[:copy(r.storage, r.buffer)]
+	}
+	count, err := r.source.Read(r.buffer[len(r.buffer):cap(r.buffer)])
+	r.buffer = r.buffer[:len(r.buffer)+count]
+	return err
+}
+
+// endError returns the error with which the stream ends after the last complete event.
+func (r *Reader) endError() error {
+	if !errors.Is(r.readError, io.EOF) {
+		return r.readError
+	}
+	if len(r.buffer) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
--- a/internal/edge/outbound/error.go
+++ b/internal/edge/outbound/error.go
@@ -73,9 +73,28 @@
 	return fmt.Sprintf("the back end failed with status %d", e.Status)
 }
 
-// InvalidResponseError reports that a response is truncated, too large, not delimited so that
-// truncation would go unnoticed, or not that of the attempt. The request may have run.
+// InvalidKind classifies the responses that must not be relayed.
+type InvalidKind string
+
+// The kinds of invalid responses.
+const (
+	// Truncated is a response that ended early.
+	Truncated InvalidKind = "truncated"
+	// TooLarge is a response, or an event of a stream, that is larger than this node accepts.
+	TooLarge InvalidKind = "too_large"
+	// Undelimited is a response without a marked end, so that truncation would go unnoticed.
+	Undelimited InvalidKind = "undelimited"
+	// Foreign is a response that belongs to another request or attempt.
+	Foreign InvalidKind = "foreign"
+	// Surplus is a response that goes on after its end.
+	Surplus InvalidKind = "surplus"
+	// Malformed is a response in another form than the protocol's.
+	Malformed InvalidKind = "malformed"
+)
+
+// InvalidResponseError reports a response that must not be relayed. The request may have run.
 type InvalidResponseError struct {
+	Kind   InvalidKind
 	Reason string
 	// Cause is the error of reading the response; it may be nil.
 	Cause error
--- a/internal/edge/replica/generate.go
+++ b/internal/edge/replica/generate.go
@@ -128,7 +128,7 @@
 	if echoed == call.AttemptID {
 		return nil
 	}
-	return &outbound.InvalidResponseError{Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
+	return &outbound.InvalidResponseError{Kind: outbound.Foreign, Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
 }
 
 // readRefusal returns the error of a rejection, with its body as the message, and closes the
--- a/internal/edge/replica/response.go
+++ b/internal/edge/replica/response.go
@@ -83,15 +83,15 @@
 // end, so that truncation would go unnoticed.
 func (r *Response) ReadAll() ([]byte, bool, error) {
 	if !r.delimited() {
-		return nil, false, &outbound.InvalidResponseError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
+		return nil, false, &outbound.InvalidResponseError{Kind: outbound.Undelimited, Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
 	}
 	var body bytes.Buffer
 	body.Grow(int(min(max(r.response.ContentLength, 0), maxPreallocatedBytes)) + bytes.MinRead)
 	if _, err := body.ReadFrom(io.LimitReader(r.response.Body, r.maxBytes+1)); err != nil {
-		return nil, false, &outbound.InvalidResponseError{Reason: "the answer was cut", Cause: errors.WithStack(err)}
+		return nil, false, &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the answer was cut", Cause: errors.WithStack(err)}
 	}
 	if int64(body.Len()) > r.maxBytes {
-		return nil, false, &outbound.InvalidResponseError{Reason: "the answer is larger than this node takes"}
+		return nil, false, &outbound.InvalidResponseError{Kind: outbound.TooLarge, Reason: "the answer is larger than this node takes"}
 	}
 	return body.Bytes(), true, nil
 }
@@ -132,13 +132,13 @@
 		line, err := r.stream.ReadSlice('\n')
 		event = append(event, line...)
 		if int64(len(event)) > r.maxBytes {
-			return nil, &outbound.InvalidResponseError{Reason: "an event of the answer is larger than this node takes"}
+			return nil, &outbound.InvalidResponseError{Kind: outbound.TooLarge, Reason: "an event of the answer is larger than this node takes"}
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			return nil, &outbound.InvalidResponseError{Reason: "the streamed answer was cut", Cause: unexpectedEOF(err)}
+			return nil, &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the streamed answer was cut", Cause: unexpectedEOF(err)}
 		}
 		if bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\n\r\n")) {
 			return event, nil
@@ -159,7 +159,7 @@
 // stream. A read error does not matter, since that event has been received.
 func (r *Response) checkNothingFollows() error {
 	if _, err := r.stream.ReadByte(); err == nil {
-		return &outbound.InvalidResponseError{Reason: "the streamed answer goes on after its end"}
+		return &outbound.InvalidResponseError{Kind: outbound.Surplus, Reason: "the streamed answer goes on after its end"}
 	}
 	return io.EOF
 }
--- a/internal/edge/webservice/client.go
+++ b/internal/edge/webservice/client.go
@@ -90,7 +90,7 @@
 		return nil
 	}
 	if echoed != call.AttemptID {
-		return &outbound.InvalidResponseError{Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
+		return &outbound.InvalidResponseError{Kind: outbound.Foreign, Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
 	}
 	if response.Header.Get(HeaderNotRun) != "true" || response.StatusCode < http.StatusBadRequest {
 		return nil
--- a/internal/edge/webservice/response.go
+++ b/internal/edge/webservice/response.go
@@ -67,7 +67,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r.response.Body, r.maxBytes+1))
 	if err != nil {
-		return nil, false, &outbound.InvalidResponseError{Reason: "the answer was cut", Cause: errors.WithStack(err)}
+		return nil, false, &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the answer was cut", Cause: errors.WithStack(err)}
 	}
 	return body, int64(len(body)) <= r.maxBytes, nil
 }
@@ -90,7 +90,7 @@
 			return nil, io.EOF
 		}
 		if err != nil {
-			return nil, &outbound.InvalidResponseError{Reason: "the answer was cut", Cause: errors.WithStack(err)}
+			return nil, &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the answer was cut", Cause: errors.WithStack(err)}
 		}
 	}
 }
@@ -105,7 +105,7 @@
 	if response.Request != nil && response.Request.Method == http.MethodHead {
 		return nil
 	}
-	return &outbound.InvalidResponseError{Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
+	return &outbound.InvalidResponseError{Kind: outbound.Undelimited, Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
 }
 
 // WeightVersion returns "", since a web service has no weights.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -91,6 +91,7 @@
 			Refusals: []dataplane.RefusalCount{{Kind: caller.KindRateLimited, Count: 3}},
 			Ejected:  2, Suspected: 1, Ejections: 7,
 			Outcomes: []dataplane.OutcomeCount{{Name: "errored", Count: 5}},
+			Invalid:  []dataplane.InvalidCount{{Kind: "malformed", Count: 6}},
 		}},
 	}
 }
@@ -103,6 +104,7 @@
 			`ridgeswitch_retry_ratio{destination="demo",kind="pool"} 0.1`,
 			`ridgeswitch_cut_answers_total{destination="demo",kind="pool"} 2`,
 			`ridgeswitch_refusals_total{destination="demo",kind="pool",reason="rate_limited"} 3`,
+			`ridgeswitch_invalid_answers_total{destination="demo",fault="malformed",kind="pool"} 6`,
 			`ridgeswitch_attempts_in_flight{destination="demo",kind="pool"} 4`,
 			`ridgeswitch_ejected_backends{destination="demo",kind="pool"} 2`,
 			`ridgeswitch_suspected_backends{destination="demo",kind="pool"} 1`,
--- a/internal/metrics/traffic.go
+++ b/internal/metrics/traffic.go
@@ -19,6 +19,7 @@
 	firstAttempts, retries, retriesDenied    metric
 	retryRatio                               metric
 	completed, truncated, abandoned, refused metric
+	invalid                                  metric
 	inFlight                                 metric
 	ejected, suspected                       metric
 	ejections, outcomes                      metric
@@ -26,6 +27,7 @@
 
 func newTrafficCollector(traffic Traffic) *trafficCollector {
 	refusalLabels := append(append([]string{}, destinationLabels...), "reason")
+	kindLabels := append(append([]string{}, destinationLabels...), "fault")
 	outcomeLabels := append(append([]string{}, destinationLabels...), "outcome")
 	c := &trafficCollector{traffic: traffic, names: newDestinationNames(MaxDestinations)}
 	c.firstAttempts = c.counter("", "first_attempts_total", "Requests that were sent to a back end.", destinationLabels...)
@@ -36,6 +38,7 @@
 	c.truncated = c.counter("", "cut_answers_total", "Answers that were cut after a part had been handed on.", destinationLabels...)
 	c.abandoned = c.counter("", "abandoned_total", "Requests whose caller left.", destinationLabels...)
 	c.refused = c.counter("", "refusals_total", "Requests that the node refused or could not complete, by the kind of the error.", refusalLabels...)
+	c.invalid = c.counter("", "invalid_answers_total", "Answers of back ends that violated their protocol, by the kind of the fault.", kindLabels...)
 	c.ejected = c.gauge("", "ejected_backends", "Back ends that this node leaves out because they failed far more requests than others.", destinationLabels...)
 	c.suspected = c.gauge("", "suspected_backends", "Back ends that this node leaves out because they could not be reached lately.", destinationLabels...)
 	c.ejections = c.counter("", "ejections_total", "Times that this node began to leave a back end out for its failures.", destinationLabels...)
@@ -63,6 +66,7 @@
 	stats    dataplane.DestinationStats
 	refusals map[caller.Kind]uint64
 	outcomes map[string]uint64
+	invalid  map[string]uint64
 }
 
 // sums returns the statistics by series, summed over the destinations that share a series.
@@ -72,7 +76,7 @@
 		name := c.names.seriesOf(stats.Name, stats.WebService)
 		sum, found := sums[name]
 		if !found {
-			sum = &destinationSum{refusals: make(map[caller.Kind]uint64), outcomes: make(map[string]uint64)}
+			sum = &destinationSum{refusals: make(map[caller.Kind]uint64), outcomes: make(map[string]uint64), invalid: make(map[string]uint64)}
 			sums[name] = sum
 		}
 		sum.add(stats)
@@ -93,6 +97,9 @@
 	for _, refusal := range stats.Refusals {
 		s.refusals[refusal.Kind] += refusal.Count
 	}
+	for _, invalid := range stats.Invalid {
+		s.invalid[invalid.Kind] += invalid.Count
+	}
 	for _, outcome := range stats.Outcomes {
 		s.outcomes[outcome.Name] += outcome.Count
 	}
@@ -116,6 +123,9 @@
 	for outcome, count := range sum.outcomes {
 		c.outcomes.send(into, float64(count), name.kind, name.name, outcome)
 	}
+	for fault, count := range sum.invalid {
+		c.invalid.send(into, float64(count), name.kind, name.name, fault)
+	}
 	for reason, count := range sum.refusals {
 		c.refused.send(into, float64(count), name.kind, name.name, string(reason))
 	}
