platform: only the next event of a run is relayed, and ends or resumes a stream

Cause: the edge relayed whatever ended with a blank line, and for a delimited response also what followed the last one. The ID to resume after was taken from any line that began with "id:". What a back end sends was trusted as soon as the head of its response was.

Routes of the kind STREAMING require a stream: a success that is none is invalid.

--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -213,9 +213,7 @@
 	defer received.Close()
 	d.options.Health.RecordResponse(chosen.address())
 	r.apply(attempts.Event{Kind: attempts.BytesMayHaveLeft, Attempt: attempt})
-	err = d.receive(r, chosen, attempt, received)
-	d.recordViolation(r, attempt, received)
-	if err != nil {
+	if err := d.receive(r, chosen, attempt, received); err != nil {
 		r.withdrawn = chosen.withdrawn()
 		d.recordLoss(r, attempt, err)
 		return false
--- a/internal/dataplane/dispatch/invalid_responses.go
+++ b/internal/dataplane/dispatch/invalid_responses.go
@@ -4,10 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/edges"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
@@ -65,20 +63,3 @@
 		lastEventID: r.lastEventID, relaying: r.relaying, cause: cause,
 	})
 }
-
-// inspected is a response that tells of a violation of its protocol in what was relayed.
-type inspected interface {
-	Violation() error
-}
-
-// recordViolation counts and logs the violation that was found in a relayed response.
-func (d *Dispatcher) recordViolation(r *pendingRequest, attempt int, received edges.Response) {
-	response, isInspected := received.(inspected)
-	if !isInspected {
-		return
-	}
-	var invalid *outbound.InvalidResponseError
-	if errors.As(response.Violation(), &invalid) {
-		d.recordInvalid(r, attempt, invalid)
-	}
-}
--- a/internal/dataplane/dispatch/pending_request.go
+++ b/internal/dataplane/dispatch/pending_request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/edges"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/exchange"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/handlers/authenticator"
@@ -103,8 +104,10 @@
 		Idempotent:  r.Parsed.Idempotent,
 		Streamed:    r.Parsed.Streamed,
 		ResumeAfter: r.lastEventID,
-		Request:     r.Request,
-		Body:        r.Body,
+
+		RequiresStream: r.Route.Config.GetKind() == ridgeswitchv1.RequestKind_STREAMING,
+		Request:        r.Request,
+		Body:           r.Body,
 	}
 	if r.Tenant != nil {
 		described.Tenant = r.Tenant.Name
--- a/internal/dataplane/edges/edges.go
+++ b/internal/dataplane/edges/edges.go
@@ -82,6 +82,9 @@
 	Idempotent bool
 	// Streamed reports whether the caller wants a stream of events.
 	Streamed bool
+	// RequiresStream reports whether the route's requests are answered by streams of events, so
+	// that any other success is invalid.
+	RequiresStream bool
 	// ResumeAfter is the ID of the last event that was relayed from an earlier attempt; the
 	// stream must resume after that event. It is "" for a stream from the beginning.
 	ResumeAfter string
--- a/internal/edge/eventstream/event.go
+++ b/internal/edge/eventstream/event.go
@@ -14,15 +14,13 @@
 	FieldRetry = "retry"
 )
 
-// byteOrderMark may begin a stream by the standard. Not all parsers remove it.
-const byteOrderMark = "\ufeff"
-
 // Field is one line of an event.
 type Field struct {
 	Name, Value []byte
 }
 
-// Event is a complete event with at least one field.
+// Event is a complete event. It has no fields if its lines are blank or comments, so that it carries
+// nothing.
 type Event struct {
 	// Text is the event as it was received, up to and including the blank line at its end.
 	Text []byte
@@ -43,15 +41,12 @@
 	return fmt.Sprintf("%d bytes are no event of a stream: %s", len(e.Text), e.Reason)
 }
 
-// parse returns the event of a text that ends with a blank line. The event has no fields if the text
-// consists of comments. The fields are appended to the given slice. The error is a *FormatError.
+// parse returns the event of a text that ends with a blank line. The fields are appended to the given
+// slice. The error is a *FormatError.
 func parse(text []byte, fields []Field) (Event, error) {
 	if !utf8.Valid(text) {
 		return Event{}, &FormatError{Reason: "it is not UTF-8", Text: text}
 	}
-	if bytes.HasPrefix(text, []byte(byteOrderMark)) {
-		return Event{}, &FormatError{Reason: "it begins with a byte order mark", Text: text}
-	}
 	for line := range bytes.Lines(text) {
 		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 		if bytes.IndexByte(line, '\r') >= 0 {
--- a/internal/edge/eventstream/reader.go
+++ b/internal/edge/eventstream/reader.go
@@ -44,8 +44,8 @@
 	return &Reader{source: source, maxBytes: maxBytes}
 }
 
-// Next returns the next event that has a field. It drops blank lines and events that consist of
-// comments, since these carry nothing. The event is valid until the next call.
+// Next returns the next event. The texts of all events are the stream: a blank line that no event
+// precedes is an event without fields, and so are comments. The event is valid until the next call.
 //
 // At the end of the source the error is a bare io.EOF, or io.ErrUnexpectedEOF if the source ended
 // within an event. Other errors are *FormatError, *TooLongError and those of the source. After an
@@ -69,43 +69,33 @@
 // NextBuffered is Next without reading from the source: it returns false if no event has been read
 // completely.
 func (r *Reader) NextBuffered() (Event, bool, error) {
-	r.discard(r.returned)
+	r.buffer = r.buffer[r.returned:]
 	r.returned = 0
-	for {
-		r.discardBlankLines()
-		end := r.endOfEvent()
-		if end == 0 {
-			return Event{}, false, nil
-		}
-		event, err := parse(r.buffer[:end], r.fields[:0])
-		if err != nil {
-			return Event{}, false, err
-		}
-		r.fields = event.Fields[:0]
-		if len(event.Fields) > 0 {
-			r.returned = end
-			return event, true, nil
-		}
-		r.discard(end)
+	end := r.endOfEvent()
+	if end == 0 {
+		return Event{}, false, nil
 	}
+	event, err := parse(r.buffer[:end], r.fields[:0])
+	if err != nil {
+		return Event{}, false, err
+	}
+	r.fields = event.Fields[:0]
+	r.returned, r.searched = end, 0
+	return event, true, nil
 }
 
-// discardBlankLines drops blank lines before an event.
-func (r *Reader) discardBlankLines() {
-	for {
+// endOfEvent returns the position after the first blank line, or 0 if the buffer holds none.
+func (r *Reader) endOfEvent() int {
+	if r.searched == 0 {
 		switch {
 		case bytes.HasPrefix(r.buffer, []byte("\n")):
-			r.discard(len("\n"))
+			return len("\n")
 		case bytes.HasPrefix(r.buffer, []byte("\r\n")):
-			r.discard(len("\r\n"))
-		default:
-			return
+			return len("\r\n")
+		case bytes.Equal(r.buffer, []byte("\r")):
+			return 0
 		}
 	}
-}
-
-// endOfEvent returns the position after the first blank line, or 0 if the buffer holds none.
-func (r *Reader) endOfEvent() int {
 	for {
 		at := bytes.IndexByte(r.buffer[r.searched:], '\n')
 		if at < 0 {
@@ -128,15 +118,6 @@
 	}
 }
 
-// discard drops the first bytes of the buffer.
-func (r *Reader) discard(count int) {
-	if count == 0 {
-		return
-	}
-	r.buffer = r.buffer[count:]
-	r.searched = 0
-}
-
 // fill reads from the source once.
 func (r *Reader) fill() error {
 	if len(r.buffer) == 0 {
