dispatch: a response without event IDs is not resumed after a part was relayed

What callers saw: a stream with events that come twice.

Cause: a route may be resumable although the events of its back ends have no IDs, as in the native protocol. A cut response was resumed after the event "", so that the second run began at its first event behind those of the first.

Evidence: "whose events have no IDs is not resumed, even on a route on which streams are" fails on the code before: data a, b, a, b, [DONE].

Change: once data without an event ID is with the caller, a cut response is aborted; no further attempt is made.

Result: go test ./internal/dataplane/... passes.

--- a/internal/dataplane/dispatch/outcome.go
+++ b/internal/dataplane/dispatch/outcome.go
@@ -101,6 +101,9 @@
 	r.lastError = caller.NewError(caller.KindOutcomeUnknown,
 		"the back end's answer was lost (%v): find out whether the request has run before you send it again", err)
 	r.apply(attempts.Event{Kind: attempts.OutcomeLost, Attempt: attempt})
+	if r.unresumable {
+		r.apply(attempts.Event{Kind: attempts.AttemptsExhausted})
+	}
 }
 
 // countUnlessCancelled counts an outcome against the back end of an attempt, unless this
--- a/internal/dataplane/dispatch/pending_request.go
+++ b/internal/dataplane/dispatch/pending_request.go
@@ -39,6 +39,9 @@
 	// no IDs.
 	relaying    bool
 	lastEventID string
+	// unresumable means that data without an event ID has been sent to the caller, so that
+	// no other back end can continue the response after it.
+	unresumable bool
 }
 
 // revalidate checks the request against the newest view: while the request waited, its key may
--- a/internal/dataplane/dispatch/relay.go
+++ b/internal/dataplane/dispatch/relay.go
@@ -48,6 +48,7 @@
 			return &callerDisconnectedError{cause: flushError}
 		}
 		r.lastEventID = received.LastEventID()
+		r.unresumable = r.lastEventID == ""
 		data, err = received.Next()
 	}
 	if isCompleteEnd(err) {
--- a/internal/dataplane/stream_test.go
+++ b/internal/dataplane/stream_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 )
@@ -59,6 +61,28 @@
 		Expect(got.body).To(ContainSubstring(string(caller.KindResponseTruncated)))
 	})
 
+	// Guards against a stream in which events come twice: a second run began at its first event behind
+	// the events of the first, since these have no IDs after which it could continue.
+	It("whose events have no IDs is not resumed, even on a route on which streams are", func() {
+		const cutEvery = 8
+		var runs atomic.Int64
+		script := func(writer http.ResponseWriter, request *http.Request) {
+			if runs.Add(1)%cutEvery == 0 {
+				streaming("a", "b")(writer, request)
+				return
+			}
+			streaming("a", "b", replica.StreamEnd)(writer, request)
+		}
+		f := newFixture(newReplica(script).address(), newReplica(script).address())
+		f.route = &ridgeswitchv1.Route{Kind: ridgeswitchv1.RequestKind_STREAMING, Resumable: true, MaxAttempts: 2}
+		f.publish()
+		for range 2 * cutEvery {
+			got := f.generate(accept)
+			Expect(strings.Count(got.body, "data: a\n")).To(Equal(1), got.body)
+		}
+		Expect(runs.Load()).To(BeEquivalentTo(2 * cutEvery))
+	})
+
 	It("that continues after its end marker ends with an error", func() {
 		got := newFixture(newReplica(streaming("a", replica.StreamEnd, "b")).address()).generate(accept)
 		Expect(got.err).To(HaveOccurred())
