replica: streams of the native protocol are read as untrusted events too

A stream of the native protocol relayed garbage with a blank line as an event.

Evidence: four new entries of "reads a stream" fail on the code before.

Change: the client reads events with package eventstream, which replaces its own reader. An event has data and only fields of the standard; blank lines and comments are dropped. These events have no IDs, so that garbage in the form of an event can't be told from one: that remains.

--- a/internal/edge/eventstream/reader.go
+++ b/internal/edge/eventstream/reader.go
@@ -84,6 +84,16 @@
 	return event, true, nil
 }
 
+// AtEnd reads on, and reports whether the source ends, with or without an error, before any further byte.
+func (r *Reader) AtEnd() bool {
+	r.buffer = r.buffer[r.returned:]
+	r.returned = 0
+	for len(r.buffer) == 0 && r.readError == nil {
+		r.readError = r.fill()
+	}
+	return len(r.buffer) == 0
+}
+
 // endOfEvent returns the position after the first blank line, or 0 if the buffer holds none.
 func (r *Reader) endOfEvent() int {
 	if r.searched == 0 {
--- a/internal/edge/eventstream/reader_test.go
+++ b/internal/edge/eventstream/reader_test.go
@@ -95,6 +95,18 @@
 		Expect(err).To(MatchError("was read"))
 	})
 
+	DescribeTable("tells whether anything follows an event", func(source io.Reader, atEnd bool) {
+		reader := eventstream.NewReader(source, maxBytes)
+		_, err := reader.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reader.AtEnd()).To(Equal(atEnd))
+	},
+		Entry("the end", strings.NewReader("data: a\n\n"), true),
+		Entry("an error", io.MultiReader(strings.NewReader("data: a\n\n"), iotest.ErrReader(io.ErrUnexpectedEOF)), true),
+		Entry("a blank line", strings.NewReader("data: a\n\n\n"), false),
+		Entry("a byte that comes later", iotest.OneByteReader(strings.NewReader("data: a\n\nx")), false),
+	)
+
 	It("rejects an event that is too long", func() {
 		_, err := readEvents(strings.NewReader(strings.Repeat("x", 3*maxBytes)))
 		var long *eventstream.TooLongError
--- a/internal/edge/replica/client_test.go
+++ b/internal/edge/replica/client_test.go
@@ -137,6 +137,11 @@
 		Entry("without its end event", "data: a\n\n", "data: a\n\n", false),
 		Entry("that ends within an event", "data: a\n\ndata: b", "data: a\n\n", false),
 		Entry("that ends within its end event", "data: [DONE]\n", "", false),
+		// Guards against garbage that was relayed as an event.
+		Entry("with text in it", "data: a\n\ngarbage\n\ndata: [DONE]\n\n", "data: a\n\n", false),
+		Entry("with another response in it", "data: a\n\nHTTP/1.1 200 OK\nContent-Length: 0\n\ndata: [DONE]\n\n", "data: a\n\n", false),
+		Entry("with an event without data", "data: a\n\nevent: ping\n\ndata: [DONE]\n\n", "data: a\n\n", false),
+		Entry("with comments and blank lines", ": x\n\n\ndata: a\n\ndata: [DONE]\n\n", "data: a\n\ndata: [DONE]\n\n", true),
 		Entry("that continues after its end event", "data: [DONE]\n\ndata: a\n\n", "data: [DONE]\n\n", false),
 		Entry("whose data contains the end marker among other text", "data: not [DONE]\n\n", "data: not [DONE]\n\n", false),
 		Entry("with an event above the size limit", "data: "+string(make([]byte, 2*maxResponseBytes)), "", false),
--- a/internal/edge/replica/response.go
+++ b/internal/edge/replica/response.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"mime"
@@ -10,12 +9,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/eventstream"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
-// streamBufferBytes is the size of the read buffer of a stream.
-const streamBufferBytes = 16 << 10
-
 // maxPreallocatedBytes bounds the buffer that is allocated for a response's declared length before
 // the response is read.
 const maxPreallocatedBytes = 64 << 10
@@ -37,8 +34,8 @@
 	response *http.Response
 	// maxBytes bounds a complete response, or one event of a stream.
 	maxBytes int64
-	// stream reads the body; nil before the first call of Next.
-	stream *bufio.Reader
+	// events reads the body; nil before the first call of Next.
+	events *eventstream.Reader
 	// ended means that Next has returned the event that ends the stream.
 	ended bool
 }
@@ -107,43 +104,64 @@
 }
 
 // Next returns the next complete event of a stream, including the blank line that ends it. After
-// the event that ends the stream it returns io.EOF. If the stream ends in another way, or continues
-// after that event, the error is an *outbound.InvalidResponseError. Next never returns a part of an
-// event.
+// the event that ends the stream it returns io.EOF. If the stream ends in another way, continues
+// after that event, or holds bytes that are no event of this protocol, the error is an
+// *outbound.InvalidResponseError. Next never returns a part of an event. It drops blank lines and
+// comments.
 func (r *Response) Next() ([]byte, error) {
-	if r.stream == nil {
-		r.stream = bufio.NewReaderSize(r.response.Body, streamBufferBytes)
+	if r.events == nil {
+		r.events = eventstream.NewReader(r.response.Body, int(r.maxBytes))
 	}
 	if r.ended {
 		return nil, r.checkNothingFollows()
 	}
-	event, err := r.readEvent()
-	if err != nil {
-		return nil, err
-	}
-	r.ended = isStreamEnd(event)
-	return event, nil
-}
-
-// readEvent reads up to and including the next blank line.
-func (r *Response) readEvent() ([]byte, error) {
-	var event []byte
 	for {
-		line, err := r.stream.ReadSlice('\n')
-		event = append(event, line...)
-		if int64(len(event)) > r.maxBytes {
-			return nil, &outbound.InvalidResponseError{Kind: outbound.TooLarge, Reason: "an event of the answer is larger than this node takes"}
+		event, err := r.events.Next()
+		if err != nil {
+			return nil, invalidStream(err)
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
+		if len(event.Fields) == 0 {
 			continue
 		}
-		if err != nil {
-			return nil, &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the streamed answer was cut", Cause: unexpectedEOF(err)}
+		if err := checkFields(event); err != nil {
+			return nil, invalidStream(err)
 		}
-		if bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\n\r\n")) {
-			return event, nil
+		r.ended = isStreamEnd(event)
+		return event.Text, nil
+	}
+}
+
+// checkFields returns an *eventstream.FormatError for an event that is none of this protocol: it has
+// data, and no fields but those of the standard.
+func checkFields(event eventstream.Event) error {
+	hasData := false
+	for _, field := range event.Fields {
+		switch string(field.Name) {
+		case eventstream.FieldData:
+			hasData = true
+		case eventstream.FieldEvent, eventstream.FieldID, eventstream.FieldRetry:
+		default:
+			return &eventstream.FormatError{Reason: "it has a line that events do not have", Text: event.Text}
 		}
 	}
+	if !hasData {
+		return &eventstream.FormatError{Reason: "it has no data", Text: event.Text}
+	}
+	return nil
+}
+
+// invalidStream returns the error for a stream that ends before the event that ends it.
+func invalidStream(err error) error {
+	var tooLong *eventstream.TooLongError
+	var malformed *eventstream.FormatError
+	switch {
+	case errors.As(err, &tooLong):
+		return &outbound.InvalidResponseError{Kind: outbound.TooLarge, Reason: "an event of the answer is larger than this node takes", Cause: err}
+	case errors.As(err, &malformed):
+		return &outbound.InvalidResponseError{Kind: outbound.Malformed, Reason: "the streamed answer holds what is no event", Cause: err}
+	default:
+		return &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the streamed answer was cut", Cause: unexpectedEOF(err)}
+	}
 }
 
 // unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF, so that a premature end is not taken for
@@ -158,17 +176,16 @@
 // checkNothingFollows returns io.EOF unless the replica sent more bytes after the event that ends the
 // stream. A read error does not matter, since that event has been received.
 func (r *Response) checkNothingFollows() error {
-	if _, err := r.stream.ReadByte(); err == nil {
-		return &outbound.InvalidResponseError{Kind: outbound.Surplus, Reason: "the streamed answer goes on after its end"}
+	if r.events.AtEnd() {
+		return io.EOF
 	}
-	return io.EOF
+	return &outbound.InvalidResponseError{Kind: outbound.Surplus, Reason: "the streamed answer goes on after its end"}
 }
 
 // isStreamEnd reports whether an event is the one that ends a stream.
-func isStreamEnd(event []byte) bool {
-	for _, line := range bytes.Split(event, []byte("\n")) {
-		data, found := bytes.CutPrefix(bytes.TrimRight(line, "\r"), []byte("data:"))
-		if found && string(bytes.TrimSpace(data)) == StreamEnd {
+func isStreamEnd(event eventstream.Event) bool {
+	for _, field := range event.Fields {
+		if string(field.Name) == eventstream.FieldData && string(bytes.TrimSpace(field.Value)) == StreamEnd {
 			return true
 		}
 	}
