dispatch, outbound: the log of invalid responses holds nothing that a back end sent

What operators saw: nothing yet; found in a last reading of the change.

Cause: the line logged the whole chain of an error. Errors of net/http quote what they can't parse, such as a line behind the last chunk.

Evidence (trial on a scratch copy): a stream with a line of text behind its last chunk gave the error 'malformed MIME header: missing colon: "secret words of a tenant"'.

Change: the line has the reason, which is the node's own text, and the type of the innermost cause. IDs that a response names move from the reason to the cause; which event came before garbage moves to the reason.

What is relayed is unchanged.

--- a/internal/dataplane/dispatch/invalid_responses.go
+++ b/internal/dataplane/dispatch/invalid_responses.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
@@ -49,12 +51,22 @@
 		"kind":          response.cause.Kind,
 		"relaying":      response.relaying,
 		"last_event_id": response.lastEventID,
+		"reason":        response.cause.Reason,
+		"cause_type":    causeType(response.cause.Cause),
 		"suppressed":    l.suppressed,
-	}).WithError(response.cause).Warn("a back end sent what is no response of its protocol; check the back end")
+	}).Warn("a back end sent what is no response of its protocol; check the back end")
 	l.suppressed = 0
 	l.nextMessage = now + invalidResponseInterval
 }
 
+// causeType returns the type of the innermost cause, or "". The text of a cause may quote the response.
+func causeType(cause error) string {
+	if cause == nil {
+		return ""
+	}
+	return fmt.Sprintf("%T", errors.Cause(cause))
+}
+
 // recordInvalid counts and logs an invalid response.
 func (d *Dispatcher) recordInvalid(r *pendingRequest, attempt int, cause *outbound.InvalidResponseError) {
 	r.Counters.CountInvalid(string(cause.Kind))
--- a/internal/edge/outbound/error.go
+++ b/internal/edge/outbound/error.go
@@ -94,9 +94,10 @@
 
 // InvalidResponseError reports a response that must not be relayed. The request may have run.
 type InvalidResponseError struct {
-	Kind   InvalidKind
+	Kind InvalidKind
+	// Reason holds nothing that the back end sent, so that it can be logged.
 	Reason string
-	// Cause is the error of reading the response; it may be nil.
+	// Cause is the error of reading the response; it may be nil, and it may quote the response.
 	Cause error
 }
 
--- a/internal/edge/replica/generate.go
+++ b/internal/edge/replica/generate.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/pkg/errors"
+
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
@@ -128,7 +130,7 @@
 	if echoed == call.AttemptID {
 		return nil
 	}
-	return &outbound.InvalidResponseError{Kind: outbound.Foreign, Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
+	return &outbound.InvalidResponseError{Kind: outbound.Foreign, Reason: "the answer belongs to another attempt", Cause: errors.Errorf("it names %q instead of %q", echoed, call.AttemptID)}
 }
 
 // readRefusal returns the error of a rejection, with its body as the message, and closes the
--- a/internal/edge/replica/response.go
+++ b/internal/edge/replica/response.go
@@ -158,7 +158,7 @@
 	case errors.As(err, &tooLong):
 		return &outbound.InvalidResponseError{Kind: outbound.TooLarge, Reason: "an event of the answer is larger than this node takes", Cause: err}
 	case errors.As(err, &malformed):
-		return &outbound.InvalidResponseError{Kind: outbound.Malformed, Reason: "the streamed answer holds what is no event", Cause: err}
+		return &outbound.InvalidResponseError{Kind: outbound.Malformed, Reason: "the streamed answer holds what is no event: " + malformed.Error()}
 	default:
 		return &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the streamed answer was cut", Cause: unexpectedEOF(err)}
 	}
--- a/internal/edge/webservice/client.go
+++ b/internal/edge/webservice/client.go
@@ -6,10 +6,11 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
@@ -90,7 +91,7 @@
 		return nil
 	}
 	if echoed != call.AttemptID {
-		return &outbound.InvalidResponseError{Kind: outbound.Foreign, Reason: fmt.Sprintf("the answer belongs to attempt %q instead of %q", echoed, call.AttemptID)}
+		return &outbound.InvalidResponseError{Kind: outbound.Foreign, Reason: "the answer belongs to another attempt", Cause: errors.Errorf("it names %q instead of %q", echoed, call.AttemptID)}
 	}
 	if response.Header.Get(HeaderNotRun) != "true" || response.StatusCode < http.StatusBadRequest {
 		return nil
