--- a/internal/dataplane/edges/edges.go
+++ b/internal/dataplane/edges/edges.go
@@ -139,7 +139,7 @@
 	// to be buffered.
 	ReadAll() ([]byte, bool, error)
 	// Next returns the next bytes to relay, and a bare io.EOF after a complete response.
-	// For an event stream, it returns only complete events. The bytes are valid until the
+	// For a stream whose events have IDs, it returns only complete events. The bytes are valid until the
 	// next call.
 	Next() ([]byte, error)
 	// LastEventID returns the ID of the last event that Next returned, or "" if events have
