dynamic, namedweights, platform: weights are named for a model, not for the pools of the moment

What callers saw: a service that came into the configuration after new weights of its model were acknowledged, or left it for two seconds, went on serving the older ones.

Cause: the version was a field of each pool that was there when it was named. A pool that came later, returned or changed its model knew nothing of it; and the time of a version counts from when a node first sees it at a pool, so that the version alone would have begun a whole deadline anew.

Change: one order names the version for the model and raises all its pools; the state keeps the newest version of each model; a pool that a platform's document brings in inherits it, marked so. A node gives it the times of another pool of the model, or counts it as overdue. Ages carry the model. States and entries of earlier releases are read as they are; a node of an earlier release reads the order's one pool.

--- a/internal/control/namedweights/doc.go
+++ b/internal/control/namedweights/doc.go
@@ -13,5 +13,10 @@
 // one. The replicated age never decreases, and Tracker retains the age that it has adopted for
 // a version as long as it keeps the version.
 //
+// A pool may come into the configuration after the version of its model was named
+// (Pool.weights_inherited). It gets the versions and times of another pool of the model. If
+// there is none, its version counts as overdue, so that replicas that do not run it get no
+// requests from the start.
+//
 // Tracker does no I/O, reads no clock and is not safe for concurrent use.
 package namedweights
--- a/internal/control/namedweights/tracker.go
+++ b/internal/control/namedweights/tracker.go
@@ -54,29 +54,76 @@
 	// deadline is how long after a version was named nodes stop sending requests to
 	// replicas that do not run it; 0 means never.
 	deadline time.Duration
-	pools    map[string][]Version
+	pools    map[string]poolVersions
+}
+
+// poolVersions are the versions that were named for a pool while it had one model.
+type poolVersions struct {
+	model string
+	// versions are in the order in which they were named.
+	versions []Version
 }
 
 // New returns a tracker without versions.
 func New(deadline time.Duration) *Tracker {
-	return &Tracker{deadline: deadline, pools: map[string][]Version{}}
+	return &Tracker{deadline: deadline, pools: map[string]poolVersions{}}
 }
 
 // Versions returns the versions of a pool in the order in which they were named. Callers must
 // not modify them.
-func (t *Tracker) Versions(pool string) []Version { return t.pools[pool] }
+func (t *Tracker) Versions(pool string) []Version { return t.pools[pool].versions }
 
 // Update updates the versions of a pool from the version that the configuration names and the
-// ages that the leader of the pool's shard has replicated.
+// ages that the leader of the pool's shard has replicated. The versions of another model, which
+// the pool had before, do not count.
 func (t *Tracker) Update(now time.Duration, pool *ridgeswitchv1.Pool, ages []*controlpb.WeightsAge) {
-	name := pool.GetName()
-	versions, known := t.pools[name]
-	if named := pool.GetWeightVersion(); named != "" {
-		versions = appendNamed(versions, Version{Name: named, Since: now, Uncertain: !known})
+	entry, known := t.pools[pool.GetName()]
+	if entry.model != pool.GetModel() {
+		entry, known = poolVersions{model: pool.GetModel()}, false
 	}
-	versions = adoptAges(versions, now, lo.Filter(ages, func(age *controlpb.WeightsAge, _ int) bool { return age.GetPool() == name }))
+	versions := t.withNamed(now, pool, entry.versions, known)
+	versions = adoptAges(versions, now, lo.Filter(ages, func(age *controlpb.WeightsAge, _ int) bool { return isAgeOf(age, pool) }))
 	versions = WithoutSuperseded(versions, t.deadline, func(version Version) time.Duration { return version.ReplicatedAge })
-	t.pools[name] = mergeExcess(versions)
+	entry.versions = mergeExcess(versions)
+	t.pools[pool.GetName()] = entry
+}
+
+// withNamed returns the versions of a pool with the version that the configuration names.
+func (t *Tracker) withNamed(now time.Duration, pool *ridgeswitchv1.Pool, versions []Version, known bool) []Version {
+	named := pool.GetWeightVersion()
+	if last, found := lo.Last(versions); named == "" || found && last.Name == named {
+		return versions
+	}
+	if !pool.GetWeightsInherited() {
+		return appendNamed(versions, Version{Name: named, Since: now, Uncertain: !known})
+	}
+	if inherited := t.versionsOfModel(pool); len(inherited) > 0 {
+		return inherited
+	}
+	// Nobody can tell for how long the version has been named.
+	return appendNamed(versions, Version{Name: named, Since: now - t.deadline, ReplicatedAge: t.deadline})
+}
+
+// isAgeOf reports whether a replicated age is that of a pool with its present model.
+func isAgeOf(age *controlpb.WeightsAge, pool *ridgeswitchv1.Pool) bool {
+	return age.GetPool() == pool.GetName() && (age.GetModel() == "" || age.GetModel() == pool.GetModel())
+}
+
+// versionsOfModel returns a copy of the versions of another pool of the same model, for which the
+// same version was named last, or nil if there is none. Of several pools it is the one whose first
+// version was named earliest.
+func (t *Tracker) versionsOfModel(pool *ridgeswitchv1.Pool) []Version {
+	var earliest []Version
+	for name, other := range t.pools {
+		last, found := lo.Last(other.versions)
+		if !found || name == pool.GetName() || other.model != pool.GetModel() || last.Name != pool.GetWeightVersion() {
+			continue
+		}
+		if earliest == nil || other.versions[0].Since < earliest[0].Since {
+			earliest = other.versions
+		}
+	}
+	return slices.Clone(earliest)
 }
 
 // Retain drops the versions of all pools except the given ones.
@@ -95,8 +142,8 @@
 	if t.deadline <= 0 {
 		return false
 	}
-	for _, versions := range t.pools {
-		for _, version := range versions {
+	for _, entry := range t.pools {
+		for _, version := range entry.versions {
 			if deadline := version.Since + t.deadline; before < deadline && now >= deadline {
 				return true
 			}
@@ -105,13 +152,9 @@
 	return false
 }
 
-// appendNamed appends the version that the configuration names, unless it is the last one
-// already. A version that is named again after other versions moves to the end and starts
-// with age 0.
+// appendNamed appends the version that the configuration names. A version that is named again
+// after other versions moves to the end and starts anew.
 func appendNamed(versions []Version, named Version) []Version {
-	if last, found := lo.Last(versions); found && last.Name == named.Name {
-		return versions
-	}
 	others := lo.Reject(versions, func(version Version, _ int) bool { return version.Name == named.Name })
 	return append(others, named)
 }
--- a/internal/control/namedweights/tracker_test.go
+++ b/internal/control/namedweights/tracker_test.go
@@ -40,6 +40,56 @@
 		return lo.Map(tracker.Versions(chat), func(version Version, _ int) string { return version.Name })
 	}
 
+	// Guards against requests on older weights at a pool that comes into the configuration, or
+	// returns to it, after its model's weights were named (review/6).
+	Context("for a pool that inherits the version of its model", func() {
+		modelPool := func(name, version string, inherited bool) *ridgeswitchv1.Pool {
+			return &ridgeswitchv1.Pool{Name: name, Model: "m", WeightVersion: version, WeightsInherited: inherited}
+		}
+		overdue := Version{Name: "2", ReplicatedAge: deadline}
+
+		It("continues the times of another pool of the model, also those of earlier versions", func() {
+			tracker.Update(time.Second, modelPool("a", "2", false), nil)
+			tracker.Update(9*time.Second, modelPool("a", "3", false), nil)
+			tracker.Update(10*time.Second, modelPool(chat, "3", true), nil)
+			Expect(tracker.Versions(chat)).To(Equal(tracker.Versions("a")))
+			Expect(names()).To(Equal([]string{"2", "3"}))
+			By("not sharing them")
+			tracker.Update(11*time.Second, modelPool("a", "4", false), nil)
+			Expect(names()).To(Equal([]string{"2", "3"}))
+		})
+
+		It("counts the version as overdue if no pool of the model has it", func() {
+			tracker.Update(time.Second, &ridgeswitchv1.Pool{Name: "other", Model: "n", WeightVersion: "2"}, nil)
+			tracker.Update(time.Second, modelPool("older", "1", false), nil)
+			tracker.Update(30*time.Second, modelPool(chat, "2", true), []*controlpb.WeightsAge{age("2", time.Second)})
+			overdue.Since = 20 * time.Second
+			Expect(tracker.Versions(chat)).To(Equal([]Version{overdue}))
+			By("also after further updates and a newer version")
+			tracker.Update(31*time.Second, modelPool(chat, "3", false), []*controlpb.WeightsAge{age("2", 2*time.Second)})
+			Expect(tracker.Versions(chat)).To(Equal([]Version{overdue, {Name: "3", Since: 31 * time.Second}}))
+		})
+
+		It("keeps what it knows of a pool that did not leave as far as this node saw", func() {
+			tracker.Update(time.Second, modelPool(chat, "2", false), nil)
+			tracker.Update(9*time.Second, modelPool(chat, "2", true), nil)
+			Expect(tracker.Versions(chat)[0].Since).To(Equal(time.Second))
+		})
+	})
+
+	It("forgets the versions of the model that a pool had before, and ignores their ages", func() {
+		before := &ridgeswitchv1.Pool{Name: chat, Model: "m", WeightVersion: "5"}
+		tracker.Update(time.Second, before, nil)
+		ofModel := func(model, version string) *controlpb.WeightsAge {
+			return &controlpb.WeightsAge{Pool: chat, Model: model, WeightVersion: version, AgeMs: uint64(deadline.Milliseconds())}
+		}
+		tracker.Update(2*time.Second, &ridgeswitchv1.Pool{Name: chat, Model: "n"}, []*controlpb.WeightsAge{ofModel("m", "5")})
+		Expect(tracker.Versions(chat)).To(BeEmpty())
+		tracker.Update(3*time.Second, &ridgeswitchv1.Pool{Name: chat, Model: "n", WeightVersion: "2"}, []*controlpb.WeightsAge{ofModel("m", "5")})
+		Expect(names()).To(Equal([]string{"2"}))
+		Expect(tracker.Versions(chat)[0].Since).To(Equal(3 * time.Second))
+	})
+
 	It("keeps the time and deadline of a version when another one is named", func() {
 		tracker.Update(time.Second, pool("2"), nil)
 		tracker.Update(4*time.Second, pool("3"), nil)
--- a/internal/control/rollout/deadlines.go
+++ b/internal/control/rollout/deadlines.go
@@ -68,6 +68,7 @@
 			due = due || age > version.ReplicatedAge && (age == deadline || age >= version.ReplicatedAge+ageInterval)
 			ages = append(ages, &controlpb.WeightsAge{
 				Pool:          name,
+				Model:         pool.Config.GetModel(),
 				WeightVersion: version.Name,
 				AgeMs:         uint64(age.Milliseconds()),
 			})
--- a/internal/lab/sim/documents.go
+++ b/internal/lab/sim/documents.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
@@ -29,7 +30,7 @@
 		BaseVersion: base,
 		Document:    fmt.Appendf(nil, "document %-*d", bytes, o.nameCount),
 	}
-	content, err := dynamic.DocumentOrder(configuration, source)
+	content, err := dynamic.ModelDocumentOrder(configuration, source)
 	return newOrder(content, err, checker.Change{Kind: checker.ChangeApply})
 }
 
@@ -39,6 +40,24 @@
 	return o.documentOrder(o.withAnotherRoute(read), read.GetSource().GetVersion())
 }
 
+// withoutPoolOrder applies the document that an operator has read without a pool and its routes.
+func (o *orderFactory) withoutPoolOrder(read *ridgeswitchv1.Configuration, pool string) *operatorOrder {
+	read = proto.CloneOf(read)
+	read.Pools = lo.Reject(read.Pools, func(one *ridgeswitchv1.Pool, _ int) bool { return one.GetName() == pool })
+	read.Routes = lo.Reject(read.Routes, func(one *ridgeswitchv1.Route, _ int) bool { return one.GetPool() == pool })
+	return o.documentOrder(read, read.GetSource().GetVersion())
+}
+
+// replacedDocumentOrder applies an earlier document again in place of the one that an operator
+// has read. Like a platform's documents it names no weights.
+func (o *orderFactory) replacedDocumentOrder(read, earlier *ridgeswitchv1.Configuration) *operatorOrder {
+	earlier = proto.CloneOf(earlier)
+	for _, pool := range earlier.GetPools() {
+		pool.WeightVersion = ""
+	}
+	return o.documentOrder(earlier, read.GetSource().GetVersion())
+}
+
 // largeDocumentOrder is changedDocumentOrder with a large document.
 func (o *orderFactory) largeDocumentOrder(read *ridgeswitchv1.Configuration) *operatorOrder {
 	return o.paddedDocumentOrder(o.withAnotherRoute(read), read.GetSource().GetVersion(), largeDocumentBytes)
--- a/internal/lab/sim/orders.go
+++ b/internal/lab/sim/orders.go
@@ -160,10 +160,11 @@
 	return newOrder(content, err, checker.Change{Kind: checker.ChangeWeights, Pool: pool, WeightVersion: version})
 }
 
+// raiseWeights names a version for the model of a pool, which has the pool's name.
 func (o *orderFactory) raiseWeights(pool string) *operatorOrder {
 	id := o.newOrderHeader(0).GetOrderId()
 	version := uint64(1 + o.nameCount)
-	content, err := dynamic.RaiseWeightsOrder(id, pool, version)
+	content, err := dynamic.RaiseModelWeightsOrder(id, pool, pool, version)
 	order := newOrder(content, err, checker.Change{Kind: checker.ChangeWeights, Pool: pool, WeightVersion: fmt.Sprint(version)})
 	order.mayBeNoOp = true
 	return order
--- a/internal/lab/sim/weights_bound_test.go
+++ b/internal/lab/sim/weights_bound_test.go
@@ -89,6 +89,37 @@
 		})
 	})
 
+	// Guards against a pool that returns to the configuration without the version that was
+	// named for its model, or with one whose time begins anew (review/6).
+	DescribeTable("when the pool leaves the configuration once the version is acknowledged, and returns",
+		func(absent time.Duration) {
+			playWeights(DefaultVirtual, func(world *simulation) {
+				world.at(8*second, func() {
+					named := world.operators.nameWeights(0, poolNames[0])
+					world.operators.issue(named)
+					failed := func() { world.violate("acknowledged", "an order was not acknowledged in the calm") }
+					world.operators.whenAcknowledged(named, func() {
+						full := world.router().view.Configuration
+						left := world.operators.withoutPoolOrder(full, poolNames[0])
+						world.operators.issue(left)
+						world.operators.whenAcknowledged(left, func() {
+							world.after(absent, func() {
+								world.operators.issue(world.operators.replacedDocumentOrder(world.router().view.Configuration, full))
+							})
+						}, failed)
+					}, failed)
+				})
+				world.at(28*second, func() {
+					if !admits(world.router().view, poolNames[0]) {
+						world.violate("admits", "the pool admits no request after it has returned")
+					}
+				})
+			})
+		},
+		Entry("before the deadline", 2*second),
+		Entry("after the deadline", 14*second),
+	)
+
 	DescribeTable("under random faults",
 		func(seed uint64) {
 			summary := Campaign{
--- a/pkg/config/dynamic/bounds.go
+++ b/pkg/config/dynamic/bounds.go
@@ -30,6 +30,9 @@
 	// MaxEvacuationChanges bounds the zones for which a Machine stores the revision in
 	// which their evacuation last began or ended.
 	MaxEvacuationChanges = 4 * MaxEvacuations
+	// MaxModelWeights bounds the models whose newest weight version a Machine stores beside
+	// the versions of the pools in force.
+	MaxModelWeights = 4 * MaxPools
 
 	// MaxNameBytes bounds names, order identities and weight versions.
 	MaxNameBytes = 128
--- a/pkg/config/dynamic/change.go
+++ b/pkg/config/dynamic/change.go
@@ -13,11 +13,11 @@
 
 // configurationAfter returns the validated configuration that an order leads to. It is a
 // copy; the caller sets its revision and epochs. The error is an *Error or Errors.
-func configurationAfter(current *ridgeswitchv1.Configuration, order *controlpb.Order) (*ridgeswitchv1.Configuration, error) {
+func configurationAfter(current *ridgeswitchv1.Configuration, order *controlpb.Order, named *modelWeights) (*ridgeswitchv1.Configuration, error) {
 	if err := checkChange(order); err != nil {
 		return nil, err
 	}
-	next, err := applyChange(current, order)
+	next, err := applyChange(current, order, named)
 	if err != nil {
 		return nil, err
 	}
@@ -28,12 +28,12 @@
 }
 
 // applyChange returns a changed copy of a configuration, which is not validated.
-func applyChange(current *ridgeswitchv1.Configuration, order *controlpb.Order) (*ridgeswitchv1.Configuration, error) {
+func applyChange(current *ridgeswitchv1.Configuration, order *controlpb.Order, named *modelWeights) (*ridgeswitchv1.Configuration, error) {
 	switch change := order.GetChange().(type) {
 	case *controlpb.Order_Apply:
 		return withoutAssignedFields(change.Apply), nil
 	case *controlpb.Order_ApplyDocument:
-		return documentConfiguration(current, change.ApplyDocument), nil
+		return documentConfiguration(current, change.ApplyDocument, named), nil
 	}
 	next := proto.Clone(current).(*ridgeswitchv1.Configuration)
 	switch change := order.GetChange().(type) {
@@ -118,19 +118,36 @@
 	}
 }
 
-// nameWeights sets the weight version that the replicas of a pool are to run. If the versions
-// of the pool may only rise, a version that is not above the one in force changes nothing.
+// nameWeights sets the weight version that the replicas of a pool, or of all pools of a model,
+// are to run. A model need not have a pool.
 func nameWeights(next *ridgeswitchv1.Configuration, change *controlpb.NameWeights) error {
+	if change.GetModel() != "" {
+		for _, pool := range next.GetPools() {
+			if pool.GetModel() == change.GetModel() {
+				namePoolWeights(pool, change)
+			}
+		}
+		return nil
+	}
 	pool, found := lo.Find(next.GetPools(), func(pool *ridgeswitchv1.Pool) bool {
 		return pool.GetName() == change.GetPool()
 	})
 	if !found {
 		return notFound("pool", fmt.Sprintf("pool %q", change.GetPool()))
 	}
+	namePoolWeights(pool, change)
+	return nil
+}
+
+// namePoolWeights sets the weight version of a pool. If the versions may only rise, a version
+// that is not above the one in force changes nothing.
+func namePoolWeights(pool *ridgeswitchv1.Pool, change *controlpb.NameWeights) {
+	if change.GetWeightVersion() == pool.GetWeightVersion() {
+		return
+	}
 	if !change.GetRising() || mayRaise(change.GetWeightVersion(), pool.GetWeightVersion()) {
-		pool.WeightVersion = change.GetWeightVersion()
+		pool.WeightVersion, pool.WeightsInherited = change.GetWeightVersion(), false
 	}
-	return nil
 }
 
 // tenantByName returns the tenant of that name in a configuration. The error is an *Error.
--- a/pkg/config/dynamic/document.go
+++ b/pkg/config/dynamic/document.go
@@ -26,6 +26,19 @@
 // of the order is derived from the versions and the content of the document, so that the
 // operator need not choose one. The error is an *Error or Errors.
 func DocumentOrder(configuration *ridgeswitchv1.Configuration, source *ridgeswitchv1.Source) (*controlpb.Order, error) {
+	return documentOrder(&controlpb.ApplyDocument{Configuration: configuration, Source: source})
+}
+
+// ModelDocumentOrder is DocumentOrder for a deployment whose weights are named by
+// RaiseModelWeightsOrder. A pool that the document brings in, or gives another model, gets the
+// newest version that was named for its model.
+func ModelDocumentOrder(configuration *ridgeswitchv1.Configuration, source *ridgeswitchv1.Source) (*controlpb.Order, error) {
+	return documentOrder(&controlpb.ApplyDocument{Configuration: configuration, Source: source, WeightsByModel: true})
+}
+
+// documentOrder returns the order for a document. It does not modify or share the change.
+func documentOrder(document *controlpb.ApplyDocument) (*controlpb.Order, error) {
+	configuration, source := document.GetConfiguration(), document.GetSource()
 	if err := Validate(configuration); err != nil {
 		return nil, err
 	}
@@ -36,8 +49,9 @@
 		OrderId: documentOrderID(source),
 		Digest:  documentDigest(source),
 		Change: &controlpb.Order_ApplyDocument{ApplyDocument: &controlpb.ApplyDocument{
-			Configuration: withoutAssignedFields(configuration),
-			Source:        proto.CloneOf(source),
+			Configuration:  withoutAssignedFields(configuration),
+			Source:         proto.CloneOf(source),
+			WeightsByModel: document.GetWeightsByModel(),
 		}},
 	}, nil
 }
@@ -97,14 +111,19 @@
 }
 
 // documentConfiguration returns the configuration that a document leads to. It preserves the
-// evacuations in force, and the weight versions of pools that keep their name and model.
-func documentConfiguration(current *ridgeswitchv1.Configuration, document *controlpb.ApplyDocument) *ridgeswitchv1.Configuration {
+// evacuations in force, and the weight versions of pools that keep their name and model. If
+// weights are named by model, other pools inherit the newest version named for their model.
+func documentConfiguration(current *ridgeswitchv1.Configuration, document *controlpb.ApplyDocument, named *modelWeights) *ridgeswitchv1.Configuration {
 	next := withoutAssignedFields(document.GetConfiguration())
 	next.Evacuations = proto.CloneOf(&ridgeswitchv1.Configuration{Evacuations: current.GetEvacuations()}).Evacuations
 	pools := lo.KeyBy(current.GetPools(), (*ridgeswitchv1.Pool).GetName)
 	for _, pool := range next.GetPools() {
-		if before := pools[pool.GetName()]; before.GetModel() == pool.GetModel() && before.GetWeightVersion() != "" {
-			pool.WeightVersion = before.GetWeightVersion()
+		before := pools[pool.GetName()]
+		switch {
+		case before.GetModel() == pool.GetModel() && before.GetWeightVersion() != "":
+			pool.WeightVersion, pool.WeightsInherited = before.GetWeightVersion(), before.GetWeightsInherited()
+		case document.GetWeightsByModel():
+			inheritWeights(pool, named.newest(pool.GetModel(), current))
 		}
 	}
 	digest := sha256.Sum256(document.GetSource().GetDocument())
--- a/pkg/config/dynamic/machine.go
+++ b/pkg/config/dynamic/machine.go
@@ -19,6 +19,8 @@
 	nodes         *registry
 	// evacuationChanges contains the revisions in which evacuations last began or ended.
 	evacuationChanges *evacuationChanges
+	// modelWeights contains the newest versions that were named for models.
+	modelWeights *modelWeights
 	// source is the document that the configuration was made from, or nil. It is
 	// replaced and never modified.
 	source *ridgeswitchv1.Source
@@ -37,6 +39,7 @@
 		nodes:         newRegistry(state.GetNodes()),
 
 		evacuationChanges: newEvacuationChanges(state.GetEvacuationChanges()),
+		modelWeights:      newModelWeights(state.GetModelWeights()),
 
 		source: proto.CloneOf(state.GetSource()),
 	}
@@ -71,6 +74,7 @@
 		Source:        m.source,
 
 		EvacuationChanges: m.evacuationChanges.all(),
+		ModelWeights:      m.modelWeights.all(),
 	}
 }
 
@@ -136,6 +140,7 @@
 		return answer
 	}
 	if next != nil {
+		m.modelWeights.record(m.configuration, order)
 		m.adopt(next)
 		m.adoptSource(order)
 	}
@@ -163,7 +168,7 @@
 	if err := m.evacuationChanges.check(order.GetSetEvacuation(), m.Revision()); err != nil {
 		return nil, m.refuse(order, err)
 	}
-	next, err := configurationAfter(m.configuration, order)
+	next, err := configurationAfter(m.configuration, order, m.modelWeights)
 	if err != nil {
 		return nil, m.refuse(order, err)
 	}
--- a/pkg/config/dynamic/order.go
+++ b/pkg/config/dynamic/order.go
@@ -132,6 +132,9 @@
 	case *controlpb.Order_NameWeights:
 		check.name("pool", change.NameWeights.GetPool())
 		check.label("weight_version", change.NameWeights.GetWeightVersion())
+		if change.NameWeights.GetModel() != "" {
+			check.label("model", change.NameWeights.GetModel())
+		}
 	}
 	return check.faults.orNil()
 }
@@ -157,6 +160,9 @@
 	for _, tenant := range copied.GetTenants() {
 		tenant.WallEpoch = 0
 	}
+	for _, pool := range copied.GetPools() {
+		pool.WeightsInherited = false
+	}
 	return copied
 }
 
--- a/pkg/config/dynamic/single_change.go
+++ b/pkg/config/dynamic/single_change.go
@@ -39,6 +39,17 @@
 	return newOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, &controlpb.Order{Change: &controlpb.Order_NameWeights{NameWeights: change}})
 }
 
+// RaiseModelWeightsOrder returns the order that names a weight version for every pool of a
+// model, also for pools that a ModelDocumentOrder brings in later. Versions are whole numbers
+// and only rise, as for RaiseWeightsOrder. The argument pool is one of the model's pools, which
+// is all that a node of an earlier release names the version for.
+func RaiseModelWeightsOrder(orderID, model, pool string, weightVersion uint64) (*controlpb.Order, error) {
+	change := &controlpb.NameWeights{
+		Pool: pool, WeightVersion: strconv.FormatUint(weightVersion, 10), Rising: true, Model: model,
+	}
+	return newOrder(&ridgeswitchv1.OrderHeader{OrderId: orderID}, &controlpb.Order{Change: &controlpb.Order_NameWeights{NameWeights: change}})
+}
+
 // mayRaise reports whether a version that may only rise may replace the one in force: it is a
 // higher whole number, or the version in force is not a whole number.
 func mayRaise(weightVersion, inForce string) bool {
