inbound: what clients can make a process hold is one budget, on each port

Connections that sent nothing left ordinary callers without one.

Cause: each request was bounded, and nothing bounded their sum. Heads were left to the HTTP server (1 MiB each), bodies went into a buffer that doubles, any number of connections was accepted, and the configured times for heads and idle connections were used nowhere.

Change: internal/edge/inbound, a budget of each process from its machine's memory and descriptors, with a listener for each port. Heads are bounded and charged as they arrive, bodies by their buffer. When it is spent, an incomplete request makes room and gets 503; a complete one is never taken back. The callers' listener no longer runs inside go-zero's server, which takes no listener of ours. One large body is processed at a time, and a connection lets others run between requests: without that, a crowd of pipelined requests kept the control goroutine from the processor until the node was fenced. The product's own program limits Go's heap by memory_mb as the platform's did. New setting open_files, from limits.maxFds; kind overloaded; metrics ridgeswitch_inbound_*.

--- a/cmd/ridgeswitch/node.go
+++ b/cmd/ridgeswitch/node.go
@@ -74,6 +74,7 @@
 		return err
 	}
 	debug.SetGCPercent(settings.HeapGrowthPercent)
+	node.LimitHeap(settings)
 	ring := logring.New(settings.LogRing, os.Stderr)
 	defer logring.DumpOnPanic(ring)
 	logger := ring.Logger(level)
--- a/internal/dataplane/handlers/bodyreader/handler.go
+++ b/internal/dataplane/handlers/bodyreader/handler.go
@@ -4,8 +4,6 @@
 package bodyreader
 
 import (
-	"bytes"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,11 +12,11 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/exchange"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/handlers/deadline"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 )
 
-// maxPreallocatedBytes bounds the memory that is allocated in advance for a declared body
-// length.
-const maxPreallocatedBytes = 64 << 10
+// overloadedRetry is the time after which a request may find room whose body did not.
+const overloadedRetry = time.Second
 
 // Handler reads the body of a request.
 type Handler struct {
@@ -71,7 +69,7 @@
 	if bounded {
 		_ = controller.SetReadDeadline(until)
 	}
-	body, err := readAll(http.MaxBytesReader(e.Writer, e.Request.Body, h.limit(e)), e.Request.ContentLength)
+	body, err := inbound.ReadBody(e.Writer, e.Request, h.limit(e))
 	if bounded && err == nil {
 		_ = controller.SetReadDeadline(time.Time{})
 	}
@@ -86,22 +84,15 @@
 	return h.maxBytes
 }
 
-// readAll reads to the end. The declared length, -1 if there is none, determines the initial
-// size of the buffer up to maxPreallocatedBytes: the caller need not send as much as it
-// declares, so a declared length alone must not make the node allocate much memory.
-func readAll(reader io.Reader, declared int64) ([]byte, error) {
-	var buffer bytes.Buffer
-	buffer.Grow(int(min(max(declared, 0), maxPreallocatedBytes)) + bytes.MinRead)
-	_, err := buffer.ReadFrom(reader)
-	return buffer.Bytes(), err
-}
-
 // newBodyError returns the error for a request whose body cannot be read.
 func newBodyError(e *exchange.Exchange, err error) *caller.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return caller.NewError(caller.KindBodyTooLarge, "the body is larger than %d bytes: send less", tooLarge.Limit)
 	}
+	if errors.Is(err, inbound.ErrOverloaded) {
+		return caller.NewError(caller.KindOverloaded, "%v", err).WithRetryAfter(overloadedRetry)
+	}
 	// A read that fails because of the deadline does not always return a time-out error, and
 	// the context may end slightly later than the read. The time is therefore compared with
 	// the deadline.
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/dispatch"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/handlers/claimer"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/admission"
 	"github.com/ridgeswitch/ridgeswitch/pkg/kvrouter"
@@ -30,8 +31,6 @@
 	// DefaultBackendRetry is the time after which a caller may retry if no back end was
 	// available or a back end refused the request.
 	DefaultBackendRetry = dispatch.DefaultBackendRetry
-	// DefaultDrainTimeout bounds the duration of a graceful shutdown.
-	DefaultDrainTimeout = 20 * time.Second
 	// DefaultEventTimeout is the longest time without an event on a back end's stream.
 	DefaultEventTimeout = 15 * time.Second
 	// DefaultViewInterval is the interval at which the newest view is read.
@@ -99,6 +98,9 @@
 	// Claims decide which of all nodes runs a request that must not run twice. If Claims is
 	// nil, only duplicates that reach this same node are detected.
 	Claims claimer.Claims
+	// Inbound bounds what callers may make the node hold. Nil means a budget for this server
+	// alone, sized by the computer's memory.
+	Inbound *inbound.Budget
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int64
 	// MaxResponseBytes bounds a response that is buffered before any of it is relayed,
@@ -114,8 +116,6 @@
 	// BackendRetry is the time after which a caller may retry if no back end was available
 	// or a back end refused the request. A longer time given by the back end replaces it.
 	BackendRetry time.Duration
-	// DrainTimeout bounds the duration of a graceful shutdown.
-	DrainTimeout time.Duration
 	// EventTimeout is the longest time without an event on a back end's stream.
 	EventTimeout time.Duration
 	// ViewInterval is the interval at which the newest view is read.
@@ -146,6 +146,9 @@
 		self := []member.Info{{ID: o.Member, Zone: o.Zone}}
 		o.Peers = func() []member.Info { return self }
 	}
+	if o.Inbound == nil {
+		o.Inbound = inbound.NewBudget(inbound.LimitsOf(inbound.Machine{}))
+	}
 	setDefault(&o.Router.Name, o.Node)
 	setDefault(&o.Admission, defaultAdmission)
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
@@ -153,7 +156,6 @@
 	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
 	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
 	setDefault(&o.BackendRetry, DefaultBackendRetry)
-	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&o.EventTimeout, DefaultEventTimeout)
 	setDefault(&o.ViewInterval, DefaultViewInterval)
 	setDefault(&o.RememberedRequests, DefaultRememberedRequests)
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/thejerf/suture/v4"
 
@@ -19,6 +20,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/requestid"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/startupgate"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/warmup"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/replica"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/store"
@@ -95,7 +97,7 @@
 	server.feeds = server.newFeeds()
 	server.readers = server.newReaders()
 	if server.listener, err = listener.New(listener.Options{
-		Address: options.Address, DrainTimeout: options.DrainTimeout, Log: options.Log,
+		Address: options.Address, Budget: options.Inbound, Limits: server.callerLimits, Log: options.Log,
 	}, server); err != nil {
 		return nil, err
 	}
@@ -111,6 +113,20 @@
 	return server, nil
 }
 
+// callerLimits returns the configured limits on callers' requests and connections.
+func (s *Server) callerLimits() inbound.PortLimits {
+	view := s.options.Source.View()
+	if view == nil {
+		return inbound.PortLimits{}
+	}
+	limits := view.Configuration.GetCallerLimits()
+	return inbound.PortLimits{
+		MaxHeadBytes:  int64(limits.GetMaxHeaderBytes()),
+		HeaderTimeout: time.Duration(limits.GetHeaderTimeoutMs()) * time.Millisecond,
+		IdleTimeout:   time.Duration(limits.GetIdleTimeoutMs()) * time.Millisecond,
+	}
+}
+
 // newFeeds returns the feeds that read the event streams of the native protocol. Back ends
 // whose reports are read page by page have no event streams.
 func (s *Server) newFeeds() *feeds.Manager {
--- a/internal/edge/caller/error.go
+++ b/internal/edge/caller/error.go
@@ -17,6 +17,7 @@
 	KindHeaderTooLarge      Kind = "header_too_large"
 	KindBodyTooLarge        Kind = "body_too_large"
 	KindNotServing          Kind = "not_serving"
+	KindOverloaded          Kind = "overloaded"
 	KindUnauthorized        Kind = "unauthorized"
 	KindUnknownHost         Kind = "unknown_host"
 	KindModelMismatch       Kind = "model_mismatch"
@@ -42,6 +43,7 @@
 	KindHeaderTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
 	KindBodyTooLarge:        http.StatusRequestEntityTooLarge,
 	KindNotServing:          http.StatusServiceUnavailable,
+	KindOverloaded:          http.StatusServiceUnavailable,
 	KindUnauthorized:        http.StatusUnauthorized,
 	KindUnknownHost:         http.StatusNotFound,
 	KindModelMismatch:       http.StatusBadRequest,
--- /dev/null
+++ b/internal/edge/inbound/doc.go
@@ -0,0 +1,25 @@
+// Package inbound bounds what clients can make a process hold: the connections that they open, and
+// the heads and bodies that they have sent.
+//
+// A process has one Budget, sized by the memory and the descriptors of its machine (LimitsOf), and
+// a Listener for each of its ports, all of which share the budget. A Connection charges the budget
+// for the head of its request as it arrives, and ReadBody for the body; everything is given back
+// when the request has ended.
+//
+// When the budget is spent, or a port has as many connections as it may, something is taken back
+// from a connection whose request is incomplete: it is evicted. Of several, memory is taken from
+// the one whose bytes times the time since its request began is greatest, and the connection is
+// taken from the one that has waited longest. A crowd that stops just short of the end of its
+// requests is therefore evicted before a request that arrives now. A complete request is never
+// evicted; a new one is refused instead. Holders of few bytes may use a part of the budget that
+// others may not (smallHolderBytes).
+//
+// A refusal says whether the request has run. A request is evicted or refused with status 503
+// before it is complete, and then has not run and will not run; 431 refuses a head above the limit.
+// A connection is closed without a response only if nothing of a request was read, or if its client
+// does not read responses.
+//
+// Budget owns the charges and the lists of connections, under one mutex. A Connection is used by
+// the HTTP server as any net.Conn; its own state is guarded by the same mutex, except what only the
+// goroutine that reads uses. No goroutine is started.
+package inbound
--- a/internal/edge/operator/binding.go
+++ b/internal/edge/operator/binding.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -15,6 +14,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 	"google.golang.org/protobuf/types/dynamicpb"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator/schema"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
 )
@@ -36,7 +36,7 @@
 
 // readBody parses the JSON of a request message. An empty body leaves the message empty.
 func readBody(w http.ResponseWriter, r *http.Request, request proto.Message) error {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	data, err := inbound.ReadBody(w, r, maxBodyBytes)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &dynamic.Error{
@@ -44,6 +44,9 @@
 			Message: fmt.Sprintf("body above %d bytes; reduce it", tooLarge.Limit),
 		}
 	}
+	if errors.Is(err, inbound.ErrOverloaded) {
+		return &UnavailableError{Kind: KindOverloaded, Message: err.Error()}
+	}
 	if err != nil {
 		return &dynamic.Error{Kind: dynamic.KindMalformed, Message: "body can't be read: " + err.Error() + "; send the call again"}
 	}
--- a/internal/edge/operator/rejection.go
+++ b/internal/edge/operator/rejection.go
@@ -17,6 +17,8 @@
 const (
 	// KindUnavailable marks a call that the node can't serve now.
 	KindUnavailable dynamic.Kind = "unavailable"
+	// KindOverloaded marks a call whose body the node has no memory for now.
+	KindOverloaded dynamic.Kind = "overloaded"
 	// KindNoLeader marks a call for a shard that has no leader now.
 	KindNoLeader dynamic.Kind = "no_leader"
 	// KindNoSuchCall marks a request for an unknown path.
@@ -77,6 +79,7 @@
 	KindNoSuchCall:                    http.StatusNotFound,
 	KindMethodNotAllowed:              http.StatusMethodNotAllowed,
 	KindUnavailable:                   http.StatusServiceUnavailable,
+	KindOverloaded:                    http.StatusServiceUnavailable,
 	KindNoLeader:                      http.StatusServiceUnavailable,
 	KindNotReady:                      http.StatusServiceUnavailable,
 	KindNotLive:                       http.StatusServiceUnavailable,
--- a/internal/edge/operator/server.go
+++ b/internal/edge/operator/server.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/core/trace"
 	"github.com/zeromicro/go-zero/rest"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
 )
 
@@ -25,6 +26,10 @@
 	// callTimeout bounds the wait for a response of control. An order without a response by
 	// then is reported as pending.
 	callTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// connectionShare is the part of the node's connections that operators may open at a port.
+	connectionShare = 0.25
 	// headerTimeout bounds the wait for the header of a request.
 	headerTimeout = 5 * time.Second
 	// readTimeout bounds the wait for a complete request.
@@ -46,17 +51,17 @@
 
 // NewServer returns a server that listens on an address, such as "127.1.1.1:7300". Calls wait until
 // Start is called. Stop closes the listener.
-func NewServer(address string, control Control, health Health, options ...Option) (*Server, error) {
+func NewServer(address string, budget *inbound.Budget, control Control, health Health, options ...Option) (*Server, error) {
 	handler, err := NewHandler(control, health, options...)
 	if err != nil {
 		return nil, err
 	}
-	return Listen(address, handler)
+	return Listen(address, budget, handler)
 }
 
-// Listen returns a server that listens on an address and serves calls with handler. Start and Stop
-// apply as for NewServer.
-func Listen(address string, handler http.Handler) (*Server, error) {
+// Listen returns a server that listens on an address and serves calls with handler. The budget
+// bounds what callers may make the node hold. Start and Stop apply as for NewServer.
+func Listen(address string, budget *inbound.Budget, handler http.Handler) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for operators; free %s or change control in the settings", address)
@@ -67,8 +72,15 @@
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	return &Server{listener: listener, http: server}, nil
+	inbound.Configure(server)
+	return &Server{listener: inbound.NewListener(listener, budget, connectionShare, portLimits), http: server}, nil
+}
+
+// portLimits returns the limits of requests. The time-outs are those of the HTTP server.
+func portLimits() inbound.PortLimits {
+	return inbound.PortLimits{MaxHeadBytes: maxHeaderBytes}
 }
 
 // Address returns the address that the server listens on.
--- a/internal/edge/operator/server_test.go
+++ b/internal/edge/operator/server_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator"
 	"github.com/ridgeswitch/ridgeswitch/pkg/config/dynamic"
 )
@@ -167,9 +168,10 @@
 	})
 
 	It("serves until Stop, and reports an address in use", func() {
-		server, err := operator.NewServer("127.0.0.1:0", n, n)
+		budget := inbound.NewBudget(inbound.LimitsOf(inbound.Machine{}))
+		server, err := operator.NewServer("127.0.0.1:0", budget, n, n)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = operator.NewServer(server.Address(), n, n)
+		_, err = operator.NewServer(server.Address(), budget, n, n)
 		Expect(err).To(MatchError(ContainSubstring("change control in the settings")))
 		served := make(chan error, 1)
 		go func() { served <- server.Start() }()
@@ -178,7 +180,7 @@
 		Expect(response.Body.Close()).To(Succeed())
 		server.Stop()
 		Expect(<-served).To(Succeed())
-		again, err := operator.NewServer(server.Address(), n, n)
+		again, err := operator.NewServer(server.Address(), budget, n, n)
 		Expect(err).NotTo(HaveOccurred())
 		again.Stop()
 		Expect(again.Start()).To(Succeed())
--- a/internal/metrics/handler.go
+++ b/internal/metrics/handler.go
@@ -12,6 +12,7 @@
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/driver"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
 )
@@ -47,9 +48,14 @@
 	Stats() transport.Stats
 }
 
+// Inbound provides what clients make the process hold.
+type Inbound interface {
+	Stats() inbound.Stats
+}
+
 // NewHandler returns a handler that serves the metrics of a node. The sources must be safe for
 // concurrent use.
-func NewHandler(node Control, traffic Traffic, frames Transport) (http.Handler, error) {
+func NewHandler(node Control, traffic Traffic, frames Transport, clients Inbound) (http.Handler, error) {
 	registry := prometheus.NewRegistry()
 	all := []prometheus.Collector{
 		newControlCollector(node),
@@ -58,6 +64,7 @@
 		newTrafficCollector(traffic),
 		newIndexCollector(traffic),
 		newTransportCollector(frames),
+		newInboundCollector(clients),
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -17,6 +17,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control/driver"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
 	"github.com/ridgeswitch/ridgeswitch/internal/wire"
 	"github.com/ridgeswitch/ridgeswitch/pkg/prefixindex"
@@ -54,9 +55,14 @@
 
 func (f frames) Stats() transport.Stats { return transport.Stats(f) }
 
+type clients inbound.Stats
+
+func (c clients) Stats() inbound.Stats { return inbound.Stats(c) }
+
 // scrape returns the lines of all series, and the set of metric names.
 func scrape(node *fakeNode) (lines []string, names map[string]bool) {
-	handler, err := NewHandler(node, node, frames{FramesSent: 1, BytesReceived: 2, DroppedFull: 3})
+	handler, err := NewHandler(node, node, frames{FramesSent: 1, BytesReceived: 2, DroppedFull: 3},
+		clients{HeldBytes: 8, Connections: 9, Refused: 10, Evicted: 11})
 	Expect(err).NotTo(HaveOccurred())
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
@@ -133,6 +139,10 @@
 			`ridgeswitch_messages_sent_total{kind="membership probe",zone="other"} 3`,
 			`ridgeswitch_messages_sent_bytes_total{kind="membership probe",zone="other"} 450`,
 			`ridgeswitch_transport_dropped_frames_total{reason="queue_full"} 3`,
+			`ridgeswitch_inbound_held_bytes 8`,
+			`ridgeswitch_inbound_connections 9`,
+			`ridgeswitch_inbound_refused_total 10`,
+			`ridgeswitch_inbound_evicted_total 11`,
 			`ridgeswitch_index_parts{source="predicted"} 6`,
 			`ridgeswitch_index_bytes 7`,
 		))
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -9,6 +9,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/control"
 	"github.com/ridgeswitch/ridgeswitch/internal/control/driver"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator"
 	"github.com/ridgeswitch/ridgeswitch/internal/metrics"
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
@@ -42,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	n.inbound = inbound.NewBudget(inbound.LimitsOf(inbound.Machine{
+		MemoryBytes: n.settings.MemoryBytes(), Descriptors: n.settings.OpenFiles,
+	}))
 	source := &driverSource{}
 	if err := n.buildDataplane(source); err != nil {
 		return err
@@ -76,7 +80,7 @@
 		Source:       source,
 		Clock:        clock.SinceBoot,
 		Log:          n.log.WithField("component", "dataplane"),
-		DrainTimeout: n.settings.DrainTimeout(),
+		Inbound:      n.inbound,
 		RecordFile:   n.settings.RecordFile,
 		Edges:        n.edges.Dataplane,
 		MaxUnsent:    maxUnsent,
@@ -139,7 +143,7 @@
 		return err
 	}
 	for _, address := range lo.Uniq(lo.Compact([]string{n.settings.Control, n.edges.ReadyAddress})) {
-		server, err := operator.Listen(address, handler)
+		server, err := operator.Listen(address, n.inbound, handler)
 		if err != nil {
 			return err
 		}
@@ -152,7 +156,7 @@
 // protocol or, if Edges.Operator is set, the handler that it returns with the product's
 // queries added.
 func (n *Node) operatorHandler() (http.Handler, error) {
-	metricsHandler, err := metrics.NewHandler(n.driver, n.dataplane, n.transport)
+	metricsHandler, err := metrics.NewHandler(n.driver, n.dataplane, n.transport, n.inbound)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/heap_growth.go
+++ b/internal/node/heap_growth.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/driver"
+	"github.com/ridgeswitch/ridgeswitch/pkg/config/static"
 )
 
 const (
@@ -21,6 +22,17 @@
 	maxExtraGrowth = 120
 )
 
+// heapMemoryFraction is the soft memory limit of the Go runtime as a fraction of the memory that
+// the node may use. Near it, the garbage collector runs more often.
+const heapMemoryFraction = 0.7
+
+// LimitHeap sets the soft memory limit of the Go runtime, if the settings name the memory.
+func LimitHeap(settings *static.Settings) {
+	if memory := settings.MemoryBytes(); memory > 0 {
+		debug.SetMemoryLimit(int64(float64(memory) * heapMemoryFraction))
+	}
+}
+
 // heapGrowth is a supervised loop that lets the heap grow further between two garbage
 // collections (see debug.SetGCPercent) in large fleets. Every node decodes the traffic
 // gossip of all nodes and drops it again, so that the garbage, and with it the processor time
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/ridgeswitch/ridgeswitch/internal/control/driver"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/operator"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/internal/transport"
@@ -37,7 +38,9 @@
 	// driver runs the control machine.
 	driver    *driver.Driver
 	dataplane *dataplane.Server
-	gossip    *gossipService
+	// inbound bounds what the clients of all ports can make the process hold.
+	inbound *inbound.Budget
+	gossip  *gossipService
 	// operators are the listeners for operators and health checks.
 	operators []*operator.Server
 	health    *health
--- a/pkg/config/static/bounds.go
+++ b/pkg/config/static/bounds.go
@@ -61,6 +61,8 @@
 	MaxEjection = time.Minute
 	// MaxEjectedPercent bounds the percentage of back ends that may be ejected.
 	MaxEjectedPercent = 100
+	// MaxOpenFiles bounds the files and connections of a node.
+	MaxOpenFiles = 1 << 30
 	// MaxLogRing bounds the number of log entries kept in memory.
 	MaxLogRing = 1 << 20
 	// maxNameBytes bounds the names of nodes, zones and deployments.
--- a/pkg/config/static/check.go
+++ b/pkg/config/static/check.go
@@ -161,6 +161,7 @@
 	c.between("log_ring", s.LogRing, 1, MaxLogRing)
 	c.between("disk_mb", s.DiskMB, 0, MaxMachineMB)
 	c.between("memory_mb", s.MemoryMB, 0, MaxMachineMB)
+	c.between("open_files", s.OpenFiles, 0, MaxOpenFiles)
 	c.between("heap_growth_percent", s.HeapGrowthPercent, MinHeapGrowthPercent, MaxHeapGrowthPercent)
 	c.duration("contact_ms", s.ContactMS, MinContactTimeout, MaxContactTimeout)
 	c.duration("acknowledge_ms", s.AcknowledgeMS, MinAcknowledgeTimeout, MaxAcknowledgeTimeout)
--- a/pkg/config/static/settings.go
+++ b/pkg/config/static/settings.go
@@ -103,10 +103,15 @@
 	// more processor time.
 	HeapGrowthPercent int `yaml:"heap_growth_percent" usage:"growth of the heap beyond what is in use until garbage is collected, in hundredths"`
 	// DiskMB and MemoryMB are the disk space and the memory that the node may use, in
-	// mebibytes. They bound control state and its log. Without DiskMB, the capacity of
-	// the file system of DataFolder applies. Without MemoryMB, memory sets no bound.
+	// mebibytes. They bound control state and its log, and MemoryMB also bounds what clients
+	// can make the node hold. Without DiskMB, the capacity of the file system of DataFolder
+	// applies. Without MemoryMB, memory sets no bound for control state, and that of the
+	// computer applies to clients.
 	DiskMB   int `yaml:"disk_mb,omitempty" usage:"disk that the data folder may take, in MiB"`
 	MemoryMB int `yaml:"memory_mb,omitempty" usage:"memory that the node may take, in MiB"`
+	// OpenFiles is how many files and connections the node may have open. It bounds the
+	// connections of clients; 0 means the limit of the process.
+	OpenFiles int `yaml:"open_files,omitempty" usage:"files and connections that the node may have open"`
 	// RecordFile is where the node records the requests that it serves, without
 	// prompts and keys; empty means no recording. See docs/REPLAY.md.
 	RecordFile string `yaml:"record_file" usage:"file to record served requests in, without prompts and keys"`
--- a/scripts/knownred/knownred_test.go
+++ b/scripts/knownred/knownred_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"os"
 	"strings"
 	"testing"
@@ -63,6 +64,26 @@
 		Expect(out).To(ContainSubstring("KNOWN RED PASSED, take it off the list if it keeps passing: ./testdata/sample :: a sample passes"))
 	})
 
+	It("runs a package by itself, last, and fails with it", func() {
+		var runs []string
+		goStandIn := func(arguments ...string) (Output, error) {
+			if arguments[0] == "list" && arguments[1] == "./..." {
+				return Output{Standard: "example.org/a\nexample.org/alone\n"}, nil
+			}
+			if arguments[0] == "list" {
+				return Output{Standard: "example.org/alone\n"}, nil
+			}
+			runs = append(runs, strings.Join(arguments, " "))
+			if arguments[1] == "./alone" {
+				return Output{All: "FAIL"}, errors.New("exit status 1")
+			}
+			return Output{}, nil
+		}
+		err := Runner{Go: goStandIn, Out: &bytes.Buffer{}, Alone: []string{"./alone"}}.Run(nil)
+		Expect(err).To(HaveOccurred())
+		Expect(runs).To(Equal([]string{"test example.org/a", "test ./alone"}))
+	})
+
 	DescribeTable("refuses an entry that does not select exactly one test",
 		func(test string) {
 			_, err := play(sample + " :: " + test + " :: cause :: issue")
--- a/scripts/knownred/main.go
+++ b/scripts/knownred/main.go
@@ -1,7 +1,8 @@
 // Command knownred runs all tests of the module and passes over the failures of
 // those that KNOWN-RED.txt lists, which it runs alone and prints. Any other
 // failure ends it with status 1. So does an entry that selects no test, or more
-// than one. Without the list it is the same as go test ./...
+// than one. Without the list it is the same as go test ./..., but for some packages that
+// it runs by themselves.
 package main
 
 import (
@@ -16,6 +17,10 @@
 // failuresPath is where the list stands, seen from the root of the repository.
 const failuresPath = "KNOWN-RED.txt"
 
+// packagesAlone are the packages whose tests measure processes, so that nothing else may run
+// beside them.
+var packagesAlone = []string{"./platform/crowd"}
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "knownred:", err)
@@ -28,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	return Runner{Go: runGo, Out: os.Stdout}.Run(entries)
+	return Runner{Go: runGo, Out: os.Stdout, Alone: packagesAlone}.Run(entries)
 }
 
 // runGo runs the go command in the current folder.
--- a/scripts/knownred/run.go
+++ b/scripts/knownred/run.go
@@ -25,6 +25,9 @@
 
 // Runner runs all tests and passes over the failures of listed ones.
 type Runner struct {
+	// Alone contains the packages whose tests nothing else may run beside, such as
+	// ./pkg/lease. They run last, one after the other.
+	Alone []string
 	// Go runs the go command.
 	Go GoCommand
 	// Out takes the output of the tests and the account of listed ones.
@@ -34,7 +37,7 @@
 // Run runs every package. It returns an error when a test outside the list
 // fails, or when an entry does not select exactly one test.
 func (runner Runner) Run(entries []Failure) error {
-	if len(entries) == 0 {
+	if len(entries) == 0 && len(runner.Alone) == 0 {
 		return runner.print(runner.Go("test", "./..."))
 	}
 	outcomes, err := runner.runKnownFailures(entries)
@@ -82,7 +85,7 @@
 // runOthers runs all tests that are not listed.
 func (runner Runner) runOthers(entries []Failure) error {
 	byPackage := lo.GroupBy(entries, func(entry Failure) string { return entry.Package })
-	folders, err := runner.foldersWithout(lo.Keys(byPackage))
+	folders, err := runner.foldersWithout(lo.Union(lo.Keys(byPackage), runner.Alone))
 	if err != nil {
 		return err
 	}
@@ -90,7 +93,8 @@
 	if len(folders) > 0 {
 		failed = runner.print(runner.Go(append([]string{"test"}, folders...)...))
 	}
-	for _, folder := range sortedKeys(byPackage) {
+	alone := lo.Without(runner.Alone, lo.Keys(byPackage)...)
+	for _, folder := range append(sortedKeys(byPackage), alone...) {
 		err := runner.print(runner.Go(suiteArguments(folder, byPackage[folder])...))
 		if err != nil {
 			failed = err
