--- a/internal/dataplane/caller_limits_test.go
+++ b/internal/dataplane/caller_limits_test.go
@@ -1,6 +1,7 @@
 package dataplane_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 
@@ -8,7 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/internal/dataplane"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 )
 
 var _ = Describe("The limits on callers", func() {
@@ -38,6 +41,48 @@
 		Expect(f.generate(filler(bound)).status).To(Equal(http.StatusOK))
 	})
 
+	It("bound all requests together: one without room is refused, has not run, and may be sent again", func() {
+		const body = 120 << 10
+		proceed, arrived := make(chan struct{}), make(chan struct{}, 2)
+		backend := newReplica(func(writer http.ResponseWriter, request *http.Request) {
+			arrived <- struct{}{}
+			<-proceed
+			respondWith("ok")(writer, request)
+		})
+		f := newFixtureWith(func(options *dataplane.Options) {
+			options.Inbound = inbound.NewBudget(inbound.Limits{Bytes: 200 << 10, Connections: 8})
+		}, backend.address())
+		go func() { _ = f.server.Start() }()
+		<-f.server.Listening()
+		post := func() *http.Response {
+			request, err := http.NewRequest(http.MethodPost, "http://"+f.server.Address()+"/v1/generate", strings.NewReader(strings.Repeat("x", body)))
+			Expect(err).NotTo(HaveOccurred())
+			request.Host = poolHost
+			request.Header.Set("Authorization", "Bearer "+courtKey)
+			response, err := http.DefaultClient.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(response.Body.Close)
+			return response
+		}
+		first := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			first <- post().StatusCode
+		}()
+		<-arrived
+		refused := post()
+		Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.Header.Get("Retry-After")).NotTo(BeEmpty())
+		var problem caller.Error
+		Expect(json.NewDecoder(refused.Body).Decode(&problem)).To(Succeed())
+		Expect(problem.Kind).To(Equal(caller.KindOverloaded))
+		Expect(problem.MayHaveRun).To(BeFalse())
+		Expect(backend.requests()).To(HaveLen(1))
+		close(proceed)
+		Expect(<-first).To(Equal(http.StatusOK))
+		Eventually(func() int { return post().StatusCode }).WithTimeout(waitTimeout).Should(Equal(http.StatusOK))
+	})
+
 	It("refuse a request whose body exceeds the configured limit", func() {
 		f, backend := limited(&ridgeswitchv1.CallerLimits{MaxBodyBytes: uint64(len(defaultBody)) - 1})
 		got := f.generate()
--- a/internal/dataplane/handlers/headerlimiter/handler.go
+++ b/internal/dataplane/handlers/headerlimiter/handler.go
@@ -1,6 +1,5 @@
-// Package headerlimiter refuses requests whose headers exceed the configured limit. The
-// listener cannot enforce that limit, because its own limit cannot change while it serves; it
-// is the largest that can be configured.
+// Package headerlimiter refuses requests whose headers exceed the configured limit. The listener
+// stops reading a header that is far above it, but does not know where a header ends.
 package headerlimiter
 
 import (
