inbound: a full port ends connections with their responses

Cause: a port gives the places of connections that wait, but these never wait as far as the listener sees. Trace: 'connection reset by peer' for each of the ordinary requests, 56 descriptors open, 619 connections opened by the crowd in 33 s.

Change: while a port is full, each response announces the end of its connection.

--- a/internal/edge/inbound/inbound_test.go
+++ b/internal/edge/inbound/inbound_test.go
@@ -292,6 +292,18 @@
 			WithTimeout(patience).Should(Equal("200 0"))
 	})
 
+	It("end with the response while the port is full, so that no client keeps one by its requests", func() {
+		served := startServer(few, port)
+		kept := served.dial()
+		Expect(kept.send(request("")).outcome()).To(Equal("200 0"))
+		for range 7 {
+			served.dial()
+		}
+		Eventually(func() int { return served.budget.Stats().Connections }).Should(Equal(8))
+		Expect(kept.send(request(""), request("")).outcome()).To(Equal("200 0"))
+		Expect(kept.outcome()).To(Equal("closed"))
+	})
+
 	It("whose requests run are kept, and new ones are closed", func() {
 		served := startServer(few, port)
 		served.gate = make(chan struct{})
--- a/internal/edge/inbound/listener.go
+++ b/internal/edge/inbound/listener.go
@@ -139,8 +139,10 @@
 	l.budget.announceChange()
 }
 
-// Configure sets the fields of an HTTP server that Listener and ReadBody rely on.
+// Configure sets the fields of an HTTP server that Listener and ReadBody rely on, and wraps its
+// handler.
 func Configure(server *http.Server) {
+	server.Handler = closeWhenFull(server.Handler)
 	server.ConnState = func(connection net.Conn, state http.ConnState) {
 		if own, ok := connection.(*Connection); ok {
 			own.SetState(state)
@@ -159,6 +161,24 @@
 	}
 }
 
+// closeWhenFull returns a handler that announces the end of the connection with each response while
+// the port is full, so that clients which send one request after the other make room for others.
+func closeWhenFull(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if connection := connectionOf(request); connection != nil && connection.listener.isFull() {
+			writer.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// isFull reports whether the port has as many connections as it may.
+func (l *Listener) isFull() bool {
+	l.budget.mutex.Lock()
+	defer l.budget.mutex.Unlock()
+	return len(l.connections) >= l.maxConnections
+}
+
 // contextKey is the key of a request's connection in its context.
 type contextKey struct{}
 
