inbound: a chunk's line that stops short keeps no other large body waiting

What callers saw: nothing yet; found in a last reading of the change. A client whose chunk line stopped a byte short of the server's buffer kept the turn of large bodies for as long as its request lasted, and all other bodies beyond 64 KiB waited.

Cause: a read of one byte was taken for the HTTP server's watch on the connection, which must not touch the turn. The server also reads one byte where its buffer is full but for one.

Change: whoever reads gives the turn up, by compare and swap; a read of one byte does not take it again.

--- a/internal/edge/inbound/body.go
+++ b/internal/edge/inbound/body.go
@@ -139,13 +139,14 @@
 // enterBulk waits for the right to process a large body.
 func (c *Connection) enterBulk() {
 	c.budget.bulk <- struct{}{}
-	c.inBulk = true
+	c.inBulk.Store(true)
 }
 
-// leaveBulk gives up the right to process a large body, if the connection has it.
-func (c *Connection) leaveBulk() {
-	if c.inBulk {
-		c.inBulk = false
+// leaveBulk gives up the right to process a large body, and reports whether the connection had it.
+func (c *Connection) leaveBulk() bool {
+	had := c.inBulk.CompareAndSwap(true, false)
+	if had {
 		<-c.budget.bulk
 	}
+	return had
 }
--- a/internal/edge/inbound/connection.go
+++ b/internal/edge/inbound/connection.go
@@ -31,7 +31,7 @@
 	lingerTime  = 200 * time.Millisecond
 	lingerBytes = 256 << 10
 	// watchBytes is the size of the reads by which the HTTP server watches for the end of a
-	// connection, in a goroutine of its own.
+	// connection, in a goroutine of its own. Other reads may have that size as well.
 	watchBytes = 1
 )
 
@@ -71,9 +71,10 @@
 
 	// writingSince is the time of the write that is under way, in nanoseconds since 1970, or 0.
 	writingSince atomic.Int64
+	// inBulk means that the goroutine that reads a body has the right to process a large one.
+	inBulk atomic.Bool
 	// The following fields are used only by the goroutine that reads or writes.
 	headBytes       int64
-	inBulk          bool
 	stallSet        time.Time
 	serversDeadline time.Time
 }
@@ -122,13 +123,13 @@
 	return count, err
 }
 
-// read reads from the client. While it waits, others may process large bodies.
+// read reads from the client. While it waits, others may process large bodies. A read that may be
+// the HTTP server's watch does not take the right again, since its goroutine would keep it; what a
+// body's reader then processes without the right is at most a buffer of the server.
 func (c *Connection) read(target []byte) (int, error) {
-	if len(target) == watchBytes || !c.inBulk {
-		return c.Conn.Read(target)
+	if c.leaveBulk() && len(target) > watchBytes {
+		defer c.enterBulk()
 	}
-	c.leaveBulk()
-	defer c.enterBulk()
 	return c.Conn.Read(target)
 }
 
--- a/internal/edge/inbound/inbound_test.go
+++ b/internal/edge/inbound/inbound_test.go
@@ -196,6 +196,20 @@
 		}, 3),
 	)
 
+	// Guards against a client that keeps the turn of large bodies: the HTTP server reads a single
+	// byte where a chunk's line has filled its buffer but for one.
+	It("whose chunk line stops a byte short of the server's buffer keeps no other body waiting", func() {
+		const serverBuffer = 4096
+		served := startServer(large, port)
+		line := "1;" + text(serverBuffer-1-len("1;"))
+		served.dial().send(request("Transfer-Encoding: chunked\r\n"), fmt.Sprintf("%x\r\n%s\r\n", 2*smallHolderBytes, text(2*smallHolderBytes)), line)
+		served.holds(func(bytes int64) bool { return bytes > 2*smallHolderBytes })
+		time.Sleep(100 * time.Millisecond)
+		other := served.dial()
+		go other.send(announced(mebibyte), text(mebibyte))
+		Expect(other.outcome()).To(Equal(fmt.Sprint("200 ", mebibyte)))
+	})
+
 	It("above the limit is refused, at once if it is announced", func() {
 		served := startServer(large, port)
 		Expect(served.dial().send(announced(bodyLimit + 1)).outcome()).To(Equal("413"))
