operator, platform: a document is bounded by what it becomes, not by its text alone

What callers saw: one operator's connection with complete documents of 3.9 MB, such as 1,300,000 empty routes, took a process beyond the memory of its machine. It could be ended so by a single client.

Cause: the text was charged where it is received, and what is parsed of it nowhere. An empty object of two bytes becomes a route of the document, a message and the copy of that in the order; the product's own parser also copied the text once for each level of nesting.

Change: each list is bounded by what a configuration may have of it, and given up at the first entry beyond (413 with the field). The objects and list elements are counted in the text (pkg/jsontext), an estimate of what they take is charged to the budget until the request has ended, and one document of a process is parsed at a time. What never fits the machine is refused with 413, what does not fit now with 503. The product's parser walks the text in place. Tenants may be as many as the bounds say, not as many as routes.

--- a/internal/edge/inbound/budget.go
+++ b/internal/edge/inbound/budget.go
@@ -29,6 +29,8 @@
 	limits Limits
 	// bulk is held by the goroutine that processes the part of a body beyond smallHolderBytes.
 	bulk chan struct{}
+	// parsing is held by the goroutine that parses the content of a request.
+	parsing chan struct{}
 
 	mutex sync.Mutex
 	// held is the sum of all charges, and evictedHeld the part of it that evicted requests have
@@ -57,7 +59,13 @@
 
 // NewBudget returns a budget.
 func NewBudget(limits Limits) *Budget {
-	return &Budget{limits: limits, bulk: make(chan struct{}, 1), incomplete: list.New(), changed: make(chan struct{})}
+	return &Budget{
+		limits:     limits,
+		bulk:       make(chan struct{}, 1),
+		parsing:    make(chan struct{}, 1),
+		incomplete: list.New(),
+		changed:    make(chan struct{}),
+	}
 }
 
 // Stats returns the counters.
--- a/internal/edge/operator/binding.go
+++ b/internal/edge/operator/binding.go
@@ -37,23 +37,33 @@
 // readBody parses the JSON of a request message. An empty body leaves the message empty.
 func readBody(w http.ResponseWriter, r *http.Request, request proto.Message) error {
 	data, err := inbound.ReadBody(w, r, maxBodyBytes)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &dynamic.Error{
-			Kind:    dynamic.KindOversize,
-			Message: fmt.Sprintf("body above %d bytes; reduce it", tooLarge.Limit),
-		}
-	}
-	if errors.Is(err, inbound.ErrOverloaded) {
-		return &UnavailableError{Kind: KindOverloaded, Message: err.Error()}
-	}
 	if err != nil {
-		return &dynamic.Error{Kind: dynamic.KindMalformed, Message: "body can't be read: " + err.Error() + "; send the call again"}
+		return contentError(err)
 	}
 	if len(data) == 0 {
 		return nil
 	}
-	return dynamic.ParseMessage(data, request)
+	return contentError(inbound.Parse(r, dynamic.ParsedBytes(data), func() error { return dynamic.ParseMessage(data, request) }))
+}
+
+// contentError returns the error for operators of a body that can't be read, is too large, or has
+// faults. An error that is one for operators already is returned as it is.
+func contentError(err error) error {
+	var carrier problemCarrier
+	var aboveLimit *http.MaxBytesError
+	var aboveMemory *inbound.TooLargeError
+	switch {
+	case err == nil, errors.As(err, &carrier):
+		return err
+	case errors.As(err, &aboveLimit):
+		return &dynamic.Error{Kind: dynamic.KindOversize, Message: fmt.Sprintf("body above %d bytes; reduce it", aboveLimit.Limit)}
+	case errors.As(err, &aboveMemory):
+		return &dynamic.Error{Kind: dynamic.KindOversize, Message: err.Error()}
+	case errors.Is(err, inbound.ErrOverloaded):
+		return &UnavailableError{Kind: KindOverloaded, Message: err.Error()}
+	default:
+		return &dynamic.Error{Kind: dynamic.KindMalformed, Message: "body can't be read: " + err.Error() + "; send the call again"}
+	}
 }
 
 // bindQuery sets, for each query parameter, the plain field of that name in the request or in its
--- a/pkg/config/dynamic/parse.go
+++ b/pkg/config/dynamic/parse.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/dynamicpb"
 
 	ridgeswitchv1 "github.com/ridgeswitch/ridgeswitch/api/ridgeswitch/v1"
+	"github.com/ridgeswitch/ridgeswitch/pkg/jsontext"
 )
 
 // Parse reads a configuration from JSON. It returns an *Error when the text is
@@ -53,8 +54,7 @@
 // checkSyntax returns nil if a document is JSON, and otherwise an *Error with the position of
 // a syntax error.
 func checkSyntax(data []byte) error {
-	var document json.RawMessage
-	err := json.Unmarshal(data, &document)
+	err := jsontext.Check(data)
 	if err == nil {
 		return nil
 	}
@@ -74,39 +74,18 @@
 
 // message checks one JSON object against the fields of a message.
 func (w *walker) message(path string, data []byte, descriptor protoreflect.MessageDescriptor) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	token, err := decoder.Token()
-	if err != nil || token != json.Delim('{') {
-		w.add(KindMalformed, path, "must be a JSON object with fields of %s", descriptor.Name())
-		return
-	}
 	seen := make(map[protoreflect.FullName]bool)
-	for decoder.More() {
-		name, value, err := nextMember(decoder)
-		if err != nil {
-			w.add(KindMalformed, path, "%v; correct the document", err)
-			return
-		}
+	err := jsontext.Members(data, func(name string, value []byte) error {
 		w.member(path, name, value, descriptor, seen)
-	}
-}
-
-// nextMember reads one name and its value from an object.
-func nextMember(decoder *json.Decoder) (string, json.RawMessage, error) {
-	token, err := decoder.Token()
+		return nil
+	})
 	if err != nil {
-		return "", nil, err
-	}
-	var value json.RawMessage
-	if err := decoder.Decode(&value); err != nil {
-		return "", nil, err
+		w.add(KindMalformed, path, "must be a JSON object with fields of %s", descriptor.Name())
 	}
-	name, _ := token.(string)
-	return name, value, nil
 }
 
 // member checks one name and value of an object.
-func (w *walker) member(path, name string, value json.RawMessage,
+func (w *walker) member(path, name string, value []byte,
 	descriptor protoreflect.MessageDescriptor, seen map[protoreflect.FullName]bool,
 ) {
 	field := fieldByName(descriptor, name)
@@ -143,30 +122,44 @@
 	seen[oneof.FullName()] = true
 }
 
-// array checks every element of a repeated field. It reports a list of more than MaxRoutes
-// elements and stops there, before the list takes up memory. This applies to each repeated
-// field, also to tenants, for which Validate permits more elements.
+// errTooManyEntries ends the visit of a list.
+var errTooManyEntries = errors.New("the list has too many entries")
+
+// array checks every element of a repeated field. It reports a list of more entries than the
+// field may have and stops there, before the list takes up memory.
 func (w *walker) array(path string, data []byte, field protoreflect.FieldDescriptor) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	token, err := decoder.Token()
-	if err != nil || token != json.Delim('[') {
+	limit := maxEntries(field)
+	err := jsontext.Elements(data, func(position int, element []byte) error {
+		if position == limit {
+			w.add(KindOversize, path, "has more than %d entries; reduce it", limit)
+			return errTooManyEntries
+		}
+		w.value(path+"["+strconv.Itoa(position)+"]", element, field)
+		return nil
+	})
+	if errors.Is(err, jsontext.ErrNotList) {
 		w.add(KindMalformed, path, "must be a JSON array")
-		return
 	}
-	for i := 0; decoder.More(); i++ {
-		if i == MaxRoutes {
-			w.add(KindOversize, path, "has more than %d entries; reduce it", MaxRoutes)
-			return
-		}
-		var element json.RawMessage
-		if err := decoder.Decode(&element); err != nil {
-			w.add(KindMalformed, path, "%v; correct the document", err)
-			return
-		}
-		w.value(path+"["+strconv.Itoa(i)+"]", element, field)
+}
+
+// maxEntries returns how many entries a repeated field may have before any other check.
+func maxEntries(field protoreflect.FieldDescriptor) int {
+	switch field.FullName() {
+	case tenantsField:
+		return MaxTenants
+	case keysField:
+		return MaxKeysPerTenant
+	default:
+		return MaxRoutes
 	}
 }
 
+// tenantsField and keysField are the repeated fields with bounds of their own.
+var (
+	tenantsField = (&ridgeswitchv1.Configuration{}).ProtoReflect().Descriptor().Fields().ByName("tenants").FullName()
+	keysField    = (&ridgeswitchv1.Tenant{}).ProtoReflect().Descriptor().Fields().ByName("keys").FullName()
+)
+
 // value checks one value that is not a list.
 func (w *walker) value(path string, data []byte, field protoreflect.FieldDescriptor) {
 	if field.Message() != nil {
