operator, driver: clients that do not read the document in force hold a bounded part of the node

What callers saw: clients that ask for the configuration in force and read nothing made processes hold one copy for each. At cmd/ridgeswitch the process took more than its machine's memory; on a platform the leader came close, which has to encode the document for each read.

Cause: the response was charged nowhere, and any number of reads was under way at once.

Change: the source document is read for two requests of a node at a time; the document, or the JSON of a large response, is charged to the budget until the client has it. Without room the call gets 503 and may be retried.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -16,6 +16,10 @@
 // inputBacklog is the capacity of the queue of inputs for the control goroutine.
 const inputBacklog = 4096
 
+// maxSourceReads bounds the reads of the source document that are under way at once. Each of them
+// takes several copies of the document, here and at the leader.
+const maxSourceReads = 2
+
 // Sender sends frames to the internal addresses of other nodes.
 type Sender interface {
 	Send(address string, frame []byte)
@@ -85,6 +89,9 @@
 	// orderIDs is the number of identities that NewOrderID has returned.
 	orderIDs atomic.Uint64
 
+	// sourceReads is held by the reads of the source document that are under way.
+	sourceReads chan struct{}
+
 	// replies belongs to the control goroutine.
 	replies replies
 	// loggedFences and loggedBadEntries are the counts at the last call of logIncidents.
@@ -103,6 +110,7 @@
 		options:        options,
 		inputs:         make(chan func(time.Duration) control.Output, inputBacklog),
 		done:           make(chan struct{}),
+		sourceReads:    make(chan struct{}, maxSourceReads),
 		writers:        map[uint32]*shardWriter{},
 		frames:         frameSender{deployment: options.Deployment, self: machine.Self(), sender: options.Sender},
 		replies:        replies{channels: map[uint64]chan control.Reply{}},
--- a/internal/control/driver/requests.go
+++ b/internal/control/driver/requests.go
@@ -37,6 +37,12 @@
 // Source reads the source document of the configuration in force, as a quorum of the nodes
 // with disks confirms it. It returns nil if the configuration was not made from a document.
 func (d *Driver) Source(ctx context.Context) (*ridgeswitchv1.Source, error) {
+	select {
+	case d.sourceReads <- struct{}{}:
+		defer func() { <-d.sourceReads }()
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "read the source document, as others do; try again, at another node")
+	}
 	reply, err := d.request(ctx, d.machine.ReadSource)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the source document; try again, at another node")
--- a/internal/edge/inbound/content.go
+++ b/internal/edge/inbound/content.go
@@ -42,6 +42,12 @@
 	return parse()
 }
 
+// Charge charges the budget for bytes that a request holds until it has ended. The errors are those
+// of Parse.
+func Charge(request *http.Request, bytes int64) error {
+	return Parse(request, bytes, func() error { return nil })
+}
+
 // checkRoom returns a *TooLargeError if the budget would have no room for further bytes of the
 // request even if no other request held any.
 func (c *Connection) checkRoom(bytes int64) error {
--- a/internal/edge/inbound/content_test.go
+++ b/internal/edge/inbound/content_test.go
@@ -38,9 +38,9 @@
 	})
 	It("is refused if other requests leave no room", func() {
 		first, _ := requestWithin(budget, http.MethodPost)
-		Expect(Parse(first, 6*mebibyte, nothing)).To(Succeed())
+		Expect(Charge(first, 6*mebibyte)).To(Succeed())
 		second, connection := requestWithin(budget, http.MethodPost)
-		Expect(Parse(second, 2*mebibyte, nothing)).To(MatchError(ErrOverloaded))
+		Expect(Charge(second, 2*mebibyte)).To(MatchError(ErrOverloaded))
 		Expect(connection.held).To(BeZero())
 	})
 	It("is refused for good if there is never room", func() {
@@ -48,7 +48,7 @@
 		var tooLarge *TooLargeError
 		Expect(errors.As(Parse(request, 7*mebibyte+1, func() error { panic("parsed") }), &tooLarge)).To(BeTrue())
 		Expect(tooLarge.MaxBytes).To(BeEquivalentTo(7 * mebibyte))
-		Expect(Parse(request, 7*mebibyte, nothing)).To(Succeed())
+		Expect(Charge(request, 7*mebibyte)).To(Succeed())
 	})
 	It("is built for one request at a time", func() {
 		running, finish := make(chan struct{}), make(chan struct{})
--- a/internal/edge/operator/routes.go
+++ b/internal/edge/operator/routes.go
@@ -72,7 +72,7 @@
 	if status == http.StatusAccepted {
 		setRetryAfter(w, DefaultRetryAfter)
 	}
-	writeMessage(w, status, response)
+	writeCharged(w, r, status, response)
 }
 
 // statusOf returns 202 for a pending order, and 200 for everything else.
