inbound, dispatch, edges: responses are charged to the budget, and relayed as clients take them where it has no room

What callers saw: clients that ask for large responses and read nothing made a front hold each response whole, up to 16 MiB, for 30 s. With some tens of them the process went beyond the memory of its machine.

Cause: a response is buffered so that a request can be retried until it has come complete. The buffer was charged to nobody.

Change: inbound.ReadResponse charges the budget for what is buffered, half of the budget at most; a declared length is reserved before it is read. If there is no room, the response is relayed as it arrives, no faster than its client takes it, which nothing that the node did before depends on but the retry of a response that is cut. Buffers of events beyond 64 KiB are charged too. A relayed response that its client has left unread for 2 s makes room at a back end without a free connection; no other response is broken off. The three readers of plain bodies are one, outbound.RelayReader.

--- a/internal/dataplane/dispatch/outcome.go
+++ b/internal/dataplane/dispatch/outcome.go
@@ -9,6 +9,7 @@
 
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/handlers/deadline"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
 	"github.com/ridgeswitch/ridgeswitch/pkg/outlier"
@@ -62,6 +63,7 @@
 	wait := d.options.BackendRetry
 	var atLimit *outbound.ConnectionLimitError
 	if errors.As(unsent, &atLimit) {
+		inbound.CloseStalledRelay(r.Request)
 		return caller.NewError(caller.KindBackendsBusy,
 			"the back end has as many connections as it may have: send the request again").WithRetryAfter(wait)
 	}
--- a/internal/dataplane/dispatch/relay.go
+++ b/internal/dataplane/dispatch/relay.go
@@ -8,6 +8,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/edges"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/handlers/deadline"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
 )
 
@@ -37,6 +38,7 @@
 	r.apply(attempts.Event{Kind: attempts.ResponseStarted, Attempt: attempt})
 	if !r.relaying {
 		r.relaying = true
+		inbound.BeginRelay(r.Request)
 		r.writeHeader(received.Status(), received.Header())
 	}
 	controller := http.NewResponseController(r.Writer)
--- a/internal/dataplane/edges/native.go
+++ b/internal/dataplane/edges/native.go
@@ -79,19 +79,20 @@
 // replicaCall converts an attempt to a call of the native protocol.
 func replicaCall(attempt Attempt) replica.Call {
 	call := replica.Call{
-		Address:      attempt.Address,
-		Model:        attempt.Generation.Model,
-		CacheSalt:    attempt.Generation.CacheSalt,
-		Prefix:       caller.FormatPrefix(attempt.Generation.Chunks),
-		RequestID:    attempt.RequestID,
-		AttemptID:    attempt.AttemptID,
-		Attempt:      attempt.Number,
-		OutputTokens: attempt.Generation.OutputTokens,
-		Idempotent:   attempt.Idempotent,
-		Streamed:     attempt.Streamed,
-		Extra:        caller.PassThrough(attempt.Request.Header),
-		ContentType:  attempt.Request.Header.Get("Content-Type"),
-		Body:         attempt.Body,
+		CallerRequest: attempt.Request,
+		Address:       attempt.Address,
+		Model:         attempt.Generation.Model,
+		CacheSalt:     attempt.Generation.CacheSalt,
+		Prefix:        caller.FormatPrefix(attempt.Generation.Chunks),
+		RequestID:     attempt.RequestID,
+		AttemptID:     attempt.AttemptID,
+		Attempt:       attempt.Number,
+		OutputTokens:  attempt.Generation.OutputTokens,
+		Idempotent:    attempt.Idempotent,
+		Streamed:      attempt.Streamed,
+		Extra:         caller.PassThrough(attempt.Request.Header),
+		ContentType:   attempt.Request.Header.Get("Content-Type"),
+		Body:          attempt.Body,
 	}
 	if pull := attempt.Generation.Pull; pull != nil {
 		call.Pull = &replica.Pull{Source: pull.Source, FirstChunk: pull.FirstChunk, LastChunk: pull.LastChunk}
--- a/internal/edge/eventstream/reader.go
+++ b/internal/edge/eventstream/reader.go
@@ -8,8 +8,12 @@
 	"github.com/pkg/errors"
 )
 
-// bufferBytes is the base size of a reader's buffer.
-const bufferBytes = 8 << 10
+const (
+	// bufferBytes is the base size of a reader's buffer.
+	bufferBytes = 8 << 10
+	// freeBytes is the size of the buffer that a reader may have without asking for room.
+	freeBytes = 64 << 10
+)
 
 // Reader splits a stream into events. Use NewReader to create one.
 type Reader struct {
@@ -22,6 +26,10 @@
 	searched int
 	// storage is the memory that buffer is part of.
 	storage []byte
+	// reserve asks for room for a number of bytes beyond freeBytes, and reserved is how many it
+	// was asked for; nil if there is always room.
+	reserve  func(bytes int) bool
+	reserved int
 	// returned is the length of the event that Next returned last; the next call drops it.
 	returned int
 	fields   []Field
@@ -44,6 +52,10 @@
 	return &Reader{source: source, maxBytes: maxBytes}
 }
 
+// LimitMemory has the reader ask reserve for room before its buffer grows. An event for which there is
+// no room ends the stream with a *TooLongError.
+func (r *Reader) LimitMemory(reserve func(bytes int) bool) { r.reserve = reserve }
+
 // Next returns the next event. The texts of all events are the stream: a blank line that no event
 // precedes is an event without fields, and so are comments. The event is valid until the next call.
 //
@@ -134,7 +146,11 @@
 		r.buffer = r.storage[:0]
 	}
 	if cap(r.buffer)-len(r.buffer) < bufferBytes/2 {
-		r.storage = make([]byte, 2*len(r.buffer)+bufferBytes)
+		size := 2*len(r.buffer) + bufferBytes
+		if !r.hasRoom(size) {
+			return &TooLongError{MaxBytes: len(r.buffer)}
+		}
+		r.storage = make([]byte, size)
 		r.buffer = r.storage[:copy(r.storage, r.buffer)]
 	}
 	count, err := r.source.Read(r.buffer[len(r.buffer):cap(r.buffer)])
@@ -142,6 +158,19 @@
 	return err
 }
 
+// hasRoom reports whether the buffer may have a size.
+func (r *Reader) hasRoom(size int) bool {
+	missing := size - max(freeBytes, r.reserved)
+	if r.reserve == nil || missing <= 0 {
+		return true
+	}
+	if !r.reserve(missing) {
+		return false
+	}
+	r.reserved = size
+	return true
+}
+
 // endError returns the error with which the stream ends after the last complete event.
 func (r *Reader) endError() error {
 	if !errors.Is(r.readError, io.EOF) {
--- a/internal/edge/inbound/budget.go
+++ b/internal/edge/inbound/budget.go
@@ -36,6 +36,8 @@
 	// held is the sum of all charges, and evictedHeld the part of it that evicted requests have
 	// yet to give back.
 	held, evictedHeld int64
+	// responses is the part of held that is charged for responses of back ends.
+	responses int64
 	// incomplete contains the connections that wait for a request or read one, in the order in
 	// which they began to.
 	incomplete *list.List
@@ -177,3 +179,10 @@
 	}
 	b.announceChange()
 }
+
+// giveBackAll takes off all that a connection's request holds.
+func (b *Budget) giveBackAll(connection *Connection) {
+	b.responses -= connection.response
+	connection.response = 0
+	b.giveBack(connection, connection.held)
+}
--- a/internal/edge/inbound/connection.go
+++ b/internal/edge/inbound/connection.go
@@ -62,8 +62,9 @@
 	position *list.Element
 	// since is when the connection began to wait for its request, or to read it.
 	since time.Time
-	// held is what the request is charged for, in bytes.
-	held int64
+	// held is what the request is charged for, in bytes, and response the part of it that is
+	// charged for the response of a back end.
+	held, response int64
 	// evicted means that the connection has to give back what it holds, and is closed.
 	evicted bool
 	// served counts the requests whose head was complete.
@@ -71,6 +72,8 @@
 
 	// writingSince is the time of the write that is under way, in nanoseconds since 1970, or 0.
 	writingSince atomic.Int64
+	// relaying means that the response is relayed as it arrives from the back end.
+	relaying atomic.Bool
 	// inBulk means that the goroutine that reads a body has the right to process a large one.
 	inBulk atomic.Bool
 	// The following fields are used only by the goroutine that reads or writes.
@@ -192,7 +195,7 @@
 // the client still sends.
 func (c *Connection) refuse(refused *refusal) {
 	c.budget.mutex.Lock()
-	c.budget.giveBack(c, c.held)
+	c.budget.giveBackAll(c)
 	c.budget.mutex.Unlock()
 	_ = c.SetDeadline(time.Now().Add(lingerTime))
 	if _, err := io.WriteString(c.Conn, refused.response); err != nil {
@@ -221,7 +224,8 @@
 		c.leaveIncomplete()
 		c.withdrawEviction()
 	case http.StateIdle:
-		c.budget.giveBack(c, c.held)
+		c.relaying.Store(false)
+		c.budget.giveBackAll(c)
 		c.beginWaiting()
 	default:
 	}
@@ -265,7 +269,7 @@
 		readErr = ErrOverloaded
 	}
 	if readErr != nil {
-		c.budget.giveBack(c, c.held)
+		c.budget.giveBackAll(c)
 	}
 	return readErr
 }
@@ -371,7 +375,7 @@
 	if c.phase != phaseClosed {
 		c.phase = phaseClosed
 		c.leaveIncomplete()
-		c.budget.giveBack(c, c.held)
+		c.budget.giveBackAll(c)
 		c.listener.remove(c)
 	}
 	c.budget.mutex.Unlock()
--- a/internal/edge/inbound/limits.go
+++ b/internal/edge/inbound/limits.go
@@ -31,7 +31,7 @@
 
 // Limits bound what the clients of a process may make it hold.
 type Limits struct {
-	// Bytes bounds the charges for heads and bodies.
+	// Bytes bounds the charges for heads, bodies, what is built of them, and responses.
 	Bytes int64
 	// Connections bounds the connections of all ports.
 	Connections int
--- a/internal/edge/inbound/listener.go
+++ b/internal/edge/inbound/listener.go
@@ -17,6 +17,9 @@
 	// stalledAfter is how long a client may leave a response unread before its connection may
 	// make room for another.
 	stalledAfter = 500 * time.Millisecond
+	// stalledRelayAfter is how long a client may leave a relayed response unread before its
+	// connection may make room at a back end for the request of another client.
+	stalledRelayAfter = 2 * time.Second
 )
 
 // PortLimits bound the requests at one port. A zero time means that of the HTTP server.
@@ -108,17 +111,17 @@
 			return true
 		}
 	}
-	return l.closeStalled()
+	return l.closeStalled(stalledAfter, func(*Connection) bool { return true })
 }
 
-// closeStalled closes the connection whose client has left a response unread for longest, if that
-// is longer than stalledAfter.
-func (l *Listener) closeStalled() bool {
+// closeStalled closes the connection, of those that are eligible, whose client has left a response
+// unread for longest, if that is longer than the given time. It returns false if there is none.
+func (l *Listener) closeStalled(after time.Duration, eligible func(*Connection) bool) bool {
 	var stalled *Connection
-	earliest := time.Now().Add(-stalledAfter).UnixNano()
+	earliest := time.Now().Add(-after).UnixNano()
 	for candidate := range l.connections {
 		since := candidate.writingSince.Load()
-		if since > 0 && since < earliest && !candidate.evicted {
+		if since > 0 && since < earliest && !candidate.evicted && eligible(candidate) {
 			stalled, earliest = candidate, since
 		}
 	}
@@ -182,8 +185,12 @@
 // contextKey is the key of a request's connection in its context.
 type contextKey struct{}
 
-// connectionOf returns the connection of a request, or nil if its server has no Listener.
+// connectionOf returns the connection of a request, or nil if there is none or its server has no
+// Listener.
 func connectionOf(request *http.Request) *Connection {
+	if request == nil {
+		return nil
+	}
 	connection, _ := request.Context().Value(contextKey{}).(*Connection)
 	return connection
 }
--- a/internal/edge/replica/generate.go
+++ b/internal/edge/replica/generate.go
@@ -29,9 +29,12 @@
 
 // Call is one attempt to run a request on a replica.
 type Call struct {
-	Address   string
-	Model     string
-	CacheSalt string
+	// CallerRequest is the request that the attempt is for. What the node holds of the response
+	// is charged to it.
+	CallerRequest *http.Request
+	Address       string
+	Model         string
+	CacheSalt     string
 	// Prefix lists the prompt's chunks in the form of HeaderPrefix.
 	Prefix    string
 	RequestID string
@@ -82,7 +85,7 @@
 	if response.Header.Get(HeaderNotRun) == "true" && response.StatusCode >= http.StatusBadRequest {
 		return nil, readRefusal(response)
 	}
-	return &Response{response: response, maxBytes: c.maxResponseBytes}, nil
+	return newResponse(call.CallerRequest, response, c.maxResponseBytes), nil
 }
 
 // request builds the HTTP request of an attempt.
--- a/internal/edge/replica/response.go
+++ b/internal/edge/replica/response.go
@@ -10,13 +10,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/eventstream"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
-// maxPreallocatedBytes bounds the buffer that is allocated for a response's declared length before
-// the response is read.
-const maxPreallocatedBytes = 64 << 10
-
 // passThroughPrefix is the prefix of headers that are forwarded unchanged.
 const passThroughPrefix = "Lab-"
 
@@ -31,15 +28,31 @@
 
 // Response is the response of an attempt, whose header has arrived. The caller must close it.
 type Response struct {
-	response *http.Response
+	// callerRequest is the request that the response is for.
+	callerRequest *http.Request
+	response      *http.Response
 	// maxBytes bounds a complete response, or one event of a stream.
 	maxBytes int64
-	// events reads the body; nil before the first call of Next.
+	// events reads the body of a stream, and rest that of any other response.
 	events *eventstream.Reader
+	rest   *outbound.RelayReader
 	// ended means that Next has returned the event that ends the stream.
 	ended bool
 }
 
+// newResponse wraps a response to a caller's request.
+func newResponse(callerRequest *http.Request, response *http.Response, maxBytes int64) *Response {
+	events := eventstream.NewReader(response.Body, int(maxBytes))
+	events.LimitMemory(func(bytes int) bool { return inbound.ReserveResponse(callerRequest, int64(bytes)) })
+	return &Response{
+		callerRequest: callerRequest,
+		response:      response,
+		maxBytes:      maxBytes,
+		events:        events,
+		rest:          outbound.NewRelayReader(response.Body),
+	}
+}
+
 // Status returns the HTTP status.
 func (r *Response) Status() int {
 	return r.response.StatusCode
@@ -82,15 +95,14 @@
 	if !r.delimited() {
 		return nil, false, &outbound.InvalidResponseError{Kind: outbound.Undelimited, Reason: "the answer has neither a length nor chunks, so a cut could not be noticed"}
 	}
-	var body bytes.Buffer
-	body.Grow(int(min(max(r.response.ContentLength, 0), maxPreallocatedBytes)) + bytes.MinRead)
-	if _, err := body.ReadFrom(io.LimitReader(r.response.Body, r.maxBytes+1)); err != nil {
-		return nil, false, &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the answer was cut", Cause: errors.WithStack(err)}
+	body, complete, err := inbound.ReadResponse(r.callerRequest, r.response.Body, r.response.ContentLength, r.maxBytes)
+	if err != nil {
+		return nil, false, outbound.TruncatedError(err)
 	}
-	if int64(body.Len()) > r.maxBytes {
+	if max(int64(len(body)), r.response.ContentLength) > r.maxBytes {
 		return nil, false, &outbound.InvalidResponseError{Kind: outbound.TooLarge, Reason: "the answer is larger than this node takes"}
 	}
-	return body.Bytes(), true, nil
+	return body, complete, nil
 }
 
 // delimited reports whether the response marks its own end, by a length or by chunked encoding.
@@ -109,8 +121,8 @@
 // *outbound.InvalidResponseError. Next never returns a part of an event. It drops blank lines and
 // comments.
 func (r *Response) Next() ([]byte, error) {
-	if r.events == nil {
-		r.events = eventstream.NewReader(r.response.Body, int(r.maxBytes))
+	if !r.Streamed() {
+		return r.rest.Next()
 	}
 	if r.ended {
 		return nil, r.checkNothingFollows()
--- a/internal/edge/webservice/client.go
+++ b/internal/edge/webservice/client.go
@@ -79,7 +79,7 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
-	return newResponse(response, c.maxBufferedBytes), nil
+	return newResponse(call.Request, response, c.maxBufferedBytes), nil
 }
 
 // checkAttempt returns an *outbound.InvalidResponseError if the response names another attempt,
--- a/internal/edge/webservice/response.go
+++ b/internal/edge/webservice/response.go
@@ -1,40 +1,42 @@
 package webservice
 
 import (
-	"io"
 	"mime"
 	"net/http"
 
-	"github.com/pkg/errors"
-
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 )
 
-const (
-	// copyBufferBytes bounds the bytes that one call of Next returns.
-	copyBufferBytes = 32 << 10
-	// streamType is the media type of responses that are forwarded as they arrive.
-	streamType = "text/event-stream"
-)
+// streamType is the media type of responses that are forwarded as they arrive.
+const streamType = "text/event-stream"
 
 // Response is the response of an attempt, whose header has arrived. The caller must close it.
 type Response struct {
-	response *http.Response
+	// callerRequest is the request that the response is for.
+	callerRequest *http.Request
+	response      *http.Response
 	// header contains the headers that are forwarded.
 	header http.Header
 	// maxBytes bounds the bytes that ReadAll buffers. ReadAll returns one byte more to show
 	// that the response is longer.
 	maxBytes int64
-	// buffer holds the bytes that Next returned last; nil before its first call.
-	buffer []byte
+	// rest reads the body as it arrives.
+	rest *outbound.RelayReader
 }
 
-// newResponse wraps a response.
-func newResponse(response *http.Response, maxBytes int64) *Response {
+// newResponse wraps a response to a caller's request.
+func newResponse(callerRequest *http.Request, response *http.Response, maxBytes int64) *Response {
 	header := response.Header.Clone()
 	removeHopByHopHeaders(header)
 	header.Del(HeaderAttemptID)
-	return &Response{response: response, header: header, maxBytes: maxBytes}
+	return &Response{
+		callerRequest: callerRequest,
+		response:      response,
+		header:        header,
+		maxBytes:      maxBytes,
+		rest:          outbound.NewRelayReader(response.Body),
+	}
 }
 
 // Status returns the HTTP status.
@@ -58,18 +60,18 @@
 	_ = r.response.Body.Close()
 }
 
-// ReadAll reads the response up to the client's buffer limit. It returns false if the response is
-// longer; Next returns the rest. The error is an *outbound.InvalidResponseError if the response is
+// ReadAll reads the response up to the client's buffer limit, as far as the node has room for it. It
+// returns false if there is more; Next returns the rest. The error is an *outbound.InvalidResponseError if the response is
 // truncated, or does not mark its end, so that truncation would go unnoticed.
 func (r *Response) ReadAll() ([]byte, bool, error) {
 	if err := r.checkDelimited(); err != nil {
 		return nil, false, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r.response.Body, r.maxBytes+1))
+	body, complete, err := inbound.ReadResponse(r.callerRequest, r.response.Body, r.response.ContentLength, r.maxBytes)
 	if err != nil {
-		return nil, false, &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the answer was cut", Cause: errors.WithStack(err)}
+		return nil, false, outbound.TruncatedError(err)
 	}
-	return body, int64(len(body)) <= r.maxBytes, nil
+	return body, complete, nil
 }
 
 // Next returns the next bytes of the response, and io.EOF after its complete end.
@@ -78,21 +80,7 @@
 	if err := r.checkDelimited(); err != nil {
 		return nil, err
 	}
-	if r.buffer == nil {
-		r.buffer = make([]byte, copyBufferBytes)
-	}
-	for {
-		count, err := r.response.Body.Read(r.buffer)
-		if count > 0 {
-			return r.buffer[:count], nil
-		}
-		if errors.Is(err, io.EOF) {
-			return nil, io.EOF
-		}
-		if err != nil {
-			return nil, &outbound.InvalidResponseError{Kind: outbound.Truncated, Reason: "the answer was cut", Cause: errors.WithStack(err)}
-		}
-	}
+	return r.rest.Next()
 }
 
 // checkDelimited returns an *outbound.InvalidResponseError unless the response marks its end or has
