dispatch: requests at back ends are bounded by the descriptors of the machine

What callers saw: with 300 clients that read nothing of their responses the product's own program had 249 of 256 descriptors open, so that little was left for other nodes, files and new clients.

Cause: the clients' connections were bounded by the descriptors, and what they cause at back ends only by the back ends' own limits, if they have any.

Beyond that a request is refused as not run, and a relayed response that nobody reads makes room.

--- a/internal/dataplane/chain.go
+++ b/internal/dataplane/chain.go
@@ -66,6 +66,7 @@
 func (s *Server) newDispatcher() *dispatch.Dispatcher {
 	options := dispatch.Options{
 		Log:           s.options.Log,
+		MaxInFlight:   s.options.Inbound.Limits().BackendConnections,
 		Source:        s.options.Source,
 		Clock:         s.options.Clock,
 		Zone:          s.options.Zone,
--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/startupgate"
 	"github.com/ridgeswitch/ridgeswitch/internal/dataplane/warmup"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/caller"
+	"github.com/ridgeswitch/ridgeswitch/internal/edge/inbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/edge/outbound"
 	"github.com/ridgeswitch/ridgeswitch/internal/routing"
 	"github.com/ridgeswitch/ridgeswitch/pkg/attempts"
@@ -30,8 +31,8 @@
 // neither the settings nor a back end specify one.
 const DefaultBackendRetry = time.Second
 
-// Options configure a Dispatcher. All but StartupGate are required; MaxUnsent and BackendRetry
-// may be 0.
+// Options configure a Dispatcher. All but StartupGate are required; MaxUnsent, MaxInFlight
+// and BackendRetry may be 0.
 type Options struct {
 	// Log receives messages for operators, but none per request.
 	Log *logrus.Entry
@@ -67,6 +68,9 @@
 	// MaxUnsent is how many attempts of a request that could not be sent do not count
 	// towards MaxAttempts.
 	MaxUnsent int
+	// MaxInFlight bounds the attempts that run at once, each of which has a connection to a
+	// back end; 0 means no limit.
+	MaxInFlight int
 	// BackendRetry is the time after which a caller may retry after a failure of a back
 	// end.
 	BackendRetry time.Duration
@@ -84,7 +88,7 @@
 
 // New returns a dispatcher without attempts.
 func New(options Options) *Dispatcher {
-	d := &Dispatcher{options: options, invalid: &invalidResponses{log: options.Log}, inFlight: newInFlight()}
+	d := &Dispatcher{options: options, invalid: &invalidResponses{log: options.Log}, inFlight: newInFlight(options.MaxInFlight)}
 	d.pools = newPoolSelector(&d.options)
 	d.webServices = newWebSelector(&d.options, d.inFlight)
 	return d
@@ -173,7 +177,12 @@
 			return nil, callerError
 		}
 		chosen.waitBeforeSend(r)
-		d.inFlight.begin(chosen.address())
+		if !d.inFlight.begin(chosen.address()) {
+			chosen.finish(false)
+			inbound.CloseStalledRelay(r.Request)
+			return nil, caller.NewError(caller.KindBackendsBusy,
+				"the node has as many requests at back ends as it may: send the request again").WithRetryAfter(d.options.BackendRetry)
+		}
 		if chosen.stillEligible(r) && chosen.tryAcquireSlowStart() {
 			return chosen, nil
 		}
--- a/internal/edge/inbound/budget.go
+++ b/internal/edge/inbound/budget.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// Limits returns the limits of the budget.
+func (b *Budget) Limits() Limits { return b.limits }
+
 // Stats returns the counters.
 func (b *Budget) Stats() Stats {
 	b.mutex.Lock()
--- a/internal/edge/inbound/inbound_test.go
+++ b/internal/edge/inbound/inbound_test.go
@@ -348,9 +348,9 @@
 
 var _ = DescribeTable("The limits of a machine",
 	func(machine Machine, limits Limits) { Expect(LimitsOf(machine)).To(Equal(limits)) },
-	Entry("with little memory", Machine{MemoryBytes: 88 * mebibyte, Descriptors: 4096}, Limits{Bytes: 88 * mebibyte / 5, Connections: 563}),
-	Entry("with few descriptors", Machine{MemoryBytes: 284 * mebibyte, Descriptors: 256}, Limits{Bytes: 284 * mebibyte / 5, Connections: 128}),
-	Entry("with next to nothing", Machine{MemoryBytes: mebibyte, Descriptors: 8}, Limits{Bytes: mebibyte / 5, Connections: minConnections}),
+	Entry("with little memory", Machine{MemoryBytes: 88 * mebibyte, Descriptors: 4096}, Limits{Bytes: 88 * mebibyte / 5, Connections: 563, BackendConnections: 682}),
+	Entry("with few descriptors", Machine{MemoryBytes: 284 * mebibyte, Descriptors: 256}, Limits{Bytes: 284 * mebibyte / 5, Connections: 128, BackendConnections: 42}),
+	Entry("with next to nothing", Machine{MemoryBytes: mebibyte, Descriptors: 8}, Limits{Bytes: mebibyte / 5, Connections: minConnections, BackendConnections: minConnections}),
 )
 
 var _ = It("takes the limits of the computer where the machine's are not known", func() {
--- a/internal/edge/inbound/limits.go
+++ b/internal/edge/inbound/limits.go
@@ -14,9 +14,11 @@
 	// connectionBytes is what an open connection takes beside its request: its buffers, its
 	// goroutine and the server's state.
 	connectionBytes = 16 << 10
-	// descriptorDivisor is the part of the descriptors that clients may take. The others are
-	// for back ends, other nodes and files.
-	descriptorDivisor = 2
+	// descriptorDivisor and backendDescriptorDivisor are the parts of the descriptors that
+	// clients, and the back ends of their requests, may take. The others are for other nodes and
+	// files.
+	descriptorDivisor        = 2
+	backendDescriptorDivisor = 6
 	// minConnections keeps the smallest machine reachable.
 	minConnections = 16
 )
@@ -35,6 +37,9 @@
 	Bytes int64
 	// Connections bounds the connections of all ports.
 	Connections int
+	// BackendConnections bounds the requests of clients that are at back ends, each of which has
+	// a connection; 0 means no limit.
+	BackendConnections int
 }
 
 // LimitsOf returns the limits for a machine.
@@ -47,7 +52,11 @@
 		descriptors = openFileLimit()
 	}
 	connections := min(int64(descriptors/descriptorDivisor), memory/connectionMemoryDivisor/connectionBytes)
-	return Limits{Bytes: memory / memoryDivisor, Connections: int(max(connections, minConnections))}
+	return Limits{
+		Bytes:              memory / memoryDivisor,
+		Connections:        int(max(connections, minConnections)),
+		BackendConnections: max(descriptors/backendDescriptorDivisor, minConnections),
+	}
 }
 
 // computerMemory returns the memory of the computer in bytes, or the largest number if it is not
