duplicates: what a finished request leaves behind does not depend on its ID

What callers saw: 64 connections that send small proper requests with IDs of 256 bytes took a front of 88 MB to 101 MiB within 15 s.

Cause: the IDs of the last 65,536 requests were kept as the client chose them, for 10 minutes: up to 26 MB with the tables.

Change: the register keeps 16 bytes of a digest for each key.

--- a/internal/dataplane/duplicates/register.go
+++ b/internal/dataplane/duplicates/register.go
@@ -6,19 +6,33 @@
 package duplicates
 
 import (
+	"crypto/sha256"
 	"sync"
 	"time"
 )
 
+// digestBytes is the length of the part of a digest that stands for a key.
+const digestBytes = 16
+
 // Key is the identity of a request among all tenants.
 type Key struct {
 	Tenant string
 	ID     string
 }
 
+// keyDigest stands for a Key in the register, so that what a request leaves there does not depend on
+// the length of the identity that its caller chose.
+type keyDigest [digestBytes]byte
+
+// digest returns the digest of the key.
+func (k Key) digest() keyDigest {
+	full := sha256.Sum256([]byte(k.Tenant + "\x00" + k.ID))
+	return keyDigest(full[:digestBytes])
+}
+
 // finishedRequest is a request that has ended and may have run.
 type finishedRequest struct {
-	key        Key
+	key        keyDigest
 	finishedAt time.Duration
 }
 
@@ -42,7 +56,7 @@
 	mutex       sync.Mutex
 	maxFinished int
 	rememberFor time.Duration
-	entries     map[Key]registerEntry
+	entries     map[keyDigest]registerEntry
 	// finished is a ring buffer with count entries, the oldest at index first. It grows up
 	// to maxFinished entries.
 	finished []finishedRequest
@@ -59,7 +73,7 @@
 	return &Register{
 		maxFinished: maxFinished,
 		rememberFor: rememberFor,
-		entries:     make(map[Key]registerEntry),
+		entries:     make(map[keyDigest]registerEntry),
 		finished:    make([]finishedRequest, min(maxFinished, initialFinished)),
 	}
 }
@@ -70,13 +84,14 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.expire(now)
-	entry, found := r.entries[key]
+	digest := key.digest()
+	entry, found := r.entries[digest]
 	if found && (!entry.idempotent || !idempotent) {
 		return false
 	}
 	entry.idempotent = idempotent
 	entry.running++
-	r.entries[key] = entry
+	r.entries[digest] = entry
 	return true
 }
 
@@ -84,13 +99,15 @@
 func (r *Register) Forget(key Key) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	entry := r.entries[key]
+	digest := key.digest()
+	entry := r.entries[digest]
 	entry.running--
-	r.update(key, entry)
+	r.update(digest, entry)
 }
 
 // Finish records that a running request has ended and may have run.
 func (r *Register) Finish(now time.Duration, key Key) {
+	digest := key.digest()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.count == r.maxFinished {
@@ -99,12 +116,12 @@
 	if r.count == len(r.finished) {
 		r.grow()
 	}
-	r.finished[(r.first+r.count)%len(r.finished)] = finishedRequest{key: key, finishedAt: now}
+	r.finished[(r.first+r.count)%len(r.finished)] = finishedRequest{key: digest, finishedAt: now}
 	r.count++
-	entry := r.entries[key]
+	entry := r.entries[digest]
 	entry.running--
 	entry.finished++
-	r.entries[key] = entry
+	r.entries[digest] = entry
 }
 
 // grow doubles the ring of finished requests, up to maxFinished.
@@ -116,7 +133,7 @@
 }
 
 // update replaces the entry of a key, or deletes it if it counts no submission.
-func (r *Register) update(key Key, entry registerEntry) {
+func (r *Register) update(key keyDigest, entry registerEntry) {
 	if entry.running == 0 && entry.finished == 0 {
 		delete(r.entries, key)
 		return
--- a/internal/dataplane/duplicates/register_internal_test.go
+++ b/internal/dataplane/duplicates/register_internal_test.go
@@ -1,7 +1,9 @@
 package duplicates
 
 import (
+	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -63,11 +65,36 @@
 		newest := time.Duration(submitted-1) * time.Second / 2
 		for number := range submitted {
 			old := newest-time.Duration(number)*time.Second/2 >= time.Minute
-			Expect(register.entries[key(number)].finished == 0).To(Equal(old), "request %d", number)
+			Expect(register.entries[key(number).digest()].finished == 0).To(Equal(old), "request %d", number)
 		}
 		Expect(len(register.finished)).To(BeNumerically("<=", 4*initialFinished))
 	})
 
+	It("keeps nothing of a long identity", func() {
+		var stats runtime.MemStats
+		held := func() uint64 {
+			runtime.GC()
+			runtime.ReadMemStats(&stats)
+			return stats.HeapAlloc
+		}
+		const requests, idBytes = 10_000, 256
+		register := New(requests, time.Minute)
+		before := held()
+		for number := range requests {
+			key := Key{Tenant: "t", ID: strconv.Itoa(number) + strings.Repeat("x", idBytes)}
+			Expect(register.Begin(0, key, false)).To(BeTrue())
+			register.Finish(0, key)
+		}
+		Expect(held() - before).To(BeNumerically("<", requests*idBytes))
+		Expect(register.entries).To(HaveLen(requests))
+	})
+
+	It("tells tenants apart whose names and identities are equal when joined", func() {
+		register := New(2, time.Minute)
+		Expect(register.Begin(0, Key{"ab", "c"}, false)).To(BeTrue())
+		Expect(register.Begin(0, Key{"a", "bc"}, false)).To(BeTrue())
+	})
+
 	It("never forgets a running request under concurrent use", func() {
 		register := New(8, time.Minute)
 		var wait sync.WaitGroup
