node, kvrouter: predicted and pending chunks are bounded by the machine's memory

What callers saw: 32 connections that send proper prompts, each of 1,100 parts that nobody sent before, took a front of 88 MB to 97 MiB.

Cause: the index holds up to 262,144 predicted and 65,536 pending chunks on any machine, at some 160 bytes each: 52 MB.

Change: predicted chunks take an eighth of the machine's memory and pending ones a 32nd, and no more than before. 88 MB hold 72,089, 134 MB 109,772.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -81,6 +81,7 @@
 		Clock:        clock.SinceBoot,
 		Log:          n.log.WithField("component", "dataplane"),
 		Inbound:      n.inbound,
+		Router:       routerOptions(n.settings.MemoryBytes()),
 		RecordFile:   n.settings.RecordFile,
 		Edges:        n.edges.Dataplane,
 		MaxUnsent:    maxUnsent,
--- a/pkg/kvrouter/options.go
+++ b/pkg/kvrouter/options.go
@@ -10,6 +10,7 @@
 
 // Defaults of Options.
 const (
+	DefaultMaxPending             = 1 << 16
 	DefaultBlockTokens            = 16
 	DefaultUncertainCredit        = 0.75
 	DefaultReportLag              = 5 * time.Second
@@ -35,6 +36,8 @@
 type Options struct {
 	// Index configures the prefix index.
 	Index prefixindex.Options
+	// MaxPending bounds the chunks of requests that were sent lately and may not be cached yet.
+	MaxPending int
 	// BlockTokens is the size of a block, the unit of load and cost.
 	BlockTokens uint32
 	// UncertainCredit multiplies the credit of chunks that are only probably cached: those that
@@ -101,6 +104,7 @@
 }
 
 func (o Options) withDefaults() Options {
+	setDefault(&o.MaxPending, DefaultMaxPending)
 	setDefault(&o.BlockTokens, DefaultBlockTokens)
 	setDefault(&o.UncertainCredit, DefaultUncertainCredit)
 	setDefault(&o.ReportLag, DefaultReportLag)
--- a/pkg/kvrouter/router.go
+++ b/pkg/kvrouter/router.go
@@ -13,9 +13,7 @@
 const (
 	// pendingTTL is how long the chunks of a request count as pending, unless the request
 	// fails earlier.
-	pendingTTL = 10 * time.Second
-	// maxPending is the largest number of pending chunks.
-	maxPending    = 1 << 16
+	pendingTTL    = 10 * time.Second
 	pendingShards = 16
 )
 
@@ -53,7 +51,7 @@
 		scratchPool: sync.Pool{New: func() any { return &scratch{} }},
 	}
 	r.index = prefixindex.New(r.options.Index)
-	r.pending = prefixindex.New(prefixindex.Options{PredictionTTL: pendingTTL, MaxPredicted: maxPending, Shards: pendingShards})
+	r.pending = prefixindex.New(prefixindex.Options{PredictionTTL: pendingTTL, MaxPredicted: r.options.MaxPending, Shards: pendingShards})
 	r.replicas = registry{
 		index:       r.index,
 		pending:     r.pending,
