gossip: the chunks of dispatches that wait for other nodes are bounded, not only the dispatches

What callers saw: nothing yet; found by listing where bytes of a client become more.

Cause: up to 1,024 dispatches wait for the next batch to the other nodes, and each names up to 4,096 chunks of 16 bytes: 64 MiB, every 50 ms.

Change: at most 32,768 chunks wait. A dispatch beyond is not announced, as one beyond 1,024 was not before.

Ordinary prompts of 8 chunks are announced as before.

--- a/internal/dataplane/gossip/outgoing.go
+++ b/internal/dataplane/gossip/outgoing.go
@@ -17,6 +17,9 @@
 	// maxPendingUpdates is the capacity of each of the three queues of dispatches, reports
 	// and denials that wait for the next Drain. Entries beyond it are dropped.
 	maxPendingUpdates = 1024
+	// maxPendingLinks bounds the chunks of all dispatches that wait for the next Drain. A
+	// dispatch beyond it is dropped, as one beyond maxPendingUpdates is.
+	maxPendingLinks = 1 << 15
 )
 
 // sentLoad is the load on a replica that was last sent to the other nodes.
@@ -36,6 +39,8 @@
 	dispatches []Dispatch
 	reports    []Report
 	denials    []GoneInstance
+	// pendingLinks counts the links of dispatches.
+	pendingLinks int
 }
 
 // NewOutgoingUpdates returns an OutgoingUpdates without updates.
@@ -44,21 +49,38 @@
 }
 
 // AddDispatch adds a request that was sent to a replica.
-func (o *OutgoingUpdates) AddDispatch(dispatch Dispatch) { enqueue(o, &o.dispatches, dispatch) }
+func (o *OutgoingUpdates) AddDispatch(dispatch Dispatch) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.pendingLinks+len(dispatch.Links) > maxPendingLinks {
+		return
+	}
+	if enqueue(&o.dispatches, dispatch) {
+		o.pendingLinks += len(dispatch.Links)
+	}
+}
 
 // AddReport adds a page of reports that this node has read from a back end.
-func (o *OutgoingUpdates) AddReport(report Report) { enqueue(o, &o.reports, report) }
+func (o *OutgoingUpdates) AddReport(report Report) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	enqueue(&o.reports, report)
+}
 
 // AddGoneInstance adds an incarnation that is gone from its address.
-func (o *OutgoingUpdates) AddGoneInstance(denial GoneInstance) { enqueue(o, &o.denials, denial) }
-
-// enqueue appends an entry unless the queue is full.
-func enqueue[T any](o *OutgoingUpdates, queue *[]T, entry T) {
+func (o *OutgoingUpdates) AddGoneInstance(denial GoneInstance) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if len(*queue) < maxPendingUpdates {
-		*queue = append(*queue, entry)
+	enqueue(&o.denials, denial)
+}
+
+// enqueue appends an entry, or returns false if the queue is full.
+func enqueue[T any](queue *[]T, entry T) bool {
+	if len(*queue) >= maxPendingUpdates {
+		return false
 	}
+	*queue = append(*queue, entry)
+	return true
 }
 
 // Drain returns the update to send now, given the current loads, and empties the queues.
@@ -67,6 +89,7 @@
 	defer o.mutex.Unlock()
 	update := Update{Dispatches: o.dispatches, Reports: o.reports, GoneInstances: o.denials}
 	o.dispatches, o.reports, o.denials = nil, nil, nil
+	o.pendingLinks = 0
 	for _, load := range loads {
 		if o.markSentIfDue(now, load) {
 			update.Loads = append(update.Loads, load)
