inbound: the largest body that a machine has room for is read in calm, in chunks as well

What callers saw: where the configured limit of bodies is at or above what the budget has room for, a chunked body of 4 MiB got 503 on an idle node of 88 MB, at every try.

Cause: the last buffer is that of the largest body, copied from one of up to a half of it; the budget has room for a fifth more than the largest body, without its head.

Change: the last buffer is copied from one of at most a quarter of it, and the largest body leaves room for its head.

--- a/internal/edge/inbound/body.go
+++ b/internal/edge/inbound/body.go
@@ -48,10 +48,11 @@
 	return body, err
 }
 
-// largestBody returns the size of the largest body that the budget has room for, beside the buffer
-// that it is copied from.
+// largestBody returns the size of the largest body that the budget has room for, beside its head and
+// the buffer that it is copied from.
 func (b *Budget) largestBody() int64 {
-	return b.allowed(b.limits.Bytes) / (growthFactor + 1) * growthFactor
+	room := b.allowed(b.limits.Bytes)
+	return max(room-smallHolderBytes, room/2) / (growthFactor + 1) * growthFactor
 }
 
 // bodyReader reads one body.
@@ -108,13 +109,24 @@
 	return r.source.Read(target)
 }
 
-// grow replaces the buffer by a larger one. Both are charged while one is copied to the other. The
-// last buffer has a byte more than the body can have, so that its end can be read.
-func (r *bodyReader) grow() error {
+// nextSize returns the size of the next buffer. The last one has a byte more than the body can have,
+// so that its end can be read, and is copied from one of at most a growthFactor-th of it.
+func (r *bodyReader) nextSize() int64 {
 	size := max(int64(cap(r.buffer))*growthFactor, firstBufferBytes)
-	if size > r.largest/2 {
-		size = r.largest + 1
+	lastButOne := r.largest / growthFactor
+	switch {
+	case size <= lastButOne:
+		return size
+	case int64(cap(r.buffer)) < lastButOne && size < r.largest:
+		return lastButOne
+	default:
+		return r.largest + 1
 	}
+}
+
+// grow replaces the buffer by a larger one. Both are charged while one is copied to the other.
+func (r *bodyReader) grow() error {
+	size := r.nextSize()
 	if r.connection != nil {
 		if err := r.connection.budget.charge(r.connection, size); err != nil {
 			return err
--- a/internal/edge/inbound/inbound_test.go
+++ b/internal/edge/inbound/inbound_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -358,3 +359,20 @@
 	Expect(limits.Bytes).To(BeNumerically(">", 100*mebibyte))
 	Expect(limits.Connections).To(BeNumerically(">", minConnections))
 })
+
+var _ = DescribeTable("The largest body that a machine has room for is read in calm", func(megabytes int64) {
+	limits := LimitsOf(Machine{MemoryBytes: megabytes * mebibyte, Descriptors: 256})
+	budget := NewBudget(limits)
+	size := budget.largestBody()
+	for _, length := range []int64{size / 4, size/4 + 1, 4 * mebibyte, size - 1, size} {
+		for _, declared := range []int64{length, -1} {
+			request, connection := requestWithin(budget, http.MethodPost)
+			Expect(budget.charge(connection, 16<<10)).To(Succeed(), "the head")
+			request.Body, request.ContentLength = io.NopCloser(strings.NewReader(text(int(length)))), declared
+			body, err := ReadBody(httptest.NewRecorder(), request, 1<<30)
+			Expect(err).NotTo(HaveOccurred(), "%d bytes of at most %d, declared %d", length, size, declared)
+			Expect(body).To(HaveLen(int(length)))
+			connection.SetState(http.StateIdle)
+		}
+	}
+}, Entry(nil, int64(88)), Entry(nil, int64(117)), Entry(nil, int64(284)))
