inbound, node: large responses leave more of a small machine free

What callers saw: nothing; the crowd of clients that leave responses of 8 MiB took a platform's front of 88 MB to 87 MiB, and large bodies at the readiness check's port to 86 in the same process, one step from the bound.

Cause: a buffer of a declared length grew in steps, so that as much garbage as the response itself was made; the soft limit of the heap left 26 MB for all that Go does not count, such as the program itself, and for what is allocated while a collection runs.

Change: a declared length, which is charged before it is read, gets one buffer; responses hold a quarter of the budget in place of a half; the soft limit of the heap is 0.65 of the machine's memory in place of 0.7.

--- a/internal/edge/inbound/response.go
+++ b/internal/edge/inbound/response.go
@@ -10,8 +10,9 @@
 const (
 	// responseDivisor is the part of the budget's bytes that buffered responses may take, so that
 	// clients which do not read leave room for the requests of others.
-	responseDivisor = 2
-	// responseGrowthFactor is how much larger the next buffer of a response is.
+	responseDivisor = 4
+	// responseGrowthFactor is how much larger the next buffer of a response is whose length is not
+	// declared.
 	responseGrowthFactor = 2
 )
 
@@ -76,19 +77,18 @@
 }
 
 // grow replaces the buffer by a larger one. It returns false if there is no room for it. The last
-// buffer has a byte more than the body can have, so that its end can be read. A declared length was
-// reserved before.
+// buffer has a byte more than the body can have, so that its end can be read. That of a declared
+// length is the first one, and was reserved before.
 func (r *responseReader) grow() bool {
-	largest := r.limit
-	if r.declared >= 0 {
-		largest = r.declared
-	}
-	size := max(int64(cap(r.buffer))*responseGrowthFactor, firstBufferBytes)
-	if size > largest/2 {
-		size = largest + 1
-	}
-	if r.declared < 0 && !r.reserve(size) {
-		return false
+	size := r.declared + 1
+	if r.declared < 0 {
+		size = max(int64(cap(r.buffer))*responseGrowthFactor, firstBufferBytes)
+		if size > r.limit/2 {
+			size = r.limit + 1
+		}
+		if !r.reserve(size) {
+			return false
+		}
 	}
 	grown := make([]byte, len(r.buffer), size)
 	copy(grown, r.buffer)
--- a/internal/node/heap_growth.go
+++ b/internal/node/heap_growth.go
@@ -24,7 +24,7 @@
 
 // heapMemoryFraction is the soft memory limit of the Go runtime as a fraction of the memory that
 // the node may use. Near it, the garbage collector runs more often.
-const heapMemoryFraction = 0.7
+const heapMemoryFraction = 0.65
 
 // LimitHeap sets the soft memory limit of the Go runtime, if the settings name the memory.
 func LimitHeap(settings *static.Settings) {
