inbound: on the smallest budgets the largest body leaves a part for its head, not 64 KiB

A sixteenth of the budget is left now, and at most 64 KiB: where large requests may hold 1 MiB or more, nothing changes.

internal/dataplane and internal/edge/inbound pass.

--- a/internal/edge/inbound/body.go
+++ b/internal/edge/inbound/body.go
@@ -12,6 +12,9 @@
 	// larger the next one is. What a client announces is allocated only as it arrives.
 	firstBufferBytes = 16 << 10
 	growthFactor     = 4
+	// headDivisor is the part of the budget that the largest body leaves to its head, up to
+	// smallHolderBytes.
+	headDivisor = 16
 	// bulkReadBytes is the most that is read of a body at a time.
 	bulkReadBytes = 16 << 10
 )
@@ -52,7 +55,8 @@
 // the buffer that it is copied from.
 func (b *Budget) largestBody() int64 {
 	room := b.allowed(b.limits.Bytes)
-	return max(room-smallHolderBytes, room/2) / (growthFactor + 1) * growthFactor
+	head := min(smallHolderBytes, room/headDivisor)
+	return (room - head) / (growthFactor + 1) * growthFactor
 }
 
 // bodyReader reads one body.
